--- /dev/null
+++ b/packages/ctl/bulrushcourse_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregates and decisions, free of encodings and sockets."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The set of objects that operators edit and publish."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/configuration/check.py
@@ -0,0 +1,247 @@
+"""Checks of a configuration as a whole."""
+
+import collections
+import datetime
+import typing
+
+from bulrushcourse_domain import findings
+from bulrushcourse_domain.configuration import objects
+
+KINDS = (
+    'places',
+    'entries',
+    'request_classes',
+    'pools',
+    'services',
+    'limits',
+    'plans',
+)
+
+
+def check_objects(
+    candidate: objects.Objects,
+) -> tuple[findings.Finding, ...]:
+    """Return all findings of a configuration, ordered by place.
+
+    Args:
+        candidate: The objects to check.
+
+    Examples:
+        >>> service = objects.Service('catalog', 'none', 'short', True)
+        >>> for found in check_objects(objects.Objects(services=(service,))):
+        ...     print(found.place, found.code)
+        services[catalog].pool dangling
+        services[catalog].request_class dangling
+    """
+    rules = (
+        _check_unique,
+        _check_references,
+        _check_ranges,
+        _check_limits,
+        _check_plans,
+    )
+    return findings.sort_findings(
+        found for rule in rules for found in rule(candidate)
+    )
+
+
+def _check_unique(
+    candidate: objects.Objects,
+) -> typing.Iterator[findings.Finding]:
+    named = {kind: list(getattr(candidate, kind)) for kind in KINDS}
+    named['instances'] = [i for p in candidate.pools for i in p.instances]
+    for kind, members in named.items():
+        counts = collections.Counter(member.name for member in members)
+        for name, count in counts.items():
+            if count > 1 or not name:
+                yield findings.Finding(
+                    f'{kind}[{name}].name',
+                    'duplicate' if name else 'empty',
+                    f'is used {count} times',
+                    'each name once and not empty',
+                )
+
+
+def _check_references(
+    candidate: objects.Objects,
+) -> typing.Iterator[findings.Finding]:
+    names = {
+        kind: {m.name for m in getattr(candidate, kind)} for kind in KINDS
+    }
+    regions = {place.region for place in candidate.places}
+    references = [
+        (f'entries[{e.name}].place', e.place, names['places'])
+        for e in candidate.entries
+    ]
+    for pool in candidate.pools:
+        references += [
+            (
+                f'pools[{pool.name}].instances[{i.name}].place',
+                i.place,
+                names['places'],
+            )
+            for i in pool.instances
+        ]
+    for service in candidate.services:
+        place = f'services[{service.name}]'
+        references.append((f'{place}.pool', service.pool, names['pools']))
+        references.append(
+            (
+                f'{place}.request_class',
+                service.request_class,
+                names['request_classes'],
+            )
+        )
+    for limit in candidate.limits:
+        place = f'limits[{limit.name}]'
+        references.append((f'{place}.target', limit.target, regions))
+        if limit.kind is not objects.LimitKind.REGION:
+            references.append((f'{place}.source', limit.source, regions))
+    for plan in candidate.plans:
+        place = f'plans[{plan.name}]'
+        references.append(
+            (f'{place}.source', plan.source, regions | names['places'])
+        )
+        if plan.service:
+            references.append(
+                (f'{place}.service', plan.service, names['services'])
+            )
+        if plan.kind is objects.PlanKind.SHIFT:
+            references.append((f'{place}.target', plan.target, regions))
+            references.append((f'{place}.limit', plan.limit, names['limits']))
+    for place, name, known in references:
+        if name not in known:
+            yield findings.Finding(
+                place,
+                'dangling',
+                f'names {name!r}, which is not defined',
+                f'one of {", ".join(sorted(known)) or "none defined"}',
+            )
+
+
+def _check_ranges(
+    candidate: objects.Objects,
+) -> typing.Iterator[findings.Finding]:
+    positive = [
+        (f'pools[{p.name}].{field}', getattr(p, field))
+        for p in candidate.pools
+        for field in ('slots', 'connections')
+    ]
+    positive += [
+        (f'services[{s.name}].{field}', getattr(s, field))
+        for s in candidate.services
+        for field in ('deadline_ms', 'max_body_bytes')
+    ]
+    positive += [
+        (f'request_classes[{c.name}].deadline_limit_ms', c.deadline_limit_ms)
+        for c in candidate.request_classes
+    ]
+    for place, value in positive:
+        if value <= 0:
+            yield findings.Finding(place, 'range', f'is {value}', 'above 0')
+    fractions = [
+        (f'request_classes[{c.name}].slot_share', c.slot_share)
+        for c in candidate.request_classes
+    ]
+    fractions += [(f'plans[{p.name}].share', p.share) for p in candidate.plans]
+    for place, value in fractions:
+        if not 0 < value <= 1:
+            yield findings.Finding(
+                place, 'range', f'is {value}', 'above 0 and at most 1'
+            )
+
+
+_CAP_FIELDS = {
+    objects.LimitKind.LINK: 'mbit_per_s',
+    objects.LimitKind.REGION: 'in_flight',
+    objects.LimitKind.SHIFT: 'requests_per_s',
+}
+
+
+def _check_limits(
+    candidate: objects.Objects,
+) -> typing.Iterator[findings.Finding]:
+    for limit in candidate.limits:
+        for kind, field in _CAP_FIELDS.items():
+            value = getattr(limit, field)
+            place = f'limits[{limit.name}].{field}'
+            if kind is limit.kind and value <= 0:
+                yield findings.Finding(
+                    place, 'range', f'is {value}', 'above 0'
+                )
+            if kind is not limit.kind and value:
+                yield findings.Finding(
+                    place,
+                    'unit',
+                    f'does not apply to a {limit.kind.value} limit',
+                    f'use {_CAP_FIELDS[limit.kind]}',
+                )
+
+
+def _check_plans(
+    candidate: objects.Objects,
+) -> typing.Iterator[findings.Finding]:
+    for plan in candidate.plans:
+        times = {}
+        for field in ('start', 'finish_by'):
+            text = getattr(plan, field)
+            try:
+                times[field] = datetime.datetime.fromisoformat(text)
+            except ValueError:
+                yield findings.Finding(
+                    f'plans[{plan.name}].{field}',
+                    'time',
+                    f'is {text!r}',
+                    'an ISO 8601 time in UTC',
+                )
+                continue
+            if times[field].tzinfo is None:
+                del times[field]
+                yield findings.Finding(
+                    f'plans[{plan.name}].{field}',
+                    'time',
+                    f'{text!r} has no UTC offset',
+                    'end it in Z or +00:00',
+                )
+        if len(times) == 2 and times['finish_by'] <= times['start']:
+            yield findings.Finding(
+                f'plans[{plan.name}].finish_by',
+                'time',
+                'is not after start',
+                'a later time',
+            )
+    yield from _check_last_places(candidate)
+
+
+def _check_last_places(
+    candidate: objects.Objects,
+) -> typing.Iterator[findings.Finding]:
+    region_of = {place.name: place.region for place in candidate.places}
+    drained = {
+        plan.source: plan.name
+        for plan in candidate.plans
+        if plan.kind is objects.PlanKind.DRAIN
+    }
+    pools = {pool.name: pool for pool in candidate.pools}
+    for service in candidate.services:
+        pool = pools.get(service.pool)
+        if pool is None:
+            continue
+        left = [
+            i
+            for i in pool.instances
+            if i.place not in drained and region_of.get(i.place) not in drained
+        ]
+        if left:
+            continue
+        place = (
+            f'plans[{sorted(drained.values())[0]}].source'
+            if drained
+            else f'pools[{pool.name}].instances'
+        )
+        yield findings.Finding(
+            place,
+            'last_place',
+            f'leaves service {service.name!r} without an instance',
+            'keep at least one place that serves it',
+        )
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries are live, leaving or gone."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the region and the place that serve a request."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Slots of upstream instances and who may use them."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/slots/requests.py
@@ -0,0 +1,80 @@
+"""Requests for slots and the decisions on them."""
+
+import enum
+
+import attrs
+
+
+class RefusalReason(enum.Enum):
+    """Why no slot was granted."""
+
+    DEADLINE = 'deadline'
+    NO_INSTANCE = 'no-instance'
+    QUEUE_FULL = 'queue-full'
+    NOT_OWNER = 'not-owner'
+    QUARANTINED = 'quarantined'
+    UNREACHABLE = 'unreachable'
+
+
+class ReleaseOutcome(enum.Enum):
+    """How the work in a slot ended."""
+
+    DONE = 'done'
+    SHED = 'shed'
+    UNREACHABLE = 'unreachable'
+    LOST = 'lost'
+    CANCELLED = 'cancelled'
+
+
+@attrs.frozen
+class SlotRequest:
+    """A wish to run one request.
+
+    Attributes:
+        request_id: Identifier, unique over all entries.
+        holder: Name of the entry that asks.
+        request_class: Name of the request's class.
+        deadline: Clock seconds by which the work must have ended.
+        fingerprint: Hash of the request's content.
+        avoid: Instances that already failed this request.
+    """
+
+    request_id: str
+    holder: str
+    request_class: str
+    deadline: float
+    fingerprint: str = ''
+    avoid: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Grant:
+    """A slot at an instance.
+
+    Attributes:
+        request_id: The request that may run.
+        holder: Name of the entry that asked.
+        instance: Name of the instance.
+    """
+
+    request_id: str
+    holder: str
+    instance: str
+
+
+@attrs.frozen
+class Refusal:
+    """A request that gets no slot; it did not run.
+
+    Attributes:
+        request_id: The refused request.
+        holder: Name of the entry that asked.
+        reason: Why it is refused.
+    """
+
+    request_id: str
+    holder: str
+    reason: RefusalReason
+
+
+Decision = Grant | Refusal
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs on an entry VM."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -0,0 +1,61 @@
+"""Numbered log events; ``docs/EVENTS.md`` is their catalogue."""
+
+import enum
+import typing
+
+import logbook
+
+
+class Event(enum.Enum):
+    """Events of an entry: number, level, message.
+
+    Numbers are never reused. The first digit names the part: 1 process,
+    2 callers, 3 peers, 4 platform, 5 configuration, 6 upstreams, 7 limits,
+    8 claims, 9 operators.
+    """
+
+    STARTED = (1001, 'info', 'entry started')
+    READY = (1002, 'info', 'entry is ready to serve callers')
+    STOPPING = (1003, 'info', 'graceful shutdown started')
+    STOPPED = (1004, 'info', 'entry stopped')
+    STOP_FORCED = (1005, 'warning', 'shutdown cut off requests in flight')
+    PEER_CONNECTED = (3001, 'info', 'peer stream established')
+    PEER_LOST = (3002, 'warning', 'peer stream lost')
+    PEER_REFUSED = (3003, 'warning', 'peer stream refused')
+    STORE_UNREACHABLE = (4001, 'warning', 'table service does not answer')
+    STORE_REACHABLE = (4002, 'info', 'table service answers again')
+    VM_LIST_UNREACHABLE = (4003, 'warning', 'list of VMs does not answer')
+    CONFIGURATION_IN_FORCE = (5001, 'info', 'configuration is in force')
+    CONFIGURATION_REFUSED = (5002, 'error', 'stored configuration is invalid')
+    UPSTREAM_FAILED = (6001, 'warning', 'upstream request failed')
+    OPERATOR_REFUSED = (9001, 'warning', 'operator request without token')
+
+    @property
+    def number(self) -> int:
+        """The event's number."""
+        return self.value[0]
+
+    @property
+    def level(self) -> str:
+        """The event's level."""
+        return self.value[1]
+
+    @property
+    def message(self) -> str:
+        """The event's message."""
+        return self.value[2]
+
+
+_LOGGER = logbook.Logger('bulrushcourse')
+
+
+def emit(event: Event, **fields: typing.Any) -> None:
+    """Write an event to the log.
+
+    Args:
+        event: What happened.
+        **fields: Details, written as ``name=value``.
+    """
+    details = ' '.join(f'{name}={value!r}' for name, value in fields.items())
+    level = logbook.lookup_level(event.level.upper())
+    _LOGGER.log(level, f'E{event.number} {event.message} {details}'.rstrip())
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/platform/vm_list.py
@@ -0,0 +1,60 @@
+"""Client of the platform's list of VMs."""
+
+import asyncio
+import typing
+
+import aiohttp
+import attrs
+
+CALL_TIMEOUT_S = 2.0
+
+
+@attrs.frozen
+class Vm:
+    """A VM in the platform's list.
+
+    Attributes:
+        vm_id: The platform's identifier of the VM.
+        entry: Name of the entry seat that the VM was made for.
+        peer_address: ``ip:port`` of its peer listener.
+        failure_domain: Where it runs.
+        state: ``live`` or ``leaving``.
+    """
+
+    vm_id: str
+    entry: str
+    peer_address: str
+    failure_domain: str
+    state: str
+
+
+class VmList(typing.Protocol):
+    """The platform's list of VMs."""
+
+    async def list(self) -> tuple[Vm, ...] | None:
+        """Return live and leaving VMs, ``None`` without an answer."""
+        ...
+
+
+@attrs.define
+class HttpVmList:
+    """List of VMs over HTTP with JSON.
+
+    Attributes:
+        base: Base URL.
+        session: HTTP session.
+    """
+
+    base: str
+    session: aiohttp.ClientSession
+
+    async def list(self) -> tuple[Vm, ...] | None:
+        """Return live and leaving VMs, ``None`` without an answer."""
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                async with self.session.get(f'{self.base}/vms') as response:
+                    response.raise_for_status()
+                    listed = await response.json()
+            return tuple(Vm(**fields) for fields in listed)
+        except (aiohttp.ClientError, TimeoutError, TypeError, ValueError):
+            return None
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and drivers for tests; never used in production."""
--- /dev/null
+++ b/packages/wire/bulrushcourse_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries and JSON documents."""
--- /dev/null
+++ b/packages/wire/bulrushcourse_wire/documents.py
@@ -0,0 +1,131 @@
+"""JSON documents of configurations and settings."""
+
+import json
+import typing
+
+import attrs
+import cattrs
+from bulrushcourse_domain import findings
+from bulrushcourse_domain.configuration import configuration_set
+from bulrushcourse_domain.configuration import objects
+from cattrs.preconf import json as json_converter
+from returns import result
+
+T = typing.TypeVar('T')
+
+_CONVERTER = json_converter.make_converter(
+    forbid_extra_keys=True, detailed_validation=True
+)
+
+
+def _check_scalar(value: typing.Any, expected: type) -> typing.Any:
+    allowed = (int, float) if expected is float else (expected,)
+    if isinstance(value, bool) and expected is not bool:
+        raise ValueError(f'is {value!r}, expected {expected.__name__}')
+    if not isinstance(value, allowed):
+        raise ValueError(f'is {value!r}, expected {expected.__name__}')
+    return expected(value)
+
+
+for _scalar in (int, float, str, bool):
+    _CONVERTER.register_structure_hook(_scalar, _check_scalar)
+
+
+def parse_document(
+    text: str, cls: type[T]
+) -> result.Result[T, tuple[findings.Finding, ...]]:
+    """Return the object in a JSON text, or all findings against its form.
+
+    Args:
+        text: JSON text.
+        cls: attrs class of the whole document.
+
+    Examples:
+        >>> parse_document('{"places": 3}', objects.Objects).failure()[0].place
+        'places'
+    """
+    try:
+        content = json.loads(text)
+    except ValueError as error:
+        return result.Failure(
+            (findings.Finding('document', 'json', str(error), 'JSON'),)
+        )
+    if not isinstance(content, dict):
+        return result.Failure(
+            (findings.Finding('document', 'type', 'is no object', 'object'),)
+        )
+    try:
+        return result.Success(_CONVERTER.structure(content, cls))
+    except Exception as error:
+        # cattrs raises groups of arbitrary errors; each leaf is a finding.
+        return result.Failure(
+            findings.sort_findings(_list_errors(error, '', content))
+        )
+
+
+def render_document(value: attrs.AttrsInstance) -> str:
+    """Return the JSON text of an attrs object, keys in a fixed order.
+
+    Args:
+        value: Configuration objects, settings or another attrs object.
+
+    Examples:
+        >>> render_document(objects.Place('cluj-a', 'ro-nord'))
+        '{"name": "cluj-a", "region": "ro-nord"}'
+    """
+    return json.dumps(_CONVERTER.unstructure(value), sort_keys=True)
+
+
+def parse_configuration(
+    version: int, text: str
+) -> result.Result[
+    configuration_set.ConfigurationSet, tuple[findings.Finding, ...]
+]:
+    """Return the checked configuration in a JSON text, or all findings.
+
+    Args:
+        version: Version that the configuration is to have.
+        text: JSON text of the objects.
+    """
+    return parse_document(text, objects.Objects).bind(
+        lambda parsed: configuration_set.check_configuration(version, parsed)
+    )
+
+
+def _list_errors(
+    error: BaseException, place: str, content: typing.Any
+) -> typing.Iterator[findings.Finding]:
+    if isinstance(error, cattrs.IterableValidationError):
+        noted, rest = error.group_exceptions()
+        for inner, note in noted:
+            item = _item(content, note.index)
+            name = item.get('name') if isinstance(item, dict) else None
+            label = f'{place}[{name or note.index}]'
+            yield from _list_errors(inner, label, item)
+        for inner in rest:
+            yield from _list_errors(inner, place, content)
+    elif isinstance(error, cattrs.ClassValidationError):
+        noted, rest = error.group_exceptions()
+        for inner, note in noted:
+            label = f'{place}.{note.name}' if place else note.name
+            yield from _list_errors(inner, label, _item(content, note.name))
+        for inner in rest:
+            yield from _list_errors(inner, place, content)
+    elif isinstance(error, cattrs.ForbiddenExtraKeysError):
+        for key in sorted(error.extra_fields):
+            label = f'{place}.{key}' if place else key
+            yield findings.Finding(
+                label, 'unknown_field', 'is not a known field', 'remove it'
+            )
+    elif isinstance(error, KeyError):
+        label = f'{place}.{error.args[0]}' if place else str(error.args[0])
+        yield findings.Finding(label, 'missing', 'is missing', 'add it')
+    else:
+        yield findings.Finding(place or 'document', 'type', str(error))
+
+
+def _item(content: typing.Any, key: typing.Any) -> typing.Any:
+    try:
+        return content[key]
+    except (KeyError, IndexError, TypeError):
+        return None
--- /dev/null
+++ b/packages/wire/bulrushcourse_wire/messages.py
@@ -0,0 +1,117 @@
+"""Messages that entries exchange over peer streams.
+
+A message is a frozen attrs class registered under a short type name. Unknown
+fields are ignored when decoding, so that a newer entry can add fields.
+"""
+
+import typing
+
+import attrs
+
+PROTOCOL_VERSION = 1
+
+_REGISTRY: dict[str, type] = {}
+
+
+class Message(typing.Protocol):
+    """Any registered message class."""
+
+    type_name: typing.ClassVar[str]
+
+
+def message(type_name: str) -> typing.Callable[[type], type]:
+    """Register a frozen attrs class as a message.
+
+    Args:
+        type_name: Name of the message on the wire.
+
+    Raises:
+        ValueError: If the name is already taken.
+    """
+
+    def register(cls: type) -> type:
+        if type_name in _REGISTRY:
+            raise ValueError(f'message type {type_name!r} is taken')
+        cls.type_name = type_name
+        decorated = attrs.frozen(cls)
+        _REGISTRY[type_name] = decorated
+        return decorated
+
+    return register
+
+
+def message_class(type_name: str) -> type | None:
+    """Return the class registered under a type name, or ``None``.
+
+    Args:
+        type_name: Name of the message on the wire.
+
+    Examples:
+        >>> message_class('heartbeat').__name__
+        'Heartbeat'
+    """
+    return _REGISTRY.get(type_name)
+
+
+@message('hello')
+class Hello:
+    """First message of each side of a stream.
+
+    Attributes:
+        protocol: Version of the protocol.
+        entry: Name of the sending entry.
+        incarnation: Random identifier of the sending process.
+        vm_id: The platform's identifier of the sender's VM.
+        nonce: 16 random bytes.
+    """
+
+    protocol: int
+    entry: str
+    incarnation: str
+    vm_id: str
+    nonce: bytes
+
+
+@message('proof')
+class Proof:
+    """Proof that the sender knows the shared secret.
+
+    Attributes:
+        digest: HMAC-SHA256 over role and both nonces, 32 bytes.
+    """
+
+    digest: bytes
+
+
+@message('heartbeat')
+class Heartbeat:
+    """State of an entry, sent to each peer at a fixed interval.
+
+    Attributes:
+        state: ``starting``, ``serving`` or ``leaving``.
+        configuration_version: Version in force, 0 for none.
+        store_reachable: Whether the sender's last store call was answered.
+        region: Region of the sender.
+        callers_address: ``ip:port`` of its callers' listener.
+        in_flight: Requests at work in the sender.
+    """
+
+    state: str
+    configuration_version: int
+    store_reachable: bool
+    region: str = ''
+    callers_address: str = ''
+    in_flight: int = 0
+
+
+@message('configuration')
+class Configuration:
+    """A configuration passed on to a peer.
+
+    Attributes:
+        version: Version of the document.
+        document: JSON text of the objects.
+    """
+
+    version: int
+    document: str
