--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP listener for callers and forwarding of their requests."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -0,0 +1,160 @@
+"""HTTP listener for callers."""
+
+import asyncio
+import typing
+
+import aiohttp
+import attrs
+from aiohttp import web
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_domain.slots import requests
+from returns import result
+
+from bulrushcourse_entry import metrics as entry_metrics
+from bulrushcourse_entry.callers import forwarding
+from bulrushcourse_entry.callers import problems
+from bulrushcourse_entry.callers import reading
+
+MAX_HEADER_BYTES = 16 << 10
+SERVICE_PATH = '/v1/services/{service}/{path:.*}'
+
+
+class Lookups(typing.Protocol):
+    """Answers which entries a caller is to use."""
+
+    def answer(self, client: str) -> dict[str, typing.Any]:
+        """Return the answer for a client address, ready for JSON."""
+        ...
+
+
+@attrs.define(eq=False)
+class CallersListener:
+    """Serves look-ups and forwards requests.
+
+    Attributes:
+        clock: Source of time.
+        configuration: Configuration in force.
+        forwarder: Runs calls on upstreams.
+        lookups: Answers which entries to use.
+        metrics: Receiver of metrics.
+        in_flight: Requests at work.
+        idle: Set while no request is at work.
+    """
+
+    clock: clocks.Clock
+    configuration: in_force.ConfigurationInForce
+    forwarder: forwarding.Forwarder
+    lookups: Lookups
+    metrics: entry_metrics.Metrics
+    in_flight: int = 0
+    idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.idle.set()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(
+            handler_args={
+                'max_line_size': MAX_HEADER_BYTES,
+                'max_field_size': MAX_HEADER_BYTES,
+            }
+        )
+        application.router.add_get('/v1/entries', self.look_up)
+        application.router.add_route('*', SERVICE_PATH, self.serve)
+        return application
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Answer which entries to use.
+
+        Args:
+            request: Query ``client`` may give the client's IP address.
+        """
+        address = request.query.get('client', request.remote or '')
+        answer = self.lookups.answer(address)
+        headers = {'Cache-Control': f'max-age={answer["max_age_s"]}'}
+        return web.json_response(answer, headers=headers)
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Forward a request to an upstream.
+
+        Args:
+            request: The caller's request.
+        """
+        self.in_flight += 1
+        self.idle.clear()
+        started = self.clock.monotonic()
+        try:
+            return await self._serve(request)
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self.idle.set()
+            elapsed_ms = (self.clock.monotonic() - started) * 1000
+            self.metrics.timing(
+                f'latency.{request.match_info["service"]}', elapsed_ms
+            )
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        configuration = self.configuration.current
+        if configuration is None:
+            return problems.not_run(
+                503, 'no-configuration', 'no configuration is in force', 1
+            ).response()
+        read = await reading.read_call(request, configuration, self.clock)
+        if isinstance(read, result.Failure):
+            return read.failure().response()
+        forwarded = await self.forwarder.forward(read.unwrap())
+        if isinstance(forwarded, result.Failure):
+            problem = forwarded.failure()
+            self.metrics.incr(f'outcome.{problem.outcome.value}')
+            return problem.response()
+        self.metrics.incr('outcome.done')
+        return await relay(request, forwarded.unwrap())
+
+
+async def relay(
+    request: web.Request, exchange: forwarding.Exchange
+) -> web.StreamResponse:
+    """Pass an answer on to the caller.
+
+    An answer that the instance cuts off aborts the caller's connection, so
+    that a part never looks whole.
+
+    Args:
+        request: The caller's request.
+        exchange: The answer under way.
+    """
+    answer = exchange.answer
+    ending = requests.ReleaseOutcome.CANCELLED
+    try:
+        headers = {
+            name: value
+            for name, value in answer.headers.items()
+            if name.lower() not in reading.HOP_HEADERS
+        }
+        headers[problems.OUTCOME_HEADER] = problems.Outcome.DONE.value
+        if answer.whole:
+            ending = requests.ReleaseOutcome.DONE
+            return web.Response(
+                status=answer.status, headers=headers, body=answer.prefix
+            )
+        response = web.StreamResponse(status=answer.status, headers=headers)
+        response.content_length = answer.response.content_length
+        await response.prepare(request)
+        await response.write(answer.prefix)
+        async for piece in answer.pieces():
+            await response.write(piece)
+        await response.write_eof()
+        ending = requests.ReleaseOutcome.DONE
+        return response
+    except aiohttp.ClientError:
+        ending = requests.ReleaseOutcome.LOST
+        if request.transport is not None:
+            request.transport.abort()
+        raise
+    finally:
+        if ending is not requests.ReleaseOutcome.DONE:
+            answer.close()
+        exchange.finish(ending)
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Keeping the newest configuration in force."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Look-up answers and the list of VMs."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/operators/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP listener for operators."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/operators/listener.py
@@ -0,0 +1,94 @@
+"""HTTP listener for operators."""
+
+import hmac
+import typing
+
+import attrs
+from aiohttp import web
+
+from bulrushcourse_entry import events
+
+READY_PATH = '/v1/ready'
+
+
+class Dumpable(typing.Protocol):
+    """A part of the process that can show its state."""
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state, ready for JSON and free of secrets."""
+        ...
+
+
+@attrs.define(eq=False)
+class OperatorsListener:
+    """Serves state dumps, readiness and drains to operators.
+
+    Attributes:
+        token: Bearer token that operators present.
+        ready: Returns whether the entry serves callers.
+        parts: Parts of the state dump by name.
+    """
+
+    token: bytes = attrs.field(repr=False)
+    ready: typing.Callable[[], bool]
+    parts: dict[str, Dumpable] = attrs.field(factory=dict)
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(middlewares=[self.authorize])
+        application.router.add_get(READY_PATH, self.show_ready)
+        application.router.add_get('/v1/state', self.show_state)
+        return application
+
+    @web.middleware
+    async def authorize(
+        self, request: web.Request, handler: typing.Callable
+    ) -> web.StreamResponse:
+        """Refuse requests without the token, readiness excepted.
+
+        Args:
+            request: The operator's request.
+            handler: Serves the request if it is allowed.
+        """
+        if request.path != READY_PATH and not self.is_operator(request):
+            events.emit(
+                events.Event.OPERATOR_REFUSED,
+                path=request.path,
+                remote=request.remote,
+            )
+            return web.json_response(
+                {'title': 'unauthorized', 'detail': 'send a bearer token'},
+                status=401,
+                headers={'WWW-Authenticate': 'Bearer'},
+            )
+        return await handler(request)
+
+    def is_operator(self, request: web.Request) -> bool:
+        """Return whether a request carries the operators' token.
+
+        Args:
+            request: The request to check.
+        """
+        sent = request.headers.get('Authorization', '').encode()
+        return hmac.compare_digest(sent, b'Bearer ' + self.token)
+
+    async def show_ready(self, request: web.Request) -> web.Response:
+        """Answer 200 if the entry serves callers, else 503.
+
+        Args:
+            request: The request.
+        """
+        ready = self.ready()
+        return web.json_response(
+            {'ready': ready}, status=200 if ready else 503
+        )
+
+    async def show_state(self, request: web.Request) -> web.Response:
+        """Return the state of each part.
+
+        Args:
+            request: The operator's request.
+        """
+        return web.json_response(
+            {name: part.dump() for name, part in self.parts.items()}
+        )
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entries."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -0,0 +1,227 @@
+"""The parts of an entry process, how they start and how they stop."""
+
+import asyncio
+import enum
+import secrets
+import signal
+import typing
+
+import aiohttp
+import attrs
+from aiohttp import web
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.configuration import configuration_set
+from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_wire import messages
+
+from bulrushcourse_entry import events
+from bulrushcourse_entry import metrics as entry_metrics
+from bulrushcourse_entry import settings as entry_settings
+from bulrushcourse_entry.callers import forwarding
+from bulrushcourse_entry.callers import listener as callers_listener
+from bulrushcourse_entry.configuration import poll
+from bulrushcourse_entry.membership import members as entry_members
+from bulrushcourse_entry.operators import listener as operators_listener
+from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_entry.peers import stream as peer_stream
+from bulrushcourse_entry.platform import table as platform_table
+from bulrushcourse_entry.platform import vm_list
+from bulrushcourse_entry.slots import source
+from bulrushcourse_entry.upstreams import client
+
+CONNECTIONS_PER_INSTANCE = 32
+
+
+class State(enum.Enum):
+    """Life of an entry process."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+
+
+@attrs.define(eq=False)
+class EntryProcess:
+    """One entry.
+
+    Attributes:
+        settings: Checked settings.
+        clock: Source of time.
+        state: Whether it is starting, serving or leaving.
+        held: Configuration in force.
+        stop_wanted: Set by the first SIGTERM.
+        stop_forced: Set by the second SIGTERM.
+    """
+
+    settings: entry_settings.Settings
+    clock: clocks.Clock = attrs.field(factory=clocks.SystemClock)
+    state: State = State.STARTING
+    held: in_force.ConfigurationInForce = attrs.field(
+        factory=in_force.ConfigurationInForce
+    )
+    stop_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    stop_forced: asyncio.Event = attrs.field(factory=asyncio.Event)
+    tasks: list[asyncio.Task] = attrs.field(factory=list)
+    runners: list[web.AppRunner] = attrs.field(factory=list)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then shut down gracefully."""
+        self._handle_signals()
+        async with aiohttp.ClientSession() as session:
+            self._build(session)
+            await self._start()
+            await self.stop_wanted.wait()
+            await self._drain()
+            await self._stop()
+
+    def heartbeat(self) -> messages.Heartbeat:
+        """Return this entry's heartbeat."""
+        return messages.Heartbeat(
+            state=self.state.value,
+            configuration_version=self.held.version,
+            store_reachable=self.table.reachable,
+            region=self.settings.region,
+            callers_address=self.settings.listen.callers,
+            in_flight=self.callers.in_flight,
+        )
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the process's own state for a state dump."""
+        return {
+            'entry': self.settings.entry,
+            'vm_id': self.settings.vm_id,
+            'incarnation': self.hub.identity.incarnation,
+            'state': self.state.value,
+            'in_flight': self.callers.in_flight,
+            'store_reachable': self.table.reachable,
+        }
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+
+    def _on_signal(self) -> None:
+        if self.stop_wanted.is_set():
+            self.stop_forced.set()
+        self.stop_wanted.set()
+
+    def _build(self, session: aiohttp.ClientSession) -> None:
+        settings = self.settings
+        self.metrics = entry_metrics.open_metrics(
+            settings.statsd, settings.entry
+        )
+        self.table = platform_table.HttpTable(settings.platform.table, session)
+        self.hub = peer_hub.PeerHub(
+            peer_stream.Identity(
+                settings.entry,
+                secrets.token_hex(8),
+                settings.vm_id,
+                entry_settings.read_secret(settings.peer_secret_file),
+            ),
+            settings.listen.peers,
+            self.heartbeat,
+        )
+        self.members = entry_members.Members(
+            settings,
+            vm_list.HttpVmList(settings.platform.vms, session),
+            self.hub,
+            self.held,
+            self.heartbeat,
+        )
+        self.poll = poll.ConfigurationPoll(self.table, self.held)
+        self._build_request_path()
+        self.operators = operators_listener.OperatorsListener(
+            entry_settings.read_secret(settings.operator_token_file),
+            lambda: self.state is State.SERVING,
+            {
+                'process': self,
+                'configuration': self.poll,
+                'members': self.members,
+                'peers': self.hub,
+                'slots': self.slots,
+            },
+        )
+
+    def _build_request_path(self) -> None:
+        self.slots = source.LocalSlots(self.clock)
+        self.regions = forwarding.LocalRegionFirst(self.settings.region)
+        self.upstreams = client.open_client(CONNECTIONS_PER_INSTANCE)
+        self.forwarder = forwarding.Forwarder(
+            self.settings.entry,
+            self.clock,
+            self.slots,
+            self.regions,
+            self.upstreams,
+        )
+        self.callers = callers_listener.CallersListener(
+            self.clock, self.held, self.forwarder, self.members, self.metrics
+        )
+        self.poll.changes.subscribe(self._configure)
+
+    def _configure(
+        self, configuration: configuration_set.ConfigurationSet
+    ) -> None:
+        self.slots.configure(configuration)
+        self.regions.configuration = configuration
+        self.forwarder.configure(configuration)
+        if self.state is State.STARTING:
+            self.state = State.SERVING
+            events.emit(events.Event.READY, version=configuration.version)
+
+    async def _start(self) -> None:
+        listen = self.settings.listen
+        await self.hub.start()
+        self.members.start()
+        await self._listen(self.operators.application(), listen.operators)
+        await self._listen(self.callers.application(), listen.callers)
+        for part in (self.members, self.poll):
+            self.tasks.append(asyncio.create_task(part.run()))
+        events.emit(
+            events.Event.STARTED,
+            entry=self.settings.entry,
+            callers=listen.callers,
+        )
+
+    async def _listen(self, application: web.Application, at: str) -> None:
+        runner = web.AppRunner(
+            application, handler_cancellation=True, access_log=None
+        )
+        await runner.setup()
+        self.runners.append(runner)
+        host, port = entry_settings.split_address(at)
+        await web.TCPSite(runner, host, port).start()
+
+    async def _drain(self) -> None:
+        """Serve until look-up answers have expired and all work is done."""
+        self.state = State.LEAVING
+        events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
+        self.hub.broadcast(self.heartbeat())
+        limit = self.settings.stop_limit_s
+        try:
+            async with asyncio.timeout(limit):
+                forced = asyncio.create_task(self.stop_forced.wait())
+                idle = asyncio.create_task(self._wait_until_idle())
+                await asyncio.wait(
+                    (forced, idle), return_when=asyncio.FIRST_COMPLETED
+                )
+        except TimeoutError:
+            pass
+        if self.callers.in_flight:
+            events.emit(
+                events.Event.STOP_FORCED, in_flight=self.callers.in_flight
+            )
+
+    async def _wait_until_idle(self) -> None:
+        await asyncio.sleep(self.settings.answer_max_age_s)
+        await self.callers.idle.wait()
+
+    async def _stop(self) -> None:
+        for runner in reversed(self.runners):
+            await runner.cleanup()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.hub.stop()
+        await client.close_client(self.upstreams)
+        events.emit(events.Event.STOPPED)
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Asking for slots of upstream instances."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client of upstream instances."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -0,0 +1,221 @@
+"""HTTP client of upstream instances."""
+
+import asyncio
+import enum
+import typing
+
+import aiohttp
+import attrs
+from bulrushcourse_domain.configuration import objects
+from returns import result
+
+DEADLINE_HEADER = 'Bulrushcourse-Deadline-Ms'
+CONNECT_TIMEOUT_S = 1.0
+PREFIX_BYTES = 64 << 10
+PIECE_BYTES = 16 << 10
+
+
+class Failure(enum.Enum):
+    """How a request to an instance failed.
+
+    Only ``NOT_SENT`` and ``SHED`` prove that the request did not run.
+    """
+
+    NOT_SENT = 'not-sent'
+    SHED = 'shed'
+    LOST = 'lost'
+    TRUNCATED = 'truncated'
+    DEADLINE = 'deadline'
+
+
+@attrs.frozen
+class UpstreamRequest:
+    """A request to an instance.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query.
+        headers: Headers to pass on.
+        body: Body, or its beginning if ``rest`` is given.
+        rest: Remaining pieces of the body.
+        remaining_s: Seconds until the deadline.
+        idempotent: Whether the request may run more than once.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    rest: typing.AsyncIterator[bytes] | None
+    remaining_s: float
+    idempotent: bool
+
+    async def pieces(self) -> typing.AsyncIterator[bytes]:
+        """Yield the pieces of the body."""
+        if self.body:
+            yield self.body
+        if self.rest is not None:
+            async for piece in self.rest:
+                yield piece
+
+
+@attrs.define
+class UpstreamAnswer:
+    """An answer whose beginning has arrived.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers of the answer.
+        prefix: First bytes of the body.
+        whole: Whether ``prefix`` is the whole body.
+        response: The response to read the remaining body from.
+    """
+
+    status: int
+    headers: dict[str, str]
+    prefix: bytes
+    whole: bool
+    response: aiohttp.ClientResponse
+
+    async def pieces(self) -> typing.AsyncIterator[bytes]:
+        """Yield the rest of the body after ``prefix``.
+
+        Raises:
+            aiohttp.ClientError: If the answer is cut off.
+        """
+        if not self.whole:
+            async for piece in self.response.content.iter_chunked(PIECE_BYTES):
+                yield piece
+
+    def close(self) -> None:
+        """Drop the connection; the instance sees a cancellation."""
+        self.response.close()
+
+
+@attrs.define
+class UpstreamClient:
+    """Sends requests to instances.
+
+    Attributes:
+        pooled: Session that reuses connections, for idempotent requests.
+        fresh: Session with a new connection for each request. A reused
+            connection that breaks cannot tell whether the request ran.
+    """
+
+    pooled: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession
+
+    async def send(
+        self,
+        instance: objects.Instance,
+        request: UpstreamRequest,
+        not_run_header: str = '',
+    ) -> result.Result[UpstreamAnswer, Failure]:
+        """Send a request and return the beginning of its answer.
+
+        Args:
+            instance: Where to send it.
+            request: The request.
+            not_run_header: Header that proves a shed request did not run.
+        """
+        response = None
+        try:
+            async with asyncio.timeout(request.remaining_s):
+                response = await self._request(instance, request)
+                if not_run_header and not_run_header in response.headers:
+                    response.release()
+                    return result.Failure(Failure.SHED)
+                prefix, whole = await _read_prefix(response.content)
+        except aiohttp.ClientConnectorError:
+            return result.Failure(Failure.NOT_SENT)
+        except TimeoutError:
+            _close(response)
+            return result.Failure(Failure.DEADLINE)
+        except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError):
+            _close(response)
+            failure = Failure.TRUNCATED if response else Failure.LOST
+            return result.Failure(failure)
+        except (aiohttp.ClientError, OSError):
+            _close(response)
+            return result.Failure(Failure.LOST)
+        except asyncio.CancelledError:
+            _close(response)
+            raise
+        return result.Success(
+            UpstreamAnswer(
+                response.status,
+                dict(response.headers),
+                prefix,
+                whole,
+                response,
+            )
+        )
+
+    async def _request(
+        self, instance: objects.Instance, request: UpstreamRequest
+    ) -> aiohttp.ClientResponse:
+        headers = dict(request.headers)
+        headers[DEADLINE_HEADER] = str(int(request.remaining_s * 1000))
+        session = self.pooled if request.idempotent else self.fresh
+        return await session.request(
+            request.method,
+            f'http://{instance.address}{request.path}',
+            headers=headers,
+            data=request.pieces() if request.rest else request.body or None,
+            allow_redirects=False,
+        )
+
+
+def open_client(connections_per_instance: int) -> UpstreamClient:
+    """Return a client; call it inside a running event loop.
+
+    Args:
+        connections_per_instance: Connections that this entry may hold to one
+            instance.
+    """
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+
+    def session(force_close: bool) -> aiohttp.ClientSession:
+        opened = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                limit_per_host=connections_per_instance,
+                force_close=force_close,
+            ),
+            timeout=timeout,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        # aiohttp repeats idempotent methods on a broken connection. Such a
+        # hidden retry would bypass the retry budget and the quarantine.
+        opened._retry_connection = False
+        return opened
+
+    return UpstreamClient(session(False), session(True))
+
+
+async def close_client(client: UpstreamClient) -> None:
+    """Close all connections of a client.
+
+    Args:
+        client: The client to close.
+    """
+    await client.pooled.close()
+    await client.fresh.close()
+
+
+def _close(response: aiohttp.ClientResponse | None) -> None:
+    if response is not None:
+        response.close()
+
+
+async def _read_prefix(
+    content: aiohttp.StreamReader,
+) -> tuple[bytes, bool]:
+    pieces = bytearray()
+    while len(pieces) < PREFIX_BYTES:
+        piece = await content.read(PREFIX_BYTES - len(pieces))
+        if not piece and content.at_eof():
+            return bytes(pieces), True
+        pieces += piece
+    return bytes(pieces), content.at_eof()
