--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -19,7 +19,7 @@
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import listener as callers_listener
-from bulrushcourse_entry.configuration import poll
+from bulrushcourse_entry.configuration import poll as configuration_poll
 from bulrushcourse_entry.membership import members as entry_members
 from bulrushcourse_entry.operators import listener as operators_listener
 from bulrushcourse_entry.peers import hub as peer_hub
@@ -63,6 +63,17 @@
     stop_forced: asyncio.Event = attrs.field(factory=asyncio.Event)
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     runners: list[web.AppRunner] = attrs.field(factory=list)
+    metrics: entry_metrics.Metrics = attrs.field(init=False)
+    table: platform_table.HttpTable = attrs.field(init=False)
+    hub: peer_hub.PeerHub = attrs.field(init=False)
+    members: entry_members.Members = attrs.field(init=False)
+    poll: configuration_poll.ConfigurationPoll = attrs.field(init=False)
+    slots: source.LocalSlots = attrs.field(init=False)
+    regions: forwarding.LocalRegionFirst = attrs.field(init=False)
+    upstreams: client.UpstreamClient = attrs.field(init=False)
+    forwarder: forwarding.Forwarder = attrs.field(init=False)
+    callers: callers_listener.CallersListener = attrs.field(init=False)
+    operators: operators_listener.OperatorsListener = attrs.field(init=False)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
@@ -129,7 +140,7 @@
             self.held,
             self.heartbeat,
         )
-        self.poll = poll.ConfigurationPoll(self.table, self.held)
+        self.poll = configuration_poll.ConfigurationPoll(self.table, self.held)
         self._build_request_path()
         self.operators = operators_listener.OperatorsListener(
             entry_settings.read_secret(settings.operator_token_file),
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/cluster.py
@@ -0,0 +1,434 @@
+"""Entries and stand-ins as real processes on loopback addresses."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import sys
+import typing
+
+import aiohttp
+import attrs
+from bulrushcourse_domain.configuration import objects
+from bulrushcourse_wire import documents
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
+# Below the range that the kernel takes ports of outgoing connections from.
+PORTS = range(10_000, 32_000)
+TOKEN = 'operator-token-for-tests'
+SECRET = 'peer-secret-for-tests'
+START_TIMEOUT_S = 20.0
+READY_CHECK_S = 0.05
+MEAN_MS = {'short': 20.0, 'long': 200.0}
+HOST = '127.0.0.1'
+
+
+class ClusterError(Exception):
+    """A process did not start or did not become ready."""
+
+
+def free_ports(number: int) -> list[int]:
+    """Return ports of the loopback address that nobody listens on.
+
+    Args:
+        number: How many ports to return.
+    """
+    source = random.Random(os.urandom(8))
+    found: set[int] = set()
+    while len(found) < number:
+        port = source.choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            found.add(port)
+    return sorted(found)
+
+
+def example_objects(deployment: str) -> objects.Objects:
+    """Return the objects of an example deployment.
+
+    Args:
+        deployment: ``filatab`` or ``thies``.
+    """
+    text = (EXAMPLES / deployment / 'configuration.json').read_text()
+    return documents.parse_document(text, objects.Objects).unwrap()
+
+
+@attrs.define(eq=False)
+class ManagedProcess:
+    """A process that the test started and will end.
+
+    Attributes:
+        name: Name for messages and log file.
+        process: The running process.
+        log: Path of its output.
+    """
+
+    name: str
+    process: asyncio.subprocess.Process
+    log: pathlib.Path
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process still runs.
+
+        Args:
+            number: Such as ``signal.SIGKILL``.
+        """
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Return the exit code once the process has ended."""
+        return await self.process.wait()
+
+
+@attrs.frozen
+class EntryPorts:
+    """Ports of one entry.
+
+    Attributes:
+        callers: Port of the callers' listener.
+        operators: Port of the operators' listener.
+        peers: Port of the peers' listener.
+    """
+
+    callers: int
+    operators: int
+    peers: int
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """A deployment under test.
+
+    Attributes:
+        directory: Where settings and logs are kept.
+        objects: Objects to publish, with loopback addresses.
+        entry_names: Entries to start.
+        seed: Seed of the upstream stand-in's service times.
+        settings: Fields that replace those of the generated settings.
+        mean_ms: Mean service time by request class.
+    """
+
+    directory: pathlib.Path
+    objects: objects.Objects
+    entry_names: list[str]
+    seed: int = 1
+    settings: dict[str, typing.Any] = attrs.field(factory=dict)
+    mean_ms: dict[str, float] = attrs.field(factory=MEAN_MS.copy)
+    processes: dict[str, ManagedProcess] = attrs.field(factory=dict)
+    entry_ports: dict[str, EntryPorts] = attrs.field(factory=dict)
+    vms: dict[str, dict[str, typing.Any]] = attrs.field(factory=dict)
+    incarnations: int = 0
+    session: aiohttp.ClientSession | None = None
+    platform_port: int = 0
+    upstreams_port: int = 0
+    proxy_port: int = 0
+    store_ports: dict[str, int] = attrs.field(factory=dict)
+
+    async def __aenter__(self) -> 'Cluster':
+        self.session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=30)
+        )
+        try:
+            await self._start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *details: typing.Any) -> None:
+        await self.stop()
+
+    async def _start(self) -> None:
+        (self.directory / 'token').write_text(TOKEN)
+        (self.directory / 'secret').write_text(SECRET)
+        self._assign_addresses()
+        await asyncio.gather(
+            self._start_platform(),
+            self._start_upstreams(),
+            self._start_proxy(),
+        )
+        await self.list_vms()
+        await asyncio.gather(*map(self.start_entry, self.entry_names))
+        await self.publish(self.objects)
+        await asyncio.gather(*map(self.wait_ready, self.entry_names))
+
+    def _assign_addresses(self) -> None:
+        count = sum(len(pool.instances) for pool in self.objects.pools)
+        ports = free_ports(count + 4 + 4 * len(self.entry_names))
+        take = ports.pop
+        self.platform_port, self.upstreams_port = take(), take()
+        self.proxy_port = take()
+        self.objects = attrs.evolve(
+            self.objects,
+            pools=tuple(
+                attrs.evolve(
+                    pool,
+                    instances=tuple(
+                        attrs.evolve(i, address=f'{HOST}:{take()}')
+                        for i in pool.instances
+                    ),
+                )
+                for pool in self.objects.pools
+            ),
+        )
+        self.store_ports = {name: take() for name in self.entry_names}
+        for name in self.entry_names:
+            self.entry_ports[name] = EntryPorts(take(), take(), take())
+
+    async def _start_platform(self) -> None:
+        module = 'bulrushcourse_testkit.standins.platform'
+        await self.spawn('platform', '-m', module, str(self.platform_port))
+        await self._wait_port(self.platform_port)
+
+    async def _start_upstreams(self) -> None:
+        classes = {s.pool: s.request_class for s in self.objects.services}
+        spec = {
+            'control_port': self.upstreams_port,
+            'seed': self.seed,
+            'instances': [
+                {
+                    'name': instance.name,
+                    'port': int(instance.address.rpartition(':')[2]),
+                    'slots': pool.slots,
+                    'mean_ms': self.mean_ms[classes[pool.name]],
+                }
+                for pool in self.objects.pools
+                for instance in pool.instances
+            ],
+        }
+        await self._spawn_with_spec('upstreams', spec)
+        await self._wait_port(self.upstreams_port)
+
+    async def _start_proxy(self) -> None:
+        target = f'{HOST}:{self.platform_port}'
+        spec = {
+            'control_port': self.proxy_port,
+            'links': [
+                {'name': f'store-{name}', 'port': port, 'target': target}
+                for name, port in self.store_ports.items()
+            ],
+        }
+        await self._spawn_with_spec('fault_proxy', spec)
+        await self._wait_port(self.proxy_port)
+
+    async def _spawn_with_spec(
+        self, module: str, spec: dict[str, typing.Any]
+    ) -> None:
+        path = self.directory / f'{module}.json'
+        path.write_text(json.dumps(spec))
+        name = f'bulrushcourse_testkit.standins.{module}'
+        await self.spawn(module, '-m', name, str(path))
+
+    async def spawn(self, name: str, *arguments: str) -> ManagedProcess:
+        """Start a Python process and remember it under a name.
+
+        Args:
+            name: Name for messages and log file.
+            *arguments: Arguments of the interpreter.
+        """
+        log = self.directory / f'{name}.log'
+        with log.open('ab') as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, *arguments, stdout=output, stderr=output
+            )
+        self.processes[name] = ManagedProcess(name, process, log)
+        return self.processes[name]
+
+    async def start_entry(self, name: str) -> None:
+        """Start an entry as a new VM that takes the seat of its name.
+
+        Args:
+            name: Name of the entry.
+        """
+        self.incarnations += 1
+        vm_id = f'vm-{self.incarnations:04}'
+        settings = self.entry_settings(name, vm_id)
+        path = self.directory / f'{name}.json'
+        path.write_text(json.dumps(settings))
+        self.vms[name] = {
+            'vm_id': vm_id,
+            'entry': name,
+            'peer_address': settings['listen']['peers'],
+            'failure_domain': settings['failure_domain'],
+            'state': 'live',
+        }
+        await self.list_vms()
+        await self.spawn(
+            name,
+            '-m',
+            'bulrushcourse_entry',
+            'run',
+            '--settings',
+            str(path),
+        )
+
+    def entry_settings(self, name: str, vm_id: str) -> dict[str, typing.Any]:
+        """Return the settings of an entry, ready for JSON.
+
+        Args:
+            name: Name of the entry.
+            vm_id: Identifier of its VM.
+        """
+        places = {place.name: place.region for place in self.objects.places}
+        entry = {e.name: e for e in self.objects.entries}[name]
+        ports = self.entry_ports[name]
+        store = f'http://{HOST}:{self.store_ports[name]}'
+        return {
+            'entry': name,
+            'vm_id': vm_id,
+            'region': places[entry.place],
+            'failure_domain': entry.place,
+            'listen': {
+                'callers': f'{HOST}:{ports.callers}',
+                'operators': f'{HOST}:{ports.operators}',
+                'peers': f'{HOST}:{ports.peers}',
+            },
+            'platform': {
+                'table': f'{store}/table',
+                'objects': f'{store}/objects',
+                'vms': f'http://{HOST}:{self.platform_port}/vms',
+            },
+            'peer_secret_file': str(self.directory / 'secret'),
+            'operator_token_file': str(self.directory / 'token'),
+            'answer_max_age_s': 1,
+        } | self.settings
+
+    async def list_vms(self, without: tuple[str, ...] = ()) -> None:
+        """Show the VMs in the platform's list.
+
+        Args:
+            without: Entries whose VMs are gone.
+        """
+        for name in without:
+            self.vms.pop(name, None)
+        await self.control(self.platform_port, 'vms', list(self.vms.values()))
+
+    async def control(self, port: int, path: str, body: typing.Any) -> None:
+        """Send a control request to a stand-in.
+
+        Args:
+            port: Control port of the stand-in.
+            path: Path below ``/control/``.
+            body: JSON value.
+        """
+        url = f'http://{HOST}:{port}/control/{path}'
+        async with self.session.put(url, json=body) as response:
+            response.raise_for_status()
+
+    async def observe(self, port: int, path: str) -> typing.Any:
+        """Return what a stand-in tells of itself.
+
+        Args:
+            port: Control port of the stand-in.
+            path: Path below ``/control/``.
+        """
+        url = f'http://{HOST}:{port}/control/{path}'
+        async with self.session.get(url) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def set_store_faults(self, **faults: typing.Any) -> None:
+        """Replace the faults of the store for all entries.
+
+        Args:
+            **faults: Fields of ``standins.platform.Faults``.
+        """
+        await self.control(self.platform_port, 'faults', faults)
+
+    async def set_link_faults(self, link: str, **faults: typing.Any) -> None:
+        """Replace the faults of a link, such as ``store-NAME``.
+
+        Args:
+            link: Name of the link.
+            **faults: Fields of ``standins.fault_proxy.LinkFaults``.
+        """
+        await self.control(self.proxy_port, link, faults)
+
+    async def set_upstream(self, instance: str, **faults: typing.Any) -> None:
+        """Replace the behaviour of an instance, or of ``all``.
+
+        Args:
+            instance: Name of the instance.
+            **faults: Fields of ``standins.upstreams.Behaviour``.
+        """
+        await self.control(self.upstreams_port, instance, faults)
+
+    async def publish(self, published: objects.Objects) -> None:
+        """Write a configuration as the first version of the table row.
+
+        Args:
+            published: Objects to publish.
+        """
+        document = documents.render_document(published)
+        write = {
+            'key': 'configuration/current',
+            'value': {'version': 1, 'document': document},
+            'expected': 0,
+        }
+        url = f'http://{HOST}:{self.platform_port}/table/transact'
+        async with self.session.post(url, json=[write]) as response:
+            response.raise_for_status()
+
+    async def operate(
+        self, name: str, path: str, method: str = 'GET', **options: typing.Any
+    ) -> typing.Any:
+        """Call an entry's operators' listener and return the JSON answer.
+
+        Args:
+            name: Name of the entry.
+            path: Path, such as ``/v1/state``.
+            method: HTTP method.
+            **options: Passed on to the HTTP client.
+        """
+        url = f'http://{HOST}:{self.entry_ports[name].operators}{path}'
+        async with self.session.request(
+            method,
+            url,
+            headers={'Authorization': f'Bearer {TOKEN}'},
+            **options,
+        ) as response:
+            return await response.json()
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until an entry serves callers.
+
+        Args:
+            name: Name of the entry.
+
+        Raises:
+            ClusterError: If it does not within ``START_TIMEOUT_S``.
+        """
+        process = self.processes[name]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while process.process.returncode is None:
+                    with contextlib.suppress(aiohttp.ClientError):
+                        answer = await self.operate(name, '/v1/ready')
+                        if answer['ready']:
+                            return
+                    await asyncio.sleep(READY_CHECK_S)
+        raise ClusterError(f'{name} not ready: {process.log.read_text()}')
+
+    async def stop(self) -> None:
+        """End all processes that this cluster started."""
+        for process in self.processes.values():
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            await process.wait()
+        if self.session:
+            await self.session.close()
+
+    async def _wait_port(self, port: int) -> None:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    _, writer = await asyncio.open_connection(HOST, port)
+                    writer.close()
+                    return
+                await asyncio.sleep(READY_CHECK_S)
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, each a process with HTTP control."""
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/standins/fault_proxy.py
@@ -0,0 +1,207 @@
+"""TCP proxy that injects faults between two processes.
+
+Run it with ``python -m bulrushcourse_testkit.standins.fault_proxy SPEC`` where
+SPEC is a JSON file::
+
+    {
+        'control_port': 9000,
+        'links': [{'name': 'store', 'port': 9001, 'target': '127.0.0.1:8000'}],
+    }
+
+``PUT /control/{link}`` sets the fields of ``LinkFaults``.
+"""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import sys
+import time
+import typing
+
+import attrs
+from aiohttp import web
+
+PIECE_BYTES = 16 << 10
+CUT_CHECK_S = 0.02
+
+
+@attrs.define
+class LinkFaults:
+    """Faults of a link.
+
+    Attributes:
+        cut: Connections are reset and new ones refused.
+        stalled: Bytes stay in the proxy until the fault ends.
+        delay_ms: One-way delay.
+        mbit_per_s: Bandwidth each way over all connections, 0 for no limit.
+        drop_answers: Bytes from the target are dropped.
+    """
+
+    cut: bool = False
+    stalled: bool = False
+    delay_ms: float = 0.0
+    mbit_per_s: float = 0.0
+    drop_answers: bool = False
+
+
+@attrs.define(eq=False)
+class Link:
+    """A listening port that is connected through to a target.
+
+    Attributes:
+        name: Name of the link.
+        port: Port to listen on.
+        target: ``ip:port`` to connect to.
+        faults: Faults in effect.
+        writers: Writers of open connections.
+        free_at: When the link is free again, by direction.
+        passed: Bytes passed, by direction.
+    """
+
+    name: str
+    port: int
+    target: str
+    faults: LinkFaults = attrs.field(factory=LinkFaults)
+    writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    free_at: dict[str, float] = attrs.field(factory=dict)
+    passed: dict[str, int] = attrs.field(factory=dict)
+
+    async def start(self) -> None:
+        """Listen."""
+        await asyncio.start_server(self._accept, '127.0.0.1', self.port)
+
+    def set_faults(self, faults: LinkFaults) -> None:
+        """Replace the faults; a cut resets open connections.
+
+        Args:
+            faults: New faults.
+        """
+        self.faults = faults
+        if faults.cut:
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.faults.cut:
+            writer.transport.abort()
+            return
+        host, _, port = self.target.rpartition(':')
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        ends = (writer, far_writer)
+        self.writers.update(ends)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, far_writer, 'to'))
+                group.create_task(self._pump(far_reader, writer, 'from'))
+        except* OSError:
+            pass
+        finally:
+            self.writers.difference_update(ends)
+            for end in ends:
+                end.transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: str,
+    ) -> None:
+        queue: asyncio.Queue = asyncio.Queue(256)
+        sender = asyncio.create_task(self._deliver(queue, writer, direction))
+        try:
+            while piece := await reader.read(PIECE_BYTES):
+                arrival = time.monotonic() + self.faults.delay_ms / 1000
+                await queue.put((arrival, piece))
+            await queue.put((time.monotonic(), b''))
+            await sender
+        finally:
+            sender.cancel()
+
+    async def _deliver(
+        self,
+        queue: asyncio.Queue,
+        writer: asyncio.StreamWriter,
+        direction: str,
+    ) -> None:
+        while True:
+            arrival, piece = await queue.get()
+            await asyncio.sleep(max(0.0, arrival - time.monotonic()))
+            await self._hold(len(piece), direction)
+            if not piece:
+                with contextlib.suppress(OSError, RuntimeError):
+                    writer.write_eof()
+                return
+            if direction == 'from' and self.faults.drop_answers:
+                continue
+            self.passed[direction] = self.passed.get(direction, 0) + len(piece)
+            with contextlib.suppress(OSError):
+                writer.write(piece)
+                await writer.drain()
+
+    async def _hold(self, size: int, direction: str) -> None:
+        while self.faults.stalled:  # noqa: ASYNC110
+            await asyncio.sleep(CUT_CHECK_S)
+        if self.faults.mbit_per_s:
+            now = time.monotonic()
+            start = max(now, self.free_at.get(direction, 0.0))
+            end = start + size * 8 / (self.faults.mbit_per_s * 1e6)
+            self.free_at[direction] = end
+            await asyncio.sleep(end - now)
+
+
+@attrs.define
+class FaultProxy:
+    """All links of the process.
+
+    Attributes:
+        links: Links by name.
+    """
+
+    links: dict[str, Link]
+
+    def application(self) -> web.Application:
+        """Return the HTTP application for control."""
+        application = web.Application()
+        application.router.add_get('/control/passed', self.show_passed)
+        application.router.add_put('/control/{name}', self.set_faults)
+        return application
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Replace a link's faults."""
+        link = self.links[request.match_info['name']]
+        link.set_faults(LinkFaults(**await request.json()))
+        return web.Response(status=204)
+
+    async def show_passed(self, request: web.Request) -> web.Response:
+        """Answer the bytes that each link passed."""
+        return web.json_response(
+            {name: link.passed for name, link in self.links.items()}
+        )
+
+
+async def serve(spec: dict[str, typing.Any]) -> None:
+    """Serve all links of a specification until cancelled.
+
+    Args:
+        spec: Content of the JSON file.
+    """
+    links = {link['name']: Link(**link) for link in spec['links']}
+    for link in links.values():
+        await link.start()
+    runner = web.AppRunner(FaultProxy(links).application(), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', spec['control_port']).start()
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(serve(json.loads(pathlib.Path(sys.argv[1]).read_text())))
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
@@ -0,0 +1,283 @@
+"""Stand-in of many upstream instances in one process.
+
+Run it with ``python -m bulrushcourse_testkit.standins.upstreams SPEC`` where
+SPEC is a JSON file::
+
+    {
+        'control_port': 9000,
+        'seed': 1,
+        'instances': [
+            {'name': 'catalog-1', 'port': 9001, 'slots': 5, 'mean_ms': 20.0}
+        ],
+    }
+
+Faults are set per instance with ``PUT /control/{instance}`` and a JSON object
+of ``Behaviour`` fields. ``GET /control/journal`` returns every run with the
+request's key, ``GET /control/peaks`` the most work at a time per instance.
+
+An answer's body is the digest of the request's path and body, repeated to the
+size that the query ``size`` asks for, so that a caller can check that an
+answer is whole and its own.
+"""
+
+import asyncio
+import hashlib
+import json
+import math
+import pathlib
+import random
+import sys
+import time
+import typing
+
+import attrs
+from aiohttp import web
+
+NOT_RUN_HEADER = 'Upstream-Not-Run'
+SIGMA = 0.7
+MAX_BODY_BYTES = 256 << 20
+PIECE_BYTES = 64 << 10
+
+
+@attrs.define
+class Behaviour:
+    """How an instance behaves.
+
+    Attributes:
+        slow_factor: Service times are multiplied by it.
+        state: Answer of the health endpoint.
+        shed: Whether work is refused with the not-run header.
+        reset: Whether the connection is cut after the work ran.
+        reset_before: Whether it is cut before the work runs.
+        truncate: Whether answers are cut in the middle.
+        hang: Whether work never ends.
+        reported_in_flight: Load that is reported instead of the true one;
+            -1 for the true one.
+        reports_stopped: Whether load and health are not answered.
+        crash_path: Requests whose path contains it stop the instance.
+    """
+
+    slow_factor: float = 1.0
+    state: str = 'serving'
+    shed: bool = False
+    reset: bool = False
+    reset_before: bool = False
+    truncate: bool = False
+    hang: bool = False
+    reported_in_flight: int = -1
+    reports_stopped: bool = False
+    crash_path: str = ''
+
+
+@attrs.frozen
+class Run:
+    """One run of a request.
+
+    Attributes:
+        instance: Name of the instance.
+        key: Idempotency key, empty if there was none.
+        path: Path of the request.
+        start: Seconds of the machine's clock.
+        end: Seconds of the machine's clock.
+    """
+
+    instance: str
+    key: str
+    path: str
+    start: float
+    end: float
+
+
+@attrs.define(eq=False)
+class Instance:
+    """One upstream instance.
+
+    Attributes:
+        name: Name of the instance.
+        slots: Requests worked on at a time; more wait.
+        mean_ms: Mean service time.
+        random: Source of service times.
+        journal: Runs of all instances.
+        behaviour: Faults in effect.
+        in_flight: Requests at work or waiting.
+        peak: Most requests at work or waiting at a time.
+        waited: Requests that found no free slot.
+        arrived: Requests that arrived.
+        crashed: Whether the instance refuses all work.
+    """
+
+    name: str
+    slots: int
+    mean_ms: float
+    random: random.Random
+    journal: list[Run]
+    behaviour: Behaviour = attrs.field(factory=Behaviour)
+    in_flight: int = 0
+    peak: int = 0
+    waited: int = 0
+    arrived: int = 0
+    crashed: bool = False
+    gate: asyncio.Semaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.gate = asyncio.Semaphore(self.slots)
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.router.add_get('/health', self.health)
+        application.router.add_get('/load', self.load)
+        application.router.add_route('*', '/{path:.*}', self.work)
+        return application
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Answer whether the instance serves or drains."""
+        if self.crashed:
+            request.transport.abort()
+        if self.behaviour.reports_stopped:
+            await asyncio.sleep(3600)
+        return web.json_response({'state': self.behaviour.state, 'warm': 1.0})
+
+    async def load(self, request: web.Request) -> web.Response:
+        """Answer work in flight, or what the fault says instead."""
+        if self.behaviour.reports_stopped:
+            await asyncio.sleep(3600)
+        reported = self.behaviour.reported_in_flight
+        in_flight = self.in_flight if reported < 0 else reported
+        return web.json_response({'in_flight': in_flight, 'slots': self.slots})
+
+    async def work(self, request: web.Request) -> web.StreamResponse:
+        """Run a request for a drawn service time."""
+        behaviour = self.behaviour
+        if behaviour.crash_path and behaviour.crash_path in request.path:
+            self.crashed = True
+        if self.crashed or behaviour.reset_before:
+            request.transport.abort()
+            return web.Response()
+        if behaviour.shed:
+            return web.Response(status=503, headers={NOT_RUN_HEADER: '1'})
+        self.arrived += 1
+        self.waited += self.in_flight >= self.slots
+        self.in_flight += 1
+        self.peak = max(self.peak, self.in_flight)
+        try:
+            async with self.gate:
+                return await self._run(request)
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        start = time.monotonic()
+        digest = hashlib.sha256(request.path_qs.encode())
+        async for piece in request.content.iter_chunked(PIECE_BYTES):
+            digest.update(piece)
+        if self.behaviour.hang:
+            await asyncio.sleep(3600)
+        mean_ms = float(request.query.get('work_ms', self.mean_ms))
+        mu = math.log(mean_ms / 1000) - SIGMA * SIGMA / 2
+        drawn = self.random.lognormvariate(mu, SIGMA)
+        await asyncio.sleep(drawn * self.behaviour.slow_factor)
+        key = request.headers.get('Idempotency-Key', '')
+        self.journal.append(
+            Run(self.name, key, request.path_qs, start, time.monotonic())
+        )
+        if self.behaviour.reset:
+            request.transport.abort()
+            return web.Response()
+        return await self._answer(request, digest.hexdigest())
+
+    async def _answer(
+        self, request: web.Request, digest: str
+    ) -> web.StreamResponse:
+        size = int(request.query.get('size', str(len(digest))))
+        body = (digest * (size // len(digest) + 1))[:size].encode()
+        if not self.behaviour.truncate:
+            return web.Response(body=body, headers={'Served-By': self.name})
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        await response.write(body[: len(body) // 2])
+        request.transport.abort()
+        return response
+
+
+@attrs.define
+class UpstreamsStandIn:
+    """All instances of the process.
+
+    Attributes:
+        instances: Instances by name.
+        journal: Runs of all instances.
+    """
+
+    instances: dict[str, Instance]
+    journal: list[Run]
+
+    def application(self) -> web.Application:
+        """Return the HTTP application for control."""
+        application = web.Application()
+        application.router.add_get('/control/journal', self.show_journal)
+        application.router.add_get('/control/peaks', self.show_peaks)
+        application.router.add_put('/control/{name}', self.set_behaviour)
+        return application
+
+    async def show_journal(self, request: web.Request) -> web.Response:
+        """Answer all runs."""
+        return web.json_response([attrs.asdict(run) for run in self.journal])
+
+    async def show_peaks(self, request: web.Request) -> web.Response:
+        """Answer work at a time and arrivals at full instances."""
+        return web.json_response(
+            {
+                name: {
+                    'slots': instance.slots,
+                    'peak': instance.peak,
+                    'arrived': instance.arrived,
+                    'waited': instance.waited,
+                }
+                for name, instance in self.instances.items()
+            }
+        )
+
+    async def set_behaviour(self, request: web.Request) -> web.Response:
+        """Replace an instance's faults, or ``all`` instances' faults."""
+        name = request.match_info['name']
+        fields = await request.json()
+        crashed = fields.pop('crashed', False)
+        chosen = self.instances if name == 'all' else (name,)
+        for instance in chosen:
+            self.instances[instance].behaviour = Behaviour(**fields)
+            self.instances[instance].crashed = crashed
+        return web.Response(status=204)
+
+
+async def serve(spec: dict[str, typing.Any]) -> None:
+    """Serve all instances of a specification until cancelled.
+
+    Args:
+        spec: Content of the JSON file.
+    """
+    journal: list[Run] = []
+    instances = {
+        i['name']: Instance(
+            i['name'],
+            i['slots'],
+            i['mean_ms'],
+            random.Random(f'{spec["seed"]}/{i["name"]}'),
+            journal,
+        )
+        for i in spec['instances']
+    }
+    ports = {i['port']: instances[i['name']] for i in spec['instances']}
+    ports[spec['control_port']] = UpstreamsStandIn(instances, journal)
+    for port, part in ports.items():
+        runner = web.AppRunner(
+            part.application(), access_log=None, handler_cancellation=True
+        )
+        await runner.setup()
+        await web.TCPSite(runner, '127.0.0.1', port, backlog=1024).start()
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(serve(json.loads(pathlib.Path(sys.argv[1]).read_text())))
--- a/packages/wire/bulrushcourse_wire/documents.py
+++ b/packages/wire/bulrushcourse_wire/documents.py
@@ -118,8 +118,7 @@
                 label, 'unknown_field', 'is not a known field', 'remove it'
             )
     elif isinstance(error, KeyError):
-        label = f'{place}.{error.args[0]}' if place else str(error.args[0])
-        yield findings.Finding(label, 'missing', 'is missing', 'add it')
+        yield findings.Finding(place, 'missing', 'is missing', 'add it')
     else:
         yield findings.Finding(place or 'document', 'type', str(error))
 
