--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -3,7 +3,9 @@
 import enum
 import typing
 
+import attrs
 import logbook
+from bulrushcourse_domain import clock as clocks
 
 
 class Event(enum.Enum):
@@ -46,16 +48,60 @@
         return self.value[2]
 
 
+LIMIT_INTERVAL_S = 10.0
+LIMIT_PER_INTERVAL = 20
+
+
+@attrs.define
+class EventLimiter:
+    """Bounds how often one event is logged, so that faults cause no flood.
+
+    Attributes:
+        clock: Source of time.
+        windows: Start of the interval and count, by event.
+    """
+
+    clock: clocks.Clock
+    windows: dict[Event, tuple[float, int]] = attrs.field(factory=dict)
+
+    def admit(self, event: Event) -> tuple[bool, int]:
+        """Return whether to log an event and how many were left out.
+
+        Args:
+            event: What happened.
+
+        Examples:
+            >>> limiter = EventLimiter(clocks.ManualClock())
+            >>> admitted = [limiter.admit(Event.PEER_LOST) for _ in range(30)]
+            >>> sum(logged for logged, _ in admitted)
+            20
+        """
+        now = self.clock.monotonic()
+        start, count = self.windows.get(event, (now, 0))
+        left_out = 0
+        if now - start >= LIMIT_INTERVAL_S:
+            left_out = max(0, count - LIMIT_PER_INTERVAL)
+            start, count = now, 0
+        self.windows[event] = start, count + 1
+        return count < LIMIT_PER_INTERVAL, left_out
+
+
 _LOGGER = logbook.Logger('bulrushcourse')
+_LIMITER = EventLimiter(clocks.SystemClock())
 
 
 def emit(event: Event, **fields: typing.Any) -> None:
-    """Write an event to the log.
+    """Write an event to the log unless it came too often.
 
     Args:
         event: What happened.
         **fields: Details, written as ``name=value``.
     """
+    logged, left_out = _LIMITER.admit(event)
+    if not logged:
+        return
+    if left_out:
+        fields['left_out'] = left_out
     details = ' '.join(f'{name}={value!r}' for name, value in fields.items())
     level = logbook.lookup_level(event.level.upper())
     _LOGGER.log(level, f'E{event.number} {event.message} {details}'.rstrip())
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/tests/test_events.py
@@ -0,0 +1,20 @@
+"""Guards against a catalogue that differs from the code."""
+
+import pathlib
+import re
+
+from bulrushcourse_entry import events
+
+CATALOGUE = pathlib.Path(__file__).parents[4] / 'docs' / 'EVENTS.md'
+ROW = re.compile(r'\| (\d+) \| (\w+) \| ([^|]+) \| ([^|]+) \|')
+
+
+def test_catalogue_lists_exactly_the_events_of_the_code():
+    rows = ROW.findall(CATALOGUE.read_text())
+    listed = {(int(number), level, text) for number, level, text, _ in rows}
+    assert listed == {event.value for event in events.Event}
+
+
+def test_numbers_are_unique():
+    numbers = [event.number for event in events.Event]
+    assert len(numbers) == len(set(numbers))
