--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream instances are leaving, cold, slow, lost or suspect."""
--- a/packages/domain/bulrushcourse_domain/slots/requests.py
+++ b/packages/domain/bulrushcourse_domain/slots/requests.py
@@ -1,6 +1,7 @@
 """Requests for slots and the decisions on them."""
 
 import enum
+import math
 
 import attrs
 
@@ -55,11 +56,43 @@
         request_id: The request that may run.
         holder: Name of the entry that asked.
         instance: Name of the instance.
+        request_class: Name of the request's class.
+        deadline: Clock seconds by which the work must have ended.
     """
 
     request_id: str
     holder: str
     instance: str
+    request_class: str = ''
+    deadline: float = math.inf
+
+
+@attrs.frozen
+class Run:
+    """A grant that is in use.
+
+    Attributes:
+        grant: The grant.
+        started: Clock seconds when it was granted.
+        typical_s: Typical service time of its class then, 0 if not known.
+    """
+
+    grant: Grant
+    started: float
+    typical_s: float = 0.0
+
+
+@attrs.frozen
+class Result:
+    """How the work in a slot ended.
+
+    Attributes:
+        outcome: What happened.
+        seconds: Measured service time; ``None`` for the time of the grant.
+    """
+
+    outcome: ReleaseOutcome
+    seconds: float | None = None
 
 
 @attrs.frozen
