Watch the health of upstreams and obey every sign of leaving

Cause: nothing read the health endpoint, so a draining instance kept getting work; the health aggregate also kept using a leaving instance when more than half of a pool was leaving, which breaks the promise on leaving upstreams. Change: one task per instance asks its health every 0.5 s, signs go to all peers, pools stop granting.

--- a/packages/domain/bulrushcourse_domain/health/instance_health.py
+++ b/packages/domain/bulrushcourse_domain/health/instance_health.py
@@ -50,9 +50,6 @@
         >>> health.sign_leaving('a')
         >>> health.open_slots('a'), health.open_slots('b')
         (0, 5)
-        >>> health.sign_leaving('b')
-        >>> health.open_slots('a'), health.open_slots('b')
-        (0, 5)
     """
 
     clock: clocks.Clock
@@ -184,7 +181,14 @@
             < instance_record.Standing.SERVING
         )
         most = int(len(self.records) * LARGEST_PART_ASIDE)
-        self.restricted = {name: standing for standing, _, name in bad[:most]}
+        # Leaving instances are obeyed however many there are: work sent to
+        # one would be cut off when it stops.
+        leaving = instance_record.Standing.LEAVING
+        self.restricted = {
+            name: standing
+            for number, (standing, _, name) in enumerate(bad)
+            if standing is leaving or number < most
+        }
 
     def _standing(
         self, record: instance_record.InstanceRecord, now: float
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
@@ -1,13 +1,16 @@
+"""Guards against grants beyond slots, starved and lost requests."""
+
 import collections
 
 import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.slots import pool as pools
 from bulrushcourse_domain.slots import recovery as recoveries
 from bulrushcourse_domain.slots import requests
-from hypothesis import stateful
-from hypothesis import strategies
 
 CLASSES = {
     'rush': objects.RequestClass('rush', 0, 2_000),
--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -3,12 +3,12 @@
 import typing
 
 import attrs
+from returns import result
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.slots import requests
-from returns import result
-
 from bulrushcourse_entry import events
 from bulrushcourse_entry.callers import problems
 from bulrushcourse_entry.callers import reading
--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -6,11 +6,11 @@
 import aiohttp
 import attrs
 from aiohttp import web
+from returns import result
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_domain.slots import requests
-from returns import result
-
 from bulrushcourse_entry import metrics as entry_metrics
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import problems
@@ -40,6 +40,7 @@
         metrics: Receiver of metrics.
         in_flight: Requests at work.
         idle: Set while no request is at work.
+        leaving: Whether the entry is shutting down.
     """
 
     clock: clocks.Clock
@@ -49,6 +50,7 @@
     metrics: entry_metrics.Metrics
     in_flight: int = 0
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+    leaving: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.idle.set()
@@ -86,7 +88,11 @@
         self.idle.clear()
         started = self.clock.monotonic()
         try:
-            return await self._serve(request)
+            response = await self._serve(request)
+            if self.leaving:
+                # Callers open their next connection to another entry.
+                response.force_close()
+            return response
         finally:
             self.in_flight -= 1
             if not self.in_flight:
--- a/packages/entry/bulrushcourse_entry/callers/reading.py
+++ b/packages/entry/bulrushcourse_entry/callers/reading.py
@@ -7,11 +7,11 @@
 import attrs
 import xxhash
 from aiohttp import web
+from returns import result
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
-from returns import result
-
 from bulrushcourse_entry.callers import problems
 from bulrushcourse_entry.upstreams import client
 
--- a/packages/entry/bulrushcourse_entry/configuration/poll.py
+++ b/packages/entry/bulrushcourse_entry/configuration/poll.py
@@ -5,14 +5,14 @@
 
 import attrs
 import reactivex
-from bulrushcourse_domain.configuration import configuration_set
-from bulrushcourse_domain.configuration import in_force
-from bulrushcourse_wire import documents
 from reactivex import subject
 from returns import result
 
+from bulrushcourse_domain.configuration import configuration_set
+from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_entry import events
 from bulrushcourse_entry.platform import table as platform_table
+from bulrushcourse_wire import documents
 
 CURRENT_ROW = 'configuration/current'
 POLL_INTERVAL_S = 0.5
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -5,6 +5,7 @@
 
 import attrs
 import logbook
+
 from bulrushcourse_domain import clock as clocks
 
 
@@ -30,6 +31,8 @@
     CONFIGURATION_IN_FORCE = (5001, 'info', 'configuration is in force')
     CONFIGURATION_REFUSED = (5002, 'error', 'stored configuration is invalid')
     UPSTREAM_FAILED = (6001, 'warning', 'upstream request failed')
+    UPSTREAM_LEAVING = (6002, 'info', 'upstream instance is leaving')
+    UPSTREAM_RETURNED = (6003, 'info', 'upstream instance serves again')
     OPERATOR_REFUSED = (9001, 'warning', 'operator request without token')
 
     @property
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/health/__init__.py
@@ -0,0 +1,1 @@
+"""Watching the health of upstream instances."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/health/watch.py
@@ -0,0 +1,147 @@
+"""Watching instances for signs that they are leaving.
+
+Each instance has one task that asks its health endpoint. A sign goes to all
+peers at once, so that the owner of the pool stops granting its slots.
+"""
+
+import asyncio
+import json
+import typing
+
+import aiohttp
+import attrs
+
+from bulrushcourse_domain.configuration import configuration_set
+from bulrushcourse_domain.configuration import objects
+from bulrushcourse_entry import events
+from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_wire import health_messages
+
+HEALTH_INTERVAL_S = 0.5
+HEALTH_TIMEOUT_S = 1.0
+DRAINING = 'draining'
+
+
+class LeavingSigns(typing.Protocol):
+    """Receiver of signs that an instance leaves or serves again."""
+
+    def sign_leaving(self, instance: str, leaving: bool) -> None:
+        """Note that an instance leaves, or serves again."""
+        ...
+
+
+@attrs.define(eq=False)
+class HealthWatch:
+    """Watches the instances of this entry's region.
+
+    Attributes:
+        region: Region of this entry.
+        session: HTTP session for probes.
+        hub: Streams to peers.
+        signs: Receiver of signs of all entries.
+        tasks: One task by name of instance.
+        leaving: Instances that are leaving, as far as this entry knows.
+    """
+
+    region: str
+    session: aiohttp.ClientSession
+    hub: peer_hub.PeerHub
+    signs: LeavingSigns
+    tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    leaving: set[str] = attrs.field(factory=set)
+
+    def start(self) -> None:
+        """Follow the signs that peers send."""
+        self.hub.received.subscribe(self._on_message)
+        self.hub.changes.subscribe(self._on_change)
+
+    def configure(
+        self, configuration: configuration_set.ConfigurationSet
+    ) -> None:
+        """Watch the region's instances of a configuration.
+
+        Args:
+            configuration: The configuration that is now in force.
+        """
+        wanted = {
+            instance.name: instance
+            for pool in configuration.objects.pools
+            for instance in pool.instances
+            if configuration.regions[instance.place] == self.region
+        }
+        for name in self.tasks.keys() - wanted.keys():
+            self.tasks.pop(name).cancel()
+        for name in wanted.keys() - self.tasks.keys():
+            self.tasks[name] = asyncio.create_task(
+                self._watch(wanted[name]), name=f'watch {name}'
+            )
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        for task in self.tasks.values():
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), return_exceptions=True)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the instances that are leaving for a state dump."""
+        return {
+            'watched': sorted(self.tasks),
+            'leaving': sorted(self.leaving),
+        }
+
+    async def _watch(self, instance: objects.Instance) -> None:
+        while True:
+            state = await self._probe(instance)
+            if state is not None:
+                self._note(instance.name, state == DRAINING, True)
+            await asyncio.sleep(HEALTH_INTERVAL_S)
+
+    async def _probe(self, instance: objects.Instance) -> str | None:
+        """Return the state an instance reports, ``None`` without answer."""
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                async with self.session.get(
+                    f'http://{instance.address}/health'
+                ) as response:
+                    answer = json.loads(await response.text())
+            return str(answer['state'])
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ):
+            return None
+
+    def _note(self, name: str, leaving: bool, own: bool) -> None:
+        if leaving == (name in self.leaving):
+            return
+        if leaving:
+            self.leaving.add(name)
+        else:
+            self.leaving.discard(name)
+        self.signs.sign_leaving(name, leaving)
+        if own:
+            event = SIGN_EVENTS[leaving]
+            events.emit(event, instance=name)
+            self.hub.broadcast(health_messages.UpstreamSign(name, leaving))
+
+    def _on_message(self, received: peer_hub.Received) -> None:
+        message = received.message
+        if isinstance(message, health_messages.UpstreamSign):
+            self._note(message.instance, message.leaving, False)
+
+    def _on_change(self, change: peer_hub.PeerChange) -> None:
+        if change.connected:
+            for name in self.leaving:
+                self.hub.send(
+                    change.peer, health_messages.UpstreamSign(name, True)
+                )
+
+
+SIGN_EVENTS = {
+    True: events.Event.UPSTREAM_LEAVING,
+    False: events.Event.UPSTREAM_RETURNED,
+}
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -4,12 +4,12 @@
 import typing
 
 import attrs
-from bulrushcourse_domain.configuration import in_force
-from bulrushcourse_wire import messages
 
+from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.platform import vm_list
+from bulrushcourse_wire import messages
 
 LIST_INTERVAL_S = 1.0
 
--- a/packages/entry/bulrushcourse_entry/peers/hub.py
+++ b/packages/entry/bulrushcourse_entry/peers/hub.py
@@ -6,13 +6,13 @@
 
 import attrs
 import reactivex
-from bulrushcourse_wire import frames
-from bulrushcourse_wire import messages
 from reactivex import subject
 
 from bulrushcourse_entry import events
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.peers import stream as peer_stream
+from bulrushcourse_wire import frames
+from bulrushcourse_wire import messages
 
 HEARTBEAT_INTERVAL_S = 0.25
 # Six heartbeats; shorter limits dropped streams while a VM was busy.
--- a/packages/entry/bulrushcourse_entry/peers/stream.py
+++ b/packages/entry/bulrushcourse_entry/peers/stream.py
@@ -5,6 +5,7 @@
 import typing
 
 import attrs
+
 from bulrushcourse_wire import frames
 from bulrushcourse_wire import messages
 
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -9,17 +9,17 @@
 import aiohttp
 import attrs
 from aiohttp import web
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import in_force
-from bulrushcourse_wire import messages
-
 from bulrushcourse_entry import events
 from bulrushcourse_entry import metrics as entry_metrics
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import listener as callers_listener
 from bulrushcourse_entry.configuration import poll as configuration_poll
+from bulrushcourse_entry.health import watch
 from bulrushcourse_entry.membership import members as entry_members
 from bulrushcourse_entry.operators import listener as operators_listener
 from bulrushcourse_entry.peers import hub as peer_hub
@@ -28,6 +28,7 @@
 from bulrushcourse_entry.platform import vm_list
 from bulrushcourse_entry.slots import source
 from bulrushcourse_entry.upstreams import client
+from bulrushcourse_wire import messages
 
 CONNECTIONS_PER_INSTANCE = 32
 
@@ -72,6 +73,7 @@
     regions: forwarding.LocalRegionFirst = attrs.field(init=False)
     upstreams: client.UpstreamClient = attrs.field(init=False)
     forwarder: forwarding.Forwarder = attrs.field(init=False)
+    health: watch.HealthWatch = attrs.field(init=False)
     callers: callers_listener.CallersListener = attrs.field(init=False)
     operators: operators_listener.OperatorsListener = attrs.field(init=False)
 
@@ -142,6 +144,9 @@
         )
         self.poll = configuration_poll.ConfigurationPoll(self.table, self.held)
         self._build_request_path()
+        self.health = watch.HealthWatch(
+            settings.region, session, self.hub, self.slots
+        )
         self.operators = operators_listener.OperatorsListener(
             entry_settings.read_secret(settings.operator_token_file),
             lambda: self.state is State.SERVING,
@@ -151,6 +156,7 @@
                 'members': self.members,
                 'peers': self.hub,
                 'slots': self.slots,
+                'health': self.health,
             },
         )
 
@@ -176,6 +182,7 @@
         self.slots.configure(configuration)
         self.regions.configuration = configuration
         self.forwarder.configure(configuration)
+        self.health.configure(configuration)
         if self.state is State.STARTING:
             self.state = State.SERVING
             events.emit(events.Event.READY, version=configuration.version)
@@ -184,6 +191,7 @@
         listen = self.settings.listen
         await self.hub.start()
         self.members.start()
+        self.health.start()
         await self._listen(self.operators.application(), listen.operators)
         await self._listen(self.callers.application(), listen.callers)
         for part in (self.members, self.poll):
@@ -206,6 +214,7 @@
     async def _drain(self) -> None:
         """Serve until look-up answers have expired and all work is done."""
         self.state = State.LEAVING
+        self.callers.leaving = True
         events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
         self.hub.broadcast(self.heartbeat())
         limit = self.settings.stop_limit_s
@@ -233,6 +242,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.health.stop()
         await self.hub.stop()
         await client.close_client(self.upstreams)
         events.emit(events.Event.STOPPED)
--- a/packages/entry/bulrushcourse_entry/settings.py
+++ b/packages/entry/bulrushcourse_entry/settings.py
@@ -4,9 +4,10 @@
 import typing
 
 import attrs
+from returns import result
+
 from bulrushcourse_domain import findings
 from bulrushcourse_wire import documents
-from returns import result
 
 
 @attrs.frozen
--- a/packages/entry/bulrushcourse_entry/slots/source.py
+++ b/packages/entry/bulrushcourse_entry/slots/source.py
@@ -4,11 +4,12 @@
 import typing
 
 import attrs
+from returns import result
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.slots import pool as slot_pool
 from bulrushcourse_domain.slots import requests
-from returns import result
 
 
 class SlotSource(typing.Protocol):
@@ -126,7 +127,22 @@
             outcome: How its work ended.
             service_time_s: How long the work took, in seconds.
         """
-        self._settle(self.pools[service, region].release(request_id))
+        self._settle(
+            self.pools[service, region].release(
+                request_id, outcome, service_time_s
+            )
+        )
+
+    def sign_leaving(self, instance: str, leaving: bool) -> None:
+        """Stop or resume granting the slots of an instance.
+
+        Args:
+            instance: Name of the instance.
+            leaving: Whether it is leaving.
+        """
+        for pool in self.pools.values():
+            if instance in pool.instances:
+                self._settle(pool.sign_leaving(instance, leaving))
 
     def dump(self) -> dict[str, typing.Any]:
         """Return slots in use and requests waiting, by pool."""
--- a/packages/entry/bulrushcourse_entry/tests/test_settings.py
+++ b/packages/entry/bulrushcourse_entry/tests/test_settings.py
@@ -6,6 +6,7 @@
 import sys
 
 import pytest
+
 from bulrushcourse_entry import settings as entry_settings
 
 
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -6,9 +6,10 @@
 
 import aiohttp
 import attrs
-from bulrushcourse_domain.configuration import objects
 from returns import result
 
+from bulrushcourse_domain.configuration import objects
+
 DEADLINE_HEADER = 'Bulrushcourse-Deadline-Ms'
 CONNECT_TIMEOUT_S = 1.0
 PREFIX_BYTES = 64 << 10
--- a/packages/testkit/bulrushcourse_testkit/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/cluster.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import attrs
+
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_wire import documents
 
--- a/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
@@ -160,9 +160,13 @@
         self.waited += self.in_flight >= self.slots
         self.in_flight += 1
         self.peak = max(self.peak, self.in_flight)
+        deadline_ms = request.headers.get('Bulrushcourse-Deadline-Ms')
+        limit_s = int(deadline_ms) / 1000 if deadline_ms else None
         try:
-            async with self.gate:
+            async with asyncio.timeout(limit_s), self.gate:
                 return await self._run(request)
+        except TimeoutError:
+            return web.Response(status=504)
         finally:
             self.in_flight -= 1
 
--- a/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+
 from bulrushcourse_testkit import cluster as clusters
 
 ENTRY = 'entry-ro-nord-1'
@@ -202,3 +203,27 @@
     assert statuses == [200] * 8
     assert await cluster.processes[ENTRY].wait() == 0
     assert 'E1005' not in cluster.processes[ENTRY].log.read_text()
+
+
+@with_cluster
+async def test_a_leaving_upstream_gets_no_new_work_after_two_seconds(cluster):
+    """Guards against work that is sent to an instance that drains."""
+    names = [f'catalog-{n}' for n in (1, 2, 7, 8, 13)]
+
+    async def arrivals() -> int:
+        peaks = await cluster.observe(cluster.upstreams_port, 'peaks')
+        return sum(peaks[name]['arrived'] for name in names)
+
+    async def load() -> None:
+        for number in range(200):
+            await get(cluster, f'/v1/services/catalog/l{number}')
+
+    loads = [asyncio.create_task(load()) for _ in range(4)]
+    await asyncio.sleep(0.5)
+    assert await arrivals() > 0
+    for name in names:
+        await cluster.set_upstream(name, state='draining')
+    await asyncio.sleep(2)
+    before = await arrivals()
+    await asyncio.gather(*loads)
+    assert await arrivals() == before
--- a/packages/wire/bulrushcourse_wire/documents.py
+++ b/packages/wire/bulrushcourse_wire/documents.py
@@ -5,11 +5,12 @@
 
 import attrs
 import cattrs
+from cattrs.preconf import json as json_converter
+from returns import result
+
 from bulrushcourse_domain import findings
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
-from cattrs.preconf import json as json_converter
-from returns import result
 
 T = typing.TypeVar('T')
 
--- a/packages/wire/bulrushcourse_wire/tests/test_frames.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_frames.py
@@ -3,9 +3,10 @@
 import hypothesis
 import msgpack
 import pytest
+from hypothesis import strategies
+
 from bulrushcourse_wire import frames
 from bulrushcourse_wire import messages
-from hypothesis import strategies
 
 HEARTBEAT = messages.Heartbeat('serving', 3, True)
 
