Find broken variants of pool ownership

Cause: random rules alone did not find a missing drift margin or a lease counted from the answer in 2000 examples (200 s each). Change: the machine answers the owner late, pauses it and cuts entries off as single rules.

--- a/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
@@ -58,6 +58,8 @@
     own: ownership.PoolOwnership
     write: leases.LeaseWrite | None = None
     result: leases.LeaseWriteResult = leases.LeaseWriteResult.UNKNOWN
+    paused: bool = False
+    store_cut: bool = False
 
 
 @attrs.define
@@ -113,7 +115,7 @@
         node.own.members.update_list(self.listed, node.clock.now)
 
     def read(self, node: Node) -> None:
-        if self.table.up:
+        if self.table.up and not node.store_cut:
             node.own.observe_row(self.table.row)
 
     def send_write(self, node: Node) -> None:
@@ -122,7 +124,7 @@
             node.result = leases.LeaseWriteResult.UNKNOWN
 
     def land_write(self, node: Node) -> None:
-        if node.write is not None and self.table.up:
+        if node.write is not None and self.table.up and not node.store_cut:
             node.result = self.table.apply(node.write)
 
     def answer_write(self, node: Node, lost: bool = False) -> None:
@@ -140,41 +142,54 @@
                 if other.vm.entry != node.vm.entry
             ]
 
-    def deliver_wish(self, index: int) -> None:
-        asker, wish, other = self.wishes.pop(index)
-        if self.connected(asker, other):
-            promise = other.own.answer_wish(wish)
-            if promise is not None:
-                self.answers.append((other, promise, asker))
-
-    def deliver_answer(self, index: int) -> None:
-        giver, promise, asker = self.answers.pop(index)
-        if self.connected(giver, asker):
-            asker.own.receive_promise(promise)
+    def deliver_wishes(self) -> None:
+        """Deliver wishes to all entries that are not paused."""
+        queued, self.wishes = self.wishes, []
+        for asker, wish, other in queued:
+            if other.paused:
+                self.wishes.append((asker, wish, other))
+            elif self.connected(asker, other):
+                promise = other.own.answer_wish(wish)
+                if promise is not None:
+                    self.answers.append((other, promise, asker))
+
+    def deliver_answers(self) -> None:
+        """Deliver promises to all entries that are not paused."""
+        queued, self.answers = self.answers, []
+        for giver, promise, asker in queued:
+            if asker.paused:
+                self.answers.append((giver, promise, asker))
+            elif self.connected(giver, asker):
+                asker.own.receive_promise(promise)
 
     def tick(self, node: Node) -> None:
         """Do what an entry's tasks do in one round, without delays."""
+        if node.paused:
+            return
+        self.answer_write(node)
+        self.deliver_answers()
+        self.check()
         self.fetch_list(node)
         self.read(node)
         self.send_write(node)
         self.land_write(node)
         self.answer_write(node)
         self.ask(node)
-        while self.wishes:
-            self.deliver_wish(0)
-        while self.answers:
-            self.deliver_answer(0)
+        self.deliver_wishes()
+        self.deliver_answers()
+        self.check()
 
     def run(self, seconds: float, step: float = 0.25) -> None:
         for _ in range(round(seconds / step)):
             self.advance(step)
             for node in tuple(self.nodes):
                 self.tick(node)
-                self.check()
 
     def heal(self) -> None:
         self.table.up = True
         self.cuts.clear()
+        for node in self.nodes:
+            node.paused = False
         for seat in SEATS:
             if not any(node.vm.entry == seat for node in self.nodes):
                 self.start(seat, 1.0)
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
@@ -11,9 +11,8 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-RATES = strategies.sampled_from([0.99, 1.0, 1.01])
+RATES = strategies.sampled_from([0.99, 1.01])
 INDEX = strategies.integers(0, 50)
-EDGE_S = 0.001
 MAX_NODES = 5
 
 
@@ -30,74 +29,109 @@
     def node(self, index: int) -> ownership_world.Node:
         return self.world.nodes[index % len(self.world.nodes)]
 
-    @stateful.initialize(rates=strategies.tuples(RATES, RATES, RATES))
-    def start_region(self, rates):
-        for seat, rate in zip(ownership_world.SEATS, rates, strict=True):
+    @stateful.initialize(
+        rates=strategies.tuples(RATES, RATES, RATES),
+        late=strategies.sampled_from(ownership_world.SEATS),
+    )
+    def start_region(self, rates, late):
+        """Start the last entry late, so that any entry may be the owner."""
+        seats = sorted(
+            zip(ownership_world.SEATS, rates, strict=True),
+            key=lambda pair: pair[0] == late,
+        )
+        for seat, rate in seats:
             self.world.start(seat, rate)
-        self.world.publish_list()
-        self.world.run(5)
+            self.world.publish_list()
+            if len(self.world.nodes) != 1:
+                self.world.run(5)
 
     @stateful.rule(seconds=strategies.sampled_from([0.01, 0.1, 0.5, 1, 2]))
     def pass_time(self, seconds):
         self.world.advance(seconds)
 
-    @stateful.rule(index=INDEX)
-    def pass_time_to_edge(self, index):
-        """Stop just after an entry's wait has ended."""
-        node = self.node(index)
-        lease, book = node.own.lease, node.own.book
-        stagger_s = node.own.rank() * self.times.stagger_s
-        waits = [
-            stagger_s - lease.unchanged_for(),
-            lease.sent_at + self.times.lease_s - node.clock.now,
-            book.given_until - node.clock.now,
-        ]
-        waits = [wait for wait in waits if 0 <= wait < 5]
-        if waits:
-            self.world.advance(min(waits) / node.clock.rate + EDGE_S)
-
     @stateful.rule(seconds=strategies.sampled_from([0.25, 1, 3, 6]))
     def run_under_present_faults(self, seconds):
         self.world.run(seconds)
 
+    @stateful.rule(
+        stage=strategies.sampled_from(['write', 'wish']),
+        delay=strategies.sampled_from([0, 1, 2.5]),
+    )
+    def silence_owner(self, stage, delay):
+        """Answer the owner late, then pause it past its lease.
+
+        The others run in short steps, so that they act as soon as they may.
+        """
+        world = self.world
+        owners = [node for node in world.nodes if node.own.may_grant()]
+        for owner in owners:
+            world.read(owner)
+            if stage == 'write':
+                world.send_write(owner)
+                world.land_write(owner)
+            else:
+                world.ask(owner)
+            owner.paused = True
+            world.run(0.02, 0.02)
+            world.run(delay, 0.1)
+            world.answer_write(owner)
+            owner.paused = False
+            world.deliver_answers()
+            owner.paused = True
+            world.check()
+            world.run(3.6, 0.02)
+            owner.paused = False
+
+    @stateful.rule(index=INDEX)
+    def cut_off(self, index):
+        """Cut an entry off from store and peers; its peers return first."""
+        world, node = self.world, self.node(index)
+        cuts = set(world.cuts)
+        node.store_cut = True
+        for seat in ownership_world.SEATS:
+            world.cuts.add(frozenset((node.vm.entry, seat)))
+        world.run(3.5)
+        world.cuts = cuts
+        world.tick(node)
+        world.run(3.5)
+        node.store_cut = False
+
     @stateful.rule(index=INDEX)
     def tick(self, index):
         self.world.tick(self.node(index))
 
+    @stateful.rule(index=INDEX, lands=strategies.booleans())
+    def pause_in_write(self, index, lands):
+        node = self.node(index)
+        self.world.read(node)
+        self.world.send_write(node)
+        if lands:
+            self.world.land_write(node)
+        node.paused = True
+
     @stateful.rule(index=INDEX)
-    def read(self, index):
-        self.world.read(self.node(index))
+    def pause_in_wish(self, index):
+        node = self.node(index)
+        self.world.ask(node)
+        node.paused = True
+        self.world.deliver_wishes()
 
     @stateful.rule(index=INDEX)
-    def send_write(self, index):
-        self.world.send_write(self.node(index))
+    def resume(self, index):
+        self.node(index).paused = False
 
     @stateful.rule(index=INDEX)
     def land_write(self, index):
         self.world.land_write(self.node(index))
 
-    @stateful.rule(index=INDEX, lost=strategies.booleans())
-    def answer_write(self, index, lost):
-        self.world.answer_write(self.node(index), lost)
+    @stateful.rule(index=INDEX)
+    def lose_answer(self, index):
+        self.world.answer_write(self.node(index), lost=True)
 
     @stateful.rule(index=INDEX)
     def fetch_list(self, index):
         self.world.fetch_list(self.node(index))
 
-    @stateful.rule(index=INDEX)
-    def ask(self, index):
-        self.world.ask(self.node(index))
-
-    @stateful.precondition(lambda self: self.world.wishes)
-    @stateful.rule(index=INDEX)
-    def deliver_wish(self, index):
-        self.world.deliver_wish(index % len(self.world.wishes))
-
-    @stateful.precondition(lambda self: self.world.answers)
-    @stateful.rule(index=INDEX)
-    def deliver_promise(self, index):
-        self.world.deliver_answer(index % len(self.world.answers))
-
     @stateful.rule()
     def toggle_store(self):
         self.world.table.up = not self.world.table.up
@@ -129,11 +163,15 @@
     def kill(self, index):
         self.world.kill(self.node(index))
 
-    @stateful.rule(index=INDEX)
-    def leave(self, index):
-        write = self.node(index).own.release()
+    @stateful.rule(index=INDEX, rate=RATES)
+    def leave(self, index, rate):
+        node = self.node(index)
+        write = node.own.release()
         if write is not None and self.world.table.up:
             self.world.table.apply(write)
+        self.world.run(1)
+        self.world.kill(node)
+        self.world.start(node.vm.entry, rate)
 
     @stateful.invariant()
     def one_owner_at_most(self):
@@ -143,9 +181,6 @@
         world = self.world
         if not world.nodes:
             return
-        for node in tuple(world.nodes):
-            if node.own.stopped:
-                world.kill(node)
         world.heal()
         world.run(20)
         assert len(world.owners()) == 1, 'no owner without faults'
@@ -241,7 +276,7 @@
         },
     )
     settings = hypothesis.settings(
-        SETTINGS, max_examples=2000, phases=[hypothesis.Phase.generate]
+        SETTINGS, max_examples=300, phases=[hypothesis.Phase.generate]
     )
     with pytest.raises(AssertionError, match='two owners'):
         stateful.run_state_machine_as_test(machine, settings=settings)
