--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the upstreams that run them."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
@@ -0,0 +1,207 @@
+"""The aggregate that bounds what one request can destroy."""
+
+import collections
+import enum
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.quarantine import losses
+from bulrushcourse_domain.slots import requests
+
+QUARANTINE_S = 600.0
+LIMIT_REPEATABLE = 2
+LIMIT_UNREPEATABLE = 1
+# Bounds the memory at about 10 MB.
+MAX_PROVEN = 50_000
+
+
+class Admission(enum.Enum):
+    """Whether a request may run now."""
+
+    RUN = 'run'
+    WAIT = 'wait'
+    REFUSE = 'refuse'
+
+
+@attrs.frozen
+class ActiveRun:
+    """A run that has not ended.
+
+    Attributes:
+        repeatable: Whether the request may run more than once.
+        proven: Whether the request was proven harmless when it started.
+    """
+
+    repeatable: bool
+    proven: bool
+
+
+@attrs.define
+class Quarantine:
+    """Losses by fingerprint, and which requests may run.
+
+    A request that ends every instance never gets a whole answer. Until a
+    request has had one, its losses and its runs at work together stay within
+    the limit, so that no order of arrivals loses more instances. A request
+    that had an answer before runs without that bound; the runs at work when
+    it loses its first instance count as one loss, since an outage ends many
+    innocent runs at once.
+
+    Attributes:
+        clock: Source of time.
+        lost: Losses by fingerprint and identifier.
+        cleared: Expiry of cleared losses by identifier.
+        proven: Expiry of fingerprints that had a whole answer, oldest first.
+        active: Runs at work by fingerprint and identifier.
+    """
+
+    clock: clocks.Clock
+    lost: dict[str, dict[str, losses.Loss]] = attrs.field(factory=dict)
+    cleared: dict[str, float] = attrs.field(factory=dict)
+    proven: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    active: dict[str, dict[str, ActiveRun]] = attrs.field(factory=dict)
+
+    def admit(
+        self, fingerprint: str, run_id: str, repeatable: bool
+    ) -> Admission:
+        """Return whether a request may run; if so, it counts as at work.
+
+        Args:
+            fingerprint: Hash of the request's content.
+            run_id: Identifier of the run.
+            repeatable: Whether the request may run more than once.
+
+        Examples:
+            >>> quarantine = Quarantine(clocks.ManualClock())
+            >>> quarantine.admit('f', 'run-1', False)
+            <Admission.RUN: 'run'>
+            >>> quarantine.admit('f', 'run-2', False)
+            <Admission.WAIT: 'wait'>
+        """
+        proven = self._is_proven(fingerprint)
+        if not proven:
+            limit = self._limit(fingerprint, repeatable)
+            counted = len(self.counted(fingerprint))
+            if counted >= limit:
+                return Admission.REFUSE
+            at_work = len(self.active.get(fingerprint, ()))
+            if counted + at_work >= limit:
+                return Admission.WAIT
+        runs = self.active.setdefault(fingerprint, {})
+        runs[run_id] = ActiveRun(repeatable, proven)
+        return Admission.RUN
+
+    def finish(
+        self,
+        fingerprint: str,
+        run_id: str,
+        instance: str,
+        outcome: requests.ReleaseOutcome,
+    ) -> losses.News | None:
+        """End a run and return what the other entries have to know.
+
+        Args:
+            fingerprint: Hash of the request's content.
+            run_id: Identifier of the run.
+            instance: Name of the instance that ran it.
+            outcome: How the run ended.
+        """
+        runs = self.active.get(fingerprint, {})
+        run = runs.pop(run_id, None)
+        if not runs:
+            self.active.pop(fingerprint, None)
+        if run is None:
+            return None
+        if outcome is requests.ReleaseOutcome.DONE:
+            return self._prove(fingerprint)
+        if outcome is not requests.ReleaseOutcome.LOST:
+            return None
+        if run.proven and self.counted(fingerprint):
+            return None
+        loss = losses.Loss(
+            fingerprint, run_id, instance, self._expiry(), run.repeatable
+        )
+        self.merge(loss)
+        return loss
+
+    def merge(self, news: losses.News) -> None:
+        """Take over a fact; order and repetition make no difference.
+
+        Args:
+            news: A loss or a clearing, of this entry or a peer.
+        """
+        if isinstance(news, losses.Clearing):
+            for loss_id in news.loss_ids:
+                until = max(news.expires, self.cleared.get(loss_id, 0.0))
+                self.cleared[loss_id] = until
+            return
+        self.lost.setdefault(news.fingerprint, {})[news.loss_id] = news
+        self.proven.pop(news.fingerprint, None)
+
+    def counted(self, fingerprint: str) -> tuple[losses.Loss, ...]:
+        """Return the losses that count against a request.
+
+        Args:
+            fingerprint: Hash of the request's content.
+        """
+        now = self._wall()
+        return tuple(
+            loss
+            for loss in self.lost.get(fingerprint, {}).values()
+            if loss.expires > now and loss.loss_id not in self.cleared
+        )
+
+    def is_quarantined(self, fingerprint: str, repeatable: bool) -> bool:
+        """Return whether a request must not run.
+
+        Args:
+            fingerprint: Hash of the request's content.
+            repeatable: Whether the request may run more than once.
+        """
+        limit = self._limit(fingerprint, repeatable)
+        return len(self.counted(fingerprint)) >= limit
+
+    def forget_expired(self) -> None:
+        """Drop facts that no longer count; call it now and then."""
+        now = self._wall()
+        for fingerprint, found in list(self.lost.items()):
+            kept = {i: loss for i, loss in found.items() if loss.expires > now}
+            if kept:
+                self.lost[fingerprint] = kept
+            else:
+                del self.lost[fingerprint]
+        self.cleared = {i: t for i, t in self.cleared.items() if t > now}
+
+    def _prove(self, fingerprint: str) -> losses.Clearing | None:
+        counted = self.counted(fingerprint)
+        self.proven[fingerprint] = self._expiry()
+        self.proven.move_to_end(fingerprint)
+        if len(self.proven) > MAX_PROVEN:
+            self.proven.popitem(last=False)
+        if not counted:
+            return None
+        # A loss may expire at a peer whose clock is behind, so the clearing
+        # is remembered for longer than the loss.
+        expires = self._expiry() + QUARANTINE_S
+        cleared = frozenset(loss.loss_id for loss in counted)
+        clearing = losses.Clearing(fingerprint, cleared, expires)
+        self.merge(clearing)
+        return clearing
+
+    def _limit(self, fingerprint: str, repeatable: bool) -> int:
+        known = self.counted(fingerprint)
+        if repeatable and all(loss.repeatable for loss in known):
+            return LIMIT_REPEATABLE
+        return LIMIT_UNREPEATABLE
+
+    def _is_proven(self, fingerprint: str) -> bool:
+        return self.proven.get(fingerprint, 0.0) > self._wall()
+
+    def _expiry(self) -> float:
+        return self._wall() + QUARANTINE_S
+
+    def _wall(self) -> float:
+        return self.clock.wall().timestamp()
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
@@ -0,0 +1,131 @@
+"""Guards against one request that ends instance after instance."""
+
+import itertools
+
+import hypothesis
+import pytest
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.quarantine import losses
+from bulrushcourse_domain.quarantine import quarantine as quarantines
+from bulrushcourse_domain.slots import requests
+from hypothesis import strategies
+
+DONE = requests.ReleaseOutcome.DONE
+LOST = requests.ReleaseOutcome.LOST
+RUN = quarantines.Admission.RUN
+SETTINGS = hypothesis.settings(derandomize=True, database=None, deadline=None)
+
+
+def open_quarantine():
+    return quarantines.Quarantine(clocks.ManualClock(1000.0))
+
+
+@SETTINGS
+@hypothesis.given(
+    repeatable=strategies.booleans(),
+    arrivals=strategies.lists(strategies.integers(-3, 3), max_size=60),
+)
+def test_losses_stay_within_limit_in_any_order(repeatable, arrivals):
+    """Arrivals and crashes of one request, interleaved in any order."""
+    quarantine = open_quarantine()
+    running, lost = [], 0
+    for number, arrival in enumerate(arrivals):
+        if arrival >= 0:
+            if quarantine.admit('f', f'r{number}', repeatable) is RUN:
+                running.append(f'r{number}')
+        elif running:
+            run = running.pop(arrival % len(running))
+            quarantine.finish('f', run, 'i', LOST)
+            lost += 1
+    assert lost + len(running) <= (2 if repeatable else 1)
+
+
+@SETTINGS
+@hypothesis.given(arrivals=strategies.lists(strategies.integers(0, 9)))
+def test_losses_stay_within_limit_through_all_entries(arrivals):
+    """The request comes through ten entries that tell each other."""
+    entries = [open_quarantine() for _ in range(10)]
+    lost = 0
+    for number, index in enumerate(arrivals):
+        admission = entries[index].admit('f', f'r{number}', True)
+        if admission is RUN:
+            lost += 1
+            news = entries[index].finish('f', f'r{number}', 'i', LOST)
+            for entry in entries:
+                entry.merge(news)
+    assert lost == min(2, len(arrivals))
+
+
+NEWS = [
+    losses.Loss('f', 'r1', 'i1', 2000.0, True),
+    losses.Loss('f', 'r2', 'i2', 2000.0, True),
+    losses.Loss('g', 'r3', 'i1', 2000.0, False),
+    losses.Clearing('f', frozenset(('r1',)), 3000.0),
+    losses.Clearing('f', frozenset(('r1',)), 4000.0),
+]
+
+
+def test_merging_ignores_order_and_repetition():
+    expected = None
+    for order in itertools.permutations(NEWS):
+        quarantine = open_quarantine()
+        for news in (*order, *order[:2]):
+            quarantine.merge(news)
+        state = quarantine.lost, quarantine.cleared
+        expected = expected or state
+        assert state == expected
+
+
+@pytest.mark.parametrize(('repeatable', 'limit'), [(True, 2), (False, 1)])
+def test_quarantine_ends_after_ten_minutes(repeatable, limit):
+    quarantine = open_quarantine()
+    for number in range(limit):
+        assert quarantine.admit('f', str(number), repeatable) is RUN
+        quarantine.finish('f', str(number), 'i', LOST)
+    refused = quarantines.Admission.REFUSE
+    quarantine.clock.advance(quarantines.QUARANTINE_S - 1)
+    assert quarantine.admit('f', 'x', repeatable) is refused
+    quarantine.clock.advance(2)
+    assert quarantine.admit('f', 'x', repeatable) is RUN
+
+
+def test_suspects_run_one_at_a_time():
+    quarantine = open_quarantine()
+    quarantine.admit('f', 'a', True)
+    quarantine.finish('f', 'a', 'i', LOST)
+    assert quarantine.admit('f', 'b', True) is RUN
+    assert quarantine.admit('f', 'c', True) is quarantines.Admission.WAIT
+
+
+def test_answer_clears_suspect():
+    """An instance that fails for its own reasons condemns no request."""
+    quarantine = open_quarantine()
+    quarantine.admit('f', 'a', True)
+    quarantine.finish('f', 'a', 'i', LOST)
+    quarantine.admit('f', 'b', True)
+    news = quarantine.finish('f', 'b', 'i', DONE)
+    assert news.loss_ids == {'a'}
+    assert not quarantine.counted('f')
+
+
+def test_outage_does_not_condemn_popular_request():
+    """Many runs of a proven request are lost at one time."""
+    quarantine = open_quarantine()
+    quarantine.admit('f', 'a', True)
+    quarantine.finish('f', 'a', 'i', DONE)
+    for number in range(20):
+        assert quarantine.admit('f', str(number), True) is RUN
+    for number in range(20):
+        quarantine.finish('f', str(number), 'i', LOST)
+    assert not quarantine.is_quarantined('f', True)
+    assert quarantine.admit('f', 'b', True) is RUN
+
+
+def test_expired_facts_are_forgotten():
+    quarantine = open_quarantine()
+    for news in NEWS:
+        quarantine.merge(news)
+    quarantine.clock.advance(4000)
+    quarantine.forget_expired()
+    assert not quarantine.lost
+    assert not quarantine.cleared
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Extra work: retries and hedges."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/retries/tests/test_budget.py
@@ -0,0 +1,37 @@
+"""Guards against retries and hedges that multiply work in an outage."""
+
+from bulrushcourse_domain.retries import budget as budgets
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(strategies.lists(strategies.booleans(), max_size=2000))
+def test_extra_work_stays_within_share(attempts):
+    """Holds at every instant, whatever the order of wishes."""
+    budget = budgets.RetryBudget()
+    for primary in attempts:
+        if primary:
+            budget.count_primary()
+        else:
+            budget.spend()
+        assert budget.extra <= budgets.SHARE * budget.primary + 1e-6
+
+
+def test_region_outage_retries_at_most_the_share():
+    """Every request of an outage wants a retry and a hedge."""
+    budget = budgets.RetryBudget()
+    for _ in range(10_000):
+        budget.count_primary()
+        budget.spend()
+        budget.spend()
+    assert 480 <= budget.extra <= 500
+
+
+def test_quiet_time_saves_no_unbounded_burst():
+    budget = budgets.RetryBudget()
+    for _ in range(10_000):
+        budget.count_primary()
+    spent = sum(budget.spend() for _ in range(10_000))
+    assert spent == budgets.MAX_SAVED
