--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/configuration/publication.py
@@ -0,0 +1,156 @@
+"""Rules by which configurations are published.
+
+A publication is written by compare-and-set on the stored row together with
+its history row. Its version is that of its base plus one, so that a publish
+whose answer was lost can have taken effect in one history row only.
+"""
+
+import datetime
+import typing
+
+import attrs
+from returns import result
+
+from bulrushcourse_domain.configuration import difference
+from bulrushcourse_domain.configuration import objects
+
+
+@attrs.frozen
+class Publication:
+    """A published configuration with its origin.
+
+    Attributes:
+        version: Version, one more than that of its base.
+        publish_id: Identifier that the operator's tool chose for the publish.
+        operator: Who published it.
+        note: Why it was published.
+        published_at: When, in UTC.
+        objects: The objects.
+    """
+
+    version: int
+    publish_id: str
+    operator: str
+    note: str
+    published_at: datetime.datetime
+    objects: objects.Objects
+
+
+@attrs.frozen
+class PublishOrder:
+    """An operator's wish to publish.
+
+    Attributes:
+        base_version: Version that the operator's set was made from.
+        publish_id: Identifier of the publish, the same in each repetition.
+        operator: Who publishes.
+        objects: Checked objects.
+        note: Why.
+    """
+
+    base_version: int
+    publish_id: str
+    operator: str
+    objects: objects.Objects
+    note: str = ''
+
+
+@attrs.frozen
+class Conflict:
+    """A publish whose base is not the stored version.
+
+    Attributes:
+        base_version: Version that the operator's set was made from.
+        stored: The stored publication, ``None`` if there is none.
+        changes: What changed from the base to the stored publication.
+    """
+
+    base_version: int
+    stored: Publication | None
+    changes: tuple[difference.Change, ...] = ()
+
+
+@attrs.frozen
+class Proposal:
+    """The publication that an order leads to.
+
+    Attributes:
+        publication: The publication.
+        stored: Whether an earlier attempt already stored it.
+    """
+
+    publication: Publication
+    stored: bool
+
+
+def propose(
+    stored: Publication | None,
+    history: typing.Mapping[int, Publication],
+    order: PublishOrder,
+    now: datetime.datetime,
+) -> result.Result[Proposal, Conflict]:
+    """Return what an order leads to, given the store's content.
+
+    Args:
+        stored: The stored publication, ``None`` if there is none.
+        history: Publications of ``order.base_version`` and the version after
+            it, as far as they are stored.
+        order: What the operator wants.
+        now: Time of the publish in UTC.
+
+    Examples:
+        >>> now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+        >>> order = PublishOrder(0, 'p1', 'ana', objects.Objects())
+        >>> first = propose(None, {}, order, now).unwrap()
+        >>> first.publication.version, first.stored
+        (1, False)
+        >>> propose(first.publication, {}, order, now).unwrap().stored
+        True
+    """
+    for earlier in (stored, history.get(order.base_version + 1)):
+        if earlier is not None and earlier.publish_id == order.publish_id:
+            return result.Success(Proposal(earlier, True))
+    version = stored.version if stored else 0
+    if version != order.base_version:
+        base = history.get(order.base_version)
+        before = base.objects if base else objects.Objects()
+        after = stored.objects if stored else objects.Objects()
+        return result.Failure(
+            Conflict(
+                order.base_version,
+                stored,
+                difference.list_changes(before, after),
+            )
+        )
+    publication = Publication(
+        version + 1,
+        order.publish_id,
+        order.operator,
+        order.note,
+        now,
+        order.objects,
+    )
+    return result.Success(Proposal(publication, False))
+
+
+def roll_back(
+    stored: Publication, old: Publication, publish_id: str, operator: str
+) -> PublishOrder:
+    """Return the order that publishes old content as a new version.
+
+    The old version itself never comes back into force: entries that saw a
+    later one would refuse it.
+
+    Args:
+        stored: The stored publication.
+        old: The publication whose content is wanted.
+        publish_id: Identifier of the new publish.
+        operator: Who rolls back.
+    """
+    return PublishOrder(
+        stored.version,
+        publish_id,
+        operator,
+        old.objects,
+        f'rollback to version {old.version}',
+    )
