Check capacities, plans that overlap, nearness and client blocks

A set that cannot serve was accepted: a region with instances and no entry, a region limit below one slot a pool, a cap whose floor share is of no use, two plans at once for the same traffic, a plan under a limit of other regions, instances that share an address, a deadline above its class. Places gain the order of near regions and client prefixes, which look-ups need. The example of render_document now shows an entry, because places have more fields.

--- a/packages/domain/bulrushcourse_domain/configuration/check.py
+++ b/packages/domain/bulrushcourse_domain/configuration/check.py
@@ -1,10 +1,13 @@
 """Checks of a configuration as a whole."""
 
 import collections
-import datetime
 import typing
 
 from bulrushcourse_domain import findings
+from bulrushcourse_domain.configuration import check_capacity
+from bulrushcourse_domain.configuration import check_limits
+from bulrushcourse_domain.configuration import check_places
+from bulrushcourse_domain.configuration import check_plans
 from bulrushcourse_domain.configuration import objects
 
 KINDS = (
@@ -37,8 +40,10 @@
         _check_unique,
         _check_references,
         _check_ranges,
-        _check_limits,
-        _check_plans,
+        check_places.check_places,
+        check_capacity.check_capacity,
+        check_limits.check_limits,
+        check_plans.check_plans,
     )
     return findings.sort_findings(
         found for rule in rules for found in rule(candidate)
@@ -149,99 +154,3 @@
             yield findings.Finding(
                 place, 'range', f'is {value}', 'above 0 and at most 1'
             )
-
-
-_CAP_FIELDS = {
-    objects.LimitKind.LINK: 'mbit_per_s',
-    objects.LimitKind.REGION: 'in_flight',
-    objects.LimitKind.SHIFT: 'requests_per_s',
-}
-
-
-def _check_limits(
-    candidate: objects.Objects,
-) -> typing.Iterator[findings.Finding]:
-    for limit in candidate.limits:
-        for kind, field in _CAP_FIELDS.items():
-            value = getattr(limit, field)
-            place = f'limits[{limit.name}].{field}'
-            if kind is limit.kind and value <= 0:
-                yield findings.Finding(
-                    place, 'range', f'is {value}', 'above 0'
-                )
-            if kind is not limit.kind and value:
-                yield findings.Finding(
-                    place,
-                    'unit',
-                    f'does not apply to a {limit.kind.value} limit',
-                    f'use {_CAP_FIELDS[limit.kind]}',
-                )
-
-
-def _check_plans(
-    candidate: objects.Objects,
-) -> typing.Iterator[findings.Finding]:
-    for plan in candidate.plans:
-        times = {}
-        for field in ('start', 'finish_by'):
-            text = getattr(plan, field)
-            try:
-                times[field] = datetime.datetime.fromisoformat(text)
-            except ValueError:
-                yield findings.Finding(
-                    f'plans[{plan.name}].{field}',
-                    'time',
-                    f'is {text!r}',
-                    'an ISO 8601 time in UTC',
-                )
-                continue
-            if times[field].tzinfo is None:
-                del times[field]
-                yield findings.Finding(
-                    f'plans[{plan.name}].{field}',
-                    'time',
-                    f'{text!r} has no UTC offset',
-                    'end it in Z or +00:00',
-                )
-        if len(times) == 2 and times['finish_by'] <= times['start']:
-            yield findings.Finding(
-                f'plans[{plan.name}].finish_by',
-                'time',
-                'is not after start',
-                'a later time',
-            )
-    yield from _check_last_places(candidate)
-
-
-def _check_last_places(
-    candidate: objects.Objects,
-) -> typing.Iterator[findings.Finding]:
-    region_of = {place.name: place.region for place in candidate.places}
-    drained = {
-        plan.source: plan.name
-        for plan in candidate.plans
-        if plan.kind is objects.PlanKind.DRAIN
-    }
-    pools = {pool.name: pool for pool in candidate.pools}
-    for service in candidate.services:
-        pool = pools.get(service.pool)
-        if pool is None:
-            continue
-        left = [
-            i
-            for i in pool.instances
-            if i.place not in drained and region_of.get(i.place) not in drained
-        ]
-        if left:
-            continue
-        place = (
-            f'plans[{sorted(drained.values())[0]}].source'
-            if drained
-            else f'pools[{pool.name}].instances'
-        )
-        yield findings.Finding(
-            place,
-            'last_place',
-            f'leaves service {service.name!r} without an instance',
-            'keep at least one place that serves it',
-        )
--- a/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
+++ b/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
@@ -8,6 +8,7 @@
 from bulrushcourse_domain import findings
 from bulrushcourse_domain.configuration import check
 from bulrushcourse_domain.configuration import objects
+from bulrushcourse_domain.routing import blocks
 
 
 @attrs.frozen(slots=False)
@@ -42,6 +43,24 @@
         """Region of each place, by the place's name."""
         return {place.name: place.region for place in self.objects.places}
 
+    @functools.cached_property
+    def nearness(self) -> dict[str, tuple[str, ...]]:
+        """Other regions by region, nearest first."""
+        return {
+            place.region: place.near_regions
+            for place in self.objects.places
+            if place.near_regions
+        }
+
+    @functools.cached_property
+    def client_blocks(self) -> blocks.ClientBlocks:
+        """Places of callers."""
+        return blocks.build_blocks(
+            (prefix, place.name)
+            for place in self.objects.places
+            for prefix in place.clients
+        )
+
     def instances(
         self, service: str, region: str
     ) -> tuple[objects.Instance, ...]:
--- a/packages/domain/bulrushcourse_domain/configuration/objects.py
+++ b/packages/domain/bulrushcourse_domain/configuration/objects.py
@@ -27,10 +27,15 @@
     Attributes:
         name: Name of the failure domain.
         region: Name of the region that it belongs to.
+        near_regions: Other regions, nearest first; the same in each place of
+            a region that states any. Regions not listed come last.
+        clients: Address prefixes of the callers that are nearest to it.
     """
 
     name: str
     region: str
+    near_regions: tuple[str, ...] = ()
+    clients: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
@@ -9,14 +9,15 @@
 import attrs
 import hypothesis
 import pytest
+from hypothesis import stateful
+from hypothesis import strategies
+from returns import result
+
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.configuration import publication
 from bulrushcourse_domain.configuration import startup
-from hypothesis import stateful
-from hypothesis import strategies
-from returns import result
 
 NOW = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
 SEATS = strategies.sampled_from('abc')
--- a/packages/domain/bulrushcourse_domain/membership/tests/test_lookup.py
+++ b/packages/domain/bulrushcourse_domain/membership/tests/test_lookup.py
@@ -3,9 +3,10 @@
 import collections
 
 import hypothesis
+from hypothesis import strategies
+
 from bulrushcourse_domain.membership import lookup
 from bulrushcourse_domain.membership import member
-from hypothesis import strategies
 
 CALLERS = [f'10.{i >> 8}.{i & 255}.7' for i in range(4000)]
 
--- a/packages/domain/bulrushcourse_domain/membership/tests/test_view.py
+++ b/packages/domain/bulrushcourse_domain/membership/tests/test_view.py
@@ -2,10 +2,11 @@
 
 import hypothesis
 import pytest
+from hypothesis import strategies
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.membership import member
 from bulrushcourse_domain.membership import view
-from hypothesis import strategies
 
 
 def sighting(name, **fields):
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_blocks.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_blocks.py
@@ -4,9 +4,10 @@
 
 import hypothesis
 import pytest
-from bulrushcourse_domain.routing import blocks
 from hypothesis import strategies
 
+from bulrushcourse_domain.routing import blocks
+
 PLACES = strategies.sampled_from(['a', 'b', 'c'])
 
 
--- a/packages/wire/bulrushcourse_wire/documents.py
+++ b/packages/wire/bulrushcourse_wire/documents.py
@@ -71,8 +71,8 @@
         value: Configuration objects, settings or another attrs object.
 
     Examples:
-        >>> render_document(objects.Place('cluj-a', 'ro-nord'))
-        '{"name": "cluj-a", "region": "ro-nord"}'
+        >>> render_document(objects.Entry('entry-1', 'cluj-a'))
+        '{"name": "entry-1", "place": "cluj-a"}'
     """
     return json.dumps(_CONVERTER.unstructure(value), sort_keys=True)
 
