--- a/packages/domain/bulrushcourse_domain/limits/pacing.py
+++ b/packages/domain/bulrushcourse_domain/limits/pacing.py
@@ -114,21 +114,20 @@
         """Return the piece whose turn it is, ``None`` if none waits."""
         if not self.waiting:
             return None
-        lowest, highest = max(self.waiting), min(self.waiting)
-        spaced = lowest >= self.long_priority and self._spacing_s() > 0
-        if self.passed >= RELIEF_EVERY - 1 and not spaced:
-            return self.waiting[lowest][0]
-        return self.waiting[highest][0]
+        if self._is_relief_due():
+            return self.waiting[max(self.waiting)][0]
+        return self.waiting[min(self.waiting)][0]
+
+    def _is_relief_due(self) -> bool:
+        return self.passed >= RELIEF_EVERY - 1
 
     def _spacing_s(self) -> float:
         return max(0.0, self.long_due - self.clock.monotonic())
 
     def _delay_s(self, piece: Piece, share: int) -> float:
-        if piece.priority < self.long_priority:
+        if piece.priority < self.long_priority or self._is_relief_due():
             return self.window.wait_s(piece.size, share)
-        room = share
-        if self.passed < RELIEF_EVERY - 1:
-            room = max(int(share * LONG_PART), min(share, PIECE_BYTES))
+        room = max(int(share * LONG_PART), min(share, PIECE_BYTES))
         return max(self._spacing_s(), self.window.wait_s(piece.size, room))
 
     def _pass(self, piece: Piece, share: int) -> None:
--- a/packages/domain/bulrushcourse_domain/limits/rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/rate_window.py
@@ -13,6 +13,8 @@
 BYTES_WINDOW_S = 1.03
 REQUESTS_WINDOW_S = 1.1
 BUCKETS = 200
+# Keeps a wait from ending a rounding error before the window does.
+ROUNDING_S = 1e-6
 
 
 @attrs.define
@@ -38,8 +40,8 @@
 
     def in_use(self) -> int:
         """Return the sum of the charges in the window that ends now."""
-        start = self.clock.monotonic() - self.window_s
-        while self.charges and self.charges[0][1] <= start:
+        now = self.clock.monotonic()
+        while self.charges and self.charges[0][1] + self.window_s <= now:
             self.used -= int(self.charges.popleft()[2])
         return self.used
 
@@ -87,5 +89,5 @@
         for _, latest, charged in self.charges:
             excess -= int(charged)
             if excess <= 0:
-                return max(0.0, latest + self.window_s - now)
+                return max(0.0, latest + self.window_s - now) + ROUNDING_S
         return math.inf
