--- a/packages/domain/bulrushcourse_domain/limits/tests/test_rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/test_rate_window.py
@@ -2,9 +2,10 @@
 
 import hypothesis
 import pytest
+from hypothesis import strategies
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.limits import rate_window
-from hypothesis import strategies
 
 SETTINGS = hypothesis.settings(derandomize=True, deadline=None)
 
--- a/packages/domain/bulrushcourse_domain/limits/tests/test_share_ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/test_share_ledger.py
@@ -8,12 +8,13 @@
 import attrs
 import hypothesis
 import pytest
+from hypothesis import stateful
+from hypothesis import strategies
+
 from bulrushcourse_domain.limits import floor
 from bulrushcourse_domain.limits import ledger
 from bulrushcourse_domain.limits import share_ledger
 from bulrushcourse_domain.limits import watch
-from hypothesis import stateful
-from hypothesis import strategies
 
 SEATS = ('a', 'b', 'c')
 CAP = 100
--- a/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
@@ -4,11 +4,12 @@
 
 import hypothesis
 import pytest
+from hypothesis import strategies
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.quarantine import losses
 from bulrushcourse_domain.quarantine import quarantine as quarantines
 from bulrushcourse_domain.slots import requests
-from hypothesis import strategies
 
 DONE = requests.ReleaseOutcome.DONE
 LOST = requests.ReleaseOutcome.LOST
--- a/packages/domain/bulrushcourse_domain/retries/tests/test_budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/tests/test_budget.py
@@ -1,10 +1,11 @@
 """Guards against retries and hedges that multiply work in an outage."""
 
-from bulrushcourse_domain.retries import budget as budgets
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
 
+from bulrushcourse_domain.retries import budget as budgets
+
 
 @settings(derandomize=True, database=None, deadline=None)
 @given(strategies.lists(strategies.booleans(), max_size=2000))
--- a/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
@@ -4,6 +4,7 @@
 import typing
 
 import attrs
+
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.slots import lease as leases
 from bulrushcourse_domain.slots import ownership
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
@@ -3,13 +3,14 @@
 import attrs
 import hypothesis
 import pytest
+from hypothesis import stateful
+from hypothesis import strategies
+
 from bulrushcourse_domain.slots import lease as leases
 from bulrushcourse_domain.slots import ownership
 from bulrushcourse_domain.slots import promises
 from bulrushcourse_domain.slots import timing
 from bulrushcourse_domain.slots.tests import ownership_world
-from hypothesis import stateful
-from hypothesis import strategies
 
 RATES = strategies.sampled_from([0.99, 1.01])
 INDEX = strategies.integers(0, 50)
