--- a/packages/domain/bulrushcourse_domain/slots/instances.py
+++ b/packages/domain/bulrushcourse_domain/slots/instances.py
@@ -11,11 +11,11 @@
 from bulrushcourse_domain.health import instance_health
 from bulrushcourse_domain.slots import requests
 
-REFRESH_PER_INSTANCE_S = 0.000_1
-"""Interval between reorderings, for each instance of the pool.
-
-One reordering costs about 3 microseconds an instance, so this bounds the cost
-at about 3% of a core.
+REFRESH_S = 0.005
+REFRESH_PER_INSTANCE_S = 0.000_2
+"""Interval between reorderings: the first one, or if it is longer, the second
+one for each instance of the pool. This bounds the cost at a few percent of a
+core at any size.
 """
 
 SLOW_RATIO = 2.0
@@ -190,8 +190,10 @@
                 number of slots.
         """
         now = self.clock.monotonic()
-        interval = REFRESH_PER_INSTANCE_S * len(self.instances)
-        if now - self.refreshed_at < interval:
+        interval_s = max(
+            REFRESH_S, REFRESH_PER_INSTANCE_S * len(self.instances)
+        )
+        if now - self.refreshed_at < interval_s:
             return
         self.refreshed_at = now
         self.health.refresh()
--- a/packages/domain/bulrushcourse_domain/slots/queue.py
+++ b/packages/domain/bulrushcourse_domain/slots/queue.py
@@ -67,17 +67,17 @@
             del self.by_deadline[waiting.key]
         return waiting
 
-    def first(self) -> Waiting | None:
+    def first(self) -> Waiting:
         """Return the request with the earliest deadline."""
-        return self.by_deadline.peekitem(0)[1] if self.by_deadline else None
+        return self.by_deadline.peekitem(0)[1]
 
-    def last(self) -> Waiting | None:
+    def last(self) -> Waiting:
         """Return the request with the latest deadline."""
-        return self.by_deadline.peekitem(-1)[1] if self.by_deadline else None
+        return self.by_deadline.peekitem(-1)[1]
 
-    def oldest(self) -> Waiting | None:
+    def oldest(self) -> Waiting:
         """Return the request that has waited longest."""
-        return next(iter(self.by_arrival.values()), None)
+        return next(iter(self.by_arrival.values()))
 
 
 @attrs.define
@@ -124,7 +124,9 @@
             now: Clock seconds.
         """
         place = (priority, wish.request_class)
-        queue = self.classes.setdefault(place, ClassQueue())
+        queue = self.classes.get(place)
+        if queue is None:
+            queue = self.classes[place] = ClassQueue()
         queue.push(Waiting(wish, now, next(self.orders)))
         self.names[wish.request_id] = place
 
@@ -137,14 +139,15 @@
         place = self.names.pop(request_id, None)
         if place is None:
             return None
-        waiting = self.classes[place].remove(request_id)
-        if not self.classes[place].by_arrival:
-            del self.classes[place]
-        return waiting
+        return self.classes[place].remove(request_id)
+
+    def filled(self) -> list[ClassQueue]:
+        """Return the queues that are not empty, in order of priority."""
+        return [q for q in self.classes.values() if q.by_arrival]
 
     def candidates(self) -> typing.Iterator[Waiting]:
         """Yield the next requests to serve, a few of each class."""
-        for queue in self.classes.values():
+        for queue in self.filled():
             yield from itertools.islice(queue.by_deadline.values(), SCAN)
 
     def oldest(self) -> list[Waiting]:
@@ -152,19 +155,19 @@
 
         The first class is served next anyway.
         """
-        found = [queue.oldest() for queue in self.classes.values()[1:]]
+        found = [queue.oldest() for queue in self.filled()[1:]]
         return sorted(found, key=lambda waiting: waiting.order)
 
     def firsts(self) -> list[Waiting]:
         """Return the request with the earliest deadline of each class."""
-        return [queue.first() for queue in self.classes.values()]
+        return [queue.first() for queue in self.filled()]
 
     def last(self) -> tuple[int, Waiting] | None:
         """Return the request that is served last, with its priority."""
-        if not self.classes:
-            return None
-        (priority, _), queue = self.classes.peekitem(-1)
-        return priority, queue.last()
+        for (priority, _), queue in reversed(self.classes.items()):
+            if queue.by_arrival:
+                return priority, queue.last()
+        return None
 
     def position(self, priority: int, deadline: float, name: str = '') -> int:
         """Return how many requests are served up to a deadline.
