--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys: at most one run each, truthful outcomes."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
@@ -0,0 +1,63 @@
+"""Rules of the claim's row."""
+
+import pytest
+
+from bulrushcourse_domain.claims import claim as claims
+from bulrushcourse_domain.claims import outcomes
+
+ANSWER = outcomes.Answer(200, (), b'x')
+STATES = {
+    outcomes.Outcome.DONE: claims.ClaimState.DONE,
+    outcomes.Outcome.NOT_RUN: claims.ClaimState.REFUSED,
+    outcomes.Outcome.UNKNOWN: claims.ClaimState.UNKNOWN,
+}
+
+
+def finish(claim, outcome):
+    answer = ANSWER if outcome is outcomes.Outcome.DONE else None
+    return claim.finish('a1', outcome, 5.0, answer)
+
+
+@pytest.mark.parametrize('outcome', STATES)
+def test_outcome_of_a_claim_is_final(outcome):
+    """Guards against an outcome that is told and then replaced."""
+    finished = finish(claims.open_claim('a1', 'd', 0.0), outcome)
+    assert finished.state is STATES[outcome]
+    assert finished.told().outcome is outcome
+    for other in STATES:
+        with pytest.raises(claims.ClaimError):
+            finish(finished, other)
+
+
+def test_refused_key_is_final_for_every_attempt():
+    """Guards against a run after ``not-run`` was told."""
+    row = claims.refused_claim('a1', 'd', 0.0)
+    for attempt in ('a1', 'a2'):
+        assert row.meet(attempt, 'd') is claims.Meeting.FINAL
+        for stored in outcomes.StoreFact:
+            if stored is not outcomes.StoreFact.COMMITTED:
+                assert not claims.may_dispatch(stored, row, attempt)
+
+
+def test_claimed_row_says_nothing_to_others():
+    """Guards against ``not-run`` about a claim whose holder may wake up."""
+    row = claims.open_claim('a1', 'd', 0.0)
+    told = claims.refusal_told(outcomes.StoreFact.CONFLICT, row)
+    assert told.outcome is outcomes.Outcome.UNKNOWN
+
+
+def test_answer_belongs_to_a_run_that_is_done():
+    """Guards against answers without a run and runs without an answer."""
+    row = claims.open_claim('a1', 'd', 0.0)
+    with pytest.raises(claims.ClaimError):
+        row.finish('a1', outcomes.Outcome.DONE, 1.0)
+    with pytest.raises(claims.ClaimError):
+        row.finish('a1', outcomes.Outcome.NOT_RUN, 1.0, ANSWER)
+
+
+def test_rows_outlive_late_refusals():
+    """Guards against a refusal that is written after the row went away."""
+    row = claims.open_claim('a1', 'd', 0.0)
+    done = finish(row, outcomes.Outcome.DONE)
+    assert done.expires_at() >= 5.0 + claims.RETENTION_S + 300.0
+    assert row.expires_at() > done.expires_at()
