Run requests with an idempotency key at most once

Cause: the forwarding path knew no claims; a re-send through another entry could run an order twice, and a refusal before the key was looked at was told as not-run although an earlier send may have run. Change: slot, then claim, then dispatch, then record; issued keys and their forwarding to the issuer over peer streams; batched writes within a budget; clean-up; outcomes over HTTP; shutdown waits for runs and records. Forwarder splits attempt() into acquire() and send(). Keyed requests that are refused before their key was looked at get the outcome unknown.

--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -72,6 +72,19 @@
         return None
 
 
+@attrs.frozen
+class HeldSlot:
+    """A granted slot.
+
+    Attributes:
+        instance: Name of the instance.
+        finish: Gives the slot back; called once with how the work ended.
+    """
+
+    instance: str
+    finish: typing.Callable[[requests.ReleaseOutcome], None]
+
+
 @attrs.define
 class Exchange:
     """An answer under way, with the slot that it holds.
@@ -160,6 +173,21 @@
     ) -> Attempt:
         """Get a slot and send the call once.
 
+        Args:
+            call: The caller's request.
+            number: How many attempts there were before.
+            avoid: Instances that failed this call.
+        """
+        held = await self.acquire(call, number, avoid)
+        if isinstance(held, result.Failure):
+            return Attempt(refusal=held.failure())
+        return await self.send(call, held.unwrap())
+
+    async def acquire(
+        self, call: reading.Call, number: int, avoid: tuple[str, ...]
+    ) -> result.Result[HeldSlot, requests.Refusal]:
+        """Get a slot for one attempt.
+
         Args:
             call: The caller's request.
             number: How many attempts there were before.
@@ -176,22 +204,25 @@
         )
         if region is None:
             reason = requests.RefusalReason.NO_INSTANCE
-            return Attempt(
-                refusal=requests.Refusal(wish.request_id, self.entry, reason)
+            return result.Failure(
+                requests.Refusal(wish.request_id, self.entry, reason)
             )
         granted = await self.slots.acquire(call.service.name, region, wish)
-        if isinstance(granted, result.Failure):
-            return Attempt(refusal=granted.failure())
-        grant = granted.unwrap()
-        finish = self._finisher(call.service.name, region, grant)
-        return await self._send(call, grant.instance, finish)
-
-    async def _send(
-        self,
-        call: reading.Call,
-        instance: str,
-        finish: typing.Callable[[requests.ReleaseOutcome], None],
-    ) -> Attempt:
+        return granted.map(
+            lambda grant: HeldSlot(
+                grant.instance,
+                self._finisher(call.service.name, region, grant),
+            )
+        )
+
+    async def send(self, call: reading.Call, held: HeldSlot) -> Attempt:
+        """Send the call to the instance of a slot.
+
+        Args:
+            call: The caller's request.
+            held: The slot; it is given back if there is no answer.
+        """
+        instance, finish = held.instance, held.finish
         remaining = call.deadline - self.clock.monotonic()
         request = client.UpstreamRequest(
             call.method,
--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -15,6 +15,7 @@
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import problems
 from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.claims import listener as claims_listener
 
 MAX_HEADER_BYTES = 16 << 10
 SERVICE_PATH = '/v1/services/{service}/{path:.*}'
@@ -38,6 +39,7 @@
         forwarder: Runs calls on upstreams.
         lookups: Answers which entries to use.
         metrics: Receiver of metrics.
+        claims: Serves requests that run at most once.
         in_flight: Requests at work.
         idle: Set while no request is at work.
         leaving: Whether the entry is shutting down.
@@ -48,6 +50,7 @@
     forwarder: forwarding.Forwarder
     lookups: Lookups
     metrics: entry_metrics.Metrics
+    claims: claims_listener.ClaimsListener
     in_flight: int = 0
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     leaving: bool = False
@@ -64,6 +67,7 @@
             }
         )
         application.router.add_get('/v1/entries', self.look_up)
+        self.claims.add_routes(application)
         application.router.add_route('*', SERVICE_PATH, self.serve)
         return application
 
@@ -105,13 +109,21 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         configuration = self.configuration.current
         if configuration is None:
-            return problems.not_run(
+            problem = problems.not_run(
                 503, 'no-configuration', 'no configuration is in force', 1
-            ).response()
+            )
+            return claims_listener.refusal(problem, request).response()
         read = await reading.read_call(request, configuration, self.clock)
         if isinstance(read, result.Failure):
-            return read.failure().response()
-        forwarded = await self.forwarder.forward(read.unwrap())
+            problem = claims_listener.refusal(read.failure(), request)
+            return problem.response()
+        call = read.unwrap()
+        if not claims_listener.may_repeat(call):
+            response = await self.claims.serve(call)
+            outcome = response.headers[problems.OUTCOME_HEADER]
+            self.metrics.incr(f'outcome.{outcome}')
+            return response
+        forwarded = await self.forwarder.forward(call)
         if isinstance(forwarded, result.Failure):
             problem = forwarded.failure()
             self.metrics.incr(f'outcome.{problem.outcome.value}')
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/claims/exchanges.py
@@ -0,0 +1,208 @@
+"""Forwarding of issued keys to their issuers over peer streams."""
+
+import asyncio
+import typing
+import uuid
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.claims import keys
+from bulrushcourse_domain.claims import outcomes
+from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.claims import dispatch
+from bulrushcourse_entry.claims import gateway as claim_gateway
+from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_wire import key_messages
+
+# Larger bodies would hold up the heartbeats on the stream.
+MAX_FORWARDED_BYTES = 2 << 20
+
+
+@attrs.define(eq=False)
+class PeerIssuers:
+    """Asks the issuers of keys over peer streams.
+
+    Attributes:
+        hub: Streams to peers.
+        clock: Source of time.
+        waiting: Peer and future by exchange.
+    """
+
+    hub: peer_hub.PeerHub
+    clock: clocks.Clock
+    waiting: dict[str, tuple[str, asyncio.Future]] = attrs.field(factory=dict)
+
+    def start(self) -> None:
+        """Follow the messages of peers."""
+        self.hub.received.subscribe(self._on_message)
+        self.hub.changes.subscribe(self._on_change)
+
+    async def ask(
+        self,
+        key: keys.IssuedKey,
+        request: dispatch.KeyedRequest,
+        ask_only: bool,
+    ) -> outcomes.Told | None:
+        """Return what the issuer says, ``None`` if it cannot be asked.
+
+        Args:
+            key: The key.
+            request: The request with the key.
+            ask_only: Whether only the outcome is asked for.
+        """
+        stream = self.hub.streams.get(key.entry)
+        if stream is None or stream.hello.incarnation != key.incarnation:
+            return None
+        left = request.deadline - self.clock.monotonic()
+        exchange = uuid.uuid4().hex
+        message = _forward(exchange, request, ask_only, left)
+        if len(message.body) > MAX_FORWARDED_BYTES:
+            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'body-too-large')
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[exchange] = (key.entry, future)
+        try:
+            if not self.hub.send(key.entry, message):
+                return None
+            async with asyncio.timeout(left):
+                return await future
+        except TimeoutError:
+            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'under-way')
+        finally:
+            del self.waiting[exchange]
+
+    def _on_message(self, received: peer_hub.Received) -> None:
+        answer = received.message
+        if not isinstance(answer, key_messages.KeyAnswer):
+            return
+        peer, future = self.waiting.get(answer.exchange, ('', None))
+        if peer == received.peer and not future.done():
+            future.set_result(_read_answer(answer))
+
+    def _on_change(self, change: peer_hub.PeerChange) -> None:
+        if change.connected:
+            return
+        for peer, future in self.waiting.values():
+            if peer == change.peer and not future.done():
+                future.set_result(None)
+
+
+@attrs.define(eq=False)
+class ForwardedKeys:
+    """Answers the exchanges of other entries about keys issued here.
+
+    Attributes:
+        hub: Streams to peers.
+        gateway: Runs requests.
+        configuration: Configuration in force.
+        clock: Source of time.
+        tasks: Exchanges under way.
+    """
+
+    hub: peer_hub.PeerHub
+    gateway: claim_gateway.Gateway
+    configuration: in_force.ConfigurationInForce
+    clock: clocks.Clock
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    def start(self) -> None:
+        """Follow the messages of peers."""
+        self.hub.received.subscribe(self._on_message)
+
+    def _on_message(self, received: peer_hub.Received) -> None:
+        if isinstance(received.message, key_messages.KeyForward):
+            task = asyncio.create_task(
+                self._answer(received.peer, received.message)
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _answer(
+        self, peer: str, message: key_messages.KeyForward
+    ) -> None:
+        request = self._request(message)
+        if request is None:
+            told = outcomes.Told(outcomes.Outcome.UNKNOWN, 'no-service')
+        else:
+            told = await self.gateway.serve_own(request, message.ask_only)
+        self.hub.send(peer, _answer(message.exchange, told))
+
+    def _request(
+        self, message: key_messages.KeyForward
+    ) -> dispatch.KeyedRequest | None:
+        current = self.configuration.current
+        service = current and current.services.get(message.service)
+        if not service:
+            return None
+        deadline = self.clock.monotonic() + message.remaining_ms / 1000
+        call = reading.Call(
+            request_id=uuid.uuid4().hex,
+            service=service,
+            pool=current.pools[service.pool],
+            request_class=message.request_class,
+            deadline=deadline,
+            method=message.method,
+            path=message.path,
+            headers=message.headers,
+            body=message.body,
+            rest=None,
+            fingerprint=reading.fingerprint(
+                service.name, message.method, message.path, message.body
+            ),
+            key=message.key,
+        )
+        return dispatch.KeyedRequest(
+            message.service, message.key, message.digest, deadline, call
+        )
+
+
+def _forward(
+    exchange: str,
+    request: dispatch.KeyedRequest,
+    ask_only: bool,
+    left: float,
+) -> key_messages.KeyForward:
+    call: typing.Any = None if ask_only else request.call
+    return key_messages.KeyForward(
+        exchange=exchange,
+        service=request.service,
+        key=request.key,
+        digest=request.digest,
+        ask_only=ask_only,
+        remaining_ms=max(int(left * 1000), 1),
+        request_class=call.request_class if call else '',
+        method=call.method if call else '',
+        path=call.path if call else '',
+        headers=call.headers if call else {},
+        body=call.body if call else b'',
+    )
+
+
+def _answer(exchange: str, told: outcomes.Told) -> key_messages.KeyAnswer:
+    answer = told.answer
+    if answer is None:
+        return key_messages.KeyAnswer(
+            exchange, told.outcome.value, told.reason
+        )
+    if len(answer.body) > MAX_FORWARDED_BYTES:
+        unknown = outcomes.Outcome.UNKNOWN.value
+        return key_messages.KeyAnswer(exchange, unknown, 'answer-too-large')
+    return key_messages.KeyAnswer(
+        exchange,
+        told.outcome.value,
+        status=answer.status,
+        headers=[list(pair) for pair in answer.headers],
+        body=answer.body,
+    )
+
+
+def _read_answer(message: key_messages.KeyAnswer) -> outcomes.Told:
+    outcome = outcomes.Outcome(message.outcome)
+    if outcome is not outcomes.Outcome.DONE:
+        return outcomes.Told(outcome, message.reason)
+    headers = tuple((name, value) for name, value in message.headers)
+    return outcomes.Told(
+        outcome,
+        answer=outcomes.Answer(message.status, headers, message.body),
+    )
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/claims/issued_runs.py
@@ -0,0 +1,133 @@
+"""Running requests whose key this process issued."""
+
+import asyncio
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.claims import claim as claims
+from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import outcomes
+from bulrushcourse_entry import events
+from bulrushcourse_entry.claims import cleanup as claim_cleanup
+from bulrushcourse_entry.claims import dispatch
+from bulrushcourse_entry.claims import rows as claim_rows
+
+COPY_RETRY_S = 0.5
+MAX_COPY_RETRY_S = 4.0
+COPY_LIMIT_S = 300.0
+
+# Outcomes that wait for a copy through a store outage. Beyond this the
+# outcome is known only here.
+MAX_COPIES = 5_000
+
+
+@attrs.define(eq=False)
+class IssuedRuns:
+    """Runs of issued keys; the store only gets copies of their outcomes.
+
+    Attributes:
+        keys: Keys of this incarnation.
+        rows: Claims in the table.
+        dispatcher: Gets slots and sends requests.
+        clock: Source of time.
+        cleanup: Deletes expired rows.
+        runs: Runs under way by key.
+        tasks: Tasks of runs and copies.
+        not_copied: Outcomes that were not copied.
+    """
+
+    keys: issued.IssuedKeys
+    rows: claim_rows.ClaimRows
+    dispatcher: dispatch.Dispatcher
+    clock: clocks.Clock
+    cleanup: claim_cleanup.Cleanup
+    runs: dict[str, dispatch.Run] = attrs.field(factory=dict)
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+    not_copied: int = 0
+
+    async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Told:
+        """Run a request, or join its run, and return what to tell.
+
+        Args:
+            request: The request; its key has the issued form.
+        """
+        meeting = self.keys.meet(request.key, request.service, request.digest)
+        if meeting is issued.KeyMeeting.FIRST:
+            self._start(request)
+        elif meeting is issued.KeyMeeting.FINAL:
+            return self.keys.told(request.key)
+        elif meeting is not issued.KeyMeeting.RUNNING:
+            return self.decline(meeting)
+        left = request.deadline - self.clock.monotonic()
+        return await self.runs[request.key].wait(left)
+
+    def decline(self, meeting: issued.KeyMeeting) -> outcomes.Told:
+        """Return what to tell about a key that is not run here.
+
+        Args:
+            meeting: Why it is not run.
+        """
+        return outcomes.Told(outcomes.Outcome.UNKNOWN, meeting.value)
+
+    def _start(self, request: dispatch.KeyedRequest) -> None:
+        run = dispatch.Run(request.digest)
+        self.runs[request.key] = run
+        task = asyncio.create_task(self._run(request, run))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _run(
+        self, request: dispatch.KeyedRequest, run: dispatch.Run
+    ) -> None:
+        told = outcomes.Told(outcomes.Outcome.UNKNOWN, 'lost')
+        try:
+            told = await self._settle(request)
+        finally:
+            self.keys.finish(request.key, told)
+            run.tell(told)
+            del self.runs[request.key]
+        if told.outcome is not outcomes.Outcome.UNKNOWN:
+            await self._copy(request, told)
+
+    async def _settle(self, request: dispatch.KeyedRequest) -> outcomes.Told:
+        hold = await self.dispatcher.acquire(request, 0, ())
+        if hold is None:
+            return outcomes.Told(outcomes.Outcome.NOT_RUN, 'refused')
+        dispatched = await dispatch.dispatch_held(
+            self.dispatcher, self.clock, request, hold
+        )
+        outcome = outcomes.attempt_outcome(dispatched.fact)
+        if outcome is outcomes.Outcome.DONE:
+            return outcomes.Told(outcome, answer=dispatched.answer)
+        return outcomes.Told(outcome, dispatched.fact.value)
+
+    async def _copy(
+        self, request: dispatch.KeyedRequest, told: outcomes.Told
+    ) -> None:
+        """Write an outcome to the table, where it outlives this process."""
+        if len(self.tasks) > MAX_COPIES:
+            self._give_up(request)
+            return
+        key = claim_rows.row_key(*request.identity)
+        attempt = self.keys.incarnation
+        now = self.clock.wall().timestamp()
+        copy = claims.open_claim(attempt, request.digest, now).finish(
+            attempt, told.outcome, now, told.answer
+        )
+        limit = self.clock.monotonic() + COPY_LIMIT_S
+        delay = COPY_RETRY_S
+        while self.clock.monotonic() < limit:
+            stored = await self.rows.write(key, copy, 0, urgent=False)
+            if stored is not outcomes.StoreFact.UNKNOWN:
+                # A conflict is an earlier write of this copy whose answer
+                # was lost: nobody else writes the rows of these keys.
+                self.cleanup.add(key, copy)
+                return
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, MAX_COPY_RETRY_S)
+        self._give_up(request)
+
+    def _give_up(self, request: dispatch.KeyedRequest) -> None:
+        self.not_copied += 1
+        events.emit(events.Event.OUTCOME_NOT_COPIED, service=request.service)
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/claims/listener.py
@@ -0,0 +1,215 @@
+"""HTTP interface of keys, outcomes and requests that run at most once."""
+
+import typing
+
+import attrs
+from aiohttp import web
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.claims import claim as claims
+from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import outcomes
+from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_entry.callers import problems
+from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.claims import dispatch
+from bulrushcourse_entry.claims import gateway as claim_gateway
+
+MAX_KEYS_PER_CALL = 100
+ASK_LIMIT_S = 2.0
+RETRY_AFTER_S = 1
+
+# Status and seconds until another try of what is told without an answer.
+UNKNOWN_STATUSES = {
+    'invalid': (400, 0),
+    'other-request': (422, 0),
+    'other-service': (422, 0),
+    'body-too-large': (413, 0),
+    'forgotten': (410, 0),
+    'under-way': (504, RETRY_AFTER_S),
+    'store': (503, RETRY_AFTER_S),
+    'issuer-unreachable': (503, RETRY_AFTER_S),
+}
+OTHER_STATUS = (502, RETRY_AFTER_S)
+
+
+@attrs.define(eq=False)
+class ClaimsListener:
+    """Serves the part of the callers' interface that has keys.
+
+    Attributes:
+        clock: Source of time.
+        configuration: Configuration in force.
+        gateway: Runs requests at most once.
+        accepting: Returns whether new keys may be issued.
+    """
+
+    clock: clocks.Clock
+    configuration: in_force.ConfigurationInForce
+    gateway: claim_gateway.Gateway
+    accepting: typing.Callable[[], bool]
+
+    def add_routes(self, application: web.Application) -> None:
+        """Add the routes of keys and outcomes.
+
+        Args:
+            application: The callers' application, before its general routes.
+        """
+        prefix = '/v1/services/{service}'
+        router = application.router
+        router.add_post(f'{prefix}/keys', self.issue)
+        router.add_get(f'{prefix}/outcomes/{{key}}', self.show_outcome)
+
+    async def issue(self, request: web.Request) -> web.Response:
+        """Hand out keys that are bound to this process.
+
+        Args:
+            request: Query ``count`` gives the number of keys.
+        """
+        service = request.match_info['service']
+        text = request.query.get('count', '1')
+        if not self._knows(service):
+            return _problem(404, 'no-service', 'no such service')
+        if not text.isdecimal() or not 1 <= int(text) <= MAX_KEYS_PER_CALL:
+            detail = f'count is not between 1 and {MAX_KEYS_PER_CALL}'
+            return _problem(400, 'count', detail)
+        if not self.accepting():
+            return _problem(503, 'leaving', 'entry is shutting down', 1)
+        made = self.gateway.issued.keys.issue(service, int(text))
+        if not made:
+            detail = 'too many keys are kept'
+            return _problem(503, 'too-many-keys', detail, RETRY_AFTER_S)
+        body = {'keys': made, 'lifetime_s': issued.KEY_LIFETIME_S}
+        return web.json_response(body, status=201)
+
+    async def show_outcome(self, request: web.Request) -> web.Response:
+        """Answer what is known of a key, without running its request.
+
+        Args:
+            request: Path with service and key.
+        """
+        service = request.match_info['service']
+        if not self._knows(service):
+            return _problem(404, 'no-service', 'no such service')
+        asked = dispatch.KeyedRequest(
+            service,
+            request.match_info['key'],
+            '',
+            self.clock.monotonic() + ASK_LIMIT_S,
+        )
+        told = await self.gateway.outcome(asked)
+        if told.outcome is outcomes.Outcome.DONE:
+            return render_told(told)
+        body = {'outcome': told.outcome.value, 'reason': told.reason}
+        headers = {problems.OUTCOME_HEADER: told.outcome.value}
+        return web.json_response(body, headers=headers)
+
+    async def serve(self, call: reading.Call) -> web.Response:
+        """Run a request with a key and return what its caller is told.
+
+        Args:
+            call: The request.
+        """
+        try:
+            call = await read_whole(call)
+        except reading.BodyTooLarge:
+            return _problem(413, 'body-too-large', 'request body is too large')
+        digest = claims.request_digest(call.method, call.path, [call.body])
+        keyed = dispatch.KeyedRequest(
+            call.service.name, call.key, digest, call.deadline, call
+        )
+        return render_told(await self.gateway.serve(keyed))
+
+    def _knows(self, service: str) -> bool:
+        current = self.configuration.current
+        return current is not None and service in current.services
+
+
+def may_repeat(call: reading.Call) -> bool:
+    """Return whether a request needs no claim.
+
+    Args:
+        call: The request.
+    """
+    return call.service.idempotent or not call.key
+
+
+def refusal(
+    problem: problems.Problem, request: web.Request
+) -> problems.Problem:
+    """Return a refusal that says nothing of earlier sends of its key.
+
+    A request that is refused before its key was looked at did not run now,
+    but an earlier one with the same key may have.
+
+    Args:
+        problem: Why the request is refused.
+        request: The HTTP request.
+    """
+    key = request.headers.get(reading.KEY_HEADER, '')
+    if not key or len(key) > reading.MAX_KEY_LENGTH:
+        # No entry has ever run a request with such a key.
+        return problem
+    return attrs.evolve(problem, outcome=problems.Outcome.UNKNOWN)
+
+
+async def read_whole(call: reading.Call) -> reading.Call:
+    """Return a call with its whole body in memory.
+
+    The run must not depend on the caller's connection.
+
+    Args:
+        call: The request.
+
+    Raises:
+        BodyTooLarge: If the body passes the service's limit.
+    """
+    if call.rest is None:
+        return call
+    body = bytearray(call.body)
+    async for piece in call.rest:
+        body += piece
+    headers = {
+        name: value
+        for name, value in call.headers.items()
+        if name.lower() != 'content-length'
+    }
+    return attrs.evolve(call, body=bytes(body), rest=None, headers=headers)
+
+
+def render_told(told: outcomes.Told) -> web.Response:
+    """Return the HTTP response that tells an outcome.
+
+    Args:
+        told: What the caller is told.
+    """
+    outcome = problems.Outcome(told.outcome.value)
+    if told.answer is not None:
+        response = web.Response(
+            status=told.answer.status, body=told.answer.body
+        )
+        # The default content type is no part of the instance's answer.
+        response.headers.popall('Content-Type', None)
+        for name, value in told.answer.headers:
+            response.headers.add(name, value)
+        response.headers[problems.OUTCOME_HEADER] = outcome.value
+        return response
+    if outcome is problems.Outcome.NOT_RUN:
+        status, retry_after_s = 503, RETRY_AFTER_S
+    else:
+        status, retry_after_s = UNKNOWN_STATUSES.get(told.reason, OTHER_STATUS)
+    return problems.Problem(
+        status,
+        told.reason,
+        f'outcome {outcome.value}: {told.reason}',
+        outcome,
+        retry_after_s,
+    ).response()
+
+
+def _problem(
+    status: int, code: str, detail: str, retry_after_s: int = 0
+) -> web.Response:
+    return problems.Problem(
+        status, code, detail, problems.Outcome.UNKNOWN, retry_after_s
+    ).response()
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
@@ -0,0 +1,103 @@
+"""Claims as rows, large answers as objects."""
+
+import asyncio
+
+import pytest
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.claims import claim as claims
+from bulrushcourse_domain.claims import outcomes
+from bulrushcourse_entry.claims import rows
+from bulrushcourse_entry.claims import writer
+from bulrushcourse_entry.platform import objects
+from bulrushcourse_entry.platform import table
+
+
+class MemoryTable:
+    def __init__(self):
+        self.rows = {}
+
+    async def get(self, key):
+        return self.rows.get(key)
+
+    async def transact(self, writes):
+        for write in writes:
+            self.rows[write.key] = table.Row(1, write.value)
+        return table.WriteResult.COMMITTED
+
+
+class MemoryObjects:
+    def __init__(self):
+        self.content = {}
+        self.up = True
+
+    async def put(self, key, content):
+        if not self.up:
+            raise objects.ObjectsUnavailable
+        self.content[key] = content
+
+    async def get(self, key):
+        if not self.up:
+            raise objects.ObjectsUnavailable
+        return self.content.get(key)
+
+
+def with_rows(scenario):
+    def test():
+        async def run():
+            stored = MemoryTable()
+            batches = writer.BatchWriter(stored, clocks.SystemClock())
+            runner = asyncio.create_task(batches.run())
+            held = rows.ClaimRows(stored, MemoryObjects(), batches)
+            await scenario(held)
+            runner.cancel()
+
+        asyncio.run(run())
+
+    test.__doc__ = scenario.__doc__
+    return test
+
+
+def done(size):
+    answer = outcomes.Answer(200, (('X', 'y'),), b'z' * size)
+    return claims.open_claim('a', 'd', 0.0).finish(
+        'a', outcomes.Outcome.DONE, 1.0, answer
+    )
+
+
+@with_rows
+async def test_answers_come_back_whole(held):
+    """Guards P3: an answer is read as it was recorded."""
+    for size in (0, 10, rows.ROW_ANSWER_BYTES + 1):
+        await held.write('k', done(size), 0, urgent=True)
+        found = await held.read('k')
+        assert await held.whole(found.claim.told()) == done(size).told()
+    assert len(held.objects.content) == 1
+
+
+@with_rows
+async def test_row_is_not_written_before_its_answer(held):
+    """Guards against a ``done`` row whose answer does not exist."""
+    held.objects.up = False
+    big = done(rows.ROW_ANSWER_BYTES + 1)
+    fact = await held.write('k', big, 0, urgent=True)
+    assert fact is outcomes.StoreFact.UNKNOWN
+    assert await held.read('k') is None
+
+
+@with_rows
+async def test_unreadable_answer_is_unknown(held):
+    """Guards against an empty answer in place of the run's."""
+    await held.write('k', done(rows.ROW_ANSWER_BYTES + 1), 0, urgent=True)
+    held.objects.up = False
+    found = await held.read('k')
+    told = await held.whole(found.claim.told())
+    assert told.outcome is outcomes.Outcome.UNKNOWN
+
+
+@with_rows
+async def test_malformed_row_is_reported(held):
+    """Guards against a damaged row that is taken for an absent one."""
+    held.table.rows['k'] = table.Row(1, {'state': 'strange'})
+    with pytest.raises(rows.RowUnreadable):
+        await held.read('k')
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -18,12 +18,15 @@
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import listener as callers_listener
+from bulrushcourse_entry.claims import assembly
+from bulrushcourse_entry.claims import listener as claims_listener
 from bulrushcourse_entry.configuration import poll as configuration_poll
 from bulrushcourse_entry.health import watch
 from bulrushcourse_entry.membership import members as entry_members
 from bulrushcourse_entry.operators import listener as operators_listener
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.peers import stream as peer_stream
+from bulrushcourse_entry.platform import objects as platform_objects
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
 from bulrushcourse_entry.slots import source
@@ -74,6 +77,7 @@
     upstreams: client.UpstreamClient = attrs.field(init=False)
     forwarder: forwarding.Forwarder = attrs.field(init=False)
     health: watch.HealthWatch = attrs.field(init=False)
+    claims: assembly.ClaimsParts = attrs.field(init=False)
     callers: callers_listener.CallersListener = attrs.field(init=False)
     operators: operators_listener.OperatorsListener = attrs.field(init=False)
 
@@ -143,7 +147,7 @@
             self.heartbeat,
         )
         self.poll = configuration_poll.ConfigurationPoll(self.table, self.held)
-        self._build_request_path()
+        self._build_request_path(session)
         self.health = watch.HealthWatch(
             settings.region, session, self.hub, self.slots
         )
@@ -157,10 +161,11 @@
                 'peers': self.hub,
                 'slots': self.slots,
                 'health': self.health,
+                'claims': self.claims,
             },
         )
 
-    def _build_request_path(self) -> None:
+    def _build_request_path(self, session: aiohttp.ClientSession) -> None:
         self.slots = source.LocalSlots(self.clock)
         self.regions = forwarding.LocalRegionFirst(self.settings.region)
         self.upstreams = client.open_client(CONNECTIONS_PER_INSTANCE)
@@ -171,8 +176,28 @@
             self.regions,
             self.upstreams,
         )
+        self.claims = assembly.build_claims(
+            self.hub,
+            self.clock,
+            self.table,
+            platform_objects.HttpObjectStore(
+                self.settings.platform.objects, session
+            ),
+            self.forwarder,
+            self.held,
+        )
         self.callers = callers_listener.CallersListener(
-            self.clock, self.held, self.forwarder, self.members, self.metrics
+            self.clock,
+            self.held,
+            self.forwarder,
+            self.members,
+            self.metrics,
+            claims_listener.ClaimsListener(
+                self.clock,
+                self.held,
+                self.claims.gateway,
+                lambda: self.state is State.SERVING,
+            ),
         )
         self.poll.changes.subscribe(self._configure)
 
@@ -192,6 +217,7 @@
         await self.hub.start()
         self.members.start()
         self.health.start()
+        self.tasks.extend(self.claims.start())
         await self._listen(self.operators.application(), listen.operators)
         await self._listen(self.callers.application(), listen.callers)
         for part in (self.members, self.poll):
@@ -235,6 +261,8 @@
     async def _wait_until_idle(self) -> None:
         await asyncio.sleep(self.settings.answer_max_age_s)
         await self.callers.idle.wait()
+        # Runs whose callers have left, and outcomes not yet recorded.
+        await self.claims.drain()
 
     async def _stop(self) -> None:
         for runner in reversed(self.runners):
