--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated and real trials of the rules on claims."""
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
@@ -0,0 +1,113 @@
+"""Trials of the rules on claims under every interleaving of faults."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from bulrushcourse_testkit.claims import driver as claim_driver
+from bulrushcourse_testkit.claims import world as claim_world
+
+PICKS = strategies.integers(0, (1 << 16) - 1)
+HOWS = strategies.integers(0, 7)
+# Faults are drawn as often as their absence.
+MOSTLY_WELL = strategies.one_of(strategies.just(0), HOWS)
+EXAMPLES = 250
+STEPS = 60
+MIN_STEPS = 10_000
+STEPS_MADE = [0]
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.driver = claim_driver.Driver(claim_world.World())
+
+    @stateful.rule(pick=PICKS, how=MOSTLY_WELL)
+    def step(self, pick, how):
+        self.driver.step(pick, how)
+
+    @stateful.rule(pick=PICKS, how=MOSTLY_WELL)
+    def step_again(self, pick, how):
+        self.driver.step(pick, how)
+
+    @stateful.rule(pick=PICKS, how=MOSTLY_WELL)
+    def step_once_more(self, pick, how):
+        self.driver.step(pick, how)
+
+    @stateful.rule(pick=PICKS, ask_only=strategies.booleans())
+    def send(self, pick, ask_only):
+        self.driver.send(pick, ask_only)
+
+    @stateful.rule(pick=PICKS)
+    def send_again(self, pick):
+        self.driver.send(pick, False)
+
+    @stateful.rule(pick=PICKS)
+    def new_key(self, pick):
+        self.driver.new_key(pick)
+
+    @stateful.rule(pick=PICKS)
+    def leave(self, pick):
+        self.driver.leave(pick)
+
+    @stateful.rule(seconds=strategies.sampled_from(claim_driver.ADVANCES_S))
+    def advance(self, seconds):
+        self.driver.world.loop.advance(seconds)
+
+    @stateful.rule()
+    def toggle_store(self):
+        self.driver.set_store(not self.driver.store_up)
+
+    @stateful.rule(name=strategies.sampled_from(claim_world.ENTRIES))
+    def restart(self, name):
+        self.driver.world.restart(name)
+
+    @stateful.invariant()
+    def promises_hold(self):
+        STEPS_MADE[0] += 1
+        self.driver.check()
+
+    def teardown(self):
+        try:
+            self.driver.flush()
+            self.driver.check()
+        finally:
+            self.driver.world.close()
+
+
+def test_promises_hold_under_any_interleaving():
+    """Guards P4 and P5: no key runs twice, no outcome is untrue."""
+    STEPS_MADE[0] = 0
+    stateful.run_state_machine_as_test(
+        ClaimsMachine,
+        settings=hypothesis.settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=STEPS,
+            derandomize=True,
+            deadline=None,
+            suppress_health_check=list(hypothesis.HealthCheck),
+        ),
+    )
+    print(f'{STEPS_MADE[0]} steps')
+    assert STEPS_MADE[0] >= MIN_STEPS
+
+
+def test_random_trials_run_and_refuse():
+    """Guards against trials in which nothing runs or nothing is refused."""
+    told = {}
+    for seed in range(12):
+        world = claim_world.World()
+        claim_driver.run_trial(world, seed, 300)
+        for outcome, count in world.ledger.told.items():
+            told[outcome] = told.get(outcome, 0) + count
+    assert min(told[name] for name in ('done', 'not-run', 'unknown')) >= 10
+
+
+def test_same_seed_gives_same_trial():
+    """Guards the printed seeds: a violation must be found again."""
+    ledgers = []
+    for _ in range(2):
+        world = claim_world.World()
+        claim_driver.run_trial(world, 5, 200)
+        ledgers.append(world.ledger)
+    assert ledgers[0] == ledgers[1]
