Let look-up answers travel before an entry stops

Cause: with the machine under heavy load one request failed at a replaced entry. The load tool used answers beyond their cache lifetime, and an entry counted that lifetime from its own stop, not from the answer's arrival. Conclusion: the promise on planned stops includes answers under way.

--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -34,6 +34,9 @@
 from bulrushcourse_wire import messages
 
 CONNECTIONS_PER_INSTANCE = 32
+# An answer given just before the shutdown started may reach its caller late,
+# and the caller's cache lifetime starts only then.
+ANSWER_TRAVEL_LIMIT_S = 1.0
 
 
 class State(enum.Enum):
@@ -263,7 +266,9 @@
             )
 
     async def _wait_until_idle(self) -> None:
-        await asyncio.sleep(self.settings.answer_max_age_s)
+        await asyncio.sleep(
+            self.settings.answer_max_age_s + ANSWER_TRAVEL_LIMIT_S
+        )
         await self.callers.idle.wait()
         # Runs whose callers have left, and outcomes not yet recorded.
         await self.claims.drain()
--- a/packages/testkit/bulrushcourse_testkit/load.py
+++ b/packages/testkit/bulrushcourse_testkit/load.py
@@ -15,7 +15,7 @@
 import attrs
 
 ATTEMPTS = 3
-LOOKUP_INTERVAL_S = 1.0
+LOOKUP_INTERVAL_S = 0.5
 CONNECT_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.1
 
@@ -75,12 +75,14 @@
         session: HTTP session.
         random: Source of choices.
         entries: Addresses in the order of the last answer.
+        valid_until: When the last answer expires, by the machine's clock.
     """
 
     seeds: list[str]
     session: aiohttp.ClientSession
     random: random.Random
     entries: list[str] = attrs.field(factory=list)
+    valid_until: float = 0.0
 
     async def follow_lookups(self) -> None:
         """Look entries up again and again until cancelled."""
@@ -101,6 +103,7 @@
                 continue
             if answer.get('entries'):
                 self.entries = [e['address'] for e in answer['entries']]
+                self.valid_until = time.monotonic() + answer['max_age_s']
                 return
 
     async def call(self, work: Work, number: int) -> tuple[str, int]:
@@ -125,6 +128,8 @@
     async def _send(
         self, work: Work, path: str, body: bytes, digest: str
     ) -> str:
+        if time.monotonic() >= self.valid_until:
+            await self.look_up()
         known = self.entries or self.seeds
         address = self.random.choice(known)
         headers = {}
