--- a/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
@@ -94,6 +94,17 @@
         runs[run_id] = ActiveRun(repeatable, proven)
         return Admission.RUN
 
+    def adopt(self, fingerprint: str, run_id: str, repeatable: bool) -> None:
+        """Count a run as at work that a former owner of the pool admitted.
+
+        Args:
+            fingerprint: Hash of the request's content.
+            run_id: Identifier of the run.
+            repeatable: Whether the request may run more than once.
+        """
+        run = ActiveRun(repeatable, self._is_proven(fingerprint))
+        self.active.setdefault(fingerprint, {})[run_id] = run
+
     def finish(
         self,
         fingerprint: str,
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -33,6 +33,8 @@
     UPSTREAM_FAILED = (6001, 'warning', 'upstream request failed')
     UPSTREAM_LEAVING = (6002, 'info', 'upstream instance is leaving')
     UPSTREAM_RETURNED = (6003, 'info', 'upstream instance serves again')
+    POOL_TAKEN = (6101, 'info', 'entry owns a pool')
+    POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
     OUTCOME_NOT_COPIED = (8001, 'warning', 'outcome not copied to the store')
     OPERATOR_REFUSED = (9001, 'warning', 'operator request without token')
 
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -0,0 +1,392 @@
+"""The owner's side of a region's pools."""
+
+import asyncio
+import typing
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.configuration import configuration_set
+from bulrushcourse_domain.quarantine import quarantine as quarantines
+from bulrushcourse_domain.slots import pool as slot_pool
+from bulrushcourse_domain.slots import recovery
+from bulrushcourse_domain.slots import requests
+from bulrushcourse_entry import events
+from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_entry.slots import keeper as keepers
+from bulrushcourse_entry.slots import owned as owned_pools
+from bulrushcourse_entry.slots import suspects as suspect_news
+from bulrushcourse_entry.slots import switch as switches
+from bulrushcourse_wire import slot_messages
+
+DECIDE_INTERVAL_S = 0.05
+Reason = requests.RefusalReason
+CANCELLED = requests.ReleaseOutcome.CANCELLED
+
+
+@attrs.define(eq=False)
+class PoolServer:
+    """Grants the slots of the pools that this entry owns.
+
+    Every call of a pool is preceded by a check of the ownership in the same
+    turn of the event loop; without ownership the pool's queue is empty, so
+    that it grants nothing. Entries that did not say in this term what they
+    hold are refused, so that their report cannot miss a grant of this term.
+
+    Attributes:
+        clock: Source of time.
+        keeper: Keeps the ownership of pools.
+        switch: Sends messages to entries.
+        suspects: Losses by request.
+        pools: Pools of this region by name.
+        known: Last incarnation of each entry that was connected.
+        configuration: Configuration in force.
+    """
+
+    clock: clocks.Clock
+    keeper: keepers.OwnershipKeeper
+    switch: switches.Switch
+    suspects: suspect_news.Suspects
+    pools: dict[str, owned_pools.OwnedPool] = attrs.field(factory=dict)
+    known: dict[str, str] = attrs.field(factory=dict)
+    configuration: configuration_set.ConfigurationSet | None = None
+
+    def start(self) -> None:
+        """Follow messages of entries and changes of streams."""
+        self.switch.hub.received.subscribe(self._on_message)
+        self.switch.hub.changes.subscribe(self._on_change)
+
+    async def run(self) -> None:
+        """Decide what is due with time until cancelled."""
+        while True:
+            for owned in self.pools.values():
+                self._decide(owned)
+            await asyncio.sleep(DECIDE_INTERVAL_S)
+
+    def configure(
+        self, configuration: configuration_set.ConfigurationSet
+    ) -> None:
+        """Take the instances and their slots from a configuration.
+
+        Args:
+            configuration: The configuration that is now in force.
+        """
+        self.configuration = configuration
+        region = self.keeper.region
+        for service in configuration.services.values():
+            name = keepers.pool_name(region, service.name)
+            if name not in self.keeper.pools:
+                continue
+            if name not in self.pools:
+                self.pools[name] = owned_pools.OwnedPool(
+                    name,
+                    slot_pool.SlotPool(self.clock, {}),
+                    self.keeper.pools[name],
+                    service.idempotent,
+                )
+            owned = self.pools[name]
+            owned.pool.classes = configuration.request_classes
+            slots = configuration.pools[service.pool].slots
+            found = configuration.instances(service.name, region)
+            owned.pool.set_instances({i.name: slots for i in found})
+            self._decide(owned)
+
+    def sign_leaving(self, instance: str, leaving: bool) -> None:
+        """Stop or resume granting the slots of an instance.
+
+        Args:
+            instance: Name of the instance.
+            leaving: Whether it is leaving.
+        """
+        for owned in self.pools.values():
+            if instance in owned.pool.instances:
+                self._is_owner(owned)
+                self._apply(owned, owned.pool.sign_leaving(instance, leaving))
+
+    def resign(self) -> None:
+        """Refuse all waiting requests of pools that were given up."""
+        for owned in self.pools.values():
+            self._is_owner(owned)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return owned pools with slots in use and waiting requests."""
+        return {
+            name: {
+                'term': owned.term,
+                'held': {
+                    instance: len(slots.held)
+                    for instance, slots in owned.pool.instances.items()
+                },
+                'waiting': len(owned.pool.waiting),
+                'parked': len(owned.parked),
+                'unreported': sorted(owned.pool.recovery.unreported),
+            }
+            for name, owned in self.pools.items()
+        }
+
+    def _is_owner(self, owned: owned_pools.OwnedPool) -> bool:
+        term = owned.own.current_term() or 0
+        if term != owned.term:
+            if owned.term:
+                self._end_term(owned)
+            if term:
+                self._begin_term(owned, term)
+        return bool(term)
+
+    def _begin_term(self, owned: owned_pools.OwnedPool, term: int) -> None:
+        owned.term = term
+        owned.reported.clear()
+        owned.pool.take_over(self._possible_holders(owned))
+        events.emit(events.Event.POOL_TAKEN, pool=owned.name, term=term)
+        self.switch.broadcast(slot_messages.SlotsWanted(owned.name, term))
+
+    def _end_term(self, owned: owned_pools.OwnedPool) -> None:
+        owned.term = 0
+        events.emit(events.Event.POOL_LOST, pool=owned.name)
+        for asked in owned.undecided():
+            self._drop(owned, asked)
+            self._refuse(asked.peer, owned.name, asked.wish, Reason.NOT_OWNER)
+
+    def _possible_holders(self, owned: owned_pools.OwnedPool) -> set[str]:
+        """Return incarnations that may hold slots, connected or not.
+
+        An entry that is not connected is named by its last incarnation. If
+        there is none the name of the entry stands for one that cannot
+        report.
+        """
+        connected = self.switch.incarnations()
+        holders = set(connected.values())
+        former = self.keeper.former.get(owned.name)
+        self.keeper.former[owned.name] = ''
+        if former == '' and owned.term == 1:
+            # The lease was free or released, so nobody was lost.
+            return holders
+        holders |= {former} - {'', None}
+        longest_s = max(map(recovery.limit_s, owned.pool.classes.values()))
+        now = self.clock.monotonic()
+        for entry, last in self.keeper.last_listed.items():
+            if entry not in connected and now - last <= longest_s:
+                holders.add(self.known.get(entry, entry))
+        return holders
+
+    def _decide(self, owned: owned_pools.OwnedPool) -> None:
+        if not self._is_owner(owned):
+            return
+        self._apply(owned, owned.pool.decide())
+        granted, waiting = owned.pool.granted, owned.pool.waiting
+        for request_id, asked in list(owned.asked.items()):
+            known = request_id in granted or request_id in waiting
+            if not known and request_id not in owned.parked:
+                # The pool ended a grant that no entry gave back.
+                self._forget(owned, asked, CANCELLED, '')
+        for asked in list(owned.parked.values()):
+            self._admit(owned, asked)
+
+    def _apply(
+        self,
+        owned: owned_pools.OwnedPool,
+        decisions: tuple[requests.Decision, ...],
+    ) -> None:
+        for decision in decisions:
+            asked = owned.asked[decision.request_id]
+            if isinstance(decision, requests.Refusal):
+                self._forget(owned, asked, CANCELLED, '')
+                self._refuse(
+                    asked.peer, owned.name, asked.wish, decision.reason
+                )
+                continue
+            message = slot_messages.SlotGrant(
+                owned.name, decision.request_id, decision.instance
+            )
+            if not self.switch.send(asked.peer, message):
+                self._release(owned, decision.request_id, CANCELLED, None)
+
+    def _on_message(self, received: peer_hub.Received) -> None:
+        handler = _HANDLERS.get(type(received.message))
+        if handler is None:
+            return
+        owned = self.pools.get(received.message.pool)
+        if owned is not None:
+            handler(self, owned, received, received.message)
+
+    def _on_request(
+        self,
+        owned: owned_pools.OwnedPool,
+        received: peer_hub.Received,
+        message: slot_messages.SlotRequest,
+    ) -> None:
+        wish = requests.SlotRequest(
+            message.request_id,
+            received.incarnation,
+            message.request_class,
+            self.clock.monotonic() + message.remaining_s,
+            message.fingerprint or message.request_id,
+            tuple(message.avoid),
+        )
+        reported = owned.reported.get(received.peer)
+        if not self._is_owner(owned) or reported != received.incarnation:
+            self._refuse(received.peer, owned.name, wish, Reason.NOT_OWNER)
+        elif wish.request_class not in owned.pool.classes:
+            self._refuse(received.peer, owned.name, wish, Reason.NO_INSTANCE)
+        elif wish.request_id not in owned.asked:
+            asked = owned_pools.Asked(received.peer, wish)
+            owned.asked[wish.request_id] = asked
+            self._admit(owned, asked)
+
+    def _admit(
+        self, owned: owned_pools.OwnedPool, asked: owned_pools.Asked
+    ) -> None:
+        wish = asked.wish
+        admission = self.suspects.quarantine.admit(
+            wish.fingerprint, wish.request_id, owned.repeatable
+        )
+        owned.parked.pop(wish.request_id, None)
+        if admission is quarantines.Admission.RUN:
+            self._apply(owned, owned.pool.request(wish))
+        elif admission is quarantines.Admission.REFUSE:
+            self._drop(owned, asked)
+            self._refuse(asked.peer, owned.name, wish, Reason.QUARANTINED)
+        elif wish.deadline <= self.clock.monotonic():
+            self._drop(owned, asked)
+            self._refuse(asked.peer, owned.name, wish, Reason.DEADLINE)
+        else:
+            owned.parked[wish.request_id] = asked
+
+    def _on_cancel(
+        self,
+        owned: owned_pools.OwnedPool,
+        received: peer_hub.Received,
+        message: slot_messages.SlotCancel,
+    ) -> None:
+        asked = owned.asked.get(message.request_id)
+        if message.request_id in owned.pool.granted:
+            self._release(owned, message.request_id, CANCELLED, None)
+        elif asked is not None:
+            self._drop(owned, asked)
+
+    def _on_release(
+        self,
+        owned: owned_pools.OwnedPool,
+        received: peer_hub.Received,
+        message: slot_messages.SlotRelease,
+    ) -> None:
+        outcome = requests.ReleaseOutcome(message.outcome)
+        self._release(owned, message.request_id, outcome, message.seconds)
+
+    def _on_held(
+        self,
+        owned: owned_pools.OwnedPool,
+        received: peer_hub.Received,
+        message: slot_messages.SlotsHeld,
+    ) -> None:
+        """Count what an entry holds, and nothing else that it may hold."""
+        if not self._is_owner(owned) or message.term != owned.term:
+            return
+        holder = received.incarnation
+        held = {slot.request_id for slot in message.held}
+        for request_id, run in list(owned.pool.granted.items()):
+            if run.grant.holder == holder and request_id not in held:
+                self._release(owned, request_id, CANCELLED, None)
+        grants = [
+            self._adopt(owned, received, slot)
+            for slot in message.held
+            if slot.instance in owned.pool.instances
+        ]
+        owned.reported[received.peer] = holder
+        self._apply(owned, owned.pool.report_held(holder, grants))
+
+    def _adopt(
+        self,
+        owned: owned_pools.OwnedPool,
+        received: peer_hub.Received,
+        slot: slot_messages.HeldSlot,
+    ) -> requests.Grant:
+        """Return the grant of a held slot and follow its request."""
+        wish = requests.SlotRequest(
+            slot.request_id,
+            received.incarnation,
+            slot.request_class,
+            self.clock.monotonic() + slot.remaining_s,
+            slot.fingerprint or slot.request_id,
+        )
+        if slot.request_id not in owned.asked:
+            owned.asked[slot.request_id] = owned_pools.Asked(
+                received.peer, wish
+            )
+            self.suspects.quarantine.adopt(
+                wish.fingerprint, wish.request_id, owned.repeatable
+            )
+        return requests.Grant(
+            wish.request_id,
+            wish.holder,
+            slot.instance,
+            wish.request_class,
+            wish.deadline,
+        )
+
+    def _release(
+        self,
+        owned: owned_pools.OwnedPool,
+        request_id: str,
+        outcome: requests.ReleaseOutcome,
+        seconds: float | None,
+    ) -> None:
+        run = owned.pool.granted.get(request_id)
+        if run is None:
+            return
+        self._is_owner(owned)
+        asked = owned.asked.get(request_id)
+        if asked is not None:
+            self._forget(owned, asked, outcome, run.grant.instance)
+        self._apply(owned, owned.pool.release(request_id, outcome, seconds))
+
+    def _forget(
+        self,
+        owned: owned_pools.OwnedPool,
+        asked: owned_pools.Asked,
+        outcome: requests.ReleaseOutcome,
+        instance: str,
+    ) -> None:
+        wish = asked.wish
+        owned.asked.pop(wish.request_id, None)
+        news = self.suspects.quarantine.finish(
+            wish.fingerprint, wish.request_id, instance, outcome
+        )
+        if news is not None:
+            self.suspects.publish(news)
+
+    def _drop(
+        self, owned: owned_pools.OwnedPool, asked: owned_pools.Asked
+    ) -> None:
+        owned.pool.cancel(asked.wish.request_id)
+        owned.parked.pop(asked.wish.request_id, None)
+        self._forget(owned, asked, CANCELLED, '')
+
+    def _refuse(
+        self, peer: str, pool: str, wish: requests.SlotRequest, reason: Reason
+    ) -> None:
+        message = slot_messages.SlotRefusal(
+            pool, wish.request_id, reason.value
+        )
+        self.switch.send(peer, message)
+
+    def _on_change(self, change: peer_hub.PeerChange) -> None:
+        """Drop what a peer waits for; its grants stay in use."""
+        self.known[change.peer] = change.incarnation
+        for owned in self.pools.values():
+            owned.reported.pop(change.peer, None)
+            for asked in owned.undecided(change.peer):
+                self._drop(owned, asked)
+            if change.connected and self._is_owner(owned):
+                self.switch.send(
+                    change.peer,
+                    slot_messages.SlotsWanted(owned.name, owned.term),
+                )
+
+
+_HANDLERS = {
+    slot_messages.SlotRequest: PoolServer._on_request,
+    slot_messages.SlotCancel: PoolServer._on_cancel,
+    slot_messages.SlotRelease: PoolServer._on_release,
+    slot_messages.SlotsHeld: PoolServer._on_held,
+}
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/slots/suspects.py
@@ -0,0 +1,134 @@
+"""News of crash requests between entries and in the table."""
+
+import asyncio
+import typing
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.quarantine import losses
+from bulrushcourse_domain.quarantine import quarantine as quarantines
+from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_entry.platform import table as platform_table
+from bulrushcourse_wire import slot_messages
+
+WRITE_ATTEMPTS = 3
+FORGET_INTERVAL_S = 30.0
+
+
+def to_message(news: losses.News) -> typing.Any:
+    """Return the message that carries a fact.
+
+    Args:
+        news: A loss or a clearing.
+    """
+    if isinstance(news, losses.Loss):
+        return slot_messages.Quarantine(**attrs.asdict(news))
+    return slot_messages.QuarantineCleared(
+        news.fingerprint, tuple(sorted(news.loss_ids)), news.expires
+    )
+
+
+@attrs.define(eq=False)
+class Suspects:
+    """Keeps the quarantine equal at all entries.
+
+    Attributes:
+        clock: Source of time.
+        hub: Streams to peers.
+        table: The platform's table service.
+        quarantine: Losses and which requests may run.
+        tasks: Writes under way.
+    """
+
+    clock: clocks.Clock
+    hub: peer_hub.PeerHub
+    table: platform_table.Table
+    quarantine: quarantines.Quarantine = attrs.field(
+        default=attrs.Factory(
+            lambda self: quarantines.Quarantine(self.clock), takes_self=True
+        )
+    )
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    def start(self) -> None:
+        """Follow the news of peers."""
+        self.hub.received.subscribe(self._on_message)
+        self.hub.changes.subscribe(self._on_change)
+        self._spawn(self._forget())
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def publish(self, news: losses.News) -> None:
+        """Tell all entries a fact and write it to the table.
+
+        Args:
+            news: A loss or a clearing that this entry found.
+        """
+        self.hub.broadcast(to_message(news))
+        self._spawn(self._write(news.fingerprint))
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the suspects for a state dump."""
+        return {
+            fingerprint: [
+                {'instance': loss.instance, 'repeatable': loss.repeatable}
+                for loss in self.quarantine.counted(fingerprint)
+            ]
+            for fingerprint in self.quarantine.lost
+        }
+
+    def _spawn(self, work: typing.Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_INTERVAL_S)
+            self.quarantine.forget_expired()
+
+    async def _write(self, fingerprint: str) -> None:
+        """Merge this entry's losses of a request with the row's."""
+        key = f'quarantine/{fingerprint}'
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                row = await self.table.get(key)
+            except platform_table.TableUnavailable:
+                return
+            for fields in row.value['losses'] if row else ():
+                self.quarantine.merge(losses.Loss(**fields))
+            value = {
+                'losses': [
+                    attrs.asdict(loss)
+                    for loss in self.quarantine.counted(fingerprint)
+                ]
+            }
+            write = platform_table.Write(key, value, row.version if row else 0)
+            result = await self.table.transact([write])
+            if result is not platform_table.WriteResult.CONFLICT:
+                return
+
+    def _on_message(self, received: peer_hub.Received) -> None:
+        message = received.message
+        if isinstance(message, slot_messages.Quarantine):
+            self.quarantine.merge(losses.Loss(**attrs.asdict(message)))
+        elif isinstance(message, slot_messages.QuarantineCleared):
+            self.quarantine.merge(
+                losses.Clearing(
+                    message.fingerprint,
+                    frozenset(message.loss_ids),
+                    message.expires,
+                )
+            )
+
+    def _on_change(self, change: peer_hub.PeerChange) -> None:
+        if not change.connected:
+            return
+        for fingerprint in self.quarantine.lost:
+            for loss in self.quarantine.counted(fingerprint):
+                self.hub.send(change.peer, to_message(loss))
--- /dev/null
+++ b/packages/wire/bulrushcourse_wire/slot_messages.py
@@ -0,0 +1,201 @@
+"""Messages about slots, the ownership of pools and crash requests.
+
+A pool is named ``region/service``. Durations travel as seconds that remain,
+since clocks of entries have nothing in common.
+"""
+
+import attrs
+
+from bulrushcourse_wire import messages
+
+
+@messages.message('slot_request')
+class SlotRequest:
+    """Asks the owner of a pool for a slot.
+
+    Attributes:
+        pool: Name of the pool.
+        request_id: Identifier, unique over all entries and attempts.
+        request_class: Name of the request's class.
+        remaining_s: Seconds until the deadline.
+        fingerprint: Hash of the request's content.
+        avoid: Instances that already failed the request.
+    """
+
+    pool: str
+    request_id: str
+    request_class: str
+    remaining_s: float
+    fingerprint: str = ''
+    avoid: tuple[str, ...] = ()
+
+
+@messages.message('slot_cancel')
+class SlotCancel:
+    """Withdraws a request, or gives back a grant that was not used.
+
+    Attributes:
+        pool: Name of the pool.
+        request_id: The request.
+    """
+
+    pool: str
+    request_id: str
+
+
+@messages.message('slot_release')
+class SlotRelease:
+    """Gives a slot back.
+
+    Attributes:
+        pool: Name of the pool.
+        request_id: The request that held the slot.
+        outcome: A value of ``ReleaseOutcome``.
+        seconds: Measured service time.
+    """
+
+    pool: str
+    request_id: str
+    outcome: str
+    seconds: float
+
+
+@messages.message('slot_grant')
+class SlotGrant:
+    """Grants a slot.
+
+    Attributes:
+        pool: Name of the pool.
+        request_id: The request that may run.
+        instance: Name of the instance.
+    """
+
+    pool: str
+    request_id: str
+    instance: str
+
+
+@messages.message('slot_refusal')
+class SlotRefusal:
+    """Refuses a slot.
+
+    Attributes:
+        pool: Name of the pool.
+        request_id: The refused request.
+        reason: A value of ``RefusalReason``.
+    """
+
+    pool: str
+    request_id: str
+    reason: str
+
+
+@messages.message('slots_wanted')
+class SlotsWanted:
+    """States that the sender owns a pool and asks for the slots held.
+
+    Attributes:
+        pool: Name of the pool.
+        term: Number of the sender's ownership.
+    """
+
+    pool: str
+    term: int
+
+
+@attrs.frozen
+class HeldSlot:
+    """A slot that an entry holds.
+
+    Attributes:
+        request_id: The request that holds it.
+        instance: Name of the instance.
+        request_class: Name of the request's class.
+        remaining_s: Seconds until the deadline.
+        fingerprint: Hash of the request's content.
+    """
+
+    request_id: str
+    instance: str
+    request_class: str
+    remaining_s: float
+    fingerprint: str = ''
+
+
+@messages.message('slots_held')
+class SlotsHeld:
+    """Answers ``slots_wanted`` with all slots that the sender holds.
+
+    Attributes:
+        pool: Name of the pool.
+        term: Term that was asked for.
+        held: The slots.
+    """
+
+    pool: str
+    term: int
+    held: tuple[HeldSlot, ...] = ()
+
+
+@messages.message('promise_wish')
+class PromiseWish:
+    """Asks for a promise not to take over a pool.
+
+    Attributes:
+        pool: Name of the pool.
+        candidate: Incarnation of the sender.
+        number: Number of the wish.
+    """
+
+    pool: str
+    candidate: str
+    number: int
+
+
+@messages.message('ownership_promise')
+class OwnershipPromise:
+    """Promises not to take over a pool.
+
+    Attributes:
+        pool: Name of the pool.
+        candidate: Incarnation that the pool is promised to.
+        number: Number of the wish that is answered.
+    """
+
+    pool: str
+    candidate: str
+    number: int
+
+
+@messages.message('quarantine')
+class Quarantine:
+    """An instance that was lost to a request.
+
+    Attributes:
+        fingerprint: Hash of the request's content.
+        loss_id: Identifier of the run.
+        instance: Name of the instance.
+        expires: Seconds since the epoch until which the loss counts.
+        repeatable: Whether the request may run more than once.
+    """
+
+    fingerprint: str
+    loss_id: str
+    instance: str
+    expires: float
+    repeatable: bool
+
+
+@messages.message('quarantine_cleared')
+class QuarantineCleared:
+    """A whole answer showed that losses had another cause.
+
+    Attributes:
+        fingerprint: Hash of the request's content.
+        loss_ids: Losses that no longer count.
+        expires: Seconds since the epoch until which to remember this.
+    """
+
+    fingerprint: str
+    loss_ids: tuple[str, ...]
+    expires: float
