Grant slots through the owner of each pool

Cause: each entry granted all slots by itself, so n entries granted n times the slots of a pool. Change: entries ask the owner of a pool; leases, promises, takeover, news of crash requests and the retry budget run in the entry. A caller is told not-run only if no attempt may have run, and an entry that was paused past a deadline dispatches nothing.

--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -1,5 +1,6 @@
 """Forwarding of calls to upstream instances."""
 
+import collections
 import typing
 
 import attrs
@@ -8,6 +9,7 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
+from bulrushcourse_domain.retries import budget as retry_budget
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import events
 from bulrushcourse_entry.callers import problems
@@ -126,6 +128,7 @@
         regions: Chooser of the region.
         upstreams: HTTP client of the instances.
         instances: Instances of the configuration in force, by name.
+        budgets: Budget for repeated work by service.
     """
 
     entry: str
@@ -134,6 +137,9 @@
     regions: RegionChooser
     upstreams: client.UpstreamClient
     instances: dict[str, objects.Instance] = attrs.field(factory=dict)
+    budgets: dict[str, retry_budget.RetryBudget] = attrs.field(
+        factory=lambda: collections.defaultdict(retry_budget.RetryBudget)
+    )
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
@@ -158,15 +164,23 @@
             call: The caller's request.
         """
         avoid: tuple[str, ...] = ()
-        attempt = Attempt()
+        reported = Attempt()
+        budget = self.budgets[call.service.name]
+        budget.count_primary()
         for number in range(MAX_ATTEMPTS):
             attempt = await self.attempt(call, number, avoid)
             if attempt.exchange is not None:
                 return result.Success(attempt.exchange)
+            if reported.failure is None or _may_have_run(attempt):
+                # An attempt that may have run decides what the caller is
+                # told, whatever became of later ones.
+                reported = attempt
             if attempt.refusal or not _may_retry(call, attempt.failure):
                 break
+            if not _is_free(attempt.failure) and not budget.spend():
+                break
             avoid += (attempt.instance,)
-        return result.Failure(describe(call, attempt))
+        return result.Failure(describe(call, reported))
 
     async def attempt(
         self, call: reading.Call, number: int, avoid: tuple[str, ...]
@@ -224,6 +238,15 @@
         """
         instance, finish = held.instance, held.finish
         remaining = call.deadline - self.clock.monotonic()
+        known = self.instances.get(instance)
+        if remaining <= 0 or known is None:
+            # The grant came while this entry was paused, or it is for an
+            # instance that this entry's configuration does not have.
+            finish(requests.ReleaseOutcome.CANCELLED)
+            reason = requests.RefusalReason.DEADLINE
+            return Attempt(
+                refusal=requests.Refusal(call.request_id, self.entry, reason)
+            )
         request = client.UpstreamRequest(
             call.method,
             call.path,
@@ -235,7 +258,7 @@
         )
         try:
             sent = await self.upstreams.send(
-                self.instances[instance], request, call.pool.not_run_header
+                known, request, call.pool.not_run_header
             )
         except BaseException:
             finish(requests.ReleaseOutcome.CANCELLED)
@@ -297,6 +320,17 @@
     )
 
 
+def _may_have_run(attempt: Attempt) -> bool:
+    failure = attempt.failure
+    return failure is not None and failure not in NOT_RUN_FAILURES
+
+
+def _is_free(failure: client.Failure) -> bool:
+    # A request of which no byte was sent cost no work, so sending it to
+    # another instance adds none.
+    return failure is client.Failure.NOT_SENT
+
+
 def _may_retry(call: reading.Call, failure: client.Failure) -> bool:
     if call.rest is not None:
         # The body was streamed and cannot be sent again.
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -29,7 +29,7 @@
 from bulrushcourse_entry.platform import objects as platform_objects
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
-from bulrushcourse_entry.slots import source
+from bulrushcourse_entry.slots import steering
 from bulrushcourse_entry.upstreams import client
 from bulrushcourse_wire import messages
 
@@ -72,7 +72,7 @@
     hub: peer_hub.PeerHub = attrs.field(init=False)
     members: entry_members.Members = attrs.field(init=False)
     poll: configuration_poll.ConfigurationPoll = attrs.field(init=False)
-    slots: source.LocalSlots = attrs.field(init=False)
+    slots: steering.SlotSteering = attrs.field(init=False)
     regions: forwarding.LocalRegionFirst = attrs.field(init=False)
     upstreams: client.UpstreamClient = attrs.field(init=False)
     forwarder: forwarding.Forwarder = attrs.field(init=False)
@@ -157,7 +157,7 @@
         )
         self.operators = operators_listener.OperatorsListener(
             entry_settings.read_secret(settings.operator_token_file),
-            lambda: self.state is State.SERVING,
+            lambda: self.state is State.SERVING and self.slots.is_ready(),
             {
                 'process': self,
                 'configuration': self.poll,
@@ -170,13 +170,19 @@
         )
 
     def _build_request_path(self, session: aiohttp.ClientSession) -> None:
-        self.slots = source.LocalSlots(self.clock)
+        self.slots = steering.open_steering(
+            self.clock,
+            self.settings.region,
+            self.hub,
+            self.table,
+            self.members.vms,
+        )
         self.regions = forwarding.LocalRegionFirst(self.settings.region)
         self.upstreams = client.open_client(CONNECTIONS_PER_INSTANCE)
         self.forwarder = forwarding.Forwarder(
             self.settings.entry,
             self.clock,
-            self.slots,
+            self.slots.source,
             self.regions,
             self.upstreams,
         )
@@ -218,6 +224,7 @@
 
     async def _start(self) -> None:
         listen = self.settings.listen
+        self.slots.start()
         await self.hub.start()
         self.members.start()
         self.health.start()
@@ -247,6 +254,7 @@
         self.callers.leaving = True
         events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
         self.hub.broadcast(self.heartbeat())
+        await self.slots.leave()
         limit = self.settings.stop_limit_s
         try:
             async with asyncio.timeout(limit):
@@ -275,6 +283,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.health.stop()
+        await self.slots.stop()
         await self.hub.stop()
         await client.close_client(self.upstreams)
         events.emit(events.Event.STOPPED)
