--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
@@ -0,0 +1,118 @@
+"""Real entries whose pool owner dies, is paused or leaves under load."""
+
+import asyncio
+import collections
+import contextlib
+import random
+import signal
+import time
+
+import aiohttp
+import pytest
+
+from bulrushcourse_testkit import cluster as clusters
+from bulrushcourse_testkit import load
+
+ENTRIES = [f'entry-ro-nord-{number}' for number in (1, 2, 3)]
+POOL = 'ro-nord/catalog'
+RATE_PER_S = 110.0
+WORK = load.Work('catalog', 'catalog', RATE_PER_S, query='work_ms=200')
+FAULT_AT_S = 2.0
+# Lease, drift and stagger, then the time limit of short work.
+RECOVERED_AT_S = FAULT_AT_S + 3.0 + 2.0 + 5.0
+DURATION_S = 14.0
+
+
+@contextlib.asynccontextmanager
+async def open_cluster(directory):
+    cluster = clusters.Cluster(
+        directory, clusters.example_objects('filatab'), ENTRIES
+    )
+    try:
+        yield await cluster.__aenter__()
+    finally:
+        await cluster.stop()
+
+
+async def owners(cluster, names):
+    """Return the entries that own the pool by their own state."""
+    found = []
+    for name in names:
+        state = await cluster.operate(name, '/v1/state')
+        if state['slots']['ownership'][POOL]['owns']:
+            found.append(name)
+    return found
+
+
+async def run_load(cluster):
+    ports = [cluster.entry_ports[name].callers for name in ENTRIES]
+    async with aiohttp.ClientSession(
+        timeout=aiohttp.ClientTimeout(total=6)
+    ) as session:
+        callers = load.Callers(
+            [f'{clusters.HOST}:{port}' for port in ports],
+            session,
+            random.Random(1),
+        )
+        return await load.run_load(callers, [WORK], DURATION_S, 1)
+
+
+def most_at_work(journal):
+    """Return the most runs at one time by instance."""
+    edges = collections.defaultdict(list)
+    for run in journal:
+        edges[run['instance']] += [(run['start'], 1), (run['end'], -1)]
+    most = {}
+    for instance, changes in edges.items():
+        at_work = 0
+        for _, change in sorted(changes):
+            at_work += change
+            most[instance] = max(most.get(instance, 0), at_work)
+    return most
+
+
+async def check_slots(cluster):
+    """Compare what instances saw with their slots."""
+    port = cluster.upstreams_port
+    peaks = await cluster.observe(port, 'peaks')
+    above = {n: p for n, p in peaks.items() if p['peak'] > p['slots']}
+    assert not above
+    journal = await cluster.observe(port, 'journal')
+    for instance, most in most_at_work(journal).items():
+        assert most <= peaks[instance]['slots']
+    assert sum(p['waited'] for p in peaks.values()) == 0
+
+
+@pytest.mark.parametrize('fault', ['kill', 'pause', 'leave'])
+def test_work_stays_within_slots_when_the_owner_goes(tmp_path, fault):
+    """Guards against two owners that grant the same slots."""
+
+    async def disturb(cluster):
+        (owner,) = await owners(cluster, ENTRIES)
+        await asyncio.sleep(FAULT_AT_S)
+        process = cluster.processes[owner]
+        if fault == 'kill':
+            process.signal(signal.SIGKILL)
+        elif fault == 'leave':
+            process.signal(signal.SIGTERM)
+        else:
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(6)
+            process.signal(signal.SIGCONT)
+        return owner
+
+    async def run():
+        async with open_cluster(tmp_path) as cluster:
+            started = time.monotonic()
+            samples, owner = await asyncio.gather(
+                run_load(cluster), disturb(cluster)
+            )
+            print(fault, load.summarize(samples), time.monotonic() - started)
+            await check_slots(cluster)
+            rest = [name for name in ENTRIES if name != owner]
+            assert len(await owners(cluster, rest)) == 1
+            assert not any(s.outcome == 'wrong' for s in samples)
+            late = [s for s in samples if s.due > RECOVERED_AT_S]
+            assert any(s.outcome == 'done' for s in late)
+
+    asyncio.run(run())
