--- a/packages/domain/bulrushcourse_domain/slots/ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/ownership.py
@@ -148,11 +148,12 @@
         if not eligible or self.book.is_outstanding():
             self.turn_from = math.inf
             return None
-        if not self.may_grant() and not self._is_turn():
+        owns = self.may_grant()
+        if not owns and not self._is_turn():
             return None
         number = self.book.ask()
         return promises.PromiseWish(
-            self.pool, self.entry, self.incarnation, number
+            self.pool, self.entry, self.incarnation, number, owns
         )
 
     def answer_wish(
@@ -187,7 +188,7 @@
             return False
         if not self.book.is_free_for(wish.candidate):
             return False
-        if self.stopped or not self._is_asking():
+        if self.stopped or wish.owns or not self._is_asking():
             return True
         present = self.members.present() | {wish.entry}
         ranked = rendezvous.rank_entries(self.pool, present)
@@ -221,6 +222,10 @@
             self.turn_from = math.inf
         elif self.turn_from == math.inf:
             self.turn_from = now + self.rank() * self._turn_s()
+            if row is None:
+                # Without a view of the row, an owner may hold its lease.
+                times = self.lease.times
+                self.turn_from += times.outlast(times.lease_s)
         elif now >= self.turn_from + self._turn_s():
             turns = self.rng.uniform(1, len(self.members.present()))
             self.turn_from = now + turns * self._turn_s()
--- a/packages/domain/bulrushcourse_domain/slots/promises.py
+++ b/packages/domain/bulrushcourse_domain/slots/promises.py
@@ -20,12 +20,14 @@
         candidate: Incarnation of the candidate.
         number: Number of the wish, from which the candidate knows when it
             asked.
+        owns: Whether the candidate owns the pool already.
     """
 
     pool: str
     entry: str
     candidate: str
     number: int
+    owns: bool = False
 
 
 @attrs.frozen
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
@@ -201,6 +201,29 @@
     stateful.run_state_machine_as_test(OwnershipMachine, settings=SETTINGS)
 
 
+@pytest.mark.parametrize('late', ownership_world.SEATS)
+def test_outage_at_start_takes_no_pool_from_its_owner(late):
+    """Entries that saw the lease free stood in the new owner's way."""
+    world = ownership_world.World(ownership_world.build_sound)
+    seats = sorted(ownership_world.SEATS, key=lambda seat: seat == late)
+    for seat in seats[:2]:
+        world.start(seat, 1.0)
+    world.publish_list()
+    world.run(0.5)
+    world.start(late, 1.0)
+    world.publish_list()
+    while world.table.up:
+        world.advance(0.05)
+        for node in world.nodes:
+            if world.table.up:
+                world.tick(node)
+                world.table.up = not world.owners()
+    owners = world.owners()
+    for _ in range(60):
+        world.run(0.25)
+        assert world.owners() == owners
+
+
 class CountsLeaseFromAnswer(leases.PoolLease):
     """Broken: the answer may come long after the write took effect."""
 
--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -243,10 +243,7 @@
             # The grant came while this entry was paused, or it is for an
             # instance that this entry's configuration does not have.
             finish(requests.ReleaseOutcome.CANCELLED)
-            reason = requests.RefusalReason.DEADLINE
-            return Attempt(
-                refusal=requests.Refusal(call.request_id, self.entry, reason)
-            )
+            return Attempt(failure=client.Failure.NOT_SENT, instance=instance)
         request = client.UpstreamRequest(
             call.method,
             call.path,
--- a/packages/entry/bulrushcourse_entry/slots/keeper.py
+++ b/packages/entry/bulrushcourse_entry/slots/keeper.py
@@ -213,7 +213,7 @@
 
     def _send_wish(self, wish: promises.PromiseWish) -> None:
         message = slot_messages.PromiseWish(
-            wish.pool, wish.candidate, wish.number
+            wish.pool, wish.candidate, wish.number, wish.owns
         )
         for peer in self.members.others():
             self.hub.send(peer, message)
@@ -230,6 +230,7 @@
                     received.peer,
                     message.candidate,
                     message.number,
+                    message.owns,
                 )
             )
             if promise is not None:
--- a/packages/testkit/bulrushcourse_testkit/bench/policies.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/policies.py
@@ -5,10 +5,10 @@
 import typing
 
 import attrs
+
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.slots import pool as pools
 from bulrushcourse_domain.slots import requests
-
 from bulrushcourse_testkit.bench import workload
 from bulrushcourse_testkit.bench import world as worlds
 
--- a/packages/testkit/bulrushcourse_testkit/bench/world.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/world.py
@@ -7,8 +7,8 @@
 import typing
 
 import attrs
-from bulrushcourse_domain import clock as clocks
 
+from bulrushcourse_domain import clock as clocks
 from bulrushcourse_testkit.bench import workload
 
 COLD_FACTOR = 3.0
--- a/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
@@ -238,6 +238,7 @@
                     'peak': instance.peak,
                     'arrived': instance.arrived,
                     'waited': instance.waited,
+                    'crashed': instance.crashed,
                 }
                 for name, instance in self.instances.items()
             }
--- a/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
@@ -21,6 +21,7 @@
 # Lease, drift and stagger, then the time limit of short work.
 RECOVERED_AT_S = FAULT_AT_S + 3.0 + 2.0 + 5.0
 DURATION_S = 14.0
+OUTAGE_S = 8.0
 
 
 @contextlib.asynccontextmanager
@@ -44,7 +45,7 @@
     return found
 
 
-async def run_load(cluster):
+async def run_load(cluster, duration_s=DURATION_S):
     ports = [cluster.entry_ports[name].callers for name in ENTRIES]
     async with aiohttp.ClientSession(
         timeout=aiohttp.ClientTimeout(total=6)
@@ -54,7 +55,7 @@
             session,
             random.Random(1),
         )
-        return await load.run_load(callers, [WORK], DURATION_S, 1)
+        return await load.run_load(callers, [WORK], duration_s, 1)
 
 
 def most_at_work(journal):
@@ -116,3 +117,58 @@
             assert any(s.outcome == 'done' for s in late)
 
     asyncio.run(run())
+
+
+def test_store_outage_takes_no_pool_from_its_owner(tmp_path):
+    """Guards against pools that stop when leases cannot be renewed.
+
+    The owner dies during the outage too, and is removed from the list, so
+    that another entry has to take over by promises alone.
+    """
+
+    async def run():
+        async with open_cluster(tmp_path) as cluster:
+            (owner,) = await owners(cluster, ENTRIES)
+            await cluster.set_store_faults(down=True)
+            samples = await run_load(cluster, OUTAGE_S)
+            print(load.summarize(samples))
+            assert await owners(cluster, ENTRIES) == [owner]
+            assert {s.outcome for s in samples} == {'done'}
+            process = cluster.processes[owner]
+            process.signal(signal.SIGKILL)
+            await process.wait()
+            await cluster.list_vms(without=(owner,))
+            rest = [name for name in ENTRIES if name != owner]
+            async with asyncio.timeout(30):
+                while len(await owners(cluster, rest)) != 1:
+                    await asyncio.sleep(0.2)
+            await check_slots(cluster)
+
+    asyncio.run(run())
+
+
+def test_crash_request_ends_two_instances_at_most(tmp_path):
+    """Guards against a request that is sent again through every entry."""
+    crash = '/v1/services/catalog/crash'
+
+    async def send(cluster, name):
+        port = cluster.entry_ports[name].callers
+        url = f'http://{clusters.HOST}:{port}{crash}'
+        async with cluster.session.get(url) as response:
+            return response.headers['Bulrushcourse-Outcome']
+
+    async def run():
+        async with open_cluster(tmp_path) as cluster:
+            await cluster.set_upstream('all', crash_path='/crash')
+            told = []
+            for _ in range(4):
+                told += await asyncio.gather(
+                    *(send(cluster, name) for name in ENTRIES * 3)
+                )
+            print(collections.Counter(told))
+            peaks = await cluster.observe(cluster.upstreams_port, 'peaks')
+            crashed = [n for n, p in peaks.items() if p['crashed']]
+            assert 1 <= len(crashed) <= 2
+            assert 'done' not in told
+
+    asyncio.run(run())
--- a/packages/wire/bulrushcourse_wire/slot_messages.py
+++ b/packages/wire/bulrushcourse_wire/slot_messages.py
@@ -145,11 +145,13 @@
         pool: Name of the pool.
         candidate: Incarnation of the sender.
         number: Number of the wish.
+        owns: Whether the sender owns the pool already.
     """
 
     pool: str
     candidate: str
     number: int
+    owns: bool = False
 
 
 @messages.message('ownership_promise')
