Give the slot of cancelled work back after a grace

Cause: under load a run of the pause test saw 6 requests at an instance with 5 slots; a slot was granted again before the instance saw the cancellation. Change: slots of cancelled or lost work are given back 0.25 s later.

--- a/packages/entry/bulrushcourse_entry/slots/shared.py
+++ b/packages/entry/bulrushcourse_entry/slots/shared.py
@@ -15,6 +15,13 @@
 from bulrushcourse_wire import slot_messages
 
 REPEAT_DELAY_S = 0.02
+# An instance sees a cancellation, or the end of a deadline, a little later
+# than the entry. A slot given back at once was granted to the next request
+# while the instance still worked on the cancelled one.
+CANCEL_GRACE_S = 0.25
+UNCERTAIN = frozenset(
+    (requests.ReleaseOutcome.CANCELLED, requests.ReleaseOutcome.LOST)
+)
 
 
 @attrs.frozen(eq=False)
@@ -132,14 +139,29 @@
             outcome: How its work ended.
             service_time_s: How long the work took, in seconds.
         """
+        ending = requests.Result(outcome, service_time_s)
+        if outcome in UNCERTAIN:
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                CANCEL_GRACE_S, self._give_back, request_id, ending
+            )
+        else:
+            self._give_back(request_id, ending)
+
+    def _give_back(self, request_id: str, ending: requests.Result) -> None:
         held = self.held.pop(request_id, None)
-        session = self.sessions.get(keeper.pool_name(region, service))
+        if held is None:
+            return
+        session = self.sessions.get(held.pool)
         # Without an owner nothing is sent: the next one asks what is held.
-        if held is not None and session is not None:
+        if session is not None:
             self.switch.send(
                 session.peer,
                 slot_messages.SlotRelease(
-                    held.pool, request_id, outcome.value, service_time_s
+                    held.pool,
+                    request_id,
+                    ending.outcome.value,
+                    ending.seconds,
                 ),
             )
 
