Say not-run only if no attempt of a call may have run

Cause: a call that was lost at one instance and then shed or refused a slot at the next was reported by its last attempt alone, so not-run was told of requests that may have run. Change: the outcome is not-run only if every attempt proves it.

--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -159,14 +159,17 @@
         """
         avoid: tuple[str, ...] = ()
         attempt = Attempt()
+        may_have_run = False
         for number in range(MAX_ATTEMPTS):
             attempt = await self.attempt(call, number, avoid)
             if attempt.exchange is not None:
                 return result.Success(attempt.exchange)
+            if not attempt.refusal:
+                may_have_run |= attempt.failure not in NOT_RUN_FAILURES
             if attempt.refusal or not _may_retry(call, attempt.failure):
                 break
             avoid += (attempt.instance,)
-        return result.Failure(describe(call, attempt))
+        return result.Failure(describe(call, attempt, may_have_run))
 
     async def attempt(
         self, call: reading.Call, number: int, avoid: tuple[str, ...]
@@ -268,26 +271,28 @@
         return finish
 
 
-def describe(call: reading.Call, attempt: Attempt) -> problems.Problem:
-    """Return the problem that reports a failed attempt.
+def describe(
+    call: reading.Call, attempt: Attempt, may_have_run: bool
+) -> problems.Problem:
+    """Return the problem that reports a failed call.
 
     Args:
         call: The caller's request.
         attempt: Its last attempt.
+        may_have_run: Whether any of its attempts may have run.
     """
+    outcome = (
+        problems.Outcome.UNKNOWN if may_have_run else problems.Outcome.NOT_RUN
+    )
     if attempt.refusal is not None:
-        return problems.not_run(
+        return problems.Problem(
             503,
             f'no-slot-{attempt.refusal.reason.value}',
             f'no slot of {call.service.name} in time',
+            outcome,
             RETRY_AFTER_S,
         )
     failure = attempt.failure
-    outcome = (
-        problems.Outcome.NOT_RUN
-        if failure in NOT_RUN_FAILURES
-        else problems.Outcome.UNKNOWN
-    )
     return problems.Problem(
         STATUSES[failure],
         f'upstream-{failure.value}',
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
@@ -0,0 +1,67 @@
+"""Outcomes of calls that were tried more than once."""
+
+import asyncio
+
+import pytest
+from returns import result
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.configuration import objects
+from bulrushcourse_domain.slots import requests
+from bulrushcourse_entry.callers import forwarding
+from bulrushcourse_entry.callers import problems
+from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.upstreams import client
+
+LOST, SHED = client.Failure.LOST, client.Failure.SHED
+NOT_SENT = client.Failure.NOT_SENT
+NO_SLOT = requests.RefusalReason.DEADLINE
+
+
+class Script:
+    """Slots and upstreams that fail as a list says."""
+
+    def __init__(self, steps):
+        self.steps = list(steps)
+
+    def choose(self, service):
+        return 'r'
+
+    async def acquire(self, service, region, wish):
+        if self.steps[0] is NO_SLOT:
+            refusal = requests.Refusal(wish.request_id, 'e', NO_SLOT)
+            return result.Failure(refusal)
+        return result.Success(requests.Grant(wish.request_id, 'e', 'i'))
+
+    def release(self, *details):
+        pass
+
+    async def send(self, instance, request, not_run_header):
+        return result.Failure(self.steps.pop(0))
+
+
+@pytest.mark.parametrize(
+    ('steps', 'outcome'),
+    [
+        ([SHED, NOT_SENT, SHED], problems.Outcome.NOT_RUN),
+        ([SHED, NO_SLOT], problems.Outcome.NOT_RUN),
+        ([LOST, SHED, SHED], problems.Outcome.UNKNOWN),
+        ([LOST, NO_SLOT], problems.Outcome.UNKNOWN),
+        ([SHED, LOST, NOT_SENT], problems.Outcome.UNKNOWN),
+    ],
+)
+def test_not_run_is_said_of_all_attempts(steps, outcome):
+    """Guards P4: the last attempt says nothing of the ones before it."""
+    script = Script(steps)
+    forwarder = forwarding.Forwarder(
+        'e', clocks.ManualClock(), script, script, script
+    )
+    instance = objects.Instance('i', 'p', '127.0.0.1:1')
+    forwarder.instances = {'i': instance}
+    service = objects.Service('s', 'pool', 'short', idempotent=True)
+    pool = objects.Pool('pool', 1, 10, (instance,))
+    call = reading.Call(
+        'r', service, pool, 'short', 5.0, 'GET', '/', {}, b'', None, '', ''
+    )
+    failed = asyncio.run(forwarder.forward(call)).failure()
+    assert failed.outcome is outcome
