--- a/packages/domain/bulrushcourse_domain/claims/keys.py
+++ b/packages/domain/bulrushcourse_domain/claims/keys.py
@@ -75,6 +75,8 @@
         secret: The secret that entries share.
         text: Key as sent by a caller.
     """
+    if not text.isascii():
+        return None
     content, _, signature = text.rpartition(SEPARATOR)
     expected = _signature(secret, content)
     if not hmac.compare_digest(signature.encode(), expected.encode()):
--- a/packages/entry/bulrushcourse_entry/claims/assembly.py
+++ b/packages/entry/bulrushcourse_entry/claims/assembly.py
@@ -1,6 +1,7 @@
 """How the parts that run requests at most once fit together."""
 
 import asyncio
+import random
 import typing
 import uuid
 
@@ -8,6 +9,7 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.claims import cleanup as claim_cleanup
@@ -16,6 +18,7 @@
 from bulrushcourse_entry.claims import gateway as claim_gateway
 from bulrushcourse_entry.claims import issued_runs
 from bulrushcourse_entry.claims import rows as claim_rows
+from bulrushcourse_entry.claims import sweep as claim_sweep
 from bulrushcourse_entry.claims import upstream
 from bulrushcourse_entry.claims import writer as claim_writer
 from bulrushcourse_entry.peers import hub as peer_hub
@@ -31,11 +34,24 @@
         gateway: Serves requests with a key.
         forwarded: Answers other entries about keys issued here.
         issuers: Asks other entries about their keys.
+        sweep: Deletes rows of stopped processes.
     """
 
     gateway: claim_gateway.Gateway
     forwarded: exchanges.ForwardedKeys
     issuers: exchanges.PeerIssuers
+    sweep: claim_sweep.Sweep
+
+    def configure(
+        self, configuration: configuration_set.ConfigurationSet
+    ) -> None:
+        """Take the number of entries from a configuration.
+
+        Args:
+            configuration: The configuration that is now in force.
+        """
+        entries = len(configuration.objects.entries)
+        self.gateway.rows.writer.set_entries(entries)
 
     def start(self) -> tuple[asyncio.Task, ...]:
         """Follow the peers and return the tasks that run until cancelled."""
@@ -44,6 +60,7 @@
         return (
             asyncio.create_task(self.gateway.rows.writer.run()),
             asyncio.create_task(self.gateway.free.cleanup.run()),
+            asyncio.create_task(self.sweep.run()),
         )
 
     async def drain(self) -> None:
@@ -60,7 +77,7 @@
 def build_claims(
     hub: peer_hub.PeerHub,
     clock: clocks.Clock,
-    table: platform_table.Table,
+    table: platform_table.HttpTable,
     objects: platform_objects.ObjectStore,
     forwarder: forwarding.Forwarder,
     configuration: in_force.ConfigurationInForce,
@@ -89,4 +106,5 @@
     issuers = exchanges.PeerIssuers(hub, clock)
     gateway = claim_gateway.Gateway(free, own, issuers, rows)
     forwarded = exchanges.ForwardedKeys(hub, gateway, configuration, clock)
-    return ClaimsParts(gateway, forwarded, issuers)
+    sweep = claim_sweep.Sweep(rows, table, clock, random.Random())
+    return ClaimsParts(gateway, forwarded, issuers, sweep)
--- a/packages/entry/bulrushcourse_entry/claims/free_form.py
+++ b/packages/entry/bulrushcourse_entry/claims/free_form.py
@@ -21,6 +21,9 @@
 # row is durable, which takes one round trip to the store.
 REFUSAL_GRACE_S = 0.5
 
+# Each run holds its answer until it is recorded.
+MAX_RUNS = 5_000
+
 # Recording goes on through a store outage of a few minutes.
 RECORD_LIMIT_S = 300.0
 
@@ -57,12 +60,23 @@
         """
         run = self.runs.get(request.identity)
         if run is None:
+            if self._is_overloaded(request):
+                return outcomes.Told(outcomes.Outcome.UNKNOWN, 'overloaded')
             run = self._start(request)
         elif run.digest != request.digest:
             return outcomes.Told(outcomes.Outcome.UNKNOWN, 'other-request')
         left = request.deadline - self.clock.monotonic()
         return await run.wait(left + REFUSAL_GRACE_S)
 
+    def _is_overloaded(self, request: dispatch.KeyedRequest) -> bool:
+        """Return whether the claim cannot be written before the deadline.
+
+        Nothing is claimed then, and a refusal would need a write as well.
+        """
+        left = request.deadline - self.clock.monotonic()
+        backlog_s = self.rows.writer.backlog_s()
+        return len(self.tasks) >= MAX_RUNS or backlog_s >= left
+
     def _start(self, request: dispatch.KeyedRequest) -> dispatch.Run:
         run = dispatch.Run(request.digest)
         self.runs[request.identity] = run
--- a/packages/entry/bulrushcourse_entry/claims/listener.py
+++ b/packages/entry/bulrushcourse_entry/claims/listener.py
@@ -26,6 +26,7 @@
     'other-service': (422, 0),
     'body-too-large': (413, 0),
     'forgotten': (410, 0),
+    'overloaded': (503, RETRY_AFTER_S),
     'under-way': (504, RETRY_AFTER_S),
     'store': (503, RETRY_AFTER_S),
     'issuer-unreachable': (503, RETRY_AFTER_S),
--- a/packages/entry/bulrushcourse_entry/claims/rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/rows.py
@@ -142,7 +142,9 @@
         >>> row_key('orders', 'a/b')
         'claims/orders/YS9i'
     """
-    encoded = base64.urlsafe_b64encode(key.encode()).decode().rstrip('=')
+    # aiohttp decodes header bytes that are no UTF-8 to surrogates.
+    octets = key.encode(errors='surrogateescape')
+    encoded = base64.urlsafe_b64encode(octets).decode().rstrip('=')
     return f'claims/{service}/{encoded}'
 
 
--- a/packages/entry/bulrushcourse_entry/claims/writer.py
+++ b/packages/entry/bulrushcourse_entry/claims/writer.py
@@ -13,9 +13,11 @@
 MAX_BATCH = 16
 MAX_UNDER_WAY = 4
 
-# The store takes several hundred writes a second; 270 for claims over nine
-# entries leave the rest to leases and configuration.
-ROWS_PER_S = 30.0
+# The store takes several hundred writes a second; this part of them is for
+# claims, divided evenly over the entries. Leases, the configuration and the
+# quarantine have the rest.
+FLEET_ROWS_PER_S = 270.0
+ROWS_PER_S = FLEET_ROWS_PER_S / 9
 BURST_ROWS = 60.0
 
 Submitted = tuple[platform_table.Write, asyncio.Future]
@@ -70,6 +72,20 @@
         self.wanted.set()
         return await future
 
+    def set_entries(self, entries: int) -> None:
+        """Divide the budget of all entries.
+
+        Args:
+            entries: Number of entries of the configuration.
+        """
+        self.rows_per_s = FLEET_ROWS_PER_S / max(entries, 1)
+
+    def backlog_s(self) -> float:
+        """Return how long a new write that a caller waits for would wait."""
+        self._refill()
+        missing = len(self.urgent) + 1 - self.tokens
+        return max(missing, 0.0) / self.rows_per_s
+
     async def run(self) -> None:
         """Commit batches until cancelled."""
         while True:
--- a/packages/entry/bulrushcourse_entry/platform/table.py
+++ b/packages/entry/bulrushcourse_entry/platform/table.py
@@ -4,6 +4,7 @@
 import enum
 import json
 import typing
+import urllib.parse
 
 import aiohttp
 import attrs
@@ -67,6 +68,20 @@
         ...
 
 
+class Scanner(typing.Protocol):
+    """Lists rows of the table."""
+
+    async def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> tuple[tuple[str, Row], ...]:
+        """Return rows by key, in order of their keys.
+
+        Raises:
+            TableUnavailable: If there was no answer.
+        """
+        ...
+
+
 @attrs.define
 class HttpTable:
     """Table service over HTTP with JSON.
@@ -100,6 +115,28 @@
             return None
         return Row(answer['version'], answer['value'])
 
+    async def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> tuple[tuple[str, Row], ...]:
+        """Return rows by key, in order of their keys.
+
+        Args:
+            prefix: Beginning of the keys.
+            after: Rows up to this key are left out.
+            limit: Largest number of rows.
+
+        Raises:
+            TableUnavailable: If there was no answer.
+        """
+        query = urllib.parse.urlencode({'after': after, 'limit': limit})
+        try:
+            found = await self._call('GET', f'scan/{prefix}?{query}')
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise TableUnavailable(repr(error)) from error
+        return tuple(
+            (row['key'], Row(row['version'], row['value'])) for row in found
+        )
+
     async def transact(self, writes: typing.Sequence[Write]) -> WriteResult:
         """Apply all writes or none.
 
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -212,6 +212,7 @@
         self.regions.configuration = configuration
         self.forwarder.configure(configuration)
         self.health.configure(configuration)
+        self.claims.configure(configuration)
         if self.state is State.STARTING:
             self.state = State.SERVING
             events.emit(events.Event.READY, version=configuration.version)
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_interface.py
@@ -0,0 +1,165 @@
+"""The callers' interface of keys and outcomes, with three real entries."""
+
+import asyncio
+import signal
+
+import aiohttp
+
+from bulrushcourse_testkit import cluster as clusters
+
+ENTRIES = ['entry-ro-nord-1', 'entry-ro-nord-2', 'entry-ro-sud-1']
+OUTCOME = 'Bulrushcourse-Outcome'
+
+
+def with_cluster(scenario):
+    """Run an async scenario against three entries of Filatab."""
+
+    def test(tmp_path):
+        async def run():
+            objects = clusters.example_objects('filatab')
+            async with clusters.Cluster(tmp_path, objects, ENTRIES) as cluster:
+                await scenario(cluster)
+
+        asyncio.run(run())
+
+    test.__doc__ = scenario.__doc__
+    return test
+
+
+async def call(cluster, entry, method, path, key='', data=None, limit_s=10):
+    port = cluster.entry_ports[entry].callers
+    url = f'http://{clusters.HOST}:{port}/v1/services/orders/{path}'
+    headers = {'Idempotency-Key': key} if key else {}
+    timeout = aiohttp.ClientTimeout(total=limit_s)
+    async with cluster.session.request(
+        method, url, headers=headers, data=data, timeout=timeout
+    ) as response:
+        told = response.headers.get(OUTCOME)
+        return response.status, told, await response.read()
+
+
+async def take_key(cluster, entry):
+    port = cluster.entry_ports[entry].callers
+    url = f'http://{clusters.HOST}:{port}/v1/services/orders/keys?count=1'
+    async with cluster.session.post(url) as response:
+        assert response.status == 201
+        return (await response.json())['keys'][0]
+
+
+async def runs(cluster, key):
+    journal = await cluster.observe(cluster.upstreams_port, 'journal')
+    return sum(run['key'] == key for run in journal)
+
+
+@with_cluster
+async def test_resend_through_any_entry_gets_the_same_answer(cluster):
+    """Guards P3 and P5 for both kinds of keys, with small and big answers."""
+    for size in (64, 100_000):
+        for key in (f'free/{size}', await take_key(cluster, ENTRIES[0])):
+            path = f'o?size={size}&work_ms=20'
+            told = [
+                await call(cluster, entry, 'POST', path, key, b'body')
+                for entry in ENTRIES
+            ]
+            assert {(s, o) for s, o, _ in told} == {(200, 'done')}
+            assert len({body for _, _, body in told}) == 1
+            assert len(told[0][2]) == size
+            assert await runs(cluster, key) == 1
+
+
+@with_cluster
+async def test_caller_that_leaves_gets_its_answer_later(cluster):
+    """Guards case 6: a closed connection neither stops nor repeats a run."""
+    for key in ('left', await take_key(cluster, ENTRIES[0])):
+        try:
+            await call(
+                cluster, ENTRIES[0], 'POST', 'o?work_ms=600', key, b'x', 0.2
+            )
+        except TimeoutError:
+            pass
+        status, told, body = await call(
+            cluster, ENTRIES[1], 'POST', 'o?work_ms=600', key, b'x'
+        )
+        assert (status, told) == (200, 'done')
+        asked = await call(cluster, ENTRIES[2], 'GET', f'outcomes/{key}')
+        assert asked == (200, 'done', body)
+        assert await runs(cluster, key) == 1
+
+
+@with_cluster
+async def test_key_with_another_body_is_refused(cluster):
+    """Guards against the answer to another request."""
+    for key in ('twice', await take_key(cluster, ENTRIES[0])):
+        await call(cluster, ENTRIES[0], 'POST', 'o', key, b'one')
+        for entry in ENTRIES:
+            status, told, _ = await call(
+                cluster, entry, 'POST', 'o', key, b'two'
+            )
+            assert (status, told) == (422, 'unknown')
+        assert await runs(cluster, key) == 1
+
+
+@with_cluster
+async def test_nothing_is_claimed_about_keys_that_nobody_knows(cluster):
+    """Guards P4: absence of a record is no proof."""
+    key = await take_key(cluster, ENTRIES[0])
+    forged = key[:-1] + ('0' if key[-1] != '0' else '1')
+    for asked in ('never-sent', key, forged):
+        for entry in ENTRIES:
+            status, told, _ = await call(
+                cluster, entry, 'GET', f'outcomes/{asked}'
+            )
+            assert (status, told) == (200, 'unknown')
+    status, told, _ = await call(
+        cluster, ENTRIES[0], 'POST', 'o', forged, b'x'
+    )
+    assert (status, told) == (400, 'unknown')
+    cluster.processes[ENTRIES[0]].signal(signal.SIGKILL)
+    await cluster.processes[ENTRIES[0]].wait()
+    await cluster.start_entry(ENTRIES[0])
+    await cluster.wait_ready(ENTRIES[0])
+    for entry in ENTRIES:
+        _, told, _ = await call(cluster, entry, 'POST', 'o', key, b'x')
+        assert told == 'unknown'
+    assert await runs(cluster, key) == 0
+
+
+@with_cluster
+async def test_early_refusal_of_a_key_that_ran_is_unknown(cluster):
+    """Guards P4: a bad re-send says nothing of the run before it."""
+    await call(cluster, ENTRIES[0], 'POST', 'o', 'ran', b'x')
+    status, told, _ = await call(
+        cluster, ENTRIES[1], 'POST', 'o', 'ran', b'x' * 2_000_000
+    )
+    assert (status, told) == (413, 'unknown')
+
+
+@with_cluster
+async def test_refused_order_never_runs(cluster):
+    """Guards P4: after ``not-run`` the key stays refused everywhere."""
+    await cluster.set_upstream('all', shed=True)
+    for key in ('shed', await take_key(cluster, ENTRIES[0])):
+        _, told, _ = await call(cluster, ENTRIES[0], 'POST', 'o', key, b'x')
+        assert told == 'not-run'
+    await cluster.set_upstream('all')
+    for entry in ENTRIES:
+        _, told, _ = await call(cluster, entry, 'POST', 'o', key, b'x')
+        assert told == 'not-run'
+        _, told, _ = await call(cluster, entry, 'POST', 'o', 'shed', b'x')
+        assert told == 'not-run'
+    assert await runs(cluster, 'shed') == await runs(cluster, key) == 0
+
+
+@with_cluster
+async def test_planned_stop_records_runs_whose_callers_left(cluster):
+    """Guards P7 and case 6 for work that nobody waits for."""
+    try:
+        await call(
+            cluster, ENTRIES[0], 'POST', 'o?work_ms=1500', 'stop', b'x', 0.3
+        )
+    except TimeoutError:
+        pass
+    cluster.processes[ENTRIES[0]].signal(signal.SIGTERM)
+    assert await cluster.processes[ENTRIES[0]].wait() == 0
+    _, told, _ = await call(cluster, ENTRIES[1], 'GET', 'outcomes/stop')
+    assert told == 'done'
