Hold a slot for a claim for two seconds at most

Cause: while the store was slow or down, a free-form order held its slot until its deadline, which took slots from orders with issued keys; a lost answer was noticed only after the table's time-out of 2 s. Change: free-form keys get unknown at once while the store is known to be unreachable; a claim write is looked up after 0.5 s and given up after 2 s, then only a refusal can follow.

--- a/packages/entry/bulrushcourse_entry/claims/free_form.py
+++ b/packages/entry/bulrushcourse_entry/claims/free_form.py
@@ -1,6 +1,7 @@
 """Running requests whose key the caller made up."""
 
 import asyncio
+import contextlib
 import typing
 
 import attrs
@@ -17,6 +18,14 @@
 ROW_POLL_S = 0.1
 MAX_ROW_POLL_S = 0.8
 
+# A slot is held while the claim is written. Without this limit, free-form
+# orders in a store outage would take the slots from orders with issued keys.
+CLAIM_LIMIT_S = 2.0
+
+# Four round trips between the farthest regions (110 ms each). A claim whose
+# answer is lost is then looked for while there is still time to run.
+CLAIM_WRITE_S = 0.5
+
 # A refusal is often decided at the deadline itself and is told only after its
 # row is durable, which takes one round trip to the store.
 REFUSAL_GRACE_S = 0.5
@@ -27,8 +36,6 @@
 # Recording goes on through a store outage of a few minutes.
 RECORD_LIMIT_S = 300.0
 
-Resting = typing.Callable[[float], typing.Awaitable[None]]
-
 
 @attrs.define(eq=False)
 class FreeFormRuns:
@@ -60,22 +67,27 @@
         """
         run = self.runs.get(request.identity)
         if run is None:
-            if self._is_overloaded(request):
-                return outcomes.Told(outcomes.Outcome.UNKNOWN, 'overloaded')
+            obstacle = self._obstacle(request)
+            if obstacle:
+                return outcomes.Told(outcomes.Outcome.UNKNOWN, obstacle)
             run = self._start(request)
         elif run.digest != request.digest:
             return outcomes.Told(outcomes.Outcome.UNKNOWN, 'other-request')
         left = request.deadline - self.clock.monotonic()
         return await run.wait(left + REFUSAL_GRACE_S)
 
-    def _is_overloaded(self, request: dispatch.KeyedRequest) -> bool:
-        """Return whether the claim cannot be written before the deadline.
+    def _obstacle(self, request: dispatch.KeyedRequest) -> str:
+        """Return why no claim can be written in time, empty if it can.
 
         Nothing is claimed then, and a refusal would need a write as well.
         """
+        if not self.rows.reachable:
+            return 'store'
         left = request.deadline - self.clock.monotonic()
         backlog_s = self.rows.writer.backlog_s()
-        return len(self.tasks) >= MAX_RUNS or backlog_s >= left
+        if len(self.tasks) >= MAX_RUNS or backlog_s >= left:
+            return 'overloaded'
+        return ''
 
     def _start(self, request: dispatch.KeyedRequest) -> dispatch.Run:
         run = dispatch.Run(request.digest)
@@ -102,9 +114,13 @@
         if hold is None:
             run.tell(await self.refuse(request, attempt, claimed=False))
             return
-        row = None
+        claimed, row = False, None
         try:
-            claimed, row = await self.claim(request, attempt)
+            async with asyncio.timeout(CLAIM_LIMIT_S):
+                claimed, row = await self.claim(request, attempt)
+        except TimeoutError:
+            # The claim may still be written; only a refusal can follow.
+            pass
         except BaseException:
             hold.release()
             raise
@@ -159,7 +175,10 @@
         delay = STORE_RETRY_S
         while self.clock.monotonic() < request.deadline:
             opened = claims.open_claim(attempt, request.digest, self._wall())
-            stored = await self.rows.write(key, opened, 0, urgent=True)
+            stored = outcomes.StoreFact.UNKNOWN
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CLAIM_WRITE_S):
+                    stored = await self.rows.write(key, opened, 0, True)
             row = None
             if stored is not outcomes.StoreFact.COMMITTED:
                 row = await self._read(key)
--- a/packages/entry/bulrushcourse_entry/claims/rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/rows.py
@@ -47,6 +47,11 @@
     objects: platform_objects.ObjectStore
     writer: claim_writer.BatchWriter
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call of the table was answered."""
+        return self.table.reachable
+
     async def read(self, key: str) -> StoredClaim | None:
         """Return the claim in a row, ``None`` if absent.
 
--- a/packages/entry/bulrushcourse_entry/platform/table.py
+++ b/packages/entry/bulrushcourse_entry/platform/table.py
@@ -53,7 +53,13 @@
 
 
 class Table(typing.Protocol):
-    """The platform's table service."""
+    """The platform's table service.
+
+    Attributes:
+        reachable: Whether the last call was answered.
+    """
+
+    reachable: bool
 
     async def get(self, key: str) -> Row | None:
         """Return a row, ``None`` if absent.
--- a/packages/testkit/bulrushcourse_testkit/claims/world.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/world.py
@@ -164,6 +164,11 @@
 
     process: Process
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the store answers."""
+        return self.process.world.objects.up
+
     async def get(self, key: str) -> platform_table.Row | None:
         """Return a row."""
         answer = await self.process.ask('table', key, CALL_TIMEOUT_S)
