--- a/packages/entry/bulrushcourse_entry/claims/rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/rows.py
@@ -47,6 +47,11 @@
     objects: platform_objects.ObjectStore
     writer: claim_writer.BatchWriter
 
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call of the table was answered."""
+        return self.table.reachable
+
     async def read(self, key: str) -> StoredClaim | None:
         """Return the claim in a row, ``None`` if absent.
 
@@ -142,7 +147,9 @@
         >>> row_key('orders', 'a/b')
         'claims/orders/YS9i'
     """
-    encoded = base64.urlsafe_b64encode(key.encode()).decode().rstrip('=')
+    # aiohttp decodes header bytes that are no UTF-8 to surrogates.
+    octets = key.encode(errors='surrogateescape')
+    encoded = base64.urlsafe_b64encode(octets).decode().rstrip('=')
     return f'claims/{service}/{encoded}'
 
 
