Exchange configurations between entries and publish through them

The entry only polled the row, so that a store outage after a commit or a restart could leave entries behind. Two readers a region poll, versions are passed on along peer streams, an entry starts by the rule of its aggregate, and operators publish, roll back and see versions in force.

--- a/packages/domain/bulrushcourse_domain/configuration/publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/publication.py
@@ -134,7 +134,7 @@
 
 
 def roll_back(
-    stored: Publication, old: Publication, publish_id: str, operator: str
+    base_version: int, old: Publication, publish_id: str, operator: str
 ) -> PublishOrder:
     """Return the order that publishes old content as a new version.
 
@@ -142,13 +142,13 @@
     later one would refuse it.
 
     Args:
-        stored: The stored publication.
+        base_version: Version that is to be replaced.
         old: The publication whose content is wanted.
         publish_id: Identifier of the new publish.
         operator: Who rolls back.
     """
     return PublishOrder(
-        stored.version,
+        base_version,
         publish_id,
         operator,
         old.objects,
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
@@ -52,9 +52,7 @@
     history = {}
     first = publish(None, history, order(0, 'p1', place_set('a')))
     second = publish(first.publication, history, order(1, 'p2', place_set()))
-    wanted = publication.roll_back(
-        second.publication, first.publication, 'p3', 'ana'
-    )
+    wanted = publication.roll_back(2, first.publication, 'p3', 'ana')
     third = publish(second.publication, history, wanted).publication
     assert (third.version, third.objects) == (3, place_set('a'))
 
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -4,14 +4,23 @@
 import typing
 
 import attrs
+import reactivex
+from reactivex import subject
 
+from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_domain.membership import lookup as member_lookup
+from bulrushcourse_domain.membership import member
+from bulrushcourse_domain.membership import readers
+from bulrushcourse_domain.membership import view as member_view
+from bulrushcourse_entry import events
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.platform import vm_list
 from bulrushcourse_wire import messages
 
 LIST_INTERVAL_S = 1.0
+SWEEP_INTERVAL_S = 0.25
 
 
 @attrs.define(eq=False)
@@ -20,26 +29,39 @@
 
     Attributes:
         settings: Settings of this entry.
+        clock: Source of time.
         vms: The platform's list of VMs.
         hub: Streams to peers.
         held: Configuration in force.
         own: Returns this entry's heartbeat.
-        heartbeats: Last heartbeat by name of connected peer.
+        view: Which entries are live, leaving, suspected or gone.
+        lookup: Look-up answers for the members that may be named.
+        sweeps: The view after each sweep.
         listed: Last answer of the platform's list.
     """
 
     settings: entry_settings.Settings
+    clock: clocks.Clock
     vms: vm_list.VmList
     hub: peer_hub.PeerHub
     held: in_force.ConfigurationInForce
     own: typing.Callable[[], messages.Heartbeat]
-    heartbeats: dict[str, messages.Heartbeat] = attrs.field(factory=dict)
+    view: member_view.MemberView = attrs.field(init=False)
+    lookup: member_lookup.Lookup = attrs.field(factory=member_lookup.Lookup)
+    sweeps: reactivex.Subject = attrs.field(factory=subject.Subject)
     listed: tuple[vm_list.Vm, ...] = ()
+    isolated: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        identity = self.hub.identity
+        own = member.Sighting(
+            identity.entry, identity.incarnation, identity.vm_id
+        )
+        self.view = member_view.MemberView(self.clock, own)
 
     def start(self) -> None:
         """Follow the messages of peers."""
         self.hub.received.subscribe(self._on_message)
-        self.hub.changes.subscribe(self._on_change)
         self.hub.set_peers(self.settings.peers)
 
     async def run(self) -> None:
@@ -48,61 +70,166 @@
             listed = await self.vms.list()
             if listed is not None:
                 self.listed = listed
+                self.view.list_vms(
+                    member.ListedVm(vm.vm_id, vm.entry, vm.state == 'leaving')
+                    for vm in listed
+                )
                 addresses = {vm.entry: vm.peer_address for vm in listed}
                 self.hub.set_peers(addresses | self.settings.peers)
             await asyncio.sleep(LIST_INTERVAL_S)
 
+    async def run_sweeps(self) -> None:
+        """Bring the view up to date until cancelled."""
+        while True:
+            self.sweep()
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+
+    def sweep(self) -> None:
+        """Bring the view and the look-up answers up to date."""
+        self.view.own = self._sighting(self.hub.identity, self.own())
+        for changed in self.view.sweep():
+            events.emit(
+                events.Event.MEMBER_CHANGED,
+                entry=changed.sighting.entry,
+                incarnation=changed.sighting.incarnation,
+                state=changed.state.value,
+            )
+        if self.view.isolated != self.isolated:
+            self.isolated = self.view.isolated
+            events.emit(
+                events.Event.ISOLATED
+                if self.isolated
+                else events.Event.NOT_ISOLATED
+            )
+        self._refresh_lookup()
+        self.sweeps.on_next(self.view)
+
     def answer(self, client: str) -> dict[str, typing.Any]:
         """Return the look-up answer for a client.
 
         Args:
             client: IP address of the client.
         """
-        known = {self.settings.entry: self.own()} | self.heartbeats
-        serving = [
-            {
-                'name': name,
-                'address': heartbeat.callers_address,
-                'region': heartbeat.region,
-            }
-            for name, heartbeat in known.items()
-            if heartbeat.state == 'serving'
-        ]
-        serving.sort(
-            key=lambda e: (e['region'] != self.settings.region, e['name'])
-        )
         return {
-            'entries': serving,
+            'entries': [
+                {
+                    'name': found.entry,
+                    'address': found.address,
+                    'region': found.region,
+                }
+                for found in self.lookup.answer(client, self._region(client))
+            ],
             'max_age_s': self.settings.answer_max_age_s,
             'version': self.held.version,
         }
 
     def region_entries(self) -> list[str]:
-        """Return the serving entries of this entry's region."""
+        """Return the serving entries of this entry's region, own first."""
         return [
             self.settings.entry,
             *(
-                name
-                for name, heartbeat in self.heartbeats.items()
-                if heartbeat.region == self.settings.region
-                and heartbeat.state == 'serving'
+                found.entry
+                for found in self.lookup.members
+                if found.region == self.settings.region
+                and found.entry != self.settings.entry
             ),
         ]
 
+    def is_reader(self) -> bool:
+        """Return whether this entry is a designated reader of its region."""
+        return self.settings.entry in readers.designate_readers(
+            self.lookup.members, self.settings.region
+        )
+
+    def highest_held(self) -> int:
+        """Return the newest version that any other entry holds."""
+        return max(
+            (
+                known.sighting.held_version
+                for known in self.view.members.values()
+            ),
+            default=0,
+        )
+
+    def unheard(self) -> frozenset[str] | None:
+        """Return live VMs not heard lately, ``None`` without a fresh list."""
+        return self.view.unheard() if self.view.list_is_fresh else None
+
     def dump(self) -> dict[str, typing.Any]:
         """Return members for a state dump."""
         return {
             'listed': [attrs.asdict(vm) for vm in self.listed],
-            'heartbeats': {
-                name: attrs.asdict(heartbeat)
-                for name, heartbeat in self.heartbeats.items()
-            },
+            'list_is_fresh': self.view.list_is_fresh,
+            'isolated': self.isolated,
+            'members': self.describe(),
+            'named': [found.entry for found in self.lookup.members],
         }
 
-    def _on_message(self, received: peer_hub.Received) -> None:
-        if isinstance(received.message, messages.Heartbeat):
-            self.heartbeats[received.peer] = received.message
+    def describe(self) -> list[dict[str, typing.Any]]:
+        """Return what is known of each run of an entry, own run first."""
+        states = self.view.states()
+        now = self.clock.monotonic()
+        own = attrs.asdict(self._sighting(self.hub.identity, self.own()))
+        own['state'] = 'isolated' if self.isolated else own['state']
+        return [own | {'silent_s': 0.0}] + [
+            attrs.asdict(known.sighting)
+            | {
+                'state': states[incarnation].value,
+                'silent_s': round(now - known.heard_at, 3),
+            }
+            for incarnation, known in self.view.members.items()
+        ]
+
+    def _region(self, client: str) -> str:
+        """Return the region of a client, this entry's own if unknown."""
+        configuration = self.held.current
+        if configuration is not None:
+            try:
+                place = configuration.client_blocks.place(client)
+            except ValueError:
+                place = ''
+            if place:
+                return configuration.regions[place]
+        return self.settings.region
+
+    def _refresh_lookup(self) -> None:
+        current = self.held.current
+        nearness = current.nearness if current else {}
+        # Versions and store contact change often and matter to no answer.
+        named = tuple(
+            attrs.evolve(
+                found, version=0, held_version=0, store_reachable=True
+            )
+            for found in self.view.named()
+        )
+        if named != self.lookup.members or nearness != self.lookup.nearness:
+            self.lookup = member_lookup.Lookup(named, nearness)
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
-        if not change.connected:
-            self.heartbeats.pop(change.peer, None)
+    def _on_message(self, received: peer_hub.Received) -> None:
+        stream = self.hub.streams.get(received.peer)
+        if stream is None or not isinstance(
+            received.message, messages.Heartbeat
+        ):
+            return
+        before = self.view.members.get(received.incarnation)
+        self.view.hear(self._sighting(stream.hello, received.message))
+        after = self.view.members.get(received.incarnation)
+        if (before and before.state) is not (after and after.state):
+            self._refresh_lookup()
+
+    @staticmethod
+    def _sighting(
+        identity: typing.Any, heartbeat: messages.Heartbeat
+    ) -> member.Sighting:
+        return member.Sighting(
+            identity.entry,
+            identity.incarnation,
+            identity.vm_id,
+            heartbeat.region,
+            heartbeat.failure_domain,
+            heartbeat.callers_address,
+            heartbeat.state,
+            heartbeat.configuration_version,
+            heartbeat.held_version,
+            heartbeat.store_reachable,
+        )
--- a/packages/entry/bulrushcourse_entry/operators/listener.py
+++ b/packages/entry/bulrushcourse_entry/operators/listener.py
@@ -9,6 +9,8 @@
 from bulrushcourse_entry import events
 
 READY_PATH = '/v1/ready'
+# A published set must fit into one frame of a peer stream, which is as large.
+MAX_BODY_BYTES = 8 << 20
 
 
 class Dumpable(typing.Protocol):
@@ -19,6 +21,14 @@
         ...
 
 
+class RouteGroup(typing.Protocol):
+    """Routes of one subject."""
+
+    def routes(self) -> typing.Sequence[web.RouteDef]:
+        """Return the routes to serve."""
+        ...
+
+
 @attrs.define(eq=False)
 class OperatorsListener:
     """Serves state dumps, readiness and drains to operators.
@@ -27,17 +37,23 @@
         token: Bearer token that operators present.
         ready: Returns whether the entry serves callers.
         parts: Parts of the state dump by name.
+        groups: Further routes.
     """
 
     token: bytes = attrs.field(repr=False)
     ready: typing.Callable[[], bool]
     parts: dict[str, Dumpable] = attrs.field(factory=dict)
+    groups: tuple[RouteGroup, ...] = ()
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
-        application = web.Application(middlewares=[self.authorize])
+        application = web.Application(
+            middlewares=[self.authorize], client_max_size=MAX_BODY_BYTES
+        )
         application.router.add_get(READY_PATH, self.show_ready)
         application.router.add_get('/v1/state', self.show_state)
+        for group in self.groups:
+            application.router.add_routes(group.routes())
         return application
 
     @web.middleware
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -20,9 +20,12 @@
 from bulrushcourse_entry.callers import listener as callers_listener
 from bulrushcourse_entry.claims import assembly
 from bulrushcourse_entry.claims import listener as claims_listener
-from bulrushcourse_entry.configuration import poll as configuration_poll
+from bulrushcourse_entry.configuration import exchange
+from bulrushcourse_entry.configuration import publisher
+from bulrushcourse_entry.configuration import store as configuration_store
 from bulrushcourse_entry.health import watch
 from bulrushcourse_entry.membership import members as entry_members
+from bulrushcourse_entry.operators import configuration as operators_routes
 from bulrushcourse_entry.operators import listener as operators_listener
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.peers import stream as peer_stream
@@ -74,7 +77,7 @@
     table: platform_table.HttpTable = attrs.field(init=False)
     hub: peer_hub.PeerHub = attrs.field(init=False)
     members: entry_members.Members = attrs.field(init=False)
-    poll: configuration_poll.ConfigurationPoll = attrs.field(init=False)
+    configuration: exchange.ConfigurationExchange = attrs.field(init=False)
     slots: steering.SlotSteering = attrs.field(init=False)
     regions: forwarding.LocalRegionFirst = attrs.field(init=False)
     upstreams: client.UpstreamClient = attrs.field(init=False)
@@ -103,6 +106,8 @@
             region=self.settings.region,
             callers_address=self.settings.listen.callers,
             in_flight=self.callers.in_flight,
+            held_version=self.held.held_version,
+            failure_domain=self.settings.failure_domain,
         )
 
     def dump(self) -> dict[str, typing.Any]:
@@ -144,12 +149,16 @@
         )
         self.members = entry_members.Members(
             settings,
+            self.clock,
             vm_list.HttpVmList(settings.platform.vms, session),
             self.hub,
             self.held,
             self.heartbeat,
         )
-        self.poll = configuration_poll.ConfigurationPoll(self.table, self.held)
+        store = configuration_store.ConfigurationStore(self.table)
+        self.configuration = exchange.ConfigurationExchange(
+            self.clock, store, self.held, self.members, self.hub
+        )
         self._build_request_path(session)
         self.health = watch.HealthWatch(
             settings.region,
@@ -163,13 +172,21 @@
             lambda: self.state is State.SERVING and self.slots.is_ready(),
             {
                 'process': self,
-                'configuration': self.poll,
+                'configuration': self.configuration,
                 'members': self.members,
                 'peers': self.hub,
                 'slots': self.slots,
                 'health': self.health,
                 'claims': self.claims,
             },
+            (
+                operators_routes.ConfigurationRoutes(
+                    publisher.Publisher(
+                        self.clock, store, self.members, self.configuration
+                    ),
+                    self.members,
+                ),
+            ),
         )
 
     def _build_request_path(self, session: aiohttp.ClientSession) -> None:
@@ -212,7 +229,8 @@
                 lambda: self.state is State.SERVING,
             ),
         )
-        self.poll.changes.subscribe(self._configure)
+        self.configuration.changes.subscribe(self._configure)
+        self.members.sweeps.subscribe(lambda _: self._decide_ready())
 
     def _configure(
         self, configuration: configuration_set.ConfigurationSet
@@ -222,21 +240,38 @@
         self.forwarder.configure(configuration)
         self.health.configure(configuration)
         self.claims.configure(configuration)
-        if self.state is State.STARTING:
+        self._decide_ready()
+
+    def _decide_ready(self) -> None:
+        if self.state is not State.STARTING:
+            return
+        if self.configuration.startup.decide(
+            self.held.version,
+            self.members.unheard(),
+            self.members.highest_held(),
+        ):
             self.state = State.SERVING
-            events.emit(events.Event.READY, version=configuration.version)
+            events.emit(events.Event.READY, version=self.held.version)
+            self.hub.broadcast(self.heartbeat())
+            self.members.sweep()
 
     async def _start(self) -> None:
         listen = self.settings.listen
         self.slots.start()
         await self.hub.start()
         self.members.start()
+        self.configuration.start()
         self.health.start()
         self.tasks.extend(self.claims.start())
         await self._listen(self.operators.application(), listen.operators)
         await self._listen(self.callers.application(), listen.callers)
-        for part in (self.members, self.poll, self.health):
-            self.tasks.append(asyncio.create_task(part.run()))
+        for work in (
+            self.members.run,
+            self.members.run_sweeps,
+            self.configuration.run,
+            self.health.run,
+        ):
+            self.tasks.append(asyncio.create_task(work()))
         events.emit(
             events.Event.STARTED,
             entry=self.settings.entry,
@@ -256,6 +291,7 @@
         """Serve until look-up answers have expired and all work is done."""
         self.state = State.LEAVING
         self.callers.leaving = True
+        self.members.sweep()
         events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
         self.hub.broadcast(self.heartbeat())
         await self.slots.leave()
--- a/packages/testkit/bulrushcourse_testkit/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/cluster.py
@@ -129,6 +129,7 @@
     upstreams_port: int = 0
     proxy_port: int = 0
     store_ports: dict[str, int] = attrs.field(factory=dict)
+    peer_ports: dict[str, int] = attrs.field(factory=dict)
 
     async def __aenter__(self) -> 'Cluster':
         self.session = aiohttp.ClientSession(
@@ -160,7 +161,7 @@
 
     def _assign_addresses(self) -> None:
         count = sum(len(pool.instances) for pool in self.objects.pools)
-        ports = free_ports(count + 4 + 4 * len(self.entry_names))
+        ports = free_ports(count + 4 + 5 * len(self.entry_names))
         take = ports.pop
         self.platform_port, self.upstreams_port = take(), take()
         self.proxy_port = take()
@@ -178,6 +179,7 @@
             ),
         )
         self.store_ports = {name: take() for name in self.entry_names}
+        self.peer_ports = {name: take() for name in self.entry_names}
         for name in self.entry_names:
             self.entry_ports[name] = EntryPorts(take(), take(), take())
 
@@ -212,6 +214,14 @@
             'links': [
                 {'name': f'store-{name}', 'port': port, 'target': target}
                 for name, port in self.store_ports.items()
+            ]
+            + [
+                {
+                    'name': f'peers-{name}',
+                    'port': port,
+                    'target': f'{HOST}:{self.entry_ports[name].peers}',
+                }
+                for name, port in self.peer_ports.items()
             ],
         }
         await self._spawn_with_spec('fault_proxy', spec)
@@ -254,7 +264,7 @@
         self.vms[name] = {
             'vm_id': vm_id,
             'entry': name,
-            'peer_address': settings['listen']['peers'],
+            'peer_address': f'{HOST}:{self.peer_ports[name]}',
             'failure_domain': settings['failure_domain'],
             'state': 'live',
         }
@@ -342,7 +352,9 @@
         await self.control(self.platform_port, 'faults', faults)
 
     async def set_link_faults(self, link: str, **faults: typing.Any) -> None:
-        """Replace the faults of a link, such as ``store-NAME``.
+        """Replace the faults of a link, ``store-NAME`` or ``peers-NAME``.
+
+        A stream between two entries passes the link of the higher name.
 
         Args:
             link: Name of the link.
@@ -366,13 +378,16 @@
             published: Objects to publish.
         """
         document = documents.render_document(published)
-        write = {
-            'key': 'configuration/current',
-            'value': {'version': 1, 'document': document},
-            'expected': 0,
-        }
+        writes = [
+            {
+                'key': f'configuration/{row}',
+                'value': {'version': 1, 'document': document},
+                'expected': 0,
+            }
+            for row in ('current', 'history/1')
+        ]
         url = f'http://{HOST}:{self.platform_port}/table/transact'
-        async with self.session.post(url, json=[write]) as response:
+        async with self.session.post(url, json=writes) as response:
             response.raise_for_status()
 
     async def operate(
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_versions_in_force.py
@@ -0,0 +1,204 @@
+"""Publishing to real entries under outages, restarts, races and cuts."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import attrs
+
+from bulrushcourse_domain.configuration import objects
+from bulrushcourse_testkit import cluster as clusters
+from bulrushcourse_wire import documents
+
+WAIT_S = 30.0
+CHECK_S = 0.05
+
+
+def eleven_entries() -> objects.Objects:
+    """Return Filatab's objects with eleven entries."""
+    filatab = clusters.example_objects('filatab')
+    more = (
+        objects.Entry('entry-ro-nord-9', 'cluj-a'),
+        objects.Entry('entry-ro-sud-9', 'buc-b'),
+    )
+    return attrs.evolve(filatab, entries=filatab.entries + more)
+
+
+def with_cluster(scenario):
+    """Run an async scenario against eleven entries of Filatab."""
+
+    def test(tmp_path):
+        async def run():
+            wanted = eleven_entries()
+            names = sorted(entry.name for entry in wanted.entries)
+            cluster = clusters.Cluster(tmp_path, wanted, names)
+            async with cluster, asyncio.timeout(4 * WAIT_S):
+                watch = asyncio.create_task(watch_versions(cluster))
+                try:
+                    await scenario(cluster, names)
+                finally:
+                    watch.cancel()
+                    reverts = (
+                        await asyncio.gather(watch, return_exceptions=True)
+                    )[0]
+            assert reverts == []
+
+        asyncio.run(run())
+
+    test.__doc__ = scenario.__doc__
+    return test
+
+
+async def watch_versions(cluster):
+    """Return each time that an entry's version in force went back."""
+    highest = {}
+    reverts = []
+    try:
+        while True:
+            for name in cluster.entry_names:
+                version = await version_of(cluster, name)
+                if version is not None and version < highest.get(name, 0):
+                    reverts.append((name, highest[name], version))
+                highest[name] = max(highest.get(name, 0), version or 0)
+            await asyncio.sleep(CHECK_S)
+    except asyncio.CancelledError:
+        return reverts
+
+
+async def version_of(cluster, name):
+    """Return the version that a ready entry serves with, else ``None``."""
+    try:
+        if not (await cluster.operate(name, '/v1/ready'))['ready']:
+            return None
+        answer = await cluster.operate(name, '/v1/configuration')
+        return answer['version']
+    except aiohttp.ClientError:
+        return None
+
+
+async def wait_version(cluster, names, version):
+    async def have_version():
+        versions = [await version_of(cluster, name) for name in names]
+        return all((found or 0) >= version for found in versions)
+
+    await eventually(have_version)
+
+
+async def eventually(condition):
+    async with asyncio.timeout(WAIT_S):
+        while True:
+            if await condition():
+                return
+            await asyncio.sleep(CHECK_S)
+
+
+async def publish(cluster, name, base, publish_id, limit, operator='ana'):
+    limits = tuple(
+        attrs.evolve(kept, in_flight=limit)
+        if kept.name == 'region-ro-sud'
+        else kept
+        for kept in cluster.objects.limits
+    )
+    changed = attrs.evolve(cluster.objects, limits=limits)
+    return await cluster.operate(
+        name,
+        '/v1/configuration',
+        'POST',
+        json={
+            'base_version': base,
+            'publish_id': publish_id,
+            'operator': operator,
+            'objects': json.loads(documents.render_document(changed)),
+        },
+    )
+
+
+async def restart(cluster, name):
+    cluster.processes[name].signal(signal.SIGKILL)
+    await cluster.processes[name].wait()
+    await cluster.start_entry(name)
+
+
+@with_cluster
+async def test_version_survives_an_outage_after_its_commit(cluster, names):
+    """The publisher restarts from peers right after the store failed."""
+    answer = await publish(cluster, names[0], 1, 'p1', 40)
+    await cluster.set_store_faults(down=True)
+    assert answer['version'] == 2
+    await wait_version(cluster, names, 2)
+    for name in (names[0], names[5]):
+        await restart(cluster, name)
+        await wait_version(cluster, [name], 2)
+    refused = await publish(cluster, names[1], 2, 'p2', 41)
+    assert refused['title'] == 'unavailable'
+    await cluster.set_store_faults()
+    assert (await publish(cluster, names[1], 2, 'p2', 41))['version'] == 3
+    await wait_version(cluster, names, 3)
+
+
+@with_cluster
+async def test_lost_answer_is_recognised_after_the_outage(cluster, names):
+    """A commit whose answer was lost must not be published twice."""
+    await cluster.set_store_faults(fail_after_commits=1)
+    lost = await publish(cluster, names[0], 1, 'p1', 40)
+    assert lost['title'] == 'unknown'
+    await restart(cluster, names[3])
+    await wait_version(cluster, [names[3]], 1)
+    await cluster.set_store_faults()
+    again = await publish(cluster, names[4], 1, 'p1', 40)
+    assert (again['version'], again['repeated']) == (2, True)
+    await wait_version(cluster, names, 2)
+    history = await cluster.operate(names[2], '/v1/history')
+    assert [p['version'] for p in history['publications']] == [2, 1]
+
+
+@with_cluster
+async def test_one_of_two_racing_operators_wins(cluster, names):
+    """The operator who loses learns what the other changed."""
+    answers = await asyncio.gather(
+        publish(cluster, names[0], 1, 'p1', 40, 'ana'),
+        publish(cluster, names[-1], 1, 'p2', 41, 'ion'),
+    )
+    winner, loser = sorted(answers, key=lambda answer: 'title' in answer)
+    assert winner['version'] == 2
+    assert loser['title'] == 'conflict'
+    assert loser['stored']['operator'] == winner['operator']
+    assert len(loser['changes']) == 1
+    assert loser['changes'][0].startswith('limits[region-ro-sud].in_flight')
+    await wait_version(cluster, names, 2)
+    rollback = {
+        'base_version': 2,
+        'version': 1,
+        'publish_id': 'p3',
+        'operator': 'ana',
+    }
+    rolled = await cluster.operate(
+        names[0], '/v1/rollback', 'POST', json=rollback
+    )
+    assert rolled['version'] == 3
+    await wait_version(cluster, names, 3)
+
+
+@with_cluster
+async def test_isolated_entry_refuses_and_is_not_named(cluster, names):
+    """An entry cut off must not take publishes or get new callers."""
+    cut = names[-1]
+    for link in (f'store-{cut}', f'peers-{cut}'):
+        await cluster.set_link_faults(link, cut=True)
+
+    async def is_isolated():
+        return (await cluster.operate(cut, '/v1/versions'))['isolated']
+
+    await eventually(is_isolated)
+    assert (await publish(cluster, cut, 1, 'p0', 39))['title'] == 'isolated'
+    assert (await publish(cluster, names[0], 1, 'p1', 40))['version'] == 2
+    await wait_version(cluster, names[:-1], 2)
+    assert await version_of(cluster, cut) == 1
+    for name in (cut, names[-2]):
+        state = await cluster.operate(name, '/v1/state')
+        assert cut not in state['members']['named']
+        assert state['members']['named']
+    for link in (f'store-{cut}', f'peers-{cut}'):
+        await cluster.set_link_faults(link)
+    await wait_version(cluster, [cut], 2)
--- a/packages/wire/bulrushcourse_wire/messages.py
+++ b/packages/wire/bulrushcourse_wire/messages.py
@@ -94,6 +94,9 @@
         region: Region of the sender.
         callers_address: ``ip:port`` of its callers' listener.
         in_flight: Requests at work in the sender.
+        held_version: Newest configuration version that it holds, in force or
+            not.
+        failure_domain: Failure domain of the sender.
     """
 
     state: str
@@ -102,6 +105,8 @@
     region: str = ''
     callers_address: str = ''
     in_flight: int = 0
+    held_version: int = 0
+    failure_domain: str = ''
 
 
 @message('configuration')
--- /dev/null
+++ b/packages/wire/bulrushcourse_wire/publications.py
@@ -0,0 +1,72 @@
+"""Publications as JSON values of the table's rows."""
+
+import datetime
+import typing
+
+from returns import result
+
+from bulrushcourse_domain import findings
+from bulrushcourse_domain.configuration import objects
+from bulrushcourse_domain.configuration import publication
+from bulrushcourse_wire import documents
+
+EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+
+
+def render_publication(
+    published: publication.Publication,
+) -> dict[str, typing.Any]:
+    """Return the value of a row that stores a publication.
+
+    Args:
+        published: The publication.
+    """
+    return describe_publication(published) | {
+        'document': documents.render_document(published.objects)
+    }
+
+
+def describe_publication(
+    published: publication.Publication,
+) -> dict[str, typing.Any]:
+    """Return what is told of a publication, less its objects.
+
+    Args:
+        published: The publication.
+
+    Examples:
+        >>> published = publication.Publication(
+        ...     1, 'p1', 'ana', '', EPOCH, objects.Objects()
+        ... )
+        >>> describe_publication(published)['published_at']
+        '1970-01-01T00:00:00+00:00'
+    """
+    return {
+        'version': published.version,
+        'publish_id': published.publish_id,
+        'operator': published.operator,
+        'note': published.note,
+        'published_at': published.published_at.isoformat(),
+    }
+
+
+def parse_publication(
+    value: dict[str, typing.Any],
+) -> result.Result[publication.Publication, tuple[findings.Finding, ...]]:
+    """Return the publication in a row, or all findings against its form.
+
+    Args:
+        value: Value of the row; only version and document are required.
+    """
+    return documents.parse_document(value['document'], objects.Objects).map(
+        lambda parsed: publication.Publication(
+            value['version'],
+            value.get('publish_id', ''),
+            value.get('operator', ''),
+            value.get('note', ''),
+            datetime.datetime.fromisoformat(
+                value.get('published_at', EPOCH.isoformat())
+            ),
+            parsed,
+        )
+    )
