Reserve ports of test clusters by file locks

Two clusters in tests that ran at once chose the same free port: 3 of 135 tests failed with 'address already in use' in one 'make test'. Each cluster now holds locks on blocks of ports.

--- a/packages/testkit/bulrushcourse_testkit/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/cluster.py
@@ -3,11 +3,8 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 import typing
 
@@ -15,11 +12,10 @@
 import attrs
 
 from bulrushcourse_domain.configuration import objects
+from bulrushcourse_testkit import ports as ports_of_tests
 from bulrushcourse_wire import documents
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
-# Below the range that the kernel takes ports of outgoing connections from.
-PORTS = range(10_000, 32_000)
 TOKEN = 'operator-token-for-tests'
 SECRET = 'peer-secret-for-tests'
 START_TIMEOUT_S = 60.0
@@ -32,22 +28,6 @@
     """A process did not start or did not become ready."""
 
 
-def free_ports(number: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on.
-
-    Args:
-        number: How many ports to return.
-    """
-    source = random.Random(os.urandom(8))
-    found: set[int] = set()
-    while len(found) < number:
-        port = source.choice(PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            found.add(port)
-    return sorted(found)
-
-
 def example_objects(deployment: str) -> objects.Objects:
     """Return the objects of an example deployment.
 
@@ -125,6 +105,7 @@
     vms: dict[str, dict[str, typing.Any]] = attrs.field(factory=dict)
     incarnations: int = 0
     session: aiohttp.ClientSession | None = None
+    reservation: ports_of_tests.Reservation | None = None
     platform_port: int = 0
     upstreams_port: int = 0
     proxy_port: int = 0
@@ -161,7 +142,10 @@
 
     def _assign_addresses(self) -> None:
         count = sum(len(pool.instances) for pool in self.objects.pools)
-        ports = free_ports(count + 4 + 5 * len(self.entry_names))
+        self.reservation = ports_of_tests.reserve_ports(
+            count + 4 + 5 * len(self.entry_names)
+        )
+        ports = list(self.reservation.ports)
         take = ports.pop
         self.platform_port, self.upstreams_port = take(), take()
         self.proxy_port = take()
@@ -439,6 +423,8 @@
             await process.wait()
         if self.session:
             await self.session.close()
+        if self.reservation:
+            self.reservation.close()
 
     async def _wait_port(self, port: int) -> None:
         async with asyncio.timeout(START_TIMEOUT_S):
