--- /dev/null
+++ b/packages/ctl/bulrushcourse_ctl/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the binary as ``python -m bulrushcourse_ctl``."""
+
+from bulrushcourse_ctl import command
+
+if __name__ == '__main__':
+    command.main()
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -180,16 +180,43 @@
             for incarnation, known in self.view.members.items()
         ]
 
+    def explain(self, client: str) -> dict[str, typing.Any]:
+        """Return how the look-up answer for a client comes about.
+
+        Args:
+            client: IP address of the client.
+        """
+        place = self._place(client)
+        region = self._region(client)
+        return {
+            'client': client,
+            'place': place,
+            'region': region,
+            'region_from': 'client blocks' if place else 'this entry',
+            'regions': self.lookup.regions(region),
+            'entries': self.answer(client)['entries'],
+            'left_out': [
+                {'entry': found['entry'], 'state': found['state']}
+                for found in self.describe()
+                if found['state'] != 'live'
+                and (found['state'] != 'serving' or self.isolated)
+            ],
+        }
+
+    def _place(self, client: str) -> str:
+        """Return the place of a client, empty if no block holds it."""
+        if self.held.current is None:
+            return ''
+        try:
+            return self.held.current.client_blocks.place(client)
+        except ValueError:
+            return ''
+
     def _region(self, client: str) -> str:
         """Return the region of a client, this entry's own if unknown."""
-        configuration = self.held.current
-        if configuration is not None:
-            try:
-                place = configuration.client_blocks.place(client)
-            except ValueError:
-                place = ''
-            if place:
-                return configuration.regions[place]
+        place = self._place(client)
+        if place:
+            return self.held.current.regions[place]
         return self.settings.region
 
     def _refresh_lookup(self) -> None:
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -27,6 +27,7 @@
 from bulrushcourse_entry.membership import members as entry_members
 from bulrushcourse_entry.operators import configuration as operators_routes
 from bulrushcourse_entry.operators import listener as operators_listener
+from bulrushcourse_entry.operators import members as member_routes
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.peers import stream as peer_stream
 from bulrushcourse_entry.platform import objects as platform_objects
@@ -58,6 +59,7 @@
         settings: Checked settings.
         clock: Source of time.
         state: Whether it is starting, serving or leaving.
+        drained: Whether an operator took it out of look-up answers.
         held: Configuration in force.
         stop_wanted: Set by the first SIGTERM.
         stop_forced: Set by the second SIGTERM.
@@ -66,6 +68,7 @@
     settings: entry_settings.Settings
     clock: clocks.Clock = attrs.field(factory=clocks.SystemClock)
     state: State = State.STARTING
+    drained: bool = False
     held: in_force.ConfigurationInForce = attrs.field(
         factory=in_force.ConfigurationInForce
     )
@@ -100,7 +103,7 @@
     def heartbeat(self) -> messages.Heartbeat:
         """Return this entry's heartbeat."""
         return messages.Heartbeat(
-            state=self.state.value,
+            state=(State.LEAVING if self.drained else self.state).value,
             configuration_version=self.held.version,
             store_reachable=self.table.reachable,
             region=self.settings.region,
@@ -117,6 +120,7 @@
             'vm_id': self.settings.vm_id,
             'incarnation': self.hub.identity.incarnation,
             'state': self.state.value,
+            'drained': self.drained,
             'in_flight': self.callers.in_flight,
             'store_reachable': self.table.reachable,
         }
@@ -186,6 +190,7 @@
                     ),
                     self.members,
                 ),
+                member_routes.MemberRoutes(self.members, self._set_drained),
             ),
         )
 
@@ -242,6 +247,11 @@
         self.claims.configure(configuration)
         self._decide_ready()
 
+    def _set_drained(self, drained: bool) -> None:
+        self.drained = drained
+        self.hub.broadcast(self.heartbeat())
+        self.members.sweep()
+
     def _decide_ready(self) -> None:
         if self.state is not State.STARTING:
             return
