--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -21,13 +21,11 @@
 from bulrushcourse_entry.claims import assembly
 from bulrushcourse_entry.claims import listener as claims_listener
 from bulrushcourse_entry.configuration import exchange
-from bulrushcourse_entry.configuration import publisher
 from bulrushcourse_entry.configuration import store as configuration_store
 from bulrushcourse_entry.health import watch
 from bulrushcourse_entry.membership import members as entry_members
-from bulrushcourse_entry.operators import configuration as operators_routes
+from bulrushcourse_entry.operators import assembly as operators_assembly
 from bulrushcourse_entry.operators import listener as operators_listener
-from bulrushcourse_entry.operators import members as member_routes
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.peers import stream as peer_stream
 from bulrushcourse_entry.platform import objects as platform_objects
@@ -159,9 +157,12 @@
             self.held,
             self.heartbeat,
         )
-        store = configuration_store.ConfigurationStore(self.table)
         self.configuration = exchange.ConfigurationExchange(
-            self.clock, store, self.held, self.members, self.hub
+            self.clock,
+            configuration_store.ConfigurationStore(self.table),
+            self.held,
+            self.members,
+            self.hub,
         )
         self._build_request_path(session)
         self.health = watch.HealthWatch(
@@ -183,14 +184,8 @@
                 'health': self.health,
                 'claims': self.claims,
             },
-            (
-                operators_routes.ConfigurationRoutes(
-                    publisher.Publisher(
-                        self.clock, store, self.members, self.configuration
-                    ),
-                    self.members,
-                ),
-                member_routes.MemberRoutes(self.members, self._set_drained),
+            operators_assembly.build_groups(
+                self.configuration, self._set_drained
             ),
         )
 
