--- a/packages/testkit/bulrushcourse_testkit/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/cluster.py
@@ -3,11 +3,8 @@
 import asyncio
 import contextlib
 import json
-import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 import typing
 
@@ -15,11 +12,10 @@
 import attrs
 
 from bulrushcourse_domain.configuration import objects
+from bulrushcourse_testkit import ports as ports_of_tests
 from bulrushcourse_wire import documents
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
-# Below the range that the kernel takes ports of outgoing connections from.
-PORTS = range(10_000, 32_000)
 TOKEN = 'operator-token-for-tests'
 SECRET = 'peer-secret-for-tests'
 START_TIMEOUT_S = 60.0
@@ -32,22 +28,6 @@
     """A process did not start or did not become ready."""
 
 
-def free_ports(number: int) -> list[int]:
-    """Return ports of the loopback address that nobody listens on.
-
-    Args:
-        number: How many ports to return.
-    """
-    source = random.Random(os.urandom(8))
-    found: set[int] = set()
-    while len(found) < number:
-        port = source.choice(PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            found.add(port)
-    return sorted(found)
-
-
 def example_objects(deployment: str) -> objects.Objects:
     """Return the objects of an example deployment.
 
@@ -125,10 +105,12 @@
     vms: dict[str, dict[str, typing.Any]] = attrs.field(factory=dict)
     incarnations: int = 0
     session: aiohttp.ClientSession | None = None
+    reservation: ports_of_tests.Reservation | None = None
     platform_port: int = 0
     upstreams_port: int = 0
     proxy_port: int = 0
     store_ports: dict[str, int] = attrs.field(factory=dict)
+    peer_ports: dict[str, int] = attrs.field(factory=dict)
 
     async def __aenter__(self) -> 'Cluster':
         self.session = aiohttp.ClientSession(
@@ -160,7 +142,10 @@
 
     def _assign_addresses(self) -> None:
         count = sum(len(pool.instances) for pool in self.objects.pools)
-        ports = free_ports(count + 4 + 4 * len(self.entry_names))
+        self.reservation = ports_of_tests.reserve_ports(
+            count + 4 + 5 * len(self.entry_names)
+        )
+        ports = list(self.reservation.ports)
         take = ports.pop
         self.platform_port, self.upstreams_port = take(), take()
         self.proxy_port = take()
@@ -178,6 +163,7 @@
             ),
         )
         self.store_ports = {name: take() for name in self.entry_names}
+        self.peer_ports = {name: take() for name in self.entry_names}
         for name in self.entry_names:
             self.entry_ports[name] = EntryPorts(take(), take(), take())
 
@@ -212,6 +198,14 @@
             'links': [
                 {'name': f'store-{name}', 'port': port, 'target': target}
                 for name, port in self.store_ports.items()
+            ]
+            + [
+                {
+                    'name': f'peers-{name}',
+                    'port': port,
+                    'target': f'{HOST}:{self.entry_ports[name].peers}',
+                }
+                for name, port in self.peer_ports.items()
             ],
         }
         await self._spawn_with_spec('fault_proxy', spec)
@@ -254,7 +248,7 @@
         self.vms[name] = {
             'vm_id': vm_id,
             'entry': name,
-            'peer_address': settings['listen']['peers'],
+            'peer_address': f'{HOST}:{self.peer_ports[name]}',
             'failure_domain': settings['failure_domain'],
             'state': 'live',
         }
@@ -342,7 +336,9 @@
         await self.control(self.platform_port, 'faults', faults)
 
     async def set_link_faults(self, link: str, **faults: typing.Any) -> None:
-        """Replace the faults of a link, such as ``store-NAME``.
+        """Replace the faults of a link, ``store-NAME`` or ``peers-NAME``.
+
+        A stream between two entries passes the link of the higher name.
 
         Args:
             link: Name of the link.
@@ -366,13 +362,16 @@
             published: Objects to publish.
         """
         document = documents.render_document(published)
-        write = {
-            'key': 'configuration/current',
-            'value': {'version': 1, 'document': document},
-            'expected': 0,
-        }
+        writes = [
+            {
+                'key': f'configuration/{row}',
+                'value': {'version': 1, 'document': document},
+                'expected': 0,
+            }
+            for row in ('current', 'history/1')
+        ]
         url = f'http://{HOST}:{self.platform_port}/table/transact'
-        async with self.session.post(url, json=[write]) as response:
+        async with self.session.post(url, json=writes) as response:
             response.raise_for_status()
 
     async def operate(
@@ -424,6 +423,8 @@
             await process.wait()
         if self.session:
             await self.session.close()
+        if self.reservation:
+            self.reservation.close()
 
     async def _wait_port(self, port: int) -> None:
         async with asyncio.timeout(START_TIMEOUT_S):
