Bound held slots by the service's time and by the deadline

Cause: after the owner of a pool was killed, four fifths of the slots stayed kept back for the 60 s limit of long work, in pools of short work too. An answer that was passed on for longer than its deadline outlived its grant. A caller that left in the middle of an answer counted as a lost instance. Change: a class does not extend the time of a service; passing on ends at the deadline; a caller that left is a cancellation.

--- a/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
+++ b/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
@@ -61,6 +61,23 @@
             for prefix in place.clients
         )
 
+    def time_limit_ms(
+        self, service: objects.Service, request_class: objects.RequestClass
+    ) -> int:
+        """Return the longest time that a request may take, in milliseconds.
+
+        A class that a caller names does not extend the time of a service.
+        Otherwise the slots of an entry that died would be kept back in each
+        pool for the limit of the longest class.
+
+        Args:
+            service: The service.
+            request_class: Class of the request.
+        """
+        own = self.request_classes[service.request_class]
+        longest = max(service.deadline_ms, own.deadline_limit_ms)
+        return min(longest, request_class.deadline_limit_ms)
+
     def instances(
         self, service: str, region: str
     ) -> tuple[objects.Instance, ...]:
--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -94,10 +94,13 @@
     Attributes:
         answer: Answer whose beginning has arrived.
         finish: Gives the slot back; called once with how the work ended.
+        remaining_s: Returns the seconds until the deadline, after which the
+            slot is granted to other work.
     """
 
     answer: client.UpstreamAnswer
     finish: typing.Callable[[requests.ReleaseOutcome], None]
+    remaining_s: typing.Callable[[], float]
 
 
 @attrs.define
@@ -269,7 +272,12 @@
                 failure=failure.value,
             )
             return Attempt(failure=failure, instance=instance)
-        return Attempt(Exchange(sent.unwrap(), finish), instance=instance)
+        exchange = Exchange(
+            sent.unwrap(),
+            finish,
+            lambda: call.deadline - self.clock.monotonic(),
+        )
+        return Attempt(exchange, instance=instance)
 
     def _finisher(
         self, service: str, region: str, grant: requests.Grant
--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -137,8 +137,9 @@
 ) -> web.StreamResponse:
     """Pass an answer on to the caller.
 
-    An answer that the instance cuts off aborts the caller's connection, so
-    that a part never looks whole.
+    An answer that the instance cuts off, or that does not end by the
+    deadline, aborts the caller's connection, so that a part never looks
+    whole.
 
     Args:
         request: The caller's request.
@@ -160,15 +161,20 @@
             )
         response = web.StreamResponse(status=answer.status, headers=headers)
         response.content_length = answer.response.content_length
-        await response.prepare(request)
-        await response.write(answer.prefix)
-        async for piece in answer.pieces():
-            await response.write(piece)
-        await response.write_eof()
+        async with asyncio.timeout(exchange.remaining_s()):
+            await response.prepare(request)
+            await response.write(answer.prefix)
+            async for piece in answer.pieces():
+                await response.write(piece)
+            await response.write_eof()
         ending = requests.ReleaseOutcome.DONE
         return response
-    except aiohttp.ClientError:
-        ending = requests.ReleaseOutcome.LOST
+    except aiohttp.ClientConnectionResetError:
+        # The caller left. That is no sign of a request that ends instances.
+        raise
+    except (aiohttp.ClientError, TimeoutError) as error:
+        if not isinstance(error, TimeoutError):
+            ending = requests.ReleaseOutcome.LOST
         if request.transport is not None:
             request.transport.abort()
         raise
--- a/packages/entry/bulrushcourse_entry/callers/reading.py
+++ b/packages/entry/bulrushcourse_entry/callers/reading.py
@@ -174,9 +174,8 @@
         return _refuse('body-too-large', f'body of {length} bytes', 413)
     if len(request.headers.get(KEY_HEADER, '')) > MAX_KEY_LENGTH:
         return _refuse('key', f'{KEY_HEADER} is too long')
-    return result.Success(
-        (class_name, min(wanted, request_class.deadline_limit_ms))
-    )
+    limit_ms = configuration.time_limit_ms(service, request_class)
+    return result.Success((class_name, min(wanted, limit_ms)))
 
 
 def _refuse(
--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -85,7 +85,13 @@
                     service.idempotent,
                 )
             owned = self.pools[name]
-            owned.pool.classes = configuration.request_classes
+            owned.pool.classes = {
+                c.name: attrs.evolve(
+                    c,
+                    deadline_limit_ms=configuration.time_limit_ms(service, c),
+                )
+                for c in configuration.request_classes.values()
+            }
             slots = configuration.pools[service.pool].slots
             found = configuration.instances(service.name, region)
             owned.pool.set_instances({i.name: slots for i in found})
--- a/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
@@ -45,6 +45,13 @@
     return found
 
 
+async def wait_for_owner(cluster, names):
+    while True:
+        if len(await owners(cluster, names)) == 1:
+            return
+        await asyncio.sleep(0.2)
+
+
 async def run_load(cluster, duration_s=DURATION_S):
     ports = [cluster.entry_ports[name].callers for name in ENTRIES]
     async with aiohttp.ClientSession(
@@ -114,7 +121,11 @@
             assert len(await owners(cluster, rest)) == 1
             assert not any(s.outcome == 'wrong' for s in samples)
             late = [s for s in samples if s.due > RECOVERED_AT_S]
-            assert any(s.outcome == 'done' for s in late)
+            done = sum(s.outcome == 'done' for s in late)
+            # Slots that the former owner may hold come back after the time
+            # limit of the service's own class. Kept back for that of long
+            # work, they left a fifth of the pool, a quarter of this load.
+            assert done > 0.5 * len(late)
 
     asyncio.run(run())
 
@@ -140,8 +151,7 @@
             await cluster.list_vms(without=(owner,))
             rest = [name for name in ENTRIES if name != owner]
             async with asyncio.timeout(30):
-                while len(await owners(cluster, rest)) != 1:
-                    await asyncio.sleep(0.2)
+                await wait_for_owner(cluster, rest)
             await check_slots(cluster)
 
     asyncio.run(run())
