Send gauges of headroom, waiting work and share use

Cause: statsd carried only latency by service and outcomes; an unknown service in a caller's path created a metric of its own. Change: gauges every 10 s of owned pools, limits and the store, latency by service and class, only for names of the configuration in force.

--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -102,9 +102,19 @@
             if not self.in_flight:
                 self.idle.set()
             elapsed_ms = (self.clock.monotonic() - started) * 1000
-            self.metrics.timing(
-                f'latency.{request.match_info["service"]}', elapsed_ms
-            )
+            self._record_latency(request, elapsed_ms)
+
+    def _record_latency(self, request: web.Request, elapsed_ms: float) -> None:
+        configuration = self.configuration.current
+        name = request.match_info['service']
+        if configuration is None or name not in configuration.services:
+            # Callers must not be able to create metrics at will.
+            return
+        class_name = request.headers.get(
+            reading.CLASS_HEADER, configuration.services[name].request_class
+        )
+        if class_name in configuration.request_classes:
+            self.metrics.timing(f'latency.{name}.{class_name}', elapsed_ms)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         configuration = self.configuration.current
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -15,6 +15,7 @@
 from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_entry import events
 from bulrushcourse_entry import metrics as entry_metrics
+from bulrushcourse_entry import reporting
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import listener as callers_listener
@@ -88,6 +89,7 @@
     claims: assembly.ClaimsParts = attrs.field(init=False)
     callers: callers_listener.CallersListener = attrs.field(init=False)
     operators: operators_listener.OperatorsListener = attrs.field(init=False)
+    reporter: reporting.GaugeReporter = attrs.field(init=False)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
@@ -173,6 +175,9 @@
             self.slots,
             self.members.region_entries,
         )
+        self.reporter = reporting.GaugeReporter(
+            self.metrics, self.table, self.slots.server, self.limits.keeper
+        )
         self.operators = operators_listener.OperatorsListener(
             entry_settings.read_secret(settings.operator_token_file),
             lambda: self.state is State.SERVING and self.slots.is_ready(),
@@ -286,6 +291,7 @@
             self.members.run_sweeps,
             self.configuration.run,
             self.health.run,
+            self.reporter.run,
         ):
             self.tasks.append(asyncio.create_task(work()))
         events.emit(
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/reporting.py
@@ -0,0 +1,57 @@
+"""Gauges of headroom, waiting work, share use and state, sent regularly."""
+
+import asyncio
+
+import attrs
+
+from bulrushcourse_domain.slots import pool as slot_pool
+from bulrushcourse_entry import metrics as entry_metrics
+from bulrushcourse_entry.limits import keeper as limit_keeper
+from bulrushcourse_entry.platform import table as platform_table
+from bulrushcourse_entry.slots import server as pool_server
+
+REPORT_INTERVAL_S = 10.0
+
+
+@attrs.define(eq=False)
+class GaugeReporter:
+    """Sends gauges of what this entry owns and holds.
+
+    Attributes:
+        metrics: Receiver of metrics.
+        table: The platform's table service.
+        server: Pools that this entry may own.
+        limits: Shares that this entry holds.
+    """
+
+    metrics: entry_metrics.Metrics
+    table: platform_table.HttpTable
+    server: pool_server.PoolServer
+    limits: limit_keeper.LimitKeeper
+
+    async def run(self) -> None:
+        """Send gauges until cancelled."""
+        while True:
+            self.report()
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def report(self) -> None:
+        """Send all gauges once."""
+        self.metrics.gauge('store.reachable', int(self.table.reachable))
+        for name, owned in self.server.pools.items():
+            if owned.term:
+                self._report_pool(name.replace('/', '.'), owned.pool)
+        for name, held in self.limits.limits.items():
+            usable = held.shares.usable
+            self.metrics.gauge(f'limit.{name}.usable', usable)
+            self.metrics.gauge(
+                f'limit.{name}.headroom', usable - held.window.in_use()
+            )
+
+    def _report_pool(self, name: str, pool: slot_pool.SlotPool) -> None:
+        usable = sum(map(pool.health.open_slots, pool.instances))
+        self.metrics.gauge(f'pool.{name}.headroom', usable - len(pool.granted))
+        self.metrics.gauge(f'pool.{name}.waiting', len(pool.waiting))
+        self.metrics.gauge(
+            f'pool.{name}.set_aside', len(pool.health.restricted)
+        )
