Count only configuration commits in the lost answer test

Renewals of pool leases now commit as well, so the store failed before the publish was written: the test saw 'unavailable' instead of 'unknown'. The fault counts commits of a prefix; the check itself is unchanged.

--- a/packages/entry/bulrushcourse_entry/configuration/exchange.py
+++ b/packages/entry/bulrushcourse_entry/configuration/exchange.py
@@ -35,7 +35,7 @@
 
     Attributes:
         clock: Source of time.
-        store: Configurations in the table.
+        table: The platform's table service.
         held: Configuration in force.
         members: Which entries are live.
         hub: Streams to peers.
@@ -43,10 +43,13 @@
         changes: Each configuration that is put in force.
         obtained_at: Clock seconds when the newest version was obtained.
         sent: When a version was last sent to a peer, by both.
+        store: Configurations in the table.
+        wake: Set when the row is to be read soon.
+        store_answers: Whether the last read was answered.
     """
 
     clock: clocks.Clock
-    store: configuration_store.ConfigurationStore
+    table: platform_table.Table
     held: in_force.ConfigurationInForce
     members: entry_members.Members
     hub: peer_hub.PeerHub
@@ -56,9 +59,13 @@
     changes: reactivex.Subject = attrs.field(factory=subject.Subject)
     obtained_at: float = 0.0
     sent: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    store: configuration_store.ConfigurationStore = attrs.field(init=False)
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     store_answers: bool = True
 
+    def __attrs_post_init__(self) -> None:
+        self.store = configuration_store.ConfigurationStore(self.table)
+
     def start(self) -> None:
         """Follow the messages of peers."""
         self.hub.received.subscribe(self._on_message)
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -14,6 +14,7 @@
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_entry import events
+from bulrushcourse_entry import listening
 from bulrushcourse_entry import metrics as entry_metrics
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.callers import forwarding
@@ -21,7 +22,6 @@
 from bulrushcourse_entry.claims import assembly
 from bulrushcourse_entry.claims import listener as claims_listener
 from bulrushcourse_entry.configuration import exchange
-from bulrushcourse_entry.configuration import store as configuration_store
 from bulrushcourse_entry.health import watch
 from bulrushcourse_entry.limits import assembly as limits_assembly
 from bulrushcourse_entry.membership import members as entry_members
@@ -159,11 +159,7 @@
             self.heartbeat,
         )
         self.configuration = exchange.ConfigurationExchange(
-            self.clock,
-            configuration_store.ConfigurationStore(self.table),
-            self.held,
-            self.members,
-            self.hub,
+            self.clock, self.table, self.held, self.members, self.hub
         )
         self._build_request_path(session)
         self.health = watch.HealthWatch(
@@ -278,8 +274,11 @@
         self.configuration.start()
         self.health.start()
         self.tasks.extend(self.claims.start())
-        await self._listen(self.operators.application(), listen.operators)
-        await self._listen(self.callers.application(), listen.callers)
+        for part, at in (
+            (self.operators, listen.operators),
+            (self.callers, listen.callers),
+        ):
+            self.runners.append(await listening.listen(part.application(), at))
         self.tasks.extend(self.limits.start())
         for work in (
             self.members.run,
@@ -294,15 +293,6 @@
             callers=listen.callers,
         )
 
-    async def _listen(self, application: web.Application, at: str) -> None:
-        runner = web.AppRunner(
-            application, handler_cancellation=True, access_log=None
-        )
-        await runner.setup()
-        self.runners.append(runner)
-        host, port = entry_settings.split_address(at)
-        await web.TCPSite(runner, host, port).start()
-
     async def _drain(self) -> None:
         """Serve until look-up answers have expired and all work is done."""
         self.state = State.LEAVING
--- a/packages/testkit/bulrushcourse_testkit/standins/platform.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/platform.py
@@ -26,6 +26,8 @@
         lose_answers: Writes take effect, but their answers are lost.
         fail_after_commits: Commits after which the store goes down, -1 for
             never.
+        counted_prefix: Prefix of keys; commits of others do not count for
+            ``fail_after_commits``.
         vms_down: The list of VMs is not answered.
     """
 
@@ -33,6 +35,7 @@
     delay_ms: int = 0
     lose_answers: bool = False
     fail_after_commits: int = -1
+    counted_prefix: str = ''
     vms_down: bool = False
 
 
@@ -113,7 +116,9 @@
         for write in writes:
             self._apply(write['key'], write['value'])
         lost = self.faults.lose_answers
-        if self.faults.fail_after_commits > 0:
+        prefix = self.faults.counted_prefix
+        counts = any(w['key'].startswith(prefix) for w in writes)
+        if counts and self.faults.fail_after_commits > 0:
             self.faults.fail_after_commits -= 1
             if self.faults.fail_after_commits == 0:
                 self.faults.down = lost = True
--- a/packages/testkit/bulrushcourse_testkit/tests/test_versions_in_force.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_versions_in_force.py
@@ -140,7 +140,10 @@
 @with_cluster
 async def test_lost_answer_is_recognised_after_the_outage(cluster, names):
     """A commit whose answer was lost must not be published twice."""
-    await cluster.set_store_faults(fail_after_commits=1)
+    # Renewals of pool leases are commits too.
+    await cluster.set_store_faults(
+        fail_after_commits=1, counted_prefix='configuration/'
+    )
     lost = await publish(cluster, names[0], 1, 'p1', 40)
     assert lost['title'] == 'unknown'
     await restart(cluster, names[3])
