Keep shares, pace links and route within caps

The forwarding path took the local region whatever limits said. It now asks the router, charges shifts before a request is sent and bytes of links in both directions, and one task keeps the shares in the rows of limits.

--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/callers/failures.py
@@ -0,0 +1,102 @@
+"""What failures of upstream requests mean for slots and callers."""
+
+from bulrushcourse_domain.slots import requests
+from bulrushcourse_entry.callers import problems
+from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.upstreams import client
+
+RETRY_AFTER_S = 1
+
+RELEASE_OUTCOMES = {
+    client.Failure.NOT_SENT: requests.ReleaseOutcome.UNREACHABLE,
+    client.Failure.SHED: requests.ReleaseOutcome.SHED,
+    client.Failure.NO_SHARE: requests.ReleaseOutcome.CANCELLED,
+    client.Failure.LOST: requests.ReleaseOutcome.LOST,
+    client.Failure.TRUNCATED: requests.ReleaseOutcome.LOST,
+    client.Failure.DEADLINE: requests.ReleaseOutcome.CANCELLED,
+}
+# Failures that prove that the instance did not run the request.
+NOT_RUN_FAILURES = frozenset(
+    (
+        client.Failure.NOT_SENT,
+        client.Failure.SHED,
+        client.Failure.NO_SHARE,
+    )
+)
+STATUSES = {
+    client.Failure.NOT_SENT: 502,
+    client.Failure.SHED: 503,
+    client.Failure.NO_SHARE: 503,
+    client.Failure.LOST: 502,
+    client.Failure.TRUNCATED: 502,
+    client.Failure.DEADLINE: 504,
+}
+
+
+def describe(
+    call: reading.Call,
+    refusal: requests.Refusal | None,
+    failure: client.Failure | None,
+) -> problems.Problem:
+    """Return the problem that reports a failed attempt.
+
+    Args:
+        call: The caller's request.
+        refusal: Set if the last attempt got no slot.
+        failure: Set if the instance did not answer it.
+    """
+    if refusal is not None:
+        return problems.not_run(
+            503,
+            f'no-slot-{refusal.reason.value}',
+            f'no slot of {call.service.name} in time',
+            RETRY_AFTER_S,
+        )
+    outcome = (
+        problems.Outcome.NOT_RUN
+        if failure in NOT_RUN_FAILURES
+        else problems.Outcome.UNKNOWN
+    )
+    return problems.Problem(
+        STATUSES[failure],
+        f'upstream-{failure.value}',
+        f'upstream of {call.service.name} failed: {failure.value}',
+        outcome,
+        RETRY_AFTER_S,
+    )
+
+
+def may_have_run(failure: client.Failure | None) -> bool:
+    """Return whether a request may have run although it failed.
+
+    Args:
+        failure: How it failed, ``None`` if it was not sent.
+    """
+    return failure is not None and failure not in NOT_RUN_FAILURES
+
+
+def is_free(failure: client.Failure) -> bool:
+    """Return whether a failed attempt cost no work at an instance.
+
+    A request of which no byte was sent cost no work, so sending it to
+    another instance adds none.
+
+    Args:
+        failure: How the attempt failed.
+    """
+    return failure in (client.Failure.NOT_SENT, client.Failure.NO_SHARE)
+
+
+def may_retry(call: reading.Call, failure: client.Failure) -> bool:
+    """Return whether a call may be sent again after a failure.
+
+    Args:
+        call: The caller's request.
+        failure: How its last attempt failed.
+    """
+    if call.rest is not None:
+        # The body was streamed and cannot be sent again.
+        return False
+    if failure is client.Failure.DEADLINE:
+        return False
+    return failure in NOT_RUN_FAILURES or call.service.idempotent
--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -12,66 +12,42 @@
 from bulrushcourse_domain.retries import budget as retry_budget
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import events
+from bulrushcourse_entry.callers import failures
 from bulrushcourse_entry.callers import problems
 from bulrushcourse_entry.callers import reading
 from bulrushcourse_entry.slots import source
 from bulrushcourse_entry.upstreams import client
 
 MAX_ATTEMPTS = 3
-RETRY_AFTER_S = 1
 MIN_REMAINING_S = 0.001
 
-RELEASE_OUTCOMES = {
-    client.Failure.NOT_SENT: requests.ReleaseOutcome.UNREACHABLE,
-    client.Failure.SHED: requests.ReleaseOutcome.SHED,
-    client.Failure.LOST: requests.ReleaseOutcome.LOST,
-    client.Failure.TRUNCATED: requests.ReleaseOutcome.LOST,
-    client.Failure.DEADLINE: requests.ReleaseOutcome.CANCELLED,
-}
-# Failures that prove that the instance did not run the request.
-NOT_RUN_FAILURES = frozenset((client.Failure.NOT_SENT, client.Failure.SHED))
-STATUSES = {
-    client.Failure.NOT_SENT: 502,
-    client.Failure.SHED: 503,
-    client.Failure.LOST: 502,
-    client.Failure.TRUNCATED: 502,
-    client.Failure.DEADLINE: 504,
-}
-
 
 class RegionChooser(typing.Protocol):
-    """Chooses the region whose pool is asked for a slot."""
+    """Chooses the region of a request and charges what crosses to it."""
 
-    def choose(self, service: str) -> str | None:
-        """Return a region that serves a service, ``None`` if none does."""
+    def choose(self, service: str, request_class: str) -> str | None:
+        """Return the region to ask for a slot, ``None`` to shed."""
         ...
 
+    async def admit(
+        self, target: str, priority: int, deadline: float
+    ) -> tuple[bool, client.Crossing | None]:
+        """Charge a request that is about to be sent to a region."""
+        ...
 
-@attrs.define
-class LocalRegionFirst:
-    """Prefers this entry's region.
-
-    Attributes:
-        region: Region of this entry.
-        configuration: Configuration in force.
-    """
-
-    region: str
-    configuration: configuration_set.ConfigurationSet | None = None
 
-    def choose(self, service: str) -> str | None:
-        """Return a region that serves a service, ``None`` if none does.
+class Finishes(typing.Protocol):
+    """Receiver of how requests ended."""
 
-        Args:
-            service: Name of the service.
-        """
-        if self.configuration is None:
-            return None
-        others = sorted(set(self.configuration.regions.values()))
-        for region in (self.region, *others):
-            if self.configuration.instances(service, region):
-                return region
-        return None
+    def finished(
+        self,
+        service: str,
+        region: str,
+        outcome: requests.ReleaseOutcome,
+        time_s: float,
+    ) -> None:
+        """Take up how a request ended."""
+        ...
 
 
 @attrs.frozen
@@ -79,10 +55,12 @@
     """A granted slot.
 
     Attributes:
+        region: Region of the instance.
         instance: Name of the instance.
         finish: Gives the slot back; called once with how the work ended.
     """
 
+    region: str
     instance: str
     finish: typing.Callable[[requests.ReleaseOutcome], None]
 
@@ -130,6 +108,8 @@
         slots: Where slots come from.
         regions: Chooser of the region.
         upstreams: HTTP client of the instances.
+        finishes: Receiver of how requests ended.
+        priorities: Priority of each request class.
         instances: Instances of the configuration in force, by name.
         budgets: Budget for repeated work by service.
     """
@@ -139,6 +119,8 @@
     slots: source.SlotSource
     regions: RegionChooser
     upstreams: client.UpstreamClient
+    finishes: Finishes
+    priorities: dict[str, int] = attrs.field(factory=dict)
     instances: dict[str, objects.Instance] = attrs.field(factory=dict)
     budgets: dict[str, retry_budget.RetryBudget] = attrs.field(
         factory=lambda: collections.defaultdict(retry_budget.RetryBudget)
@@ -152,6 +134,10 @@
         Args:
             configuration: The configuration that is now in force.
         """
+        self.priorities = {
+            name: request_class.priority
+            for name, request_class in configuration.request_classes.items()
+        }
         self.instances = {
             instance.name: instance
             for pool in configuration.objects.pools
@@ -174,16 +160,22 @@
             attempt = await self.attempt(call, number, avoid)
             if attempt.exchange is not None:
                 return result.Success(attempt.exchange)
-            if reported.failure is None or _may_have_run(attempt):
+            if reported.failure is None or failures.may_have_run(
+                attempt.failure
+            ):
                 # An attempt that may have run decides what the caller is
                 # told, whatever became of later ones.
                 reported = attempt
-            if attempt.refusal or not _may_retry(call, attempt.failure):
+            if attempt.refusal or not failures.may_retry(
+                call, attempt.failure
+            ):
                 break
-            if not _is_free(attempt.failure) and not budget.spend():
+            if not failures.is_free(attempt.failure) and not budget.spend():
                 break
             avoid += (attempt.instance,)
-        return result.Failure(describe(call, reported))
+        return result.Failure(
+            failures.describe(call, reported.refusal, reported.failure)
+        )
 
     async def attempt(
         self, call: reading.Call, number: int, avoid: tuple[str, ...]
@@ -210,7 +202,7 @@
             number: How many attempts there were before.
             avoid: Instances that failed this call.
         """
-        region = self.regions.choose(call.service.name)
+        region = self.regions.choose(call.service.name, call.request_class)
         wish = requests.SlotRequest(
             f'{call.request_id}.{number}',
             self.entry,
@@ -227,6 +219,7 @@
         granted = await self.slots.acquire(call.service.name, region, wish)
         return granted.map(
             lambda grant: HeldSlot(
+                region,
                 grant.instance,
                 self._finisher(call.service.name, region, grant),
             )
@@ -240,6 +233,16 @@
             held: The slot; it is given back if there is no answer.
         """
         instance, finish = held.instance, held.finish
+        try:
+            admitted, crossing = await self.regions.admit(
+                held.region, self.priorities[call.request_class], call.deadline
+            )
+        except BaseException:
+            finish(requests.ReleaseOutcome.CANCELLED)
+            raise
+        if not admitted:
+            finish(failures.RELEASE_OUTCOMES[client.Failure.NO_SHARE])
+            return Attempt(failure=client.Failure.NO_SHARE, instance=instance)
         remaining = call.deadline - self.clock.monotonic()
         known = self.instances.get(instance)
         if remaining <= 0 or known is None:
@@ -255,6 +258,7 @@
             call.rest,
             max(remaining, MIN_REMAINING_S),
             call.service.idempotent,
+            crossing,
         )
         try:
             sent = await self.upstreams.send(
@@ -265,7 +269,7 @@
             raise
         if isinstance(sent, result.Failure):
             failure = sent.failure()
-            finish(RELEASE_OUTCOMES[failure])
+            finish(failures.RELEASE_OUTCOMES[failure])
             events.emit(
                 events.Event.UPSTREAM_FAILED,
                 instance=instance,
@@ -285,61 +289,10 @@
         started = self.clock.monotonic()
 
         def finish(outcome: requests.ReleaseOutcome) -> None:
+            time_s = self.clock.monotonic() - started
+            self.finishes.finished(service, region, outcome, time_s)
             self.slots.release(
-                service,
-                region,
-                grant.request_id,
-                outcome,
-                self.clock.monotonic() - started,
+                service, region, grant.request_id, outcome, time_s
             )
 
         return finish
-
-
-def describe(call: reading.Call, attempt: Attempt) -> problems.Problem:
-    """Return the problem that reports a failed attempt.
-
-    Args:
-        call: The caller's request.
-        attempt: Its last attempt.
-    """
-    if attempt.refusal is not None:
-        return problems.not_run(
-            503,
-            f'no-slot-{attempt.refusal.reason.value}',
-            f'no slot of {call.service.name} in time',
-            RETRY_AFTER_S,
-        )
-    failure = attempt.failure
-    outcome = (
-        problems.Outcome.NOT_RUN
-        if failure in NOT_RUN_FAILURES
-        else problems.Outcome.UNKNOWN
-    )
-    return problems.Problem(
-        STATUSES[failure],
-        f'upstream-{failure.value}',
-        f'upstream of {call.service.name} failed: {failure.value}',
-        outcome,
-        RETRY_AFTER_S,
-    )
-
-
-def _may_have_run(attempt: Attempt) -> bool:
-    failure = attempt.failure
-    return failure is not None and failure not in NOT_RUN_FAILURES
-
-
-def _is_free(failure: client.Failure) -> bool:
-    # A request of which no byte was sent cost no work, so sending it to
-    # another instance adds none.
-    return failure is client.Failure.NOT_SENT
-
-
-def _may_retry(call: reading.Call, failure: client.Failure) -> bool:
-    if call.rest is not None:
-        # The body was streamed and cannot be sent again.
-        return False
-    if failure is client.Failure.DEADLINE:
-        return False
-    return failure in NOT_RUN_FAILURES or call.service.idempotent
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
@@ -15,6 +15,7 @@
 
 LOST, SHED = client.Failure.LOST, client.Failure.SHED
 NOT_SENT = client.Failure.NOT_SENT
+NO_SHARE = client.Failure.NO_SHARE
 NO_SLOT = requests.RefusalReason.DEADLINE
 
 
@@ -24,9 +25,18 @@
     def __init__(self, steps):
         self.steps = list(steps)
 
-    def choose(self, service):
+    def choose(self, service, request_class):
         return 'r'
 
+    async def admit(self, target, priority, deadline):
+        if self.steps[0] is NO_SHARE:
+            self.steps.pop(0)
+            return False, None
+        return True, None
+
+    def finished(self, *details):
+        pass
+
     async def acquire(self, service, region, wish):
         if self.steps[0] is NO_SLOT:
             refusal = requests.Refusal(wish.request_id, 'e', NO_SLOT)
@@ -45,6 +55,8 @@
     [
         ([SHED, NOT_SENT, SHED], problems.Outcome.NOT_RUN),
         ([SHED, NO_SLOT], problems.Outcome.NOT_RUN),
+        ([NO_SHARE, SHED, NO_SHARE], problems.Outcome.NOT_RUN),
+        ([LOST, NO_SHARE, NO_SHARE], problems.Outcome.UNKNOWN),
         ([LOST, SHED, SHED], problems.Outcome.UNKNOWN),
         ([LOST, NO_SLOT], problems.Outcome.UNKNOWN),
         ([SHED, LOST, NOT_SENT], problems.Outcome.UNKNOWN),
@@ -54,10 +66,11 @@
     """Guards P4: the last attempt says nothing of the ones before it."""
     script = Script(steps)
     forwarder = forwarding.Forwarder(
-        'e', clocks.ManualClock(), script, script, script
+        'e', clocks.ManualClock(), script, script, script, script
     )
     instance = objects.Instance('i', 'p', '127.0.0.1:1')
     forwarder.instances = {'i': instance}
+    forwarder.priorities = {'short': 1}
     # Saved retries, so that every step of the script is reached.
     forwarder.budgets['s'].saved = len(steps)
     service = objects.Service('s', 'pool', 'short', idempotent=True)
--- a/packages/entry/bulrushcourse_entry/claims/upstream.py
+++ b/packages/entry/bulrushcourse_entry/claims/upstream.py
@@ -20,6 +20,7 @@
 
 FAILURE_FACTS = {
     client.Failure.NOT_SENT: outcomes.UpstreamFact.NO_BYTE_SENT,
+    client.Failure.NO_SHARE: outcomes.UpstreamFact.NO_BYTE_SENT,
     client.Failure.SHED: outcomes.UpstreamFact.SHED_NOT_RUN,
     client.Failure.LOST: outcomes.UpstreamFact.RESET,
     client.Failure.TRUNCATED: outcomes.UpstreamFact.TRUNCATED,
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -40,6 +40,8 @@
     UPSTREAM_RETURNED = (6003, 'info', 'upstream instance serves again')
     POOL_TAKEN = (6101, 'info', 'entry owns a pool')
     POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
+    LEDGER_REFUSED = (7001, 'error', 'stored shares of a limit are invalid')
+    PLAN_CHANGED = (7002, 'info', 'plan has changed its state')
     OUTCOME_NOT_COPIED = (8001, 'warning', 'outcome not copied to the store')
     OPERATOR_REFUSED = (9001, 'warning', 'operator request without token')
 
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Shares of limits, pacing on links, and routes within them."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/limits/assembly.py
@@ -0,0 +1,106 @@
+"""How the parts that keep limits and choose regions fit together."""
+
+import asyncio
+import random
+import typing
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.configuration import configuration_set
+from bulrushcourse_entry import settings as entry_settings
+from bulrushcourse_entry.limits import keeper as limit_keeper
+from bulrushcourse_entry.limits import loads as load_board
+from bulrushcourse_entry.limits import plans as plan_runner
+from bulrushcourse_entry.limits import regions as limited_regions
+from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_entry.platform import table as platform_table
+from bulrushcourse_entry.platform import vm_list
+from bulrushcourse_entry.slots import owned as owned_pools
+
+
+@attrs.define(eq=False)
+class LimitsParts:
+    """The parts of one entry that keep limits.
+
+    Attributes:
+        board: Knows the loads of pools.
+        keeper: Keeps this entry's shares.
+        plans: Steps plans.
+        regions: Chooses regions.
+    """
+
+    board: load_board.LoadBoard
+    keeper: limit_keeper.LimitKeeper
+    plans: plan_runner.PlanRunner
+    regions: limited_regions.LimitedRegions
+
+    def configure(
+        self, configuration: configuration_set.ConfigurationSet
+    ) -> None:
+        """Take up a configuration.
+
+        Args:
+            configuration: The configuration that is now in force.
+        """
+        self.board.configure(configuration)
+        self.keeper.configure(configuration)
+        self.plans.configure(configuration)
+        self.regions.configure(configuration)
+
+    def start(self) -> tuple[asyncio.Task, ...]:
+        """Follow peers and return the tasks that run until cancelled."""
+        self.board.start()
+        return (
+            asyncio.create_task(self.board.run()),
+            asyncio.create_task(self.keeper.run()),
+            asyncio.create_task(self.plans.run()),
+        )
+
+    async def stop(self) -> None:
+        """End the tasks of links."""
+        await self.regions.stop()
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return shares, plans and routes for a state dump."""
+        return {
+            'shares': self.keeper.dump(),
+            'plans': self.plans.dump(),
+            'routes': self.regions.dump(),
+        }
+
+
+def build_limits(
+    settings: entry_settings.Settings,
+    hub: peer_hub.PeerHub,
+    clock: clocks.Clock,
+    table: platform_table.Table,
+    vms: vm_list.VmList,
+    owned: typing.Mapping[str, owned_pools.OwnedPool],
+) -> LimitsParts:
+    """Return the parts, without a configuration.
+
+    Args:
+        settings: Settings of this entry.
+        hub: Streams to peers.
+        clock: Source of time.
+        table: The platform's table service.
+        vms: The platform's list of VMs.
+        owned: Pools of this region by name.
+    """
+    incarnation = hub.identity.incarnation
+    source_of_random = random.Random(incarnation)
+    keeper = limit_keeper.LimitKeeper(
+        clock,
+        source_of_random,
+        table,
+        vms,
+        f'{settings.vm_id}/{incarnation}',
+        (settings.vm_id, settings.entry),
+    )
+    board = load_board.LoadBoard(settings.region, clock, hub, owned)
+    plans = plan_runner.PlanRunner(settings.region, clock, board)
+    regions = limited_regions.LimitedRegions(
+        settings.region, clock, source_of_random, keeper, board, plans
+    )
+    return LimitsParts(board, keeper, plans, regions)
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -23,6 +23,7 @@
 from bulrushcourse_entry.configuration import exchange
 from bulrushcourse_entry.configuration import store as configuration_store
 from bulrushcourse_entry.health import watch
+from bulrushcourse_entry.limits import assembly as limits_assembly
 from bulrushcourse_entry.membership import members as entry_members
 from bulrushcourse_entry.operators import assembly as operators_assembly
 from bulrushcourse_entry.operators import listener as operators_listener
@@ -80,7 +81,7 @@
     members: entry_members.Members = attrs.field(init=False)
     configuration: exchange.ConfigurationExchange = attrs.field(init=False)
     slots: steering.SlotSteering = attrs.field(init=False)
-    regions: forwarding.LocalRegionFirst = attrs.field(init=False)
+    limits: limits_assembly.LimitsParts = attrs.field(init=False)
     upstreams: client.UpstreamClient = attrs.field(init=False)
     forwarder: forwarding.Forwarder = attrs.field(init=False)
     health: watch.HealthWatch = attrs.field(init=False)
@@ -183,6 +184,7 @@
                 'slots': self.slots,
                 'health': self.health,
                 'claims': self.claims,
+                'limits': self.limits,
             },
             operators_assembly.build_groups(
                 self.configuration, self._set_drained
@@ -197,14 +199,22 @@
             self.table,
             self.members.vms,
         )
-        self.regions = forwarding.LocalRegionFirst(self.settings.region)
+        self.limits = limits_assembly.build_limits(
+            self.settings,
+            self.hub,
+            self.clock,
+            self.table,
+            self.members.vms,
+            self.slots.server.pools,
+        )
         self.upstreams = client.open_client(CONNECTIONS_PER_INSTANCE)
         self.forwarder = forwarding.Forwarder(
             self.settings.entry,
             self.clock,
             self.slots.source,
-            self.regions,
+            self.limits.regions,
             self.upstreams,
+            self.limits.plans,
         )
         self.claims = assembly.build_claims(
             self.hub,
@@ -236,7 +246,7 @@
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
         self.slots.configure(configuration)
-        self.regions.configuration = configuration
+        self.limits.configure(configuration)
         self.forwarder.configure(configuration)
         self.health.configure(configuration)
         self.claims.configure(configuration)
@@ -270,6 +280,7 @@
         self.tasks.extend(self.claims.start())
         await self._listen(self.operators.application(), listen.operators)
         await self._listen(self.callers.application(), listen.callers)
+        self.tasks.extend(self.limits.start())
         for work in (
             self.members.run,
             self.members.run_sweeps,
@@ -329,6 +340,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.limits.stop()
         await self.health.stop()
         await self.slots.stop()
         await self.hub.stop()
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -14,21 +14,37 @@
 CONNECT_TIMEOUT_S = 1.0
 PREFIX_BYTES = 64 << 10
 PIECE_BYTES = 16 << 10
+# Charged to a link for the request's line and headers.
+HEADER_BYTES = 512
 
 
 class Failure(enum.Enum):
     """How a request to an instance failed.
 
-    Only ``NOT_SENT`` and ``SHED`` prove that the request did not run.
+    Only ``NOT_SENT``, ``SHED`` and ``NO_SHARE`` prove that the request did
+    not run.
     """
 
     NOT_SENT = 'not-sent'
     SHED = 'shed'
+    NO_SHARE = 'no-share'
     LOST = 'lost'
     TRUNCATED = 'truncated'
     DEADLINE = 'deadline'
 
 
+class Crossing(typing.Protocol):
+    """Charges bytes to the link between this entry and an instance."""
+
+    async def send(self, size: int) -> None:
+        """Wait until bytes may flow to the instance."""
+        ...
+
+    async def receive(self, size: int) -> None:
+        """Wait until bytes may flow from the instance."""
+        ...
+
+
 @attrs.frozen
 class UpstreamRequest:
     """A request to an instance.
@@ -41,6 +57,7 @@
         rest: Remaining pieces of the body.
         remaining_s: Seconds until the deadline.
         idempotent: Whether the request may run more than once.
+        crossing: The link to the instance, ``None`` within a region.
     """
 
     method: str
@@ -50,14 +67,20 @@
     rest: typing.AsyncIterator[bytes] | None
     remaining_s: float
     idempotent: bool
+    crossing: Crossing | None = None
 
     async def pieces(self) -> typing.AsyncIterator[bytes]:
-        """Yield the pieces of the body."""
-        if self.body:
-            yield self.body
+        """Yield the pieces of the body as they may flow."""
+        for start in range(0, len(self.body), PIECE_BYTES):
+            yield await self._charged(self.body[start : start + PIECE_BYTES])
         if self.rest is not None:
             async for piece in self.rest:
-                yield piece
+                yield await self._charged(piece)
+
+    async def _charged(self, piece: bytes) -> bytes:
+        if self.crossing is not None:
+            await self.crossing.send(len(piece))
+        return piece
 
 
 @attrs.define
@@ -70,6 +93,7 @@
         prefix: First bytes of the body.
         whole: Whether ``prefix`` is the whole body.
         response: The response to read the remaining body from.
+        crossing: The link from the instance, ``None`` within a region.
     """
 
     status: int
@@ -77,6 +101,7 @@
     prefix: bytes
     whole: bool
     response: aiohttp.ClientResponse
+    crossing: Crossing | None = None
 
     async def pieces(self) -> typing.AsyncIterator[bytes]:
         """Yield the rest of the body after ``prefix``.
@@ -86,6 +111,8 @@
         """
         if not self.whole:
             async for piece in self.response.content.iter_chunked(PIECE_BYTES):
+                if self.crossing is not None:
+                    await self.crossing.receive(len(piece))
                 yield piece
 
     def close(self) -> None:
@@ -126,7 +153,9 @@
                 if not_run_header and not_run_header in response.headers:
                     response.release()
                     return result.Failure(Failure.SHED)
-                prefix, whole = await _read_prefix(response.content)
+                prefix, whole = await _read_prefix(
+                    response.content, request.crossing
+                )
         except aiohttp.ClientConnectorError:
             return result.Failure(Failure.NOT_SENT)
         except TimeoutError:
@@ -149,6 +178,7 @@
                 prefix,
                 whole,
                 response,
+                request.crossing,
             )
         )
 
@@ -156,13 +186,20 @@
         self, instance: objects.Instance, request: UpstreamRequest
     ) -> aiohttp.ClientResponse:
         headers = dict(request.headers)
+        streamed = request.rest is not None or (
+            request.crossing is not None and request.body
+        )
+        if request.crossing is not None:
+            await request.crossing.send(HEADER_BYTES)
+            if request.rest is None and request.body:
+                headers['Content-Length'] = str(len(request.body))
         headers[DEADLINE_HEADER] = str(int(request.remaining_s * 1000))
         session = self.pooled if request.idempotent else self.fresh
         return await session.request(
             request.method,
             f'http://{instance.address}{request.path}',
             headers=headers,
-            data=request.pieces() if request.rest else request.body or None,
+            data=request.pieces() if streamed else request.body or None,
             allow_redirects=False,
         )
 
@@ -211,12 +248,16 @@
 
 
 async def _read_prefix(
-    content: aiohttp.StreamReader,
+    content: aiohttp.StreamReader, crossing: Crossing | None
 ) -> tuple[bytes, bool]:
     pieces = bytearray()
     while len(pieces) < PREFIX_BYTES:
-        piece = await content.read(PREFIX_BYTES - len(pieces))
+        piece = await content.read(
+            min(PIECE_BYTES, PREFIX_BYTES - len(pieces))
+        )
         if not piece and content.at_eof():
             return bytes(pieces), True
+        if crossing is not None:
+            await crossing.receive(len(piece))
         pieces += piece
     return bytes(pieces), content.at_eof()
--- a/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
@@ -21,6 +21,7 @@
 """
 
 import asyncio
+import collections
 import hashlib
 import json
 import math
@@ -104,6 +105,7 @@
         waited: Requests that found no free slot.
         arrived: Requests that arrived.
         crashed: Whether the instance refuses all work.
+        received: Bytes of bodies by hundredth of a second of arrival.
     """
 
     name: str
@@ -117,6 +119,9 @@
     waited: int = 0
     arrived: int = 0
     crashed: bool = False
+    received: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
     gate: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -175,6 +180,7 @@
         digest = hashlib.sha256(request.path_qs.encode())
         async for piece in request.content.iter_chunked(PIECE_BYTES):
             digest.update(piece)
+            self.received[int(time.monotonic() * 100)] += len(piece)
         if self.behaviour.hang:
             await asyncio.sleep(3600)
         mean_ms = float(request.query.get('work_ms', self.mean_ms))
@@ -222,6 +228,7 @@
         application = web.Application()
         application.router.add_get('/control/journal', self.show_journal)
         application.router.add_get('/control/peaks', self.show_peaks)
+        application.router.add_get('/control/received', self.show_received)
         application.router.add_put('/control/{name}', self.set_behaviour)
         return application
 
@@ -244,6 +251,12 @@
             }
         )
 
+    async def show_received(self, request: web.Request) -> web.Response:
+        """Answer bytes of bodies by instance and hundredth of a second."""
+        return web.json_response(
+            {n: dict(i.received) for n, i in self.instances.items()}
+        )
+
     async def set_behaviour(self, request: web.Request) -> web.Response:
         """Replace an instance's faults, or ``all`` instances' faults."""
         name = request.match_info['name']
