--- a/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
@@ -70,6 +70,7 @@
     )
     instance = objects.Instance('i', 'p', '127.0.0.1:1')
     forwarder.instances = {'i': instance}
+    forwarder.priorities = {'short': 1}
     # Saved retries, so that every step of the script is reached.
     forwarder.budgets['s'].saved = len(steps)
     forwarder.priorities = {'short': 1}
