Treat a connect time-out as not sent and pass repeated headers on

Cause: a VM that is gone answers a connection with silence, not with a reset; aiohttp reports that as a time-out, so the call ended as unknown at once although no byte was sent. Answer headers were kept in a dict, which drops all but one Set-Cookie. The load tool counted an upstream's own 504 as a wrong answer; the 504 is whole and belongs to the request. Change: a connect time-out is NOT_SENT, headers stay a multidict, the load tool reports upstream-error. Conclusion: idempotent and keyed calls now get past a silent instance.

--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import attrs
+import multidict
 from aiohttp import web
 from returns import result
 
@@ -158,11 +159,12 @@
     answer = exchange.answer
     ending = requests.ReleaseOutcome.CANCELLED
     try:
-        headers = {
-            name: value
+        # A header may come more than once, such as Set-Cookie.
+        headers = multidict.CIMultiDict(
+            (name, value)
             for name, value in answer.headers.items()
             if name.lower() not in reading.HOP_HEADERS
-        }
+        )
         headers[problems.OUTCOME_HEADER] = problems.Outcome.DONE.value
         if answer.whole:
             ending = requests.ReleaseOutcome.DONE
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import attrs
+import multidict
 from returns import result
 
 from bulrushcourse_domain.configuration import objects
@@ -97,7 +98,7 @@
     """
 
     status: int
-    headers: dict[str, str]
+    headers: multidict.CIMultiDictProxy[str]
     prefix: bytes
     whole: bool
     response: aiohttp.ClientResponse
@@ -156,7 +157,8 @@
                 prefix, whole = await _read_prefix(
                     response.content, request.crossing
                 )
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # No connection, so no byte of the request was sent.
             return result.Failure(Failure.NOT_SENT)
         except TimeoutError:
             _close(response)
@@ -174,7 +176,7 @@
         return result.Success(
             UpstreamAnswer(
                 response.status,
-                dict(response.headers),
+                response.headers,
                 prefix,
                 whole,
                 response,
--- a/packages/testkit/bulrushcourse_testkit/load.py
+++ b/packages/testkit/bulrushcourse_testkit/load.py
@@ -53,7 +53,8 @@
         work: Name of its kind.
         due: Seconds after the start at which it was due.
         latency_s: From due to the whole answer.
-        outcome: ``done``, ``not-run``, ``unknown``, ``failed`` or ``wrong``.
+        outcome: ``done``, ``not-run``, ``unknown``, ``failed``, ``wrong``
+            or ``upstream-error``.
         attempts: How often it was sent.
         number: Number of the request, part of its path ``/rNUMBER``.
     """
@@ -155,6 +156,9 @@
         except (aiohttp.ClientError, TimeoutError):
             return 'failed'
         outcome = response.headers.get('Bulrushcourse-Outcome', 'failed')
+        if outcome == 'done' and response.status != 200:
+            # The upstream's own whole answer, but not to be counted as work.
+            return 'upstream-error'
         if outcome == 'done' and not _is_own(content, digest):
             return 'wrong'
         return outcome
