--- a/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
@@ -312,3 +312,11 @@
     for number in range(4):
         pool.request(wish(f'r{number}'))
     assert len(pool.granted) == 2
+
+
+def test_long_work_is_bounded_over_the_whole_pool():
+    # One slot of each instance would be within the bound of the instance.
+    _, pool = make_pool({'a': 2, 'b': 2, 'c': 2})
+    for number in range(3):
+        pool.request(wish(f'l{number}', 'long', 60.0))
+    assert len(pool.granted) == 2
