--- a/packages/testkit/bulrushcourse_testkit/bench/tests/test_world.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/tests/test_world.py
@@ -1,3 +1,5 @@
+"""Tests of the bench's upstream instances."""
+
 import pytest
 
 from bulrushcourse_testkit.bench import workload
