--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -7,15 +7,14 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
-from bulrushcourse_domain.quarantine import quarantine as quarantines
 from bulrushcourse_domain.slots import pool as slot_pool
 from bulrushcourse_domain.slots import recovery
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import events
 from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_entry.slots import granting as grants
 from bulrushcourse_entry.slots import keeper as keepers
 from bulrushcourse_entry.slots import owned as owned_pools
-from bulrushcourse_entry.slots import suspects as suspect_news
 from bulrushcourse_entry.slots import switch as switches
 from bulrushcourse_wire import slot_messages
 
@@ -37,7 +36,7 @@
         clock: Source of time.
         keeper: Keeps the ownership of pools.
         switch: Sends messages to entries.
-        suspects: Losses by request.
+        granting: Admits requests and carries out decisions.
         pools: Pools of this region by name.
         known: Last incarnation of each entry that was connected.
         configuration: Configuration in force.
@@ -46,7 +45,7 @@
     clock: clocks.Clock
     keeper: keepers.OwnershipKeeper
     switch: switches.Switch
-    suspects: suspect_news.Suspects
+    granting: grants.Granting
     pools: dict[str, owned_pools.OwnedPool] = attrs.field(factory=dict)
     known: dict[str, str] = attrs.field(factory=dict)
     configuration: configuration_set.ConfigurationSet | None = None
@@ -107,7 +106,9 @@
         for owned in self.pools.values():
             if instance in owned.pool.instances:
                 self._is_owner(owned)
-                self._apply(owned, owned.pool.sign_leaving(instance, leaving))
+                self.granting.apply(
+                    owned, owned.pool.sign_leaving(instance, leaving)
+                )
 
     def resign(self) -> None:
         """Refuse all waiting requests of pools that were given up."""
@@ -150,8 +151,10 @@
         owned.term = 0
         events.emit(events.Event.POOL_LOST, pool=owned.name)
         for asked in owned.undecided():
-            self._drop(owned, asked)
-            self._refuse(asked.peer, owned.name, asked.wish, Reason.NOT_OWNER)
+            self.granting.drop(owned, asked)
+            self.granting.refuse(
+                asked.peer, owned.name, asked.wish, Reason.NOT_OWNER
+            )
 
     def _possible_holders(self, owned: owned_pools.OwnedPool) -> set[str]:
         """Return incarnations that may hold slots, connected or not.
@@ -178,34 +181,15 @@
     def _decide(self, owned: owned_pools.OwnedPool) -> None:
         if not self._is_owner(owned):
             return
-        self._apply(owned, owned.pool.decide())
+        self.granting.apply(owned, owned.pool.decide())
         granted, waiting = owned.pool.granted, owned.pool.waiting
         for request_id, asked in list(owned.asked.items()):
             known = request_id in granted or request_id in waiting
             if not known and request_id not in owned.parked:
                 # The pool ended a grant that no entry gave back.
-                self._forget(owned, asked, CANCELLED, '')
+                self.granting.forget(owned, asked, CANCELLED, '')
         for asked in list(owned.parked.values()):
-            self._admit(owned, asked)
-
-    def _apply(
-        self,
-        owned: owned_pools.OwnedPool,
-        decisions: tuple[requests.Decision, ...],
-    ) -> None:
-        for decision in decisions:
-            asked = owned.asked[decision.request_id]
-            if isinstance(decision, requests.Refusal):
-                self._forget(owned, asked, CANCELLED, '')
-                self._refuse(
-                    asked.peer, owned.name, asked.wish, decision.reason
-                )
-                continue
-            message = slot_messages.SlotGrant(
-                owned.name, decision.request_id, decision.instance
-            )
-            if not self.switch.send(asked.peer, message):
-                self._release(owned, decision.request_id, CANCELLED, None)
+            self.granting.admit(owned, asked)
 
     def _on_message(self, received: peer_hub.Received) -> None:
         handler = _HANDLERS.get(type(received.message))
@@ -231,32 +215,17 @@
         )
         reported = owned.reported.get(received.peer)
         if not self._is_owner(owned) or reported != received.incarnation:
-            self._refuse(received.peer, owned.name, wish, Reason.NOT_OWNER)
+            self.granting.refuse(
+                received.peer, owned.name, wish, Reason.NOT_OWNER
+            )
         elif wish.request_class not in owned.pool.classes:
-            self._refuse(received.peer, owned.name, wish, Reason.NO_INSTANCE)
+            self.granting.refuse(
+                received.peer, owned.name, wish, Reason.NO_INSTANCE
+            )
         elif wish.request_id not in owned.asked:
             asked = owned_pools.Asked(received.peer, wish)
             owned.asked[wish.request_id] = asked
-            self._admit(owned, asked)
-
-    def _admit(
-        self, owned: owned_pools.OwnedPool, asked: owned_pools.Asked
-    ) -> None:
-        wish = asked.wish
-        admission = self.suspects.quarantine.admit(
-            wish.fingerprint, wish.request_id, owned.repeatable
-        )
-        owned.parked.pop(wish.request_id, None)
-        if admission is quarantines.Admission.RUN:
-            self._apply(owned, owned.pool.request(wish))
-        elif admission is quarantines.Admission.REFUSE:
-            self._drop(owned, asked)
-            self._refuse(asked.peer, owned.name, wish, Reason.QUARANTINED)
-        elif wish.deadline <= self.clock.monotonic():
-            self._drop(owned, asked)
-            self._refuse(asked.peer, owned.name, wish, Reason.DEADLINE)
-        else:
-            owned.parked[wish.request_id] = asked
+            self.granting.admit(owned, asked)
 
     def _on_cancel(
         self,
@@ -264,11 +233,12 @@
         received: peer_hub.Received,
         message: slot_messages.SlotCancel,
     ) -> None:
+        self._is_owner(owned)
         asked = owned.asked.get(message.request_id)
         if message.request_id in owned.pool.granted:
-            self._release(owned, message.request_id, CANCELLED, None)
+            self.granting.release(owned, message.request_id, CANCELLED, None)
         elif asked is not None:
-            self._drop(owned, asked)
+            self.granting.drop(owned, asked)
 
     def _on_release(
         self,
@@ -276,8 +246,11 @@
         received: peer_hub.Received,
         message: slot_messages.SlotRelease,
     ) -> None:
+        self._is_owner(owned)
         outcome = requests.ReleaseOutcome(message.outcome)
-        self._release(owned, message.request_id, outcome, message.seconds)
+        self.granting.release(
+            owned, message.request_id, outcome, message.seconds
+        )
 
     def _on_held(
         self,
@@ -292,89 +265,14 @@
         held = {slot.request_id for slot in message.held}
         for request_id, run in list(owned.pool.granted.items()):
             if run.grant.holder == holder and request_id not in held:
-                self._release(owned, request_id, CANCELLED, None)
+                self.granting.release(owned, request_id, CANCELLED, None)
         grants = [
-            self._adopt(owned, received, slot)
+            self.granting.adopt(owned, received, slot)
             for slot in message.held
             if slot.instance in owned.pool.instances
         ]
         owned.reported[received.peer] = holder
-        self._apply(owned, owned.pool.report_held(holder, grants))
-
-    def _adopt(
-        self,
-        owned: owned_pools.OwnedPool,
-        received: peer_hub.Received,
-        slot: slot_messages.HeldSlot,
-    ) -> requests.Grant:
-        """Return the grant of a held slot and follow its request."""
-        wish = requests.SlotRequest(
-            slot.request_id,
-            received.incarnation,
-            slot.request_class,
-            self.clock.monotonic() + slot.remaining_s,
-            slot.fingerprint or slot.request_id,
-        )
-        if slot.request_id not in owned.asked:
-            owned.asked[slot.request_id] = owned_pools.Asked(
-                received.peer, wish
-            )
-            self.suspects.quarantine.adopt(
-                wish.fingerprint, wish.request_id, owned.repeatable
-            )
-        return requests.Grant(
-            wish.request_id,
-            wish.holder,
-            slot.instance,
-            wish.request_class,
-            wish.deadline,
-        )
-
-    def _release(
-        self,
-        owned: owned_pools.OwnedPool,
-        request_id: str,
-        outcome: requests.ReleaseOutcome,
-        seconds: float | None,
-    ) -> None:
-        run = owned.pool.granted.get(request_id)
-        if run is None:
-            return
-        self._is_owner(owned)
-        asked = owned.asked.get(request_id)
-        if asked is not None:
-            self._forget(owned, asked, outcome, run.grant.instance)
-        self._apply(owned, owned.pool.release(request_id, outcome, seconds))
-
-    def _forget(
-        self,
-        owned: owned_pools.OwnedPool,
-        asked: owned_pools.Asked,
-        outcome: requests.ReleaseOutcome,
-        instance: str,
-    ) -> None:
-        wish = asked.wish
-        owned.asked.pop(wish.request_id, None)
-        news = self.suspects.quarantine.finish(
-            wish.fingerprint, wish.request_id, instance, outcome
-        )
-        if news is not None:
-            self.suspects.publish(news)
-
-    def _drop(
-        self, owned: owned_pools.OwnedPool, asked: owned_pools.Asked
-    ) -> None:
-        owned.pool.cancel(asked.wish.request_id)
-        owned.parked.pop(asked.wish.request_id, None)
-        self._forget(owned, asked, CANCELLED, '')
-
-    def _refuse(
-        self, peer: str, pool: str, wish: requests.SlotRequest, reason: Reason
-    ) -> None:
-        message = slot_messages.SlotRefusal(
-            pool, wish.request_id, reason.value
-        )
-        self.switch.send(peer, message)
+        self.granting.apply(owned, owned.pool.report_held(holder, grants))
 
     def _on_change(self, change: peer_hub.PeerChange) -> None:
         """Drop what a peer waits for; its grants stay in use."""
@@ -382,7 +280,7 @@
         for owned in self.pools.values():
             owned.reported.pop(change.peer, None)
             for asked in owned.undecided(change.peer):
-                self._drop(owned, asked)
+                self.granting.drop(owned, asked)
             if change.connected and self._is_owner(owned):
                 self.switch.send(
                     change.peer,
--- a/packages/entry/bulrushcourse_entry/slots/shared.py
+++ b/packages/entry/bulrushcourse_entry/slots/shared.py
@@ -10,6 +10,7 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.peers import hub as peer_hub
+from bulrushcourse_entry.slots import asking
 from bulrushcourse_entry.slots import keeper
 from bulrushcourse_entry.slots import switch
 from bulrushcourse_wire import slot_messages
@@ -24,51 +25,6 @@
 )
 
 
-@attrs.frozen(eq=False)
-class Session:
-    """The ownership of a pool that its owner announced on a stream.
-
-    Attributes:
-        peer: Name of the owner.
-        incarnation: Incarnation of the owner.
-    """
-
-    peer: str
-    incarnation: str
-
-
-@attrs.define(eq=False)
-class Ask:
-    """A request that the owner has not decided.
-
-    Attributes:
-        pool: Name of the pool.
-        session: Ownership that was asked.
-        wish: The request.
-        decided: Set to the decision, or to ``None`` if the ownership ended.
-    """
-
-    pool: str
-    session: Session
-    wish: requests.SlotRequest
-    decided: asyncio.Future
-
-
-@attrs.frozen
-class HeldGrant:
-    """A grant in use.
-
-    Attributes:
-        pool: Name of the pool.
-        grant: The grant.
-        fingerprint: Hash of the request's content.
-    """
-
-    pool: str
-    grant: requests.Grant
-    fingerprint: str
-
-
 @attrs.define(eq=False)
 class SharedSlots:
     """Asks the owner of a pool for slots.
@@ -89,9 +45,9 @@
 
     clock: clocks.Clock
     switch: switch.Switch
-    sessions: dict[str, Session] = attrs.field(factory=dict)
-    asks: dict[str, Ask] = attrs.field(factory=dict)
-    held: dict[str, HeldGrant] = attrs.field(factory=dict)
+    sessions: dict[str, asking.Session] = attrs.field(factory=dict)
+    asks: dict[str, asking.Ask] = attrs.field(factory=dict)
+    held: dict[str, asking.HeldGrant] = attrs.field(factory=dict)
     waiters: dict[str, set[asyncio.Future]] = attrs.field(factory=dict)
 
     def start(self) -> None:
@@ -186,7 +142,7 @@
             await asyncio.sleep(REPEAT_DELAY_S)
         raise AssertionError('unreachable')
 
-    async def _session(self, pool: str) -> Session:
+    async def _session(self, pool: str) -> asking.Session:
         while pool not in self.sessions:
             waiter = asyncio.get_running_loop().create_future()
             waiting = self.waiters.setdefault(pool, set())
@@ -198,10 +154,10 @@
         return self.sessions[pool]
 
     async def _ask(
-        self, pool: str, session: Session, wish: requests.SlotRequest
+        self, pool: str, session: asking.Session, wish: requests.SlotRequest
     ) -> requests.Decision | None:
         decided = asyncio.get_running_loop().create_future()
-        ask = Ask(pool, session, wish, decided)
+        ask = asking.Ask(pool, session, wish, decided)
         self.asks[wish.request_id] = ask
         try:
             self.switch.send(
@@ -236,7 +192,7 @@
     def _on_wanted(
         self, received: peer_hub.Received, message: slot_messages.SlotsWanted
     ) -> None:
-        self.sessions[message.pool] = Session(
+        self.sessions[message.pool] = asking.Session(
             received.peer, received.incarnation
         )
         for ask in list(self.asks.values()):
@@ -266,7 +222,7 @@
             wish.request_class,
             wish.deadline,
         )
-        self.held[wish.request_id] = HeldGrant(
+        self.held[wish.request_id] = asking.HeldGrant(
             message.pool, grant, wish.fingerprint
         )
         ask.decided.set_result(grant)
@@ -290,7 +246,7 @@
 
     def _ask_of(
         self, received: peer_hub.Received, request_id: str
-    ) -> Ask | None:
+    ) -> asking.Ask | None:
         ask = self.asks.get(request_id)
         if ask is None or ask.decided.done():
             return None
@@ -311,7 +267,7 @@
             if held.pool == pool
         )
 
-    def _void(self, ask: Ask) -> None:
+    def _void(self, ask: asking.Ask) -> None:
         if not ask.decided.done():
             ask.decided.set_result(None)
 
--- a/packages/entry/bulrushcourse_entry/slots/steering.py
+++ b/packages/entry/bulrushcourse_entry/slots/steering.py
@@ -12,6 +12,7 @@
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
+from bulrushcourse_entry.slots import granting as grants
 from bulrushcourse_entry.slots import keeper as keepers
 from bulrushcourse_entry.slots import server as servers
 from bulrushcourse_entry.slots import shared
@@ -122,7 +123,8 @@
     )
     switch = switches.Switch(hub)
     suspects = suspect_news.Suspects(clock, hub, table)
-    server = servers.PoolServer(clock, keeper, switch, suspects)
+    granting = grants.Granting(clock, switch, suspects)
+    server = servers.PoolServer(clock, keeper, switch, granting)
     return SlotSteering(
         keeper, suspects, server, shared.SharedSlots(clock, switch)
     )
--- a/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
@@ -11,6 +11,7 @@
 from bulrushcourse_domain.slots import ownership
 from bulrushcourse_domain.slots import pool as slot_pool
 from bulrushcourse_domain.slots import region_members
+from bulrushcourse_entry.slots import granting as grants
 from bulrushcourse_entry.slots import owned as owned_pools
 from bulrushcourse_entry.slots import server as servers
 from bulrushcourse_entry.slots.tests import fakes
@@ -37,8 +38,9 @@
             quarantine=quarantine.Quarantine(self.clock),
             publish=self.news.append,
         )
+        granting = grants.Granting(self.clock, self.switch, suspects)
         self.server = servers.PoolServer(
-            self.clock, keeper, self.switch, suspects
+            self.clock, keeper, self.switch, granting
         )
         pool = slot_pool.SlotPool(self.clock, {'short': SHORT})
         pool.set_instances({'i': 1})
