--- a/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
@@ -320,3 +320,10 @@
     for number in range(3):
         pool.request(wish(f'l{number}', 'long', 60.0))
     assert len(pool.granted) == 2
+
+
+def test_request_that_was_sent_again_gets_no_second_slot():
+    _, pool = make_pool({'a': 2})
+    pool.request(wish('r'))
+    assert pool.request(wish('r')) == ()
+    assert len(pool.instances['a'].held) == 1
