Hedge idempotent calls in the forwarding path

Change: the forwarder races a second copy that the pool's owner allows, within the budget that retries share; the loser is cancelled and its slot given back. Conclusion: wired; the gain with real processes is not measured yet.

--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -12,7 +12,9 @@
 from bulrushcourse_domain.retries import budget as retry_budget
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import events
+from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import failures
+from bulrushcourse_entry.callers import hedging
 from bulrushcourse_entry.callers import problems
 from bulrushcourse_entry.callers import reading
 from bulrushcourse_entry.slots import source
@@ -50,54 +52,6 @@
         ...
 
 
-@attrs.frozen
-class HeldSlot:
-    """A granted slot.
-
-    Attributes:
-        region: Region of the instance.
-        instance: Name of the instance.
-        finish: Gives the slot back; called once with how the work ended.
-    """
-
-    region: str
-    instance: str
-    finish: typing.Callable[[requests.ReleaseOutcome], None]
-
-
-@attrs.define
-class Exchange:
-    """An answer under way, with the slot that it holds.
-
-    Attributes:
-        answer: Answer whose beginning has arrived.
-        finish: Gives the slot back; called once with how the work ended.
-        remaining_s: Returns the seconds until the deadline, after which the
-            slot is granted to other work.
-    """
-
-    answer: client.UpstreamAnswer
-    finish: typing.Callable[[requests.ReleaseOutcome], None]
-    remaining_s: typing.Callable[[], float]
-
-
-@attrs.define
-class Attempt:
-    """What one attempt led to.
-
-    Attributes:
-        exchange: Set if the instance answered.
-        failure: Set if it did not.
-        instance: Name of the instance, empty if no slot was granted.
-        refusal: Set if no slot was granted.
-    """
-
-    exchange: Exchange | None = None
-    failure: client.Failure | None = None
-    instance: str = ''
-    refusal: requests.Refusal | None = None
-
-
 @attrs.define
 class Forwarder:
     """Runs calls on upstream instances.
@@ -112,6 +66,7 @@
         priorities: Priority of each request class.
         instances: Instances of the configuration in force, by name.
         budgets: Budget for repeated work by service.
+        hedger: Sends second copies of calls that take long.
     """
 
     entry: str
@@ -126,6 +81,11 @@
         factory=lambda: collections.defaultdict(retry_budget.RetryBudget)
     )
 
+    hedger: hedging.Hedger = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.hedger = hedging.Hedger(self)
+
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
@@ -146,14 +106,14 @@
 
     async def forward(
         self, call: reading.Call
-    ) -> result.Result[Exchange, problems.Problem]:
+    ) -> result.Result[attempts.Exchange, problems.Problem]:
         """Run a call and return its answer, or why there is none.
 
         Args:
             call: The caller's request.
         """
         avoid: tuple[str, ...] = ()
-        reported = Attempt()
+        reported = attempts.Attempt()
         budget = self.budgets[call.service.name]
         budget.count_primary()
         for number in range(MAX_ATTEMPTS):
@@ -179,7 +139,7 @@
 
     async def attempt(
         self, call: reading.Call, number: int, avoid: tuple[str, ...]
-    ) -> Attempt:
+    ) -> attempts.Attempt:
         """Get a slot and send the call once.
 
         Args:
@@ -189,18 +149,24 @@
         """
         held = await self.acquire(call, number, avoid)
         if isinstance(held, result.Failure):
-            return Attempt(refusal=held.failure())
-        return await self.send(call, held.unwrap())
+            return attempts.Attempt(refusal=held.failure())
+        budget = self.budgets[call.service.name]
+        return await self.hedger.send(call, held.unwrap(), budget)
 
     async def acquire(
-        self, call: reading.Call, number: int, avoid: tuple[str, ...]
-    ) -> result.Result[HeldSlot, requests.Refusal]:
+        self,
+        call: reading.Call,
+        number: int,
+        avoid: tuple[str, ...],
+        hedged: str = '',
+    ) -> result.Result[attempts.HeldSlot, requests.Refusal]:
         """Get a slot for one attempt.
 
         Args:
             call: The caller's request.
             number: How many attempts there were before.
             avoid: Instances that failed this call.
+            hedged: For a second copy, the instance of the first.
         """
         region = self.regions.choose(call.service.name, call.request_class)
         wish = requests.SlotRequest(
@@ -210,6 +176,7 @@
             call.deadline,
             call.fingerprint,
             avoid,
+            hedged,
         )
         if region is None:
             reason = requests.RefusalReason.NO_INSTANCE
@@ -218,14 +185,16 @@
             )
         granted = await self.slots.acquire(call.service.name, region, wish)
         return granted.map(
-            lambda grant: HeldSlot(
+            lambda grant: attempts.HeldSlot(
                 region,
                 grant.instance,
-                self._finisher(call.service.name, region, grant),
+                self._finisher(call, region, grant),
             )
         )
 
-    async def send(self, call: reading.Call, held: HeldSlot) -> Attempt:
+    async def send(
+        self, call: reading.Call, held: attempts.HeldSlot
+    ) -> attempts.Attempt:
         """Send the call to the instance of a slot.
 
         Args:
@@ -242,14 +211,18 @@
             raise
         if not admitted:
             finish(failures.RELEASE_OUTCOMES[client.Failure.NO_SHARE])
-            return Attempt(failure=client.Failure.NO_SHARE, instance=instance)
+            return attempts.Attempt(
+                failure=client.Failure.NO_SHARE, instance=instance
+            )
         remaining = call.deadline - self.clock.monotonic()
         known = self.instances.get(instance)
         if remaining <= 0 or known is None:
             # The grant came while this entry was paused, or it is for an
             # instance that this entry's configuration does not have.
             finish(requests.ReleaseOutcome.CANCELLED)
-            return Attempt(failure=client.Failure.NOT_SENT, instance=instance)
+            return attempts.Attempt(
+                failure=client.Failure.NOT_SENT, instance=instance
+            )
         request = client.UpstreamRequest(
             call.method,
             call.path,
@@ -275,21 +248,24 @@
                 instance=instance,
                 failure=failure.value,
             )
-            return Attempt(failure=failure, instance=instance)
-        exchange = Exchange(
+            return attempts.Attempt(failure=failure, instance=instance)
+        exchange = attempts.Exchange(
             sent.unwrap(),
             finish,
             lambda: call.deadline - self.clock.monotonic(),
         )
-        return Attempt(exchange, instance=instance)
+        return attempts.Attempt(exchange, instance=instance)
 
     def _finisher(
-        self, service: str, region: str, grant: requests.Grant
+        self, call: reading.Call, region: str, grant: requests.Grant
     ) -> typing.Callable[[requests.ReleaseOutcome], None]:
         started = self.clock.monotonic()
+        service = call.service.name
 
         def finish(outcome: requests.ReleaseOutcome) -> None:
             time_s = self.clock.monotonic() - started
+            if outcome is requests.ReleaseOutcome.DONE:
+                self.hedger.observe(call, time_s)
             self.finishes.finished(service, region, outcome, time_s)
             self.slots.release(
                 service, region, grant.request_id, outcome, time_s
--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -13,6 +13,7 @@
 from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import metrics as entry_metrics
+from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import problems
 from bulrushcourse_entry.callers import reading
@@ -144,7 +145,7 @@
 
 
 async def relay(
-    request: web.Request, exchange: forwarding.Exchange
+    request: web.Request, exchange: attempts.Exchange
 ) -> web.StreamResponse:
     """Pass an answer on to the caller.
 
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
@@ -0,0 +1,109 @@
+"""Guards against hedges that leak slots, lose answers or run unsafe work."""
+
+import asyncio
+
+import attrs
+import pytest
+from returns import result
+
+from bulrushcourse_domain.configuration import objects
+from bulrushcourse_domain.retries import budget as retry_budget
+from bulrushcourse_domain.retries import hedging as hedge_policy
+from bulrushcourse_domain.slots import requests
+from bulrushcourse_entry.callers import attempts
+from bulrushcourse_entry.callers import hedging
+from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.upstreams import client
+
+CANCELLED = requests.ReleaseOutcome.CANCELLED
+
+
+class Answer:
+    closed = False
+
+    def close(self):
+        self.closed = True
+
+
+@attrs.define(eq=False)
+class Sender:
+    """Copies that answer, fail or wait as their instance says."""
+
+    endings: list = attrs.field(factory=list)
+    sent: list = attrs.field(factory=list)
+    release: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def acquire(self, call, number, avoid, hedged=''):
+        assert avoid == (hedged,)
+        return result.Success(self.hold('second'))
+
+    def hold(self, instance):
+        def finish(outcome):
+            self.endings.append((instance, outcome))
+
+        return attempts.HeldSlot('r', instance, finish)
+
+    async def send(self, call, held):
+        self.sent.append(held.instance)
+        try:
+            if held.instance == 'hangs':
+                await self.release.wait()
+        except asyncio.CancelledError:
+            held.finish(CANCELLED)
+            raise
+        if held.instance == 'fails':
+            return attempts.Attempt(failure=client.Failure.LOST)
+        answer = attempts.Exchange(Answer(), held.finish, lambda: 1.0)
+        return attempts.Attempt(answer, instance=held.instance)
+
+
+def make_call(idempotent=True):
+    service = objects.Service('s', 'pool', 'short', idempotent)
+    pool = objects.Pool('pool', 1, 10, ())
+    return reading.Call(
+        'r', service, pool, 'short', 5.0, 'GET', '/', {}, b'', None, '', ''
+    )
+
+
+def race(instance, call, saved=5.0):
+    async def run():
+        sender = Sender()
+        hedger = hedging.Hedger(sender)
+        policy = hedge_policy.HedgePolicy()
+        for _ in range(hedge_policy.MIN_SAMPLES):
+            policy.observe('short', 0.001)
+        hedger.policies['s'] = policy
+        budget = retry_budget.RetryBudget(saved=saved)
+        sending = asyncio.create_task(
+            hedger.send(call, sender.hold(instance), budget)
+        )
+        await asyncio.wait({sending}, timeout=0.5)
+        sender.release.set()
+        attempt = await sending
+        for _ in range(3):
+            await asyncio.sleep(0)
+        return sender, attempt
+
+    return asyncio.run(run())
+
+
+def test_second_copy_answers_for_a_first_one_that_hangs():
+    sender, attempt = race('hangs', make_call())
+    assert attempt.instance == 'second'
+    assert not attempt.exchange.answer.closed
+    assert sender.endings == [('hangs', CANCELLED)]
+
+
+@pytest.mark.parametrize(
+    ('instance', 'call', 'saved'),
+    [
+        ('answers', make_call(), 5.0),
+        ('hangs', make_call(idempotent=False), 5.0),
+        ('hangs', make_call(), 0.0),
+        ('fails', make_call(), 5.0),
+    ],
+)
+def test_no_second_copy_without_cause_right_or_budget(instance, call, saved):
+    sender, attempt = race(instance, call, saved)
+    assert sender.sent == [instance]
+    assert (attempt.failure is None) == (instance != 'fails')
--- a/packages/entry/bulrushcourse_entry/claims/upstream.py
+++ b/packages/entry/bulrushcourse_entry/claims/upstream.py
@@ -9,6 +9,7 @@
 
 from bulrushcourse_domain.claims import outcomes
 from bulrushcourse_domain.slots import requests
+from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import reading
 from bulrushcourse_entry.claims import dispatch
@@ -42,7 +43,7 @@
 
     forwarder: forwarding.Forwarder
     call: reading.Call
-    held: forwarding.HeldSlot
+    held: attempts.HeldSlot
     deadline: float
 
     @property
--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -212,6 +212,7 @@
             self.clock.monotonic() + message.remaining_s,
             message.fingerprint or message.request_id,
             tuple(message.avoid),
+            message.hedged,
         )
         reported = owned.reported.get(received.peer)
         if not self._is_owner(owned) or reported != received.incarnation:
--- a/packages/entry/bulrushcourse_entry/slots/shared.py
+++ b/packages/entry/bulrushcourse_entry/slots/shared.py
@@ -169,6 +169,7 @@
                     wish.deadline - self.clock.monotonic(),
                     wish.fingerprint,
                     wish.avoid,
+                    wish.hedged,
                 ),
             )
             return await decided
--- a/packages/wire/bulrushcourse_wire/slot_messages.py
+++ b/packages/wire/bulrushcourse_wire/slot_messages.py
@@ -20,6 +20,7 @@
         remaining_s: Seconds until the deadline.
         fingerprint: Hash of the request's content.
         avoid: Instances that already failed the request.
+        hedged: For a second copy, the instance that runs the first.
     """
 
     pool: str
@@ -28,6 +29,7 @@
     remaining_s: float
     fingerprint: str = ''
     avoid: tuple[str, ...] = ()
+    hedged: str = ''
 
 
 @messages.message('slot_cancel')
