Drain the instances of a failure domain by its plan

Cause: bulrushctl drain of a failure domain published a plan that nothing followed; only drains of regions were. Change: from the plan's start its instances count as leaving at each pool's owner, until the plan is taken back. Conclusion: the drain's first sign reaches owners with the configuration.

--- a/packages/entry/bulrushcourse_entry/health/watch.py
+++ b/packages/entry/bulrushcourse_entry/health/watch.py
@@ -12,8 +12,10 @@
 import aiohttp
 import attrs
 
+from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
+from bulrushcourse_domain.routing import drains
 from bulrushcourse_domain.slots import rendezvous
 from bulrushcourse_entry import events
 from bulrushcourse_entry.peers import hub as peer_hub
@@ -40,6 +42,7 @@
     """Watches the instances of this entry's region.
 
     Attributes:
+        clock: Source of time.
         region: Region of this entry.
         session: HTTP session for probes.
         hub: Streams to peers.
@@ -48,9 +51,13 @@
             included.
         instances: The region's instances by name.
         tasks: One task by name of instance.
-        leaving: Instances that are leaving, as far as this entry knows.
+        leaving: Instances that said they are leaving, as far as this entry
+            knows.
+        drained: Instances that a plan in force drains.
+        configuration: Configuration in force.
     """
 
+    clock: clocks.Clock
     region: str
     session: aiohttp.ClientSession
     hub: peer_hub.PeerHub
@@ -59,6 +66,8 @@
     instances: dict[str, objects.Instance] = attrs.field(factory=dict)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
     leaving: set[str] = attrs.field(factory=set)
+    drained: frozenset[str] = frozenset()
+    configuration: configuration_set.ConfigurationSet | None = None
 
     def start(self) -> None:
         """Follow the signs that peers send."""
@@ -73,6 +82,7 @@
         Args:
             configuration: The configuration that is now in force.
         """
+        self.configuration = configuration
         self.instances = {
             instance.name: instance
             for pool in configuration.objects.pools
@@ -85,11 +95,13 @@
             for instance in pool.instances
         }
         self.reassign()
+        self.apply_drains()
 
     async def run(self) -> None:
-        """Share the watching anew as entries come and go, until cancelled."""
+        """Follow entries that come and go, and drains that start."""
         while True:
             self.reassign()
+            self.apply_drains()
             await asyncio.sleep(REASSIGN_INTERVAL_S)
 
     def reassign(self) -> None:
@@ -108,6 +120,18 @@
                 self._watch(wanted[name]), name=f'watch {name}'
             )
 
+    def apply_drains(self) -> None:
+        """Sign instances whose planned drain started or was taken back."""
+        if self.configuration is None:
+            return
+        drained = drains.drained_instances(
+            self.configuration, self.clock.wall()
+        )
+        changed = drained ^ self.drained
+        self.drained = drained
+        for name in sorted(changed - self.leaving):
+            self.signs.sign_leaving(name, name in drained)
+
     async def stop(self) -> None:
         """End all tasks."""
         for task in self.tasks.values():
@@ -119,6 +143,7 @@
         return {
             'watched': sorted(self.tasks),
             'leaving': sorted(self.leaving),
+            'drained': sorted(self.drained),
         }
 
     async def _watch(self, instance: objects.Instance) -> None:
@@ -154,7 +179,8 @@
             self.leaving.add(name)
         else:
             self.leaving.discard(name)
-        self.signs.sign_leaving(name, leaving)
+        if name not in self.drained:
+            self.signs.sign_leaving(name, leaving)
         if own:
             event = SIGN_EVENTS[leaving]
             events.emit(event, instance=name)
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -165,6 +165,7 @@
         )
         self._build_request_path(session)
         self.health = watch.HealthWatch(
+            self.clock,
             settings.region,
             session,
             self.hub,
