--- a/packages/entry/bulrushcourse_entry/configuration/store.py
+++ b/packages/entry/bulrushcourse_entry/configuration/store.py
@@ -42,12 +42,16 @@
         """Return the newest publication.
 
         Raises:
-            TableUnavailable: If there was no answer.
+            TableUnavailable: If there was no answer, or none that can be
+                understood.
         """
         row = await self.table.get(CURRENT_ROW)
         if row is None:
             return StoredCurrent(0, None, 0)
-        return StoredCurrent(row.version, _parse(row), row.value['version'])
+        version = _version(row)
+        if not version:
+            raise platform_table.TableUnavailable(f'{CURRENT_ROW}: malformed')
+        return StoredCurrent(row.version, _parse(row), version)
 
     async def read_history(
         self, version: int
@@ -82,6 +86,12 @@
         )
 
 
+def _version(row: platform_table.Row) -> int:
+    """Return the version in a row, 0 if the row is malformed."""
+    found = row.value.get('version') if isinstance(row.value, dict) else None
+    return found if isinstance(found, int) else 0
+
+
 def _parse(
     row: platform_table.Row,
 ) -> publication.Publication | None:
@@ -89,7 +99,7 @@
     if isinstance(parsed, result.Failure):
         events.emit(
             events.Event.CONFIGURATION_REFUSED,
-            version=row.value['version'],
+            version=_version(row),
             findings=[str(found) for found in parsed.failure()],
         )
         return None
--- a/packages/wire/bulrushcourse_wire/publications.py
+++ b/packages/wire/bulrushcourse_wire/publications.py
@@ -51,22 +51,32 @@
 
 
 def parse_publication(
-    value: dict[str, typing.Any],
+    value: typing.Any,
 ) -> result.Result[publication.Publication, tuple[findings.Finding, ...]]:
     """Return the publication in a row, or all findings against its form.
 
     Args:
         value: Value of the row; only version and document are required.
+
+    Examples:
+        >>> parse_publication({'version': 1}).failure()[0].code
+        'row'
     """
-    return documents.parse_document(value['document'], objects.Objects).map(
+    try:
+        version, document = int(value['version']), str(value['document'])
+        published_at = datetime.datetime.fromisoformat(
+            value.get('published_at', EPOCH.isoformat())
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        found = findings.Finding('row', 'row', repr(error), 'a publication')
+        return result.Failure((found,))
+    return documents.parse_document(document, objects.Objects).map(
         lambda parsed: publication.Publication(
-            value['version'],
-            value.get('publish_id', ''),
-            value.get('operator', ''),
-            value.get('note', ''),
-            datetime.datetime.fromisoformat(
-                value.get('published_at', EPOCH.isoformat())
-            ),
+            version,
+            str(value.get('publish_id', '')),
+            str(value.get('operator', '')),
+            str(value.get('note', '')),
+            published_at,
             parsed,
         )
     )
