--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import enum
 import secrets
-import signal
 import typing
 
 import aiohttp
@@ -18,6 +17,7 @@
 from bulrushcourse_entry import metrics as entry_metrics
 from bulrushcourse_entry import reporting
 from bulrushcourse_entry import settings as entry_settings
+from bulrushcourse_entry import stopping
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import listener as callers_listener
 from bulrushcourse_entry.claims import assembly
@@ -38,9 +38,6 @@
 from bulrushcourse_wire import messages
 
 CONNECTIONS_PER_INSTANCE = 32
-# An answer given just before the shutdown started may reach its caller late,
-# and the caller's cache lifetime starts only then.
-ANSWER_TRAVEL_LIMIT_S = 1.0
 
 
 class State(enum.Enum):
@@ -61,8 +58,7 @@
         state: Whether it is starting, serving or leaving.
         drained: Whether an operator took it out of look-up answers.
         held: Configuration in force.
-        stop_wanted: Set by the first SIGTERM.
-        stop_forced: Set by the second SIGTERM.
+        stop: Signals that end the process.
     """
 
     settings: entry_settings.Settings
@@ -72,8 +68,7 @@
     held: in_force.ConfigurationInForce = attrs.field(
         factory=in_force.ConfigurationInForce
     )
-    stop_wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
-    stop_forced: asyncio.Event = attrs.field(factory=asyncio.Event)
+    stop: stopping.StopSignals = attrs.field(factory=stopping.StopSignals)
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     runners: list[web.AppRunner] = attrs.field(factory=list)
     metrics: entry_metrics.Metrics = attrs.field(init=False)
@@ -93,11 +88,11 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
-        self._handle_signals()
+        self.stop.install()
         async with aiohttp.ClientSession() as session:
             self._build(session)
             await self._start()
-            await self.stop_wanted.wait()
+            await self.stop.wanted.wait()
             await self._drain()
             await self._stop()
 
@@ -126,16 +121,6 @@
             'store_reachable': self.table.reachable,
         }
 
-    def _handle_signals(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._on_signal)
-
-    def _on_signal(self) -> None:
-        if self.stop_wanted.is_set():
-            self.stop_forced.set()
-        self.stop_wanted.set()
-
     def _build(self, session: aiohttp.ClientSession) -> None:
         settings = self.settings
         self.metrics = entry_metrics.open_metrics(
@@ -301,35 +286,18 @@
         )
 
     async def _drain(self) -> None:
-        """Serve until look-up answers have expired and all work is done."""
+        """Leave look-up answers and serve until all work is done."""
         self.state = State.LEAVING
-        self.callers.leaving = True
         self.members.sweep()
-        events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
         self.hub.broadcast(self.heartbeat())
-        limit = self.settings.stop_limit_s
-        try:
-            async with asyncio.timeout(limit):
-                forced = asyncio.create_task(self.stop_forced.wait())
-                idle = asyncio.create_task(self._wait_until_idle())
-                await asyncio.wait(
-                    (forced, idle), return_when=asyncio.FIRST_COMPLETED
-                )
-        except TimeoutError:
-            pass
-        if self.callers.in_flight:
-            events.emit(
-                events.Event.STOP_FORCED, in_flight=self.callers.in_flight
-            )
-
-    async def _wait_until_idle(self) -> None:
-        wait_s = self.settings.answer_max_age_s + ANSWER_TRAVEL_LIMIT_S
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.slots.leave())
-            group.create_task(asyncio.sleep(wait_s))
-        await self.callers.idle.wait()
-        # Runs whose callers have left, and outcomes not yet recorded.
-        await self.claims.drain()
+        drain = stopping.GracefulDrain(
+            self.callers,
+            self.slots,
+            self.claims,
+            self.settings.answer_max_age_s,
+            self.settings.stop_limit_s,
+        )
+        await drain.run(self.stop.forced)
 
     async def _stop(self) -> None:
         for runner in reversed(self.runners):
--- a/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
@@ -227,3 +227,21 @@
     before = await arrivals()
     await asyncio.gather(*loads)
     assert await arrivals() == before
+
+
+@with_cluster
+async def test_a_second_signal_ends_a_shutdown_that_waits(cluster):
+    """Guards against an entry that cannot be stopped while work hangs."""
+    await cluster.set_upstream('all', hang=True)
+    call = asyncio.create_task(get(cluster, '/v1/services/artwork/hangs'))
+    await asyncio.sleep(0.5)
+    process = cluster.processes[ENTRY]
+    process.signal(signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    assert process.process.returncode is None
+    process.signal(signal.SIGTERM)
+    # Far below the stop limit and the request's deadline, 60 s each.
+    assert await asyncio.wait_for(process.wait(), 20) == 0
+    assert 'E1005' in process.log.read_text()
+    with pytest.raises(aiohttp.ClientError):
+        await call
