--- a/packages/entry/bulrushcourse_entry/health/watch.py
+++ b/packages/entry/bulrushcourse_entry/health/watch.py
@@ -47,13 +47,15 @@
         session: HTTP session for probes.
         hub: Streams to peers.
         signs: Receiver of signs of all entries.
+        listed_leaving: Returns the instances whose VMs are leaving, by the
+            platform's list.
         region_entries: Returns the serving entries of the region, this one
             included.
         instances: The region's instances by name.
         tasks: One task by name of instance.
         leaving: Instances that said they are leaving, as far as this entry
             knows.
-        drained: Instances that a plan in force drains.
+        drained: Instances that a plan in force drains or whose VMs leave.
         configuration: Configuration in force.
     """
 
@@ -62,6 +64,7 @@
     session: aiohttp.ClientSession
     hub: peer_hub.PeerHub
     signs: LeavingSigns
+    listed_leaving: typing.Callable[[], frozenset[str]]
     region_entries: typing.Callable[[], typing.Iterable[str]]
     instances: dict[str, objects.Instance] = attrs.field(factory=dict)
     tasks: dict[str, asyncio.Task] = attrs.field(factory=dict)
@@ -121,10 +124,10 @@
             )
 
     def apply_drains(self) -> None:
-        """Sign instances whose planned drain started or was taken back."""
+        """Sign instances whose drain or leaving began or was taken back."""
         if self.configuration is None:
             return
-        drained = drains.drained_instances(
+        drained = self.listed_leaving() | drains.drained_instances(
             self.configuration, self.clock.wall()
         )
         changed = drained ^ self.drained
--- a/packages/entry/bulrushcourse_entry/platform/vm_list.py
+++ b/packages/entry/bulrushcourse_entry/platform/vm_list.py
@@ -19,6 +19,7 @@
         peer_address: ``ip:port`` of its peer listener.
         failure_domain: Where it runs.
         state: ``live`` or ``leaving``.
+        instance: Name of the upstream instance, empty for an entry VM.
     """
 
     vm_id: str
@@ -26,6 +27,7 @@
     peer_address: str
     failure_domain: str
     state: str
+    instance: str = ''
 
 
 class VmList(typing.Protocol):
@@ -43,18 +45,25 @@
     Attributes:
         base: Base URL.
         session: HTTP session.
+        leaving_instances: Upstream instances whose VMs are leaving, by the
+            last answer.
     """
 
     base: str
     session: aiohttp.ClientSession
+    leaving_instances: frozenset[str] = frozenset()
 
     async def list(self) -> tuple[Vm, ...] | None:
-        """Return live and leaving VMs, ``None`` without an answer."""
+        """Return live and leaving entry VMs, ``None`` without an answer."""
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 async with self.session.get(f'{self.base}/vms') as response:
                     response.raise_for_status()
                     listed = await response.json()
-            return tuple(Vm(**fields) for fields in listed)
+            vms = [Vm(**fields) for fields in listed]
         except (aiohttp.ClientError, TimeoutError, TypeError, ValueError):
             return None
+        self.leaving_instances = frozenset(
+            vm.instance for vm in vms if vm.instance and vm.state == 'leaving'
+        )
+        return tuple(vm for vm in vms if not vm.instance)
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -155,6 +155,7 @@
             session,
             self.hub,
             self.slots,
+            lambda: self.members.vms.leaving_instances,
             self.members.region_entries,
         )
         self.reporter = reporting.GaugeReporter(
