Send requests elsewhere when a region's upstreams are lost

Cause, found one after the other with a new test on real processes: owners told the raw slots of a pool as its load, so a pool of dead instances looked free; a pool without an owner counted as free; the owner blames an entry that fails at most instances, so an entry alone in its region went on failing; link shares followed use so closely that they shrank below one piece of 16 KiB. Ruled out: full slots elsewhere and the shift cap. Change: loads carry usable and healthy slots, news of a lost owner is dropped, an entry avoids a region after six failures in a row with a trial every 0.5 s, a share in use asks for at least 1/64 of its cap.

--- a/packages/domain/bulrushcourse_domain/health/instance_health.py
+++ b/packages/domain/bulrushcourse_domain/health/instance_health.py
@@ -154,13 +154,30 @@
     def open_slots(self, name: str) -> int:
         """Return how many slots of an instance may be used.
 
+        Args:
+            name: The instance.
+        """
+        standing = self.restricted.get(name, instance_record.Standing.SERVING)
+        return self._slots_at(name, standing)
+
+    def healthy_slots(self, name: str) -> int:
+        """Return the slots that an instance's own standing leaves open.
+
+        In contrast to ``open_slots``, more than half of a pool may be closed.
+
         Args:
             name: The instance.
         """
         record = self.records.get(name)
         if record is None:
             return 0
-        standing = self.restricted.get(name, instance_record.Standing.SERVING)
+        standing = self._standing(record, self.clock.monotonic())
+        return self._slots_at(name, standing)
+
+    def _slots_at(self, name: str, standing: instance_record.Standing) -> int:
+        record = self.records.get(name)
+        if record is None:
+            return 0
         if standing <= instance_record.Standing.LOST:
             return 0
         if standing < instance_record.Standing.SERVING:
--- a/packages/domain/bulrushcourse_domain/routing/router.py
+++ b/packages/domain/bulrushcourse_domain/routing/router.py
@@ -30,19 +30,27 @@
         slots: Slots of the pool, 0 without an instance.
         in_flight: Slots in use by grants.
         waiting: Requests that wait for a slot.
+        healthy: Slots at instances that are not set aside nor would be if
+            more than half of a pool might; ``None`` for all slots.
     """
 
     region: str
     slots: int
     in_flight: int = 0
     waiting: int = 0
+    healthy: int | None = None
 
     @property
     def headroom(self) -> float:
-        """Part of the slots that is free, negative if requests wait."""
+        """Part of the slots that is free, negative if requests wait.
+
+        Only healthy slots count: a pool whose instances all fail keeps half
+        of them in use, but other regions serve its requests better.
+        """
         if not self.slots:
             return 0.0
-        return (self.slots - self.in_flight - self.waiting) / self.slots
+        healthy = self.slots if self.healthy is None else self.healthy
+        return (healthy - self.in_flight - self.waiting) / self.slots
 
 
 class Caps(typing.Protocol):
--- a/packages/domain/bulrushcourse_domain/slots/pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/pool.py
@@ -95,6 +95,13 @@
         """Slots by name of instance."""
         return self.order.instances
 
+    def healthy_slots(self) -> int:
+        """Return the usable slots at instances that look healthy."""
+        return sum(
+            min(slots.usable, self.health.healthy_slots(name))
+            for name, slots in self.instances.items()
+        )
+
     def set_instances(self, slots: dict[str, int]) -> None:
         """Replace the instances that may be granted.
 
--- a/packages/entry/bulrushcourse_entry/limits/held_limit.py
+++ b/packages/entry/bulrushcourse_entry/limits/held_limit.py
@@ -1,5 +1,6 @@
 """One limit with this entry's shares and what was charged to them."""
 
+import math
 import typing
 
 import attrs
@@ -12,6 +13,10 @@
 
 # Asks for more than is used, so that demand may grow between renewals.
 GROWTH = 1.25
+# Part of the cap that is asked for while there is any use. A share cut down to
+# a few small requests would not hold one piece of 16 KiB, so that a link with
+# room looked full until the next round.
+LEAST_PART = 1 / 64
 
 
 @attrs.define(eq=False)
@@ -62,7 +67,8 @@
         """Return the demand of the round and begin the next."""
         cap = self.shares.terms.cap
         used = max(self.peak, self.last_peak)
-        demand = cap if self.turned_away else min(cap, int(used * GROWTH))
+        demand = max(int(used * GROWTH), math.ceil(cap * LEAST_PART))
+        demand = cap if self.turned_away else min(cap, demand if used else 0)
         self.last_peak, self.peak = self.peak, 0
         self.turned_away = False
         return demand
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -14,8 +14,23 @@
 from bulrushcourse_wire import load_messages
 
 TELL_INTERVAL_S = 0.25
-# Loads older than this say nothing; without news there is no spill.
-STALE_AFTER_S = 2.0
+# Four intervals without news; the owner is gone or paused.
+STALE_AFTER_S = 1.0
+
+
+@attrs.frozen
+class ToldLoad:
+    """A load with its origin.
+
+    Attributes:
+        load: The load.
+        peer: Entry that told it, empty for this one.
+        at: Clock seconds of its arrival.
+    """
+
+    load: load_messages.PoolLoad
+    peer: str
+    at: float
 
 
 @attrs.define(eq=False)
@@ -28,7 +43,7 @@
         hub: Streams to peers.
         owned: Pools of this region by name.
         configuration: Configuration in force.
-        told: Load and clock seconds of its arrival, by pool.
+        told: Last news by pool.
     """
 
     region: str
@@ -36,13 +51,12 @@
     hub: peer_hub.PeerHub
     owned: typing.Mapping[str, owned_pools.OwnedPool]
     configuration: configuration_set.ConfigurationSet | None = None
-    told: dict[str, tuple[load_messages.PoolLoad, float]] = attrs.field(
-        factory=dict
-    )
+    told: dict[str, ToldLoad] = attrs.field(factory=dict)
 
     def start(self) -> None:
         """Follow what owners tell."""
         self.hub.received.subscribe(self._on_message)
+        self.hub.changes.subscribe(self._on_change)
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
@@ -72,19 +86,21 @@
             instances = owned.pool.instances.values()
             load = load_messages.PoolLoad(
                 name,
-                sum(instance.slots for instance in instances),
+                owned.pool.order.usable_slots,
                 sum(len(instance.held) for instance in instances),
                 len(owned.pool.waiting) + len(owned.parked),
+                owned.pool.healthy_slots(),
             )
-            self.told[name] = (load, now)
+            self.told[name] = ToldLoad(load, '', now)
             loads.append(load)
         return tuple(loads)
 
     def loads(self, service: str) -> dict[str, router.RegionLoad]:
         """Return the load of a service's pools by region.
 
-        Without news the local pool counts as free, as its owner queues and
-        refuses, and the pools of other regions as absent.
+        Without news the local pool has no healthy slot, so that requests go
+        to other regions while it has no owner and wait for one only if they
+        cannot; the pools of other regions count as absent.
 
         Args:
             service: Name of the service.
@@ -98,20 +114,33 @@
 
     def _load(self, service: str, region: str) -> router.RegionLoad | None:
         name = pool_keeper.pool_name(region, service)
-        load, at = self.told.get(name, (None, 0.0))
-        if load and self.clock.monotonic() - at <= STALE_AFTER_S:
+        told = self.told.get(name)
+        if told and self.clock.monotonic() - told.at <= STALE_AFTER_S:
+            load = told.load
             return router.RegionLoad(
-                region, load.slots, load.in_flight, load.waiting
+                region,
+                load.slots,
+                load.in_flight,
+                load.waiting,
+                load.healthy,
             )
         configured = len(self.configuration.instances(service, region))
         if region != self.region or not configured:
             return None
         pool = self.configuration.services[service].pool
         slots = self.configuration.pools[pool].slots
-        return router.RegionLoad(region, configured * slots)
+        return router.RegionLoad(region, configured * slots, healthy=0)
 
     def _on_message(self, received: peer_hub.Received) -> None:
         if isinstance(received.message, load_messages.PoolLoads):
             now = self.clock.monotonic()
             for load in received.message.loads:
-                self.told[load.pool] = (load, now)
+                self.told[load.pool] = ToldLoad(load, received.peer, now)
+
+    def _on_change(self, change: peer_hub.PeerChange) -> None:
+        if not change.connected:
+            self.told = {
+                pool: told
+                for pool, told in self.told.items()
+                if told.peer != change.peer
+            }
--- a/packages/entry/bulrushcourse_entry/limits/regions.py
+++ b/packages/entry/bulrushcourse_entry/limits/regions.py
@@ -10,7 +10,9 @@
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.limits import rate_window
+from bulrushcourse_domain.routing import region_failures
 from bulrushcourse_domain.routing import router
+from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.limits import held_limit
 from bulrushcourse_entry.limits import keeper as limit_keeper
 from bulrushcourse_entry.limits import pacer as link_pacers
@@ -43,6 +45,7 @@
         configuration: Configuration in force.
         pacers: Pacers of links by name of the limit.
         last_routes: Last decision by service, for ``explain``.
+        failures: What this entry saw, by service and region.
     """
 
     region: str
@@ -54,6 +57,9 @@
     configuration: configuration_set.ConfigurationSet | None = None
     pacers: dict[str, link_pacers.LinkPacer] = attrs.field(factory=dict)
     last_routes: dict[str, router.Route] = attrs.field(factory=dict)
+    failures: dict[tuple[str, str], region_failures.RegionFailures] = (
+        attrs.field(factory=dict)
+    )
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
@@ -97,11 +103,44 @@
             drained,
         )
         route = router.Router(self, self.near).route(
-            query, self.loads.loads(service)
+            query, self._admitted_loads(service)
         )
         self.last_routes[service] = route
         return route.region
 
+    def finished(
+        self,
+        service: str,
+        region: str,
+        outcome: requests.ReleaseOutcome,
+        time_s: float,
+    ) -> None:
+        """Take up how a request ended.
+
+        Args:
+            service: Name of its service.
+            region: Region of its instance.
+            outcome: How its work ended.
+            time_s: How long the work took, in seconds.
+        """
+        self._failures(service, region).finished(outcome)
+        self.plans.finished(service, region, outcome, time_s)
+
+    def _failures(
+        self, service: str, region: str
+    ) -> region_failures.RegionFailures:
+        return self.failures.setdefault(
+            (service, region), region_failures.RegionFailures(self.clock)
+        )
+
+    def _admitted_loads(self, service: str) -> dict[str, router.RegionLoad]:
+        return {
+            region: load
+            if self._failures(service, region).admits()
+            else attrs.evolve(load, healthy=0)
+            for region, load in self.loads.loads(service).items()
+        }
+
     @property
     def near(self) -> tuple[str, ...]:
         """Other regions, nearest first."""
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -202,7 +202,7 @@
             self.slots.source,
             self.limits.regions,
             self.upstreams,
-            self.limits.plans,
+            self.limits.regions,
         )
         self.claims = assembly.build_claims(
             self.hub,
--- a/packages/wire/bulrushcourse_wire/load_messages.py
+++ b/packages/wire/bulrushcourse_wire/load_messages.py
@@ -14,12 +14,14 @@
         slots: Slots that may be granted.
         in_flight: Slots in use.
         waiting: Requests that wait for a slot.
+        healthy: Those of the slots whose instances look healthy.
     """
 
     pool: str
     slots: int
     in_flight: int
     waiting: int
+    healthy: int
 
 
 @messages.message('pool_loads')
