--- a/packages/ctl/bulrushcourse_ctl/command.py
+++ b/packages/ctl/bulrushcourse_ctl/command.py
@@ -3,6 +3,7 @@
 import attrs
 import cappa
 
+from bulrushcourse_ctl import files
 from bulrushcourse_ctl import inspecting
 from bulrushcourse_ctl import plans
 from bulrushcourse_ctl import publishing
@@ -29,9 +30,9 @@
     """
 
     command: cappa.Subcommands[
-        publishing.Check
-        | publishing.Show
-        | publishing.Diff
+        files.Check
+        | files.Show
+        | files.Diff
         | publishing.Publish
         | inspecting.History
         | publishing.Rollback
--- a/packages/testkit/bulrushcourse_testkit/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/cluster.py
@@ -12,7 +12,9 @@
 import attrs
 
 from bulrushcourse_domain.configuration import objects
+from bulrushcourse_testkit import managed
 from bulrushcourse_testkit import ports as ports_of_tests
+from bulrushcourse_testkit import specs
 from bulrushcourse_wire import documents
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / 'examples'
@@ -38,49 +40,6 @@
     return documents.parse_document(text, objects.Objects).unwrap()
 
 
-@attrs.define(eq=False)
-class ManagedProcess:
-    """A process that the test started and will end.
-
-    Attributes:
-        name: Name for messages and log file.
-        process: The running process.
-        log: Path of its output.
-    """
-
-    name: str
-    process: asyncio.subprocess.Process
-    log: pathlib.Path
-
-    def signal(self, number: int) -> None:
-        """Send a signal if the process still runs.
-
-        Args:
-            number: Such as ``signal.SIGKILL``.
-        """
-        with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(number)
-
-    async def wait(self) -> int:
-        """Return the exit code once the process has ended."""
-        return await self.process.wait()
-
-
-@attrs.frozen
-class EntryPorts:
-    """Ports of one entry.
-
-    Attributes:
-        callers: Port of the callers' listener.
-        operators: Port of the operators' listener.
-        peers: Port of the peers' listener.
-    """
-
-    callers: int
-    operators: int
-    peers: int
-
-
 @attrs.define(eq=False)
 class Cluster:
     """A deployment under test.
@@ -100,8 +59,8 @@
     seed: int = 1
     settings: dict[str, typing.Any] = attrs.field(factory=dict)
     mean_ms: dict[str, float] = attrs.field(factory=MEAN_MS.copy)
-    processes: dict[str, ManagedProcess] = attrs.field(factory=dict)
-    entry_ports: dict[str, EntryPorts] = attrs.field(factory=dict)
+    processes: dict[str, managed.ManagedProcess] = attrs.field(factory=dict)
+    entry_ports: dict[str, managed.EntryPorts] = attrs.field(factory=dict)
     vms: dict[str, dict[str, typing.Any]] = attrs.field(factory=dict)
     incarnations: int = 0
     session: aiohttp.ClientSession | None = None
@@ -165,7 +124,7 @@
         self.store_ports = {name: take() for name in self.entry_names}
         self.peer_ports = {name: take() for name in self.entry_names}
         for name in self.entry_names:
-            self.entry_ports[name] = EntryPorts(take(), take(), take())
+            self.entry_ports[name] = managed.EntryPorts(take(), take(), take())
 
     async def _start_platform(self) -> None:
         module = 'bulrushcourse_testkit.standins.platform'
@@ -173,41 +132,21 @@
         await self._wait_port(self.platform_port)
 
     async def _start_upstreams(self) -> None:
-        classes = {s.pool: s.request_class for s in self.objects.services}
-        spec = {
-            'control_port': self.upstreams_port,
-            'seed': self.seed,
-            'instances': [
-                {
-                    'name': instance.name,
-                    'port': int(instance.address.rpartition(':')[2]),
-                    'slots': pool.slots,
-                    'mean_ms': self.mean_ms[classes[pool.name]],
-                }
-                for pool in self.objects.pools
-                for instance in pool.instances
-            ],
-        }
+        spec = specs.upstreams_spec(
+            self.objects, self.upstreams_port, self.seed, self.mean_ms
+        )
         await self._spawn_with_spec('upstreams', spec)
         await self._wait_port(self.upstreams_port)
 
     async def _start_proxy(self) -> None:
-        target = f'{HOST}:{self.platform_port}'
-        spec = {
-            'control_port': self.proxy_port,
-            'links': [
-                {'name': f'store-{name}', 'port': port, 'target': target}
-                for name, port in self.store_ports.items()
-            ]
-            + [
-                {
-                    'name': f'peers-{name}',
-                    'port': port,
-                    'target': f'{HOST}:{self.entry_ports[name].peers}',
-                }
-                for name, port in self.peer_ports.items()
-            ],
+        targets = {
+            f'store-{name}': (port, f'{HOST}:{self.platform_port}')
+            for name, port in self.store_ports.items()
+        } | {
+            f'peers-{name}': (port, f'{HOST}:{self.entry_ports[name].peers}')
+            for name, port in self.peer_ports.items()
         }
+        spec = specs.proxy_spec(self.proxy_port, targets)
         await self._spawn_with_spec('fault_proxy', spec)
         await self._wait_port(self.proxy_port)
 
@@ -219,7 +158,9 @@
         name = f'bulrushcourse_testkit.standins.{module}'
         await self.spawn(module, '-m', name, str(path))
 
-    async def spawn(self, name: str, *arguments: str) -> ManagedProcess:
+    async def spawn(
+        self, name: str, *arguments: str
+    ) -> managed.ManagedProcess:
         """Start a Python process and remember it under a name.
 
         Args:
@@ -231,7 +172,7 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable, *arguments, stdout=output, stderr=output
             )
-        self.processes[name] = ManagedProcess(name, process, log)
+        self.processes[name] = managed.ManagedProcess(name, process, log)
         return self.processes[name]
 
     async def start_entry(self, name: str) -> None:
@@ -269,29 +210,15 @@
             name: Name of the entry.
             vm_id: Identifier of its VM.
         """
-        places = {place.name: place.region for place in self.objects.places}
-        entry = {e.name: e for e in self.objects.entries}[name]
-        ports = self.entry_ports[name]
-        store = f'http://{HOST}:{self.store_ports[name]}'
-        return {
-            'entry': name,
-            'vm_id': vm_id,
-            'region': places[entry.place],
-            'failure_domain': entry.place,
-            'listen': {
-                'callers': f'{HOST}:{ports.callers}',
-                'operators': f'{HOST}:{ports.operators}',
-                'peers': f'{HOST}:{ports.peers}',
-            },
-            'platform': {
-                'table': f'{store}/table',
-                'objects': f'{store}/objects',
-                'vms': f'http://{HOST}:{self.platform_port}/vms',
-            },
-            'peer_secret_file': str(self.directory / 'secret'),
-            'operator_token_file': str(self.directory / 'token'),
-            'answer_max_age_s': 1,
-        } | self.settings
+        generated = specs.entry_settings(
+            self.objects,
+            name,
+            self.entry_ports[name],
+            f'http://{HOST}:{self.store_ports[name]}',
+            f'http://{HOST}:{self.platform_port}/vms',
+            self.directory,
+        )
+        return generated | {'vm_id': vm_id} | self.settings
 
     async def list_vms(self, without: tuple[str, ...] = ()) -> None:
         """Show the VMs in the platform's list.
