Show progress of plans and choices of regions to operators

Cause: plan show read only the configuration, and explain knew look-ups only. Change: GET /v1/plans and /v1/routes; bulrushctl plan show and explain print state, moved part and report, and the last choice of a region with reasons.

--- a/packages/ctl/bulrushcourse_ctl/inspecting.py
+++ b/packages/ctl/bulrushcourse_ctl/inspecting.py
@@ -76,13 +76,15 @@
 
 
 def explain(command: 'Explain') -> None:
-    """Print how the look-up answer for a client comes about.
+    """Print a client's look-up answer and the last choices of regions.
 
     Args:
         command: Parsed arguments.
     """
     query = urllib.parse.urlencode({'client': command.client})
-    body = command.open().fetch(f'/v1/explain?{query}')
+    entry = command.open()
+    body = entry.fetch(f'/v1/explain?{query}')
+    body['routes'] = entry.fetch('/v1/routes')
     if command.json:
         options.print_json(body)
         return
@@ -100,6 +102,22 @@
     )
     for left_out in body['left_out']:
         print(f'not named: {left_out["entry"]} is {left_out["state"]}')
+    tables.print_table(
+        ('service', 'last region', 'because', 'passed over'),
+        [
+            (
+                service,
+                route['region'] or 'none',
+                route['reason'],
+                ', '.join(
+                    f'{region}: {reason}'
+                    for region, reason in route['passed_over'].items()
+                ),
+            )
+            for service, route in body['routes'].items()
+        ],
+        'last choices of this entry',
+    )
 
 
 @cappa.command(
--- a/packages/ctl/bulrushcourse_ctl/plans.py
+++ b/packages/ctl/bulrushcourse_ctl/plans.py
@@ -103,23 +103,39 @@
     Args:
         command: Parsed arguments.
     """
-    current = command.open().fetch('/v1/configuration')
+    entry = command.open()
+    current = entry.fetch('/v1/configuration')
+    progress = entry.fetch('/v1/plans')
     plans = current['objects']['plans']
     if command.json:
-        options.print_json({'version': current['version'], 'plans': plans})
+        options.print_json(
+            {
+                'version': current['version'],
+                'plans': plans,
+                'progress': progress,
+            }
+        )
         return
     now = datetime.datetime.now(datetime.UTC)
     tables.print_table(
-        ('plan', 'kind', 'source', 'target', 'start', 'finish by', 'time'),
+        (
+            'plan',
+            'kind',
+            'source',
+            'target',
+            'finish by',
+            'time',
+            'progress',
+        ),
         [
             (
                 plan['name'],
                 plan['kind'],
                 plan['source'],
                 plan['target'],
-                plan['start'],
                 plan['finish_by'],
                 describe_time(plan['start'], plan['finish_by'], now),
+                describe_progress(progress.get(plan['name'])),
             )
             for plan in plans
         ],
@@ -127,6 +143,23 @@
     )
 
 
+def describe_progress(found: dict[str, typing.Any] | None) -> str:
+    """Return how a plan stands at the entry that was asked.
+
+    Args:
+        found: State, moved part and report; ``None`` for a drain of a failure
+            domain, which has no steps.
+
+    Examples:
+        >>> describe_progress({'state': 'ramping', 'part': 0.25, 'report': ''})
+        'ramping, 25% moved'
+    """
+    if found is None:
+        return 'at once'
+    report = f': {found["report"]}' if found['report'] else ''
+    return f'{found["state"]}, {found["part"]:.0%} moved{report}'
+
+
 def describe_time(start: str, finish_by: str, now: datetime.datetime) -> str:
     """Return whether a time is before, within or after a plan's window.
 
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -175,7 +175,7 @@
                 'limits': self.limits,
             },
             operators_assembly.build_groups(
-                self.configuration, self._set_drained
+                self.configuration, self._set_drained, self.limits
             ),
         )
 
