Name what a caller is answered a reply

Cause: Told and told stood for outcomes of keys and for loads of pools, which a newcomer has to learn. Change: Reply for the outcome that a caller gets, ReportedLoad and reports for what owners of pools send. No behaviour changed. Conclusion: the names are the usual ones.

--- a/packages/domain/bulrushcourse_domain/claims/claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/claim.py
@@ -138,9 +138,9 @@
             raise ClaimError('an answer belongs to a run that is done')
         return attrs.evolve(self, state=state, written_at=now, answer=answer)
 
-    def told(self) -> outcomes.Told:
+    def reply(self) -> outcomes.Reply:
         """Return what anyone may say about the key from this row."""
-        return outcomes.Told(
+        return outcomes.Reply(
             ROW_OUTCOMES[self.state], _REASONS[self.state], self.answer
         )
 
@@ -201,9 +201,9 @@
     )
 
 
-def refusal_told(
+def refusal_reply(
     stored: outcomes.StoreFact, row: Claim | None
-) -> outcomes.Told:
+) -> outcomes.Reply:
     """Return what may be said after writing a ``refused`` row.
 
     Args:
@@ -211,14 +211,14 @@
         row: The row as read afterwards, ``None`` if absent or not read.
 
     Examples:
-        >>> refusal_told(outcomes.StoreFact.UNKNOWN, None).outcome
+        >>> refusal_reply(outcomes.StoreFact.UNKNOWN, None).outcome
         <Outcome.UNKNOWN: 'unknown'>
     """
     if stored is outcomes.StoreFact.COMMITTED:
-        return outcomes.Told(outcomes.Outcome.NOT_RUN, 'refused')
+        return outcomes.Reply(outcomes.Outcome.NOT_RUN, 'refused')
     if row is not None:
-        return row.told()
-    return outcomes.Told(outcomes.Outcome.UNKNOWN, 'store')
+        return row.reply()
+    return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'store')
 
 
 def request_digest(
--- a/packages/domain/bulrushcourse_domain/claims/issued.py
+++ b/packages/domain/bulrushcourse_domain/claims/issued.py
@@ -37,11 +37,11 @@
 
     Attributes:
         digest: Digest of the first request with the key.
-        told: The outcome, ``None`` while the run is under way.
+        reply: The outcome, ``None`` while the run is under way.
     """
 
     digest: str
-    told: outcomes.Told | None = None
+    reply: outcomes.Reply | None = None
 
 
 @attrs.define
@@ -142,25 +142,25 @@
         mine = (self.entry, self.incarnation)
         return (key.entry, key.incarnation) == mine
 
-    def finish(self, text: str, told: outcomes.Told) -> None:
+    def finish(self, text: str, reply: outcomes.Reply) -> None:
         """Record the outcome of the only run of a key.
 
         Args:
             text: The key.
-            told: What its callers are told.
+            reply: What its callers are told.
 
         Raises:
             claims.ClaimError: If the key has an outcome or was never sent.
         """
         record = self.records.get(text)
-        if record is None or record.told is not None:
+        if record is None or record.reply is not None:
             raise claims.ClaimError('no run of this key is under way')
-        record.told = told
+        record.reply = reply
         self.ended[text] = self.clock.monotonic() + claims.RETENTION_S
-        self.answer_bytes += _size(told)
+        self.answer_bytes += _size(reply)
         self._drop_answers()
 
-    def told(self, text: str) -> outcomes.Told:
+    def reply(self, text: str) -> outcomes.Reply:
         """Return what may be said of a key of this incarnation.
 
         Args:
@@ -169,10 +169,10 @@
         record = self.records.get(text)
         if record is None:
             reason = 'not-sent' if text in self.unused else 'forgotten'
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, reason)
-        if record.told is None:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'under-way')
-        return record.told
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, reason)
+        if record.reply is None:
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'under-way')
+        return record.reply
 
     def _forget(self) -> None:
         now = self.clock.monotonic()
@@ -180,16 +180,16 @@
             del self.unused[text]
         for text in _due(self.ended, now):
             del self.ended[text]
-            self.answer_bytes -= _size(self.records.pop(text).told)
+            self.answer_bytes -= _size(self.records.pop(text).reply)
 
     def _drop_answers(self) -> None:
         for text in self.ended:
             if self.answer_bytes <= self.max_answer_bytes:
                 return
             record = self.records[text]
-            if record.told is not None and record.told.answer is not None:
-                self.answer_bytes -= _size(record.told)
-                record.told = outcomes.Told(
+            if record.reply is not None and record.reply.answer is not None:
+                self.answer_bytes -= _size(record.reply)
+                record.reply = outcomes.Reply(
                     outcomes.Outcome.UNKNOWN, 'answer-not-kept'
                 )
 
@@ -197,7 +197,7 @@
 def _meet_record(record: KeyRecord, digest: str) -> KeyMeeting:
     if record.digest != digest:
         return KeyMeeting.OTHER_REQUEST
-    return KeyMeeting.RUNNING if record.told is None else KeyMeeting.FINAL
+    return KeyMeeting.RUNNING if record.reply is None else KeyMeeting.FINAL
 
 
 def _due(ends: dict[str, float], now: float) -> list[str]:
@@ -205,7 +205,7 @@
     return list(itertools.takewhile(lambda text: ends[text] <= now, ends))
 
 
-def _size(told: outcomes.Told | None) -> int:
-    if told is None or told.answer is None:
+def _size(reply: outcomes.Reply | None) -> int:
+    if reply is None or reply.answer is None:
         return 0
-    return len(told.answer.body)
+    return len(reply.answer.body)
--- a/packages/domain/bulrushcourse_domain/claims/outcomes.py
+++ b/packages/domain/bulrushcourse_domain/claims/outcomes.py
@@ -71,7 +71,7 @@
 
 
 @attrs.frozen
-class Told:
+class Reply:
     """What a caller is told.
 
     Attributes:
--- a/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
@@ -23,7 +23,7 @@
     """Guards against an outcome that is told and then replaced."""
     finished = finish(claims.open_claim('a1', 'd', 0.0), outcome)
     assert finished.state is STATES[outcome]
-    assert finished.told().outcome is outcome
+    assert finished.reply().outcome is outcome
     for other in STATES:
         with pytest.raises(claims.ClaimError):
             finish(finished, other)
@@ -42,8 +42,8 @@
 def test_claimed_row_says_nothing_to_others():
     """Guards against ``not-run`` about a claim whose holder may wake up."""
     row = claims.open_claim('a1', 'd', 0.0)
-    told = claims.refusal_told(outcomes.StoreFact.CONFLICT, row)
-    assert told.outcome is outcomes.Outcome.UNKNOWN
+    reply = claims.refusal_reply(outcomes.StoreFact.CONFLICT, row)
+    assert reply.outcome is outcomes.Outcome.UNKNOWN
 
 
 def test_answer_belongs_to_a_run_that_is_done():
--- a/packages/domain/bulrushcourse_domain/claims/tests/test_issued.py
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_issued.py
@@ -18,7 +18,7 @@
 
 def done(size=1):
     answer = outcomes.Answer(200, (), b'x' * size)
-    return outcomes.Told(outcomes.Outcome.DONE, answer=answer)
+    return outcomes.Reply(outcomes.Outcome.DONE, answer=answer)
 
 
 def test_key_starts_one_run():
@@ -42,7 +42,7 @@
     held.clock.advance(issued.KEY_LIFETIME_S + claims.RETENTION_S + 1)
     for key in (unused, used):
         assert held.meet(key, 'orders', 'd') is MEETING.FORGOTTEN
-        assert held.told(key).outcome is outcomes.Outcome.UNKNOWN
+        assert held.reply(key).outcome is outcomes.Outcome.UNKNOWN
 
 
 def test_running_key_is_not_forgotten():
@@ -82,8 +82,8 @@
     for key in made:
         held.meet(key, 'orders', 'd')
         held.finish(key, done(60))
-    told = [held.told(key).outcome.value for key in made]
-    assert told == ['unknown', 'unknown', 'done']
+    reply = [held.reply(key).outcome.value for key in made]
+    assert reply == ['unknown', 'unknown', 'done']
     assert held.meet(made[0], 'orders', 'd') is MEETING.FINAL
     assert held.answer_bytes == 60
     with pytest.raises(claims.ClaimError):
--- a/packages/entry/bulrushcourse_entry/claims/dispatch.py
+++ b/packages/entry/bulrushcourse_entry/claims/dispatch.py
@@ -78,24 +78,24 @@
 
     Attributes:
         digest: Digest of the request.
-        told: What its callers are told, once that is known.
+        reply: What its callers are told, once that is known.
     """
 
     digest: str
-    told: asyncio.Future = attrs.field(
+    reply: asyncio.Future = attrs.field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
 
-    def tell(self, told: outcomes.Told) -> None:
+    def tell(self, reply: outcomes.Reply) -> None:
         """Tell the callers, unless they were told before.
 
         Args:
-            told: What they are told.
+            reply: What they are told.
         """
-        if not self.told.done():
-            self.told.set_result(told)
+        if not self.reply.done():
+            self.reply.set_result(reply)
 
-    async def wait(self, seconds: float) -> outcomes.Told:
+    async def wait(self, seconds: float) -> outcomes.Reply:
         """Return what to tell a caller that waits for the run.
 
         The run goes on if the caller leaves.
@@ -103,10 +103,10 @@
         Args:
             seconds: Longest time to wait.
         """
-        await asyncio.wait((self.told,), timeout=max(seconds, 0.0))
-        if self.told.done():
-            return self.told.result()
-        return outcomes.Told(outcomes.Outcome.UNKNOWN, 'under-way')
+        await asyncio.wait((self.reply,), timeout=max(seconds, 0.0))
+        if self.reply.done():
+            return self.reply.result()
+        return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'under-way')
 
 
 async def dispatch_held(
--- a/packages/entry/bulrushcourse_entry/claims/exchanges.py
+++ b/packages/entry/bulrushcourse_entry/claims/exchanges.py
@@ -44,7 +44,7 @@
         key: keys.IssuedKey,
         request: dispatch.KeyedRequest,
         ask_only: bool,
-    ) -> outcomes.Told | None:
+    ) -> outcomes.Reply | None:
         """Return what the issuer says, ``None`` if it cannot be asked.
 
         Args:
@@ -59,7 +59,7 @@
         exchange = uuid.uuid4().hex
         message = _forward(exchange, request, ask_only, left)
         if len(message.body) > MAX_FORWARDED_BYTES:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'body-too-large')
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'body-too-large')
         future = asyncio.get_running_loop().create_future()
         self.waiting[exchange] = (key.entry, future)
         try:
@@ -68,7 +68,7 @@
             async with asyncio.timeout(left):
                 return await future
         except TimeoutError:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'under-way')
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'under-way')
         finally:
             del self.waiting[exchange]
 
@@ -123,10 +123,10 @@
     ) -> None:
         request = self._request(message)
         if request is None:
-            told = outcomes.Told(outcomes.Outcome.UNKNOWN, 'no-service')
+            reply = outcomes.Reply(outcomes.Outcome.UNKNOWN, 'no-service')
         else:
-            told = await self.gateway.serve_own(request, message.ask_only)
-        self.hub.send(peer, _answer(message.exchange, told))
+            reply = await self.gateway.serve_own(request, message.ask_only)
+        self.hub.send(peer, _answer(message.exchange, reply))
 
     def _request(
         self, message: key_messages.KeyForward
@@ -179,30 +179,30 @@
     )
 
 
-def _answer(exchange: str, told: outcomes.Told) -> key_messages.KeyAnswer:
-    answer = told.answer
+def _answer(exchange: str, reply: outcomes.Reply) -> key_messages.KeyAnswer:
+    answer = reply.answer
     if answer is None:
         return key_messages.KeyAnswer(
-            exchange, told.outcome.value, told.reason
+            exchange, reply.outcome.value, reply.reason
         )
     if len(answer.body) > MAX_FORWARDED_BYTES:
         unknown = outcomes.Outcome.UNKNOWN.value
         return key_messages.KeyAnswer(exchange, unknown, 'answer-too-large')
     return key_messages.KeyAnswer(
         exchange,
-        told.outcome.value,
+        reply.outcome.value,
         status=answer.status,
         headers=[list(pair) for pair in answer.headers],
         body=answer.body,
     )
 
 
-def _read_answer(message: key_messages.KeyAnswer) -> outcomes.Told:
+def _read_answer(message: key_messages.KeyAnswer) -> outcomes.Reply:
     outcome = outcomes.Outcome(message.outcome)
     if outcome is not outcomes.Outcome.DONE:
-        return outcomes.Told(outcome, message.reason)
+        return outcomes.Reply(outcome, message.reason)
     headers = tuple((name, value) for name, value in message.headers)
-    return outcomes.Told(
+    return outcomes.Reply(
         outcome,
         answer=outcomes.Answer(message.status, headers, message.body),
     )
--- a/packages/entry/bulrushcourse_entry/claims/free_form.py
+++ b/packages/entry/bulrushcourse_entry/claims/free_form.py
@@ -59,7 +59,7 @@
     runs: dict[tuple[str, str], dispatch.Run] = attrs.field(factory=dict)
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
-    async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Told:
+    async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
         """Run a request, or join its run, and return what to tell.
 
         Args:
@@ -69,10 +69,10 @@
         if run is None:
             obstacle = self._obstacle(request)
             if obstacle:
-                return outcomes.Told(outcomes.Outcome.UNKNOWN, obstacle)
+                return outcomes.Reply(outcomes.Outcome.UNKNOWN, obstacle)
             run = self._start(request)
         elif run.digest != request.digest:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'other-request')
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'other-request')
         left = request.deadline - self.clock.monotonic()
         return await run.wait(left + REFUSAL_GRACE_S)
 
@@ -103,7 +103,7 @@
         try:
             await self._settle(request, run)
         finally:
-            run.tell(outcomes.Told(outcomes.Outcome.UNKNOWN, 'lost'))
+            run.tell(outcomes.Reply(outcomes.Outcome.UNKNOWN, 'lost'))
             del self.runs[request.identity]
 
     async def _settle(
@@ -147,10 +147,10 @@
         if outcome is outcomes.Outcome.NOT_RUN:
             run.tell(await self.refuse(request, attempt, claimed=True))
             return
-        told = outcomes.Told(outcome, answer=dispatched.answer)
+        reply = outcomes.Reply(outcome, answer=dispatched.answer)
         if outcome is outcomes.Outcome.UNKNOWN:
-            told = outcomes.Told(outcome, dispatched.fact.value)
-        run.tell(told)
+            reply = outcomes.Reply(outcome, dispatched.fact.value)
+        run.tell(reply)
         await self._record(
             request, attempt, outcome, dispatched.answer, urgent=False
         )
@@ -192,7 +192,7 @@
 
     async def refuse(
         self, request: dispatch.KeyedRequest, attempt: str, claimed: bool
-    ) -> outcomes.Told:
+    ) -> outcomes.Reply:
         """Make a refusal durable and return what may be told.
 
         Args:
@@ -209,14 +209,14 @@
             stored = await self.rows.write(key, refused, 0, urgent=True)
             if stored is outcomes.StoreFact.COMMITTED:
                 self.cleanup.add(key, refused)
-                return claims.refusal_told(stored, None)
+                return claims.refusal_reply(stored, None)
         return await self._record(
             request, attempt, outcomes.Outcome.NOT_RUN, None, urgent=True
         )
 
     async def follow(
         self, request: dispatch.KeyedRequest, row: claims.Claim
-    ) -> outcomes.Told:
+    ) -> outcomes.Reply:
         """Wait for the outcome of another attempt and return what to tell.
 
         Args:
@@ -229,13 +229,13 @@
             if row.digest != request.digest:
                 break
             if row.state is not claims.ClaimState.CLAIMED:
-                return await self.rows.whole(row.told())
+                return await self.rows.whole(row.reply())
             if self.clock.monotonic() + delay >= request.deadline:
-                return row.told()
+                return row.reply()
             await asyncio.sleep(delay)
             delay = min(2 * delay, MAX_ROW_POLL_S)
             row = await self._read(key) or row
-        return outcomes.Told(outcomes.Outcome.UNKNOWN, 'other-request')
+        return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'other-request')
 
     async def _record(
         self,
@@ -244,7 +244,7 @@
         outcome: outcomes.Outcome,
         answer: outcomes.Answer | None,
         urgent: bool,
-    ) -> outcomes.Told:
+    ) -> outcomes.Reply:
         """Write an outcome and return what the row then says."""
         limit = self.clock.monotonic() + RECORD_LIMIT_S
         delay = STORE_RETRY_S
@@ -253,13 +253,13 @@
                 request, attempt, outcome, answer, urgent
             )
             if row is not None and row.digest == request.digest:
-                return await self.rows.whole(row.told())
+                return await self.rows.whole(row.reply())
             if row is not None:
                 break
             await asyncio.sleep(delay)
             delay = min(2 * delay, MAX_STORE_RETRY_S)
         reason = 'store' if row is None else 'other-request'
-        return outcomes.Told(outcomes.Outcome.UNKNOWN, reason)
+        return outcomes.Reply(outcomes.Outcome.UNKNOWN, reason)
 
     async def _finish_row(
         self,
--- a/packages/entry/bulrushcourse_entry/claims/gateway.py
+++ b/packages/entry/bulrushcourse_entry/claims/gateway.py
@@ -22,7 +22,7 @@
         key: keys.IssuedKey,
         request: dispatch.KeyedRequest,
         ask_only: bool,
-    ) -> outcomes.Told | None:
+    ) -> outcomes.Reply | None:
         """Return what the issuer says, ``None`` if it cannot be asked."""
         ...
 
@@ -43,7 +43,7 @@
     issuers: Issuers
     rows: claim_rows.ClaimRows
 
-    async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Told:
+    async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
         """Run a request at most once and return what to tell its caller.
 
         Args:
@@ -53,7 +53,7 @@
             return await self.free.serve(request)
         return await self._ask_issuer(request, ask_only=False)
 
-    async def outcome(self, request: dispatch.KeyedRequest) -> outcomes.Told:
+    async def outcome(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
         """Return what is known of a key without running it.
 
         Args:
@@ -68,7 +68,7 @@
 
     async def serve_own(
         self, request: dispatch.KeyedRequest, ask_only: bool
-    ) -> outcomes.Told:
+    ) -> outcomes.Reply:
         """Serve a request whose key this incarnation issued.
 
         Args:
@@ -76,7 +76,7 @@
             ask_only: Whether only the outcome is asked for.
         """
         if ask_only:
-            return self.issued.keys.told(request.key)
+            return self.issued.keys.reply(request.key)
         return await self.issued.serve(request)
 
     async def drain(self) -> None:
@@ -98,30 +98,30 @@
 
     async def _ask_issuer(
         self, request: dispatch.KeyedRequest, ask_only: bool
-    ) -> outcomes.Told:
+    ) -> outcomes.Reply:
         key = keys.read_key(self.issued.keys.secret, request.key)
         if key is None:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'invalid')
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'invalid')
         if self.issued.keys.may_run(key):
             return await self.serve_own(request, ask_only)
-        told = await self.issuers.ask(key, request, ask_only)
-        if told is not None:
-            return told
+        reply = await self.issuers.ask(key, request, ask_only)
+        if reply is not None:
+            return reply
         return await self._stored(request, 'issuer-unreachable', ask_only)
 
     async def _stored(
         self, request: dispatch.KeyedRequest, absent: str, ask_only: bool
-    ) -> outcomes.Told:
+    ) -> outcomes.Reply:
         """Return what the row says; an absent row proves nothing."""
         try:
             found = await self.rows.read(claim_rows.row_key(*request.identity))
         except claim_rows.RowUnreadable:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'store')
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'store')
         if found is None:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, absent)
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, absent)
         if not ask_only and _differs(found.claim, request):
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'other-request')
-        return await self.rows.whole(found.claim.told())
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'other-request')
+        return await self.rows.whole(found.claim.reply())
 
 
 def _differs(claim: claims.Claim, request: dispatch.KeyedRequest) -> bool:
--- a/packages/entry/bulrushcourse_entry/claims/issued_runs.py
+++ b/packages/entry/bulrushcourse_entry/claims/issued_runs.py
@@ -46,7 +46,7 @@
     tasks: set[asyncio.Task] = attrs.field(factory=set)
     not_copied: int = 0
 
-    async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Told:
+    async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
         """Run a request, or join its run, and return what to tell.
 
         Args:
@@ -56,19 +56,19 @@
         if meeting is issued.KeyMeeting.FIRST:
             self._start(request)
         elif meeting is issued.KeyMeeting.FINAL:
-            return self.keys.told(request.key)
+            return self.keys.reply(request.key)
         elif meeting is not issued.KeyMeeting.RUNNING:
             return self.decline(meeting)
         left = request.deadline - self.clock.monotonic()
         return await self.runs[request.key].wait(left)
 
-    def decline(self, meeting: issued.KeyMeeting) -> outcomes.Told:
+    def decline(self, meeting: issued.KeyMeeting) -> outcomes.Reply:
         """Return what to tell about a key that is not run here.
 
         Args:
             meeting: Why it is not run.
         """
-        return outcomes.Told(outcomes.Outcome.UNKNOWN, meeting.value)
+        return outcomes.Reply(outcomes.Outcome.UNKNOWN, meeting.value)
 
     def _start(self, request: dispatch.KeyedRequest) -> None:
         run = dispatch.Run(request.digest)
@@ -80,30 +80,30 @@
     async def _run(
         self, request: dispatch.KeyedRequest, run: dispatch.Run
     ) -> None:
-        told = outcomes.Told(outcomes.Outcome.UNKNOWN, 'lost')
+        reply = outcomes.Reply(outcomes.Outcome.UNKNOWN, 'lost')
         try:
-            told = await self._settle(request)
+            reply = await self._settle(request)
         finally:
-            self.keys.finish(request.key, told)
-            run.tell(told)
+            self.keys.finish(request.key, reply)
+            run.tell(reply)
             del self.runs[request.key]
-        if told.outcome is not outcomes.Outcome.UNKNOWN:
-            await self._copy(request, told)
+        if reply.outcome is not outcomes.Outcome.UNKNOWN:
+            await self._copy(request, reply)
 
-    async def _settle(self, request: dispatch.KeyedRequest) -> outcomes.Told:
+    async def _settle(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
         hold = await self.dispatcher.acquire(request, 0, ())
         if hold is None:
-            return outcomes.Told(outcomes.Outcome.NOT_RUN, 'refused')
+            return outcomes.Reply(outcomes.Outcome.NOT_RUN, 'refused')
         dispatched = await dispatch.dispatch_held(
             self.dispatcher, self.clock, request, hold
         )
         outcome = outcomes.attempt_outcome(dispatched.fact)
         if outcome is outcomes.Outcome.DONE:
-            return outcomes.Told(outcome, answer=dispatched.answer)
-        return outcomes.Told(outcome, dispatched.fact.value)
+            return outcomes.Reply(outcome, answer=dispatched.answer)
+        return outcomes.Reply(outcome, dispatched.fact.value)
 
     async def _copy(
-        self, request: dispatch.KeyedRequest, told: outcomes.Told
+        self, request: dispatch.KeyedRequest, reply: outcomes.Reply
     ) -> None:
         """Write an outcome to the table, where it outlives this process."""
         if len(self.tasks) > MAX_COPIES:
@@ -113,7 +113,7 @@
         attempt = self.keys.incarnation
         now = self.clock.wall().timestamp()
         copy = claims.open_claim(attempt, request.digest, now).finish(
-            attempt, told.outcome, now, told.answer
+            attempt, reply.outcome, now, reply.answer
         )
         limit = self.clock.monotonic() + COPY_LIMIT_S
         delay = COPY_RETRY_S
--- a/packages/entry/bulrushcourse_entry/claims/listener.py
+++ b/packages/entry/bulrushcourse_entry/claims/listener.py
@@ -98,11 +98,11 @@
             '',
             self.clock.monotonic() + ASK_LIMIT_S,
         )
-        told = await self.gateway.outcome(asked)
-        if told.outcome is outcomes.Outcome.DONE:
-            return render_told(told)
-        body = {'outcome': told.outcome.value, 'reason': told.reason}
-        headers = {problems.OUTCOME_HEADER: told.outcome.value}
+        reply = await self.gateway.outcome(asked)
+        if reply.outcome is outcomes.Outcome.DONE:
+            return render_told(reply)
+        body = {'outcome': reply.outcome.value, 'reason': reply.reason}
+        headers = {problems.OUTCOME_HEADER: reply.outcome.value}
         return web.json_response(body, headers=headers)
 
     async def serve(self, call: reading.Call) -> web.Response:
@@ -178,31 +178,33 @@
     return attrs.evolve(call, body=bytes(body), rest=None, headers=headers)
 
 
-def render_told(told: outcomes.Told) -> web.Response:
+def render_told(reply: outcomes.Reply) -> web.Response:
     """Return the HTTP response that tells an outcome.
 
     Args:
-        told: What the caller is told.
+        reply: What the caller is told.
     """
-    outcome = problems.Outcome(told.outcome.value)
-    if told.answer is not None:
+    outcome = problems.Outcome(reply.outcome.value)
+    if reply.answer is not None:
         response = web.Response(
-            status=told.answer.status, body=told.answer.body
+            status=reply.answer.status, body=reply.answer.body
         )
         # The default content type is no part of the instance's answer.
         response.headers.popall('Content-Type', None)
-        for name, value in told.answer.headers:
+        for name, value in reply.answer.headers:
             response.headers.add(name, value)
         response.headers[problems.OUTCOME_HEADER] = outcome.value
         return response
     if outcome is problems.Outcome.NOT_RUN:
         status, retry_after_s = 503, RETRY_AFTER_S
     else:
-        status, retry_after_s = UNKNOWN_STATUSES.get(told.reason, OTHER_STATUS)
+        status, retry_after_s = UNKNOWN_STATUSES.get(
+            reply.reason, OTHER_STATUS
+        )
     return problems.Problem(
         status,
-        told.reason,
-        f'outcome {outcome.value}: {told.reason}',
+        reply.reason,
+        f'outcome {outcome.value}: {reply.reason}',
         outcome,
         retry_after_s,
     ).response()
--- a/packages/entry/bulrushcourse_entry/claims/rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/rows.py
@@ -104,23 +104,25 @@
         write = platform_table.Write(key, None, stored.version)
         await self.writer.submit(write, urgent=False)
 
-    async def whole(self, told: outcomes.Told) -> outcomes.Told:
+    async def whole(self, reply: outcomes.Reply) -> outcomes.Reply:
         """Return what to tell with its answer read from the object store.
 
         Args:
-            told: What the row says.
+            reply: What the row says.
         """
-        answer = told.answer
+        answer = reply.answer
         if answer is None or not answer.object_key:
-            return told
+            return reply
         try:
             body = await self.objects.get(answer.object_key)
         except platform_objects.ObjectsUnavailable:
             body = None
         if body is None:
-            return outcomes.Told(outcomes.Outcome.UNKNOWN, 'answer-unreadable')
+            return outcomes.Reply(
+                outcomes.Outcome.UNKNOWN, 'answer-unreadable'
+            )
         whole = attrs.evolve(answer, body=body, object_key='')
-        return attrs.evolve(told, answer=whole)
+        return attrs.evolve(reply, answer=whole)
 
     async def _move_answer(
         self, key: str, claim: claims.Claim
--- a/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
@@ -71,7 +71,7 @@
     for size in (0, 10, rows.ROW_ANSWER_BYTES + 1):
         await held.write('k', done(size), 0, urgent=True)
         found = await held.read('k')
-        assert await held.whole(found.claim.told()) == done(size).told()
+        assert await held.whole(found.claim.reply()) == done(size).reply()
     assert len(held.objects.content) == 1
 
 
@@ -91,8 +91,8 @@
     await held.write('k', done(rows.ROW_ANSWER_BYTES + 1), 0, urgent=True)
     held.objects.up = False
     found = await held.read('k')
-    told = await held.whole(found.claim.told())
-    assert told.outcome is outcomes.Outcome.UNKNOWN
+    reply = await held.whole(found.claim.reply())
+    assert reply.outcome is outcomes.Outcome.UNKNOWN
 
 
 @with_rows
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -19,7 +19,7 @@
 
 
 @attrs.frozen
-class ToldLoad:
+class ReportedLoad:
     """A load with its origin.
 
     Attributes:
@@ -43,7 +43,7 @@
         hub: Streams to peers.
         owned: Pools of this region by name.
         configuration: Configuration in force.
-        told: Last news by pool.
+        reports: Last news by pool.
     """
 
     region: str
@@ -51,7 +51,7 @@
     hub: peer_hub.PeerHub
     owned: typing.Mapping[str, owned_pools.OwnedPool]
     configuration: configuration_set.ConfigurationSet | None = None
-    told: dict[str, ToldLoad] = attrs.field(factory=dict)
+    reports: dict[str, ReportedLoad] = attrs.field(factory=dict)
 
     def start(self) -> None:
         """Follow what owners tell."""
@@ -93,7 +93,7 @@
                 len(owned.pool.waiting) + len(owned.parked),
                 owned.pool.healthy_slots(),
             )
-            self.told[name] = ToldLoad(load, '', now)
+            self.reports[name] = ReportedLoad(load, '', now)
             loads.append(load)
         return tuple(loads)
 
@@ -116,9 +116,9 @@
 
     def _load(self, service: str, region: str) -> router.RegionLoad | None:
         name = pool_keeper.pool_name(region, service)
-        told = self.told.get(name)
-        if told and self.clock.monotonic() - told.at <= STALE_AFTER_S:
-            load = told.load
+        report = self.reports.get(name)
+        if report and self.clock.monotonic() - report.at <= STALE_AFTER_S:
+            load = report.load
             return router.RegionLoad(
                 region,
                 load.slots,
@@ -137,12 +137,14 @@
         if isinstance(received.message, load_messages.PoolLoads):
             now = self.clock.monotonic()
             for load in received.message.loads:
-                self.told[load.pool] = ToldLoad(load, received.peer, now)
+                self.reports[load.pool] = ReportedLoad(
+                    load, received.peer, now
+                )
 
     def _on_change(self, change: peer_hub.PeerChange) -> None:
         if not change.connected:
-            self.told = {
-                pool: told
-                for pool, told in self.told.items()
-                if told.peer != change.peer
+            self.reports = {
+                pool: report
+                for pool, report in self.reports.items()
+                if report.peer != change.peer
             }
--- a/packages/entry/bulrushcourse_entry/slots/tests/test_shared.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/test_shared.py
@@ -62,10 +62,10 @@
         await task
         switch.taken(slot_messages.SlotsHeld)
         switch.receive('b', slot_messages.SlotsWanted(POOL, 4))
-        ((peer, told),) = switch.taken(slot_messages.SlotsHeld)
-        assert (peer, told.term) == ('b', 4)
+        ((peer, reply),) = switch.taken(slot_messages.SlotsHeld)
+        assert (peer, reply.term) == ('b', 4)
         held = slot_messages.HeldSlot(request_id, 'i', 'short', 5.0, 'print')
-        assert told.held == (held,)
+        assert reply.held == (held,)
         done = requests.ReleaseOutcome.DONE
         slots.release('catalog', 'ro-nord', request_id, done, 0.1)
         ((peer, _),) = switch.taken(slot_messages.SlotRelease)
--- a/packages/testkit/bulrushcourse_testkit/claims/driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/driver.py
@@ -119,10 +119,10 @@
     ) -> None:
         gateway = process.gateway
         serve = gateway.outcome if ask_only else gateway.serve
-        told = await serve(request)
+        reply = await serve(request)
         if process.alive:
             digest = '' if ask_only else request.digest
-            self.world.ledger.tell(request.key, digest, told)
+            self.world.ledger.tell(request.key, digest, reply)
 
     def _process(self, pick: int) -> claim_world.Process:
         names = claim_world.ENTRIES
--- a/packages/testkit/bulrushcourse_testkit/claims/orders.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/orders.py
@@ -212,7 +212,7 @@
         false_not_run: Keys that ran and of which ``not-run`` was told.
         wrong_answers: Sends that got an answer of no or another run.
         final: Number of orders by the best outcome that was told.
-        told: Number of sends by outcome and reason.
+        reply: Number of sends by outcome and reason.
     """
 
     orders: int
@@ -221,7 +221,7 @@
     false_not_run: tuple[str, ...]
     wrong_answers: tuple[str, ...]
     final: dict[str, int]
-    told: dict[str, int]
+    reply: dict[str, int]
 
     @property
     def holds(self) -> bool:
@@ -242,11 +242,11 @@
     for run in journal:
         if run['key'] in callers.paths:
             runs[run['key']] = runs.get(run['key'], 0) + 1
-    told: dict[str, int] = {}
+    reply: dict[str, int] = {}
     best = dict.fromkeys(callers.paths, 'unknown')
     for note in callers.notes:
         label = f'{note.outcome or "nothing"} {note.reason}'.strip()
-        told[label] = told.get(label, 0) + 1
+        reply[label] = reply.get(label, 0) + 1
         if note.outcome in ('done', 'not-run'):
             best[note.key] = note.outcome
     not_run = {n.key for n in callers.notes if n.outcome == 'not-run'}
@@ -263,7 +263,7 @@
         tuple(sorted(not_run & runs.keys())),
         tuple(n.key for n in done if not n.whole or n.key not in runs),
         dict(sorted(final.items())),
-        dict(sorted(told.items())),
+        dict(sorted(reply.items())),
     )
 
 
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
@@ -94,13 +94,13 @@
 
 def test_random_trials_run_and_refuse():
     """Guards against trials in which nothing runs or nothing is refused."""
-    told = {}
+    reply = {}
     for seed in range(12):
         world = claim_world.World()
         claim_driver.run_trial(world, seed, 300)
-        for outcome, count in world.ledger.told.items():
-            told[outcome] = told.get(outcome, 0) + count
-    assert min(told[name] for name in ('done', 'not-run', 'unknown')) >= 10
+        for outcome, count in world.ledger.reply.items():
+            reply[outcome] = reply.get(outcome, 0) + count
+    assert min(reply[name] for name in ('done', 'not-run', 'unknown')) >= 10
 
 
 def test_same_seed_gives_same_trial():
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_interface.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_interface.py
@@ -34,8 +34,8 @@
     async with cluster.session.request(
         method, url, headers=headers, data=data, timeout=timeout
     ) as response:
-        told = response.headers.get(OUTCOME)
-        return response.status, told, await response.read()
+        reply = response.headers.get(OUTCOME)
+        return response.status, reply, await response.read()
 
 
 async def take_key(cluster, entry):
@@ -57,13 +57,13 @@
     for size in (64, 100_000):
         for key in (f'free/{size}', await take_key(cluster, ENTRIES[0])):
             path = f'o?size={size}&work_ms=20'
-            told = [
+            reply = [
                 await call(cluster, entry, 'POST', path, key, b'body')
                 for entry in ENTRIES
             ]
-            assert {(s, o) for s, o, _ in told} == {(200, 'done')}
-            assert len({body for _, _, body in told}) == 1
-            assert len(told[0][2]) == size
+            assert {(s, o) for s, o, _ in reply} == {(200, 'done')}
+            assert len({body for _, _, body in reply}) == 1
+            assert len(reply[0][2]) == size
             assert await runs(cluster, key) == 1
 
 
@@ -77,10 +77,10 @@
             )
         except TimeoutError:
             pass
-        status, told, body = await call(
+        status, reply, body = await call(
             cluster, ENTRIES[1], 'POST', 'o?work_ms=600', key, b'x'
         )
-        assert (status, told) == (200, 'done')
+        assert (status, reply) == (200, 'done')
         asked = await call(cluster, ENTRIES[2], 'GET', f'outcomes/{key}')
         assert asked == (200, 'done', body)
         assert await runs(cluster, key) == 1
@@ -92,10 +92,10 @@
     for key in ('twice', await take_key(cluster, ENTRIES[0])):
         await call(cluster, ENTRIES[0], 'POST', 'o', key, b'one')
         for entry in ENTRIES:
-            status, told, _ = await call(
+            status, reply, _ = await call(
                 cluster, entry, 'POST', 'o', key, b'two'
             )
-            assert (status, told) == (422, 'unknown')
+            assert (status, reply) == (422, 'unknown')
         assert await runs(cluster, key) == 1
 
 
@@ -106,21 +106,21 @@
     forged = key[:-1] + ('0' if key[-1] != '0' else '1')
     for asked in ('never-sent', key, forged):
         for entry in ENTRIES:
-            status, told, _ = await call(
+            status, reply, _ = await call(
                 cluster, entry, 'GET', f'outcomes/{asked}'
             )
-            assert (status, told) == (200, 'unknown')
-    status, told, _ = await call(
+            assert (status, reply) == (200, 'unknown')
+    status, reply, _ = await call(
         cluster, ENTRIES[0], 'POST', 'o', forged, b'x'
     )
-    assert (status, told) == (400, 'unknown')
+    assert (status, reply) == (400, 'unknown')
     cluster.processes[ENTRIES[0]].signal(signal.SIGKILL)
     await cluster.processes[ENTRIES[0]].wait()
     await cluster.start_entry(ENTRIES[0])
     await cluster.wait_ready(ENTRIES[0])
     for entry in ENTRIES:
-        _, told, _ = await call(cluster, entry, 'POST', 'o', key, b'x')
-        assert told == 'unknown'
+        _, reply, _ = await call(cluster, entry, 'POST', 'o', key, b'x')
+        assert reply == 'unknown'
     assert await runs(cluster, key) == 0
 
 
@@ -128,10 +128,10 @@
 async def test_early_refusal_of_a_key_that_ran_is_unknown(cluster):
     """Guards P4: a bad re-send says nothing of the run before it."""
     await call(cluster, ENTRIES[0], 'POST', 'o', 'ran', b'x')
-    status, told, _ = await call(
+    status, reply, _ = await call(
         cluster, ENTRIES[1], 'POST', 'o', 'ran', b'x' * 2_000_000
     )
-    assert (status, told) == (413, 'unknown')
+    assert (status, reply) == (413, 'unknown')
 
 
 @with_cluster
@@ -139,14 +139,14 @@
     """Guards P4: after ``not-run`` the key stays refused everywhere."""
     await cluster.set_upstream('all', shed=True)
     for key in ('shed', await take_key(cluster, ENTRIES[0])):
-        _, told, _ = await call(cluster, ENTRIES[0], 'POST', 'o', key, b'x')
-        assert told == 'not-run'
+        _, reply, _ = await call(cluster, ENTRIES[0], 'POST', 'o', key, b'x')
+        assert reply == 'not-run'
     await cluster.set_upstream('all')
     for entry in ENTRIES:
-        _, told, _ = await call(cluster, entry, 'POST', 'o', key, b'x')
-        assert told == 'not-run'
-        _, told, _ = await call(cluster, entry, 'POST', 'o', 'shed', b'x')
-        assert told == 'not-run'
+        _, reply, _ = await call(cluster, entry, 'POST', 'o', key, b'x')
+        assert reply == 'not-run'
+        _, reply, _ = await call(cluster, entry, 'POST', 'o', 'shed', b'x')
+        assert reply == 'not-run'
     assert await runs(cluster, 'shed') == await runs(cluster, key) == 0
 
 
@@ -161,5 +161,5 @@
         pass
     cluster.processes[ENTRIES[0]].signal(signal.SIGTERM)
     assert await cluster.processes[ENTRIES[0]].wait() == 0
-    _, told, _ = await call(cluster, ENTRIES[1], 'GET', 'outcomes/stop')
-    assert told == 'done'
+    _, reply, _ = await call(cluster, ENTRIES[1], 'GET', 'outcomes/stop')
+    assert reply == 'done'
--- a/packages/testkit/bulrushcourse_testkit/claims/trial.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/trial.py
@@ -251,7 +251,7 @@
     print(f'keys that ran and were told not-run: {verdict.false_not_run}')
     print(f'wrong answers: {verdict.wrong_answers}')
     print(f'orders by outcome: {verdict.final}')
-    print(f'sends by what was told: {verdict.told}')
+    print(f'sends by what was told: {verdict.reply}')
 
 
 def main() -> int:
--- a/packages/testkit/bulrushcourse_testkit/claims/variants.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/variants.py
@@ -16,7 +16,7 @@
 from bulrushcourse_entry.claims import issued_runs
 from bulrushcourse_testkit.claims import world as claim_world
 
-NOT_RUN = outcomes.Told(outcomes.Outcome.NOT_RUN, 'broken')
+NOT_RUN = outcomes.Reply(outcomes.Outcome.NOT_RUN, 'broken')
 
 Set = typing.Callable[[typing.Any, str, typing.Any], None]
 
@@ -57,7 +57,7 @@
 def forgotten_key_not_run(patch: Set) -> claim_world.World:
     """An issued key that was forgotten is said not to have run."""
 
-    def decline(self, meeting: issued.KeyMeeting) -> outcomes.Told:
+    def decline(self, meeting: issued.KeyMeeting) -> outcomes.Reply:
         return NOT_RUN
 
     patch(issued_runs.IssuedRuns, 'decline', decline)
@@ -98,7 +98,7 @@
     """A key with another body gets the answer of the first body."""
 
     def meet_record(record, digest) -> issued.KeyMeeting:
-        if record.told is None:
+        if record.reply is None:
             return issued.KeyMeeting.RUNNING
         return issued.KeyMeeting.FINAL
 
--- a/packages/testkit/bulrushcourse_testkit/claims/world.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/world.py
@@ -45,12 +45,12 @@
     Attributes:
         ran: Digest and answer of the run, by key.
         not_run: Keys whose callers were told ``not-run``.
-        told: Number of callers told, by outcome.
+        reply: Number of callers told, by outcome.
     """
 
     ran: dict[str, tuple[str, bytes]] = attrs.field(factory=dict)
     not_run: set[str] = attrs.field(factory=set)
-    told: dict[str, int] = attrs.field(factory=dict)
+    reply: dict[str, int] = attrs.field(factory=dict)
 
     def run(self, key: str, digest: str, answer: bytes) -> None:
         """Note a run.
@@ -69,32 +69,32 @@
             raise Violation(f'{key} ran after not-run')
         self.ran[key] = (digest, answer)
 
-    def tell(self, key: str, digest: str, told: outcomes.Told) -> None:
+    def tell(self, key: str, digest: str, reply: outcomes.Reply) -> None:
         """Note what a caller was told.
 
         Args:
             key: Idempotency key.
             digest: Digest of its request, empty if it only asked.
-            told: What it was told.
+            reply: What it was told.
 
         Raises:
             Violation: If it is not true.
         """
-        self.told[told.outcome.value] = (
-            self.told.get(told.outcome.value, 0) + 1
+        self.reply[reply.outcome.value] = (
+            self.reply.get(reply.outcome.value, 0) + 1
         )
-        if told.outcome is outcomes.Outcome.NOT_RUN:
+        if reply.outcome is outcomes.Outcome.NOT_RUN:
             if key in self.ran:
                 raise Violation(f'{key} ran and was told not-run')
             self.not_run.add(key)
-        if told.outcome is outcomes.Outcome.DONE:
-            self._check_answer(key, digest, told)
+        if reply.outcome is outcomes.Outcome.DONE:
+            self._check_answer(key, digest, reply)
 
     def _check_answer(
-        self, key: str, digest: str, told: outcomes.Told
+        self, key: str, digest: str, reply: outcomes.Reply
     ) -> None:
         ran_digest, answer = self.ran.get(key, ('', None))
-        if told.answer is None or told.answer.body != answer:
+        if reply.answer is None or reply.answer.body != answer:
             raise Violation(f'{key}: answer of no run of it')
         if digest and digest != ran_digest:
             raise Violation(f'{key}: answer to another request')
@@ -233,12 +233,12 @@
         key: typing.Any,
         request: dispatch.KeyedRequest,
         ask_only: bool,
-    ) -> outcomes.Told | None:
+    ) -> outcomes.Reply | None:
         """Ask the issuer of a key."""
         left = request.deadline - self.process.world.loop.now
         payload = (key, request, ask_only)
         answer = await self.process.ask('forward', payload, left)
-        return answer if isinstance(answer, outcomes.Told) else None
+        return answer if isinstance(answer, outcomes.Reply) else None
 
 
 @attrs.define
--- a/packages/testkit/bulrushcourse_testkit/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/soak.py
@@ -24,7 +24,7 @@
     """
     end = time.monotonic() + limit_s
     seed, moves, runs, failed = first_seed, 0, 0, 0
-    told: dict[str, int] = {}
+    reply: dict[str, int] = {}
     while time.monotonic() < end:
         world = claim_world.World()
         try:
@@ -35,10 +35,10 @@
         seed += 1
         moves += MOVES
         runs += len(world.ledger.ran)
-        for outcome, count in world.ledger.told.items():
-            told[outcome] = told.get(outcome, 0) + count
+        for outcome, count in world.ledger.reply.items():
+            reply[outcome] = reply.get(outcome, 0) + count
     print(f'seeds {first_seed} to {seed - 1}, {moves} moves, {runs} runs')
-    print(f'told: {told}; trials with a violation: {failed}')
+    print(f'told: {reply}; trials with a violation: {failed}')
     return failed
 
 
--- a/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
@@ -170,15 +170,15 @@
     async def run():
         async with open_cluster(tmp_path) as cluster:
             await cluster.set_upstream('all', crash_path='/crash')
-            told = []
+            reply = []
             for _ in range(4):
-                told += await asyncio.gather(
+                reply += await asyncio.gather(
                     *(send(cluster, name) for name in ENTRIES * 3)
                 )
-            print(collections.Counter(told))
+            print(collections.Counter(reply))
             peaks = await cluster.observe(cluster.upstreams_port, 'peaks')
             crashed = [n for n, p in peaks.items() if p['crashed']]
             assert 1 <= len(crashed) <= 2
-            assert 'done' not in told
+            assert 'done' not in reply
 
     asyncio.run(run())
