Report when the list of VMs does not answer

Cause: event 4003 stood in the catalogue and on the operators' page, but no code emitted it; the test compared only the catalogue with the enumeration. Change: the client of the list emits it once per outage. A new test demands that every event is emitted somewhere. Conclusion: each event of the catalogue can now be seen by an operator.

--- a/packages/entry/bulrushcourse_entry/platform/vm_list.py
+++ b/packages/entry/bulrushcourse_entry/platform/vm_list.py
@@ -6,6 +6,8 @@
 import aiohttp
 import attrs
 
+from bulrushcourse_entry import events
+
 CALL_TIMEOUT_S = 2.0
 
 
@@ -47,11 +49,13 @@
         session: HTTP session.
         leaving_instances: Upstream instances whose VMs are leaving, by the
             last answer.
+        reachable: Whether the last call was answered.
     """
 
     base: str
     session: aiohttp.ClientSession
     leaving_instances: frozenset[str] = frozenset()
+    reachable: bool = True
 
     async def list(self) -> tuple[Vm, ...] | None:
         """Return live and leaving entry VMs, ``None`` without an answer."""
@@ -61,8 +65,19 @@
                     response.raise_for_status()
                     listed = await response.json()
             vms = [Vm(**fields) for fields in listed]
-        except (aiohttp.ClientError, TimeoutError, TypeError, ValueError):
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            TypeError,
+            ValueError,
+        ) as error:
+            if self.reachable:
+                events.emit(
+                    events.Event.VM_LIST_UNREACHABLE, reason=repr(error)
+                )
+            self.reachable = False
             return None
+        self.reachable = True
         self.leaving_instances = frozenset(
             vm.instance for vm in vms if vm.instance and vm.state == 'leaving'
         )
--- a/packages/entry/bulrushcourse_entry/tests/test_events.py
+++ b/packages/entry/bulrushcourse_entry/tests/test_events.py
@@ -18,3 +18,13 @@
 def test_numbers_are_unique():
     numbers = [event.number for event in events.Event]
     assert len(numbers) == len(set(numbers))
+
+
+def test_every_event_is_emitted_somewhere():
+    """Guards against advice on events that no operator will ever see."""
+    sources = pathlib.Path(events.__file__).parent.rglob('*.py')
+    code = '\n'.join(
+        path.read_text() for path in sources if 'tests' not in path.parts
+    )
+    missing = [e.name for e in events.Event if f'Event.{e.name}' not in code]
+    assert missing == []
