--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The VMs that run bulrushcourse, as each of them knows the others."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/fleet/fleet.py
@@ -0,0 +1,164 @@
+"""The aggregate that knows which VMs serve callers."""
+
+import enum
+import typing
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+
+# A VM sends several reports a second.
+SILENT_S = 2.5
+# VMs that were silent for this long still count as sharers of limits, since
+# they may be cut off from here and still serve.
+SHARER_MEMORY_S = 20.0
+MAX_NAMED = 64
+
+
+class Phase(enum.Enum):
+    """What a VM says of itself."""
+
+    STARTING = 'starting'
+    READY = 'ready'
+    LEAVING = 'leaving'
+
+
+@attrs.frozen
+class Vm:
+    """A VM of the fleet.
+
+    Attributes:
+        name: Name of the VM.
+        incarnation: Start of its process in Unix milliseconds.
+        peer_address: ``ip:port`` for the other VMs.
+        caller_address: ``ip:port`` for callers.
+        region: Where it runs.
+        failure_domain: Where it runs.
+    """
+
+    name: str
+    incarnation: int
+    peer_address: str
+    caller_address: str
+    region: str
+    failure_domain: str
+
+
+@attrs.define
+class Sighting:
+    """When and how a VM was heard last.
+
+    Attributes:
+        phase: What it said.
+        at: When, on this VM's clock.
+    """
+
+    phase: Phase
+    at: float
+
+
+@attrs.define
+class Fleet:
+    """VMs by name, with the age of what is known of them.
+
+    Attributes:
+        clock: Source of time.
+        me: This VM.
+        phase: What this VM says of itself.
+        known: Other VMs, heard or only named by others.
+        heard: When each was heard last.
+    """
+
+    clock: clocks.Clock
+    me: Vm
+    phase: Phase = Phase.STARTING
+    known: dict[str, Vm] = attrs.field(factory=dict)
+    heard: dict[str, Sighting] = attrs.field(factory=dict)
+
+    def learn(self, vm: Vm) -> bool:
+        """Take over that a VM exists, from the store or another VM.
+
+        Args:
+            vm: The VM.
+
+        Returns:
+            Whether it is new or has started again.
+        """
+        if vm.name == self.me.name:
+            return False
+        known = self.known.get(vm.name)
+        if known is not None and known.incarnation >= vm.incarnation:
+            return False
+        self.known[vm.name] = vm
+        self.heard.pop(vm.name, None)
+        return True
+
+    def hear(self, vm: Vm, phase: Phase) -> bool:
+        """Note that a VM has spoken.
+
+        Args:
+            vm: The VM.
+            phase: What it says of itself.
+
+        Returns:
+            Whether it was not alive before.
+        """
+        self.learn(vm)
+        if self.known.get(vm.name) != vm:
+            return False
+        was_alive = self.is_alive(vm.name)
+        self.heard[vm.name] = Sighting(phase, self.clock.monotonic())
+        return not was_alive
+
+    def is_alive(self, name: str) -> bool:
+        """Return whether a VM was heard lately.
+
+        Args:
+            name: Name of the VM.
+        """
+        seen = self.heard.get(name)
+        if seen is None:
+            return False
+        return self.clock.monotonic() - seen.at <= SILENT_S
+
+    def alive(self) -> tuple[str, ...]:
+        """Return the names of the VMs that are alive, this one included."""
+        others = (name for name in self.known if self.is_alive(name))
+        return (self.me.name, *sorted(others))
+
+    def sharers(self) -> int:
+        """Return how many VMs may be sharing limits with this one."""
+        oldest = self.clock.monotonic() - SHARER_MEMORY_S
+        return 1 + sum(seen.at >= oldest for seen in self.heard.values())
+
+    def serving(self) -> tuple[Vm, ...]:
+        """Return the VMs that callers may be sent to."""
+        found = [self.me] if self.phase is Phase.READY else []
+        for name, vm in self.known.items():
+            if self.is_alive(name) and self.heard[name].phase is Phase.READY:
+                found.append(vm)
+        return tuple(found)
+
+
+def name_vms(
+    serving: typing.Sequence[Vm],
+    region: str,
+    homes: frozenset[str],
+) -> tuple[str, ...]:
+    """Return the addresses that a caller of a region shall use.
+
+    Callers use the VMs of their own region. If none serves, they use a home
+    region of the host, or else any.
+
+    Args:
+        serving: VMs that serve callers.
+        region: Region of the caller.
+        homes: Home regions of the host, empty if it has none.
+    """
+    groups = (
+        [vm for vm in serving if vm.region == region],
+        [vm for vm in serving if vm.region in homes],
+        list(serving),
+    )
+    chosen = next((group for group in groups if group), [])
+    return tuple(vm.caller_address for vm in chosen[:MAX_NAMED])
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which upstream gets a request, and which requests are refused."""
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -0,0 +1,171 @@
+"""The aggregate that chooses an upstream for a request or refuses it."""
+
+import random
+import typing
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.placement import service_times
+from bulrushcourse_domain.routes import route as routes
+from bulrushcourse_domain.upstreams import directory as directories
+from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import trouble
+from bulrushcourse_domain.upstreams import upstream as upstreams
+from bulrushcourse_domain.upstreams import warmth
+from bulrushcourse_domain.upstreams import warmup
+
+# Upstreams that should keep an object. Two leave a choice when one is busy.
+KEEPERS = 2
+# Work at a cold upstream takes about this much longer.
+COLD_FACTOR = 2.0
+# A request that fails is repeated or lost; its cost in objectives.
+FAILURE_COST = 2.0
+# A busier upstream is avoided among equals, by this share of the work.
+USE_COST = 0.15
+# Estimates closer than this share of the objective are a draw, so that VMs
+# with the same view do not all pick the same upstream.
+DRAW_SHARE = 0.04
+
+
+@attrs.frozen
+class Wish:
+    """What a request needs of an upstream.
+
+    Attributes:
+        route: The request's route.
+        service: Service that shall run it.
+        thing: Object that it concerns, empty if it names none.
+        region: Region that shall run it, empty for any.
+        tried: Upstreams that it was sent to.
+    """
+
+    route: routes.Route
+    service: str
+    thing: str = ''
+    region: str = ''
+    tried: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class Choice:
+    """An upstream with what is expected of it.
+
+    Attributes:
+        upstream: The upstream.
+        completion_s: Expected time until its answer.
+        work_s: Part of it that is work.
+        warm: Whether it is expected to know the object.
+        busy: Requests in flight beyond its slots, at least 0.
+        cold: Whether it is in its warm-up.
+    """
+
+    upstream: upstreams.Upstream
+    completion_s: float
+    work_s: float
+    warm: bool
+    busy: int
+    cold: bool = False
+
+
+@attrs.define
+class Placement:
+    """Expected completion of a request at each upstream.
+
+    Attributes:
+        clock: Source of time.
+        directory: Known upstreams.
+        load: Their load.
+        troubles: Their failures.
+        known: Objects that they have handled.
+        cold: Limits on cold upstreams.
+        times: Service times.
+        delays: Round trip to each failure domain in seconds.
+        rng: Source of randomness for draws.
+    """
+
+    clock: clocks.Clock
+    directory: directories.UpstreamDirectory
+    load: loads.LoadView
+    troubles: trouble.TroubleLog
+    known: warmth.Warmth
+    cold: warmup.WarmupLimiter
+    times: service_times.ServiceTimes
+    delays: typing.Callable[[upstreams.Upstream], float]
+    rng: random.Random
+
+    def choose(self, wish: Wish, service: routes.Service) -> Choice | None:
+        """Return the best upstream, ``None`` if there is none.
+
+        Args:
+            wish: What the request needs.
+            service: The service that shall run it.
+        """
+        candidates = self._candidates(wish, service)
+        if not candidates:
+            return None
+        names = [u.name for u in candidates]
+        keepers: frozenset[str] = frozenset()
+        if wish.thing:
+            keepers = warmth.preferred(wish.thing, names, KEEPERS)
+        choices = [self._estimate(wish, u, keepers) for u in candidates]
+        spread = wish.route.objective_s * DRAW_SHARE
+
+        def rank(choice: Choice) -> float:
+            return self._cost(wish, choice) + self.rng.random() * spread
+
+        return min(choices, key=rank)
+
+    def _candidates(
+        self, wish: Wish, service: routes.Service
+    ) -> list[upstreams.Upstream]:
+        found = [
+            u
+            for u in self.directory.usable(wish.service)
+            if wish.route.may_run_in(u.region)
+            and (not wish.region or u.region == wish.region)
+            and u.name not in wish.tried
+        ]
+        allowed = [
+            u
+            for u in found
+            if not self.directory.is_cold(u.name)
+            or self.cold.may_send(u.name, service.warmup_per_s)
+        ]
+        sound = [u for u in allowed if not self.troubles.is_paused(u.name)]
+        # When every upstream looks bad, the fault is more likely to be here.
+        return sound or allowed
+
+    def _estimate(
+        self,
+        wish: Wish,
+        upstream: upstreams.Upstream,
+        keepers: frozenset[str],
+    ) -> Choice:
+        times = self.times.of(
+            wish.route.key, wish.service, wish.route.objective_s
+        )
+        warm = bool(wish.thing) and (
+            upstream.name in keepers
+            or self.known.is_warm(upstream.name, wish.thing)
+        )
+        work = times.warm_s if warm else times.cold_s
+        work *= self.load.expected_slowness(upstream.name)
+        cold = self.directory.is_cold(upstream.name)
+        if cold:
+            work *= COLD_FACTOR
+        in_flight = self.load.in_flight(upstream.name)
+        busy = max(0, in_flight + 1 - upstream.slots)
+        wait = busy * times.warm_s / upstream.slots
+        completion = self.delays(upstream) + wait + work
+        return Choice(upstream, completion, work, warm, busy, cold)
+
+    def _cost(self, wish: Wish, choice: Choice) -> float:
+        upstream = choice.upstream
+        failing = self.troubles.failure_share(upstream.name)
+        use = self.load.in_flight(upstream.name) / upstream.slots
+        return (
+            choice.completion_s
+            + failing * FAILURE_COST * wish.route.objective_s
+            + min(1.0, use) * USE_COST * choice.work_s
+        )
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/placement/region_mix.py
@@ -0,0 +1,81 @@
+"""The aggregate that bounds how fast a route's work changes region."""
+
+import typing
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.routes import split
+
+# Two seconds at this rate move 6% of the requests, well under the 15% that
+# may change region from one two-second window to the next.
+RAMP_PER_S = 0.03
+LONGEST_STEP_S = 1.0
+
+
+def move_towards(
+    shares: typing.Mapping[str, float],
+    target: typing.Mapping[str, float],
+    most: float,
+) -> dict[str, float]:
+    """Return shares that are closer to the target by a bounded amount.
+
+    Args:
+        shares: Present share of each region; the sum is 1.
+        target: Wanted share of each region; the sum is 1.
+        most: Largest sum of all increases.
+
+    Examples:
+        >>> move_towards({'a': 1.0}, {'b': 1.0}, 0.25)
+        {'a': 0.75, 'b': 0.25}
+    """
+    regions = sorted(set(shares) | set(target))
+    steps = {r: target.get(r, 0.0) - shares.get(r, 0.0) for r in regions}
+    rise = sum(step for step in steps.values() if step > 0)
+    scale = 1.0 if rise <= most else most / rise
+    moved = {r: shares.get(r, 0.0) + steps[r] * scale for r in regions}
+    return {r: share for r, share in moved.items() if share > 1e-9}
+
+
+@attrs.define
+class RegionMix:
+    """Shares of the regions in one route's requests at this VM.
+
+    Attributes:
+        clock: Source of time.
+        ramp_per_s: Share of the requests that may move in a second.
+        shares: Present shares.
+        at: Time of the last step.
+        turns: Which region is next.
+    """
+
+    clock: clocks.Clock
+    ramp_per_s: float = RAMP_PER_S
+    shares: dict[str, float] = attrs.field(factory=dict)
+    at: float = 0.0
+    turns: split.WeightedTurns = attrs.field(factory=split.WeightedTurns)
+
+    def take(
+        self,
+        target: typing.Mapping[str, float],
+        usable: typing.Container[str],
+    ) -> str:
+        """Return the region of the next request and move the shares.
+
+        Shares of regions that cannot serve at all go to the others at once.
+
+        Args:
+            target: Wanted shares; some region has a positive one.
+            usable: Regions that can serve the route.
+        """
+        now = self.clock.monotonic()
+        kept = {r: s for r, s in self.shares.items() if r in usable}
+        if sum(kept.values()) <= 0:
+            self.shares = dict(target)
+        else:
+            total = sum(kept.values())
+            scaled = {r: share / total for r, share in kept.items()}
+            step = min(LONGEST_STEP_S, now - self.at) * self.ramp_per_s
+            self.shares = move_towards(scaled, target, step)
+        self.at = now
+        return self.turns.take(self.shares)
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/routes/table.py
@@ -0,0 +1,95 @@
+"""The aggregate that finds the route of a request."""
+
+import attrs
+
+from bulrushcourse_domain.routes import route as routes
+
+
+def _by_host(
+    route_set: routes.RouteSet,
+) -> dict[str, tuple[routes.Route, ...]]:
+    by_host: dict[str, list[routes.Route]] = {}
+    for route in route_set.routes:
+        by_host.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(found, key=lambda r: len(r.prefix), reverse=True))
+        for host, found in by_host.items()
+    }
+
+
+@attrs.define
+class RouteTable:
+    """The newest configuration that this VM has seen.
+
+    A version that is not newer is ignored, so the table never reverts,
+    whatever order the store and the peers deliver versions in.
+
+    Attributes:
+        in_force: The configuration in force, ``None`` before the first.
+        by_host: Its routes by host, the longest prefix first.
+    """
+
+    in_force: routes.RouteSet | None = None
+    by_host: dict[str, tuple[routes.Route, ...]] = attrs.field(factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first."""
+        return self.in_force.version if self.in_force else 0
+
+    def offer(self, route_set: routes.RouteSet) -> bool:
+        """Put a configuration in force if it is newer.
+
+        Args:
+            route_set: The configuration.
+
+        Returns:
+            Whether it is now in force.
+
+        Examples:
+            >>> table = RouteTable()
+            >>> (
+            ...     table.offer(routes.RouteSet(7)),
+            ...     table.offer(routes.RouteSet(5)),
+            ... )
+            (True, False)
+        """
+        if route_set.version <= self.version:
+            return False
+        self.in_force = route_set
+        self.by_host = _by_host(route_set)
+        return True
+
+    def match(self, host: str, path: str) -> routes.Route | None:
+        """Return the route with the longest prefix that begins the path.
+
+        Args:
+            host: Host that the request names.
+            path: Its path, without the query.
+        """
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def service(self, name: str) -> routes.Service:
+        """Return a service; one that is not configured has the defaults.
+
+        Args:
+            name: Name of the service.
+        """
+        known = self.in_force.services if self.in_force else {}
+        return known.get(name) or routes.Service(name)
+
+    def home_regions(self, host: str) -> frozenset[str]:
+        """Return the regions that every route of a host may run in.
+
+        Args:
+            host: Name of the host.
+
+        Returns:
+            The common home regions, empty if the routes have none.
+        """
+        bound = [r.home_regions for r in self.by_host.get(host, ())]
+        homes = [regions for regions in bound if regions]
+        return frozenset.intersection(*homes) if homes else frozenset()
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams as they are known: entries, load, health and warm-up."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The program that serves callers on the users' platform."""
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -0,0 +1,351 @@
+"""Serves one request: route, region, upstream, attempts, answer."""
+
+import asyncio
+import typing
+
+import attrs
+from returns import result
+
+from bulrushcourse_domain.placement import admission
+from bulrushcourse_domain.placement import allocation
+from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.routes import route as routes
+from bulrushcourse_domain.routes import split
+from bulrushcourse_domain.upstreams import trouble
+from bulrushcourse_entry.edge import call as calls
+from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import sending
+from bulrushcourse_entry.platform import headers as platform_headers
+
+Failure = sending.Failure
+
+# Failures that prove that the request did not run.
+NOT_RUN = frozenset({Failure.NOT_SENT, Failure.SHED, Failure.MISDIRECTED})
+# What a failure tells of the upstream's health.
+_OUTCOMES: typing.Mapping[Failure, trouble.Outcome] = {
+    Failure.NOT_SENT: trouble.Outcome.UNREACHABLE,
+    Failure.SHED: trouble.Outcome.SHED,
+    Failure.MISDIRECTED: trouble.Outcome.UNREACHABLE,
+    Failure.LOST: trouble.Outcome.LOST,
+    Failure.TRUNCATED: trouble.Outcome.ERROR,
+    Failure.FOREIGN: trouble.Outcome.ERROR,
+    Failure.DEADLINE: trouble.Outcome.LOST,
+}
+# A second copy is sent when the first took this many times as long as
+# expected; most work is done by then.
+HEDGE_FACTOR = 3.0
+SHORTEST_HEDGE_S = 0.15
+# Time for the answer to travel before the caller's own deadline.
+DEADLINE_MARGIN_S = 0.02
+
+
+@attrs.frozen
+class Refusal:
+    """An answer that promises that the request has not run.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When the caller may come back.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+@attrs.frozen
+class Lost:
+    """An answer that promises nothing.
+
+    Attributes:
+        reason: Why.
+        timed_out: Whether the time ran out.
+    """
+
+    reason: str
+    timed_out: bool
+
+
+Ending = sending.Answer | Refusal | Lost
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """Serves requests.
+
+    Attributes:
+        known: What this process believes.
+        sender: Client of the upstreams.
+        share_loss: Tells the other VMs of an upstream lost to a request.
+        set_aside: Called when an upstream has been set aside.
+        kept: Runs that go on although their callers have left.
+    """
+
+    known: knowledges.Knowledge
+    sender: sending.Sender
+    share_loss: typing.Callable[[str, str], None]
+    set_aside: typing.Callable[[str], None]
+    kept: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
+
+    def choose_service(self, route: routes.Route) -> str:
+        """Return the service that runs a route's next request.
+
+        Args:
+            route: The route.
+        """
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        turns = self.known.splits.setdefault(route.key, split.WeightedTurns())
+        return turns.take({p.service: p.weight for p in route.parts})
+
+    def choose_region(self, route: routes.Route, service: str) -> str:
+        """Return the region that runs a route's next request.
+
+        Args:
+            route: The route.
+            service: Service that runs it.
+
+        Returns:
+            Name of the region, empty if none can.
+        """
+        known = self.known
+        capacity: dict[str, float] = {}
+        for upstream in known.upstreams.usable(service):
+            if not route.may_run_in(upstream.region):
+                continue
+            slots = float(upstream.slots)
+            if known.upstreams.is_cold(upstream.name):
+                slots *= 0.25
+            if known.troubles.is_paused(upstream.name):
+                slots = 0.0
+            region = upstream.region
+            capacity[region] = capacity.get(region, 0.0) + slots
+        capacity = {r: slots for r, slots in capacity.items() if slots > 0}
+        here = known.settings.region
+        demand = known.demand.by_region(service)
+        shares = allocation.allocate(demand, capacity).get(here, {})
+        if not shares:
+            return ''
+        return known.mix(route.key, service).take(shares, capacity)
+
+    async def serve(self, call: calls.Call) -> Ending:
+        """Run a request and return how it ends.
+
+        A request that must not run twice goes on when its caller leaves,
+        since stopping it would prove nothing.
+
+        Args:
+            call: The request.
+        """
+        if self.known.crashes.is_refused(call.fingerprint):
+            return self._refuse(call, 'quarantined')
+        if call.route.idempotent:
+            return await self._serve_idempotent(call)
+        task = asyncio.create_task(self._serve_once(call))
+        self.kept.add(task)
+        task.add_done_callback(self.kept.discard)
+        return await asyncio.shield(task)
+
+    async def _serve_once(self, call: calls.Call) -> Ending:
+        while True:
+            choice = self._choose(call)
+            if not isinstance(choice, placement.Choice):
+                return choice
+            attempt = await self._attempt(call, choice)
+            if isinstance(attempt, result.Success):
+                return attempt.unwrap()
+            failure = attempt.failure()
+            if failure not in NOT_RUN:
+                return Lost(failure.value, failure is Failure.DEADLINE)
+            if not self._may_repeat(call, failure):
+                return self._refuse(call, failure.value)
+
+    async def _serve_idempotent(self, call: calls.Call) -> Ending:
+        choice = self._choose(call)
+        if not isinstance(choice, placement.Choice):
+            return choice
+        running = {self._start(call, choice)}
+        hedge_at = self._hedge_at(choice)
+        worst: Ending | None = None
+        try:
+            while running:
+                done, running = await asyncio.wait(
+                    running,
+                    timeout=max(0.0, hedge_at - self.known.clock.monotonic()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                ended = [task.result() for task in done]
+                good = next((e for e in ended if _is_good(e)), None)
+                if good is not None:
+                    return good.unwrap()
+                for attempt in ended:
+                    worst = self._ending(call, attempt)
+                hedge_at = float('inf')
+                if ended and running:
+                    continue
+                if not self._may_repeat(call, _failure(ended)):
+                    continue
+                choice = self._choose(call)
+                if isinstance(choice, placement.Choice):
+                    running.add(self._start(call, choice))
+                elif worst is None and not running:
+                    worst = choice
+            return worst or self._refuse(call, 'no-upstream')
+        finally:
+            for task in running:
+                task.cancel()
+
+    def _start(
+        self, call: calls.Call, choice: placement.Choice
+    ) -> asyncio.Task[result.Result[sending.Answer, Failure]]:
+        return asyncio.create_task(self._attempt(call, choice))
+
+    def _hedge_at(self, choice: placement.Choice) -> float:
+        wait = max(SHORTEST_HEDGE_S, choice.completion_s * HEDGE_FACTOR)
+        return self.known.clock.monotonic() + wait
+
+    def _ending(
+        self,
+        call: calls.Call,
+        attempt: result.Result[sending.Answer, Failure],
+    ) -> Ending:
+        if isinstance(attempt, result.Success):
+            return attempt.unwrap()
+        failure = attempt.failure()
+        if call.may_have_run:
+            return Lost(failure.value, failure is Failure.DEADLINE)
+        return self._refuse(call, failure.value)
+
+    def _may_repeat(self, call: calls.Call, failure: Failure | None) -> bool:
+        if len(call.tried) >= call.route.max_attempts:
+            return False
+        if call.deadline <= self.known.clock.monotonic():
+            return False
+        if failure is Failure.NOT_SENT:
+            # It never arrived, so that it is no second arrival.
+            return True
+        now = self.known.clock.monotonic()
+        budget = self.known.budget(call.service)
+        return budget.spend(now, self.known.fleet.sharers())
+
+    def _choose(self, call: calls.Call) -> placement.Choice | Ending:
+        now = self.known.clock.monotonic()
+        wish = placement.Wish(
+            call.route,
+            call.service,
+            call.thing,
+            call.region,
+            frozenset(call.tried),
+        )
+        service = self.known.routes.service(call.service)
+        choice = self.known.placement.choose(wish, service)
+        verdict = admission.admit(
+            choice, call.route, now - call.arrived, call.deadline - now
+        )
+        if verdict is admission.Verdict.SEND:
+            return choice
+        call.steps.append(verdict.value)
+        if call.may_have_run:
+            return Lost(verdict.value, False)
+        return self._refuse(call, verdict.value)
+
+    def _refuse(self, call: calls.Call, reason: str) -> Refusal:
+        left = call.deadline - self.known.clock.monotonic()
+        return Refusal(reason, self.known.retry_times.draw(max(0.0, left)))
+
+    async def _attempt(
+        self, call: calls.Call, choice: placement.Choice
+    ) -> result.Result[sending.Answer, Failure]:
+        known = self.known
+        upstream = choice.upstream
+        started = known.clock.monotonic()
+        remaining = call.deadline - started
+        first = not call.tried
+        call.tried.add(upstream.name)
+        known.load.begin(upstream.name)
+        known.troubles.begin(upstream.name)
+        if choice.cold:
+            known.cold.note_sent(upstream.name)
+        if first:
+            known.budget(call.service).count_request()
+        outbound = sending.Outbound(
+            call.method,
+            call.target,
+            platform_headers.encode_forwarded(
+                call.headers, upstream.name, remaining
+            ),
+            call.body,
+            call.request_id,
+            remaining,
+        )
+        ended = None
+        try:
+            ended = await self.sender.send(upstream, outbound)
+        finally:
+            known.load.end(upstream.name)
+            if ended is None:
+                known.troubles.abandon(upstream.name)
+        took = known.clock.monotonic() - started
+        self._learn(call, choice, ended, took)
+        return ended
+
+    def _learn(
+        self,
+        call: calls.Call,
+        choice: placement.Choice,
+        ended: result.Result[sending.Answer, Failure],
+        took: float,
+    ) -> None:
+        known = self.known
+        name = choice.upstream.name
+        if isinstance(ended, result.Success):
+            answer = ended.unwrap()
+            call.steps.append(f'{name}:{answer.status}:{took * 1000:.0f}ms')
+            known.crashes.clear(call.fingerprint)
+            good = answer.status < 500
+            known.troubles.note(
+                name, trouble.Outcome.GOOD if good else trouble.Outcome.ERROR
+            )
+            if good:
+                self._learn_time(call, choice, took)
+            return
+        failure = ended.failure()
+        call.steps.append(f'{name}:{failure.value}:{took * 1000:.0f}ms')
+        if failure not in NOT_RUN:
+            call.may_have_run = True
+        if failure is Failure.LOST:
+            incarnation = choice.upstream.incarnation
+            known.crashes.note_loss(call.fingerprint, incarnation)
+            self.share_loss(call.fingerprint, incarnation)
+        if known.troubles.note(name, _OUTCOMES[failure]):
+            self.set_aside(name)
+
+    def _learn_time(
+        self, call: calls.Call, choice: placement.Choice, took: float
+    ) -> None:
+        known = self.known
+        name = choice.upstream.name
+        if call.thing:
+            known.known.note(name, call.thing)
+        if choice.busy or choice.cold:
+            return
+        slowness = known.load.expected_slowness(name)
+        work = (took - known.delays.to_upstream(choice.upstream)) / slowness
+        times = known.times.of(
+            call.route.key, call.service, call.route.objective_s
+        )
+        times.add(max(0.001, work), choice.warm)
+
+
+def _is_good(attempt: result.Result[sending.Answer, Failure]) -> bool:
+    return (
+        isinstance(attempt, result.Success) and attempt.unwrap().status < 500
+    )
+
+
+def _failure(
+    ended: list[result.Result[sending.Answer, Failure]],
+) -> Failure | None:
+    for attempt in ended:
+        if isinstance(attempt, result.Failure):
+            return attempt.failure()
+    return None
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/front.py
@@ -0,0 +1,285 @@
+"""Listeners for callers: requests, look-ups and readiness."""
+
+import asyncio
+import traceback
+import typing
+
+import attrs
+from aiohttp import web
+
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import call as calls
+from bulrushcourse_entry.edge import exchange as exchanges
+from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import meters
+from bulrushcourse_entry.platform import headers as platform_headers
+from bulrushcourse_entry.platform import lookups
+
+# Callers ask again this often; well below the longest time that counts, so
+# that a VM that leaves is soon forgotten.
+LOOKUP_MAX_AGE_S = 2.0
+REFUSED = 503
+
+
+@attrs.define(eq=False)
+class Front:
+    """Turns callers' requests into calls and endings into answers.
+
+    Attributes:
+        known: What this process believes.
+        exchange: Serves the calls.
+        journal: Log.
+        meters: Counters and histograms.
+        closing: Whether connections end with the next answer.
+        refusing: Whether new requests are refused.
+        open: Requests that are being served.
+    """
+
+    known: knowledges.Knowledge
+    exchange: exchanges.Exchange
+    journal: journals.Journal
+    meters: meters.Meters
+    closing: bool = False
+    refusing: bool = False
+    open: int = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve a request of a caller.
+
+        Args:
+            request: The request.
+        """
+        self.open += 1
+        try:
+            response = await self._serve(request)
+        except Exception as error:
+            # The request may have run, so that the answer promises nothing.
+            self.journal.belief(
+                events.Event.REQUEST_ERROR,
+                id=request.headers.get(platform_headers.REQUEST_ID, ''),
+                error=traceback.format_exc(limit=-4),
+                kind=type(error).__name__,
+            )
+            response = web.Response(status=502)
+        finally:
+            self.open -= 1
+        if self.closing:
+            response.force_close()
+        return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = self.known.clock.monotonic()
+        caller = platform_headers.decode_caller(request.headers)
+        if not caller.request_id:
+            return self._reject(400, 'no-request-id', caller)
+        if self.refusing or not self.known.routes.version:
+            reason = 'stopping' if self.refusing else 'no-configuration'
+            return self._refused(
+                caller.request_id, exchanges.Refusal(reason, 0.1)
+            )
+        host = request.headers.get('Host', '').partition(':')[0].lower()
+        target = request.raw_path
+        route = self.known.routes.match(host, target.partition('?')[0])
+        if route is None:
+            return self._reject(404, 'no-route', caller)
+        body = await self._read_body(request)
+        if body is None:
+            return self._reject(413, 'body-too-large', caller)
+        call = self._call(request, caller, route, arrived, body)
+        ending = await self.exchange.serve(call)
+        self._record(call, ending)
+        return self._respond(call.request_id, ending)
+
+    def _call(
+        self,
+        request: web.BaseRequest,
+        caller: platform_headers.CallerHeaders,
+        route: typing.Any,
+        arrived: float,
+        body: bytes,
+    ) -> calls.Call:
+        known = self.known
+        service = self.exchange.choose_service(route)
+        times = known.times.of(route.key, service, route.objective_s)
+        known.demand.count(service, times.warm_s)
+        allowed = route.timeout_s
+        if caller.remaining_s is not None:
+            allowed = min(
+                allowed, caller.remaining_s - exchanges.DEADLINE_MARGIN_S
+            )
+        thing = ''
+        if route.affinity and caller.thing:
+            thing = f'{route.key}{caller.thing}'
+        return calls.Call(
+            request_id=caller.request_id,
+            method=request.method,
+            target=request.raw_path,
+            headers=request.headers,
+            body=body,
+            route=route,
+            configuration_version=known.routes.version,
+            service=service,
+            region=self.exchange.choose_region(route, service),
+            thing=thing,
+            arrived=arrived,
+            deadline=arrived + allowed,
+        )
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
+        if not request.body_exists:
+            return b''
+        limit = self.known.routes.in_force.limits.body_bytes
+        body = bytearray()
+        async for piece in request.content.iter_any():
+            body += piece
+            if len(body) > limit:
+                return None
+        return bytes(body)
+
+    def _respond(
+        self, request_id: str, ending: exchanges.Ending
+    ) -> web.Response:
+        if isinstance(ending, exchanges.Refusal):
+            return self._refused(request_id, ending)
+        if isinstance(ending, exchanges.Lost):
+            return web.Response(status=504 if ending.timed_out else 502)
+        response = web.Response(
+            status=ending.status,
+            headers=platform_headers.encode_returned(ending.headers),
+            body=ending.body,
+        )
+        return response
+
+    def _refused(
+        self, request_id: str, refusal: exchanges.Refusal
+    ) -> web.Response:
+        self.meters.refused(refusal.reason)
+        if refusal.reason in ('stopping', 'no-configuration'):
+            self.journal.decision(
+                False,
+                id=request_id,
+                outcome='refused',
+                reason=refusal.reason,
+                configuration=self.known.routes.version,
+            )
+        return web.Response(
+            status=REFUSED,
+            headers=platform_headers.encode_retry_after(refusal.retry_after_s),
+        )
+
+    def _reject(
+        self,
+        status: int,
+        reason: str,
+        caller: platform_headers.CallerHeaders,
+    ) -> web.Response:
+        self.journal.decision(
+            False,
+            id=caller.request_id,
+            outcome='rejected',
+            reason=reason,
+            status=status,
+            configuration=self.known.routes.version,
+        )
+        return web.Response(status=status)
+
+    def _record(self, call: calls.Call, ending: exchanges.Ending) -> None:
+        known = self.known
+        took = known.clock.monotonic() - call.arrived
+        served = isinstance(ending, exchanges.sending.Answer)
+        self.meters.ended(call.service, ending, took)
+        self.journal.decision(
+            served and ending.status < 500,
+            id=call.request_id,
+            outcome=type(ending).__name__.lower(),
+            reason=getattr(ending, 'reason', ''),
+            status=getattr(ending, 'status', None),
+            took_ms=round(took * 1000),
+            allowed_ms=round((call.deadline - call.arrived) * 1000),
+            route=call.route.key,
+            service=call.service,
+            region=call.region,
+            steps=call.steps,
+            configuration=call.configuration_version,
+            upstreams_version=known.upstreams.version,
+            upstreams_age_ms=round(
+                (known.clock.monotonic() - known.upstreams.read_at) * 1000
+            )
+            if known.upstreams.version
+            else None,
+        )
+
+    async def look_up(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer which VMs a caller shall use.
+
+        Args:
+            request: The question.
+        """
+        question = lookups.decode(request.path, request.query)
+        if question is None:
+            return web.Response(status=404)
+        addresses = fleet.name_vms(
+            self.known.fleet.serving(),
+            question.region,
+            self.known.routes.home_regions(question.host),
+        )
+        if not addresses:
+            return web.Response(status=REFUSED)
+        max_age_s = min(
+            LOOKUP_MAX_AGE_S, self.known.settings.bounds.answer_max_age_s
+        )
+        return web.Response(
+            body=lookups.encode(addresses, max_age_s),
+            content_type='application/json',
+        )
+
+    async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer whether this VM serves callers.
+
+        Args:
+            request: The question.
+        """
+        ready = self.known.fleet.phase is fleet.Phase.READY
+        return web.Response(status=200 if ready else REFUSED)
+
+
+async def serve_http(
+    handler: typing.Callable[
+        [web.BaseRequest], typing.Awaitable[web.StreamResponse]
+    ],
+    address: str,
+    backlog: int = 128,
+) -> web.ServerRunner:
+    """Start an HTTP listener; one task serves each connection.
+
+    Args:
+        handler: Serves a request; it is cancelled when the caller leaves.
+        address: ``ip:port`` to listen on.
+        backlog: Connections that may wait to be accepted.
+    """
+    server = web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        max_line_size=1 << 16,
+        max_field_size=1 << 16,
+    )
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    site = web.TCPSite(
+        runner, host, int(port), backlog=backlog, reuse_address=True
+    )
+    await site.start()
+    return runner
+
+
+async def close_http(runners: typing.Iterable[web.ServerRunner]) -> None:
+    """Close listeners and their connections.
+
+    Args:
+        runners: The listeners.
+    """
+    await asyncio.gather(*(runner.cleanup() for runner in runners))
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -0,0 +1,178 @@
+"""What an edge process believes, in one place."""
+
+import random
+import typing
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.placement import admission
+from bulrushcourse_domain.placement import demand
+from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.placement import region_mix
+from bulrushcourse_domain.placement import service_times
+from bulrushcourse_domain.quarantine import crashes
+from bulrushcourse_domain.retries import shared
+from bulrushcourse_domain.routes import split
+from bulrushcourse_domain.routes import table as route_table
+from bulrushcourse_domain.upstreams import directory as directories
+from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import trouble
+from bulrushcourse_domain.upstreams import warmth
+from bulrushcourse_domain.upstreams import warmup
+from bulrushcourse_entry.edge import delays
+from bulrushcourse_entry.edge import settings as edge_settings
+
+
+@attrs.define(eq=False)
+class Knowledge:
+    """The aggregates that decide, shared by the tasks of one process.
+
+    Attributes:
+        settings: Settings of the process.
+        clock: Source of time.
+        rng: Source of randomness.
+        routes: Configuration in force.
+        configuration: Its content as it was read, to pass it on.
+        operators_version: Version of the store behind the evacuations.
+        upstreams: Known upstreams.
+        load: Their load.
+        troubles: Their failures.
+        known: Objects that they have handled.
+        cold: Limits on cold upstreams.
+        times: Service times.
+        delays: Round trips to regions.
+        fleet: The VMs.
+        demand: Work that arrives, by region and service.
+        crashes: Requests that end upstreams.
+        placement: Choice of an upstream.
+        retry_times: Times to come back.
+        mixes: Shares of the regions, by route and service.
+        splits: Turns of a route's services.
+        budgets: Budgets for second sends, by service.
+    """
+
+    settings: edge_settings.EdgeSettings
+    clock: clocks.Clock
+    rng: random.Random
+    routes: route_table.RouteTable
+    upstreams: directories.UpstreamDirectory
+    load: loads.LoadView
+    troubles: trouble.TroubleLog
+    known: warmth.Warmth
+    cold: warmup.WarmupLimiter
+    times: service_times.ServiceTimes
+    delays: delays.Delays
+    fleet: fleet.Fleet
+    demand: demand.Demand
+    crashes: crashes.CrashLedger
+    placement: placement.Placement
+    retry_times: admission.RetryTimes
+    configuration: bytes = b''
+    operators_version: int = 0
+    mixes: dict[tuple[str, str], region_mix.RegionMix] = attrs.field(
+        factory=dict
+    )
+    splits: dict[str, split.WeightedTurns] = attrs.field(factory=dict)
+    budgets: dict[str, shared.SharedRetryBudget] = attrs.field(factory=dict)
+
+    def budget(self, service: str) -> shared.SharedRetryBudget:
+        """Return the budget for second sends to a service.
+
+        Args:
+            service: Name of the service.
+        """
+        if service not in self.budgets:
+            bounds = self.settings.bounds
+            self.budgets[service] = shared.SharedRetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window_s,
+                at=self.clock.monotonic(),
+            )
+        return self.budgets[service]
+
+    def mix(self, route: str, service: str) -> region_mix.RegionMix:
+        """Return the shares of the regions in a route's requests.
+
+        Args:
+            route: Key of the route.
+            service: Name of the service.
+        """
+        key = route, service
+        if key not in self.mixes:
+            self.mixes[key] = region_mix.RegionMix(self.clock)
+        return self.mixes[key]
+
+    def apply(self, changes: typing.Iterable[directories.Change]) -> None:
+        """Forget what no longer holds of upstreams that changed.
+
+        Args:
+            changes: Changes of the upstreams' entries.
+        """
+        for change in changes:
+            if change.what in ('gone', 'restarted'):
+                self.troubles.forget(change.upstream.name)
+                self.known.forget(change.upstream.name)
+                self.load.slowness.pop(change.upstream.name, None)
+
+
+def assemble(
+    settings: edge_settings.EdgeSettings,
+    clock: clocks.Clock,
+    rng: random.Random,
+) -> Knowledge:
+    """Return the knowledge of a process that has just started.
+
+    Args:
+        settings: Settings of the process.
+        clock: Source of time.
+        rng: Source of randomness.
+    """
+    bounds = settings.bounds
+    me = fleet.Vm(
+        settings.vm,
+        int(clock.wall().timestamp() * 1000),
+        settings.peers,
+        settings.callers,
+        settings.region,
+        settings.failure_domain,
+    )
+    upstreams = directories.UpstreamDirectory(clock)
+    load = loads.LoadView(clock)
+    troubles = trouble.TroubleLog(clock)
+    known = warmth.Warmth()
+    cold = warmup.WarmupLimiter(
+        clock, settings.vm, bounds.warmup_excess, bounds.warmup_margin
+    )
+    times = service_times.ServiceTimes()
+    measured = delays.Delays(settings.region, settings.failure_domain)
+    return Knowledge(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        routes=route_table.RouteTable(),
+        upstreams=upstreams,
+        load=load,
+        troubles=troubles,
+        known=known,
+        cold=cold,
+        times=times,
+        delays=measured,
+        fleet=fleet.Fleet(clock, me),
+        demand=demand.Demand(clock, settings.region),
+        crashes=crashes.CrashLedger(clock),
+        placement=placement.Placement(
+            clock,
+            upstreams,
+            load,
+            troubles,
+            known,
+            cold,
+            times,
+            measured.to_upstream,
+            rng,
+        ),
+        retry_times=admission.RetryTimes(rng),
+    )
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -0,0 +1,272 @@
+"""Streams of reports between the VMs; one task for each peer."""
+
+import asyncio
+import socket
+import struct
+import typing
+
+import attrs
+
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import reading
+from bulrushcourse_wire import fleet_messages
+
+# Several reports within the time that a piece of work takes.
+REPORT_INTERVAL_S = 0.25
+# Reports grow with the fleet, so that larger fleets send fewer.
+VMS_AT_FULL_RATE = 16
+SLOWEST_INTERVAL_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 4.0
+# Data that is not acknowledged for so long ends the connection.
+USER_TIMEOUT_MS = 1500
+MAX_REPORT_BYTES = 4 << 20
+VM_LIST_EVERY = 20
+READ_TIMEOUT_S = 4.0
+_HEADER = struct.Struct('>I')
+
+
+@attrs.define(eq=False)
+class PeerStreams:
+    """Sends this VM's reports to every other VM and takes theirs.
+
+    Attributes:
+        known: What this process believes.
+        journal: Log.
+        tasks: Sending tasks by VM name, and by address for seeds.
+        losses: Fresh losses of upstreams by the peer that lacks them.
+        inbound: Tasks of incoming streams.
+        versions: Version of the configuration in force, by VM.
+    """
+
+    known: knowledges.Knowledge
+    journal: journals.Journal
+    tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
+    losses: dict[str, list[tuple[str, str]]] = attrs.field(factory=dict)
+    inbound: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
+    versions: dict[str, int] = attrs.field(factory=dict)
+
+    async def listen(self, address: str) -> asyncio.Server:
+        """Accept streams of other VMs.
+
+        Args:
+            address: ``ip:port`` to listen on.
+        """
+        host, _, port = address.rpartition(':')
+        return await asyncio.start_server(self._receive, host, int(port))
+
+    def greet_seeds(self) -> None:
+        """Call the VMs that the settings name, to be known to them."""
+        me = self.known.fleet.me
+        for address in self.known.settings.seeds:
+            if address != me.peer_address and address not in self.tasks:
+                self.tasks[address] = asyncio.create_task(self._greet(address))
+
+    def meet(self, vm: fleet.Vm) -> None:
+        """Start sending to a VM that was learned of.
+
+        Args:
+            vm: The VM.
+        """
+        if not self.known.fleet.learn(vm) or not vm.peer_address:
+            return
+        old = self.tasks.pop(vm.name, None)
+        if old is not None:
+            old.cancel()
+        self.tasks[vm.name] = asyncio.create_task(self._send_to(vm))
+
+    def share_loss(self, fingerprint: str, upstream: str) -> None:
+        """Tell all VMs that a request has lost an upstream.
+
+        Args:
+            fingerprint: Hash of the request's content.
+            upstream: Incarnation of the upstream.
+        """
+        for name in self.known.fleet.known:
+            self.losses.setdefault(name, []).append((fingerprint, upstream))
+
+    async def close(self) -> None:
+        """End all streams."""
+        tasks = [*self.tasks.values(), *self.inbound]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _greet(self, address: str) -> None:
+        """Send to a seed until some VM has been heard."""
+        while len(self.known.fleet.alive()) == 1:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    _, writer = await _connect(address)
+                    _write(writer, self._report())
+                    await writer.drain()
+                await asyncio.sleep(REPORT_INTERVAL_S)
+                writer.close()
+            except (OSError, TimeoutError):
+                # The seed may be down; another one or the store will do.
+                await asyncio.sleep(RECONNECT_PAUSE_S)
+
+    async def _send_to(self, vm: fleet.Vm) -> None:
+        pause = RECONNECT_PAUSE_S
+        connected = False
+        while True:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await _connect(vm.peer_address)
+                pause = RECONNECT_PAUSE_S
+                connected = True
+                self.journal.belief(events.Event.PEER_CONNECTED, vm=vm.name)
+                await self._send_reports(vm, reader, writer)
+            except (OSError, TimeoutError) as error:
+                if connected:
+                    self.journal.belief(
+                        events.Event.PEER_LOST, vm=vm.name, reason=repr(error)
+                    )
+                connected = False
+            await asyncio.sleep(pause)
+            pause = min(LONGEST_PAUSE_S, pause * 2)
+
+    async def _send_reports(
+        self,
+        vm: fleet.Vm,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        count = 0
+        told = 0
+        try:
+            while not reader.at_eof():
+                report = self._report(
+                    to=vm.name, told=told, with_vms=count % VM_LIST_EVERY == 0
+                )
+                told = self.known.upstreams.version
+                _write(writer, report)
+                async with asyncio.timeout(USER_TIMEOUT_MS / 1000):
+                    await writer.drain()
+                count += 1
+                await asyncio.sleep(self.interval_s())
+        finally:
+            writer.close()
+
+    def interval_s(self) -> float:
+        """Return the time between reports at the fleet's present size."""
+        size = len(self.known.fleet.known) + 1
+        scaled = REPORT_INTERVAL_S * size / VMS_AT_FULL_RATE
+        return min(SLOWEST_INTERVAL_S, max(REPORT_INTERVAL_S, scaled))
+
+    def _report(
+        self, to: str = '', told: int = 0, with_vms: bool = True
+    ) -> fleet_messages.Report:
+        known = self.known
+        fleet_known = known.fleet.known
+        heard = self.versions.get(to, known.routes.version)
+        news = known.upstreams.news_since(told)
+        return fleet_messages.Report(
+            vm=known.fleet.me,
+            phase=known.fleet.phase,
+            configuration_version=known.routes.version,
+            in_flight=known.load.own,
+            slowness=self._recent_slowness(),
+            demand=known.demand.own_slots(),
+            losses=self.losses.pop(to, []),
+            operators_version=known.operators_version,
+            evacuated=sorted(known.upstreams.evacuated),
+            news=news if news.version > told else None,
+            vms=list(fleet_known.values()) if with_vms else [],
+            configuration=(
+                known.configuration if heard < known.routes.version else b''
+            ),
+        )
+
+    def _recent_slowness(self) -> dict[str, tuple[float, float]]:
+        now = self.known.clock.monotonic()
+        interval = self.interval_s() * 1.2
+        return {
+            upstream: (round(value, 2), round(now - at, 3))
+            for upstream, (value, at) in self.known.load.fresh.items()
+            if now - at <= interval
+        }
+
+    async def _receive(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self.inbound.add(task)
+        try:
+            while True:
+                async with asyncio.timeout(READ_TIMEOUT_S):
+                    header = await reader.readexactly(_HEADER.size)
+                    (size,) = _HEADER.unpack(header)
+                    if size > MAX_REPORT_BYTES:
+                        raise fleet_messages.MalformedReport(f'{size} bytes')
+                    content = await reader.readexactly(size)
+                self._take(fleet_messages.decode(content))
+        except (OSError, EOFError, TimeoutError):
+            # The VM ended, restarted or was cut off; its silence is noticed
+            # by the fleet's own ages.
+            pass
+        except fleet_messages.MalformedReport as error:
+            self.journal.belief(events.Event.PEER_REFUSED, reason=str(error))
+        except asyncio.CancelledError:
+            # Server tasks are cancelled only when the process ends.
+            pass
+        finally:
+            self.inbound.discard(task)
+            writer.close()
+
+    def _take(self, report: fleet_messages.Report) -> None:
+        known = self.known
+        vm = report.vm
+        if vm.name == known.fleet.me.name:
+            return
+        self.meet(vm)
+        if known.fleet.hear(vm, report.phase):
+            self.journal.belief(
+                events.Event.MEMBER_CHANGED, vm=vm.name, state='alive'
+            )
+        self.versions[vm.name] = report.configuration_version
+        known.load.hear_peer(vm.name, report.in_flight)
+        known.demand.hear(vm.name, vm.region, report.demand)
+        for upstream, (value, age_s) in report.slowness.items():
+            known.load.hear_slowness(upstream, value, age_s)
+        for fingerprint, upstream in report.losses:
+            known.crashes.hear_loss(fingerprint, upstream)
+        if report.configuration:
+            reading.offer_configuration(
+                known, self.journal, report.configuration
+            )
+        reading.offer_evacuations(
+            known,
+            self.journal,
+            report.operators_version,
+            frozenset(report.evacuated),
+        )
+        if report.news is not None:
+            reading.take_changes(
+                known, self.journal, known.upstreams.apply(report.news)
+            )
+        for other in report.vms:
+            self.meet(other)
+
+
+async def _connect(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+    return reader, writer
+
+
+def _write(
+    writer: asyncio.StreamWriter, report: fleet_messages.Report
+) -> None:
+    content = fleet_messages.encode(report)
+    writer.write(_HEADER.pack(len(content)) + content)
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -0,0 +1,214 @@
+"""The edge process: assembly, start, reload and graceful stop."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+import typing
+
+import aiohttp
+import attrs
+from aiohttp import web
+from returns import result
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import exchange as exchanges
+from bulrushcourse_entry.edge import front as fronts
+from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import meters as edge_meters
+from bulrushcourse_entry.edge import peers
+from bulrushcourse_entry.edge import reading
+from bulrushcourse_entry.edge import sending
+from bulrushcourse_entry.edge import settings as edge_settings
+from bulrushcourse_entry.platform import rows
+from bulrushcourse_entry.platform import settings_file
+
+TICK_S = 0.25
+# Parts of the time that a graceful stop may take: until then new requests
+# are served, then refused, and the last sixth is left for the answers.
+ACCEPT_SHARE = 0.5
+FINISH_SHARE = 0.92
+CALLER_BACKLOG = 1024
+# Connections to one upstream that this VM may use of those that all VMs
+# may; a VM rarely has more than a few requests at one upstream.
+CONNECTIONS_PER_UPSTREAM = 16
+
+
+@attrs.define(eq=False)
+class EdgeProcess:
+    """One process that serves callers.
+
+    Attributes:
+        settings: Its settings.
+        settings_path: Where they are read from again on SIGHUP.
+        metrics_port: Port of the metrics, 0 for none.
+        clock: Source of time.
+        rng: Source of randomness.
+        stopping: Set when the process is asked to stop.
+    """
+
+    settings: edge_settings.EdgeSettings
+    settings_path: str
+    metrics_port: int = 0
+    clock: clocks.Clock = attrs.field(factory=clocks.SystemClock)
+    rng: random.Random = attrs.field(factory=random.Random)
+    stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what has begun."""
+        known = knowledges.assemble(self.settings, self.clock, self.rng)
+        journal = journals.Journal(self.clock)
+        journal.belief(
+            events.Event.STARTED,
+            vm=self.settings.vm,
+            region=self.settings.region,
+            incarnation=known.fleet.me.incarnation,
+        )
+        self._handle_signals(journal)
+        streams = peers.PeerStreams(known, journal)
+        sender = sending.open_sender(known, CONNECTIONS_PER_UPSTREAM)
+        store_session = aiohttp.ClientSession()
+        store = rows.RowStore(self.settings.store, store_session)
+        meters = edge_meters.Meters()
+        meters.gauge(
+            'bulrushcourse_store_calls',
+            'Calls to the store',
+            lambda: float(store.calls),
+        )
+        exchange = exchanges.Exchange(
+            known,
+            sender,
+            streams.share_loss,
+            lambda name: journal.belief(
+                events.Event.UPSTREAM_SET_ASIDE, upstream=name
+            ),
+        )
+        front = fronts.Front(known, exchange, journal, meters)
+        runners = await self._listen(front, meters, known)
+        tasks = self._start_tasks(known, journal, store, streams)
+        if self.settings.peers:
+            server = await streams.listen(self.settings.peers)
+            streams.greet_seeds()
+        await self.stopping.wait()
+        await self._stop(known, journal, front)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self.settings.peers:
+            server.close()
+        await streams.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await fronts.close_http(runners)
+        await sender.session.close()
+        await store_session.close()
+        journal.belief(events.Event.STOPPED, vm=self.settings.vm)
+
+    def _handle_signals(self, journal: journals.Journal) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, journal)
+
+    def _reload(self, journal: journals.Journal) -> None:
+        """Take over bounds from the settings file; addresses stay."""
+        loaded = settings_file.load(self.settings_path)
+        if isinstance(loaded, result.Failure):
+            found = [str(finding) for finding in loaded.failure()]
+            journal.belief(events.Event.SETTINGS_REFUSED, findings=found)
+            return
+        journal.belief(events.Event.RELOADED, path=self.settings_path)
+
+    async def _listen(
+        self,
+        front: fronts.Front,
+        meters: edge_meters.Meters,
+        known: knowledges.Knowledge,
+    ) -> list[web.ServerRunner]:
+        runners = [
+            await fronts.serve_http(
+                front.handle, self.settings.callers, CALLER_BACKLOG
+            )
+        ]
+        if self.settings.lookups:
+            runners.append(
+                await fronts.serve_http(front.look_up, self.settings.lookups)
+            )
+        if self.settings.readiness:
+            runners.append(
+                await fronts.serve_http(front.ready, self.settings.readiness)
+            )
+        if self.metrics_port:
+
+            async def metrics(request: web.BaseRequest) -> web.Response:
+                return web.Response(body=meters.render())
+
+            host = self.settings.callers.rpartition(':')[0]
+            runners.append(
+                await fronts.serve_http(metrics, f'{host}:{self.metrics_port}')
+            )
+        return runners
+
+    def _start_tasks(
+        self,
+        known: knowledges.Knowledge,
+        journal: journals.Journal,
+        store: rows.RowStore,
+        streams: peers.PeerStreams,
+    ) -> list[asyncio.Task[typing.Any]]:
+        reachability = reading.Reachability(journal)
+        registrar = reading.VmRegistrar(
+            store, known, journal, reachability, streams.meet
+        )
+        operators = reading.OperatorReader(store, known, journal, reachability)
+        upstreams = reading.UpstreamReader(store, known, journal, reachability)
+        return [
+            asyncio.create_task(registrar.run()),
+            asyncio.create_task(operators.run()),
+            asyncio.create_task(upstreams.run()),
+            asyncio.create_task(self._tick(known, journal)),
+        ]
+
+    async def _tick(
+        self, known: knowledges.Knowledge, journal: journals.Journal
+    ) -> None:
+        """Keep derived beliefs up to date."""
+        while True:
+            if known.fleet.phase is fleet.Phase.STARTING and self._is_ready(
+                known
+            ):
+                known.fleet.phase = fleet.Phase.READY
+                journal.belief(
+                    events.Event.READY,
+                    configuration=known.routes.version,
+                    upstreams=len(known.upstreams.entries),
+                )
+            known.cold.set_members(known.fleet.alive())
+            known.load.expire_peers()
+            await asyncio.sleep(TICK_S)
+
+    def _is_ready(self, known: knowledges.Knowledge) -> bool:
+        return bool(known.routes.version and known.upstreams.version)
+
+    async def _stop(
+        self,
+        known: knowledges.Knowledge,
+        journal: journals.Journal,
+        front: fronts.Front,
+    ) -> None:
+        known.fleet.phase = fleet.Phase.LEAVING
+        front.closing = True
+        journal.belief(events.Event.STOPPING, open=front.open)
+        limit = self.settings.bounds.stop_limit_s
+        started = time.monotonic()
+        await asyncio.sleep(limit * ACCEPT_SHARE)
+        front.refusing = True
+        while front.open or front.exchange.kept:
+            if time.monotonic() - started > limit * FINISH_SHARE:
+                journal.belief(events.Event.STOP_FORCED, open=front.open)
+                return
+            await asyncio.sleep(0.05)
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/reading.py
@@ -0,0 +1,312 @@
+"""Tasks that keep up with the platform's store."""
+
+import asyncio
+import typing
+
+import attrs
+
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.slots import rendezvous
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.platform import operator_rows
+from bulrushcourse_entry.platform import rows
+from bulrushcourse_entry.platform import units
+from bulrushcourse_entry.platform import upstream_rows
+from bulrushcourse_entry.platform import vm_rows
+
+# Some VMs read the upstreams for all; a second one covers a reader's death.
+READERS = 2
+# Parts of the time in which a leaving upstream must get nothing new: a
+# reader reads this often, the others read when they heard nothing for long.
+READ_SHARE = 0.35
+STALE_SHARE = 0.6
+# A change ends a wait at once; the wait is short since a connection may
+# fall silent without notice.
+WAIT_FOR_CHANGE_S = 6.0
+PAUSE_AFTER_FAILURE_S = 0.5
+FIRST_PAUSE_S = 0.1
+TICK_S = 0.1
+
+
+@attrs.define
+class Reachability:
+    """Reports the loss and return of the store once each.
+
+    Attributes:
+        journal: Where to report.
+        reachable: Whether the last call was answered, ``None`` before one.
+    """
+
+    journal: journals.Journal
+    reachable: bool | None = None
+
+    def note(self, answered: bool, reason: str = '') -> None:
+        """Take over the outcome of a call.
+
+        Args:
+            answered: Whether it was answered.
+            reason: Why not.
+        """
+        if answered and self.reachable is False:
+            self.journal.belief(events.Event.STORE_REACHABLE)
+        if not answered and self.reachable is not False:
+            self.journal.belief(events.Event.STORE_UNREACHABLE, reason=reason)
+        self.reachable = answered
+
+
+@attrs.define(eq=False)
+class OperatorReader:
+    """Follows what operators write.
+
+    Attributes:
+        store: The platform's store.
+        known: What this process believes.
+        journal: Log.
+        reachability: Whether the store answers.
+        evacuations: Version of the row of each failure domain.
+    """
+
+    store: rows.RowStore
+    known: knowledges.Knowledge
+    journal: journals.Journal
+    reachability: Reachability
+    evacuations: dict[str, int] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Follow changes until cancelled."""
+        pause = FIRST_PAUSE_S
+        while True:
+            try:
+                await self._follow()
+                pause = FIRST_PAUSE_S
+            except rows.StoreUnavailable as error:
+                self.reachability.note(False, str(error))
+                await asyncio.sleep(pause)
+                pause = PAUSE_AFTER_FAILURE_S
+
+    async def _follow(self) -> None:
+        reading = await self.store.read(operator_rows.TABLE)
+        if reading.version < self.known.operators_version:
+            raise rows.StoreUnavailable('the store answers with old rows')
+        self.reachability.note(True)
+        self.evacuations = {}
+        self._take(reading)
+        after = reading.version
+        while True:
+            try:
+                reading = await self.store.changes(
+                    operator_rows.TABLE, after, WAIT_FOR_CHANGE_S
+                )
+            except rows.HistoryLost:
+                return
+            self.reachability.note(True)
+            after = max(after, reading.version)
+            self._take(reading)
+
+    def _take(self, reading: rows.Reading) -> None:
+        for row in reading.rows:
+            domain = operator_rows.evacuated_domain(row.key)
+            if row.key == operator_rows.CONFIGURATION_KEY and row.value:
+                offer_configuration(self.known, self.journal, row.value)
+            elif domain and row.value is None:
+                self.evacuations.pop(domain, None)
+            elif domain:
+                self.evacuations[domain] = row.version
+        offer_evacuations(
+            self.known,
+            self.journal,
+            reading.version,
+            frozenset(self.evacuations),
+        )
+
+
+def offer_configuration(
+    known: knowledges.Knowledge, journal: journals.Journal, value: bytes
+) -> None:
+    """Put a configuration in force if it is newer and can be read.
+
+    Args:
+        known: What this process believes.
+        journal: Log.
+        value: Content, from the store or another VM.
+    """
+    try:
+        route_set = operator_rows.decode_configuration(value)
+    except units.MalformedValue as error:
+        journal.belief(events.Event.CONFIGURATION_REFUSED, reason=str(error))
+        return
+    if known.routes.offer(route_set):
+        known.configuration = value
+        journal.belief(
+            events.Event.CONFIGURATION_IN_FORCE,
+            version=route_set.version,
+            routes=len(route_set.routes),
+        )
+
+
+def offer_evacuations(
+    known: knowledges.Knowledge,
+    journal: journals.Journal,
+    version: int,
+    domains: frozenset[str],
+) -> None:
+    """Take over the failure domains under evacuation unless it is old news.
+
+    Args:
+        known: What this process believes.
+        journal: Log.
+        version: Version of the store behind them.
+        domains: The failure domains.
+    """
+    if version < known.operators_version:
+        return
+    known.operators_version = version
+    before = known.upstreams.evacuated
+    if domains == before:
+        return
+    services = known.routes.in_force.services if known.routes.in_force else {}
+    warmup = max((s.warmup_s for s in services.values()), default=0.0)
+    known.upstreams.evacuate(domains, warmup)
+    journal.belief(
+        events.Event.EVACUATION_CHANGED,
+        domains=sorted(domains),
+        before=sorted(before),
+        version=version,
+    )
+
+
+@attrs.define(eq=False)
+class UpstreamReader:
+    """Reads the upstreams' entries, or relies on a VM that does.
+
+    Attributes:
+        store: The platform's store.
+        known: What this process believes.
+        journal: Log.
+        reachability: Whether the store answers.
+        reported: Versions of malformed rows that were logged, by key.
+    """
+
+    store: rows.RowStore
+    known: knowledges.Knowledge
+    journal: journals.Journal
+    reachability: Reachability
+    reported: dict[str, bytes | None] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Keep the entries fresh until cancelled."""
+        clock = self.known.clock
+        read_at = float('-inf')
+        while True:
+            due = self._due_s()
+            last = (
+                read_at
+                if self._is_reader()
+                else max(read_at, self.known.upstreams.read_at)
+            )
+            if clock.monotonic() - last < due:
+                await asyncio.sleep(TICK_S)
+                continue
+            read_at = clock.monotonic()
+            await self._read()
+
+    def _is_reader(self) -> bool:
+        alive = self.known.fleet.alive()
+        ranked = rendezvous.rank_entries('upstream-readers', alive)
+        return self.known.settings.vm in ranked[:READERS]
+
+    def _due_s(self) -> float:
+        share = READ_SHARE if self._is_reader() else STALE_SHARE
+        return self.known.settings.bounds.drain_s * share
+
+    async def _read(self) -> None:
+        try:
+            reading = await self.store.read(upstream_rows.TABLE)
+        except rows.StoreUnavailable as error:
+            self.known.upstreams.lose_store()
+            self.reachability.note(False, str(error))
+            return
+        self.reachability.note(True)
+        snapshot = upstream_rows.decode_all(
+            reading, self.known.settings.regions, self._report
+        )
+        take_changes(
+            self.known, self.journal, self.known.upstreams.offer(snapshot)
+        )
+
+    def _report(
+        self, row: rows.StoredRow, error: units.MalformedValue
+    ) -> None:
+        if self.reported.get(row.key, b'') != row.value:
+            self.reported[row.key] = row.value
+            self.journal.belief(
+                events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
+            )
+
+
+def take_changes(
+    known: knowledges.Knowledge,
+    journal: journals.Journal,
+    changes: typing.Sequence[typing.Any],
+) -> None:
+    """Act on changes of the upstreams' entries and log them.
+
+    Args:
+        known: What this process believes.
+        journal: Log.
+        changes: The changes.
+    """
+    known.apply(changes)
+    for change in changes:
+        journal.belief(
+            events.Event.UPSTREAM_CHANGED,
+            upstream=change.upstream.name,
+            what=change.what,
+            version=known.upstreams.version,
+        )
+
+
+@attrs.define(eq=False)
+class VmRegistrar:
+    """Makes this VM known to the others and learns of them.
+
+    Attributes:
+        store: The platform's store.
+        known: What this process believes.
+        journal: Log.
+        reachability: Whether the store answers.
+        met: Called with each VM that was learned.
+    """
+
+    store: rows.RowStore
+    known: knowledges.Knowledge
+    journal: journals.Journal
+    reachability: Reachability
+    met: typing.Callable[[fleet.Vm], None]
+
+    async def run(self) -> None:
+        """Write the entry, then read all entries, until both succeeded."""
+        while True:
+            try:
+                me = self.known.fleet.me
+                await self.store.write(
+                    vm_rows.TABLE, me.name, vm_rows.encode(me)
+                )
+                reading = await self.store.read(vm_rows.TABLE)
+                break
+            except rows.StoreUnavailable as error:
+                self.reachability.note(False, str(error))
+                self.journal.belief(
+                    events.Event.VM_ROW_NOT_WRITTEN, reason=str(error)
+                )
+                await asyncio.sleep(PAUSE_AFTER_FAILURE_S)
+        self.reachability.note(True)
+        for row in reading.rows:
+            try:
+                self.met(vm_rows.decode(row))
+            except units.MalformedValue as error:
+                self.journal.belief(
+                    events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
+                )
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -21,6 +21,11 @@
     READY = (1002, 'info', 'entry is ready to serve callers')
     STOPPING = (1003, 'info', 'graceful shutdown started')
     STOPPED = (1004, 'info', 'entry stopped')
+    RELOADED = (1006, 'info', 'settings were read again')
+    SETTINGS_REFUSED = (1007, 'error', 'settings are not usable')
+    REQUEST_SERVED = (2001, 'info', 'request served')
+    REQUEST_FAILED = (2002, 'info', 'request not served')
+    REQUEST_ERROR = (2003, 'error', 'request ended by a fault of this program')
     STOP_FORCED = (1005, 'warning', 'shutdown cut off requests in flight')
     PEER_CONNECTED = (3001, 'info', 'peer stream established')
     PEER_LOST = (3002, 'warning', 'peer stream lost')
@@ -30,14 +35,19 @@
     NOT_ISOLATED = (3006, 'info', 'entry is no longer cut off')
     STORE_UNREACHABLE = (4001, 'warning', 'table service does not answer')
     STORE_REACHABLE = (4002, 'info', 'table service answers again')
+    ROW_MALFORMED = (4004, 'warning', 'stored row cannot be read')
+    VM_ROW_NOT_WRITTEN = (4005, 'warning', 'entry of this VM not written')
     VM_LIST_UNREACHABLE = (4003, 'warning', 'list of VMs does not answer')
     CONFIGURATION_IN_FORCE = (5001, 'info', 'configuration is in force')
     CONFIGURATION_REFUSED = (5002, 'error', 'stored configuration is invalid')
+    EVACUATION_CHANGED = (5005, 'info', 'failure domains under evacuation')
     PUBLISHED = (5003, 'info', 'operator published a configuration')
     PUBLISH_REFUSED = (5004, 'info', 'publish was refused')
     UPSTREAM_FAILED = (6001, 'warning', 'upstream request failed')
     UPSTREAM_LEAVING = (6002, 'info', 'upstream instance is leaving')
     UPSTREAM_RETURNED = (6003, 'info', 'upstream instance serves again')
+    UPSTREAM_CHANGED = (6004, 'info', 'entry of an upstream changed')
+    UPSTREAM_SET_ASIDE = (6005, 'warning', 'upstream set aside')
     POOL_TAKEN = (6101, 'info', 'entry owns a pool')
     POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
     LEDGER_REFUSED = (7001, 'error', 'stored shares of a limit are invalid')
@@ -118,3 +128,20 @@
     details = ' '.join(f'{name}={value!r}' for name, value in fields.items())
     level = logbook.lookup_level(event.level.upper())
     _LOGGER.log(level, f'E{event.number} {event.message} {details}'.rstrip())
+
+
+def write_fields(event: Event, fields: dict[str, typing.Any]) -> None:
+    """Write an event as named fields, for handlers of structured lines.
+
+    Args:
+        event: What happened.
+        fields: Details.
+    """
+    level = logbook.lookup_level(event.level.upper())
+    _LOGGER.log(
+        level,
+        event.message,
+        event=event.number,
+        message=event.message,
+        **fields,
+    )
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -22,8 +22,9 @@
 class Failure(enum.Enum):
     """How a request to an instance failed.
 
-    Only ``NOT_SENT``, ``SHED`` and ``NO_SHARE`` prove that the request did
-    not run.
+    ``NOT_SENT``, ``SHED``, ``NO_SHARE`` and ``MISDIRECTED`` prove that the
+    request did not run. After ``FOREIGN``, an answer that belongs to another
+    request, nothing is known.
     """
 
     NOT_SENT = 'not-sent'
@@ -32,6 +33,8 @@
     LOST = 'lost'
     TRUNCATED = 'truncated'
     DEADLINE = 'deadline'
+    MISDIRECTED = 'misdirected'
+    FOREIGN = 'foreign'
 
 
 class Crossing(typing.Protocol):
--- /dev/null
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -0,0 +1,119 @@
+"""Reports that the VMs of a fleet send each other, as msgpack maps."""
+
+import typing
+
+import attrs
+import msgpack
+
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.upstreams import upstream as upstreams
+
+
+class MalformedReport(ValueError):
+    """A report cannot be read."""
+
+
+@attrs.frozen
+class Report:
+    """What one VM tells another several times a second.
+
+    Attributes:
+        vm: The sender.
+        phase: What it says of itself.
+        configuration_version: Version of the configuration in force.
+        in_flight: Its requests in flight, by upstream.
+        slowness: Slowness of upstreams and the age in seconds.
+        demand: Work that arrives at it, in slots by service.
+        losses: Fingerprints of requests that lost an upstream, with it.
+        operators_version: Version of the store behind ``evacuated``.
+        evacuated: Failure domains that must get nothing.
+        news: Changes of the upstreams' entries, ``None`` without any.
+        vms: VMs that it knows, sent now and then.
+        configuration: Content of the configuration, for a receiver that has
+            an older one.
+    """
+
+    vm: fleet.Vm
+    phase: fleet.Phase
+    configuration_version: int = 0
+    in_flight: dict[str, int] = attrs.field(factory=dict)
+    slowness: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    demand: dict[str, float] = attrs.field(factory=dict)
+    losses: list[tuple[str, str]] = attrs.field(factory=list)
+    operators_version: int = 0
+    evacuated: list[str] = attrs.field(factory=list)
+    news: upstreams.News | None = None
+    vms: list[fleet.Vm] = attrs.field(factory=list)
+    configuration: bytes = b''
+
+
+def encode(report: Report) -> bytes:
+    """Return a report as bytes.
+
+    Args:
+        report: The report.
+    """
+    fields = {
+        'v': attrs.astuple(report.vm),
+        'p': report.phase.value,
+        'c': report.configuration_version,
+        'o': report.operators_version,
+        'f': report.in_flight,
+        's': report.slowness,
+        'd': report.demand,
+        'l': report.losses,
+        'e': report.evacuated,
+        'm': [attrs.astuple(vm) for vm in report.vms],
+        'b': report.configuration,
+    }
+    if report.news is not None:
+        fields['n'] = _pack_news(report.news)
+    return msgpack.packb({key: v for key, v in fields.items() if v})
+
+
+def decode(content: bytes) -> Report:
+    """Return the report that bytes hold.
+
+    Args:
+        content: The bytes.
+
+    Raises:
+        MalformedReport: If they hold none.
+    """
+    try:
+        fields = msgpack.unpackb(content)
+        news = fields.get('n')
+        return Report(
+            vm=fleet.Vm(*fields['v']),
+            phase=fleet.Phase(fields['p']),
+            configuration_version=fields.get('c', 0),
+            in_flight=fields.get('f', {}),
+            slowness={u: tuple(s) for u, s in fields.get('s', {}).items()},
+            demand=fields.get('d', {}),
+            losses=[(f, u) for f, u in fields.get('l', [])],
+            operators_version=fields.get('o', 0),
+            evacuated=fields.get('e', []),
+            news=_unpack_news(news) if news else None,
+            vms=[fleet.Vm(*vm) for vm in fields.get('m', [])],
+            configuration=fields.get('b', b''),
+        )
+    except Exception as error:
+        # msgpack raises many unrelated types on bad input.
+        raise MalformedReport(repr(error)) from error
+
+
+def _pack_news(news: upstreams.News) -> list[typing.Any]:
+    changed = [attrs.astuple(entry) for entry in news.changed]
+    age_ms = int(news.age_s * 1000)
+    return [news.base, news.version, changed, list(news.gone), age_ms]
+
+
+def _unpack_news(fields: list[typing.Any]) -> upstreams.News:
+    base, version, changed, gone, age_ms = fields
+    return upstreams.News(
+        base,
+        version,
+        tuple(upstreams.Upstream(*entry) for entry in changed),
+        tuple(gone),
+        age_ms / 1000,
+    )
