Keep each object at one upstream of one region

Change: objects choose their region by weighted rendezvous hashing over the route's shares and then one keeper; times are learned for warm and cold apart; until demand is known the shares assume equal demand.

--- a/packages/domain/bulrushcourse_domain/placement/allocation.py
+++ b/packages/domain/bulrushcourse_domain/placement/allocation.py
@@ -5,6 +5,21 @@
 # Up to this share of its slots a region keeps its own work; beyond it the
 # queueing delay outweighs the delay between regions.
 COMFORTABLE_USE = 0.6
+# Use of all slots that is assumed until the demand is known.
+USUAL_USE = 0.75
+
+
+def usual_demand(
+    capacity: typing.Mapping[str, float], regions: typing.Collection[str]
+) -> dict[str, float]:
+    """Return the demand to assume before any is known, the same everywhere.
+
+    Args:
+        capacity: Slots of each region.
+        regions: Regions with callers.
+    """
+    each = sum(capacity.values()) * USUAL_USE / max(1, len(regions))
+    return dict.fromkeys(regions, each)
 
 
 def allocate(
--- a/packages/domain/bulrushcourse_domain/placement/demand.py
+++ b/packages/domain/bulrushcourse_domain/placement/demand.py
@@ -10,6 +10,8 @@
 # Long enough to even out single requests, short enough to follow a burst.
 HALF_LIFE_S = 1.5
 REPORT_MAX_AGE_S = 3.0
+# Flows and reports need some half-lives before they show the demand.
+SETTLING_S = 4.0
 
 
 @attrs.define
@@ -52,6 +54,7 @@
         region: Region of this VM.
         own: Flows of this VM by service.
         reports: Last report of each other VM: time, region, slots.
+        settled_at: When the demand is known, after the first request.
     """
 
     clock: clocks.Clock
@@ -60,6 +63,7 @@
     reports: dict[str, tuple[float, str, dict[str, float]]] = attrs.field(
         factory=dict
     )
+    settled_at: float = math.inf
 
     def count(self, service: str, work_s: float) -> None:
         """Count a request that arrives at this VM.
@@ -68,8 +72,9 @@
             service: Name of the service.
             work_s: Work that it needs, in seconds of one slot.
         """
-        flow = self.own.setdefault(service, Flow())
-        flow.add(work_s, self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.settled_at = min(self.settled_at, now + SETTLING_S)
+        self.own.setdefault(service, Flow()).add(work_s, now)
 
     def own_slots(self) -> dict[str, float]:
         """Return the slots that this VM's requests need, by service."""
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -15,10 +15,10 @@
 from bulrushcourse_domain.upstreams import warmth
 from bulrushcourse_domain.upstreams import warmup
 
-# Upstreams that should keep an object. Two leave a choice when one is busy.
-KEEPERS = 2
 # Work at a cold upstream takes about this much longer.
 COLD_FACTOR = 2.0
+Standing = service_times.Standing
+
 # A request that fails is repeated or lost; its cost in objectives.
 FAILURE_COST = 2.0
 # A busier upstream is avoided among equals, by this share of the work.
@@ -55,7 +55,7 @@
         upstream: The upstream.
         completion_s: Expected time until its answer.
         work_s: Part of it that is work.
-        warm: Whether it is expected to know the object.
+        standing: What it has to do with the object.
         busy: Requests in flight beyond its slots, at least 0.
         cold: Whether it is in its warm-up.
     """
@@ -63,7 +63,7 @@
     upstream: upstreams.Upstream
     completion_s: float
     work_s: float
-    warm: bool
+    standing: service_times.Standing
     busy: int
     cold: bool = False
 
@@ -104,11 +104,10 @@
         candidates = self._candidates(wish, service)
         if not candidates:
             return None
-        names = [u.name for u in candidates]
-        keepers: frozenset[str] = frozenset()
-        if wish.thing:
-            keepers = warmth.preferred(wish.thing, names, KEEPERS)
-        choices = [self._estimate(wish, u, keepers) for u in candidates]
+        choices = [
+            self._estimate(wish, upstream, standing)
+            for upstream, standing in self._standings(wish, candidates)
+        ]
         spread = wish.route.objective_s * DRAW_SHARE
 
         def rank(choice: Choice) -> float:
@@ -136,29 +135,45 @@
         # When every upstream looks bad, the fault is more likely to be here.
         return sound or allowed
 
+    def _standings(
+        self, wish: Wish, candidates: list[upstreams.Upstream]
+    ) -> list[tuple[upstreams.Upstream, Standing]]:
+        if not wish.thing:
+            return [(u, Standing.NONE) for u in candidates]
+        # Upstreams that are set aside or cold for the moment keep their
+        # objects, so that these do not move for a short while.
+        names = [
+            u.name
+            for u in self.directory.usable(wish.service)
+            if not wish.region or u.region == wish.region
+        ]
+        first, second = warmth.keepers(wish.thing, names)
+        named = {first: Standing.FIRST, second: Standing.SECOND}
+        return [
+            (u, named.get(u.name) or self._seen(u.name, wish.thing))
+            for u in candidates
+        ]
+
+    def _seen(self, upstream: str, thing: str) -> Standing:
+        known = self.known.is_warm(upstream, thing)
+        return Standing.SEEN if known else Standing.NONE
+
     def _estimate(
-        self,
-        wish: Wish,
-        upstream: upstreams.Upstream,
-        keepers: frozenset[str],
+        self, wish: Wish, upstream: upstreams.Upstream, standing: Standing
     ) -> Choice:
         times = self.times.of(
             wish.route.key, wish.service, wish.route.objective_s
         )
-        warm = bool(wish.thing) and (
-            upstream.name in keepers
-            or self.known.is_warm(upstream.name, wish.thing)
-        )
-        work = times.warm_s if warm else times.cold_s
-        work *= self.load.expected_slowness(upstream.name)
+        mean = times.expected_s(standing)
+        work = mean * self.load.expected_slowness(upstream.name)
         cold = self.directory.is_cold(upstream.name)
         if cold:
             work *= COLD_FACTOR
         in_flight = self.load.in_flight(upstream.name)
         busy = max(0, in_flight + 1 - upstream.slots)
-        wait = busy * times.warm_s / upstream.slots
+        wait = busy * mean / upstream.slots
         completion = self.delays(upstream) + wait + work
-        return Choice(upstream, completion, work, warm, busy, cold)
+        return Choice(upstream, completion, work, standing, busy, cold)
 
     def _cost(self, wish: Wish, choice: Choice) -> float:
         upstream = choice.upstream
--- a/packages/domain/bulrushcourse_domain/placement/region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/region_mix.py
@@ -1,8 +1,10 @@
 """The aggregate that bounds how fast a route's work changes region."""
 
+import math
 import typing
 
 import attrs
+import xxhash
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.routes import split
@@ -11,6 +13,10 @@
 # may change region from one two-second window to the next.
 RAMP_PER_S = 0.03
 LONGEST_STEP_S = 1.0
+# Objects decide the region so that each is kept in one place. These bound
+# how far a run of requests for the same objects may pull the shares.
+OBJECT_SLACK = 3.0
+OBJECT_MEMORY = 30.0
 
 
 def move_towards(
@@ -37,6 +43,24 @@
     return {r: share for r, share in moved.items() if share > 1e-9}
 
 
+def region_of(thing: str, shares: typing.Mapping[str, float]) -> str:
+    """Return the region of an object by weighted rendezvous hashing.
+
+    Each region gets its share of the objects, and a small change of the
+    shares moves few of them.
+
+    Args:
+        thing: Identifier of the object.
+        shares: Share of each region; at least one is positive.
+    """
+
+    def score(region: str) -> float:
+        digest = xxhash.xxh64_intdigest(f'{thing}\x00{region}'.encode())
+        return -shares[region] / math.log((digest + 1) / (2**64 + 2))
+
+    return max(shares, key=score)
+
+
 @attrs.define
 class RegionMix:
     """Shares of the regions in one route's requests at this VM.
@@ -59,6 +83,7 @@
         self,
         target: typing.Mapping[str, float],
         usable: typing.Container[str],
+        thing: str = '',
     ) -> str:
         """Return the region of the next request and move the shares.
 
@@ -67,6 +92,7 @@
         Args:
             target: Wanted shares; some region has a positive one.
             usable: Regions that can serve the route.
+            thing: Object that the request concerns, empty if it names none.
         """
         now = self.clock.monotonic()
         kept = {r: s for r, s in self.shares.items() if r in usable}
@@ -78,4 +104,9 @@
             step = min(LONGEST_STEP_S, now - self.at) * self.ramp_per_s
             self.shares = move_towards(scaled, target, step)
         self.at = now
-        return self.turns.take(self.shares)
+        if not thing:
+            return self.turns.take(self.shares)
+        wanted = region_of(thing, self.shares)
+        return self.turns.take(
+            self.shares, wanted, OBJECT_SLACK, OBJECT_MEMORY
+        )
--- a/packages/domain/bulrushcourse_domain/placement/service_times.py
+++ b/packages/domain/bulrushcourse_domain/placement/service_times.py
@@ -1,12 +1,15 @@
 """Expected service times of routes, from this VM's own measurements."""
 
+import enum
+import math
+
 import attrs
 
-# Until a route has been measured, work is expected to take this share of
-# the route's objective.
-FIRST_GUESS_SHARE = 0.8
+# Until anything has been measured, work is expected to take this share of
+# the route's objective: many objectives are shorter than the mean work.
+FIRST_GUESS_SHARE = 1.0
 # A warm object is expected to take this share of a cold one until measured.
-WARM_GUESS = 0.6
+WARM_GUESS = 0.45
 WEIGHT = 0.05
 FAST_WEIGHT = 0.25
 FAST_SAMPLES = 12
@@ -15,35 +18,76 @@
 OUTLIER_FACTOR = 3.0
 
 
+class Standing(enum.Enum):
+    """What an upstream has to do with an object."""
+
+    FIRST = 'first'
+    SECOND = 'second'
+    SEEN = 'seen'
+    NONE = 'none'
+
+
+# Share of requests that find the object warm until it has been measured.
+_FIRST_HIT_SHARES = {
+    Standing.FIRST: 0.8,
+    Standing.SECOND: 0.4,
+    Standing.SEEN: 0.5,
+    Standing.NONE: 0.1,
+}
+
+
 @attrs.define
 class RouteTimes:
-    """Mean service times of one route at an upstream of usual speed.
+    """Service times of one route at an upstream of usual speed.
+
+    An answer does not say whether the object was warm; the measurement is
+    counted to the nearer mean.
 
     Attributes:
         cold_s: Mean for objects that the upstream has not handled.
         warm_s: Mean for objects that it handled lately.
-        cold_samples: Measurements behind ``cold_s``.
-        warm_samples: Measurements behind ``warm_s``.
+        usual_s: Mean of all requests.
+        samples: Measurements so far.
+        hit_shares: Share of requests that find the object warm.
     """
 
     cold_s: float
     warm_s: float
-    cold_samples: int = 0
-    warm_samples: int = 0
+    usual_s: float
+    samples: int = 0
+    hit_shares: dict[Standing, float] = attrs.field(
+        factory=lambda: dict(_FIRST_HIT_SHARES)
+    )
+
+    def expected_s(self, standing: Standing) -> float:
+        """Return the mean service time at an upstream.
+
+        Args:
+            standing: What it has to do with the object.
+        """
+        share = self.hit_shares[standing]
+        return share * self.warm_s + (1.0 - share) * self.cold_s
 
-    def add(self, seconds: float, warm: bool) -> None:
+    def add(self, seconds: float, standing: Standing) -> None:
         """Take over a measurement.
 
         Args:
             seconds: Service time, divided by the upstream's slowness.
-            warm: Whether the object was expected to be warm.
+            standing: What the upstream has to do with the object.
         """
-        if warm:
-            self.warm_s = _blend(self.warm_s, seconds, self.warm_samples)
-            self.warm_samples += 1
+        was_warm = seconds < math.sqrt(self.cold_s * self.warm_s)
+        self.samples += 1
+        weight = FAST_WEIGHT if self.samples < FAST_SAMPLES else WEIGHT
+        cut = min(seconds, self.usual_s * OUTLIER_FACTOR)
+        self.usual_s += weight * (cut - self.usual_s)
+        mean = self.warm_s if was_warm else self.cold_s
+        mean += weight * (min(seconds, mean * OUTLIER_FACTOR) - mean)
+        if was_warm:
+            self.warm_s = mean
         else:
-            self.cold_s = _blend(self.cold_s, seconds, self.cold_samples)
-            self.cold_samples += 1
+            self.cold_s = mean
+        share = self.hit_shares[standing]
+        self.hit_shares[standing] = share + weight * (was_warm - share)
 
 
 @attrs.define
@@ -52,9 +96,11 @@
 
     Attributes:
         by_route: Times by route and service.
+        by_service: Times of all routes of a service.
     """
 
     by_route: dict[tuple[str, str], RouteTimes] = attrs.field(factory=dict)
+    by_service: dict[str, RouteTimes] = attrs.field(factory=dict)
 
     def of(self, route: str, service: str, objective_s: float) -> RouteTimes:
         """Return the times of a route at a service.
@@ -66,14 +112,36 @@
         """
         times = self.by_route.get((route, service))
         if times is None:
-            guess = objective_s * FIRST_GUESS_SHARE
-            times = RouteTimes(guess, guess * WARM_GUESS)
+            times = self._guess(service, objective_s)
             self.by_route[route, service] = times
         return times
 
+    def _guess(self, service: str, objective_s: float) -> RouteTimes:
+        """Return the means of the service's other routes, if measured."""
+        known = self.by_service.get(service)
+        if known is not None:
+            return RouteTimes(known.cold_s, known.warm_s, known.usual_s)
+        guess = objective_s * FIRST_GUESS_SHARE
+        return RouteTimes(guess, guess * WARM_GUESS, guess)
+
+    def add(  # noqa: PLR0913
+        self,
+        route: str,
+        service: str,
+        objective_s: float,
+        seconds: float,
+        standing: Standing,
+    ) -> None:
+        """Take over a measurement.
 
-def _blend(mean: float, sample: float, samples: int) -> float:
-    if samples:
-        sample = min(sample, mean * OUTLIER_FACTOR)
-    weight = FAST_WEIGHT if samples < FAST_SAMPLES else WEIGHT
-    return mean + weight * (sample - mean)
+        Args:
+            route: Key of the route.
+            service: Name of the service.
+            objective_s: Objective of the route, for a first guess.
+            seconds: Service time, divided by the upstream's slowness.
+            standing: What the upstream has to do with the object.
+        """
+        self.of(route, service, objective_s).add(seconds, standing)
+        if service not in self.by_service:
+            self.by_service[service] = RouteTimes(seconds, seconds, seconds)
+        self.by_service[service].add(seconds, standing)
--- a/packages/domain/bulrushcourse_domain/upstreams/warmth.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/warmth.py
@@ -68,19 +68,17 @@
     return xxhash.xxh64_intdigest(f'{thing}\x00{upstream}'.encode())
 
 
-def preferred(
-    thing: str, upstreams: typing.Sequence[str], count: int
-) -> frozenset[str]:
-    """Return the upstreams that should keep an object.
+def keepers(thing: str, upstreams: typing.Sequence[str]) -> tuple[str, str]:
+    """Return the first and second upstream that should keep an object.
 
     Args:
         thing: Identifier of the object.
-        upstreams: Names of the upstreams.
-        count: Largest number to return.
+        upstreams: Names of the upstreams, at least one.
 
     Examples:
-        >>> len(preferred('17', ['a', 'b', 'c'], 2))
-        2
+        >>> first, second = keepers('17', ['a', 'b', 'c'])
+        >>> keepers('17', [second, 'd'])[0] in (second, 'd')
+        True
     """
     ranked = sorted(upstreams, key=lambda u: preference(thing, u))
-    return frozenset(ranked[-count:])
+    return ranked[-1], ranked[-2] if ranked[1:] else ''
--- a/packages/entry/bulrushcourse_entry/edge/exchange.py
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -97,12 +97,15 @@
         turns = self.known.splits.setdefault(route.key, split.WeightedTurns())
         return turns.take({p.service: p.weight for p in route.parts})
 
-    def choose_region(self, route: routes.Route, service: str) -> str:
+    def choose_region(
+        self, route: routes.Route, service: str, thing: str = ''
+    ) -> str:
         """Return the region that runs a route's next request.
 
         Args:
             route: The route.
             service: Service that runs it.
+            thing: Object that the request concerns, empty if it names none.
 
         Returns:
             Name of the region, empty if none can.
@@ -122,10 +125,14 @@
         capacity = {r: slots for r, slots in capacity.items() if slots > 0}
         here = known.settings.region
         demand = known.demand.by_region(service)
+        if known.clock.monotonic() < known.demand.settled_at:
+            demand = allocation.usual_demand(
+                capacity, set(known.settings.regions.values())
+            )
         shares = allocation.allocate(demand, capacity).get(here, {})
         if not shares:
             return ''
-        return known.mix(route.key, service).take(shares, capacity)
+        return known.mix(route.key, service).take(shares, capacity, thing)
 
     async def serve(self, call: calls.Call) -> Ending:
         """Run a request and return how it ends.
@@ -299,7 +306,7 @@
         name = choice.upstream.name
         if isinstance(ended, result.Success):
             answer = ended.unwrap()
-            call.steps.append(f'{name}:{answer.status}:{took * 1000:.0f}ms')
+            call.steps.append(_step(choice, str(answer.status), took))
             known.crashes.clear(call.fingerprint)
             good = answer.status < 500
             known.troubles.note(
@@ -309,7 +316,7 @@
                 self._learn_time(call, choice, took)
             return
         failure = ended.failure()
-        call.steps.append(f'{name}:{failure.value}:{took * 1000:.0f}ms')
+        call.steps.append(_step(choice, failure.value, took))
         if failure not in NOT_RUN:
             call.may_have_run = True
         if failure is Failure.LOST:
@@ -330,10 +337,21 @@
             return
         slowness = known.load.expected_slowness(name)
         work = (took - known.delays.to_upstream(choice.upstream)) / slowness
-        times = known.times.of(
-            call.route.key, call.service, call.route.objective_s
+        known.times.add(
+            call.route.key,
+            call.service,
+            call.route.objective_s,
+            max(0.001, work),
+            choice.standing,
         )
-        times.add(max(0.001, work), choice.warm)
+
+
+def _step(choice: placement.Choice, ended: str, took: float) -> str:
+    return (
+        f'{choice.upstream.name} {ended} after {took * 1000:.0f} ms'
+        f' (expected {choice.completion_s * 1000:.0f},'
+        f' {choice.standing.value} keeper, {choice.busy} over its slots)'
+    )
 
 
 def _is_good(attempt: result.Result[sending.Answer, Failure]) -> bool:
--- a/packages/entry/bulrushcourse_entry/edge/front.py
+++ b/packages/entry/bulrushcourse_entry/edge/front.py
@@ -103,7 +103,7 @@
         known = self.known
         service = self.exchange.choose_service(route)
         times = known.times.of(route.key, service, route.objective_s)
-        known.demand.count(service, times.warm_s)
+        known.demand.count(service, times.usual_s)
         allowed = route.timeout_s
         if caller.remaining_s is not None:
             allowed = min(
@@ -121,7 +121,7 @@
             route=route,
             configuration_version=known.routes.version,
             service=service,
-            region=self.exchange.choose_region(route, service),
+            region=self.exchange.choose_region(route, service, thing),
             thing=thing,
             arrived=arrived,
             deadline=arrived + allowed,
@@ -201,6 +201,7 @@
             route=call.route.key,
             service=call.service,
             region=call.region,
+            object=call.thing,
             steps=call.steps,
             configuration=call.configuration_version,
             upstreams_version=known.upstreams.version,
