--- a/packages/domain/bulrushcourse_domain/placement/admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/admission.py
@@ -43,7 +43,10 @@
     """
     if choice is None:
         return Verdict.NO_UPSTREAM
-    if choice.completion_s > remaining_s * DEADLINE_SHARE:
+    # With a free slot, the work itself is all that is uncertain. Refusing
+    # on an estimate alone could never be corrected by a measurement.
+    needed = choice.completion_s - (0.0 if choice.busy else choice.work_s)
+    if needed > remaining_s * DEADLINE_SHARE:
         return Verdict.TOO_LATE
     waited = choice.completion_s - choice.work_s
     if choice.busy and waited + elapsed_s > (
--- a/packages/entry/bulrushcourse_entry/edge/exchange.py
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -134,6 +134,12 @@
             return ''
         return known.mix(route.key, service).take(shares, capacity, thing)
 
+    async def close(self) -> None:
+        """End the runs whose callers have left."""
+        for task in self.kept:
+            task.cancel()
+        await asyncio.gather(*self.kept, return_exceptions=True)
+
     async def serve(self, call: calls.Call) -> Ending:
         """Run a request and return how it ends.
 
--- a/packages/entry/bulrushcourse_entry/edge/front.py
+++ b/packages/entry/bulrushcourse_entry/edge/front.py
@@ -1,6 +1,7 @@
 """Listeners for callers: requests, look-ups and readiness."""
 
 import asyncio
+import contextlib
 import traceback
 import typing
 
@@ -21,6 +22,10 @@
 # that a VM that leaves is soon forgotten.
 LOOKUP_MAX_AGE_S = 2.0
 REFUSED = 503
+# Connections that may wait to be accepted; a crowd opens many at once.
+BACKLOG = 1024
+# Callers that keep connections open must not hold up the end of the process.
+CLOSE_TIMEOUT_S = 0.2
 
 
 @attrs.define(eq=False)
@@ -251,14 +256,12 @@
         [web.BaseRequest], typing.Awaitable[web.StreamResponse]
     ],
     address: str,
-    backlog: int = 128,
 ) -> web.ServerRunner:
     """Start an HTTP listener; one task serves each connection.
 
     Args:
         handler: Serves a request; it is cancelled when the caller leaves.
         address: ``ip:port`` to listen on.
-        backlog: Connections that may wait to be accepted.
     """
     server = web.Server(
         handler,
@@ -271,16 +274,18 @@
     await runner.setup()
     host, _, port = address.rpartition(':')
     site = web.TCPSite(
-        runner, host, int(port), backlog=backlog, reuse_address=True
+        runner, host, int(port), backlog=BACKLOG, reuse_address=True
     )
     await site.start()
     return runner
 
 
-async def close_http(runners: typing.Iterable[web.ServerRunner]) -> None:
-    """Close listeners and their connections.
+async def close_http(runner: web.ServerRunner) -> None:
+    """Close a listener and its connections.
 
     Args:
-        runners: The listeners.
+        runner: The listener.
     """
-    await asyncio.gather(*(runner.cleanup() for runner in runners))
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            await runner.cleanup()
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -32,7 +32,6 @@
 # are served, then refused, and the last sixth is left for the answers.
 ACCEPT_SHARE = 0.5
 FINISH_SHARE = 0.92
-CALLER_BACKLOG = 1024
 # Connections to one upstream that this VM may use of those that all VMs
 # may; a VM rarely has more than a few requests at one upstream.
 CONNECTIONS_PER_UPSTREAM = 16
@@ -49,6 +48,7 @@
         clock: Source of time.
         rng: Source of randomness.
         stopping: Set when the process is asked to stop.
+        store: Client of the store, once the process runs.
     """
 
     settings: edge_settings.EdgeSettings
@@ -57,6 +57,7 @@
     clock: clocks.Clock = attrs.field(factory=clocks.SystemClock)
     rng: random.Random = attrs.field(factory=random.Random)
     stopping: asyncio.Event = attrs.field(factory=asyncio.Event)
+    store: rows.RowStore | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what has begun."""
@@ -69,10 +70,24 @@
             incarnation=known.fleet.me.incarnation,
         )
         self._handle_signals(journal)
+        async with contextlib.AsyncExitStack() as stack:
+            await self._serve(known, journal, stack)
+        journal.belief(events.Event.STOPPED, vm=self.settings.vm)
+
+    async def _serve(
+        self,
+        known: knowledges.Knowledge,
+        journal: journals.Journal,
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
         streams = peers.PeerStreams(known, journal)
         sender = sending.open_sender(known, CONNECTIONS_PER_UPSTREAM)
-        store_session = aiohttp.ClientSession()
+        await stack.enter_async_context(sender.session)
+        store_session = await stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
         store = rows.RowStore(self.settings.store, store_session)
+        self.store = store
         meters = edge_meters.Meters()
         meters.gauge(
             'bulrushcourse_store_calls',
@@ -88,25 +103,17 @@
             ),
         )
         front = fronts.Front(known, exchange, journal, meters)
-        runners = await self._listen(front, meters, known)
-        tasks = self._start_tasks(known, journal, store, streams)
+        stack.push_async_callback(exchange.close)
+        await self._listen(front, meters, stack)
         if self.settings.peers:
             server = await streams.listen(self.settings.peers)
+            stack.callback(server.close)
+            stack.push_async_callback(streams.close)
             streams.greet_seeds()
+        tasks = self._start_tasks(known, journal, store, streams)
+        stack.push_async_callback(_cancel, tasks)
         await self.stopping.wait()
         await self._stop(known, journal, front)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        if self.settings.peers:
-            server.close()
-        await streams.close()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(0.2):
-                await fronts.close_http(runners)
-        await sender.session.close()
-        await store_session.close()
-        journal.belief(events.Event.STOPPED, vm=self.settings.vm)
 
     def _handle_signals(self, journal: journals.Journal) -> None:
         loop = asyncio.get_running_loop()
@@ -127,31 +134,23 @@
         self,
         front: fronts.Front,
         meters: edge_meters.Meters,
-        known: knowledges.Knowledge,
-    ) -> list[web.ServerRunner]:
-        runners = [
-            await fronts.serve_http(
-                front.handle, self.settings.callers, CALLER_BACKLOG
-            )
-        ]
-        if self.settings.lookups:
-            runners.append(
-                await fronts.serve_http(front.look_up, self.settings.lookups)
-            )
-        if self.settings.readiness:
-            runners.append(
-                await fronts.serve_http(front.ready, self.settings.readiness)
-            )
-        if self.metrics_port:
-
-            async def metrics(request: web.BaseRequest) -> web.Response:
-                return web.Response(body=meters.render())
-
-            host = self.settings.callers.rpartition(':')[0]
-            runners.append(
-                await fronts.serve_http(metrics, f'{host}:{self.metrics_port}')
-            )
-        return runners
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        async def metrics(request: web.BaseRequest) -> web.Response:
+            return web.Response(body=meters.render())
+
+        host = self.settings.callers.rpartition(':')[0]
+        metrics_address = f'{host}:{self.metrics_port}'
+        listeners = (
+            (self.settings.callers, front.handle),
+            (self.settings.lookups, front.look_up),
+            (self.settings.readiness, front.ready),
+            (metrics_address if self.metrics_port else '', metrics),
+        )
+        for address, handler in listeners:
+            if address:
+                runner = await fronts.serve_http(handler, address)
+                stack.push_async_callback(fronts.close_http, runner)
 
     def _start_tasks(
         self,
@@ -212,3 +211,9 @@
                 journal.belief(events.Event.STOP_FORCED, open=front.open)
                 return
             await asyncio.sleep(0.05)
+
+
+async def _cancel(tasks: list[asyncio.Task[typing.Any]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/edge/tests/test_beliefs.py
@@ -0,0 +1,335 @@
+"""What the store and the other VMs say takes effect, and never reverts."""
+
+import asyncio
+import json
+import time
+
+from bulrushcourse_testkit.edge import cluster as clusters
+from bulrushcourse_testkit.edge import upstream as upstream_standin
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 40))
+
+
+async def pour(cluster, seconds, path='/browse/x', vm=0, gap_s=0.01):
+    """Send requests one after the other and return the replies."""
+    replies = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        replies.append(await cluster.send(path, vm=vm))
+        await asyncio.sleep(gap_s)
+    return replies
+
+
+def test_leaving_upstream_gets_nothing_within_its_bound():
+    # Guards against new work for an upstream after its leaving was
+    # acknowledged, from any VM, the ones that read the store and the others.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a1', 'a2', 'b1')) as cluster:
+            cluster.configure()
+            leaving = await cluster.add_upstream('u1')
+            await cluster.add_upstream('u2')
+            await cluster.start()
+            leaving.state = 'draining'
+            cluster.publish(leaving)
+            bound = time.monotonic() + 2.0
+            await asyncio.gather(*(pour(cluster, 3.0, vm=n) for n in range(4)))
+            late = [a for a in leaving.arrivals if a.at > bound]
+            assert not late
+
+    run(scenario())
+
+
+def test_upstream_that_is_missing_from_the_list_gets_nothing():
+    # Guards against relying on a farewell that some upstreams never say.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure()
+            gone = await cluster.add_upstream('u1')
+            await cluster.add_upstream('u2')
+            await cluster.start()
+            cluster.store.drop('servers', 'u1')
+            bound = time.monotonic() + 2.0
+            await pour(cluster, 3.0)
+            assert not [a for a in gone.arrivals if a.at > bound]
+
+    run(scenario())
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_until_they_are_back():
+    # Guards against losing all upstreams at the return of the store.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure()
+            u1 = await cluster.add_upstream('u1')
+            await cluster.start()
+            cluster.store.down = True
+            await asyncio.sleep(1.5)
+            cluster.store.drop('servers', 'u1')
+            cluster.store.down = False
+            replies = await pour(cluster, 1.4)
+            cluster.publish(u1)
+            replies += await pour(cluster, 2.0)
+            assert {r.status for r in replies} == {200}
+
+    run(scenario())
+
+
+def test_evacuated_failure_domain_gets_nothing_until_it_is_taken_back():
+    # Guards against requests to a failure domain under evacuation.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'b1')) as cluster:
+            cluster.configure()
+            u1 = await cluster.add_upstream('u1', failure_domain='a1')
+            await cluster.add_upstream('u2', failure_domain='a2')
+            await cluster.start()
+            cluster.store.put('op', 'evacuate/a1', {})
+            await asyncio.sleep(1.0)
+            before = len(u1.arrivals)
+            replies = await pour(cluster, 0.5)
+            replies += await pour(cluster, 0.5, vm=1)
+            assert len(u1.arrivals) == before
+            assert {r.status for r in replies} == {200}
+            cluster.store.drop('op', 'evacuate/a1')
+            # It counts as cold for its warm-up of 3 s and is tried after it.
+            await asyncio.gather(*(pour(cluster, 5.0, vm=n) for n in (0, 1)))
+            assert len(u1.arrivals) > before
+
+    run(scenario())
+
+
+def test_configuration_is_in_force_in_time_and_never_reverts():
+    # Guards against a late or lost version, and against an older one that
+    # arrives afterwards.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'b1')) as cluster:
+            cluster.configure(5, clusters.rule('/browse/'))
+            await cluster.add_upstream('u1')
+            await cluster.add_upstream('o1', service='orders')
+            await cluster.start()
+            moved = clusters.rule('/browse/', service='orders')
+            cluster.configure(9, moved, clusters.rule('/added/'))
+            await asyncio.sleep(1.0)
+            cluster.configure(7, clusters.rule('/browse/'))
+            await asyncio.sleep(0.5)
+            for vm in (0, 1):
+                reply = await cluster.send('/browse/x', vm=vm)
+                assert reply.body.startswith(b'o1:')
+                assert (await cluster.send('/added/x', vm=vm)).status == 200
+                assert (await cluster.send('/gone/x', vm=vm)).status == 404
+
+    run(scenario())
+
+
+def test_configuration_reaches_a_vm_that_the_store_turns_away():
+    # Guards against a VM that stays behind although its peers know better.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'b1')) as cluster:
+            cluster.configure(5, clusters.rule('/browse/'))
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            store = cluster.vms[1].process.store
+            store.address = '127.0.0.1:1'
+            cluster.configure(9, clusters.rule('/added/'))
+            await asyncio.sleep(1.0)
+            assert (await cluster.send('/added/x', vm=1)).status == 200
+
+    run(scenario())
+
+
+def test_vm_without_a_configuration_is_not_ready_and_says_not_run():
+    # Guards against 404 for routes that exist, from a VM that knows none.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.store.down = True
+            cluster.vms[0].start()
+            await asyncio.sleep(0.5)
+            assert await cluster.ready(cluster.vms[0]) == 503
+            assert (await cluster.send('/browse/x')).status == 503
+            cluster.store.down = False
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.until(cluster.all_ready)
+            assert (await cluster.send('/browse/x')).status == 200
+
+    run(scenario())
+
+
+def test_malformed_rows_are_skipped():
+    # Guards against one bad entry that hides all others.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure()
+            cluster.store.put('servers', 'bad-1', b'\xff not json')
+            cluster.store.put('servers', 'bad-2', {'state': 'resting'})
+            cluster.store.put('servers', 'bad-3', {'service': 7})
+            await cluster.add_upstream('u1')
+            cluster.store.put('op', 'note', {'x': 1})
+            await cluster.start()
+            assert (await cluster.send('/browse/x')).is_own_answer
+
+    run(scenario())
+
+
+def test_routes_with_homes_stay_there_and_so_do_their_lookups():
+    # Guards against running a bound request in another region when the home
+    # has no upstream left.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'b1')) as cluster:
+            cluster.configure(1, clusters.rule('/browse/', home_regions=['b']))
+            away = await cluster.add_upstream('u1', failure_domain='a1')
+            await cluster.add_upstream('u2', failure_domain='b1')
+            await cluster.start()
+            for vm in (0, 1):
+                reply = await cluster.send('/browse/x', vm=vm)
+                assert reply.body.startswith(b'u2:')
+            cluster.store.drop('servers', 'u2')
+            await asyncio.sleep(2.0)
+            assert (await cluster.send('/browse/x')).status == 503
+            assert not away.arrivals
+            front = cluster.vms[1].listen['front']
+            assert await cluster.look_up(cluster.vms[0], 'c') == [front]
+
+    run(scenario())
+
+
+def test_cold_upstream_gets_little_from_all_vms_together():
+    # Guards against the sum of what several VMs send to a cold upstream.
+    async def scenario():
+        domains = ('a1', 'a1', 'a2', 'a2')
+        bounds = {'warmup_excess': 1.5, 'warmup_margin': 5}
+        async with clusters.EdgeCluster(domains, bounds) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            cold = await cluster.add_upstream('u2', warmup_left='3s')
+            await asyncio.gather(*(pour(cluster, 3.0, vm=n) for n in range(4)))
+            times = [arrival.at for arrival in cold.arrivals]
+            most = max(
+                sum(start <= at < start + 1.0 for at in times)
+                for start in times
+            )
+            assert 1 <= most <= 10 * 1.5 + 5
+
+    run(scenario())
+
+
+def test_second_sends_stay_within_the_shared_budget():
+    # Guards against a storm of retries when all upstreams fail.
+    async def scenario():
+        bounds = {'retry_budget_ratio': 0.2, 'retry_budget_extra': 8}
+        async with clusters.EdgeCluster(('a1', 'a2'), bounds) as cluster:
+            cluster.configure()
+            for name in ('u1', 'u2', 'u3', 'u4'):
+                await cluster.add_upstream(
+                    name, fault=upstream_standin.Fault.ERROR
+                )
+            await cluster.start()
+            sent = 0
+            for vm in (0, 1):
+                sent += len(await pour(cluster, 1.0, vm=vm, gap_s=0.0))
+            arrived = sum(len(u.arrivals) for u in cluster.upstreams.values())
+            assert arrived - sent <= 0.2 * sent + 8
+
+    run(scenario())
+
+
+def test_request_that_ends_upstreams_is_refused_by_all_vms():
+    # Guards against a request that ends one upstream after the other when
+    # it is sent again through other VMs.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2')) as cluster:
+            cluster.configure()
+            for name in ('u1', 'u2', 'u3', 'u4', 'u5', 'u6'):
+                await cluster.add_upstream(
+                    name, fault=upstream_standin.Fault.LOSE_ANSWER
+                )
+            await cluster.start()
+            for turn in range(8):
+                await cluster.send('/browse/bad', vm=turn % 2)
+                await asyncio.sleep(0.3)
+            reached = {
+                name
+                for name, upstream in cluster.upstreams.items()
+                if upstream.arrivals
+            }
+            assert len(reached) <= 3
+
+    run(scenario())
+
+
+def test_graceful_stop_cuts_off_nothing():
+    # Guards against answers that are lost in a planned stop, and a VM that
+    # is still named while it stops.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2')) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1', work_s=0.3, slots=20)
+            await cluster.start()
+            tasks = [
+                asyncio.create_task(cluster.send('/order/x', vm=1))
+                for _ in range(5)
+            ]
+            await asyncio.sleep(0.1)
+            cluster.vms[1].process.stopping.set()
+            await asyncio.sleep(0.4)
+            assert await cluster.ready(cluster.vms[1]) == 503
+            front = cluster.vms[1].listen['front']
+            assert front not in await cluster.look_up(cluster.vms[0], 'a')
+            reply = await cluster.send('/browse/x', vm=1)
+            assert reply.status == 200
+            assert reply.headers['Connection'] == 'close'
+            replies = await asyncio.gather(*tasks)
+            assert all(r.is_own_answer for r in replies)
+            await asyncio.wait_for(cluster.vms[1].task, 4.0)
+
+    run(scenario())
+
+
+def test_killed_vm_is_soon_no_longer_named():
+    # Guards against look-up answers that name a dead VM.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2')) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            await cluster.vms[1].kill()
+            await asyncio.sleep(3.2)
+            named = await cluster.look_up(cluster.vms[0], 'a')
+            assert named == [cluster.vms[0].listen['front']]
+
+    run(scenario())
+
+
+def test_all_vms_come_back_with_the_newest_configuration():
+    # Guards against a fleet that does not serve again after all its
+    # processes ended at once right after a change.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'b1')) as cluster:
+            cluster.configure(3)
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            cluster.configure(4, clusters.rule('/new/'))
+            await asyncio.gather(*(vm.kill() for vm in cluster.vms))
+            await cluster.start()
+            for vm in (0, 1):
+                assert (await cluster.send('/new/x', vm=vm)).status == 200
+                assert (await cluster.send('/browse/x', vm=vm)).status == 404
+
+    run(scenario())
+
+
+def test_store_calls_stay_few():
+    # Guards against every VM reading what one can read for all.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2', 'b1', 'b2')) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            cluster.store.calls.clear()
+            await asyncio.sleep(3.0)
+            calls = sum(cluster.store.calls.values())
+            assert calls <= 3.0 * 4, json.dumps(cluster.store.calls)
+
+    run(scenario())
