--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/fleet/tests/test_fleet.py
@@ -0,0 +1,54 @@
+"""VMs know which of them serve, and name only those."""
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.fleet import fleet
+
+
+def make(name, region='a', incarnation=1):
+    return fleet.Vm(name, incarnation, f'{name}:1', f'{name}:2', region, 'd')
+
+
+def ready_fleet(*others):
+    known = fleet.Fleet(clocks.ManualClock(), make('me'))
+    known.phase = fleet.Phase.READY
+    for vm in others:
+        known.hear(vm, fleet.Phase.READY)
+    return known
+
+
+def test_silent_starting_and_leaving_vms_are_not_named():
+    known = ready_fleet(make('b'))
+    known.hear(make('c'), fleet.Phase.STARTING)
+    known.hear(make('d'), fleet.Phase.LEAVING)
+    assert {vm.name for vm in known.serving()} == {'me', 'b'}
+    known.clock.advance(fleet.SILENT_S + 0.1)
+    assert {vm.name for vm in known.serving()} == {'me'}
+
+
+def test_restarted_vm_replaces_its_former_incarnation():
+    # Guards against late reports of a process that has ended.
+    known = ready_fleet(make('b'))
+    again = attrs.evolve(make('b', incarnation=2), caller_address='new:2')
+    known.hear(again, fleet.Phase.READY)
+    known.hear(make('b'), fleet.Phase.READY)
+    assert {vm.caller_address for vm in known.serving()} == {'me:2', 'new:2'}
+
+
+def test_own_region_then_homes_then_any():
+    vms = [make('x', 'a'), make('y', 'b'), make('z', 'c')]
+    homes = frozenset({'b'})
+    assert fleet.name_vms(vms, 'a', homes) == ('x:2',)
+    assert fleet.name_vms(vms, 'q', homes) == ('y:2',)
+    assert fleet.name_vms(vms, 'q', frozenset()) == ('x:2', 'y:2', 'z:2')
+    assert fleet.name_vms([], 'a', homes) == ()
+
+
+def test_vms_that_fell_silent_still_share_the_limits():
+    # Guards against spending the part of a VM that is only cut off from here.
+    known = ready_fleet(make('b'), make('c'))
+    known.clock.advance(fleet.SILENT_S + 0.1)
+    assert known.sharers() == 3
+    known.clock.advance(fleet.SHARER_MEMORY_S)
+    assert known.sharers() == 1
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_crashes.py
@@ -0,0 +1,36 @@
+"""A request that ends upstreams is refused; a harmless one is not."""
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.quarantine import crashes
+
+
+def ledger():
+    return crashes.CrashLedger(clocks.ManualClock(100.0))
+
+
+def test_losses_of_different_upstreams_count_over_all_vms():
+    known = ledger()
+    known.note_loss('f', 'u1@1')
+    known.note_loss('f', 'u1@1')
+    assert not known.is_refused('f')
+    known.hear_loss('f', 'u2@1')
+    assert known.is_refused('f')
+    assert not known.is_refused('other')
+
+
+def test_whole_answer_clears_a_request():
+    # Guards against refusing a request that was at work when upstreams
+    # ended for other reasons.
+    known = ledger()
+    known.note_loss('f', 'u1@1')
+    known.note_loss('f', 'u2@1')
+    known.clear('f')
+    assert not known.is_refused('f')
+
+
+def test_losses_are_forgotten():
+    known = ledger()
+    known.note_loss('f', 'u1@1')
+    known.note_loss('f', 'u2@1')
+    known.clock.advance(crashes.REMEMBERED_S + 1)
+    assert not known.is_refused('f')
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/retries/tests/test_shared.py
@@ -0,0 +1,39 @@
+"""Second sends of all VMs stay within the budget without messages."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from bulrushcourse_domain.retries import shared
+
+RATIO, EXTRA, WINDOW_S = 0.2, 60.0, 10.0
+
+
+@given(
+    strategies.integers(1, 16),
+    strategies.lists(strategies.integers(0, 40), min_size=10, max_size=60),
+)
+def test_sum_stays_within_the_budget_in_every_window(members, per_half_s):
+    # Pattern: every request fails and asks for second sends, in bursts.
+    vms = [
+        shared.SharedRetryBudget(RATIO, EXTRA, WINDOW_S)
+        for _ in range(members)
+    ]
+    spent, sent = [], []
+    for step, number in enumerate(per_half_s):
+        now = step * 0.5
+        sent.append(number * members)
+        count = 0
+        for vm in vms:
+            for _ in range(number):
+                vm.count_request()
+                count += vm.spend(now, members)
+                count += vm.spend(now, members)
+        spent.append(count)
+    window = int(WINDOW_S / 0.5)
+    for start in range(len(spent)):
+        requests = max(
+            sum(sent[max(0, start - back) : max(0, start - back) + window])
+            for back in (0, window // 2, window)
+        )
+        allowed = RATIO * requests + EXTRA
+        assert sum(spent[start : start + window]) <= allowed
