--- a/packages/testkit/bulrushcourse_testkit/edge/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/cluster.py
@@ -13,8 +13,8 @@
 from bulrushcourse_entry.edge import process as edge_process
 from bulrushcourse_entry.platform import settings_file
 from bulrushcourse_testkit import ports
-from bulrushcourse_testkit.edge import store as store_standin
-from bulrushcourse_testkit.edge import upstream as upstream_standin
+from bulrushcourse_testkit.platform import store as store_standin
+from bulrushcourse_testkit.platform import upstream as upstream_standin
 
 REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b', 'b2': 'b'}
 HOST = 'shop.example'
--- a/packages/testkit/bulrushcourse_testkit/edge/tests/test_answers.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_answers.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from bulrushcourse_testkit.edge import cluster as clusters
-from bulrushcourse_testkit.edge import upstream as upstream_standin
+from bulrushcourse_testkit.platform import cluster as clusters
+from bulrushcourse_testkit.platform import upstream as upstream_standin
 
 Fault = upstream_standin.Fault
 REFUSALS = (408, 421, 429, 503)
--- a/packages/testkit/bulrushcourse_testkit/edge/tests/test_beliefs.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
@@ -4,8 +4,8 @@
 import json
 import time
 
-from bulrushcourse_testkit.edge import cluster as clusters
-from bulrushcourse_testkit.edge import upstream as upstream_standin
+from bulrushcourse_testkit.platform import cluster as clusters
+from bulrushcourse_testkit.platform import upstream as upstream_standin
 
 
 def run(scenario):
