--- a/packages/entry/bulrushcourse_entry/command.py
+++ b/packages/entry/bulrushcourse_entry/command.py
@@ -10,8 +10,11 @@
 import logbook
 from returns import result
 
+from bulrushcourse_domain import findings
 from bulrushcourse_entry import process
 from bulrushcourse_entry import settings as entry_settings
+from bulrushcourse_entry.edge import program
+from bulrushcourse_entry.platform import settings_file
 
 EXIT_BAD_SETTINGS = 2
 LOG_FORMAT = (
@@ -40,13 +43,26 @@
     await process.EntryProcess(settings).run()
 
 
+def run_edge(command: 'Edge') -> None:
+    """Run the edge program until SIGTERM.
+
+    Args:
+        command: Parsed arguments.
+    """
+    code = program.main(command.settings, command.metrics_port)
+    raise cappa.Exit(code=code)
+
+
 def check_settings(command: 'CheckSettings') -> None:
     """Check a settings file and print all findings.
 
     Args:
         command: Parsed arguments.
     """
-    _load(command.settings)
+    if command.settings.endswith('.toml'):
+        _check_platform_settings(command.settings)
+    else:
+        _load(command.settings)
     print(f'{command.settings}: no findings')
 
 
@@ -55,12 +71,22 @@
     print(importlib.metadata.version('bulrushcourse-entry'))
 
 
+def _check_platform_settings(path: str) -> None:
+    loaded = settings_file.load(path)
+    if isinstance(loaded, result.Failure):
+        _report(path, loaded.failure())
+
+
+def _report(path: str, found: typing.Iterable[findings.Finding]) -> None:
+    for finding in found:
+        print(f'{path}: {finding}', file=sys.stderr)
+    raise cappa.Exit(code=EXIT_BAD_SETTINGS)
+
+
 def _load(path: str) -> entry_settings.Settings:
     loaded = entry_settings.load_settings(path)
     if isinstance(loaded, result.Failure):
-        for found in loaded.failure():
-            print(f'{path}: {found}', file=sys.stderr)
-        raise cappa.Exit(code=EXIT_BAD_SETTINGS)
+        _report(path, loaded.failure())
     return loaded.unwrap()
 
 
@@ -83,6 +109,34 @@
     ]
 
 
+@cappa.command(
+    name='edge',
+    invoke=run_edge,
+    help="Run the edge program on the users' platform until SIGTERM.",
+    description='Example: bulrushcourse edge --metrics-port 9180',
+)
+@attrs.define
+class Edge:
+    """Arguments of ``edge``.
+
+    Attributes:
+        settings: Path of the platform's settings file.
+        metrics_port: Port of metrics and state.
+    """
+
+    settings: typing.Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help='Path of the settings file; by default the one that '
+            'BULRUSHCOURSE_CONFIG names.',
+        ),
+    ] = ''
+    metrics_port: typing.Annotated[
+        int, cappa.Arg(long=True, help='Port of metrics and state; 0: none.')
+    ] = 0
+
+
 @cappa.command(
     name='check-settings',
     invoke=check_settings,
@@ -98,7 +152,8 @@
     """
 
     settings: typing.Annotated[
-        str, cappa.Arg(help='Path of the JSON settings file.')
+        str,
+        cappa.Arg(help="Path of the JSON file, or the platform's TOML file."),
     ]
 
 
@@ -120,7 +175,7 @@
         command: The chosen command.
     """
 
-    command: cappa.Subcommands[Run | CheckSettings | Version]
+    command: cappa.Subcommands[Run | Edge | CheckSettings | Version]
 
 
 def main() -> None:
--- a/packages/entry/bulrushcourse_entry/edge/__main__.py
+++ b/packages/entry/bulrushcourse_entry/edge/__main__.py
@@ -1,53 +1,14 @@
-"""Runs an edge process with the settings file of the platform.
+"""Runs the edge program as ``python -m bulrushcourse_entry.edge PORT``.
 
 The binary ``bulrushcourse edge`` does the same. This entry point leaves out
-the command line library, which takes a third of the process's memory.
+the command line library, which takes a third of the process's memory. The
+argument is the port of metrics and state; without it there are none.
 """
 
-import asyncio
-import os
 import sys
 
-from returns import result
-
-from bulrushcourse_entry.edge import journal
-from bulrushcourse_entry.edge import process
-from bulrushcourse_entry.edge import settings as edge_settings
-from bulrushcourse_entry.platform import settings_file
-
-EXIT_BAD_SETTINGS = 2
-METRICS_VARIABLE = 'EDGE_METRICS_PORT'
-
-
-def main(path: str = '', metrics_port: int = 0) -> int:
-    """Run an edge process until SIGTERM.
-
-    Args:
-        path: Path of the settings file; by default the one that the
-            platform names.
-        metrics_port: Port of the metrics, 0 for none.
-
-    Returns:
-        Exit code.
-    """
-    path = path or os.environ.get(settings_file.PATH_VARIABLE, '')
-    loaded = settings_file.load(path)
-    if isinstance(loaded, result.Failure):
-        for found in loaded.failure():
-            print(f'{path}: {found}', file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    writer = journal.LineWriter()
-    with writer.applicationbound():
-        asyncio.run(_run(loaded.unwrap(), path, metrics_port))
-    writer.close()
-    return 0
-
-
-async def _run(
-    settings: edge_settings.EdgeSettings, path: str, metrics_port: int
-) -> None:
-    await process.EdgeProcess(settings, path, metrics_port).run()
-
+from bulrushcourse_entry.edge import program
 
 if __name__ == '__main__':
-    sys.exit(main(metrics_port=int(sys.argv[1]) if sys.argv[1:] else 0))
+    port = int(sys.argv[1]) if sys.argv[1:] else 0
+    sys.exit(program.main(metrics_port=port))
--- a/packages/entry/bulrushcourse_entry/edge/journal.py
+++ b/packages/entry/bulrushcourse_entry/edge/journal.py
@@ -11,6 +11,7 @@
 import logbook
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_entry import events
 
 # Lines that wait to be written; more are dropped and counted.
@@ -165,6 +166,22 @@
         """
         self._write(self.beliefs, event, fields)
 
+    def upstream_change(
+        self, change: directories.Change, version: int
+    ) -> None:
+        """Write a change of an upstream's entry.
+
+        Args:
+            change: The change.
+            version: Version of the store that showed it.
+        """
+        self.belief(
+            events.Event.UPSTREAM_CHANGED,
+            upstream=change.upstream.name,
+            what=change.what,
+            version=version,
+        )
+
     def _write(
         self,
         budget: LineBudget,
--- a/packages/entry/bulrushcourse_entry/edge/knowledge.py
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -1,9 +1,9 @@
 """What an edge process believes, in one place."""
 
 import random
-import typing
 
 import attrs
+import reactivex
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.fleet import fleet
@@ -51,6 +51,7 @@
         mixes: Shares of the regions, by route and service.
         splits: Turns of a route's services.
         budgets: Budgets for second sends, by service.
+        changes: Stream of changes of the upstreams' entries.
     """
 
     settings: edge_settings.EdgeSettings
@@ -76,6 +77,9 @@
     )
     splits: dict[str, split.WeightedTurns] = attrs.field(factory=dict)
     budgets: dict[str, shared.SharedRetryBudget] = attrs.field(factory=dict)
+    changes: reactivex.Subject[directories.Change] = attrs.field(
+        factory=reactivex.Subject
+    )
 
     def budget(self, service: str) -> shared.SharedRetryBudget:
         """Return the budget for second sends to a service.
@@ -105,17 +109,16 @@
             self.mixes[key] = region_mix.RegionMix(self.clock)
         return self.mixes[key]
 
-    def apply(self, changes: typing.Iterable[directories.Change]) -> None:
-        """Forget what no longer holds of upstreams that changed.
+    def forget(self, change: directories.Change) -> None:
+        """Forget what no longer holds of an upstream that changed.
 
         Args:
-            changes: Changes of the upstreams' entries.
+            change: Change of its entry.
         """
-        for change in changes:
-            if change.what in ('gone', 'restarted'):
-                self.troubles.forget(change.upstream.name)
-                self.known.forget(change.upstream.name)
-                self.load.slowness.pop(change.upstream.name, None)
+        if change.what in ('gone', 'restarted'):
+            self.troubles.forget(change.upstream.name)
+            self.known.forget(change.upstream.name)
+            self.load.slowness.pop(change.upstream.name, None)
 
 
 def assemble(
@@ -148,7 +151,7 @@
     )
     times = service_times.ServiceTimes()
     measured = delays.Delays(settings.region, settings.failure_domain)
-    return Knowledge(
+    beliefs = Knowledge(
         settings=settings,
         clock=clock,
         rng=rng,
@@ -176,3 +179,5 @@
         ),
         retry_times=admission.RetryTimes(rng),
     )
+    beliefs.changes.subscribe(beliefs.forget)
+    return beliefs
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -246,9 +246,8 @@
             frozenset(report.evacuated),
         )
         if report.news is not None:
-            reading.take_changes(
-                known, self.journal, known.upstreams.apply(report.news)
-            )
+            for change in known.upstreams.apply(report.news):
+                known.changes.on_next(change)
         for other in report.vms:
             self.meet(other)
 
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -24,10 +24,13 @@
 from bulrushcourse_entry.edge import reading
 from bulrushcourse_entry.edge import sending
 from bulrushcourse_entry.edge import settings as edge_settings
+from bulrushcourse_entry.edge import state
 from bulrushcourse_entry.platform import rows
 from bulrushcourse_entry.platform import settings_file
 
 TICK_S = 0.25
+# Beside the metrics, on the same address.
+STATE_PATH = '/state'
 # Parts of the time that a graceful stop may take: until then new requests
 # are served, then refused, and the last sixth is left for the answers.
 ACCEPT_SHARE = 0.5
@@ -69,7 +72,12 @@
             region=self.settings.region,
             incarnation=known.fleet.me.incarnation,
         )
-        self._handle_signals(journal)
+        known.changes.subscribe(
+            lambda change: journal.upstream_change(
+                change, known.upstreams.version
+            )
+        )
+        self._handle_signals(known, journal)
         async with contextlib.AsyncExitStack() as stack:
             await self._serve(known, journal, stack)
         journal.belief(events.Event.STOPPED, vm=self.settings.vm)
@@ -115,19 +123,28 @@
         await self.stopping.wait()
         await self._stop(known, journal, front)
 
-    def _handle_signals(self, journal: journals.Journal) -> None:
+    def _handle_signals(
+        self, known: knowledges.Knowledge, journal: journals.Journal
+    ) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload, journal)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, known, journal)
 
-    def _reload(self, journal: journals.Journal) -> None:
-        """Take over bounds from the settings file; addresses stay."""
+    def _reload(
+        self, known: knowledges.Knowledge, journal: journals.Journal
+    ) -> None:
+        """Take over bounds and seeds of the settings; addresses stay."""
         loaded = settings_file.load(self.settings_path)
         if isinstance(loaded, result.Failure):
             found = [str(finding) for finding in loaded.failure()]
             journal.belief(events.Event.SETTINGS_REFUSED, findings=found)
             return
+        read = loaded.unwrap()
+        self.settings = attrs.evolve(
+            self.settings, bounds=read.bounds, seeds=read.seeds
+        )
+        known.settings = self.settings
         journal.belief(events.Event.RELOADED, path=self.settings_path)
 
     async def _listen(
@@ -136,7 +153,9 @@
         meters: edge_meters.Meters,
         stack: contextlib.AsyncExitStack,
     ) -> None:
-        async def metrics(request: web.BaseRequest) -> web.Response:
+        async def inspect(request: web.BaseRequest) -> web.Response:
+            if request.path == STATE_PATH:
+                return web.json_response(state.dump(front.known))
             return web.Response(body=meters.render())
 
         host = self.settings.callers.rpartition(':')[0]
@@ -145,7 +164,7 @@
             (self.settings.callers, front.handle),
             (self.settings.lookups, front.look_up),
             (self.settings.readiness, front.ready),
-            (metrics_address if self.metrics_port else '', metrics),
+            (metrics_address if self.metrics_port else '', inspect),
         )
         for address, handler in listeners:
             if address:
--- a/packages/entry/bulrushcourse_entry/edge/reading.py
+++ b/packages/entry/bulrushcourse_entry/edge/reading.py
@@ -232,9 +232,8 @@
         snapshot = upstream_rows.decode_all(
             reading, self.known.settings.regions, self._report
         )
-        take_changes(
-            self.known, self.journal, self.known.upstreams.offer(snapshot)
-        )
+        for change in self.known.upstreams.offer(snapshot):
+            self.known.changes.on_next(change)
 
     def _report(
         self, row: rows.StoredRow, error: units.MalformedValue
@@ -246,28 +245,6 @@
             )
 
 
-def take_changes(
-    known: knowledges.Knowledge,
-    journal: journals.Journal,
-    changes: typing.Sequence[typing.Any],
-) -> None:
-    """Act on changes of the upstreams' entries and log them.
-
-    Args:
-        known: What this process believes.
-        journal: Log.
-        changes: The changes.
-    """
-    known.apply(changes)
-    for change in changes:
-        journal.belief(
-            events.Event.UPSTREAM_CHANGED,
-            upstream=change.upstream.name,
-            what=change.what,
-            version=known.upstreams.version,
-        )
-
-
 @attrs.define(eq=False)
 class VmRegistrar:
     """Makes this VM known to the others and learns of them.
