--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,11 +3,12 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/deps
-if ! cmp -s constraints.txt target/installed-constraints.txt; then
+cat constraints.txt deploy/requirements.txt > target/wanted.txt
+if ! cmp -s target/wanted.txt target/installed.txt; then
     rm -rf target/deps
     python3 -m pip install -qq --disable-pip-version-check \
         --target target/deps -c constraints.txt -r deploy/requirements.txt
-    cp constraints.txt target/installed-constraints.txt
+    cp target/wanted.txt target/installed.txt
 fi
 rm -rf target/deps/bulrushcourse_*
 for package in domain wire entry; do
