--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_journal.py
@@ -0,0 +1,70 @@
+"""Log lines are bounded, structured and never hold up the process."""
+
+import io
+import json
+import threading
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import journal as journals
+
+
+class StalledStream(io.StringIO):
+    """Standard output whose reader has stopped."""
+
+    def __init__(self):
+        super().__init__()
+        self.entered = threading.Event()
+        self.released = threading.Event()
+
+    def write(self, text):
+        self.entered.set()
+        self.released.wait()
+        return super().write(text)
+
+
+def test_crowd_of_failures_writes_a_bounded_number_of_lines():
+    clock = clocks.ManualClock(50.0)
+    stream = io.StringIO()
+    writer = journals.LineWriter(stream)
+    journal = journals.Journal(clock)
+    with writer.threadbound():
+        for number in range(1000):
+            journal.decision(False, id=str(number), reason='full')
+            clock.advance(0.001)
+        clock.advance(1.0)
+        journal.decision(False, id='last', reason='full')
+    writer.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert len(lines) <= 60 + 2 * journals.FAILURE_LINES_PER_S
+    assert lines[-1]['id'] == 'last'
+    left_out = sum(line.get('left_out', 0) for line in lines)
+    assert left_out + len(lines) == 1001
+
+
+def test_stalled_reader_costs_lines_and_does_not_block():
+    stream = StalledStream()
+    writer = journals.LineWriter(stream)
+    with writer.threadbound():
+        events.write_fields(events.Event.REQUEST_SERVED, {'id': 'first'})
+        stream.entered.wait()
+        for number in range(journals.MAX_WAITING + 500):
+            events.write_fields(events.Event.REQUEST_SERVED, {'id': number})
+    assert not stream.released.is_set()
+    assert len(writer.waiting) == journals.MAX_WAITING
+    assert writer.dropped == 500
+    stream.released.set()
+    writer.close()
+
+
+def test_line_names_event_level_and_inputs():
+    stream = io.StringIO()
+    writer = journals.LineWriter(stream)
+    with writer.threadbound():
+        journals.Journal(clocks.ManualClock()).belief(
+            events.Event.STORE_UNREACHABLE, reason='x'
+        )
+    writer.close()
+    line = json.loads(stream.getvalue())
+    assert (line['event'], line['level']) == (4001, 'warning')
+    assert line['reason'] == 'x'
