Add a fault soak of real edge processes

Edge processes run behind loopback proxies; kills, pauses, SIGTERM, SIGHUP, store outages, broken links, upstream faults, departures and configurations come in series and overlap. Checked: orders run at most once, refusals are true, answers belong to their requests, no version goes back, and all is served 15 s after the end.

--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
@@ -0,0 +1,14 @@
+"""A short seeded soak of real processes; longer ones are run by hand."""
+
+import asyncio
+
+import pytest
+
+from bulrushcourse_testkit.platform import soak
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_promises_hold_under_random_faults(seed, tmp_path):
+    played = asyncio.run(asyncio.wait_for(soak.play(seed, tmp_path), 120))
+    assert not played.findings, (played.findings, played.steps)
+    assert len(played.replies) > 100
