--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -77,7 +77,7 @@
         directory: Known upstreams.
         load: Their load.
         troubles: Their failures.
-        known: Objects that they have handled.
+        objects: Objects that they have handled.
         cold: Limits on cold upstreams.
         times: Service times.
         delays: Round trip to each failure domain in seconds.
@@ -88,7 +88,7 @@
     directory: directories.UpstreamDirectory
     load: loads.LoadView
     troubles: trouble.TroubleLog
-    known: warmth.Warmth
+    objects: warmth.Warmth
     cold: warmup.WarmupLimiter
     times: service_times.ServiceTimes
     delays: typing.Callable[[upstreams.Upstream], float]
@@ -155,7 +155,7 @@
         ]
 
     def _seen(self, upstream: str, thing: str) -> Standing:
-        known = self.known.is_warm(upstream, thing)
+        known = self.objects.is_warm(upstream, thing)
         return Standing.SEEN if known else Standing.NONE
 
     def _estimate(
--- a/packages/domain/bulrushcourse_domain/placement/region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/region_mix.py
@@ -9,9 +9,10 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.routes import split
 
-# Two seconds at this rate move 6% of the requests, well under the 15% that
-# may change region from one two-second window to the next.
-RAMP_PER_S = 0.03
+# Part of the requests that may change region between windows of two seconds
+# that moves in one second; two windows then differ by 0.4 of the bound.
+RAMP_SHARE = 0.2
+USUAL_SHIFT_SHARE = 0.15
 LONGEST_STEP_S = 1.0
 # Smaller differences are left: each move makes some objects cold, and the
 # measured demand is never quite still.
@@ -74,14 +75,15 @@
 
     Attributes:
         clock: Source of time.
-        ramp_per_s: Share of the requests that may move in a second.
+        shift_share: Largest share of the requests that may change region
+            from one window of two seconds to the next.
         shares: Present shares.
         at: Time of the last step.
         turns: Which region is next.
     """
 
     clock: clocks.Clock
-    ramp_per_s: float = RAMP_PER_S
+    shift_share: float = USUAL_SHIFT_SHARE
     shares: dict[str, float] = attrs.field(factory=dict)
     at: float = 0.0
     turns: split.WeightedTurns = attrs.field(factory=split.WeightedTurns)
@@ -108,7 +110,8 @@
         else:
             total = sum(kept.values())
             scaled = {r: share / total for r, share in kept.items()}
-            step = min(LONGEST_STEP_S, now - self.at) * self.ramp_per_s
+            elapsed = min(LONGEST_STEP_S, now - self.at)
+            step = elapsed * RAMP_SHARE * self.shift_share
             self.shares = move_towards(scaled, target, step, DEAD_BAND)
         self.at = now
         if not thing:
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -216,18 +216,3 @@
             and not entry.draining
             and entry.failure_domain not in self.evacuated
         )
-
-    def may_send(self, name: str, address: str) -> bool:
-        """Return whether an upstream that was chosen before may still be used.
-
-        Args:
-            name: Name of the upstream.
-            address: Its address when it was chosen.
-        """
-        entry = self.entries.get(name)
-        return (
-            entry is not None
-            and entry.address == address
-            and not entry.draining
-            and entry.failure_domain not in self.evacuated
-        )
--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -87,16 +87,6 @@
         self.heard_at[vm] = self.clock.monotonic()
         self._sum_peers()
 
-    def forget_peer(self, vm: str) -> None:
-        """Drop the reports of a VM that is gone.
-
-        Args:
-            vm: Name of the VM.
-        """
-        self.peers.pop(vm, None)
-        self.heard_at.pop(vm, None)
-        self._sum_peers()
-
     def expire_peers(self) -> None:
         """Leave out reports that are too old; call it now and then."""
         self._sum_peers()
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/endings.py
@@ -0,0 +1,94 @@
+"""How attempts and requests end, and what an end proves."""
+
+import typing
+
+import attrs
+from returns import result
+
+from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.upstreams import trouble
+from bulrushcourse_entry.edge import sending
+
+Failure = sending.Failure
+
+# Failures that prove that the request did not run.
+NOT_RUN = frozenset({Failure.NOT_SENT, Failure.SHED, Failure.MISDIRECTED})
+# What a failure tells of the upstream's health.
+OUTCOMES: typing.Mapping[Failure, trouble.Outcome] = {
+    Failure.NOT_SENT: trouble.Outcome.UNREACHABLE,
+    Failure.SHED: trouble.Outcome.SHED,
+    Failure.MISDIRECTED: trouble.Outcome.UNREACHABLE,
+    Failure.LOST: trouble.Outcome.LOST,
+    Failure.TRUNCATED: trouble.Outcome.ERROR,
+    Failure.FOREIGN: trouble.Outcome.ERROR,
+    Failure.DEADLINE: trouble.Outcome.LOST,
+}
+
+
+@attrs.frozen
+class Refusal:
+    """An answer that promises that the request has not run.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When the caller may come back.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+@attrs.frozen
+class Lost:
+    """An answer that promises nothing.
+
+    Attributes:
+        reason: Why.
+        timed_out: Whether the time ran out.
+    """
+
+    reason: str
+    timed_out: bool
+
+
+Ending = sending.Answer | Refusal | Lost
+
+
+def describe(choice: placement.Choice, ended: str, took: float) -> str:
+    """Return an attempt in words, for the log.
+
+    Args:
+        choice: The upstream with what was expected of it.
+        ended: How the attempt ended.
+        took: How long it took in seconds.
+    """
+    return (
+        f'{choice.upstream.name} {ended} after {took * 1000:.0f} ms'
+        f' (expected {choice.completion_s * 1000:.0f},'
+        f' {choice.standing.value} keeper, {choice.busy} over its slots)'
+    )
+
+
+def is_good(attempt: result.Result[sending.Answer, Failure]) -> bool:
+    """Return whether an attempt ended with an answer worth delivering.
+
+    Args:
+        attempt: How it ended.
+    """
+    return (
+        isinstance(attempt, result.Success) and attempt.unwrap().status < 500
+    )
+
+
+def first_failure(
+    ended: list[result.Result[sending.Answer, Failure]],
+) -> Failure | None:
+    """Return the failure of the first attempt that failed.
+
+    Args:
+        ended: How attempts ended.
+    """
+    for attempt in ended:
+        if isinstance(attempt, result.Failure):
+            return attempt.failure()
+    return None
--- a/packages/entry/bulrushcourse_entry/edge/exchange.py
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -7,30 +7,16 @@
 from returns import result
 
 from bulrushcourse_domain.placement import admission
-from bulrushcourse_domain.placement import allocation
 from bulrushcourse_domain.placement import placement
-from bulrushcourse_domain.routes import route as routes
-from bulrushcourse_domain.routes import split
 from bulrushcourse_domain.upstreams import trouble
 from bulrushcourse_entry.edge import call as calls
+from bulrushcourse_entry.edge import endings
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import sending
 from bulrushcourse_entry.platform import headers as platform_headers
 
 Failure = sending.Failure
 
-# Failures that prove that the request did not run.
-NOT_RUN = frozenset({Failure.NOT_SENT, Failure.SHED, Failure.MISDIRECTED})
-# What a failure tells of the upstream's health.
-_OUTCOMES: typing.Mapping[Failure, trouble.Outcome] = {
-    Failure.NOT_SENT: trouble.Outcome.UNREACHABLE,
-    Failure.SHED: trouble.Outcome.SHED,
-    Failure.MISDIRECTED: trouble.Outcome.UNREACHABLE,
-    Failure.LOST: trouble.Outcome.LOST,
-    Failure.TRUNCATED: trouble.Outcome.ERROR,
-    Failure.FOREIGN: trouble.Outcome.ERROR,
-    Failure.DEADLINE: trouble.Outcome.LOST,
-}
 # A second copy is sent when the first took this many times as long as
 # expected; most work is done by then.
 HEDGE_FACTOR = 3.0
@@ -39,35 +25,6 @@
 DEADLINE_MARGIN_S = 0.02
 
 
-@attrs.frozen
-class Refusal:
-    """An answer that promises that the request has not run.
-
-    Attributes:
-        reason: Why.
-        retry_after_s: When the caller may come back.
-    """
-
-    reason: str
-    retry_after_s: float
-
-
-@attrs.frozen
-class Lost:
-    """An answer that promises nothing.
-
-    Attributes:
-        reason: Why.
-        timed_out: Whether the time ran out.
-    """
-
-    reason: str
-    timed_out: bool
-
-
-Ending = sending.Answer | Refusal | Lost
-
-
 @attrs.define(eq=False)
 class Exchange:
     """Serves requests.
@@ -86,61 +43,13 @@
     set_aside: typing.Callable[[str], None]
     kept: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
 
-    def choose_service(self, route: routes.Route) -> str:
-        """Return the service that runs a route's next request.
-
-        Args:
-            route: The route.
-        """
-        if len(route.parts) == 1:
-            return route.parts[0].service
-        turns = self.known.splits.setdefault(route.key, split.WeightedTurns())
-        return turns.take({p.service: p.weight for p in route.parts})
-
-    def choose_region(
-        self, route: routes.Route, service: str, thing: str = ''
-    ) -> str:
-        """Return the region that runs a route's next request.
-
-        Args:
-            route: The route.
-            service: Service that runs it.
-            thing: Object that the request concerns, empty if it names none.
-
-        Returns:
-            Name of the region, empty if none can.
-        """
-        known = self.known
-        capacity: dict[str, float] = {}
-        for upstream in known.upstreams.usable(service):
-            if not route.may_run_in(upstream.region):
-                continue
-            slots = float(upstream.slots)
-            if known.upstreams.is_cold(upstream.name):
-                slots *= 0.25
-            if known.troubles.is_paused(upstream.name):
-                slots = 0.0
-            region = upstream.region
-            capacity[region] = capacity.get(region, 0.0) + slots
-        capacity = {r: slots for r, slots in capacity.items() if slots > 0}
-        here = known.settings.region
-        demand = known.demand.by_region(service)
-        if known.clock.monotonic() < known.demand.settled_at:
-            demand = allocation.usual_demand(
-                capacity, set(known.settings.regions.values())
-            )
-        shares = allocation.allocate(demand, capacity).get(here, {})
-        if not shares:
-            return ''
-        return known.mix(route.key, service).take(shares, capacity, thing)
-
     async def close(self) -> None:
         """End the runs whose callers have left."""
         for task in self.kept:
             task.cancel()
         await asyncio.gather(*self.kept, return_exceptions=True)
 
-    async def serve(self, call: calls.Call) -> Ending:
+    async def serve(self, call: calls.Call) -> endings.Ending:
         """Run a request and return how it ends.
 
         A request that must not run twice goes on when its caller leaves,
@@ -158,7 +67,7 @@
         task.add_done_callback(self.kept.discard)
         return await asyncio.shield(task)
 
-    async def _serve_once(self, call: calls.Call) -> Ending:
+    async def _serve_once(self, call: calls.Call) -> endings.Ending:
         while True:
             choice = self._choose(call)
             if not isinstance(choice, placement.Choice):
@@ -167,18 +76,18 @@
             if isinstance(attempt, result.Success):
                 return attempt.unwrap()
             failure = attempt.failure()
-            if failure not in NOT_RUN:
-                return Lost(failure.value, failure is Failure.DEADLINE)
+            if failure not in endings.NOT_RUN:
+                return endings.Lost(failure.value, failure is Failure.DEADLINE)
             if not self._may_repeat(call, failure):
                 return self._refuse(call, failure.value)
 
-    async def _serve_idempotent(self, call: calls.Call) -> Ending:
+    async def _serve_idempotent(self, call: calls.Call) -> endings.Ending:
         choice = self._choose(call)
         if not isinstance(choice, placement.Choice):
             return choice
         running = {self._start(call, choice)}
         hedge_at = self._hedge_at(choice)
-        worst: Ending | None = None
+        worst: endings.Ending | None = None
         try:
             while running:
                 done, running = await asyncio.wait(
@@ -187,7 +96,7 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 ended = [task.result() for task in done]
-                good = next((e for e in ended if _is_good(e)), None)
+                good = next((e for e in ended if endings.is_good(e)), None)
                 if good is not None:
                     return good.unwrap()
                 for attempt in ended:
@@ -195,7 +104,7 @@
                 hedge_at = float('inf')
                 if ended and running:
                     continue
-                if not self._may_repeat(call, _failure(ended)):
+                if not self._may_repeat(call, endings.first_failure(ended)):
                     continue
                 choice = self._choose(call)
                 if isinstance(choice, placement.Choice):
@@ -220,12 +129,12 @@
         self,
         call: calls.Call,
         attempt: result.Result[sending.Answer, Failure],
-    ) -> Ending:
+    ) -> endings.Ending:
         if isinstance(attempt, result.Success):
             return attempt.unwrap()
         failure = attempt.failure()
         if call.may_have_run:
-            return Lost(failure.value, failure is Failure.DEADLINE)
+            return endings.Lost(failure.value, failure is Failure.DEADLINE)
         return self._refuse(call, failure.value)
 
     def _may_repeat(self, call: calls.Call, failure: Failure | None) -> bool:
@@ -240,7 +149,7 @@
         budget = self.known.budget(call.service)
         return budget.spend(now, self.known.fleet.sharers())
 
-    def _choose(self, call: calls.Call) -> placement.Choice | Ending:
+    def _choose(self, call: calls.Call) -> placement.Choice | endings.Ending:
         now = self.known.clock.monotonic()
         wish = placement.Wish(
             call.route,
@@ -261,12 +170,14 @@
             return choice
         call.steps.append(verdict.value)
         if call.may_have_run:
-            return Lost(verdict.value, False)
+            return endings.Lost(verdict.value, False)
         return self._refuse(call, verdict.value)
 
-    def _refuse(self, call: calls.Call, reason: str) -> Refusal:
+    def _refuse(self, call: calls.Call, reason: str) -> endings.Refusal:
         left = call.deadline - self.known.clock.monotonic()
-        return Refusal(reason, self.known.retry_times.draw(max(0.0, left)))
+        return endings.Refusal(
+            reason, self.known.retry_times.draw(max(0.0, left))
+        )
 
     async def _attempt(
         self, call: calls.Call, choice: placement.Choice
@@ -315,7 +226,9 @@
         name = choice.upstream.name
         if isinstance(ended, result.Success):
             answer = ended.unwrap()
-            call.steps.append(_step(choice, str(answer.status), took))
+            call.steps.append(
+                endings.describe(choice, str(answer.status), took)
+            )
             known.crashes.clear(call.fingerprint)
             good = answer.status < 500
             known.troubles.note(
@@ -325,14 +238,14 @@
                 self._learn_time(call, choice, took)
             return
         failure = ended.failure()
-        call.steps.append(_step(choice, failure.value, took))
-        if failure not in NOT_RUN:
+        call.steps.append(endings.describe(choice, failure.value, took))
+        if failure not in endings.NOT_RUN:
             call.may_have_run = True
         if failure is Failure.LOST:
             incarnation = choice.upstream.incarnation
             known.crashes.note_loss(call.fingerprint, incarnation)
             self.share_loss(call.fingerprint, incarnation)
-        if known.troubles.note(name, _OUTCOMES[failure]):
+        if known.troubles.note(name, endings.OUTCOMES[failure]):
             self.set_aside(name)
 
     def _learn_time(
@@ -341,7 +254,7 @@
         known = self.known
         name = choice.upstream.name
         if call.thing:
-            known.known.note(name, call.thing)
+            known.objects.note(name, call.thing)
         if choice.busy or choice.cold:
             return
         slowness = known.load.expected_slowness(name)
@@ -353,26 +266,3 @@
             max(0.001, work),
             choice.standing,
         )
-
-
-def _step(choice: placement.Choice, ended: str, took: float) -> str:
-    return (
-        f'{choice.upstream.name} {ended} after {took * 1000:.0f} ms'
-        f' (expected {choice.completion_s * 1000:.0f},'
-        f' {choice.standing.value} keeper, {choice.busy} over its slots)'
-    )
-
-
-def _is_good(attempt: result.Result[sending.Answer, Failure]) -> bool:
-    return (
-        isinstance(attempt, result.Success) and attempt.unwrap().status < 500
-    )
-
-
-def _failure(
-    ended: list[result.Result[sending.Answer, Failure]],
-) -> Failure | None:
-    for attempt in ended:
-        if isinstance(attempt, result.Failure):
-            return attempt.failure()
-    return None
--- a/packages/entry/bulrushcourse_entry/edge/front.py
+++ b/packages/entry/bulrushcourse_entry/edge/front.py
@@ -11,10 +11,13 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import call as calls
+from bulrushcourse_entry.edge import endings
 from bulrushcourse_entry.edge import exchange as exchanges
 from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import meters
+from bulrushcourse_entry.edge import sending
+from bulrushcourse_entry.edge import steering
 from bulrushcourse_entry.platform import headers as platform_headers
 from bulrushcourse_entry.platform import lookups
 
@@ -34,6 +37,7 @@
 
     Attributes:
         known: What this process believes.
+        steering: Chooses their services and regions.
         exchange: Serves the calls.
         journal: Log.
         meters: Counters and histograms.
@@ -43,6 +47,7 @@
     """
 
     known: knowledges.Knowledge
+    steering: steering.Steering
     exchange: exchanges.Exchange
     journal: journals.Journal
     meters: meters.Meters
@@ -82,7 +87,7 @@
         if self.refusing or not self.known.routes.version:
             reason = 'stopping' if self.refusing else 'no-configuration'
             return self._refused(
-                caller.request_id, exchanges.Refusal(reason, 0.1)
+                caller.request_id, endings.Refusal(reason, 0.1)
             )
         host = request.headers.get('Host', '').partition(':')[0].lower()
         target = request.raw_path
@@ -106,7 +111,7 @@
         body: bytes,
     ) -> calls.Call:
         known = self.known
-        service = self.exchange.choose_service(route)
+        service = self.steering.choose_service(route)
         times = known.times.of(route.key, service, route.objective_s)
         known.demand.count(service, times.usual_s)
         allowed = route.timeout_s
@@ -126,7 +131,7 @@
             route=route,
             configuration_version=known.routes.version,
             service=service,
-            region=self.exchange.choose_region(route, service, thing),
+            region=self.steering.choose_region(route, service, thing),
             thing=thing,
             arrived=arrived,
             deadline=arrived + allowed,
@@ -144,11 +149,11 @@
         return bytes(body)
 
     def _respond(
-        self, request_id: str, ending: exchanges.Ending
+        self, request_id: str, ending: endings.Ending
     ) -> web.Response:
-        if isinstance(ending, exchanges.Refusal):
+        if isinstance(ending, endings.Refusal):
             return self._refused(request_id, ending)
-        if isinstance(ending, exchanges.Lost):
+        if isinstance(ending, endings.Lost):
             return web.Response(status=504 if ending.timed_out else 502)
         response = web.Response(
             status=ending.status,
@@ -158,7 +163,7 @@
         return response
 
     def _refused(
-        self, request_id: str, refusal: exchanges.Refusal
+        self, request_id: str, refusal: endings.Refusal
     ) -> web.Response:
         self.meters.refused(refusal.reason)
         if refusal.reason in ('stopping', 'no-configuration'):
@@ -190,10 +195,10 @@
         )
         return web.Response(status=status)
 
-    def _record(self, call: calls.Call, ending: exchanges.Ending) -> None:
+    def _record(self, call: calls.Call, ending: endings.Ending) -> None:
         known = self.known
         took = known.clock.monotonic() - call.arrived
-        served = isinstance(ending, exchanges.sending.Answer)
+        served = isinstance(ending, sending.Answer)
         self.meters.ended(call.service, ending, took)
         self.journal.decision(
             served and ending.status < 500,
--- a/packages/entry/bulrushcourse_entry/edge/knowledge.py
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -39,7 +39,7 @@
         upstreams: Known upstreams.
         load: Their load.
         troubles: Their failures.
-        known: Objects that they have handled.
+        objects: Objects that they have handled.
         cold: Limits on cold upstreams.
         times: Service times.
         delays: Round trips to regions.
@@ -61,7 +61,7 @@
     upstreams: directories.UpstreamDirectory
     load: loads.LoadView
     troubles: trouble.TroubleLog
-    known: warmth.Warmth
+    objects: warmth.Warmth
     cold: warmup.WarmupLimiter
     times: service_times.ServiceTimes
     delays: delays.Delays
@@ -106,7 +106,9 @@
         """
         key = route, service
         if key not in self.mixes:
-            self.mixes[key] = region_mix.RegionMix(self.clock)
+            self.mixes[key] = region_mix.RegionMix(
+                self.clock, self.settings.bounds.shift_share
+            )
         return self.mixes[key]
 
     def forget(self, change: directories.Change) -> None:
@@ -117,7 +119,7 @@
         """
         if change.what in ('gone', 'restarted'):
             self.troubles.forget(change.upstream.name)
-            self.known.forget(change.upstream.name)
+            self.objects.forget(change.upstream.name)
             self.load.slowness.pop(change.upstream.name, None)
 
 
@@ -145,7 +147,7 @@
     upstreams = directories.UpstreamDirectory(clock)
     load = loads.LoadView(clock)
     troubles = trouble.TroubleLog(clock)
-    known = warmth.Warmth()
+    objects = warmth.Warmth()
     cold = warmup.WarmupLimiter(
         clock, settings.vm, bounds.warmup_excess, bounds.warmup_margin
     )
@@ -159,7 +161,7 @@
         upstreams=upstreams,
         load=load,
         troubles=troubles,
-        known=known,
+        objects=objects,
         cold=cold,
         times=times,
         delays=measured,
@@ -171,7 +173,7 @@
             upstreams,
             load,
             troubles,
-            known,
+            objects,
             cold,
             times,
             measured.to_upstream,
--- a/packages/entry/bulrushcourse_entry/edge/meters.py
+++ b/packages/entry/bulrushcourse_entry/edge/meters.py
@@ -4,7 +4,7 @@
 
 import prometheus_client
 
-from bulrushcourse_entry.edge import exchange as exchanges
+from bulrushcourse_entry.edge import endings
 
 BUCKETS_S = (0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0)
 
@@ -42,7 +42,7 @@
         )
 
     def ended(
-        self, service: str, ending: exchanges.Ending, took_s: float
+        self, service: str, ending: endings.Ending, took_s: float
     ) -> None:
         """Count a request that has ended.
 
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -25,6 +25,7 @@
 from bulrushcourse_entry.edge import sending
 from bulrushcourse_entry.edge import settings as edge_settings
 from bulrushcourse_entry.edge import state
+from bulrushcourse_entry.edge import steering
 from bulrushcourse_entry.platform import rows
 from bulrushcourse_entry.platform import settings_file
 
@@ -111,7 +112,9 @@
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
         )
-        front = fronts.Front(known, exchange, journal, meters)
+        front = fronts.Front(
+            known, steering.Steering(known), exchange, journal, meters
+        )
         stack.push_async_callback(exchange.close)
         await self._listen(front, meters, stack)
         if self.settings.peers:
--- a/packages/entry/bulrushcourse_entry/edge/settings.py
+++ b/packages/entry/bulrushcourse_entry/edge/settings.py
@@ -14,9 +14,6 @@
     Attributes:
         drain_s: Longest time until a leaving upstream gets nothing new.
         stop_limit_s: Longest time that a graceful shutdown may take.
-        detection_s: Time within which faults are to be noticed.
-        configuration_s: Time within which a version is to be in force.
-        evacuation_s: Time within which an evacuation is to take effect.
         answer_max_age_s: Longest time that callers keep a look-up answer.
         retry_ratio: Second sends per request.
         retry_window_s: Window of the budget for second sends.
@@ -28,9 +25,6 @@
 
     drain_s: float = 2.0
     stop_limit_s: float = 6.0
-    detection_s: float = 3.0
-    configuration_s: float = 2.0
-    evacuation_s: float = 5.0
     answer_max_age_s: float = 5.0
     retry_ratio: float = 0.1
     retry_window_s: float = 10.0
@@ -55,9 +49,6 @@
         peers: ``ip:port`` of the listener for other VMs, empty for none.
         seeds: ``ip:port`` of some VMs' peer listeners, perhaps stale.
         regions: Region of each failure domain.
-        heartbeat_s: Time between the writes of an upstream's entry.
-        max_descriptors: Descriptors that the process may hold.
-        memory_mb: Memory that the process may use.
         bounds: Agreed times and limits.
     """
 
@@ -71,7 +62,4 @@
     peers: str = ''
     seeds: tuple[str, ...] = ()
     regions: typing.Mapping[str, str] = attrs.field(factory=dict)
-    heartbeat_s: float = 1.5
-    max_descriptors: int = 1024
-    memory_mb: int = 256
     bounds: Bounds = Bounds()
--- a/packages/entry/bulrushcourse_entry/platform/settings_file.py
+++ b/packages/entry/bulrushcourse_entry/platform/settings_file.py
@@ -13,15 +13,10 @@
 
 PATH_VARIABLE = 'BULRUSHCOURSE_CONFIG'
 
-# Fields of the table of bounds and the names of this project. ``contact``
-# bounds how long a fault may take to be noticed, ``catch_up`` how long a
-# restarted VM may lack news.
+# Fields of the table of bounds and the names of this project.
 _BOUNDS: typing.Mapping[str, tuple[str, typing.Callable]] = {
     'drain': ('drain_s', units.seconds),
     'grace': ('stop_limit_s', units.seconds),
-    'contact': ('detection_s', units.seconds),
-    'config_apply': ('configuration_s', units.seconds),
-    'evacuate': ('evacuation_s', units.seconds),
     'ttl_max': ('answer_max_age_s', units.seconds),
     'retry_budget_ratio': ('retry_ratio', float),
     'budget_window': ('retry_window_s', units.seconds),
@@ -103,12 +98,6 @@
         'vm': read(own, 'self.node_name', text),
         'region': read(own, 'self.region', text),
         'failure_domain': read(own, 'self.zone', text),
-        'max_descriptors': read(
-            own.get('limits'), 'self.limits.max_fds', int, 1024
-        ),
-        'memory_mb': read(
-            own.get('limits'), 'self.limits.memory_mb', int, 256
-        ),
         'callers': read(listen, 'network.listen.front', address),
         'readiness': read(listen, 'network.listen.ready_addr', address, ''),
         'lookups': read(listen, 'network.listen.directory', address, ''),
@@ -116,9 +105,6 @@
         'seeds': tuple(read(network, 'network.seeds', list, [])),
         'regions': read(network, 'network.zones', dict, {}),
         'store': read(store, 'platform.platform.address', address),
-        'heartbeat_s': read(
-            platform, 'platform.heartbeat', units.seconds, 1.5
-        ),
         'bounds': _bounds(reader, document.get('terms', {}).get('bounds', {})),
     }
     if reader.found:
