--- a/packages/testkit/bulrushcourse_testkit/platform/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak.py
@@ -215,6 +215,9 @@
             self._store_fault,
             self._link_fault,
             self._upstream_fault,
+            # Twice as often as the others: the upstreams' faults are what
+            # the answers' promises are about.
+            self._upstream_fault,
             self._upstream_leaves,
             self._change,
             self._hang_up,
@@ -274,10 +277,14 @@
         vm.link.set_faults(fault_proxy.LinkFaults())
 
     async def _upstream_fault(self) -> None:
-        upstream = self.rng.choice(list(self.cluster.upstreams.values()))
-        upstream.fault = self.rng.choice(list(Fault))
-        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
-        upstream.fault = Fault.NONE
+        known = list(self.cluster.upstreams.values())
+        faulty = self.rng.sample(known, self.rng.randint(1, 4))
+        fault = self.rng.choice(list(Fault))
+        for upstream in faulty:
+            upstream.fault = fault
+        await asyncio.sleep(self.rng.uniform(0.5, 2.5))
+        for upstream in faulty:
+            upstream.fault = Fault.NONE
 
     async def _upstream_leaves(self) -> None:
         upstream = self.rng.choice(list(self.cluster.upstreams.values()))
