--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
@@ -201,7 +201,8 @@
         bounds = {'warmup_excess': 1.5, 'warmup_margin': 5}
         async with clusters.EdgeCluster(domains, bounds) as cluster:
             cluster.configure()
-            await cluster.add_upstream('u1')
+            # One slow slot, so that the crowd presses on the cold upstream.
+            await cluster.add_upstream('u1', slots=1, work_s=0.2)
             await cluster.start()
             cold = await cluster.add_upstream('u2', warmup_left='3s')
             await asyncio.gather(*(pour(cluster, 3.0, vm=n) for n in range(4)))
