--- a/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
@@ -133,7 +133,7 @@
 
 def test_zone_that_comes_back_cold_is_spared():
     # Pattern: a failure domain returns cold as a whole under load.
-    placing = make_placement(attrs.evolve(make(0), warmup_left_s=3.0), make(1))
+    placing = make_placement(attrs.evolve(make(0), cold_for_s=3.0), make(1))
     names = [chosen(placing) for _ in range(20)]
     assert names.count('u0') == 0
 
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -109,9 +109,9 @@
         self.entries[found.name] = found
         self.changed_in[found.name] = self.version
         self.gone_in.pop(found.name, None)
-        if found.warmup_left_s > 0:
+        if found.cold_for_s > 0:
             self.cold_until[found.name] = (
-                now + found.warmup_left_s + WARMUP_MARGIN_S
+                now + found.cold_for_s + WARMUP_MARGIN_S
             )
         if known is None:
             yield Change(found, 'joined')
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -71,7 +71,7 @@
 
 def test_upstream_is_cold_while_it_says_so_and_after_an_evacuation():
     known = directory()
-    known.offer(upstreams.Snapshot(1, (make(warmup_left_s=2.0),)))
+    known.offer(upstreams.Snapshot(1, (make(cold_for_s=2.0),)))
     assert known.is_cold('u')
     known.clock.advance(2.0 + directories.WARMUP_MARGIN_S)
     assert not known.is_cold('u')
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -16,7 +16,7 @@
         region: Region of the failure domain.
         slots: Requests that it works on at once.
         draining: Whether it is about to leave.
-        warmup_left_s: How long it is still cold, when the entry was written.
+        cold_for_s: How long it is still cold, when the entry was written.
         born: Start of this incarnation in Unix milliseconds, 0 if unknown.
         version: Version of the store that wrote it. Heartbeats change it
             and nothing else, so that it does not count as a difference.
@@ -29,7 +29,7 @@
     region: str
     slots: int = 1
     draining: bool = False
-    warmup_left_s: float = 0.0
+    cold_for_s: float = 0.0
     born: int = 0
     version: int = attrs.field(default=0, eq=False)
 
--- a/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
+++ b/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
@@ -52,7 +52,7 @@
 def test_entry_of_an_upstream():
     found = upstream_rows.decode(row(ENTRY), {'z': 'r'})
     assert (found.region, found.failure_domain) == ('r', 'z')
-    assert (found.warmup_left_s, found.born, found.slots) == (1.5, 17, 4)
+    assert (found.cold_for_s, found.born, found.slots) == (1.5, 17, 4)
     assert not found.draining
 
 
--- a/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
@@ -40,7 +40,7 @@
             region=regions.get(domain, domain),
             slots=slots,
             draining=draining,
-            warmup_left_s=units.seconds(fields.get('warmup_left', '0ms')),
+            cold_for_s=units.seconds(fields.get('warmup_left', '0ms')),
             born=units.whole(fields.get('born', 0), 'born'),
             version=row.version,
         )
