Pass on readings of the upstreams' entries that brought no change

Cause: reports carried news only when the store's version had moved. Beats do not move it, so on a quiet store the VMs that rely on readers never heard that the entries are fresh and each read for itself every 1.25 s.

Change: a reader passes on each reading, changed or not, at once; other VMs pass nothing on, which every VM did before, to every VM.

--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -65,7 +65,7 @@
         """Take over a reading unless a newer one is known.
 
         Args:
-            snapshot: All entries, from the store or a peer.
+            snapshot: All entries, from the store.
 
         Returns:
             What changed.
--- a/packages/entry/bulrushcourse_entry/edge/knowledge.py
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -52,6 +52,7 @@
         splits: Turns of a route's services.
         budgets: Budgets for second sends, by service.
         changes: Stream of changes of the upstreams' entries.
+        readings: Stream of the versions that this VM reads for all.
     """
 
     settings: edge_settings.EdgeSettings
@@ -80,6 +81,7 @@
     changes: reactivex.Subject[directories.Change] = attrs.field(
         factory=reactivex.Subject
     )
+    readings: reactivex.Subject[int] = attrs.field(factory=reactivex.Subject)
 
     def budget(self, service: str) -> shared.SharedRetryBudget:
         """Return the budget for second sends to a service.
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -1,6 +1,7 @@
 """Streams of reports between the VMs; one task for each peer."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 import typing
@@ -8,6 +9,7 @@
 import attrs
 
 from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
@@ -46,6 +48,8 @@
         losses: Fresh losses of upstreams by the peer that lacks them.
         inbound: Tasks of incoming streams.
         versions: Version of the configuration in force, by VM.
+        readings: Readings of the upstreams' entries to pass on, so far.
+        read: Wakes the sending tasks after each such reading.
     """
 
     known: knowledges.Knowledge
@@ -54,6 +58,17 @@
     losses: dict[str, list[tuple[str, str]]] = attrs.field(factory=dict)
     inbound: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
     versions: dict[str, int] = attrs.field(factory=dict)
+    readings: int = 0
+    read: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Follow the readings that this VM makes for all."""
+        self.known.readings.subscribe(self._pass_on)
+
+    def _pass_on(self, _version: int) -> None:
+        self.readings += 1
+        self.read.set()
+        self.read.clear()
 
     async def listen(self, address: str) -> asyncio.Server:
         """Accept streams of other VMs.
@@ -143,23 +158,34 @@
     ) -> None:
         count = 0
         told = 0
+        passed_on = 0
         try:
             while not reader.at_eof():
+                # A reading without a change is news too: it is fresh.
+                news = None
+                if passed_on < self.readings:
+                    news = self.known.upstreams.news_since(told)
+                    told, passed_on = news.version, self.readings
                 report = self._report(
                     to=vm.name,
                     region=vm.region,
-                    told=told,
+                    news=news,
                     with_vms=count % VM_LIST_EVERY == 0,
                 )
-                told = self.known.upstreams.version
                 _write(writer, report)
                 async with asyncio.timeout(USER_TIMEOUT_MS / 1000):
                     await writer.drain()
                 count += 1
-                await asyncio.sleep(self.interval_s(vm.region))
+                await self._pause(vm.region)
         finally:
             writer.close()
 
+    async def _pause(self, region: str) -> None:
+        """Wait for the next report's time or for a reading to pass on."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.interval_s(region)):
+                await self.read.wait()
+
     def interval_s(self, region: str) -> float:
         """Return the time between reports to a VM at the present size.
 
@@ -173,13 +199,12 @@
         self,
         to: str = '',
         region: str = '',
-        told: int = 0,
+        news: upstreams.News | None = None,
         with_vms: bool = True,
     ) -> fleet_messages.Report:
         known = self.known
         fleet_known = known.fleet.known
         heard = self.versions.get(to, known.routes.version)
-        news = known.upstreams.news_since(told)
         return fleet_messages.Report(
             vm=known.fleet.me,
             phase=known.fleet.phase,
@@ -190,7 +215,7 @@
             losses=self.losses.pop(to, []),
             operators_version=known.operators_version,
             evacuated=sorted(known.upstreams.evacuated),
-            news=news if news.version > told else None,
+            news=news,
             vms=list(fleet_known.values()) if with_vms else [],
             configuration=(
                 known.configuration if heard < known.routes.version else b''
--- a/packages/entry/bulrushcourse_entry/edge/reading.py
+++ b/packages/entry/bulrushcourse_entry/edge/reading.py
@@ -198,30 +198,23 @@
     async def run(self) -> None:
         """Keep the entries fresh until cancelled."""
         clock = self.known.clock
+        drain_s = self.known.settings.bounds.drain_s
         read_at = float('-inf')
         while True:
-            due = self._due_s()
-            last = (
-                read_at
-                if self._is_reader()
-                else max(read_at, self.known.upstreams.read_at)
-            )
-            if clock.monotonic() - last < due:
-                await asyncio.sleep(TICK_S)
+            reads_for_all = is_reader(self.known)
+            if reads_for_all:
+                due = read_at + drain_s * READ_SHARE
+            else:
+                heard_at = max(read_at, self.known.upstreams.read_at)
+                due = heard_at + drain_s * STALE_SHARE
+            pause = due - clock.monotonic()
+            if pause > 0:
+                await asyncio.sleep(max(pause, TICK_S))
                 continue
             read_at = clock.monotonic()
-            await self._read()
-
-    def _is_reader(self) -> bool:
-        alive = self.known.fleet.alive()
-        ranked = rendezvous.rank_entries('upstream-readers', alive)
-        return self.known.settings.vm in ranked[:READERS]
-
-    def _due_s(self) -> float:
-        share = READ_SHARE if self._is_reader() else STALE_SHARE
-        return self.known.settings.bounds.drain_s * share
+            await self._read(reads_for_all)
 
-    async def _read(self) -> None:
+    async def _read(self, for_all: bool) -> None:
         try:
             reading = await self.store.read(upstream_rows.TABLE)
         except rows.StoreUnavailable as error:
@@ -234,6 +227,8 @@
         )
         for change in self.known.upstreams.offer(snapshot):
             self.known.changes.on_next(change)
+        if for_all:
+            self.known.readings.on_next(snapshot.version)
 
     def _report(
         self, row: rows.StoredRow, error: units.MalformedValue
@@ -245,6 +240,17 @@
             )
 
 
+def is_reader(known: knowledges.Knowledge) -> bool:
+    """Return whether this VM reads the upstreams' entries for all.
+
+    Args:
+        known: What this process believes.
+    """
+    alive = known.fleet.alive()
+    ranked = rendezvous.rank_entries('upstream-readers', alive)
+    return known.settings.vm in ranked[:READERS]
+
+
 @attrs.define(eq=False)
 class VmRegistrar:
     """Makes this VM known to the others and learns of them.
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from bulrushcourse_entry.edge import reading
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import upstream as upstream_standin
 
@@ -337,3 +338,23 @@
             assert calls <= allowed, json.dumps(cluster.store.calls)
 
     run(scenario())
+
+
+def test_quiet_store_is_read_by_the_readers_alone():
+    # Guards against VMs that read for themselves while no row changes: what
+    # readers pass on then has the same version, and only its age is news.
+    async def scenario():
+        vms = ('a1', 'a1', 'a2', 'a2', 'b1', 'b2')
+        async with clusters.EdgeCluster(vms) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            cluster.store.calls.clear()
+            started = time.monotonic()
+            await asyncio.sleep(4.0)
+            # Each reader reads after 0.35 of the leaving bound of 2 s.
+            passed_s = time.monotonic() - started
+            allowed = reading.READERS * (passed_s / 0.7 + 1)
+            assert cluster.store.calls['/rows-get'] <= allowed
+
+    run(scenario())
