Shorten what VMs tell each other

Reports repeated the sender's addresses and floating-point numbers; slowness went to regions where it has faded on arrival; each VM sent a new configuration to each VM that had not yet said that it has it, and the list of all VMs to each VM at each start.

VMs that rely on readers wait 20 s, not 6 s, for changes in the store. Making and taking reports moves from peers.py to reports.py.

--- a/packages/entry/bulrushcourse_entry/edge/knowledge.py
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -51,6 +51,7 @@
         mixes: Shares of the regions, by route and service.
         splits: Turns of a route's services.
         budgets: Budgets for second sends, by service.
+        reads_for_all: Whether this VM reads the upstreams' entries for all.
         changes: Stream of changes of the upstreams' entries.
         readings: Stream of the versions that this VM reads for all.
     """
@@ -78,6 +79,7 @@
     )
     splits: dict[str, split.WeightedTurns] = attrs.field(factory=dict)
     budgets: dict[str, shared.SharedRetryBudget] = attrs.field(factory=dict)
+    reads_for_all: bool = False
     changes: reactivex.Subject[directories.Change] = attrs.field(
         factory=reactivex.Subject
     )
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -22,6 +22,7 @@
 from bulrushcourse_entry.edge import meters as edge_meters
 from bulrushcourse_entry.edge import peers
 from bulrushcourse_entry.edge import reading
+from bulrushcourse_entry.edge import reports
 from bulrushcourse_entry.edge import sending
 from bulrushcourse_entry.edge import settings as edge_settings
 from bulrushcourse_entry.edge import state
@@ -90,7 +91,9 @@
         journal: journals.Journal,
         stack: contextlib.AsyncExitStack,
     ) -> None:
-        streams = peers.PeerStreams(known, journal)
+        streams = peers.PeerStreams(
+            known, journal, reports.Reports(known, journal)
+        )
         sender = sending.open_sender(known, CONNECTIONS_PER_UPSTREAM)
         await stack.enter_async_context(sender.session)
         store_session = await stack.enter_async_context(
@@ -107,7 +110,7 @@
         exchange = exchanges.Exchange(
             known,
             sender,
-            streams.share_loss,
+            streams.reports.share_loss,
             lambda name: journal.belief(
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
--- a/packages/entry/bulrushcourse_entry/edge/reading.py
+++ b/packages/entry/bulrushcourse_entry/edge/reading.py
@@ -25,6 +25,8 @@
 # A change ends a wait at once; the wait is short since a connection may
 # fall silent without notice.
 WAIT_FOR_CHANGE_S = 6.0
+# The others hear of changes in the readers' reports, several times a second.
+RELYING_WAIT_S = 20.0
 PAUSE_AFTER_FAILURE_S = 0.5
 FIRST_PAUSE_S = 0.1
 TICK_S = 0.1
@@ -97,7 +99,7 @@
         while True:
             try:
                 reading = await self.store.changes(
-                    operator_rows.TABLE, after, WAIT_FOR_CHANGE_S
+                    operator_rows.TABLE, after, self._wait_s()
                 )
             except rows.HistoryLost:
                 return
@@ -105,6 +107,11 @@
             after = max(after, reading.version)
             self._take(reading)
 
+    def _wait_s(self) -> float:
+        return (
+            WAIT_FOR_CHANGE_S if self.known.reads_for_all else RELYING_WAIT_S
+        )
+
     def _take(self, reading: rows.Reading) -> None:
         for row in reading.rows:
             domain = operator_rows.evacuated_domain(row.key)
@@ -201,8 +208,8 @@
         drain_s = self.known.settings.bounds.drain_s
         read_at = float('-inf')
         while True:
-            reads_for_all = is_reader(self.known)
-            if reads_for_all:
+            self.known.reads_for_all = is_reader(self.known)
+            if self.known.reads_for_all:
                 due = read_at + drain_s * READ_SHARE
             else:
                 heard_at = max(read_at, self.known.upstreams.read_at)
@@ -212,9 +219,9 @@
                 await asyncio.sleep(max(pause, TICK_S))
                 continue
             read_at = clock.monotonic()
-            await self._read(reads_for_all)
+            await self._read()
 
-    async def _read(self, for_all: bool) -> None:
+    async def _read(self) -> None:
         try:
             reading = await self.store.read(upstream_rows.TABLE)
         except rows.StoreUnavailable as error:
@@ -227,7 +234,7 @@
         )
         for change in self.known.upstreams.offer(snapshot):
             self.known.changes.on_next(change)
-        if for_all:
+        if self.known.reads_for_all:
             self.known.readings.on_next(snapshot.version)
 
     def _report(
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -0,0 +1,176 @@
+"""What the VMs tell each other: making reports and taking them over."""
+
+import attrs
+
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.fleet import followers
+from bulrushcourse_domain.upstreams import upstream as upstreams
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import reading
+from bulrushcourse_wire import fleet_messages
+
+# Several reports within the time that a piece of work takes.
+REPORT_INTERVAL_S = 0.25
+# Reports grow with the fleet, so that larger fleets send fewer.
+VMS_AT_FULL_RATE = 16
+SLOWEST_INTERVAL_S = 1.0
+# Bytes between regions are dear and placement there follows slow shares.
+# The slowest interval still beats the time after which a VM counts as gone.
+OTHER_REGION_FACTOR = 2.0
+SLOWEST_OTHER_REGION_S = 1.2
+
+
+@attrs.define(eq=False)
+class Reports:
+    """Turns what this process believes into reports, and back.
+
+    Attributes:
+        known: What this process believes.
+        journal: Log.
+        losses: Fresh losses of upstreams by the VM that lacks them.
+        versions: How new the other VMs' configurations are.
+        meetings: How many VMs the other VMs know.
+    """
+
+    known: knowledges.Knowledge
+    journal: journals.Journal
+    losses: dict[str, list[tuple[str, str]]] = attrs.field(factory=dict)
+    versions: followers.Followers = attrs.field(init=False)
+    meetings: followers.Followers = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start without knowledge of the other VMs."""
+        self.versions = followers.Followers(self.known.clock)
+        self.meetings = followers.Followers(self.known.clock)
+
+    def share_loss(self, fingerprint: str, upstream: str) -> None:
+        """Tell all VMs that a request has lost an upstream.
+
+        Args:
+            fingerprint: Hash of the request's content.
+            upstream: Incarnation of the upstream.
+        """
+        for name in self.known.fleet.known:
+            self.losses.setdefault(name, []).append((fingerprint, upstream))
+
+    def interval_s(self, region: str) -> float:
+        """Return the time between reports to a VM at the present size.
+
+        Args:
+            region: Region of the VM.
+        """
+        other = region != self.known.settings.region
+        return report_interval_s(len(self.known.fleet.known) + 1, other)
+
+    def make(
+        self,
+        to: str = '',
+        region: str = '',
+        news: upstreams.News | None = None,
+        with_name: bool = True,
+    ) -> fleet_messages.Report:
+        """Return a report.
+
+        Args:
+            to: Name of the VM that shall get it.
+            region: Its region.
+            news: A reading to pass on.
+            with_name: Whether the receiver may not know this VM yet.
+        """
+        known = self.known
+        fleet_known = known.fleet.known
+        lacks_version = self.versions.needs_help(
+            to, known.routes.version, known.reads_for_all
+        )
+        lacks_vms = self.meetings.needs_help(
+            to, len(fleet_known), known.reads_for_all
+        )
+        return fleet_messages.Report(
+            vm=known.fleet.me if with_name else None,
+            phase=known.fleet.phase,
+            configuration_version=known.routes.version,
+            in_flight=known.load.own,
+            slowness=self._recent_slowness(region),
+            demand=known.demand.own_slots(),
+            losses=self.losses.pop(to, []),
+            operators_version=known.operators_version,
+            evacuated=sorted(known.upstreams.evacuated),
+            news=news,
+            vms=list(fleet_known.values()) if lacks_vms else [],
+            vms_known=len(fleet_known),
+            configuration=known.configuration if lacks_version else b'',
+        )
+
+    def _recent_slowness(self, region: str) -> dict[str, tuple[float, float]]:
+        if region not in ('', self.known.settings.region):
+            # It fades before it matters there, and its bytes are dear.
+            return {}
+        now = self.known.clock.monotonic()
+        interval = self.interval_s(region) * 1.2
+        return {
+            upstream: (value, now - at)
+            for upstream, (value, at) in self.known.load.fresh.items()
+            if now - at <= interval
+        }
+
+    def take(
+        self, vm: fleet.Vm, report: fleet_messages.Report
+    ) -> list[fleet.Vm]:
+        """Take over a report.
+
+        Args:
+            vm: Its sender, already learned of.
+            report: The report.
+
+        Returns:
+            VMs that the sender knows.
+        """
+        known = self.known
+        if known.fleet.hear(vm, report.phase):
+            self.journal.belief(
+                events.Event.MEMBER_CHANGED, vm=vm.name, state='alive'
+            )
+        self.versions.hear(
+            vm.name, report.configuration_version, known.routes.version
+        )
+        self.meetings.hear(vm.name, report.vms_known, len(known.fleet.known))
+        known.load.hear_peer(vm.name, report.in_flight)
+        known.demand.hear(vm.name, vm.region, report.demand)
+        for upstream, (value, age_s) in report.slowness.items():
+            known.load.hear_slowness(upstream, value, age_s)
+        for fingerprint, upstream in report.losses:
+            known.crashes.note_loss(fingerprint, upstream)
+        if report.configuration:
+            reading.offer_configuration(
+                known, self.journal, report.configuration
+            )
+        reading.offer_evacuations(
+            known,
+            self.journal,
+            report.operators_version,
+            frozenset(report.evacuated),
+        )
+        if report.news is not None:
+            for change in known.upstreams.apply(report.news):
+                known.changes.on_next(change)
+        return report.vms
+
+
+def report_interval_s(size: int, other_region: bool = False) -> float:
+    """Return the time between reports to one VM in seconds.
+
+    Args:
+        size: VMs in the fleet.
+        other_region: Whether the VM is in another region.
+
+    Examples:
+        >>> report_interval_s(11), report_interval_s(11, other_region=True)
+        (0.25, 0.5)
+    """
+    scaled = REPORT_INTERVAL_S * size / VMS_AT_FULL_RATE
+    interval = min(SLOWEST_INTERVAL_S, max(REPORT_INTERVAL_S, scaled))
+    if not other_region:
+        return interval
+    return min(SLOWEST_OTHER_REGION_S, interval * OTHER_REGION_FACTOR)
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_journal.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_journal.py
@@ -28,7 +28,7 @@
     stream = io.StringIO()
     writer = journals.LineWriter(stream)
     journal = journals.Journal(clock)
-    with writer.threadbound():
+    with writer:
         for number in range(1000):
             journal.decision(False, id=str(number), reason='full')
             clock.advance(0.001)
@@ -45,7 +45,7 @@
 def test_stalled_reader_costs_lines_and_does_not_block():
     stream = StalledStream()
     writer = journals.LineWriter(stream)
-    with writer.threadbound():
+    with writer:
         events.write_fields(events.Event.REQUEST_SERVED, {'id': 'first'})
         stream.entered.wait()
         for number in range(journals.MAX_WAITING + 500):
@@ -60,7 +60,7 @@
 def test_line_names_event_level_and_inputs():
     stream = io.StringIO()
     writer = journals.LineWriter(stream)
-    with writer.threadbound():
+    with writer:
         journals.Journal(clocks.ManualClock()).belief(
             events.Event.STORE_UNREACHABLE, reason='x'
         )
--- a/packages/testkit/bulrushcourse_testkit/measure_reports.py
+++ b/packages/testkit/bulrushcourse_testkit/measure_reports.py
@@ -11,7 +11,7 @@
 
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.upstreams import upstream as upstreams
-from bulrushcourse_entry.edge import peers
+from bulrushcourse_entry.edge import reports
 from bulrushcourse_wire import fleet_messages
 
 FLEETS = (11, 76, 640)
@@ -56,9 +56,8 @@
         size: VMs in the fleet.
     """
     names = [f'i-{number:010x}' for number in range(UPSTREAMS_PER_VM)]
-    vm = fleet.Vm('front-1', 1, '10.0.0.1:8382', '10.0.0.1:8381', 'r', 'd')
     return fleet_messages.Report(
-        vm=vm,
+        vm=None,
         phase=fleet.Phase.READY,
         configuration_version=7,
         in_flight=dict.fromkeys(names, 2),
@@ -82,7 +81,7 @@
         len(content),
         _time_us(lambda: fleet_messages.encode(report)),
         _time_us(lambda: fleet_messages.decode(content)),
-        peers.report_interval_s(size),
+        reports.report_interval_s(size),
     )
 
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
@@ -66,7 +66,7 @@
     stream = io.StringIO()
     writer = journals.LineWriter(stream)
     replies = []
-    with writer.threadbound():
+    with writer:
         asyncio.run(asyncio.wait_for(collect(scenario(), replies), 30))
     writer.close()
     found = [
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -8,6 +8,10 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
+# Fractions travel as whole numbers of hundredths, which take a third of the
+# bytes of floating-point numbers.
+PARTS = 100
+
 
 class MalformedReport(ValueError):
     """A report cannot be read."""
@@ -18,7 +22,7 @@
     """What one VM tells another several times a second.
 
     Attributes:
-        vm: The sender.
+        vm: The sender, ``None`` in later reports of the same stream.
         phase: What it says of itself.
         configuration_version: Version of the configuration in force.
         in_flight: Its requests in flight, by upstream.
@@ -28,12 +32,13 @@
         operators_version: Version of the store behind ``evacuated``.
         evacuated: Failure domains that must get nothing.
         news: Changes of the upstreams' entries, ``None`` without any.
-        vms: VMs that it knows, sent now and then.
+        vms: VMs that it knows, for a receiver that knows fewer.
+        vms_known: Number of VMs that it knows.
         configuration: Content of the configuration, for a receiver that has
             an older one.
     """
 
-    vm: fleet.Vm
+    vm: fleet.Vm | None
     phase: fleet.Phase
     configuration_version: int = 0
     in_flight: dict[str, int] = attrs.field(factory=dict)
@@ -44,6 +49,7 @@
     evacuated: list[str] = attrs.field(factory=list)
     news: upstreams.News | None = None
     vms: list[fleet.Vm] = attrs.field(factory=list)
+    vms_known: int = 0
     configuration: bytes = b''
 
 
@@ -54,15 +60,19 @@
         report: The report.
     """
     fields = {
-        'v': attrs.astuple(report.vm),
+        'v': attrs.astuple(report.vm) if report.vm else None,
         'p': report.phase.value,
         'c': report.configuration_version,
         'o': report.operators_version,
         'f': report.in_flight,
-        's': report.slowness,
-        'd': report.demand,
+        's': {
+            upstream: (round(value * PARTS), round(age_s * PARTS))
+            for upstream, (value, age_s) in report.slowness.items()
+        },
+        'd': {s: round(n * PARTS) for s, n in report.demand.items()},
         'l': report.losses,
         'e': report.evacuated,
+        'k': report.vms_known,
         'm': [attrs.astuple(vm) for vm in report.vms],
         'b': report.configuration,
     }
@@ -84,17 +94,21 @@
         fields = msgpack.unpackb(content)
         news = fields.get('n')
         return Report(
-            vm=fleet.Vm(*fields['v']),
+            vm=fleet.Vm(*fields['v']) if 'v' in fields else None,
             phase=fleet.Phase(fields['p']),
             configuration_version=fields.get('c', 0),
             in_flight=fields.get('f', {}),
-            slowness={u: tuple(s) for u, s in fields.get('s', {}).items()},
-            demand=fields.get('d', {}),
+            slowness={
+                upstream: (value / PARTS, age / PARTS)
+                for upstream, (value, age) in fields.get('s', {}).items()
+            },
+            demand={s: n / PARTS for s, n in fields.get('d', {}).items()},
             losses=[(f, u) for f, u in fields.get('l', [])],
             operators_version=fields.get('o', 0),
             evacuated=fields.get('e', []),
             news=_unpack_news(news) if news else None,
             vms=[fleet.Vm(*vm) for vm in fields.get('m', [])],
+            vms_known=fields.get('k', 0),
             configuration=fields.get('b', b''),
         )
     except Exception as error:
