Keep within an upstream's connections at any number of VMs

Cause: each VM could open 16 connections to an upstream, whatever the number of VMs; 640 VMs could open 10,240 where an upstream accepts 1,500. A fleet of one VM could not fill an upstream of more than 16 slots.

Change: a VM sends to an upstream only while its own requests there stay below its share of the upstream's connections (0.9 of them, at least one, at most 64). Two tests, one for each end; the first sent without bound before.

--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.placement import connections
 from bulrushcourse_domain.placement import service_times
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import directory as directories
@@ -82,6 +83,7 @@
         times: Service times.
         delays: Round trip to each failure domain in seconds.
         rng: Source of randomness for draws.
+        sharers: Number of VMs that may use the same upstreams.
     """
 
     clock: clocks.Clock
@@ -93,6 +95,7 @@
     times: service_times.ServiceTimes
     delays: typing.Callable[[upstreams.Upstream], float]
     rng: random.Random
+    sharers: int = 1
 
     def choose(self, wish: Wish, service: routes.Service) -> Choice | None:
         """Return the best upstream, ``None`` if there is none.
@@ -118,10 +121,14 @@
     def _candidates(
         self, wish: Wish, service: routes.Service
     ) -> list[upstreams.Upstream]:
+        allowed_each = connections.allowed_connections(
+            service.max_connections, self.sharers
+        )
         found = [
             u
             for u in self.directory.usable(wish.service)
             if wish.route.may_run_in(u.region)
+            and self.load.own.get(u.name, 0) < allowed_each
             and (not wish.region or u.region == wish.region)
             and u.name not in wish.tried
         ]
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
@@ -72,6 +72,28 @@
     assert len(set(names)) >= 3
 
 
+def test_connections_of_all_vms_stay_within_the_limit_of_an_upstream():
+    # Pattern: 640 VMs send to the same few upstreams at once.
+    placing = make_placement(make(0, slots=50), make(1, slots=50))
+    placing.sharers = 640
+    service = routes.Service('s', max_connections=1500)
+    wish = placement.Wish(ROUTE, 's')
+    sent = 0
+    while (choice := placing.choose(wish, service)) is not None:
+        placing.load.begin(choice.upstream.name)
+        sent += 1
+    assert sent == 2 * 2
+
+
+def test_one_vm_may_fill_all_slots_of_an_upstream():
+    # Guards against a bound for large fleets that holds back a small one.
+    placing = make_placement(make(0, slots=50))
+    service = routes.Service('s', max_connections=1500)
+    for _ in range(50):
+        choice = placing.choose(placement.Wish(ROUTE, 's'), service)
+        placing.load.begin(choice.upstream.name)
+
+
 def test_requests_of_other_vms_count():
     # Pattern: all VMs take the same upstream for idle.
     placing = make_placement(make(0), make(1))
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -38,9 +38,6 @@
 # which takes up to 0.2 s each.
 ACCEPT_SHARE = 0.5
 FINISH_SHARE = 0.84
-# Connections to one upstream that this VM may use of those that all VMs
-# may; a VM rarely has more than a few requests at one upstream.
-CONNECTIONS_PER_UPSTREAM = 16
 
 
 @attrs.define(eq=False)
@@ -94,7 +91,7 @@
         streams = peers.PeerStreams(
             known, journal, reports.Reports(known, journal)
         )
-        sender = sending.open_sender(known, CONNECTIONS_PER_UPSTREAM)
+        sender = sending.open_sender(known)
         await stack.enter_async_context(sender.session)
         store_session = await stack.enter_async_context(
             aiohttp.ClientSession()
@@ -213,6 +210,7 @@
                     upstreams=len(known.upstreams.entries),
                 )
             known.cold.set_members(known.fleet.alive())
+            known.placement.sharers = known.fleet.sharers()
             known.load.expire_peers()
             await asyncio.sleep(TICK_S)
 
--- a/packages/entry/bulrushcourse_entry/edge/sending.py
+++ b/packages/entry/bulrushcourse_entry/edge/sending.py
@@ -12,6 +12,7 @@
 import yarl
 from returns import result
 
+from bulrushcourse_domain.placement import connections
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.platform import headers as platform_headers
@@ -238,12 +239,11 @@
         return result.Success(Answer(status, headers, body))
 
 
-def open_sender(known: knowledges.Knowledge, connections: int) -> Sender:
+def open_sender(known: knowledges.Knowledge) -> Sender:
     """Return a sender; call it inside a running event loop.
 
     Args:
         known: What this process believes.
-        connections: Connections that may be open to one upstream.
     """
     meter = ConnectMeter(known)
     trace = aiohttp.TraceConfig()
@@ -251,7 +251,9 @@
     trace.on_connection_create_end.append(meter.connected)
     session = aiohttp.ClientSession(
         connector=CleanConnector(
-            limit=0, limit_per_host=connections, keepalive_timeout=IDLE_S
+            limit=0,
+            limit_per_host=connections.MOST_CONNECTIONS,
+            keepalive_timeout=IDLE_S,
         ),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
