Bound the memory that request bodies take in a process

Cause: bodies are read whole before a request is placed, each up to the configured limit but in any number. A crowd of uploads could end a VM of 128 MB, whose process alone takes 33 MB.

The listeners move to a module of their own.

--- a/packages/entry/bulrushcourse_entry/edge/front.py
+++ b/packages/entry/bulrushcourse_entry/edge/front.py
@@ -1,15 +1,14 @@
-"""Listeners for callers: requests, look-ups and readiness."""
+"""Answers to callers: requests, look-ups and readiness."""
 
-import asyncio
-import contextlib
 import traceback
-import typing
 
 import attrs
 from aiohttp import web
 
 from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import bodies
 from bulrushcourse_entry.edge import call as calls
 from bulrushcourse_entry.edge import endings
 from bulrushcourse_entry.edge import exchange as exchanges
@@ -25,10 +24,8 @@
 # that a VM that leaves is soon forgotten.
 LOOKUP_MAX_AGE_S = 2.0
 REFUSED = 503
-# Connections that may wait to be accepted; a crowd opens many at once.
-BACKLOG = 1024
-# Callers that keep connections open must not hold up the end of the process.
-CLOSE_TIMEOUT_S = 0.2
+# Reasons of refusals that come before there is a call to log.
+UNCALLED = frozenset({'stopping', 'no-configuration', bodies.NO_MEMORY})
 
 
 @attrs.define(eq=False)
@@ -44,6 +41,7 @@
         closing: Whether connections end with the next answer.
         refusing: Whether new requests are refused.
         open: Requests that are being served.
+        memory: Memory that their bodies may take.
     """
 
     known: knowledges.Knowledge
@@ -54,6 +52,7 @@
     closing: bool = False
     refusing: bool = False
     open: int = 0
+    memory: bodies.BodyMemory = attrs.field(factory=bodies.BodyMemory)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve a request of a caller.
@@ -94,19 +93,37 @@
         route = self.known.routes.match(host, target.partition('?')[0])
         if route is None:
             return self._reject(404, 'no-route', caller)
-        body = await self._read_body(request)
-        if body is None:
-            return self._reject(413, 'body-too-large', caller)
-        call = self._call(request, caller, route, arrived, body)
-        ending = await self.exchange.serve(call)
+        body = bodies.Body(self.memory)
+        try:
+            limit = self.known.routes.in_force.limits.body_bytes
+            reason = await body.read(request, limit)
+            if reason == bodies.TOO_LARGE:
+                return self._reject(413, reason, caller)
+            if reason:
+                return self._refused(
+                    caller.request_id,
+                    endings.Refusal(reason, self._return_s(caller, route)),
+                )
+            call = self._call(request, caller, route, arrived, body.content)
+            ending = await self.exchange.serve(call)
+        finally:
+            body.release()
         self._record(call, ending)
         return self._respond(call.request_id, ending)
 
+    def _return_s(
+        self, caller: platform_headers.CallerHeaders, route: routes.Route
+    ) -> float:
+        remaining = caller.remaining_s
+        return self.known.retry_times.draw(
+            route.timeout_s if remaining is None else remaining
+        )
+
     def _call(
         self,
         request: web.BaseRequest,
         caller: platform_headers.CallerHeaders,
-        route: typing.Any,
+        route: routes.Route,
         arrived: float,
         body: bytes,
     ) -> calls.Call:
@@ -137,17 +154,6 @@
             deadline=arrived + allowed,
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        if not request.body_exists:
-            return b''
-        limit = self.known.routes.in_force.limits.body_bytes
-        body = bytearray()
-        async for piece in request.content.iter_any():
-            body += piece
-            if len(body) > limit:
-                return None
-        return bytes(body)
-
     def _respond(
         self, request_id: str, ending: endings.Ending
     ) -> web.Response:
@@ -166,7 +172,7 @@
         self, request_id: str, refusal: endings.Refusal
     ) -> web.Response:
         self.meters.refused(refusal.reason)
-        if refusal.reason in ('stopping', 'no-configuration'):
+        if refusal.reason in UNCALLED:
             self.journal.decision(
                 False,
                 id=request_id,
@@ -254,43 +260,3 @@
         """
         ready = self.known.fleet.phase is fleet.Phase.READY
         return web.Response(status=200 if ready else REFUSED)
-
-
-async def serve_http(
-    handler: typing.Callable[
-        [web.BaseRequest], typing.Awaitable[web.StreamResponse]
-    ],
-    address: str,
-) -> web.ServerRunner:
-    """Start an HTTP listener; one task serves each connection.
-
-    Args:
-        handler: Serves a request; it is cancelled when the caller leaves.
-        address: ``ip:port`` to listen on.
-    """
-    server = web.Server(
-        handler,
-        handler_cancellation=True,
-        access_log=None,
-        max_line_size=1 << 16,
-        max_field_size=1 << 16,
-    )
-    runner = web.ServerRunner(server)
-    await runner.setup()
-    host, _, port = address.rpartition(':')
-    site = web.TCPSite(
-        runner, host, int(port), backlog=BACKLOG, reuse_address=True
-    )
-    await site.start()
-    return runner
-
-
-async def close_http(runner: web.ServerRunner) -> None:
-    """Close a listener and its connections.
-
-    Args:
-        runner: The listener.
-    """
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(CLOSE_TIMEOUT_S):
-            await runner.cleanup()
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/listeners.py
@@ -0,0 +1,52 @@
+"""HTTP listeners; one task serves each connection."""
+
+import asyncio
+import contextlib
+import typing
+
+from aiohttp import web
+
+# Connections that may wait to be accepted; a crowd opens many at once.
+BACKLOG = 1024
+# Callers that keep connections open must not hold up the end of the process.
+CLOSE_TIMEOUT_S = 0.2
+
+
+async def serve_http(
+    handler: typing.Callable[
+        [web.BaseRequest], typing.Awaitable[web.StreamResponse]
+    ],
+    address: str,
+) -> web.ServerRunner:
+    """Start an HTTP listener; one task serves each connection.
+
+    Args:
+        handler: Serves a request; it is cancelled when the caller leaves.
+        address: ``ip:port`` to listen on.
+    """
+    server = web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        max_line_size=1 << 16,
+        max_field_size=1 << 16,
+    )
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    site = web.TCPSite(
+        runner, host, int(port), backlog=BACKLOG, reuse_address=True
+    )
+    await site.start()
+    return runner
+
+
+async def close_http(runner: web.ServerRunner) -> None:
+    """Close a listener and its connections.
+
+    Args:
+        runner: The listener.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            await runner.cleanup()
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -19,6 +19,7 @@
 from bulrushcourse_entry.edge import front as fronts
 from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import listeners
 from bulrushcourse_entry.edge import meters as edge_meters
 from bulrushcourse_entry.edge import peers
 from bulrushcourse_entry.edge import reading
@@ -164,16 +165,16 @@
 
         host = self.settings.callers.rpartition(':')[0]
         metrics_address = f'{host}:{self.metrics_port}'
-        listeners = (
+        served = (
             (self.settings.callers, front.handle),
             (self.settings.lookups, front.look_up),
             (self.settings.readiness, front.ready),
             (metrics_address if self.metrics_port else '', inspect),
         )
-        for address, handler in listeners:
+        for address, handler in served:
             if address:
-                runner = await fronts.serve_http(handler, address)
-                stack.push_async_callback(fronts.close_http, runner)
+                runner = await listeners.serve_http(handler, address)
+                stack.push_async_callback(listeners.close_http, runner)
 
     def _start_tasks(
         self,
