Send nothing that may run once on a connection idle for long

Cause: upstreams of the grown sites forget connections idle for 0.19 s or more and reset what is sent next. A fleet of 76 VMs sends to each upstream every few seconds, so that nearly every kept connection is such a one. An order lost that way has an unknown fate; a repeatable request cost a second sending, and the upstream counted as failing and the request as one that ends upstreams.

Change: requests that may run once use connections idle for at most 0.15 s. A quick reset of a used connection marks its upstream as forgetful for 10 s, in which all requests to it do the same; it counts as neither a failure of the upstream nor a crash (new failure 'stale').

The new test fails before for both kinds of requests: 502 for the order, the only upstream set aside for the other.

--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/upstreams/idling.py
@@ -0,0 +1,63 @@
+"""The aggregate that decides which idle connections may be used again."""
+
+import attrs
+
+from bulrushcourse_domain import clock as clocks
+
+# Upstreams were seen to forget connections that were idle for 0.2 s, without
+# notice. A request that may run only once must not meet such a connection:
+# after its reset nobody knows whether it has run.
+IDLE_ONCE_S = 0.15
+# A repeatable request costs a second sending when it meets one, so that the
+# longer time holds until an upstream was seen to forget connections.
+IDLE_REPEATABLE_S = 5.0
+FORGETFUL_S = 10.0
+# A reset that comes back within the round trip and this time was not work.
+QUICK_S = 0.03
+
+
+@attrs.define
+class IdleConnections:
+    """Upstreams that forget idle connections.
+
+    Attributes:
+        clock: Source of time.
+        forgetful_until: Until when an upstream counts as one, by name.
+    """
+
+    clock: clocks.Clock
+    forgetful_until: dict[str, float] = attrs.field(factory=dict)
+
+    def may_reuse_old(self, upstream: str, repeatable: bool) -> bool:
+        """Return whether a connection idle for long may be used.
+
+        Args:
+            upstream: Name of the upstream.
+            repeatable: Whether the request may run twice.
+        """
+        forgetful = self.forgetful_until.get(upstream, float('-inf'))
+        return repeatable and self.clock.monotonic() >= forgetful
+
+    def note_reset(
+        self, upstream: str, took_s: float, round_trip_s: float
+    ) -> bool:
+        """Take over that a used connection was reset before any answer.
+
+        Args:
+            upstream: Name of the upstream.
+            took_s: Time from sending to the reset.
+            round_trip_s: Round trip to the upstream.
+
+        Returns:
+            Whether the connection had been forgotten, as far as can be told.
+        """
+        if took_s > 2 * round_trip_s + QUICK_S:
+            return False
+        now = self.clock.monotonic()
+        self.forgetful_until = {
+            name: until
+            for name, until in self.forgetful_until.items()
+            if until > now
+        }
+        self.forgetful_until[upstream] = now + FORGETFUL_S
+        return True
--- a/packages/entry/bulrushcourse_entry/edge/exchange.py
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -203,6 +203,7 @@
             call.body,
             call.request_id,
             remaining,
+            call.route.idempotent,
         )
         ended = None
         try:
@@ -241,6 +242,11 @@
         call.steps.append(endings.describe(choice, failure.value, took))
         if failure not in endings.NOT_RUN:
             call.may_have_run = True
+        if failure is Failure.STALE:
+            # The next sending uses a new connection, perhaps to the same one.
+            call.tried.discard(name)
+            known.troubles.abandon(name)
+            return
         if failure is Failure.LOST:
             incarnation = choice.upstream.incarnation
             known.crashes.note_loss(call.fingerprint, incarnation)
--- a/packages/entry/bulrushcourse_entry/edge/knowledge.py
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -17,6 +17,7 @@
 from bulrushcourse_domain.routes import split
 from bulrushcourse_domain.routes import table as route_table
 from bulrushcourse_domain.upstreams import directory as directories
+from bulrushcourse_domain.upstreams import idling
 from bulrushcourse_domain.upstreams import loads
 from bulrushcourse_domain.upstreams import trouble
 from bulrushcourse_domain.upstreams import warmth
@@ -40,6 +41,7 @@
         load: Their load.
         troubles: Their failures.
         objects: Objects that they have handled.
+        idle: Which of them forget idle connections.
         cold: Limits on cold upstreams.
         times: Service times.
         delays: Round trips to regions.
@@ -64,6 +66,7 @@
     load: loads.LoadView
     troubles: trouble.TroubleLog
     objects: warmth.Warmth
+    idle: idling.IdleConnections
     cold: warmup.WarmupLimiter
     times: service_times.ServiceTimes
     delays: delays.Delays
@@ -166,6 +169,7 @@
         load=load,
         troubles=troubles,
         objects=objects,
+        idle=idling.IdleConnections(clock),
         cold=cold,
         times=times,
         delays=measured,
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -93,7 +93,8 @@
             known, journal, reports.Reports(known, journal)
         )
         sender = sending.open_sender(known)
-        await stack.enter_async_context(sender.session)
+        for session in (sender.old, sender.young):
+            await stack.enter_async_context(session)
         store_session = await stack.enter_async_context(
             aiohttp.ClientSession()
         )
--- a/packages/entry/bulrushcourse_entry/edge/sending.py
+++ b/packages/entry/bulrushcourse_entry/edge/sending.py
@@ -1,87 +1,22 @@
 """Sends requests to upstreams and reads their whole answers."""
 
 import asyncio
-import functools
-import socket
-import typing
 
 import aiohttp
-import aiohttp.client_proto
 import attrs
 import multidict
 import yarl
 from returns import result
 
-from bulrushcourse_domain.placement import connections
+from bulrushcourse_domain.upstreams import idling
 from bulrushcourse_domain.upstreams import upstream as upstreams
+from bulrushcourse_entry.edge import connecting
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.platform import headers as platform_headers
 from bulrushcourse_entry.upstreams import client as upstream_client
 
 Failure = upstream_client.Failure
 
-# A connection takes a round trip and about a millisecond.
-CONNECT_TIMEOUT_S = 0.5
-# Upstreams close idle connections after some seconds; one that is closed by
-# this side first cannot break under a request.
-IDLE_S = 5.0
-# Data that is not acknowledged for so long ends a connection.
-USER_TIMEOUT_MS = 3000
-
-
-class WholeAnswerHandler(aiohttp.client_proto.ResponseHandler):
-    """Connection that tells a reset from the end of an unframed answer."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Bound how long unacknowledged data may hang.
-
-        Args:
-            transport: The new connection.
-        """
-        super().connection_made(transport)
-        sock = transport.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-            )
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an answer that was reset before its end.
-
-        aiohttp takes the end of the connection for the end of an answer
-        without a length, even after a reset.
-
-        Args:
-            exc: Why the connection was lost, ``None`` for a proper end.
-        """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError('connection reset')
-            )
-        super().connection_lost(exc)
-
-
-class CleanConnector(aiohttp.TCPConnector):
-    """Connector that does not reuse a connection with unread bytes.
-
-    An upstream may send a second answer after its answer. It would be taken
-    for the answer to the next request on that connection.
-    """
-
-    def __init__(self, **options: typing.Any) -> None:
-        super().__init__(**options)
-        self._factory = functools.partial(
-            WholeAnswerHandler, loop=asyncio.get_running_loop()
-        )
-
-    async def _get(self, key: typing.Any, traces: typing.Any) -> typing.Any:
-        for kept in list(self._conns.get(key, ())):
-            protocol = kept[0]
-            if protocol.should_close and protocol.transport is not None:
-                protocol.transport.abort()
-        return await super()._get(key, traces)
-
 
 @attrs.frozen
 class Answer:
@@ -109,6 +44,7 @@
         body: The whole body.
         request_id: Identifier that the answer must bear.
         remaining_s: Time until an answer is of no use.
+        repeatable: Whether it may run twice.
     """
 
     method: str
@@ -117,45 +53,7 @@
     body: bytes
     request_id: str
     remaining_s: float
-
-
-@attrs.define(eq=False)
-class ConnectMeter:
-    """Measures how long connections take to open.
-
-    Attributes:
-        known: What this process believes.
-        opened: Connections opened so far.
-    """
-
-    known: knowledges.Knowledge
-    opened: int = 0
-
-    async def connecting(
-        self, _session: typing.Any, context: typing.Any, _params: typing.Any
-    ) -> None:
-        """Note when a connection is opened.
-
-        Args:
-            _session: HTTP session.
-            context: Context of the request.
-            _params: Nothing.
-        """
-        context.started = self.known.clock.monotonic()
-
-    async def connected(
-        self, _session: typing.Any, context: typing.Any, _params: typing.Any
-    ) -> None:
-        """Measure how long a connection took to open.
-
-        Args:
-            _session: HTTP session.
-            context: Context of the request.
-            _params: Nothing.
-        """
-        self.opened += 1
-        took = self.known.clock.monotonic() - context.started
-        self.known.delays.note(context.trace_request_ctx, took)
+    repeatable: bool
 
 
 @attrs.define(eq=False)
@@ -163,14 +61,16 @@
     """HTTP client of the upstreams.
 
     Attributes:
-        session: HTTP session.
         known: What this process believes.
-        meter: Measures its connections.
+        old: Session that uses connections that were idle for long.
+        young: Session that does not.
+        meter: Measures their connections.
     """
 
-    session: aiohttp.ClientSession
     known: knowledges.Knowledge
-    meter: ConnectMeter
+    old: aiohttp.ClientSession
+    young: aiohttp.ClientSession
+    meter: connecting.ConnectMeter
 
     async def send(
         self, upstream: upstreams.Upstream, outbound: Outbound
@@ -182,9 +82,16 @@
             outbound: The request.
         """
         response = None
+        known = self.known
+        dispatch = connecting.Dispatch(upstream)
+        may_be_old = known.idle.may_reuse_old(
+            upstream.name, outbound.repeatable
+        )
+        session = self.old if may_be_old else self.young
+        started = known.clock.monotonic()
         try:
             async with asyncio.timeout(outbound.remaining_s):
-                response = await self.session.request(
+                response = await session.request(
                     outbound.method,
                     yarl.URL(
                         f'http://{upstream.address}{outbound.target}',
@@ -193,7 +100,7 @@
                     headers=outbound.headers,
                     data=outbound.body or None,
                     allow_redirects=False,
-                    trace_request_ctx=upstream,
+                    trace_request_ctx=dispatch,
                 )
                 body = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -203,13 +110,24 @@
             return result.Failure(Failure.DEADLINE)
         except (aiohttp.ClientError, OSError, ValueError):
             _close(response)
-            lost = Failure.LOST if response is None else Failure.TRUNCATED
-            return result.Failure(lost)
+            if response is not None:
+                return result.Failure(Failure.TRUNCATED)
+            return result.Failure(self._judge_loss(dispatch, started))
         except asyncio.CancelledError:
             _close(response)
             raise
         return self._judge(upstream, outbound, response, body)
 
+    def _judge_loss(
+        self, dispatch: connecting.Dispatch, started: float
+    ) -> Failure:
+        upstream = dispatch.upstream
+        took = self.known.clock.monotonic() - started
+        forgotten = dispatch.reused and self.known.idle.note_reset(
+            upstream.name, took, self.known.delays.to_upstream(upstream)
+        )
+        return Failure.STALE if forgotten else Failure.LOST
+
     def _judge(
         self,
         upstream: upstreams.Upstream,
@@ -245,35 +163,10 @@
     Args:
         known: What this process believes.
     """
-    meter = ConnectMeter(known)
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_create_start.append(meter.connecting)
-    trace.on_connection_create_end.append(meter.connected)
-    session = aiohttp.ClientSession(
-        connector=CleanConnector(
-            limit=0,
-            limit_per_host=connections.MOST_CONNECTIONS,
-            keepalive_timeout=IDLE_S,
-        ),
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        ),
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=(
-            'User-Agent',
-            'Accept',
-            'Accept-Encoding',
-            'Content-Type',
-        ),
-        trace_configs=[trace],
-        max_line_size=1 << 16,
-        max_field_size=1 << 16,
-    )
-    # aiohttp repeats idempotent methods on a broken connection. Such a
-    # hidden retry would bypass the retry budget.
-    session._retry_connection = False
-    return Sender(session, known, meter)
+    meter = connecting.ConnectMeter(known)
+    old = connecting.open_session(meter, idling.IDLE_REPEATABLE_S)
+    young = connecting.open_session(meter, idling.IDLE_ONCE_S)
+    return Sender(known, old, young, meter)
 
 
 def _close(response: aiohttp.ClientResponse | None) -> None:
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -24,7 +24,8 @@
 
     ``NOT_SENT``, ``SHED``, ``NO_SHARE`` and ``MISDIRECTED`` prove that the
     request did not run. After ``FOREIGN``, an answer that belongs to another
-    request, nothing is known.
+    request, nothing is known, nor after ``STALE``, the reset of a connection
+    that the instance seems to have forgotten.
     """
 
     NOT_SENT = 'not-sent'
@@ -35,6 +36,7 @@
     DEADLINE = 'deadline'
     MISDIRECTED = 'misdirected'
     FOREIGN = 'foreign'
+    STALE = 'stale'
 
 
 class Crossing(typing.Protocol):
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_answers.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_answers.py
@@ -193,3 +193,22 @@
             assert 0.25 < took < 0.8
 
     run(scenario())
+
+
+@pytest.mark.parametrize('path', ['/order/x', '/browse/x'])
+def test_forgotten_idle_connection_fails_no_request(path):
+    # Guards against an order whose fate is unknown, and against an upstream
+    # that is set aside, because a connection was idle and then reset.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1',)) as cluster:
+            cluster.configure()
+            upstream = await cluster.add_upstream('u1')
+            upstream.forgets_idle_s = 0.2
+            await cluster.start()
+            for _ in range(4):
+                reply = await cluster.send(path)
+                assert reply.status == 200
+                await asyncio.sleep(0.4)
+            assert len(upstream.ran) == 4
+
+    run(scenario())
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 import socket
 import struct
 import time
@@ -59,6 +60,7 @@
         slots: Requests that it works on at once.
         work_s: Time that a request takes.
         fault: What it does wrong.
+        forgets_idle_s: Idle time after which it forgets a connection.
         arrivals: Requests that reached it.
         unfinished: Requests whose connection closed while they ran.
         running: Requests that run now.
@@ -71,6 +73,7 @@
     slots: int = 4
     work_s: float = 0.01
     fault: Fault = Fault.NONE
+    forgets_idle_s: float = math.inf
     arrivals: list[Arrival] = attrs.field(factory=list)
     unfinished: int = 0
     running: int = 0
@@ -127,7 +130,11 @@
     async def _one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
+        idle_since = time.monotonic()
         head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        if time.monotonic() - idle_since > self.forgets_idle_s:
+            _reset(writer)
+            return False
         line, *lines = head.strip().split('\r\n')
         method, target, _ = line.split(' ')
         headers = {
