--- a/packages/testkit/bulrushcourse_testkit/load.py
+++ b/packages/testkit/bulrushcourse_testkit/load.py
@@ -77,6 +77,7 @@
         random: Source of choices.
         entries: Addresses in the order of the last answer.
         valid_until: When the last answer expires, by the machine's clock.
+        problems: Answers that say that a request has not run, by detail.
     """
 
     seeds: list[str]
@@ -84,6 +85,9 @@
     random: random.Random
     entries: list[str] = attrs.field(factory=list)
     valid_until: float = 0.0
+    problems: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
     async def follow_lookups(self) -> None:
         """Look entries up again and again until cancelled."""
@@ -156,6 +160,8 @@
         except (aiohttp.ClientError, TimeoutError):
             return 'failed'
         outcome = response.headers.get('Bulrushcourse-Outcome', 'failed')
+        if outcome == 'not-run':
+            self.problems[content.decode()] += 1
         if outcome == 'done' and response.status != 200:
             # The upstream's own whole answer, but not to be counted as work.
             return 'upstream-error'
--- a/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
@@ -62,7 +62,10 @@
             session,
             random.Random(1),
         )
-        return await load.run_load(callers, [WORK], duration_s, 1)
+        samples = await load.run_load(callers, [WORK], duration_s, 1)
+        # Shown by pytest when the test fails.
+        print(callers.problems)
+        return samples
 
 
 def most_at_work(journal):
