Explain a request that ran late while the store was away

The third case of docs/OPERATIONS.md had no test. The test plays it between stand-ins and runs the page's own commands on the log: the request's line shows the age of what was known, event 4001 since when.

--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
@@ -3,6 +3,8 @@
 import asyncio
 import io
 import json
+import pathlib
+import subprocess
 
 import pytest
 
@@ -79,5 +81,49 @@
     assert found[0]['configuration'] == 1
 
 
+def test_late_request_in_a_store_outage_leads_to_its_cause(tmp_path):
+    # Plays the third case of docs/OPERATIONS.md with the page's commands: an
+    # upstream hangs, and the store is away, so that its leaving goes unseen.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1',)) as cluster:
+            cluster.configure()
+            hanging = await cluster.add_upstream('u1')
+            await cluster.start()
+            cluster.store.down = True
+            await asyncio.sleep(1.5)
+            hanging.work_s = 0.8
+            return await cluster.send('/browse/x')
+
+    replies = []
+    with (tmp_path / 'vm.log').open('w') as stream:
+        writer = journals.LineWriter(stream)
+        with writer:
+            asyncio.run(asyncio.wait_for(collect(scenario(), replies), 30))
+        writer.close()
+    by_id = follow_page('"id": "REQUEST_ID"', tmp_path, replies[0].request_id)
+    assert by_id[0]['outcome'] == 'answer'
+    assert by_id[0]['took_ms'] >= 800
+    assert by_id[0]['upstreams_age_ms'] >= 1000
+    outages = follow_page('"event": 400[12]', tmp_path)
+    assert [line['event'] for line in outages][:1] == [4001]
+    assert outages[0]['t'] < by_id[0]['t']
+
+
+def follow_page(pattern, folder, request_id=''):
+    """Run the page's command that looks for a pattern; return the lines."""
+    page = pathlib.Path('docs/OPERATIONS.md').read_text()
+    (command,) = {
+        line.strip()
+        for line in page.splitlines()
+        if line.startswith('    grep -h ') and pattern in line
+    }
+    command = command.replace('LOGS', str(folder))
+    command = command.replace('REQUEST_ID', request_id)
+    found = subprocess.run(
+        ['sh', '-c', command], capture_output=True, text=True, check=True
+    )
+    return [json.loads(line) for line in found.stdout.splitlines()]
+
+
 async def collect(scenario, replies):
     replies.append(await scenario)
