Move the registration of a VM to a module of its own

The move first hid a local name that shadowed a module, which only an outage at the start would have shown; a test now starts a VM in an outage and failed on that version.

--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -23,6 +23,7 @@
 from bulrushcourse_entry.edge import meters as edge_meters
 from bulrushcourse_entry.edge import peers
 from bulrushcourse_entry.edge import reading
+from bulrushcourse_entry.edge import registering
 from bulrushcourse_entry.edge import reports
 from bulrushcourse_entry.edge import sending
 from bulrushcourse_entry.edge import settings as edge_settings
@@ -185,7 +186,7 @@
         streams: peers.PeerStreams,
     ) -> list[asyncio.Task[typing.Any]]:
         reachability = reading.Reachability(journal)
-        registrar = reading.VmRegistrar(
+        registrar = registering.VmRegistrar(
             store, known, journal, reachability, streams.meet
         )
         operators = reading.OperatorReader(store, known, journal, reachability)
--- a/packages/entry/bulrushcourse_entry/edge/reading.py
+++ b/packages/entry/bulrushcourse_entry/edge/reading.py
@@ -1,11 +1,9 @@
 """Tasks that keep up with the platform's store."""
 
 import asyncio
-import typing
 
 import attrs
 
-from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.slots import rendezvous
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import journal as journals
@@ -14,7 +12,6 @@
 from bulrushcourse_entry.platform import rows
 from bulrushcourse_entry.platform import units
 from bulrushcourse_entry.platform import upstream_rows
-from bulrushcourse_entry.platform import vm_rows
 from bulrushcourse_wire import fleet_messages
 
 # Some VMs read the upstreams for all; a second one covers a reader's death.
@@ -257,47 +254,3 @@
     alive = known.fleet.alive()
     ranked = rendezvous.rank_entries('upstream-readers', alive)
     return known.settings.vm in ranked[:READERS]
-
-
-@attrs.define(eq=False)
-class VmRegistrar:
-    """Makes this VM known to the others and learns of them.
-
-    Attributes:
-        store: The platform's store.
-        known: What this process believes.
-        journal: Log.
-        reachability: Whether the store answers.
-        met: Called with each VM that was learned.
-    """
-
-    store: rows.RowStore
-    known: knowledges.Knowledge
-    journal: journals.Journal
-    reachability: Reachability
-    met: typing.Callable[[fleet.Vm], None]
-
-    async def run(self) -> None:
-        """Write the entry, then read all entries, until both succeeded."""
-        while True:
-            try:
-                me = self.known.fleet.me
-                await self.store.write(
-                    vm_rows.TABLE, me.name, vm_rows.encode(me)
-                )
-                reading = await self.store.read(vm_rows.TABLE)
-                break
-            except rows.StoreUnavailable as error:
-                self.reachability.note(False, str(error))
-                self.journal.belief(
-                    events.Event.VM_ROW_NOT_WRITTEN, reason=str(error)
-                )
-                await asyncio.sleep(PAUSE_AFTER_FAILURE_S)
-        self.reachability.note(True)
-        for row in reading.rows:
-            try:
-                self.met(vm_rows.decode(row))
-            except units.MalformedValue as error:
-                self.journal.belief(
-                    events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
-                )
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
@@ -157,6 +157,24 @@
     run(scenario())
 
 
+def test_vm_that_starts_in_a_store_outage_registers_afterwards():
+    # Guards against a VM that the others never learn of, since its one
+    # attempt to register met an outage.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.store.down = True
+            cluster.vms[0].start()
+            await asyncio.sleep(0.5)
+            cluster.store.down = False
+
+            async def is_registered():
+                return ('vms', cluster.vms[0].name) in cluster.store.rows
+
+            await cluster.until(is_registered)
+
+    run(scenario())
+
+
 def test_malformed_rows_are_skipped():
     # Guards against one bad entry that hides all others.
     async def scenario():
