Say in the log what a refusal was decided on

A refusal's line named its reason only. It now names the best upstream, the expected time, how much of it is work, and the requests over its slots.

--- a/packages/entry/bulrushcourse_entry/edge/endings.py
+++ b/packages/entry/bulrushcourse_entry/edge/endings.py
@@ -69,6 +69,23 @@
     )
 
 
+def describe_refusal(choice: placement.Choice | None, reason: str) -> str:
+    """Return in words why a request is not sent, for the log.
+
+    Args:
+        choice: The best upstream with what was expected of it.
+        reason: Why it is not used.
+    """
+    if choice is None:
+        return reason
+    return (
+        f'{reason} at {choice.upstream.name}'
+        f' (expected {choice.completion_s * 1000:.0f},'
+        f' {choice.work_s * 1000:.0f} of it work,'
+        f' {choice.standing.value} keeper, {choice.busy} over its slots)'
+    )
+
+
 def is_good(attempt: result.Result[sending.Answer, Failure]) -> bool:
     """Return whether an attempt ended with an answer worth delivering.
 
--- a/packages/entry/bulrushcourse_entry/edge/exchange.py
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -168,7 +168,7 @@
         )
         if verdict is admission.Verdict.SEND:
             return choice
-        call.steps.append(verdict.value)
+        call.steps.append(endings.describe_refusal(choice, verdict.value))
         if call.may_have_run:
             return endings.Lost(verdict.value, False)
         return self._refuse(call, verdict.value)
