Report within a region as often as the region's size allows

Change: the interval within a region follows the number of its VMs (26 here: 0.39 s in place of 1 s).

Fleets of up to 16 VMs report as before.

--- a/packages/domain/bulrushcourse_domain/fleet/fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/fleet.py
@@ -1,5 +1,6 @@
 """The aggregate that knows which VMs serve callers."""
 
+import collections
 import enum
 import typing
 
@@ -67,6 +68,7 @@
         phase: What this VM says of itself.
         known: Other VMs, heard or only named by others.
         heard: When each was heard last.
+        sizes: Number of other VMs in each region.
     """
 
     clock: clocks.Clock
@@ -74,6 +76,7 @@
     phase: Phase = Phase.STARTING
     known: dict[str, Vm] = attrs.field(factory=dict)
     heard: dict[str, Sighting] = attrs.field(factory=dict)
+    sizes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
     def learn(self, vm: Vm) -> bool:
         """Take over that a VM exists, from the store or another VM.
@@ -89,6 +92,9 @@
         known = self.known.get(vm.name)
         if known is not None and known.incarnation >= vm.incarnation:
             return False
+        if known is not None:
+            self.sizes[known.region] -= 1
+        self.sizes[vm.region] += 1
         self.known[vm.name] = vm
         self.heard.pop(vm.name, None)
         return True
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -13,7 +13,10 @@
 
 # Several reports within the time that a piece of work takes.
 REPORT_INTERVAL_S = 0.25
-# Reports grow with the fleet, so that larger fleets send fewer.
+# Reports grow with the number of receivers, so that larger fleets send fewer.
+# Counts older than the work that they describe say little: in a fleet of 76
+# VMs that reported once a second, requests sent to upstreams with six waiting
+# took no longer than others.
 VMS_AT_FULL_RATE = 16
 SLOWEST_INTERVAL_S = 1.0
 # Bytes between regions are dear and placement there follows slow shares.
@@ -61,8 +64,10 @@
         Args:
             region: Region of the VM.
         """
-        other = region != self.known.settings.region
-        return report_interval_s(len(self.known.fleet.known) + 1, other)
+        members = self.known.fleet
+        if region != self.known.settings.region:
+            return report_interval_s(len(members.known) + 1, other_region=True)
+        return report_interval_s(members.sizes.get(region, 0) + 1)
 
     def make(
         self,
@@ -165,7 +170,7 @@
     """Return the time between reports to one VM in seconds.
 
     Args:
-        size: VMs in the fleet.
+        size: VMs in the region, or in the fleet for another region.
         other_region: Whether the VM is in another region.
 
     Examples:
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
@@ -80,3 +80,15 @@
     )
     assert near.slowness
     assert not far.slowness
+
+
+def test_reports_are_as_frequent_as_the_region_allows():
+    # Guards against counts that are older than the work they describe: with
+    # 76 VMs in three regions, every VM reported once a second.
+    reporting = make_reports(True)
+    for number in range(2, 77):
+        region = f'r{number % 3}'
+        vm = fleet.Vm(f'vm-{number}', 1, '', '', region, 'd')
+        reporting.known.fleet.learn(vm)
+    assert reporting.interval_s('r1') < 0.45
+    assert reporting.interval_s('r2') > 1.0
