--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
@@ -7,7 +7,7 @@
 from bulrushcourse_testkit.platform import soak
 
 
-# Seeds 231 and 243 found a popular request that was refused as a crash request.
+# Seeds 231 and 243 found a popular request refused as a crash request.
 @pytest.mark.parametrize('seed', [2, 4, 231, 243])
 def test_promises_hold_under_random_faults(seed, tmp_path):
     played = asyncio.run(asyncio.wait_for(soak.play(seed, tmp_path), 120))
