--- a/packages/domain/bulrushcourse_domain/upstreams/idling.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/idling.py
@@ -28,7 +28,7 @@
     clock: clocks.Clock
     forgetful_until: dict[str, float] = attrs.field(factory=dict)
 
-    def may_reuse_old(self, upstream: str, repeatable: bool) -> bool:
+    def may_reuse_idle(self, upstream: str, repeatable: bool) -> bool:
         """Return whether a connection idle for long may be used.
 
         Args:
--- a/packages/entry/bulrushcourse_entry/edge/sending.py
+++ b/packages/entry/bulrushcourse_entry/edge/sending.py
@@ -62,14 +62,14 @@
 
     Attributes:
         known: What this process believes.
-        old: Session that uses connections that were idle for long.
-        young: Session that does not.
+        long_idle: Session that uses connections that were idle for long.
+        short_idle: Session that does not.
         meter: Measures their connections.
     """
 
     known: knowledges.Knowledge
-    old: aiohttp.ClientSession
-    young: aiohttp.ClientSession
+    long_idle: aiohttp.ClientSession
+    short_idle: aiohttp.ClientSession
     meter: connecting.ConnectMeter
 
     async def send(
@@ -84,10 +84,10 @@
         response = None
         known = self.known
         dispatch = connecting.Dispatch(upstream)
-        may_be_old = known.idle.may_reuse_old(
+        may_be_idle = known.idle.may_reuse_idle(
             upstream.name, outbound.repeatable
         )
-        session = self.old if may_be_old else self.young
+        session = self.long_idle if may_be_idle else self.short_idle
         started = known.clock.monotonic()
         try:
             async with asyncio.timeout(outbound.remaining_s):
@@ -164,9 +164,9 @@
         known: What this process believes.
     """
     meter = connecting.ConnectMeter(known)
-    old = connecting.open_session(meter, idling.IDLE_REPEATABLE_S)
-    young = connecting.open_session(meter, idling.IDLE_ONCE_S)
-    return Sender(known, old, young, meter)
+    long_idle = connecting.open_session(meter, idling.IDLE_REPEATABLE_S)
+    short_idle = connecting.open_session(meter, idling.IDLE_ONCE_S)
+    return Sender(known, long_idle, short_idle, meter)
 
 
 def _close(response: aiohttp.ClientResponse | None) -> None:
