Start long-lived tasks again after a fault, and say so

Cause: found by reading. The tasks that follow the store and the streams to other VMs ended unseen at an exception that they did not expect; the process then served on with what it knew. A row of a VM with an address or an incarnation of another type raised one, since its fields were not checked.

Change: such a task is reported as event 1008 and started again after 1 s. Rows of VMs are checked field by field. A report with values that no VM sends ends its stream with event 3003; counts below one are left out, which would have upset the sums.

The test of malformed rows fails before (an address that is a number is taken), and so does the one of counts below one.

--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -84,9 +84,10 @@
             in_flight: Its requests in flight, by upstream.
         """
         self._leave_out(vm)
-        self.peers[vm] = dict(in_flight)
+        counts = {u: count for u, count in in_flight.items() if count > 0}
+        self.peers[vm] = counts
         self.heard_at[vm] = self.clock.monotonic()
-        for upstream, count in in_flight.items():
+        for upstream, count in counts.items():
             self.others[upstream] = self.others.get(upstream, 0) + count
 
     def expire_peers(self) -> None:
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_loads.py
@@ -39,7 +39,7 @@
     strategies.tuples(
         strategies.sampled_from(['vm-1', 'vm-2', 'vm-3']),
         strategies.dictionaries(
-            strategies.sampled_from('uvw'), strategies.integers(1, 9)
+            strategies.sampled_from('uvw'), strategies.integers(-1, 9)
         ),
         strategies.floats(0.0, 1.0),
     )
@@ -59,5 +59,5 @@
         oldest = view.clock.monotonic() - loads.PEER_REPORT_MAX_AGE_S
         sums = collections.Counter()
         for reported, at in last.values():
-            sums.update(reported if at >= oldest else {})
+            sums.update(+collections.Counter(reported) if at >= oldest else {})
         assert view.others == dict(sums)
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 import struct
 import typing
@@ -13,6 +14,7 @@
 from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import reports
+from bulrushcourse_entry.edge import supervision
 from bulrushcourse_wire import fleet_messages
 
 CONNECT_TIMEOUT_S = 1.0
@@ -70,7 +72,7 @@
         me = self.known.fleet.me
         for address in self.known.settings.seeds:
             if address != me.peer_address and address not in self.tasks:
-                self.tasks[address] = asyncio.create_task(self._greet(address))
+                self._start(address, functools.partial(self._greet, address))
 
     def meet(self, vm: fleet.Vm) -> None:
         """Start sending to a VM that was learned of.
@@ -83,7 +85,18 @@
         old = self.tasks.pop(vm.name, None)
         if old is not None:
             old.cancel()
-        self.tasks[vm.name] = asyncio.create_task(self._send_to(vm))
+        self._start(vm.name, functools.partial(self._send_to, vm))
+
+    def _start(
+        self,
+        name: str,
+        work: typing.Callable[
+            [], typing.Coroutine[typing.Any, typing.Any, None]
+        ],
+    ) -> None:
+        self.tasks[name] = asyncio.create_task(
+            supervision.keep_running(f'stream to {name}', work, self.journal)
+        )
 
     async def close(self) -> None:
         """End all streams."""
@@ -190,6 +203,10 @@
             pass
         except fleet_messages.MalformedReport as error:
             self.journal.belief(events.Event.PEER_REFUSED, reason=str(error))
+        except Exception as error:
+            # Readable, but with values that no VM sends. The stream ends, and
+            # the sender opens another one.
+            self.journal.belief(events.Event.PEER_REFUSED, reason=repr(error))
         except asyncio.CancelledError:
             # Server tasks are cancelled only when the process ends.
             pass
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import time
@@ -29,6 +30,7 @@
 from bulrushcourse_entry.edge import settings as edge_settings
 from bulrushcourse_entry.edge import state
 from bulrushcourse_entry.edge import steering
+from bulrushcourse_entry.edge import supervision
 from bulrushcourse_entry.platform import rows
 from bulrushcourse_entry.platform import settings_file
 
@@ -191,11 +193,15 @@
         )
         operators = reading.OperatorReader(store, known, journal, reachability)
         upstreams = reading.UpstreamReader(store, known, journal, reachability)
+        works = {
+            'registrar': registrar.run,
+            'operators': operators.run,
+            'upstreams': upstreams.run,
+            'tick': functools.partial(self._tick, known, journal),
+        }
         return [
-            asyncio.create_task(registrar.run()),
-            asyncio.create_task(operators.run()),
-            asyncio.create_task(upstreams.run()),
-            asyncio.create_task(self._tick(known, journal)),
+            asyncio.create_task(supervision.keep_running(name, work, journal))
+            for name, work in works.items()
         ]
 
     async def _tick(
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_supervision.py
@@ -0,0 +1,57 @@
+"""Long-lived tasks go on after a fault of this program."""
+
+import asyncio
+
+import pytest
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import supervision
+
+
+class Recorder(journals.Journal):
+    """Journal that keeps what it is told."""
+
+    def belief(self, event, **fields):
+        self.told = [*getattr(self, 'told', ()), (event, fields)]
+
+
+def test_failed_task_is_reported_and_started_again():
+    # Guards against a reader that ends unseen, so that the process serves
+    # on with the configuration of that moment.
+    outcomes = [KeyError('ver'), TypeError('x'), None]
+    journal = Recorder(clocks.ManualClock())
+
+    async def work():
+        outcome = outcomes.pop(0)
+        if outcome is not None:
+            raise outcome
+
+    asyncio.run(supervision.keep_running('reader', work, journal, 0.0))
+    assert not outcomes
+    assert [event for event, _ in journal.told] == [
+        events.Event.TASK_FAILED
+    ] * 2
+    assert [fields['kind'] for _, fields in journal.told] == [
+        'KeyError',
+        'TypeError',
+    ]
+
+
+def test_cancelled_task_ends():
+    # Guards against a shutdown that starts its tasks again.
+    async def scenario():
+        task = asyncio.create_task(
+            supervision.keep_running(
+                'reader',
+                lambda: asyncio.sleep(60),
+                Recorder(clocks.ManualClock()),
+            )
+        )
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+    asyncio.run(scenario())
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -23,6 +23,7 @@
     STOPPED = (1004, 'info', 'entry stopped')
     RELOADED = (1006, 'info', 'settings were read again')
     SETTINGS_REFUSED = (1007, 'error', 'settings are not usable')
+    TASK_FAILED = (1008, 'error', 'task failed and is started again')
     REQUEST_SERVED = (2001, 'info', 'request served')
     REQUEST_FAILED = (2002, 'info', 'request not served')
     REQUEST_ERROR = (2003, 'error', 'request ended by a fault of this program')
--- a/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
+++ b/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
@@ -2,11 +2,13 @@
 
 import json
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies
 from returns import result
 
+from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry.platform import headers
 from bulrushcourse_entry.platform import lookups
 from bulrushcourse_entry.platform import operator_rows
@@ -14,6 +16,7 @@
 from bulrushcourse_entry.platform import settings_file
 from bulrushcourse_entry.platform import units
 from bulrushcourse_entry.platform import upstream_rows
+from bulrushcourse_entry.platform import vm_rows
 
 ENTRY = {
     'service': 's',
@@ -80,6 +83,32 @@
         upstream_rows.decode(row(entry), {})
 
 
+VM = fleet.Vm('vm-1', 7, '10.0.0.1:1', '10.0.0.1:2', 'r', 'd')
+
+
+def test_entry_of_a_vm():
+    for vm in (VM, attrs.evolve(VM, peer_address='')):
+        row = rows.StoredRow(vm.name, vm_rows.encode(vm), 1)
+        assert vm_rows.decode(row) == vm
+
+
+@given(strategies.sampled_from(sorted(attrs.asdict(VM))), JSON)
+def test_entry_of_a_vm_with_any_field_wrong_is_decoded_or_refused(
+    field, value
+):
+    # Guards against an address or an incarnation of another type, which
+    # ended the task that sends to that VM, or the one that reads all VMs.
+    row = rows.StoredRow(
+        'vm-1', json.dumps({**attrs.asdict(VM), field: value}).encode(), 1
+    )
+    try:
+        decoded = vm_rows.decode(row)
+    except units.MalformedValue:
+        return
+    assert isinstance(decoded.incarnation, int)
+    assert decoded.caller_address.rpartition(':')[2].isdigit()
+
+
 def test_settings_with_few_fields_are_enough():
     # Guards against deployments whose settings leave optional fields out.
     settings = settings_file.decode(SETTINGS).unwrap()
