--- a/packages/domain/bulrushcourse_domain/fleet/fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/fleet.py
@@ -13,6 +13,9 @@
 # VMs that were silent for this long still count as sharers of limits, since
 # they may be cut off from here and still serve.
 SHARER_MEMORY_S = 20.0
+# A VM that was silent for this long was removed. One that comes back is
+# learned again from its first report.
+REMOVED_S = 600.0
 MAX_NAMED = 64
 
 
@@ -68,6 +71,7 @@
         phase: What this VM says of itself.
         known: Other VMs, heard or only named by others.
         heard: When each was heard last.
+        learned_at: When each was learned of.
         sizes: Number of other VMs in each region.
     """
 
@@ -76,6 +80,7 @@
     phase: Phase = Phase.STARTING
     known: dict[str, Vm] = attrs.field(factory=dict)
     heard: dict[str, Sighting] = attrs.field(factory=dict)
+    learned_at: dict[str, float] = attrs.field(factory=dict)
     sizes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
     def learn(self, vm: Vm) -> bool:
@@ -96,6 +101,7 @@
             self.sizes[known.region] -= 1
         self.sizes[vm.region] += 1
         self.known[vm.name] = vm
+        self.learned_at[vm.name] = self.clock.monotonic()
         self.heard.pop(vm.name, None)
         return True
 
@@ -137,6 +143,19 @@
         oldest = self.clock.monotonic() - SHARER_MEMORY_S
         return 1 + sum(seen.at >= oldest for seen in self.heard.values())
 
+    def forget_removed(self) -> tuple[str, ...]:
+        """Drop VMs that were silent for long and return their names."""
+        oldest = self.clock.monotonic() - REMOVED_S
+        last_seen = self.learned_at | {
+            name: seen.at for name, seen in self.heard.items()
+        }
+        gone = tuple(name for name, at in last_seen.items() if at < oldest)
+        for name in gone:
+            self.sizes[self.known.pop(name).region] -= 1
+            self.heard.pop(name, None)
+            del self.learned_at[name]
+        return gone
+
     def serving(self) -> tuple[Vm, ...]:
         """Return the VMs that callers may be sent to."""
         found = [self.me] if self.phase is Phase.READY else []
--- a/packages/domain/bulrushcourse_domain/fleet/followers.py
+++ b/packages/domain/bulrushcourse_domain/fleet/followers.py
@@ -46,6 +46,15 @@
             self.behind_since.setdefault(vm, self.clock.monotonic())
         self.heard[vm] = level
 
+    def forget(self, vm: str) -> None:
+        """Drop what is known of a VM that was removed.
+
+        Args:
+            vm: Name of the VM.
+        """
+        self.heard.pop(vm, None)
+        self.behind_since.pop(vm, None)
+
     def needs_help(self, vm: str, own_level: int, at_once: bool) -> bool:
         """Return whether a VM should be sent what it lacks.
 
--- a/packages/domain/bulrushcourse_domain/fleet/tests/test_fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/tests/test_fleet.py
@@ -52,3 +52,21 @@
     assert known.sharers() == 3
     known.clock.advance(fleet.SHARER_MEMORY_S)
     assert known.sharers() == 1
+
+
+def test_removed_vms_are_forgotten_and_may_come_back():
+    # Guards against VMs that were replaced under new names and stay known,
+    # each with a stream that tries to reach it, for ever.
+    known = ready_fleet(make('b'))
+    known.learn(make('never-heard', 'x'))
+    known.clock.advance(fleet.REMOVED_S - 1.0)
+    known.hear(make('b'), fleet.Phase.READY)
+    known.clock.advance(2.0)
+    assert known.forget_removed() == ('never-heard',)
+    assert set(known.known) == {'b'}
+    assert known.sizes['x'] == 0
+    known.clock.advance(fleet.REMOVED_S)
+    assert known.forget_removed() == ('b',)
+    known.hear(make('b'), fleet.Phase.READY)
+    assert {vm.name for vm in known.serving()} == {'me', 'b'}
+    assert known.sizes['a'] == 1
--- a/packages/domain/bulrushcourse_domain/membership/readers.py
+++ b/packages/domain/bulrushcourse_domain/membership/readers.py
@@ -1,31 +1,29 @@
-"""Which entries read the stored configuration often."""
+"""Which VMs read a table of the store often, for all others."""
 
 import typing
 
-from bulrushcourse_domain.membership import member
+from bulrushcourse_domain import rendezvous
 
-# One more than needed, so that a dead reader delays no version.
-READERS_PER_REGION = 2
+# One more than needed, so that a dead reader delays nothing.
+READERS = 2
 
 
 def designate_readers(
-    members: typing.Iterable[member.Sighting], region: str
+    table: str, names: typing.Iterable[str]
 ) -> frozenset[str]:
-    """Return the names of a region's readers.
+    """Return the names of the readers of a table.
 
-    Entries whose views differ for a moment may both read; that costs reads,
-    not correctness.
+    VMs whose views differ for a moment may both read; that costs reads, not
+    correctness.
 
     Args:
-        members: Entries that are live.
-        region: Name of the region.
+        table: What is read.
+        names: Names of the VMs that are live.
 
     Examples:
-        >>> live = [
-        ...     member.Sighting(name, name, name, 'north') for name in 'cab'
-        ... ]
-        >>> sorted(designate_readers(live, 'north'))
-        ['a', 'b']
+        >>> len(designate_readers('configuration', 'abc'))
+        2
+        >>> sorted(designate_readers('configuration', 'a'))
+        ['a']
     """
-    names = sorted(found.entry for found in members if found.region == region)
-    return frozenset(names[:READERS_PER_REGION])
+    return frozenset(rendezvous.first(table, names, READERS))
--- a/packages/domain/bulrushcourse_domain/placement/demand.py
+++ b/packages/domain/bulrushcourse_domain/placement/demand.py
@@ -93,6 +93,14 @@
         """
         self.reports[vm] = self.clock.monotonic(), region, dict(slots)
 
+    def forget(self, vm: str) -> None:
+        """Drop the report of a VM that was removed.
+
+        Args:
+            vm: Name of the VM.
+        """
+        self.reports.pop(vm, None)
+
     def by_region(self, service: str) -> dict[str, float]:
         """Return the slots that a service needs in each region.
 
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -11,14 +11,16 @@
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import recent_objects
 from bulrushcourse_domain.upstreams import trouble
 from bulrushcourse_domain.upstreams import upstream as upstreams
-from bulrushcourse_domain.upstreams import warmth
 from bulrushcourse_domain.upstreams import warmup
 
 # Work at a cold upstream takes about this much longer.
 COLD_FACTOR = 2.0
-Standing = service_times.Standing
+Affinity = service_times.Affinity
+# Affinities of the upstreams that are preferred for an object, in order.
+PREFERRED = (Affinity.FIRST, Affinity.SECOND)
 
 # A request that fails is repeated or lost; its cost in objectives.
 FAILURE_COST = 2.0
@@ -30,20 +32,20 @@
 
 
 @attrs.frozen
-class Wish:
+class Query:
     """What a request needs of an upstream.
 
     Attributes:
         route: The request's route.
         service: Service that shall run it.
-        thing: Object that it concerns, empty if it names none.
+        object_key: Object that it concerns, empty if it names none.
         region: Region that shall run it, empty for any.
         tried: Upstreams that it was sent to.
     """
 
     route: routes.Route
     service: str
-    thing: str = ''
+    object_key: str = ''
     region: str = ''
     tried: frozenset[str] = frozenset()
 
@@ -56,7 +58,7 @@
         upstream: The upstream.
         completion_s: Expected time until its answer.
         work_s: Part of it that is work.
-        standing: What it has to do with the object.
+        affinity: What it has to do with the object.
         busy: Requests in flight beyond its slots, at least 0.
         cold: Whether it is in its warm-up.
     """
@@ -64,7 +66,7 @@
     upstream: upstreams.Upstream
     completion_s: float
     work_s: float
-    standing: service_times.Standing
+    affinity: service_times.Affinity
     busy: int
     cold: bool = False
 
@@ -90,47 +92,60 @@
     directory: directories.UpstreamDirectory
     load: loads.LoadView
     troubles: trouble.TroubleLog
-    objects: warmth.Warmth
+    objects: recent_objects.RecentObjects
     cold: warmup.WarmupLimiter
     times: service_times.ServiceTimes
     delays: typing.Callable[[upstreams.Upstream], float]
     rng: random.Random
     sharers: int = 1
 
-    def choose(self, wish: Wish, service: routes.Service) -> Choice | None:
+    def choose(self, query: Query, service: routes.Service) -> Choice | None:
         """Return the best upstream, ``None`` if there is none.
 
         Args:
-            wish: What the request needs.
+            query: What the request needs.
             service: The service that shall run it.
         """
-        candidates = self._candidates(wish, service)
+        candidates = self._candidates(query, service)
         if not candidates:
             return None
-        choices = [
-            self._estimate(wish, upstream, standing)
-            for upstream, standing in self._standings(wish, candidates)
-        ]
-        spread = wish.route.objective_s * DRAW_SHARE
-
-        def rank(choice: Choice) -> float:
-            return self._cost(wish, choice) + self.rng.random() * spread
-
-        return min(choices, key=rank)
+        times = self.times.of(
+            query.route.key, query.service, query.route.objective_s
+        )
+        objective = query.route.objective_s
+        affinities = self._affinities(query, candidates)
+
+        def rank(upstream: upstreams.Upstream) -> float:
+            affinity = affinities[upstream.name]
+            cost = self._cost(upstream, affinity, times, objective)
+            if query.object_key and affinity is not Affinity.FIRST:
+                cost += times.displacement_s()
+            return cost + self.rng.random() * objective * DRAW_SHARE
+
+        best = min(candidates, key=rank)
+        affinity = affinities[best.name]
+        work, wait, busy = self._expect(best, affinity, times)
+        return Choice(
+            best,
+            self.delays(best) + wait + work,
+            work,
+            affinity,
+            busy,
+            self.directory.is_cold(best.name),
+        )
 
     def _candidates(
-        self, wish: Wish, service: routes.Service
+        self, query: Query, service: routes.Service
     ) -> list[upstreams.Upstream]:
         allowed_each = connections.allowed_connections(
             service.max_connections, self.sharers
         )
         found = [
             u
-            for u in self.directory.usable(wish.service)
-            if wish.route.may_run_in(u.region)
+            for u in self.directory.usable(query.service, query.region)
+            if query.route.may_run_in(u.region)
             and self.load.own.get(u.name, 0) < allowed_each
-            and (not wish.region or u.region == wish.region)
-            and u.name not in wish.tried
+            and u.name not in query.tried
         ]
         allowed = [
             u
@@ -142,59 +157,54 @@
         # When every upstream looks bad, the fault is more likely to be here.
         return sound or allowed
 
-    def _standings(
-        self, wish: Wish, candidates: list[upstreams.Upstream]
-    ) -> list[tuple[upstreams.Upstream, Standing]]:
-        if not wish.thing:
-            return [(u, Standing.NONE) for u in candidates]
-        # Upstreams that are set aside or cold for the moment keep their
-        # objects, so that these do not move for a short while.
-        names = [
-            u.name
-            for u in self.directory.usable(wish.service)
-            if not wish.region or u.region == wish.region
-        ]
-        first, second = warmth.keepers(wish.thing, names)
-        named = {first: Standing.FIRST, second: Standing.SECOND}
-        return [
-            (u, named.get(u.name) or self._seen(u.name, wish.thing))
-            for u in candidates
-        ]
-
-    def _seen(self, upstream: str, thing: str) -> Standing:
-        known = self.objects.is_warm(upstream, thing)
-        return Standing.SEEN if known else Standing.NONE
-
-    def _estimate(
-        self, wish: Wish, upstream: upstreams.Upstream, standing: Standing
-    ) -> Choice:
-        times = self.times.of(
-            wish.route.key, wish.service, wish.route.objective_s
+    def _affinities(
+        self, query: Query, candidates: list[upstreams.Upstream]
+    ) -> dict[str, Affinity]:
+        if not query.object_key:
+            return dict.fromkeys((u.name for u in candidates), Affinity.NONE)
+        found = {
+            u.name: self._seen(u.name, query.object_key) for u in candidates
+        }
+        # Upstreams that are set aside or cold for the moment stay preferred,
+        # so that their objects do not move for a short while.
+        preferred = self.directory.preferred(
+            query.service, query.region, query.object_key
         )
-        mean = times.expected_s(standing)
-        work = mean * self.load.expected_slowness(upstream.name)
-        cold = self.directory.is_cold(upstream.name)
-        if cold:
+        return found | dict(zip(preferred, PREFERRED, strict=False))
+
+    def _seen(self, upstream: str, object_key: str) -> Affinity:
+        known = self.objects.has_handled(upstream, object_key)
+        return Affinity.SEEN if known else Affinity.NONE
+
+    def _expect(
+        self,
+        upstream: upstreams.Upstream,
+        affinity: Affinity,
+        times: service_times.RouteTimes,
+    ) -> tuple[float, float, int]:
+        """Return work and wait in seconds and the requests over the slots."""
+        work = times.expected_s(affinity)
+        work *= self.load.expected_slowness(upstream.name)
+        if self.directory.is_cold(upstream.name):
             work *= COLD_FACTOR
         in_flight = self.load.in_flight(upstream.name)
         busy = max(0, in_flight + 1 - upstream.slots)
-        wait = busy * times.usual_s / upstream.slots
-        completion = self.delays(upstream) + wait + work
-        return Choice(upstream, completion, work, standing, busy, cold)
-
-    def _cost(self, wish: Wish, choice: Choice) -> float:
-        upstream = choice.upstream
+        return work, busy * times.usual_s / upstream.slots, busy
+
+    def _cost(
+        self,
+        upstream: upstreams.Upstream,
+        affinity: Affinity,
+        times: service_times.RouteTimes,
+        objective_s: float,
+    ) -> float:
+        work, wait, _ = self._expect(upstream, affinity, times)
         failing = self.troubles.failure_share(upstream.name)
         use = self.load.in_flight(upstream.name) / upstream.slots
-        displaced = 0.0
-        if wish.thing and choice.standing is not Standing.FIRST:
-            times = self.times.of(
-                wish.route.key, wish.service, wish.route.objective_s
-            )
-            displaced = times.displacement_s()
         return (
-            choice.completion_s
-            + displaced
-            + failing * FAILURE_COST * wish.route.objective_s
-            + min(1.0, use) * USE_COST * choice.work_s
+            self.delays(upstream)
+            + wait
+            + work
+            + failing * FAILURE_COST * objective_s
+            + min(1.0, use) * USE_COST * work
         )
--- a/packages/domain/bulrushcourse_domain/placement/region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/region_mix.py
@@ -1,12 +1,11 @@
 """The aggregate that bounds how fast a route's work changes region."""
 
-import math
 import typing
 
 import attrs
-import xxhash
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.routes import split
 
 # Part of the requests that may change region between windows of two seconds
@@ -51,24 +50,6 @@
     return {r: share for r, share in moved.items() if share > 1e-9}
 
 
-def region_of(thing: str, shares: typing.Mapping[str, float]) -> str:
-    """Return the region of an object by weighted rendezvous hashing.
-
-    Each region gets its share of the objects, and a small change of the
-    shares moves few of them.
-
-    Args:
-        thing: Identifier of the object.
-        shares: Share of each region; at least one is positive.
-    """
-
-    def score(region: str) -> float:
-        digest = xxhash.xxh64_intdigest(f'{thing}\x00{region}'.encode())
-        return -shares[region] / math.log((digest + 1) / (2**64 + 2))
-
-    return max(shares, key=score)
-
-
 @attrs.define
 class RegionMix:
     """Shares of the regions in one route's requests at this VM.
@@ -92,7 +73,7 @@
         self,
         target: typing.Mapping[str, float],
         usable: typing.Container[str],
-        thing: str = '',
+        object_key: str = '',
     ) -> str:
         """Return the region of the next request and move the shares.
 
@@ -101,7 +82,7 @@
         Args:
             target: Wanted shares; some region has a positive one.
             usable: Regions that can serve the route.
-            thing: Object that the request concerns, empty if it names none.
+            object_key: Object that the request concerns, empty for none.
         """
         now = self.clock.monotonic()
         kept = {r: s for r, s in self.shares.items() if r in usable}
@@ -114,9 +95,9 @@
             step = elapsed * RAMP_SHARE * self.shift_share
             self.shares = move_towards(scaled, target, step, DEAD_BAND)
         self.at = now
-        if not thing:
+        if not object_key:
             return self.turns.take(self.shares)
-        wanted = region_of(thing, self.shares)
+        wanted = rendezvous.choose_weighted(object_key, self.shares)
         return self.turns.take(
             self.shares, wanted, OBJECT_SLACK, OBJECT_MEMORY
         )
--- a/packages/domain/bulrushcourse_domain/placement/service_times.py
+++ b/packages/domain/bulrushcourse_domain/placement/service_times.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import typing
 
 import attrs
 
@@ -20,7 +21,7 @@
 DISPLACEMENT_WEIGHT = 6.0
 
 
-class Standing(enum.Enum):
+class Affinity(enum.Enum):
     """What an upstream has to do with an object."""
 
     FIRST = 'first'
@@ -31,10 +32,10 @@
 
 # Share of requests that find the object warm until it has been measured.
 _FIRST_HIT_SHARES = {
-    Standing.FIRST: 0.8,
-    Standing.SECOND: 0.4,
-    Standing.SEEN: 0.5,
-    Standing.NONE: 0.1,
+    Affinity.FIRST: 0.8,
+    Affinity.SECOND: 0.4,
+    Affinity.SEEN: 0.5,
+    Affinity.NONE: 0.1,
 }
 
 
@@ -57,17 +58,17 @@
     warm_s: float
     usual_s: float
     samples: int = 0
-    hit_shares: dict[Standing, float] = attrs.field(
+    hit_shares: dict[Affinity, float] = attrs.field(
         factory=lambda: dict(_FIRST_HIT_SHARES)
     )
 
-    def expected_s(self, standing: Standing) -> float:
+    def expected_s(self, affinity: Affinity) -> float:
         """Return the mean service time at an upstream.
 
         Args:
-            standing: What it has to do with the object.
+            affinity: What it has to do with the object.
         """
-        share = self.hit_shares[standing]
+        share = self.hit_shares[affinity]
         return share * self.warm_s + (1.0 - share) * self.cold_s
 
     def displacement_s(self) -> float:
@@ -77,15 +78,15 @@
         one may push out an object that it keeps for others. That happens
         where keepers often find their own objects cold.
         """
-        missing = 1.0 - self.hit_shares[Standing.FIRST]
+        missing = 1.0 - self.hit_shares[Affinity.FIRST]
         return DISPLACEMENT_WEIGHT * missing * (self.cold_s - self.warm_s)
 
-    def add(self, seconds: float, standing: Standing) -> None:
+    def add(self, seconds: float, affinity: Affinity) -> None:
         """Take over a measurement.
 
         Args:
             seconds: Service time, divided by the upstream's slowness.
-            standing: What the upstream has to do with the object.
+            affinity: What the upstream has to do with the object.
         """
         was_warm = seconds < math.sqrt(self.cold_s * self.warm_s)
         self.samples += 1
@@ -98,8 +99,8 @@
             self.warm_s = mean
         else:
             self.cold_s = mean
-        share = self.hit_shares[standing]
-        self.hit_shares[standing] = share + weight * (was_warm - share)
+        share = self.hit_shares[affinity]
+        self.hit_shares[affinity] = share + weight * (was_warm - share)
 
 
 @attrs.define
@@ -136,13 +137,25 @@
         guess = objective_s * FIRST_GUESS_SHARE
         return RouteTimes(guess, guess * WARM_GUESS, guess)
 
+    def keep_routes(self, routes: typing.Container[str]) -> None:
+        """Forget the times of all other routes.
+
+        Args:
+            routes: Keys of the routes that are configured.
+        """
+        self.by_route = {
+            key: times
+            for key, times in self.by_route.items()
+            if key[0] in routes
+        }
+
     def add(  # noqa: PLR0913
         self,
         route: str,
         service: str,
         objective_s: float,
         seconds: float,
-        standing: Standing,
+        affinity: Affinity,
     ) -> None:
         """Take over a measurement.
 
@@ -151,9 +164,9 @@
             service: Name of the service.
             objective_s: Objective of the route, for a first guess.
             seconds: Service time, divided by the upstream's slowness.
-            standing: What the upstream has to do with the object.
+            affinity: What the upstream has to do with the object.
         """
-        self.of(route, service, objective_s).add(seconds, standing)
+        self.of(route, service, objective_s).add(seconds, affinity)
         if service not in self.by_service:
             self.by_service[service] = RouteTimes(seconds, seconds, seconds)
-        self.by_service[service].add(seconds, standing)
+        self.by_service[service].add(seconds, affinity)
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
@@ -17,7 +17,7 @@
 
 def choice(completion_s, work_s, busy):
     return placement.Choice(
-        UPSTREAM, completion_s, work_s, service_times.Standing.NONE, busy
+        UPSTREAM, completion_s, work_s, service_times.Affinity.NONE, busy
     )
 
 
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
@@ -32,26 +32,26 @@
     clock: clocks.ManualClock = placing.clock
     memory = {u.name: collections.OrderedDict() for u in listed}
     free_at = {u.name: [clock.now] * SLOTS for u in listed}
-    ends: list[tuple[float, int, str, float, service_times.Standing]] = []
+    ends: list[tuple[float, int, str, float, service_times.Affinity]] = []
     runs, start, number = [], clock.now, 0
     while clock.now < start + SECONDS:
         clock.advance(rng.expovariate(PER_S))
         while ends and ends[0][0] <= clock.now:
-            _, _, name, work, standing = heapq.heappop(ends)
+            _, _, name, work, affinity = heapq.heappop(ends)
             placing.load.end(name)
-            placing.times.add(scenes.ROUTE.key, 's', 0.25, work, standing)
-        thing = str(rng.randrange(OBJECTS))
+            placing.times.add(scenes.ROUTE.key, 's', 0.25, work, affinity)
+        object_key = str(rng.randrange(OBJECTS))
         choice = placing.choose(
-            placement.Wish(scenes.ROUTE, 's', thing), scenes.SERVICE
+            placement.Query(scenes.ROUTE, 's', object_key), scenes.SERVICE
         )
         name = choice.upstream.name
         slot = heapq.heappop(free_at[name])
         if slot > clock.now + 1.0:
             heapq.heappush(free_at[name], slot)
             continue
-        warm = thing in memory[name]
-        memory[name][thing] = None
-        memory[name].move_to_end(thing)
+        warm = object_key in memory[name]
+        memory[name][object_key] = None
+        memory[name].move_to_end(object_key)
         if len(memory[name]) > REMEMBERED:
             memory[name].popitem(last=False)
         work = WARM_S if warm else COLD_S
@@ -59,7 +59,7 @@
         heapq.heappush(free_at[name], end)
         placing.load.begin(name)
         number += 1
-        heapq.heappush(ends, (end, number, name, work, choice.standing))
+        heapq.heappush(ends, (end, number, name, work, choice.affinity))
         runs.append((clock.now, warm))
     half = [warm for at, warm in runs if at > start + SECONDS / 2]
     return sum(half) / len(half)
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
@@ -11,9 +11,9 @@
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import recent_objects
 from bulrushcourse_domain.upstreams import trouble
 from bulrushcourse_domain.upstreams import upstream as upstreams
-from bulrushcourse_domain.upstreams import warmth
 from bulrushcourse_domain.upstreams import warmup
 
 ROUTE = routes.Route(
@@ -40,7 +40,7 @@
         directory,
         loads.LoadView(clock),
         trouble.TroubleLog(clock),
-        warmth.Warmth(),
+        recent_objects.RecentObjects(),
         cold,
         service_times.ServiceTimes(),
         lambda upstream: 0.0 if upstream.region == 'a' else 0.024,
@@ -48,9 +48,9 @@
     )
 
 
-def chosen(placing, thing='', **changes):
-    wish = placement.Wish(ROUTE, 's', thing, **changes)
-    choice = placing.choose(wish, SERVICE)
+def chosen(placing, object_key='', **changes):
+    query = placement.Query(ROUTE, 's', object_key, **changes)
+    choice = placing.choose(query, SERVICE)
     return choice and choice.upstream.name
 
 
@@ -58,8 +58,8 @@
     # Pattern: every VM sees a tenth of the requests for an object.
     listed = [make(number) for number in range(8)]
     places = [make_placement(*listed) for _ in range(4)]
-    for thing in map(str, range(50)):
-        assert len({chosen(placing, thing) for placing in places}) == 1
+    for object_key in map(str, range(50)):
+        assert len({chosen(placing, object_key) for placing in places}) == 1
 
 
 def test_crowd_for_one_object_overflows_to_other_upstreams():
@@ -77,9 +77,9 @@
     placing = make_placement(make(0, slots=50), make(1, slots=50))
     placing.sharers = 640
     service = routes.Service('s', max_connections=1500)
-    wish = placement.Wish(ROUTE, 's')
+    query = placement.Query(ROUTE, 's')
     sent = 0
-    while (choice := placing.choose(wish, service)) is not None:
+    while (choice := placing.choose(query, service)) is not None:
         placing.load.begin(choice.upstream.name)
         sent += 1
     assert sent == 2 * 2
@@ -90,7 +90,7 @@
     placing = make_placement(make(0, slots=50))
     service = routes.Service('s', max_connections=1500)
     for _ in range(50):
-        choice = placing.choose(placement.Wish(ROUTE, 's'), service)
+        choice = placing.choose(placement.Query(ROUTE, 's'), service)
         placing.load.begin(choice.upstream.name)
 
 
@@ -147,9 +147,9 @@
 def test_tried_upstreams_and_other_homes_are_left_out():
     placing = make_placement(make(0), make(1, 'b'))
     bound = attrs.evolve(ROUTE, home_regions=frozenset({'b'}))
-    wish = placement.Wish(bound, 's')
-    assert placing.choose(wish, SERVICE).upstream.name == 'u1'
-    tried = attrs.evolve(wish, tried=frozenset({'u1'}))
+    query = placement.Query(bound, 's')
+    assert placing.choose(query, SERVICE).upstream.name == 'u1'
+    tried = attrs.evolve(query, tried=frozenset({'u1'}))
     assert placing.choose(tried, SERVICE) is None
 
 
@@ -162,7 +162,7 @@
 
 def test_times_of_warm_and_fresh_objects_are_told_apart():
     times = service_times.ServiceTimes()
-    first, none = service_times.Standing.FIRST, service_times.Standing.NONE
+    first, none = service_times.Affinity.FIRST, service_times.Affinity.NONE
     for _ in range(200):
         times.add('r', 's', 0.25, 0.1, first)
         times.add('r', 's', 0.25, 0.33, none)
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_region_mix.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.placement import allocation
 from bulrushcourse_domain.placement import region_mix
 
@@ -66,11 +67,11 @@
     regions: dict[str, set[str]] = {}
     strays = 0
     for number in range(6000):
-        thing = str(number * 7919 % 60)
-        region = mix.take(shares, shares, thing)
-        home = region_mix.region_of(thing, shares)
+        object_key = str(number * 7919 % 60)
+        region = mix.take(shares, shares, object_key)
+        home = rendezvous.choose_weighted(object_key, shares)
         strays += region != home
-        regions.setdefault(home, set()).add(thing)
+        regions.setdefault(home, set()).add(object_key)
         clock.advance(0.01)
     assert strays < 6000 * 0.2
     assert 10 <= len(regions['a']) <= 38
@@ -78,12 +79,13 @@
 
 def test_small_change_of_shares_moves_few_objects():
     before, after = {'a': 0.5, 'b': 0.5}, {'a': 0.55, 'b': 0.45}
-    things = [str(number) for number in range(2000)]
+    keys = [str(number) for number in range(2000)]
     moved = sum(
-        region_mix.region_of(t, before) != region_mix.region_of(t, after)
-        for t in things
+        rendezvous.choose_weighted(t, before)
+        != rendezvous.choose_weighted(t, after)
+        for t in keys
     )
-    assert moved / len(things) < 0.08
+    assert moved / len(keys) < 0.08
 
 
 def test_region_that_cannot_serve_is_left_at_once():
--- a/packages/domain/bulrushcourse_domain/routes/table.py
+++ b/packages/domain/bulrushcourse_domain/routes/table.py
@@ -1,20 +1,54 @@
 """The aggregate that finds the route of a request."""
 
+import typing
+
 import attrs
 
 from bulrushcourse_domain.routes import route as routes
 
 
-def _by_host(
-    route_set: routes.RouteSet,
-) -> dict[str, tuple[routes.Route, ...]]:
+@attrs.frozen
+class HostRoutes:
+    """The routes of one host, ready to be found.
+
+    Attributes:
+        by_prefix: Routes by prefix; the first of several with one prefix.
+        lengths: Lengths of the prefixes, longest first.
+        home_regions: Regions that every route may run in, empty for all.
+    """
+
+    by_prefix: typing.Mapping[str, routes.Route]
+    lengths: tuple[int, ...]
+    home_regions: frozenset[str]
+
+    def match(self, path: str) -> routes.Route | None:
+        """Return the route with the longest prefix that begins the path.
+
+        Args:
+            path: Path of a request, without the query.
+        """
+        for length in self.lengths:
+            route = self.by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
+def _by_host(route_set: routes.RouteSet) -> dict[str, HostRoutes]:
     by_host: dict[str, list[routes.Route]] = {}
     for route in route_set.routes:
         by_host.setdefault(route.host, []).append(route)
-    return {
-        host: tuple(sorted(found, key=lambda r: len(r.prefix), reverse=True))
-        for host, found in by_host.items()
-    }
+    return {host: _host_routes(found) for host, found in by_host.items()}
+
+
+def _host_routes(found: list[routes.Route]) -> HostRoutes:
+    by_prefix = {route.prefix: route for route in reversed(found)}
+    homes = [r.home_regions for r in found if r.home_regions]
+    return HostRoutes(
+        by_prefix,
+        tuple(sorted({len(prefix) for prefix in by_prefix}, reverse=True)),
+        frozenset.intersection(*homes) if homes else frozenset(),
+    )
 
 
 @attrs.define
@@ -26,11 +60,11 @@
 
     Attributes:
         in_force: The configuration in force, ``None`` before the first.
-        by_host: Its routes by host, the longest prefix first.
+        by_host: Its routes by host.
     """
 
     in_force: routes.RouteSet | None = None
-    by_host: dict[str, tuple[routes.Route, ...]] = attrs.field(factory=dict)
+    by_host: dict[str, HostRoutes] = attrs.field(factory=dict)
 
     @property
     def version(self) -> int:
@@ -67,10 +101,8 @@
             host: Host that the request names.
             path: Its path, without the query.
         """
-        for route in self.by_host.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        found = self.by_host.get(host)
+        return found.match(path) if found else None
 
     def service(self, name: str) -> routes.Service:
         """Return a service; one that is not configured has the defaults.
@@ -90,6 +122,5 @@
         Returns:
             The common home regions, empty if the routes have none.
         """
-        bound = [r.home_regions for r in self.by_host.get(host, ())]
-        homes = [regions for regions in bound if regions]
-        return frozenset.intersection(*homes) if homes else frozenset()
+        found = self.by_host.get(host)
+        return found.home_regions if found else frozenset()
--- a/packages/domain/bulrushcourse_domain/routes/tests/test_table.py
+++ b/packages/domain/bulrushcourse_domain/routes/tests/test_table.py
@@ -45,3 +45,22 @@
     )
     assert table.home_regions('h') == {'y'}
     assert table.home_regions('unknown') == frozenset()
+
+
+PREFIXES = strategies.lists(strategies.sampled_from('ab'), max_size=3).map(
+    lambda parts: '/' + ''.join(f'{part}/' for part in parts)
+)
+
+
+@given(strategies.lists(PREFIXES, max_size=6), PREFIXES)
+def test_match_is_the_longest_of_all_prefixes_that_begin_the_path(
+    prefixes, path
+):
+    # Guards against an index that misses a route which a scan would find.
+    table = tables.RouteTable()
+    table.offer(routes.RouteSet(1, tuple(map(make_route, prefixes))))
+    begins = [p for p in prefixes if path.startswith(p)]
+    found = table.match('h', path)
+    assert (found.prefix if found else None) == max(
+        begins, key=len, default=None
+    )
--- a/packages/domain/bulrushcourse_domain/slots/ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/ownership.py
@@ -6,10 +6,10 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.slots import lease as leases
 from bulrushcourse_domain.slots import promises
 from bulrushcourse_domain.slots import region_members
-from bulrushcourse_domain.slots import rendezvous
 
 
 @attrs.define
@@ -83,7 +83,7 @@
     def rank(self) -> int:
         """Return this entry's rank for the pool, 0 for the preferred one."""
         present = self.members.present()
-        return rendezvous.rank_entries(self.pool, present).index(self.entry)
+        return rendezvous.rank(self.pool, present).index(self.entry)
 
     def observe_row(self, row: leases.LeaseRow) -> None:
         """Take over the lease row as read from the table.
@@ -204,7 +204,7 @@
         if self.stopped or wish.owns or not self._is_asking():
             return True
         present = self.members.present() | {wish.entry}
-        ranked = rendezvous.rank_entries(self.pool, present)
+        ranked = rendezvous.rank(self.pool, present)
         return ranked.index(wish.entry) < ranked.index(self.entry)
 
     def _promised_until(self) -> float:
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 # Entries that lapsed during an outage of the store are back about two
@@ -14,6 +15,11 @@
 # cold for this much more, since entries are written every heartbeat.
 WARMUP_MARGIN_S = 0.3
 GONE_REMEMBERED = 200
+# Upstreams that are preferred for an object; the second takes what the first
+# has no room for.
+PREFERRED = 2
+# About 3 MB; more objects only cost their hashing again.
+MOST_PREFERRED = 20_000
 
 
 @attrs.frozen
@@ -44,6 +50,10 @@
         store_lost: Whether the last reading failed.
         changed_in: Version of the store in which a change was noticed.
         gone_in: The same for entries that are gone.
+        usable_by: Usable upstreams by service and region; made anew after
+            each change, since every request asks for them.
+        preferred_by: Preferred upstreams by service, region and object,
+            likewise.
     """
 
     clock: clocks.Clock
@@ -56,6 +66,12 @@
     store_lost: bool = False
     changed_in: dict[str, int] = attrs.field(factory=dict)
     gone_in: dict[str, int] = attrs.field(factory=dict)
+    usable_by: dict[tuple[str, str], tuple[upstreams.Upstream, ...]] = (
+        attrs.field(factory=dict)
+    )
+    preferred_by: dict[tuple[str, str, str], tuple[str, ...]] = attrs.field(
+        factory=dict
+    )
 
     def lose_store(self) -> None:
         """Note that a reading failed, so that entries may lapse unseen."""
@@ -92,7 +108,12 @@
         for name in [n for n in self.entries if n not in listed]:
             yield self._drop(name)
 
+    def _note_change(self) -> None:
+        self.usable_by.clear()
+        self.preferred_by.clear()
+
     def _drop(self, name: str) -> Change:
+        self._note_change()
         self.cold_until.pop(name, None)
         self.changed_in.pop(name, None)
         self.gone_in[name] = self.version
@@ -106,6 +127,7 @@
         known = self.entries.get(found.name)
         if known == found:
             return
+        self._note_change()
         self.entries[found.name] = found
         self.changed_in[found.name] = self.version
         self.gone_in.pop(found.name, None)
@@ -174,6 +196,7 @@
         """
         returned = self.evacuated - failure_domains
         self.evacuated = failure_domains
+        self._note_change()
         until = self.clock.monotonic() + warmup_s + WARMUP_MARGIN_S
         for entry in self.entries.values():
             if entry.failure_domain in returned:
@@ -203,16 +226,46 @@
             return False
         return True
 
-    def usable(self, service: str) -> tuple[upstreams.Upstream, ...]:
+    def usable(
+        self, service: str, region: str = ''
+    ) -> tuple[upstreams.Upstream, ...]:
         """Return the upstreams of a service that may get new requests.
 
         Args:
             service: Name of the service.
+            region: Region that they must be in, empty for any.
         """
-        return tuple(
-            entry
-            for entry in self.entries.values()
-            if entry.service == service
-            and not entry.draining
-            and entry.failure_domain not in self.evacuated
-        )
+        key = service, region
+        if key not in self.usable_by:
+            self.usable_by[key] = tuple(
+                entry
+                for entry in self.entries.values()
+                if entry.service == service
+                and not entry.draining
+                and entry.failure_domain not in self.evacuated
+                and region in ('', entry.region)
+            )
+        return self.usable_by[key]
+
+    def preferred(
+        self, service: str, region: str, object_key: str
+    ) -> tuple[str, ...]:
+        """Return the upstreams that should handle an object, best first.
+
+        Every VM finds the same ones, so that requests for an object meet
+        where it was handled lately.
+
+        Args:
+            service: Name of the service.
+            region: Region that they must be in, empty for any.
+            object_key: Identifier of the object.
+        """
+        key = service, region, object_key
+        if key not in self.preferred_by:
+            if len(self.preferred_by) >= MOST_PREFERRED:
+                self.preferred_by.clear()
+            names = [u.name for u in self.usable(service, region)]
+            self.preferred_by[key] = rendezvous.first(
+                object_key, names, PREFERRED
+            )
+        return self.preferred_by[key]
--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -131,6 +131,15 @@
         if at > self.slowness.get(upstream, (0.0, float('-inf')))[1]:
             self.slowness[upstream] = value, at
 
+    def forget(self, upstream: str) -> None:
+        """Drop the slowness of an upstream that restarted or is gone.
+
+        Args:
+            upstream: Name of the upstream.
+        """
+        self.slowness.pop(upstream, None)
+        self.fresh.pop(upstream, None)
+
     def in_flight(self, upstream: str) -> int:
         """Return the requests of all VMs that an upstream has.
 
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -104,6 +104,24 @@
     assert told.entries == reader.entries
 
 
+@given(READINGS, strategies.sets(strategies.sampled_from(['d', 'e'])))
+def test_usable_upstreams_follow_each_change(readings, evacuated):
+    # Guards against an answer that is kept over a change of the entries.
+    known = directory()
+    for version, states in enumerate(readings, 1):
+        listed = tuple(make(n, draining=d) for n, d in states.items())
+        known.offer(upstreams.Snapshot(version, listed))
+        usable = {u.name for u in known.usable('s')}
+        assert usable == {n for n, draining in states.items() if not draining}
+        assert set(known.preferred('s', '', 'object')) <= usable
+    known.evacuate(frozenset(evacuated), 1.0)
+    assert {u.name for u in known.usable('s')} == {
+        u.name
+        for u in known.entries.values()
+        if not u.draining and u.failure_domain not in evacuated
+    }
+
+
 def test_news_on_an_unknown_base_are_ignored():
     reader, told = directory(), directory()
     reader.offer(upstreams.Snapshot(4, (make('a'),)))
--- a/packages/domain/bulrushcourse_domain/upstreams/warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/warmup.py
@@ -5,7 +5,7 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain.slots import rendezvous
+from bulrushcourse_domain import rendezvous
 
 # Only these VMs may use a cold upstream, so that the sum is bounded.
 SENDERS = 2
@@ -87,6 +87,7 @@
 
     def _senders(self, upstream: str) -> frozenset[str]:
         if upstream not in self.ranked:
-            ranked = rendezvous.rank_entries(upstream, self.members)
-            self.ranked[upstream] = frozenset(ranked[:SENDERS])
+            self.ranked[upstream] = frozenset(
+                rendezvous.first(upstream, self.members, SENDERS)
+            )
         return self.ranked[upstream]
--- a/packages/entry/bulrushcourse_entry/edge/call.py
+++ b/packages/entry/bulrushcourse_entry/edge/call.py
@@ -1,5 +1,6 @@
 """One request of a caller while it is served."""
 
+import functools
 import hashlib
 
 import attrs
@@ -22,7 +23,7 @@
         configuration_version: Version that the route is of.
         service: Service that shall run it.
         region: Region that shall run it.
-        thing: Object that it concerns, empty if it names none.
+        object_key: Object that it concerns, empty if it names none.
         arrived: When it arrived.
         deadline: When an answer is of no more use.
         tried: Upstreams that it was sent to.
@@ -39,14 +40,14 @@
     configuration_version: int
     service: str
     region: str
-    thing: str
+    object_key: str
     arrived: float
     deadline: float
     tried: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     steps: list[str] = attrs.field(factory=list)
 
-    @property
+    @functools.cached_property
     def fingerprint(self) -> str:
         """Hash of what the request asks for, without its identifier."""
         digest = hashlib.blake2b(self.body, digest_size=8)
--- a/packages/entry/bulrushcourse_entry/edge/endings.py
+++ b/packages/entry/bulrushcourse_entry/edge/endings.py
@@ -65,7 +65,7 @@
     return (
         f'{choice.upstream.name} {ended} after {took * 1000:.0f} ms'
         f' (expected {choice.completion_s * 1000:.0f},'
-        f' {choice.standing.value} keeper, {choice.busy} over its slots)'
+        f' {choice.affinity.value} keeper, {choice.busy} over its slots)'
     )
 
 
@@ -82,7 +82,7 @@
         f'{reason} at {choice.upstream.name}'
         f' (expected {choice.completion_s * 1000:.0f},'
         f' {choice.work_s * 1000:.0f} of it work,'
-        f' {choice.standing.value} keeper, {choice.busy} over its slots)'
+        f' {choice.affinity.value} keeper, {choice.busy} over its slots)'
     )
 
 
--- a/packages/entry/bulrushcourse_entry/edge/exchange.py
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -151,15 +151,15 @@
 
     def _choose(self, call: calls.Call) -> placement.Choice | endings.Ending:
         now = self.known.clock.monotonic()
-        wish = placement.Wish(
+        query = placement.Query(
             call.route,
             call.service,
-            call.thing,
+            call.object_key,
             call.region,
             frozenset(call.tried),
         )
         service = self.known.routes.service(call.service)
-        choice = self.known.placement.choose(wish, service)
+        choice = self.known.placement.choose(query, service)
         verdict = admission.admit(
             choice,
             call.route,
@@ -259,8 +259,8 @@
     ) -> None:
         known = self.known
         name = choice.upstream.name
-        if call.thing:
-            known.objects.note(name, call.thing)
+        if call.object_key:
+            known.objects.note(name, call.object_key)
         if choice.busy or choice.cold:
             return
         slowness = known.load.expected_slowness(name)
@@ -270,5 +270,5 @@
             call.service,
             call.route.objective_s,
             max(0.001, work),
-            choice.standing,
+            choice.affinity,
         )
--- a/packages/entry/bulrushcourse_entry/edge/front.py
+++ b/packages/entry/bulrushcourse_entry/edge/handlers.py
@@ -29,7 +29,7 @@
 
 
 @attrs.define(eq=False)
-class Front:
+class Handlers:
     """Turns callers' requests into calls and endings into answers.
 
     Attributes:
@@ -136,9 +136,9 @@
             allowed = min(
                 allowed, caller.remaining_s - exchanges.DEADLINE_MARGIN_S
             )
-        thing = ''
-        if route.affinity and caller.thing:
-            thing = f'{route.key}{caller.thing}'
+        object_key = ''
+        if route.affinity and caller.object_key:
+            object_key = f'{route.key}{caller.object_key}'
         return calls.Call(
             request_id=caller.request_id,
             method=request.method,
@@ -148,8 +148,8 @@
             route=route,
             configuration_version=known.routes.version,
             service=service,
-            region=self.steering.choose_region(route, service, thing),
-            thing=thing,
+            region=self.steering.choose_region(route, service, object_key),
+            object_key=object_key,
             arrived=arrived,
             deadline=arrived + allowed,
         )
@@ -217,7 +217,7 @@
             route=call.route.key,
             service=call.service,
             region=call.region,
-            object=call.thing,
+            object=call.object_key,
             steps=call.steps,
             configuration=call.configuration_version,
             upstreams_version=known.upstreams.version,
@@ -237,10 +237,8 @@
         question = lookups.decode(request.path, request.query)
         if question is None:
             return web.Response(status=404)
-        addresses = fleet.name_vms(
-            self.known.fleet.serving(),
-            question.region,
-            self.known.routes.home_regions(question.host),
+        addresses = self.known.answers.addresses(
+            question.region, self.known.routes.home_regions(question.host)
         )
         if not addresses:
             return web.Response(status=REFUSED)
--- a/packages/entry/bulrushcourse_entry/edge/knowledge.py
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -7,6 +7,7 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.fleet import lookups
 from bulrushcourse_domain.placement import admission
 from bulrushcourse_domain.placement import demand
 from bulrushcourse_domain.placement import placement
@@ -19,8 +20,8 @@
 from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_domain.upstreams import idling
 from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import recent_objects
 from bulrushcourse_domain.upstreams import trouble
-from bulrushcourse_domain.upstreams import warmth
 from bulrushcourse_domain.upstreams import warmup
 from bulrushcourse_entry.edge import delays
 from bulrushcourse_entry.edge import settings as edge_settings
@@ -46,6 +47,7 @@
         times: Service times.
         delays: Round trips to regions.
         fleet: The VMs.
+        answers: What callers are told of the VMs.
         demand: Work that arrives, by region and service.
         crashes: Requests that end upstreams.
         placement: Choice of an upstream.
@@ -56,6 +58,7 @@
         reads_for_all: Whether this VM reads the upstreams' entries for all.
         changes: Stream of changes of the upstreams' entries.
         readings: Stream of the versions that this VM reads for all.
+        removed: Stream of the names of VMs that were removed.
     """
 
     settings: edge_settings.EdgeSettings
@@ -65,12 +68,13 @@
     upstreams: directories.UpstreamDirectory
     load: loads.LoadView
     troubles: trouble.TroubleLog
-    objects: warmth.Warmth
+    objects: recent_objects.RecentObjects
     idle: idling.IdleConnections
     cold: warmup.WarmupLimiter
     times: service_times.ServiceTimes
     delays: delays.Delays
     fleet: fleet.Fleet
+    answers: lookups.LookupAnswers
     demand: demand.Demand
     crashes: crashes.CrashLedger
     placement: placement.Placement
@@ -87,6 +91,7 @@
         factory=reactivex.Subject
     )
     readings: reactivex.Subject[int] = attrs.field(factory=reactivex.Subject)
+    removed: reactivex.Subject[str] = attrs.field(factory=reactivex.Subject)
 
     def budget(self, service: str) -> shared.SharedRetryBudget:
         """Return the budget for second sends to a service.
@@ -118,6 +123,13 @@
             )
         return self.mixes[key]
 
+    def forget_routes(self) -> None:
+        """Forget what is known of routes that are no longer configured."""
+        keys = {route.key for route in self.routes.in_force.routes}
+        self.mixes = {k: mix for k, mix in self.mixes.items() if k[0] in keys}
+        self.splits = {k: s for k, s in self.splits.items() if k in keys}
+        self.times.keep_routes(keys)
+
     def forget(self, change: directories.Change) -> None:
         """Forget what no longer holds of an upstream that changed.
 
@@ -127,7 +139,7 @@
         if change.what in ('gone', 'restarted'):
             self.troubles.forget(change.upstream.name)
             self.objects.forget(change.upstream.name)
-            self.load.slowness.pop(change.upstream.name, None)
+            self.load.forget(change.upstream.name)
 
 
 def assemble(
@@ -151,10 +163,11 @@
         settings.region,
         settings.failure_domain,
     )
+    members = fleet.Fleet(clock, me)
     upstreams = directories.UpstreamDirectory(clock)
     load = loads.LoadView(clock)
     troubles = trouble.TroubleLog(clock)
-    objects = warmth.Warmth()
+    objects = recent_objects.RecentObjects()
     cold = warmup.WarmupLimiter(
         clock, settings.vm, bounds.warmup_excess, bounds.warmup_margin
     )
@@ -173,7 +186,8 @@
         cold=cold,
         times=times,
         delays=measured,
-        fleet=fleet.Fleet(clock, me),
+        fleet=members,
+        answers=lookups.LookupAnswers(members),
         demand=demand.Demand(clock, settings.region),
         crashes=crashes.CrashLedger(clock),
         placement=placement.Placement(
@@ -190,4 +204,5 @@
         retry_times=admission.RetryTimes(rng),
     )
     beliefs.changes.subscribe(beliefs.forget)
+    beliefs.removed.subscribe(beliefs.demand.forget)
     return beliefs
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -50,14 +50,20 @@
     read: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
-        """Follow the readings that this VM makes for all."""
+        """Follow the readings to pass on and the VMs that are removed."""
         self.known.readings.subscribe(self._pass_on)
+        self.known.removed.subscribe(self._forget)
 
     def _pass_on(self, _version: int) -> None:
         self.readings += 1
         self.read.set()
         self.read.clear()
 
+    def _forget(self, vm: str) -> None:
+        task = self.tasks.pop(vm, None)
+        if task is not None:
+            task.cancel()
+
     async def listen(self, address: str) -> asyncio.Server:
         """Accept streams of other VMs.
 
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -17,7 +17,7 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import exchange as exchanges
-from bulrushcourse_entry.edge import front as fronts
+from bulrushcourse_entry.edge import handlers as request_handlers
 from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import listeners
@@ -117,11 +117,11 @@
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
         )
-        front = fronts.Front(
+        handlers = request_handlers.Handlers(
             known, steering.Steering(known), exchange, journal, meters
         )
         stack.push_async_callback(exchange.close)
-        await self._listen(front, meters, stack)
+        await self._listen(handlers, meters, stack)
         if self.settings.peers:
             server = await streams.listen(self.settings.peers)
             stack.callback(server.close)
@@ -130,7 +130,7 @@
         tasks = self._start_tasks(known, journal, store, streams)
         stack.push_async_callback(_cancel, tasks)
         await self.stopping.wait()
-        await self._stop(known, journal, front)
+        await self._stop(known, journal, handlers)
 
     def _handle_signals(
         self, known: knowledges.Knowledge, journal: journals.Journal
@@ -158,21 +158,21 @@
 
     async def _listen(
         self,
-        front: fronts.Front,
+        handlers: request_handlers.Handlers,
         meters: edge_meters.Meters,
         stack: contextlib.AsyncExitStack,
     ) -> None:
         async def inspect(request: web.BaseRequest) -> web.Response:
             if request.path == STATE_PATH:
-                return web.json_response(state.dump(front.known))
+                return web.json_response(state.dump(handlers.known))
             return web.Response(body=meters.render())
 
         host = self.settings.callers.rpartition(':')[0]
         metrics_address = f'{host}:{self.metrics_port}'
         served = (
-            (self.settings.callers, front.handle),
-            (self.settings.lookups, front.look_up),
-            (self.settings.readiness, front.ready),
+            (self.settings.callers, handlers.handle),
+            (self.settings.lookups, handlers.look_up),
+            (self.settings.readiness, handlers.ready),
             (metrics_address if self.metrics_port else '', inspect),
         )
         for address, handler in served:
@@ -230,18 +230,18 @@
         self,
         known: knowledges.Knowledge,
         journal: journals.Journal,
-        front: fronts.Front,
+        handlers: request_handlers.Handlers,
     ) -> None:
         known.fleet.phase = fleet.Phase.LEAVING
-        front.closing = True
-        journal.belief(events.Event.STOPPING, open=front.open)
+        handlers.closing = True
+        journal.belief(events.Event.STOPPING, open=handlers.open)
         limit = self.settings.bounds.stop_limit_s
         started = time.monotonic()
         await asyncio.sleep(limit * ACCEPT_SHARE)
-        front.refusing = True
-        while front.open or front.exchange.kept:
+        handlers.refusing = True
+        while handlers.open or handlers.exchange.kept:
             if time.monotonic() - started > limit * FINISH_SHARE:
-                journal.belief(events.Event.STOP_FORCED, open=front.open)
+                journal.belief(events.Event.STOP_FORCED, open=handlers.open)
                 return
             await asyncio.sleep(0.05)
 
--- a/packages/entry/bulrushcourse_entry/edge/reading.py
+++ b/packages/entry/bulrushcourse_entry/edge/reading.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bulrushcourse_domain.slots import rendezvous
+from bulrushcourse_domain.membership import readers
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
@@ -14,8 +14,6 @@
 from bulrushcourse_entry.platform import upstream_rows
 from bulrushcourse_wire import fleet_messages
 
-# Some VMs read the upstreams for all; a second one covers a reader's death.
-READERS = 2
 # Parts of the time in which a leaving upstream must get nothing new: a
 # reader reads this often, the others read when they heard nothing for long.
 READ_SHARE = 0.35
@@ -143,6 +141,7 @@
         journal.belief(events.Event.CONFIGURATION_REFUSED, reason=str(error))
         return
     if known.routes.offer(route_set):
+        known.forget_routes()
         known.configuration = fleet_messages.pack_content(value)
         journal.belief(
             events.Event.CONFIGURATION_IN_FORCE,
@@ -251,6 +250,5 @@
     Args:
         known: What this process believes.
     """
-    alive = known.fleet.alive()
-    ranked = rendezvous.rank_entries('upstream-readers', alive)
-    return known.settings.vm in ranked[:READERS]
+    found = readers.designate_readers('upstreams', known.fleet.alive())
+    return known.settings.vm in found
--- a/packages/entry/bulrushcourse_entry/edge/registering.py
+++ b/packages/entry/bulrushcourse_entry/edge/registering.py
@@ -1,4 +1,4 @@
-"""The task that makes this VM known to the others when it starts."""
+"""The task that registers this VM and forgets VMs that were removed."""
 
 import asyncio
 import typing
@@ -14,6 +14,8 @@
 from bulrushcourse_entry.platform import units
 from bulrushcourse_entry.platform import vm_rows
 
+CLEANUP_INTERVAL_S = 30.0
+
 
 @attrs.define(eq=False)
 class VmRegistrar:
@@ -34,6 +36,26 @@
     met: typing.Callable[[fleet.Vm], None]
 
     async def run(self) -> None:
+        """Register this VM, then forget VMs that were removed."""
+        await self._register()
+        while True:
+            await asyncio.sleep(CLEANUP_INTERVAL_S)
+            for name in self.known.fleet.forget_removed():
+                self.journal.belief(
+                    events.Event.MEMBER_CHANGED, vm=name, state='removed'
+                )
+                self.known.removed.on_next(name)
+                if self.known.reads_for_all:
+                    await self._remove_row(name)
+
+    async def _remove_row(self, name: str) -> None:
+        try:
+            await self.store.remove(vm_rows.TABLE, name)
+        except rows.StoreUnavailable as error:
+            # The next VM that starts learns of it once more and drops it.
+            self.reachability.note(False, str(error))
+
+    async def _register(self) -> None:
         """Write the entry, then read all entries, until both succeeded."""
         while True:
             try:
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -44,9 +44,15 @@
     meetings: followers.Followers = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Start without knowledge of the other VMs."""
+        """Start without knowledge of the other VMs, and forget the removed."""
         self.versions = followers.Followers(self.known.clock)
         self.meetings = followers.Followers(self.known.clock)
+        self.known.removed.subscribe(self._forget)
+
+    def _forget(self, vm: str) -> None:
+        self.losses.pop(vm, None)
+        self.versions.forget(vm)
+        self.meetings.forget(vm)
 
     def share_loss(self, fingerprint: str, upstream: str) -> None:
         """Tell all VMs that a request has lost an upstream.
--- a/packages/entry/bulrushcourse_entry/health/watch.py
+++ b/packages/entry/bulrushcourse_entry/health/watch.py
@@ -13,10 +13,10 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.routing import drains
-from bulrushcourse_domain.slots import rendezvous
 from bulrushcourse_entry import events
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_wire import health_messages
@@ -114,7 +114,7 @@
         wanted = {
             name: instance
             for name, instance in self.instances.items()
-            if own in rendezvous.rank_entries(name, entries)[:WATCHERS]
+            if own in rendezvous.first(name, entries, WATCHERS)
         }
         for name in self.tasks.keys() - wanted.keys():
             self.tasks.pop(name).cancel()
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -137,8 +137,10 @@
 
     def is_reader(self) -> bool:
         """Return whether this entry is a designated reader of its region."""
+        region = self.settings.region
         return self.settings.entry in readers.designate_readers(
-            self.lookup.members, self.settings.region
+            f'configuration of {region}',
+            (m.entry for m in self.lookup.members if m.region == region),
         )
 
     def highest_held(self) -> int:
--- a/packages/entry/bulrushcourse_entry/platform/headers.py
+++ b/packages/entry/bulrushcourse_entry/platform/headers.py
@@ -50,12 +50,12 @@
     Attributes:
         request_id: Identifier of this attempt, empty if missing.
         remaining_s: Time that the caller will wait, ``None`` if not said.
-        thing: Object that the request concerns, empty if not said.
+        object_key: Object that the request concerns, empty if not said.
     """
 
     request_id: str
     remaining_s: float | None
-    thing: str
+    object_key: str
 
 
 def decode_caller(headers: typing.Mapping[str, str]) -> CallerHeaders:
@@ -67,7 +67,7 @@
     return CallerHeaders(
         request_id=headers.get(REQUEST_ID, ''),
         remaining_s=_milliseconds(headers.get(DEADLINE_MS)),
-        thing=headers.get(OBJECT, ''),
+        object_key=headers.get(OBJECT, ''),
     )
 
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
@@ -4,7 +4,7 @@
 import json
 import time
 
-from bulrushcourse_entry.edge import reading
+from bulrushcourse_domain.membership import readers
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import upstream as upstream_standin
 
@@ -372,7 +372,7 @@
             await asyncio.sleep(4.0)
             # Each reader reads after 0.35 of the leaving bound of 2 s.
             passed_s = time.monotonic() - started
-            allowed = reading.READERS * (passed_s / 0.7 + 1)
+            allowed = readers.READERS * (passed_s / 0.7 + 1)
             assert cluster.store.calls['/rows-get'] <= allowed
 
     run(scenario())
