Open sessions with upstreams in one place

Cause: found by reading. The edge program and the product's own client each opened HTTP sessions; only the edge's told a reset from the end of an answer without a length and left connections with unread bytes. The edge had its own way, an idle time of 0.15 s, for what the client does with a new connection for each request that may run once.

Change: `upstreams/sessions.py` opens both programs' sessions, pooled and fresh, with both safeguards. Orders of the edge go on fresh connections. Three observers of connections with the same signature become one function.

--- a/packages/domain/bulrushcourse_domain/upstreams/idling.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/idling.py
@@ -1,16 +1,10 @@
-"""The aggregate that decides which idle connections may be used again."""
+"""The aggregate that decides whether connections may be used again."""
 
 import attrs
 
 from bulrushcourse_domain import clock as clocks
 
-# Upstreams were seen to forget connections that were idle for 0.2 s, without
-# notice. A request that may run only once must not meet such a connection:
-# after its reset nobody knows whether it has run.
-IDLE_ONCE_S = 0.15
-# A repeatable request costs a second sending when it meets one, so that the
-# longer time holds until an upstream was seen to forget connections.
-IDLE_REPEATABLE_S = 5.0
+# Upstreams that forgot one idle connection forget others too for some time.
 FORGETFUL_S = 10.0
 # A reset that comes back within the round trip and this time was not work.
 QUICK_S = 0.03
@@ -18,7 +12,12 @@
 
 @attrs.define
 class IdleConnections:
-    """Upstreams that forget idle connections.
+    """Upstreams that forget idle connections without notice.
+
+    What is sent next on such a connection is reset, and nobody knows whether
+    it has run. A request that may run only once therefore never goes on a
+    used connection; a repeatable one costs a second sending, so that used
+    connections serve until an upstream was seen to forget one.
 
     Attributes:
         clock: Source of time.
@@ -28,8 +27,8 @@
     clock: clocks.Clock
     forgetful_until: dict[str, float] = attrs.field(factory=dict)
 
-    def may_reuse_idle(self, upstream: str, repeatable: bool) -> bool:
-        """Return whether a connection idle for long may be used.
+    def may_reuse(self, upstream: str, repeatable: bool) -> bool:
+        """Return whether a used connection may be used again.
 
         Args:
             upstream: Name of the upstream.
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -96,7 +96,7 @@
             known, journal, reports.Reports(known, journal)
         )
         sender = sending.open_sender(known)
-        for session in (sender.long_idle, sender.short_idle):
+        for session in (sender.pooled, sender.fresh):
             await stack.enter_async_context(session)
         store_session = await stack.enter_async_context(
             aiohttp.ClientSession()
--- a/packages/entry/bulrushcourse_entry/edge/sending.py
+++ b/packages/entry/bulrushcourse_entry/edge/sending.py
@@ -8,15 +8,19 @@
 import yarl
 from returns import result
 
-from bulrushcourse_domain.upstreams import idling
+from bulrushcourse_domain.placement import connections
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import connecting
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.platform import headers as platform_headers
 from bulrushcourse_entry.upstreams import client as upstream_client
+from bulrushcourse_entry.upstreams import sessions
 
 Failure = upstream_client.Failure
 
+# A connection takes a round trip and about a millisecond.
+CONNECT_TIMEOUT_S = 0.5
+
 
 @attrs.frozen
 class Answer:
@@ -62,15 +66,13 @@
 
     Attributes:
         known: What this process believes.
-        long_idle: Session that uses connections that were idle for long.
-        short_idle: Session that does not.
-        meter: Measures their connections.
+        pooled: Session that reuses connections.
+        fresh: Session with a new connection for each request.
     """
 
     known: knowledges.Knowledge
-    long_idle: aiohttp.ClientSession
-    short_idle: aiohttp.ClientSession
-    meter: connecting.ConnectMeter
+    pooled: aiohttp.ClientSession
+    fresh: aiohttp.ClientSession
 
     async def send(
         self, upstream: upstreams.Upstream, outbound: Outbound
@@ -84,10 +86,8 @@
         response = None
         known = self.known
         dispatch = connecting.Dispatch(upstream)
-        may_be_idle = known.idle.may_reuse_idle(
-            upstream.name, outbound.repeatable
-        )
-        session = self.long_idle if may_be_idle else self.short_idle
+        may_reuse = known.idle.may_reuse(upstream.name, outbound.repeatable)
+        session = self.pooled if may_reuse else self.fresh
         started = known.clock.monotonic()
         try:
             async with asyncio.timeout(outbound.remaining_s):
@@ -163,10 +163,14 @@
     Args:
         known: What this process believes.
     """
-    meter = connecting.ConnectMeter(known)
-    long_idle = connecting.open_session(meter, idling.IDLE_REPEATABLE_S)
-    short_idle = connecting.open_session(meter, idling.IDLE_ONCE_S)
-    return Sender(known, long_idle, short_idle, meter)
+    traces = (connecting.observe_connections(known),)
+    pooled, fresh = (
+        sessions.open_session(
+            connections.MOST_CONNECTIONS, fresh, CONNECT_TIMEOUT_S, traces
+        )
+        for fresh in (False, True)
+    )
+    return Sender(known, pooled, fresh)
 
 
 def _close(response: aiohttp.ClientResponse | None) -> None:
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from bulrushcourse_domain.configuration import objects
+from bulrushcourse_entry.upstreams import sessions
 
 DEADLINE_HEADER = 'Bulrushcourse-Deadline-Ms'
 CONNECT_TIMEOUT_S = 1.0
@@ -218,25 +219,13 @@
         connections_per_instance: Connections that this entry may hold to one
             instance.
     """
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-
-    def session(force_close: bool) -> aiohttp.ClientSession:
-        opened = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                limit_per_host=connections_per_instance,
-                force_close=force_close,
-            ),
-            timeout=timeout,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
+    pooled, fresh = (
+        sessions.open_session(
+            connections_per_instance, fresh, CONNECT_TIMEOUT_S
         )
-        # aiohttp repeats idempotent methods on a broken connection. Such a
-        # hidden retry would bypass the retry budget and the quarantine.
-        opened._retry_connection = False
-        return opened
-
-    return UpstreamClient(session(False), session(True))
+        for fresh in (False, True)
+    )
+    return UpstreamClient(pooled, fresh)
 
 
 async def close_client(client: UpstreamClient) -> None:
