Take over a VM that starts again with its time of day set back

Cause: found by reading. A process that starts after its machine's time was set back has a lower one than its predecessor, and the other VMs took its reports for late ones for ever: it was never named to callers, and its load did not count.

Change: a lower incarnation is taken over from the VM itself once the known one has fallen silent; rows and other VMs' lists still only raise it.

The new test fails before, with and without a store that is away at the start.

--- a/packages/domain/bulrushcourse_domain/fleet/fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/fleet.py
@@ -83,11 +83,13 @@
     learned_at: dict[str, float] = attrs.field(factory=dict)
     sizes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
-    def learn(self, vm: Vm) -> bool:
-        """Take over that a VM exists, from the store or another VM.
+    def learn(self, vm: Vm, from_itself: bool = False) -> bool:
+        """Take over that a VM exists.
 
         Args:
             vm: The VM.
+            from_itself: Whether it said so itself, rather than the store or
+                another VM.
 
         Returns:
             Whether it is new or has started again.
@@ -95,7 +97,10 @@
         if vm.name == self.me.name:
             return False
         known = self.known.get(vm.name)
-        if known is not None and known.incarnation >= vm.incarnation:
+        if known is not None and not (
+            vm.incarnation > known.incarnation
+            or (from_itself and self._was_set_back(known, vm))
+        ):
             return False
         if known is not None:
             self.sizes[known.region] -= 1
@@ -105,6 +110,13 @@
         self.heard.pop(vm.name, None)
         return True
 
+    def _was_set_back(self, known: Vm, vm: Vm) -> bool:
+        # Incarnations are times of day. A machine whose time was set back
+        # starts its next process with a lower one, when the last is silent.
+        return vm.incarnation < known.incarnation and not self.is_alive(
+            vm.name
+        )
+
     def hear(self, vm: Vm, phase: Phase) -> bool:
         """Note that a VM has spoken.
 
@@ -115,7 +127,7 @@
         Returns:
             Whether it was not alive before.
         """
-        self.learn(vm)
+        self.learn(vm, from_itself=True)
         if self.known.get(vm.name) != vm:
             return False
         was_alive = self.is_alive(vm.name)
--- a/packages/domain/bulrushcourse_domain/fleet/tests/test_fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/tests/test_fleet.py
@@ -70,3 +70,15 @@
     known.hear(make('b'), fleet.Phase.READY)
     assert {vm.name for vm in known.serving()} == {'me', 'b'}
     assert known.sizes['a'] == 1
+
+
+def test_vm_whose_time_was_set_back_is_taken_over_once_its_past_is_silent():
+    # Guards against a VM that counts as its own former process for ever.
+    known = ready_fleet(make('b', incarnation=5))
+    again = attrs.evolve(make('b', incarnation=3), caller_address='new:2')
+    known.hear(again, fleet.Phase.READY)
+    assert {vm.caller_address for vm in known.serving()} == {'me:2', 'b:2'}
+    known.clock.advance(fleet.SILENT_S + 0.1)
+    assert not known.learn(again)
+    assert known.hear(again, fleet.Phase.READY)
+    assert {vm.caller_address for vm in known.serving()} == {'me:2', 'new:2'}
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -80,13 +80,15 @@
             if address != me.peer_address and address not in self.tasks:
                 self._start(address, functools.partial(self._greet, address))
 
-    def meet(self, vm: fleet.Vm) -> None:
+    def meet(self, vm: fleet.Vm, from_itself: bool = False) -> None:
         """Start sending to a VM that was learned of.
 
         Args:
             vm: The VM.
+            from_itself: Whether it said itself that it exists.
         """
-        if not self.known.fleet.learn(vm) or not vm.peer_address:
+        learned = self.known.fleet.learn(vm, from_itself)
+        if not learned or not vm.peer_address:
             return
         old = self.tasks.pop(vm.name, None)
         if old is not None:
@@ -200,7 +202,7 @@
                 if sender is None:
                     raise fleet_messages.MalformedReport('no sender')
                 if sender.name != self.known.fleet.me.name:
-                    self.meet(sender)
+                    self.meet(sender, from_itself=True)
                     for vm in self.reports.take(sender, report):
                         self.meet(vm)
         except (OSError, EOFError, TimeoutError):
--- a/packages/testkit/bulrushcourse_testkit/platform/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/cluster.py
@@ -101,11 +101,18 @@
         """Its addresses by name."""
         return self.document['network']['listen']
 
-    def start(self) -> None:
-        """Start the process."""
+    def start(self, clock: clocks.Clock | None = None) -> None:
+        """Start the process.
+
+        Args:
+            clock: Its clock; the machine's if there is none.
+        """
         settings = settings_file.decode(self.document).unwrap()
         self.process = edge_process.EdgeProcess(
-            settings, '', rng=random.Random(7), clock=clocks.SystemClock()
+            settings,
+            '',
+            rng=random.Random(7),
+            clock=clock or clocks.SystemClock(),
         )
         self.task = asyncio.create_task(self.process.run())
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_beliefs.py
@@ -1,9 +1,14 @@
 """What the store and the other VMs say takes effect, and never reverts."""
 
 import asyncio
+import datetime
 import json
 import time
 
+import pytest
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.membership import readers
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import upstream as upstream_standin
@@ -340,6 +345,40 @@
     run(scenario())
 
 
+class SetBackClock(clocks.SystemClock):
+    """Clock of a machine whose time of day was set back by a minute."""
+
+    def wall(self):
+        return super().wall() - datetime.timedelta(minutes=1)
+
+
+@pytest.mark.parametrize('store_down', [False, True])
+def test_vm_that_starts_again_with_its_time_set_back_is_named(store_down):
+    # Guards against a VM whose new process the others take for its old one,
+    # so that callers are not sent to it again.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a1')) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            again = cluster.vms[1]
+            await again.kill()
+            cluster.store.down = store_down
+            again.start(SetBackClock())
+            address = again.listen['front']
+
+            async def is_named():
+                named = await cluster.look_up(cluster.vms[0], 'a')
+                return address in named
+
+            # Until then the former process still counts.
+            await asyncio.sleep(fleet.SILENT_S + 0.5)
+            cluster.store.down = False
+            await cluster.until(is_named)
+
+    run(scenario())
+
+
 def test_store_calls_stay_few():
     # Guards against every VM reading what one can read for all.
     async def scenario():
