Drop upstreams that left while one VM was cut off

Entries that are missing after an outage were kept for 2.3 s, since an outage for all lets entries lapse that are soon back; with the time to the first reading and to the next one that passes the 3 s after which a VM is held to its duties. Other VMs, which knew better, tried to reach it again only every 4 s.

Change: where at most a third of a service's entries are missing, they left, and are dropped at the first reading. Peers try again every 1.2 s.

--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -1,5 +1,6 @@
 """The aggregate that knows which upstreams there are."""
 
+import collections
 import typing
 
 import attrs
@@ -11,6 +12,9 @@
 # Entries that lapsed during an outage of the store are back about two
 # seconds after its return; the rest allows for one more reading.
 LAPSE_GRACE_S = 2.3
+# An outage for all lets most entries of a service lapse. Where fewer than this
+# share are missing, the store was away for this VM only, and they left.
+REMOVED_SHARE = 1 / 3
 # An upstream that is cold longer than its last entry said is treated as
 # cold for this much more, since entries are written every heartbeat.
 WARMUP_MARGIN_S = 0.3
@@ -103,11 +107,23 @@
     def _lapsed(
         self, listed: typing.Mapping[str, upstreams.Upstream], now: float
     ) -> typing.Iterator[Change]:
+        missing = [n for n in self.entries if n not in listed]
         if now < self.grace_until:
-            return
-        for name in [n for n in self.entries if n not in listed]:
+            missing = self._removed(missing)
+        for name in missing:
             yield self._drop(name)
 
+    def _removed(self, missing: list[str]) -> list[str]:
+        """Return missing entries that did not lapse in an outage."""
+        known = collections.Counter(u.service for u in self.entries.values())
+        lost = collections.Counter(self.entries[n].service for n in missing)
+        return [
+            name
+            for name in missing
+            for service in [self.entries[name].service]
+            if lost[service] <= known[service] * REMOVED_SHARE
+        ]
+
     def _note_change(self) -> None:
         self.usable_by.clear()
         self.preferred_by.clear()
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -61,6 +61,21 @@
     assert names(known) == set()
 
 
+def test_few_missing_entries_after_an_outage_were_removed():
+    # Guards against requests to an upstream that left while only this VM was
+    # cut off from the store: it was kept like entries that lapse while the
+    # store is away for all, 3 s after the VM was back in touch.
+    known = directory()
+    listed = [make(f'u{number}') for number in range(6)]
+    other = make('x', service='t')
+    known.offer(upstreams.Snapshot(1, (*listed, other)))
+    known.lose_store()
+    known.offer(upstreams.Snapshot(2, tuple(listed[1:])))
+    assert names(known) == {u.name for u in listed[1:]}
+    # All of a service's entries are missing: those lapsed.
+    assert [u.name for u in known.usable('t')] == ['x']
+
+
 def test_restart_under_the_same_name_is_told():
     # Guards against taking a fresh process for the one that was warm.
     known = directory()
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -19,7 +19,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSE_S = 0.3
-LONGEST_PAUSE_S = 4.0
+# A VM is held to its duties 3 s after its links are back, so that others must
+# try again sooner.
+LONGEST_PAUSE_S = 1.2
 # Data that is not acknowledged for so long ends the connection.
 USER_TIMEOUT_MS = 1500
 MAX_REPORT_BYTES = 4 << 20
