--- a/packages/domain/bulrushcourse_domain/claims/claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/claim.py
@@ -29,7 +29,7 @@
     UNKNOWN = 'unknown'
 
 
-class Meeting(enum.Enum):
+class AttemptCheck(enum.Enum):
     """What an attempt finds when it meets the row of its key."""
 
     OWN = 'own'
@@ -82,7 +82,7 @@
     written_at: float
     answer: outcomes.Answer | None = None
 
-    def meet(self, attempt: str, digest: str) -> Meeting:
+    def check_attempt(self, attempt: str, digest: str) -> AttemptCheck:
         """Return what the row means to an attempt.
 
         Args:
@@ -91,16 +91,20 @@
 
         Examples:
             >>> claim = open_claim('a1', 'd', 0.0)
-            >>> claim.meet('a1', 'd'), claim.meet('a2', 'd')
-            (<Meeting.OWN: 'own'>, <Meeting.ELSEWHERE: 'elsewhere'>)
-            >>> claim.meet('a2', 'another body')
-            <Meeting.OTHER_REQUEST: 'other-request'>
+            >>> claim.check_attempt('a1', 'd'), claim.check_attempt('a2', 'd')
+            (<AttemptCheck.OWN: 'own'>, <AttemptCheck.ELSEWHERE: 'elsewhere'>)
+            >>> claim.check_attempt('a2', 'another body')
+            <AttemptCheck.OTHER_REQUEST: 'other-request'>
         """
         if digest != self.digest:
-            return Meeting.OTHER_REQUEST
+            return AttemptCheck.OTHER_REQUEST
         if self.state is not ClaimState.CLAIMED:
-            return Meeting.FINAL
-        return Meeting.OWN if attempt == self.attempt else Meeting.ELSEWHERE
+            return AttemptCheck.FINAL
+        return (
+            AttemptCheck.OWN
+            if attempt == self.attempt
+            else AttemptCheck.ELSEWHERE
+        )
 
     def finish(
         self,
--- a/packages/domain/bulrushcourse_domain/claims/issued.py
+++ b/packages/domain/bulrushcourse_domain/claims/issued_keys.py
@@ -18,7 +18,7 @@
 MAX_ANSWER_BYTES = 32 << 20
 
 
-class KeyMeeting(enum.Enum):
+class KeyCheck(enum.Enum):
     """What an incarnation finds when it is asked to run a key."""
 
     FIRST = 'first'
@@ -88,8 +88,8 @@
         Examples:
             >>> issued = IssuedKeys('e', 'i', b's', clocks.ManualClock())
             >>> (key,) = issued.issue('orders', 1)
-            >>> issued.meet(key, 'orders', 'd')
-            <KeyMeeting.FIRST: 'first'>
+            >>> issued.check_request(key, 'orders', 'd')
+            <KeyCheck.FIRST: 'first'>
         """
         self._forget()
         now = self.clock.monotonic()
@@ -109,7 +109,7 @@
             made.append(text)
         return tuple(made)
 
-    def meet(self, text: str, service: str, digest: str) -> KeyMeeting:
+    def check_request(self, text: str, service: str, digest: str) -> KeyCheck:
         """Return what a request with a key means, and note its first use.
 
         Args:
@@ -119,19 +119,19 @@
         """
         key = keys.read_key(self.secret, text)
         if key is None:
-            return KeyMeeting.INVALID
+            return KeyCheck.INVALID
         if key.service != service:
-            return KeyMeeting.OTHER_SERVICE
+            return KeyCheck.OTHER_SERVICE
         if not self.may_run(key):
-            return KeyMeeting.FOREIGN
+            return KeyCheck.FOREIGN
         self._forget()
         record = self.records.get(text)
         if record is not None:
             return _meet_record(record, digest)
         if self.unused.pop(text, None) is None:
-            return KeyMeeting.FORGOTTEN
+            return KeyCheck.FORGOTTEN
         self.records[text] = KeyRecord(digest)
-        return KeyMeeting.FIRST
+        return KeyCheck.FIRST
 
     def may_run(self, key: keys.IssuedKey) -> bool:
         """Return whether this process is the one that issued a key.
@@ -194,10 +194,10 @@
                 )
 
 
-def _meet_record(record: KeyRecord, digest: str) -> KeyMeeting:
+def _meet_record(record: KeyRecord, digest: str) -> KeyCheck:
     if record.digest != digest:
-        return KeyMeeting.OTHER_REQUEST
-    return KeyMeeting.RUNNING if record.reply is None else KeyMeeting.FINAL
+        return KeyCheck.OTHER_REQUEST
+    return KeyCheck.RUNNING if record.reply is None else KeyCheck.FINAL
 
 
 def _due(ends: dict[str, float], now: float) -> list[str]:
--- a/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
@@ -33,7 +33,7 @@
     """Guards against a run after ``not-run`` was told."""
     row = claims.refused_claim('a1', 'd', 0.0)
     for attempt in ('a1', 'a2'):
-        assert row.meet(attempt, 'd') is claims.Meeting.FINAL
+        assert row.check_attempt(attempt, 'd') is claims.AttemptCheck.FINAL
         for stored in outcomes.StoreFact:
             if stored is not outcomes.StoreFact.COMMITTED:
                 assert not claims.may_dispatch(stored, row, attempt)
--- a/packages/domain/bulrushcourse_domain/claims/tests/test_issued.py
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_issued_keys.py
@@ -4,14 +4,14 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.claims import claim as claims
-from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import issued_keys
 from bulrushcourse_domain.claims import outcomes
 
-MEETING = issued.KeyMeeting
+CHECK = issued_keys.KeyCheck
 
 
 def make_keys(incarnation='i1', **options):
-    return issued.IssuedKeys(
+    return issued_keys.IssuedKeys(
         'e1', incarnation, b'secret', clocks.ManualClock(), **options
     )
 
@@ -25,23 +25,23 @@
     """Guards P5: a second send must not start a second run."""
     held = make_keys()
     (key,) = held.issue('orders', 1)
-    assert held.meet(key, 'orders', 'd') is MEETING.FIRST
-    assert held.meet(key, 'orders', 'd') is MEETING.RUNNING
+    assert held.check_request(key, 'orders', 'd') is CHECK.FIRST
+    assert held.check_request(key, 'orders', 'd') is CHECK.RUNNING
     held.finish(key, done())
-    assert held.meet(key, 'orders', 'd') is MEETING.FINAL
-    assert held.meet(key, 'orders', 'other') is MEETING.OTHER_REQUEST
-    assert held.meet(key, 'catalog', 'd') is MEETING.OTHER_SERVICE
+    assert held.check_request(key, 'orders', 'd') is CHECK.FINAL
+    assert held.check_request(key, 'orders', 'other') is CHECK.OTHER_REQUEST
+    assert held.check_request(key, 'catalog', 'd') is CHECK.OTHER_SERVICE
 
 
 def test_expired_or_forgotten_key_is_unknown():
     """Guards P4: a key that may have run is never said not to have."""
     held = make_keys()
     unused, used = held.issue('orders', 2)
-    held.meet(used, 'orders', 'd')
+    held.check_request(used, 'orders', 'd')
     held.finish(used, done())
-    held.clock.advance(issued.KEY_LIFETIME_S + claims.RETENTION_S + 1)
+    held.clock.advance(issued_keys.KEY_LIFETIME_S + claims.RETENTION_S + 1)
     for key in (unused, used):
-        assert held.meet(key, 'orders', 'd') is MEETING.FORGOTTEN
+        assert held.check_request(key, 'orders', 'd') is CHECK.FORGOTTEN
         assert held.reply(key).outcome is outcomes.Outcome.UNKNOWN
 
 
@@ -49,17 +49,17 @@
     """Guards against a long run whose key could be started again."""
     held = make_keys()
     (key,) = held.issue('orders', 1)
-    held.meet(key, 'orders', 'd')
-    held.clock.advance(10 * issued.KEY_LIFETIME_S)
-    assert held.meet(key, 'orders', 'd') is MEETING.RUNNING
+    held.check_request(key, 'orders', 'd')
+    held.clock.advance(10 * issued_keys.KEY_LIFETIME_S)
+    assert held.check_request(key, 'orders', 'd') is CHECK.RUNNING
 
 
 def test_other_incarnations_and_forgeries_do_not_run():
     """Guards P5: a restarted entry must not run its predecessor's keys."""
     (key,) = make_keys('i1').issue('orders', 1)
     later = make_keys('i2')
-    assert later.meet(key, 'orders', 'd') is MEETING.FOREIGN
-    assert later.meet(key[:-1] + '?', 'orders', 'd') is MEETING.INVALID
+    assert later.check_request(key, 'orders', 'd') is CHECK.FOREIGN
+    assert later.check_request(key[:-1] + '?', 'orders', 'd') is CHECK.INVALID
 
 
 def test_memory_is_bounded_without_losing_a_key():
@@ -68,11 +68,11 @@
     made = held.issue('orders', 20)
     assert len(made) == 10
     for key in made[:5]:
-        held.meet(key, 'orders', 'd')
+        held.check_request(key, 'orders', 'd')
     assert held.issue('orders', 1) == ()
-    held.clock.advance(issued.KEY_LIFETIME_S + 1)
+    held.clock.advance(issued_keys.KEY_LIFETIME_S + 1)
     assert len(held.issue('orders', 20)) == 5
-    assert held.meet(made[0], 'orders', 'd') is MEETING.RUNNING
+    assert held.check_request(made[0], 'orders', 'd') is CHECK.RUNNING
 
 
 def test_dropped_answer_turns_unknown_and_does_not_run_again():
@@ -80,11 +80,11 @@
     held = make_keys(max_answer_bytes=100)
     made = held.issue('orders', 3)
     for key in made:
-        held.meet(key, 'orders', 'd')
+        held.check_request(key, 'orders', 'd')
         held.finish(key, done(60))
     reply = [held.reply(key).outcome.value for key in made]
     assert reply == ['unknown', 'unknown', 'done']
-    assert held.meet(made[0], 'orders', 'd') is MEETING.FINAL
+    assert held.check_request(made[0], 'orders', 'd') is CHECK.FINAL
     assert held.answer_bytes == 60
     with pytest.raises(claims.ClaimError):
         held.finish(made[0], done())
--- a/packages/domain/bulrushcourse_domain/configuration/in_force.py
+++ b/packages/domain/bulrushcourse_domain/configuration/active_configuration.py
@@ -6,7 +6,7 @@
 
 
 @attrs.define
-class ConfigurationInForce:
+class ActiveConfiguration:
     """Holds the newest configuration seen; versions only grow.
 
     A version that this entry alone has is held, but not yet in force: if the
@@ -31,16 +31,16 @@
         return self.current.version if self.current else 0
 
     @property
-    def held_version(self) -> int:
+    def newest_version(self) -> int:
         """Newest version held, 0 before the first."""
         return self.pending.version if self.pending else self.version
 
     @property
-    def held(self) -> configuration_set.ConfigurationSet | None:
+    def newest(self) -> configuration_set.ConfigurationSet | None:
         """The newest configuration held, to be passed on to peers."""
         return self.pending or self.current
 
-    def hold(self, candidate: configuration_set.ConfigurationSet) -> bool:
+    def stage(self, candidate: configuration_set.ConfigurationSet) -> bool:
         """Hold a configuration that is newer than all seen before.
 
         Args:
@@ -49,8 +49,8 @@
         Returns:
             Whether it is now held and was not before.
         """
-        if candidate.version <= self.held_version:
-            self.refused += candidate.version < self.held_version
+        if candidate.version <= self.newest_version:
+            self.refused += candidate.version < self.newest_version
             return False
         self.pending = candidate
         return True
@@ -66,9 +66,14 @@
 
         Examples:
             >>> from bulrushcourse_domain.configuration import objects
-            >>> held = ConfigurationInForce()
+            >>> active = ActiveConfiguration()
             >>> new = configuration_set.ConfigurationSet(2, objects.Objects())
-            >>> held.hold(new), held.version, held.confirm(2), held.version
+            >>> (
+            ...     active.stage(new),
+            ...     active.version,
+            ...     active.confirm(2),
+            ...     active.version,
+            ... )
             (True, 0, True, 2)
         """
         if self.pending is None or version < self.pending.version:
@@ -76,7 +81,7 @@
         self.current, self.pending = self.pending, None
         return True
 
-    def offer(self, candidate: configuration_set.ConfigurationSet) -> bool:
+    def activate(self, candidate: configuration_set.ConfigurationSet) -> bool:
         """Put a configuration in force that another entry holds too.
 
         Args:
@@ -87,11 +92,11 @@
 
         Examples:
             >>> from bulrushcourse_domain.configuration import objects
-            >>> held = ConfigurationInForce()
+            >>> active = ActiveConfiguration()
             >>> new = configuration_set.ConfigurationSet(2, objects.Objects())
             >>> old = configuration_set.ConfigurationSet(1, objects.Objects())
-            >>> held.offer(new), held.offer(old), held.version
+            >>> active.activate(new), active.activate(old), active.version
             (True, False, 2)
         """
-        self.hold(candidate)
+        self.stage(candidate)
         return self.confirm(candidate.version)
--- a/packages/domain/bulrushcourse_domain/configuration/publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/publication.py
@@ -37,8 +37,8 @@
 
 
 @attrs.frozen
-class PublishOrder:
-    """An operator's wish to publish.
+class PublishRequest:
+    """An operator's request to publish.
 
     Attributes:
         base_version: Version that the operator's set was made from.
@@ -72,7 +72,7 @@
 
 @attrs.frozen
 class Proposal:
-    """The publication that an order leads to.
+    """The publication that a request leads to.
 
     Attributes:
         publication: The publication.
@@ -86,57 +86,57 @@
 def propose(
     stored: Publication | None,
     history: typing.Mapping[int, Publication],
-    order: PublishOrder,
+    request: PublishRequest,
     now: datetime.datetime,
 ) -> result.Result[Proposal, Conflict]:
-    """Return what an order leads to, given the store's content.
+    """Return what a request leads to, given the store's content.
 
     Args:
         stored: The stored publication, ``None`` if there is none.
-        history: Publications of ``order.base_version`` and the version after
+        history: Publications of ``request.base_version`` and the version after
             it, as far as they are stored.
-        order: What the operator wants.
+        request: What the operator wants.
         now: Time of the publish in UTC.
 
     Examples:
         >>> now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-        >>> order = PublishOrder(0, 'p1', 'ana', objects.Objects())
-        >>> first = propose(None, {}, order, now).unwrap()
+        >>> request = PublishRequest(0, 'p1', 'ana', objects.Objects())
+        >>> first = propose(None, {}, request, now).unwrap()
         >>> first.publication.version, first.stored
         (1, False)
-        >>> propose(first.publication, {}, order, now).unwrap().stored
+        >>> propose(first.publication, {}, request, now).unwrap().stored
         True
     """
-    for earlier in (stored, history.get(order.base_version + 1)):
-        if earlier is not None and earlier.publish_id == order.publish_id:
+    for earlier in (stored, history.get(request.base_version + 1)):
+        if earlier is not None and earlier.publish_id == request.publish_id:
             return result.Success(Proposal(earlier, True))
     version = stored.version if stored else 0
-    if version != order.base_version:
-        base = history.get(order.base_version)
+    if version != request.base_version:
+        base = history.get(request.base_version)
         before = base.objects if base else objects.Objects()
         after = stored.objects if stored else objects.Objects()
         return result.Failure(
             Conflict(
-                order.base_version,
+                request.base_version,
                 stored,
                 difference.list_changes(before, after),
             )
         )
     publication = Publication(
         version + 1,
-        order.publish_id,
-        order.operator,
-        order.note,
+        request.publish_id,
+        request.operator,
+        request.note,
         now,
-        order.objects,
+        request.objects,
     )
     return result.Success(Proposal(publication, False))
 
 
 def roll_back(
     base_version: int, old: Publication, publish_id: str, operator: str
-) -> PublishOrder:
-    """Return the order that publishes old content as a new version.
+) -> PublishRequest:
+    """Return the request that publishes old content as a new version.
 
     The old version itself never comes back into force: entries that saw a
     later one would refuse it.
@@ -147,7 +147,7 @@
         publish_id: Identifier of the new publish.
         operator: Who rolls back.
     """
-    return PublishOrder(
+    return PublishRequest(
         base_version,
         publish_id,
         operator,
--- a/packages/domain/bulrushcourse_domain/configuration/startup.py
+++ b/packages/domain/bulrushcourse_domain/configuration/startup.py
@@ -19,7 +19,7 @@
     row_version: int | None = None
     ready: bool = False
 
-    def read_row(self, version: int) -> None:
+    def record_stored_version(self, version: int) -> None:
         """Take note of the version in the stored row.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
@@ -14,7 +14,7 @@
 
 
 def order(base, publish_id, content):
-    return publication.PublishOrder(base, publish_id, 'ana', content)
+    return publication.PublishRequest(base, publish_id, 'ana', content)
 
 
 def publish(stored, history, wanted):
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
@@ -13,8 +13,8 @@
 from hypothesis import strategies
 from returns import result
 
+from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_domain.configuration import configuration_set
-from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.configuration import publication
 from bulrushcourse_domain.configuration import startup
@@ -25,7 +25,7 @@
 
 @attrs.define
 class Entry:
-    held: in_force.ConfigurationInForce
+    held: active_configuration.ActiveConfiguration
     startup: startup.StartupConfiguration
     heard: dict = attrs.field(factory=dict)
 
@@ -33,7 +33,7 @@
 class Versions(stateful.RuleBasedStateMachine):
     """The rules under test; broken variants replace one of them."""
 
-    held_class = in_force.ConfigurationInForce
+    held_class = active_configuration.ActiveConfiguration
     startup_class = startup.StartupConfiguration
     propose = staticmethod(publication.propose)
 
@@ -63,9 +63,9 @@
     def read(self, seat):
         entry = self.entries[seat]
         stored = self.stored
-        entry.startup.read_row(stored.version if stored else 0)
+        entry.startup.record_stored_version(stored.version if stored else 0)
         if stored:
-            entry.held.hold(
+            entry.held.stage(
                 configuration_set.ConfigurationSet(
                     stored.version, stored.objects
                 )
@@ -92,7 +92,7 @@
             number = len(self.orders)
             content = objects.Objects((objects.Place(f'{number}', 'nord'),))
             self.orders.append(
-                publication.PublishOrder(
+                publication.PublishRequest(
                     entry.held.version, f'p{number}', 'ana', content
                 )
             )
@@ -117,10 +117,10 @@
 
     def hear(self, sender, receiver):
         source, target = self.entries[sender], self.entries[receiver]
-        target.heard[sender] = source.held.held_version
-        if source.held.held_version > target.held.held_version:
-            target.held.offer(source.held.held)
-        target.held.confirm(source.held.held_version)
+        target.heard[sender] = source.held.newest_version
+        if source.held.newest_version > target.held.newest_version:
+            target.held.activate(source.held.newest)
+        target.held.confirm(source.held.newest_version)
 
     @stateful.rule()
     def second(self):
@@ -158,15 +158,15 @@
         assert len(set(identifiers)) == len(identifiers)
 
 
-class OlderAccepted(in_force.ConfigurationInForce):
-    def hold(self, candidate):
+class OlderAccepted(active_configuration.ActiveConfiguration):
+    def stage(self, candidate):
         self.current, self.pending = None, candidate
         return True
 
 
-class InForceAtOnce(in_force.ConfigurationInForce):
-    def hold(self, candidate):
-        return super().hold(candidate) and self.confirm(candidate.version)
+class InForceAtOnce(active_configuration.ActiveConfiguration):
+    def stage(self, candidate):
+        return super().stage(candidate) and self.confirm(candidate.version)
 
 
 class OnePeerIsEnough(startup.StartupConfiguration):
--- a/packages/domain/bulrushcourse_domain/fleet/fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/fleet.py
@@ -49,7 +49,7 @@
 
 
 @attrs.define
-class Sighting:
+class Heartbeat:
     """When and how a VM was heard last.
 
     Attributes:
@@ -67,23 +67,23 @@
 
     Attributes:
         clock: Source of time.
-        me: This VM.
+        local_vm: This VM.
         phase: What this VM says of itself.
         known: Other VMs, heard or only named by others.
-        heard: When each was heard last.
+        heartbeats: When each was heard last.
         learned_at: When each was learned of.
         sizes: Number of other VMs in each region.
     """
 
     clock: clocks.Clock
-    me: Vm
+    local_vm: Vm
     phase: Phase = Phase.STARTING
     known: dict[str, Vm] = attrs.field(factory=dict)
-    heard: dict[str, Sighting] = attrs.field(factory=dict)
+    heartbeats: dict[str, Heartbeat] = attrs.field(factory=dict)
     learned_at: dict[str, float] = attrs.field(factory=dict)
     sizes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
-    def learn(self, vm: Vm, from_itself: bool = False) -> bool:
+    def add_vm(self, vm: Vm, from_itself: bool = False) -> bool:
         """Take over that a VM exists.
 
         Args:
@@ -94,7 +94,7 @@
         Returns:
             Whether it is new or has started again.
         """
-        if vm.name == self.me.name:
+        if vm.name == self.local_vm.name:
             return False
         known = self.known.get(vm.name)
         if known is not None and not (
@@ -107,7 +107,7 @@
         self.sizes[vm.region] += 1
         self.known[vm.name] = vm
         self.learned_at[vm.name] = self.clock.monotonic()
-        self.heard.pop(vm.name, None)
+        self.heartbeats.pop(vm.name, None)
         return True
 
     def _was_set_back(self, known: Vm, vm: Vm) -> bool:
@@ -117,7 +117,7 @@
             vm.name
         )
 
-    def hear(self, vm: Vm, phase: Phase) -> bool:
+    def record_heartbeat(self, vm: Vm, phase: Phase) -> bool:
         """Note that a VM has spoken.
 
         Args:
@@ -127,11 +127,11 @@
         Returns:
             Whether it was not alive before.
         """
-        self.learn(vm, from_itself=True)
+        self.add_vm(vm, from_itself=True)
         if self.known.get(vm.name) != vm:
             return False
         was_alive = self.is_alive(vm.name)
-        self.heard[vm.name] = Sighting(phase, self.clock.monotonic())
+        self.heartbeats[vm.name] = Heartbeat(phase, self.clock.monotonic())
         return not was_alive
 
     def is_alive(self, name: str) -> bool:
@@ -140,7 +140,7 @@
         Args:
             name: Name of the VM.
         """
-        seen = self.heard.get(name)
+        seen = self.heartbeats.get(name)
         if seen is None:
             return False
         return self.clock.monotonic() - seen.at <= SILENT_S
@@ -148,36 +148,39 @@
     def alive(self) -> tuple[str, ...]:
         """Return the names of the VMs that are alive, this one included."""
         others = (name for name in self.known if self.is_alive(name))
-        return (self.me.name, *sorted(others))
+        return (self.local_vm.name, *sorted(others))
 
-    def sharers(self) -> int:
+    def sharing_vm_count(self) -> int:
         """Return how many VMs may be sharing limits with this one."""
         oldest = self.clock.monotonic() - SHARER_MEMORY_S
-        return 1 + sum(seen.at >= oldest for seen in self.heard.values())
+        return 1 + sum(seen.at >= oldest for seen in self.heartbeats.values())
 
-    def forget_removed(self) -> tuple[str, ...]:
+    def remove_expired(self) -> tuple[str, ...]:
         """Drop VMs that were silent for long and return their names."""
         oldest = self.clock.monotonic() - REMOVED_S
         last_seen = self.learned_at | {
-            name: seen.at for name, seen in self.heard.items()
+            name: seen.at for name, seen in self.heartbeats.items()
         }
         gone = tuple(name for name, at in last_seen.items() if at < oldest)
         for name in gone:
             self.sizes[self.known.pop(name).region] -= 1
-            self.heard.pop(name, None)
+            self.heartbeats.pop(name, None)
             del self.learned_at[name]
         return gone
 
     def serving(self) -> tuple[Vm, ...]:
         """Return the VMs that callers may be sent to."""
-        found = [self.me] if self.phase is Phase.READY else []
+        found = [self.local_vm] if self.phase is Phase.READY else []
         for name, vm in self.known.items():
-            if self.is_alive(name) and self.heard[name].phase is Phase.READY:
+            if (
+                self.is_alive(name)
+                and self.heartbeats[name].phase is Phase.READY
+            ):
                 found.append(vm)
         return tuple(found)
 
 
-def name_vms(
+def select_addresses(
     serving: typing.Sequence[Vm],
     region: str,
     homes: frozenset[str],
--- a/packages/domain/bulrushcourse_domain/fleet/lookups.py
+++ b/packages/domain/bulrushcourse_domain/fleet/lookups.py
@@ -38,7 +38,7 @@
             self.made_at = now
         key = region, homes
         if key not in self.kept:
-            self.kept[key] = fleet.name_vms(
+            self.kept[key] = fleet.select_addresses(
                 self.members.serving(), region, homes
             )
         return self.kept[key]
--- a/packages/domain/bulrushcourse_domain/fleet/followers.py
+++ b/packages/domain/bulrushcourse_domain/fleet/peer_versions.py
@@ -10,7 +10,7 @@
 
 
 @attrs.define
-class Followers:
+class PeerVersions:
     """How far other VMs are in something that only grows.
 
     Attributes:
@@ -19,12 +19,12 @@
         behind_since: When a VM was first heard to be behind this one.
 
     Examples:
-        >>> followers = Followers(clocks.ManualClock())
-        >>> followers.hear('vm-2', 4, own_level=5)
-        >>> followers.needs_help('vm-2', 5, at_once=False)
+        >>> versions = PeerVersions(clocks.ManualClock())
+        >>> versions.record_version('vm-2', 4, own_level=5)
+        >>> versions.needs_update('vm-2', 5, at_once=False)
         False
-        >>> followers.clock.advance(1.0)
-        >>> followers.needs_help('vm-2', 5, at_once=False)
+        >>> versions.clock.advance(1.0)
+        >>> versions.needs_update('vm-2', 5, at_once=False)
         True
     """
 
@@ -32,7 +32,7 @@
     heard: dict[str, int] = attrs.field(factory=dict)
     behind_since: dict[str, float] = attrs.field(factory=dict)
 
-    def hear(self, vm: str, level: int, own_level: int) -> None:
+    def record_version(self, vm: str, level: int, own_level: int) -> None:
         """Take over what a VM reports.
 
         Args:
@@ -46,7 +46,7 @@
             self.behind_since.setdefault(vm, self.clock.monotonic())
         self.heard[vm] = level
 
-    def forget(self, vm: str) -> None:
+    def discard(self, vm: str) -> None:
         """Drop what is known of a VM that was removed.
 
         Args:
@@ -55,7 +55,7 @@
         self.heard.pop(vm, None)
         self.behind_since.pop(vm, None)
 
-    def needs_help(self, vm: str, own_level: int, at_once: bool) -> bool:
+    def needs_update(self, vm: str, own_level: int, at_once: bool) -> bool:
         """Return whether a VM should be sent what it lacks.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/health/instance_health.py
+++ b/packages/domain/bulrushcourse_domain/health/instance_health.py
@@ -47,7 +47,7 @@
     Examples:
         >>> health = InstanceHealth(clocks.ManualClock())
         >>> health.set_instances({'a': 5, 'b': 5})
-        >>> health.sign_leaving('a')
+        >>> health.set_leaving('a')
         >>> health.open_slots('a'), health.open_slots('b')
         (0, 5)
     """
@@ -87,7 +87,7 @@
             record.slots = number
         self.refresh()
 
-    def sign_leaving(self, name: str, leaving: bool = True) -> None:
+    def set_leaving(self, name: str, leaving: bool = True) -> None:
         """Note that an instance is leaving, or that it is no longer.
 
         Args:
@@ -122,7 +122,9 @@
         if record is not None:
             record.index.start(self.clock.monotonic(), typical_s)
 
-    def end(self, run: requests.Run, result: requests.Result) -> None:
+    def end(
+        self, run: requests.ActiveGrant, result: requests.ReleaseResult
+    ) -> None:
         """Note how a request ended.
 
         Args:
@@ -238,8 +240,8 @@
     def _complete(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.Run,
-        result: requests.Result,
+        run: requests.ActiveGrant,
+        result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
         seconds = result.seconds
@@ -254,8 +256,8 @@
     def _shed(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.Run,
-        result: requests.Result,
+        run: requests.ActiveGrant,
+        result: requests.ReleaseResult,
     ) -> None:
         record.index.forget(run.started, run.typical_s)
         record.index.add(self.clock.monotonic(), SHED_UNITS, 0.0)
@@ -263,8 +265,8 @@
     def _fail(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.Run,
-        result: requests.Result,
+        run: requests.ActiveGrant,
+        result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
         record.index.forget(run.started, run.typical_s)
@@ -276,8 +278,8 @@
     def _stop(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.Run,
-        result: requests.Result,
+        run: requests.ActiveGrant,
+        result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
         record.index.stop(now, run.started, run.typical_s)
--- a/packages/domain/bulrushcourse_domain/health/tests/test_instance_health.py
+++ b/packages/domain/bulrushcourse_domain/health/tests/test_instance_health.py
@@ -22,10 +22,10 @@
 def run_one(clock, health, name, outcome=OUTCOMES.DONE, **more):
     seconds = more.get('seconds', 0.02)
     grant = requests.Grant('r', more.get('holder', 'e1'), name, 'short')
-    run = requests.Run(grant, clock.now, health.typical_s('short'))
+    run = requests.ActiveGrant(grant, clock.now, health.typical_s('short'))
     health.start(name, run.typical_s)
     clock.advance(seconds)
-    health.end(run, requests.Result(outcome, seconds))
+    health.end(run, requests.ReleaseResult(outcome, seconds))
 
 
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
@@ -43,7 +43,7 @@
     clock, health = make_health()
     for name, sign, holder in signs:
         if sign == 'leave':
-            health.sign_leaving(name)
+            health.set_leaving(name)
         else:
             run_one(clock, health, name, sign, holder=holder)
         health.refresh()
--- a/packages/domain/bulrushcourse_domain/limits/floor.py
+++ b/packages/domain/bulrushcourse_domain/limits/floor_binding.py
@@ -34,7 +34,7 @@
     listed: bool = False
     sole_since: float | None = None
 
-    def see_vms(self, seats: typing.Mapping[str, str]) -> None:
+    def update_vm_list(self, seats: typing.Mapping[str, str]) -> None:
         """Take up an answer of the platform's list.
 
         A VM that is bound stays bound beside its replacement: the
@@ -66,7 +66,7 @@
         Examples:
             >>> clock = clocks.ManualClock()
             >>> binding = FloorBinding(clock, 'vm-2', 'entry-a')
-            >>> binding.see_vms({'vm-2': 'entry-a', 'vm-9': 'entry-b'})
+            >>> binding.update_vm_list({'vm-2': 'entry-a', 'vm-9': 'entry-b'})
             >>> binding.is_usable(5.0)
             False
             >>> clock.advance(5.2)
--- a/packages/domain/bulrushcourse_domain/limits/watch.py
+++ b/packages/domain/bulrushcourse_domain/limits/lease_monitor.py
@@ -5,14 +5,14 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain.limits import floor as floors
+from bulrushcourse_domain.limits import floor_binding as floors
 from bulrushcourse_domain.limits import ledger as ledgers
 
 LEASE_S = 75.0
 
 
 @attrs.define
-class LeaseSight:
+class LeaseObservation:
     """What an observer knows of another holder's lease.
 
     Attributes:
@@ -28,35 +28,37 @@
 
 
 @attrs.define
-class LedgerWatch:
+class LeaseMonitor:
     """Finds shares that nobody can use any more.
 
     Attributes:
         clock: Source of time.
-        sights: Sights of leases by holder.
+        observations: Observations of leases by holder.
         empty_seats: Clock seconds when a list first showed no VM of a seat,
             by seat.
     """
 
     clock: clocks.Clock
-    sights: dict[str, LeaseSight] = attrs.field(factory=dict)
+    observations: dict[str, LeaseObservation] = attrs.field(factory=dict)
     empty_seats: dict[str, float] = attrs.field(factory=dict)
 
-    def see_ledger(self, ledger: ledgers.Ledger) -> None:
+    def update_ledger(self, ledger: ledgers.Ledger) -> None:
         """Take up the content of the row.
 
         Args:
             ledger: The row as it was read.
         """
         now = self.clock.monotonic()
-        for holder in self.sights.keys() - ledger.leases.keys():
-            del self.sights[holder]
+        for holder in self.observations.keys() - ledger.leases.keys():
+            del self.observations[holder]
         for holder, lease in ledger.leases.items():
-            sight = self.sights.get(holder)
-            if sight is None or sight.renewal != lease.renewal:
-                self.sights[holder] = LeaseSight(lease.renewal, now)
+            observation = self.observations.get(holder)
+            if observation is None or observation.renewal != lease.renewal:
+                self.observations[holder] = LeaseObservation(
+                    lease.renewal, now
+                )
 
-    def see_vms(
+    def update_vm_list(
         self,
         seats: typing.Mapping[str, str],
         ledger: ledgers.Ledger | None,
@@ -74,13 +76,13 @@
             return
         now = self.clock.monotonic()
         for holder, lease in ledger.leases.items():
-            sight = self.sights.get(holder)
-            if sight is None or sight.renewal != lease.renewal:
+            observation = self.observations.get(holder)
+            if observation is None or observation.renewal != lease.renewal:
                 continue
             if lease.vm_id in seats:
-                sight.gone_since = None
-            elif sight.gone_since is None:
-                sight.gone_since = now
+                observation.gone_since = None
+            elif observation.gone_since is None:
+                observation.gone_since = now
         filled = set(seats.values())
         self.empty_seats = {
             seat: self.empty_seats.get(seat, now)
@@ -112,15 +114,18 @@
             holder: Holder of the lease.
             lease: The lease as it was read.
         """
-        sight = self.sights.get(holder)
-        if sight is None or sight.renewal != lease.renewal:
+        observation = self.observations.get(holder)
+        if observation is None or observation.renewal != lease.renewal:
             return False
         now = self.clock.monotonic()
         margin = self.work_margin_s(lease.work_limit_s)
-        if sight.gone_since is not None and now - sight.gone_since >= margin:
+        if (
+            observation.gone_since is not None
+            and now - observation.gone_since >= margin
+        ):
             return True
         lease_s = LEASE_S * (1 + floors.CLOCK_DRIFT)
-        return now - sight.since >= lease_s + margin
+        return now - observation.since >= lease_s + margin
 
     def work_margin_s(self, work_limit_s: float) -> float:
         """Return how long to wait for the work under a lost share.
--- a/packages/domain/bulrushcourse_domain/limits/ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/ledger.py
@@ -177,7 +177,7 @@
     return shares
 
 
-def terms_of(
+def limit_terms(
     held: configuration_set.ConfigurationSet, limit: objects.Limit
 ) -> Terms | None:
     """Return a limit's terms, ``None`` if it has no shares.
--- a/packages/domain/bulrushcourse_domain/limits/share_ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/share_ledger.py
@@ -5,9 +5,9 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain.limits import floor as floors
+from bulrushcourse_domain.limits import floor_binding as floors
+from bulrushcourse_domain.limits import lease_monitor
 from bulrushcourse_domain.limits import ledger as ledgers
-from bulrushcourse_domain.limits import watch as watches
 
 RENEWAL_S = 5.0
 
@@ -42,7 +42,7 @@
         holder: Identifier of this incarnation, unique for good.
         binding: Binding of the floor share to this VM.
         terms: Newest terms known, of the configuration or the row.
-        watch: Observation of the other holders.
+        monitor: Observation of the other holders.
         ledger: The row as it was last read.
         version: Version of the row as it was last read, 0 if absent.
         reserved: Floor that the row reserves for this seat; ``None`` while
@@ -57,7 +57,7 @@
     holder: str
     binding: floors.FloorBinding
     terms: ledgers.Terms
-    watch: watches.LedgerWatch
+    monitor: lease_monitor.LeaseMonitor
     ledger: ledgers.Ledger | None = None
     version: int = 0
     reserved: int | None = None
@@ -75,17 +75,17 @@
         if terms.version > self.terms.version:
             self.terms = terms
 
-    def see_vms(self, seats: typing.Mapping[str, str]) -> None:
+    def update_vm_list(self, seats: typing.Mapping[str, str]) -> None:
         """Take up an answer of the platform's list, asked after the row.
 
         Args:
             seats: Seat of each listed VM by the VM's identifier.
         """
-        self.binding.see_vms(seats)
+        self.binding.update_vm_list(seats)
         if not self.binding.listed:
             # Observers take the shares of a VM that is not listed.
             self.elastic = 0
-        self.watch.see_vms(seats, self.ledger)
+        self.monitor.update_vm_list(seats, self.ledger)
 
     @property
     def floor(self) -> int:
@@ -115,7 +115,7 @@
         if ledger is None:
             return
         self.configure(ledger.terms)
-        self.watch.see_ledger(ledger)
+        self.monitor.update_ledger(ledger)
         lease = ledger.leases.get(self.holder)
         if lease is None:
             self.elastic = 0
@@ -139,7 +139,7 @@
         if self.ledger is None:
             return True
         base = self.ledger.under(self.terms)
-        kept = self.watch.reclaim(base).with_floors_raised()
+        kept = self.monitor.reclaim(base).with_floors_raised()
         reserved = base.floors.get(self.binding.seat, 0)
         return (
             kept != self.ledger
@@ -161,7 +161,7 @@
             in_use: Units per second that admitted work still takes up.
         """
         base = (self.ledger or ledgers.Ledger(self.terms)).under(self.terms)
-        base = self.watch.reclaim(base).with_floors_raised()
+        base = self.monitor.reclaim(base).with_floors_raised()
         reserved = base.floors.get(self.binding.seat, 0)
         floor = reserved
         if self.is_bound:
@@ -182,7 +182,7 @@
             self.holder, lease if share or wanted else None
         )
 
-    def committed(self, renewal: str) -> None:
+    def confirm_write(self, renewal: str) -> None:
         """Take up that a write took effect.
 
         Args:
@@ -192,7 +192,7 @@
         if attempt is not None:
             self._adopt(attempt)
 
-    def rejected(self, renewal: str) -> None:
+    def reject_write(self, renewal: str) -> None:
         """Take up that a write met another version and had no effect.
 
         Args:
@@ -239,7 +239,7 @@
         """Count the lease from before its write was sent."""
         self.elastic = attempt.elastic
         self.reserved = attempt.floor
-        self.expires = attempt.sent_at + watches.LEASE_S
+        self.expires = attempt.sent_at + lease_monitor.LEASE_S
 
 
 def open_ledger(
@@ -262,11 +262,11 @@
         >>> clock = clocks.ManualClock()
         >>> terms = ledgers.Terms(1, 100, ('a', 'b'), 5.0)
         >>> shares = open_ledger(clock, 'vm-1/1', 'vm-1', 'a', terms)
-        >>> shares.see_vms({'vm-1': 'a'})
+        >>> shares.update_vm_list({'vm-1': 'a'})
         >>> row = shares.propose(demand=60, in_use=0)
         >>> shares.usable
         0
-        >>> shares.committed(shares.last_renewal)
+        >>> shares.confirm_write(shares.last_renewal)
         >>> shares.usable, row.free
         (50, 0)
         >>> clock.advance(5.1)
@@ -278,5 +278,5 @@
         holder,
         floors.FloorBinding(clock, vm_id, seat),
         terms,
-        watches.LedgerWatch(clock),
+        lease_monitor.LeaseMonitor(clock),
     )
--- a/packages/domain/bulrushcourse_domain/limits/tests/share_model.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/share_model.py
@@ -9,16 +9,16 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from bulrushcourse_domain.limits import floor
+from bulrushcourse_domain.limits import floor_binding
+from bulrushcourse_domain.limits import lease_monitor
 from bulrushcourse_domain.limits import ledger
 from bulrushcourse_domain.limits import share_ledger
-from bulrushcourse_domain.limits import watch
 
 SEATS = ('a', 'b', 'c')
 CAP = 100
 WORK_LIMIT_S = 10.0
 # Any old terms have passed after a lease, its work and the work after it.
-SETTLED_S = 2 * (watch.LEASE_S + 2 * WORK_LIMIT_S)
+SETTLED_S = 2 * (lease_monitor.LEASE_S + 2 * WORK_LIMIT_S)
 INDEXES = strategies.integers(0, 5)
 RATES = (0.991, 1.0, 1.009)
 
@@ -73,8 +73,8 @@
 
 class ShareModel(stateful.RuleBasedStateMachine):
     ledger_type = share_ledger.ShareLedger
-    watch_type = watch.LedgerWatch
-    binding_type = floor.FloorBinding
+    watch_type = lease_monitor.LeaseMonitor
+    binding_type = floor_binding.FloorBinding
 
     def __init__(self):
         super().__init__()
@@ -128,7 +128,7 @@
         self.publish_list()
         for vm in self.vms:
             if vm.live:
-                vm.shares.see_vms(self.world.listed)
+                vm.shares.update_vm_list(self.world.listed)
 
     @stateful.rule(demand=strategies.sampled_from([30, 100]))
     def renew_all(self, demand):
@@ -143,7 +143,7 @@
     @stateful.rule(index=INDEXES)
     def see_list(self, index):
         if (vm := self.pick(index)) is not None:
-            vm.shares.see_vms(self.world.listed)
+            vm.shares.update_vm_list(self.world.listed)
 
     @stateful.rule(index=INDEXES)
     def read(self, index):
@@ -174,7 +174,9 @@
     def answer(self, index):
         if (vm := self.pick(index)) is not None and vm.answers:
             renewal, applied = vm.answers.pop()
-            tell = vm.shares.committed if applied else vm.shares.rejected
+            tell = (
+                vm.shares.confirm_write if applied else vm.shares.reject_write
+            )
             tell(renewal)
 
     @stateful.rule()
@@ -190,12 +192,12 @@
     def renew_vm(self, vm, demand):
         vm.answers.clear()
         vm.shares.observe(self.world.row, self.world.version)
-        vm.shares.see_vms(self.world.listed)
+        vm.shares.update_vm_list(self.world.listed)
         if not vm.shares.is_due(demand):
             return
         proposed = vm.shares.propose(demand, vm.in_use(self.world.now))
         assert self.world.transact(vm.shares.version, proposed)
-        vm.shares.committed(vm.shares.last_renewal)
+        vm.shares.confirm_write(vm.shares.last_renewal)
 
     @stateful.rule(index=INDEXES)
     def admit_work(self, index):
--- a/packages/domain/bulrushcourse_domain/limits/tests/test_pacing.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/test_pacing.py
@@ -12,28 +12,28 @@
 
 
 class Senders:
-    """Bodies that always have one piece in the queue."""
+    """Bodies that always have one chunk in the queue."""
 
     def __init__(self, streams):
         self.clock = clocks.ManualClock()
         window = rate_window.RateWindow(self.clock)
-        self.queue = pacing.PieceQueue(self.clock, window, LONG)
+        self.queue = pacing.ChunkQueue(self.clock, window, LONG)
         self.streams = streams
         self.flowed = []
         for name, priority in streams.items():
-            self.queue.add(pacing.Piece(name, priority, pacing.PIECE_BYTES))
+            self.queue.add(pacing.Chunk(name, priority, pacing.CHUNK_BYTES))
 
     def run_until(self, end):
         while self.clock.now < end:
-            for piece in self.queue.release(SHARE):
-                self.flowed.append((self.clock.now, piece))
-                if piece.piece_id in self.streams:
-                    self.queue.add(piece)
+            for chunk in self.queue.release(SHARE):
+                self.flowed.append((self.clock.now, chunk))
+                if chunk.chunk_id in self.streams:
+                    self.queue.add(chunk)
             wait = self.queue.wait_s(SHARE)
             self.clock.advance(min(max(wait, 1e-4), end - self.clock.now))
 
     def bytes_of(self, name):
-        return sum(p.size for _, p in self.flowed if p.piece_id == name)
+        return sum(p.size for _, p in self.flowed if p.chunk_id == name)
 
 
 def test_uploads_use_nine_tenths_of_link():
@@ -41,10 +41,10 @@
     senders.run_until(20.0)
     first, second = (senders.bytes_of(n) for n in senders.streams)
     assert first + second >= 0.9 * SHARE * 20
-    assert abs(first - second) <= pacing.PIECE_BYTES
+    assert abs(first - second) <= pacing.CHUNK_BYTES
 
 
-def test_short_piece_flows_at_once_beside_uploads():
+def test_short_chunk_flows_at_once_beside_uploads():
     """Guards against a window that uploads have filled."""
     senders = Senders({'upload-1': LONG, 'upload-2': LONG})
     for number in itertools.count():
@@ -52,15 +52,15 @@
         if due > 12.0:
             break
         senders.run_until(due)
-        senders.queue.add(pacing.Piece('list', SHORT, pacing.PIECE_BYTES))
+        senders.queue.add(pacing.Chunk('list', SHORT, pacing.CHUNK_BYTES))
         released = senders.queue.release(SHARE)
-        assert 'list' in [piece.piece_id for piece in released]
+        assert 'list' in [chunk.chunk_id for chunk in released]
 
 
 def test_uploads_do_not_starve_behind_short_work():
     senders = Senders({'upload': LONG, 'list-1': SHORT, 'list-2': SHORT})
     senders.run_until(20.0)
-    total = sum(piece.size for _, piece in senders.flowed)
+    total = sum(chunk.size for _, chunk in senders.flowed)
     assert senders.bytes_of('upload') >= total / (pacing.RELIEF_EVERY + 1)
     assert senders.bytes_of('upload') <= total / 10
 
@@ -73,7 +73,7 @@
         assert held <= SHARE
 
 
-def test_cancelled_piece_is_not_charged():
+def test_cancelled_chunk_is_not_charged():
     senders = Senders({'upload': LONG})
     senders.queue.cancel('upload')
     assert senders.queue.release(SHARE) == []
--- a/packages/domain/bulrushcourse_domain/limits/tests/test_share_ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/test_share_ledger.py
@@ -7,9 +7,9 @@
 import hypothesis
 import pytest
 
-from bulrushcourse_domain.limits import floor
+from bulrushcourse_domain.limits import floor_binding
+from bulrushcourse_domain.limits import lease_monitor
 from bulrushcourse_domain.limits import share_ledger
-from bulrushcourse_domain.limits import watch
 from bulrushcourse_domain.limits.tests import share_model
 
 share_model.ShareModel.TestCase.settings = hypothesis.settings(
@@ -23,17 +23,17 @@
 
 @attrs.define
 class LeaseFromAnswer(share_ledger.ShareLedger):
-    def committed(self, renewal):
-        super().committed(renewal)
-        self.expires = self.clock.monotonic() + watch.LEASE_S
+    def confirm_write(self, renewal):
+        super().confirm_write(renewal)
+        self.expires = self.clock.monotonic() + lease_monitor.LEASE_S
 
 
-class ReuseWithoutWorkLimit(watch.LedgerWatch):
+class ReuseWithoutWorkLimit(lease_monitor.LeaseMonitor):
     def work_margin_s(self, work_limit_s):
         return 0.0
 
 
-class FloorWithoutSoleVm(floor.FloorBinding):
+class FloorWithoutSoleVm(floor_binding.FloorBinding):
     def is_sole(self, seats):
         return self.vm_id in seats
 
@@ -42,7 +42,7 @@
 class GrowthBeforeAnswer(share_ledger.ShareLedger):
     def propose(self, demand, in_use):
         proposed = super().propose(demand, in_use)
-        self.committed(self.last_renewal)
+        self.confirm_write(self.last_renewal)
         return proposed
 
 
--- a/packages/domain/bulrushcourse_domain/membership/lookup.py
+++ b/packages/domain/bulrushcourse_domain/membership/lookup.py
@@ -23,7 +23,7 @@
 FAR_ALTERNATIVES = 1
 ANSWER_LIMIT = 5
 
-Answer = tuple[member.Sighting, ...]
+Answer = tuple[member.MemberInfo, ...]
 
 
 @attrs.define
@@ -38,9 +38,9 @@
         answers: Answers by caller's region, then by bucket.
     """
 
-    members: tuple[member.Sighting, ...] = ()
+    members: tuple[member.MemberInfo, ...] = ()
     nearness: typing.Mapping[str, tuple[str, ...]] = attrs.field(factory=dict)
-    by_region: dict[str, list[member.Sighting]] = attrs.field(init=False)
+    by_region: dict[str, list[member.MemberInfo]] = attrs.field(init=False)
     answers: dict[str, list[Answer | None]] = attrs.field(
         init=False, factory=dict
     )
@@ -58,8 +58,8 @@
             region: Region nearest to the caller.
 
         Examples:
-            >>> north = member.Sighting('a', 'a1', 'vm-a', 'north')
-            >>> south = member.Sighting('b', 'b1', 'vm-b', 'south')
+            >>> north = member.MemberInfo('a', 'a1', 'vm-a', 'north')
+            >>> south = member.MemberInfo('b', 'b1', 'vm-b', 'south')
             >>> lookup = Lookup((south, north))
             >>> [m.entry for m in lookup.answer('10.0.0.1', 'north')]
             ['a', 'b']
@@ -88,7 +88,7 @@
         )
 
     def _order(self, bucket: int, region: str) -> Answer:
-        chosen: list[member.Sighting] = []
+        chosen: list[member.MemberInfo] = []
         for name in self.regions(region):
             number = FAR_ALTERNATIVES if chosen else NEAR_ALTERNATIVES
             ranked = sorted(
@@ -105,8 +105,8 @@
 
 
 def _spread_domains(
-    ranked: list[member.Sighting],
-) -> list[member.Sighting]:
+    ranked: list[member.MemberInfo],
+) -> list[member.MemberInfo]:
     """Return members in order, the second from another failure domain.
 
     A caller whose first entry fell with its failure domain must not wait for
--- a/packages/domain/bulrushcourse_domain/membership/member.py
+++ b/packages/domain/bulrushcourse_domain/membership/member.py
@@ -23,7 +23,7 @@
 
 
 @attrs.frozen
-class Sighting:
+class MemberInfo:
     """What an entry says of itself in a heartbeat.
 
     Attributes:
@@ -71,13 +71,13 @@
     """One run of an entry, as this entry sees it.
 
     Attributes:
-        sighting: Its newest heartbeat.
+        info: Its newest heartbeat.
         since: Clock seconds of its first heartbeat.
         heard_at: Clock seconds of its newest heartbeat.
         state: Its state at the last heartbeat or sweep.
     """
 
-    sighting: Sighting
+    info: MemberInfo
     since: float
     heard_at: float
     state: MemberState
--- a/packages/domain/bulrushcourse_domain/membership/tests/test_lookup.py
+++ b/packages/domain/bulrushcourse_domain/membership/tests/test_lookup.py
@@ -13,7 +13,7 @@
 
 def entries(number, region='north'):
     return tuple(
-        member.Sighting(
+        member.MemberInfo(
             f'{region}-{i}',
             f'i{i}',
             f'vm-{i}',
--- a/packages/domain/bulrushcourse_domain/membership/view.py
+++ b/packages/domain/bulrushcourse_domain/membership/view.py
@@ -47,7 +47,7 @@
     """
 
     clock: clocks.Clock
-    own: member.Sighting
+    own: member.MemberInfo
     members: dict[str, member.Member] = attrs.field(factory=dict)
     listed: dict[str, member.ListedVm] = attrs.field(factory=dict)
     listed_at: float | None = None
@@ -57,45 +57,47 @@
     def __attrs_post_init__(self) -> None:
         self.contact_at = self.clock.monotonic()
 
-    def hear(self, sighting: member.Sighting) -> None:
+    def record_heartbeat(self, info: member.MemberInfo) -> None:
         """Take in a heartbeat of another entry.
 
         Args:
-            sighting: Its content.
+            info: Its content.
 
         Examples:
-            >>> own = member.Sighting('a', 'a1', 'vm-a', 'north')
+            >>> own = member.MemberInfo('a', 'a1', 'vm-a', 'north')
             >>> clock = clocks.ManualClock()
             >>> view = MemberView(clock, own)
-            >>> view.hear(member.Sighting('b', 'b1', 'vm-b', 'north'))
-            >>> [found.entry for found in view.named()]
+            >>> view.record_heartbeat(
+            ...     member.MemberInfo('b', 'b1', 'vm-b', 'north')
+            ... )
+            >>> [found.entry for found in view.lookup_candidates()]
             ['a', 'b']
             >>> clock.advance(SUSPECT_AFTER_S)
-            >>> [found.entry for found in view.named()]
+            >>> [found.entry for found in view.lookup_candidates()]
             ['a']
         """
         if (
-            sighting.incarnation in self.ended
-            or sighting.incarnation == self.own.incarnation
+            info.incarnation in self.ended
+            or info.incarnation == self.own.incarnation
         ):
             return
         now = self.clock.monotonic()
         self.contact_at = now
-        known = self.members.get(sighting.incarnation)
+        known = self.members.get(info.incarnation)
         if known is None:
-            self._end_runs_on(sighting.vm_id)
-        self.members[sighting.incarnation] = member.Member(
-            sighting,
+            self._end_runs_on(info.vm_id)
+        self.members[info.incarnation] = member.Member(
+            info,
             known.since if known else now,
             now,
-            self._state(sighting, now, now),
+            self._state(info, now, now),
         )
 
-    def reach_store(self) -> None:
+    def record_store_contact(self) -> None:
         """Take note that the store answered this entry."""
         self.contact_at = self.clock.monotonic()
 
-    def list_vms(self, vms: typing.Iterable[member.ListedVm]) -> None:
+    def update_vm_list(self, vms: typing.Iterable[member.ListedVm]) -> None:
         """Take in the platform's list of VMs.
 
         Args:
@@ -104,7 +106,7 @@
         self.listed = {vm.vm_id: vm for vm in vms}
         self.listed_at = self.clock.monotonic()
 
-    def end(self, incarnation: str) -> None:
+    def record_end(self, incarnation: str) -> None:
         """Take note that a run ended, such as after its last message.
 
         Args:
@@ -124,7 +126,7 @@
         now = self.clock.monotonic()
         changed = []
         for incarnation, known in list(self.members.items()):
-            state = self._state(known.sighting, known.heard_at, now)
+            state = self._state(known.info, known.heard_at, now)
             if state is known.state:
                 continue
             known = attrs.evolve(known, state=state)
@@ -139,7 +141,7 @@
         """Return the state of each other run now, by incarnation."""
         now = self.clock.monotonic()
         return {
-            incarnation: self._state(known.sighting, known.heard_at, now)
+            incarnation: self._state(known.info, known.heard_at, now)
             for incarnation, known in self.members.items()
         }
 
@@ -151,7 +153,7 @@
         return self.clock.monotonic() - self.listed_at < LIST_FRESH_S
 
     @property
-    def isolated(self) -> bool:
+    def is_isolated(self) -> bool:
         """Whether this entry is cut off from both the store and its peers.
 
         An entry that knows of no other entry cannot be cut off from them.
@@ -160,7 +162,7 @@
         silence = self.clock.monotonic() - self.contact_at
         return bool(known) and silence >= ISOLATED_AFTER_S
 
-    def named(self) -> tuple[member.Sighting, ...]:
+    def lookup_candidates(self) -> tuple[member.MemberInfo, ...]:
         """Return the runs that look-up answers may name, one for each seat.
 
         An isolated entry names those it heard last instead of itself: its
@@ -168,24 +170,27 @@
         named: the older is about to be replaced.
         """
         wanted = {member.MemberState.LIVE}
-        if self.isolated:
+        if self.is_isolated:
             wanted.add(member.MemberState.SUSPECTED)
         states = self.states()
         found = [
-            (known.since, incarnation, known.sighting)
+            (known.since, incarnation, known.info)
             for incarnation, known in self.members.items()
             if states[incarnation] in wanted
         ]
         seats = {run.entry: run for _, _, run in sorted(found, key=_since)}
-        if not self.isolated and self._own_state() is member.MemberState.LIVE:
+        if (
+            not self.is_isolated
+            and self._own_state() is member.MemberState.LIVE
+        ):
             seats[self.own.entry] = self.own
         return tuple(seats[entry] for entry in sorted(seats))
 
-    def unheard(self) -> frozenset[str]:
+    def silent_vms(self) -> frozenset[str]:
         """Return the live VMs of the list, less this one, not heard lately."""
         states = self.states()
         heard = {
-            known.sighting.vm_id
+            known.info.vm_id
             for incarnation, known in self.members.items()
             if states[incarnation] in HEARD
         }
@@ -199,18 +204,18 @@
 
     def _end_runs_on(self, vm_id: str) -> None:
         for incarnation, known in list(self.members.items()):
-            if known.sighting.vm_id == vm_id:
-                self.end(incarnation)
+            if known.info.vm_id == vm_id:
+                self.record_end(incarnation)
 
     def _own_state(self) -> member.MemberState:
         now = self.clock.monotonic()
         return self._state(self.own, now, now)
 
     def _state(
-        self, sighting: member.Sighting, heard_at: float, now: float
+        self, info: member.MemberInfo, heard_at: float, now: float
     ) -> member.MemberState:
         silence = now - heard_at
-        listed = self.listed.get(sighting.vm_id)
+        listed = self.listed.get(info.vm_id)
         if silence >= FORGET_AFTER_S:
             return member.MemberState.GONE
         if silence >= SUSPECT_AFTER_S:
@@ -220,7 +225,7 @@
         if listed is not None and listed.leaving:
             return member.MemberState.LEAVING
         return member.DECLARED_STATES.get(
-            sighting.state, member.MemberState.STARTING
+            info.state, member.MemberState.STARTING
         )
 
     def _is_listed_after(self, heard_at: float) -> bool:
@@ -235,5 +240,5 @@
         )
 
 
-def _since(run: tuple[float, str, member.Sighting]) -> tuple[float, str]:
+def _since(run: tuple[float, str, member.MemberInfo]) -> tuple[float, str]:
     return run[:2]
--- a/packages/domain/bulrushcourse_domain/placement/admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/admission.py
@@ -57,7 +57,7 @@
 
 
 @attrs.define
-class RetryTimes:
+class RetryAfterSampler:
     """Times to come back that spread the returns of refused requests.
 
     Attributes:
@@ -66,7 +66,7 @@
 
     rng: random.Random
 
-    def draw(self, remaining_s: float) -> float:
+    def sample(self, remaining_s: float) -> float:
         """Return the seconds after which a client may return.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/placement/demand.py
+++ b/packages/domain/bulrushcourse_domain/placement/demand.py
@@ -65,7 +65,7 @@
     )
     settled_at: float = math.inf
 
-    def count(self, service: str, work_s: float) -> None:
+    def record_request(self, service: str, work_s: float) -> None:
         """Count a request that arrives at this VM.
 
         Args:
@@ -81,7 +81,7 @@
         now = self.clock.monotonic()
         return {s: round(f.read(now), 2) for s, f in self.own.items()}
 
-    def hear(
+    def record_peer_demand(
         self, vm: str, region: str, slots: typing.Mapping[str, float]
     ) -> None:
         """Take over what another VM reports.
@@ -93,7 +93,7 @@
         """
         self.reports[vm] = self.clock.monotonic(), region, dict(slots)
 
-    def forget(self, vm: str) -> None:
+    def discard(self, vm: str) -> None:
         """Drop the report of a VM that was removed.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -11,8 +11,8 @@
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_domain.upstreams import recent_objects
-from bulrushcourse_domain.upstreams import trouble
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_domain.upstreams import warmup
 
@@ -32,7 +32,7 @@
 
 
 @attrs.frozen
-class Query:
+class PlacementRequest:
     """What a request needs of an upstream.
 
     Attributes:
@@ -79,46 +79,48 @@
         clock: Source of time.
         directory: Known upstreams.
         load: Their load.
-        troubles: Their failures.
+        outliers: Their failures.
         objects: Objects that they have handled.
-        cold: Limits on cold upstreams.
+        warmup_limiter: Limits on cold upstreams.
         times: Service times.
-        delays: Round trip to each failure domain in seconds.
+        round_trip_s: Round trip to each failure domain in seconds.
         rng: Source of randomness for draws.
-        sharers: Number of VMs that may use the same upstreams.
+        sharing_vm_count: Number of VMs that may use the same upstreams.
     """
 
     clock: clocks.Clock
     directory: directories.UpstreamDirectory
     load: loads.LoadView
-    troubles: trouble.TroubleLog
+    outliers: outlier_detection.OutlierDetector
     objects: recent_objects.RecentObjects
-    cold: warmup.WarmupLimiter
+    warmup_limiter: warmup.WarmupLimiter
     times: service_times.ServiceTimes
-    delays: typing.Callable[[upstreams.Upstream], float]
+    round_trip_s: typing.Callable[[upstreams.Upstream], float]
     rng: random.Random
-    sharers: int = 1
+    sharing_vm_count: int = 1
 
-    def choose(self, query: Query, service: routes.Service) -> Choice | None:
+    def choose(
+        self, request: PlacementRequest, service: routes.Service
+    ) -> Choice | None:
         """Return the best upstream, ``None`` if there is none.
 
         Args:
-            query: What the request needs.
+            request: What the request needs.
             service: The service that shall run it.
         """
-        candidates = self._candidates(query, service)
+        candidates = self._candidates(request, service)
         if not candidates:
             return None
-        times = self.times.of(
-            query.route.key, query.service, query.route.objective_s
+        times = self.times.route_times(
+            request.route.key, request.service, request.route.objective_s
         )
-        objective = query.route.objective_s
-        affinities = self._affinities(query, candidates)
+        objective = request.route.objective_s
+        affinities = self._affinities(request, candidates)
 
         def rank(upstream: upstreams.Upstream) -> float:
             affinity = affinities[upstream.name]
             cost = self._cost(upstream, affinity, times, objective)
-            if query.object_key and affinity is not Affinity.FIRST:
+            if request.object_key and affinity is not Affinity.FIRST:
                 cost += times.displacement_s()
             return cost + self.rng.random() * objective * DRAW_SHARE
 
@@ -127,7 +129,7 @@
         work, wait, busy = self._expect(best, affinity, times)
         return Choice(
             best,
-            self.delays(best) + wait + work,
+            self.round_trip_s(best) + wait + work,
             work,
             affinity,
             busy,
@@ -135,40 +137,40 @@
         )
 
     def _candidates(
-        self, query: Query, service: routes.Service
+        self, request: PlacementRequest, service: routes.Service
     ) -> list[upstreams.Upstream]:
         allowed_each = connections.allowed_connections(
-            service.max_connections, self.sharers
+            service.max_connections, self.sharing_vm_count
         )
         found = [
             u
-            for u in self.directory.usable(query.service, query.region)
-            if query.route.may_run_in(u.region)
+            for u in self.directory.usable(request.service, request.region)
+            if request.route.may_run_in(u.region)
             and self.load.own.get(u.name, 0) < allowed_each
-            and u.name not in query.tried
+            and u.name not in request.tried
         ]
         allowed = [
             u
             for u in found
             if not self.directory.is_cold(u.name)
-            or self.cold.may_send(u.name, service.warmup_per_s)
+            or self.warmup_limiter.may_send(u.name, service.warmup_per_s)
         ]
-        sound = [u for u in allowed if not self.troubles.is_paused(u.name)]
+        sound = [u for u in allowed if not self.outliers.is_ejected(u.name)]
         # When every upstream looks bad, the fault is more likely to be here.
         return sound or allowed
 
     def _affinities(
-        self, query: Query, candidates: list[upstreams.Upstream]
+        self, request: PlacementRequest, candidates: list[upstreams.Upstream]
     ) -> dict[str, Affinity]:
-        if not query.object_key:
+        if not request.object_key:
             return dict.fromkeys((u.name for u in candidates), Affinity.NONE)
         found = {
-            u.name: self._seen(u.name, query.object_key) for u in candidates
+            u.name: self._seen(u.name, request.object_key) for u in candidates
         }
         # Upstreams that are set aside or cold for the moment stay preferred,
         # so that their objects do not move for a short while.
         preferred = self.directory.preferred(
-            query.service, query.region, query.object_key
+            request.service, request.region, request.object_key
         )
         return found | dict(zip(preferred, PREFERRED, strict=False))
 
@@ -189,7 +191,7 @@
             work *= COLD_FACTOR
         in_flight = self.load.in_flight(upstream.name)
         busy = max(0, in_flight + 1 - upstream.slots)
-        return work, busy * times.usual_s / upstream.slots, busy
+        return work, busy * times.typical_s / upstream.slots, busy
 
     def _cost(
         self,
@@ -199,10 +201,10 @@
         objective_s: float,
     ) -> float:
         work, wait, _ = self._expect(upstream, affinity, times)
-        failing = self.troubles.failure_share(upstream.name)
+        failing = self.outliers.failure_share(upstream.name)
         use = self.load.in_flight(upstream.name) / upstream.slots
         return (
-            self.delays(upstream)
+            self.round_trip_s(upstream)
             + wait
             + work
             + failing * FAILURE_COST * objective_s
--- a/packages/domain/bulrushcourse_domain/placement/region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/region_mix.py
@@ -6,7 +6,7 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain import rendezvous
-from bulrushcourse_domain.routes import split
+from bulrushcourse_domain.routes import weighted_round_robin
 
 # Part of the requests that may change region between windows of two seconds
 # that moves in one second; two windows then differ by 0.4 of the bound.
@@ -67,9 +67,11 @@
     shift_share: float = USUAL_SHIFT_SHARE
     shares: dict[str, float] = attrs.field(factory=dict)
     at: float = 0.0
-    turns: split.WeightedTurns = attrs.field(factory=split.WeightedTurns)
+    turns: weighted_round_robin.WeightedRoundRobin = attrs.field(
+        factory=weighted_round_robin.WeightedRoundRobin
+    )
 
-    def take(
+    def choose_region(
         self,
         target: typing.Mapping[str, float],
         usable: typing.Container[str],
@@ -96,8 +98,8 @@
             self.shares = move_towards(scaled, target, step, DEAD_BAND)
         self.at = now
         if not object_key:
-            return self.turns.take(self.shares)
+            return self.turns.next_choice(self.shares)
         wanted = rendezvous.choose_weighted(object_key, self.shares)
-        return self.turns.take(
+        return self.turns.next_choice(
             self.shares, wanted, OBJECT_SLACK, OBJECT_MEMORY
         )
--- a/packages/domain/bulrushcourse_domain/placement/service_times.py
+++ b/packages/domain/bulrushcourse_domain/placement/service_times.py
@@ -49,14 +49,14 @@
     Attributes:
         cold_s: Mean for objects that the upstream has not handled.
         warm_s: Mean for objects that it handled lately.
-        usual_s: Mean of all requests.
+        typical_s: Mean of all requests.
         samples: Measurements so far.
         hit_shares: Share of requests that find the object warm.
     """
 
     cold_s: float
     warm_s: float
-    usual_s: float
+    typical_s: float
     samples: int = 0
     hit_shares: dict[Affinity, float] = attrs.field(
         factory=lambda: dict(_FIRST_HIT_SHARES)
@@ -91,8 +91,8 @@
         was_warm = seconds < math.sqrt(self.cold_s * self.warm_s)
         self.samples += 1
         weight = FAST_WEIGHT if self.samples < FAST_SAMPLES else WEIGHT
-        cut = min(seconds, self.usual_s * OUTLIER_FACTOR)
-        self.usual_s += weight * (cut - self.usual_s)
+        cut = min(seconds, self.typical_s * OUTLIER_FACTOR)
+        self.typical_s += weight * (cut - self.typical_s)
         mean = self.warm_s if was_warm else self.cold_s
         mean += weight * (min(seconds, mean * OUTLIER_FACTOR) - mean)
         if was_warm:
@@ -115,7 +115,9 @@
     by_route: dict[tuple[str, str], RouteTimes] = attrs.field(factory=dict)
     by_service: dict[str, RouteTimes] = attrs.field(factory=dict)
 
-    def of(self, route: str, service: str, objective_s: float) -> RouteTimes:
+    def route_times(
+        self, route: str, service: str, objective_s: float
+    ) -> RouteTimes:
         """Return the times of a route at a service.
 
         Args:
@@ -133,11 +135,11 @@
         """Return the means of the service's other routes, if measured."""
         known = self.by_service.get(service)
         if known is not None:
-            return RouteTimes(known.cold_s, known.warm_s, known.usual_s)
+            return RouteTimes(known.cold_s, known.warm_s, known.typical_s)
         guess = objective_s * FIRST_GUESS_SHARE
         return RouteTimes(guess, guess * WARM_GUESS, guess)
 
-    def keep_routes(self, routes: typing.Container[str]) -> None:
+    def retain_routes(self, routes: typing.Container[str]) -> None:
         """Forget the times of all other routes.
 
         Args:
@@ -166,7 +168,7 @@
             seconds: Service time, divided by the upstream's slowness.
             affinity: What the upstream has to do with the object.
         """
-        self.of(route, service, objective_s).add(seconds, affinity)
+        self.route_times(route, service, objective_s).add(seconds, affinity)
         if service not in self.by_service:
             self.by_service[service] = RouteTimes(seconds, seconds, seconds)
         self.by_service[service].add(seconds, affinity)
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
@@ -10,7 +10,9 @@
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
-ROUTE = routes.Route('h', '/', (routes.Part('s'),), objective_s=0.25)
+ROUTE = routes.Route(
+    'h', '/', (routes.WeightedService('s'),), objective_s=0.25
+)
 UPSTREAM = upstreams.Upstream('u', 's', 'a:1', 'd', 'r')
 Verdict = admission.Verdict
 
@@ -40,8 +42,8 @@
 
 def test_times_to_come_back_are_spread_and_leave_time():
     # Pattern: a crowd that is refused at one moment and returns at another.
-    times = admission.RetryTimes(random.Random(1))
-    drawn = [times.draw(1.2) for _ in range(300)]
+    times = admission.RetryAfterSampler(random.Random(1))
+    drawn = [times.sample(1.2) for _ in range(300)]
     assert max(drawn) <= 1.2 / 3
     assert min(drawn) > 0
     assert max(drawn) - min(drawn) > 0.2
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
@@ -38,11 +38,12 @@
         clock.advance(rng.expovariate(PER_S))
         while ends and ends[0][0] <= clock.now:
             _, _, name, work, affinity = heapq.heappop(ends)
-            placing.load.end(name)
+            placing.load.end_request(name)
             placing.times.add(scenes.ROUTE.key, 's', 0.25, work, affinity)
         object_key = str(rng.randrange(OBJECTS))
         choice = placing.choose(
-            placement.Query(scenes.ROUTE, 's', object_key), scenes.SERVICE
+            placement.PlacementRequest(scenes.ROUTE, 's', object_key),
+            scenes.SERVICE,
         )
         name = choice.upstream.name
         slot = heapq.heappop(free_at[name])
@@ -57,7 +58,7 @@
         work = WARM_S if warm else COLD_S
         end = max(slot, clock.now) + work
         heapq.heappush(free_at[name], end)
-        placing.load.begin(name)
+        placing.load.begin_request(name)
         number += 1
         heapq.heappush(ends, (end, number, name, work, choice.affinity))
         runs.append((clock.now, warm))
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_region_mix.py
@@ -54,7 +54,9 @@
         demand = dict(zip(REGIONS, load, strict=True))
         for _ in range(200):
             target = allocation.allocate(demand, capacity)['a']
-            taken.append((clock.monotonic(), mix.take(target, capacity)))
+            taken.append(
+                (clock.monotonic(), mix.choose_region(target, capacity))
+            )
             clock.advance(0.01)
     assert largest_shift(taken) <= MAX_SHIFT
 
@@ -68,7 +70,7 @@
     strays = 0
     for number in range(6000):
         object_key = str(number * 7919 % 60)
-        region = mix.take(shares, shares, object_key)
+        region = mix.choose_region(shares, shares, object_key)
         home = rendezvous.choose_weighted(object_key, shares)
         strays += region != home
         regions.setdefault(home, set()).add(object_key)
@@ -91,6 +93,6 @@
 def test_region_that_cannot_serve_is_left_at_once():
     clock = clocks.ManualClock()
     mix = region_mix.RegionMix(clock)
-    mix.take({'a': 0.9, 'b': 0.1}, {'a', 'b'})
-    taken = {mix.take({'b': 1.0}, {'b'}) for _ in range(20)}
+    mix.choose_region({'a': 0.9, 'b': 0.1}, {'a', 'b'})
+    taken = {mix.choose_region({'b': 1.0}, {'b'}) for _ in range(20)}
     assert taken == {'b'}
--- a/packages/domain/bulrushcourse_domain/quarantine/crashes.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/crashes.py
@@ -33,7 +33,7 @@
         factory=collections.OrderedDict
     )
 
-    def note_loss(self, fingerprint: str, upstream: str) -> None:
+    def record_loss(self, fingerprint: str, upstream: str) -> None:
         """Count an upstream that broke off, at this VM or another one.
 
         Args:
@@ -57,7 +57,7 @@
         if len(self.proven) > MAX_REMEMBERED:
             self.proven.popitem(last=False)
 
-    def is_refused(self, fingerprint: str) -> bool:
+    def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request must not run.
 
         Args:
@@ -66,8 +66,8 @@
         Examples:
             >>> ledger = CrashLedger(clocks.ManualClock())
             >>> for upstream in ('a', 'b'):
-            ...     ledger.note_loss('f', upstream)
-            >>> ledger.is_refused('f')
+            ...     ledger.record_loss('f', upstream)
+            >>> ledger.is_quarantined('f')
             True
         """
         losses = self.lost.get(fingerprint)
--- a/packages/domain/bulrushcourse_domain/quarantine/losses.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/losses.py
@@ -23,7 +23,7 @@
 
 
 @attrs.frozen
-class Clearing:
+class LossClearance:
     """A whole answer to a suspect; the earlier losses had another cause.
 
     Attributes:
@@ -38,4 +38,4 @@
     expires: float
 
 
-News = Loss | Clearing
+LossUpdate = Loss | LossClearance
--- a/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
@@ -111,7 +111,7 @@
         run_id: str,
         instance: str,
         outcome: requests.ReleaseOutcome,
-    ) -> losses.News | None:
+    ) -> losses.LossUpdate | None:
         """End a run and return what the other entries have to know.
 
         Args:
@@ -138,19 +138,19 @@
         self.merge(loss)
         return loss
 
-    def merge(self, news: losses.News) -> None:
+    def merge(self, update: losses.LossUpdate) -> None:
         """Take over a fact; order and repetition make no difference.
 
         Args:
-            news: A loss or a clearing, of this entry or a peer.
+            update: A loss or a clearing, of this entry or a peer.
         """
-        if isinstance(news, losses.Clearing):
-            for loss_id in news.loss_ids:
-                until = max(news.expires, self.cleared.get(loss_id, 0.0))
+        if isinstance(update, losses.LossClearance):
+            for loss_id in update.loss_ids:
+                until = max(update.expires, self.cleared.get(loss_id, 0.0))
                 self.cleared[loss_id] = until
             return
-        self.lost.setdefault(news.fingerprint, {})[news.loss_id] = news
-        self.proven.pop(news.fingerprint, None)
+        self.lost.setdefault(update.fingerprint, {})[update.loss_id] = update
+        self.proven.pop(update.fingerprint, None)
 
     def counted(self, fingerprint: str) -> tuple[losses.Loss, ...]:
         """Return the losses that count against a request.
@@ -175,7 +175,7 @@
         limit = self._limit(fingerprint, repeatable)
         return len(self.counted(fingerprint)) >= limit
 
-    def forget_expired(self) -> None:
+    def remove_expired(self) -> None:
         """Drop facts that no longer count; call it now and then."""
         now = self._wall()
         for fingerprint, found in list(self.lost.items()):
@@ -186,7 +186,7 @@
                 del self.lost[fingerprint]
         self.cleared = {i: t for i, t in self.cleared.items() if t > now}
 
-    def _prove(self, fingerprint: str) -> losses.Clearing | None:
+    def _prove(self, fingerprint: str) -> losses.LossClearance | None:
         counted = self.counted(fingerprint)
         self.proven[fingerprint] = self._expiry()
         self.proven.move_to_end(fingerprint)
@@ -198,7 +198,7 @@
         # is remembered for longer than the loss.
         expires = self._expiry() + QUARANTINE_S
         cleared = frozenset(loss.loss_id for loss in counted)
-        clearing = losses.Clearing(fingerprint, cleared, expires)
+        clearing = losses.LossClearance(fingerprint, cleared, expires)
         self.merge(clearing)
         return clearing
 
--- a/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
@@ -51,27 +51,27 @@
         admission = entries[index].admit('f', f'r{number}', True)
         if admission is RUN:
             lost += 1
-            news = entries[index].finish('f', f'r{number}', 'i', LOST)
+            update = entries[index].finish('f', f'r{number}', 'i', LOST)
             for entry in entries:
-                entry.merge(news)
+                entry.merge(update)
     assert lost == min(2, len(arrivals))
 
 
-NEWS = [
+UPDATES = [
     losses.Loss('f', 'r1', 'i1', 2000.0, True),
     losses.Loss('f', 'r2', 'i2', 2000.0, True),
     losses.Loss('g', 'r3', 'i1', 2000.0, False),
-    losses.Clearing('f', frozenset(('r1',)), 3000.0),
-    losses.Clearing('f', frozenset(('r1',)), 4000.0),
+    losses.LossClearance('f', frozenset(('r1',)), 3000.0),
+    losses.LossClearance('f', frozenset(('r1',)), 4000.0),
 ]
 
 
 def test_merging_ignores_order_and_repetition():
     expected = None
-    for order in itertools.permutations(NEWS):
+    for order in itertools.permutations(UPDATES):
         quarantine = open_quarantine()
-        for news in (*order, *order[:2]):
-            quarantine.merge(news)
+        for update in (*order, *order[:2]):
+            quarantine.merge(update)
         state = quarantine.lost, quarantine.cleared
         expected = expected or state
         assert state == expected
@@ -104,8 +104,8 @@
     quarantine.admit('f', 'a', True)
     quarantine.finish('f', 'a', 'i', LOST)
     quarantine.admit('f', 'b', True)
-    news = quarantine.finish('f', 'b', 'i', DONE)
-    assert news.loss_ids == {'a'}
+    update = quarantine.finish('f', 'b', 'i', DONE)
+    assert update.loss_ids == {'a'}
     assert not quarantine.counted('f')
 
 
@@ -124,9 +124,9 @@
 
 def test_expired_facts_are_forgotten():
     quarantine = open_quarantine()
-    for news in NEWS:
-        quarantine.merge(news)
+    for update in UPDATES:
+        quarantine.merge(update)
     quarantine.clock.advance(4000)
-    quarantine.forget_expired()
+    quarantine.remove_expired()
     assert not quarantine.lost
     assert not quarantine.cleared
--- a/packages/domain/bulrushcourse_domain/retries/budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/budget.py
@@ -20,34 +20,34 @@
         share: Extra runs per primary run.
         max_saved: Largest number of extra runs that is saved up, which
             bounds the burst when an outage begins.
-        saved: Extra runs that may be spent now.
+        tokens: Extra runs that may be spent now.
         primary: Primary runs so far.
         extra: Extra runs so far.
     """
 
     share: float = SHARE
     max_saved: float = MAX_SAVED
-    saved: float = 0.0
+    tokens: float = 0.0
     primary: int = 0
     extra: int = 0
 
-    def count_primary(self) -> None:
+    def record_primary(self) -> None:
         """Count the first run of a request."""
         self.primary += 1
-        self.saved = min(self.max_saved, self.saved + self.share)
+        self.tokens = min(self.max_saved, self.tokens + self.share)
 
-    def spend(self) -> bool:
+    def try_spend(self) -> bool:
         """Return whether an extra run is allowed; if so, it is counted.
 
         Examples:
             >>> budget = RetryBudget()
             >>> for _ in range(20):
-            ...     budget.count_primary()
-            >>> budget.spend(), budget.spend()
+            ...     budget.record_primary()
+            >>> budget.try_spend(), budget.try_spend()
             (True, False)
         """
-        if self.saved < 1 - ROUNDING:
+        if self.tokens < 1 - ROUNDING:
             return False
-        self.saved = max(0.0, self.saved - 1)
+        self.tokens = max(0.0, self.tokens - 1)
         self.extra += 1
         return True
--- a/packages/domain/bulrushcourse_domain/retries/shared.py
+++ b/packages/domain/bulrushcourse_domain/retries/shared_budget.py
@@ -21,29 +21,29 @@
         ratio: Second sends per request.
         extra: Second sends per window besides, over all VMs.
         window_s: Length of the window.
-        saved: Second sends that may be spent now.
+        tokens: Second sends that may be spent now.
         at: Time of the last refill.
     """
 
     ratio: float
     extra: float
     window_s: float
-    saved: float = 1.0
+    tokens: float = 1.0
     at: float = 0.0
 
-    def count_request(self) -> None:
+    def record_request(self) -> None:
         """Count the first send of a request.
 
         What is saved is bounded, so that a quiet time does not pay for a
         burst of second sends in one window.
         """
-        self.saved = min(self.limit(), self.saved + self.ratio * USED_SHARE)
+        self.tokens = min(self.limit(), self.tokens + self.ratio * USED_SHARE)
 
     def limit(self) -> float:
         """Return the largest number of second sends that is saved up."""
         return max(3.0, self.extra * USED_SHARE / 4)
 
-    def spend(self, now: float, members: int) -> bool:
+    def try_spend(self, now: float, members: int) -> bool:
         """Return whether a second send is allowed; if so, it is counted.
 
         Args:
@@ -51,16 +51,16 @@
             members: Number of VMs that share the budget.
 
         Examples:
-            >>> budget = SharedRetryBudget(0.2, 0.0, 10.0, saved=1.0)
-            >>> budget.spend(0.0, 3), budget.spend(0.0, 3)
+            >>> budget = SharedRetryBudget(0.2, 0.0, 10.0, tokens=1.0)
+            >>> budget.try_spend(0.0, 3), budget.try_spend(0.0, 3)
             (True, False)
         """
         rate = self.extra / self.window_s / (members + ASSUMED_JOINERS)
         elapsed = min(self.window_s, max(0.0, now - self.at))
         self.at = now
         refill = elapsed * rate * USED_SHARE
-        self.saved = min(self.limit(), self.saved + refill)
-        if self.saved < 1.0:
+        self.tokens = min(self.limit(), self.tokens + refill)
+        if self.tokens < 1.0:
             return False
-        self.saved -= 1.0
+        self.tokens -= 1.0
         return True
--- a/packages/domain/bulrushcourse_domain/retries/tests/test_budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/tests/test_budget.py
@@ -14,9 +14,9 @@
     budget = budgets.RetryBudget()
     for primary in attempts:
         if primary:
-            budget.count_primary()
+            budget.record_primary()
         else:
-            budget.spend()
+            budget.try_spend()
         assert budget.extra <= budgets.SHARE * budget.primary + 1e-6
 
 
@@ -24,15 +24,15 @@
     """Every request of an outage wants a retry and a hedge."""
     budget = budgets.RetryBudget()
     for _ in range(10_000):
-        budget.count_primary()
-        budget.spend()
-        budget.spend()
+        budget.record_primary()
+        budget.try_spend()
+        budget.try_spend()
     assert 480 <= budget.extra <= 500
 
 
 def test_quiet_time_saves_no_unbounded_burst():
     budget = budgets.RetryBudget()
     for _ in range(10_000):
-        budget.count_primary()
-    spent = sum(budget.spend() for _ in range(10_000))
+        budget.record_primary()
+    spent = sum(budget.try_spend() for _ in range(10_000))
     assert spent == budgets.MAX_SAVED
--- a/packages/domain/bulrushcourse_domain/retries/tests/test_shared.py
+++ b/packages/domain/bulrushcourse_domain/retries/tests/test_shared_budget.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies
 
-from bulrushcourse_domain.retries import shared
+from bulrushcourse_domain.retries import shared_budget
 
 RATIO, EXTRA, WINDOW_S = 0.2, 60.0, 10.0
 
@@ -15,7 +15,7 @@
 def test_sum_stays_within_the_budget_in_every_window(members, per_half_s):
     # Pattern: every request fails and asks for second sends, in bursts.
     vms = [
-        shared.SharedRetryBudget(RATIO, EXTRA, WINDOW_S)
+        shared_budget.SharedRetryBudget(RATIO, EXTRA, WINDOW_S)
         for _ in range(members)
     ]
     spent, sent = [], []
@@ -25,9 +25,9 @@
         count = 0
         for vm in vms:
             for _ in range(number):
-                vm.count_request()
-                count += vm.spend(now, members)
-                count += vm.spend(now, members)
+                vm.record_request()
+                count += vm.try_spend(now, members)
+                count += vm.try_spend(now, members)
         spent.append(count)
     window = int(WINDOW_S / 0.5)
     for start in range(len(spent)):
--- a/packages/domain/bulrushcourse_domain/routes/route.py
+++ b/packages/domain/bulrushcourse_domain/routes/route.py
@@ -9,7 +9,7 @@
 
 
 @attrs.frozen
-class Part:
+class WeightedService:
     """One service that a route sends requests to.
 
     Attributes:
@@ -28,7 +28,7 @@
     Attributes:
         host: Host that the requests name.
         prefix: Beginning of their paths, with slashes at both ends.
-        parts: Services that run the requests.
+        weighted_services: Services that run the requests.
         idempotent: Whether a request may run more than once.
         upload: Whether bodies are large.
         timeout_s: Longest time that a caller is kept waiting.
@@ -42,7 +42,7 @@
 
     host: str
     prefix: str
-    parts: tuple[Part, ...]
+    weighted_services: tuple[WeightedService, ...]
     idempotent: bool = False
     upload: bool = False
     timeout_s: float = DEFAULT_TIMEOUT_S
--- a/packages/domain/bulrushcourse_domain/routes/table.py
+++ b/packages/domain/bulrushcourse_domain/routes/table.py
@@ -59,19 +59,19 @@
     whatever order the store and the peers deliver versions in.
 
     Attributes:
-        in_force: The configuration in force, ``None`` before the first.
+        active: The configuration in force, ``None`` before the first.
         by_host: Its routes by host.
     """
 
-    in_force: routes.RouteSet | None = None
+    active: routes.RouteSet | None = None
     by_host: dict[str, HostRoutes] = attrs.field(factory=dict)
 
     @property
     def version(self) -> int:
         """Version in force, 0 before the first."""
-        return self.in_force.version if self.in_force else 0
+        return self.active.version if self.active else 0
 
-    def offer(self, route_set: routes.RouteSet) -> bool:
+    def install(self, route_set: routes.RouteSet) -> bool:
         """Put a configuration in force if it is newer.
 
         Args:
@@ -83,14 +83,14 @@
         Examples:
             >>> table = RouteTable()
             >>> (
-            ...     table.offer(routes.RouteSet(7)),
-            ...     table.offer(routes.RouteSet(5)),
+            ...     table.install(routes.RouteSet(7)),
+            ...     table.install(routes.RouteSet(5)),
             ... )
             (True, False)
         """
         if route_set.version <= self.version:
             return False
-        self.in_force = route_set
+        self.active = route_set
         self.by_host = _by_host(route_set)
         return True
 
@@ -110,7 +110,7 @@
         Args:
             name: Name of the service.
         """
-        known = self.in_force.services if self.in_force else {}
+        known = self.active.services if self.active else {}
         return known.get(name) or routes.Service(name)
 
     def home_regions(self, host: str) -> frozenset[str]:
--- a/packages/domain/bulrushcourse_domain/routes/tests/test_table.py
+++ b/packages/domain/bulrushcourse_domain/routes/tests/test_table.py
@@ -9,14 +9,17 @@
 
 def make_route(prefix, host='h', homes=()):
     return routes.Route(
-        host, prefix, (routes.Part('s'),), home_regions=frozenset(homes)
+        host,
+        prefix,
+        (routes.WeightedService('s'),),
+        home_regions=frozenset(homes),
     )
 
 
 def test_longest_prefix_wins():
     table = tables.RouteTable()
     short, long = make_route('/a/'), make_route('/a/b/')
-    table.offer(routes.RouteSet(1, (short, long)))
+    table.install(routes.RouteSet(1, (short, long)))
     assert table.match('h', '/a/b/c') is long
     assert table.match('h', '/a/bc') is short
     assert table.match('other', '/a/b/c') is None
@@ -27,13 +30,13 @@
     # Guards against a revert by an old row, a peer or a restarted VM.
     table = tables.RouteTable()
     for seen, version in enumerate(versions, 1):
-        table.offer(routes.RouteSet(version))
+        table.install(routes.RouteSet(version))
         assert table.version == max(versions[:seen])
 
 
 def test_homes_of_a_host_are_those_that_all_bound_routes_share():
     table = tables.RouteTable()
-    table.offer(
+    table.install(
         routes.RouteSet(
             1,
             (
@@ -58,7 +61,7 @@
 ):
     # Guards against an index that misses a route which a scan would find.
     table = tables.RouteTable()
-    table.offer(routes.RouteSet(1, tuple(map(make_route, prefixes))))
+    table.install(routes.RouteSet(1, tuple(map(make_route, prefixes))))
     begins = [p for p in prefixes if path.startswith(p)]
     found = table.match('h', path)
     assert (found.prefix if found else None) == max(
--- a/packages/domain/bulrushcourse_domain/routes/tests/test_split.py
+++ b/packages/domain/bulrushcourse_domain/routes/tests/test_weighted_round_robin.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies
 
-from bulrushcourse_domain.routes import split
+from bulrushcourse_domain.routes import weighted_round_robin
 
 WEIGHTS = strategies.dictionaries(
     strategies.sampled_from('abcd'), strategies.integers(1, 9), min_size=1
@@ -12,8 +12,8 @@
 
 @given(WEIGHTS, strategies.integers(1, 200))
 def test_shares_are_kept_within_a_request_a_choice(weights, number):
-    turns = split.WeightedTurns()
-    taken = [turns.take(weights) for _ in range(number)]
+    turns = weighted_round_robin.WeightedRoundRobin()
+    taken = [turns.next_choice(weights) for _ in range(number)]
     total = sum(weights.values())
     for name, weight in weights.items():
         due = number * weight / total
@@ -23,8 +23,8 @@
 @given(WEIGHTS, strategies.integers(1, 300), strategies.integers(0, 5))
 def test_wanted_choice_is_ahead_by_its_slack_at_most(weights, number, slack):
     # Guards against a popular object that pulls all requests to one region.
-    turns = split.WeightedTurns()
+    turns = weighted_round_robin.WeightedRoundRobin()
     wanted = min(weights)
-    taken = [turns.take(weights, wanted, slack) for _ in range(number)]
+    taken = [turns.next_choice(weights, wanted, slack) for _ in range(number)]
     due = number * weights[wanted] / sum(weights.values())
     assert taken.count(wanted) <= due + slack + 1
--- a/packages/domain/bulrushcourse_domain/routes/split.py
+++ b/packages/domain/bulrushcourse_domain/routes/weighted_round_robin.py
@@ -7,7 +7,7 @@
 
 
 @attrs.define
-class WeightedTurns:
+class WeightedRoundRobin:
     """Smooth weighted round robin.
 
     Shares are kept within one request of the weights over any number of
@@ -18,14 +18,14 @@
         credit: What each choice is owed, in requests.
 
     Examples:
-        >>> turns = WeightedTurns()
-        >>> [turns.take({'a': 3, 'b': 1}) for _ in range(4)]
+        >>> turns = WeightedRoundRobin()
+        >>> [turns.next_choice({'a': 3, 'b': 1}) for _ in range(4)]
         ['a', 'a', 'b', 'a']
     """
 
     credit: dict[str, float] = attrs.field(factory=dict)
 
-    def take(
+    def next_choice(
         self,
         weights: typing.Mapping[str, float],
         wanted: str = '',
@@ -41,9 +41,9 @@
             memory: Requests after which a lead is forgotten.
 
         Examples:
-            >>> turns = WeightedTurns()
+            >>> turns = WeightedRoundRobin()
             >>> weights = {'a': 1, 'b': 1}
-            >>> [turns.take(weights, 'a', slack=1.0) for _ in range(4)]
+            >>> [turns.next_choice(weights, 'a', slack=1.0) for _ in range(4)]
             ['a', 'a', 'b', 'a']
         """
         total = sum(weights.values())
--- a/packages/domain/bulrushcourse_domain/routing/region_failures.py
+++ b/packages/domain/bulrushcourse_domain/routing/region_failures.py
@@ -34,10 +34,10 @@
     Examples:
         >>> seen = RegionFailures(clocks.ManualClock())
         >>> for _ in range(FAILURES_IN_A_ROW):
-        ...     seen.finished(requests.ReleaseOutcome.LOST)
+        ...     seen.record_outcome(requests.ReleaseOutcome.LOST)
         >>> seen.admits()
         False
-        >>> seen.finished(requests.ReleaseOutcome.DONE)
+        >>> seen.record_outcome(requests.ReleaseOutcome.DONE)
         >>> seen.admits()
         True
     """
@@ -46,7 +46,7 @@
     failures: int = 0
     trial_at: float = 0.0
 
-    def finished(self, outcome: requests.ReleaseOutcome) -> None:
+    def record_outcome(self, outcome: requests.ReleaseOutcome) -> None:
         """Count how a request ended.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/routing/router.py
+++ b/packages/domain/bulrushcourse_domain/routing/router.py
@@ -53,7 +53,7 @@
         return (healthy - self.in_flight - self.waiting) / self.slots
 
 
-class Caps(typing.Protocol):
+class LimitChecker(typing.Protocol):
     """Tells whether shares of limits have room."""
 
     def blocked_by(self, source: str, target: str) -> Reason | None:
@@ -67,7 +67,7 @@
 
 
 @attrs.frozen
-class Query:
+class RoutingRequest:
     """A request that needs a region.
 
     Attributes:
@@ -86,7 +86,7 @@
 
 
 @attrs.frozen
-class Route:
+class RoutingDecision:
     """A decision with what it was based on.
 
     Attributes:
@@ -114,64 +114,70 @@
     """Prefers the local region, then near regions with headroom.
 
     Attributes:
-        caps: Shares of limits.
+        limit_checker: Shares of limits.
         near: Other regions, nearest first.
     """
 
-    caps: Caps
+    limit_checker: LimitChecker
     near: tuple[str, ...]
 
     def route(
-        self, query: Query, loads: typing.Mapping[str, RegionLoad]
-    ) -> Route:
+        self, request: RoutingRequest, loads: typing.Mapping[str, RegionLoad]
+    ) -> RoutingDecision:
         """Return where a request goes, with reasons for ``explain``.
 
         Args:
-            query: The request.
+            request: The request.
             loads: Load of the service's pools by region.
         """
         passed: list[tuple[str, Reason]] = []
-        if query.planned:
-            block = self._block(query, query.planned, loads, need_room=False)
+        if request.planned:
+            block = self._block(
+                request, request.planned, loads, need_room=False
+            )
             if block is None:
-                return Route(query.planned, Reason.PLAN)
-            passed.append((query.planned, block))
-        local = loads.get(query.region, RegionLoad(query.region, 0))
-        block = self._block_local(query, local)
+                return RoutingDecision(request.planned, Reason.PLAN)
+            passed.append((request.planned, block))
+        local = loads.get(request.region, RegionLoad(request.region, 0))
+        block = self._block_local(request, local)
         if block is None:
-            return Route(query.region, Reason.LOCAL, tuple(passed))
-        passed.append((query.region, block))
-        spill, others = self._spill(query, loads)
+            return RoutingDecision(request.region, Reason.LOCAL, tuple(passed))
+        passed.append((request.region, block))
+        spill, others = self._spill(request, loads)
         passed += others
         if spill is not None:
-            return Route(spill, Reason.SPILL, tuple(passed))
-        if self._may_queue(query, local, block):
-            return Route(query.region, Reason.QUEUE_LOCAL, tuple(passed))
-        return Route(None, Reason.SHED, tuple(passed))
-
-    def _block_local(self, query: Query, local: RegionLoad) -> Reason | None:
+            return RoutingDecision(spill, Reason.SPILL, tuple(passed))
+        if self._may_queue(request, local, block):
+            return RoutingDecision(
+                request.region, Reason.QUEUE_LOCAL, tuple(passed)
+            )
+        return RoutingDecision(None, Reason.SHED, tuple(passed))
+
+    def _block_local(
+        self, request: RoutingRequest, local: RegionLoad
+    ) -> Reason | None:
         if not local.slots:
             return Reason.NO_INSTANCE
-        if query.region in query.drained:
+        if request.region in request.drained:
             return Reason.PLAN
         if local.headroom <= SPILL_BELOW:
             return Reason.NO_HEADROOM
-        return self.caps.blocked_by(query.region, query.region)
+        return self.limit_checker.blocked_by(request.region, request.region)
 
     def _may_queue(
-        self, query: Query, local: RegionLoad, block: Reason
+        self, request: RoutingRequest, local: RegionLoad, block: Reason
     ) -> bool:
         if block is Reason.NO_INSTANCE:
             return False
-        return not is_shed(query.rank, query.ranks, local)
+        return not is_shed(request.rank, request.ranks, local)
 
     def _spill(
-        self, query: Query, loads: typing.Mapping[str, RegionLoad]
+        self, request: RoutingRequest, loads: typing.Mapping[str, RegionLoad]
     ) -> tuple[str | None, list[tuple[str, Reason]]]:
         fits: list[tuple[int, int, str]] = []
         passed = []
         for distance, region in enumerate(self.near):
-            block = self._block(query, region, loads, need_room=True)
+            block = self._block(request, region, loads, need_room=True)
             if block is not None:
                 passed.append((region, block))
                 continue
@@ -181,7 +187,7 @@
 
     def _block(
         self,
-        query: Query,
+        request: RoutingRequest,
         region: str,
         loads: typing.Mapping[str, RegionLoad],
         need_room: bool,
@@ -189,11 +195,11 @@
         load = loads.get(region)
         if load is None or not load.slots:
             return Reason.NO_INSTANCE
-        if region in query.drained:
+        if region in request.drained:
             return Reason.PLAN
         if need_room and load.headroom <= SPILL_BELOW:
             return Reason.NO_HEADROOM
-        return self.caps.blocked_by(query.region, region)
+        return self.limit_checker.blocked_by(request.region, region)
 
 
 def is_shed(rank: int, ranks: int, load: RegionLoad) -> bool:
--- a/packages/domain/bulrushcourse_domain/routing/shift_plan.py
+++ b/packages/domain/bulrushcourse_domain/routing/shift_plan.py
@@ -19,7 +19,7 @@
     FAILED = 'failed'
 
 
-class Trouble(enum.Enum):
+class HoldReason(enum.Enum):
     """Why a plan does not move more traffic."""
 
     NONE = ''
@@ -73,14 +73,14 @@
     Attributes:
         plan: The plan as it was published.
         state: Where the plan stands.
-        part: Part of the source's traffic that moves now, 0 to 1.
-        trouble: What held the plan last.
+        moved_share: Part of the source's traffic that moves now, 0 to 1.
+        hold_reason: What held the plan last.
     """
 
     plan: objects.Plan
     state: State = State.WAITING
-    part: float = 0.0
-    trouble: Trouble = Trouble.NONE
+    moved_share: float = 0.0
+    hold_reason: HoldReason = HoldReason.NONE
 
     @property
     def start(self) -> datetime.datetime:
@@ -105,7 +105,7 @@
             ...     'p', objects.PlanKind.SHIFT, 'dakar', *times
             ... )
             >>> shift = ShiftPlan(plan)
-            >>> shift.step(shift.start, Evidence()).value, shift.part
+            >>> shift.step(shift.start, Evidence()).value, shift.moved_share
             ('ramping', 0.02)
         """
         if self.state not in TERMINAL and now >= self.finish_by:
@@ -119,36 +119,36 @@
         """Why the plan failed or holds, empty if it does neither."""
         if self.state not in (State.FAILED, State.HOLDING):
             return ''
-        return f'{self.part:.0%} of {self.plan.share:.0%} moved: ' + (
-            self.trouble.value or 'there was too little time'
+        return f'{self.moved_share:.0%} of {self.plan.share:.0%} moved: ' + (
+            self.hold_reason.value or 'there was too little time'
         )
 
     def _wait(self, now: datetime.datetime, evidence: Evidence) -> State:
         if now < self.start:
             return State.WAITING
-        self.part = min(self.plan.share, FIRST_PART)
+        self.moved_share = min(self.plan.share, FIRST_PART)
         return State.RAMPING
 
     def _ramp(self, now: datetime.datetime, evidence: Evidence) -> State:
-        self.trouble = find_trouble(evidence, SLOW_RATIO)
-        if self.trouble is not Trouble.NONE:
-            if self.trouble is not Trouble.UNKNOWN:
-                self.part *= RETREAT
+        self.hold_reason = find_hold_reason(evidence, SLOW_RATIO)
+        if self.hold_reason is not HoldReason.NONE:
+            if self.hold_reason is not HoldReason.UNKNOWN:
+                self.moved_share *= RETREAT
             return State.HOLDING
         if evidence.cap_reached:
             # More traffic would only be turned away.
-            self.trouble = Trouble.CAP
+            self.hold_reason = HoldReason.CAP
             return State.RAMPING
-        if self.part >= self.plan.share:
+        if self.moved_share >= self.plan.share:
             return self._arrive(evidence)
-        self.part = min(self.plan.share, self.part * GROWTH)
+        self.moved_share = min(self.plan.share, self.moved_share * GROWTH)
         return State.RAMPING
 
     def _hold(self, now: datetime.datetime, evidence: Evidence) -> State:
-        trouble = find_trouble(evidence, RECOVERED_RATIO)
-        if trouble is Trouble.NONE:
+        hold_reason = find_hold_reason(evidence, RECOVERED_RATIO)
+        if hold_reason is HoldReason.NONE:
             return State.RAMPING
-        self.trouble = trouble
+        self.hold_reason = hold_reason
         return State.HOLDING
 
     def _stay(self, now: datetime.datetime, evidence: Evidence) -> State:
@@ -157,13 +157,13 @@
     def _arrive(self, evidence: Evidence) -> State:
         drains = self.plan.kind is objects.PlanKind.DRAIN
         if drains and evidence.source_in_flight:
-            self.trouble = Trouble.IN_FLIGHT
+            self.hold_reason = HoldReason.IN_FLIGHT
             return State.RAMPING
         return State.FINISHED
 
     def _conclude(self, evidence: Evidence) -> State:
         """Return how the plan stands when its time is over."""
-        if self.part >= self.plan.share:
+        if self.moved_share >= self.plan.share:
             state = self._arrive(evidence)
             return state if state is State.FINISHED else State.FAILED
         return State.FAILED
@@ -179,7 +179,7 @@
 }
 
 
-def find_trouble(evidence: Evidence, slow_ratio: float) -> Trouble:
+def find_hold_reason(evidence: Evidence, slow_ratio: float) -> HoldReason:
     """Return what speaks against more traffic, ``NONE`` if nothing does.
 
     Args:
@@ -187,15 +187,15 @@
         slow_ratio: Ratio of service times from which it counts as slow.
 
     Examples:
-        >>> find_trouble(Evidence(service_time_ratio=1.6), SLOW_RATIO).name
+        >>> find_hold_reason(Evidence(service_time_ratio=1.6), SLOW_RATIO).name
         'SLOW'
     """
     if evidence.failure_part > FAILURE_LIMIT:
-        return Trouble.FAILURES
+        return HoldReason.FAILURES
     if evidence.service_time_ratio is None:
-        return Trouble.UNKNOWN if evidence.offered else Trouble.NONE
+        return HoldReason.UNKNOWN if evidence.offered else HoldReason.NONE
     if evidence.service_time_ratio > slow_ratio:
-        return Trouble.SLOW
+        return HoldReason.SLOW
     if evidence.headroom < HEADROOM_FLOOR:
-        return Trouble.NO_HEADROOM
-    return Trouble.NONE
+        return HoldReason.NO_HEADROOM
+    return HoldReason.NONE
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_region_failures.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_region_failures.py
@@ -11,19 +11,19 @@
     clock = clocks.ManualClock()
     seen = region_failures.RegionFailures(clock)
     for _ in range(region_failures.FAILURES_IN_A_ROW - 1):
-        seen.finished(OUTCOMES.UNREACHABLE)
+        seen.record_outcome(OUTCOMES.UNREACHABLE)
         assert seen.admits()
-    seen.finished(OUTCOMES.LOST)
+    seen.record_outcome(OUTCOMES.LOST)
     assert not seen.admits()
     clock.advance(region_failures.TRIAL_INTERVAL_S)
     assert [seen.admits() for _ in range(3)] == [True, False, False]
-    seen.finished(OUTCOMES.DONE)
+    seen.record_outcome(OUTCOMES.DONE)
     assert all(seen.admits() for _ in range(3))
 
 
 def test_cancelled_and_shed_work_says_nothing():
     seen = region_failures.RegionFailures(clocks.ManualClock())
     for _ in range(20):
-        seen.finished(OUTCOMES.CANCELLED)
-        seen.finished(OUTCOMES.SHED)
+        seen.record_outcome(OUTCOMES.CANCELLED)
+        seen.record_outcome(OUTCOMES.SHED)
     assert seen.admits()
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_router.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_router.py
@@ -13,10 +13,10 @@
         return self.blocks.get(target)
 
 
-def route(loads, rank=1, blocks=None, **query):
+def route(loads, rank=1, blocks=None, **fields):
     chooser = router.Router(FixedCaps(blocks or {}), ('near', 'far'))
     return chooser.route(
-        router.Query('home', rank, 3, **query),
+        router.RoutingRequest('home', rank, 3, **fields),
         {load.region: load for load in loads},
     )
 
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_shift_plan.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_shift_plan.py
@@ -29,21 +29,21 @@
 def test_nothing_moves_before_the_start():
     plan = open_plan()
     run(plan, GOOD, at=plan.start - SECOND)
-    assert (plan.state, plan.part) == (shift_plan.State.WAITING, 0.0)
+    assert (plan.state, plan.moved_share) == (shift_plan.State.WAITING, 0.0)
 
 
 def test_good_service_times_lead_to_the_end():
     plan = run(open_plan(), *[GOOD] * 12)
     assert plan.state is shift_plan.State.FINISHED
-    assert plan.part == 0.5
+    assert plan.moved_share == 0.5
 
 
 def test_slow_receiving_side_holds_and_reduces_the_ramp():
     plan = run(open_plan(), *[GOOD] * 4)
-    part = plan.part
+    part = plan.moved_share
     run(plan, SLOW)
     assert plan.state is shift_plan.State.HOLDING
-    assert plan.part < part
+    assert plan.moved_share < part
     run(plan, HALF_SLOW)
     assert plan.state is shift_plan.State.HOLDING
     run(plan, GOOD)
@@ -53,7 +53,7 @@
 def test_missing_service_times_do_not_count_as_good():
     plan = run(open_plan(), GOOD, *[shift_plan.Evidence()] * 20)
     assert plan.state is shift_plan.State.HOLDING
-    assert plan.part == shift_plan.FIRST_PART
+    assert plan.moved_share == shift_plan.FIRST_PART
 
 
 def test_drain_of_an_idle_source_finishes():
@@ -65,7 +65,7 @@
 def test_cap_reached_adds_no_traffic():
     capped = shift_plan.Evidence(service_time_ratio=1.0, cap_reached=True)
     plan = run(open_plan(), GOOD, *[capped] * 20)
-    assert plan.part == shift_plan.FIRST_PART
+    assert plan.moved_share == shift_plan.FIRST_PART
 
 
 def test_drain_waits_for_work_at_the_source():
--- a/packages/domain/bulrushcourse_domain/slots/holdings.py
+++ b/packages/domain/bulrushcourse_domain/slots/holdings.py
@@ -27,18 +27,18 @@
     Examples:
         >>> held = Holdings()
         >>> grant = requests.Grant('r', 'e', 'a', 'short', 5.0)
-        >>> held.add(requests.Run(grant, 0.0))
+        >>> held.add(requests.ActiveGrant(grant, 0.0))
         >>> held.expired(5.0), held.expired(6.0)
         ([], ['r'])
     """
 
-    runs: dict[str, requests.Run] = attrs.field(factory=dict)
+    runs: dict[str, requests.ActiveGrant] = attrs.field(factory=dict)
     by_class: collections.Counter[str] = attrs.field(
         factory=collections.Counter
     )
     expiries: list[tuple[float, str]] = attrs.field(factory=list)
 
-    def add(self, run: requests.Run) -> None:
+    def add(self, run: requests.ActiveGrant) -> None:
         """Add a grant.
 
         Args:
@@ -49,7 +49,7 @@
         self.by_class[grant.request_class] += 1
         heapq.heappush(self.expiries, (_expiry(run), grant.request_id))
 
-    def remove(self, request_id: str) -> requests.Run | None:
+    def remove(self, request_id: str) -> requests.ActiveGrant | None:
         """Take a grant out and return it, if it is there.
 
         Args:
@@ -79,5 +79,5 @@
         return self.expiries[0][0] if self.expiries else None
 
 
-def _expiry(run: requests.Run) -> float:
+def _expiry(run: requests.ActiveGrant) -> float:
     return run.grant.deadline + EXPIRY_GRACE_S
--- a/packages/domain/bulrushcourse_domain/slots/ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/ownership.py
@@ -29,7 +29,7 @@
         members: Entries of the region.
         rng: Source of the waits between turns.
         lease: The lease in the table.
-        book: Promises given and received.
+        pool_promises: Promises given and received.
         stopped: Whether this entry gave its pools up for good.
         term: Number of times that this entry began to own the pool.
         ground_until: Clock seconds up to which the term is known to last.
@@ -43,7 +43,7 @@
     members: region_members.RegionMembers
     rng: random.Random
     lease: leases.PoolLease
-    book: promises.PromiseBook
+    pool_promises: promises.PoolPromises
     stopped: bool = False
     term: int = 0
     ground_until: float = -math.inf
@@ -57,7 +57,7 @@
     def may_grant(self) -> bool:
         """Return whether this entry may grant at this instant."""
         eligible = not self.stopped and self.members.is_settled()
-        if not eligible or self.book.is_outstanding():
+        if not eligible or self.pool_promises.is_outstanding():
             return False
         return self.lease.is_held() or self._is_promised()
 
@@ -102,7 +102,7 @@
         its result to ``finish_write``.
         """
         eligible = not self.stopped and self.members.is_settled()
-        if not eligible or self.book.is_outstanding():
+        if not eligible or self.pool_promises.is_outstanding():
             return None
         row = self.lease.row
         own = row is not None and row.holder == self.incarnation
@@ -141,50 +141,50 @@
             return None
         return self.lease.write('')
 
-    def note_release(self, candidate: str) -> None:
+    def record_release(self, candidate: str) -> None:
         """Note that another entry gave the pool up for good.
 
         Args:
             candidate: Its incarnation, which will never grant again.
         """
-        self.book.free(candidate)
+        self.pool_promises.free(candidate)
         stagger_s = self.rank() * self.lease.times.stagger_s
         self.turn_from = self.clock.monotonic() + stagger_s
 
-    def ask_promises(self) -> promises.PromiseWish | None:
-        """Return a wish for all other entries of the region, if it is due.
+    def request_promises(self) -> promises.PromiseRequest | None:
+        """Return a request for all other entries of the region, if it is due.
 
         The owner always asks. Without an owner, candidates ask in turns, so
         that one that cannot reach every entry gives way to the next.
         """
         eligible = not self.stopped and self.members.is_settled()
-        if not eligible or self.book.is_outstanding():
+        if not eligible or self.pool_promises.is_outstanding():
             self.turn_from = math.inf
             return None
         owns = self.current_term() is not None
         if not owns and not self._is_turn():
             return None
-        number = self.book.ask()
-        return promises.PromiseWish(
+        number = self.pool_promises.ask()
+        return promises.PromiseRequest(
             self.pool, self.entry, self.incarnation, number, owns
         )
 
-    def answer_wish(
-        self, wish: promises.PromiseWish
+    def answer_promise_request(
+        self, request: promises.PromiseRequest
     ) -> promises.Promise | None:
         """Return the promise asked for, ``None`` if it cannot be given.
 
         Args:
-            wish: Wish of another entry of the region.
+            request: Request of another entry of the region.
         """
-        if not self.members.may_promise() or not self._may_promise(wish):
+        if not self.members.may_promise() or not self._may_promise(request):
             return None
-        self.book.give(wish.candidate)
+        self.pool_promises.give(request.candidate)
         return promises.Promise(
-            self.pool, self.entry, wish.candidate, wish.number
+            self.pool, self.entry, request.candidate, request.number
         )
 
-    def receive_promise(self, promise: promises.Promise) -> None:
+    def record_promise(self, promise: promises.Promise) -> None:
         """Take over a promise of another entry.
 
         Args:
@@ -193,23 +193,23 @@
         if promise.candidate != self.incarnation:
             return
         self.current_term()
-        self.book.receive(promise.entry, promise.number)
+        self.pool_promises.receive(promise.entry, promise.number)
         self.current_term()
 
-    def _may_promise(self, wish: promises.PromiseWish) -> bool:
+    def _may_promise(self, request: promises.PromiseRequest) -> bool:
         if self.lease.may_become_held() or self.may_grant():
             return False
-        if not self.book.is_free_for(wish.candidate):
+        if not self.pool_promises.is_free_for(request.candidate):
             return False
-        if self.stopped or wish.owns or not self._is_asking():
+        if self.stopped or request.owns or not self._is_asking():
             return True
-        present = self.members.present() | {wish.entry}
+        present = self.members.present() | {request.entry}
         ranked = rendezvous.rank(self.pool, present)
-        return ranked.index(wish.entry) < ranked.index(self.entry)
+        return ranked.index(request.entry) < ranked.index(self.entry)
 
     def _promised_until(self) -> float:
         gone = self.members.gone()
-        received = self.book.received
+        received = self.pool_promises.received
         ends = [
             max(
                 received.get(entry, -math.inf),
@@ -278,5 +278,7 @@
     """
     clock, times = members.clock, members.times
     lease = leases.PoolLease(clock, members.entry, incarnation, times)
-    book = promises.PromiseBook(clock, times)
-    return PoolOwnership(clock, pool, incarnation, members, rng, lease, book)
+    pool_promises = promises.PoolPromises(clock, times)
+    return PoolOwnership(
+        clock, pool, incarnation, members, rng, lease, pool_promises
+    )
--- a/packages/domain/bulrushcourse_domain/slots/pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/pool.py
@@ -35,7 +35,7 @@
 POLL_S = 0.05
 """Interval of decisions while requests wait, since slow instances age."""
 
-EXPIRED = requests.Result(requests.ReleaseOutcome.CANCELLED)
+EXPIRED = requests.ReleaseResult(requests.ReleaseOutcome.CANCELLED)
 
 
 @attrs.define
@@ -86,7 +86,7 @@
     turns: int = attrs.field(init=False, default=0)
 
     @property
-    def granted(self) -> dict[str, requests.Run]:
+    def granted(self) -> dict[str, requests.ActiveGrant]:
         """Grants in use by request identifier."""
         return self.held.runs
 
@@ -112,7 +112,7 @@
         self.order.set_instances(slots)
         self._refresh()
 
-    def sign_leaving(
+    def set_leaving(
         self, name: str, leaving: bool = True
     ) -> tuple[requests.Decision, ...]:
         """Stop granting the slots of an instance that is leaving.
@@ -121,7 +121,7 @@
             name: The instance.
             leaving: Whether it is leaving; ``False`` when it serves again.
         """
-        self.health.sign_leaving(name, leaving)
+        self.health.set_leaving(name, leaving)
         self.order.refreshed_at = -math.inf
         return self.decide()
 
@@ -171,7 +171,7 @@
             outcome: How its work ended.
             seconds: Measured service time.
         """
-        self._end(request_id, requests.Result(outcome, seconds))
+        self._end(request_id, requests.ReleaseResult(outcome, seconds))
         return self.decide()
 
     def cancel(self, request_id: str) -> None:
@@ -278,11 +278,13 @@
 
     def _hold(self, grant: requests.Grant) -> None:
         typical_s = self.health.typical_s(grant.request_class)
-        self.held.add(requests.Run(grant, self.clock.monotonic(), typical_s))
+        self.held.add(
+            requests.ActiveGrant(grant, self.clock.monotonic(), typical_s)
+        )
         self.health.start(grant.instance, typical_s)
         self.order.hold(grant.instance, grant.request_id, grant.request_class)
 
-    def _end(self, request_id: str, result: requests.Result) -> None:
+    def _end(self, request_id: str, result: requests.ReleaseResult) -> None:
         run = self.held.remove(request_id)
         if run is None:
             return
--- a/packages/domain/bulrushcourse_domain/slots/promises.py
+++ b/packages/domain/bulrushcourse_domain/slots/promises.py
@@ -11,14 +11,14 @@
 
 
 @attrs.frozen
-class PromiseWish:
-    """A candidate's wish for promises.
+class PromiseRequest:
+    """A candidate's request for promises.
 
     Attributes:
         pool: Name of the pool, ``region/service``.
         entry: Name of the candidate.
         candidate: Incarnation of the candidate.
-        number: Number of the wish, from which the candidate knows when it
+        number: Number of the request, from which the candidate knows when it
             asked.
         owns: Whether the candidate owns the pool already.
     """
@@ -38,7 +38,7 @@
         pool: Name of the pool.
         entry: Name of the entry that promises.
         candidate: Incarnation that the pool is promised to.
-        number: Number of the wish that is answered.
+        number: Number of the request that is answered.
     """
 
     pool: str
@@ -48,7 +48,7 @@
 
 
 @attrs.define
-class PromiseBook:
+class PoolPromises:
     """Promises about one pool.
 
     The receiver counts a promise from before it asked, the giver from its
@@ -60,8 +60,8 @@
         given_to: Incarnation that this entry last promised the pool to.
         given_until: Clock seconds at which that promise ends.
         received: End of the promise of each other entry.
-        asked: Clock seconds at which recent wishes were made, by number.
-        number: Number of the last wish.
+        asked: Clock seconds at which recent requests were made, by number.
+        number: Number of the last request.
     """
 
     clock: clocks.Clock
@@ -85,7 +85,7 @@
         return not self.is_outstanding() or self.given_to == candidate
 
     def ask(self) -> int:
-        """Return the number of a new wish."""
+        """Return the number of a new request."""
         self.number += 1
         self.asked[self.number] = self.clock.monotonic()
         self.asked.pop(self.number - REMEMBERED_WISHES, None)
@@ -115,7 +115,7 @@
 
         Args:
             entry: Name of the entry that promised.
-            number: Number of the wish.
+            number: Number of the request.
         """
         asked_at = self.asked.get(number, -math.inf)
         until = asked_at + self.times.promise_s
--- a/packages/domain/bulrushcourse_domain/slots/requests.py
+++ b/packages/domain/bulrushcourse_domain/slots/requests.py
@@ -71,7 +71,7 @@
 
 
 @attrs.frozen
-class Run:
+class ActiveGrant:
     """A grant that is in use.
 
     Attributes:
@@ -86,7 +86,7 @@
 
 
 @attrs.frozen
-class Result:
+class ReleaseResult:
     """How the work in a slot ended.
 
     Attributes:
--- a/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
@@ -71,7 +71,7 @@
     nodes: list[Node] = attrs.field(factory=list)
     listed: frozenset[region_members.ListedVm] = frozenset()
     cuts: set[frozenset[str]] = attrs.field(factory=set)
-    wishes: list[tuple[Node, promises.PromiseWish, Node]] = attrs.field(
+    requests: list[tuple[Node, promises.PromiseRequest, Node]] = attrs.field(
         factory=list
     )
     answers: list[tuple[Node, promises.Promise, Node]] = attrs.field(
@@ -135,22 +135,22 @@
             node.write = None
 
     def ask(self, node: Node) -> None:
-        wish = node.own.ask_promises()
-        if wish is not None:
-            self.wishes += [
-                (node, wish, other)
+        request = node.own.request_promises()
+        if request is not None:
+            self.requests += [
+                (node, request, other)
                 for other in self.nodes
                 if other.vm.entry != node.vm.entry
             ]
 
-    def deliver_wishes(self) -> None:
-        """Deliver wishes to all entries that are not paused."""
-        queued, self.wishes = self.wishes, []
-        for asker, wish, other in queued:
+    def deliver_requests(self) -> None:
+        """Deliver requests to all entries that are not paused."""
+        queued, self.requests = self.requests, []
+        for asker, request, other in queued:
             if other.paused:
-                self.wishes.append((asker, wish, other))
+                self.requests.append((asker, request, other))
             elif self.connected(asker, other):
-                promise = other.own.answer_wish(wish)
+                promise = other.own.answer_promise_request(request)
                 if promise is not None:
                     self.answers.append((other, promise, asker))
 
@@ -161,7 +161,7 @@
             if asker.paused:
                 self.answers.append((giver, promise, asker))
             elif self.connected(giver, asker):
-                asker.own.receive_promise(promise)
+                asker.own.record_promise(promise)
 
     def tick(self, node: Node) -> None:
         """Do what an entry's tasks do in one round, without delays."""
@@ -177,7 +177,7 @@
             self.land_write(node)
             self.answer_write(node)
         self.ask(node)
-        self.deliver_wishes()
+        self.deliver_requests()
         self.deliver_answers()
         self.check()
 
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
@@ -115,7 +115,7 @@
         node = self.node(index)
         self.world.ask(node)
         node.paused = True
-        self.world.deliver_wishes()
+        self.world.deliver_requests()
 
     @stateful.rule(index=INDEX)
     def resume(self, index):
@@ -172,7 +172,7 @@
             self.world.table.apply(write)
         for other in self.world.nodes:
             if other is not node and not other.paused:
-                other.own.note_release(node.own.incarnation)
+                other.own.record_release(node.own.incarnation)
         self.world.run(1)
         self.world.kill(node)
         self.world.start(node.vm.entry, rate)
@@ -261,7 +261,7 @@
     (owner,) = (node for node in world.nodes if node.own.may_grant())
     owner.own.release()
     for node in world.nodes:
-        node.own.note_release(owner.own.incarnation)
+        node.own.record_release(owner.own.incarnation)
     world.run(1.5)
     assert len(world.owners()) == 1
 
@@ -277,15 +277,15 @@
 class PromisesWhileHolding(ownership.PoolOwnership):
     """Broken: the holder of the lease promises the pool to another."""
 
-    def _may_promise(self, wish):
-        return self.book.is_free_for(wish.candidate)
+    def _may_promise(self, request):
+        return self.pool_promises.is_free_for(request.candidate)
 
     def may_grant(self):
         eligible = not self.stopped and self.members.is_settled()
         return eligible and (self.lease.is_held() or self._is_promised())
 
 
-class CountsPromiseFromArrival(promises.PromiseBook):
+class CountsPromiseFromArrival(promises.PoolPromises):
     """Broken: a delayed promise has run out at its giver."""
 
     def receive(self, entry, number):
@@ -309,13 +309,13 @@
         members,
         own.rng,
         own.lease,
-        own.book,
+        own.pool_promises,
     )
 
 
 def build_counting_promise_from_arrival(members, incarnation):
     own = ownership_world.build_sound(members, incarnation)
-    own.book = CountsPromiseFromArrival(own.clock, members.times)
+    own.pool_promises = CountsPromiseFromArrival(own.clock, members.times)
     return own
 
 
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
@@ -166,8 +166,8 @@
     @stateful.rule(
         name=strategies.sampled_from(NAMES), leaving=strategies.booleans()
     )
-    def sign_leaving(self, name, leaving):
-        self.take(self.pool.sign_leaving(name, leaving))
+    def set_leaving(self, name, leaving):
+        self.take(self.pool.set_leaving(name, leaving))
 
     def teardown(self):
         # A request without a decision by its deadline would hang its caller.
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -32,11 +32,11 @@
 
     Attributes:
         upstream: The entry.
-        what: ``joined``, ``restarted``, ``draining`` or ``gone``.
+        kind: ``joined``, ``restarted``, ``draining`` or ``gone``.
     """
 
     upstream: upstreams.Upstream
-    what: str
+    kind: str
 
 
 @attrs.define
@@ -77,11 +77,13 @@
         factory=dict
     )
 
-    def lose_store(self) -> None:
+    def mark_store_unavailable(self) -> None:
         """Note that a reading failed, so that entries may lapse unseen."""
         self.store_lost = True
 
-    def offer(self, snapshot: upstreams.Snapshot) -> tuple[Change, ...]:
+    def apply_snapshot(
+        self, snapshot: upstreams.Snapshot
+    ) -> tuple[Change, ...]:
         """Take over a reading unless a newer one is known.
 
         Args:
@@ -158,13 +160,13 @@
         if found.draining and (known is None or not known.draining):
             yield Change(found, 'draining')
 
-    def news_since(self, base: int) -> upstreams.News:
+    def delta_since(self, base: int) -> upstreams.DirectoryDelta:
         """Return what changed after a version of the store.
 
         Args:
             base: The version.
         """
-        return upstreams.News(
+        return upstreams.DirectoryDelta(
             base=base,
             version=self.version,
             changed=tuple(
@@ -176,22 +178,24 @@
             age_s=max(0.0, self.clock.monotonic() - self.read_at),
         )
 
-    def apply(self, news: upstreams.News) -> tuple[Change, ...]:
+    def apply_delta(
+        self, delta: upstreams.DirectoryDelta
+    ) -> tuple[Change, ...]:
         """Take over what another VM has read, if it adds to what is known.
 
         Args:
-            news: Changes since a version.
+            delta: Changes since a version.
 
         Returns:
             What changed.
         """
-        if news.base > self.version or news.version < self.version:
+        if delta.base > self.version or delta.version < self.version:
             return ()
         now = self.clock.monotonic()
-        self.version = news.version
-        self.read_at = max(self.read_at, now - news.age_s)
-        changes = [self._drop(n) for n in news.gone if n in self.entries]
-        for found in news.changed:
+        self.version = delta.version
+        self.read_at = max(self.read_at, now - delta.age_s)
+        changes = [self._drop(n) for n in delta.gone if n in self.entries]
+        for found in delta.changed:
             changes.extend(self._merge(found, now))
         return tuple(changes)
 
--- a/packages/domain/bulrushcourse_domain/upstreams/idling.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/idle_connections.py
@@ -11,7 +11,7 @@
 
 
 @attrs.define
-class IdleConnections:
+class IdleConnectionPolicy:
     """Upstreams that forget idle connections without notice.
 
     What is sent next on such a connection is reset, and nobody knows whether
@@ -37,7 +37,7 @@
         forgetful = self.forgetful_until.get(upstream, float('-inf'))
         return repeatable and self.clock.monotonic() >= forgetful
 
-    def note_reset(
+    def record_reset(
         self, upstream: str, took_s: float, round_trip_s: float
     ) -> bool:
         """Take over that a used connection was reset before any answer.
--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -56,7 +56,7 @@
     fresh: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     others: dict[str, int] = attrs.field(factory=dict)
 
-    def begin(self, upstream: str) -> None:
+    def begin_request(self, upstream: str) -> None:
         """Count a request that is sent to an upstream.
 
         Args:
@@ -64,7 +64,7 @@
         """
         self.own[upstream] = self.own.get(upstream, 0) + 1
 
-    def end(self, upstream: str) -> None:
+    def end_request(self, upstream: str) -> None:
         """Count the end of a request.
 
         Args:
@@ -76,7 +76,9 @@
         else:
             self.own.pop(upstream, None)
 
-    def hear_peer(self, vm: str, in_flight: typing.Mapping[str, int]) -> None:
+    def record_peer_load(
+        self, vm: str, in_flight: typing.Mapping[str, int]
+    ) -> None:
         """Replace what another VM has in flight.
 
         Args:
@@ -90,7 +92,7 @@
         for upstream, count in counts.items():
             self.others[upstream] = self.others.get(upstream, 0) + count
 
-    def expire_peers(self) -> None:
+    def expire_peer_loads(self) -> None:
         """Leave out reports that are too old; call it now and then."""
         oldest = self.clock.monotonic() - PEER_REPORT_MAX_AGE_S
         for vm in [n for n, at in self.heard_at.items() if at < oldest]:
@@ -107,7 +109,7 @@
             else:
                 del self.others[upstream]
 
-    def hear_upstream(self, upstream: str, report: LoadReport) -> None:
+    def record_load_report(self, upstream: str, report: LoadReport) -> None:
         """Take over what an upstream said in an answer.
 
         Args:
@@ -119,7 +121,9 @@
             self.slowness[upstream] = measured
             self.fresh[upstream] = measured
 
-    def hear_slowness(self, upstream: str, value: float, age_s: float) -> None:
+    def record_peer_slowness(
+        self, upstream: str, value: float, age_s: float
+    ) -> None:
         """Take over a report that another VM passed on.
 
         Args:
@@ -131,7 +135,7 @@
         if at > self.slowness.get(upstream, (0.0, float('-inf')))[1]:
             self.slowness[upstream] = value, at
 
-    def forget(self, upstream: str) -> None:
+    def discard(self, upstream: str) -> None:
         """Drop the slowness of an upstream that restarted or is gone.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/upstreams/trouble.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/outlier_detection.py
@@ -57,7 +57,7 @@
 
 
 @attrs.define
-class TroubleLog:
+class OutlierDetector:
     """Failures of upstreams as this VM has seen them.
 
     Attributes:
@@ -68,7 +68,7 @@
     clock: clocks.Clock
     records: dict[str, Record] = attrs.field(factory=dict)
 
-    def note(self, upstream: str, outcome: Outcome) -> bool:
+    def record_outcome(self, upstream: str, outcome: Outcome) -> bool:
         """Count how a request ended.
 
         Args:
@@ -100,7 +100,7 @@
         record.paused_until = now + min(LONGEST_PAUSE_S, doubled)
         return True
 
-    def is_paused(self, upstream: str) -> bool:
+    def is_ejected(self, upstream: str) -> bool:
         """Return whether an upstream is set aside.
 
         After the pause one request at a time is let through until one is
@@ -116,7 +116,7 @@
             return True
         return self.clock.monotonic() < record.paused_until
 
-    def begin(self, upstream: str) -> None:
+    def begin_request(self, upstream: str) -> None:
         """Note that a request is sent, which may be a trial.
 
         Args:
@@ -126,7 +126,7 @@
         if record is not None and record.in_a_row >= FAILURES_BEFORE_PAUSE:
             record.trial = True
 
-    def abandon(self, upstream: str) -> None:
+    def abandon_request(self, upstream: str) -> None:
         """Note that a request ended without telling anything.
 
         Args:
@@ -147,7 +147,7 @@
             return 0.0
         return self._share(record, self.clock.monotonic())
 
-    def forget(self, upstream: str) -> None:
+    def discard(self, upstream: str) -> None:
         """Drop the record of an upstream that restarted or is gone.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/upstreams/recent_objects.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/recent_objects.py
@@ -22,7 +22,7 @@
         factory=dict
     )
 
-    def note(self, upstream: str, object_key: str) -> None:
+    def record(self, upstream: str, object_key: str) -> None:
         """Note that an upstream has handled an object.
 
         Args:
@@ -44,7 +44,7 @@
         """
         return object_key in self.handled.get(upstream, ())
 
-    def forget(self, upstream: str) -> None:
+    def discard(self, upstream: str) -> None:
         """Drop what is known of an upstream that restarted or is gone.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -24,7 +24,7 @@
 
 def test_draining_missing_and_evacuated_upstreams_are_not_usable():
     known = directory()
-    known.offer(
+    known.apply_snapshot(
         upstreams.Snapshot(
             1,
             (
@@ -36,7 +36,7 @@
         )
     )
     known.evacuate(frozenset({'e'}), 3.0)
-    known.offer(
+    known.apply_snapshot(
         upstreams.Snapshot(2, (make('ready'), make('leaving', draining=True)))
     )
     assert names(known) == {'ready'}
@@ -45,19 +45,19 @@
 def test_old_reading_changes_nothing():
     # Guards against a store that answers with old rows after a failure.
     known = directory()
-    known.offer(upstreams.Snapshot(5, (make(draining=True),)))
-    assert known.offer(upstreams.Snapshot(4, (make(),))) == ()
+    known.apply_snapshot(upstreams.Snapshot(5, (make(draining=True),)))
+    assert known.apply_snapshot(upstreams.Snapshot(4, (make(),))) == ()
     assert names(known) == set()
 
 
 def test_lapsed_entries_are_kept_for_the_grace_after_an_outage_only():
     known = directory()
-    known.offer(upstreams.Snapshot(1, (make(),)))
-    known.lose_store()
-    known.offer(upstreams.Snapshot(2, ()))
+    known.apply_snapshot(upstreams.Snapshot(1, (make(),)))
+    known.mark_store_unavailable()
+    known.apply_snapshot(upstreams.Snapshot(2, ()))
     assert names(known) == {'u'}
     known.clock.advance(directories.LAPSE_GRACE_S)
-    known.offer(upstreams.Snapshot(3, ()))
+    known.apply_snapshot(upstreams.Snapshot(3, ()))
     assert names(known) == set()
 
 
@@ -68,9 +68,9 @@
     known = directory()
     listed = [make(f'u{number}') for number in range(6)]
     other = make('x', service='t')
-    known.offer(upstreams.Snapshot(1, (*listed, other)))
-    known.lose_store()
-    known.offer(upstreams.Snapshot(2, tuple(listed[1:])))
+    known.apply_snapshot(upstreams.Snapshot(1, (*listed, other)))
+    known.mark_store_unavailable()
+    known.apply_snapshot(upstreams.Snapshot(2, tuple(listed[1:])))
     assert names(known) == {u.name for u in listed[1:]}
     # All of a service's entries are missing: those lapsed.
     assert [u.name for u in known.usable('t')] == ['x']
@@ -79,14 +79,14 @@
 def test_restart_under_the_same_name_is_told():
     # Guards against taking a fresh process for the one that was warm.
     known = directory()
-    known.offer(upstreams.Snapshot(1, (make(),)))
-    changes = known.offer(upstreams.Snapshot(2, (make(born=2),)))
-    assert [change.what for change in changes] == ['restarted']
+    known.apply_snapshot(upstreams.Snapshot(1, (make(),)))
+    changes = known.apply_snapshot(upstreams.Snapshot(2, (make(born=2),)))
+    assert [change.kind for change in changes] == ['restarted']
 
 
 def test_upstream_is_cold_while_it_says_so_and_after_an_evacuation():
     known = directory()
-    known.offer(upstreams.Snapshot(1, (make(cold_for_s=2.0),)))
+    known.apply_snapshot(upstreams.Snapshot(1, (make(cold_for_s=2.0),)))
     assert known.is_cold('u')
     known.clock.advance(2.0 + directories.WARMUP_MARGIN_S)
     assert not known.is_cold('u')
@@ -112,9 +112,9 @@
     known = 0
     for version, states in enumerate(readings, 1):
         listed = tuple(make(n, draining=d) for n, d in states.items())
-        reader.offer(upstreams.Snapshot(version, listed))
+        reader.apply_snapshot(upstreams.Snapshot(version, listed))
         if data.draw(strategies.booleans()) or version == len(readings):
-            told.apply(reader.news_since(known))
+            told.apply_delta(reader.delta_since(known))
             known = reader.version
     assert told.entries == reader.entries
 
@@ -125,7 +125,7 @@
     known = directory()
     for version, states in enumerate(readings, 1):
         listed = tuple(make(n, draining=d) for n, d in states.items())
-        known.offer(upstreams.Snapshot(version, listed))
+        known.apply_snapshot(upstreams.Snapshot(version, listed))
         usable = {u.name for u in known.usable('s')}
         assert usable == {n for n, draining in states.items() if not draining}
         assert set(known.preferred('s', '', 'object')) <= usable
@@ -139,7 +139,7 @@
 
 def test_news_on_an_unknown_base_are_ignored():
     reader, told = directory(), directory()
-    reader.offer(upstreams.Snapshot(4, (make('a'),)))
-    reader.offer(upstreams.Snapshot(7, (make('a'), make('b'))))
-    assert told.apply(reader.news_since(5)) == ()
+    reader.apply_snapshot(upstreams.Snapshot(4, (make('a'),)))
+    reader.apply_snapshot(upstreams.Snapshot(7, (make('a'), make('b'))))
+    assert told.apply_delta(reader.delta_since(5)) == ()
     assert told.version == 0
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_loads.py
@@ -11,23 +11,23 @@
 
 def test_requests_of_all_vms_are_summed_and_old_reports_left_out():
     view = loads.LoadView(clocks.ManualClock())
-    view.begin('u')
-    view.hear_peer('vm-1', {'u': 2})
-    view.hear_peer('vm-2', {'u': 3})
+    view.begin_request('u')
+    view.record_peer_load('vm-1', {'u': 2})
+    view.record_peer_load('vm-2', {'u': 3})
     assert view.in_flight('u') == 6
     view.clock.advance(loads.PEER_REPORT_MAX_AGE_S / 2)
-    view.hear_peer('vm-2', {'u': 1})
+    view.record_peer_load('vm-2', {'u': 1})
     view.clock.advance(loads.PEER_REPORT_MAX_AGE_S * 0.6)
-    view.expire_peers()
+    view.expire_peer_loads()
     assert view.in_flight('u') == 2
-    view.end('u')
+    view.end_request('u')
     assert view.in_flight('u') == 1
 
 
 def test_slowness_fades_and_newer_reports_win():
     view = loads.LoadView(clocks.ManualClock(10.0))
-    view.hear_upstream('u', loads.LoadReport(1, 0, 4, 2.5))
-    view.hear_slowness('u', 9.0, age_s=1.0)
+    view.record_load_report('u', loads.LoadReport(1, 0, 4, 2.5))
+    view.record_peer_slowness('u', 9.0, age_s=1.0)
     assert view.expected_slowness('u') == 2.5
     view.clock.advance(loads.SPEED_HALF_LIFE_S)
     assert abs(view.expected_slowness('u') - 1.75) < 1e-9
@@ -52,10 +52,10 @@
     view = loads.LoadView(clocks.ManualClock())
     last = {}
     for vm, counts, pause_s in reports:
-        view.hear_peer(vm, counts)
+        view.record_peer_load(vm, counts)
         last[vm] = counts, view.clock.monotonic()
         view.clock.advance(pause_s)
-        view.expire_peers()
+        view.expire_peer_loads()
         oldest = view.clock.monotonic() - loads.PEER_REPORT_MAX_AGE_S
         sums = collections.Counter()
         for reported, at in last.values():
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -53,7 +53,7 @@
 
 
 @attrs.frozen
-class News:
+class DirectoryDelta:
     """What changed between two versions of the store.
 
     Attributes:
--- a/packages/domain/bulrushcourse_domain/upstreams/warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/warmup.py
@@ -77,7 +77,7 @@
         last = self.sent_at.get(upstream, float('-inf'))
         return self.clock.monotonic() - last >= gap
 
-    def note_sent(self, upstream: str) -> None:
+    def record_sent(self, upstream: str) -> None:
         """Count a request to a cold upstream.
 
         Args:
--- a/packages/entry/bulrushcourse_entry/callers/failures.py
+++ b/packages/entry/bulrushcourse_entry/callers/failures.py
@@ -2,7 +2,7 @@
 
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.callers import problems
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.upstreams import client
 
 RETRY_AFTER_S = 1
@@ -34,7 +34,7 @@
 
 
 def describe(
-    call: reading.Call,
+    call: request_parsing.Call,
     refusal: requests.Refusal | None,
     failure: client.Failure | None,
 ) -> problems.Problem:
@@ -87,14 +87,14 @@
     return failure in (client.Failure.NOT_SENT, client.Failure.NO_SHARE)
 
 
-def may_retry(call: reading.Call, failure: client.Failure) -> bool:
+def may_retry(call: request_parsing.Call, failure: client.Failure) -> bool:
     """Return whether a call may be sent again after a failure.
 
     Args:
         call: The caller's request.
         failure: How its last attempt failed.
     """
-    if call.rest is not None:
+    if call.body_stream is not None:
         # The body was streamed and cannot be sent again.
         return False
     if failure is client.Failure.DEADLINE:
--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -16,7 +16,7 @@
 from bulrushcourse_entry.callers import failures
 from bulrushcourse_entry.callers import hedging
 from bulrushcourse_entry.callers import problems
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.slots import source
 from bulrushcourse_entry.upstreams import client
 
@@ -33,15 +33,15 @@
 
     async def admit(
         self, target: str, priority: int, deadline: float
-    ) -> tuple[bool, client.Crossing | None]:
+    ) -> tuple[bool, client.LinkThrottle | None]:
         """Charge a request that is about to be sent to a region."""
         ...
 
 
-class Finishes(typing.Protocol):
+class OutcomeListener(typing.Protocol):
     """Receiver of how requests ended."""
 
-    def finished(
+    def record_outcome(
         self,
         service: str,
         region: str,
@@ -62,7 +62,7 @@
         slots: Where slots come from.
         regions: Chooser of the region.
         upstreams: HTTP client of the instances.
-        finishes: Receiver of how requests ended.
+        outcome_listener: Receiver of how requests ended.
         priorities: Priority of each request class.
         instances: Instances of the configuration in force, by name.
         budgets: Budget for repeated work by service.
@@ -74,7 +74,7 @@
     slots: source.SlotSource
     regions: RegionChooser
     upstreams: client.UpstreamClient
-    finishes: Finishes
+    outcome_listener: OutcomeListener
     priorities: dict[str, int] = attrs.field(factory=dict)
     instances: dict[str, objects.Instance] = attrs.field(factory=dict)
     budgets: dict[str, retry_budget.RetryBudget] = attrs.field(
@@ -105,7 +105,7 @@
         }
 
     async def forward(
-        self, call: reading.Call
+        self, call: request_parsing.Call
     ) -> result.Result[attempts.Exchange, problems.Problem]:
         """Run a call and return its answer, or why there is none.
 
@@ -115,7 +115,7 @@
         avoid: tuple[str, ...] = ()
         reported = attempts.Attempt()
         budget = self.budgets[call.service.name]
-        budget.count_primary()
+        budget.record_primary()
         for number in range(MAX_ATTEMPTS):
             attempt = await self.attempt(call, number, avoid)
             if attempt.exchange is not None:
@@ -130,7 +130,10 @@
                 call, attempt.failure
             ):
                 break
-            if not failures.is_free(attempt.failure) and not budget.spend():
+            if (
+                not failures.is_free(attempt.failure)
+                and not budget.try_spend()
+            ):
                 break
             avoid += (attempt.instance,)
         return result.Failure(
@@ -138,7 +141,7 @@
         )
 
     async def attempt(
-        self, call: reading.Call, number: int, avoid: tuple[str, ...]
+        self, call: request_parsing.Call, number: int, avoid: tuple[str, ...]
     ) -> attempts.Attempt:
         """Get a slot and send the call once.
 
@@ -155,7 +158,7 @@
 
     async def acquire(
         self,
-        call: reading.Call,
+        call: request_parsing.Call,
         number: int,
         avoid: tuple[str, ...],
         hedged: str = '',
@@ -193,7 +196,7 @@
         )
 
     async def send(
-        self, call: reading.Call, held: attempts.HeldSlot
+        self, call: request_parsing.Call, held: attempts.HeldSlot
     ) -> attempts.Attempt:
         """Send the call to the instance of a slot.
 
@@ -203,7 +206,7 @@
         """
         instance, finish = held.instance, held.finish
         try:
-            admitted, crossing = await self.regions.admit(
+            admitted, throttle = await self.regions.admit(
                 held.region, self.priorities[call.request_class], call.deadline
             )
         except BaseException:
@@ -228,10 +231,10 @@
             call.path,
             call.headers,
             call.body,
-            call.rest,
+            call.body_stream,
             max(remaining, MIN_REMAINING_S),
             call.service.idempotent,
-            crossing,
+            throttle,
         )
         try:
             sent = await self.upstreams.send(
@@ -257,7 +260,7 @@
         return attempts.Attempt(exchange, instance=instance)
 
     def _finisher(
-        self, call: reading.Call, region: str, grant: requests.Grant
+        self, call: request_parsing.Call, region: str, grant: requests.Grant
     ) -> typing.Callable[[requests.ReleaseOutcome], None]:
         started = self.clock.monotonic()
         service = call.service.name
@@ -266,7 +269,9 @@
             time_s = self.clock.monotonic() - started
             if outcome is requests.ReleaseOutcome.DONE:
                 self.hedger.observe(call, time_s)
-            self.finishes.finished(service, region, outcome, time_s)
+            self.outcome_listener.record_outcome(
+                service, region, outcome, time_s
+            )
             self.slots.release(
                 service, region, grant.request_id, outcome, time_s
             )
--- a/packages/entry/bulrushcourse_entry/callers/hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/hedging.py
@@ -10,7 +10,7 @@
 from bulrushcourse_domain.retries import hedging as hedge_policy
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.callers import attempts
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 
 # A pool's owner refuses a hedge while the first copy's instance is not slow,
 # which may show only later.
@@ -25,7 +25,7 @@
 
     async def acquire(
         self,
-        call: reading.Call,
+        call: request_parsing.Call,
         number: int,
         avoid: tuple[str, ...],
         hedged: str = '',
@@ -34,7 +34,7 @@
         ...
 
     async def send(
-        self, call: reading.Call, held: attempts.HeldSlot
+        self, call: request_parsing.Call, held: attempts.HeldSlot
     ) -> attempts.Attempt:
         """Send the call to the instance of a slot."""
         ...
@@ -54,7 +54,7 @@
     policies: dict[str, hedge_policy.HedgePolicy] = attrs.field(factory=dict)
     hedges: int = 0
 
-    def observe(self, call: reading.Call, seconds: float) -> None:
+    def observe(self, call: request_parsing.Call, seconds: float) -> None:
         """Count the service time of a call that was answered.
 
         Args:
@@ -65,7 +65,7 @@
 
     async def send(
         self,
-        call: reading.Call,
+        call: request_parsing.Call,
         held: attempts.HeldSlot,
         budget: retry_budget.RetryBudget,
     ) -> attempts.Attempt:
@@ -76,7 +76,7 @@
             held: Slot of the first copy.
             budget: Budget of the service for extra work.
         """
-        repeatable = call.service.idempotent and call.rest is None
+        repeatable = call.service.idempotent and call.body_stream is None
         delay_s = self._policy(call).delay_s(call.request_class, repeatable)
         if delay_s is None:
             return await self.sender.send(call, held)
@@ -99,7 +99,7 @@
 
     async def _send_second(
         self,
-        call: reading.Call,
+        call: request_parsing.Call,
         instance: str,
         budget: retry_budget.RetryBudget,
         delay_s: float,
@@ -107,7 +107,7 @@
         for number in range(ASKS):
             if number:
                 await asyncio.sleep(delay_s)
-            if budget.saved < 1:
+            if budget.tokens < 1:
                 return None
             name = attempts.HEDGE_NUMBER + number
             granted = await self.sender.acquire(
@@ -115,14 +115,14 @@
             )
             if isinstance(granted, result.Success):
                 held = granted.unwrap()
-                if not budget.spend():
+                if not budget.try_spend():
                     held.finish(requests.ReleaseOutcome.CANCELLED)
                     return None
                 self.hedges += 1
                 return await self.sender.send(call, held)
         return None
 
-    def _policy(self, call: reading.Call) -> hedge_policy.HedgePolicy:
+    def _policy(self, call: request_parsing.Call) -> hedge_policy.HedgePolicy:
         return self.policies.setdefault(
             call.service.name, hedge_policy.HedgePolicy(QUANTILE)
         )
--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -10,13 +10,13 @@
 from returns import result
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import metrics as entry_metrics
 from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import problems
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.claims import listener as claims_listener
 
 MAX_HEADER_BYTES = 16 << 10
@@ -48,7 +48,7 @@
     """
 
     clock: clocks.Clock
-    configuration: in_force.ConfigurationInForce
+    configuration: active_configuration.ActiveConfiguration
     forwarder: forwarding.Forwarder
     lookups: Lookups
     metrics: entry_metrics.Metrics
@@ -113,7 +113,8 @@
             # Callers must not be able to create metrics at will.
             return
         class_name = request.headers.get(
-            reading.CLASS_HEADER, configuration.services[name].request_class
+            request_parsing.CLASS_HEADER,
+            configuration.services[name].request_class,
         )
         if class_name in configuration.request_classes:
             self.metrics.timing(f'latency.{name}.{class_name}', elapsed_ms)
@@ -125,7 +126,9 @@
                 503, 'no-configuration', 'no configuration is in force', 1
             )
             return claims_listener.refusal(problem, request).response()
-        read = await reading.read_call(request, configuration, self.clock)
+        read = await request_parsing.read_call(
+            request, configuration, self.clock
+        )
         if isinstance(read, result.Failure):
             problem = claims_listener.refusal(read.failure(), request)
             return problem.response()
@@ -164,7 +167,7 @@
         headers = multidict.CIMultiDict(
             (name, value)
             for name, value in answer.headers.items()
-            if name.lower() not in reading.HOP_HEADERS
+            if name.lower() not in request_parsing.HOP_HEADERS
         )
         headers[problems.OUTCOME_HEADER] = problems.Outcome.DONE.value
         if answer.whole:
@@ -177,8 +180,8 @@
         async with asyncio.timeout(exchange.remaining_s()):
             await response.prepare(request)
             await response.write(answer.prefix)
-            async for piece in answer.pieces():
-                await response.write(piece)
+            async for chunk in answer.chunks():
+                await response.write(chunk)
             await response.write_eof()
         ending = requests.ReleaseOutcome.DONE
         return response
--- a/packages/entry/bulrushcourse_entry/callers/reading.py
+++ b/packages/entry/bulrushcourse_entry/callers/request_parsing.py
@@ -52,7 +52,7 @@
         path: Path and query for the upstream.
         headers: Headers to pass on.
         body: Body, or its beginning if ``rest`` is given.
-        rest: Remaining pieces of the body.
+        body_stream: Remaining chunks of the body.
         fingerprint: Hash of service, method, path and beginning of the body.
         key: Idempotency key, empty if there is none.
     """
@@ -66,7 +66,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
-    rest: typing.AsyncIterator[bytes] | None
+    body_stream: typing.AsyncIterator[bytes] | None
     fingerprint: str
     key: str
 
@@ -127,7 +127,7 @@
             path=path,
             headers=headers,
             body=body,
-            rest=None if whole else _rest(request, service, len(body)),
+            body_stream=None if whole else _rest(request, service, len(body)),
             fingerprint=fingerprint(service.name, request.method, path, body),
             key=request.headers.get(KEY_HEADER, ''),
         )
@@ -185,13 +185,13 @@
 
 
 async def _read_body(request: web.Request) -> tuple[bytes, bool]:
-    pieces = bytearray()
-    while len(pieces) < BUFFERED_BODY_BYTES:
-        piece = await request.content.read(BUFFERED_BODY_BYTES - len(pieces))
-        if not piece:
-            return bytes(pieces), True
-        pieces += piece
-    return bytes(pieces), request.content.at_eof()
+    chunks = bytearray()
+    while len(chunks) < BUFFERED_BODY_BYTES:
+        chunk = await request.content.read(BUFFERED_BODY_BYTES - len(chunks))
+        if not chunk:
+            return bytes(chunks), True
+        chunks += chunk
+    return bytes(chunks), request.content.at_eof()
 
 
 class BodyTooLarge(Exception):
@@ -201,8 +201,8 @@
 async def _rest(
     request: web.Request, service: objects.Service, received: int
 ) -> typing.AsyncIterator[bytes]:
-    async for piece in request.content.iter_chunked(client.PIECE_BYTES):
-        received += len(piece)
+    async for chunk in request.content.iter_chunked(client.CHUNK_BYTES):
+        received += len(chunk)
         if received > service.max_body_bytes:
             raise BodyTooLarge
-        yield piece
+        yield chunk
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
@@ -10,7 +10,7 @@
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import problems
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.upstreams import client
 
 LOST, SHED = client.Failure.LOST, client.Failure.SHED
@@ -34,7 +34,7 @@
             return False, None
         return True, None
 
-    def finished(self, *details):
+    def record_outcome(self, *details):
         pass
 
     async def acquire(self, service, region, wish):
@@ -72,11 +72,11 @@
     forwarder.instances = {'i': instance}
     forwarder.priorities = {'short': 1}
     # Saved retries, so that every step of the script is reached.
-    forwarder.budgets['s'].saved = len(steps)
+    forwarder.budgets['s'].tokens = len(steps)
     forwarder.priorities = {'short': 1}
     service = objects.Service('s', 'pool', 'short', idempotent=True)
     pool = objects.Pool('pool', 1, 10, (instance,))
-    call = reading.Call(
+    call = request_parsing.Call(
         'r', service, pool, 'short', 5.0, 'GET', '/', {}, b'', None, '', ''
     )
     failed = asyncio.run(forwarder.forward(call)).failure()
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
@@ -12,7 +12,7 @@
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import hedging
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.upstreams import client
 
 CANCELLED = requests.ReleaseOutcome.CANCELLED
@@ -60,7 +60,7 @@
 def make_call(idempotent=True):
     service = objects.Service('s', 'pool', 'short', idempotent)
     pool = objects.Pool('pool', 1, 10, ())
-    return reading.Call(
+    return request_parsing.Call(
         'r', service, pool, 'short', 5.0, 'GET', '/', {}, b'', None, '', ''
     )
 
@@ -73,7 +73,7 @@
         for _ in range(hedge_policy.MIN_SAMPLES):
             policy.observe('short', 0.001)
         hedger.policies['s'] = policy
-        budget = retry_budget.RetryBudget(saved=saved)
+        budget = retry_budget.RetryBudget(tokens=saved)
         sending = asyncio.create_task(
             hedger.send(call, sender.hold(instance), budget)
         )
--- a/packages/entry/bulrushcourse_entry/claims/assembly.py
+++ b/packages/entry/bulrushcourse_entry/claims/assembly.py
@@ -8,9 +8,9 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import issued_keys
+from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_domain.configuration import configuration_set
-from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.claims import cleanup as claim_cleanup
 from bulrushcourse_entry.claims import exchanges
@@ -80,7 +80,7 @@
     table: platform_table.HttpTable,
     objects: platform_objects.ObjectStore,
     forwarder: forwarding.Forwarder,
-    configuration: in_force.ConfigurationInForce,
+    configuration: active_configuration.ActiveConfiguration,
 ) -> ClaimsParts:
     """Return the parts, not yet started.
 
@@ -101,7 +101,9 @@
         rows, dispatcher, clock, cleanup, lambda: uuid.uuid4().hex
     )
     who = hub.identity
-    keys = issued.IssuedKeys(who.entry, who.incarnation, who.secret, clock)
+    keys = issued_keys.IssuedKeys(
+        who.entry, who.incarnation, who.secret, clock
+    )
     own = issued_runs.IssuedRuns(keys, rows, dispatcher, clock, cleanup)
     issuers = exchanges.PeerIssuers(hub, clock)
     gateway = claim_gateway.Gateway(free, own, issuers, rows)
--- a/packages/entry/bulrushcourse_entry/claims/exchanges.py
+++ b/packages/entry/bulrushcourse_entry/claims/exchanges.py
@@ -9,8 +9,8 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.claims import keys
 from bulrushcourse_domain.claims import outcomes
-from bulrushcourse_domain.configuration import in_force
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_domain.configuration import active_configuration
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.claims import dispatch
 from bulrushcourse_entry.claims import gateway as claim_gateway
 from bulrushcourse_entry.peers import hub as peer_hub
@@ -72,7 +72,7 @@
         finally:
             del self.waiting[exchange]
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         answer = received.message
         if not isinstance(answer, key_messages.KeyAnswer):
             return
@@ -80,7 +80,7 @@
         if peer == received.peer and not future.done():
             future.set_result(_read_answer(answer))
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
+    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         if change.connected:
             return
         for peer, future in self.waiting.values():
@@ -102,7 +102,7 @@
 
     hub: peer_hub.PeerHub
     gateway: claim_gateway.Gateway
-    configuration: in_force.ConfigurationInForce
+    configuration: active_configuration.ActiveConfiguration
     clock: clocks.Clock
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -110,7 +110,7 @@
         """Follow the messages of peers."""
         self.hub.received.subscribe(self._on_message)
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         if isinstance(received.message, key_messages.KeyForward):
             task = asyncio.create_task(
                 self._answer(received.peer, received.message)
@@ -136,7 +136,7 @@
         if not service:
             return None
         deadline = self.clock.monotonic() + message.remaining_ms / 1000
-        call = reading.Call(
+        call = request_parsing.Call(
             request_id=uuid.uuid4().hex,
             service=service,
             pool=current.pools[service.pool],
@@ -146,8 +146,8 @@
             path=message.path,
             headers=message.headers,
             body=message.body,
-            rest=None,
-            fingerprint=reading.fingerprint(
+            body_stream=None,
+            fingerprint=request_parsing.fingerprint(
                 service.name, message.method, message.path, message.body
             ),
             key=message.key,
--- a/packages/entry/bulrushcourse_entry/claims/free_form.py
+++ b/packages/entry/bulrushcourse_entry/claims/free_form.py
@@ -279,7 +279,10 @@
         version = 0
         if found is not None:
             version, row = found.version, found.claim
-        if row.meet(attempt, request.digest) is not claims.Meeting.OWN:
+        if (
+            row.check_attempt(attempt, request.digest)
+            is not claims.AttemptCheck.OWN
+        ):
             return row
         finished = row.finish(attempt, outcome, self._wall(), answer)
         stored = await self.rows.write(key, finished, version, urgent)
--- a/packages/entry/bulrushcourse_entry/claims/issued_runs.py
+++ b/packages/entry/bulrushcourse_entry/claims/issued_runs.py
@@ -6,7 +6,7 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.claims import claim as claims
-from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import issued_keys
 from bulrushcourse_domain.claims import outcomes
 from bulrushcourse_entry import events
 from bulrushcourse_entry.claims import cleanup as claim_cleanup
@@ -37,7 +37,7 @@
         not_copied: Outcomes that were not copied.
     """
 
-    keys: issued.IssuedKeys
+    keys: issued_keys.IssuedKeys
     rows: claim_rows.ClaimRows
     dispatcher: dispatch.Dispatcher
     clock: clocks.Clock
@@ -52,23 +52,25 @@
         Args:
             request: The request; its key has the issued form.
         """
-        meeting = self.keys.meet(request.key, request.service, request.digest)
-        if meeting is issued.KeyMeeting.FIRST:
+        check = self.keys.check_request(
+            request.key, request.service, request.digest
+        )
+        if check is issued_keys.KeyCheck.FIRST:
             self._start(request)
-        elif meeting is issued.KeyMeeting.FINAL:
+        elif check is issued_keys.KeyCheck.FINAL:
             return self.keys.reply(request.key)
-        elif meeting is not issued.KeyMeeting.RUNNING:
-            return self.decline(meeting)
+        elif check is not issued_keys.KeyCheck.RUNNING:
+            return self.decline(check)
         left = request.deadline - self.clock.monotonic()
         return await self.runs[request.key].wait(left)
 
-    def decline(self, meeting: issued.KeyMeeting) -> outcomes.Reply:
+    def decline(self, check: issued_keys.KeyCheck) -> outcomes.Reply:
         """Return what to tell about a key that is not run here.
 
         Args:
-            meeting: Why it is not run.
+            check: Why it is not run.
         """
-        return outcomes.Reply(outcomes.Outcome.UNKNOWN, meeting.value)
+        return outcomes.Reply(outcomes.Outcome.UNKNOWN, check.value)
 
     def _start(self, request: dispatch.KeyedRequest) -> None:
         run = dispatch.Run(request.digest)
--- a/packages/entry/bulrushcourse_entry/claims/listener.py
+++ b/packages/entry/bulrushcourse_entry/claims/listener.py
@@ -7,11 +7,11 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.claims import claim as claims
-from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import issued_keys
 from bulrushcourse_domain.claims import outcomes
-from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_entry.callers import problems
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.claims import dispatch
 from bulrushcourse_entry.claims import gateway as claim_gateway
 
@@ -46,7 +46,7 @@
     """
 
     clock: clocks.Clock
-    configuration: in_force.ConfigurationInForce
+    configuration: active_configuration.ActiveConfiguration
     gateway: claim_gateway.Gateway
     accepting: typing.Callable[[], bool]
 
@@ -80,7 +80,7 @@
         if not made:
             detail = 'too many keys are kept'
             return _problem(503, 'too-many-keys', detail, RETRY_AFTER_S)
-        body = {'keys': made, 'lifetime_s': issued.KEY_LIFETIME_S}
+        body = {'keys': made, 'lifetime_s': issued_keys.KEY_LIFETIME_S}
         return web.json_response(body, status=201)
 
     async def show_outcome(self, request: web.Request) -> web.Response:
@@ -105,7 +105,7 @@
         headers = {problems.OUTCOME_HEADER: reply.outcome.value}
         return web.json_response(body, headers=headers)
 
-    async def serve(self, call: reading.Call) -> web.Response:
+    async def serve(self, call: request_parsing.Call) -> web.Response:
         """Run a request with a key and return what its caller is told.
 
         Args:
@@ -113,7 +113,7 @@
         """
         try:
             call = await read_whole(call)
-        except reading.BodyTooLarge:
+        except request_parsing.BodyTooLarge:
             return _problem(413, 'body-too-large', 'request body is too large')
         digest = claims.request_digest(call.method, call.path, [call.body])
         keyed = dispatch.KeyedRequest(
@@ -126,7 +126,7 @@
         return current is not None and service in current.services
 
 
-def may_repeat(call: reading.Call) -> bool:
+def may_repeat(call: request_parsing.Call) -> bool:
     """Return whether a request needs no claim.
 
     Args:
@@ -147,14 +147,14 @@
         problem: Why the request is refused.
         request: The HTTP request.
     """
-    key = request.headers.get(reading.KEY_HEADER, '')
-    if not key or len(key) > reading.MAX_KEY_LENGTH:
+    key = request.headers.get(request_parsing.KEY_HEADER, '')
+    if not key or len(key) > request_parsing.MAX_KEY_LENGTH:
         # No entry has ever run a request with such a key.
         return problem
     return attrs.evolve(problem, outcome=problems.Outcome.UNKNOWN)
 
 
-async def read_whole(call: reading.Call) -> reading.Call:
+async def read_whole(call: request_parsing.Call) -> request_parsing.Call:
     """Return a call with its whole body in memory.
 
     The run must not depend on the caller's connection.
@@ -165,17 +165,19 @@
     Raises:
         BodyTooLarge: If the body passes the service's limit.
     """
-    if call.rest is None:
+    if call.body_stream is None:
         return call
     body = bytearray(call.body)
-    async for piece in call.rest:
-        body += piece
+    async for chunk in call.body_stream:
+        body += chunk
     headers = {
         name: value
         for name, value in call.headers.items()
         if name.lower() != 'content-length'
     }
-    return attrs.evolve(call, body=bytes(body), rest=None, headers=headers)
+    return attrs.evolve(
+        call, body=bytes(body), body_stream=None, headers=headers
+    )
 
 
 def render_told(reply: outcomes.Reply) -> web.Response:
--- a/packages/entry/bulrushcourse_entry/claims/upstream.py
+++ b/packages/entry/bulrushcourse_entry/claims/upstream.py
@@ -11,7 +11,7 @@
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import forwarding
-from bulrushcourse_entry.callers import reading
+from bulrushcourse_entry.callers import request_parsing
 from bulrushcourse_entry.claims import dispatch
 from bulrushcourse_entry.upstreams import client
 
@@ -42,7 +42,7 @@
     """
 
     forwarder: forwarding.Forwarder
-    call: reading.Call
+    call: request_parsing.Call
     held: attempts.HeldSlot
     deadline: float
 
@@ -101,7 +101,7 @@
             number: How many dispatches there were before.
             avoid: Instances that failed this request.
         """
-        call: reading.Call = request.call
+        call: request_parsing.Call = request.call
         held = await self.forwarder.acquire(call, number, avoid)
         if isinstance(held, result.Failure):
             return None
@@ -111,7 +111,7 @@
 
 
 async def read_answer(
-    call: reading.Call, answer: client.UpstreamAnswer
+    call: request_parsing.Call, answer: client.UpstreamAnswer
 ) -> dispatch.Dispatched:
     """Return the whole answer and what it states.
 
@@ -123,8 +123,8 @@
         aiohttp.ClientError: If the answer is cut off.
     """
     body = bytearray(answer.prefix)
-    async for piece in answer.pieces():
-        body += piece
+    async for chunk in answer.chunks():
+        body += chunk
         if len(body) > MAX_ANSWER_BYTES:
             return dispatch.Dispatched(outcomes.UpstreamFact.TRUNCATED)
     if not is_delimited(call.method, answer.status, answer.headers):
@@ -135,7 +135,7 @@
     headers = tuple(
         (name, value)
         for name, value in answer.headers.items()
-        if name.lower() not in reading.HOP_HEADERS
+        if name.lower() not in request_parsing.HOP_HEADERS
     )
     return dispatch.Dispatched(
         fact, outcomes.Answer(answer.status, headers, bytes(body))
--- a/packages/entry/bulrushcourse_entry/configuration/exchange.py
+++ b/packages/entry/bulrushcourse_entry/configuration/exchange.py
@@ -9,8 +9,8 @@
 from returns import result
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_domain.configuration import configuration_set
-from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_domain.configuration import startup as startup_rule
 from bulrushcourse_entry import events
 from bulrushcourse_entry.configuration import store as configuration_store
@@ -50,7 +50,7 @@
 
     clock: clocks.Clock
     table: platform_table.Table
-    held: in_force.ConfigurationInForce
+    held: active_configuration.ActiveConfiguration
     members: entry_members.Members
     hub: peer_hub.PeerHub
     startup: startup_rule.StartupConfiguration = attrs.field(
@@ -106,9 +106,9 @@
         if not self.store_answers:
             events.emit(events.Event.STORE_REACHABLE)
         self.store_answers = True
-        self.members.view.reach_store()
-        self.startup.read_row(stored.version)
-        if stored.publication and stored.version > self.held.held_version:
+        self.members.view.record_store_contact()
+        self.startup.record_stored_version(stored.version)
+        if stored.publication and stored.version > self.held.newest_version:
             self.accept(stored.version, stored.publication.objects)
         elif asked_at - self.obtained_at >= TRUST_AFTER_S:
             self._confirm(stored.version)
@@ -134,7 +134,7 @@
                 findings=[str(found) for found in checked.failure()],
             )
             return
-        if self.held.hold(checked.unwrap()):
+        if self.held.stage(checked.unwrap()):
             self.obtained_at = self.clock.monotonic()
         if by_peer:
             self._confirm(version)
@@ -150,7 +150,7 @@
         """Return versions for a state dump."""
         return {
             'version': self.held.version,
-            'held_version': self.held.held_version,
+            'held_version': self.held.newest_version,
             'refused': self.held.refused,
             'row_version_at_start': self.startup.row_version,
             'ready': self.startup.ready,
@@ -166,11 +166,11 @@
         )
         self.changes.on_next(self.held.current)
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         message = received.message
         if isinstance(message, messages.Heartbeat):
             self._confirm(message.held_version)
-            if message.held_version < self.held.held_version:
+            if message.held_version < self.held.newest_version:
                 self._send(received.peer)
         elif isinstance(message, messages.Configuration):
             self._receive(received.peer, message)
@@ -186,7 +186,7 @@
         self.hub.send(peer, self.hub.heartbeat())
 
     def _send(self, peer: str) -> None:
-        newest = self.held.held
+        newest = self.held.newest
         now = self.clock.monotonic()
         if newest is None:
             return
--- a/packages/entry/bulrushcourse_entry/configuration/publisher.py
+++ b/packages/entry/bulrushcourse_entry/configuration/publisher.py
@@ -75,13 +75,13 @@
     members: entry_members.Members
     exchange: exchange.ConfigurationExchange
 
-    async def publish(self, order: publication.PublishOrder) -> Outcome:
+    async def publish(self, request: publication.PublishRequest) -> Outcome:
         """Publish and return the publication, or why it is refused.
 
         Args:
-            order: What the operator wants.
+            request: What the operator wants.
         """
-        outcome = await self._publish(order)
+        outcome = await self._publish(request)
         if isinstance(outcome, result.Success):
             stored = outcome.unwrap().publication
             events.emit(
@@ -96,8 +96,8 @@
             events.emit(
                 events.Event.PUBLISH_REFUSED,
                 reason=outcome.failure().reason.value,
-                operator=order.operator,
-                publish_id=order.publish_id,
+                operator=request.operator,
+                publish_id=request.publish_id,
             )
         return outcome
 
@@ -123,7 +123,7 @@
             publication.roll_back(base_version, old, publish_id, operator)
         )
 
-    async def _publish(self, order: publication.PublishOrder) -> Outcome:
+    async def _publish(self, request: publication.PublishRequest) -> Outcome:
         if self.members.isolated:
             return result.Failure(
                 Refusal(
@@ -132,7 +132,7 @@
                 )
             )
         checked = configuration_set.check_configuration(
-            order.base_version + 1, order.objects
+            request.base_version + 1, request.objects
         )
         if isinstance(checked, result.Failure):
             found = checked.failure()
@@ -144,7 +144,7 @@
         unanswered = False
         for _ in range(ATTEMPTS):
             try:
-                attempt = await self._attempt(order)
+                attempt = await self._attempt(request)
             except platform_table.TableUnavailable:
                 break
             if attempt is not None:
@@ -153,13 +153,13 @@
         return result.Failure(_UNKNOWN if unanswered else _UNAVAILABLE)
 
     async def _attempt(
-        self, order: publication.PublishOrder
+        self, request: publication.PublishRequest
     ) -> Outcome | None:
         """Return the outcome of one attempt, ``None`` if it is not known."""
         current = await self.store.read_current()
-        history = await self._read_history(order.base_version, current)
+        history = await self._read_history(request.base_version, current)
         proposed = publication.propose(
-            current.publication, history, order, self.clock.wall()
+            current.publication, history, request, self.clock.wall()
         )
         if isinstance(proposed, result.Failure):
             conflict = proposed.failure()
--- a/packages/entry/bulrushcourse_entry/edge/endings.py
+++ b/packages/entry/bulrushcourse_entry/edge/endings.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from bulrushcourse_domain.placement import placement
-from bulrushcourse_domain.upstreams import trouble
+from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_entry.edge import sending
 
 Failure = sending.Failure
@@ -14,14 +14,14 @@
 # Failures that prove that the request did not run.
 NOT_RUN = frozenset({Failure.NOT_SENT, Failure.SHED, Failure.MISDIRECTED})
 # What a failure tells of the upstream's health.
-OUTCOMES: typing.Mapping[Failure, trouble.Outcome] = {
-    Failure.NOT_SENT: trouble.Outcome.UNREACHABLE,
-    Failure.SHED: trouble.Outcome.SHED,
-    Failure.MISDIRECTED: trouble.Outcome.UNREACHABLE,
-    Failure.LOST: trouble.Outcome.LOST,
-    Failure.TRUNCATED: trouble.Outcome.ERROR,
-    Failure.FOREIGN: trouble.Outcome.ERROR,
-    Failure.DEADLINE: trouble.Outcome.LOST,
+OUTCOMES: typing.Mapping[Failure, outlier_detection.Outcome] = {
+    Failure.NOT_SENT: outlier_detection.Outcome.UNREACHABLE,
+    Failure.SHED: outlier_detection.Outcome.SHED,
+    Failure.MISDIRECTED: outlier_detection.Outcome.UNREACHABLE,
+    Failure.LOST: outlier_detection.Outcome.LOST,
+    Failure.TRUNCATED: outlier_detection.Outcome.ERROR,
+    Failure.FOREIGN: outlier_detection.Outcome.ERROR,
+    Failure.DEADLINE: outlier_detection.Outcome.LOST,
 }
 
 
--- a/packages/entry/bulrushcourse_entry/edge/journal.py
+++ b/packages/entry/bulrushcourse_entry/edge/event_log.py
@@ -122,7 +122,7 @@
 
 
 @attrs.define
-class Journal:
+class EventLog:
     """Writes decisions and changes of belief within a budget.
 
     Attributes:
@@ -145,7 +145,7 @@
     )
     left_out: int = 0
 
-    def decision(self, served: bool, **fields: typing.Any) -> None:
+    def log_decision(self, served: bool, **fields: typing.Any) -> None:
         """Write how a request ended and what decided it.
 
         Args:
@@ -157,7 +157,7 @@
         else:
             self._write(self.failures, events.Event.REQUEST_FAILED, fields)
 
-    def belief(self, event: events.Event, **fields: typing.Any) -> None:
+    def log_change(self, event: events.Event, **fields: typing.Any) -> None:
         """Write a change of what the process believes.
 
         Args:
@@ -166,7 +166,7 @@
         """
         self._write(self.beliefs, event, fields)
 
-    def upstream_change(
+    def log_upstream_change(
         self, change: directories.Change, version: int
     ) -> None:
         """Write a change of an upstream's entry.
@@ -175,10 +175,10 @@
             change: The change.
             version: Version of the store that showed it.
         """
-        self.belief(
+        self.log_change(
             events.Event.UPSTREAM_CHANGED,
             upstream=change.upstream.name,
-            what=change.what,
+            what=change.kind,
             version=version,
         )
 
--- a/packages/entry/bulrushcourse_entry/edge/exchange.py
+++ b/packages/entry/bulrushcourse_entry/edge/exchange.py
@@ -8,7 +8,7 @@
 
 from bulrushcourse_domain.placement import admission
 from bulrushcourse_domain.placement import placement
-from bulrushcourse_domain.upstreams import trouble
+from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_entry.edge import call as calls
 from bulrushcourse_entry.edge import endings
 from bulrushcourse_entry.edge import knowledge as knowledges
@@ -58,7 +58,7 @@
         Args:
             call: The request.
         """
-        if self.known.crashes.is_refused(call.fingerprint):
+        if self.known.crashes.is_quarantined(call.fingerprint):
             return self._refuse(call, 'quarantined')
         if call.route.idempotent:
             return await self._serve_idempotent(call)
@@ -147,11 +147,11 @@
             return True
         now = self.known.clock.monotonic()
         budget = self.known.budget(call.service)
-        return budget.spend(now, self.known.fleet.sharers())
+        return budget.try_spend(now, self.known.fleet.sharing_vm_count())
 
     def _choose(self, call: calls.Call) -> placement.Choice | endings.Ending:
         now = self.known.clock.monotonic()
-        query = placement.Query(
+        request = placement.PlacementRequest(
             call.route,
             call.service,
             call.object_key,
@@ -159,7 +159,7 @@
             frozenset(call.tried),
         )
         service = self.known.routes.service(call.service)
-        choice = self.known.placement.choose(query, service)
+        choice = self.known.placement.choose(request, service)
         verdict = admission.admit(
             choice,
             call.route,
@@ -176,7 +176,7 @@
     def _refuse(self, call: calls.Call, reason: str) -> endings.Refusal:
         left = call.deadline - self.known.clock.monotonic()
         return endings.Refusal(
-            reason, self.known.retry_times.draw(max(0.0, left))
+            reason, self.known.retry_times.sample(max(0.0, left))
         )
 
     async def _attempt(
@@ -188,12 +188,12 @@
         remaining = call.deadline - started
         first = not call.tried
         call.tried.add(upstream.name)
-        known.load.begin(upstream.name)
-        known.troubles.begin(upstream.name)
+        known.load.begin_request(upstream.name)
+        known.outliers.begin_request(upstream.name)
         if choice.cold:
-            known.cold.note_sent(upstream.name)
+            known.cold.record_sent(upstream.name)
         if first:
-            known.budget(call.service).count_request()
+            known.budget(call.service).record_request()
         outbound = sending.Outbound(
             call.method,
             call.target,
@@ -209,9 +209,9 @@
         try:
             ended = await self.sender.send(upstream, outbound)
         finally:
-            known.load.end(upstream.name)
+            known.load.end_request(upstream.name)
             if ended is None:
-                known.troubles.abandon(upstream.name)
+                known.outliers.abandon_request(upstream.name)
         took = known.clock.monotonic() - started
         self._learn(call, choice, ended, took)
         return ended
@@ -232,8 +232,11 @@
             )
             known.crashes.clear(call.fingerprint)
             good = answer.status < 500
-            known.troubles.note(
-                name, trouble.Outcome.GOOD if good else trouble.Outcome.ERROR
+            known.outliers.record_outcome(
+                name,
+                outlier_detection.Outcome.GOOD
+                if good
+                else outlier_detection.Outcome.ERROR,
             )
             if good:
                 self._learn_time(call, choice, took)
@@ -245,13 +248,13 @@
         if failure is Failure.STALE:
             # The next sending uses a new connection, perhaps to the same one.
             call.tried.discard(name)
-            known.troubles.abandon(name)
+            known.outliers.abandon_request(name)
             return
         if failure is Failure.LOST:
             incarnation = choice.upstream.incarnation
-            known.crashes.note_loss(call.fingerprint, incarnation)
+            known.crashes.record_loss(call.fingerprint, incarnation)
             self.share_loss(call.fingerprint, incarnation)
-        if known.troubles.note(name, endings.OUTCOMES[failure]):
+        if known.outliers.record_outcome(name, endings.OUTCOMES[failure]):
             self.set_aside(name)
 
     def _learn_time(
@@ -260,7 +263,7 @@
         known = self.known
         name = choice.upstream.name
         if call.object_key:
-            known.objects.note(name, call.object_key)
+            known.objects.record(name, call.object_key)
         if choice.busy or choice.cold:
             return
         slowness = known.load.expected_slowness(name)
--- a/packages/entry/bulrushcourse_entry/edge/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/handlers.py
@@ -11,8 +11,8 @@
 from bulrushcourse_entry.edge import bodies
 from bulrushcourse_entry.edge import call as calls
 from bulrushcourse_entry.edge import endings
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import exchange as exchanges
-from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import meters
 from bulrushcourse_entry.edge import sending
@@ -36,7 +36,7 @@
         known: What this process believes.
         steering: Chooses their services and regions.
         exchange: Serves the calls.
-        journal: Log.
+        event_log: Log.
         meters: Counters and histograms.
         closing: Whether connections end with the next answer.
         refusing: Whether new requests are refused.
@@ -47,7 +47,7 @@
     known: knowledges.Knowledge
     steering: steering.Steering
     exchange: exchanges.Exchange
-    journal: journals.Journal
+    event_log: event_logs.EventLog
     meters: meters.Meters
     closing: bool = False
     refusing: bool = False
@@ -65,7 +65,7 @@
             response = await self._serve(request)
         except Exception as error:
             # The request may have run, so that the answer promises nothing.
-            self.journal.belief(
+            self.event_log.log_change(
                 events.Event.REQUEST_ERROR,
                 id=request.headers.get(platform_headers.REQUEST_ID, ''),
                 error=traceback.format_exc(limit=-4),
@@ -95,7 +95,7 @@
             return self._reject(404, 'no-route', caller)
         body = bodies.Body(self.memory)
         try:
-            limit = self.known.routes.in_force.limits.body_bytes
+            limit = self.known.routes.active.limits.body_bytes
             reason = await body.read(request, limit)
             if reason == bodies.TOO_LARGE:
                 return self._reject(413, reason, caller)
@@ -115,7 +115,7 @@
         self, caller: platform_headers.CallerHeaders, route: routes.Route
     ) -> float:
         remaining = caller.remaining_s
-        return self.known.retry_times.draw(
+        return self.known.retry_times.sample(
             route.timeout_s if remaining is None else remaining
         )
 
@@ -129,8 +129,8 @@
     ) -> calls.Call:
         known = self.known
         service = self.steering.choose_service(route)
-        times = known.times.of(route.key, service, route.objective_s)
-        known.demand.count(service, times.usual_s)
+        times = known.times.route_times(route.key, service, route.objective_s)
+        known.demand.record_request(service, times.typical_s)
         allowed = route.timeout_s
         if caller.remaining_s is not None:
             allowed = min(
@@ -173,7 +173,7 @@
     ) -> web.Response:
         self.meters.refused(refusal.reason)
         if refusal.reason in UNCALLED:
-            self.journal.decision(
+            self.event_log.log_decision(
                 False,
                 id=request_id,
                 outcome='refused',
@@ -191,7 +191,7 @@
         reason: str,
         caller: platform_headers.CallerHeaders,
     ) -> web.Response:
-        self.journal.decision(
+        self.event_log.log_decision(
             False,
             id=caller.request_id,
             outcome='rejected',
@@ -206,7 +206,7 @@
         took = known.clock.monotonic() - call.arrived
         served = isinstance(ending, sending.Answer)
         self.meters.ended(call.service, ending, took)
-        self.journal.decision(
+        self.event_log.log_decision(
             served and ending.status < 500,
             id=call.request_id,
             outcome=type(ending).__name__.lower(),
