--- a/packages/entry/bulrushcourse_entry/edge/knowledge.py
+++ b/packages/entry/bulrushcourse_entry/edge/knowledge.py
@@ -14,14 +14,14 @@
 from bulrushcourse_domain.placement import region_mix
 from bulrushcourse_domain.placement import service_times
 from bulrushcourse_domain.quarantine import crashes
-from bulrushcourse_domain.retries import shared
-from bulrushcourse_domain.routes import split
+from bulrushcourse_domain.retries import shared_budget
 from bulrushcourse_domain.routes import table as route_table
+from bulrushcourse_domain.routes import weighted_round_robin
 from bulrushcourse_domain.upstreams import directory as directories
-from bulrushcourse_domain.upstreams import idling
+from bulrushcourse_domain.upstreams import idle_connections
 from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_domain.upstreams import recent_objects
-from bulrushcourse_domain.upstreams import trouble
 from bulrushcourse_domain.upstreams import warmup
 from bulrushcourse_entry.edge import delays
 from bulrushcourse_entry.edge import settings as edge_settings
@@ -40,7 +40,7 @@
         operators_version: Version of the store behind the evacuations.
         upstreams: Known upstreams.
         load: Their load.
-        troubles: Their failures.
+        outliers: Their failures.
         objects: Objects that they have handled.
         idle: Which of them forget idle connections.
         cold: Limits on cold upstreams.
@@ -67,9 +67,9 @@
     routes: route_table.RouteTable
     upstreams: directories.UpstreamDirectory
     load: loads.LoadView
-    troubles: trouble.TroubleLog
+    outliers: outlier_detection.OutlierDetector
     objects: recent_objects.RecentObjects
-    idle: idling.IdleConnections
+    idle: idle_connections.IdleConnectionPolicy
     cold: warmup.WarmupLimiter
     times: service_times.ServiceTimes
     delays: delays.Delays
@@ -78,14 +78,18 @@
     demand: demand.Demand
     crashes: crashes.CrashLedger
     placement: placement.Placement
-    retry_times: admission.RetryTimes
+    retry_times: admission.RetryAfterSampler
     configuration: bytes = b''
     operators_version: int = 0
     mixes: dict[tuple[str, str], region_mix.RegionMix] = attrs.field(
         factory=dict
     )
-    splits: dict[str, split.WeightedTurns] = attrs.field(factory=dict)
-    budgets: dict[str, shared.SharedRetryBudget] = attrs.field(factory=dict)
+    splits: dict[str, weighted_round_robin.WeightedRoundRobin] = attrs.field(
+        factory=dict
+    )
+    budgets: dict[str, shared_budget.SharedRetryBudget] = attrs.field(
+        factory=dict
+    )
     reads_for_all: bool = False
     changes: reactivex.Subject[directories.Change] = attrs.field(
         factory=reactivex.Subject
@@ -93,7 +97,7 @@
     readings: reactivex.Subject[int] = attrs.field(factory=reactivex.Subject)
     removed: reactivex.Subject[str] = attrs.field(factory=reactivex.Subject)
 
-    def budget(self, service: str) -> shared.SharedRetryBudget:
+    def budget(self, service: str) -> shared_budget.SharedRetryBudget:
         """Return the budget for second sends to a service.
 
         Args:
@@ -101,7 +105,7 @@
         """
         if service not in self.budgets:
             bounds = self.settings.bounds
-            self.budgets[service] = shared.SharedRetryBudget(
+            self.budgets[service] = shared_budget.SharedRetryBudget(
                 bounds.retry_ratio,
                 bounds.retry_extra,
                 bounds.retry_window_s,
@@ -125,10 +129,10 @@
 
     def forget_routes(self) -> None:
         """Forget what is known of routes that are no longer configured."""
-        keys = {route.key for route in self.routes.in_force.routes}
+        keys = {route.key for route in self.routes.active.routes}
         self.mixes = {k: mix for k, mix in self.mixes.items() if k[0] in keys}
         self.splits = {k: s for k, s in self.splits.items() if k in keys}
-        self.times.keep_routes(keys)
+        self.times.retain_routes(keys)
 
     def forget(self, change: directories.Change) -> None:
         """Forget what no longer holds of an upstream that changed.
@@ -136,10 +140,10 @@
         Args:
             change: Change of its entry.
         """
-        if change.what in ('gone', 'restarted'):
-            self.troubles.forget(change.upstream.name)
-            self.objects.forget(change.upstream.name)
-            self.load.forget(change.upstream.name)
+        if change.kind in ('gone', 'restarted'):
+            self.outliers.discard(change.upstream.name)
+            self.objects.discard(change.upstream.name)
+            self.load.discard(change.upstream.name)
 
 
 def assemble(
@@ -166,7 +170,7 @@
     members = fleet.Fleet(clock, me)
     upstreams = directories.UpstreamDirectory(clock)
     load = loads.LoadView(clock)
-    troubles = trouble.TroubleLog(clock)
+    outliers = outlier_detection.OutlierDetector(clock)
     objects = recent_objects.RecentObjects()
     cold = warmup.WarmupLimiter(
         clock, settings.vm, bounds.warmup_excess, bounds.warmup_margin
@@ -180,9 +184,9 @@
         routes=route_table.RouteTable(),
         upstreams=upstreams,
         load=load,
-        troubles=troubles,
+        outliers=outliers,
         objects=objects,
-        idle=idling.IdleConnections(clock),
+        idle=idle_connections.IdleConnectionPolicy(clock),
         cold=cold,
         times=times,
         delays=measured,
@@ -194,15 +198,15 @@
             clock,
             upstreams,
             load,
-            troubles,
+            outliers,
             objects,
             cold,
             times,
             measured.to_upstream,
             rng,
         ),
-        retry_times=admission.RetryTimes(rng),
+        retry_times=admission.RetryAfterSampler(rng),
     )
     beliefs.changes.subscribe(beliefs.forget)
-    beliefs.removed.subscribe(beliefs.demand.forget)
+    beliefs.removed.subscribe(beliefs.demand.discard)
     return beliefs
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -11,7 +11,7 @@
 
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import reports
 from bulrushcourse_entry.edge import supervision
@@ -35,7 +35,7 @@
 
     Attributes:
         known: What this process believes.
-        journal: Log.
+        event_log: Log.
         reports: What is said in the streams.
         tasks: Sending tasks by VM name, and by address for seeds.
         inbound: Tasks of incoming streams.
@@ -44,7 +44,7 @@
     """
 
     known: knowledges.Knowledge
-    journal: journals.Journal
+    event_log: event_logs.EventLog
     reports: reports.Reports
     tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     inbound: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
@@ -77,7 +77,7 @@
 
     def greet_seeds(self) -> None:
         """Call the VMs that the settings name, to be known to them."""
-        me = self.known.fleet.me
+        me = self.known.fleet.local_vm
         for address in self.known.settings.seeds:
             if address != me.peer_address and address not in self.tasks:
                 self._start(address, functools.partial(self._greet, address))
@@ -89,7 +89,7 @@
             vm: The VM.
             from_itself: Whether it said itself that it exists.
         """
-        learned = self.known.fleet.learn(vm, from_itself)
+        learned = self.known.fleet.add_vm(vm, from_itself)
         if not learned or not vm.peer_address:
             return
         old = self.tasks.pop(vm.name, None)
@@ -105,7 +105,7 @@
         ],
     ) -> None:
         self.tasks[name] = asyncio.create_task(
-            supervision.keep_running(f'stream to {name}', work, self.journal)
+            supervision.keep_running(f'stream to {name}', work, self.event_log)
         )
 
     async def close(self) -> None:
@@ -138,11 +138,13 @@
                     reader, writer = await _connect(vm.peer_address)
                 pause = RECONNECT_PAUSE_S
                 connected = True
-                self.journal.belief(events.Event.PEER_CONNECTED, vm=vm.name)
+                self.event_log.log_change(
+                    events.Event.PEER_CONNECTED, vm=vm.name
+                )
                 await self._send_reports(vm, reader, writer)
             except (OSError, TimeoutError) as error:
                 if connected:
-                    self.journal.belief(
+                    self.event_log.log_change(
                         events.Event.PEER_LOST, vm=vm.name, reason=repr(error)
                     )
                 connected = False
@@ -161,14 +163,14 @@
         try:
             while not reader.at_eof():
                 # A reading without a change is news too: it is fresh.
-                news = None
+                delta = None
                 if passed_on < self.readings:
-                    news = self.known.upstreams.news_since(told)
-                    told, passed_on = news.version, self.readings
+                    delta = self.known.upstreams.delta_since(told)
+                    told, passed_on = delta.version, self.readings
                 report = self.reports.make(
                     to=vm.name,
                     region=vm.region,
-                    news=news,
+                    delta=delta,
                     with_name=first,
                 )
                 first = False
@@ -203,7 +205,7 @@
                 sender = report.vm or sender
                 if sender is None:
                     raise fleet_messages.MalformedReport('no sender')
-                if sender.name != self.known.fleet.me.name:
+                if sender.name != self.known.fleet.local_vm.name:
                     self.meet(sender, from_itself=True)
                     for vm in self.reports.take(sender, report):
                         self.meet(vm)
@@ -212,11 +214,15 @@
             # by the fleet's own ages.
             pass
         except fleet_messages.MalformedReport as error:
-            self.journal.belief(events.Event.PEER_REFUSED, reason=str(error))
+            self.event_log.log_change(
+                events.Event.PEER_REFUSED, reason=str(error)
+            )
         except Exception as error:
             # Readable, but with values that no VM sends. The stream ends, and
             # the sender opens another one.
-            self.journal.belief(events.Event.PEER_REFUSED, reason=repr(error))
+            self.event_log.log_change(
+                events.Event.PEER_REFUSED, reason=repr(error)
+            )
         except asyncio.CancelledError:
             # Server tasks are cancelled only when the process ends.
             pass
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -16,9 +16,9 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import exchange as exchanges
 from bulrushcourse_entry.edge import handlers as request_handlers
-from bulrushcourse_entry.edge import journal as journals
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import listeners
 from bulrushcourse_entry.edge import meters as edge_meters
@@ -69,31 +69,31 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then finish what has begun."""
         known = knowledges.assemble(self.settings, self.clock, self.rng)
-        journal = journals.Journal(self.clock)
-        journal.belief(
+        event_log = event_logs.EventLog(self.clock)
+        event_log.log_change(
             events.Event.STARTED,
             vm=self.settings.vm,
             region=self.settings.region,
-            incarnation=known.fleet.me.incarnation,
+            incarnation=known.fleet.local_vm.incarnation,
         )
         known.changes.subscribe(
-            lambda change: journal.upstream_change(
+            lambda change: event_log.log_upstream_change(
                 change, known.upstreams.version
             )
         )
-        self._handle_signals(known, journal)
+        self._handle_signals(known, event_log)
         async with contextlib.AsyncExitStack() as stack:
-            await self._serve(known, journal, stack)
-        journal.belief(events.Event.STOPPED, vm=self.settings.vm)
+            await self._serve(known, event_log, stack)
+        event_log.log_change(events.Event.STOPPED, vm=self.settings.vm)
 
     async def _serve(
         self,
         known: knowledges.Knowledge,
-        journal: journals.Journal,
+        event_log: event_logs.EventLog,
         stack: contextlib.AsyncExitStack,
     ) -> None:
         streams = peers.PeerStreams(
-            known, journal, reports.Reports(known, journal)
+            known, event_log, reports.Reports(known, event_log)
         )
         sender = sending.open_sender(known)
         for session in (sender.pooled, sender.fresh):
@@ -113,12 +113,12 @@
             known,
             sender,
             streams.reports.share_loss,
-            lambda name: journal.belief(
+            lambda name: event_log.log_change(
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
         )
         handlers = request_handlers.Handlers(
-            known, steering.Steering(known), exchange, journal, meters
+            known, steering.Steering(known), exchange, event_log, meters
         )
         stack.push_async_callback(exchange.close)
         await self._listen(handlers, meters, stack)
@@ -127,34 +127,34 @@
             stack.callback(server.close)
             stack.push_async_callback(streams.close)
             streams.greet_seeds()
-        tasks = self._start_tasks(known, journal, store, streams)
+        tasks = self._start_tasks(known, event_log, store, streams)
         stack.push_async_callback(_cancel, tasks)
         await self.stopping.wait()
-        await self._stop(known, journal, handlers)
+        await self._stop(known, event_log, handlers)
 
     def _handle_signals(
-        self, known: knowledges.Knowledge, journal: journals.Journal
+        self, known: knowledges.Knowledge, event_log: event_logs.EventLog
     ) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload, known, journal)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, known, event_log)
 
     def _reload(
-        self, known: knowledges.Knowledge, journal: journals.Journal
+        self, known: knowledges.Knowledge, event_log: event_logs.EventLog
     ) -> None:
         """Take over bounds and seeds of the settings; addresses stay."""
         loaded = settings_file.load(self.settings_path)
         if isinstance(loaded, result.Failure):
             found = [str(finding) for finding in loaded.failure()]
-            journal.belief(events.Event.SETTINGS_REFUSED, findings=found)
+            event_log.log_change(events.Event.SETTINGS_REFUSED, findings=found)
             return
         read = loaded.unwrap()
         self.settings = attrs.evolve(
             self.settings, bounds=read.bounds, seeds=read.seeds
         )
         known.settings = self.settings
-        journal.belief(events.Event.RELOADED, path=self.settings_path)
+        event_log.log_change(events.Event.RELOADED, path=self.settings_path)
 
     async def _listen(
         self,
@@ -183,29 +183,35 @@
     def _start_tasks(
         self,
         known: knowledges.Knowledge,
-        journal: journals.Journal,
+        event_log: event_logs.EventLog,
         store: rows.RowStore,
         streams: peers.PeerStreams,
     ) -> list[asyncio.Task[typing.Any]]:
-        reachability = reading.Reachability(journal)
+        reachability = reading.Reachability(event_log)
         registrar = registering.VmRegistrar(
-            store, known, journal, reachability, streams.meet
+            store, known, event_log, reachability, streams.meet
+        )
+        operators = reading.OperatorReader(
+            store, known, event_log, reachability
+        )
+        upstreams = reading.UpstreamReader(
+            store, known, event_log, reachability
         )
-        operators = reading.OperatorReader(store, known, journal, reachability)
-        upstreams = reading.UpstreamReader(store, known, journal, reachability)
         works = {
             'registrar': registrar.run,
             'operators': operators.run,
             'upstreams': upstreams.run,
-            'tick': functools.partial(self._tick, known, journal),
+            'tick': functools.partial(self._tick, known, event_log),
         }
         return [
-            asyncio.create_task(supervision.keep_running(name, work, journal))
+            asyncio.create_task(
+                supervision.keep_running(name, work, event_log)
+            )
             for name, work in works.items()
         ]
 
     async def _tick(
-        self, known: knowledges.Knowledge, journal: journals.Journal
+        self, known: knowledges.Knowledge, event_log: event_logs.EventLog
     ) -> None:
         """Keep derived beliefs up to date."""
         while True:
@@ -213,14 +219,14 @@
                 known
             ):
                 known.fleet.phase = fleet.Phase.READY
-                journal.belief(
+                event_log.log_change(
                     events.Event.READY,
                     configuration=known.routes.version,
                     upstreams=len(known.upstreams.entries),
                 )
             known.cold.set_members(known.fleet.alive())
-            known.placement.sharers = known.fleet.sharers()
-            known.load.expire_peers()
+            known.placement.sharing_vm_count = known.fleet.sharing_vm_count()
+            known.load.expire_peer_loads()
             await asyncio.sleep(TICK_S)
 
     def _is_ready(self, known: knowledges.Knowledge) -> bool:
@@ -229,19 +235,21 @@
     async def _stop(
         self,
         known: knowledges.Knowledge,
-        journal: journals.Journal,
+        event_log: event_logs.EventLog,
         handlers: request_handlers.Handlers,
     ) -> None:
         known.fleet.phase = fleet.Phase.LEAVING
         handlers.closing = True
-        journal.belief(events.Event.STOPPING, open=handlers.open)
+        event_log.log_change(events.Event.STOPPING, open=handlers.open)
         limit = self.settings.bounds.stop_limit_s
         started = time.monotonic()
         await asyncio.sleep(limit * ACCEPT_SHARE)
         handlers.refusing = True
         while handlers.open or handlers.exchange.kept:
             if time.monotonic() - started > limit * FINISH_SHARE:
-                journal.belief(events.Event.STOP_FORCED, open=handlers.open)
+                event_log.log_change(
+                    events.Event.STOP_FORCED, open=handlers.open
+                )
                 return
             await asyncio.sleep(0.05)
 
--- a/packages/entry/bulrushcourse_entry/edge/program.py
+++ b/packages/entry/bulrushcourse_entry/edge/program.py
@@ -6,7 +6,7 @@
 
 from returns import result
 
-from bulrushcourse_entry.edge import journal
+from bulrushcourse_entry.edge import event_log
 from bulrushcourse_entry.edge import process
 from bulrushcourse_entry.edge import settings as edge_settings
 from bulrushcourse_entry.platform import settings_file
@@ -31,7 +31,7 @@
         for found in loaded.failure():
             print(f'{path}: {found}', file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    writer = journal.LineWriter()
+    writer = event_log.LineWriter()
     with writer.applicationbound():
         asyncio.run(_run(loaded.unwrap(), path, metrics_port))
     writer.close()
--- a/packages/entry/bulrushcourse_entry/edge/reading.py
+++ b/packages/entry/bulrushcourse_entry/edge/reading.py
@@ -6,7 +6,7 @@
 
 from bulrushcourse_domain.membership import readers
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.platform import operator_rows
 from bulrushcourse_entry.platform import rows
@@ -33,11 +33,11 @@
     """Reports the loss and return of the store once each.
 
     Attributes:
-        journal: Where to report.
+        event_log: Where to report.
         reachable: Whether the last call was answered, ``None`` before one.
     """
 
-    journal: journals.Journal
+    event_log: event_logs.EventLog
     reachable: bool | None = None
 
     def note(self, answered: bool, reason: str = '') -> None:
@@ -48,9 +48,11 @@
             reason: Why not.
         """
         if answered and self.reachable is False:
-            self.journal.belief(events.Event.STORE_REACHABLE)
+            self.event_log.log_change(events.Event.STORE_REACHABLE)
         if not answered and self.reachable is not False:
-            self.journal.belief(events.Event.STORE_UNREACHABLE, reason=reason)
+            self.event_log.log_change(
+                events.Event.STORE_UNREACHABLE, reason=reason
+            )
         self.reachable = answered
 
 
@@ -61,14 +63,14 @@
     Attributes:
         store: The platform's store.
         known: What this process believes.
-        journal: Log.
+        event_log: Log.
         reachability: Whether the store answers.
         evacuations: Version of the row of each failure domain.
     """
 
     store: rows.RowStore
     known: knowledges.Knowledge
-    journal: journals.Journal
+    event_log: event_logs.EventLog
     reachability: Reachability
     evacuations: dict[str, int] = attrs.field(factory=dict)
 
@@ -85,65 +87,67 @@
                 pause = PAUSE_AFTER_FAILURE_S
 
     async def _follow(self) -> None:
-        reading = await self.store.read(operator_rows.TABLE)
-        if reading.version < self.known.operators_version:
+        batch = await self.store.read(operator_rows.TABLE)
+        if batch.version < self.known.operators_version:
             raise rows.StoreUnavailable('the store answers with old rows')
         self.reachability.note(True)
         self.evacuations = {}
-        self._take(reading)
-        after = reading.version
+        self._take(batch)
+        after = batch.version
         while True:
             try:
-                reading = await self.store.changes(
+                batch = await self.store.changes(
                     operator_rows.TABLE, after, self._wait_s()
                 )
             except rows.HistoryLost:
                 return
             self.reachability.note(True)
-            after = max(after, reading.version)
-            self._take(reading)
+            after = max(after, batch.version)
+            self._take(batch)
 
     def _wait_s(self) -> float:
         return (
             WAIT_FOR_CHANGE_S if self.known.reads_for_all else RELYING_WAIT_S
         )
 
-    def _take(self, reading: rows.Reading) -> None:
-        for row in reading.rows:
+    def _take(self, batch: rows.RowBatch) -> None:
+        for row in batch.rows:
             domain = operator_rows.evacuated_domain(row.key)
             if row.key == operator_rows.CONFIGURATION_KEY and row.value:
-                offer_configuration(self.known, self.journal, row.value)
+                offer_configuration(self.known, self.event_log, row.value)
             elif domain and row.value is None:
                 self.evacuations.pop(domain, None)
             elif domain:
                 self.evacuations[domain] = row.version
         offer_evacuations(
             self.known,
-            self.journal,
-            reading.version,
+            self.event_log,
+            batch.version,
             frozenset(self.evacuations),
         )
 
 
 def offer_configuration(
-    known: knowledges.Knowledge, journal: journals.Journal, value: bytes
+    known: knowledges.Knowledge, event_log: event_logs.EventLog, value: bytes
 ) -> None:
     """Put a configuration in force if it is newer and can be read.
 
     Args:
         known: What this process believes.
-        journal: Log.
+        event_log: Log.
         value: Content, from the store or another VM.
     """
     try:
         route_set = operator_rows.decode_configuration(value)
     except units.MalformedValue as error:
-        journal.belief(events.Event.CONFIGURATION_REFUSED, reason=str(error))
+        event_log.log_change(
+            events.Event.CONFIGURATION_REFUSED, reason=str(error)
+        )
         return
-    if known.routes.offer(route_set):
+    if known.routes.install(route_set):
         known.forget_routes()
         known.configuration = fleet_messages.pack_content(value)
-        journal.belief(
+        event_log.log_change(
             events.Event.CONFIGURATION_IN_FORCE,
             version=route_set.version,
             routes=len(route_set.routes),
@@ -152,7 +156,7 @@
 
 def offer_evacuations(
     known: knowledges.Knowledge,
-    journal: journals.Journal,
+    event_log: event_logs.EventLog,
     version: int,
     domains: frozenset[str],
 ) -> None:
@@ -160,7 +164,7 @@
 
     Args:
         known: What this process believes.
-        journal: Log.
+        event_log: Log.
         version: Version of the store behind them.
         domains: The failure domains.
     """
@@ -170,10 +174,10 @@
     before = known.upstreams.evacuated
     if domains == before:
         return
-    services = known.routes.in_force.services if known.routes.in_force else {}
+    services = known.routes.active.services if known.routes.active else {}
     warmup = max((s.warmup_s for s in services.values()), default=0.0)
     known.upstreams.evacuate(domains, warmup)
-    journal.belief(
+    event_log.log_change(
         events.Event.EVACUATION_CHANGED,
         domains=sorted(domains),
         before=sorted(before),
@@ -188,14 +192,14 @@
     Attributes:
         store: The platform's store.
         known: What this process believes.
-        journal: Log.
+        event_log: Log.
         reachability: Whether the store answers.
         reported: Versions of malformed rows that were logged, by key.
     """
 
     store: rows.RowStore
     known: knowledges.Knowledge
-    journal: journals.Journal
+    event_log: event_logs.EventLog
     reachability: Reachability
     reported: dict[str, bytes | None] = attrs.field(factory=dict)
 
@@ -220,16 +224,16 @@
 
     async def _read(self) -> None:
         try:
-            reading = await self.store.read(upstream_rows.TABLE)
+            batch = await self.store.read(upstream_rows.TABLE)
         except rows.StoreUnavailable as error:
-            self.known.upstreams.lose_store()
+            self.known.upstreams.mark_store_unavailable()
             self.reachability.note(False, str(error))
             return
         self.reachability.note(True)
         snapshot = upstream_rows.decode_all(
-            reading, self.known.settings.regions, self._report
+            batch, self.known.settings.regions, self._report
         )
-        for change in self.known.upstreams.offer(snapshot):
+        for change in self.known.upstreams.apply_snapshot(snapshot):
             self.known.changes.on_next(change)
         if self.known.reads_for_all:
             self.known.readings.on_next(snapshot.version)
@@ -239,7 +243,7 @@
     ) -> None:
         if self.reported.get(row.key, b'') != row.value:
             self.reported[row.key] = row.value
-            self.journal.belief(
+            self.event_log.log_change(
                 events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
             )
 
--- a/packages/entry/bulrushcourse_entry/edge/registering.py
+++ b/packages/entry/bulrushcourse_entry/edge/registering.py
@@ -7,7 +7,7 @@
 
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import reading
 from bulrushcourse_entry.platform import rows
@@ -24,14 +24,14 @@
     Attributes:
         store: The platform's store.
         known: What this process believes.
-        journal: Log.
+        event_log: Log.
         reachability: Whether the store answers.
         met: Called with each VM that was learned.
     """
 
     store: rows.RowStore
     known: knowledges.Knowledge
-    journal: journals.Journal
+    event_log: event_logs.EventLog
     reachability: reading.Reachability
     met: typing.Callable[[fleet.Vm], None]
 
@@ -40,8 +40,8 @@
         await self._register()
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            for name in self.known.fleet.forget_removed():
-                self.journal.belief(
+            for name in self.known.fleet.remove_expired():
+                self.event_log.log_change(
                     events.Event.MEMBER_CHANGED, vm=name, state='removed'
                 )
                 self.known.removed.on_next(name)
@@ -59,7 +59,7 @@
         """Write the entry, then read all entries, until both succeeded."""
         while True:
             try:
-                me = self.known.fleet.me
+                me = self.known.fleet.local_vm
                 await self.store.write(
                     vm_rows.TABLE, me.name, vm_rows.encode(me)
                 )
@@ -67,7 +67,7 @@
                 break
             except rows.StoreUnavailable as error:
                 self.reachability.note(False, str(error))
-                self.journal.belief(
+                self.event_log.log_change(
                     events.Event.VM_ROW_NOT_WRITTEN, reason=str(error)
                 )
                 await asyncio.sleep(reading.PAUSE_AFTER_FAILURE_S)
@@ -76,6 +76,6 @@
             try:
                 self.met(vm_rows.decode(row))
             except units.MalformedValue as error:
-                self.journal.belief(
+                self.event_log.log_change(
                     events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
                 )
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -3,10 +3,10 @@
 import attrs
 
 from bulrushcourse_domain.fleet import fleet
-from bulrushcourse_domain.fleet import followers
+from bulrushcourse_domain.fleet import peer_versions
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import reading
 from bulrushcourse_wire import fleet_messages
@@ -31,28 +31,28 @@
 
     Attributes:
         known: What this process believes.
-        journal: Log.
+        event_log: Log.
         losses: Fresh losses of upstreams by the VM that lacks them.
         versions: How new the other VMs' configurations are.
         meetings: How many VMs the other VMs know.
     """
 
     known: knowledges.Knowledge
-    journal: journals.Journal
+    event_log: event_logs.EventLog
     losses: dict[str, list[tuple[str, str]]] = attrs.field(factory=dict)
-    versions: followers.Followers = attrs.field(init=False)
-    meetings: followers.Followers = attrs.field(init=False)
+    versions: peer_versions.PeerVersions = attrs.field(init=False)
+    meetings: peer_versions.PeerVersions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Start without knowledge of the other VMs, and forget the removed."""
-        self.versions = followers.Followers(self.known.clock)
-        self.meetings = followers.Followers(self.known.clock)
+        self.versions = peer_versions.PeerVersions(self.known.clock)
+        self.meetings = peer_versions.PeerVersions(self.known.clock)
         self.known.removed.subscribe(self._forget)
 
     def _forget(self, vm: str) -> None:
         self.losses.pop(vm, None)
-        self.versions.forget(vm)
-        self.meetings.forget(vm)
+        self.versions.discard(vm)
+        self.meetings.discard(vm)
 
     def share_loss(self, fingerprint: str, upstream: str) -> None:
         """Tell all VMs that a request has lost an upstream.
@@ -79,7 +79,7 @@
         self,
         to: str = '',
         region: str = '',
-        news: upstreams.News | None = None,
+        delta: upstreams.DirectoryDelta | None = None,
         with_name: bool = True,
     ) -> fleet_messages.Report:
         """Return a report.
@@ -87,19 +87,19 @@
         Args:
             to: Name of the VM that shall get it.
             region: Its region.
-            news: A reading to pass on.
+            delta: Changes to pass on.
             with_name: Whether the receiver may not know this VM yet.
         """
         known = self.known
         fleet_known = known.fleet.known
-        lacks_version = self.versions.needs_help(
+        lacks_version = self.versions.needs_update(
             to, known.routes.version, known.reads_for_all
         )
-        lacks_vms = self.meetings.needs_help(
+        lacks_vms = self.meetings.needs_update(
             to, len(fleet_known), known.reads_for_all
         )
         return fleet_messages.Report(
-            vm=known.fleet.me if with_name else None,
+            vm=known.fleet.local_vm if with_name else None,
             phase=known.fleet.phase,
             configuration_version=known.routes.version,
             in_flight=known.load.own,
@@ -108,7 +108,7 @@
             losses=self.losses.pop(to, []),
             operators_version=known.operators_version,
             evacuated=sorted(known.upstreams.evacuated),
-            news=news,
+            directory_delta=delta,
             vms=list(fleet_known.values()) if lacks_vms else [],
             vms_known=len(fleet_known),
             configuration=known.configuration if lacks_version else b'',
@@ -139,37 +139,39 @@
             VMs that the sender knows.
         """
         known = self.known
-        if known.fleet.hear(vm, report.phase):
-            self.journal.belief(
+        if known.fleet.record_heartbeat(vm, report.phase):
+            self.event_log.log_change(
                 events.Event.MEMBER_CHANGED, vm=vm.name, state='alive'
             )
-        self.versions.hear(
+        self.versions.record_version(
             vm.name, report.configuration_version, known.routes.version
         )
-        self.meetings.hear(vm.name, report.vms_known, len(known.fleet.known))
-        known.load.hear_peer(vm.name, report.in_flight)
-        known.demand.hear(vm.name, vm.region, report.demand)
+        self.meetings.record_version(
+            vm.name, report.vms_known, len(known.fleet.known)
+        )
+        known.load.record_peer_load(vm.name, report.in_flight)
+        known.demand.record_peer_demand(vm.name, vm.region, report.demand)
         for upstream, (value, age_s) in report.slowness.items():
-            known.load.hear_slowness(upstream, value, age_s)
+            known.load.record_peer_slowness(upstream, value, age_s)
         for fingerprint, upstream in report.losses:
-            known.crashes.note_loss(fingerprint, upstream)
+            known.crashes.record_loss(fingerprint, upstream)
         if report.configuration_version > known.routes.version:
             self._take_configuration(report.configuration)
         reading.offer_evacuations(
             known,
-            self.journal,
+            self.event_log,
             report.operators_version,
             frozenset(report.evacuated),
         )
-        if report.news is not None:
-            for change in known.upstreams.apply(report.news):
+        if report.directory_delta is not None:
+            for change in known.upstreams.apply_delta(report.directory_delta):
                 known.changes.on_next(change)
         return report.vms
 
     def _take_configuration(self, packed: bytes) -> None:
         if packed:
             content = fleet_messages.unpack_content(packed)
-            reading.offer_configuration(self.known, self.journal, content)
+            reading.offer_configuration(self.known, self.event_log, content)
 
 
 def report_interval_s(size: int, other_region: bool = False) -> float:
--- a/packages/entry/bulrushcourse_entry/edge/sending.py
+++ b/packages/entry/bulrushcourse_entry/edge/sending.py
@@ -123,7 +123,7 @@
     ) -> Failure:
         upstream = dispatch.upstream
         took = self.known.clock.monotonic() - started
-        forgotten = dispatch.reused and self.known.idle.note_reset(
+        forgotten = dispatch.reused and self.known.idle.record_reset(
             upstream.name, took, self.known.delays.to_upstream(upstream)
         )
         return Failure.STALE if forgotten else Failure.LOST
@@ -138,7 +138,7 @@
         headers = response.headers
         report = platform_headers.decode_load(headers)
         if report is not None:
-            self.known.load.hear_upstream(upstream.name, report)
+            self.known.load.record_load_report(upstream.name, report)
         warmup_s = platform_headers.decode_warmup_s(headers)
         if warmup_s:
             self.known.upstreams.mark_cold(
--- a/packages/entry/bulrushcourse_entry/edge/state.py
+++ b/packages/entry/bulrushcourse_entry/edge/state.py
@@ -15,7 +15,7 @@
     """
     now = known.clock.monotonic()
     return {
-        'vm': attrs.asdict(known.fleet.me),
+        'vm': attrs.asdict(known.fleet.local_vm),
         'phase': known.fleet.phase.value,
         'configuration': known.routes.version,
         'operators_version': known.operators_version,
@@ -31,7 +31,7 @@
                 'phase': seen.phase.value,
                 'age_s': _age(now, seen.at),
             }
-            for name, seen in known.fleet.heard.items()
+            for name, seen in known.fleet.heartbeats.items()
         },
         'demand': known.demand.own_slots(),
         'regions': {
@@ -41,7 +41,7 @@
             for (route, service), mix in known.mixes.items()
         },
         'second_sends_left': {
-            service: round(budget.saved, 2)
+            service: round(budget.tokens, 2)
             for service, budget in known.budgets.items()
         },
     }
@@ -58,8 +58,8 @@
         'slowness_age_s': (
             _age(known.clock.monotonic(), at) if slowness else None
         ),
-        'failing': round(known.troubles.failure_share(name), 3),
-        'set_aside': known.troubles.is_paused(name),
+        'failing': round(known.outliers.failure_share(name), 3),
+        'set_aside': known.outliers.is_ejected(name),
     }
 
 
--- a/packages/entry/bulrushcourse_entry/edge/steering.py
+++ b/packages/entry/bulrushcourse_entry/edge/steering.py
@@ -6,7 +6,7 @@
 
 from bulrushcourse_domain.placement import allocation
 from bulrushcourse_domain.routes import route as routes
-from bulrushcourse_domain.routes import split
+from bulrushcourse_domain.routes import weighted_round_robin
 from bulrushcourse_entry.edge import knowledge as knowledges
 
 # A cold upstream takes few requests, so that it counts for little room.
@@ -51,10 +51,14 @@
         Args:
             route: The route.
         """
-        if len(route.parts) == 1:
-            return route.parts[0].service
-        turns = self.known.splits.setdefault(route.key, split.WeightedTurns())
-        return turns.take({p.service: p.weight for p in route.parts})
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
+        turns = self.known.splits.setdefault(
+            route.key, weighted_round_robin.WeightedRoundRobin()
+        )
+        return turns.next_choice(
+            {p.service: p.weight for p in route.weighted_services}
+        )
 
     def choose_region(
         self, route: routes.Route, service: str, object_key: str = ''
@@ -81,7 +85,7 @@
             self.targets[key] = target
         if not target.shares:
             return ''
-        return known.mix(route.key, service).take(
+        return known.mix(route.key, service).choose_region(
             target.shares, target.capacity, object_key
         )
 
@@ -101,7 +105,7 @@
         capacity: dict[str, float] = {}
         for upstream in known.upstreams.usable(service):
             if not route.may_run_in(upstream.region) or (
-                known.troubles.is_paused(upstream.name)
+                known.outliers.is_ejected(upstream.name)
             ):
                 continue
             slots = float(upstream.slots)
--- a/packages/entry/bulrushcourse_entry/edge/supervision.py
+++ b/packages/entry/bulrushcourse_entry/edge/supervision.py
@@ -5,7 +5,7 @@
 import typing
 
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 
 PAUSE_S = 1.0
 
@@ -13,7 +13,7 @@
 async def keep_running(
     name: str,
     work: typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]],
-    journal: journals.Journal,
+    event_log: event_logs.EventLog,
     pause_s: float = PAUSE_S,
 ) -> None:
     """Run work until it ends by itself; start it again after a fault.
@@ -24,7 +24,7 @@
     Args:
         name: Name of the work, for the log.
         work: The work.
-        journal: Log.
+        event_log: Log.
         pause_s: Time before it is started again, in seconds.
     """
     while True:
@@ -32,7 +32,7 @@
             await work()
             return
         except Exception as error:
-            journal.belief(
+            event_log.log_change(
                 events.Event.TASK_FAILED,
                 task=name,
                 kind=type(error).__name__,
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_journal.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_event_log.py
@@ -6,7 +6,7 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 
 
 class StalledStream(io.StringIO):
@@ -26,17 +26,17 @@
 def test_crowd_of_failures_writes_a_bounded_number_of_lines():
     clock = clocks.ManualClock(50.0)
     stream = io.StringIO()
-    writer = journals.LineWriter(stream)
-    journal = journals.Journal(clock)
+    writer = event_logs.LineWriter(stream)
+    event_log = event_logs.EventLog(clock)
     with writer:
         for number in range(1000):
-            journal.decision(False, id=str(number), reason='full')
+            event_log.log_decision(False, id=str(number), reason='full')
             clock.advance(0.001)
         clock.advance(1.0)
-        journal.decision(False, id='last', reason='full')
+        event_log.log_decision(False, id='last', reason='full')
     writer.close()
     lines = [json.loads(line) for line in stream.getvalue().splitlines()]
-    assert len(lines) <= 60 + 2 * journals.FAILURE_LINES_PER_S
+    assert len(lines) <= 60 + 2 * event_logs.FAILURE_LINES_PER_S
     assert lines[-1]['id'] == 'last'
     left_out = sum(line.get('left_out', 0) for line in lines)
     assert left_out + len(lines) == 1001
@@ -44,14 +44,14 @@
 
 def test_stalled_reader_costs_lines_and_does_not_block():
     stream = StalledStream()
-    writer = journals.LineWriter(stream)
+    writer = event_logs.LineWriter(stream)
     with writer:
         events.write_fields(events.Event.REQUEST_SERVED, {'id': 'first'})
         stream.entered.wait()
-        for number in range(journals.MAX_WAITING + 500):
+        for number in range(event_logs.MAX_WAITING + 500):
             events.write_fields(events.Event.REQUEST_SERVED, {'id': number})
     assert not stream.released.is_set()
-    assert len(writer.waiting) == journals.MAX_WAITING
+    assert len(writer.waiting) == event_logs.MAX_WAITING
     assert writer.dropped == 500
     stream.released.set()
     writer.close()
@@ -59,9 +59,9 @@
 
 def test_line_names_event_level_and_inputs():
     stream = io.StringIO()
-    writer = journals.LineWriter(stream)
+    writer = event_logs.LineWriter(stream)
     with writer:
-        journals.Journal(clocks.ManualClock()).belief(
+        event_logs.EventLog(clocks.ManualClock()).log_change(
             events.Event.STORE_UNREACHABLE, reason='x'
         )
     writer.close()
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
@@ -6,10 +6,10 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.fleet import fleet
-from bulrushcourse_domain.fleet import followers
+from bulrushcourse_domain.fleet import peer_versions
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import loads
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import knowledge as knowledges
 from bulrushcourse_entry.edge import reports
 from bulrushcourse_entry.edge import settings as edge_settings
@@ -23,10 +23,10 @@
         'vm-1', 'r1', 'd', '127.0.0.1:1', '127.0.0.1:2', peers='127.0.0.1:3'
     )
     known = knowledges.assemble(settings, clock, random.Random(1))
-    known.routes.offer(routes.RouteSet(version=5))
+    known.routes.install(routes.RouteSet(version=5))
     known.configuration = CONTENT
     known.reads_for_all = reads_for_all
-    return reports.Reports(known, journals.Journal(clock))
+    return reports.Reports(known, event_logs.EventLog(clock))
 
 
 @pytest.mark.parametrize('reads_for_all', [True, False])
@@ -34,11 +34,11 @@
     # Guards against each of 76 VMs sending a new configuration to each
     # other VM that has not yet said that it has it from the store.
     reporting = make_reports(reads_for_all)
-    reporting.versions.hear('vm-2', 4, own_level=4)
+    reporting.versions.record_version('vm-2', 4, own_level=4)
     assert bool(reporting.make(to='vm-2').configuration) == reads_for_all
-    reporting.versions.hear('vm-2', 4, own_level=5)
+    reporting.versions.record_version('vm-2', 4, own_level=5)
     assert bool(reporting.make(to='vm-2').configuration) == reads_for_all
-    reporting.versions.hear('vm-2', 5, own_level=5)
+    reporting.versions.record_version('vm-2', 5, own_level=5)
     assert reporting.make(to='vm-2').configuration == b''
 
 
@@ -46,9 +46,9 @@
     # Guards against a VM that keeps an old configuration because the store
     # turns it and both readers away.
     reporting = make_reports(False)
-    reporting.versions.hear('vm-2', 4, own_level=5)
-    reporting.known.clock.advance(followers.HELP_AFTER_S * 1.1)
-    reporting.versions.hear('vm-2', 4, own_level=5)
+    reporting.versions.record_version('vm-2', 4, own_level=5)
+    reporting.known.clock.advance(peer_versions.HELP_AFTER_S * 1.1)
+    reporting.versions.record_version('vm-2', 4, own_level=5)
     assert reporting.make(to='vm-2').configuration == CONTENT
 
 
@@ -62,11 +62,11 @@
     reporting = make_reports(False)
     for number in (2, 3, 4):
         name = f'vm-{number}'
-        reporting.known.fleet.learn(fleet.Vm(name, 1, '', '', 'r1', 'd'))
-    reporting.meetings.hear('vm-2', 3, own_level=3)
-    reporting.meetings.hear('vm-3', 1, own_level=3)
+        reporting.known.fleet.add_vm(fleet.Vm(name, 1, '', '', 'r1', 'd'))
+    reporting.meetings.record_version('vm-2', 3, own_level=3)
+    reporting.meetings.record_version('vm-3', 1, own_level=3)
     assert not reporting.make(to='vm-3').vms
-    reporting.known.clock.advance(followers.HELP_AFTER_S * 1.1)
+    reporting.known.clock.advance(peer_versions.HELP_AFTER_S * 1.1)
     assert len(reporting.make(to='vm-3').vms) == 3
     assert not reporting.make(to='vm-2').vms
 
@@ -74,7 +74,9 @@
 def test_slowness_stays_in_its_region():
     # Guards against dear bytes for reports that fade before they matter.
     reporting = make_reports(True)
-    reporting.known.load.hear_upstream('u', loads.LoadReport(1, 0, 4, 2.0))
+    reporting.known.load.record_load_report(
+        'u', loads.LoadReport(1, 0, 4, 2.0)
+    )
     near, far = (
         reporting.make(to='vm-2', region=region) for region in ('r1', 'r2')
     )
@@ -89,6 +91,6 @@
     for number in range(2, 77):
         region = f'r{number % 3}'
         vm = fleet.Vm(f'vm-{number}', 1, '', '', region, 'd')
-        reporting.known.fleet.learn(vm)
+        reporting.known.fleet.add_vm(vm)
     assert reporting.interval_s('r1') < 0.45
     assert reporting.interval_s('r2') > 1.0
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_supervision.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_supervision.py
@@ -6,14 +6,14 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import supervision
 
 
-class Recorder(journals.Journal):
-    """Journal that keeps what it is told."""
+class Recorder(event_logs.EventLog):
+    """Event log that keeps what it is told."""
 
-    def belief(self, event, **fields):
+    def log_change(self, event, **fields):
         self.told = [*getattr(self, 'told', ()), (event, fields)]
 
 
@@ -21,19 +21,19 @@
     # Guards against a reader that ends unseen, so that the process serves
     # on with the configuration of that moment.
     outcomes = [KeyError('ver'), TypeError('x'), None]
-    journal = Recorder(clocks.ManualClock())
+    event_log = Recorder(clocks.ManualClock())
 
     async def work():
         outcome = outcomes.pop(0)
         if outcome is not None:
             raise outcome
 
-    asyncio.run(supervision.keep_running('reader', work, journal, 0.0))
+    asyncio.run(supervision.keep_running('reader', work, event_log, 0.0))
     assert not outcomes
-    assert [event for event, _ in journal.told] == [
+    assert [event for event, _ in event_log.told] == [
         events.Event.TASK_FAILED
     ] * 2
-    assert [fields['kind'] for _, fields in journal.told] == [
+    assert [fields['kind'] for _, fields in event_log.told] == [
         'KeyError',
         'TypeError',
     ]
--- a/packages/entry/bulrushcourse_entry/health/watch.py
+++ b/packages/entry/bulrushcourse_entry/health/monitor.py
@@ -29,16 +29,16 @@
 DRAINING = 'draining'
 
 
-class LeavingSigns(typing.Protocol):
+class LeavingListener(typing.Protocol):
     """Receiver of signs that an instance leaves or serves again."""
 
-    def sign_leaving(self, instance: str, leaving: bool) -> None:
+    def set_leaving(self, instance: str, leaving: bool) -> None:
         """Note that an instance leaves, or serves again."""
         ...
 
 
 @attrs.define(eq=False)
-class HealthWatch:
+class HealthMonitor:
     """Watches the instances of this entry's region.
 
     Attributes:
@@ -46,7 +46,7 @@
         region: Region of this entry.
         session: HTTP session for probes.
         hub: Streams to peers.
-        signs: Receiver of signs of all entries.
+        leaving_listener: Receiver of signs of all entries.
         listed_leaving: Returns the instances whose VMs are leaving, by the
             platform's list.
         region_entries: Returns the serving entries of the region, this one
@@ -63,7 +63,7 @@
     region: str
     session: aiohttp.ClientSession
     hub: peer_hub.PeerHub
-    signs: LeavingSigns
+    leaving_listener: LeavingListener
     listed_leaving: typing.Callable[[], frozenset[str]]
     region_entries: typing.Callable[[], typing.Iterable[str]]
     instances: dict[str, objects.Instance] = attrs.field(factory=dict)
@@ -133,7 +133,7 @@
         changed = drained ^ self.drained
         self.drained = drained
         for name in sorted(changed - self.leaving):
-            self.signs.sign_leaving(name, name in drained)
+            self.leaving_listener.set_leaving(name, name in drained)
 
     async def stop(self) -> None:
         """End all tasks."""
@@ -183,22 +183,22 @@
         else:
             self.leaving.discard(name)
         if name not in self.drained:
-            self.signs.sign_leaving(name, leaving)
+            self.leaving_listener.set_leaving(name, leaving)
         if own:
             event = SIGN_EVENTS[leaving]
             events.emit(event, instance=name)
-            self.hub.broadcast(health_messages.UpstreamSign(name, leaving))
+            self.hub.broadcast(health_messages.UpstreamLeaving(name, leaving))
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         message = received.message
-        if isinstance(message, health_messages.UpstreamSign):
+        if isinstance(message, health_messages.UpstreamLeaving):
             self._note(message.instance, message.leaving, False)
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
+    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         if change.connected:
             for name in self.leaving:
                 self.hub.send(
-                    change.peer, health_messages.UpstreamSign(name, True)
+                    change.peer, health_messages.UpstreamLeaving(name, True)
                 )
 
 
--- a/packages/entry/bulrushcourse_entry/limits/assembly.py
+++ b/packages/entry/bulrushcourse_entry/limits/assembly.py
@@ -10,7 +10,7 @@
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.limits import keeper as limit_keeper
-from bulrushcourse_entry.limits import loads as load_board
+from bulrushcourse_entry.limits import loads as load_exchange
 from bulrushcourse_entry.limits import plans as plan_runner
 from bulrushcourse_entry.limits import regions as limited_regions
 from bulrushcourse_entry.peers import hub as peer_hub
@@ -24,16 +24,16 @@
     """The parts of one entry that keep limits.
 
     Attributes:
-        board: Knows the loads of pools.
+        pool_loads: Knows the loads of pools.
         keeper: Keeps this entry's shares.
         plans: Steps plans.
         regions: Chooses regions.
     """
 
-    board: load_board.LoadBoard
+    pool_loads: load_exchange.PoolLoadExchange
     keeper: limit_keeper.LimitKeeper
     plans: plan_runner.PlanRunner
-    regions: limited_regions.LimitedRegions
+    regions: limited_regions.RegionSelector
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
@@ -43,16 +43,16 @@
         Args:
             configuration: The configuration that is now in force.
         """
-        self.board.configure(configuration)
+        self.pool_loads.configure(configuration)
         self.keeper.configure(configuration)
         self.plans.configure(configuration)
         self.regions.configure(configuration)
 
     def start(self) -> tuple[asyncio.Task, ...]:
         """Follow peers and return the tasks that run until cancelled."""
-        self.board.start()
+        self.pool_loads.start()
         return (
-            asyncio.create_task(self.board.run()),
+            asyncio.create_task(self.pool_loads.run()),
             asyncio.create_task(self.keeper.run()),
             asyncio.create_task(self.plans.run()),
         )
@@ -98,9 +98,11 @@
         f'{settings.vm_id}/{incarnation}',
         (settings.vm_id, settings.entry),
     )
-    board = load_board.LoadBoard(settings.region, clock, hub, owned)
-    plans = plan_runner.PlanRunner(settings.region, clock, board)
-    regions = limited_regions.LimitedRegions(
-        settings.region, clock, source_of_random, keeper, board, plans
+    pool_loads = load_exchange.PoolLoadExchange(
+        settings.region, clock, hub, owned
     )
-    return LimitsParts(board, keeper, plans, regions)
+    plans = plan_runner.PlanRunner(settings.region, clock, pool_loads)
+    regions = limited_regions.RegionSelector(
+        settings.region, clock, source_of_random, keeper, pool_loads, plans
+    )
+    return LimitsParts(pool_loads, keeper, plans, regions)
--- a/packages/entry/bulrushcourse_entry/limits/keeper.py
+++ b/packages/entry/bulrushcourse_entry/limits/keeper.py
@@ -58,7 +58,7 @@
         """
         kept = {}
         for limit in configuration.objects.limits:
-            terms = ledgers.terms_of(configuration, limit)
+            terms = ledgers.limit_terms(configuration, limit)
             if terms is None:
                 continue
             held = self.limits.get(limit.name)
@@ -90,14 +90,14 @@
             == wanted
         ]
 
-    def want_more(self) -> None:
+    def request_renewal(self) -> None:
         """Ask for a round soon because a share lacks room."""
         self.wanted.set()
 
     async def run(self) -> None:
         """Keep shares until cancelled."""
         while True:
-            await self.keep()
+            await self.renew_shares()
             await asyncio.sleep(QUICK_ROUND_S)
             try:
                 rest_s = share_ledger.RENEWAL_S - QUICK_ROUND_S
@@ -106,7 +106,7 @@
             except TimeoutError:
                 pass
 
-    async def keep(self) -> None:
+    async def renew_shares(self) -> None:
         """Read the rows, ask for the list, then write what is due.
 
         The list is asked after the rows were read: a holder that the rows
@@ -119,7 +119,7 @@
         if listed is not None:
             seats = {vm.vm_id: vm.entry for vm in listed}
             for held in limits:
-                held.shares.see_vms(seats)
+                held.shares.update_vm_list(seats)
         due = [held for held, known in zip(limits, read, strict=True) if known]
         await asyncio.gather(*(self._renew(held) for held in due))
 
@@ -163,9 +163,9 @@
         )
         written = await self.table.transact([write])
         if written is platform_table.WriteResult.COMMITTED:
-            shares.committed(renewal)
+            shares.confirm_write(renewal)
         if written is platform_table.WriteResult.CONFLICT:
-            shares.rejected(renewal)
+            shares.reject_write(renewal)
         return written is not platform_table.WriteResult.CONFLICT
 
     def dump(self) -> dict[str, typing.Any]:
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -34,7 +34,7 @@
 
 
 @attrs.define(eq=False)
-class LoadBoard:
+class PoolLoadExchange:
     """Tells the loads of owned pools and remembers those of others.
 
     Attributes:
@@ -133,7 +133,7 @@
         slots = self.configuration.pools[pool].slots
         return router.RegionLoad(region, configured * slots, healthy=0)
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         if isinstance(received.message, load_messages.PoolLoads):
             now = self.clock.monotonic()
             for load in received.message.loads:
@@ -141,7 +141,7 @@
                     load, received.peer, now
                 )
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
+    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         if not change.connected:
             self.reports = {
                 pool: report
--- a/packages/entry/bulrushcourse_entry/limits/pacer.py
+++ b/packages/entry/bulrushcourse_entry/limits/pacer.py
@@ -9,7 +9,7 @@
 from bulrushcourse_domain.limits import pacing
 from bulrushcourse_entry.limits import held_limit
 
-# Shares change without notice; waiting pieces are looked at this often.
+# Shares change without notice; waiting chunks are looked at this often.
 SHARE_CHECK_S = 0.25
 
 
@@ -17,21 +17,21 @@
 class LinkPacer:
     """Lets bytes flow on one direction of a link within its shares.
 
-    One task runs while pieces wait.
+    One task runs while chunks wait.
 
     Attributes:
         held: The link's limit.
-        queue: Pieces that wait.
-        want_more: Asks for a larger share.
-        waiters: Futures of waiting pieces by identifier.
-        added: Set when a piece joins.
-        pump: The task that lets pieces flow.
-        numbered: Number of pieces so far.
+        queue: Chunks that wait.
+        request_renewal: Asks for a larger share.
+        waiters: Futures of waiting chunks by identifier.
+        added: Set when a chunk joins.
+        pump: The task that lets chunks flow.
+        numbered: Number of chunks so far.
     """
 
     held: held_limit.HeldLimit
-    queue: pacing.PieceQueue
-    want_more: typing.Callable[[], None]
+    queue: pacing.ChunkQueue
+    request_renewal: typing.Callable[[], None]
     waiters: dict[str, asyncio.Future] = attrs.field(factory=dict)
     added: asyncio.Event = attrs.field(factory=asyncio.Event)
     pump: asyncio.Task | None = None
@@ -45,13 +45,13 @@
             priority: Priority of the request's class, 0 first.
         """
         while size > 0:
-            await self._flow_piece(min(size, pacing.PIECE_BYTES), priority)
-            size -= pacing.PIECE_BYTES
+            await self._flow_chunk(min(size, pacing.CHUNK_BYTES), priority)
+            size -= pacing.CHUNK_BYTES
 
     @property
     def is_blocked(self) -> bool:
-        """Whether the shares are too small for a piece."""
-        return self.held.shares.usable < pacing.PIECE_BYTES
+        """Whether the shares are too small for a chunk."""
+        return self.held.shares.usable < pacing.CHUNK_BYTES
 
     async def stop(self) -> None:
         """End the task."""
@@ -59,24 +59,24 @@
             self.pump.cancel()
             await asyncio.gather(self.pump, return_exceptions=True)
 
-    async def _flow_piece(self, size: int, priority: int) -> None:
+    async def _flow_chunk(self, size: int, priority: int) -> None:
         self.numbered += 1
-        piece = pacing.Piece(str(self.numbered), priority, size)
+        chunk = pacing.Chunk(str(self.numbered), priority, size)
         waiter = asyncio.get_running_loop().create_future()
-        self.waiters[piece.piece_id] = waiter
-        self.queue.add(piece)
+        self.waiters[chunk.chunk_id] = waiter
+        self.queue.add(chunk)
         self._release()
         if not waiter.done():
             self._wake()
         try:
             await waiter
         finally:
-            if self.waiters.pop(piece.piece_id, None) is not None:
-                self.queue.cancel(piece.piece_id)
+            if self.waiters.pop(chunk.chunk_id, None) is not None:
+                self.queue.cancel(chunk.chunk_id)
 
     def _release(self) -> None:
-        for piece in self.queue.release(self.held.shares.usable):
-            waiter = self.waiters.pop(piece.piece_id)
+        for chunk in self.queue.release(self.held.shares.usable):
+            waiter = self.waiters.pop(chunk.chunk_id)
             if not waiter.done():
                 waiter.set_result(None)
         self.held.note_use(False)
@@ -103,29 +103,29 @@
     def _note_backlog(self) -> None:
         if not self.held.turned_away:
             self.held.note_use(True)
-            self.want_more()
+            self.request_renewal()
 
 
 def open_pacer(
     clock: clocks.Clock,
     held: held_limit.HeldLimit,
     long_priority: int,
-    want_more: typing.Callable[[], None],
+    request_renewal: typing.Callable[[], None],
 ) -> LinkPacer:
-    """Return a pacer without waiting pieces.
+    """Return a pacer without waiting chunks.
 
     Args:
         clock: Source of time.
         held: The link's limit.
         long_priority: Lowest priority that counts as long work.
-        want_more: Asks for a larger share.
+        request_renewal: Asks for a larger share.
     """
-    queue = pacing.PieceQueue(clock, held.window, long_priority)
-    return LinkPacer(held, queue, want_more)
+    queue = pacing.ChunkQueue(clock, held.window, long_priority)
+    return LinkPacer(held, queue, request_renewal)
 
 
 @attrs.frozen
-class LinkCrossing:
+class PacedLink:
     """The two directions of a link, as one request uses them.
 
     Attributes:
--- a/packages/entry/bulrushcourse_entry/limits/plans.py
+++ b/packages/entry/bulrushcourse_entry/limits/plans.py
@@ -111,7 +111,9 @@
             kept[plan.name] = held
         self.plans = kept
 
-    def pick(self, service: str, drawn: float) -> tuple[str, frozenset[str]]:
+    def choose_target(
+        self, service: str, drawn: float
+    ) -> tuple[str, frozenset[str]]:
         """Return where plans move a request, and regions that they drain.
 
         Args:
@@ -123,7 +125,7 @@
         drained = set()
         for held in self.plans.values():
             plan = held.plan
-            if plan.service not in ('', service) or drawn >= held.part:
+            if plan.service not in ('', service) or drawn >= held.moved_share:
                 continue
             if plan.kind is objects.PlanKind.DRAIN:
                 drained.add(plan.source)
@@ -131,7 +133,7 @@
                 planned = plan.target
         return planned, frozenset(drained)
 
-    def note_cap(self, target: str) -> None:
+    def record_cap_reached(self, target: str) -> None:
         """Remember that a shift cap turned a request away.
 
         Args:
@@ -139,7 +141,7 @@
         """
         self.capped.add(target)
 
-    def finished(
+    def record_outcome(
         self,
         service: str,
         region: str,
@@ -242,7 +244,7 @@
         return {
             name: {
                 'state': held.state.value,
-                'part': held.part,
+                'part': held.moved_share,
                 'report': held.report,
             }
             for name, held in self.plans.items()
--- a/packages/entry/bulrushcourse_entry/limits/regions.py
+++ b/packages/entry/bulrushcourse_entry/limits/regions.py
@@ -32,7 +32,7 @@
 
 
 @attrs.define(eq=False)
-class LimitedRegions:
+class RegionSelector:
     """Chooses regions and charges what crosses between them.
 
     Attributes:
@@ -56,7 +56,7 @@
     plans: plan_runner.PlanRunner
     configuration: configuration_set.ConfigurationSet | None = None
     pacers: dict[str, link_pacers.LinkPacer] = attrs.field(factory=dict)
-    last_routes: dict[str, router.Route] = attrs.field(factory=dict)
+    last_routes: dict[str, router.RoutingDecision] = attrs.field(factory=dict)
     failures: dict[tuple[str, str], region_failures.RegionFailures] = (
         attrs.field(factory=dict)
     )
@@ -79,7 +79,10 @@
                 continue
             if name not in self.pacers:
                 self.pacers[name] = link_pacers.open_pacer(
-                    self.clock, held, long_priority, self.keeper.want_more
+                    self.clock,
+                    held,
+                    long_priority,
+                    self.keeper.request_renewal,
                 )
             self.pacers[name].queue.long_priority = long_priority
 
@@ -94,8 +97,10 @@
         if configuration is None:
             return None
         classes = configuration.request_classes
-        planned, drained = self.plans.pick(service, self.random.random())
-        query = router.Query(
+        planned, drained = self.plans.choose_target(
+            service, self.random.random()
+        )
+        request = router.RoutingRequest(
             self.region,
             classes[request_class].priority,
             max(c.priority for c in classes.values()) + 1,
@@ -103,12 +108,12 @@
             drained,
         )
         route = router.Router(self, self.near).route(
-            query, self._admitted_loads(service)
+            request, self._admitted_loads(service)
         )
         self.last_routes[service] = route
         return route.region
 
-    def finished(
+    def record_outcome(
         self,
         service: str,
         region: str,
@@ -123,8 +128,8 @@
             outcome: How its work ended.
             time_s: How long the work took, in seconds.
         """
-        self._failures(service, region).finished(outcome)
-        self.plans.finished(service, region, outcome, time_s)
+        self._failures(service, region).record_outcome(outcome)
+        self.plans.record_outcome(service, region, outcome, time_s)
 
     def _failures(
         self, service: str, region: str
@@ -164,20 +169,20 @@
         for held in self._shifts(source, target):
             if held.window.wait_s(1, held.shares.usable) > 0:
                 held.note_use(True)
-                self.plans.note_cap(target)
-                self.keeper.want_more()
+                self.plans.record_cap_reached(target)
+                self.keeper.request_renewal()
                 return router.Reason.SHIFT_CAP
         crossed = self._pacers(source, target) + self._pacers(target, source)
         if any(pacer.is_blocked for pacer in crossed):
             for pacer in crossed:
                 pacer.held.note_use(True)
-            self.keeper.want_more()
+            self.keeper.request_renewal()
             return router.Reason.LINK_CAP
         return None
 
     async def admit(
         self, target: str, priority: int, deadline: float
-    ) -> tuple[bool, link_pacers.LinkCrossing | None]:
+    ) -> tuple[bool, link_pacers.PacedLink | None]:
         """Charge a request that is about to be sent to a region.
 
         Args:
@@ -194,7 +199,7 @@
         for held in self._shifts(self.region, target):
             if not await self._charge(held, until):
                 return False, None
-        return True, link_pacers.LinkCrossing(
+        return True, link_pacers.PacedLink(
             tuple(self._pacers(self.region, target)),
             tuple(self._pacers(target, self.region)),
             priority,
@@ -204,7 +209,7 @@
         while not held.charge(1):
             left_s = until - self.clock.monotonic()
             wait_s = held.window.wait_s(1, held.shares.usable)
-            self.keeper.want_more()
+            self.keeper.request_renewal()
             if left_s <= 0:
                 return False
             await asyncio.sleep(
--- a/packages/entry/bulrushcourse_entry/limits/tests/test_keeper.py
+++ b/packages/entry/bulrushcourse_entry/limits/tests/test_keeper.py
@@ -99,10 +99,10 @@
 
     async def run():
         want_all(keepers)
-        await keepers[0].keep()
+        await keepers[0].renew_shares()
         assert usable(keepers) == [0, 0]
         want_all(keepers)
-        await keepers[0].keep()
+        await keepers[0].renew_shares()
         assert usable(keepers) == [50, 0]
 
     asyncio.run(run())
@@ -116,7 +116,7 @@
     async def run():
         for _ in range(3):
             want_all(keepers)
-            await asyncio.gather(*(one.keep() for one in keepers))
+            await asyncio.gather(*(one.renew_shares() for one in keepers))
             assert sum(usable(keepers)) <= 50
         assert usable(keepers) == [25, 25]
         clock.advance(1.1)
@@ -131,13 +131,13 @@
 
     async def run():
         want_all(keepers)
-        await keepers[0].keep()
+        await keepers[0].renew_shares()
         table.down = True
         clock.advance(60)
-        await keepers[0].keep()
+        await keepers[0].renew_shares()
         assert usable(keepers)[0] == 75
         clock.advance(16)
-        await keepers[0].keep()
+        await keepers[0].renew_shares()
         assert usable(keepers)[0] == 25
 
     asyncio.run(run())
@@ -148,5 +148,5 @@
     table = MemoryTable({ROW: broken})
     _, keepers = open_keepers(table)
     want_all(keepers)
-    asyncio.run(keepers[0].keep())
+    asyncio.run(keepers[0].renew_shares())
     assert table.rows[ROW] == broken
--- a/packages/entry/bulrushcourse_entry/limits/tests/test_pacer.py
+++ b/packages/entry/bulrushcourse_entry/limits/tests/test_pacer.py
@@ -1,4 +1,4 @@
-"""Guards against pieces that flow uncharged, and waits that never end."""
+"""Guards against chunks that flow uncharged, and waits that never end."""
 
 import asyncio
 
@@ -18,15 +18,15 @@
     limit = objects.Limit('l', objects.LimitKind.LINK, 'b', 'a')
     terms = ledger.Terms(1, cap, ('a',), 0.0)
     held = held_limit.open_limit(clock, limit, terms, 'vm/1', ('vm', 'a'))
-    held.shares.see_vms({'vm': 'a'})
+    held.shares.update_vm_list({'vm': 'a'})
     return pacer.open_pacer(clock, held, LONG, lambda: None)
 
 
 def test_cancelled_body_leaves_the_queue():
     async def run():
-        link = open_pacer(2 * pacing.PIECE_BYTES)
-        await link.flow(pacing.PIECE_BYTES, SHORT)
-        waiting = asyncio.create_task(link.flow(pacing.PIECE_BYTES, SHORT))
+        link = open_pacer(2 * pacing.CHUNK_BYTES)
+        await link.flow(pacing.CHUNK_BYTES, SHORT)
+        waiting = asyncio.create_task(link.flow(pacing.CHUNK_BYTES, SHORT))
         await asyncio.sleep(0)
         assert link.queue.waiting
         waiting.cancel()
@@ -38,13 +38,13 @@
     asyncio.run(run())
 
 
-def test_short_piece_passes_waiting_long_pieces():
+def test_short_chunk_passes_waiting_long_chunks():
     async def run():
-        link = open_pacer(8 * pacing.PIECE_BYTES)
+        link = open_pacer(8 * pacing.CHUNK_BYTES)
         order = []
 
-        async def send(name, priority, pieces):
-            await link.flow(pieces * pacing.PIECE_BYTES, priority)
+        async def send(name, priority, chunks):
+            await link.flow(chunks * pacing.CHUNK_BYTES, priority)
             order.append(name)
 
         uploads = asyncio.create_task(send('upload', LONG, 5))
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -8,7 +8,7 @@
 from reactivex import subject
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain.configuration import in_force
+from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_domain.membership import lookup as member_lookup
 from bulrushcourse_domain.membership import member
 from bulrushcourse_domain.membership import readers
@@ -44,7 +44,7 @@
     clock: clocks.Clock
     vms: vm_list.VmList
     hub: peer_hub.PeerHub
-    held: in_force.ConfigurationInForce
+    held: active_configuration.ActiveConfiguration
     own: typing.Callable[[], messages.Heartbeat]
     view: member_view.MemberView = attrs.field(init=False)
     lookup: member_lookup.Lookup = attrs.field(factory=member_lookup.Lookup)
@@ -54,7 +54,7 @@
 
     def __attrs_post_init__(self) -> None:
         identity = self.hub.identity
-        own = member.Sighting(
+        own = member.MemberInfo(
             identity.entry, identity.incarnation, identity.vm_id
         )
         self.view = member_view.MemberView(self.clock, own)
@@ -70,7 +70,7 @@
             listed = await self.vms.list()
             if listed is not None:
                 self.listed = listed
-                self.view.list_vms(
+                self.view.update_vm_list(
                     member.ListedVm(vm.vm_id, vm.entry, vm.state == 'leaving')
                     for vm in listed
                 )
@@ -86,16 +86,16 @@
 
     def sweep(self) -> None:
         """Bring the view and the look-up answers up to date."""
-        self.view.own = self._sighting(self.hub.identity, self.own())
+        self.view.own = self._member_info(self.hub.identity, self.own())
         for changed in self.view.sweep():
             events.emit(
                 events.Event.MEMBER_CHANGED,
-                entry=changed.sighting.entry,
-                incarnation=changed.sighting.incarnation,
+                entry=changed.info.entry,
+                incarnation=changed.info.incarnation,
                 state=changed.state.value,
             )
-        if self.view.isolated != self.isolated:
-            self.isolated = self.view.isolated
+        if self.view.is_isolated != self.isolated:
+            self.isolated = self.view.is_isolated
             events.emit(
                 events.Event.ISOLATED
                 if self.isolated
@@ -143,19 +143,16 @@
             (m.entry for m in self.lookup.members if m.region == region),
         )
 
-    def highest_held(self) -> int:
+    def newest_peer_version(self) -> int:
         """Return the newest version that any other entry holds."""
         return max(
-            (
-                known.sighting.held_version
-                for known in self.view.members.values()
-            ),
+            (known.info.held_version for known in self.view.members.values()),
             default=0,
         )
 
-    def unheard(self) -> frozenset[str] | None:
+    def silent_vms(self) -> frozenset[str] | None:
         """Return live VMs not heard lately, ``None`` without a fresh list."""
-        return self.view.unheard() if self.view.list_is_fresh else None
+        return self.view.silent_vms() if self.view.list_is_fresh else None
 
     def dump(self) -> dict[str, typing.Any]:
         """Return members for a state dump."""
@@ -171,10 +168,10 @@
         """Return what is known of each run of an entry, own run first."""
         states = self.view.states()
         now = self.clock.monotonic()
-        own = attrs.asdict(self._sighting(self.hub.identity, self.own()))
+        own = attrs.asdict(self._member_info(self.hub.identity, self.own()))
         own['state'] = 'isolated' if self.isolated else own['state']
         return [own | {'silent_s': 0.0}] + [
-            attrs.asdict(known.sighting)
+            attrs.asdict(known.info)
             | {
                 'state': states[incarnation].value,
                 'silent_s': round(now - known.heard_at, 3),
@@ -229,28 +226,30 @@
             attrs.evolve(
                 found, version=0, held_version=0, store_reachable=True
             )
-            for found in self.view.named()
+            for found in self.view.lookup_candidates()
         )
         if named != self.lookup.members or nearness != self.lookup.nearness:
             self.lookup = member_lookup.Lookup(named, nearness)
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         stream = self.hub.streams.get(received.peer)
         if stream is None or not isinstance(
             received.message, messages.Heartbeat
         ):
             return
         before = self.view.members.get(received.incarnation)
-        self.view.hear(self._sighting(stream.hello, received.message))
+        self.view.record_heartbeat(
+            self._member_info(stream.hello, received.message)
+        )
         after = self.view.members.get(received.incarnation)
         if (before and before.state) is not (after and after.state):
             self._refresh_lookup()
 
     @staticmethod
-    def _sighting(
+    def _member_info(
         identity: typing.Any, heartbeat: messages.Heartbeat
-    ) -> member.Sighting:
-        return member.Sighting(
+    ) -> member.MemberInfo:
+        return member.MemberInfo(
             identity.entry,
             identity.incarnation,
             identity.vm_id,
--- a/packages/entry/bulrushcourse_entry/operators/configuration.py
+++ b/packages/entry/bulrushcourse_entry/operators/configuration.py
@@ -113,14 +113,14 @@
         if isinstance(parsed, result.Failure):
             return _show_findings(400, parsed.failure())
         body = parsed.unwrap()
-        order = publication.PublishOrder(
+        publish_request = publication.PublishRequest(
             body.base_version,
             body.publish_id,
             body.operator,
             body.objects,
             body.note,
         )
-        return _show_outcome(await self.publisher.publish(order))
+        return _show_outcome(await self.publisher.publish(publish_request))
 
     async def roll_back(self, request: web.Request) -> web.Response:
         """Publish the content of an earlier version as a new version.
--- a/packages/entry/bulrushcourse_entry/peers/hub.py
+++ b/packages/entry/bulrushcourse_entry/peers/hub.py
@@ -21,7 +21,7 @@
 
 
 @attrs.frozen
-class Received:
+class ReceivedMessage:
     """A message with the peer that sent it.
 
     Attributes:
@@ -36,7 +36,7 @@
 
 
 @attrs.frozen
-class PeerChange:
+class PeerConnectionChange:
     """A stream to a peer was established or lost.
 
     Attributes:
@@ -196,7 +196,7 @@
                 message = await stream.receive()
             if message is not None:
                 self.received.on_next(
-                    Received(peer, stream.hello.incarnation, message)
+                    ReceivedMessage(peer, stream.hello.incarnation, message)
                 )
 
     async def _send_heartbeats(self, stream: peer_stream.PeerStream) -> None:
@@ -211,10 +211,14 @@
         if previous is not None:
             previous.close()
         events.emit(events.Event.PEER_CONNECTED, peer=peer)
-        self.changes.on_next(PeerChange(peer, stream.hello.incarnation, True))
+        self.changes.on_next(
+            PeerConnectionChange(peer, stream.hello.incarnation, True)
+        )
 
     def _unregister(self, peer: str, stream: peer_stream.PeerStream) -> None:
         if self.streams.get(peer) is not stream:
             return
         del self.streams[peer]
-        self.changes.on_next(PeerChange(peer, stream.hello.incarnation, False))
+        self.changes.on_next(
+            PeerConnectionChange(peer, stream.hello.incarnation, False)
+        )
--- a/packages/entry/bulrushcourse_entry/platform/operator_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/operator_rows.py
@@ -62,14 +62,16 @@
     kind = rule.get('kind')
     # ``traffic_split`` takes the place of ``service``.
     parts = tuple(
-        routes.Part(units.text(part['service'], 'service'), part['weight'])
+        routes.WeightedService(
+            units.text(part['service'], 'service'), part['weight']
+        )
         for part in action.get('traffic_split') or ()
-    ) or (routes.Part(units.text(action['service'], 'service')),)
+    ) or (routes.WeightedService(units.text(action['service'], 'service')),)
     timeout_s = _time(action, 'timeout', routes.DEFAULT_TIMEOUT_S)
     return routes.Route(
         host=units.text(host, 'host').lower(),
         prefix=units.text(rule['match']['prefix'], 'prefix'),
-        parts=parts,
+        weighted_services=parts,
         idempotent=kind in _IDEMPOTENT_KINDS,
         upload=kind in _UPLOAD_KINDS,
         timeout_s=timeout_s,
--- a/packages/entry/bulrushcourse_entry/platform/rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/rows.py
@@ -37,7 +37,7 @@
 
 
 @attrs.frozen
-class Reading:
+class RowBatch:
     """Rows as of one version.
 
     Attributes:
@@ -63,7 +63,7 @@
     session: aiohttp.ClientSession
     calls: int = 0
 
-    async def read(self, table: str) -> Reading:
+    async def read(self, table: str) -> RowBatch:
         """Return all rows of a table.
 
         Args:
@@ -83,11 +83,11 @@
             # version is the one that all of them have reached.
             version = version or _version(page)
             if not page.get('has_more') or not found:
-                return Reading(version, tuple(rows))
+                return RowBatch(version, tuple(rows))
             query['from'] = found[-1].key + '\x00'
         raise StoreUnavailable(f'table {table} does not end')
 
-    async def changes(self, table: str, after: int, wait_s: float) -> Reading:
+    async def changes(self, table: str, after: int, wait_s: float) -> RowBatch:
         """Return rows that change after a version, waiting for the first.
 
         Args:
@@ -109,7 +109,7 @@
         )
         if status == 410:
             raise HistoryLost
-        return Reading(_version(page), tuple(_rows(page)))
+        return RowBatch(_version(page), tuple(_rows(page)))
 
     async def write(self, table: str, key: str, value: bytes) -> None:
         """Write a row, whatever it was before.
--- a/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
@@ -51,21 +51,21 @@
 
 
 def decode_all(
-    reading: rows.Reading,
+    batch: rows.RowBatch,
     regions: typing.Mapping[str, str],
     report: typing.Callable[[rows.StoredRow, units.MalformedValue], None],
 ) -> upstreams.Snapshot:
-    """Return all entries of a reading; malformed ones are left out.
+    """Return all entries of a batch; malformed ones are left out.
 
     Args:
-        reading: Rows of the upstreams' table.
+        batch: Rows of the upstreams' table.
         regions: Region of each failure domain.
         report: Called with each row that is left out and the reason.
     """
     found = []
-    for row in reading.rows:
+    for row in batch.rows:
         try:
             found.append(decode(row, regions))
         except units.MalformedValue as error:
             report(row, error)
-    return upstreams.Snapshot(reading.version, tuple(found))
+    return upstreams.Snapshot(batch.version, tuple(found))
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -10,8 +10,8 @@
 from aiohttp import web
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_domain.configuration import configuration_set
-from bulrushcourse_domain.configuration import in_force
 from bulrushcourse_entry import events
 from bulrushcourse_entry import listening
 from bulrushcourse_entry import metrics as entry_metrics
@@ -20,10 +20,10 @@
 from bulrushcourse_entry import stopping
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import listener as callers_listener
-from bulrushcourse_entry.claims import assembly
+from bulrushcourse_entry.claims import assembly as claims_assembly
 from bulrushcourse_entry.claims import listener as claims_listener
 from bulrushcourse_entry.configuration import exchange
-from bulrushcourse_entry.health import watch
+from bulrushcourse_entry.health import monitor
 from bulrushcourse_entry.limits import assembly as limits_assembly
 from bulrushcourse_entry.membership import members as entry_members
 from bulrushcourse_entry.operators import assembly as operators_assembly
@@ -33,7 +33,7 @@
 from bulrushcourse_entry.platform import objects as platform_objects
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
-from bulrushcourse_entry.slots import steering
+from bulrushcourse_entry.slots import assembly as slots_assembly
 from bulrushcourse_entry.upstreams import client
 from bulrushcourse_wire import messages
 
@@ -65,8 +65,8 @@
     clock: clocks.Clock = attrs.field(factory=clocks.SystemClock)
     state: State = State.STARTING
     drained: bool = False
-    held: in_force.ConfigurationInForce = attrs.field(
-        factory=in_force.ConfigurationInForce
+    held: active_configuration.ActiveConfiguration = attrs.field(
+        factory=active_configuration.ActiveConfiguration
     )
     stop: stopping.StopSignals = attrs.field(factory=stopping.StopSignals)
     tasks: list[asyncio.Task] = attrs.field(factory=list)
@@ -76,12 +76,12 @@
     hub: peer_hub.PeerHub = attrs.field(init=False)
     members: entry_members.Members = attrs.field(init=False)
     configuration: exchange.ConfigurationExchange = attrs.field(init=False)
-    slots: steering.SlotSteering = attrs.field(init=False)
+    slots: slots_assembly.SlotParts = attrs.field(init=False)
     limits: limits_assembly.LimitsParts = attrs.field(init=False)
     upstreams: client.UpstreamClient = attrs.field(init=False)
     forwarder: forwarding.Forwarder = attrs.field(init=False)
-    health: watch.HealthWatch = attrs.field(init=False)
-    claims: assembly.ClaimsParts = attrs.field(init=False)
+    health: monitor.HealthMonitor = attrs.field(init=False)
+    claims: claims_assembly.ClaimsParts = attrs.field(init=False)
     callers: callers_listener.CallersListener = attrs.field(init=False)
     operators: operators_listener.OperatorsListener = attrs.field(init=False)
     reporter: reporting.GaugeReporter = attrs.field(init=False)
@@ -105,7 +105,7 @@
             region=self.settings.region,
             callers_address=self.settings.listen.callers,
             in_flight=self.callers.in_flight,
-            held_version=self.held.held_version,
+            held_version=self.held.newest_version,
             failure_domain=self.settings.failure_domain,
         )
 
@@ -149,7 +149,7 @@
             self.clock, self.table, self.held, self.members, self.hub
         )
         self._build_request_path(session)
-        self.health = watch.HealthWatch(
+        self.health = monitor.HealthMonitor(
             self.clock,
             settings.region,
             session,
@@ -180,7 +180,7 @@
         )
 
     def _build_request_path(self, session: aiohttp.ClientSession) -> None:
-        self.slots = steering.open_steering(
+        self.slots = slots_assembly.build_slots(
             self.clock,
             self.settings.region,
             self.hub,
@@ -204,7 +204,7 @@
             self.upstreams,
             self.limits.regions,
         )
-        self.claims = assembly.build_claims(
+        self.claims = claims_assembly.build_claims(
             self.hub,
             self.clock,
             self.table,
@@ -250,8 +250,8 @@
             return
         if self.configuration.startup.decide(
             self.held.version,
-            self.members.unheard(),
-            self.members.highest_held(),
+            self.members.silent_vms(),
+            self.members.newest_peer_version(),
         ):
             self.state = State.SERVING
             events.emit(events.Event.READY, version=self.held.version)
--- a/packages/entry/bulrushcourse_entry/slots/steering.py
+++ b/packages/entry/bulrushcourse_entry/slots/assembly.py
@@ -21,7 +21,7 @@
 
 
 @attrs.define(eq=False)
-class SlotSteering:
+class SlotParts:
     """Ownership of pools, granting of slots, and asking for them.
 
     Attributes:
@@ -71,14 +71,14 @@
         self.keeper.configure(configuration)
         self.server.configure(configuration)
 
-    def sign_leaving(self, instance: str, leaving: bool) -> None:
+    def set_leaving(self, instance: str, leaving: bool) -> None:
         """Stop or resume granting the slots of an instance.
 
         Args:
             instance: Name of the instance.
             leaving: Whether it is leaving.
         """
-        self.server.sign_leaving(instance, leaving)
+        self.server.set_leaving(instance, leaving)
 
     def is_ready(self) -> bool:
         """Return whether every pool of the region has had an owner."""
@@ -97,13 +97,13 @@
         }
 
 
-def open_steering(
+def build_slots(
     clock: clocks.Clock,
     region: str,
     hub: peer_hub.PeerHub,
     table: platform_table.Table,
     vms: vm_list.VmList,
-) -> SlotSteering:
+) -> SlotParts:
     """Return the parts of an entry that deal with slots.
 
     Args:
@@ -125,6 +125,6 @@
     suspects = suspect_news.Suspects(clock, hub, table)
     granting = grants.Granting(clock, switch, suspects)
     server = servers.PoolServer(clock, keeper, switch, granting)
-    return SlotSteering(
+    return SlotParts(
         keeper, suspects, server, shared.SharedSlots(clock, switch)
     )
--- a/packages/entry/bulrushcourse_entry/slots/granting.py
+++ b/packages/entry/bulrushcourse_entry/slots/granting.py
@@ -85,7 +85,7 @@
     def adopt(
         self,
         owned: owned_pools.OwnedPool,
-        received: peer_hub.Received,
+        received: peer_hub.ReceivedMessage,
         slot: slot_messages.HeldSlot,
     ) -> requests.Grant:
         """Return the grant of a held slot and follow its request.
@@ -157,11 +157,11 @@
         """
         wish = asked.wish
         owned.asked.pop(wish.request_id, None)
-        news = self.suspects.quarantine.finish(
+        update = self.suspects.quarantine.finish(
             wish.fingerprint, wish.request_id, instance, outcome
         )
-        if news is not None:
-            self.suspects.publish(news)
+        if update is not None:
+            self.suspects.publish(update)
 
     def drop(
         self, owned: owned_pools.OwnedPool, asked: owned_pools.Asked
--- a/packages/entry/bulrushcourse_entry/slots/keeper.py
+++ b/packages/entry/bulrushcourse_entry/slots/keeper.py
@@ -86,7 +86,7 @@
     tasks: list[asyncio.Task] = attrs.field(factory=list)
 
     def start(self) -> None:
-        """Follow the list of VMs and the wishes of peers."""
+        """Follow the list of VMs and the promise requests of peers."""
         self.hub.received.subscribe(self._on_message)
         self.hub.changes.subscribe(self._on_change)
         self._spawn(self._follow_list(), 'list for ownership')
@@ -141,8 +141,8 @@
                 'lease': own.lease.is_held(),
                 'rank': own.rank(),
                 'settled': own.members.is_settled(),
-                'promised_to': own.book.given_to
-                if own.book.is_outstanding()
+                'promised_to': own.pool_promises.given_to
+                if own.pool_promises.is_outstanding()
                 else '',
             }
             for pool, own in self.pools.items()
@@ -206,7 +206,7 @@
         ]
         return min(ends, default=math.inf) - self.clock.monotonic()
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
+    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         self.connected_since.pop(change.peer, None)
         if change.connected:
             self.connected_since[change.peer] = self.clock.monotonic()
@@ -247,29 +247,29 @@
     async def _ask_promises(self) -> None:
         while True:
             for own in self.pools.values():
-                wish = own.ask_promises()
-                if wish is not None:
-                    self._send_wish(wish)
+                request = own.request_promises()
+                if request is not None:
+                    self._send_promise_request(request)
             await asyncio.sleep(PROMISE_INTERVAL_S)
 
-    def _send_wish(self, wish: promises.PromiseWish) -> None:
-        message = slot_messages.PromiseWish(
-            wish.pool, wish.candidate, wish.number, wish.owns
+    def _send_promise_request(self, request: promises.PromiseRequest) -> None:
+        message = slot_messages.PromiseRequest(
+            request.pool, request.candidate, request.number, request.owns
         )
         for peer in self.members.others():
             self.hub.send(peer, message)
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         message = received.message
         own = self.pools.get(getattr(message, 'pool', ''))
         if own is None:
             return
         if isinstance(message, slot_messages.PoolReleased):
-            own.note_release(message.candidate)
+            own.record_release(message.candidate)
             self.released[message.pool].set()
-        elif isinstance(message, slot_messages.PromiseWish):
-            promise = own.answer_wish(
-                promises.PromiseWish(
+        elif isinstance(message, slot_messages.PromiseRequest):
+            promise = own.answer_promise_request(
+                promises.PromiseRequest(
                     message.pool,
                     received.peer,
                     message.candidate,
@@ -285,7 +285,7 @@
                     ),
                 )
         elif isinstance(message, slot_messages.OwnershipPromise):
-            own.receive_promise(
+            own.record_promise(
                 promises.Promise(
                     message.pool,
                     received.peer,
--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -100,7 +100,7 @@
             owned.pool.set_instances({i.name: slots for i in found})
             self._decide(owned)
 
-    def sign_leaving(self, instance: str, leaving: bool) -> None:
+    def set_leaving(self, instance: str, leaving: bool) -> None:
         """Stop or resume granting the slots of an instance.
 
         Args:
@@ -111,7 +111,7 @@
             if instance in owned.pool.instances:
                 self._is_owner(owned)
                 self.granting.apply(
-                    owned, owned.pool.sign_leaving(instance, leaving)
+                    owned, owned.pool.set_leaving(instance, leaving)
                 )
 
     def resign(self) -> None:
@@ -149,7 +149,7 @@
         owned.reported.clear()
         owned.pool.take_over(self._possible_holders(owned))
         events.emit(events.Event.POOL_TAKEN, pool=owned.name, term=term)
-        self.switch.broadcast(slot_messages.SlotsWanted(owned.name, term))
+        self.switch.broadcast(slot_messages.HeldSlotsRequest(owned.name, term))
 
     def _end_term(self, owned: owned_pools.OwnedPool) -> None:
         owned.term = 0
@@ -195,7 +195,7 @@
         for asked in list(owned.parked.values()):
             self.granting.admit(owned, asked)
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         handler = _HANDLERS.get(type(received.message))
         if handler is None:
             return
@@ -206,7 +206,7 @@
     def _on_request(
         self,
         owned: owned_pools.OwnedPool,
-        received: peer_hub.Received,
+        received: peer_hub.ReceivedMessage,
         message: slot_messages.SlotRequest,
     ) -> None:
         wish = requests.SlotRequest(
@@ -235,7 +235,7 @@
     def _on_cancel(
         self,
         owned: owned_pools.OwnedPool,
-        received: peer_hub.Received,
+        received: peer_hub.ReceivedMessage,
         message: slot_messages.SlotCancel,
     ) -> None:
         self._is_owner(owned)
@@ -248,7 +248,7 @@
     def _on_release(
         self,
         owned: owned_pools.OwnedPool,
-        received: peer_hub.Received,
+        received: peer_hub.ReceivedMessage,
         message: slot_messages.SlotRelease,
     ) -> None:
         self._is_owner(owned)
@@ -260,8 +260,8 @@
     def _on_held(
         self,
         owned: owned_pools.OwnedPool,
-        received: peer_hub.Received,
-        message: slot_messages.SlotsHeld,
+        received: peer_hub.ReceivedMessage,
+        message: slot_messages.HeldSlotsReport,
     ) -> None:
         """Count what an entry holds, and nothing else that it may hold."""
         if not self._is_owner(owned) or message.term != owned.term:
@@ -279,7 +279,7 @@
         owned.reported[received.peer] = holder
         self.granting.apply(owned, owned.pool.report_held(holder, grants))
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
+    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         """Drop what a peer waits for; its grants stay in use."""
         self.known[change.peer] = change.incarnation
         for owned in self.pools.values():
@@ -289,7 +289,7 @@
             if change.connected and self._is_owner(owned):
                 self.switch.send(
                     change.peer,
-                    slot_messages.SlotsWanted(owned.name, owned.term),
+                    slot_messages.HeldSlotsRequest(owned.name, owned.term),
                 )
 
 
@@ -297,5 +297,5 @@
     slot_messages.SlotRequest: PoolServer._on_request,
     slot_messages.SlotCancel: PoolServer._on_cancel,
     slot_messages.SlotRelease: PoolServer._on_release,
-    slot_messages.SlotsHeld: PoolServer._on_held,
+    slot_messages.HeldSlotsReport: PoolServer._on_held,
 }
--- a/packages/entry/bulrushcourse_entry/slots/shared.py
+++ b/packages/entry/bulrushcourse_entry/slots/shared.py
@@ -95,7 +95,7 @@
             outcome: How its work ended.
             service_time_s: How long the work took, in seconds.
         """
-        ending = requests.Result(outcome, service_time_s)
+        ending = requests.ReleaseResult(outcome, service_time_s)
         if outcome in UNCERTAIN:
             loop = asyncio.get_running_loop()
             loop.call_later(
@@ -104,7 +104,9 @@
         else:
             self._give_back(request_id, ending)
 
-    def _give_back(self, request_id: str, ending: requests.Result) -> None:
+    def _give_back(
+        self, request_id: str, ending: requests.ReleaseResult
+    ) -> None:
         held = self.held.pop(request_id, None)
         if held is None:
             return
@@ -185,13 +187,15 @@
     def _send_cancel(self, peer: str, pool: str, request_id: str) -> None:
         self.switch.send(peer, slot_messages.SlotCancel(pool, request_id))
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         handler = _HANDLERS.get(type(received.message))
         if handler is not None:
             handler(self, received, received.message)
 
     def _on_wanted(
-        self, received: peer_hub.Received, message: slot_messages.SlotsWanted
+        self,
+        received: peer_hub.ReceivedMessage,
+        message: slot_messages.HeldSlotsRequest,
     ) -> None:
         self.sessions[message.pool] = asking.Session(
             received.peer, received.incarnation
@@ -202,14 +206,16 @@
         held = self._held_in(message.pool)
         self.switch.send(
             received.peer,
-            slot_messages.SlotsHeld(message.pool, message.term, held),
+            slot_messages.HeldSlotsReport(message.pool, message.term, held),
         )
         for waiter in self.waiters.get(message.pool, ()):
             if not waiter.done():
                 waiter.set_result(None)
 
     def _on_grant(
-        self, received: peer_hub.Received, message: slot_messages.SlotGrant
+        self,
+        received: peer_hub.ReceivedMessage,
+        message: slot_messages.SlotGrant,
     ) -> None:
         ask = self._ask_of(received, message.request_id)
         if ask is None:
@@ -229,7 +235,9 @@
         ask.decided.set_result(grant)
 
     def _on_refusal(
-        self, received: peer_hub.Received, message: slot_messages.SlotRefusal
+        self,
+        received: peer_hub.ReceivedMessage,
+        message: slot_messages.SlotRefusal,
     ) -> None:
         ask = self._ask_of(received, message.request_id)
         if ask is None:
@@ -246,7 +254,7 @@
         )
 
     def _ask_of(
-        self, received: peer_hub.Received, request_id: str
+        self, received: peer_hub.ReceivedMessage, request_id: str
     ) -> asking.Ask | None:
         ask = self.asks.get(request_id)
         if ask is None or ask.decided.done():
@@ -272,7 +280,7 @@
         if not ask.decided.done():
             ask.decided.set_result(None)
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
+    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         """Wait for a new announcement after each change of a stream."""
         for pool, session in list(self.sessions.items()):
             if session.peer == change.peer:
@@ -283,7 +291,7 @@
 
 
 _HANDLERS = {
-    slot_messages.SlotsWanted: SharedSlots._on_wanted,
+    slot_messages.HeldSlotsRequest: SharedSlots._on_wanted,
     slot_messages.SlotGrant: SharedSlots._on_grant,
     slot_messages.SlotRefusal: SharedSlots._on_refusal,
 }
--- a/packages/entry/bulrushcourse_entry/slots/suspects.py
+++ b/packages/entry/bulrushcourse_entry/slots/suspects.py
@@ -16,16 +16,16 @@
 FORGET_INTERVAL_S = 30.0
 
 
-def to_message(news: losses.News) -> typing.Any:
+def to_message(update: losses.LossUpdate) -> typing.Any:
     """Return the message that carries a fact.
 
     Args:
-        news: A loss or a clearing.
+        update: A loss or a clearing.
     """
-    if isinstance(news, losses.Loss):
-        return slot_messages.Quarantine(**attrs.asdict(news))
-    return slot_messages.QuarantineCleared(
-        news.fingerprint, tuple(sorted(news.loss_ids)), news.expires
+    if isinstance(update, losses.Loss):
+        return slot_messages.UpstreamLoss(**attrs.asdict(update))
+    return slot_messages.UpstreamLossCleared(
+        update.fingerprint, tuple(sorted(update.loss_ids)), update.expires
     )
 
 
@@ -63,14 +63,14 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    def publish(self, news: losses.News) -> None:
+    def publish(self, update: losses.LossUpdate) -> None:
         """Tell all entries a fact and write it to the table.
 
         Args:
-            news: A loss or a clearing that this entry found.
+            update: A loss or a clearing that this entry found.
         """
-        self.hub.broadcast(to_message(news))
-        self._spawn(self._write(news.fingerprint))
+        self.hub.broadcast(to_message(update))
+        self._spawn(self._write(update.fingerprint))
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the suspects for a state dump."""
@@ -90,7 +90,7 @@
     async def _forget(self) -> None:
         while True:
             await asyncio.sleep(FORGET_INTERVAL_S)
-            self.quarantine.forget_expired()
+            self.quarantine.remove_expired()
 
     async def _write(self, fingerprint: str) -> None:
         """Merge this entry's losses of a request with the row's."""
@@ -113,20 +113,20 @@
             if result is not platform_table.WriteResult.CONFLICT:
                 return
 
-    def _on_message(self, received: peer_hub.Received) -> None:
+    def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         message = received.message
-        if isinstance(message, slot_messages.Quarantine):
+        if isinstance(message, slot_messages.UpstreamLoss):
             self.quarantine.merge(losses.Loss(**attrs.asdict(message)))
-        elif isinstance(message, slot_messages.QuarantineCleared):
+        elif isinstance(message, slot_messages.UpstreamLossCleared):
             self.quarantine.merge(
-                losses.Clearing(
+                losses.LossClearance(
                     message.fingerprint,
                     frozenset(message.loss_ids),
                     message.expires,
                 )
             )
 
-    def _on_change(self, change: peer_hub.PeerChange) -> None:
+    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         if not change.connected:
             return
         for fingerprint in self.quarantine.lost:
--- a/packages/entry/bulrushcourse_entry/slots/switch.py
+++ b/packages/entry/bulrushcourse_entry/slots/switch.py
@@ -32,7 +32,7 @@
         """
         if peer != self.entry:
             return self.hub.send(peer, message)
-        received = peer_hub.Received(
+        received = peer_hub.ReceivedMessage(
             peer, self.hub.identity.incarnation, message
         )
         loop = asyncio.get_running_loop()
--- a/packages/entry/bulrushcourse_entry/slots/tests/fakes.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/fakes.py
@@ -33,12 +33,12 @@
 
     def receive(self, peer, message, incarnation=None):
         self.hub.received.on_next(
-            peer_hub.Received(peer, incarnation or f'{peer}-1', message)
+            peer_hub.ReceivedMessage(peer, incarnation or f'{peer}-1', message)
         )
 
     def change(self, peer, connected):
         self.hub.changes.on_next(
-            peer_hub.PeerChange(peer, f'{peer}-1', connected)
+            peer_hub.PeerConnectionChange(peer, f'{peer}-1', connected)
         )
 
     def taken(self, cls):
--- a/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
@@ -33,10 +33,10 @@
             POOL, 'e1-1', self.members, random.Random(1)
         )
         keeper = types.SimpleNamespace(former={POOL: ''}, last_listed={})
-        self.news = []
+        self.updates = []
         suspects = types.SimpleNamespace(
             quarantine=quarantine.Quarantine(self.clock),
-            publish=self.news.append,
+            publish=self.updates.append,
         )
         granting = grants.Granting(self.clock, self.switch, suspects)
         self.server = servers.PoolServer(
@@ -59,7 +59,9 @@
     def report(self, *held):
         for entry in ('e1', 'e2'):
             reported = held if entry == 'e2' else ()
-            message = slot_messages.SlotsHeld(POOL, self.owned.term, reported)
+            message = slot_messages.HeldSlotsReport(
+                POOL, self.owned.term, reported
+            )
             self.switch.receive(entry, message)
 
     def request(self, request_id):
@@ -90,7 +92,7 @@
 
 
 def test_no_slot_is_granted_until_all_have_reported(world):
-    message = slot_messages.SlotsHeld(POOL, world.owned.term)
+    message = slot_messages.HeldSlotsReport(POOL, world.owned.term)
     world.switch.receive('e2', message)
     world.request('r')
     assert world.granted() == []
@@ -125,9 +127,9 @@
     world.clock.advance(world.members.times.list_fresh_s + 0.1)
     world.server._decide(world.owned)
     world.refresh_list()
-    world.switch.taken(slot_messages.SlotsWanted)
+    world.switch.taken(slot_messages.HeldSlotsRequest)
     world.server._decide(world.owned)
-    ((peer, wanted),) = world.switch.taken(slot_messages.SlotsWanted)
+    ((peer, wanted),) = world.switch.taken(slot_messages.HeldSlotsRequest)
     assert (peer, wanted.term) == ('*', 2)
     assert world.owned.reported == {}
 
@@ -162,4 +164,4 @@
     world.request('r')
     release = slot_messages.SlotRelease(POOL, 'r', 'lost', 0.1)
     world.switch.receive('e2', release)
-    assert [news.instance for news in world.news] == ['i']
+    assert [update.instance for update in world.updates] == ['i']
--- a/packages/entry/bulrushcourse_entry/slots/tests/test_shared.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/test_shared.py
@@ -39,10 +39,10 @@
 
 def test_late_grant_of_former_owner_is_given_back():
     async def scenario(switch, slots):
-        switch.receive('a', slot_messages.SlotsWanted(POOL, 1))
+        switch.receive('a', slot_messages.HeldSlotsRequest(POOL, 1))
         task, first = await ask(switch, slots)
-        switch.receive('b', slot_messages.SlotsWanted(POOL, 1))
-        assert switch.taken(slot_messages.SlotsHeld)[-1][1].held == ()
+        switch.receive('b', slot_messages.HeldSlotsRequest(POOL, 1))
+        assert switch.taken(slot_messages.HeldSlotsReport)[-1][1].held == ()
         switch.receive('a', slot_messages.SlotGrant(POOL, first, 'i'))
         assert not slots.held
         ((peer, cancel),) = switch.taken(slot_messages.SlotCancel)
@@ -56,13 +56,13 @@
 
 def test_new_owner_is_told_what_is_held():
     async def scenario(switch, slots):
-        switch.receive('a', slot_messages.SlotsWanted(POOL, 1))
+        switch.receive('a', slot_messages.HeldSlotsRequest(POOL, 1))
         task, request_id = await ask(switch, slots)
         switch.receive('a', slot_messages.SlotGrant(POOL, request_id, 'i'))
         await task
-        switch.taken(slot_messages.SlotsHeld)
-        switch.receive('b', slot_messages.SlotsWanted(POOL, 4))
-        ((peer, reply),) = switch.taken(slot_messages.SlotsHeld)
+        switch.taken(slot_messages.HeldSlotsReport)
+        switch.receive('b', slot_messages.HeldSlotsRequest(POOL, 4))
+        ((peer, reply),) = switch.taken(slot_messages.HeldSlotsReport)
         assert (peer, reply.term) == ('b', 4)
         held = slot_messages.HeldSlot(request_id, 'i', 'short', 5.0, 'print')
         assert reply.held == (held,)
@@ -76,12 +76,12 @@
 
 def test_request_is_asked_again_after_the_stream_broke():
     async def scenario(switch, slots):
-        switch.receive('a', slot_messages.SlotsWanted(POOL, 1))
+        switch.receive('a', slot_messages.HeldSlotsRequest(POOL, 1))
         task, first = await ask(switch, slots)
         switch.change('a', False)
         assert not slots.sessions
         switch.change('a', True)
-        switch.receive('a', slot_messages.SlotsWanted(POOL, 1))
+        switch.receive('a', slot_messages.HeldSlotsRequest(POOL, 1))
         second = await sent_id(switch)
         assert second != first
         switch.receive('a', slot_messages.SlotGrant(POOL, second, 'i'))
@@ -92,7 +92,7 @@
 
 def test_cancelled_request_is_withdrawn():
     async def scenario(switch, slots):
-        switch.receive('a', slot_messages.SlotsWanted(POOL, 1))
+        switch.receive('a', slot_messages.HeldSlotsRequest(POOL, 1))
         task, request_id = await ask(switch, slots)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -8,7 +8,7 @@
 from bulrushcourse_entry import events
 from bulrushcourse_entry.callers import listener as callers_listener
 from bulrushcourse_entry.claims import assembly as claims_assembly
-from bulrushcourse_entry.slots import steering
+from bulrushcourse_entry.slots import assembly as slots_assembly
 
 # An answer given just before the shutdown started may reach its caller late,
 # and the caller's cache lifetime starts only then.
@@ -52,7 +52,7 @@
     """
 
     callers: callers_listener.CallersListener
-    slots: steering.SlotSteering
+    slots: slots_assembly.SlotParts
     claims: claims_assembly.ClaimsParts
     answer_max_age_s: float
     limit_s: float
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -15,7 +15,7 @@
 DEADLINE_HEADER = 'Bulrushcourse-Deadline-Ms'
 CONNECT_TIMEOUT_S = 1.0
 PREFIX_BYTES = 64 << 10
-PIECE_BYTES = 16 << 10
+CHUNK_BYTES = 16 << 10
 # Charged to a link for the request's line and headers.
 HEADER_BYTES = 512
 
@@ -40,7 +40,7 @@
     STALE = 'stale'
 
 
-class Crossing(typing.Protocol):
+class LinkThrottle(typing.Protocol):
     """Charges bytes to the link between this entry and an instance."""
 
     async def send(self, size: int) -> None:
@@ -60,34 +60,34 @@
         method: HTTP method.
         path: Path and query.
         headers: Headers to pass on.
-        body: Body, or its beginning if ``rest`` is given.
-        rest: Remaining pieces of the body.
+        body: Body, or its beginning if ``body_stream`` is given.
+        body_stream: Remaining chunks of the body.
         remaining_s: Seconds until the deadline.
         idempotent: Whether the request may run more than once.
-        crossing: The link to the instance, ``None`` within a region.
+        throttle: The link to the instance, ``None`` within a region.
     """
 
     method: str
     path: str
     headers: dict[str, str]
     body: bytes
-    rest: typing.AsyncIterator[bytes] | None
+    body_stream: typing.AsyncIterator[bytes] | None
     remaining_s: float
     idempotent: bool
-    crossing: Crossing | None = None
+    throttle: LinkThrottle | None = None
 
-    async def pieces(self) -> typing.AsyncIterator[bytes]:
-        """Yield the pieces of the body as they may flow."""
-        for start in range(0, len(self.body), PIECE_BYTES):
-            yield await self._charged(self.body[start : start + PIECE_BYTES])
-        if self.rest is not None:
-            async for piece in self.rest:
-                yield await self._charged(piece)
+    async def chunks(self) -> typing.AsyncIterator[bytes]:
+        """Yield the chunks of the body as they may flow."""
+        for start in range(0, len(self.body), CHUNK_BYTES):
+            yield await self._charged(self.body[start : start + CHUNK_BYTES])
+        if self.body_stream is not None:
+            async for chunk in self.body_stream:
+                yield await self._charged(chunk)
 
-    async def _charged(self, piece: bytes) -> bytes:
-        if self.crossing is not None:
-            await self.crossing.send(len(piece))
-        return piece
+    async def _charged(self, chunk: bytes) -> bytes:
+        if self.throttle is not None:
+            await self.throttle.send(len(chunk))
+        return chunk
 
 
 @attrs.define
@@ -100,7 +100,7 @@
         prefix: First bytes of the body.
         whole: Whether ``prefix`` is the whole body.
         response: The response to read the remaining body from.
-        crossing: The link from the instance, ``None`` within a region.
+        throttle: The link from the instance, ``None`` within a region.
     """
 
     status: int
@@ -108,19 +108,19 @@
     prefix: bytes
     whole: bool
     response: aiohttp.ClientResponse
-    crossing: Crossing | None = None
+    throttle: LinkThrottle | None = None
 
-    async def pieces(self) -> typing.AsyncIterator[bytes]:
+    async def chunks(self) -> typing.AsyncIterator[bytes]:
         """Yield the rest of the body after ``prefix``.
 
         Raises:
             aiohttp.ClientError: If the answer is cut off.
         """
         if not self.whole:
-            async for piece in self.response.content.iter_chunked(PIECE_BYTES):
-                if self.crossing is not None:
-                    await self.crossing.receive(len(piece))
-                yield piece
+            async for chunk in self.response.content.iter_chunked(CHUNK_BYTES):
+                if self.throttle is not None:
+                    await self.throttle.receive(len(chunk))
+                yield chunk
 
     def close(self) -> None:
         """Drop the connection; the instance sees a cancellation."""
@@ -161,7 +161,7 @@
                     response.release()
                     return result.Failure(Failure.SHED)
                 prefix, whole = await _read_prefix(
-                    response.content, request.crossing
+                    response.content, request.throttle
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             # No connection, so no byte of the request was sent.
@@ -186,7 +186,7 @@
                 prefix,
                 whole,
                 response,
-                request.crossing,
+                request.throttle,
             )
         )
 
@@ -194,12 +194,12 @@
         self, instance: objects.Instance, request: UpstreamRequest
     ) -> aiohttp.ClientResponse:
         headers = dict(request.headers)
-        streamed = request.rest is not None or (
-            request.crossing is not None and request.body
+        streamed = request.body_stream is not None or (
+            request.throttle is not None and request.body
         )
-        if request.crossing is not None:
-            await request.crossing.send(HEADER_BYTES)
-            if request.rest is None and request.body:
+        if request.throttle is not None:
+            await request.throttle.send(HEADER_BYTES)
+            if request.body_stream is None and request.body:
                 headers['Content-Length'] = str(len(request.body))
         headers[DEADLINE_HEADER] = str(int(request.remaining_s * 1000))
         session = self.pooled if request.idempotent else self.fresh
@@ -207,7 +207,7 @@
             request.method,
             f'http://{instance.address}{request.path}',
             headers=headers,
-            data=request.pieces() if streamed else request.body or None,
+            data=request.chunks() if streamed else request.body or None,
             allow_redirects=False,
         )
 
@@ -244,16 +244,16 @@
 
 
 async def _read_prefix(
-    content: aiohttp.StreamReader, crossing: Crossing | None
+    content: aiohttp.StreamReader, throttle: LinkThrottle | None
 ) -> tuple[bytes, bool]:
-    pieces = bytearray()
-    while len(pieces) < PREFIX_BYTES:
-        piece = await content.read(
-            min(PIECE_BYTES, PREFIX_BYTES - len(pieces))
+    chunks = bytearray()
+    while len(chunks) < PREFIX_BYTES:
+        chunk = await content.read(
+            min(CHUNK_BYTES, PREFIX_BYTES - len(chunks))
         )
-        if not piece and content.at_eof():
-            return bytes(pieces), True
-        if crossing is not None:
-            await crossing.receive(len(piece))
-        pieces += piece
-    return bytes(pieces), content.at_eof()
+        if not chunk and content.at_eof():
+            return bytes(chunks), True
+        if throttle is not None:
+            await throttle.receive(len(chunk))
+        chunks += chunk
+    return bytes(chunks), content.at_eof()
--- a/packages/testkit/bulrushcourse_testkit/bench/policies.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/policies.py
@@ -141,12 +141,12 @@
 
     def arrive(self, call: workload.Call) -> None:
         """Ask the owner for a slot."""
-        self.budgets[call.entry].count_primary()
+        self.budgets[call.entry].record_primary()
         self.world.hop(self._ask, call, 0, '')
 
-    def sign_leaving(self, name: str) -> None:
+    def set_leaving(self, name: str) -> None:
         """Tell the owner that an instance is leaving."""
-        self._settle(self.pool.sign_leaving(name))
+        self._settle(self.pool.set_leaving(name))
 
     def restart(self, names: set[str]) -> None:
         """Tell the owner that instances went and came back."""
@@ -187,7 +187,8 @@
             call.refused |= not hedged
             return
         if hedged and (
-            call.answered is not None or not self.budgets[call.entry].spend()
+            call.answered is not None
+            or not self.budgets[call.entry].try_spend()
         ):
             cancelled = requests.ReleaseOutcome.CANCELLED
             self.world.hop(self._release, decision, cancelled, 0.0)
--- a/packages/testkit/bulrushcourse_testkit/bench/scenarios.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/scenarios.py
@@ -150,6 +150,6 @@
     if cold:
         world.later(CHANGE_S, functools.partial(granted.restart, cold))
     for number in range(scenario.leaving):
-        sign = functools.partial(granted.sign_leaving, str(number))
+        sign = functools.partial(granted.set_leaving, str(number))
         world.later(CHANGE_S + SIGN_DELAY_S, sign)
     return granted
--- a/packages/testkit/bulrushcourse_testkit/capacity/in_process.py
+++ b/packages/testkit/bulrushcourse_testkit/capacity/in_process.py
@@ -54,7 +54,7 @@
     points = []
     for count in ENTRY_COUNTS:
         members = tuple(
-            member.Sighting(f'e{n}', f'i{n}', f'v{n}', f'region-{n % 4}')
+            member.MemberInfo(f'e{n}', f'i{n}', f'v{n}', f'region-{n % 4}')
             for n in range(count)
         )
         answers = lookup.Lookup(members)
@@ -73,7 +73,7 @@
     points = []
     for count in ENTRY_COUNTS:
         members = tuple(
-            member.Sighting(f'e{n}', f'i{n}', f'v{n}', f'region-{n % 4}')
+            member.MemberInfo(f'e{n}', f'i{n}', f'v{n}', f'region-{n % 4}')
             for n in range(count)
         )
         callers = [f'10.{n % 250}.{n // 250}.1' for n in range(2_000)]
--- a/packages/testkit/bulrushcourse_testkit/claims/variants.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/variants.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bulrushcourse_domain.claims import claim as claims
-from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import issued_keys
 from bulrushcourse_domain.claims import keys
 from bulrushcourse_domain.claims import outcomes
 from bulrushcourse_entry.claims import free_form
@@ -57,7 +57,7 @@
 def forgotten_key_not_run(patch: Set) -> claim_world.World:
     """An issued key that was forgotten is said not to have run."""
 
-    def decline(self, meeting: issued.KeyMeeting) -> outcomes.Reply:
+    def decline(self, check: issued_keys.KeyCheck) -> outcomes.Reply:
         return NOT_RUN
 
     patch(issued_runs.IssuedRuns, 'decline', decline)
@@ -65,14 +65,18 @@
 
 
 @attrs.define
-class KeysOfAnyone(issued.IssuedKeys):
+class KeysOfAnyone(issued_keys.IssuedKeys):
     """Runs the keys of other incarnations too."""
 
-    def meet(self, text: str, service: str, digest: str) -> issued.KeyMeeting:
+    def check_request(
+        self, text: str, service: str, digest: str
+    ) -> issued_keys.KeyCheck:
         """Treat a key that is not recorded here as new."""
         if text not in self.records:
             self.unused.setdefault(text, self.clock.monotonic() + 1.0)
-        return issued.IssuedKeys.meet(self, text, service, digest)
+        return issued_keys.IssuedKeys.check_request(
+            self, text, service, digest
+        )
 
     def may_run(self, key: keys.IssuedKey) -> bool:
         """Accept any incarnation."""
@@ -97,12 +101,12 @@
 def digest_not_compared(patch: Set) -> claim_world.World:
     """A key with another body gets the answer of the first body."""
 
-    def meet_record(record, digest) -> issued.KeyMeeting:
+    def meet_record(record, digest) -> issued_keys.KeyCheck:
         if record.reply is None:
-            return issued.KeyMeeting.RUNNING
-        return issued.KeyMeeting.FINAL
+            return issued_keys.KeyCheck.RUNNING
+        return issued_keys.KeyCheck.FINAL
 
-    patch(issued, '_meet_record', meet_record)
+    patch(issued_keys, '_meet_record', meet_record)
     return claim_world.World()
 
 
@@ -113,13 +117,13 @@
         state = claims.TRANSITIONS[claims.ClaimState.CLAIMED, outcome]
         return attrs.evolve(self, state=state, answer=answer)
 
-    def meet(self, attempt, digest) -> claims.Meeting:
+    def check_attempt(self, attempt, digest) -> claims.AttemptCheck:
         if self.state is claims.ClaimState.CLAIMED:
-            return claims.Meeting.OWN
-        return claims.Meeting.FINAL
+            return claims.AttemptCheck.OWN
+        return claims.AttemptCheck.FINAL
 
     patch(claims.Claim, 'finish', finish)
-    patch(claims.Claim, 'meet', meet)
+    patch(claims.Claim, 'check_attempt', check_attempt)
     return claim_world.World()
 
 
--- a/packages/testkit/bulrushcourse_testkit/claims/world.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/world.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from bulrushcourse_domain.claims import issued
+from bulrushcourse_domain.claims import issued_keys
 from bulrushcourse_domain.claims import outcomes
 from bulrushcourse_entry.claims import cleanup
 from bulrushcourse_entry.claims import dispatch
@@ -287,7 +287,9 @@
         rows: Rows of the table as version and value.
     """
 
-    make_keys: typing.Callable[..., issued.IssuedKeys] = issued.IssuedKeys
+    make_keys: typing.Callable[..., issued_keys.IssuedKeys] = (
+        issued_keys.IssuedKeys
+    )
     make_attempt: typing.Callable[[], str] | None = None
     loop: virtual.VirtualLoop = attrs.field(factory=virtual.VirtualLoop)
     ledger: Ledger = attrs.field(factory=Ledger)
--- a/packages/testkit/bulrushcourse_testkit/measure_lookups.py
+++ b/packages/testkit/bulrushcourse_testkit/measure_lookups.py
@@ -86,7 +86,7 @@
         entries: How many entries to spread over the regions.
     """
     members = tuple(
-        member.Sighting(
+        member.MemberInfo(
             f'entry-{index}',
             f'run-{index}',
             f'vm-{index}',
--- a/packages/testkit/bulrushcourse_testkit/measure_reports.py
+++ b/packages/testkit/bulrushcourse_testkit/measure_reports.py
@@ -64,7 +64,7 @@
         slowness=dict.fromkeys(names, (1.1, 0.12)),
         demand={'catalog': 3.2, 'orders': 1.1, 'artwork': 0.7},
         operators_version=1000,
-        news=upstreams.News(1000, 1001, (), (), 0.2),
+        directory_delta=upstreams.DirectoryDelta(1000, 1001, (), (), 0.2),
     )
 
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_testkit import ports
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import upstream as upstream_standin
@@ -66,7 +66,7 @@
             return await cluster.send(path, body=b'tabs')
 
     stream = io.StringIO()
-    writer = journals.LineWriter(stream)
+    writer = event_logs.LineWriter(stream)
     replies = []
     with writer:
         asyncio.run(asyncio.wait_for(collect(scenario(), replies), 30))
@@ -96,7 +96,7 @@
 
     replies = []
     with (tmp_path / 'vm.log').open('w') as stream:
-        writer = journals.LineWriter(stream)
+        writer = event_logs.LineWriter(stream)
         with writer:
             asyncio.run(asyncio.wait_for(collect(scenario(), replies), 30))
         writer.close()
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -34,7 +34,8 @@
         losses: Fingerprints of requests that lost an upstream, with it.
         operators_version: Version of the store behind ``evacuated``.
         evacuated: Failure domains that must get nothing.
-        news: Changes of the upstreams' entries, ``None`` without any.
+        directory_delta: Changes of the upstreams' entries, ``None`` without
+            any.
         vms: VMs that it knows, for a receiver that knows fewer.
         vms_known: Number of VMs that it knows.
         configuration: Packed content of the configuration, for a receiver
@@ -50,7 +51,7 @@
     losses: list[tuple[str, str]] = attrs.field(factory=list)
     operators_version: int = 0
     evacuated: list[str] = attrs.field(factory=list)
-    news: upstreams.News | None = None
+    directory_delta: upstreams.DirectoryDelta | None = None
     vms: list[fleet.Vm] = attrs.field(factory=list)
     vms_known: int = 0
     configuration: bytes = b''
@@ -79,8 +80,8 @@
         'm': [attrs.astuple(vm) for vm in report.vms],
         'b': report.configuration,
     }
-    if report.news is not None:
-        fields['n'] = _pack_news(report.news)
+    if report.directory_delta is not None:
+        fields['n'] = _pack_delta(report.directory_delta)
     return msgpack.packb({key: v for key, v in fields.items() if v})
 
 
@@ -95,7 +96,7 @@
     """
     try:
         fields = msgpack.unpackb(content)
-        news = fields.get('n')
+        delta = fields.get('n')
         return Report(
             vm=fleet.Vm(*fields['v']) if 'v' in fields else None,
             phase=fleet.Phase(fields['p']),
@@ -109,7 +110,7 @@
             losses=[(f, u) for f, u in fields.get('l', [])],
             operators_version=fields.get('o', 0),
             evacuated=fields.get('e', []),
-            news=_unpack_news(news) if news else None,
+            directory_delta=_unpack_delta(delta) if delta else None,
             vms=[fleet.Vm(*vm) for vm in fields.get('m', [])],
             vms_known=fields.get('k', 0),
             configuration=fields.get('b', b''),
@@ -158,15 +159,15 @@
     return content
 
 
-def _pack_news(news: upstreams.News) -> list[typing.Any]:
-    changed = [attrs.astuple(entry) for entry in news.changed]
-    age_ms = int(news.age_s * 1000)
-    return [news.base, news.version, changed, list(news.gone), age_ms]
+def _pack_delta(delta: upstreams.DirectoryDelta) -> list[typing.Any]:
+    changed = [attrs.astuple(entry) for entry in delta.changed]
+    age_ms = int(delta.age_s * 1000)
+    return [delta.base, delta.version, changed, list(delta.gone), age_ms]
 
 
-def _unpack_news(fields: list[typing.Any]) -> upstreams.News:
+def _unpack_delta(fields: list[typing.Any]) -> upstreams.DirectoryDelta:
     base, version, changed, gone, age_ms = fields
-    return upstreams.News(
+    return upstreams.DirectoryDelta(
         base,
         version,
         tuple(upstreams.Upstream(*entry) for entry in changed),
--- a/packages/wire/bulrushcourse_wire/health_messages.py
+++ b/packages/wire/bulrushcourse_wire/health_messages.py
@@ -4,7 +4,7 @@
 
 
 @messages.message('upstream_sign')
-class UpstreamSign:
+class UpstreamLeaving:
     """An instance leaves, or serves again.
 
     Attributes:
--- a/packages/wire/bulrushcourse_wire/slot_messages.py
+++ b/packages/wire/bulrushcourse_wire/slot_messages.py
@@ -93,7 +93,7 @@
 
 
 @messages.message('slots_wanted')
-class SlotsWanted:
+class HeldSlotsRequest:
     """States that the sender owns a pool and asks for the slots held.
 
     Attributes:
@@ -125,7 +125,7 @@
 
 
 @messages.message('slots_held')
-class SlotsHeld:
+class HeldSlotsReport:
     """Answers ``slots_wanted`` with all slots that the sender holds.
 
     Attributes:
@@ -140,13 +140,13 @@
 
 
 @messages.message('promise_wish')
-class PromiseWish:
+class PromiseRequest:
     """Asks for a promise not to take over a pool.
 
     Attributes:
         pool: Name of the pool.
         candidate: Incarnation of the sender.
-        number: Number of the wish.
+        number: Number of the request.
         owns: Whether the sender owns the pool already.
     """
 
@@ -163,7 +163,7 @@
     Attributes:
         pool: Name of the pool.
         candidate: Incarnation that the pool is promised to.
-        number: Number of the wish that is answered.
+        number: Number of the request that is answered.
     """
 
     pool: str
@@ -185,7 +185,7 @@
 
 
 @messages.message('quarantine')
-class Quarantine:
+class UpstreamLoss:
     """An instance that was lost to a request.
 
     Attributes:
@@ -204,7 +204,7 @@
 
 
 @messages.message('quarantine_cleared')
-class QuarantineCleared:
+class UpstreamLossCleared:
     """A whole answer showed that losses had another cause.
 
     Attributes:
--- a/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
@@ -24,8 +24,8 @@
     losses=strategies.lists(strategies.tuples(NAMES, NAMES)),
     operators_version=strategies.integers(0, 1 << 40),
     evacuated=strategies.lists(NAMES),
-    news=strategies.sampled_from(
-        [None, upstreams.News(3, 4, (), ('u',), 0.25)]
+    directory_delta=strategies.sampled_from(
+        [None, upstreams.DirectoryDelta(3, 4, (), ('u',), 0.25)]
     ),
     vms=strategies.sampled_from([[], [VM]]),
     vms_known=strategies.integers(0, 999),
