Use the field's terms in the placement of requests

Cause: figurative wording (draws, keepers, times to come back, comfortable use) stopped readers who are new to the code. Change: comments, doc comments and test descriptions rewritten. Constants named by MAX, MIN, DEFAULT and INITIAL with their units; utilization, tie, hit ratio and work rate for the private words. "Pattern:" at the head of tests became a plain statement of the failure. No comment with a reason or a figure was dropped.

--- a/packages/domain/bulrushcourse_domain/placement/__init__.py
+++ b/packages/domain/bulrushcourse_domain/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Which upstream gets a request, and which requests are refused."""
+"""Selection of upstreams for requests, and admission control."""
--- a/packages/domain/bulrushcourse_domain/placement/admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/admission.py
@@ -1,4 +1,4 @@
-"""Which requests are served, and when refused ones may come back."""
+"""Admission of requests, and Retry-After delays for those refused."""
 
 import enum
 import random
@@ -8,18 +8,20 @@
 from bulrushcourse_domain.placement import placement
 from bulrushcourse_domain.routes import route as routes
 
-# A request that is expected to end later than this share of its remaining
-# time would most likely be lost at its deadline.
+# A request that is expected to need more than this share of its remaining
+# time would most likely miss its deadline.
 DEADLINE_SHARE = 0.8
-# Clients wait for at most a third of their remaining time.
-LONGEST_RETRY_SHARE = 0.3
-SHORTEST_RETRY_S = 0.05
-# The queue of an upstream is used up to this many objectives of waiting.
-QUEUE_OBJECTIVES = 1.5
+# Clients wait for a Retry-After delay of at most a third of their remaining
+# time.
+MAX_RETRY_AFTER_SHARE = 0.3
+MIN_RETRY_AFTER_S = 0.05
+# Longest expected wait, queue and time already elapsed together, as a multiple
+# of the route's latency objective.
+MAX_QUEUE_OBJECTIVES = 1.5
 
 
 class Verdict(enum.Enum):
-    """What happens to a request."""
+    """Decision whether a request is sent, or why it is refused."""
 
     SEND = 'send'
     NO_UPSTREAM = 'no-upstream'
@@ -33,24 +35,24 @@
     elapsed_s: float,
     remaining_s: float,
 ) -> Verdict:
-    """Return whether a request is sent to the best upstream.
+    """Decide whether a request is sent to its chosen upstream.
 
     Args:
-        choice: The best upstream, if there is one.
+        choice: The chosen upstream, ``None`` if there is none.
         route: Route of the request.
-        elapsed_s: Time since it arrived.
-        remaining_s: Time until it is of no use.
+        elapsed_s: Seconds since the request arrived.
+        remaining_s: Seconds until its deadline.
     """
     if choice is None:
         return Verdict.NO_UPSTREAM
-    # With a free slot, the work itself is all that is uncertain. Refusing
-    # on an estimate alone could never be corrected by a measurement.
-    needed = choice.completion_s - (0.0 if choice.busy else choice.work_s)
-    if needed > remaining_s * DEADLINE_SHARE:
+    # At a free slot only the service time is uncertain. If the estimate alone
+    # led to a refusal, no measurement could ever correct it.
+    needed_s = choice.completion_s - (0.0 if choice.busy else choice.work_s)
+    if needed_s > remaining_s * DEADLINE_SHARE:
         return Verdict.TOO_LATE
-    waited = choice.completion_s - choice.work_s
-    if choice.busy and waited + elapsed_s > (
-        QUEUE_OBJECTIVES * route.objective_s
+    wait_s = choice.completion_s - choice.work_s
+    if choice.busy and wait_s + elapsed_s > (
+        MAX_QUEUE_OBJECTIVES * route.objective_s
     ):
         return Verdict.FULL
     return Verdict.SEND
@@ -58,7 +60,7 @@
 
 @attrs.define
 class RetryAfterSampler:
-    """Times to come back that spread the returns of refused requests.
+    """Samples Retry-After delays, so that clients don't all retry together.
 
     Attributes:
         rng: Source of randomness.
@@ -67,10 +69,10 @@
     rng: random.Random
 
     def sample(self, remaining_s: float) -> float:
-        """Return the seconds after which a client may return.
+        """Return a random delay in seconds after which a client may retry.
 
         Args:
-            remaining_s: Time that the client has left.
+            remaining_s: Seconds until the client's deadline.
         """
-        longest = max(SHORTEST_RETRY_S, remaining_s * LONGEST_RETRY_SHARE)
-        return self.rng.uniform(longest / 3, longest)
+        longest_s = max(MIN_RETRY_AFTER_S, remaining_s * MAX_RETRY_AFTER_SHARE)
+        return self.rng.uniform(longest_s / 3, longest_s)
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -1,4 +1,4 @@
-"""The aggregate that chooses an upstream for a request or refuses it."""
+"""Selection of the upstream with the lowest expected cost for a request."""
 
 import random
 import typing
@@ -16,31 +16,34 @@
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_domain.upstreams import warmup
 
-# Work at a cold upstream takes about this much longer.
+# Factor on the service time at an upstream that is still warming up.
 COLD_FACTOR = 2.0
 Affinity = service_times.Affinity
-# Affinities of the upstreams that are preferred for an object, in order.
-PREFERRED = (Affinity.FIRST, Affinity.SECOND)
+# Affinities of the preferred upstreams of an object, best first.
+PREFERRED_AFFINITIES = (Affinity.FIRST, Affinity.SECOND)
 
-# A request that fails is repeated or lost; its cost in objectives.
+# Cost of a failed request, which is retried or lost, as a multiple of the
+# route's latency objective.
 FAILURE_COST = 2.0
-# A busier upstream is avoided among equals, by this share of the work.
-USE_COST = 0.15
-# Estimates closer than this share of the objective are a draw, so that VMs
-# with the same view do not all pick the same upstream.
-DRAW_SHARE = 0.04
+# Cost of a fully used upstream, as a share of the service time, so that the
+# less used of two similar upstreams is chosen.
+UTILIZATION_COST = 0.15
+# Costs that differ by less than this share of the objective are a tie, which
+# is broken at random so that VMs in the same state do not all choose the same
+# upstream.
+TIE_SHARE = 0.04
 
 
 @attrs.frozen
 class PlacementRequest:
-    """What a request needs of an upstream.
+    """Constraints on the upstream of a request.
 
     Attributes:
-        route: The request's route.
-        service: Service that shall run it.
-        object_key: Object that it concerns, empty if it names none.
-        region: Region that shall run it, empty for any.
-        tried: Upstreams that it was sent to.
+        route: Route of the request.
+        service: Name of the service that must run it.
+        object_key: Affinity object of the request, empty if it has none.
+        region: Region that must run it, empty for any.
+        tried: Names of the upstreams that have already been tried.
     """
 
     route: routes.Route
@@ -52,15 +55,16 @@
 
 @attrs.frozen
 class Choice:
-    """An upstream with what is expected of it.
+    """A chosen upstream and the estimates behind the choice.
 
     Attributes:
         upstream: The upstream.
-        completion_s: Expected time until its answer.
-        work_s: Part of it that is work.
-        affinity: What it has to do with the object.
+        completion_s: Expected seconds until its response.
+        work_s: Expected service time, the part of it without network and
+            queueing.
+        affinity: Affinity of the upstream to the object.
         busy: Requests in flight beyond its slots, at least 0.
-        cold: Whether it is in its warm-up.
+        cold: Whether it is still warming up.
     """
 
     upstream: upstreams.Upstream
@@ -73,18 +77,19 @@
 
 @attrs.define
 class Placement:
-    """Expected completion of a request at each upstream.
+    """Chooses upstreams by expected completion time and failure rate.
 
     Attributes:
         clock: Source of time.
-        directory: Known upstreams.
-        load: Their load.
-        outliers: Their failures.
-        objects: Objects that they have handled.
-        warmup_limiter: Limits on cold upstreams.
-        times: Service times.
-        round_trip_s: Round trip to each failure domain in seconds.
-        rng: Source of randomness for draws.
+        directory: Registered upstreams.
+        load: Load of the upstreams.
+        outliers: Failures of the upstreams.
+        objects: Objects that each upstream handled recently.
+        warmup_limiter: Rate limits of cold upstreams.
+        times: Service times by route and service.
+        round_trip_s: Function that returns the round-trip time to an
+            upstream's failure domain in seconds.
+        rng: Source of randomness for breaking ties.
         sharing_vm_count: Number of VMs that may use the same upstreams.
     """
 
@@ -102,11 +107,11 @@
     def choose(
         self, request: PlacementRequest, service: routes.Service
     ) -> Choice | None:
-        """Return the best upstream, ``None`` if there is none.
+        """Return the cheapest usable upstream, ``None`` if there is none.
 
         Args:
-            request: What the request needs.
-            service: The service that shall run it.
+            request: Constraints of the request.
+            service: The service that must run it.
         """
         candidates = self._candidates(request, service)
         if not candidates:
@@ -117,22 +122,22 @@
         objective = request.route.objective_s
         affinities = self._affinities(request, candidates)
 
-        def rank(upstream: upstreams.Upstream) -> float:
+        def score(upstream: upstreams.Upstream) -> float:
             affinity = affinities[upstream.name]
             cost = self._cost(upstream, affinity, times, objective)
             if request.object_key and affinity is not Affinity.FIRST:
                 cost += times.displacement_s()
-            return cost + self.rng.random() * objective * DRAW_SHARE
+            return cost + self.rng.random() * objective * TIE_SHARE
 
-        best = min(candidates, key=rank)
+        best = min(candidates, key=score)
         affinity = affinities[best.name]
-        work, wait, busy = self._expect(best, affinity, times)
+        work, wait, queue_length = self._estimate(best, affinity, times)
         return Choice(
             best,
             self.round_trip_s(best) + wait + work,
             work,
             affinity,
-            busy,
+            queue_length,
             self.directory.is_cold(best.name),
         )
 
@@ -142,7 +147,7 @@
         allowed_each = connections.allowed_connections(
             service.max_connections, self.sharing_vm_count
         )
-        found = [
+        eligible = [
             u
             for u in self.directory.usable(request.service, request.region)
             if request.route.may_run_in(u.region)
@@ -151,47 +156,54 @@
         ]
         allowed = [
             u
-            for u in found
+            for u in eligible
             if not self.directory.is_cold(u.name)
             or self.warmup_limiter.may_send(u.name, service.warmup_per_s)
         ]
-        sound = [u for u in allowed if not self.outliers.is_ejected(u.name)]
-        # When every upstream looks bad, the fault is more likely to be here.
-        return sound or allowed
+        healthy = [u for u in allowed if not self.outliers.is_ejected(u.name)]
+        # If every upstream is ejected, the fault is more likely at this VM.
+        return healthy or allowed
 
     def _affinities(
         self, request: PlacementRequest, candidates: list[upstreams.Upstream]
     ) -> dict[str, Affinity]:
         if not request.object_key:
             return dict.fromkeys((u.name for u in candidates), Affinity.NONE)
-        found = {
-            u.name: self._seen(u.name, request.object_key) for u in candidates
+        affinities = {
+            u.name: self._past_affinity(u.name, request.object_key)
+            for u in candidates
         }
-        # Upstreams that are set aside or cold for the moment stay preferred,
-        # so that their objects do not move for a short while.
+        # Upstreams that are ejected or cold remain preferred, so that their
+        # objects do not move to other upstreams for a short time.
         preferred = self.directory.preferred(
             request.service, request.region, request.object_key
         )
-        return found | dict(zip(preferred, PREFERRED, strict=False))
+        return affinities | dict(
+            zip(preferred, PREFERRED_AFFINITIES, strict=False)
+        )
 
-    def _seen(self, upstream: str, object_key: str) -> Affinity:
-        known = self.objects.has_handled(upstream, object_key)
-        return Affinity.SEEN if known else Affinity.NONE
+    def _past_affinity(self, upstream: str, object_key: str) -> Affinity:
+        handled = self.objects.has_handled(upstream, object_key)
+        return Affinity.SEEN if handled else Affinity.NONE
 
-    def _expect(
+    def _estimate(
         self,
         upstream: upstreams.Upstream,
         affinity: Affinity,
         times: service_times.RouteTimes,
     ) -> tuple[float, float, int]:
-        """Return work and wait in seconds and the requests over the slots."""
+        """Return service time and wait in seconds, and the queue length."""
         work = times.expected_s(affinity)
         work *= self.load.expected_slowness(upstream.name)
         if self.directory.is_cold(upstream.name):
             work *= COLD_FACTOR
         in_flight = self.load.in_flight(upstream.name)
-        busy = max(0, in_flight + 1 - upstream.slots)
-        return work, busy * times.typical_s / upstream.slots, busy
+        queue_length = max(0, in_flight + 1 - upstream.slots)
+        return (
+            work,
+            queue_length * times.typical_s / upstream.slots,
+            queue_length,
+        )
 
     def _cost(
         self,
@@ -200,13 +212,13 @@
         times: service_times.RouteTimes,
         objective_s: float,
     ) -> float:
-        work, wait, _ = self._expect(upstream, affinity, times)
-        failing = self.outliers.failure_share(upstream.name)
-        use = self.load.in_flight(upstream.name) / upstream.slots
+        work, wait, _ = self._estimate(upstream, affinity, times)
+        failure_share = self.outliers.failure_share(upstream.name)
+        utilization = self.load.in_flight(upstream.name) / upstream.slots
         return (
             self.round_trip_s(upstream)
             + wait
             + work
-            + failing * FAILURE_COST * objective_s
-            + min(1.0, use) * USE_COST * work
+            + failure_share * FAILURE_COST * objective_s
+            + min(1.0, utilization) * UTILIZATION_COST * work
         )
--- a/packages/domain/bulrushcourse_domain/placement/region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/region_mix.py
@@ -1,4 +1,4 @@
-"""The aggregate that bounds how fast a route's work changes region."""
+"""Gradual changes of the shares of a route's work that the regions run."""
 
 import typing
 
@@ -8,66 +8,68 @@
 from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.routes import weighted_round_robin
 
-# Part of the requests that may change region between windows of two seconds
-# that moves in one second; two windows then differ by 0.4 of the bound.
-RAMP_SHARE = 0.2
-USUAL_SHIFT_SHARE = 0.15
-LONGEST_STEP_S = 1.0
-# Smaller differences are left: each move makes some objects cold, and the
-# measured demand is never quite still.
+# Share of the bound between windows of two seconds that may move in one
+# second; two consecutive windows then differ by 0.4 of the bound.
+RAMP_SHARE_PER_S = 0.2
+DEFAULT_SHIFT_SHARE = 0.15
+MAX_STEP_S = 1.0
+# Smaller differences are ignored: each change makes some objects cold, and the
+# measured demand always fluctuates.
 DEAD_BAND = 0.05
-# Objects decide the region so that each is kept in one place. These bound
-# how far a run of requests for the same objects may pull the shares.
-OBJECT_SLACK = 3.0
-OBJECT_MEMORY = 30.0
+# The region of a request is chosen by its object, so that each object stays in
+# one region. These bound how far consecutive requests for the same objects may
+# make a region exceed its share.
+OBJECT_SLACK_REQUESTS = 3.0
+OBJECT_MEMORY_REQUESTS = 30.0
 
 
 def move_towards(
     shares: typing.Mapping[str, float],
     target: typing.Mapping[str, float],
-    most: float,
+    max_increase: float,
     dead_band: float = 0.0,
 ) -> dict[str, float]:
-    """Return shares that are closer to the target by a bounded amount.
+    """Move shares towards the target by a bounded amount.
 
     Args:
-        shares: Present share of each region; the sum is 1.
-        target: Wanted share of each region; the sum is 1.
-        most: Largest sum of all increases.
-        dead_band: Smaller sums of all increases are left out.
+        shares: Current share of each region; the sum is 1.
+        target: Target share of each region; the sum is 1.
+        max_increase: Largest sum of all increases.
+        dead_band: No share changes if the sum of all increases would be
+            smaller.
 
     Examples:
         >>> move_towards({'a': 1.0}, {'b': 1.0}, 0.25)
         {'a': 0.75, 'b': 0.25}
     """
     regions = sorted(set(shares) | set(target))
-    steps = {r: target.get(r, 0.0) - shares.get(r, 0.0) for r in regions}
-    rise = sum(step for step in steps.values() if step > 0)
-    if rise < dead_band:
+    differences = {r: target.get(r, 0.0) - shares.get(r, 0.0) for r in regions}
+    increase = sum(d for d in differences.values() if d > 0)
+    if increase < dead_band:
         return dict(shares)
-    scale = 1.0 if rise <= most else most / rise
-    moved = {r: shares.get(r, 0.0) + steps[r] * scale for r in regions}
+    scale = 1.0 if increase <= max_increase else max_increase / increase
+    moved = {r: shares.get(r, 0.0) + differences[r] * scale for r in regions}
     return {r: share for r, share in moved.items() if share > 1e-9}
 
 
 @attrs.define
 class RegionMix:
-    """Shares of the regions in one route's requests at this VM.
+    """Shares of a route's requests at this VM that go to each region.
 
     Attributes:
         clock: Source of time.
         shift_share: Largest share of the requests that may change region
             from one window of two seconds to the next.
-        shares: Present shares.
-        at: Time of the last step.
-        turns: Which region is next.
+        shares: Current share of each region.
+        at: Time of the last request.
+        round_robin: Chooses regions according to the shares.
     """
 
     clock: clocks.Clock
-    shift_share: float = USUAL_SHIFT_SHARE
+    shift_share: float = DEFAULT_SHIFT_SHARE
     shares: dict[str, float] = attrs.field(factory=dict)
     at: float = 0.0
-    turns: weighted_round_robin.WeightedRoundRobin = attrs.field(
+    round_robin: weighted_round_robin.WeightedRoundRobin = attrs.field(
         factory=weighted_round_robin.WeightedRoundRobin
     )
 
@@ -77,14 +79,15 @@
         usable: typing.Container[str],
         object_key: str = '',
     ) -> str:
-        """Return the region of the next request and move the shares.
+        """Move the shares towards the target and choose a request's region.
 
-        Shares of regions that cannot serve at all go to the others at once.
+        Shares of regions that cannot serve the route go to the others
+        immediately.
 
         Args:
-            target: Wanted shares; some region has a positive one.
+            target: Target shares; at least one is positive.
             usable: Regions that can serve the route.
-            object_key: Object that the request concerns, empty for none.
+            object_key: Affinity object of the request, empty for none.
         """
         now = self.clock.monotonic()
         kept = {r: s for r, s in self.shares.items() if r in usable}
@@ -93,13 +96,16 @@
         else:
             total = sum(kept.values())
             scaled = {r: share / total for r, share in kept.items()}
-            elapsed = min(LONGEST_STEP_S, now - self.at)
-            step = elapsed * RAMP_SHARE * self.shift_share
-            self.shares = move_towards(scaled, target, step, DEAD_BAND)
+            elapsed = min(MAX_STEP_S, now - self.at)
+            max_step = elapsed * RAMP_SHARE_PER_S * self.shift_share
+            self.shares = move_towards(scaled, target, max_step, DEAD_BAND)
         self.at = now
         if not object_key:
-            return self.turns.next_choice(self.shares)
-        wanted = rendezvous.choose_weighted(object_key, self.shares)
-        return self.turns.next_choice(
-            self.shares, wanted, OBJECT_SLACK, OBJECT_MEMORY
+            return self.round_robin.next_choice(self.shares)
+        preferred = rendezvous.choose_weighted(object_key, self.shares)
+        return self.round_robin.next_choice(
+            self.shares,
+            preferred,
+            OBJECT_SLACK_REQUESTS,
+            OBJECT_MEMORY_REQUESTS,
         )
--- a/packages/domain/bulrushcourse_domain/placement/service_times.py
+++ b/packages/domain/bulrushcourse_domain/placement/service_times.py
@@ -1,4 +1,4 @@
-"""Expected service times of routes, from this VM's own measurements."""
+"""Expected service times of routes, as measured by this VM."""
 
 import enum
 import math
@@ -6,23 +6,28 @@
 
 import attrs
 
-# Until anything has been measured, work is expected to take this share of
-# the route's objective: many objectives are shorter than the mean work.
-FIRST_GUESS_SHARE = 1.0
-# A warm object is expected to take this share of a cold one until measured.
-WARM_GUESS = 0.45
-WEIGHT = 0.05
-FAST_WEIGHT = 0.25
-FAST_SAMPLES = 12
-# Work many times longer than usual is rare and says little about the next
-# request, so that samples are cut at this multiple of the mean.
-OUTLIER_FACTOR = 3.0
-# An object that was pushed out is cold once and may push out others in turn.
+# Until a service time is measured, it is assumed to be this share of the
+# route's objective: many objectives are shorter than the mean service time.
+INITIAL_WORK_SHARE = 1.0
+# Assumed ratio of the service times of warm and cold objects until measured.
+INITIAL_WARM_RATIO = 0.45
+SAMPLE_WEIGHT = 0.05
+INITIAL_SAMPLE_WEIGHT = 0.25
+INITIAL_SAMPLES = 12
+# Service times far above the mean are rare and say little about the next
+# request, so samples are clipped at this multiple of the mean.
+MAX_SAMPLE_FACTOR = 3.0
+# An evicted object is cold at its next request, whose work may evict further
+# objects in turn.
 DISPLACEMENT_WEIGHT = 6.0
 
 
 class Affinity(enum.Enum):
-    """What an upstream has to do with an object."""
+    """Relation of an upstream to an object that it may have in memory.
+
+    ``FIRST`` and ``SECOND`` are the preferred upstreams of the object, and
+    ``SEEN`` is another one that handled it recently.
+    """
 
     FIRST = 'first'
     SECOND = 'second'
@@ -30,8 +35,8 @@
     NONE = 'none'
 
 
-# Share of requests that find the object warm until it has been measured.
-_FIRST_HIT_SHARES = {
+# Assumed share of requests that find the object warm, until measured.
+_INITIAL_HIT_RATIOS = {
     Affinity.FIRST: 0.8,
     Affinity.SECOND: 0.4,
     Affinity.SEEN: 0.5,
@@ -41,66 +46,70 @@
 
 @attrs.define
 class RouteTimes:
-    """Service times of one route at an upstream of usual speed.
+    """Service times of one route at an upstream of typical speed.
 
-    An answer does not say whether the object was warm; the measurement is
-    counted to the nearer mean.
+    A response does not say whether the object was warm. Each measurement is
+    attributed to the nearer of the two means.
 
     Attributes:
-        cold_s: Mean for objects that the upstream has not handled.
-        warm_s: Mean for objects that it handled lately.
+        cold_s: Mean for cold objects.
+        warm_s: Mean for objects that the upstream has in memory.
         typical_s: Mean of all requests.
-        samples: Measurements so far.
-        hit_shares: Share of requests that find the object warm.
+        samples: Number of measurements so far.
+        hit_ratios: Share of requests that find the object warm, by affinity.
     """
 
     cold_s: float
     warm_s: float
     typical_s: float
     samples: int = 0
-    hit_shares: dict[Affinity, float] = attrs.field(
-        factory=lambda: dict(_FIRST_HIT_SHARES)
+    hit_ratios: dict[Affinity, float] = attrs.field(
+        factory=lambda: dict(_INITIAL_HIT_RATIOS)
     )
 
     def expected_s(self, affinity: Affinity) -> float:
         """Return the mean service time at an upstream.
 
         Args:
-            affinity: What it has to do with the object.
+            affinity: Affinity of the upstream to the object.
         """
-        share = self.hit_shares[affinity]
-        return share * self.warm_s + (1.0 - share) * self.cold_s
+        hit_ratio = self.hit_ratios[affinity]
+        return hit_ratio * self.warm_s + (1.0 - hit_ratio) * self.cold_s
 
     def displacement_s(self) -> float:
-        """Return the cost of an object at an upstream that does not keep it.
+        """Return the cost of sending an object to a non-preferred upstream.
 
-        An upstream remembers a bounded number of objects, so that a further
-        one may push out an object that it keeps for others. That happens
-        where keepers often find their own objects cold.
+        An upstream keeps a bounded number of objects in memory, so such an
+        object may evict one for which the upstream is preferred. This is
+        likely where preferred upstreams often find their objects cold.
         """
-        missing = 1.0 - self.hit_shares[Affinity.FIRST]
-        return DISPLACEMENT_WEIGHT * missing * (self.cold_s - self.warm_s)
+        miss_ratio = 1.0 - self.hit_ratios[Affinity.FIRST]
+        return DISPLACEMENT_WEIGHT * miss_ratio * (self.cold_s - self.warm_s)
 
     def add(self, seconds: float, affinity: Affinity) -> None:
-        """Take over a measurement.
+        """Update the means with a measurement.
 
         Args:
             seconds: Service time, divided by the upstream's slowness.
-            affinity: What the upstream has to do with the object.
+            affinity: Affinity of the upstream to the object.
         """
         was_warm = seconds < math.sqrt(self.cold_s * self.warm_s)
         self.samples += 1
-        weight = FAST_WEIGHT if self.samples < FAST_SAMPLES else WEIGHT
-        cut = min(seconds, self.typical_s * OUTLIER_FACTOR)
-        self.typical_s += weight * (cut - self.typical_s)
+        weight = (
+            INITIAL_SAMPLE_WEIGHT
+            if self.samples < INITIAL_SAMPLES
+            else SAMPLE_WEIGHT
+        )
+        clipped = min(seconds, self.typical_s * MAX_SAMPLE_FACTOR)
+        self.typical_s += weight * (clipped - self.typical_s)
         mean = self.warm_s if was_warm else self.cold_s
-        mean += weight * (min(seconds, mean * OUTLIER_FACTOR) - mean)
+        mean += weight * (min(seconds, mean * MAX_SAMPLE_FACTOR) - mean)
         if was_warm:
             self.warm_s = mean
         else:
             self.cold_s = mean
-        share = self.hit_shares[affinity]
-        self.hit_shares[affinity] = share + weight * (was_warm - share)
+        hit_ratio = self.hit_ratios[affinity]
+        self.hit_ratios[affinity] = hit_ratio + weight * (was_warm - hit_ratio)
 
 
 @attrs.define
@@ -108,8 +117,8 @@
     """Service times by route and service.
 
     Attributes:
-        by_route: Times by route and service.
-        by_service: Times of all routes of a service.
+        by_route: Times by route key and service name.
+        by_service: Times of all routes of a service together.
     """
 
     by_route: dict[tuple[str, str], RouteTimes] = attrs.field(factory=dict)
@@ -123,24 +132,27 @@
         Args:
             route: Key of the route.
             service: Name of the service.
-            objective_s: Objective of the route, for a first guess.
+            objective_s: Latency objective of the route, for the initial
+                estimate.
         """
         times = self.by_route.get((route, service))
         if times is None:
-            times = self._guess(service, objective_s)
+            times = self._initial_times(service, objective_s)
             self.by_route[route, service] = times
         return times
 
-    def _guess(self, service: str, objective_s: float) -> RouteTimes:
-        """Return the means of the service's other routes, if measured."""
-        known = self.by_service.get(service)
-        if known is not None:
-            return RouteTimes(known.cold_s, known.warm_s, known.typical_s)
-        guess = objective_s * FIRST_GUESS_SHARE
-        return RouteTimes(guess, guess * WARM_GUESS, guess)
+    def _initial_times(self, service: str, objective_s: float) -> RouteTimes:
+        """Estimate from the service's other routes, else the objective."""
+        similar = self.by_service.get(service)
+        if similar is not None:
+            return RouteTimes(
+                similar.cold_s, similar.warm_s, similar.typical_s
+            )
+        initial_s = objective_s * INITIAL_WORK_SHARE
+        return RouteTimes(initial_s, initial_s * INITIAL_WARM_RATIO, initial_s)
 
     def retain_routes(self, routes: typing.Container[str]) -> None:
-        """Forget the times of all other routes.
+        """Discard the times of all other routes.
 
         Args:
             routes: Keys of the routes that are configured.
@@ -159,14 +171,15 @@
         seconds: float,
         affinity: Affinity,
     ) -> None:
-        """Take over a measurement.
+        """Update the means of a route with a measurement.
 
         Args:
             route: Key of the route.
             service: Name of the service.
-            objective_s: Objective of the route, for a first guess.
+            objective_s: Latency objective of the route, for the initial
+                estimate.
             seconds: Service time, divided by the upstream's slowness.
-            affinity: What the upstream has to do with the object.
+            affinity: Affinity of the upstream to the object.
         """
         self.route_times(route, service, objective_s).add(seconds, affinity)
         if service not in self.by_service:
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
@@ -1,4 +1,4 @@
-"""Requests that cannot be served in time are refused at once."""
+"""Requests that cannot be served in time are refused immediately."""
 
 import random
 
@@ -24,26 +24,26 @@
 
 
 @pytest.mark.parametrize(
-    ('found', 'remaining_s', 'verdict'),
+    ('candidate', 'remaining_s', 'verdict'),
     [
         (None, 2.0, Verdict.NO_UPSTREAM),
         (choice(0.3, 0.3, 0), 2.0, Verdict.SEND),
-        # Pattern: a queue that is longer than the caller will wait.
+        # The queue takes longer than the caller will wait.
         (choice(1.9, 0.3, 9), 2.0, Verdict.TOO_LATE),
-        # Pattern: a crowd that fills the queue of every upstream.
+        # A burst of requests has filled the queue of every upstream.
         (choice(0.9, 0.3, 9), 4.0, Verdict.FULL),
-        # Pattern: a new route whose work was never measured.
+        # A new route, whose service time is not measured yet.
         (choice(5.0, 5.0, 0), 1.0, Verdict.SEND),
     ],
 )
-def test_verdicts(found, remaining_s, verdict):
-    assert admission.admit(found, ROUTE, 0.0, remaining_s) is verdict
+def test_verdicts(candidate, remaining_s, verdict):
+    assert admission.admit(candidate, ROUTE, 0.0, remaining_s) is verdict
 
 
-def test_times_to_come_back_are_spread_and_leave_time():
-    # Pattern: a crowd that is refused at one moment and returns at another.
-    times = admission.RetryAfterSampler(random.Random(1))
-    drawn = [times.sample(1.2) for _ in range(300)]
-    assert max(drawn) <= 1.2 / 3
-    assert min(drawn) > 0
-    assert max(drawn) - min(drawn) > 0.2
+def test_retry_after_delays_are_spread_and_leave_time_for_the_retry():
+    # Guards against clients that are refused together and retry together.
+    sampler = admission.RetryAfterSampler(random.Random(1))
+    delays_s = [sampler.sample(1.2) for _ in range(300)]
+    assert max(delays_s) <= 1.2 / 3
+    assert min(delays_s) > 0
+    assert max(delays_s) - min(delays_s) > 0.2
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_allocation.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_allocation.py
@@ -1,4 +1,4 @@
-"""Work is divided over the regions by their room."""
+"""Work is divided over the regions by their spare capacity."""
 
 from hypothesis import given
 from hypothesis import strategies
@@ -14,15 +14,15 @@
 
 
 @given(DEMAND, SLOTS)
-def test_shares_are_complete_and_name_regions_with_slots(demand, capacity):
+def test_shares_add_up_to_one_over_regions_with_slots(demand, capacity):
     for shares in allocation.allocate(demand, capacity).values():
         assert set(shares) <= set(capacity)
         assert abs(sum(shares.values()) - 1.0) < 1e-6
 
 
 @given(DEMAND, SLOTS)
-def test_no_region_is_overfull_while_another_has_room(demand, capacity):
-    # Guards against one region that queues while others are idle.
+def test_no_region_is_overloaded_while_another_has_room(demand, capacity):
+    # Guards against requests that queue in one region while others are idle.
     shares = allocation.allocate(demand, capacity)
     load = {
         region: sum(
@@ -31,12 +31,14 @@
         )
         for region in capacity
     }
-    use = {region: load[region] / capacity[region] for region in capacity}
-    comfortable = allocation.COMFORTABLE_USE + 1e-6
-    if sum(demand.values()) <= sum(capacity.values()) * comfortable:
-        assert max(use.values()) <= comfortable
+    utilization = {
+        region: load[region] / capacity[region] for region in capacity
+    }
+    target = allocation.TARGET_UTILIZATION + 1e-6
+    if sum(demand.values()) <= sum(capacity.values()) * target:
+        assert max(utilization.values()) <= target
 
 
-def test_region_keeps_what_fits():
+def test_region_keeps_work_up_to_its_target_utilization():
     shares = allocation.allocate({'a': 5.0}, {'a': 10.0, 'b': 10.0})
     assert shares == {'a': {'a': 1.0}}
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
@@ -1,8 +1,9 @@
-"""Objects stay with their keepers when upstreams forget under load.
+"""Objects stay at their preferred upstreams when memory is short.
 
-Pattern: more objects than one upstream remembers, and a load that only warm
-upstreams can carry. Spilling objects to upstreams that do not keep them makes
-these forget their own, all work becomes cold, and the load no longer fits.
+There are more objects than one upstream keeps in memory, and the load fits
+only while most requests find their object warm. Sending objects to upstreams
+that are not preferred for them evicts other objects there; all work then
+becomes cold, and the load no longer fits.
 """
 
 import collections
@@ -12,38 +13,42 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.placement import placement
 from bulrushcourse_domain.placement import service_times
-from bulrushcourse_domain.placement.tests import test_placement as scenes
+from bulrushcourse_domain.placement.tests import test_placement as helpers
 
 UPSTREAMS = 6
 SLOTS = 4
-REMEMBERED = 20
+KEPT_OBJECTS = 20
 OBJECTS = 90
 COLD_S, WARM_S = 0.4, 0.12
 SECONDS = 12.0
 # Cold work would need 1.3 times all slots, warm work 0.4 times.
-PER_S = 1.3 * UPSTREAMS * SLOTS / COLD_S
+REQUESTS_PER_S = 1.3 * UPSTREAMS * SLOTS / COLD_S
 
 
-def play(seed):
-    """Return the share of warm runs in the second half of a load."""
+def simulate(seed):
+    """Return the share of warm requests in the second half of the load."""
     rng = random.Random(seed)
-    listed = [scenes.make(n, slots=SLOTS) for n in range(UPSTREAMS)]
-    placing = scenes.make_placement(*listed)
-    clock: clocks.ManualClock = placing.clock
-    memory = {u.name: collections.OrderedDict() for u in listed}
-    free_at = {u.name: [clock.now] * SLOTS for u in listed}
-    ends: list[tuple[float, int, str, float, service_times.Affinity]] = []
-    runs, start, number = [], clock.now, 0
-    while clock.now < start + SECONDS:
-        clock.advance(rng.expovariate(PER_S))
-        while ends and ends[0][0] <= clock.now:
-            _, _, name, work, affinity = heapq.heappop(ends)
-            placing.load.end_request(name)
-            placing.times.add(scenes.ROUTE.key, 's', 0.25, work, affinity)
+    registered = [
+        helpers.make_upstream(n, slots=SLOTS) for n in range(UPSTREAMS)
+    ]
+    selector = helpers.make_placement(*registered)
+    clock: clocks.ManualClock = selector.clock
+    memory = {u.name: collections.OrderedDict() for u in registered}
+    free_at = {u.name: [clock.now] * SLOTS for u in registered}
+    completions: list[
+        tuple[float, int, str, float, service_times.Affinity]
+    ] = []
+    outcomes, started, number = [], clock.now, 0
+    while clock.now < started + SECONDS:
+        clock.advance(rng.expovariate(REQUESTS_PER_S))
+        while completions and completions[0][0] <= clock.now:
+            _, _, name, work, affinity = heapq.heappop(completions)
+            selector.load.end_request(name)
+            selector.times.add(helpers.ROUTE.key, 's', 0.25, work, affinity)
         object_key = str(rng.randrange(OBJECTS))
-        choice = placing.choose(
-            placement.PlacementRequest(scenes.ROUTE, 's', object_key),
-            scenes.SERVICE,
+        choice = selector.choose(
+            placement.PlacementRequest(helpers.ROUTE, 's', object_key),
+            helpers.SERVICE,
         )
         name = choice.upstream.name
         slot = heapq.heappop(free_at[name])
@@ -53,23 +58,23 @@
         warm = object_key in memory[name]
         memory[name][object_key] = None
         memory[name].move_to_end(object_key)
-        if len(memory[name]) > REMEMBERED:
+        if len(memory[name]) > KEPT_OBJECTS:
             memory[name].popitem(last=False)
         work = WARM_S if warm else COLD_S
         end = max(slot, clock.now) + work
         heapq.heappush(free_at[name], end)
-        placing.load.begin_request(name)
+        selector.load.begin_request(name)
         number += 1
-        heapq.heappush(ends, (end, number, name, work, choice.affinity))
-        runs.append((clock.now, warm))
-    half = [warm for at, warm in runs if at > start + SECONDS / 2]
-    return sum(half) / len(half)
+        heapq.heappush(completions, (end, number, name, work, choice.affinity))
+        outcomes.append((clock.now, warm))
+    second_half = [warm for at, warm in outcomes if at > started + SECONDS / 2]
+    return sum(second_half) / len(second_half)
 
 
-def test_load_that_fits_warm_upstreams_only_becomes_warm(monkeypatch):
-    with_cost = [play(seed) for seed in range(4)]
+def test_requests_become_warm_when_the_load_fits_only_then(monkeypatch):
+    with_cost = [simulate(seed) for seed in range(4)]
     monkeypatch.setattr(service_times, 'DISPLACEMENT_WEIGHT', 0.0)
-    without = [play(seed) for seed in range(4)]
+    without = [simulate(seed) for seed in range(4)]
     print(with_cost, without)
     assert min(with_cost) > 0.9
     assert sum(with_cost) > sum(without)
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_region_mix.py
@@ -1,4 +1,4 @@
-"""Work changes region as a ramp, whatever the loads do."""
+"""Work changes region gradually, whatever the loads do."""
 
 from hypothesis import given
 from hypothesis import settings
@@ -10,29 +10,29 @@
 from bulrushcourse_domain.placement import region_mix
 
 REGIONS = ('a', 'b', 'c')
-MAX_SHIFT = 0.15
+MAX_SHIFT_SHARE = 0.15
 WINDOW_S = 2.0
 
 
-def mixed(shares):
-    return [(r, shares.count(r) / len(shares)) for r in REGIONS]
+def region_shares(regions):
+    return [(r, regions.count(r) / len(regions)) for r in REGIONS]
 
 
-def largest_shift(taken):
-    """Largest share that changes region between windows that follow."""
-    worst = 0.0
-    times = [at for at, _ in taken]
+def largest_shift(choices):
+    """Return the largest share that moves between consecutive windows."""
+    largest = 0.0
+    times = [at for at, _ in choices]
     for start in range(0, int(max(times) - 2 * WINDOW_S) + 1):
         windows = [
-            [r for at, r in taken if begin <= at < begin + WINDOW_S]
+            [r for at, r in choices if begin <= at < begin + WINDOW_S]
             for begin in (start, start + WINDOW_S)
         ]
-        before, after = map(mixed, windows)
+        before, after = map(region_shares, windows)
         moved = sum(
             abs(x[1] - y[1]) for x, y in zip(before, after, strict=True)
         )
-        worst = max(worst, moved / 2)
-    return worst
+        largest = max(largest, moved / 2)
+    return largest
 
 
 LOADS = strategies.lists(
@@ -44,38 +44,38 @@
 
 @settings(max_examples=30)
 @given(LOADS)
-def test_swings_of_load_move_little_at_a_time(loads):
-    # Pattern: crowds that move from region to region every two seconds.
+def test_load_swings_change_the_shares_gradually(loads):
+    # The load moves from region to region every two seconds.
     clock = clocks.ManualClock()
     mix = region_mix.RegionMix(clock)
     capacity = {'a': 10.0, 'b': 30.0, 'c': 40.0}
-    taken = []
+    choices = []
     for load in loads:
         demand = dict(zip(REGIONS, load, strict=True))
         for _ in range(200):
             target = allocation.allocate(demand, capacity)['a']
-            taken.append(
+            choices.append(
                 (clock.monotonic(), mix.choose_region(target, capacity))
             )
             clock.advance(0.01)
-    assert largest_shift(taken) <= MAX_SHIFT
+    assert largest_shift(choices) <= MAX_SHIFT_SHARE
 
 
-def test_objects_stay_in_their_region_while_the_shares_hold():
-    # Pattern: each object asked for again and again; moving it makes it cold.
+def test_objects_stay_in_their_region_while_the_shares_are_constant():
+    # Each object is requested repeatedly, and moving it makes it cold.
     clock = clocks.ManualClock()
     mix = region_mix.RegionMix(clock)
     shares = {'a': 0.4, 'b': 0.6}
     regions: dict[str, set[str]] = {}
-    strays = 0
+    moved = 0
     for number in range(6000):
         object_key = str(number * 7919 % 60)
         region = mix.choose_region(shares, shares, object_key)
         home = rendezvous.choose_weighted(object_key, shares)
-        strays += region != home
+        moved += region != home
         regions.setdefault(home, set()).add(object_key)
         clock.advance(0.01)
-    assert strays < 6000 * 0.2
+    assert moved < 6000 * 0.2
     assert 10 <= len(regions['a']) <= 38
 
 
@@ -90,9 +90,9 @@
     assert moved / len(keys) < 0.08
 
 
-def test_region_that_cannot_serve_is_left_at_once():
+def test_region_that_cannot_serve_is_left_immediately():
     clock = clocks.ManualClock()
     mix = region_mix.RegionMix(clock)
     mix.choose_region({'a': 0.9, 'b': 0.1}, {'a', 'b'})
-    taken = {mix.choose_region({'b': 1.0}, {'b'}) for _ in range(20)}
-    assert taken == {'b'}
+    choices = {mix.choose_region({'b': 1.0}, {'b'}) for _ in range(20)}
+    assert choices == {'b'}
