Use the field's terms in the state of upstreams

Cause: set aside, trial, lapsed, forgetful and news stood for ejection, probe, expired rows, dropped idle connections and deltas. Change: comments, doc comments and test descriptions rewritten. Private names of the outlier detector, the directory's caches and tombstones, the connection policy, the load view and the warm-up limiter renamed. No comment was dropped; the ejection after a shed request got one.

--- a/packages/domain/bulrushcourse_domain/upstreams/__init__.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/__init__.py
@@ -1,1 +1,1 @@
-"""Upstreams as they are known: entries, load, health and warm-up."""
+"""State of the upstreams: rows, load, failures and warm-up."""
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -1,4 +1,4 @@
-"""The aggregate that knows which upstreams there are."""
+"""The directory of registered upstreams, kept up to date from the store."""
 
 import collections
 import typing
@@ -9,29 +9,30 @@
 from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
-# Entries that lapsed during an outage of the store are back about two
-# seconds after its return; the rest allows for one more reading.
-LAPSE_GRACE_S = 2.3
-# An outage for all lets most entries of a service lapse. Where fewer than this
-# share are missing, the store was away for this VM only, and they left.
-REMOVED_SHARE = 1 / 3
-# An upstream that is cold longer than its last entry said is treated as
-# cold for this much more, since entries are written every heartbeat.
+# Rows that expired during an outage of the store are written again about two
+# seconds after its end; the remainder allows for one more query.
+EXPIRY_GRACE_S = 2.3
+# An outage for all VMs lets most rows of a service expire. If at most this
+# share of them is missing, only this VM was cut off from the store, and the
+# missing upstreams have left.
+MAX_REMOVED_SHARE = 1 / 3
+# An upstream counts as cold for this much longer than its row says, since rows
+# are written only at each heartbeat.
 WARMUP_MARGIN_S = 0.3
-GONE_REMEMBERED = 200
-# Upstreams that are preferred for an object; the second takes what the first
-# has no room for.
-PREFERRED = 2
-# About 3 MB; more objects only cost their hashing again.
-MOST_PREFERRED = 20_000
+MAX_TOMBSTONES = 200
+# Number of preferred upstreams of an object; the second gets what exceeds the
+# capacity of the first.
+PREFERRED_COUNT = 2
+# About 3 MB; beyond it, preferred upstreams are computed again.
+MAX_PREFERRED_CACHED = 20_000
 
 
 @attrs.frozen
 class Change:
-    """One difference between two readings.
+    """A change of one upstream between two versions of the store.
 
     Attributes:
-        upstream: The entry.
+        upstream: The upstream after the change, or before its removal.
         kind: ``joined``, ``restarted``, ``draining`` or ``gone``.
     """
 
@@ -41,23 +42,26 @@
 
 @attrs.define
 class UpstreamDirectory:
-    """Entries of upstreams with the time they were learned.
+    """Registered upstreams, as of a version of the store.
 
     Attributes:
         clock: Source of time.
-        version: Newest version of the store that was seen.
-        read_at: Time of that reading.
-        entries: Entries by name.
+        version: Newest version of the store that was applied.
+        read_at: Time when that version was read.
+        entries: Upstreams by name.
         cold_until: End of the warm-up, by name.
-        evacuated: Failure domains that must get nothing.
-        grace_until: Until when missing entries are kept.
-        store_lost: Whether the last reading failed.
-        changed_in: Version of the store in which a change was noticed.
-        gone_in: The same for entries that are gone.
-        usable_by: Usable upstreams by service and region; made anew after
-            each change, since every request asks for them.
-        preferred_by: Preferred upstreams by service, region and object,
-            likewise.
+        evacuated: Failure domains that must get no requests.
+        grace_until: Time until which missing upstreams are kept, since their
+            rows may have expired in an outage of the store.
+        store_unavailable: Whether the last query of the store failed.
+        changed_in: Version of the store in which each upstream was last
+            changed, by name.
+        removed_in: Version in which each upstream was removed, by name; only
+            the last ``MAX_TOMBSTONES`` are kept.
+        usable_cache: Usable upstreams by service and region, cleared at each
+            change. Every request needs them.
+        preferred_cache: Names of the preferred upstreams by service, region
+            and object, cleared likewise.
     """
 
     clock: clocks.Clock
@@ -67,104 +71,104 @@
     cold_until: dict[str, float] = attrs.field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     grace_until: float = float('-inf')
-    store_lost: bool = False
+    store_unavailable: bool = False
     changed_in: dict[str, int] = attrs.field(factory=dict)
-    gone_in: dict[str, int] = attrs.field(factory=dict)
-    usable_by: dict[tuple[str, str], tuple[upstreams.Upstream, ...]] = (
+    removed_in: dict[str, int] = attrs.field(factory=dict)
+    usable_cache: dict[tuple[str, str], tuple[upstreams.Upstream, ...]] = (
         attrs.field(factory=dict)
     )
-    preferred_by: dict[tuple[str, str, str], tuple[str, ...]] = attrs.field(
+    preferred_cache: dict[tuple[str, str, str], tuple[str, ...]] = attrs.field(
         factory=dict
     )
 
     def mark_store_unavailable(self) -> None:
-        """Note that a reading failed, so that entries may lapse unseen."""
-        self.store_lost = True
+        """Record a failed query of the store; rows may expire meanwhile."""
+        self.store_unavailable = True
 
     def apply_snapshot(
         self, snapshot: upstreams.Snapshot
     ) -> tuple[Change, ...]:
-        """Take over a reading unless a newer one is known.
+        """Apply a snapshot of the store unless a newer one was applied.
 
         Args:
-            snapshot: All entries, from the store.
+            snapshot: All rows of the store.
 
         Returns:
-            What changed.
+            The changes that it made.
         """
         if snapshot.version < self.version:
             return ()
         now = self.clock.monotonic()
-        if self.store_lost:
-            self.store_lost = False
-            self.grace_until = now + LAPSE_GRACE_S
+        if self.store_unavailable:
+            self.store_unavailable = False
+            self.grace_until = now + EXPIRY_GRACE_S
         self.version = snapshot.version
         self.read_at = now
         listed = {u.name: u for u in snapshot.upstreams}
-        changes = list(self._lapsed(listed, now))
-        for found in listed.values():
-            changes.extend(self._merge(found, now))
+        changes = list(self._remove_missing(listed, now))
+        for upstream in listed.values():
+            changes.extend(self._merge(upstream, now))
         return tuple(changes)
 
-    def _lapsed(
+    def _remove_missing(
         self, listed: typing.Mapping[str, upstreams.Upstream], now: float
     ) -> typing.Iterator[Change]:
         missing = [n for n in self.entries if n not in listed]
         if now < self.grace_until:
-            missing = self._removed(missing)
+            missing = self._deregistered(missing)
         for name in missing:
-            yield self._drop(name)
+            yield self._remove(name)
 
-    def _removed(self, missing: list[str]) -> list[str]:
-        """Return missing entries that did not lapse in an outage."""
-        known = collections.Counter(u.service for u in self.entries.values())
-        lost = collections.Counter(self.entries[n].service for n in missing)
+    def _deregistered(self, missing: list[str]) -> list[str]:
+        """Return the missing upstreams that did not expire in an outage."""
+        listed = collections.Counter(u.service for u in self.entries.values())
+        absent = collections.Counter(self.entries[n].service for n in missing)
         return [
             name
             for name in missing
             for service in [self.entries[name].service]
-            if lost[service] <= known[service] * REMOVED_SHARE
+            if absent[service] <= listed[service] * MAX_REMOVED_SHARE
         ]
 
-    def _note_change(self) -> None:
-        self.usable_by.clear()
-        self.preferred_by.clear()
+    def _clear_caches(self) -> None:
+        self.usable_cache.clear()
+        self.preferred_cache.clear()
 
-    def _drop(self, name: str) -> Change:
-        self._note_change()
+    def _remove(self, name: str) -> Change:
+        self._clear_caches()
         self.cold_until.pop(name, None)
         self.changed_in.pop(name, None)
-        self.gone_in[name] = self.version
-        if len(self.gone_in) > GONE_REMEMBERED:
-            self.gone_in.pop(next(iter(self.gone_in)))
+        self.removed_in[name] = self.version
+        if len(self.removed_in) > MAX_TOMBSTONES:
+            self.removed_in.pop(next(iter(self.removed_in)))
         return Change(self.entries.pop(name), 'gone')
 
     def _merge(
-        self, found: upstreams.Upstream, now: float
+        self, upstream: upstreams.Upstream, now: float
     ) -> typing.Iterator[Change]:
-        known = self.entries.get(found.name)
-        if known == found:
+        previous = self.entries.get(upstream.name)
+        if previous == upstream:
             return
-        self._note_change()
-        self.entries[found.name] = found
-        self.changed_in[found.name] = self.version
-        self.gone_in.pop(found.name, None)
-        if found.cold_for_s > 0:
-            self.cold_until[found.name] = (
-                now + found.cold_for_s + WARMUP_MARGIN_S
+        self._clear_caches()
+        self.entries[upstream.name] = upstream
+        self.changed_in[upstream.name] = self.version
+        self.removed_in.pop(upstream.name, None)
+        if upstream.cold_for_s > 0:
+            self.cold_until[upstream.name] = (
+                now + upstream.cold_for_s + WARMUP_MARGIN_S
             )
-        if known is None:
-            yield Change(found, 'joined')
-        elif known.born != found.born:
-            yield Change(found, 'restarted')
-        if found.draining and (known is None or not known.draining):
-            yield Change(found, 'draining')
+        if previous is None:
+            yield Change(upstream, 'joined')
+        elif previous.born != upstream.born:
+            yield Change(upstream, 'restarted')
+        if upstream.draining and (previous is None or not previous.draining):
+            yield Change(upstream, 'draining')
 
     def delta_since(self, base: int) -> upstreams.DirectoryDelta:
-        """Return what changed after a version of the store.
+        """Return the changes after a version of the store.
 
         Args:
-            base: The version.
+            base: Version that the receiver has applied.
         """
         return upstreams.DirectoryDelta(
             base=base,
@@ -174,53 +178,56 @@
                 for name, version in self.changed_in.items()
                 if version > base
             ),
-            gone=tuple(n for n, v in self.gone_in.items() if v > base),
+            gone=tuple(n for n, v in self.removed_in.items() if v > base),
             age_s=max(0.0, self.clock.monotonic() - self.read_at),
         )
 
     def apply_delta(
         self, delta: upstreams.DirectoryDelta
     ) -> tuple[Change, ...]:
-        """Take over what another VM has read, if it adds to what is known.
+        """Apply a delta from another VM.
+
+        It is ignored if its base is newer than this directory's version or
+        its version is older.
 
         Args:
-            delta: Changes since a version.
+            delta: Changes since a version of the store.
 
         Returns:
-            What changed.
+            The changes that it made.
         """
         if delta.base > self.version or delta.version < self.version:
             return ()
         now = self.clock.monotonic()
         self.version = delta.version
         self.read_at = max(self.read_at, now - delta.age_s)
-        changes = [self._drop(n) for n in delta.gone if n in self.entries]
-        for found in delta.changed:
-            changes.extend(self._merge(found, now))
+        changes = [self._remove(n) for n in delta.gone if n in self.entries]
+        for upstream in delta.changed:
+            changes.extend(self._merge(upstream, now))
         return tuple(changes)
 
     def evacuate(
         self, failure_domains: frozenset[str], warmup_s: float
     ) -> frozenset[str]:
-        """Set the failure domains that must get nothing.
+        """Set the failure domains that must get no requests.
 
-        Those that are taken back count as cold, since an upstream that had
-        no work may have become cold.
+        Upstreams of failure domains that are no longer evacuated count as
+        cold, since they may have become cold without requests.
 
         Args:
             failure_domains: All failure domains under evacuation.
-            warmup_s: Longest warm-up of a service.
+            warmup_s: Longest warm-up of any service.
 
         Returns:
-            The failure domains that were taken back.
+            The failure domains that are no longer evacuated.
         """
         returned = self.evacuated - failure_domains
         self.evacuated = failure_domains
-        self._note_change()
+        self._clear_caches()
         until = self.clock.monotonic() + warmup_s + WARMUP_MARGIN_S
-        for entry in self.entries.values():
-            if entry.failure_domain in returned:
-                self.mark_cold(entry.name, until)
+        for upstream in self.entries.values():
+            if upstream.failure_domain in returned:
+                self.mark_cold(upstream.name, until)
         return returned
 
     def mark_cold(self, name: str, until: float) -> None:
@@ -233,7 +240,7 @@
         self.cold_until[name] = max(until, self.cold_until.get(name, until))
 
     def is_cold(self, name: str) -> bool:
-        """Return whether an upstream is in its warm-up.
+        """Return whether an upstream is warming up.
 
         Args:
             name: Name of the upstream.
@@ -253,39 +260,39 @@
 
         Args:
             service: Name of the service.
-            region: Region that they must be in, empty for any.
+            region: Region of the upstreams, empty for any.
         """
         key = service, region
-        if key not in self.usable_by:
-            self.usable_by[key] = tuple(
-                entry
-                for entry in self.entries.values()
-                if entry.service == service
-                and not entry.draining
-                and entry.failure_domain not in self.evacuated
-                and region in ('', entry.region)
+        if key not in self.usable_cache:
+            self.usable_cache[key] = tuple(
+                upstream
+                for upstream in self.entries.values()
+                if upstream.service == service
+                and not upstream.draining
+                and upstream.failure_domain not in self.evacuated
+                and region in ('', upstream.region)
             )
-        return self.usable_by[key]
+        return self.usable_cache[key]
 
     def preferred(
         self, service: str, region: str, object_key: str
     ) -> tuple[str, ...]:
-        """Return the upstreams that should handle an object, best first.
+        """Return the preferred upstreams of an object, best first.
 
-        Every VM finds the same ones, so that requests for an object meet
-        where it was handled lately.
+        Every VM computes the same ones, so that requests for an object from
+        all VMs reach the upstream that has it in memory.
 
         Args:
             service: Name of the service.
-            region: Region that they must be in, empty for any.
+            region: Region of the upstreams, empty for any.
             object_key: Identifier of the object.
         """
         key = service, region, object_key
-        if key not in self.preferred_by:
-            if len(self.preferred_by) >= MOST_PREFERRED:
-                self.preferred_by.clear()
+        if key not in self.preferred_cache:
+            if len(self.preferred_cache) >= MAX_PREFERRED_CACHED:
+                self.preferred_cache.clear()
             names = [u.name for u in self.usable(service, region)]
-            self.preferred_by[key] = rendezvous.first(
-                object_key, names, PREFERRED
+            self.preferred_cache[key] = rendezvous.first(
+                object_key, names, PREFERRED_COUNT
             )
-        return self.preferred_by[key]
+        return self.preferred_cache[key]
--- a/packages/domain/bulrushcourse_domain/upstreams/idle_connections.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/idle_connections.py
@@ -1,62 +1,67 @@
-"""The aggregate that decides whether connections may be used again."""
+"""Reuse of idle connections to upstreams that may drop them silently."""
 
 import attrs
 
 from bulrushcourse_domain import clock as clocks
 
-# Upstreams that forgot one idle connection forget others too for some time.
-FORGETFUL_S = 10.0
-# A reset that comes back within the round trip and this time was not work.
-QUICK_S = 0.03
+# An upstream that silently dropped one idle connection is likely to have
+# dropped others, so that no connection to it is reused for this time.
+NO_REUSE_S = 10.0
+# A reset that arrives within two round trips and this time did not come after
+# any work.
+RESET_MARGIN_S = 0.03
 
 
 @attrs.define
 class IdleConnectionPolicy:
-    """Upstreams that forget idle connections without notice.
+    """Decides which requests may be sent on a used connection.
 
-    What is sent next on such a connection is reset, and nobody knows whether
-    it has run. A request that may run only once therefore never goes on a
-    used connection; a repeatable one costs a second sending, so that used
-    connections serve until an upstream was seen to forget one.
+    Some upstreams drop idle connections without closing them. The next
+    request on such a connection is reset, and it is unknown whether it ran. A
+    request that may run only once is therefore never sent on a used
+    connection. A repeatable one costs only a retry, so it uses them until an
+    upstream is seen to drop one.
 
     Attributes:
         clock: Source of time.
-        forgetful_until: Until when an upstream counts as one, by name.
+        no_reuse_until: Time until which used connections to an upstream are
+            not reused, by name.
     """
 
     clock: clocks.Clock
-    forgetful_until: dict[str, float] = attrs.field(factory=dict)
+    no_reuse_until: dict[str, float] = attrs.field(factory=dict)
 
     def may_reuse(self, upstream: str, repeatable: bool) -> bool:
-        """Return whether a used connection may be used again.
+        """Return whether a request may be sent on a used connection.
 
         Args:
             upstream: Name of the upstream.
-            repeatable: Whether the request may run twice.
+            repeatable: Whether the request may run more than once.
         """
-        forgetful = self.forgetful_until.get(upstream, float('-inf'))
-        return repeatable and self.clock.monotonic() >= forgetful
+        until = self.no_reuse_until.get(upstream, float('-inf'))
+        return repeatable and self.clock.monotonic() >= until
 
     def record_reset(
         self, upstream: str, took_s: float, round_trip_s: float
     ) -> bool:
-        """Take over that a used connection was reset before any answer.
+        """Record that a used connection was reset before any response.
 
         Args:
             upstream: Name of the upstream.
-            took_s: Time from sending to the reset.
-            round_trip_s: Round trip to the upstream.
+            took_s: Time from sending the request to the reset.
+            round_trip_s: Round-trip time to the upstream.
 
         Returns:
-            Whether the connection had been forgotten, as far as can be told.
+            Whether the upstream had most likely dropped the connection before
+            the request was sent.
         """
-        if took_s > 2 * round_trip_s + QUICK_S:
+        if took_s > 2 * round_trip_s + RESET_MARGIN_S:
             return False
         now = self.clock.monotonic()
-        self.forgetful_until = {
+        self.no_reuse_until = {
             name: until
-            for name, until in self.forgetful_until.items()
+            for name, until in self.no_reuse_until.items()
             if until > now
         }
-        self.forgetful_until[upstream] = now + FORGETFUL_S
+        self.no_reuse_until[upstream] = now + NO_REUSE_S
         return True
--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -1,4 +1,4 @@
-"""The aggregate that estimates the load of upstreams."""
+"""Estimates of the load and the speed of upstreams."""
 
 import typing
 
@@ -6,23 +6,25 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# Reports of a VM that fell silent no longer count; it sends several a second.
+# Reports of a VM that has stopped sending no longer count; VMs send several a
+# second.
 PEER_REPORT_MAX_AGE_S = 1.5
-# The speed of a shared machine changes several times a second, so that a
-# report loses half of its weight in this time.
-SPEED_HALF_LIFE_S = 0.4
-USUAL_SPEED = 1.0
+# The speed of a shared machine changes several times a second, so a report
+# loses half of its weight in this time.
+SLOWNESS_HALF_LIFE_S = 0.4
+TYPICAL_SLOWNESS = 1.0
 
 
 @attrs.frozen
 class LoadReport:
-    """What an upstream said of itself.
+    """Load that an upstream reported with a response.
 
     Attributes:
-        running: Requests that it works on.
+        running: Requests that it is running.
         waiting: Requests in its queue.
-        slots: Requests that it works on at once.
-        slowness: How long work takes, 1 being usual; ``None`` if not said.
+        slots: Requests that it can run concurrently.
+        slowness: Factor on the service time, 1 being typical; ``None`` if not
+            reported.
     """
 
     running: int
@@ -33,28 +35,29 @@
 
 @attrs.define
 class LoadView:
-    """Requests in flight and slowness of upstreams, with their ages.
+    """Requests in flight and slowness of each upstream.
 
-    Requests in flight are those of this VM, counted at once, and those that
-    the other VMs reported last.
+    Requests in flight are those of this VM, which are counted as they start
+    and end, and those in the last reports of the other VMs.
 
     Attributes:
         clock: Source of time.
         own: Requests of this VM in flight, by upstream.
-        peers: Requests of other VMs in flight, by VM.
-        heard_at: Time of the last report, by VM.
-        slowness: Last known slowness and its time, by upstream.
-        fresh: Slowness that this VM heard from the upstreams themselves.
-        others: Sum of the reports of other VMs, by upstream.
+        peer_loads: Requests of other VMs in flight, by VM and upstream.
+        reported_at: Time of the last report, by VM.
+        slowness: Latest slowness and its time, by upstream.
+        fresh: Latest slowness that this VM received from an upstream itself,
+            and its time, by upstream.
+        peer_totals: Sum of the reports of other VMs, by upstream.
     """
 
     clock: clocks.Clock
     own: dict[str, int] = attrs.field(factory=dict)
-    peers: dict[str, dict[str, int]] = attrs.field(factory=dict)
-    heard_at: dict[str, float] = attrs.field(factory=dict)
+    peer_loads: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    reported_at: dict[str, float] = attrs.field(factory=dict)
     slowness: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     fresh: dict[str, tuple[float, float]] = attrs.field(factory=dict)
-    others: dict[str, int] = attrs.field(factory=dict)
+    peer_totals: dict[str, int] = attrs.field(factory=dict)
 
     def begin_request(self, upstream: str) -> None:
         """Count a request that is sent to an upstream.
@@ -70,47 +73,49 @@
         Args:
             upstream: Name of the upstream.
         """
-        left = self.own.get(upstream, 0) - 1
-        if left > 0:
-            self.own[upstream] = left
+        remaining = self.own.get(upstream, 0) - 1
+        if remaining > 0:
+            self.own[upstream] = remaining
         else:
             self.own.pop(upstream, None)
 
     def record_peer_load(
         self, vm: str, in_flight: typing.Mapping[str, int]
     ) -> None:
-        """Replace what another VM has in flight.
+        """Replace the report of another VM.
 
         Args:
             vm: Name of the VM.
             in_flight: Its requests in flight, by upstream.
         """
-        self._leave_out(vm)
+        self._discard_peer_load(vm)
         counts = {u: count for u, count in in_flight.items() if count > 0}
-        self.peers[vm] = counts
-        self.heard_at[vm] = self.clock.monotonic()
+        self.peer_loads[vm] = counts
+        self.reported_at[vm] = self.clock.monotonic()
         for upstream, count in counts.items():
-            self.others[upstream] = self.others.get(upstream, 0) + count
+            self.peer_totals[upstream] = (
+                self.peer_totals.get(upstream, 0) + count
+            )
 
     def expire_peer_loads(self) -> None:
-        """Leave out reports that are too old; call it now and then."""
+        """Discard reports that are too old; to be called periodically."""
         oldest = self.clock.monotonic() - PEER_REPORT_MAX_AGE_S
-        for vm in [n for n, at in self.heard_at.items() if at < oldest]:
-            self._leave_out(vm)
-
-    def _leave_out(self, vm: str) -> None:
-        # Sums are adjusted, not made anew: with each report of each VM that
-        # work would grow with the square of the fleet.
-        self.heard_at.pop(vm, None)
-        for upstream, count in self.peers.pop(vm, {}).items():
-            left = self.others[upstream] - count
-            if left > 0:
-                self.others[upstream] = left
+        for vm in [n for n, at in self.reported_at.items() if at < oldest]:
+            self._discard_peer_load(vm)
+
+    def _discard_peer_load(self, vm: str) -> None:
+        # The sums are adjusted, since computing them again with each report of
+        # each VM would cost time in the square of the fleet's size.
+        self.reported_at.pop(vm, None)
+        for upstream, count in self.peer_loads.pop(vm, {}).items():
+            remaining = self.peer_totals[upstream] - count
+            if remaining > 0:
+                self.peer_totals[upstream] = remaining
             else:
-                del self.others[upstream]
+                del self.peer_totals[upstream]
 
     def record_load_report(self, upstream: str, report: LoadReport) -> None:
-        """Take over what an upstream said in an answer.
+        """Record a report that came with an upstream's response.
 
         Args:
             upstream: Name of the upstream.
@@ -124,19 +129,19 @@
     def record_peer_slowness(
         self, upstream: str, value: float, age_s: float
     ) -> None:
-        """Take over a report that another VM passed on.
+        """Record a slowness forwarded by another VM unless a newer is known.
 
         Args:
             upstream: Name of the upstream.
-            value: Slowness, 1 being usual.
-            age_s: Age of the report.
+            value: Factor on the service time, 1 being typical.
+            age_s: Age of the upstream's report.
         """
         at = self.clock.monotonic() - age_s
         if at > self.slowness.get(upstream, (0.0, float('-inf')))[1]:
             self.slowness[upstream] = value, at
 
     def discard(self, upstream: str) -> None:
-        """Drop the slowness of an upstream that restarted or is gone.
+        """Discard the slowness of an upstream that restarted or was removed.
 
         Args:
             upstream: Name of the upstream.
@@ -145,20 +150,20 @@
         self.fresh.pop(upstream, None)
 
     def in_flight(self, upstream: str) -> int:
-        """Return the requests of all VMs that an upstream has.
+        """Return the requests of all VMs in flight at an upstream.
 
         Args:
             upstream: Name of the upstream.
         """
-        return self.own.get(upstream, 0) + self.others.get(upstream, 0)
+        return self.own.get(upstream, 0) + self.peer_totals.get(upstream, 0)
 
     def expected_slowness(self, upstream: str) -> float:
-        """Return the slowness to expect, older reports counting less.
+        """Return the expected slowness, weighting the last report by its age.
 
         Args:
             upstream: Name of the upstream.
         """
-        value, at = self.slowness.get(upstream, (USUAL_SPEED, 0.0))
+        value, at = self.slowness.get(upstream, (TYPICAL_SLOWNESS, 0.0))
         age = self.clock.monotonic() - at
-        weight = 0.5 ** (age / SPEED_HALF_LIFE_S)
-        return USUAL_SPEED + (value - USUAL_SPEED) * weight
+        weight = 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+        return TYPICAL_SLOWNESS + (value - TYPICAL_SLOWNESS) * weight
--- a/packages/domain/bulrushcourse_domain/upstreams/outlier_detection.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/outlier_detection.py
@@ -1,4 +1,4 @@
-"""The aggregate that sets failing upstreams aside for a while."""
+"""Outlier detection: failing upstreams are ejected for a limited time."""
 
 import enum
 
@@ -6,19 +6,20 @@
 
 from bulrushcourse_domain import clock as clocks
 
-FIRST_PAUSE_S = 0.4
-LONGEST_PAUSE_S = 4.0
-# Failures in a row after which an upstream is set aside. A single lost
-# answer is common while answers are lost at random.
-FAILURES_BEFORE_PAUSE = 2
+INITIAL_EJECTION_S = 0.4
+MAX_EJECTION_S = 4.0
+# Consecutive failures after which an upstream is ejected. A single lost
+# response is common while responses are lost at random.
+FAILURES_BEFORE_EJECTION = 2
 FAILURE_WEIGHT = 0.25
-# The estimated share of failures halves in this time without news.
+# The estimated share of failures halves in this time without outcomes.
 FAILURE_HALF_LIFE_S = 3.0
-FULL_PAUSE_S = 0.08
+# Ejection of an upstream that shed a request because it had no free slot.
+SHED_EJECTION_S = 0.08
 
 
 class Outcome(enum.Enum):
-    """How a request to an upstream ended, as far as its health goes."""
+    """Outcome of a request, as far as it concerns the upstream's health."""
 
     GOOD = 'good'
     ERROR = 'error'
@@ -27,8 +28,8 @@
     LOST = 'lost'
 
 
-# Whether an outcome counts towards setting the upstream aside.
-_COUNTS = {
+# Whether an outcome counts as one of the consecutive failures.
+_COUNTS_TOWARDS_EJECTION = {
     Outcome.GOOD: False,
     Outcome.ERROR: False,
     Outcome.SHED: False,
@@ -38,27 +39,27 @@
 
 
 @attrs.define
-class Record:
-    """What is known of one upstream's failures.
+class FailureRecord:
+    """Failures of one upstream.
 
     Attributes:
-        in_a_row: Counted failures since the last answer.
-        share: Estimated share of requests that fail.
+        consecutive_failures: Consecutive failures since the last response.
+        failure_share: Estimated share of requests that fail, as of ``at``.
         at: Time of the last outcome.
-        paused_until: Until when it gets no request.
-        trial: Whether one request was let through to try it again.
+        ejected_until: Time until which it gets no requests.
+        probing: Whether a probe is under way.
     """
 
-    in_a_row: int = 0
-    share: float = 0.0
+    consecutive_failures: int = 0
+    failure_share: float = 0.0
     at: float = 0.0
-    paused_until: float = float('-inf')
-    trial: bool = False
+    ejected_until: float = float('-inf')
+    probing: bool = False
 
 
 @attrs.define
 class OutlierDetector:
-    """Failures of upstreams as this VM has seen them.
+    """Ejects upstreams that fail requests of this VM repeatedly.
 
     Attributes:
         clock: Source of time.
@@ -66,45 +67,49 @@
     """
 
     clock: clocks.Clock
-    records: dict[str, Record] = attrs.field(factory=dict)
+    records: dict[str, FailureRecord] = attrs.field(factory=dict)
 
     def record_outcome(self, upstream: str, outcome: Outcome) -> bool:
-        """Count how a request ended.
+        """Record the outcome of a request.
 
         Args:
             upstream: Name of the upstream.
-            outcome: How it ended.
+            outcome: Outcome of the request.
 
         Returns:
-            Whether the upstream has just been set aside.
+            Whether the outcome ejected the upstream.
         """
         if outcome is Outcome.GOOD and upstream not in self.records:
             return False
         now = self.clock.monotonic()
-        record = self.records.setdefault(upstream, Record())
+        record = self.records.setdefault(upstream, FailureRecord())
         failed = outcome is not Outcome.GOOD
-        share = self._share(record, now)
-        record.share = share + FAILURE_WEIGHT * (failed - share)
+        share = self._decayed_share(record, now)
+        record.failure_share = share + FAILURE_WEIGHT * (failed - share)
         record.at = now
-        record.trial = False
+        record.probing = False
         if outcome is Outcome.SHED:
-            record.paused_until = max(record.paused_until, now + FULL_PAUSE_S)
-        if not _COUNTS[outcome]:
-            record.in_a_row = 0
+            record.ejected_until = max(
+                record.ejected_until, now + SHED_EJECTION_S
+            )
+        if not _COUNTS_TOWARDS_EJECTION[outcome]:
+            record.consecutive_failures = 0
             return False
-        record.in_a_row += 1
-        first = FAILURES_BEFORE_PAUSE - (outcome is Outcome.UNREACHABLE)
-        if record.in_a_row < first:
+        record.consecutive_failures += 1
+        threshold = FAILURES_BEFORE_EJECTION - (outcome is Outcome.UNREACHABLE)
+        if record.consecutive_failures < threshold:
             return False
-        doubled = FIRST_PAUSE_S * 2 ** min(8, record.in_a_row - first)
-        record.paused_until = now + min(LONGEST_PAUSE_S, doubled)
+        ejection_s = INITIAL_EJECTION_S * 2 ** min(
+            8, record.consecutive_failures - threshold
+        )
+        record.ejected_until = now + min(MAX_EJECTION_S, ejection_s)
         return True
 
     def is_ejected(self, upstream: str) -> bool:
-        """Return whether an upstream is set aside.
+        """Return whether an upstream is ejected.
 
-        After the pause one request at a time is let through until one is
-        answered.
+        When the ejection ends, one probe at a time is let through until one
+        gets a response.
 
         Args:
             upstream: Name of the upstream.
@@ -112,29 +117,32 @@
         record = self.records.get(upstream)
         if record is None:
             return False
-        if record.trial and record.in_a_row:
+        if record.probing and record.consecutive_failures:
             return True
-        return self.clock.monotonic() < record.paused_until
+        return self.clock.monotonic() < record.ejected_until
 
     def begin_request(self, upstream: str) -> None:
-        """Note that a request is sent, which may be a trial.
+        """Record that a request is sent, which may be a probe.
 
         Args:
             upstream: Name of the upstream.
         """
         record = self.records.get(upstream)
-        if record is not None and record.in_a_row >= FAILURES_BEFORE_PAUSE:
-            record.trial = True
+        if (
+            record is not None
+            and record.consecutive_failures >= FAILURES_BEFORE_EJECTION
+        ):
+            record.probing = True
 
     def abandon_request(self, upstream: str) -> None:
-        """Note that a request ended without telling anything.
+        """Record that a request ended without a conclusive outcome.
 
         Args:
             upstream: Name of the upstream.
         """
         record = self.records.get(upstream)
         if record is not None:
-            record.trial = False
+            record.probing = False
 
     def failure_share(self, upstream: str) -> float:
         """Return the estimated share of requests that fail.
@@ -145,15 +153,17 @@
         record = self.records.get(upstream)
         if record is None:
             return 0.0
-        return self._share(record, self.clock.monotonic())
+        return self._decayed_share(record, self.clock.monotonic())
 
     def discard(self, upstream: str) -> None:
-        """Drop the record of an upstream that restarted or is gone.
+        """Discard the record of an upstream that restarted or was removed.
 
         Args:
             upstream: Name of the upstream.
         """
         self.records.pop(upstream, None)
 
-    def _share(self, record: Record, now: float) -> float:
-        return record.share * 0.5 ** ((now - record.at) / FAILURE_HALF_LIFE_S)
+    def _decayed_share(self, record: FailureRecord, now: float) -> float:
+        return record.failure_share * 0.5 ** (
+            (now - record.at) / FAILURE_HALF_LIFE_S
+        )
--- a/packages/domain/bulrushcourse_domain/upstreams/recent_objects.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/recent_objects.py
@@ -1,29 +1,31 @@
-"""Which upstreams have handled an object lately."""
+"""Objects that each upstream handled recently."""
 
 import collections
 
 import attrs
 
-# Objects that an upstream is assumed to keep. More are forgotten first.
-KEPT_OBJECTS = 32
+# Number of objects that an upstream is assumed to keep in memory. The least
+# recently handled are evicted first.
+DEFAULT_MAX_OBJECTS = 32
 
 
 @attrs.define
 class RecentObjects:
-    """Objects that each upstream handled lately, for this VM's requests.
+    """Objects that each upstream handled recently for requests of this VM.
 
     Attributes:
-        kept: Largest number of objects that an upstream is assumed to keep.
+        max_objects: Number of objects that an upstream is assumed to keep in
+            memory.
         handled: Objects by upstream, the latest last.
     """
 
-    kept: int = KEPT_OBJECTS
+    max_objects: int = DEFAULT_MAX_OBJECTS
     handled: dict[str, collections.OrderedDict[str, None]] = attrs.field(
         factory=dict
     )
 
     def record(self, upstream: str, object_key: str) -> None:
-        """Note that an upstream has handled an object.
+        """Record that an upstream has handled an object.
 
         Args:
             upstream: Name of the upstream.
@@ -32,11 +34,11 @@
         keys = self.handled.setdefault(upstream, collections.OrderedDict())
         keys[object_key] = None
         keys.move_to_end(object_key)
-        if len(keys) > self.kept:
+        if len(keys) > self.max_objects:
             keys.popitem(last=False)
 
     def has_handled(self, upstream: str, object_key: str) -> bool:
-        """Return whether an upstream has handled an object lately.
+        """Return whether an upstream has handled an object recently.
 
         Args:
             upstream: Name of the upstream.
@@ -45,7 +47,7 @@
         return object_key in self.handled.get(upstream, ())
 
     def discard(self, upstream: str) -> None:
-        """Drop what is known of an upstream that restarted or is gone.
+        """Discard the objects of an upstream that restarted or was removed.
 
         Args:
             upstream: Name of the upstream.
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_loads.py
@@ -1,4 +1,4 @@
-"""Loads combine what this VM and the others know, by age."""
+"""Loads combine the requests of this VM with recent reports of others."""
 
 import collections
 
@@ -9,7 +9,7 @@
 from bulrushcourse_domain.upstreams import loads
 
 
-def test_requests_of_all_vms_are_summed_and_old_reports_left_out():
+def test_requests_of_all_vms_are_summed_without_outdated_reports():
     view = loads.LoadView(clocks.ManualClock())
     view.begin_request('u')
     view.record_peer_load('vm-1', {'u': 2})
@@ -24,14 +24,14 @@
     assert view.in_flight('u') == 1
 
 
-def test_slowness_fades_and_newer_reports_win():
+def test_slowness_decays_and_newer_reports_win():
     view = loads.LoadView(clocks.ManualClock(10.0))
     view.record_load_report('u', loads.LoadReport(1, 0, 4, 2.5))
     view.record_peer_slowness('u', 9.0, age_s=1.0)
     assert view.expected_slowness('u') == 2.5
-    view.clock.advance(loads.SPEED_HALF_LIFE_S)
+    view.clock.advance(loads.SLOWNESS_HALF_LIFE_S)
     assert abs(view.expected_slowness('u') - 1.75) < 1e-9
-    view.clock.advance(20 * loads.SPEED_HALF_LIFE_S)
+    view.clock.advance(20 * loads.SLOWNESS_HALF_LIFE_S)
     assert abs(view.expected_slowness('u') - 1.0) < 0.01
 
 
@@ -47,17 +47,19 @@
 
 
 @given(REPORTS)
-def test_sums_match_the_reports_that_are_not_too_old(reports):
-    # Guards against a sum that drifts as reports are replaced and expire.
+def test_totals_match_the_reports_that_are_not_too_old(reports):
+    # Guards against totals that drift as reports are replaced and expire.
     view = loads.LoadView(clocks.ManualClock())
-    last = {}
+    last_reports = {}
     for vm, counts, pause_s in reports:
         view.record_peer_load(vm, counts)
-        last[vm] = counts, view.clock.monotonic()
+        last_reports[vm] = counts, view.clock.monotonic()
         view.clock.advance(pause_s)
         view.expire_peer_loads()
         oldest = view.clock.monotonic() - loads.PEER_REPORT_MAX_AGE_S
-        sums = collections.Counter()
-        for reported, at in last.values():
-            sums.update(+collections.Counter(reported) if at >= oldest else {})
-        assert view.others == dict(sums)
+        totals = collections.Counter()
+        for reported, at in last_reports.values():
+            totals.update(
+                +collections.Counter(reported) if at >= oldest else {}
+            )
+        assert view.peer_totals == dict(totals)
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_outlier_detection.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_outlier_detection.py
@@ -1,4 +1,4 @@
-"""Failing upstreams are set aside and tried again."""
+"""Failing upstreams are ejected and probed again."""
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.upstreams import outlier_detection
@@ -6,39 +6,39 @@
 Outcome = outlier_detection.Outcome
 
 
-def test_unreachable_upstream_is_set_aside_for_growing_pauses():
-    log = outlier_detection.OutlierDetector(clocks.ManualClock())
-    assert log.record_outcome('u', Outcome.UNREACHABLE)
-    assert log.is_ejected('u')
-    log.clock.advance(outlier_detection.FIRST_PAUSE_S)
-    assert not log.is_ejected('u')
-    log.record_outcome('u', Outcome.UNREACHABLE)
-    log.clock.advance(outlier_detection.FIRST_PAUSE_S)
-    assert log.is_ejected('u')
+def test_unreachable_upstream_is_ejected_for_increasing_times():
+    detector = outlier_detection.OutlierDetector(clocks.ManualClock())
+    assert detector.record_outcome('u', Outcome.UNREACHABLE)
+    assert detector.is_ejected('u')
+    detector.clock.advance(outlier_detection.INITIAL_EJECTION_S)
+    assert not detector.is_ejected('u')
+    detector.record_outcome('u', Outcome.UNREACHABLE)
+    detector.clock.advance(outlier_detection.INITIAL_EJECTION_S)
+    assert detector.is_ejected('u')
 
 
-def test_one_lost_answer_is_no_reason_to_set_aside():
-    log = outlier_detection.OutlierDetector(clocks.ManualClock())
-    assert not log.record_outcome('u', Outcome.LOST)
-    assert not log.is_ejected('u')
+def test_upstream_is_not_ejected_after_one_lost_response():
+    detector = outlier_detection.OutlierDetector(clocks.ManualClock())
+    assert not detector.record_outcome('u', Outcome.LOST)
+    assert not detector.is_ejected('u')
 
 
-def test_one_trial_at_a_time_until_it_answers():
-    # Guards against a crowd that is sent to an upstream that is still down.
-    log = outlier_detection.OutlierDetector(clocks.ManualClock())
-    log.record_outcome('u', Outcome.UNREACHABLE)
-    log.record_outcome('u', Outcome.UNREACHABLE)
-    log.clock.advance(outlier_detection.LONGEST_PAUSE_S)
-    log.begin_request('u')
-    assert log.is_ejected('u')
-    log.record_outcome('u', Outcome.GOOD)
-    assert not log.is_ejected('u')
+def test_one_probe_at_a_time_until_it_gets_a_response():
+    # Guards against many requests to an upstream that is still down.
+    detector = outlier_detection.OutlierDetector(clocks.ManualClock())
+    detector.record_outcome('u', Outcome.UNREACHABLE)
+    detector.record_outcome('u', Outcome.UNREACHABLE)
+    detector.clock.advance(outlier_detection.MAX_EJECTION_S)
+    detector.begin_request('u')
+    assert detector.is_ejected('u')
+    detector.record_outcome('u', Outcome.GOOD)
+    assert not detector.is_ejected('u')
 
 
-def test_share_of_failures_fades():
-    log = outlier_detection.OutlierDetector(clocks.ManualClock())
+def test_failure_share_decays():
+    detector = outlier_detection.OutlierDetector(clocks.ManualClock())
     for _ in range(10):
-        log.record_outcome('u', Outcome.ERROR)
-    assert log.failure_share('u') > 0.8
-    log.clock.advance(5 * outlier_detection.FAILURE_HALF_LIFE_S)
-    assert log.failure_share('u') < 0.05
+        detector.record_outcome('u', Outcome.ERROR)
+    assert detector.failure_share('u') > 0.8
+    detector.clock.advance(5 * outlier_detection.FAILURE_HALF_LIFE_S)
+    assert detector.failure_share('u') < 0.05
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_warmup.py
@@ -1,4 +1,4 @@
-"""Cold upstreams are not overrun by VMs that do not coordinate."""
+"""Cold upstreams are not overloaded by VMs that do not coordinate."""
 
 from hypothesis import given
 from hypothesis import strategies
@@ -20,14 +20,15 @@
     strategies.integers(0, 2),
     strategies.floats(0.003, 0.05),
 )
-def test_sum_of_all_vms_stays_within_the_limit(size, unseen, step):
-    # A crowd at every VM, and VMs that have not heard of some others.
+def test_sum_of_all_vms_stays_within_the_limit(vm_count, unseen_count, step):
+    # Every VM has more requests than it may send, and half of the VMs don't
+    # know of some others.
     clock = clocks.ManualClock()
-    vms = [f'vm-{n}' for n in range(size)]
+    vms = [f'vm-{n}' for n in range(vm_count)]
     limiters = []
     for number, vm in enumerate(vms):
         limiter = warmup.WarmupLimiter(clock, vm, EXCESS, MARGIN)
-        hidden = vms[:unseen] if number % 2 else []
+        hidden = vms[:unseen_count] if number % 2 else []
         limiter.set_members({*vms, vm} - ({*hidden} - {vm}))
         limiters.append(limiter)
     sent = []
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -1,25 +1,25 @@
-"""One upstream as its entry describes it."""
+"""Upstreams as described by their rows in the store."""
 
 import attrs
 
 
 @attrs.frozen
 class Upstream:
-    """An entry of an upstream.
+    """A registered upstream.
 
     Attributes:
-        name: Identifier of the upstream, sent along to detect that another
-            one has its address.
-        service: Service that it belongs to.
+        name: Identifier of the upstream. It is sent with each request, so
+            that another upstream that now has the address can be detected.
+        service: Name of its service.
         address: ``ip:port``.
-        failure_domain: Where it runs.
+        failure_domain: Failure domain in which it runs.
         region: Region of the failure domain.
-        slots: Requests that it works on at once.
-        draining: Whether it is about to leave.
-        cold_for_s: How long it is still cold, when the entry was written.
+        slots: Requests that it can run concurrently.
+        draining: Whether it is about to leave and gets no new requests.
+        cold_for_s: Remaining warm-up when the row was written.
         born: Start of this incarnation in Unix milliseconds, 0 if unknown.
-        version: Version of the store that wrote it. Heartbeats change it
-            and nothing else, so that it does not count as a difference.
+        version: Version of the store that wrote the row. Heartbeats change
+            nothing else, so it is ignored in comparisons.
     """
 
     name: str
@@ -35,17 +35,17 @@
 
     @property
     def incarnation(self) -> str:
-        """Identifier of this start of the upstream."""
+        """Identifier of the upstream's present process."""
         return f'{self.name}@{self.born}'
 
 
 @attrs.frozen
 class Snapshot:
-    """All entries as of one version of the store.
+    """All registered upstreams as of one version of the store.
 
     Attributes:
         version: Version of the store.
-        upstreams: The entries.
+        upstreams: The upstreams.
     """
 
     version: int
@@ -54,14 +54,14 @@
 
 @attrs.frozen
 class DirectoryDelta:
-    """What changed between two versions of the store.
+    """Changes between two versions of the store.
 
     Attributes:
-        base: Version that the receiver must know at least.
-        version: Version that it knows afterwards.
-        changed: Entries that were added or changed.
-        gone: Names of entries that are no longer there.
-        age_s: Time since the version was read.
+        base: Oldest version that the receiver may have.
+        version: Version of the receiver after the delta is applied.
+        changed: Upstreams that were added or changed.
+        gone: Names of upstreams that were removed.
+        age_s: Time since the version was read from the store.
     """
 
     base: int
--- a/packages/domain/bulrushcourse_domain/upstreams/warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/warmup.py
@@ -1,4 +1,4 @@
-"""Limits on requests to cold upstreams, without a coordinator."""
+"""Rate limits of cold upstreams, kept by all VMs without coordination."""
 
 import typing
 
@@ -7,27 +7,29 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain import rendezvous
 
-# Only these VMs may use a cold upstream, so that the sum is bounded.
-SENDERS = 2
-# VMs that disagree on who is alive may double the number of senders; three
-# quarters of the limit split over three senders stays within it even then.
-USED_SHARE = 0.75
+# Number of VMs that may send to a cold upstream, which bounds the sum of their
+# requests.
+SENDERS_PER_UPSTREAM = 2
+# VMs that disagree on which VMs are alive may double the number of senders.
+# Three quarters of the limit, divided by three senders, stay within it even
+# then.
+USABLE_SHARE = 0.75
 ASSUMED_SENDERS = 3
 
 
-def sender_gap_s(per_s: float, excess: float, margin: float) -> float:
+def min_interval_s(per_s: float, excess: float, margin: float) -> float:
     """Return the shortest time between requests of one sender.
 
     Args:
-        per_s: Requests a second that a cold upstream stands.
-        excess: Factor on it that is tolerated.
-        margin: Requests in one second that are tolerated besides.
+        per_s: Requests per second that a cold upstream can handle.
+        excess: Tolerated factor on that rate.
+        margin: Requests in one second that are tolerated in addition.
 
     Examples:
-        >>> sender_gap_s(10.0, 1.5, 5.0)
+        >>> min_interval_s(10.0, 1.5, 5.0)
         0.2
     """
-    allowed = (per_s * excess + margin) * USED_SHARE
+    allowed = (per_s * excess + margin) * USABLE_SHARE
     return 1.0 / max(1.0, allowed / ASSUMED_SENDERS)
 
 
@@ -38,11 +40,12 @@
     Attributes:
         clock: Source of time.
         vm: Name of this VM.
-        excess: Factor on an upstream's rate that is tolerated.
-        margin: Requests in one second that are tolerated besides.
+        excess: Tolerated factor on an upstream's rate.
+        margin: Requests in one second that are tolerated in addition.
         sent_at: Time of the last request, by upstream.
-        members: Names of the VMs that are taken for alive.
-        ranked: The senders of each upstream, for the present members.
+        members: Names of the VMs that are considered alive.
+        senders: VMs that may send to each upstream, cached until the members
+            change.
     """
 
     clock: clocks.Clock
@@ -51,7 +54,7 @@
     margin: float = 0.0
     sent_at: dict[str, float] = attrs.field(factory=dict)
     members: frozenset[str] = frozenset()
-    ranked: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    senders: dict[str, frozenset[str]] = attrs.field(factory=dict)
 
     def set_members(self, members: typing.Iterable[str]) -> None:
         """Set the VMs that share the limits.
@@ -59,23 +62,23 @@
         Args:
             members: Names of the VMs that are alive, this one included.
         """
-        found = frozenset(members)
-        if found != self.members:
-            self.members = found
-            self.ranked = {}
+        alive = frozenset(members)
+        if alive != self.members:
+            self.members = alive
+            self.senders = {}
 
     def may_send(self, upstream: str, per_s: float) -> bool:
-        """Return whether this VM may use a cold upstream now.
+        """Return whether this VM may send to a cold upstream now.
 
         Args:
             upstream: Name of the upstream.
-            per_s: Requests a second that it stands.
+            per_s: Requests per second that it can handle.
         """
         if self.vm not in self._senders(upstream):
             return False
-        gap = sender_gap_s(per_s, self.excess, self.margin)
-        last = self.sent_at.get(upstream, float('-inf'))
-        return self.clock.monotonic() - last >= gap
+        interval_s = min_interval_s(per_s, self.excess, self.margin)
+        last_sent = self.sent_at.get(upstream, float('-inf'))
+        return self.clock.monotonic() - last_sent >= interval_s
 
     def record_sent(self, upstream: str) -> None:
         """Count a request to a cold upstream.
@@ -86,8 +89,8 @@
         self.sent_at[upstream] = self.clock.monotonic()
 
     def _senders(self, upstream: str) -> frozenset[str]:
-        if upstream not in self.ranked:
-            self.ranked[upstream] = frozenset(
-                rendezvous.first(upstream, self.members, SENDERS)
+        if upstream not in self.senders:
+            self.senders[upstream] = frozenset(
+                rendezvous.first(upstream, self.members, SENDERS_PER_UPSTREAM)
             )
-        return self.ranked[upstream]
+        return self.senders[upstream]
