Use the field's terms in the route table

Cause: "in force", "wanted", "owed" and "parts" were private words for the active version, the preferred choice, credits and weighted services. Change: doc comments and test descriptions rewritten; parameters of the weighted round robin and the index of the table renamed.

--- a/packages/domain/bulrushcourse_domain/routes/__init__.py
+++ b/packages/domain/bulrushcourse_domain/routes/__init__.py
@@ -1,1 +1,1 @@
-"""Routes by host and path prefix, and how their requests are divided."""
+"""Routes by host and path prefix, and their weighted services."""
--- a/packages/domain/bulrushcourse_domain/routes/route.py
+++ b/packages/domain/bulrushcourse_domain/routes/route.py
@@ -10,11 +10,12 @@
 
 @attrs.frozen
 class WeightedService:
-    """One service that a route sends requests to.
+    """A service that receives a share of a route's requests.
 
     Attributes:
         service: Name of the service.
-        weight: Share of the route's requests, relative to the other parts.
+        weight: Share of the route's requests, relative to the weights of its
+            other services.
     """
 
     service: str
@@ -23,21 +24,21 @@
 
 @attrs.frozen
 class Route:
-    """Requests of one host under one path prefix.
+    """Settings of the requests to one host and path prefix.
 
     Attributes:
-        host: Host that the requests name.
-        prefix: Beginning of their paths, with slashes at both ends.
+        host: Host name in the requests.
+        prefix: Path prefix, with slashes at both ends.
         weighted_services: Services that run the requests.
         idempotent: Whether a request may run more than once.
-        upload: Whether bodies are large.
-        timeout_s: Longest time that a caller is kept waiting.
-        objective_s: Time within which an answer is of full use.
-        max_attempts: Most upstreams that one request may be sent to.
-        priority: Rank among routes; 0 is served first.
-        home_regions: The only regions that may serve it; empty for all.
-        affinity: Whether an upstream works faster on an object that it
-            handled lately.
+        upload: Whether request bodies are large.
+        timeout_s: Longest time that a caller waits for the response.
+        objective_s: Latency objective; a later response is of less use.
+        max_attempts: Largest number of upstreams that a request is sent to.
+        priority: Priority among routes; 0 is served first.
+        home_regions: The only regions that may run it; empty for all.
+        affinity: Whether an upstream is faster with an object that it handled
+            recently.
     """
 
     host: str
@@ -54,11 +55,11 @@
 
     @property
     def key(self) -> str:
-        """Identifier of the route that is stable over versions."""
+        """Identifier of the route, the same in all versions."""
         return self.host + self.prefix
 
     def may_run_in(self, region: str) -> bool:
-        """Return whether upstreams of a region may serve the route.
+        """Return whether upstreams in a region may run the requests.
 
         Args:
             region: Name of the region.
@@ -68,14 +69,15 @@
 
 @attrs.frozen
 class Service:
-    """A named group of upstreams.
+    """Settings of the upstreams of one service.
 
     Attributes:
         name: Name of the service.
         health_path: Path of the health check.
-        max_connections: Connections that one upstream accepts from all VMs.
+        max_connections: Connections that one upstream accepts from all VMs
+            together.
         warmup_s: Time that an upstream is cold after its start.
-        warmup_per_s: Requests a second that a cold upstream stands.
+        warmup_per_s: Requests per second that a cold upstream can handle.
     """
 
     name: str
@@ -87,12 +89,12 @@
 
 @attrs.frozen
 class RequestLimits:
-    """Bounds on what a client may send.
+    """Limits on the requests of clients.
 
     Attributes:
-        header_bytes: Largest size of all headers.
+        header_bytes: Largest total size of the headers.
         body_bytes: Largest size of a body.
-        header_timeout_s: Longest time to send the headers.
+        header_timeout_s: Longest time to receive the headers.
         idle_timeout_s: Longest time that a connection may be idle.
     """
 
@@ -104,13 +106,13 @@
 
 @attrs.frozen
 class RouteSet:
-    """Everything that one configuration version says about requests.
+    """Routes, services and request limits of one configuration version.
 
     Attributes:
         version: Version of the configuration.
         routes: All routes.
         services: Services by name.
-        limits: Bounds on client requests.
+        limits: Limits on the requests of clients.
     """
 
     version: int
--- a/packages/domain/bulrushcourse_domain/routes/table.py
+++ b/packages/domain/bulrushcourse_domain/routes/table.py
@@ -1,4 +1,4 @@
-"""The aggregate that finds the route of a request."""
+"""The route table: routes of the active configuration by host and prefix."""
 
 import typing
 
@@ -9,57 +9,57 @@
 
 @attrs.frozen
 class HostRoutes:
-    """The routes of one host, ready to be found.
+    """The routes of one host, indexed by prefix.
 
     Attributes:
-        by_prefix: Routes by prefix; the first of several with one prefix.
-        lengths: Lengths of the prefixes, longest first.
+        by_prefix: Routes by prefix; the first one if several have the same.
+        prefix_lengths: Distinct lengths of the prefixes, longest first.
         home_regions: Regions that every route may run in, empty for all.
     """
 
     by_prefix: typing.Mapping[str, routes.Route]
-    lengths: tuple[int, ...]
+    prefix_lengths: tuple[int, ...]
     home_regions: frozenset[str]
 
     def match(self, path: str) -> routes.Route | None:
-        """Return the route with the longest prefix that begins the path.
+        """Return the route with the longest matching prefix.
 
         Args:
             path: Path of a request, without the query.
         """
-        for length in self.lengths:
+        for length in self.prefix_lengths:
             route = self.by_prefix.get(path[:length])
             if route is not None:
                 return route
         return None
 
 
-def _by_host(route_set: routes.RouteSet) -> dict[str, HostRoutes]:
+def _routes_by_host(route_set: routes.RouteSet) -> dict[str, HostRoutes]:
     by_host: dict[str, list[routes.Route]] = {}
     for route in route_set.routes:
         by_host.setdefault(route.host, []).append(route)
-    return {host: _host_routes(found) for host, found in by_host.items()}
+    return {host: _index_host(listed) for host, listed in by_host.items()}
 
 
-def _host_routes(found: list[routes.Route]) -> HostRoutes:
-    by_prefix = {route.prefix: route for route in reversed(found)}
-    homes = [r.home_regions for r in found if r.home_regions]
+def _index_host(listed: list[routes.Route]) -> HostRoutes:
+    by_prefix = {route.prefix: route for route in reversed(listed)}
+    home_regions = [r.home_regions for r in listed if r.home_regions]
     return HostRoutes(
         by_prefix,
         tuple(sorted({len(prefix) for prefix in by_prefix}, reverse=True)),
-        frozenset.intersection(*homes) if homes else frozenset(),
+        frozenset.intersection(*home_regions) if home_regions else frozenset(),
     )
 
 
 @attrs.define
 class RouteTable:
-    """The newest configuration that this VM has seen.
+    """Routes of the newest configuration that this VM has received.
 
     A version that is not newer is ignored, so the table never reverts,
-    whatever order the store and the peers deliver versions in.
+    whatever the order in which the store and the peers deliver versions.
 
     Attributes:
-        active: The configuration in force, ``None`` before the first.
+        active: The active configuration, ``None`` before the first.
         by_host: Its routes by host.
     """
 
@@ -68,17 +68,17 @@
 
     @property
     def version(self) -> int:
-        """Version in force, 0 before the first."""
+        """Active version, 0 before the first."""
         return self.active.version if self.active else 0
 
     def install(self, route_set: routes.RouteSet) -> bool:
-        """Put a configuration in force if it is newer.
+        """Activate a configuration if it is newer.
 
         Args:
             route_set: The configuration.
 
         Returns:
-            Whether it is now in force.
+            Whether it was activated.
 
         Examples:
             >>> table = RouteTable()
@@ -91,27 +91,27 @@
         if route_set.version <= self.version:
             return False
         self.active = route_set
-        self.by_host = _by_host(route_set)
+        self.by_host = _routes_by_host(route_set)
         return True
 
     def match(self, host: str, path: str) -> routes.Route | None:
-        """Return the route with the longest prefix that begins the path.
+        """Return the route of a host with the longest matching prefix.
 
         Args:
-            host: Host that the request names.
-            path: Its path, without the query.
+            host: Host name in the request.
+            path: Path of the request, without the query.
         """
-        found = self.by_host.get(host)
-        return found.match(path) if found else None
+        host_routes = self.by_host.get(host)
+        return host_routes.match(path) if host_routes else None
 
     def service(self, name: str) -> routes.Service:
-        """Return a service; one that is not configured has the defaults.
+        """Return a service, with default settings if it is not configured.
 
         Args:
             name: Name of the service.
         """
-        known = self.active.services if self.active else {}
-        return known.get(name) or routes.Service(name)
+        services = self.active.services if self.active else {}
+        return services.get(name) or routes.Service(name)
 
     def home_regions(self, host: str) -> frozenset[str]:
         """Return the regions that every route of a host may run in.
@@ -120,7 +120,7 @@
             host: Name of the host.
 
         Returns:
-            The common home regions, empty if the routes have none.
+            The home regions common to all routes, empty if they have none.
         """
-        found = self.by_host.get(host)
-        return found.home_regions if found else frozenset()
+        host_routes = self.by_host.get(host)
+        return host_routes.home_regions if host_routes else frozenset()
--- a/packages/domain/bulrushcourse_domain/routes/tests/test_table.py
+++ b/packages/domain/bulrushcourse_domain/routes/tests/test_table.py
@@ -1,4 +1,4 @@
-"""Routes are found by their longest prefix, and versions never go back."""
+"""Routes match by longest prefix, and older versions are never installed."""
 
 from hypothesis import given
 from hypothesis import strategies
@@ -7,12 +7,12 @@
 from bulrushcourse_domain.routes import table as tables
 
 
-def make_route(prefix, host='h', homes=()):
+def make_route(prefix, host='h', home_regions=()):
     return routes.Route(
         host,
         prefix,
         (routes.WeightedService('s'),),
-        home_regions=frozenset(homes),
+        home_regions=frozenset(home_regions),
     )
 
 
@@ -26,22 +26,22 @@
 
 
 @given(strategies.lists(strategies.integers(1, 50)))
-def test_version_in_force_is_the_newest_offered(versions):
-    # Guards against a revert by an old row, a peer or a restarted VM.
+def test_active_version_is_the_newest_installed(versions):
+    # Guards against a revert caused by an old row, a peer or a restarted VM.
     table = tables.RouteTable()
-    for seen, version in enumerate(versions, 1):
+    for installed, version in enumerate(versions, 1):
         table.install(routes.RouteSet(version))
-        assert table.version == max(versions[:seen])
+        assert table.version == max(versions[:installed])
 
 
-def test_homes_of_a_host_are_those_that_all_bound_routes_share():
+def test_home_regions_of_a_host_are_common_to_all_its_bound_routes():
     table = tables.RouteTable()
     table.install(
         routes.RouteSet(
             1,
             (
-                make_route('/a/', homes=('x', 'y')),
-                make_route('/b/', homes=('y',)),
+                make_route('/a/', home_regions=('x', 'y')),
+                make_route('/b/', home_regions=('y',)),
                 make_route('/c/'),
             ),
         )
@@ -56,14 +56,12 @@
 
 
 @given(strategies.lists(PREFIXES, max_size=6), PREFIXES)
-def test_match_is_the_longest_of_all_prefixes_that_begin_the_path(
-    prefixes, path
-):
+def test_match_is_the_longest_of_all_matching_prefixes(prefixes, path):
     # Guards against an index that misses a route which a scan would find.
     table = tables.RouteTable()
     table.install(routes.RouteSet(1, tuple(map(make_route, prefixes))))
-    begins = [p for p in prefixes if path.startswith(p)]
+    matching = [p for p in prefixes if path.startswith(p)]
     found = table.match('h', path)
     assert (found.prefix if found else None) == max(
-        begins, key=len, default=None
+        matching, key=len, default=None
     )
--- a/packages/domain/bulrushcourse_domain/routes/tests/test_weighted_round_robin.py
+++ b/packages/domain/bulrushcourse_domain/routes/tests/test_weighted_round_robin.py
@@ -1,4 +1,4 @@
-"""Weighted turns keep the shares at any number of requests."""
+"""Weighted round robin keeps the shares at any number of requests."""
 
 from hypothesis import given
 from hypothesis import strategies
@@ -11,20 +11,25 @@
 
 
 @given(WEIGHTS, strategies.integers(1, 200))
-def test_shares_are_kept_within_a_request_a_choice(weights, number):
-    turns = weighted_round_robin.WeightedRoundRobin()
-    taken = [turns.next_choice(weights) for _ in range(number)]
+def test_shares_are_kept_within_one_request_per_choice(weights, number):
+    round_robin = weighted_round_robin.WeightedRoundRobin()
+    choices = [round_robin.next_choice(weights) for _ in range(number)]
     total = sum(weights.values())
     for name, weight in weights.items():
-        due = number * weight / total
-        assert abs(taken.count(name) - due) <= len(weights)
+        expected = number * weight / total
+        assert abs(choices.count(name) - expected) <= len(weights)
 
 
 @given(WEIGHTS, strategies.integers(1, 300), strategies.integers(0, 5))
-def test_wanted_choice_is_ahead_by_its_slack_at_most(weights, number, slack):
-    # Guards against a popular object that pulls all requests to one region.
-    turns = weighted_round_robin.WeightedRoundRobin()
-    wanted = min(weights)
-    taken = [turns.next_choice(weights, wanted, slack) for _ in range(number)]
-    due = number * weights[wanted] / sum(weights.values())
-    assert taken.count(wanted) <= due + slack + 1
+def test_preferred_choice_exceeds_its_share_by_its_slack_at_most(
+    weights, number, slack
+):
+    # Guards against a hot object whose requests all go to one region.
+    round_robin = weighted_round_robin.WeightedRoundRobin()
+    preferred = min(weights)
+    choices = [
+        round_robin.next_choice(weights, preferred, slack)
+        for _ in range(number)
+    ]
+    expected = number * weights[preferred] / sum(weights.values())
+    assert choices.count(preferred) <= expected + slack + 1
--- a/packages/domain/bulrushcourse_domain/routes/weighted_round_robin.py
+++ b/packages/domain/bulrushcourse_domain/routes/weighted_round_robin.py
@@ -1,4 +1,4 @@
-"""Even division of requests over weighted choices."""
+"""Smooth weighted round robin."""
 
 import math
 import typing
@@ -8,52 +8,52 @@
 
 @attrs.define
 class WeightedRoundRobin:
-    """Smooth weighted round robin.
+    """Divides requests over choices according to their weights.
 
-    Shares are kept within one request of the weights over any number of
-    requests, unlike a random draw. Credit that was earned carries over when
-    the weights change.
+    Unlike with random sampling, the number of requests of each choice stays
+    within one of its share at all times. Credits carry over when the weights
+    change.
 
     Attributes:
-        credit: What each choice is owed, in requests.
+        credits: Requests that each choice is still owed.
 
     Examples:
-        >>> turns = WeightedRoundRobin()
-        >>> [turns.next_choice({'a': 3, 'b': 1}) for _ in range(4)]
+        >>> choices = WeightedRoundRobin()
+        >>> [choices.next_choice({'a': 3, 'b': 1}) for _ in range(4)]
         ['a', 'a', 'b', 'a']
     """
 
-    credit: dict[str, float] = attrs.field(factory=dict)
+    credits: dict[str, float] = attrs.field(factory=dict)
 
     def next_choice(
         self,
         weights: typing.Mapping[str, float],
-        wanted: str = '',
+        preferred: str = '',
         slack: float = 0.0,
-        memory: float = math.inf,
+        memory_requests: float = math.inf,
     ) -> str:
         """Return the next choice.
 
         Args:
             weights: Weight of each choice; at least one is positive.
-            wanted: Choice to prefer, if there is one.
-            slack: Requests that it may be ahead of its share.
-            memory: Requests after which a lead is forgotten.
+            preferred: Choice to prefer, empty for none.
+            slack: Requests by which it may exceed its share.
+            memory_requests: Number of requests over which credits decay.
 
         Examples:
-            >>> turns = WeightedRoundRobin()
+            >>> choices = WeightedRoundRobin()
             >>> weights = {'a': 1, 'b': 1}
-            >>> [turns.next_choice(weights, 'a', slack=1.0) for _ in range(4)]
+            >>> [choices.next_choice(weights, 'a', 1.0) for _ in range(4)]
             ['a', 'a', 'b', 'a']
         """
         total = sum(weights.values())
-        kept = 1.0 - 1.0 / memory
-        self.credit = {
-            name: self.credit.get(name, 0.0) * kept + weight / total
+        decay = 1.0 - 1.0 / memory_requests
+        self.credits = {
+            name: self.credits.get(name, 0.0) * decay + weight / total
             for name, weight in weights.items()
         }
-        chosen = max(self.credit, key=lambda name: self.credit[name])
-        if self.credit.get(wanted, -math.inf) - 1.0 >= -slack - 1e-9:
-            chosen = wanted
-        self.credit[chosen] -= 1.0
+        chosen = max(self.credits, key=lambda name: self.credits[name])
+        if self.credits.get(preferred, -math.inf) - 1.0 >= -slack - 1e-9:
+            chosen = preferred
+        self.credits[chosen] -= 1.0
         return chosen
