--- a/packages/domain/bulrushcourse_domain/fleet/__init__.py
+++ b/packages/domain/bulrushcourse_domain/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The VMs that run bulrushcourse, as each of them knows the others."""
+"""The VMs that run bulrushcourse, as tracked by each of them."""
--- a/packages/domain/bulrushcourse_domain/fleet/fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/fleet.py
@@ -1,4 +1,4 @@
-"""The aggregate that knows which VMs serve callers."""
+"""The fleet: which VMs exist, are alive and serve callers."""
 
 import collections
 import enum
@@ -8,19 +8,19 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# A VM sends several reports a second.
+# VMs send several heartbeats per second.
 SILENT_S = 2.5
-# VMs that were silent for this long still count as sharers of limits, since
-# they may be cut off from here and still serve.
-SHARER_MEMORY_S = 20.0
-# A VM that was silent for this long was removed. One that comes back is
-# learned again from its first report.
-REMOVED_S = 600.0
-MAX_NAMED = 64
+# VMs that were silent for less than this still share the limits, since they
+# may be cut off from this VM only and still serve.
+SHARING_TIMEOUT_S = 20.0
+# VMs that were silent for longer than this are considered removed. One that
+# comes back is added again at its first heartbeat.
+REMOVAL_TIMEOUT_S = 600.0
+MAX_ADDRESSES = 64
 
 
 class Phase(enum.Enum):
-    """What a VM says of itself."""
+    """Phase of a VM's process, as reported by itself."""
 
     STARTING = 'starting'
     READY = 'ready'
@@ -36,8 +36,8 @@
         incarnation: Start of its process in Unix milliseconds.
         peer_address: ``ip:port`` for the other VMs.
         caller_address: ``ip:port`` for callers.
-        region: Where it runs.
-        failure_domain: Where it runs.
+        region: Region in which it runs.
+        failure_domain: Failure domain in which it runs.
     """
 
     name: str
@@ -50,11 +50,11 @@
 
 @attrs.define
 class Heartbeat:
-    """When and how a VM was heard last.
+    """The last heartbeat of a VM.
 
     Attributes:
-        phase: What it said.
-        at: When, on this VM's clock.
+        phase: Phase that the VM reported.
+        at: Time of receipt on this VM's clock.
     """
 
     phase: Phase
@@ -63,15 +63,16 @@
 
 @attrs.define
 class Fleet:
-    """VMs by name, with the age of what is known of them.
+    """The VMs of the fleet and their last heartbeats.
 
     Attributes:
         clock: Source of time.
         local_vm: This VM.
-        phase: What this VM says of itself.
-        known: Other VMs, heard or only named by others.
-        heartbeats: When each was heard last.
-        learned_at: When each was learned of.
+        phase: Phase that this VM reports.
+        known: Other VMs by name, including those that have not sent a
+            heartbeat to this VM.
+        heartbeats: Last heartbeat of each VM, by name.
+        added_at: Time when each VM was added, by name.
         sizes: Number of other VMs in each region.
     """
 
@@ -80,54 +81,55 @@
     phase: Phase = Phase.STARTING
     known: dict[str, Vm] = attrs.field(factory=dict)
     heartbeats: dict[str, Heartbeat] = attrs.field(factory=dict)
-    learned_at: dict[str, float] = attrs.field(factory=dict)
+    added_at: dict[str, float] = attrs.field(factory=dict)
     sizes: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
-    def add_vm(self, vm: Vm, from_itself: bool = False) -> bool:
-        """Take over that a VM exists.
+    def add_vm(self, vm: Vm, self_reported: bool = False) -> bool:
+        """Add a VM, or replace its former incarnation.
 
         Args:
             vm: The VM.
-            from_itself: Whether it said so itself, rather than the store or
-                another VM.
+            self_reported: Whether the VM reported itself, rather than the
+                store or another VM.
 
         Returns:
-            Whether it is new or has started again.
+            Whether it is new or was restarted.
         """
         if vm.name == self.local_vm.name:
             return False
-        known = self.known.get(vm.name)
-        if known is not None and not (
-            vm.incarnation > known.incarnation
-            or (from_itself and self._was_set_back(known, vm))
+        previous = self.known.get(vm.name)
+        if previous is not None and not (
+            vm.incarnation > previous.incarnation
+            or (self_reported and self._clock_was_set_back(previous, vm))
         ):
             return False
-        if known is not None:
-            self.sizes[known.region] -= 1
+        if previous is not None:
+            self.sizes[previous.region] -= 1
         self.sizes[vm.region] += 1
         self.known[vm.name] = vm
-        self.learned_at[vm.name] = self.clock.monotonic()
+        self.added_at[vm.name] = self.clock.monotonic()
         self.heartbeats.pop(vm.name, None)
         return True
 
-    def _was_set_back(self, known: Vm, vm: Vm) -> bool:
-        # Incarnations are times of day. A machine whose time was set back
-        # starts its next process with a lower one, when the last is silent.
-        return vm.incarnation < known.incarnation and not self.is_alive(
+    def _clock_was_set_back(self, previous: Vm, vm: Vm) -> bool:
+        # Incarnations are wall-clock times. If the clock of a machine was set
+        # back, its next process has a lower one than the last, which is then
+        # no longer alive.
+        return vm.incarnation < previous.incarnation and not self.is_alive(
             vm.name
         )
 
     def record_heartbeat(self, vm: Vm, phase: Phase) -> bool:
-        """Note that a VM has spoken.
+        """Record a heartbeat of a VM.
 
         Args:
             vm: The VM.
-            phase: What it says of itself.
+            phase: Phase that it reports.
 
         Returns:
             Whether it was not alive before.
         """
-        self.add_vm(vm, from_itself=True)
+        self.add_vm(vm, self_reported=True)
         if self.known.get(vm.name) != vm:
             return False
         was_alive = self.is_alive(vm.name)
@@ -135,15 +137,15 @@
         return not was_alive
 
     def is_alive(self, name: str) -> bool:
-        """Return whether a VM was heard lately.
+        """Return whether a VM sent a heartbeat recently.
 
         Args:
             name: Name of the VM.
         """
-        seen = self.heartbeats.get(name)
-        if seen is None:
+        heartbeat = self.heartbeats.get(name)
+        if heartbeat is None:
             return False
-        return self.clock.monotonic() - seen.at <= SILENT_S
+        return self.clock.monotonic() - heartbeat.at <= SILENT_S
 
     def alive(self) -> tuple[str, ...]:
         """Return the names of the VMs that are alive, this one included."""
@@ -151,54 +153,54 @@
         return (self.local_vm.name, *sorted(others))
 
     def sharing_vm_count(self) -> int:
-        """Return how many VMs may be sharing limits with this one."""
-        oldest = self.clock.monotonic() - SHARER_MEMORY_S
-        return 1 + sum(seen.at >= oldest for seen in self.heartbeats.values())
+        """Return how many VMs may share the limits, this one included."""
+        oldest = self.clock.monotonic() - SHARING_TIMEOUT_S
+        return 1 + sum(h.at >= oldest for h in self.heartbeats.values())
 
     def remove_expired(self) -> tuple[str, ...]:
-        """Drop VMs that were silent for long and return their names."""
-        oldest = self.clock.monotonic() - REMOVED_S
-        last_seen = self.learned_at | {
-            name: seen.at for name, seen in self.heartbeats.items()
+        """Remove VMs that were silent for long and return their names."""
+        oldest = self.clock.monotonic() - REMOVAL_TIMEOUT_S
+        last_times = self.added_at | {
+            name: heartbeat.at for name, heartbeat in self.heartbeats.items()
         }
-        gone = tuple(name for name, at in last_seen.items() if at < oldest)
-        for name in gone:
+        expired = tuple(name for name, at in last_times.items() if at < oldest)
+        for name in expired:
             self.sizes[self.known.pop(name).region] -= 1
             self.heartbeats.pop(name, None)
-            del self.learned_at[name]
-        return gone
+            del self.added_at[name]
+        return expired
 
     def serving(self) -> tuple[Vm, ...]:
-        """Return the VMs that callers may be sent to."""
-        found = [self.local_vm] if self.phase is Phase.READY else []
+        """Return the VMs that callers may connect to."""
+        serving = [self.local_vm] if self.phase is Phase.READY else []
         for name, vm in self.known.items():
             if (
                 self.is_alive(name)
                 and self.heartbeats[name].phase is Phase.READY
             ):
-                found.append(vm)
-        return tuple(found)
+                serving.append(vm)
+        return tuple(serving)
 
 
 def select_addresses(
     serving: typing.Sequence[Vm],
     region: str,
-    homes: frozenset[str],
+    home_regions: frozenset[str],
 ) -> tuple[str, ...]:
-    """Return the addresses that a caller of a region shall use.
+    """Return the addresses that a caller should connect to.
 
-    Callers use the VMs of their own region. If none serves, they use a home
-    region of the host, or else any.
+    Callers use the VMs of their own region. If none serves there, they use
+    those of the host's home regions, or else any.
 
     Args:
         serving: VMs that serve callers.
         region: Region of the caller.
-        homes: Home regions of the host, empty if it has none.
+        home_regions: Home regions of the host, empty if it has none.
     """
     groups = (
         [vm for vm in serving if vm.region == region],
-        [vm for vm in serving if vm.region in homes],
+        [vm for vm in serving if vm.region in home_regions],
         list(serving),
     )
     chosen = next((group for group in groups if group), [])
-    return tuple(vm.caller_address for vm in chosen[:MAX_NAMED])
+    return tuple(vm.caller_address for vm in chosen[:MAX_ADDRESSES])
--- a/packages/domain/bulrushcourse_domain/fleet/lookups.py
+++ b/packages/domain/bulrushcourse_domain/fleet/lookups.py
@@ -1,44 +1,46 @@
-"""Answers to callers that ask which VMs to use."""
+"""Answers to look-ups of callers: which VMs to connect to."""
 
 import attrs
 
 from bulrushcourse_domain.fleet import fleet
 
-# Look-ups come hundreds of times a second, and the VMs that serve change
-# seldom. Callers keep an answer far longer than this.
-ANSWER_AGE_S = 0.1
+# Look-ups arrive hundreds of times per second, and the serving VMs change
+# rarely. Callers keep an answer far longer than this.
+CACHE_TTL_S = 0.1
 
 
 @attrs.define
 class LookupAnswers:
-    """Addresses for callers, kept for a moment.
+    """Addresses for callers, cached for a short time.
 
     Attributes:
-        members: The VMs.
-        made_at: When the kept answers were made.
-        kept: Addresses by region of the caller and home regions of the host.
+        vms: The fleet.
+        cached_at: Time when the cache was last cleared.
+        cached: Addresses by region of the caller and home regions of the host.
     """
 
-    members: fleet.Fleet
-    made_at: float = float('-inf')
-    kept: dict[tuple[str, frozenset[str]], tuple[str, ...]] = attrs.field(
+    vms: fleet.Fleet
+    cached_at: float = float('-inf')
+    cached: dict[tuple[str, frozenset[str]], tuple[str, ...]] = attrs.field(
         factory=dict
     )
 
-    def addresses(self, region: str, homes: frozenset[str]) -> tuple[str, ...]:
-        """Return the addresses that a caller of a region shall use.
+    def addresses(
+        self, region: str, home_regions: frozenset[str]
+    ) -> tuple[str, ...]:
+        """Return the addresses that a caller should connect to.
 
         Args:
             region: Region of the caller.
-            homes: Home regions of the host, empty if it has none.
+            home_regions: Home regions of the host, empty if it has none.
         """
-        now = self.members.clock.monotonic()
-        if now - self.made_at > ANSWER_AGE_S:
-            self.kept.clear()
-            self.made_at = now
-        key = region, homes
-        if key not in self.kept:
-            self.kept[key] = fleet.select_addresses(
-                self.members.serving(), region, homes
+        now = self.vms.clock.monotonic()
+        if now - self.cached_at > CACHE_TTL_S:
+            self.cached.clear()
+            self.cached_at = now
+        key = region, home_regions
+        if key not in self.cached:
+            self.cached[key] = fleet.select_addresses(
+                self.vms.serving(), region, home_regions
             )
-        return self.kept[key]
+        return self.cached[key]
