--- a/packages/domain/bulrushcourse_domain/retries/__init__.py
+++ b/packages/domain/bulrushcourse_domain/retries/__init__.py
@@ -1,1 +1,1 @@
-"""Extra work: retries and hedges."""
+"""Retries and hedged requests, and the budgets that limit them."""
--- a/packages/domain/bulrushcourse_domain/retries/budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/budget.py
@@ -1,43 +1,43 @@
-"""The budget of a service for retries and hedges together."""
+"""Budget of a service for retries and hedges together."""
 
 import attrs
 
-SHARE = 0.05
-MAX_SAVED = 20.0
-# Sums of shares of exactly one unit must not fall short by rounding.
-ROUNDING = 1e-9
+EXTRA_RUN_SHARE = 0.05
+MAX_TOKENS = 20.0
+# Rounding must not make a sum of shares that add up to one token fall short.
+ROUNDING_TOLERANCE = 1e-9
 
 
 @attrs.define
 class RetryBudget:
-    """Allows extra runs up to a share of the primary work.
+    """Token bucket that allows extra runs in proportion to primary runs.
 
-    Each entry keeps a budget for each service. At every instant the extra
-    runs are at most the share of the primary runs since the entry started,
-    so the sum over all entries stays within the share too.
+    Each entry keeps a budget for each service. At any time the extra runs are
+    at most the given share of the primary runs since the entry started, so
+    their sum over all entries stays within the share too.
 
     Attributes:
         share: Extra runs per primary run.
-        max_saved: Largest number of extra runs that is saved up, which
-            bounds the burst when an outage begins.
-        tokens: Extra runs that may be spent now.
-        primary: Primary runs so far.
-        extra: Extra runs so far.
+        max_tokens: Largest number of tokens, which bounds the burst when an
+            outage begins.
+        tokens: Extra runs that are allowed now.
+        primary_runs: Number of primary runs so far.
+        extra_runs: Number of extra runs so far.
     """
 
-    share: float = SHARE
-    max_saved: float = MAX_SAVED
+    share: float = EXTRA_RUN_SHARE
+    max_tokens: float = MAX_TOKENS
     tokens: float = 0.0
-    primary: int = 0
-    extra: int = 0
+    primary_runs: int = 0
+    extra_runs: int = 0
 
     def record_primary(self) -> None:
         """Count the first run of a request."""
-        self.primary += 1
-        self.tokens = min(self.max_saved, self.tokens + self.share)
+        self.primary_runs += 1
+        self.tokens = min(self.max_tokens, self.tokens + self.share)
 
     def try_spend(self) -> bool:
-        """Return whether an extra run is allowed; if so, it is counted.
+        """Spend a token for an extra run; return whether there was one.
 
         Examples:
             >>> budget = RetryBudget()
@@ -46,8 +46,8 @@
             >>> budget.try_spend(), budget.try_spend()
             (True, False)
         """
-        if self.tokens < 1 - ROUNDING:
+        if self.tokens < 1 - ROUNDING_TOLERANCE:
             return False
         self.tokens = max(0.0, self.tokens - 1)
-        self.extra += 1
+        self.extra_runs += 1
         return True
--- a/packages/domain/bulrushcourse_domain/retries/shared_budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/shared_budget.py
@@ -1,27 +1,27 @@
-"""This VM's part of the budget for second sends that all VMs share."""
+"""This VM's share of the retry budget that all VMs share."""
 
 import attrs
 
-# Part of the shared allowance that is used, so that VMs that join or start
-# again do not push the sum over it.
-USED_SHARE = 0.75
-# VMs that join during the day are not counted yet when they start.
+# Share of the budget that is used, so that VMs that join or restart do not
+# make the sum exceed it.
+USABLE_SHARE = 0.75
+# Number of VMs that may join, since a VM is not counted yet when it starts.
 ASSUMED_JOINERS = 4
 
 
 @attrs.define
 class SharedRetryBudget:
-    """Allows second sends to one service.
+    """Token bucket of this VM for retries of requests to one service.
 
-    Each VM may spend a share of the requests that it saw itself, and an
-    equal part of the fixed allowance per window, so the sum over all VMs
-    stays within the budget without any messages.
+    Each VM may spend a share of the requests that it received itself, and an
+    equal part of a fixed number of retries per window. The sum over all VMs
+    thus stays within the budget without any messages.
 
     Attributes:
-        ratio: Second sends per request.
-        extra: Second sends per window besides, over all VMs.
+        ratio: Retries per request.
+        extra: Additional retries per window, over all VMs.
         window_s: Length of the window.
-        tokens: Second sends that may be spent now.
+        tokens: Retries that are allowed now.
         at: Time of the last refill.
     """
 
@@ -32,19 +32,21 @@
     at: float = 0.0
 
     def record_request(self) -> None:
-        """Count the first send of a request.
+        """Add the tokens earned by the first attempt of a request.
 
-        What is saved is bounded, so that a quiet time does not pay for a
-        burst of second sends in one window.
+        The number of tokens is bounded, so that a quiet period does not allow
+        a burst of retries in one window.
         """
-        self.tokens = min(self.limit(), self.tokens + self.ratio * USED_SHARE)
+        self.tokens = min(
+            self.max_tokens(), self.tokens + self.ratio * USABLE_SHARE
+        )
 
-    def limit(self) -> float:
-        """Return the largest number of second sends that is saved up."""
-        return max(3.0, self.extra * USED_SHARE / 4)
+    def max_tokens(self) -> float:
+        """Return the largest number of tokens."""
+        return max(3.0, self.extra * USABLE_SHARE / 4)
 
     def try_spend(self, now: float, members: int) -> bool:
-        """Return whether a second send is allowed; if so, it is counted.
+        """Spend a token for a retry; return whether there was one.
 
         Args:
             now: Time in seconds.
@@ -58,8 +60,8 @@
         rate = self.extra / self.window_s / (members + ASSUMED_JOINERS)
         elapsed = min(self.window_s, max(0.0, now - self.at))
         self.at = now
-        refill = elapsed * rate * USED_SHARE
-        self.tokens = min(self.limit(), self.tokens + refill)
+        refill = elapsed * rate * USABLE_SHARE
+        self.tokens = min(self.max_tokens(), self.tokens + refill)
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
--- a/packages/domain/bulrushcourse_domain/retries/tests/test_shared_budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/tests/test_shared_budget.py
@@ -1,11 +1,11 @@
-"""Second sends of all VMs stay within the budget without messages."""
+"""Retries of all VMs stay within the budget without messages."""
 
 from hypothesis import given
 from hypothesis import strategies
 
 from bulrushcourse_domain.retries import shared_budget
 
-RATIO, EXTRA, WINDOW_S = 0.2, 60.0, 10.0
+RATIO, EXTRA_RETRIES, WINDOW_S = 0.2, 60.0, 10.0
 
 
 @given(
@@ -13,27 +13,27 @@
     strategies.lists(strategies.integers(0, 40), min_size=10, max_size=60),
 )
 def test_sum_stays_within_the_budget_in_every_window(members, per_half_s):
-    # Pattern: every request fails and asks for second sends, in bursts.
+    # Every request fails and needs retries, in bursts.
     vms = [
-        shared_budget.SharedRetryBudget(RATIO, EXTRA, WINDOW_S)
+        shared_budget.SharedRetryBudget(RATIO, EXTRA_RETRIES, WINDOW_S)
         for _ in range(members)
     ]
-    spent, sent = [], []
+    retries, requests = [], []
     for step, number in enumerate(per_half_s):
         now = step * 0.5
-        sent.append(number * members)
-        count = 0
+        requests.append(number * members)
+        retry_count = 0
         for vm in vms:
             for _ in range(number):
                 vm.record_request()
-                count += vm.try_spend(now, members)
-                count += vm.try_spend(now, members)
-        spent.append(count)
+                retry_count += vm.try_spend(now, members)
+                retry_count += vm.try_spend(now, members)
+        retries.append(retry_count)
     window = int(WINDOW_S / 0.5)
-    for start in range(len(spent)):
-        requests = max(
-            sum(sent[max(0, start - back) : max(0, start - back) + window])
+    for start in range(len(retries)):
+        request_count = max(
+            sum(requests[max(0, start - back) : max(0, start - back) + window])
             for back in (0, window // 2, window)
         )
-        allowed = RATIO * requests + EXTRA
-        assert sum(spent[start : start + window]) <= allowed
+        allowed = RATIO * request_count + EXTRA_RETRIES
+        assert sum(retries[start : start + window]) <= allowed
