Use the field's terms in the quarantine of requests

Cause: "facts", "whole answers", "runs at work" and "condemned" requests were riddles for loss updates, complete responses, active runs and quarantined requests. Fields that are sent keep their names. No comment was dropped.

--- a/packages/domain/bulrushcourse_domain/quarantine/__init__.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/__init__.py
@@ -1,1 +1,1 @@
-"""Requests that end the upstreams that run them."""
+"""Quarantine of requests that crash the upstreams that run them."""
--- a/packages/domain/bulrushcourse_domain/quarantine/crashes.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/crashes.py
@@ -1,4 +1,4 @@
-"""Requests that end each upstream that runs them, over all VMs."""
+"""Losses of upstreams by request content, over all VMs."""
 
 import collections
 
@@ -6,59 +6,60 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# Losses of different upstreams after which a request is refused. Upstreams
-# also crash for other reasons, so one loss proves nothing.
-LIMIT = 2
-REMEMBERED_S = 60.0
-MAX_REMEMBERED = 5000
+# Losses of different upstreams that quarantine a request. Upstreams also crash
+# for other reasons, so one loss proves nothing.
+LOSS_LIMIT = 2
+LOSS_MAX_AGE_S = 60.0
+MAX_FINGERPRINTS = 5000
 
 
 @attrs.define
 class CrashLedger:
-    """Upstreams that were lost while they ran a request, by its content.
+    """Losses of upstreams while they ran a request, by its content.
 
-    A request that ends every upstream never gets a whole answer. One that
-    had an answer is therefore never refused: it was at work when upstreams
-    ended for other reasons.
+    A request that crashes every upstream never gets a complete response. One
+    that did is therefore never quarantined: it only happened to be running
+    when upstreams crashed for other reasons.
 
     Attributes:
         clock: Source of time.
-        lost: Time of each loss by upstream, by fingerprint.
-        proven: Requests that had a whole answer, the latest last.
+        losses: Time of each loss, by fingerprint and incarnation of the
+            upstream.
+        proven: Fingerprints that got a complete response, the latest last.
     """
 
     clock: clocks.Clock
-    lost: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    losses: dict[str, dict[str, float]] = attrs.field(factory=dict)
     proven: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
 
     def record_loss(self, fingerprint: str, upstream: str) -> None:
-        """Count an upstream that broke off, at this VM or another one.
+        """Record the loss of an upstream, seen by this VM or another one.
 
         Args:
             fingerprint: Hash of the request's content.
             upstream: Incarnation of the upstream.
         """
-        losses = self.lost.setdefault(fingerprint, {})
+        losses = self.losses.setdefault(fingerprint, {})
         losses[upstream] = self.clock.monotonic()
-        if len(self.lost) > MAX_REMEMBERED:
-            self.lost.pop(next(iter(self.lost)))
+        if len(self.losses) > MAX_FINGERPRINTS:
+            self.losses.pop(next(iter(self.losses)))
 
     def clear(self, fingerprint: str) -> None:
-        """Note that a request had a whole answer.
+        """Record that a request got a complete response.
 
         Args:
             fingerprint: Hash of the request's content.
         """
-        self.lost.pop(fingerprint, None)
+        self.losses.pop(fingerprint, None)
         self.proven[fingerprint] = None
         self.proven.move_to_end(fingerprint)
-        if len(self.proven) > MAX_REMEMBERED:
+        if len(self.proven) > MAX_FINGERPRINTS:
             self.proven.popitem(last=False)
 
     def is_quarantined(self, fingerprint: str) -> bool:
-        """Return whether a request must not run.
+        """Return whether a request is quarantined and must not run.
 
         Args:
             fingerprint: Hash of the request's content.
@@ -70,9 +71,9 @@
             >>> ledger.is_quarantined('f')
             True
         """
-        losses = self.lost.get(fingerprint)
+        losses = self.losses.get(fingerprint)
         if not losses or fingerprint in self.proven:
             return False
-        oldest = self.clock.monotonic() - REMEMBERED_S
+        oldest = self.clock.monotonic() - LOSS_MAX_AGE_S
         recent = [at for at in losses.values() if at > oldest]
-        return len(recent) >= LIMIT
+        return len(recent) >= LOSS_LIMIT
--- a/packages/domain/bulrushcourse_domain/quarantine/losses.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/losses.py
@@ -1,4 +1,4 @@
-"""Facts about lost instances that entries tell one another."""
+"""Loss updates that the entries send to each other."""
 
 import attrs
 
@@ -11,7 +11,7 @@
         fingerprint: Hash of the request's content.
         loss_id: Identifier of the run, unique over all entries.
         instance: Name of the instance.
-        expires: Wall clock seconds since the epoch until which it counts.
+        expires: End of the loss's validity, in seconds since the epoch.
         repeatable: Whether the request may run more than once.
     """
 
@@ -24,13 +24,15 @@
 
 @attrs.frozen
 class LossClearance:
-    """A whole answer to a suspect; the earlier losses had another cause.
+    """A complete response to a suspected request.
+
+    It shows that the earlier losses had another cause.
 
     Attributes:
         fingerprint: Hash of the request's content.
-        loss_ids: Losses that no longer count.
-        expires: Wall clock seconds since the epoch until which the losses
-            are remembered as cleared.
+        loss_ids: Identifiers of the losses that no longer count.
+        expires: Time until which the losses are kept as cleared, in seconds
+            since the epoch.
     """
 
     fingerprint: str
--- a/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""The aggregate that bounds what one request can destroy."""
+"""Quarantine of crash-inducing requests by entries that share losses."""
 
 import collections
 import enum
@@ -10,14 +10,14 @@
 from bulrushcourse_domain.slots import requests
 
 QUARANTINE_S = 600.0
-LIMIT_REPEATABLE = 2
-LIMIT_UNREPEATABLE = 1
-# Bounds the memory at about 10 MB.
-MAX_PROVEN = 50_000
+REPEATABLE_LOSS_LIMIT = 2
+NON_REPEATABLE_LOSS_LIMIT = 1
+# Limits the memory to about 10 MB.
+MAX_PROVEN_FINGERPRINTS = 50_000
 
 
 class Admission(enum.Enum):
-    """Whether a request may run now."""
+    """Decision whether a request may run now."""
 
     RUN = 'run'
     WAIT = 'wait'
@@ -26,11 +26,11 @@
 
 @attrs.frozen
 class ActiveRun:
-    """A run that has not ended.
+    """A run that is still active.
 
     Attributes:
         repeatable: Whether the request may run more than once.
-        proven: Whether the request was proven harmless when it started.
+        proven: Whether the request was known to be harmless when it started.
     """
 
     repeatable: bool
@@ -39,21 +39,22 @@
 
 @attrs.define
 class Quarantine:
-    """Losses by fingerprint, and which requests may run.
+    """Limits the number of instances that one request can crash.
 
-    A request that ends every instance never gets a whole answer. Until a
-    request has had one, its losses and its runs at work together stay within
-    the limit, so that no order of arrivals loses more instances. A request
-    that had an answer before runs without that bound; the runs at work when
-    it loses its first instance count as one loss, since an outage ends many
-    innocent runs at once.
+    A request that crashes every instance never gets a complete response.
+    Until a request got one, its losses and its active runs together stay
+    within the limit, so that no order of arrivals loses more instances. A
+    request that got a response before is proven harmless and runs without
+    that limit; the runs that are active when it loses its first instance
+    count as one loss, since an outage ends many harmless runs together.
 
     Attributes:
         clock: Source of time.
         lost: Losses by fingerprint and identifier.
         cleared: Expiry of cleared losses by identifier.
-        proven: Expiry of fingerprints that had a whole answer, oldest first.
-        active: Runs at work by fingerprint and identifier.
+        proven: Expiry of fingerprints that got a complete response, oldest
+            first.
+        active: Active runs by fingerprint and identifier.
     """
 
     clock: clocks.Clock
@@ -67,7 +68,7 @@
     def admit(
         self, fingerprint: str, run_id: str, repeatable: bool
     ) -> Admission:
-        """Return whether a request may run; if so, it counts as at work.
+        """Decide whether a request may run; if so, count an active run.
 
         Args:
             fingerprint: Hash of the request's content.
@@ -87,15 +88,15 @@
             counted = len(self.counted(fingerprint))
             if counted >= limit:
                 return Admission.REFUSE
-            at_work = len(self.active.get(fingerprint, ()))
-            if counted + at_work >= limit:
+            running = len(self.active.get(fingerprint, ()))
+            if counted + running >= limit:
                 return Admission.WAIT
         runs = self.active.setdefault(fingerprint, {})
         runs[run_id] = ActiveRun(repeatable, proven)
         return Admission.RUN
 
     def adopt(self, fingerprint: str, run_id: str, repeatable: bool) -> None:
-        """Count a run as at work that a former owner of the pool admitted.
+        """Add an active run that a former owner of the pool admitted.
 
         Args:
             fingerprint: Hash of the request's content.
@@ -112,7 +113,7 @@
         instance: str,
         outcome: requests.ReleaseOutcome,
     ) -> losses.LossUpdate | None:
-        """End a run and return what the other entries have to know.
+        """End a run and return the update to send to the other entries.
 
         Args:
             fingerprint: Hash of the request's content.
@@ -127,22 +128,22 @@
         if run is None:
             return None
         if outcome is requests.ReleaseOutcome.DONE:
-            return self._prove(fingerprint)
+            return self._mark_proven(fingerprint)
         if outcome is not requests.ReleaseOutcome.LOST:
             return None
         if run.proven and self.counted(fingerprint):
             return None
         loss = losses.Loss(
-            fingerprint, run_id, instance, self._expiry(), run.repeatable
+            fingerprint, run_id, instance, self._expiry_s(), run.repeatable
         )
         self.merge(loss)
         return loss
 
     def merge(self, update: losses.LossUpdate) -> None:
-        """Take over a fact; order and repetition make no difference.
+        """Apply an update; order and repetition make no difference.
 
         Args:
-            update: A loss or a clearing, of this entry or a peer.
+            update: A loss or a clearance, from this entry or a peer.
         """
         if isinstance(update, losses.LossClearance):
             for loss_id in update.loss_ids:
@@ -158,7 +159,7 @@
         Args:
             fingerprint: Hash of the request's content.
         """
-        now = self._wall()
+        now = self._wall_time_s()
         return tuple(
             loss
             for loss in self.lost.get(fingerprint, {}).values()
@@ -166,7 +167,7 @@
         )
 
     def is_quarantined(self, fingerprint: str, repeatable: bool) -> bool:
-        """Return whether a request must not run.
+        """Return whether a request is quarantined and must not run.
 
         Args:
             fingerprint: Hash of the request's content.
@@ -176,43 +177,43 @@
         return len(self.counted(fingerprint)) >= limit
 
     def remove_expired(self) -> None:
-        """Drop facts that no longer count; call it now and then."""
-        now = self._wall()
-        for fingerprint, found in list(self.lost.items()):
-            kept = {i: loss for i, loss in found.items() if loss.expires > now}
+        """Discard expired losses and clearances; to be called periodically."""
+        now = self._wall_time_s()
+        for fingerprint, lost in list(self.lost.items()):
+            kept = {i: loss for i, loss in lost.items() if loss.expires > now}
             if kept:
                 self.lost[fingerprint] = kept
             else:
                 del self.lost[fingerprint]
         self.cleared = {i: t for i, t in self.cleared.items() if t > now}
 
-    def _prove(self, fingerprint: str) -> losses.LossClearance | None:
+    def _mark_proven(self, fingerprint: str) -> losses.LossClearance | None:
         counted = self.counted(fingerprint)
-        self.proven[fingerprint] = self._expiry()
+        self.proven[fingerprint] = self._expiry_s()
         self.proven.move_to_end(fingerprint)
-        if len(self.proven) > MAX_PROVEN:
+        if len(self.proven) > MAX_PROVEN_FINGERPRINTS:
             self.proven.popitem(last=False)
         if not counted:
             return None
-        # A loss may expire at a peer whose clock is behind, so the clearing
-        # is remembered for longer than the loss.
-        expires = self._expiry() + QUARANTINE_S
+        # A loss expires later at a peer whose clock is behind, so the
+        # clearance is kept for longer than the loss.
+        expires = self._expiry_s() + QUARANTINE_S
         cleared = frozenset(loss.loss_id for loss in counted)
-        clearing = losses.LossClearance(fingerprint, cleared, expires)
-        self.merge(clearing)
-        return clearing
+        clearance = losses.LossClearance(fingerprint, cleared, expires)
+        self.merge(clearance)
+        return clearance
 
     def _limit(self, fingerprint: str, repeatable: bool) -> int:
-        known = self.counted(fingerprint)
-        if repeatable and all(loss.repeatable for loss in known):
-            return LIMIT_REPEATABLE
-        return LIMIT_UNREPEATABLE
+        counted = self.counted(fingerprint)
+        if repeatable and all(loss.repeatable for loss in counted):
+            return REPEATABLE_LOSS_LIMIT
+        return NON_REPEATABLE_LOSS_LIMIT
 
     def _is_proven(self, fingerprint: str) -> bool:
-        return self.proven.get(fingerprint, 0.0) > self._wall()
+        return self.proven.get(fingerprint, 0.0) > self._wall_time_s()
 
-    def _expiry(self) -> float:
-        return self._wall() + QUARANTINE_S
+    def _expiry_s(self) -> float:
+        return self._wall_time_s() + QUARANTINE_S
 
-    def _wall(self) -> float:
+    def _wall_time_s(self) -> float:
         return self.clock.wall().timestamp()
--- a/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Guards against one request that ends instance after instance."""
+"""Guards against one request that crashes one instance after another."""
 
 import itertools
 
@@ -17,25 +17,28 @@
 SETTINGS = hypothesis.settings(derandomize=True, database=None, deadline=None)
 
 
-def open_quarantine():
+def new_quarantine():
     return quarantines.Quarantine(clocks.ManualClock(1000.0))
 
 
 @SETTINGS
 @hypothesis.given(
     repeatable=strategies.booleans(),
-    arrivals=strategies.lists(strategies.integers(-3, 3), max_size=60),
+    events=strategies.lists(strategies.integers(-3, 3), max_size=60),
 )
-def test_losses_stay_within_limit_in_any_order(repeatable, arrivals):
-    """Arrivals and crashes of one request, interleaved in any order."""
-    quarantine = open_quarantine()
+def test_losses_stay_within_limit_in_any_order(repeatable, events):
+    """Arrivals and crashes of one request, interleaved in any order.
+
+    A non-negative event is an arrival, a negative one a crash.
+    """
+    quarantine = new_quarantine()
     running, lost = [], 0
-    for number, arrival in enumerate(arrivals):
-        if arrival >= 0:
+    for number, event in enumerate(events):
+        if event >= 0:
             if quarantine.admit('f', f'r{number}', repeatable) is RUN:
                 running.append(f'r{number}')
         elif running:
-            run = running.pop(arrival % len(running))
+            run = running.pop(event % len(running))
             quarantine.finish('f', run, 'i', LOST)
             lost += 1
     assert lost + len(running) <= (2 if repeatable else 1)
@@ -44,8 +47,8 @@
 @SETTINGS
 @hypothesis.given(arrivals=strategies.lists(strategies.integers(0, 9)))
 def test_losses_stay_within_limit_through_all_entries(arrivals):
-    """The request comes through ten entries that tell each other."""
-    entries = [open_quarantine() for _ in range(10)]
+    """The request arrives at ten entries that send each other updates."""
+    entries = [new_quarantine() for _ in range(10)]
     lost = 0
     for number, index in enumerate(arrivals):
         admission = entries[index].admit('f', f'r{number}', True)
@@ -69,7 +72,7 @@
 def test_merging_ignores_order_and_repetition():
     expected = None
     for order in itertools.permutations(UPDATES):
-        quarantine = open_quarantine()
+        quarantine = new_quarantine()
         for update in (*order, *order[:2]):
             quarantine.merge(update)
         state = quarantine.lost, quarantine.cleared
@@ -79,7 +82,7 @@
 
 @pytest.mark.parametrize(('repeatable', 'limit'), [(True, 2), (False, 1)])
 def test_quarantine_ends_after_ten_minutes(repeatable, limit):
-    quarantine = open_quarantine()
+    quarantine = new_quarantine()
     for number in range(limit):
         assert quarantine.admit('f', str(number), repeatable) is RUN
         quarantine.finish('f', str(number), 'i', LOST)
@@ -90,17 +93,17 @@
     assert quarantine.admit('f', 'x', repeatable) is RUN
 
 
-def test_suspects_run_one_at_a_time():
-    quarantine = open_quarantine()
+def test_suspected_request_runs_one_at_a_time():
+    quarantine = new_quarantine()
     quarantine.admit('f', 'a', True)
     quarantine.finish('f', 'a', 'i', LOST)
     assert quarantine.admit('f', 'b', True) is RUN
     assert quarantine.admit('f', 'c', True) is quarantines.Admission.WAIT
 
 
-def test_answer_clears_suspect():
-    """An instance that fails for its own reasons condemns no request."""
-    quarantine = open_quarantine()
+def test_response_clears_suspected_request():
+    """A crash for other reasons must not quarantine a harmless request."""
+    quarantine = new_quarantine()
     quarantine.admit('f', 'a', True)
     quarantine.finish('f', 'a', 'i', LOST)
     quarantine.admit('f', 'b', True)
@@ -109,9 +112,9 @@
     assert not quarantine.counted('f')
 
 
-def test_outage_does_not_condemn_popular_request():
-    """Many runs of a proven request are lost at one time."""
-    quarantine = open_quarantine()
+def test_outage_does_not_quarantine_popular_request():
+    """Many runs of a proven request are lost at the same time."""
+    quarantine = new_quarantine()
     quarantine.admit('f', 'a', True)
     quarantine.finish('f', 'a', 'i', DONE)
     for number in range(20):
@@ -122,8 +125,8 @@
     assert quarantine.admit('f', 'b', True) is RUN
 
 
-def test_expired_facts_are_forgotten():
-    quarantine = open_quarantine()
+def test_expired_updates_are_discarded():
+    quarantine = new_quarantine()
     for update in UPDATES:
         quarantine.merge(update)
     quarantine.clock.advance(4000)
