Plain wording for clocks, findings and rendezvous hashing

Cause: a few doc comments needed a second reading. Change: doc comments reworded and one local renamed.

--- a/packages/domain/bulrushcourse_domain/clock.py
+++ b/packages/domain/bulrushcourse_domain/clock.py
@@ -1,7 +1,7 @@
-"""Clocks that are passed into every decision.
+"""Clocks, which are passed to the code that needs the time.
 
-Decisions never read the time themselves, so that a test or another front end
-can drive them with a clock of its own.
+Decisions never read the system time themselves, so that a test or another
+front end can run them with its own clock.
 """
 
 import datetime
@@ -27,8 +27,8 @@
 class SystemClock:
     """Clock of this machine.
 
-    ``CLOCK_BOOTTIME`` also counts the time a VM was suspended, so that a
-    lease cannot outlive a suspension of its holder.
+    ``CLOCK_BOOTTIME`` includes the time that a VM was suspended, so a lease
+    also expires while its holder is suspended.
     """
 
     def monotonic(self) -> float:
@@ -42,7 +42,7 @@
 
 @attrs.define
 class ManualClock:
-    """Clock that moves only when it is told to.
+    """Clock for tests that moves only when it is advanced.
 
     Attributes:
         now: Seconds since the clock's origin.
@@ -68,6 +68,6 @@
         """Move the clock forward.
 
         Args:
-            seconds: Amount to add, not negative.
+            seconds: Seconds to add, not negative.
         """
         self.now += seconds
--- a/packages/domain/bulrushcourse_domain/findings.py
+++ b/packages/domain/bulrushcourse_domain/findings.py
@@ -1,4 +1,4 @@
-"""Findings of a check, each with the place where it was found."""
+"""Findings of a check, each with its place in the checked document."""
 
 import typing
 
@@ -10,10 +10,10 @@
     """One defect of a checked document.
 
     Attributes:
-        place: Where the defect is, such as ``pools[catalog].slots``.
+        place: Path of the defect, such as ``pools[catalog].slots``.
         code: Stable identifier of the kind of defect.
-        message: What is wrong.
-        remedy: What would be right.
+        message: Description of the defect.
+        remedy: What a correct value would be, empty if not known.
 
     Examples:
         >>> print(Finding('pools[a].slots', 'range', 'is 0', 'at least 1'))
@@ -31,7 +31,7 @@
 
 
 def sort_findings(findings: typing.Iterable[Finding]) -> tuple[Finding, ...]:
-    """Return findings ordered by place, without repetitions.
+    """Return findings sorted by place, without duplicates.
 
     Args:
         findings: Findings in any order.
--- a/packages/domain/bulrushcourse_domain/rendezvous.py
+++ b/packages/domain/bulrushcourse_domain/rendezvous.py
@@ -1,7 +1,7 @@
-"""Rendezvous hashing: who of several is preferred for a key.
+"""Rendezvous hashing: the order in which names are preferred for a key.
 
-All VMs that know the same names compute the same order, and a name that comes
-or goes changes only the keys that prefer it.
+All VMs that have the same names compute the same order, and adding or removing
+a name affects only the keys that prefer it.
 """
 
 import heapq
@@ -16,11 +16,11 @@
 
 
 def rank(key: str, names: typing.Iterable[str]) -> tuple[str, ...]:
-    """Return names in their order of preference for a key.
+    """Return all names in their order of preference for a key.
 
     Args:
-        key: What is to be placed, such as a pool.
-        names: Names to choose from, such as entries.
+        key: Key to be assigned, such as the name of a pool.
+        names: Names to choose from, such as those of entries.
 
     Examples:
         >>> full = rank('ro-nord/catalog', ['a', 'b', 'c'])
@@ -28,19 +28,19 @@
         >>> rest == full[1:]
         True
     """
-    found = set(names)
-    return first(key, found, len(found))
+    distinct = set(names)
+    return first(key, distinct, len(distinct))
 
 
 def first(
     key: str, names: typing.Iterable[str], count: int
 ) -> tuple[str, ...]:
-    """Return the names that are preferred most for a key.
+    """Return the most preferred names for a key, best first.
 
     Args:
-        key: What is to be placed.
-        names: Different names to choose from.
-        count: How many to return at most.
+        key: Key to be assigned.
+        names: Distinct names to choose from.
+        count: Largest number of names to return.
 
     Examples:
         >>> first('17', 'abc', 2) == rank('17', 'abc')[:2]
@@ -52,12 +52,12 @@
 
 
 def choose_weighted(key: str, weights: typing.Mapping[str, float]) -> str:
-    """Return the preferred name; each gets its share of all keys.
+    """Return the preferred name for a key, with keys divided by weight.
 
     A small change of the weights moves few keys.
 
     Args:
-        key: What is to be placed.
+        key: Key to be assigned.
         weights: Weight of each name; at least one is positive.
 
     Examples:
