--- a/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_displacement.py
@@ -20,7 +20,7 @@
 KEPT_OBJECTS = 20
 OBJECTS = 90
 COLD_S, WARM_S = 0.4, 0.12
-SECONDS = 12.0
+DURATION_S = 12.0
 # Cold work would need 1.3 times all slots, warm work 0.4 times.
 REQUESTS_PER_S = 1.3 * UPSTREAMS * SLOTS / COLD_S
 
@@ -39,7 +39,7 @@
         tuple[float, int, str, float, service_times.Affinity]
     ] = []
     outcomes, started, number = [], clock.now, 0
-    while clock.now < started + SECONDS:
+    while clock.now < started + DURATION_S:
         clock.advance(rng.expovariate(REQUESTS_PER_S))
         while completions and completions[0][0] <= clock.now:
             _, _, name, work, affinity = heapq.heappop(completions)
@@ -67,11 +67,13 @@
         number += 1
         heapq.heappush(completions, (end, number, name, work, choice.affinity))
         outcomes.append((clock.now, warm))
-    second_half = [warm for at, warm in outcomes if at > started + SECONDS / 2]
+    second_half = [
+        warm for at, warm in outcomes if at > started + DURATION_S / 2
+    ]
     return sum(second_half) / len(second_half)
 
 
-def test_requests_become_warm_when_the_load_fits_only_then(monkeypatch):
+def test_load_that_fits_only_warm_upstreams_becomes_warm(monkeypatch):
     with_cost = [simulate(seed) for seed in range(4)]
     monkeypatch.setattr(service_times, 'DISPLACEMENT_WEIGHT', 0.0)
     without = [simulate(seed) for seed in range(4)]
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
@@ -55,8 +55,8 @@
 
 
 def test_vms_agree_on_the_preferred_upstream_of_an_object():
-    # Each VM gets only a part of the requests for an object, so the VMs must
-    # send them to the same upstream without having seen the others' requests.
+    # Each VM gets only a tenth of the requests for an object, so the VMs must
+    # choose the same upstream without knowing the others' requests.
     registered = [make_upstream(number) for number in range(8)]
     selectors = [make_placement(*registered) for _ in range(4)]
     for object_key in map(str, range(50)):
@@ -121,7 +121,7 @@
 
 
 def test_partly_failing_upstream_is_avoided_until_it_recovers():
-    # A gray failure: the upstream looks healthy but fails half of its
+    # A gray failure: the upstream looks healthy but sheds half of its
     # requests.
     selector = make_placement(make_upstream(0), make_upstream(1))
     for _ in range(4):
--- a/packages/domain/bulrushcourse_domain/retries/tests/test_shared_budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/tests/test_shared_budget.py
@@ -14,7 +14,7 @@
 )
 def test_sum_stays_within_the_budget_in_every_window(members, per_half_s):
     # Every request fails and needs retries, in bursts.
-    vms = [
+    budgets = [
         shared_budget.SharedRetryBudget(RATIO, EXTRA_RETRIES, WINDOW_S)
         for _ in range(members)
     ]
@@ -23,11 +23,11 @@
         now = step * 0.5
         requests.append(number * members)
         retry_count = 0
-        for vm in vms:
+        for budget in budgets:
             for _ in range(number):
-                vm.record_request()
-                retry_count += vm.try_spend(now, members)
-                retry_count += vm.try_spend(now, members)
+                budget.record_request()
+                retry_count += budget.try_spend(now, members)
+                retry_count += budget.try_spend(now, members)
         retries.append(retry_count)
     window = int(WINDOW_S / 0.5)
     for start in range(len(retries)):
