State what bounds the Retry-After delay and name the queue

Cause: the smallest value bounds the longest delay, not each delay, and the tuple of estimates named a number of requests by another word than its use. Change: one comment, one field description, one local.

--- a/packages/domain/bulrushcourse_domain/placement/admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/admission.py
@@ -14,6 +14,7 @@
 # Clients wait for a Retry-After delay of at most a third of their remaining
 # time.
 MAX_RETRY_AFTER_SHARE = 0.3
+# The longest delay is at least this.
 MIN_RETRY_AFTER_S = 0.05
 # Longest expected wait, queue and time already elapsed together, as a multiple
 # of the route's latency objective.
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -131,13 +131,13 @@
 
         best = min(candidates, key=score)
         affinity = affinities[best.name]
-        work, wait, queue_length = self._estimate(best, affinity, times)
+        work, wait, queued = self._estimate(best, affinity, times)
         return Choice(
             best,
             self.round_trip_s(best) + wait + work,
             work,
             affinity,
-            queue_length,
+            queued,
             self.directory.is_cold(best.name),
         )
 
@@ -198,11 +198,11 @@
         if self.directory.is_cold(upstream.name):
             work *= COLD_FACTOR
         in_flight = self.load.in_flight(upstream.name)
-        queue_length = max(0, in_flight + 1 - upstream.slots)
+        queued = max(0, in_flight + 1 - upstream.slots)
         return (
             work,
-            queue_length * times.typical_s / upstream.slots,
-            queue_length,
+            queued * times.typical_s / upstream.slots,
+            queued,
         )
 
     def _cost(
--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -46,7 +46,7 @@
         peer_loads: Requests of other VMs in flight, by VM and upstream.
         reported_at: Time of the last report, by VM.
         slowness: Latest slowness and its time, by upstream.
-        fresh: Latest slowness that this VM received from an upstream itself,
+        fresh: Latest slowness that an upstream reported to this VM,
             and its time, by upstream.
         peer_totals: Sum of the reports of other VMs, by upstream.
     """
