--- a/packages/entry/bulrushcourse_entry/edge/__init__.py
+++ b/packages/entry/bulrushcourse_entry/edge/__init__.py
@@ -1,1 +1,1 @@
-"""The program that serves callers on the users' platform."""
+"""The process that serves callers on the users' platform."""
--- a/packages/entry/bulrushcourse_entry/edge/bodies.py
+++ b/packages/entry/bulrushcourse_entry/edge/bodies.py
@@ -1,55 +1,58 @@
-"""Reads whole request bodies within the memory that they may take."""
+"""Buffering of request bodies within a memory limit."""
 
 import attrs
 from aiohttp import web
 
-# Bytes of bodies that a process keeps at one time. The process alone takes
-# 33 MB, a body up to three times its size while it is read and sent on, and
-# the users' smallest VMs have 128 MB for control.
-MOST_BYTES = 24 << 20
+# Limit on the buffered bodies of one process. The process itself takes 33 MB,
+# a body up to three times its size while it is received and forwarded, and
+# the users' smallest VMs have 128 MB for the control plane.
+MAX_BUFFERED_BYTES = 24 << 20
 TOO_LARGE = 'body-too-large'
 NO_MEMORY = 'no-memory'
 
 
 @attrs.define
-class BodyMemory:
-    """Memory that the bodies of open requests take.
+class BodyMemoryBudget:
+    """Memory limit shared by the bodies of all open requests.
 
     Attributes:
-        most: Bytes that they may take.
-        held: Bytes that they take now.
+        limit_bytes: Largest total size.
+        used_bytes: Total size now.
     """
 
-    most: int = MOST_BYTES
-    held: int = 0
+    limit_bytes: int = MAX_BUFFERED_BYTES
+    used_bytes: int = 0
 
-    def take(self, size: int, own: int = 0) -> bool:
-        """Return whether a body may take more bytes, and count them.
+    def try_reserve(self, size: int, reserved: int = 0) -> bool:
+        """Reserve bytes for a body and return whether the budget allowed it.
 
-        A body that is alone may take any number, so that an agreed limit
-        on bodies holds whatever its size.
+        A body that is the only one may exceed the budget, so that every body
+        within the configured size limit can be served.
 
         Args:
-            size: The bytes.
-            own: Bytes that the same body has taken already.
+            size: Bytes to reserve.
+            reserved: Bytes that are already reserved for the same body.
 
         Examples:
-            >>> memory = BodyMemory(most=10)
-            >>> memory.take(8), memory.take(8)
+            >>> budget = BodyMemoryBudget(limit_bytes=10)
+            >>> budget.try_reserve(8), budget.try_reserve(8)
             (True, False)
         """
-        if self.held > own and self.held + size > self.most:
+        if (
+            self.used_bytes > reserved
+            and self.used_bytes + size > self.limit_bytes
+        ):
             return False
-        self.held += size
+        self.used_bytes += size
         return True
 
-    def give_back(self, size: int) -> None:
-        """Free bytes that were taken.
+    def release(self, size: int) -> None:
+        """Return reserved bytes to the budget.
 
         Args:
-            size: The bytes.
+            size: Number of bytes.
         """
-        self.held -= size
+        self.used_bytes -= size
 
 
 @attrs.define(eq=False)
@@ -57,51 +60,54 @@
     """The body of one request.
 
     Attributes:
-        memory: Memory of all bodies.
-        content: What was read so far.
-        taken: Bytes taken from the memory.
+        budget: Memory budget of all bodies.
+        content: The whole body, empty until it has been read.
+        reserved_bytes: Bytes reserved in the budget.
     """
 
-    memory: BodyMemory
+    budget: BodyMemoryBudget
     content: bytes = b''
-    taken: int = 0
+    reserved_bytes: int = 0
 
     async def read(self, request: web.BaseRequest, limit: int) -> str:
-        """Read the body and return why it cannot be taken, empty if it can.
+        """Read the body.
 
         Args:
             request: The request.
-            limit: Largest size that is allowed.
+            limit: Largest body that is allowed, in bytes.
+
+        Returns:
+            The reason for which the body is not accepted, empty if it is.
         """
         if not request.body_exists:
             return ''
         announced = request.content_length or 0
         if announced > limit:
             return TOO_LARGE
-        if not self._grow(announced):
+        if not self._reserve(announced):
             return NO_MEMORY
-        pieces = []
+        chunks = []
         size = 0
-        async for piece in request.content.iter_any():
-            pieces.append(piece)
-            size += len(piece)
+        async for chunk in request.content.iter_any():
+            chunks.append(chunk)
+            size += len(chunk)
             if size > limit:
                 return TOO_LARGE
-            if not self._grow(size - self.taken):
+            if not self._reserve(size - self.reserved_bytes):
                 return NO_MEMORY
-        self.content = b''.join(pieces)
+        self.content = b''.join(chunks)
         return ''
 
-    def _grow(self, size: int) -> bool:
+    def _reserve(self, size: int) -> bool:
         if size <= 0:
             return True
-        if not self.memory.take(size, self.taken):
+        if not self.budget.try_reserve(size, self.reserved_bytes):
             return False
-        self.taken += size
+        self.reserved_bytes += size
         return True
 
     def release(self) -> None:
-        """Free the memory of the body."""
-        self.memory.give_back(self.taken)
-        self.taken = 0
+        """Discard the body and return its memory to the budget."""
+        self.budget.release(self.reserved_bytes)
+        self.reserved_bytes = 0
         self.content = b''
--- a/packages/entry/bulrushcourse_entry/edge/call.py
+++ b/packages/entry/bulrushcourse_entry/edge/caller_request.py
@@ -1,4 +1,4 @@
-"""One request of a caller while it is served."""
+"""A caller's request while it is being served."""
 
 import functools
 import hashlib
@@ -10,25 +10,25 @@
 
 
 @attrs.define(eq=False)
-class Call:
-    """A request of a caller.
+class CallerRequest:
+    """A caller's request with its destination and the attempts so far.
 
     Attributes:
-        request_id: Identifier of this attempt.
+        request_id: Identifier of this attempt of the caller.
         method: HTTP method.
-        target: Path and query as they were sent.
-        headers: Headers as they were sent.
+        target: Path and query as received.
+        headers: Headers as received.
         body: The whole body.
-        route: Its route.
-        configuration_version: Version that the route is of.
-        service: Service that shall run it.
-        region: Region that shall run it.
-        object_key: Object that it concerns, empty if it names none.
-        arrived: When it arrived.
-        deadline: When an answer is of no more use.
-        tried: Upstreams that it was sent to.
+        route: Route that matched.
+        configuration_version: Version of the configuration with that route.
+        service: Service that serves the request.
+        region: Region that serves the request.
+        object_key: Affinity object, empty if the request names none.
+        arrived: Time of arrival, monotonic seconds.
+        deadline: Time after which a response is useless, monotonic seconds.
+        tried: Upstreams that the request was sent to.
         may_have_run: Whether one of them may have run it.
-        steps: What was done, for the log.
+        steps: Descriptions of the attempts, for the log.
     """
 
     request_id: str
@@ -49,7 +49,7 @@
 
     @functools.cached_property
     def fingerprint(self) -> str:
-        """Hash of what the request asks for, without its identifier."""
+        """Hash of method, target and body, the same for every attempt."""
         digest = hashlib.blake2b(self.body, digest_size=8)
         digest.update(f'\x00{self.method}\x00{self.target}'.encode())
         return digest.hexdigest()
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/connection_tracing.py
@@ -0,0 +1,62 @@
+"""Tracing of the connections that requests to upstreams use."""
+
+import typing
+
+import aiohttp
+import attrs
+
+from bulrushcourse_domain.upstreams import upstream as upstreams
+from bulrushcourse_entry.edge import process_state
+
+
+@attrs.define(eq=False)
+class AttemptTrace:
+    """The connection that carries one attempt of a request.
+
+    Attributes:
+        upstream: Upstream that the request is sent to.
+        reused: Whether the connection had been used before.
+        connect_started_at: When a new connection was begun, monotonic
+            seconds.
+    """
+
+    upstream: upstreams.Upstream
+    reused: bool = False
+    connect_started_at: float = 0.0
+
+
+def trace_connections(
+    state: process_state.ProcessState,
+) -> aiohttp.TraceConfig:
+    """Return a trace that records connection times in the process state.
+
+    It also records in each ``AttemptTrace`` whether the connection is reused.
+
+    Args:
+        state: The process state.
+    """
+
+    async def on_connect_start(
+        _: typing.Any, context: typing.Any, __: object
+    ) -> None:
+        _attempt(context).connect_started_at = state.clock.monotonic()
+
+    async def on_connect_end(
+        _: typing.Any, context: typing.Any, __: object
+    ) -> None:
+        attempt = _attempt(context)
+        elapsed_s = state.clock.monotonic() - attempt.connect_started_at
+        state.round_trips.record_connect(attempt.upstream, elapsed_s)
+
+    async def on_reuse(_: typing.Any, context: typing.Any, __: object) -> None:
+        _attempt(context).reused = True
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(on_connect_start)
+    trace.on_connection_create_end.append(on_connect_end)
+    trace.on_connection_reuseconn.append(on_reuse)
+    return trace
+
+
+def _attempt(context: typing.Any) -> AttemptTrace:
+    return context.trace_request_ctx
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/destinations.py
@@ -0,0 +1,124 @@
+"""Choice of the service and the region that serve a request."""
+
+import typing
+
+import attrs
+
+from bulrushcourse_domain.placement import allocation
+from bulrushcourse_domain.routes import route as routes
+from bulrushcourse_domain.routes import weighted_round_robin
+from bulrushcourse_entry.edge import process_state
+
+# Share of its slots with which a cold upstream counts, since it is sent only
+# a few requests.
+COLD_CAPACITY_RATIO = 0.25
+# Regions' shares move by at most 3% a second, so that their target need not be
+# computed anew for each request.
+MAX_TARGET_AGE_S = 0.1
+
+
+@attrs.frozen
+class RegionTarget:
+    """Target distribution over regions for one route and service.
+
+    Attributes:
+        computed_at: Time of the computation, monotonic seconds.
+        shares: Target share of each region.
+        capacity: Usable slots of each region.
+    """
+
+    computed_at: float
+    shares: typing.Mapping[str, float]
+    capacity: typing.Mapping[str, float]
+
+
+@attrs.define(eq=False)
+class DestinationSelector:
+    """Distributes the requests of a route over services and regions.
+
+    Attributes:
+        state: The process state.
+        targets: Cached targets by route and service.
+        configuration_version: Version of the configuration behind them.
+    """
+
+    state: process_state.ProcessState
+    targets: dict[tuple[str, str], RegionTarget] = attrs.field(factory=dict)
+    configuration_version: int = 0
+
+    def choose_service(self, route: routes.Route) -> str:
+        """Return the service for a route's next request.
+
+        Args:
+            route: The route.
+        """
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
+        rotation = self.state.service_rotations.setdefault(
+            route.key, weighted_round_robin.WeightedRoundRobin()
+        )
+        return rotation.next_choice(
+            {
+                weighted.service: weighted.weight
+                for weighted in route.weighted_services
+            }
+        )
+
+    def choose_region(
+        self, route: routes.Route, service: str, object_key: str = ''
+    ) -> str:
+        """Return the region for a route's next request.
+
+        Args:
+            route: The route.
+            service: Service of the request.
+            object_key: Affinity object of the request, empty for none.
+
+        Returns:
+            Name of the region, empty if none can serve the request.
+        """
+        state = self.state
+        key = route.key, service
+        now = state.clock.monotonic()
+        if self.configuration_version != state.routes.version:
+            self.configuration_version = state.routes.version
+            self.targets.clear()
+        target = self.targets.get(key)
+        if target is None or now - target.computed_at > MAX_TARGET_AGE_S:
+            target = self._compute_target(route, service, now)
+            self.targets[key] = target
+        if not target.shares:
+            return ''
+        return state.region_mix_of(route.key, service).choose_region(
+            target.shares, target.capacity, object_key
+        )
+
+    def _compute_target(
+        self, route: routes.Route, service: str, now: float
+    ) -> RegionTarget:
+        state = self.state
+        capacity = self._capacity(route, service)
+        demand = state.demand.by_region(service)
+        if now < state.demand.settled_at:
+            demand = allocation.usual_demand(
+                capacity, set(state.settings.regions.values())
+            )
+        shares = allocation.allocate(demand, capacity)
+        return RegionTarget(
+            now, shares.get(state.settings.region, {}), capacity
+        )
+
+    def _capacity(self, route: routes.Route, service: str) -> dict[str, float]:
+        state = self.state
+        capacity: dict[str, float] = {}
+        for upstream in state.upstreams.usable(service):
+            if not route.may_run_in(upstream.region) or (
+                state.outliers.is_ejected(upstream.name)
+            ):
+                continue
+            slots = float(upstream.slots)
+            if state.upstreams.is_cold(upstream.name):
+                slots *= COLD_CAPACITY_RATIO
+            region = upstream.region
+            capacity[region] = capacity.get(region, 0.0) + slots
+        return capacity
--- a/packages/entry/bulrushcourse_entry/edge/event_log.py
+++ b/packages/entry/bulrushcourse_entry/edge/event_log.py
@@ -1,4 +1,4 @@
-"""Structured log lines on standard output, bounded and never blocking."""
+"""Structured log lines on standard output, rate-limited and non-blocking."""
 
 import collections
 import json
@@ -14,61 +14,61 @@
 from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_entry import events
 
-# Lines that wait to be written; more are dropped and counted.
-MAX_WAITING = 2000
+# Further lines are dropped and counted.
+MAX_QUEUED_LINES = 2000
 FLUSH_INTERVAL_S = 0.2
 
 
 @attrs.define
 class LineBudget:
-    """Token bucket for lines of one importance.
+    """Token bucket for one kind of log line.
 
     Attributes:
-        per_s: Lines a second.
-        burst: Lines that may come at once.
-        left: Lines that may be written now.
-        at: Time of the last refill.
+        per_s: Tokens added per second.
+        burst: Capacity of the bucket.
+        tokens: Tokens now; a line costs one.
+        refilled_at: Time of the last refill, monotonic seconds.
     """
 
     per_s: float
     burst: float
-    left: float = 1.0
-    at: float = 0.0
+    tokens: float = 1.0
+    refilled_at: float = 0.0
 
-    def take(self, now: float) -> bool:
-        """Return whether a line may be written; if so, it is counted.
+    def try_acquire(self, now: float) -> bool:
+        """Spend a token if there is one, and return whether there was.
 
         Args:
-            now: Time in seconds.
+            now: Monotonic time in seconds.
         """
-        gained = max(0.0, now - self.at) * self.per_s
-        self.left = min(self.burst, self.left + gained)
-        self.at = now
-        if self.left < 1.0:
+        refill = max(0.0, now - self.refilled_at) * self.per_s
+        self.tokens = min(self.burst, self.tokens + refill)
+        self.refilled_at = now
+        if self.tokens < 1.0:
             return False
-        self.left -= 1.0
+        self.tokens -= 1.0
         return True
 
 
 class LineWriter(logbook.Handler):
-    """Log handler that writes from a thread of its own.
+    """Log handler that writes from its own thread.
 
-    A reader of standard output that stalls must not hold up requests, so
-    lines wait in a bounded queue and are dropped when it is full.
+    Lines go through a bounded queue and are dropped when it is full, so that
+    requests are not blocked when nothing reads standard output.
     """
 
     def __init__(self, stream: typing.TextIO = sys.stdout) -> None:
         super().__init__(level=logbook.INFO, bubble=False)
         self.stream = stream
-        self.waiting: collections.deque[str] = collections.deque()
+        self.queue: collections.deque[str] = collections.deque()
         self.dropped = 0
-        self.wake = threading.Condition()
+        self.condition = threading.Condition()
         self.closing = False
-        self.thread = threading.Thread(target=self._write, daemon=True)
+        self.thread = threading.Thread(target=self._write_lines, daemon=True)
         self.thread.start()
 
     def emit(self, record: logbook.LogRecord) -> None:
-        """Queue the line of a record.
+        """Queue a record as a JSON line.
 
         Args:
             record: The record.
@@ -78,35 +78,35 @@
             'level': record.level_name.lower(),
             **record.kwargs,
         }
-        with self.wake:
-            if len(self.waiting) >= MAX_WAITING:
+        with self.condition:
+            if len(self.queue) >= MAX_QUEUED_LINES:
                 self.dropped += 1
                 return
             if self.dropped:
                 fields['dropped'], self.dropped = self.dropped, 0
-            self.waiting.append(json.dumps(fields, default=str))
-            if len(self.waiting) == 1:
-                self.wake.notify()
+            self.queue.append(json.dumps(fields, default=str))
+            if len(self.queue) == 1:
+                self.condition.notify()
 
     def close(self) -> None:
-        """Write what waits and end the thread."""
-        with self.wake:
+        """Write the queued lines and stop the thread."""
+        with self.condition:
             self.closing = True
-            self.wake.notify()
+            self.condition.notify()
         self.thread.join(timeout=1.0)
 
-    def _write(self) -> None:
+    def _write_lines(self) -> None:
         while True:
-            with self.wake:
-                while not self.waiting and not self.closing:
-                    self.wake.wait()
+            with self.condition:
+                while not self.queue and not self.closing:
+                    self.condition.wait()
                 closing = self.closing
             if not closing:
-                # Lines are gathered so that each write carries many.
+                # Collects lines so that one write carries many of them.
                 time.sleep(FLUSH_INTERVAL_S)
-            with self.wake:
-                lines = list(self.waiting)
-                self.waiting.clear()
+            with self.condition:
+                lines = list(self.queue)
+                self.queue.clear()
             if lines:
                 self.stream.write('\n'.join(lines) + '\n')
                 self.stream.flush()
@@ -114,23 +114,23 @@
                 return
 
 
-# Lines a second of one process by importance. Failures and refusals explain
-# complaints and come first; successes are a sample.
+# Limits for one process. Failures and refusals get more lines than successes,
+# since they are what users ask about; successes are only sampled.
 FAILURE_LINES_PER_S = 20.0
 SUCCESS_LINES_PER_S = 1.0
-BELIEF_LINES_PER_S = 20.0
+CHANGE_LINES_PER_S = 20.0
 
 
 @attrs.define
 class EventLog:
-    """Writes decisions and changes of belief within a budget.
+    """Writes request outcomes and state changes at a limited rate.
 
     Attributes:
         clock: Source of time.
-        failures: Budget of requests that were not served.
-        successes: Budget of requests that were.
-        beliefs: Budget of everything else.
-        left_out: Lines that were not written since the last one.
+        failures: Budget for requests that were not served.
+        successes: Budget for requests that were served.
+        changes: Budget for all other events.
+        suppressed: Lines omitted since the last written one.
     """
 
     clock: clocks.Clock
@@ -140,17 +140,18 @@
     successes: LineBudget = attrs.field(
         factory=lambda: LineBudget(SUCCESS_LINES_PER_S, 5.0)
     )
-    beliefs: LineBudget = attrs.field(
-        factory=lambda: LineBudget(BELIEF_LINES_PER_S, 100.0)
+    changes: LineBudget = attrs.field(
+        factory=lambda: LineBudget(CHANGE_LINES_PER_S, 100.0)
     )
-    left_out: int = 0
+    suppressed: int = 0
 
     def log_decision(self, served: bool, **fields: typing.Any) -> None:
-        """Write how a request ended and what decided it.
+        """Write the outcome of a request and the inputs of its decisions.
 
         Args:
-            served: Whether an upstream's answer was delivered.
-            **fields: Details.
+            served: Whether an upstream's response was delivered without a
+                server error.
+            **fields: Details, written as JSON fields.
         """
         if served:
             self._write(self.successes, events.Event.REQUEST_SERVED, fields)
@@ -158,22 +159,22 @@
             self._write(self.failures, events.Event.REQUEST_FAILED, fields)
 
     def log_change(self, event: events.Event, **fields: typing.Any) -> None:
-        """Write a change of what the process believes.
+        """Write a change of the process state.
 
         Args:
-            event: What happened.
-            **fields: Details.
+            event: The event.
+            **fields: Details, written as JSON fields.
         """
-        self._write(self.beliefs, event, fields)
+        self._write(self.changes, event, fields)
 
     def log_upstream_change(
         self, change: directories.Change, version: int
     ) -> None:
-        """Write a change of an upstream's entry.
+        """Write a change of an upstream's row.
 
         Args:
             change: The change.
-            version: Version of the store that showed it.
+            version: Store version in which it was found.
         """
         self.log_change(
             events.Event.UPSTREAM_CHANGED,
@@ -188,9 +189,9 @@
         event: events.Event,
         fields: dict[str, typing.Any],
     ) -> None:
-        if not budget.take(self.clock.monotonic()):
-            self.left_out += 1
+        if not budget.try_acquire(self.clock.monotonic()):
+            self.suppressed += 1
             return
-        if self.left_out:
-            fields['left_out'], self.left_out = self.left_out, 0
+        if self.suppressed:
+            fields['left_out'], self.suppressed = self.suppressed, 0
         events.write_fields(event, fields)
--- a/packages/entry/bulrushcourse_entry/edge/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/handlers.py
@@ -1,4 +1,4 @@
-"""Answers to callers: requests, look-ups and readiness."""
+"""HTTP handlers for callers: requests, look-ups and readiness."""
 
 import traceback
 
@@ -9,53 +9,58 @@
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import bodies
-from bulrushcourse_entry.edge import call as calls
-from bulrushcourse_entry.edge import endings
+from bulrushcourse_entry.edge import caller_request
+from bulrushcourse_entry.edge import destinations
 from bulrushcourse_entry.edge import event_log as event_logs
-from bulrushcourse_entry.edge import exchange as exchanges
-from bulrushcourse_entry.edge import knowledge as knowledges
-from bulrushcourse_entry.edge import meters
-from bulrushcourse_entry.edge import sending
-from bulrushcourse_entry.edge import steering
+from bulrushcourse_entry.edge import metrics
+from bulrushcourse_entry.edge import outcomes
+from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge import request_executor
+from bulrushcourse_entry.edge import upstream_client
 from bulrushcourse_entry.platform import headers as platform_headers
 from bulrushcourse_entry.platform import lookups
 
-# Callers ask again this often; well below the longest time that counts, so
-# that a VM that leaves is soon forgotten.
+# Time for which callers may cache a look-up. It is well below the agreed
+# maximum, so that callers soon stop using a VM that leaves.
 LOOKUP_MAX_AGE_S = 2.0
-REFUSED = 503
-# Reasons of refusals that come before there is a call to log.
-UNCALLED = frozenset({'stopping', 'no-configuration', bodies.NO_MEMORY})
+REFUSED_STATUS = 503
+# Reasons for which requests are refused before they are parsed. The refusal
+# logs them, since no outcome of a parsed request will be logged.
+EARLY_REFUSAL_REASONS = frozenset(
+    {'stopping', 'no-configuration', bodies.NO_MEMORY}
+)
 
 
 @attrs.define(eq=False)
 class Handlers:
-    """Turns callers' requests into calls and endings into answers.
+    """Parses callers' requests, executes them and encodes the responses.
 
     Attributes:
-        known: What this process believes.
-        steering: Chooses their services and regions.
-        exchange: Serves the calls.
+        state: The process state.
+        destinations: Chooses services and regions.
+        executor: Executes parsed requests.
         event_log: Log.
-        meters: Counters and histograms.
-        closing: Whether connections end with the next answer.
+        metrics: Counters and histograms.
+        closing: Whether each connection is closed after its next response.
         refusing: Whether new requests are refused.
-        open: Requests that are being served.
-        memory: Memory that their bodies may take.
+        open: Number of requests being served.
+        body_budget: Memory budget for their bodies.
     """
 
-    known: knowledges.Knowledge
-    steering: steering.Steering
-    exchange: exchanges.Exchange
+    state: process_state.ProcessState
+    destinations: destinations.DestinationSelector
+    executor: request_executor.RequestExecutor
     event_log: event_logs.EventLog
-    meters: meters.Meters
+    metrics: metrics.Metrics
     closing: bool = False
     refusing: bool = False
     open: int = 0
-    memory: bodies.BodyMemory = attrs.field(factory=bodies.BodyMemory)
+    body_budget: bodies.BodyMemoryBudget = attrs.field(
+        factory=bodies.BodyMemoryBudget
+    )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a request of a caller.
+        """Serve a caller's request.
 
         Args:
             request: The request.
@@ -64,7 +69,7 @@
         try:
             response = await self._serve(request)
         except Exception as error:
-            # The request may have run, so that the answer promises nothing.
+            # The request may have run, so that a refusal would be wrong.
             self.event_log.log_change(
                 events.Event.REQUEST_ERROR,
                 id=request.headers.get(platform_headers.REQUEST_ID, ''),
@@ -79,109 +84,114 @@
         return response
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived = self.known.clock.monotonic()
+        arrived = self.state.clock.monotonic()
         caller = platform_headers.decode_caller(request.headers)
         if not caller.request_id:
             return self._reject(400, 'no-request-id', caller)
-        if self.refusing or not self.known.routes.version:
+        if self.refusing or not self.state.routes.version:
             reason = 'stopping' if self.refusing else 'no-configuration'
-            return self._refused(
-                caller.request_id, endings.Refusal(reason, 0.1)
+            return self._refuse(
+                caller.request_id, outcomes.Refusal(reason, 0.1)
             )
         host = request.headers.get('Host', '').partition(':')[0].lower()
         target = request.raw_path
-        route = self.known.routes.match(host, target.partition('?')[0])
+        route = self.state.routes.match(host, target.partition('?')[0])
         if route is None:
             return self._reject(404, 'no-route', caller)
-        body = bodies.Body(self.memory)
+        body = bodies.Body(self.body_budget)
         try:
-            limit = self.known.routes.active.limits.body_bytes
+            limit = self.state.routes.active.limits.body_bytes
             reason = await body.read(request, limit)
             if reason == bodies.TOO_LARGE:
                 return self._reject(413, reason, caller)
             if reason:
-                return self._refused(
+                return self._refuse(
                     caller.request_id,
-                    endings.Refusal(reason, self._return_s(caller, route)),
+                    outcomes.Refusal(
+                        reason, self._retry_after_s(caller, route)
+                    ),
                 )
-            call = self._call(request, caller, route, arrived, body.content)
-            ending = await self.exchange.serve(call)
+            parsed = self._parse(request, caller, route, arrived, body.content)
+            outcome = await self.executor.execute(parsed)
         finally:
             body.release()
-        self._record(call, ending)
-        return self._respond(call.request_id, ending)
+        self._record(parsed, outcome)
+        return self._respond(parsed.request_id, outcome)
 
-    def _return_s(
+    def _retry_after_s(
         self, caller: platform_headers.CallerHeaders, route: routes.Route
     ) -> float:
-        remaining = caller.remaining_s
-        return self.known.retry_times.sample(
-            route.timeout_s if remaining is None else remaining
+        remaining_s = caller.remaining_s
+        return self.state.retry_after.sample(
+            route.timeout_s if remaining_s is None else remaining_s
         )
 
-    def _call(
+    def _parse(
         self,
         request: web.BaseRequest,
         caller: platform_headers.CallerHeaders,
         route: routes.Route,
         arrived: float,
         body: bytes,
-    ) -> calls.Call:
-        known = self.known
-        service = self.steering.choose_service(route)
-        times = known.times.route_times(route.key, service, route.objective_s)
-        known.demand.record_request(service, times.typical_s)
-        allowed = route.timeout_s
+    ) -> caller_request.CallerRequest:
+        state = self.state
+        service = self.destinations.choose_service(route)
+        times = state.service_times.route_times(
+            route.key, service, route.objective_s
+        )
+        state.demand.record_request(service, times.typical_s)
+        allowed_s = route.timeout_s
         if caller.remaining_s is not None:
-            allowed = min(
-                allowed, caller.remaining_s - exchanges.DEADLINE_MARGIN_S
+            allowed_s = min(
+                allowed_s,
+                caller.remaining_s - request_executor.DEADLINE_MARGIN_S,
             )
         object_key = ''
         if route.affinity and caller.object_key:
             object_key = f'{route.key}{caller.object_key}'
-        return calls.Call(
+        return caller_request.CallerRequest(
             request_id=caller.request_id,
             method=request.method,
             target=request.raw_path,
             headers=request.headers,
             body=body,
             route=route,
-            configuration_version=known.routes.version,
+            configuration_version=state.routes.version,
             service=service,
-            region=self.steering.choose_region(route, service, object_key),
+            region=self.destinations.choose_region(route, service, object_key),
             object_key=object_key,
             arrived=arrived,
-            deadline=arrived + allowed,
+            deadline=arrived + allowed_s,
         )
 
     def _respond(
-        self, request_id: str, ending: endings.Ending
+        self, request_id: str, outcome: outcomes.Outcome
     ) -> web.Response:
-        if isinstance(ending, endings.Refusal):
-            return self._refused(request_id, ending)
-        if isinstance(ending, endings.Lost):
-            return web.Response(status=504 if ending.timed_out else 502)
+        if isinstance(outcome, outcomes.Refusal):
+            return self._refuse(request_id, outcome)
+        if isinstance(outcome, outcomes.Lost):
+            return web.Response(status=504 if outcome.timed_out else 502)
         response = web.Response(
-            status=ending.status,
-            headers=platform_headers.encode_returned(ending.headers),
-            body=ending.body,
+            status=outcome.status,
+            headers=platform_headers.encode_returned(outcome.headers),
+            body=outcome.body,
         )
         return response
 
-    def _refused(
-        self, request_id: str, refusal: endings.Refusal
+    def _refuse(
+        self, request_id: str, refusal: outcomes.Refusal
     ) -> web.Response:
-        self.meters.refused(refusal.reason)
-        if refusal.reason in UNCALLED:
+        self.metrics.record_refusal(refusal.reason)
+        if refusal.reason in EARLY_REFUSAL_REASONS:
             self.event_log.log_decision(
                 False,
                 id=request_id,
                 outcome='refused',
                 reason=refusal.reason,
-                configuration=self.known.routes.version,
+                configuration=self.state.routes.version,
             )
         return web.Response(
-            status=REFUSED,
+            status=REFUSED_STATUS,
             headers=platform_headers.encode_retry_after(refusal.retry_after_s),
         )
 
@@ -197,53 +207,57 @@
             outcome='rejected',
             reason=reason,
             status=status,
-            configuration=self.known.routes.version,
+            configuration=self.state.routes.version,
         )
         return web.Response(status=status)
 
-    def _record(self, call: calls.Call, ending: endings.Ending) -> None:
-        known = self.known
-        took = known.clock.monotonic() - call.arrived
-        served = isinstance(ending, sending.Answer)
-        self.meters.ended(call.service, ending, took)
+    def _record(
+        self,
+        parsed: caller_request.CallerRequest,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        state = self.state
+        elapsed_s = state.clock.monotonic() - parsed.arrived
+        is_answer = isinstance(outcome, upstream_client.Answer)
+        self.metrics.record_request(parsed.service, outcome, elapsed_s)
         self.event_log.log_decision(
-            served and ending.status < 500,
-            id=call.request_id,
-            outcome=type(ending).__name__.lower(),
-            reason=getattr(ending, 'reason', ''),
-            status=getattr(ending, 'status', None),
-            took_ms=round(took * 1000),
-            allowed_ms=round((call.deadline - call.arrived) * 1000),
-            route=call.route.key,
-            service=call.service,
-            region=call.region,
-            object=call.object_key,
-            steps=call.steps,
-            configuration=call.configuration_version,
-            upstreams_version=known.upstreams.version,
+            is_answer and outcome.status < 500,
+            id=parsed.request_id,
+            outcome=type(outcome).__name__.lower(),
+            reason=getattr(outcome, 'reason', ''),
+            status=getattr(outcome, 'status', None),
+            took_ms=round(elapsed_s * 1000),
+            allowed_ms=round((parsed.deadline - parsed.arrived) * 1000),
+            route=parsed.route.key,
+            service=parsed.service,
+            region=parsed.region,
+            object=parsed.object_key,
+            steps=parsed.steps,
+            configuration=parsed.configuration_version,
+            upstreams_version=state.upstreams.version,
             upstreams_age_ms=round(
-                (known.clock.monotonic() - known.upstreams.read_at) * 1000
+                (state.clock.monotonic() - state.upstreams.read_at) * 1000
             )
-            if known.upstreams.version
+            if state.upstreams.version
             else None,
         )
 
     async def look_up(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer which VMs a caller shall use.
+        """Respond with the addresses of the VMs that a caller should use.
 
         Args:
-            request: The question.
+            request: The look-up.
         """
-        question = lookups.decode(request.path, request.query)
-        if question is None:
+        query = lookups.decode(request.path, request.query)
+        if query is None:
             return web.Response(status=404)
-        addresses = self.known.answers.addresses(
-            question.region, self.known.routes.home_regions(question.host)
+        addresses = self.state.lookup_answers.addresses(
+            query.region, self.state.routes.home_regions(query.host)
         )
         if not addresses:
-            return web.Response(status=REFUSED)
+            return web.Response(status=REFUSED_STATUS)
         max_age_s = min(
-            LOOKUP_MAX_AGE_S, self.known.settings.bounds.answer_max_age_s
+            LOOKUP_MAX_AGE_S, self.state.settings.bounds.answer_max_age_s
         )
         return web.Response(
             body=lookups.encode(addresses, max_age_s),
@@ -251,10 +265,10 @@
         )
 
     async def ready(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer whether this VM serves callers.
+        """Respond to a readiness check.
 
         Args:
-            request: The question.
+            request: The check.
         """
-        ready = self.known.fleet.phase is fleet.Phase.READY
-        return web.Response(status=200 if ready else REFUSED)
+        is_ready = self.state.fleet.phase is fleet.Phase.READY
+        return web.Response(status=200 if is_ready else REFUSED_STATUS)
--- a/packages/entry/bulrushcourse_entry/edge/listeners.py
+++ b/packages/entry/bulrushcourse_entry/edge/listeners.py
@@ -1,4 +1,4 @@
-"""HTTP listeners; one task serves each connection."""
+"""HTTP listeners with one task for each connection."""
 
 import asyncio
 import contextlib
@@ -6,9 +6,9 @@
 
 from aiohttp import web
 
-# Connections that may wait to be accepted; a crowd opens many at once.
+# Length of the accept queue; many callers may connect concurrently.
 BACKLOG = 1024
-# Callers that keep connections open must not hold up the end of the process.
+# Open keep-alive connections must not delay the exit of the process.
 CLOSE_TIMEOUT_S = 0.2
 
 
@@ -18,10 +18,11 @@
     ],
     address: str,
 ) -> web.ServerRunner:
-    """Start an HTTP listener; one task serves each connection.
+    """Start an HTTP listener with one task for each connection.
 
     Args:
-        handler: Serves a request; it is cancelled when the caller leaves.
+        handler: Serves a request; it is cancelled when the caller
+            disconnects.
         address: ``ip:port`` to listen on.
     """
     server = web.Server(
--- a/packages/entry/bulrushcourse_entry/edge/meters.py
+++ b/packages/entry/bulrushcourse_entry/edge/metrics.py
@@ -1,21 +1,21 @@
-"""Counters and latency histograms, served as text."""
+"""Counters and latency histograms in the Prometheus text format."""
 
 import typing
 
 import prometheus_client
 
-from bulrushcourse_entry.edge import endings
+from bulrushcourse_entry.edge import outcomes
 
 BUCKETS_S = (0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0)
 
 
-class Meters:
+class Metrics:
     """Metrics of one process.
 
     Attributes:
-        registry: Where the metrics are registered.
-        requests: Ended requests by service and outcome.
-        latency: Time from arrival to answer by service.
+        registry: Registry of the metrics.
+        requests: Finished requests by service and outcome.
+        latency: Time from arrival to response by service.
         refusals: Refused requests by reason.
     """
 
@@ -41,41 +41,41 @@
             registry=self.registry,
         )
 
-    def ended(
-        self, service: str, ending: endings.Ending, took_s: float
+    def record_request(
+        self, service: str, outcome: outcomes.Outcome, elapsed_s: float
     ) -> None:
-        """Count a request that has ended.
+        """Record a finished request.
 
         Args:
-            service: Service that it was for.
-            ending: How it ended.
-            took_s: Time since its arrival in seconds.
+            service: Service of the request.
+            outcome: Outcome of the request.
+            elapsed_s: Time since its arrival in seconds.
         """
-        outcome = type(ending).__name__.lower()
-        self.requests.labels(service, outcome).inc()
-        self.latency.labels(service).observe(took_s)
+        label = type(outcome).__name__.lower()
+        self.requests.labels(service, label).inc()
+        self.latency.labels(service).observe(elapsed_s)
 
-    def refused(self, reason: str) -> None:
+    def record_refusal(self, reason: str) -> None:
         """Count a refused request.
 
         Args:
-            reason: Why.
+            reason: Reason of the refusal.
         """
         self.refusals.labels(reason).inc()
 
-    def gauge(
+    def add_gauge(
         self, name: str, text: str, read: typing.Callable[[], float]
     ) -> None:
-        """Add a gauge that is read when the metrics are asked for.
+        """Add a gauge whose value is computed at each scrape.
 
         Args:
             name: Name of the gauge.
-            text: What it shows.
-            read: Returns its value.
+            text: Help text.
+            read: Returns the value.
         """
-        made = prometheus_client.Gauge(name, text, registry=self.registry)
-        made.set_function(read)
+        gauge = prometheus_client.Gauge(name, text, registry=self.registry)
+        gauge.set_function(read)
 
     def render(self) -> bytes:
-        """Return all metrics as text."""
+        """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -1,4 +1,4 @@
-"""Streams of reports between the VMs; one task for each peer."""
+"""Streams of reports between the VMs, with one task for each peer."""
 
 import asyncio
 import contextlib
@@ -12,17 +12,17 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import event_log as event_logs
-from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge import reports
 from bulrushcourse_entry.edge import supervision
 from bulrushcourse_wire import fleet_messages
 
 CONNECT_TIMEOUT_S = 1.0
-RECONNECT_PAUSE_S = 0.3
-# A VM is held to its duties 3 s after its links are back, so that others must
-# try again sooner.
-LONGEST_PAUSE_S = 1.2
-# Data that is not acknowledged for so long ends the connection.
+INITIAL_RECONNECT_PAUSE_S = 0.3
+# A VM has to meet all requirements again 3 s after its network is back, so
+# that the other VMs must reconnect sooner than that.
+MAX_RECONNECT_PAUSE_S = 1.2
+# A connection is closed when data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 1500
 MAX_REPORT_BYTES = 4 << 20
 READ_TIMEOUT_S = 4.0
@@ -31,37 +31,38 @@
 
 @attrs.define(eq=False)
 class PeerStreams:
-    """Sends this VM's reports to every other VM and takes theirs.
+    """Sends this VM's reports to every other VM and receives theirs.
 
     Attributes:
-        known: What this process believes.
+        state: The process state.
         event_log: Log.
-        reports: What is said in the streams.
+        reports: Builds and applies the reports.
         tasks: Sending tasks by VM name, and by address for seeds.
         inbound: Tasks of incoming streams.
-        readings: Readings of the upstreams' entries to pass on, so far.
-        read: Wakes the sending tasks after each such reading.
+        snapshots_read: How often this VM has read the upstreams' rows as a
+            designated reader.
+        snapshot_read: Wakes the sending tasks after each such read.
     """
 
-    known: knowledges.Knowledge
+    state: process_state.ProcessState
     event_log: event_logs.EventLog
     reports: reports.Reports
     tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     inbound: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
-    readings: int = 0
-    read: asyncio.Event = attrs.field(factory=asyncio.Event)
+    snapshots_read: int = 0
+    snapshot_read: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
-        """Follow the readings to pass on and the VMs that are removed."""
-        self.known.readings.subscribe(self._pass_on)
-        self.known.removed.subscribe(self._forget)
+        """Subscribe to snapshots to be forwarded and to removed VMs."""
+        self.state.snapshot_versions.subscribe(self._on_snapshot)
+        self.state.removed_vms.subscribe(self._stop_sending)
 
-    def _pass_on(self, _version: int) -> None:
-        self.readings += 1
-        self.read.set()
-        self.read.clear()
+    def _on_snapshot(self, _version: int) -> None:
+        self.snapshots_read += 1
+        self.snapshot_read.set()
+        self.snapshot_read.clear()
 
-    def _forget(self, vm: str) -> None:
+    def _stop_sending(self, vm: str) -> None:
         task = self.tasks.pop(vm, None)
         if task is not None:
             task.cancel()
@@ -75,22 +76,24 @@
         host, _, port = address.rpartition(':')
         return await asyncio.start_server(self._receive, host, int(port))
 
-    def greet_seeds(self) -> None:
-        """Call the VMs that the settings name, to be known to them."""
-        me = self.known.fleet.local_vm
-        for address in self.known.settings.seeds:
-            if address != me.peer_address and address not in self.tasks:
-                self._start(address, functools.partial(self._greet, address))
+    def contact_seeds(self) -> None:
+        """Send reports to the configured seeds, so that they add this VM."""
+        local_vm = self.state.fleet.local_vm
+        for address in self.state.settings.seeds:
+            if address != local_vm.peer_address and address not in self.tasks:
+                self._start(
+                    address, functools.partial(self._send_to_seed, address)
+                )
 
-    def meet(self, vm: fleet.Vm, from_itself: bool = False) -> None:
-        """Start sending to a VM that was learned of.
+    def add_vm(self, vm: fleet.Vm, from_itself: bool = False) -> None:
+        """Add a VM to the fleet and start sending reports to it.
 
         Args:
             vm: The VM.
-            from_itself: Whether it said itself that it exists.
+            from_itself: Whether the VM itself sent this description.
         """
-        learned = self.known.fleet.add_vm(vm, from_itself)
-        if not learned or not vm.peer_address:
+        changed = self.state.fleet.add_vm(vm, from_itself)
+        if not changed or not vm.peer_address:
             return
         old = self.tasks.pop(vm.name, None)
         if old is not None:
@@ -100,43 +103,44 @@
     def _start(
         self,
         name: str,
-        work: typing.Callable[
+        run: typing.Callable[
             [], typing.Coroutine[typing.Any, typing.Any, None]
         ],
     ) -> None:
         self.tasks[name] = asyncio.create_task(
-            supervision.keep_running(f'stream to {name}', work, self.event_log)
+            supervision.keep_running(f'stream to {name}', run, self.event_log)
         )
 
     async def close(self) -> None:
-        """End all streams."""
+        """Close all streams."""
         tasks = [*self.tasks.values(), *self.inbound]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _greet(self, address: str) -> None:
-        """Send to a seed until some VM has been heard."""
-        while len(self.known.fleet.alive()) == 1:
+    async def _send_to_seed(self, address: str) -> None:
+        """Send reports to a seed until another VM is alive."""
+        while len(self.state.fleet.alive()) == 1:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     _, writer = await _connect(address)
-                    _write(writer, self.reports.make())
+                    _write(writer, self.reports.build())
                     await writer.drain()
-                await asyncio.sleep(reports.REPORT_INTERVAL_S)
+                await asyncio.sleep(reports.MIN_REPORT_INTERVAL_S)
                 writer.close()
             except (OSError, TimeoutError):
-                # The seed may be down; another one or the store will do.
-                await asyncio.sleep(RECONNECT_PAUSE_S)
+                # The seed may be down. Other seeds and the rows in the store
+                # lead to the other VMs as well.
+                await asyncio.sleep(INITIAL_RECONNECT_PAUSE_S)
 
     async def _send_to(self, vm: fleet.Vm) -> None:
-        pause = RECONNECT_PAUSE_S
+        pause = INITIAL_RECONNECT_PAUSE_S
         connected = False
         while True:
             try:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     reader, writer = await _connect(vm.peer_address)
-                pause = RECONNECT_PAUSE_S
+                pause = INITIAL_RECONNECT_PAUSE_S
                 connected = True
                 self.event_log.log_change(
                     events.Event.PEER_CONNECTED, vm=vm.name
@@ -149,7 +153,7 @@
                     )
                 connected = False
             await asyncio.sleep(pause)
-            pause = min(LONGEST_PAUSE_S, pause * 2)
+            pause = min(MAX_RECONNECT_PAUSE_S, pause * 2)
 
     async def _send_reports(
         self,
@@ -157,35 +161,39 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        first = True
-        told = 0
-        passed_on = 0
+        is_first = True
+        sent_version = 0
+        snapshots_sent = 0
         try:
             while not reader.at_eof():
-                # A reading without a change is news too: it is fresh.
+                # A read without changes is forwarded too, since it proves
+                # that the receiver's directory is up to date.
                 delta = None
-                if passed_on < self.readings:
-                    delta = self.known.upstreams.delta_since(told)
-                    told, passed_on = delta.version, self.readings
-                report = self.reports.make(
+                if snapshots_sent < self.snapshots_read:
+                    delta = self.state.upstreams.delta_since(sent_version)
+                    sent_version, snapshots_sent = (
+                        delta.version,
+                        self.snapshots_read,
+                    )
+                report = self.reports.build(
                     to=vm.name,
                     region=vm.region,
                     delta=delta,
-                    with_name=first,
+                    include_sender=is_first,
                 )
-                first = False
+                is_first = False
                 _write(writer, report)
                 async with asyncio.timeout(USER_TIMEOUT_MS / 1000):
                     await writer.drain()
-                await self._pause(vm.region)
+                await self._wait_for_next_report(vm.region)
         finally:
             writer.close()
 
-    async def _pause(self, region: str) -> None:
-        """Wait for the next report's time or for a reading to pass on."""
+    async def _wait_for_next_report(self, region: str) -> None:
+        """Wait until a report is due or a snapshot is to be forwarded."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.reports.interval_s(region)):
-                await self.read.wait()
+                await self.snapshot_read.wait()
 
     async def _receive(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -205,26 +213,27 @@
                 sender = report.vm or sender
                 if sender is None:
                     raise fleet_messages.MalformedReport('no sender')
-                if sender.name != self.known.fleet.local_vm.name:
-                    self.meet(sender, from_itself=True)
-                    for vm in self.reports.take(sender, report):
-                        self.meet(vm)
+                if sender.name != self.state.fleet.local_vm.name:
+                    self.add_vm(sender, from_itself=True)
+                    for vm in self.reports.apply(sender, report):
+                        self.add_vm(vm)
         except (OSError, EOFError, TimeoutError):
-            # The VM ended, restarted or was cut off; its silence is noticed
-            # by the fleet's own ages.
+            # The VM stopped, restarted or was cut off. The fleet notices by
+            # the age of its last heartbeat.
             pass
         except fleet_messages.MalformedReport as error:
             self.event_log.log_change(
                 events.Event.PEER_REFUSED, reason=str(error)
             )
         except Exception as error:
-            # Readable, but with values that no VM sends. The stream ends, and
-            # the sender opens another one.
+            # A well-formed report with values that no VM sends. The stream is
+            # closed, and the sender opens another one.
             self.event_log.log_change(
                 events.Event.PEER_REFUSED, reason=repr(error)
             )
         except asyncio.CancelledError:
-            # Server tasks are cancelled only when the process ends.
+            # Tasks of incoming streams are cancelled only when the process
+            # stops.
             pass
         finally:
             self.inbound.discard(task)
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -0,0 +1,230 @@
+"""The state of an edge process."""
+
+import random
+
+import attrs
+import reactivex
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.fleet import lookups
+from bulrushcourse_domain.placement import admission
+from bulrushcourse_domain.placement import demand
+from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.placement import region_mix
+from bulrushcourse_domain.placement import service_times
+from bulrushcourse_domain.quarantine import crashes
+from bulrushcourse_domain.retries import shared_budget
+from bulrushcourse_domain.routes import table as route_table
+from bulrushcourse_domain.routes import weighted_round_robin
+from bulrushcourse_domain.upstreams import directory as directories
+from bulrushcourse_domain.upstreams import idle_connections
+from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import outlier_detection
+from bulrushcourse_domain.upstreams import recent_objects
+from bulrushcourse_domain.upstreams import warmup
+from bulrushcourse_entry.edge import round_trips
+from bulrushcourse_entry.edge import settings as edge_settings
+
+
+@attrs.define(eq=False)
+class ProcessState:
+    """The aggregates behind all decisions, shared by the tasks of a process.
+
+    Attributes:
+        settings: Settings of the process.
+        clock: Source of time.
+        rng: Source of randomness.
+        routes: Active configuration.
+        upstreams: Upstreams by their rows in the store.
+        load: Load of the upstreams.
+        outliers: Failures of the upstreams.
+        recent_objects: Objects that each upstream has handled lately.
+        idle_connections: Whether idle connections may be reused.
+        warmup_limiter: Rate limits for cold upstreams.
+        service_times: Measured service times.
+        round_trips: Round-trip times to the upstreams.
+        fleet: The VMs.
+        lookup_answers: Addresses returned by look-ups.
+        demand: Arriving work by region and service.
+        crash_ledger: Requests that crash upstreams.
+        placement: Choice of an upstream.
+        retry_after: Source of Retry-After delays.
+        packed_configuration: Compressed content of the active configuration,
+            as it is sent to other VMs.
+        operators_version: Store version of the evacuations.
+        region_mixes: Shares of the regions, by route and service.
+        service_rotations: Weighted round robin over a route's services, by
+            route.
+        retry_budgets: Budgets for retries and hedges, by service.
+        is_designated_reader: Whether this VM polls the upstreams' rows for
+            the other VMs.
+        upstream_changes: Stream of changes of the upstreams' rows.
+        snapshot_versions: Stream of the store versions that this VM has read
+            as a designated reader.
+        removed_vms: Stream of the names of removed VMs.
+    """
+
+    settings: edge_settings.EdgeSettings
+    clock: clocks.Clock
+    rng: random.Random
+    routes: route_table.RouteTable
+    upstreams: directories.UpstreamDirectory
+    load: loads.LoadView
+    outliers: outlier_detection.OutlierDetector
+    recent_objects: recent_objects.RecentObjects
+    idle_connections: idle_connections.IdleConnectionPolicy
+    warmup_limiter: warmup.WarmupLimiter
+    service_times: service_times.ServiceTimes
+    round_trips: round_trips.RoundTripTimes
+    fleet: fleet.Fleet
+    lookup_answers: lookups.LookupAnswers
+    demand: demand.Demand
+    crash_ledger: crashes.CrashLedger
+    placement: placement.Placement
+    retry_after: admission.RetryAfterSampler
+    packed_configuration: bytes = b''
+    operators_version: int = 0
+    region_mixes: dict[tuple[str, str], region_mix.RegionMix] = attrs.field(
+        factory=dict
+    )
+    service_rotations: dict[str, weighted_round_robin.WeightedRoundRobin] = (
+        attrs.field(factory=dict)
+    )
+    retry_budgets: dict[str, shared_budget.SharedRetryBudget] = attrs.field(
+        factory=dict
+    )
+    is_designated_reader: bool = False
+    upstream_changes: reactivex.Subject[directories.Change] = attrs.field(
+        factory=reactivex.Subject
+    )
+    snapshot_versions: reactivex.Subject[int] = attrs.field(
+        factory=reactivex.Subject
+    )
+    removed_vms: reactivex.Subject[str] = attrs.field(
+        factory=reactivex.Subject
+    )
+
+    def retry_budget(self, service: str) -> shared_budget.SharedRetryBudget:
+        """Return the budget for retries and hedges of a service.
+
+        Args:
+            service: Name of the service.
+        """
+        if service not in self.retry_budgets:
+            bounds = self.settings.bounds
+            self.retry_budgets[service] = shared_budget.SharedRetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window_s,
+                at=self.clock.monotonic(),
+            )
+        return self.retry_budgets[service]
+
+    def region_mix_of(self, route: str, service: str) -> region_mix.RegionMix:
+        """Return the shares of the regions for a route and a service.
+
+        Args:
+            route: Key of the route.
+            service: Name of the service.
+        """
+        key = route, service
+        if key not in self.region_mixes:
+            self.region_mixes[key] = region_mix.RegionMix(
+                self.clock, self.settings.bounds.shift_share
+            )
+        return self.region_mixes[key]
+
+    def discard_removed_routes(self) -> None:
+        """Discard the state of routes that are no longer configured."""
+        keys = {route.key for route in self.routes.active.routes}
+        self.region_mixes = {
+            key: mix
+            for key, mix in self.region_mixes.items()
+            if key[0] in keys
+        }
+        self.service_rotations = {
+            key: rotation
+            for key, rotation in self.service_rotations.items()
+            if key in keys
+        }
+        self.service_times.retain_routes(keys)
+
+    def discard_outdated(self, change: directories.Change) -> None:
+        """Discard statistics of an upstream that was removed or restarted.
+
+        Args:
+            change: Change of its row.
+        """
+        if change.kind in ('gone', 'restarted'):
+            self.outliers.discard(change.upstream.name)
+            self.recent_objects.discard(change.upstream.name)
+            self.load.discard(change.upstream.name)
+
+
+def build_state(
+    settings: edge_settings.EdgeSettings,
+    clock: clocks.Clock,
+    rng: random.Random,
+) -> ProcessState:
+    """Return the state of a process that has just started.
+
+    Args:
+        settings: Settings of the process.
+        clock: Source of time.
+        rng: Source of randomness.
+    """
+    bounds = settings.bounds
+    local_vm = fleet.Vm(
+        settings.vm,
+        int(clock.wall().timestamp() * 1000),
+        settings.peers,
+        settings.callers,
+        settings.region,
+        settings.failure_domain,
+    )
+    vms = fleet.Fleet(clock, local_vm)
+    upstreams = directories.UpstreamDirectory(clock)
+    load = loads.LoadView(clock)
+    outliers = outlier_detection.OutlierDetector(clock)
+    objects = recent_objects.RecentObjects()
+    warmup_limiter = warmup.WarmupLimiter(
+        clock, settings.vm, bounds.warmup_excess, bounds.warmup_margin
+    )
+    times = service_times.ServiceTimes()
+    round_trip_times = round_trips.RoundTripTimes(
+        settings.region, settings.failure_domain
+    )
+    state = ProcessState(
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        routes=route_table.RouteTable(),
+        upstreams=upstreams,
+        load=load,
+        outliers=outliers,
+        recent_objects=objects,
+        idle_connections=idle_connections.IdleConnectionPolicy(clock),
+        warmup_limiter=warmup_limiter,
+        service_times=times,
+        round_trips=round_trip_times,
+        fleet=vms,
+        lookup_answers=lookups.LookupAnswers(vms),
+        demand=demand.Demand(clock, settings.region),
+        crash_ledger=crashes.CrashLedger(clock),
+        placement=placement.Placement(
+            clock,
+            upstreams,
+            load,
+            outliers,
+            objects,
+            warmup_limiter,
+            times,
+            round_trip_times.to_upstream,
+            rng,
+        ),
+        retry_after=admission.RetryAfterSampler(rng),
+    )
+    state.upstream_changes.subscribe(state.discard_outdated)
+    state.removed_vms.subscribe(state.demand.discard)
+    return state
--- a/packages/entry/bulrushcourse_entry/edge/program.py
+++ b/packages/entry/bulrushcourse_entry/edge/program.py
@@ -1,4 +1,4 @@
-"""Starts the edge program with the settings file of the platform."""
+"""Start of the edge program with the settings file of the platform."""
 
 import asyncio
 import os
@@ -18,9 +18,9 @@
     """Run an edge process until SIGTERM.
 
     Args:
-        path: Path of the settings file; by default the one that the
-            platform names.
-        metrics_port: Port of the metrics, 0 for none.
+        path: Path of the settings file; by default the path in the
+            platform's environment variable.
+        metrics_port: Port of metrics and state dump, 0 for none.
 
     Returns:
         Exit code.
@@ -28,8 +28,8 @@
     path = path or os.environ.get(settings_file.PATH_VARIABLE, '')
     loaded = settings_file.load(path)
     if isinstance(loaded, result.Failure):
-        for found in loaded.failure():
-            print(f'{path}: {found}', file=sys.stderr)
+        for finding in loaded.failure():
+            print(f'{path}: {finding}', file=sys.stderr)
         return EXIT_BAD_SETTINGS
     writer = event_log.LineWriter()
     with writer.applicationbound():
--- a/packages/entry/bulrushcourse_entry/edge/registering.py
+++ b/packages/entry/bulrushcourse_entry/edge/registration.py
@@ -1,4 +1,4 @@
-"""The task that registers this VM and forgets VMs that were removed."""
+"""The task that registers this VM and discards VMs that were removed."""
 
 import asyncio
 import typing
@@ -8,8 +8,8 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import event_log as event_logs
-from bulrushcourse_entry.edge import knowledge as knowledges
-from bulrushcourse_entry.edge import reading
+from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge import store_readers
 from bulrushcourse_entry.platform import rows
 from bulrushcourse_entry.platform import units
 from bulrushcourse_entry.platform import vm_rows
@@ -19,62 +19,63 @@
 
 @attrs.define(eq=False)
 class VmRegistrar:
-    """Makes this VM known to the others and learns of them.
+    """Registers this VM in the store and adds the registered VMs.
 
     Attributes:
         store: The platform's store.
-        known: What this process believes.
+        state: The process state.
         event_log: Log.
         reachability: Whether the store answers.
-        met: Called with each VM that was learned.
+        on_vm_found: Called with each VM that has a row in the store.
     """
 
     store: rows.RowStore
-    known: knowledges.Knowledge
+    state: process_state.ProcessState
     event_log: event_logs.EventLog
-    reachability: reading.Reachability
-    met: typing.Callable[[fleet.Vm], None]
+    reachability: store_readers.StoreReachability
+    on_vm_found: typing.Callable[[fleet.Vm], None]
 
     async def run(self) -> None:
-        """Register this VM, then forget VMs that were removed."""
+        """Register this VM, then discard removed VMs until cancelled."""
         await self._register()
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
-            for name in self.known.fleet.remove_expired():
+            for name in self.state.fleet.remove_expired():
                 self.event_log.log_change(
                     events.Event.MEMBER_CHANGED, vm=name, state='removed'
                 )
-                self.known.removed.on_next(name)
-                if self.known.reads_for_all:
+                self.state.removed_vms.on_next(name)
+                if self.state.is_designated_reader:
                     await self._remove_row(name)
 
     async def _remove_row(self, name: str) -> None:
         try:
             await self.store.remove(vm_rows.TABLE, name)
         except rows.StoreUnavailable as error:
-            # The next VM that starts learns of it once more and drops it.
-            self.reachability.note(False, str(error))
+            # The row stays. The next VM that starts will add the VM from it
+            # and remove both once the VM has expired.
+            self.reachability.record_call(False, str(error))
 
     async def _register(self) -> None:
-        """Write the entry, then read all entries, until both succeeded."""
+        """Write this VM's row and read all rows, until both succeed."""
         while True:
             try:
-                me = self.known.fleet.local_vm
+                local_vm = self.state.fleet.local_vm
                 await self.store.write(
-                    vm_rows.TABLE, me.name, vm_rows.encode(me)
+                    vm_rows.TABLE, local_vm.name, vm_rows.encode(local_vm)
                 )
-                listed = await self.store.read(vm_rows.TABLE)
+                batch = await self.store.read(vm_rows.TABLE)
                 break
             except rows.StoreUnavailable as error:
-                self.reachability.note(False, str(error))
+                self.reachability.record_call(False, str(error))
                 self.event_log.log_change(
                     events.Event.VM_ROW_NOT_WRITTEN, reason=str(error)
                 )
-                await asyncio.sleep(reading.PAUSE_AFTER_FAILURE_S)
-        self.reachability.note(True)
-        for row in listed.rows:
+                await asyncio.sleep(store_readers.RETRY_PAUSE_S)
+        self.reachability.record_call(True)
+        for row in batch.rows:
             try:
-                self.met(vm_rows.decode(row))
+                self.on_vm_found(vm_rows.decode(row))
             except units.MalformedValue as error:
                 self.event_log.log_change(
                     events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -1,4 +1,4 @@
-"""What the VMs tell each other: making reports and taking them over."""
+"""Reports that the VMs send to each other: building and applying them."""
 
 import attrs
 
@@ -7,186 +7,209 @@
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import event_log as event_logs
-from bulrushcourse_entry.edge import knowledge as knowledges
-from bulrushcourse_entry.edge import reading
+from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge import store_readers
 from bulrushcourse_wire import fleet_messages
 
-# Several reports within the time that a piece of work takes.
-REPORT_INTERVAL_S = 0.25
-# Reports grow with the number of receivers, so that larger fleets send fewer.
-# Counts older than the work that they describe say little: in a fleet of 76
-# VMs that reported once a second, requests sent to upstreams with six waiting
-# took no longer than others.
-VMS_AT_FULL_RATE = 16
-SLOWEST_INTERVAL_S = 1.0
-# Bytes between regions are dear and placement there follows slow shares.
-# The slowest interval still beats the time after which a VM counts as gone.
-OTHER_REGION_FACTOR = 2.0
-SLOWEST_OTHER_REGION_S = 1.2
+# Gives several reports during the typical service time of a request.
+MIN_REPORT_INTERVAL_S = 0.25
+# The cost of reports grows with the number of receivers, so that the interval
+# is longer in larger fleets. It stays short since request counts older than
+# the service time say little: in a fleet of 76 VMs that reported once a
+# second, requests to upstreams with a reported queue of six took no longer
+# than others.
+MAX_VMS_AT_MIN_INTERVAL = 16
+MAX_REPORT_INTERVAL_S = 1.0
+# Traffic between regions is expensive, and placement in other regions follows
+# shares that change slowly. The longest interval is still below the time after
+# which a silent VM counts as failed.
+OTHER_REGION_INTERVAL_FACTOR = 2.0
+MAX_OTHER_REGION_INTERVAL_S = 1.2
 
 
 @attrs.define(eq=False)
 class Reports:
-    """Turns what this process believes into reports, and back.
+    """Builds reports from the process state and applies received ones.
 
     Attributes:
-        known: What this process believes.
+        state: The process state.
         event_log: Log.
-        losses: Fresh losses of upstreams by the VM that lacks them.
-        versions: How new the other VMs' configurations are.
-        meetings: How many VMs the other VMs know.
+        pending_losses: Losses of upstreams (request fingerprint, upstream
+            incarnation) still to be sent, by receiving VM.
+        configuration_versions: Configuration versions of the other VMs.
+        vm_counts: Number of VMs that each other VM knows.
     """
 
-    known: knowledges.Knowledge
+    state: process_state.ProcessState
     event_log: event_logs.EventLog
-    losses: dict[str, list[tuple[str, str]]] = attrs.field(factory=dict)
-    versions: peer_versions.PeerVersions = attrs.field(init=False)
-    meetings: peer_versions.PeerVersions = attrs.field(init=False)
+    pending_losses: dict[str, list[tuple[str, str]]] = attrs.field(
+        factory=dict
+    )
+    configuration_versions: peer_versions.PeerVersions = attrs.field(
+        init=False
+    )
+    vm_counts: peer_versions.PeerVersions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Start without knowledge of the other VMs, and forget the removed."""
-        self.versions = peer_versions.PeerVersions(self.known.clock)
-        self.meetings = peer_versions.PeerVersions(self.known.clock)
-        self.known.removed.subscribe(self._forget)
+        """Create the peer versions and subscribe to removed VMs."""
+        self.configuration_versions = peer_versions.PeerVersions(
+            self.state.clock
+        )
+        self.vm_counts = peer_versions.PeerVersions(self.state.clock)
+        self.state.removed_vms.subscribe(self._discard_vm)
 
-    def _forget(self, vm: str) -> None:
-        self.losses.pop(vm, None)
-        self.versions.discard(vm)
-        self.meetings.discard(vm)
+    def _discard_vm(self, vm: str) -> None:
+        self.pending_losses.pop(vm, None)
+        self.configuration_versions.discard(vm)
+        self.vm_counts.discard(vm)
 
-    def share_loss(self, fingerprint: str, upstream: str) -> None:
-        """Tell all VMs that a request has lost an upstream.
+    def queue_loss(self, fingerprint: str, upstream: str) -> None:
+        """Add the loss of an upstream to the next report to each VM.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: Hash of the request during which it was lost.
             upstream: Incarnation of the upstream.
         """
-        for name in self.known.fleet.known:
-            self.losses.setdefault(name, []).append((fingerprint, upstream))
+        for name in self.state.fleet.known:
+            self.pending_losses.setdefault(name, []).append(
+                (fingerprint, upstream)
+            )
 
     def interval_s(self, region: str) -> float:
-        """Return the time between reports to a VM at the present size.
+        """Return the time between reports to a VM in seconds.
 
         Args:
-            region: Region of the VM.
+            region: Region of the receiving VM.
         """
-        members = self.known.fleet
-        if region != self.known.settings.region:
-            return report_interval_s(len(members.known) + 1, other_region=True)
-        return report_interval_s(members.sizes.get(region, 0) + 1)
+        vms = self.state.fleet
+        if region != self.state.settings.region:
+            return report_interval_s(len(vms.known) + 1, other_region=True)
+        return report_interval_s(vms.sizes.get(region, 0) + 1)
 
-    def make(
+    def build(
         self,
         to: str = '',
         region: str = '',
         delta: upstreams.DirectoryDelta | None = None,
-        with_name: bool = True,
+        include_sender: bool = True,
     ) -> fleet_messages.Report:
-        """Return a report.
+        """Return a report for one VM.
+
+        It carries the configuration and the list of VMs only if the receiver
+        lacks them.
 
         Args:
-            to: Name of the VM that shall get it.
-            region: Its region.
-            delta: Changes to pass on.
-            with_name: Whether the receiver may not know this VM yet.
+            to: Name of the receiving VM, empty if it is not known.
+            region: Region of the receiving VM, empty if it is not known.
+            delta: Changes of the upstream directory to forward.
+            include_sender: Whether to describe this VM, for a receiver that
+                may not know it yet.
         """
-        known = self.known
-        fleet_known = known.fleet.known
-        lacks_version = self.versions.needs_update(
-            to, known.routes.version, known.reads_for_all
+        state = self.state
+        other_vms = state.fleet.known
+        send_configuration = self.configuration_versions.needs_update(
+            to, state.routes.version, state.is_designated_reader
         )
-        lacks_vms = self.meetings.needs_update(
-            to, len(fleet_known), known.reads_for_all
+        send_vms = self.vm_counts.needs_update(
+            to, len(other_vms), state.is_designated_reader
         )
         return fleet_messages.Report(
-            vm=known.fleet.local_vm if with_name else None,
-            phase=known.fleet.phase,
-            configuration_version=known.routes.version,
-            in_flight=known.load.own,
+            vm=state.fleet.local_vm if include_sender else None,
+            phase=state.fleet.phase,
+            configuration_version=state.routes.version,
+            in_flight=state.load.own,
             slowness=self._recent_slowness(region),
-            demand=known.demand.own_slots(),
-            losses=self.losses.pop(to, []),
-            operators_version=known.operators_version,
-            evacuated=sorted(known.upstreams.evacuated),
+            demand=state.demand.own_slots(),
+            losses=self.pending_losses.pop(to, []),
+            operators_version=state.operators_version,
+            evacuated=sorted(state.upstreams.evacuated),
             directory_delta=delta,
-            vms=list(fleet_known.values()) if lacks_vms else [],
-            vms_known=len(fleet_known),
-            configuration=known.configuration if lacks_version else b'',
+            vms=list(other_vms.values()) if send_vms else [],
+            vms_known=len(other_vms),
+            configuration=state.packed_configuration
+            if send_configuration
+            else b'',
         )
 
     def _recent_slowness(self, region: str) -> dict[str, tuple[float, float]]:
-        if region not in ('', self.known.settings.region):
-            # It fades before it matters there, and its bytes are dear.
+        if region not in ('', self.state.settings.region):
+            # It decays before another region could use it, and traffic
+            # between regions is expensive.
             return {}
-        now = self.known.clock.monotonic()
+        now = self.state.clock.monotonic()
         interval = self.interval_s(region) * 1.2
         return {
             upstream: (value, now - at)
-            for upstream, (value, at) in self.known.load.fresh.items()
+            for upstream, (value, at) in self.state.load.fresh.items()
             if now - at <= interval
         }
 
-    def take(
+    def apply(
         self, vm: fleet.Vm, report: fleet_messages.Report
     ) -> list[fleet.Vm]:
-        """Take over a report.
+        """Apply a received report to the process state.
 
         Args:
-            vm: Its sender, already learned of.
+            vm: Its sender, already added to the fleet.
             report: The report.
 
         Returns:
-            VMs that the sender knows.
+            VMs that the report lists.
         """
-        known = self.known
-        if known.fleet.record_heartbeat(vm, report.phase):
+        state = self.state
+        if state.fleet.record_heartbeat(vm, report.phase):
             self.event_log.log_change(
                 events.Event.MEMBER_CHANGED, vm=vm.name, state='alive'
             )
-        self.versions.record_version(
-            vm.name, report.configuration_version, known.routes.version
+        self.configuration_versions.record_version(
+            vm.name, report.configuration_version, state.routes.version
         )
-        self.meetings.record_version(
-            vm.name, report.vms_known, len(known.fleet.known)
+        self.vm_counts.record_version(
+            vm.name, report.vms_known, len(state.fleet.known)
         )
-        known.load.record_peer_load(vm.name, report.in_flight)
-        known.demand.record_peer_demand(vm.name, vm.region, report.demand)
+        state.load.record_peer_load(vm.name, report.in_flight)
+        state.demand.record_peer_demand(vm.name, vm.region, report.demand)
         for upstream, (value, age_s) in report.slowness.items():
-            known.load.record_peer_slowness(upstream, value, age_s)
+            state.load.record_peer_slowness(upstream, value, age_s)
         for fingerprint, upstream in report.losses:
-            known.crashes.record_loss(fingerprint, upstream)
-        if report.configuration_version > known.routes.version:
-            self._take_configuration(report.configuration)
-        reading.offer_evacuations(
-            known,
+            state.crash_ledger.record_loss(fingerprint, upstream)
+        if report.configuration_version > state.routes.version:
+            self._apply_configuration(report.configuration)
+        store_readers.apply_evacuations(
+            state,
             self.event_log,
             report.operators_version,
             frozenset(report.evacuated),
         )
         if report.directory_delta is not None:
-            for change in known.upstreams.apply_delta(report.directory_delta):
-                known.changes.on_next(change)
+            for change in state.upstreams.apply_delta(report.directory_delta):
+                state.upstream_changes.on_next(change)
         return report.vms
 
-    def _take_configuration(self, packed: bytes) -> None:
+    def _apply_configuration(self, packed: bytes) -> None:
         if packed:
             content = fleet_messages.unpack_content(packed)
-            reading.offer_configuration(self.known, self.event_log, content)
+            store_readers.apply_configuration(
+                self.state, self.event_log, content
+            )
 
 
-def report_interval_s(size: int, other_region: bool = False) -> float:
+def report_interval_s(vm_count: int, other_region: bool = False) -> float:
     """Return the time between reports to one VM in seconds.
 
     Args:
-        size: VMs in the region, or in the fleet for another region.
+        vm_count: Number of VMs in the region, or in the fleet for a VM in
+            another region.
         other_region: Whether the VM is in another region.
 
     Examples:
         >>> report_interval_s(11), report_interval_s(11, other_region=True)
         (0.25, 0.5)
     """
-    scaled = REPORT_INTERVAL_S * size / VMS_AT_FULL_RATE
-    interval = min(SLOWEST_INTERVAL_S, max(REPORT_INTERVAL_S, scaled))
+    scaled = MIN_REPORT_INTERVAL_S * vm_count / MAX_VMS_AT_MIN_INTERVAL
+    interval = min(MAX_REPORT_INTERVAL_S, max(MIN_REPORT_INTERVAL_S, scaled))
     if not other_region:
         return interval
-    return min(SLOWEST_OTHER_REGION_S, interval * OTHER_REGION_FACTOR)
+    return min(
+        MAX_OTHER_REGION_INTERVAL_S, interval * OTHER_REGION_INTERVAL_FACTOR
+    )
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/request_executor.py
@@ -0,0 +1,315 @@
+"""Execution of one request: choice of upstreams, attempts and outcome."""
+
+import asyncio
+import typing
+
+import attrs
+from returns import result
+
+from bulrushcourse_domain.placement import admission
+from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.upstreams import outlier_detection
+from bulrushcourse_entry.edge import caller_request
+from bulrushcourse_entry.edge import outcomes
+from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge import upstream_client
+from bulrushcourse_entry.platform import headers as platform_headers
+
+Failure = upstream_client.Failure
+
+# An idempotent request is hedged when its first attempt has taken this many
+# times its expected duration; most attempts are finished by then.
+HEDGE_FACTOR = 3.0
+MIN_HEDGE_DELAY_S = 0.15
+# Time that is left for the response to reach the caller before its deadline.
+DEADLINE_MARGIN_S = 0.02
+
+
+@attrs.define(eq=False)
+class RequestExecutor:
+    """Executes callers' requests at upstreams.
+
+    Attributes:
+        state: The process state.
+        client: Client of the upstreams.
+        report_loss: Reports an upstream that was lost while it ran a request
+            to the other VMs; gets the request's fingerprint and the
+            upstream's incarnation.
+        on_ejected: Called with the name of an ejected upstream.
+        running: Tasks of requests that must not run twice; they go on when
+            the caller disconnects.
+    """
+
+    state: process_state.ProcessState
+    client: upstream_client.UpstreamClient
+    report_loss: typing.Callable[[str, str], None]
+    on_ejected: typing.Callable[[str], None]
+    running: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
+
+    async def close(self) -> None:
+        """Cancel the requests that are still running."""
+        for task in self.running:
+            task.cancel()
+        await asyncio.gather(*self.running, return_exceptions=True)
+
+    async def execute(
+        self, request: caller_request.CallerRequest
+    ) -> outcomes.Outcome:
+        """Execute a request and return its outcome.
+
+        A request that must not run twice goes on when its caller disconnects,
+        since cancelling it would not prove that it has not run.
+
+        Args:
+            request: The request.
+        """
+        if self.state.crash_ledger.is_quarantined(request.fingerprint):
+            return self._refuse(request, 'quarantined')
+        if request.route.idempotent:
+            return await self._execute_idempotent(request)
+        task = asyncio.create_task(self._execute_once(request))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        return await asyncio.shield(task)
+
+    async def _execute_once(
+        self, request: caller_request.CallerRequest
+    ) -> outcomes.Outcome:
+        while True:
+            choice = self._choose(request)
+            if not isinstance(choice, placement.Choice):
+                return choice
+            attempt = await self._attempt(request, choice)
+            if isinstance(attempt, result.Success):
+                return attempt.unwrap()
+            failure = attempt.failure()
+            if failure not in outcomes.NOT_EXECUTED:
+                return outcomes.Lost(
+                    failure.value, failure is Failure.DEADLINE
+                )
+            if not self._may_retry(request, failure):
+                return self._refuse(request, failure.value)
+
+    async def _execute_idempotent(
+        self, request: caller_request.CallerRequest
+    ) -> outcomes.Outcome:
+        choice = self._choose(request)
+        if not isinstance(choice, placement.Choice):
+            return choice
+        pending = {self._start(request, choice)}
+        hedge_at = self._hedge_at(choice)
+        fallback: outcomes.Outcome | None = None
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending,
+                    timeout=max(0.0, hedge_at - self.state.clock.monotonic()),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                finished = [task.result() for task in done]
+                deliverable = next(
+                    (a for a in finished if outcomes.is_deliverable(a)), None
+                )
+                if deliverable is not None:
+                    return deliverable.unwrap()
+                for attempt in finished:
+                    fallback = self._outcome(request, attempt)
+                hedge_at = float('inf')
+                if finished and pending:
+                    continue
+                if not self._may_retry(
+                    request, outcomes.first_failure(finished)
+                ):
+                    continue
+                choice = self._choose(request)
+                if isinstance(choice, placement.Choice):
+                    pending.add(self._start(request, choice))
+                elif fallback is None and not pending:
+                    fallback = choice
+            return fallback or self._refuse(request, 'no-upstream')
+        finally:
+            for task in pending:
+                task.cancel()
+
+    def _start(
+        self,
+        request: caller_request.CallerRequest,
+        choice: placement.Choice,
+    ) -> asyncio.Task[result.Result[upstream_client.Answer, Failure]]:
+        return asyncio.create_task(self._attempt(request, choice))
+
+    def _hedge_at(self, choice: placement.Choice) -> float:
+        delay_s = max(MIN_HEDGE_DELAY_S, choice.completion_s * HEDGE_FACTOR)
+        return self.state.clock.monotonic() + delay_s
+
+    def _outcome(
+        self,
+        request: caller_request.CallerRequest,
+        attempt: result.Result[upstream_client.Answer, Failure],
+    ) -> outcomes.Outcome:
+        if isinstance(attempt, result.Success):
+            return attempt.unwrap()
+        failure = attempt.failure()
+        if request.may_have_run:
+            return outcomes.Lost(failure.value, failure is Failure.DEADLINE)
+        return self._refuse(request, failure.value)
+
+    def _may_retry(
+        self, request: caller_request.CallerRequest, failure: Failure | None
+    ) -> bool:
+        if len(request.tried) >= request.route.max_attempts:
+            return False
+        if request.deadline <= self.state.clock.monotonic():
+            return False
+        if failure is Failure.NOT_SENT:
+            # The request reached no upstream, so that the next attempt is not
+            # a retry to any of them and costs no retry budget.
+            return True
+        now = self.state.clock.monotonic()
+        budget = self.state.retry_budget(request.service)
+        return budget.try_spend(now, self.state.fleet.sharing_vm_count())
+
+    def _choose(
+        self, request: caller_request.CallerRequest
+    ) -> placement.Choice | outcomes.Outcome:
+        now = self.state.clock.monotonic()
+        placement_request = placement.PlacementRequest(
+            request.route,
+            request.service,
+            request.object_key,
+            request.region,
+            frozenset(request.tried),
+        )
+        service = self.state.routes.service(request.service)
+        choice = self.state.placement.choose(placement_request, service)
+        verdict = admission.admit(
+            choice,
+            request.route,
+            now - request.arrived,
+            request.deadline - now,
+        )
+        if verdict is admission.Verdict.SEND:
+            return choice
+        request.steps.append(outcomes.describe_refusal(choice, verdict.value))
+        if request.may_have_run:
+            return outcomes.Lost(verdict.value, False)
+        return self._refuse(request, verdict.value)
+
+    def _refuse(
+        self, request: caller_request.CallerRequest, reason: str
+    ) -> outcomes.Refusal:
+        remaining_s = request.deadline - self.state.clock.monotonic()
+        return outcomes.Refusal(
+            reason, self.state.retry_after.sample(max(0.0, remaining_s))
+        )
+
+    async def _attempt(
+        self,
+        request: caller_request.CallerRequest,
+        choice: placement.Choice,
+    ) -> result.Result[upstream_client.Answer, Failure]:
+        state = self.state
+        upstream = choice.upstream
+        started = state.clock.monotonic()
+        remaining_s = request.deadline - started
+        is_first = not request.tried
+        request.tried.add(upstream.name)
+        state.load.begin_request(upstream.name)
+        state.outliers.begin_request(upstream.name)
+        if choice.cold:
+            state.warmup_limiter.record_sent(upstream.name)
+        if is_first:
+            state.retry_budget(request.service).record_request()
+        outbound = upstream_client.OutboundRequest(
+            request.method,
+            request.target,
+            platform_headers.encode_forwarded(
+                request.headers, upstream.name, remaining_s
+            ),
+            request.body,
+            request.request_id,
+            remaining_s,
+            request.route.idempotent,
+        )
+        attempt = None
+        try:
+            attempt = await self.client.send(upstream, outbound)
+        finally:
+            state.load.end_request(upstream.name)
+            if attempt is None:
+                state.outliers.abandon_request(upstream.name)
+        elapsed_s = state.clock.monotonic() - started
+        self._record_attempt(request, choice, attempt, elapsed_s)
+        return attempt
+
+    def _record_attempt(
+        self,
+        request: caller_request.CallerRequest,
+        choice: placement.Choice,
+        attempt: result.Result[upstream_client.Answer, Failure],
+        elapsed_s: float,
+    ) -> None:
+        state = self.state
+        name = choice.upstream.name
+        if isinstance(attempt, result.Success):
+            answer = attempt.unwrap()
+            request.steps.append(
+                outcomes.describe_attempt(
+                    choice, str(answer.status), elapsed_s
+                )
+            )
+            state.crash_ledger.clear(request.fingerprint)
+            is_good = answer.status < 500
+            state.outliers.record_outcome(
+                name,
+                outlier_detection.Outcome.GOOD
+                if is_good
+                else outlier_detection.Outcome.ERROR,
+            )
+            if is_good:
+                self._record_service_time(request, choice, elapsed_s)
+            return
+        failure = attempt.failure()
+        request.steps.append(
+            outcomes.describe_attempt(choice, failure.value, elapsed_s)
+        )
+        if failure not in outcomes.NOT_EXECUTED:
+            request.may_have_run = True
+        if failure is Failure.STALE:
+            # The next attempt uses a new connection and may go to the same
+            # upstream.
+            request.tried.discard(name)
+            state.outliers.abandon_request(name)
+            return
+        if failure is Failure.LOST:
+            incarnation = choice.upstream.incarnation
+            state.crash_ledger.record_loss(request.fingerprint, incarnation)
+            self.report_loss(request.fingerprint, incarnation)
+        if state.outliers.record_outcome(
+            name, outcomes.DETECTOR_OUTCOMES[failure]
+        ):
+            self.on_ejected(name)
+
+    def _record_service_time(
+        self,
+        request: caller_request.CallerRequest,
+        choice: placement.Choice,
+        elapsed_s: float,
+    ) -> None:
+        state = self.state
+        name = choice.upstream.name
+        if request.object_key:
+            state.recent_objects.record(name, request.object_key)
+        if choice.busy or choice.cold:
+            return
+        slowness = state.load.expected_slowness(name)
+        work_s = (
+            elapsed_s - state.round_trips.to_upstream(choice.upstream)
+        ) / slowness
+        state.service_times.add(
+            request.route.key,
+            request.service,
+            request.route.objective_s,
+            max(0.001, work_s),
+            choice.affinity,
+        )
--- a/packages/entry/bulrushcourse_entry/edge/settings.py
+++ b/packages/entry/bulrushcourse_entry/edge/settings.py
@@ -1,4 +1,4 @@
-"""Settings of the edge program, in this project's own terms."""
+"""Settings of the edge program, in this project's terms."""
 
 import typing
 
@@ -7,20 +7,22 @@
 
 @attrs.frozen
 class Bounds:
-    """Times and limits that the users' agreement states.
+    """Times and limits that are agreed with the users.
 
-    Defaults serve deployments whose settings leave a bound out.
+    The defaults apply to bounds that the settings file omits.
 
     Attributes:
-        drain_s: Longest time until a leaving upstream gets nothing new.
+        drain_s: Longest time until a leaving upstream gets no new requests.
         stop_limit_s: Longest time that a graceful shutdown may take.
-        answer_max_age_s: Longest time that callers keep a look-up answer.
-        retry_ratio: Second sends per request.
-        retry_window_s: Window of the budget for second sends.
-        retry_extra: Second sends per window besides, over all VMs.
-        warmup_excess: Factor on the rate of cold upstreams.
-        warmup_margin: Requests in a second on top of it.
-        shift_share: Largest share of requests that may change region.
+        answer_max_age_s: Longest time that callers may cache a look-up.
+        retry_ratio: Allowed retries and hedges per request.
+        retry_window_s: Window of the retry budget in seconds.
+        retry_extra: Additional retries and hedges per window, over all VMs.
+        warmup_excess: Tolerated factor on the warm-up rate of a cold
+            upstream.
+        warmup_margin: Additional requests tolerated in any second.
+        shift_share: Largest share of a route's requests that may change
+            region between two windows of two seconds.
     """
 
     drain_s: float = 2.0
@@ -36,7 +38,7 @@
 
 @attrs.frozen
 class EdgeSettings:
-    """What one edge process is told when it starts.
+    """Settings of one edge process.
 
     Attributes:
         vm: Name of this VM.
@@ -44,10 +46,10 @@
         failure_domain: Failure domain of this VM.
         callers: ``ip:port`` of the listener for callers' requests.
         store: ``ip:port`` of the platform's store.
-        readiness: ``ip:port`` of the readiness check, empty for none.
-        lookups: ``ip:port`` of the look-ups, empty for none.
+        readiness: ``ip:port`` of the readiness listener, empty for none.
+        lookups: ``ip:port`` of the look-up listener, empty for none.
         peers: ``ip:port`` of the listener for other VMs, empty for none.
-        seeds: ``ip:port`` of some VMs' peer listeners, perhaps stale.
+        seeds: ``ip:port`` of the peer listeners of some VMs; may be outdated.
         regions: Region of each failure domain.
         bounds: Agreed times and limits.
     """
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/state_dump.py
@@ -0,0 +1,69 @@
+"""Dump of the process state, with the age of each observation."""
+
+import typing
+
+import attrs
+
+from bulrushcourse_entry.edge import process_state
+
+
+def dump(state: process_state.ProcessState) -> dict[str, typing.Any]:
+    """Return the process state as values that JSON can represent.
+
+    Args:
+        state: The process state.
+    """
+    now = state.clock.monotonic()
+    return {
+        'vm': attrs.asdict(state.fleet.local_vm),
+        'phase': state.fleet.phase.value,
+        'configuration': state.routes.version,
+        'operators_version': state.operators_version,
+        'evacuated': sorted(state.upstreams.evacuated),
+        'upstreams_version': state.upstreams.version,
+        'upstreams_age_s': _age(now, state.upstreams.read_at),
+        'upstreams': {
+            name: _upstream(state, name) for name in state.upstreams.entries
+        },
+        'vms': {
+            name: {
+                'alive': state.fleet.is_alive(name),
+                'phase': heartbeat.phase.value,
+                'age_s': _age(now, heartbeat.at),
+            }
+            for name, heartbeat in state.fleet.heartbeats.items()
+        },
+        'demand': state.demand.own_slots(),
+        'regions': {
+            f'{route} at {service}': {
+                region: round(share, 3) for region, share in mix.shares.items()
+            }
+            for (route, service), mix in state.region_mixes.items()
+        },
+        'second_sends_left': {
+            service: round(budget.tokens, 2)
+            for service, budget in state.retry_budgets.items()
+        },
+    }
+
+
+def _upstream(
+    state: process_state.ProcessState, name: str
+) -> dict[str, typing.Any]:
+    entry = state.upstreams.entries[name]
+    slowness, at = state.load.slowness.get(name, (None, 0.0))
+    return {
+        **attrs.asdict(entry),
+        'cold': state.upstreams.is_cold(name),
+        'in_flight': state.load.in_flight(name),
+        'slowness': slowness,
+        'slowness_age_s': (
+            _age(state.clock.monotonic(), at) if slowness else None
+        ),
+        'failing': round(state.outliers.failure_share(name), 3),
+        'set_aside': state.outliers.is_ejected(name),
+    }
+
+
+def _age(now: float, at: float) -> float | None:
+    return round(now - at, 3) if at > float('-inf') else None
--- /dev/null
+++ b/packages/entry/bulrushcourse_entry/edge/store_readers.py
@@ -0,0 +1,267 @@
+"""Tasks that follow changes in the platform's store."""
+
+import asyncio
+
+import attrs
+
+from bulrushcourse_domain.membership import readers
+from bulrushcourse_entry import events
+from bulrushcourse_entry.edge import event_log as event_logs
+from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.platform import operator_rows
+from bulrushcourse_entry.platform import rows
+from bulrushcourse_entry.platform import units
+from bulrushcourse_entry.platform import upstream_rows
+from bulrushcourse_wire import fleet_messages
+
+# Shares of the drain time, after which a leaving upstream must get no new
+# requests. A designated reader reads the rows at the first interval; the other
+# VMs read them only when they got no update for the second one.
+READ_INTERVAL_SHARE = 0.35
+STALE_AGE_SHARE = 0.6
+# Longest wait of a designated reader for a change, which ends the wait. It is
+# short since a broken connection may stay unnoticed until the wait ends.
+READER_WAIT_S = 6.0
+# The other VMs get changes from the readers' reports several times a second.
+FOLLOWER_WAIT_S = 20.0
+RETRY_PAUSE_S = 0.5
+INITIAL_RETRY_PAUSE_S = 0.1
+MIN_SLEEP_S = 0.1
+
+
+@attrs.define
+class StoreReachability:
+    """Logs one event when the store stops or resumes answering.
+
+    Attributes:
+        event_log: Log.
+        reachable: Whether the last call succeeded, ``None`` before the first
+            call.
+    """
+
+    event_log: event_logs.EventLog
+    reachable: bool | None = None
+
+    def record_call(self, answered: bool, reason: str = '') -> None:
+        """Record the outcome of a call.
+
+        Args:
+            answered: Whether the store answered.
+            reason: Why it did not.
+        """
+        if answered and self.reachable is False:
+            self.event_log.log_change(events.Event.STORE_REACHABLE)
+        if not answered and self.reachable is not False:
+            self.event_log.log_change(
+                events.Event.STORE_UNREACHABLE, reason=reason
+            )
+        self.reachable = answered
+
+
+@attrs.define(eq=False)
+class OperatorReader:
+    """Follows the rows that operators write.
+
+    Attributes:
+        store: The platform's store.
+        state: The process state.
+        event_log: Log.
+        reachability: Whether the store answers.
+        evacuations: Version of the row by evacuated failure domain.
+    """
+
+    store: rows.RowStore
+    state: process_state.ProcessState
+    event_log: event_logs.EventLog
+    reachability: StoreReachability
+    evacuations: dict[str, int] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Follow changes until cancelled."""
+        pause = INITIAL_RETRY_PAUSE_S
+        while True:
+            try:
+                await self._follow()
+                pause = INITIAL_RETRY_PAUSE_S
+            except rows.StoreUnavailable as error:
+                self.reachability.record_call(False, str(error))
+                await asyncio.sleep(pause)
+                pause = RETRY_PAUSE_S
+
+    async def _follow(self) -> None:
+        batch = await self.store.read(operator_rows.TABLE)
+        if batch.version < self.state.operators_version:
+            raise rows.StoreUnavailable('store returned outdated rows')
+        self.reachability.record_call(True)
+        self.evacuations = {}
+        self._apply(batch)
+        after = batch.version
+        while True:
+            try:
+                batch = await self.store.changes(
+                    operator_rows.TABLE, after, self._wait_s()
+                )
+            except rows.HistoryLost:
+                return
+            self.reachability.record_call(True)
+            after = max(after, batch.version)
+            self._apply(batch)
+
+    def _wait_s(self) -> float:
+        return (
+            READER_WAIT_S
+            if self.state.is_designated_reader
+            else FOLLOWER_WAIT_S
+        )
+
+    def _apply(self, batch: rows.RowBatch) -> None:
+        for row in batch.rows:
+            domain = operator_rows.evacuated_domain(row.key)
+            if row.key == operator_rows.CONFIGURATION_KEY and row.value:
+                apply_configuration(self.state, self.event_log, row.value)
+            elif domain and row.value is None:
+                self.evacuations.pop(domain, None)
+            elif domain:
+                self.evacuations[domain] = row.version
+        apply_evacuations(
+            self.state,
+            self.event_log,
+            batch.version,
+            frozenset(self.evacuations),
+        )
+
+
+def apply_configuration(
+    state: process_state.ProcessState,
+    event_log: event_logs.EventLog,
+    value: bytes,
+) -> None:
+    """Install a configuration if it is valid and newer than the active one.
+
+    Args:
+        state: The process state.
+        event_log: Log.
+        value: Content from the store or from another VM.
+    """
+    try:
+        route_set = operator_rows.decode_configuration(value)
+    except units.MalformedValue as error:
+        event_log.log_change(
+            events.Event.CONFIGURATION_REFUSED, reason=str(error)
+        )
+        return
+    if state.routes.install(route_set):
+        state.discard_removed_routes()
+        state.packed_configuration = fleet_messages.pack_content(value)
+        event_log.log_change(
+            events.Event.CONFIGURATION_IN_FORCE,
+            version=route_set.version,
+            routes=len(route_set.routes),
+        )
+
+
+def apply_evacuations(
+    state: process_state.ProcessState,
+    event_log: event_logs.EventLog,
+    version: int,
+    domains: frozenset[str],
+) -> None:
+    """Apply the set of evacuated failure domains unless it is outdated.
+
+    Args:
+        state: The process state.
+        event_log: Log.
+        version: Store version in which the set was read.
+        domains: The evacuated failure domains.
+    """
+    if version < state.operators_version:
+        return
+    state.operators_version = version
+    previous = state.upstreams.evacuated
+    if domains == previous:
+        return
+    services = state.routes.active.services if state.routes.active else {}
+    warmup = max((s.warmup_s for s in services.values()), default=0.0)
+    state.upstreams.evacuate(domains, warmup)
+    event_log.log_change(
+        events.Event.EVACUATION_CHANGED,
+        domains=sorted(domains),
+        before=sorted(previous),
+        version=version,
+    )
+
+
+@attrs.define(eq=False)
+class UpstreamReader:
+    """Reads the upstreams' rows, or relies on the designated readers.
+
+    A VM that is no designated reader reads the rows only when it has got no
+    update from the readers for too long.
+
+    Attributes:
+        store: The platform's store.
+        state: The process state.
+        event_log: Log.
+        reachability: Whether the store answers.
+        logged_rows: Content of malformed rows that were logged, by key.
+    """
+
+    store: rows.RowStore
+    state: process_state.ProcessState
+    event_log: event_logs.EventLog
+    reachability: StoreReachability
+    logged_rows: dict[str, bytes | None] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Keep the upstream directory up to date until cancelled."""
+        clock = self.state.clock
+        drain_s = self.state.settings.bounds.drain_s
+        read_at = float('-inf')
+        while True:
+            self.state.is_designated_reader = is_designated_reader(self.state)
+            if self.state.is_designated_reader:
+                due = read_at + drain_s * READ_INTERVAL_SHARE
+            else:
+                updated_at = max(read_at, self.state.upstreams.read_at)
+                due = updated_at + drain_s * STALE_AGE_SHARE
+            pause = due - clock.monotonic()
+            if pause > 0:
+                await asyncio.sleep(max(pause, MIN_SLEEP_S))
+                continue
+            read_at = clock.monotonic()
+            await self._read()
+
+    async def _read(self) -> None:
+        try:
+            batch = await self.store.read(upstream_rows.TABLE)
+        except rows.StoreUnavailable as error:
+            self.state.upstreams.mark_store_unavailable()
+            self.reachability.record_call(False, str(error))
+            return
+        self.reachability.record_call(True)
+        snapshot = upstream_rows.decode_all(
+            batch, self.state.settings.regions, self._log_malformed
+        )
+        for change in self.state.upstreams.apply_snapshot(snapshot):
+            self.state.upstream_changes.on_next(change)
+        if self.state.is_designated_reader:
+            self.state.snapshot_versions.on_next(snapshot.version)
+
+    def _log_malformed(
+        self, row: rows.StoredRow, error: units.MalformedValue
+    ) -> None:
+        if self.logged_rows.get(row.key, b'') != row.value:
+            self.logged_rows[row.key] = row.value
+            self.event_log.log_change(
+                events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
+            )
+
+
+def is_designated_reader(state: process_state.ProcessState) -> bool:
+    """Return whether this VM polls the upstreams' rows for the other VMs.
+
+    Args:
+        state: The process state.
+    """
+    designated = readers.designate_readers('upstreams', state.fleet.alive())
+    return state.settings.vm in designated
--- a/packages/entry/bulrushcourse_entry/edge/supervision.py
+++ b/packages/entry/bulrushcourse_entry/edge/supervision.py
@@ -1,4 +1,4 @@
-"""Keeps the long-lived tasks of a process at work."""
+"""Supervision of the long-lived tasks of a process."""
 
 import asyncio
 import traceback
@@ -7,29 +7,29 @@
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import event_log as event_logs
 
-PAUSE_S = 1.0
+RESTART_PAUSE_S = 1.0
 
 
 async def keep_running(
     name: str,
-    work: typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]],
+    run: typing.Callable[[], typing.Coroutine[typing.Any, typing.Any, None]],
     event_log: event_logs.EventLog,
-    pause_s: float = PAUSE_S,
+    pause_s: float = RESTART_PAUSE_S,
 ) -> None:
-    """Run work until it ends by itself; start it again after a fault.
+    """Run a task until it returns, and restart it after an exception.
 
-    A reader that ended unseen would leave the process with what it knew at
-    that time.
+    If a task that reads the store stopped unnoticed, the process would go on
+    with the state of that moment.
 
     Args:
-        name: Name of the work, for the log.
-        work: The work.
+        name: Name of the task, for the log.
+        run: The task.
         event_log: Log.
-        pause_s: Time before it is started again, in seconds.
+        pause_s: Delay before a restart in seconds.
     """
     while True:
         try:
-            await work()
+            await run()
             return
         except Exception as error:
             event_log.log_change(
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_event_log.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_event_log.py
@@ -1,4 +1,4 @@
-"""Log lines are bounded, structured and never hold up the process."""
+"""Log lines are rate-limited, structured and never block the process."""
 
 import io
 import json
@@ -10,7 +10,7 @@
 
 
 class StalledStream(io.StringIO):
-    """Standard output whose reader has stopped."""
+    """Standard output that nothing reads."""
 
     def __init__(self):
         super().__init__()
@@ -23,7 +23,7 @@
         return super().write(text)
 
 
-def test_crowd_of_failures_writes_a_bounded_number_of_lines():
+def test_many_failures_write_a_bounded_number_of_lines():
     clock = clocks.ManualClock(50.0)
     stream = io.StringIO()
     writer = event_logs.LineWriter(stream)
@@ -38,26 +38,26 @@
     lines = [json.loads(line) for line in stream.getvalue().splitlines()]
     assert len(lines) <= 60 + 2 * event_logs.FAILURE_LINES_PER_S
     assert lines[-1]['id'] == 'last'
-    left_out = sum(line.get('left_out', 0) for line in lines)
-    assert left_out + len(lines) == 1001
+    suppressed = sum(line.get('left_out', 0) for line in lines)
+    assert suppressed + len(lines) == 1001
 
 
-def test_stalled_reader_costs_lines_and_does_not_block():
+def test_lines_are_dropped_without_blocking_when_output_stalls():
     stream = StalledStream()
     writer = event_logs.LineWriter(stream)
     with writer:
         events.write_fields(events.Event.REQUEST_SERVED, {'id': 'first'})
         stream.entered.wait()
-        for number in range(event_logs.MAX_WAITING + 500):
+        for number in range(event_logs.MAX_QUEUED_LINES + 500):
             events.write_fields(events.Event.REQUEST_SERVED, {'id': number})
     assert not stream.released.is_set()
-    assert len(writer.waiting) == event_logs.MAX_WAITING
+    assert len(writer.queue) == event_logs.MAX_QUEUED_LINES
     assert writer.dropped == 500
     stream.released.set()
     writer.close()
 
 
-def test_line_names_event_level_and_inputs():
+def test_line_has_event_number_level_and_details():
     stream = io.StringIO()
     writer = event_logs.LineWriter(stream)
     with writer:
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_supervision.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_supervision.py
@@ -1,4 +1,4 @@
-"""Long-lived tasks go on after a fault of this program."""
+"""Long-lived tasks are restarted after an unexpected exception."""
 
 import asyncio
 
@@ -11,15 +11,15 @@
 
 
 class Recorder(event_logs.EventLog):
-    """Event log that keeps what it is told."""
+    """Event log that records the logged changes."""
 
     def log_change(self, event, **fields):
-        self.told = [*getattr(self, 'told', ()), (event, fields)]
+        self.logged = [*getattr(self, 'logged', ()), (event, fields)]
 
 
-def test_failed_task_is_reported_and_started_again():
-    # Guards against a reader that ends unseen, so that the process serves
-    # on with the configuration of that moment.
+def test_failed_task_is_logged_and_restarted():
+    # Guards against a reader task that stops unnoticed, so that the process
+    # goes on with an outdated configuration.
     outcomes = [KeyError('ver'), TypeError('x'), None]
     event_log = Recorder(clocks.ManualClock())
 
@@ -30,17 +30,17 @@
 
     asyncio.run(supervision.keep_running('reader', work, event_log, 0.0))
     assert not outcomes
-    assert [event for event, _ in event_log.told] == [
+    assert [event for event, _ in event_log.logged] == [
         events.Event.TASK_FAILED
     ] * 2
-    assert [fields['kind'] for _, fields in event_log.told] == [
+    assert [fields['kind'] for _, fields in event_log.logged] == [
         'KeyError',
         'TypeError',
     ]
 
 
 def test_cancelled_task_ends():
-    # Guards against a shutdown that starts its tasks again.
+    # Guards against tasks that are restarted during shutdown.
     async def scenario():
         task = asyncio.create_task(
             supervision.keep_running(
--- a/packages/entry/bulrushcourse_entry/edge/sending.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstream_client.py
@@ -1,4 +1,4 @@
-"""Sends requests to upstreams and reads their whole answers."""
+"""HTTP client that sends requests to upstreams and reads whole responses."""
 
 import asyncio
 
@@ -10,26 +10,26 @@
 
 from bulrushcourse_domain.placement import connections
 from bulrushcourse_domain.upstreams import upstream as upstreams
-from bulrushcourse_entry.edge import connecting
-from bulrushcourse_entry.edge import knowledge as knowledges
+from bulrushcourse_entry.edge import connection_tracing
+from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.platform import headers as platform_headers
-from bulrushcourse_entry.upstreams import client as upstream_client
+from bulrushcourse_entry.upstreams import client as instance_client
 from bulrushcourse_entry.upstreams import sessions
 
-Failure = upstream_client.Failure
+Failure = instance_client.Failure
 
-# A connection takes a round trip and about a millisecond.
+# Connecting takes one round trip and about a millisecond.
 CONNECT_TIMEOUT_S = 0.5
 
 
 @attrs.frozen
 class Answer:
-    """A whole answer of an upstream.
+    """A complete response of an upstream.
 
     Attributes:
         status: HTTP status.
-        headers: Its headers.
-        body: Its whole body.
+        headers: Response headers.
+        body: The whole body.
     """
 
     status: int
@@ -38,17 +38,17 @@
 
 
 @attrs.frozen
-class Outbound:
-    """A request as it is sent.
+class OutboundRequest:
+    """A request as it is sent to an upstream.
 
     Attributes:
         method: HTTP method.
         target: Path and query as the caller sent them.
         headers: Headers to send.
         body: The whole body.
-        request_id: Identifier that the answer must bear.
-        remaining_s: Time until an answer is of no use.
-        repeatable: Whether it may run twice.
+        request_id: Identifier that the response must carry.
+        remaining_s: Time until the deadline in seconds.
+        repeatable: Whether the request may run more than once.
     """
 
     method: str
@@ -61,34 +61,36 @@
 
 
 @attrs.define(eq=False)
-class Sender:
+class UpstreamClient:
     """HTTP client of the upstreams.
 
     Attributes:
-        known: What this process believes.
+        state: The process state.
         pooled: Session that reuses connections.
         fresh: Session with a new connection for each request.
     """
 
-    known: knowledges.Knowledge
+    state: process_state.ProcessState
     pooled: aiohttp.ClientSession
     fresh: aiohttp.ClientSession
 
     async def send(
-        self, upstream: upstreams.Upstream, outbound: Outbound
+        self, upstream: upstreams.Upstream, outbound: OutboundRequest
     ) -> result.Result[Answer, Failure]:
-        """Send a request and return its whole answer.
+        """Send a request and return the complete response or the failure.
 
         Args:
-            upstream: Where to send it.
+            upstream: Upstream to send it to.
             outbound: The request.
         """
         response = None
-        known = self.known
-        dispatch = connecting.Dispatch(upstream)
-        may_reuse = known.idle.may_reuse(upstream.name, outbound.repeatable)
+        state = self.state
+        trace = connection_tracing.AttemptTrace(upstream)
+        may_reuse = state.idle_connections.may_reuse(
+            upstream.name, outbound.repeatable
+        )
         session = self.pooled if may_reuse else self.fresh
-        started = known.clock.monotonic()
+        started = state.clock.monotonic()
         try:
             async with asyncio.timeout(outbound.remaining_s):
                 response = await session.request(
@@ -100,7 +102,7 @@
                     headers=outbound.headers,
                     data=outbound.body or None,
                     allow_redirects=False,
-                    trace_request_ctx=dispatch,
+                    trace_request_ctx=trace,
                 )
                 body = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
@@ -112,37 +114,39 @@
             _close(response)
             if response is not None:
                 return result.Failure(Failure.TRUNCATED)
-            return result.Failure(self._judge_loss(dispatch, started))
+            return result.Failure(self._classify_reset(trace, started))
         except asyncio.CancelledError:
             _close(response)
             raise
-        return self._judge(upstream, outbound, response, body)
+        return self._classify_response(upstream, outbound, response, body)
 
-    def _judge_loss(
-        self, dispatch: connecting.Dispatch, started: float
+    def _classify_reset(
+        self, trace: connection_tracing.AttemptTrace, started: float
     ) -> Failure:
-        upstream = dispatch.upstream
-        took = self.known.clock.monotonic() - started
-        forgotten = dispatch.reused and self.known.idle.record_reset(
-            upstream.name, took, self.known.delays.to_upstream(upstream)
+        upstream = trace.upstream
+        elapsed_s = self.state.clock.monotonic() - started
+        was_stale = trace.reused and self.state.idle_connections.record_reset(
+            upstream.name,
+            elapsed_s,
+            self.state.round_trips.to_upstream(upstream),
         )
-        return Failure.STALE if forgotten else Failure.LOST
+        return Failure.STALE if was_stale else Failure.LOST
 
-    def _judge(
+    def _classify_response(
         self,
         upstream: upstreams.Upstream,
-        outbound: Outbound,
+        outbound: OutboundRequest,
         response: aiohttp.ClientResponse,
         body: bytes,
     ) -> result.Result[Answer, Failure]:
         headers = response.headers
-        report = platform_headers.decode_load(headers)
-        if report is not None:
-            self.known.load.record_load_report(upstream.name, report)
+        load = platform_headers.decode_load(headers)
+        if load is not None:
+            self.state.load.record_load_report(upstream.name, load)
         warmup_s = platform_headers.decode_warmup_s(headers)
         if warmup_s:
-            self.known.upstreams.mark_cold(
-                upstream.name, self.known.clock.monotonic() + warmup_s
+            self.state.upstreams.mark_cold(
+                upstream.name, self.state.clock.monotonic() + warmup_s
             )
         status = response.status
         if not platform_headers.is_genuine(
@@ -152,25 +156,25 @@
             return result.Failure(Failure.FOREIGN)
         if status == platform_headers.MISDIRECTED:
             return result.Failure(Failure.MISDIRECTED)
-        if platform_headers.says_not_run(status, headers):
+        if platform_headers.proves_not_executed(status, headers):
             return result.Failure(Failure.SHED)
         return result.Success(Answer(status, headers, body))
 
 
-def open_sender(known: knowledges.Knowledge) -> Sender:
-    """Return a sender; call it inside a running event loop.
+def open_client(state: process_state.ProcessState) -> UpstreamClient:
+    """Return a client; must be called inside a running event loop.
 
     Args:
-        known: What this process believes.
+        state: The process state.
     """
-    traces = (connecting.observe_connections(known),)
+    traces = (connection_tracing.trace_connections(state),)
     pooled, fresh = (
         sessions.open_session(
             connections.MOST_CONNECTIONS, fresh, CONNECT_TIMEOUT_S, traces
         )
         for fresh in (False, True)
     )
-    return Sender(known, pooled, fresh)
+    return UpstreamClient(state, pooled, fresh)
 
 
 def _close(response: aiohttp.ClientResponse | None) -> None:
--- a/packages/entry/bulrushcourse_entry/platform/headers.py
+++ b/packages/entry/bulrushcourse_entry/platform/headers.py
@@ -100,7 +100,9 @@
     return _without(headers, _NOT_RETURNED)
 
 
-def says_not_run(status: int, headers: typing.Mapping[str, str]) -> bool:
+def proves_not_executed(
+    status: int, headers: typing.Mapping[str, str]
+) -> bool:
     """Return whether an answer proves that the request did not run.
 
     Args:
