Name a few more locals in the edge and platform folders

`answer`, `own` and `entry` were used for values of several kinds, and the comment on reloading settings did not say what is not reloaded.

Locals in table, lookups, settings_file and state_dump are named after what they hold; the comment names bounds, seeds and addresses.

--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -147,7 +147,7 @@
     def _reload(
         self, state: process_state.ProcessState, event_log: event_logs.EventLog
     ) -> None:
-        """Apply bounds and seeds from the settings file, but no others."""
+        """Reload bounds and seeds from the settings file; addresses stay."""
         loaded = settings_file.load(self.settings_path)
         if isinstance(loaded, result.Failure):
             findings = [str(finding) for finding in loaded.failure()]
--- a/packages/entry/bulrushcourse_entry/edge/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/state_dump.py
@@ -50,10 +50,10 @@
 def _upstream(
     state: process_state.ProcessState, name: str
 ) -> dict[str, typing.Any]:
-    entry = state.upstreams.entries[name]
+    upstream = state.upstreams.entries[name]
     slowness, at = state.load.slowness.get(name, (None, 0.0))
     return {
-        **attrs.asdict(entry),
+        **attrs.asdict(upstream),
         'cold': state.upstreams.is_cold(name),
         'in_flight': state.load.in_flight(name),
         'slowness': slowness,
--- a/packages/entry/bulrushcourse_entry/platform/lookups.py
+++ b/packages/entry/bulrushcourse_entry/platform/lookups.py
@@ -46,5 +46,5 @@
         addresses: Addresses ``ip:port`` of the VMs to connect to.
         max_age_s: Time for which the caller may cache them.
     """
-    answer = {'addresses': list(addresses), 'ttl': f'{max_age_s:g}s'}
-    return json.dumps(answer).encode()
+    response = {'addresses': list(addresses), 'ttl': f'{max_age_s:g}s'}
+    return json.dumps(response).encode()
--- a/packages/entry/bulrushcourse_entry/platform/settings_file.py
+++ b/packages/entry/bulrushcourse_entry/platform/settings_file.py
@@ -84,7 +84,7 @@
         document: The parsed file; unknown fields are ignored.
     """
     reader = _FieldReader()
-    own = document.get('self', {})
+    identity = document.get('self', {})
     network = document.get('network', {})
     listen = network.get('listen', {})
     platform = document.get('platform', {})
@@ -98,9 +98,9 @@
 
     read = reader.read
     fields = {
-        'vm': read(own, 'self.node_name', text),
-        'region': read(own, 'self.region', text),
-        'failure_domain': read(own, 'self.zone', text),
+        'vm': read(identity, 'self.node_name', text),
+        'region': read(identity, 'self.region', text),
+        'failure_domain': read(identity, 'self.zone', text),
         'callers': read(listen, 'network.listen.front', address),
         'readiness': read(listen, 'network.listen.ready_addr', address, ''),
         'lookups': read(listen, 'network.listen.directory', address, ''),
--- a/packages/entry/bulrushcourse_entry/platform/table.py
+++ b/packages/entry/bulrushcourse_entry/platform/table.py
@@ -114,12 +114,12 @@
             TableUnavailable: If the call failed.
         """
         try:
-            answer = await self._call('GET', f'rows/{key}')
+            row = await self._call('GET', f'rows/{key}')
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise TableUnavailable(repr(error)) from error
-        if not answer['version']:
+        if not row['version']:
             return None
-        return Row(answer['version'], answer['value'])
+        return Row(row['version'], row['value'])
 
     async def scan(
         self, prefix: str, after: str, limit: int
@@ -136,11 +136,11 @@
         """
         query = urllib.parse.urlencode({'after': after, 'limit': limit})
         try:
-            found = await self._call('GET', f'scan/{prefix}?{query}')
+            rows = await self._call('GET', f'scan/{prefix}?{query}')
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise TableUnavailable(repr(error)) from error
         return tuple(
-            (row['key'], Row(row['version'], row['value'])) for row in found
+            (row['key'], Row(row['version'], row['value'])) for row in rows
         )
 
     async def transact(self, writes: typing.Sequence[Write]) -> WriteResult:
@@ -154,23 +154,23 @@
         """
         body = [attrs.asdict(write) for write in writes]
         try:
-            answer = await self._call('POST', 'transact', body)
+            reply = await self._call('POST', 'transact', body)
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return WriteResult.UNKNOWN
-        return WriteResult(answer['result'])
+        return WriteResult(reply['result'])
 
     async def _call(
         self, method: str, path: str, body: typing.Any = None
     ) -> typing.Any:
-        answered = False
+        succeeded = False
         try:
             async with asyncio.timeout(self.timeout_s):
                 async with self.session.request(
                     method, f'{self.base}/{path}', json=body
                 ) as response:
                     response.raise_for_status()
-                    answer = json.loads(await response.text())
-            answered = True
-            return answer
+                    content = json.loads(await response.text())
+            succeeded = True
+            return content
         finally:
-            self.reachable = answered
+            self.reachable = succeeded
