Rename the slot components and reword their comments

Cause: names such as Switch, Suspects, Asked, Ask and wish, and one term for both the owner's and the caller's side, made the slot protocol hard to read. Change: the modules messenger, shared_quarantine, client, client_state, ownership_manager, granter and owned_pool and their classes are named after what they do; a wish is a request, tracked by the owner and pending at the client. Doc comments state when and why in the usual terms; no comment was deleted. Keys of dumps and messages are unchanged.

--- a/packages/entry/bulrushcourse_entry/limits/assembly.py
+++ b/packages/entry/bulrushcourse_entry/limits/assembly.py
@@ -16,7 +16,7 @@
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
-from bulrushcourse_entry.slots import owned as owned_pools
+from bulrushcourse_entry.slots import owned_pool as owned_pools
 
 
 @attrs.define(eq=False)
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -9,8 +9,8 @@
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.routing import router
 from bulrushcourse_entry.peers import hub as peer_hub
-from bulrushcourse_entry.slots import keeper as pool_keeper
-from bulrushcourse_entry.slots import owned as owned_pools
+from bulrushcourse_entry.slots import owned_pool as owned_pools
+from bulrushcourse_entry.slots import ownership_manager as ownership_managers
 from bulrushcourse_wire import load_messages
 
 TELL_INTERVAL_S = 0.25
@@ -115,7 +115,7 @@
         return found
 
     def _load(self, service: str, region: str) -> router.RegionLoad | None:
-        name = pool_keeper.pool_name(region, service)
+        name = ownership_managers.pool_name(region, service)
         report = self.reports.get(name)
         if report and self.clock.monotonic() - report.at <= STALE_AFTER_S:
             load = report.load
--- a/packages/entry/bulrushcourse_entry/slots/__init__.py
+++ b/packages/entry/bulrushcourse_entry/slots/__init__.py
@@ -1,1 +1,1 @@
-"""Asking for slots of upstream instances."""
+"""Granting and requesting slots of upstream instances."""
--- a/packages/entry/bulrushcourse_entry/slots/assembly.py
+++ b/packages/entry/bulrushcourse_entry/slots/assembly.py
@@ -1,4 +1,4 @@
-"""The parts of an entry that deal with slots, put together."""
+"""Assembly of the components of an entry that handle slots."""
 
 import asyncio
 import random
@@ -12,63 +12,65 @@
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
-from bulrushcourse_entry.slots import granting as grants
-from bulrushcourse_entry.slots import keeper as keepers
+from bulrushcourse_entry.slots import client
+from bulrushcourse_entry.slots import granter as granters
+from bulrushcourse_entry.slots import messenger as messengers
+from bulrushcourse_entry.slots import ownership_manager as ownership_managers
 from bulrushcourse_entry.slots import server as servers
-from bulrushcourse_entry.slots import shared
-from bulrushcourse_entry.slots import suspects as suspect_news
-from bulrushcourse_entry.slots import switch as switches
+from bulrushcourse_entry.slots import shared_quarantine as shared_quarantines
 
 
 @attrs.define(eq=False)
 class SlotParts:
-    """Ownership of pools, granting of slots, and asking for them.
+    """Pool ownership, slot server and slot client of an entry.
 
     Attributes:
-        keeper: Keeps the ownership of pools.
-        suspects: Losses by request.
-        server: Grants slots of owned pools.
-        source: Where the forwarding path gets slots from.
-        found: Whether every pool of the region has had an owner.
-        task: Decides what is due with time.
+        ownership_manager: Acquires and renews the ownership of pools.
+        shared_quarantine: Quarantine that is replicated between entries.
+        server: Grants the slots of owned pools.
+        source: Acquires slots for the forwarding path.
+        all_pools_owned: Whether every pool of the region has had an owner.
+        decision_task: Runs the server's time-dependent decisions.
     """
 
-    keeper: keepers.OwnershipKeeper
-    suspects: suspect_news.Suspects
+    ownership_manager: ownership_managers.OwnershipManager
+    shared_quarantine: shared_quarantines.SharedQuarantine
     server: servers.PoolServer
-    source: shared.SharedSlots
-    found: bool = False
-    task: asyncio.Task | None = None
+    source: client.SlotClient
+    all_pools_owned: bool = False
+    decision_task: asyncio.Task | None = None
 
     def start(self) -> None:
-        """Start all parts; call it before the first peer connects."""
-        self.keeper.start()
-        self.suspects.start()
+        """Start all components; call it before the first peer connects."""
+        self.ownership_manager.start()
+        self.shared_quarantine.start()
         self.source.start()
         self.server.start()
-        self.task = asyncio.create_task(self.server.run(), name='decisions')
+        self.decision_task = asyncio.create_task(
+            self.server.run(), name='decisions'
+        )
 
     async def stop(self) -> None:
-        """End all tasks."""
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
-        await self.keeper.stop()
-        await self.suspects.stop()
+        """Cancel all tasks and wait for them."""
+        self.decision_task.cancel()
+        await asyncio.gather(self.decision_task, return_exceptions=True)
+        await self.ownership_manager.stop()
+        await self.shared_quarantine.stop()
 
     async def leave(self) -> None:
-        """Hand the pools over to other entries, if there are any."""
-        await self.keeper.leave()
-        self.server.resign()
+        """Hand over the pools to other entries, if there are any."""
+        await self.ownership_manager.leave()
+        self.server.refuse_released()
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take pools and instances from a configuration.
+        """Apply the pools and instances of a configuration.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
-        self.keeper.configure(configuration)
+        self.ownership_manager.configure(configuration)
         self.server.configure(configuration)
 
     def set_leaving(self, instance: str, leaving: bool) -> None:
@@ -82,18 +84,18 @@
 
     def is_ready(self) -> bool:
         """Return whether every pool of the region has had an owner."""
-        if not self.found:
-            pools = self.keeper.pools.keys()
-            self.found = pools <= self.source.sessions.keys()
-        return self.found
+        if not self.all_pools_owned:
+            pools = self.ownership_manager.pools.keys()
+            self.all_pools_owned = pools <= self.source.sessions.keys()
+        return self.all_pools_owned
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the state of all parts for a state dump."""
+        """Return the state of all components for a state dump."""
         return {
-            'ownership': self.keeper.dump(),
+            'ownership': self.ownership_manager.dump(),
             'pools': self.server.dump(),
             'source': self.source.dump(),
-            'suspects': self.suspects.dump(),
+            'suspects': self.shared_quarantine.dump(),
         }
 
 
@@ -104,7 +106,7 @@
     table: platform_table.Table,
     vms: vm_list.VmList,
 ) -> SlotParts:
-    """Return the parts of an entry that deal with slots.
+    """Return the components of an entry that handle slots.
 
     Args:
         clock: Source of time.
@@ -118,13 +120,16 @@
         clock, identity.entry, identity.vm_id
     )
     rng = random.Random(identity.incarnation)
-    keeper = keepers.OwnershipKeeper(
+    ownership_manager = ownership_managers.OwnershipManager(
         clock, region, table, vms, hub, members, rng
     )
-    switch = switches.Switch(hub)
-    suspects = suspect_news.Suspects(clock, hub, table)
-    granting = grants.Granting(clock, switch, suspects)
-    server = servers.PoolServer(clock, keeper, switch, granting)
+    messenger = messengers.EntryMessenger(hub)
+    shared_quarantine = shared_quarantines.SharedQuarantine(clock, hub, table)
+    granter = granters.SlotGranter(clock, messenger, shared_quarantine)
+    server = servers.PoolServer(clock, ownership_manager, messenger, granter)
     return SlotParts(
-        keeper, suspects, server, shared.SharedSlots(clock, switch)
+        ownership_manager,
+        shared_quarantine,
+        server,
+        client.SlotClient(clock, messenger),
     )
--- a/packages/entry/bulrushcourse_entry/slots/asking.py
+++ b/packages/entry/bulrushcourse_entry/slots/client_state.py
@@ -1,4 +1,4 @@
-"""What an entry has asked of owners of pools, and what it holds."""
+"""Owners, undecided requests and grants of an entry's slot client."""
 
 import asyncio
 
@@ -8,8 +8,8 @@
 
 
 @attrs.frozen(eq=False)
-class Session:
-    """The ownership of a pool that its owner announced on a stream.
+class OwnerSession:
+    """Ownership of a pool, as its owner announced it on a stream.
 
     Attributes:
         peer: Name of the owner.
@@ -21,20 +21,20 @@
 
 
 @attrs.define(eq=False)
-class Ask:
-    """A request that the owner has not decided.
+class PendingRequest:
+    """A request that the pool's owner has not decided.
 
     Attributes:
         pool: Name of the pool.
-        session: Ownership that was asked.
-        wish: The request.
-        decided: Set to the decision, or to ``None`` if the ownership ended.
+        session: Owner that the request was sent to.
+        request: The request.
+        decision: Result is the decision, or ``None`` if the ownership ended.
     """
 
     pool: str
-    session: Session
-    wish: requests.SlotRequest
-    decided: asyncio.Future
+    session: OwnerSession
+    request: requests.SlotRequest
+    decision: asyncio.Future
 
 
 @attrs.frozen
--- a/packages/entry/bulrushcourse_entry/slots/switch.py
+++ b/packages/entry/bulrushcourse_entry/slots/messenger.py
@@ -1,4 +1,4 @@
-"""Sending of messages to entries, this one included."""
+"""Message delivery to entries, including this one."""
 
 import asyncio
 
@@ -9,8 +9,8 @@
 
 
 @attrs.define(eq=False)
-class Switch:
-    """Sends to peers, and to this entry through the same handlers.
+class EntryMessenger:
+    """Sends messages to peers, and to this entry through its own handlers.
 
     Attributes:
         hub: Streams to peers.
@@ -24,10 +24,10 @@
         return self.hub.identity.entry
 
     def send(self, peer: str, message: messages.Message) -> bool:
-        """Queue a message; false without a stream to the peer.
+        """Queue a message; return false if there is no stream to the peer.
 
         Args:
-            peer: Name of the peer, or of this entry.
+            peer: Name of the peer or of this entry.
             message: Message to send.
         """
         if peer != self.entry:
@@ -49,7 +49,7 @@
         self.hub.broadcast(message)
 
     def incarnations(self) -> dict[str, str]:
-        """Return the incarnation of each connected entry by name."""
+        """Return the incarnations of this entry and connected ones by name."""
         connected = {
             peer: stream.hello.incarnation
             for peer, stream in self.hub.streams.items()
--- a/packages/entry/bulrushcourse_entry/slots/keeper.py
+++ b/packages/entry/bulrushcourse_entry/slots/ownership_manager.py
@@ -1,4 +1,4 @@
-"""Tasks that take, renew and give up the ownership of a region's pools."""
+"""Tasks that acquire, renew and release ownership of a region's pools."""
 
 import asyncio
 import collections
@@ -12,7 +12,7 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.slots import lease as leases
-from bulrushcourse_domain.slots import ownership
+from bulrushcourse_domain.slots import ownership as ownerships
 from bulrushcourse_domain.slots import promises
 from bulrushcourse_domain.slots import region_members
 from bulrushcourse_entry.peers import hub as peer_hub
@@ -20,7 +20,7 @@
 from bulrushcourse_entry.platform import vm_list
 from bulrushcourse_wire import slot_messages
 
-LIST_INTERVAL_S = 0.5
+VM_LIST_INTERVAL_S = 0.5
 RENEW_INTERVAL_S = 1.0
 OBSERVE_INTERVAL_S = 0.5
 PROMISE_INTERVAL_S = 0.5
@@ -33,7 +33,7 @@
 
 
 def pool_name(region: str, service: str) -> str:
-    """Return the name of a pool between entries.
+    """Return the name of a pool as it is used in messages and row keys.
 
     Args:
         region: Region of the instances.
@@ -47,8 +47,11 @@
 
 
 @attrs.define(eq=False)
-class OwnershipKeeper:
-    """Keeps this entry's part in the ownership of its region's pools.
+class OwnershipManager:
+    """Acquires, renews and releases ownership of this region's pools.
+
+    An owner holds the pool's lease in the table or the promises of all other
+    entries of the region.
 
     Attributes:
         clock: Source of time.
@@ -57,14 +60,14 @@
         vms: The platform's list of VMs.
         hub: Streams to peers.
         members: Entries of the region.
-        rng: Source of the waits between turns.
-        pools: Ownership by name of pool.
-        former: Other incarnation that last held the lease, by name of pool;
-            empty if it released the lease or did not exist.
-        last_listed: Clock seconds at which an entry was last listed.
-        connected_since: Clock seconds since which a peer is connected.
-        places: Region of each failure domain.
-        released: Set when a peer gave up a pool, by name of pool.
+        rng: Source of the random delays between turns.
+        pools: Ownership by pool name.
+        former_holders: Other incarnation that last held the lease, by pool
+            name; empty if it released the lease or there was none.
+        last_listed: Clock seconds when each entry was last in the VM list.
+        connected_since: Clock seconds when each connected peer connected.
+        failure_domain_regions: Region of each failure domain.
+        release_events: Set when a peer has released a pool, by pool name.
         tasks: Running tasks.
     """
 
@@ -75,25 +78,25 @@
     hub: peer_hub.PeerHub
     members: region_members.RegionMembers
     rng: random.Random
-    pools: dict[str, ownership.PoolOwnership] = attrs.field(factory=dict)
-    former: dict[str, str] = attrs.field(factory=dict)
+    pools: dict[str, ownerships.PoolOwnership] = attrs.field(factory=dict)
+    former_holders: dict[str, str] = attrs.field(factory=dict)
     last_listed: dict[str, float] = attrs.field(factory=dict)
     connected_since: dict[str, float] = attrs.field(factory=dict)
-    places: dict[str, str] = attrs.field(factory=dict)
-    released: dict[str, asyncio.Event] = attrs.field(
+    failure_domain_regions: dict[str, str] = attrs.field(factory=dict)
+    release_events: dict[str, asyncio.Event] = attrs.field(
         factory=lambda: collections.defaultdict(asyncio.Event)
     )
     tasks: list[asyncio.Task] = attrs.field(factory=list)
 
     def start(self) -> None:
-        """Follow the list of VMs and the promise requests of peers."""
+        """Subscribe to peers, and start polling and requesting promises."""
         self.hub.received.subscribe(self._on_message)
-        self.hub.changes.subscribe(self._on_change)
-        self._spawn(self._follow_list(), 'list for ownership')
-        self._spawn(self._ask_promises(), 'promises')
+        self.hub.changes.subscribe(self._on_connection_change)
+        self._spawn(self._poll_vm_list(), 'list for ownership')
+        self._spawn(self._send_promise_requests(), 'promises')
 
     async def stop(self) -> None:
-        """End all tasks."""
+        """Cancel all tasks and wait for them."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -101,12 +104,12 @@
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take part in the ownership of the region's pools.
+        """Start a lease task for each new pool of the region.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
-        self.places = configuration.regions
+        self.failure_domain_regions = configuration.regions
         entries = configuration.entries(self.region)
         self.members.seats = frozenset(entry.name for entry in entries)
         for service in configuration.services:
@@ -114,7 +117,7 @@
             if pool in self.pools:
                 continue
             if configuration.instances(service, self.region):
-                self.pools[pool] = ownership.open_ownership(
+                self.pools[pool] = ownerships.open_ownership(
                     pool,
                     self.hub.identity.incarnation,
                     self.members,
@@ -123,57 +126,62 @@
                 self._spawn(self._keep_lease(pool), f'lease {pool}')
 
     async def leave(self) -> None:
-        """Give all pools up, if another entry can take them over."""
-        while (wait_s := self._successor_in_s()) > 0:
+        """Release all pools once a peer can take them over.
+
+        Returns without releasing them if no other entry of the region is
+        connected.
+        """
+        while (wait_s := self._successor_ready_in_s()) > 0:
             if wait_s == math.inf:
                 return
             await asyncio.sleep(wait_s)
         async with asyncio.TaskGroup() as group:
-            for pool, own in self.pools.items():
-                group.create_task(self._give_up(pool, own))
+            for pool, ownership in self.pools.items():
+                group.create_task(self._release_pool(pool, ownership))
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the state of each pool's ownership for a state dump."""
+        """Return each pool's ownership for a state dump."""
         return {
             pool: {
-                'owns': own.may_grant(),
-                'term': own.term,
-                'lease': own.lease.is_held(),
-                'rank': own.rank(),
-                'settled': own.members.is_settled(),
-                'promised_to': own.pool_promises.given_to
-                if own.pool_promises.is_outstanding()
+                'owns': ownership.may_grant(),
+                'term': ownership.term,
+                'lease': ownership.lease.is_held(),
+                'rank': ownership.rank(),
+                'settled': ownership.members.is_settled(),
+                'promised_to': ownership.pool_promises.given_to
+                if ownership.pool_promises.is_outstanding()
                 else '',
             }
-            for pool, own in self.pools.items()
+            for pool, ownership in self.pools.items()
         }
 
-    def _spawn(self, work: typing.Coroutine, name: str) -> None:
-        self.tasks.append(asyncio.create_task(work, name=name))
+    def _spawn(self, coroutine: typing.Coroutine, name: str) -> None:
+        self.tasks.append(asyncio.create_task(coroutine, name=name))
 
-    async def _follow_list(self) -> None:
+    async def _poll_vm_list(self) -> None:
         while True:
-            asked_at = self.clock.monotonic()
+            requested_at = self.clock.monotonic()
             listed = await self.vms.list()
-            if listed is not None and self.places:
+            if listed is not None and self.failure_domain_regions:
                 now = self.clock.monotonic()
                 self.last_listed |= {vm.entry: now for vm in listed}
                 self.members.update_list(
                     [
                         region_members.ListedVm(vm.vm_id, vm.entry)
                         for vm in listed
-                        if self.places.get(vm.failure_domain) == self.region
+                        if self.failure_domain_regions.get(vm.failure_domain)
+                        == self.region
                     ],
-                    asked_at,
+                    requested_at,
                 )
-            await asyncio.sleep(LIST_INTERVAL_S)
+            await asyncio.sleep(VM_LIST_INTERVAL_S)
 
     async def _keep_lease(self, pool: str) -> None:
-        own = self.pools[pool]
+        ownership = self.pools[pool]
         while True:
-            await self._renew(pool, own)
-            owns = own.may_grant()
-            released = self.released[pool]
+            await self._renew(pool, ownership)
+            owns = ownership.may_grant()
+            released = self.release_events[pool]
             released.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(
@@ -181,54 +189,62 @@
                 ):
                     await released.wait()
 
-    async def _renew(self, pool: str, own: ownership.PoolOwnership) -> None:
+    async def _renew(
+        self, pool: str, ownership: ownerships.PoolOwnership
+    ) -> None:
         try:
-            seen = await self._read(pool)
+            row = await self._read_row(pool)
         except platform_table.TableUnavailable:
             return
-        own.observe_row(seen)
-        if seen.holder != own.incarnation:
-            self.former[pool] = seen.holder
-        write = own.plan_write()
+        ownership.observe_row(row)
+        if row.holder != ownership.incarnation:
+            self.former_holders[pool] = row.holder
+        write = ownership.plan_write()
         if write is not None:
-            own.finish_write(write, await self._send_write(pool, write))
+            ownership.finish_write(write, await self._send_write(pool, write))
 
-    def _successor_in_s(self) -> float:
-        """Return when a connected entry of the region has settled.
+    def _successor_ready_in_s(self) -> float:
+        """Return the seconds until a connected peer of the region settles.
 
-        A pool that is given up before has no owner until then, which is as
-        long as short requests may wait.
+        Infinite if no peer is connected. A pool released earlier would have
+        no owner until then, which is as long as short requests may wait.
         """
-        settle_s = self.members.times.settle_s + LIST_INTERVAL_S
-        ends = [
-            self.connected_since[peer] + settle_s
+        settling_s = self.members.times.settle_s + VM_LIST_INTERVAL_S
+        ready_at = [
+            self.connected_since[peer] + settling_s
             for peer in self.members.others() & self.connected_since.keys()
         ]
-        return min(ends, default=math.inf) - self.clock.monotonic()
+        return min(ready_at, default=math.inf) - self.clock.monotonic()
 
-    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
+    def _on_connection_change(
+        self, change: peer_hub.PeerConnectionChange
+    ) -> None:
         self.connected_since.pop(change.peer, None)
         if change.connected:
             self.connected_since[change.peer] = self.clock.monotonic()
 
-    async def _give_up(self, pool: str, own: ownership.PoolOwnership) -> None:
-        own.release()
-        self._tell_release(pool, own)
+    async def _release_pool(
+        self, pool: str, ownership: ownerships.PoolOwnership
+    ) -> None:
+        ownership.release()
+        self._notify_release(pool, ownership)
         try:
-            own.observe_row(await self._read(pool))
+            ownership.observe_row(await self._read_row(pool))
         except platform_table.TableUnavailable:
             return
-        write = own.release()
+        write = ownership.release()
         if write is not None:
             await self._send_write(pool, write)
-            self._tell_release(pool, own)
+            self._notify_release(pool, ownership)
 
-    def _tell_release(self, pool: str, own: ownership.PoolOwnership) -> None:
-        released = slot_messages.PoolReleased(pool, own.incarnation)
+    def _notify_release(
+        self, pool: str, ownership: ownerships.PoolOwnership
+    ) -> None:
+        released = slot_messages.PoolReleased(pool, ownership.incarnation)
         for peer in self.members.others():
             self.hub.send(peer, released)
 
-    async def _read(self, pool: str) -> leases.LeaseRow:
+    async def _read_row(self, pool: str) -> leases.LeaseRow:
         row = await self.table.get(f'pools/{pool}')
         if row is None:
             return leases.LeaseRow()
@@ -244,10 +260,10 @@
         )
         return WRITE_RESULTS[result]
 
-    async def _ask_promises(self) -> None:
+    async def _send_promise_requests(self) -> None:
         while True:
-            for own in self.pools.values():
-                request = own.request_promises()
+            for ownership in self.pools.values():
+                request = ownership.request_promises()
                 if request is not None:
                     self._send_promise_request(request)
             await asyncio.sleep(PROMISE_INTERVAL_S)
@@ -261,14 +277,14 @@
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         message = received.message
-        own = self.pools.get(getattr(message, 'pool', ''))
-        if own is None:
+        ownership = self.pools.get(getattr(message, 'pool', ''))
+        if ownership is None:
             return
         if isinstance(message, slot_messages.PoolReleased):
-            own.record_release(message.candidate)
-            self.released[message.pool].set()
+            ownership.record_release(message.candidate)
+            self.release_events[message.pool].set()
         elif isinstance(message, slot_messages.PromiseRequest):
-            promise = own.answer_promise_request(
+            promise = ownership.answer_promise_request(
                 promises.PromiseRequest(
                     message.pool,
                     received.peer,
@@ -285,7 +301,7 @@
                     ),
                 )
         elif isinstance(message, slot_messages.OwnershipPromise):
-            own.record_promise(
+            ownership.record_promise(
                 promises.Promise(
                     message.pool,
                     received.peer,
--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -1,4 +1,4 @@
-"""The owner's side of a region's pools."""
+"""Server that grants the slots of pools owned by this entry."""
 
 import asyncio
 import typing
@@ -13,10 +13,10 @@
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import events
 from bulrushcourse_entry.peers import hub as peer_hub
-from bulrushcourse_entry.slots import granting as grants
-from bulrushcourse_entry.slots import keeper as keepers
-from bulrushcourse_entry.slots import owned as owned_pools
-from bulrushcourse_entry.slots import switch as switches
+from bulrushcourse_entry.slots import granter as granters
+from bulrushcourse_entry.slots import messenger as messengers
+from bulrushcourse_entry.slots import owned_pool as owned_pools
+from bulrushcourse_entry.slots import ownership_manager as ownership_managers
 from bulrushcourse_wire import slot_messages
 
 DECIDE_INTERVAL_S = 0.05
@@ -28,36 +28,36 @@
 class PoolServer:
     """Grants the slots of the pools that this entry owns.
 
-    Every call of a pool is preceded by a check of the ownership in the same
-    turn of the event loop; without ownership the pool's queue is empty, so
-    that it grants nothing. Entries that did not say in this term what they
-    hold are refused, so that their report cannot miss a grant of this term.
+    The ownership is checked before each call to a pool, without an ``await``
+    in between; without ownership the pool's queue is empty, so that it grants
+    nothing. Requests of an entry that has not reported its held slots in this
+    term are refused, so that its report cannot miss a grant of this term.
 
     Attributes:
         clock: Source of time.
-        keeper: Keeps the ownership of pools.
-        switch: Sends messages to entries.
-        granting: Admits requests and carries out decisions.
+        ownership_manager: Acquires and renews the ownership of pools.
+        messenger: Sends messages to entries.
+        granter: Admits requests and sends decisions.
         pools: Pools of this region by name.
-        known: Last incarnation of each entry that was connected.
-        configuration: Configuration in force.
+        last_incarnations: Last incarnation of each peer that has connected.
+        configuration: The active configuration.
     """
 
     clock: clocks.Clock
-    keeper: keepers.OwnershipKeeper
-    switch: switches.Switch
-    granting: grants.Granting
+    ownership_manager: ownership_managers.OwnershipManager
+    messenger: messengers.EntryMessenger
+    granter: granters.SlotGranter
     pools: dict[str, owned_pools.OwnedPool] = attrs.field(factory=dict)
-    known: dict[str, str] = attrs.field(factory=dict)
+    last_incarnations: dict[str, str] = attrs.field(factory=dict)
     configuration: configuration_set.ConfigurationSet | None = None
 
     def start(self) -> None:
-        """Follow messages of entries and changes of streams."""
-        self.switch.hub.received.subscribe(self._on_message)
-        self.switch.hub.changes.subscribe(self._on_change)
+        """Subscribe to messages of entries and to connection changes."""
+        self.messenger.hub.received.subscribe(self._on_message)
+        self.messenger.hub.changes.subscribe(self._on_connection_change)
 
     async def run(self) -> None:
-        """Decide what is due with time until cancelled."""
+        """Make the pools' time-dependent decisions until cancelled."""
         while True:
             for owned in self.pools.values():
                 self._decide(owned)
@@ -66,22 +66,22 @@
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take the instances and their slots from a configuration.
+        """Apply the pools, instances and limits of a configuration.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
         self.configuration = configuration
-        region = self.keeper.region
+        region = self.ownership_manager.region
         for service in configuration.services.values():
-            name = keepers.pool_name(region, service.name)
-            if name not in self.keeper.pools:
+            name = ownership_managers.pool_name(region, service.name)
+            if name not in self.ownership_manager.pools:
                 continue
             if name not in self.pools:
                 self.pools[name] = owned_pools.OwnedPool(
                     name,
                     slot_pool.SlotPool(self.clock, {}),
-                    self.keeper.pools[name],
+                    self.ownership_manager.pools[name],
                     service.idempotent,
                 )
             owned = self.pools[name]
@@ -109,18 +109,18 @@
         """
         for owned in self.pools.values():
             if instance in owned.pool.instances:
-                self._is_owner(owned)
-                self.granting.apply(
+                self._refresh_ownership(owned)
+                self.granter.apply(
                     owned, owned.pool.set_leaving(instance, leaving)
                 )
 
-    def resign(self) -> None:
-        """Refuse all waiting requests of pools that were given up."""
+    def refuse_released(self) -> None:
+        """Refuse the undecided requests of pools that were released."""
         for owned in self.pools.values():
-            self._is_owner(owned)
+            self._refresh_ownership(owned)
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return owned pools with slots in use and waiting requests."""
+        """Return the pools' held slots and waiting requests."""
         return {
             name: {
                 'term': owned.term,
@@ -135,8 +135,12 @@
             for name, owned in self.pools.items()
         }
 
-    def _is_owner(self, owned: owned_pools.OwnedPool) -> bool:
-        term = owned.own.current_term() or 0
+    def _refresh_ownership(self, owned: owned_pools.OwnedPool) -> bool:
+        """Begin or end a term if it changed; return whether a pool is owned.
+
+        Each call to the pool must follow this check.
+        """
+        term = owned.ownership.current_term() or 0
         if term != owned.term:
             if owned.term:
                 self._end_term(owned)
@@ -149,51 +153,54 @@
         owned.reported.clear()
         owned.pool.take_over(self._possible_holders(owned))
         events.emit(events.Event.POOL_TAKEN, pool=owned.name, term=term)
-        self.switch.broadcast(slot_messages.HeldSlotsRequest(owned.name, term))
+        self.messenger.broadcast(
+            slot_messages.HeldSlotsRequest(owned.name, term)
+        )
 
     def _end_term(self, owned: owned_pools.OwnedPool) -> None:
         owned.term = 0
         events.emit(events.Event.POOL_LOST, pool=owned.name)
-        for asked in owned.undecided():
-            self.granting.drop(owned, asked)
-            self.granting.refuse(
-                asked.peer, owned.name, asked.wish, Reason.NOT_OWNER
+        for tracked in owned.undecided():
+            self.granter.withdraw(owned, tracked)
+            self.granter.send_refusal(
+                tracked.peer, owned.name, tracked.request, Reason.NOT_OWNER
             )
 
     def _possible_holders(self, owned: owned_pools.OwnedPool) -> set[str]:
-        """Return incarnations that may hold slots, connected or not.
+        """Return the incarnations that may hold slots of a pool.
 
-        An entry that is not connected is named by its last incarnation. If
-        there is none the name of the entry stands for one that cannot
-        report.
+        An entry that is not connected is represented by its last known
+        incarnation, or by its own name, which never reports, if none is known.
         """
-        connected = self.switch.incarnations()
+        connected = self.messenger.incarnations()
         holders = set(connected.values())
-        former = self.keeper.former.get(owned.name)
-        self.keeper.former[owned.name] = ''
+        former = self.ownership_manager.former_holders.get(owned.name)
+        self.ownership_manager.former_holders[owned.name] = ''
         if former == '' and owned.term == 1:
-            # The lease was free or released, so nobody was lost.
+            # The lease was free or released, so no former owner was lost.
             return holders
         holders |= {former} - {'', None}
-        longest_s = max(map(recovery.limit_s, owned.pool.classes.values()))
+        max_duration_s = max(
+            map(recovery.limit_s, owned.pool.classes.values())
+        )
         now = self.clock.monotonic()
-        for entry, last in self.keeper.last_listed.items():
-            if entry not in connected and now - last <= longest_s:
-                holders.add(self.known.get(entry, entry))
+        for entry, last in self.ownership_manager.last_listed.items():
+            if entry not in connected and now - last <= max_duration_s:
+                holders.add(self.last_incarnations.get(entry, entry))
         return holders
 
     def _decide(self, owned: owned_pools.OwnedPool) -> None:
-        if not self._is_owner(owned):
+        if not self._refresh_ownership(owned):
             return
-        self.granting.apply(owned, owned.pool.decide())
+        self.granter.apply(owned, owned.pool.decide())
         granted, waiting = owned.pool.granted, owned.pool.waiting
-        for request_id, asked in list(owned.asked.items()):
-            known = request_id in granted or request_id in waiting
-            if not known and request_id not in owned.parked:
-                # The pool ended a grant that no entry gave back.
-                self.granting.forget(owned, asked, CANCELLED, '')
-        for asked in list(owned.parked.values()):
-            self.granting.admit(owned, asked)
+        for request_id, tracked in list(owned.tracked.items()):
+            is_in_pool = request_id in granted or request_id in waiting
+            if not is_in_pool and request_id not in owned.parked:
+                # The pool ended a grant that no entry had released.
+                self.granter.finish(owned, tracked, CANCELLED, '')
+        for tracked in list(owned.parked.values()):
+            self.granter.admit(owned, tracked)
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         handler = _HANDLERS.get(type(received.message))
@@ -209,7 +216,7 @@
         received: peer_hub.ReceivedMessage,
         message: slot_messages.SlotRequest,
     ) -> None:
-        wish = requests.SlotRequest(
+        request = requests.SlotRequest(
             message.request_id,
             received.incarnation,
             message.request_class,
@@ -219,18 +226,21 @@
             message.hedged,
         )
         reported = owned.reported.get(received.peer)
-        if not self._is_owner(owned) or reported != received.incarnation:
-            self.granting.refuse(
-                received.peer, owned.name, wish, Reason.NOT_OWNER
+        if (
+            not self._refresh_ownership(owned)
+            or reported != received.incarnation
+        ):
+            self.granter.send_refusal(
+                received.peer, owned.name, request, Reason.NOT_OWNER
             )
-        elif wish.request_class not in owned.pool.classes:
-            self.granting.refuse(
-                received.peer, owned.name, wish, Reason.NO_INSTANCE
+        elif request.request_class not in owned.pool.classes:
+            self.granter.send_refusal(
+                received.peer, owned.name, request, Reason.NO_INSTANCE
             )
-        elif wish.request_id not in owned.asked:
-            asked = owned_pools.Asked(received.peer, wish)
-            owned.asked[wish.request_id] = asked
-            self.granting.admit(owned, asked)
+        elif request.request_id not in owned.tracked:
+            tracked = owned_pools.TrackedRequest(received.peer, request)
+            owned.tracked[request.request_id] = tracked
+            self.granter.admit(owned, tracked)
 
     def _on_cancel(
         self,
@@ -238,12 +248,12 @@
         received: peer_hub.ReceivedMessage,
         message: slot_messages.SlotCancel,
     ) -> None:
-        self._is_owner(owned)
-        asked = owned.asked.get(message.request_id)
+        self._refresh_ownership(owned)
+        tracked = owned.tracked.get(message.request_id)
         if message.request_id in owned.pool.granted:
-            self.granting.release(owned, message.request_id, CANCELLED, None)
-        elif asked is not None:
-            self.granting.drop(owned, asked)
+            self.granter.release(owned, message.request_id, CANCELLED, None)
+        elif tracked is not None:
+            self.granter.withdraw(owned, tracked)
 
     def _on_release(
         self,
@@ -251,43 +261,45 @@
         received: peer_hub.ReceivedMessage,
         message: slot_messages.SlotRelease,
     ) -> None:
-        self._is_owner(owned)
+        self._refresh_ownership(owned)
         outcome = requests.ReleaseOutcome(message.outcome)
-        self.granting.release(
+        self.granter.release(
             owned, message.request_id, outcome, message.seconds
         )
 
-    def _on_held(
+    def _on_held_slots_report(
         self,
         owned: owned_pools.OwnedPool,
         received: peer_hub.ReceivedMessage,
         message: slot_messages.HeldSlotsReport,
     ) -> None:
-        """Count what an entry holds, and nothing else that it may hold."""
-        if not self._is_owner(owned) or message.term != owned.term:
+        """Replace an entry's grants by the slots that it reports."""
+        if not self._refresh_ownership(owned) or message.term != owned.term:
             return
         holder = received.incarnation
         held = {slot.request_id for slot in message.held}
-        for request_id, run in list(owned.pool.granted.items()):
-            if run.grant.holder == holder and request_id not in held:
-                self.granting.release(owned, request_id, CANCELLED, None)
+        for request_id, active in list(owned.pool.granted.items()):
+            if active.grant.holder == holder and request_id not in held:
+                self.granter.release(owned, request_id, CANCELLED, None)
         grants = [
-            self.granting.adopt(owned, received, slot)
+            self.granter.restore_grant(owned, received, slot)
             for slot in message.held
             if slot.instance in owned.pool.instances
         ]
         owned.reported[received.peer] = holder
-        self.granting.apply(owned, owned.pool.report_held(holder, grants))
+        self.granter.apply(owned, owned.pool.report_held(holder, grants))
 
-    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
-        """Drop what a peer waits for; its grants stay in use."""
-        self.known[change.peer] = change.incarnation
+    def _on_connection_change(
+        self, change: peer_hub.PeerConnectionChange
+    ) -> None:
+        """Withdraw a peer's undecided requests; its grants stay in use."""
+        self.last_incarnations[change.peer] = change.incarnation
         for owned in self.pools.values():
             owned.reported.pop(change.peer, None)
-            for asked in owned.undecided(change.peer):
-                self.granting.drop(owned, asked)
-            if change.connected and self._is_owner(owned):
-                self.switch.send(
+            for tracked in owned.undecided(change.peer):
+                self.granter.withdraw(owned, tracked)
+            if change.connected and self._refresh_ownership(owned):
+                self.messenger.send(
                     change.peer,
                     slot_messages.HeldSlotsRequest(owned.name, owned.term),
                 )
@@ -297,5 +309,5 @@
     slot_messages.SlotRequest: PoolServer._on_request,
     slot_messages.SlotCancel: PoolServer._on_cancel,
     slot_messages.SlotRelease: PoolServer._on_release,
-    slot_messages.HeldSlotsReport: PoolServer._on_held,
+    slot_messages.HeldSlotsReport: PoolServer._on_held_slots_report,
 }
--- a/packages/entry/bulrushcourse_entry/slots/suspects.py
+++ b/packages/entry/bulrushcourse_entry/slots/shared_quarantine.py
@@ -1,4 +1,4 @@
-"""News of crash requests between entries and in the table."""
+"""Replication of crash-inducing requests to all entries and the table."""
 
 import asyncio
 import typing
@@ -12,15 +12,15 @@
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_wire import slot_messages
 
-WRITE_ATTEMPTS = 3
-FORGET_INTERVAL_S = 30.0
+MAX_WRITE_ATTEMPTS = 3
+EXPIRY_INTERVAL_S = 30.0
 
 
 def to_message(update: losses.LossUpdate) -> typing.Any:
-    """Return the message that carries a fact.
+    """Return the wire message for a loss update.
 
     Args:
-        update: A loss or a clearing.
+        update: A loss or the clearance of losses.
     """
     if isinstance(update, losses.Loss):
         return slot_messages.UpstreamLoss(**attrs.asdict(update))
@@ -30,15 +30,15 @@
 
 
 @attrs.define(eq=False)
-class Suspects:
-    """Keeps the quarantine equal at all entries.
+class SharedQuarantine:
+    """Replicates the quarantine between all entries.
 
     Attributes:
         clock: Source of time.
         hub: Streams to peers.
         table: The platform's table service.
-        quarantine: Losses and which requests may run.
-        tasks: Writes under way.
+        quarantine: Losses by fingerprint, and which requests may run.
+        tasks: Running writes and the expiry task.
     """
 
     clock: clocks.Clock
@@ -52,28 +52,28 @@
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     def start(self) -> None:
-        """Follow the news of peers."""
+        """Subscribe to the updates of peers and start the expiry task."""
         self.hub.received.subscribe(self._on_message)
-        self.hub.changes.subscribe(self._on_change)
-        self._spawn(self._forget())
+        self.hub.changes.subscribe(self._on_connection_change)
+        self._spawn(self._remove_expired())
 
     async def stop(self) -> None:
-        """End all tasks."""
+        """Cancel all tasks and wait for them."""
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
     def publish(self, update: losses.LossUpdate) -> None:
-        """Tell all entries a fact and write it to the table.
+        """Send an update to all peers and write it to the table.
 
         Args:
-            update: A loss or a clearing that this entry found.
+            update: A loss or a clearance that this entry found.
         """
         self.hub.broadcast(to_message(update))
         self._spawn(self._write(update.fingerprint))
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the suspects for a state dump."""
+        """Return the counted losses by fingerprint for a state dump."""
         return {
             fingerprint: [
                 {'instance': loss.instance, 'repeatable': loss.repeatable}
@@ -82,20 +82,20 @@
             for fingerprint in self.quarantine.lost
         }
 
-    def _spawn(self, work: typing.Coroutine) -> None:
-        task = asyncio.create_task(work)
+    def _spawn(self, coroutine: typing.Coroutine) -> None:
+        task = asyncio.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _forget(self) -> None:
+    async def _remove_expired(self) -> None:
         while True:
-            await asyncio.sleep(FORGET_INTERVAL_S)
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
             self.quarantine.remove_expired()
 
     async def _write(self, fingerprint: str) -> None:
-        """Merge this entry's losses of a request with the row's."""
+        """Merge the row's losses of a request with this entry's and write."""
         key = f'quarantine/{fingerprint}'
-        for _ in range(WRITE_ATTEMPTS):
+        for _ in range(MAX_WRITE_ATTEMPTS):
             try:
                 row = await self.table.get(key)
             except platform_table.TableUnavailable:
@@ -126,7 +126,9 @@
                 )
             )
 
-    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
+    def _on_connection_change(
+        self, change: peer_hub.PeerConnectionChange
+    ) -> None:
         if not change.connected:
             return
         for fingerprint in self.quarantine.lost:
--- a/packages/entry/bulrushcourse_entry/slots/source.py
+++ b/packages/entry/bulrushcourse_entry/slots/source.py
@@ -1,4 +1,4 @@
-"""Where the forwarding path gets slots from."""
+"""The interface through which the forwarding path acquires slots."""
 
 import typing
 
@@ -8,12 +8,12 @@
 
 
 class SlotSource(typing.Protocol):
-    """Gives slots of the pools of services in regions."""
+    """Acquires and releases slots of a service's pool in a region."""
 
     async def acquire(
-        self, service: str, region: str, wish: requests.SlotRequest
+        self, service: str, region: str, request: requests.SlotRequest
     ) -> result.Result[requests.Grant, requests.Refusal]:
-        """Wait for a slot; cancelling the call cancels the wish."""
+        """Wait for a slot; cancelling the call cancels the request."""
         ...
 
     def release(
@@ -24,5 +24,5 @@
         outcome: requests.ReleaseOutcome,
         service_time_s: float,
     ) -> None:
-        """Give a slot back."""
+        """Release a slot."""
         ...
--- a/packages/entry/bulrushcourse_entry/slots/tests/fakes.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/fakes.py
@@ -1,4 +1,4 @@
-"""Streams between entries without sockets."""
+"""Stand-in for the messenger that needs no sockets."""
 
 import types
 
@@ -9,8 +9,8 @@
 
 
 @attrs.define(eq=False)
-class FakeSwitch:
-    """Records what is sent; messages are delivered by the test."""
+class FakeMessenger:
+    """Records sent messages; the test delivers incoming ones."""
 
     entry: str = 'e1'
     hub: types.SimpleNamespace = attrs.field(
@@ -36,13 +36,13 @@
             peer_hub.ReceivedMessage(peer, incarnation or f'{peer}-1', message)
         )
 
-    def change(self, peer, connected):
+    def change_connection(self, peer, connected):
         self.hub.changes.on_next(
             peer_hub.PeerConnectionChange(peer, f'{peer}-1', connected)
         )
 
-    def taken(self, cls):
-        """Return and forget what was sent of a class."""
+    def take_sent(self, cls):
+        """Remove and return the sent messages of a class, with their peer."""
         found = [(p, m) for p, m in self.sent if isinstance(m, cls)]
         self.sent = [s for s in self.sent if s not in found]
         return found
--- a/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
@@ -8,11 +8,11 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.quarantine import quarantine
-from bulrushcourse_domain.slots import ownership
+from bulrushcourse_domain.slots import ownership as ownerships
 from bulrushcourse_domain.slots import pool as slot_pool
 from bulrushcourse_domain.slots import region_members
-from bulrushcourse_entry.slots import granting as grants
-from bulrushcourse_entry.slots import owned as owned_pools
+from bulrushcourse_entry.slots import granter as granters
+from bulrushcourse_entry.slots import owned_pool as owned_pools
 from bulrushcourse_entry.slots import server as servers
 from bulrushcourse_entry.slots.tests import fakes
 from bulrushcourse_wire import slot_messages
@@ -21,30 +21,34 @@
 SHORT = objects.RequestClass('short', 1, 5_000)
 
 
-class World:
-    """A server that owns a pool of one slot, alone in its region."""
+class ServerHarness:
+    """A server that owns a pool of one slot as its region's only entry."""
 
     def __init__(self):
         self.clock = clocks.ManualClock(1000.0)
-        self.switch = fakes.FakeSwitch()
-        self.switch.connected['e2'] = 'e2-1'
+        self.messenger = fakes.FakeMessenger()
+        self.messenger.connected['e2'] = 'e2-1'
         self.members = region_members.RegionMembers(self.clock, 'e1', 'vm')
-        own = ownership.open_ownership(
+        pool_ownership = ownerships.open_ownership(
             POOL, 'e1-1', self.members, random.Random(1)
         )
-        keeper = types.SimpleNamespace(former={POOL: ''}, last_listed={})
+        ownership_manager = types.SimpleNamespace(
+            former_holders={POOL: ''}, last_listed={}
+        )
         self.updates = []
-        suspects = types.SimpleNamespace(
+        shared_quarantine = types.SimpleNamespace(
             quarantine=quarantine.Quarantine(self.clock),
             publish=self.updates.append,
         )
-        granting = grants.Granting(self.clock, self.switch, suspects)
+        granter = granters.SlotGranter(
+            self.clock, self.messenger, shared_quarantine
+        )
         self.server = servers.PoolServer(
-            self.clock, keeper, self.switch, granting
+            self.clock, ownership_manager, self.messenger, granter
         )
         pool = slot_pool.SlotPool(self.clock, {'short': SHORT})
         pool.set_instances({'i': 1})
-        self.owned = owned_pools.OwnedPool(POOL, pool, own, True)
+        self.owned = owned_pools.OwnedPool(POOL, pool, pool_ownership, True)
         self.server.pools[POOL] = self.owned
         self.server.start()
         self.refresh_list()
@@ -62,106 +66,108 @@
             message = slot_messages.HeldSlotsReport(
                 POOL, self.owned.term, reported
             )
-            self.switch.receive(entry, message)
+            self.messenger.receive(entry, message)
 
     def request(self, request_id):
-        wish = slot_messages.SlotRequest(POOL, request_id, 'short', 3.0)
-        self.switch.receive('e2', wish)
+        request = slot_messages.SlotRequest(POOL, request_id, 'short', 3.0)
+        self.messenger.receive('e2', request)
 
     def granted(self):
-        found = self.switch.taken(slot_messages.SlotGrant)
+        found = self.messenger.take_sent(slot_messages.SlotGrant)
         return [message.request_id for _, message in found]
 
     def refused(self):
-        found = self.switch.taken(slot_messages.SlotRefusal)
+        found = self.messenger.take_sent(slot_messages.SlotRefusal)
         return [(m.request_id, m.reason) for _, m in found]
 
 
 @pytest.fixture
-def world():
-    return World()
+def harness():
+    return ServerHarness()
 
 
-def test_entry_that_did_not_report_is_refused(world):
-    """Its report could miss a grant, whose slot would be granted twice."""
-    world.request('r')
-    assert world.refused() == [('r', 'not-owner')]
-    world.report()
-    world.request('r2')
-    assert world.granted() == ['r2']
+def test_entry_that_did_not_report_is_refused(harness):
+    """Its report could miss a grant, and the slot would be granted twice."""
+    harness.request('r')
+    assert harness.refused() == [('r', 'not-owner')]
+    harness.report()
+    harness.request('r2')
+    assert harness.granted() == ['r2']
 
 
-def test_no_slot_is_granted_until_all_have_reported(world):
-    message = slot_messages.HeldSlotsReport(POOL, world.owned.term)
-    world.switch.receive('e2', message)
-    world.request('r')
-    assert world.granted() == []
-    world.switch.receive('e1', message)
-    assert world.granted() == ['r']
+def test_no_slot_is_granted_until_all_entries_have_reported(harness):
+    message = slot_messages.HeldSlotsReport(POOL, harness.owned.term)
+    harness.messenger.receive('e2', message)
+    harness.request('r')
+    assert harness.granted() == []
+    harness.messenger.receive('e1', message)
+    assert harness.granted() == ['r']
 
 
-def test_reported_slot_is_not_granted_again(world):
-    world.report(slot_messages.HeldSlot('old', 'i', 'short', 3.0, 'f'))
-    world.request('r')
-    assert world.granted() == []
+def test_reported_slot_is_not_granted_again(harness):
+    harness.report(slot_messages.HeldSlot('old', 'i', 'short', 3.0, 'f'))
+    harness.request('r')
+    assert harness.granted() == []
     release = slot_messages.SlotRelease(POOL, 'old', 'done', 0.1)
-    world.switch.receive('e2', release)
-    assert world.granted() == ['r']
+    harness.messenger.receive('e2', release)
+    assert harness.granted() == ['r']
 
 
-def test_lapsed_owner_refuses_what_waits(world):
-    world.report()
-    world.request('r')
-    world.request('waits')
-    assert world.granted() == ['r']
-    world.clock.advance(world.members.times.list_fresh_s + 0.1)
+def test_expired_owner_refuses_waiting_requests(harness):
+    harness.report()
+    harness.request('r')
+    harness.request('waits')
+    assert harness.granted() == ['r']
+    harness.clock.advance(harness.members.times.list_fresh_s + 0.1)
     release = slot_messages.SlotRelease(POOL, 'r', 'done', 0.1)
-    world.switch.receive('e2', release)
-    assert world.granted() == []
-    assert world.refused() == [('waits', 'not-owner')]
-
-
-def test_new_term_asks_again_what_is_held(world):
-    world.report()
-    world.request('r')
-    world.clock.advance(world.members.times.list_fresh_s + 0.1)
-    world.server._decide(world.owned)
-    world.refresh_list()
-    world.switch.taken(slot_messages.HeldSlotsRequest)
-    world.server._decide(world.owned)
-    ((peer, wanted),) = world.switch.taken(slot_messages.HeldSlotsRequest)
-    assert (peer, wanted.term) == ('*', 2)
-    assert world.owned.reported == {}
-
-
-def test_grant_that_its_holder_does_not_know_is_free(world):
-    """The message was lost with the stream."""
-    world.report()
-    world.request('r')
-    world.switch.change('e2', False)
-    world.switch.change('e2', True)
-    world.report()
-    world.request('r2')
-    assert world.granted() == ['r', 'r2']
-
-
-def test_slot_of_a_lost_peer_stays_in_use_until_its_time_limit(world):
-    world.report()
-    world.request('r')
-    world.switch.change('e2', False)
-    world.clock.advance(1.0)
-    world.refresh_list()
-    world.server._decide(world.owned)
-    assert 'r' in world.owned.pool.granted
-    world.clock.advance(4.0)
-    world.refresh_list()
-    world.server._decide(world.owned)
-    assert 'r' not in world.owned.pool.granted
-
-
-def test_lost_run_is_told_to_all_entries(world):
-    world.report()
-    world.request('r')
+    harness.messenger.receive('e2', release)
+    assert harness.granted() == []
+    assert harness.refused() == [('waits', 'not-owner')]
+
+
+def test_new_term_requests_held_slots_again(harness):
+    harness.report()
+    harness.request('r')
+    harness.clock.advance(harness.members.times.list_fresh_s + 0.1)
+    harness.server._decide(harness.owned)
+    harness.refresh_list()
+    harness.messenger.take_sent(slot_messages.HeldSlotsRequest)
+    harness.server._decide(harness.owned)
+    ((peer, held_request),) = harness.messenger.take_sent(
+        slot_messages.HeldSlotsRequest
+    )
+    assert (peer, held_request.term) == ('*', 2)
+    assert harness.owned.reported == {}
+
+
+def test_grant_missing_from_a_report_is_released(harness):
+    """The grant was lost with the stream, so nobody would release it."""
+    harness.report()
+    harness.request('r')
+    harness.messenger.change_connection('e2', False)
+    harness.messenger.change_connection('e2', True)
+    harness.report()
+    harness.request('r2')
+    assert harness.granted() == ['r', 'r2']
+
+
+def test_slot_of_a_lost_peer_stays_in_use_until_its_time_limit(harness):
+    harness.report()
+    harness.request('r')
+    harness.messenger.change_connection('e2', False)
+    harness.clock.advance(1.0)
+    harness.refresh_list()
+    harness.server._decide(harness.owned)
+    assert 'r' in harness.owned.pool.granted
+    harness.clock.advance(4.0)
+    harness.refresh_list()
+    harness.server._decide(harness.owned)
+    assert 'r' not in harness.owned.pool.granted
+
+
+def test_lost_run_is_published_to_all_entries(harness):
+    harness.report()
+    harness.request('r')
     release = slot_messages.SlotRelease(POOL, 'r', 'lost', 0.1)
-    world.switch.receive('e2', release)
-    assert [update.instance for update in world.updates] == ['i']
+    harness.messenger.receive('e2', release)
+    assert [update.instance for update in harness.updates] == ['i']
