Rename what limits use to the terms of the field

Cause: names such as HeldLimit, note_use, turned_away, pump and there, and comments that speak of telling, taking up and standing, hid plain rate limiting and load exchange. Change: LocalLimit with record_use and try_charge, a pacer with acquire and one task, report intervals, service times with typical and shortest time, and the names of constants carry unit and kind. Doc comments are reworded with their figures and reasons; no comment was deleted. Keys of dumps, of events and of rows are unchanged.

--- a/packages/entry/bulrushcourse_entry/limits/__init__.py
+++ b/packages/entry/bulrushcourse_entry/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Shares of limits, pacing on links, and routes within them."""
+"""Shares of limits, pacing of links, and region selection within them."""
--- a/packages/entry/bulrushcourse_entry/limits/assembly.py
+++ b/packages/entry/bulrushcourse_entry/limits/assembly.py
@@ -1,4 +1,4 @@
-"""How the parts that keep limits and choose regions fit together."""
+"""Assembly of the components that enforce limits and choose regions."""
 
 import asyncio
 import random
@@ -12,7 +12,7 @@
 from bulrushcourse_entry.limits import keeper as limit_keeper
 from bulrushcourse_entry.limits import loads as load_exchange
 from bulrushcourse_entry.limits import plans as plan_runner
-from bulrushcourse_entry.limits import regions as limited_regions
+from bulrushcourse_entry.limits import regions as region_selection
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
@@ -21,27 +21,27 @@
 
 @attrs.define(eq=False)
 class LimitsParts:
-    """The parts of one entry that keep limits.
+    """The components of an entry that enforce limits.
 
     Attributes:
-        pool_loads: Knows the loads of pools.
-        keeper: Keeps this entry's shares.
-        plans: Steps plans.
+        pool_loads: Exchanges the loads of pools with peers.
+        keeper: Renews this entry's shares.
+        plans: Steps shift plans.
         regions: Chooses regions.
     """
 
     pool_loads: load_exchange.PoolLoadExchange
     keeper: limit_keeper.LimitKeeper
     plans: plan_runner.PlanRunner
-    regions: limited_regions.RegionSelector
+    regions: region_selection.RegionSelector
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take up a configuration.
+        """Apply a configuration to all components.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
         self.pool_loads.configure(configuration)
         self.keeper.configure(configuration)
@@ -49,7 +49,7 @@
         self.regions.configure(configuration)
 
     def start(self) -> tuple[asyncio.Task, ...]:
-        """Follow peers and return the tasks that run until cancelled."""
+        """Subscribe to peers; return the tasks, which run until cancelled."""
         self.pool_loads.start()
         return (
             asyncio.create_task(self.pool_loads.run()),
@@ -58,11 +58,11 @@
         )
 
     async def stop(self) -> None:
-        """End the tasks of links."""
+        """Stop the link pacers."""
         await self.regions.stop()
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return shares, plans and routes for a state dump."""
+        """Return shares, plans and routing decisions for a state dump."""
         return {
             'shares': self.keeper.dump(),
             'plans': self.plans.dump(),
@@ -78,7 +78,7 @@
     vms: vm_list.VmList,
     owned: typing.Mapping[str, owned_pools.OwnedPool],
 ) -> LimitsParts:
-    """Return the parts, without a configuration.
+    """Return the components, before any configuration is applied.
 
     Args:
         settings: Settings of this entry.
@@ -89,10 +89,10 @@
         owned: Pools of this region by name.
     """
     incarnation = hub.identity.incarnation
-    source_of_random = random.Random(incarnation)
+    rng = random.Random(incarnation)
     keeper = limit_keeper.LimitKeeper(
         clock,
-        source_of_random,
+        rng,
         table,
         vms,
         f'{settings.vm_id}/{incarnation}',
@@ -102,7 +102,7 @@
         settings.region, clock, hub, owned
     )
     plans = plan_runner.PlanRunner(settings.region, clock, pool_loads)
-    regions = limited_regions.RegionSelector(
-        settings.region, clock, source_of_random, keeper, pool_loads, plans
+    regions = region_selection.RegionSelector(
+        settings.region, clock, rng, keeper, pool_loads, plans
     )
     return LimitsParts(pool_loads, keeper, plans, regions)
--- a/packages/entry/bulrushcourse_entry/limits/keeper.py
+++ b/packages/entry/bulrushcourse_entry/limits/keeper.py
@@ -1,4 +1,4 @@
-"""The task that keeps this entry's shares in the rows of limits."""
+"""Task that renews this entry's shares in the ledger rows of limits."""
 
 import asyncio
 import random
@@ -13,68 +13,68 @@
 from bulrushcourse_domain.limits import ledger as ledgers
 from bulrushcourse_domain.limits import share_ledger
 from bulrushcourse_entry import events
-from bulrushcourse_entry.limits import held_limit
+from bulrushcourse_entry.limits import local_limit as local_limits
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
 from bulrushcourse_wire import ledgers as ledger_rows
 
-# Shares that lack room are asked for at once, but not more often than this.
-QUICK_ROUND_S = 0.5
-ATTEMPTS = 4
-CONFLICT_PAUSE_S = 0.05
+# An exhausted share starts a round immediately, but not more often than this.
+MIN_ROUND_INTERVAL_S = 0.5
+MAX_WRITE_ATTEMPTS = 4
+MAX_CONFLICT_DELAY_S = 0.05
 
 
 @attrs.define(eq=False)
 class LimitKeeper:
-    """Reads and renews the shares of all limits.
+    """Reads and renews this entry's shares of all limits.
 
     Attributes:
         clock: Source of time.
-        random: Source of the pauses after conflicts.
+        rng: Source of the random delays after write conflicts.
         table: The platform's table service.
         vms: The platform's list of VMs.
         holder: Identifier of this incarnation.
-        vm: Identifier of this VM and name of its seat.
-        limits: Limits with shares, by name.
-        wanted: Set when a share lacks room.
+        vm: Identifier of this VM and name of its configured entry.
+        limits: Limits with this entry's shares, by name.
+        renewal_requested: Set when a share is exhausted.
     """
 
     clock: clocks.Clock
-    random: random.Random
+    rng: random.Random
     table: platform_table.Table
     vms: vm_list.VmList
     holder: str
     vm: tuple[str, str]
-    limits: dict[str, held_limit.HeldLimit] = attrs.field(factory=dict)
-    wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    limits: dict[str, local_limits.LocalLimit] = attrs.field(factory=dict)
+    renewal_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take up the limits of a configuration.
+        """Apply the limits of a configuration; known ones keep their shares.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
-        kept = {}
+        active = {}
         for limit in configuration.objects.limits:
             terms = ledgers.limit_terms(configuration, limit)
             if terms is None:
                 continue
-            held = self.limits.get(limit.name)
-            if held is None:
-                held = held_limit.open_limit(
+            local_limit = self.limits.get(limit.name)
+            if local_limit is None:
+                local_limit = local_limits.build_limit(
                     self.clock, limit, terms, self.holder, self.vm
                 )
-            held.limit = limit
-            held.shares.configure(terms)
-            kept[limit.name] = held
-        self.limits = kept
-        self.wanted.set()
+            local_limit.limit = limit
+            local_limit.shares.configure(terms)
+            active[limit.name] = local_limit
+        self.limits = active
+        self.renewal_requested.set()
 
-    def find(
+    def limits_between(
         self, kind: objects.LimitKind, source: str, target: str
-    ) -> list[held_limit.HeldLimit]:
+    ) -> list[local_limits.LocalLimit]:
         """Return the limits from one region to another.
 
         Args:
@@ -82,92 +82,111 @@
             source: Region that traffic leaves.
             target: Region that traffic enters.
         """
-        wanted = (kind, source, target)
+        key = (kind, source, target)
         return [
-            held
-            for held in self.limits.values()
-            if (held.limit.kind, held.limit.source, held.limit.target)
-            == wanted
+            local_limit
+            for local_limit in self.limits.values()
+            if (
+                local_limit.limit.kind,
+                local_limit.limit.source,
+                local_limit.limit.target,
+            )
+            == key
         ]
 
     def request_renewal(self) -> None:
-        """Ask for a round soon because a share lacks room."""
-        self.wanted.set()
+        """Start the next round early because a share is exhausted."""
+        self.renewal_requested.set()
 
     async def run(self) -> None:
-        """Keep shares until cancelled."""
+        """Renew shares until cancelled."""
         while True:
             await self.renew_shares()
-            await asyncio.sleep(QUICK_ROUND_S)
+            await asyncio.sleep(MIN_ROUND_INTERVAL_S)
             try:
-                rest_s = share_ledger.RENEWAL_S - QUICK_ROUND_S
-                async with asyncio.timeout(rest_s):
-                    await self.wanted.wait()
+                remaining_s = share_ledger.RENEWAL_S - MIN_ROUND_INTERVAL_S
+                async with asyncio.timeout(remaining_s):
+                    await self.renewal_requested.wait()
             except TimeoutError:
                 pass
 
     async def renew_shares(self) -> None:
-        """Read the rows, ask for the list, then write what is due.
+        """Read the rows and the list of VMs, then write the rows that are due.
 
-        The list is asked after the rows were read: a holder that the rows
-        show and the list lacks has ended.
+        The list is read after the rows, so that a holder that is in a row but
+        not in the list has ended.
         """
-        self.wanted.clear()
+        self.renewal_requested.clear()
         limits = list(self.limits.values())
-        read = await asyncio.gather(*(self._read(held) for held in limits))
+        read_results = await asyncio.gather(
+            *(self._read_row(local_limit) for local_limit in limits)
+        )
         listed = await self.vms.list()
         if listed is not None:
-            seats = {vm.vm_id: vm.entry for vm in listed}
-            for held in limits:
-                held.shares.update_vm_list(seats)
-        due = [held for held, known in zip(limits, read, strict=True) if known]
-        await asyncio.gather(*(self._renew(held) for held in due))
+            entry_names = {vm.vm_id: vm.entry for vm in listed}
+            for local_limit in limits:
+                local_limit.shares.update_vm_list(entry_names)
+        due = [
+            local_limit
+            for local_limit, is_read in zip(limits, read_results, strict=True)
+            if is_read
+        ]
+        await asyncio.gather(
+            *(self._renew(local_limit) for local_limit in due)
+        )
 
-    async def _read(self, held: held_limit.HeldLimit) -> bool:
+    async def _read_row(self, local_limit: local_limits.LocalLimit) -> bool:
         try:
-            row = await self.table.get(held.key)
+            row = await self.table.get(local_limit.key)
         except platform_table.TableUnavailable:
             return False
         if row is None:
-            held.shares.observe(None, 0)
+            local_limit.shares.observe(None, 0)
             return True
         parsed = ledger_rows.parse_ledger(row.value)
         if isinstance(parsed, result.Failure):
             events.emit(
                 events.Event.LEDGER_REFUSED,
-                row=held.key,
+                row=local_limit.key,
                 reason=parsed.failure(),
             )
             return False
-        held.shares.observe(parsed.unwrap(), row.version)
+        local_limit.shares.observe(parsed.unwrap(), row.version)
         return True
 
-    async def _renew(self, held: held_limit.HeldLimit) -> None:
-        demand = held.take_demand()
-        if not held.shares.is_due(demand):
+    async def _renew(self, local_limit: local_limits.LocalLimit) -> None:
+        demand = local_limit.collect_demand()
+        if not local_limit.shares.is_due(demand):
             return
-        for _ in range(ATTEMPTS):
-            if await self._write(held, demand):
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            if await self._write_row(local_limit, demand):
                 return
-            await asyncio.sleep(self.random.random() * CONFLICT_PAUSE_S)
-            if not await self._read(held):
+            await asyncio.sleep(self.rng.random() * MAX_CONFLICT_DELAY_S)
+            if not await self._read_row(local_limit):
                 return
 
-    async def _write(self, held: held_limit.HeldLimit, demand: int) -> bool:
-        """Write the row once; return whether no new attempt is needed."""
-        shares = held.shares
-        proposed = shares.propose(demand, held.window.in_use())
+    async def _write_row(
+        self, local_limit: local_limits.LocalLimit, demand: int
+    ) -> bool:
+        """Write the row once; return false after a conflict."""
+        shares = local_limit.shares
+        proposed = shares.propose(demand, local_limit.window.in_use())
         renewal = shares.last_renewal
         write = platform_table.Write(
-            held.key, ledger_rows.render_ledger(proposed), shares.version
+            local_limit.key,
+            ledger_rows.render_ledger(proposed),
+            shares.version,
         )
-        written = await self.table.transact([write])
-        if written is platform_table.WriteResult.COMMITTED:
+        write_result = await self.table.transact([write])
+        if write_result is platform_table.WriteResult.COMMITTED:
             shares.confirm_write(renewal)
-        if written is platform_table.WriteResult.CONFLICT:
+        if write_result is platform_table.WriteResult.CONFLICT:
             shares.reject_write(renewal)
-        return written is not platform_table.WriteResult.CONFLICT
+        return write_result is not platform_table.WriteResult.CONFLICT
 
     def dump(self) -> dict[str, typing.Any]:
         """Return all shares for a state dump."""
-        return {name: held.dump() for name, held in self.limits.items()}
+        return {
+            name: local_limit.dump()
+            for name, local_limit in self.limits.items()
+        }
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -1,4 +1,4 @@
-"""Loads of pools, told by their owners."""
+"""Exchange of pool loads between entries."""
 
 import asyncio
 import typing
@@ -13,81 +13,81 @@
 from bulrushcourse_entry.slots import ownership_manager as ownership_managers
 from bulrushcourse_wire import load_messages
 
-TELL_INTERVAL_S = 0.25
-# Four intervals without news; the owner is gone or paused.
+REPORT_INTERVAL_S = 0.25
+# Four intervals without a report; the owner has stopped or is paused.
 STALE_AFTER_S = 1.0
 
 
 @attrs.frozen
 class ReportedLoad:
-    """A load with its origin.
+    """A pool's load with its origin.
 
     Attributes:
         load: The load.
-        peer: Entry that told it, empty for this one.
-        at: Clock seconds of its arrival.
+        peer: Name of the entry that reported it, empty for this one.
+        received_at: Clock seconds when it was received.
     """
 
     load: load_messages.PoolLoad
     peer: str
-    at: float
+    received_at: float
 
 
 @attrs.define(eq=False)
 class PoolLoadExchange:
-    """Tells the loads of owned pools and remembers those of others.
+    """Reports the loads of owned pools and stores those reported by peers.
 
     Attributes:
         region: Region of this entry.
         clock: Source of time.
         hub: Streams to peers.
-        owned: Pools of this region by name.
-        configuration: Configuration in force.
-        reports: Last news by pool.
+        pools: Pools of this region by name.
+        configuration: The active configuration.
+        reports: Last reported load by pool name.
     """
 
     region: str
     clock: clocks.Clock
     hub: peer_hub.PeerHub
-    owned: typing.Mapping[str, owned_pools.OwnedPool]
+    pools: typing.Mapping[str, owned_pools.OwnedPool]
     configuration: configuration_set.ConfigurationSet | None = None
     reports: dict[str, ReportedLoad] = attrs.field(factory=dict)
 
     def start(self) -> None:
-        """Follow what owners tell."""
+        """Subscribe to reports of owners and to connection changes."""
         self.hub.received.subscribe(self._on_message)
-        self.hub.changes.subscribe(self._on_change)
+        self.hub.changes.subscribe(self._on_connection_change)
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take up a configuration.
+        """Apply a configuration.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
         self.configuration = configuration
 
     async def run(self) -> None:
-        """Tell the loads of owned pools until cancelled."""
+        """Report the loads of owned pools until cancelled."""
         while True:
             loads = self.own_loads()
             if loads:
                 self.hub.broadcast(load_messages.PoolLoads(loads))
-            await asyncio.sleep(TELL_INTERVAL_S)
+            await asyncio.sleep(REPORT_INTERVAL_S)
 
     def own_loads(self) -> tuple[load_messages.PoolLoad, ...]:
         """Return the loads of the pools that this entry owns."""
         now = self.clock.monotonic()
         loads = []
-        for name, owned in self.owned.items():
+        for name, owned in self.pools.items():
             if not owned.term:
                 continue
             instances = owned.pool.instances.values()
             load = load_messages.PoolLoad(
                 name,
-                # Slots that are kept back after a takeover are free soon, so
-                # they are reason to wait rather than to shed.
+                # Includes slots that are withheld after a takeover: they are
+                # free soon, so requests should wait rather than be shed.
                 sum(map(owned.pool.health.open_slots, owned.pool.instances)),
                 sum(len(instance.held) for instance in instances),
                 len(owned.pool.waiting) + len(owned.parked),
@@ -100,24 +100,27 @@
     def loads(self, service: str) -> dict[str, router.RegionLoad]:
         """Return the load of a service's pools by region.
 
-        Without news the local pool has no healthy slot, so that requests go
-        to other regions while it has no owner and wait for one only if they
-        cannot; the pools of other regions count as absent.
+        Without a recent report the local pool has no healthy slot, so that
+        requests go to other regions while it has no owner and wait for one
+        only if they cannot; the pools of other regions are omitted.
 
         Args:
             service: Name of the service.
         """
-        found = {}
+        loads = {}
         for region in set(self.configuration.regions.values()):
             load = self._load(service, region)
             if load is not None:
-                found[region] = load
-        return found
+                loads[region] = load
+        return loads
 
     def _load(self, service: str, region: str) -> router.RegionLoad | None:
         name = ownership_managers.pool_name(region, service)
         report = self.reports.get(name)
-        if report and self.clock.monotonic() - report.at <= STALE_AFTER_S:
+        if (
+            report
+            and self.clock.monotonic() - report.received_at <= STALE_AFTER_S
+        ):
             load = report.load
             return router.RegionLoad(
                 region,
@@ -141,7 +144,9 @@
                     load, received.peer, now
                 )
 
-    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
+    def _on_connection_change(
+        self, change: peer_hub.PeerConnectionChange
+    ) -> None:
         if not change.connected:
             self.reports = {
                 pool: report
--- a/packages/entry/bulrushcourse_entry/limits/held_limit.py
+++ b/packages/entry/bulrushcourse_entry/limits/local_limit.py
@@ -1,4 +1,4 @@
-"""One limit with this entry's shares and what was charged to them."""
+"""A limit with this entry's shares and usage."""
 
 import math
 import typing
@@ -11,70 +11,72 @@
 from bulrushcourse_domain.limits import rate_window
 from bulrushcourse_domain.limits import share_ledger
 
-# Asks for more than is used, so that demand may grow between renewals.
-GROWTH = 1.25
-# Part of the cap that is asked for while there is any use. A share cut down to
-# a few small requests would not hold one piece of 16 KiB, so that a link with
-# room looked full until the next round.
-LEAST_PART = 1 / 64
+# Requests more than is used, so that demand may grow between renewals.
+DEMAND_GROWTH_RATIO = 1.25
+# Share of the cap that is requested while there is any use. A share sized for
+# a few small requests would not hold one chunk of 16 KiB, so that a link with
+# room would look full until the next round.
+MIN_DEMAND_SHARE = 1 / 64
 
 
 @attrs.define(eq=False)
-class HeldLimit:
-    """A limit of the configuration in force.
+class LocalLimit:
+    """A limit of the active configuration, as this entry enforces it.
 
     Attributes:
         limit: The limit as it was published.
         shares: This entry's shares.
         window: Charges of this entry.
-        turned_away: Whether the shares lacked room since the last round.
-        peak: Most units in a window since the last round.
-        last_peak: The same of the round before.
+        exhausted: Whether the shares were exhausted since the last round.
+        peak: Largest number of units in a window since the last round.
+        last_peak: The peak of the round before.
     """
 
     limit: objects.Limit
     shares: share_ledger.ShareLedger
     window: rate_window.RateWindow
-    turned_away: bool = False
+    exhausted: bool = False
     peak: int = 0
     last_peak: int = 0
 
     @property
     def key(self) -> str:
-        """Key of the row with the ledger."""
+        """Key of the ledger's row."""
         return f'limits/{self.limit.name}'
 
-    def charge(self, amount: int) -> bool:
-        """Charge an amount that is about to flow if there is room.
+    def try_charge(self, amount: int) -> bool:
+        """Charge an amount before it is sent; return false without room.
 
         Args:
-            amount: Units that are to flow.
+            amount: Units to charge.
         """
         charged = self.window.charge(amount, self.shares.usable)
-        self.note_use(not charged)
+        self.record_use(not charged)
         return charged
 
-    def note_use(self, turned_away: bool) -> None:
-        """Remember how much was used, as demand of the next round.
+    def record_use(self, exhausted: bool) -> None:
+        """Record the present use as demand for the next round.
 
         Args:
-            turned_away: Whether an amount found no room.
+            exhausted: Whether an amount found no room.
         """
         self.peak = max(self.peak, self.window.in_use())
-        self.turned_away = self.turned_away or turned_away
+        self.exhausted = self.exhausted or exhausted
 
-    def take_demand(self) -> int:
-        """Return the demand of the round and begin the next."""
+    def collect_demand(self) -> int:
+        """Return the demand of this round and reset it for the next."""
         cap = self.shares.terms.cap
         used = max(self.peak, self.last_peak)
-        demand = max(int(used * GROWTH), math.ceil(cap * LEAST_PART))
-        demand = cap if self.turned_away else min(cap, demand if used else 0)
+        demand = max(
+            int(used * DEMAND_GROWTH_RATIO), math.ceil(cap * MIN_DEMAND_SHARE)
+        )
+        demand = cap if self.exhausted else min(cap, demand if used else 0)
         self.last_peak, self.peak = self.peak, 0
-        self.turned_away = False
+        self.exhausted = False
         return demand
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return shares and use for a state dump."""
+        """Return shares and usage for a state dump."""
         shares = self.shares
         return {
             'cap': shares.terms.cap,
@@ -90,27 +92,27 @@
         }
 
 
-def open_limit(
+def build_limit(
     clock: clocks.Clock,
     limit: objects.Limit,
     terms: ledgers.Terms,
     holder: str,
     vm: tuple[str, str],
-) -> HeldLimit:
-    """Return a limit that nothing was charged to.
+) -> LocalLimit:
+    """Return a limit without charges.
 
     Args:
         clock: Source of time.
         limit: The limit as it was published.
         terms: Its terms.
         holder: Identifier of this incarnation.
-        vm: Identifier of this VM and name of its seat.
+        vm: Identifier of this VM and name of its configured entry.
     """
     windows = {
         objects.LimitKind.LINK: rate_window.BYTES_WINDOW_S,
         objects.LimitKind.SHIFT: rate_window.REQUESTS_WINDOW_S,
     }
-    return HeldLimit(
+    return LocalLimit(
         limit,
         share_ledger.open_ledger(clock, holder, *vm, terms),
         rate_window.RateWindow(clock, windows[limit.kind]),
--- a/packages/entry/bulrushcourse_entry/limits/pacer.py
+++ b/packages/entry/bulrushcourse_entry/limits/pacer.py
@@ -1,4 +1,4 @@
-"""Bytes that wait for their turn on a link."""
+"""Pacing of bytes on links between regions."""
 
 import asyncio
 import typing
@@ -7,108 +7,108 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.limits import pacing
-from bulrushcourse_entry.limits import held_limit
+from bulrushcourse_entry.limits import local_limit as local_limits
 
-# Shares change without notice; waiting chunks are looked at this often.
-SHARE_CHECK_S = 0.25
+# Shares change without notification, so waiting chunks are polled this often.
+SHARE_CHECK_INTERVAL_S = 0.25
 
 
 @attrs.define(eq=False)
 class LinkPacer:
-    """Lets bytes flow on one direction of a link within its shares.
+    """Paces one direction of a link within this entry's shares.
 
-    One task runs while chunks wait.
+    A task runs while chunks wait.
 
     Attributes:
-        held: The link's limit.
-        queue: Chunks that wait.
-        request_renewal: Asks for a larger share.
+        limit: The link's limit.
+        queue: Waiting chunks.
+        request_renewal: Requests a larger share.
         waiters: Futures of waiting chunks by identifier.
-        added: Set when a chunk joins.
-        pump: The task that lets chunks flow.
-        numbered: Number of chunks so far.
+        chunk_added: Set when a chunk is queued.
+        task: The task that releases waiting chunks.
+        chunk_count: Number of chunks so far.
     """
 
-    held: held_limit.HeldLimit
+    limit: local_limits.LocalLimit
     queue: pacing.ChunkQueue
     request_renewal: typing.Callable[[], None]
     waiters: dict[str, asyncio.Future] = attrs.field(factory=dict)
-    added: asyncio.Event = attrs.field(factory=asyncio.Event)
-    pump: asyncio.Task | None = None
-    numbered: int = 0
+    chunk_added: asyncio.Event = attrs.field(factory=asyncio.Event)
+    task: asyncio.Task | None = None
+    chunk_count: int = 0
 
-    async def flow(self, size: int, priority: int) -> None:
-        """Wait until bytes may flow; they are charged when this returns.
+    async def acquire(self, size: int, priority: int) -> None:
+        """Wait until bytes may be sent; they are charged when this returns.
 
         Args:
             size: Number of bytes.
-            priority: Priority of the request's class, 0 first.
+            priority: Priority of the request's class, 0 is served first.
         """
         while size > 0:
-            await self._flow_chunk(min(size, pacing.CHUNK_BYTES), priority)
+            await self._acquire_chunk(min(size, pacing.CHUNK_BYTES), priority)
             size -= pacing.CHUNK_BYTES
 
     @property
     def is_blocked(self) -> bool:
         """Whether the shares are too small for a chunk."""
-        return self.held.shares.usable < pacing.CHUNK_BYTES
+        return self.limit.shares.usable < pacing.CHUNK_BYTES
 
     async def stop(self) -> None:
-        """End the task."""
-        if self.pump is not None:
-            self.pump.cancel()
-            await asyncio.gather(self.pump, return_exceptions=True)
-
-    async def _flow_chunk(self, size: int, priority: int) -> None:
-        self.numbered += 1
-        chunk = pacing.Chunk(str(self.numbered), priority, size)
+        """Cancel the task and wait for it."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    async def _acquire_chunk(self, size: int, priority: int) -> None:
+        self.chunk_count += 1
+        chunk = pacing.Chunk(str(self.chunk_count), priority, size)
         waiter = asyncio.get_running_loop().create_future()
         self.waiters[chunk.chunk_id] = waiter
         self.queue.add(chunk)
-        self._release()
+        self._release_chunks()
         if not waiter.done():
-            self._wake()
+            self._wake_task()
         try:
             await waiter
         finally:
             if self.waiters.pop(chunk.chunk_id, None) is not None:
                 self.queue.cancel(chunk.chunk_id)
 
-    def _release(self) -> None:
-        for chunk in self.queue.release(self.held.shares.usable):
+    def _release_chunks(self) -> None:
+        for chunk in self.queue.release(self.limit.shares.usable):
             waiter = self.waiters.pop(chunk.chunk_id)
             if not waiter.done():
                 waiter.set_result(None)
-        self.held.note_use(False)
+        self.limit.record_use(False)
 
-    def _wake(self) -> None:
-        if self.pump is None or self.pump.done():
-            self.pump = asyncio.create_task(self._run())
-        self.added.set()
+    def _wake_task(self) -> None:
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self._run())
+        self.chunk_added.set()
 
     async def _run(self) -> None:
         while self.queue.waiting:
-            self.added.clear()
-            wait_s = self.queue.wait_s(self.held.shares.usable)
+            self.chunk_added.clear()
+            wait_s = self.queue.wait_s(self.limit.shares.usable)
             if wait_s > 0:
-                self._note_backlog()
-            timeout_s = min(wait_s, SHARE_CHECK_S)
+                self._record_backlog()
+            timeout_s = min(wait_s, SHARE_CHECK_INTERVAL_S)
             try:
                 async with asyncio.timeout(timeout_s):
-                    await self.added.wait()
+                    await self.chunk_added.wait()
             except TimeoutError:
                 pass
-            self._release()
+            self._release_chunks()
 
-    def _note_backlog(self) -> None:
-        if not self.held.turned_away:
-            self.held.note_use(True)
+    def _record_backlog(self) -> None:
+        if not self.limit.exhausted:
+            self.limit.record_use(True)
             self.request_renewal()
 
 
-def open_pacer(
+def build_pacer(
     clock: clocks.Clock,
-    held: held_limit.HeldLimit,
+    limit: local_limits.LocalLimit,
     long_priority: int,
     request_renewal: typing.Callable[[], None],
 ) -> LinkPacer:
@@ -116,42 +116,42 @@
 
     Args:
         clock: Source of time.
-        held: The link's limit.
+        limit: The link's limit.
         long_priority: Lowest priority that counts as long work.
-        request_renewal: Asks for a larger share.
+        request_renewal: Requests a larger share.
     """
-    queue = pacing.ChunkQueue(clock, held.window, long_priority)
-    return LinkPacer(held, queue, request_renewal)
+    queue = pacing.ChunkQueue(clock, limit.window, long_priority)
+    return LinkPacer(limit, queue, request_renewal)
 
 
 @attrs.frozen
 class PacedLink:
-    """The two directions of a link, as one request uses them.
+    """Throttle for one request on both directions of a link.
 
     Attributes:
-        there: Pacers of the direction to the instance.
-        back: Pacers of the direction from the instance.
-        priority: Priority of the request's class, 0 first.
+        outbound: Pacers of the direction to the instance.
+        inbound: Pacers of the direction from the instance.
+        priority: Priority of the request's class, 0 is served first.
     """
 
-    there: tuple[LinkPacer, ...]
-    back: tuple[LinkPacer, ...]
+    outbound: tuple[LinkPacer, ...]
+    inbound: tuple[LinkPacer, ...]
     priority: int
 
     async def send(self, size: int) -> None:
-        """Wait until bytes may flow to the instance.
+        """Wait until bytes may be sent to the instance.
 
         Args:
             size: Number of bytes.
         """
-        for pacer in self.there:
-            await pacer.flow(size, self.priority)
+        for pacer in self.outbound:
+            await pacer.acquire(size, self.priority)
 
     async def receive(self, size: int) -> None:
-        """Wait until bytes may flow from the instance.
+        """Wait until bytes may be received from the instance.
 
         Args:
             size: Number of bytes.
         """
-        for pacer in self.back:
-            await pacer.flow(size, self.priority)
+        for pacer in self.inbound:
+            await pacer.acquire(size, self.priority)
--- a/packages/entry/bulrushcourse_entry/limits/plans.py
+++ b/packages/entry/bulrushcourse_entry/limits/plans.py
@@ -1,4 +1,4 @@
-"""The task that steps plans by what the receiving side shows."""
+"""Task that steps shift plans by the state of the receiving regions."""
 
 import asyncio
 import typing
@@ -13,11 +13,11 @@
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import events
 
-STEP_S = 1.0
-# Weight of one request in the usual service time of the source region.
-USUAL_WEIGHT = 0.02
-SMALLEST_TIME_S = 0.001
-FAILED = frozenset(
+STEP_INTERVAL_S = 1.0
+# Weight of one request in the moving mean of a region's service time.
+TYPICAL_TIME_WEIGHT = 0.02
+MIN_TYPICAL_TIME_S = 0.001
+FAILURE_OUTCOMES = frozenset(
     (
         requests.ReleaseOutcome.LOST,
         requests.ReleaseOutcome.SHED,
@@ -27,7 +27,7 @@
 
 
 class PoolLoads(typing.Protocol):
-    """Knows the load of pools."""
+    """Provides the loads of pools."""
 
     def loads(self, service: str) -> dict[str, router.RegionLoad]:
         """Return the load of a service's pools by region."""
@@ -35,54 +35,54 @@
 
 
 @attrs.define
-class Times:
-    """Service times of a service in a region, as this entry saw them.
+class ServiceTimes:
+    """Service times of a service in a region, as this entry measured them.
 
     Attributes:
-        ended: Requests that ended since the last step.
+        succeeded: Requests that succeeded since the last step.
         failed: Requests that failed since the last step.
-        total_s: Sum of their service times.
-        usual_s: Slowly moving mean.
-        fastest_s: Shortest time seen; a far region adds its network delay.
+        total_s: Sum of the service times of the succeeded requests.
+        typical_s: Exponential moving mean of the service time.
+        min_s: Shortest service time; a far region adds its network delay.
     """
 
-    ended: int = 0
+    succeeded: int = 0
     failed: int = 0
     total_s: float = 0.0
-    usual_s: float = 0.0
-    fastest_s: float = float('inf')
+    typical_s: float = 0.0
+    min_s: float = float('inf')
 
     def add(self, outcome: requests.ReleaseOutcome, time_s: float) -> None:
-        """Add a request that ended.
+        """Add a finished request.
 
         Args:
             outcome: How its work ended.
-            time_s: How long the work took.
+            time_s: How long the work took, in seconds.
         """
-        if outcome in FAILED:
+        if outcome in FAILURE_OUTCOMES:
             self.failed += 1
         if outcome is not requests.ReleaseOutcome.DONE:
             return
-        self.ended += 1
+        self.succeeded += 1
         self.total_s += time_s
-        self.fastest_s = min(self.fastest_s, time_s)
-        weight = USUAL_WEIGHT if self.usual_s else 1.0
-        self.usual_s += weight * (time_s - self.usual_s)
+        self.min_s = min(self.min_s, time_s)
+        weight = TYPICAL_TIME_WEIGHT if self.typical_s else 1.0
+        self.typical_s += weight * (time_s - self.typical_s)
 
 
 @attrs.define(eq=False)
 class PlanRunner:
-    """Steps the plans of the configuration in force.
+    """Steps the shift plans of the active configuration.
 
     Attributes:
         region: Region of this entry.
         clock: Source of time.
         loads: Loads of pools.
         plans: Plans by name.
-        configuration: Configuration in force.
+        configuration: The active configuration.
         times: Service times by service and region.
-        capped: Regions whose shift cap turned requests away since the step.
-        offered: Requests since the last step by service.
+        capped_regions: Regions whose shift cap was reached since the step.
+        request_counts: Number of requests since the last step, by service.
     """
 
     region: str
@@ -90,42 +90,49 @@
     loads: PoolLoads
     plans: dict[str, shift_plan.ShiftPlan] = attrs.field(factory=dict)
     configuration: configuration_set.ConfigurationSet | None = None
-    times: dict[tuple[str, str], Times] = attrs.field(factory=dict)
-    capped: set[str] = attrs.field(factory=set)
-    offered: dict[str, int] = attrs.field(factory=dict)
+    times: dict[tuple[str, str], ServiceTimes] = attrs.field(factory=dict)
+    capped_regions: set[str] = attrs.field(factory=set)
+    request_counts: dict[str, int] = attrs.field(factory=dict)
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take up the plans of a configuration; unchanged ones go on.
+        """Apply the plans of a configuration; unchanged plans continue.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
         self.configuration = configuration
-        kept = {}
+        active = {}
         for plan in configuration.objects.plans:
-            held = self.plans.get(plan.name)
-            if held is None or held.plan != plan:
-                held = shift_plan.ShiftPlan(plan)
-            kept[plan.name] = held
-        self.plans = kept
+            shift = self.plans.get(plan.name)
+            if shift is None or shift.plan != plan:
+                shift = shift_plan.ShiftPlan(plan)
+            active[plan.name] = shift
+        self.plans = active
 
     def choose_target(
-        self, service: str, drawn: float
+        self, service: str, sample: float
     ) -> tuple[str, frozenset[str]]:
-        """Return where plans move a request, and regions that they drain.
+        """Return the region a plan moves a request to, and drained regions.
 
         Args:
             service: Name of the request's service.
-            drawn: Random number from 0 to 1.
+            sample: Random number from 0 to 1.
+
+        Returns:
+            The region, empty if no plan moves the request, and the regions to
+            avoid because a plan drains them.
         """
-        self.offered[service] = self.offered.get(service, 0) + 1
+        self.request_counts[service] = self.request_counts.get(service, 0) + 1
         planned = ''
         drained = set()
-        for held in self.plans.values():
-            plan = held.plan
-            if plan.service not in ('', service) or drawn >= held.moved_share:
+        for shift in self.plans.values():
+            plan = shift.plan
+            if (
+                plan.service not in ('', service)
+                or sample >= shift.moved_share
+            ):
                 continue
             if plan.kind is objects.PlanKind.DRAIN:
                 drained.add(plan.source)
@@ -134,12 +141,12 @@
         return planned, frozenset(drained)
 
     def record_cap_reached(self, target: str) -> None:
-        """Remember that a shift cap turned a request away.
+        """Record that a shift cap left no room for a request.
 
         Args:
             target: Region that the request would have entered.
         """
-        self.capped.add(target)
+        self.capped_regions.add(target)
 
     def record_outcome(
         self,
@@ -148,7 +155,7 @@
         outcome: requests.ReleaseOutcome,
         time_s: float,
     ) -> None:
-        """Take up how a request ended.
+        """Record the outcome of a request.
 
         Args:
             service: Name of its service.
@@ -156,63 +163,71 @@
             outcome: How its work ended.
             time_s: How long the work took, in seconds.
         """
-        self.times.setdefault((service, region), Times()).add(outcome, time_s)
+        self.times.setdefault((service, region), ServiceTimes()).add(
+            outcome, time_s
+        )
 
     async def run(self) -> None:
         """Step all plans until cancelled."""
         while True:
-            await asyncio.sleep(STEP_S)
+            await asyncio.sleep(STEP_INTERVAL_S)
             self.step()
 
     def step(self) -> None:
         """Step all plans once."""
         now = self.clock.wall()
-        for held in self.plans.values():
-            before = held.state
-            held.step(now, self.evidence(held.plan))
-            if held.state is not before:
+        for shift in self.plans.values():
+            before = shift.state
+            shift.step(now, self.evidence(shift.plan))
+            if shift.state is not before:
                 events.emit(
                     events.Event.PLAN_CHANGED,
-                    plan=held.plan.name,
-                    state=held.state.value,
-                    report=held.report,
+                    plan=shift.plan.name,
+                    state=shift.state.value,
+                    report=shift.report,
                 )
         for times in self.times.values():
-            times.ended, times.failed, times.total_s = 0, 0, 0.0
-        self.capped.clear()
-        self.offered.clear()
+            times.succeeded, times.failed, times.total_s = 0, 0, 0.0
+        self.capped_regions.clear()
+        self.request_counts.clear()
 
     def evidence(self, plan: objects.Plan) -> shift_plan.Evidence:
-        """Return what the receiving side of a plan has shown.
+        """Return the state of a plan's receiving regions since the last step.
 
         Args:
             plan: The plan.
         """
-        services = [plan.service] if plan.service else list(self.offered)
-        targets = {plan.target} if plan.target else self._others(plan.source)
-        seen = [
+        services = (
+            [plan.service] if plan.service else list(self.request_counts)
+        )
+        targets = (
+            {plan.target} if plan.target else self._other_regions(plan.source)
+        )
+        observed = [
             self.times[service, region]
             for service in services
             for region in targets
             if (service, region) in self.times
         ]
-        ratios = [r for s in services for r in self._ratios(s, plan, targets)]
+        ratios = [
+            r for s in services for r in self._time_ratios(s, plan, targets)
+        ]
         loads = [self.loads.loads(service) for service in services]
-        ended = sum(times.ended + times.failed for times in seen)
+        finished = sum(times.succeeded + times.failed for times in observed)
         return shift_plan.Evidence(
             max(ratios, default=None),
-            sum(times.failed for times in seen) / max(1, ended),
+            sum(times.failed for times in observed) / max(1, finished),
             min((self._headroom(load, targets) for load in loads), default=1),
-            bool(self.capped & targets),
+            bool(self.capped_regions & targets),
             sum(
                 load[plan.source].in_flight
                 for load in loads
                 if plan.source in load
             ),
-            sum(self.offered.get(service, 0) for service in services),
+            sum(self.request_counts.get(service, 0) for service in services),
         )
 
-    def _others(self, source: str) -> set[str]:
+    def _other_regions(self, source: str) -> set[str]:
         return set(self.configuration.regions.values()) - {source}
 
     def _headroom(
@@ -222,30 +237,31 @@
             (loads[t].headroom for t in targets if t in loads), default=0.0
         )
 
-    def _ratios(
+    def _time_ratios(
         self, service: str, plan: objects.Plan, targets: set[str]
     ) -> typing.Iterator[float]:
-        """Yield service times of the targets by those usual at the source.
+        """Yield the targets' mean service times by the source's typical time.
 
-        The difference of the fastest times stands for the network delay.
+        The difference of the shortest times estimates the network delay, which
+        is subtracted.
         """
-        usual = self.times.get((service, plan.source), Times())
+        source_times = self.times.get((service, plan.source), ServiceTimes())
         for target in targets:
             times = self.times.get((service, target))
-            if times is None or not times.ended:
+            if times is None or not times.succeeded:
                 continue
-            delay_s = max(0.0, times.fastest_s - usual.fastest_s)
-            mean_s = times.total_s / times.ended - delay_s
-            usual_s = usual.usual_s or times.usual_s
-            yield mean_s / max(usual_s, SMALLEST_TIME_S)
+            delay_s = max(0.0, times.min_s - source_times.min_s)
+            mean_s = times.total_s / times.succeeded - delay_s
+            typical_s = source_times.typical_s or times.typical_s
+            yield mean_s / max(typical_s, MIN_TYPICAL_TIME_S)
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return how plans stand for a state dump."""
+        """Return the progress of the plans for a state dump."""
         return {
             name: {
-                'state': held.state.value,
-                'part': held.moved_share,
-                'report': held.report,
+                'state': shift.state.value,
+                'part': shift.moved_share,
+                'report': shift.report,
             }
-            for name, held in self.plans.items()
+            for name, shift in self.plans.items()
         }
--- a/packages/entry/bulrushcourse_entry/limits/tests/test_keeper.py
+++ b/packages/entry/bulrushcourse_entry/limits/tests/test_keeper.py
@@ -1,4 +1,4 @@
-"""Guards against shares that are lost or doubled by the store's faults."""
+"""Guards against shares that are lost or doubled when the store fails."""
 
 import asyncio
 import random
@@ -32,7 +32,7 @@
             return platform_table.WriteResult.UNKNOWN
         (write,) = writes
         row = self.rows.get(write.key, platform_table.Row(0, None))
-        # Other holders act while a write is under way.
+        # Lets other holders run while this write is in progress.
         await asyncio.sleep(0)
         if self.rows.get(write.key, row).version != write.expected:
             return platform_table.WriteResult.CONFLICT
@@ -68,7 +68,7 @@
     )
 
 
-def open_keepers(table):
+def build_keepers(table):
     clock = clocks.ManualClock()
     vms = FixedList(
         tuple(vm_list.Vm(f'vm-{n}', n, '', '', 'live') for n in 'ab')
@@ -79,44 +79,48 @@
         )
         for n in 'ab'
     ]
-    for one in keepers:
-        one.configure(configuration())
+    for limit_keeper in keepers:
+        limit_keeper.configure(configuration())
     return clock, keepers
 
 
-def want_all(keepers):
-    for one in keepers:
-        one.limits['shift'].note_use(True)
+def exhaust_shares(keepers):
+    for limit_keeper in keepers:
+        limit_keeper.limits['shift'].record_use(True)
 
 
 def usable(keepers):
-    return [one.limits['shift'].shares.usable for one in keepers]
+    return [
+        limit_keeper.limits['shift'].shares.usable for limit_keeper in keepers
+    ]
 
 
-def test_lost_answer_is_recognised_in_the_next_round():
+def test_write_with_lost_response_is_recognised_in_the_next_round():
     table = MemoryTable(lose_answers=True)
-    _, keepers = open_keepers(table)
+    _, keepers = build_keepers(table)
 
     async def run():
-        want_all(keepers)
+        exhaust_shares(keepers)
         await keepers[0].renew_shares()
         assert usable(keepers) == [0, 0]
-        want_all(keepers)
+        exhaust_shares(keepers)
         await keepers[0].renew_shares()
         assert usable(keepers) == [50, 0]
 
     asyncio.run(run())
 
 
-def test_writers_at_the_same_time_divide_the_elastic_half():
+def test_concurrent_writers_divide_the_elastic_half():
     """Guards against a conflict that counts as a grant."""
     table = MemoryTable()
-    clock, keepers = open_keepers(table)
+    clock, keepers = build_keepers(table)
 
     async def run():
         for _ in range(3):
-            want_all(keepers)
-            await asyncio.gather(*(one.renew_shares() for one in keepers))
+            exhaust_shares(keepers)
+            await asyncio.gather(
+                *(limit_keeper.renew_shares() for limit_keeper in keepers)
+            )
             assert sum(usable(keepers)) <= 50
         assert usable(keepers) == [25, 25]
         clock.advance(1.1)
@@ -127,10 +131,10 @@
 
 def test_outage_leaves_the_floor_share():
     table = MemoryTable()
-    clock, keepers = open_keepers(table)
+    clock, keepers = build_keepers(table)
 
     async def run():
-        want_all(keepers)
+        exhaust_shares(keepers)
         await keepers[0].renew_shares()
         table.down = True
         clock.advance(60)
@@ -146,7 +150,7 @@
 def test_invalid_row_is_left_alone():
     broken = platform_table.Row(7, {'terms': 3})
     table = MemoryTable({ROW: broken})
-    _, keepers = open_keepers(table)
-    want_all(keepers)
+    _, keepers = build_keepers(table)
+    exhaust_shares(keepers)
     asyncio.run(keepers[0].renew_shares())
     assert table.rows[ROW] == broken
