Reword the peer streams and name their handshake error

Cause: PeerRefused named an event rather than the failure, and fields of the hub had no description. Change: HandshakeError, roles instead of mine and theirs, a maximum silence; doc comments name subjects, tasks and conditions. No comment was deleted, and texts of errors are unchanged.

--- a/packages/entry/bulrushcourse_entry/peers/__init__.py
+++ b/packages/entry/bulrushcourse_entry/peers/__init__.py
@@ -1,1 +1,1 @@
-"""Streams between entries."""
+"""Authenticated streams between entries."""
--- a/packages/entry/bulrushcourse_entry/peers/hub.py
+++ b/packages/entry/bulrushcourse_entry/peers/hub.py
@@ -1,4 +1,4 @@
-"""One stream and one task for each peer."""
+"""Streams to all peers, one task for each."""
 
 import asyncio
 import contextlib
@@ -15,14 +15,14 @@
 from bulrushcourse_wire import messages
 
 HEARTBEAT_INTERVAL_S = 0.25
-# Six heartbeats; shorter limits dropped streams while a VM was busy.
-SILENCE_LIMIT_S = 1.5
+# Six heartbeats; shorter limits closed streams while a VM was busy.
+MAX_SILENCE_S = 1.5
 REDIAL_DELAY_S = 0.3
 
 
 @attrs.frozen
 class ReceivedMessage:
-    """A message with the peer that sent it.
+    """A message and the peer that sent it.
 
     Attributes:
         peer: Name of the sending entry.
@@ -42,7 +42,7 @@
     Attributes:
         peer: Name of the peer.
         incarnation: The peer's incarnation.
-        connected: Whether the stream is there now.
+        connected: Whether the stream is now established.
     """
 
     peer: str
@@ -52,15 +52,19 @@
 
 @attrs.define(eq=False)
 class PeerHub:
-    """Keeps a stream to each peer; the entry of lower name dials.
+    """Maintains a stream to each peer; the entry with the lower name dials.
 
     Attributes:
-        identity: Who this entry is.
+        identity: Identity of this entry.
         listen: ``ip:port`` to listen on.
         heartbeat: Returns the heartbeat to send now.
-        streams: Established streams by name of peer.
-        received: Messages of all peers.
-        changes: Streams that come and go.
+        streams: Established streams by peer name.
+        received: Subject of messages from all peers.
+        changes: Subject of streams that are established or lost.
+        addresses: ``ip:port`` by peer name.
+        dial_tasks: Tasks that connect to peers, by peer name.
+        connection_tasks: Tasks of accepted connections.
+        server: Listener for peers, ``None`` before the start.
     """
 
     identity: peer_stream.Identity
@@ -91,10 +95,10 @@
             stream.close()
 
     def set_peers(self, addresses: dict[str, str]) -> None:
-        """Replace the peers that this entry connects to.
+        """Replace the addresses of peers; dial those with a higher name.
 
         Args:
-            addresses: ``ip:port`` by name of peer.
+            addresses: ``ip:port`` by peer name.
         """
         self.addresses = {
             name: address
@@ -110,7 +114,7 @@
                 )
 
     def send(self, peer: str, message: messages.Message) -> bool:
-        """Queue a message for a peer; false without a stream to it.
+        """Queue a message for a peer; return false if there is no stream.
 
         Args:
             peer: Name of the peer.
@@ -129,7 +133,7 @@
             stream.send(message)
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return peers and their streams for a state dump."""
+        """Return peers and connected streams for a state dump."""
         return {
             'addresses': dict(self.addresses),
             'connected': {
@@ -167,7 +171,7 @@
             stream = await peer_stream.open_stream(
                 reader, writer, self.identity, dialer
             )
-        except peer_stream.PeerRefused as error:
+        except peer_stream.HandshakeError as error:
             events.emit(events.Event.PEER_REFUSED, reason=str(error))
             writer.transport.abort()
             return
@@ -192,7 +196,7 @@
         self, peer: str, stream: peer_stream.PeerStream
     ) -> None:
         while True:
-            async with asyncio.timeout(SILENCE_LIMIT_S):
+            async with asyncio.timeout(MAX_SILENCE_S):
                 message = await stream.receive()
             if message is not None:
                 self.received.on_next(
--- a/packages/entry/bulrushcourse_entry/peers/stream.py
+++ b/packages/entry/bulrushcourse_entry/peers/stream.py
@@ -14,19 +14,19 @@
 NONCE_BYTES = 16
 
 
-class PeerRefused(Exception):
-    """The peer broke the protocol or did not prove the shared secret."""
+class HandshakeError(Exception):
+    """The peer did not complete the handshake or prove the shared secret."""
 
 
 @attrs.frozen
 class Identity:
-    """Who this entry is towards its peers.
+    """Identity of this entry towards its peers.
 
     Attributes:
         entry: Name of the entry.
         incarnation: Random identifier of this process.
         vm_id: The platform's identifier of the VM.
-        secret: Secret that all entries share.
+        secret: Secret shared by all entries.
     """
 
     entry: str
@@ -37,14 +37,14 @@
 
 @attrs.define
 class PeerStream:
-    """An established stream.
+    """An established, authenticated stream.
 
     Attributes:
-        hello: What the peer said of itself.
+        hello: The peer's hello message.
         reader: Incoming bytes.
         writer: Outgoing bytes.
-        outgoing: Authenticates frames that are sent.
-        incoming: Checks frames that are received.
+        outgoing: Seals the frames that are sent.
+        incoming: Opens the frames that are received.
     """
 
     hello: messages.Hello
@@ -60,8 +60,8 @@
             message: Message to send.
 
         Returns:
-            Whether it was queued. A peer that does not read is cut off
-            rather than buffered without bound.
+            Whether it was queued. A stream whose peer does not read is aborted
+            so that its buffer stays bounded.
         """
         transport = self.writer.transport
         if transport.is_closing():
@@ -77,23 +77,23 @@
         """Return the next message, ``None`` if its type is unknown.
 
         Raises:
-            FrameError: If the frame is malformed or not authentic.
+            FrameError: If the frame is too large, malformed or not authentic.
             IncompleteReadError: If the peer closed the stream.
         """
         payload = await _read_frame(self.reader, self.incoming)
         return frames.decode_message(payload)
 
     def close(self) -> None:
-        """Close the stream at once."""
+        """Close the stream immediately and discard unsent bytes."""
         self.writer.transport.abort()
 
 
 async def _read_frame(
-    reader: asyncio.StreamReader, opener: frames.FrameSealer
+    reader: asyncio.StreamReader, sealer: frames.FrameSealer
 ) -> bytes:
     header = await reader.readexactly(frames.HEADER_BYTES)
     body = await reader.readexactly(frames.frame_length(header))
-    return opener.open(body)
+    return sealer.open(body)
 
 
 async def open_stream(
@@ -107,11 +107,12 @@
     Args:
         reader: Incoming bytes.
         writer: Outgoing bytes.
-        identity: Who this entry is.
+        identity: Identity of this entry.
         dialer: Whether this entry opened the connection.
 
     Raises:
-        PeerRefused: If the peer is not one of the entries.
+        HandshakeError: If the connection fails, the peer breaks the protocol
+            or it does not prove that it knows the shared secret.
     """
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
@@ -122,7 +123,7 @@
         TimeoutError,
         OSError,
     ) as error:
-        raise PeerRefused(repr(error)) from error
+        raise HandshakeError(repr(error)) from error
 
 
 async def _handshake(
@@ -131,10 +132,12 @@
     identity: Identity,
     dialer: bool,
 ) -> PeerStream:
-    mine, theirs = ('dialer', 'listener') if dialer else ('listener', 'dialer')
+    local_role, peer_role = (
+        ('dialer', 'listener') if dialer else ('listener', 'dialer')
+    )
     secret = identity.secret
-    outgoing = frames.FrameSealer(frames.handshake_digest(secret, mine))
-    incoming = frames.FrameSealer(frames.handshake_digest(secret, theirs))
+    outgoing = frames.FrameSealer(frames.handshake_digest(secret, local_role))
+    incoming = frames.FrameSealer(frames.handshake_digest(secret, peer_role))
 
     def send(message: messages.Message) -> None:
         writer.write(outgoing.seal(frames.encode_message(message)))
@@ -143,7 +146,7 @@
         payload = await _read_frame(reader, incoming)
         message = frames.decode_message(payload)
         if not isinstance(message, cls):
-            raise PeerRefused(f'expected {cls.__name__}, got {message!r}')
+            raise HandshakeError(f'expected {cls.__name__}, got {message!r}')
         return message
 
     nonce = secrets.token_bytes(NONCE_BYTES)
@@ -158,20 +161,20 @@
     )
     hello = await expect(messages.Hello)
     if hello.protocol != messages.PROTOCOL_VERSION:
-        raise PeerRefused(f'protocol {hello.protocol} is not supported')
+        raise HandshakeError(f'protocol {hello.protocol} is not supported')
     nonces = (nonce, hello.nonce) if dialer else (hello.nonce, nonce)
-    send(messages.Proof(frames.handshake_digest(secret, mine, *nonces)))
+    send(messages.Proof(frames.handshake_digest(secret, local_role, *nonces)))
     proof = await expect(messages.Proof)
-    if proof.digest != frames.handshake_digest(secret, theirs, *nonces):
-        raise PeerRefused('peer does not know the shared secret')
+    if proof.digest != frames.handshake_digest(secret, peer_role, *nonces):
+        raise HandshakeError('peer does not know the shared secret')
     return PeerStream(
         hello,
         reader,
         writer,
         frames.FrameSealer(
-            frames.handshake_digest(secret, f'{mine} key', *nonces)
+            frames.handshake_digest(secret, f'{local_role} key', *nonces)
         ),
         frames.FrameSealer(
-            frames.handshake_digest(secret, f'{theirs} key', *nonces)
+            frames.handshake_digest(secret, f'{peer_role} key', *nonces)
         ),
     )
