Reword the membership of entries

Cause: found, named and own stood for different things in one module. Change: lookup candidates, the own heartbeat and a client's place and region are named as such; doc comments say what is returned when nothing is known. No comment was deleted; keys of answers and dumps are unchanged.

--- a/packages/entry/bulrushcourse_entry/membership/__init__.py
+++ b/packages/entry/bulrushcourse_entry/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Look-up answers and the list of VMs."""
+"""Membership of entries and look-up answers for clients."""
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -1,4 +1,4 @@
-"""Members known from the platform's list and from heartbeats."""
+"""Membership from the platform's list of VMs and from heartbeats."""
 
 import asyncio
 import typing
@@ -19,25 +19,26 @@
 from bulrushcourse_entry.platform import vm_list
 from bulrushcourse_wire import messages
 
-LIST_INTERVAL_S = 1.0
+VM_LIST_INTERVAL_S = 1.0
 SWEEP_INTERVAL_S = 0.25
 
 
 @attrs.define(eq=False)
 class Members:
-    """Keeps peers connected and answers look-ups.
+    """Tracks the members, keeps peers connected and answers look-ups.
 
     Attributes:
         settings: Settings of this entry.
         clock: Source of time.
         vms: The platform's list of VMs.
         hub: Streams to peers.
-        held: Configuration in force.
-        own: Returns this entry's heartbeat.
-        view: Which entries are live, leaving, suspected or gone.
-        lookup: Look-up answers for the members that may be named.
-        sweeps: The view after each sweep.
-        listed: Last answer of the platform's list.
+        held: The active configuration.
+        own_heartbeat: Returns this entry's heartbeat.
+        view: State of each member.
+        lookup: Look-up answers from the members that may serve clients.
+        sweeps: Subject of the view after each sweep.
+        listed: Last list of VMs that the platform returned.
+        isolated: Whether this entry was isolated at the last sweep.
     """
 
     settings: entry_settings.Settings
@@ -45,7 +46,7 @@
     vms: vm_list.VmList
     hub: peer_hub.PeerHub
     held: active_configuration.ActiveConfiguration
-    own: typing.Callable[[], messages.Heartbeat]
+    own_heartbeat: typing.Callable[[], messages.Heartbeat]
     view: member_view.MemberView = attrs.field(init=False)
     lookup: member_lookup.Lookup = attrs.field(factory=member_lookup.Lookup)
     sweeps: reactivex.Subject = attrs.field(factory=subject.Subject)
@@ -54,13 +55,13 @@
 
     def __attrs_post_init__(self) -> None:
         identity = self.hub.identity
-        own = member.MemberInfo(
+        own_info = member.MemberInfo(
             identity.entry, identity.incarnation, identity.vm_id
         )
-        self.view = member_view.MemberView(self.clock, own)
+        self.view = member_view.MemberView(self.clock, own_info)
 
     def start(self) -> None:
-        """Follow the messages of peers."""
+        """Subscribe to heartbeats and connect to the configured peers."""
         self.hub.received.subscribe(self._on_message)
         self.hub.set_peers(self.settings.peers)
 
@@ -76,17 +77,19 @@
                 )
                 addresses = {vm.entry: vm.peer_address for vm in listed}
                 self.hub.set_peers(addresses | self.settings.peers)
-            await asyncio.sleep(LIST_INTERVAL_S)
+            await asyncio.sleep(VM_LIST_INTERVAL_S)
 
     async def run_sweeps(self) -> None:
-        """Bring the view up to date until cancelled."""
+        """Sweep periodically until cancelled."""
         while True:
             self.sweep()
             await asyncio.sleep(SWEEP_INTERVAL_S)
 
     def sweep(self) -> None:
-        """Bring the view and the look-up answers up to date."""
-        self.view.own = self._member_info(self.hub.identity, self.own())
+        """Update the view, log state changes and refresh look-up answers."""
+        self.view.own = self._member_info(
+            self.hub.identity, self.own_heartbeat()
+        )
         for changed in self.view.sweep():
             events.emit(
                 events.Event.MEMBER_CHANGED,
@@ -113,11 +116,13 @@
         return {
             'entries': [
                 {
-                    'name': found.entry,
-                    'address': found.address,
-                    'region': found.region,
+                    'name': candidate.entry,
+                    'address': candidate.address,
+                    'region': candidate.region,
                 }
-                for found in self.lookup.answer(client, self._region(client))
+                for candidate in self.lookup.answer(
+                    client, self._client_region(client)
+                )
             ],
             'max_age_s': self.settings.answer_max_age_s,
             'version': self.held.version,
@@ -128,10 +133,10 @@
         return [
             self.settings.entry,
             *(
-                found.entry
-                for found in self.lookup.members
-                if found.region == self.settings.region
-                and found.entry != self.settings.entry
+                candidate.entry
+                for candidate in self.lookup.members
+                if candidate.region == self.settings.region
+                and candidate.entry != self.settings.entry
             ),
         ]
 
@@ -144,14 +149,17 @@
         )
 
     def newest_peer_version(self) -> int:
-        """Return the newest version that any other entry holds."""
+        """Return the newest configuration version of any other entry."""
         return max(
             (known.info.held_version for known in self.view.members.values()),
             default=0,
         )
 
     def silent_vms(self) -> frozenset[str] | None:
-        """Return live VMs not heard lately, ``None`` without a fresh list."""
+        """Return live VMs without recent heartbeats, ``None`` if unknown.
+
+        Unknown means that the list of VMs is not fresh.
+        """
         return self.view.silent_vms() if self.view.list_is_fresh else None
 
     def dump(self) -> dict[str, typing.Any]:
@@ -161,14 +169,16 @@
             'list_is_fresh': self.view.list_is_fresh,
             'isolated': self.isolated,
             'members': self.describe(),
-            'named': [found.entry for found in self.lookup.members],
+            'named': [candidate.entry for candidate in self.lookup.members],
         }
 
     def describe(self) -> list[dict[str, typing.Any]]:
-        """Return what is known of each run of an entry, own run first."""
+        """Return the state of all incarnations of entries, own one first."""
         states = self.view.states()
         now = self.clock.monotonic()
-        own = attrs.asdict(self._member_info(self.hub.identity, self.own()))
+        own = attrs.asdict(
+            self._member_info(self.hub.identity, self.own_heartbeat())
+        )
         own['state'] = 'isolated' if self.isolated else own['state']
         return [own | {'silent_s': 0.0}] + [
             attrs.asdict(known.info)
@@ -180,13 +190,13 @@
         ]
 
     def explain(self, client: str) -> dict[str, typing.Any]:
-        """Return how the look-up answer for a client comes about.
+        """Return the look-up answer for a client and how it was chosen.
 
         Args:
             client: IP address of the client.
         """
-        place = self._place(client)
-        region = self._region(client)
+        place = self._client_place(client)
+        region = self._client_region(client)
         return {
             'client': client,
             'place': place,
@@ -195,15 +205,15 @@
             'regions': self.lookup.regions(region),
             'entries': self.answer(client)['entries'],
             'left_out': [
-                {'entry': found['entry'], 'state': found['state']}
-                for found in self.describe()
-                if found['state'] != 'live'
-                and (found['state'] != 'serving' or self.isolated)
+                {'entry': described['entry'], 'state': described['state']}
+                for described in self.describe()
+                if described['state'] != 'live'
+                and (described['state'] != 'serving' or self.isolated)
             ],
         }
 
-    def _place(self, client: str) -> str:
-        """Return the place of a client, empty if no block holds it."""
+    def _client_place(self, client: str) -> str:
+        """Return the place of a client, empty if no address block matches."""
         if self.held.current is None:
             return ''
         try:
@@ -211,9 +221,9 @@
         except ValueError:
             return ''
 
-    def _region(self, client: str) -> str:
-        """Return the region of a client, this entry's own if unknown."""
-        place = self._place(client)
+    def _client_region(self, client: str) -> str:
+        """Return the region of a client, this entry's region if unknown."""
+        place = self._client_place(client)
         if place:
             return self.held.current.regions[place]
         return self.settings.region
@@ -221,15 +231,18 @@
     def _refresh_lookup(self) -> None:
         current = self.held.current
         nearness = current.nearness if current else {}
-        # Versions and store contact change often and matter to no answer.
-        named = tuple(
+        # Versions and store contact change often and affect no answer.
+        candidates = tuple(
             attrs.evolve(
-                found, version=0, held_version=0, store_reachable=True
+                candidate, version=0, held_version=0, store_reachable=True
             )
-            for found in self.view.lookup_candidates()
+            for candidate in self.view.lookup_candidates()
         )
-        if named != self.lookup.members or nearness != self.lookup.nearness:
-            self.lookup = member_lookup.Lookup(named, nearness)
+        if (
+            candidates != self.lookup.members
+            or nearness != self.lookup.nearness
+        ):
+            self.lookup = member_lookup.Lookup(candidates, nearness)
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         stream = self.hub.streams.get(received.peer)
