Reword the health checks of instances

Cause: signs, watchers and notes did not say that entries poll a health endpoint and notify a listener of changes. Change: names and doc comments speak of polling, leaving instances and drains. No comment was deleted; keys and events are unchanged. Result: the folder has no tests of its own; checks and the type checker show nothing new.

--- a/packages/entry/bulrushcourse_entry/health/__init__.py
+++ b/packages/entry/bulrushcourse_entry/health/__init__.py
@@ -1,1 +1,1 @@
-"""Watching the health of upstream instances."""
+"""Health checks of upstream instances."""
--- a/packages/entry/bulrushcourse_entry/health/monitor.py
+++ b/packages/entry/bulrushcourse_entry/health/monitor.py
@@ -1,8 +1,8 @@
-"""Watching instances for signs that they are leaving.
+"""Health checks that detect leaving instances.
 
-Each instance is watched by two entries of its region, with one task each that
-asks its health endpoint. A sign goes to all peers at once, so that the owner
-of the pool stops granting its slots.
+Two entries of an instance's region poll its health endpoint, with one task
+each. A change is sent to all peers immediately, so that the owner of the pool
+stops granting the instance's slots.
 """
 
 import asyncio
@@ -24,39 +24,39 @@
 HEALTH_INTERVAL_S = 1.0
 HEALTH_TIMEOUT_S = 1.0
 REASSIGN_INTERVAL_S = 0.5
-# Two, so that a sign is seen in time while one of them is paused.
-WATCHERS = 2
+# Two, so that a change is detected in time while one of them is paused.
+POLLERS_PER_INSTANCE = 2
 DRAINING = 'draining'
 
 
 class LeavingListener(typing.Protocol):
-    """Receiver of signs that an instance leaves or serves again."""
+    """Listener for instances that are leaving or serving again."""
 
     def set_leaving(self, instance: str, leaving: bool) -> None:
-        """Note that an instance leaves, or serves again."""
+        """Record that an instance is leaving or serving again."""
         ...
 
 
 @attrs.define(eq=False)
 class HealthMonitor:
-    """Watches the instances of this entry's region.
+    """Polls the health of the instances of this entry's region.
 
     Attributes:
         clock: Source of time.
         region: Region of this entry.
-        session: HTTP session for probes.
+        session: HTTP session for health checks.
         hub: Streams to peers.
-        leaving_listener: Receiver of signs of all entries.
-        listed_leaving: Returns the instances whose VMs are leaving, by the
-            platform's list.
-        region_entries: Returns the serving entries of the region, this one
-            included.
+        leaving_listener: Notified of each change, found here or by a peer.
+        listed_leaving: Returns the instances whose VMs are leaving according
+            to the platform's list.
+        region_entries: Returns the serving entries of the region, including
+            this one.
         instances: The region's instances by name.
-        tasks: One task by name of instance.
-        leaving: Instances that said they are leaving, as far as this entry
-            knows.
-        drained: Instances that a plan in force drains or whose VMs leave.
-        configuration: Configuration in force.
+        tasks: Polling tasks by instance name.
+        leaving: Instances that have reported that they are leaving, to this
+            entry or a peer.
+        drained: Instances that an active plan drains or whose VMs are leaving.
+        configuration: The active configuration.
     """
 
     clock: clocks.Clock
@@ -73,17 +73,17 @@
     configuration: configuration_set.ConfigurationSet | None = None
 
     def start(self) -> None:
-        """Follow the signs that peers send."""
+        """Subscribe to leaving instances reported by peers."""
         self.hub.received.subscribe(self._on_message)
-        self.hub.changes.subscribe(self._on_change)
+        self.hub.changes.subscribe(self._on_connection_change)
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Watch the region's instances of a configuration.
+        """Apply the region's instances and drains of a configuration.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The active configuration.
         """
         self.configuration = configuration
         self.instances = {
@@ -101,30 +101,33 @@
         self.apply_drains()
 
     async def run(self) -> None:
-        """Follow entries that come and go, and drains that start."""
+        """Reassign instances and apply drains until cancelled."""
         while True:
             self.reassign()
             self.apply_drains()
             await asyncio.sleep(REASSIGN_INTERVAL_S)
 
     def reassign(self) -> None:
-        """Start and end tasks by who watches which instance now."""
+        """Start and cancel polling tasks as the serving entries change."""
         entries = list(self.region_entries())
         own = self.hub.identity.entry
-        wanted = {
+        assigned = {
             name: instance
             for name, instance in self.instances.items()
-            if own in rendezvous.first(name, entries, WATCHERS)
+            if own in rendezvous.first(name, entries, POLLERS_PER_INSTANCE)
         }
-        for name in self.tasks.keys() - wanted.keys():
+        for name in self.tasks.keys() - assigned.keys():
             self.tasks.pop(name).cancel()
-        for name in wanted.keys() - self.tasks.keys():
+        for name in assigned.keys() - self.tasks.keys():
             self.tasks[name] = asyncio.create_task(
-                self._watch(wanted[name]), name=f'watch {name}'
+                self._poll(assigned[name]), name=f'watch {name}'
             )
 
     def apply_drains(self) -> None:
-        """Sign instances whose drain or leaving began or was taken back."""
+        """Notify the listener of instances whose drain began or was revoked.
+
+        Instances whose VMs are leaving count as drained.
+        """
         if self.configuration is None:
             return
         drained = self.listed_leaving() | drains.drained_instances(
@@ -136,35 +139,35 @@
             self.leaving_listener.set_leaving(name, name in drained)
 
     async def stop(self) -> None:
-        """End all tasks."""
+        """Cancel all polling tasks and wait for them."""
         for task in self.tasks.values():
             task.cancel()
         await asyncio.gather(*self.tasks.values(), return_exceptions=True)
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the instances that are leaving for a state dump."""
+        """Return polled, leaving and drained instances for a state dump."""
         return {
             'watched': sorted(self.tasks),
             'leaving': sorted(self.leaving),
             'drained': sorted(self.drained),
         }
 
-    async def _watch(self, instance: objects.Instance) -> None:
+    async def _poll(self, instance: objects.Instance) -> None:
         while True:
-            state = await self._probe(instance)
+            state = await self._fetch_state(instance)
             if state is not None:
-                self._note(instance.name, state == DRAINING, True)
+                self._update_leaving(instance.name, state == DRAINING, True)
             await asyncio.sleep(HEALTH_INTERVAL_S)
 
-    async def _probe(self, instance: objects.Instance) -> str | None:
-        """Return the state an instance reports, ``None`` without answer."""
+    async def _fetch_state(self, instance: objects.Instance) -> str | None:
+        """Return the state that an instance reports, ``None`` on failure."""
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
                 async with self.session.get(
                     f'http://{instance.address}/health'
                 ) as response:
-                    answer = json.loads(await response.text())
-            return str(answer['state'])
+                    body = json.loads(await response.text())
+            return str(body['state'])
         except (
             aiohttp.ClientError,
             OSError,
@@ -175,7 +178,9 @@
         ):
             return None
 
-    def _note(self, name: str, leaving: bool, own: bool) -> None:
+    def _update_leaving(
+        self, name: str, leaving: bool, found_here: bool
+    ) -> None:
         if leaving == (name in self.leaving):
             return
         if leaving:
@@ -184,17 +189,19 @@
             self.leaving.discard(name)
         if name not in self.drained:
             self.leaving_listener.set_leaving(name, leaving)
-        if own:
-            event = SIGN_EVENTS[leaving]
+        if found_here:
+            event = LEAVING_EVENTS[leaving]
             events.emit(event, instance=name)
             self.hub.broadcast(health_messages.UpstreamLeaving(name, leaving))
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         message = received.message
         if isinstance(message, health_messages.UpstreamLeaving):
-            self._note(message.instance, message.leaving, False)
+            self._update_leaving(message.instance, message.leaving, False)
 
-    def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
+    def _on_connection_change(
+        self, change: peer_hub.PeerConnectionChange
+    ) -> None:
         if change.connected:
             for name in self.leaving:
                 self.hub.send(
@@ -202,7 +209,7 @@
                 )
 
 
-SIGN_EVENTS = {
+LEAVING_EVENTS = {
     True: events.Event.UPSTREAM_LEAVING,
     False: events.Event.UPSTREAM_RETURNED,
 }
