Reword the wire package

Cause: comments spoke of what a VM tells, knows or says of itself, and two different errors had the same text. Change: doc comments describe messages, documents and frames in the usual terms; fixed-point scale and maximum sizes are named as such; the errors of a frame's length say whether it is out of range or too large. No comment was deleted; type names, fields and keys of messages are unchanged.

--- a/packages/wire/bulrushcourse_wire/__init__.py
+++ b/packages/wire/bulrushcourse_wire/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between entries and JSON documents."""
+"""Encodings of messages between entries and of stored JSON documents."""
--- a/packages/wire/bulrushcourse_wire/documents.py
+++ b/packages/wire/bulrushcourse_wire/documents.py
@@ -35,7 +35,7 @@
 def parse_document(
     text: str, cls: type[T]
 ) -> result.Result[T, tuple[findings.Finding, ...]]:
-    """Return the object in a JSON text, or all findings against its form.
+    """Return the object in a JSON text, or all findings if it is malformed.
 
     Args:
         text: JSON text.
@@ -58,7 +58,7 @@
     try:
         return result.Success(_CONVERTER.structure(content, cls))
     except Exception as error:
-        # cattrs raises groups of arbitrary errors; each leaf is a finding.
+        # cattrs raises groups of arbitrary errors; each leaf is one finding.
         return result.Failure(
             findings.sort_findings(_list_errors(error, '', content))
         )
@@ -85,7 +85,7 @@
     """Return the checked configuration in a JSON text, or all findings.
 
     Args:
-        version: Version that the configuration is to have.
+        version: Version of the configuration.
         text: JSON text of the objects.
     """
     return parse_document(text, objects.Objects).bind(
@@ -97,20 +97,20 @@
     error: BaseException, place: str, content: typing.Any
 ) -> typing.Iterator[findings.Finding]:
     if isinstance(error, cattrs.IterableValidationError):
-        noted, rest = error.group_exceptions()
-        for inner, note in noted:
-            item = _item(content, note.index)
-            name = item.get('name') if isinstance(item, dict) else None
+        annotated, others = error.group_exceptions()
+        for inner, note in annotated:
+            child = _child(content, note.index)
+            name = child.get('name') if isinstance(child, dict) else None
             label = f'{place}[{name or note.index}]'
-            yield from _list_errors(inner, label, item)
-        for inner in rest:
+            yield from _list_errors(inner, label, child)
+        for inner in others:
             yield from _list_errors(inner, place, content)
     elif isinstance(error, cattrs.ClassValidationError):
-        noted, rest = error.group_exceptions()
-        for inner, note in noted:
+        annotated, others = error.group_exceptions()
+        for inner, note in annotated:
             label = f'{place}.{note.name}' if place else note.name
-            yield from _list_errors(inner, label, _item(content, note.name))
-        for inner in rest:
+            yield from _list_errors(inner, label, _child(content, note.name))
+        for inner in others:
             yield from _list_errors(inner, place, content)
     elif isinstance(error, cattrs.ForbiddenExtraKeysError):
         for key in sorted(error.extra_fields):
@@ -124,7 +124,7 @@
         yield findings.Finding(place or 'document', 'type', str(error))
 
 
-def _item(content: typing.Any, key: typing.Any) -> typing.Any:
+def _child(content: typing.Any, key: typing.Any) -> typing.Any:
     try:
         return content[key]
     except (KeyError, IndexError, TypeError):
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -1,4 +1,4 @@
-"""Reports that the VMs of a fleet send each other, as msgpack maps."""
+"""Encoding of the reports between VMs of a fleet, as msgpack maps."""
 
 import typing
 import zlib
@@ -9,37 +9,38 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
-# Fractions travel as whole numbers of hundredths, which take a third of the
-# bytes of floating-point numbers.
-PARTS = 100
-# Longest configuration that is taken from another VM.
-MOST_CONTENT_BYTES = 16 << 20
+# Fractions are encoded as whole hundredths, which take a third of the bytes of
+# floating-point numbers.
+FIXED_POINT_SCALE = 100
+# Bounds the memory that a configuration of another VM takes when decompressed.
+MAX_CONFIGURATION_BYTES = 16 << 20
 
 
 class MalformedReport(ValueError):
-    """A report cannot be read."""
+    """A report cannot be decoded."""
 
 
 @attrs.frozen
 class Report:
-    """What one VM tells another several times a second.
+    """Report that a VM sends to another several times a second.
 
     Attributes:
         vm: The sender, ``None`` in later reports of the same stream.
-        phase: What it says of itself.
-        configuration_version: Version of the configuration in force.
-        in_flight: Its requests in flight, by upstream.
-        slowness: Slowness of upstreams and the age in seconds.
-        demand: Work that arrives at it, in slots by service.
-        losses: Fingerprints of requests that lost an upstream, with it.
-        operators_version: Version of the store behind ``evacuated``.
-        evacuated: Failure domains that must get nothing.
-        directory_delta: Changes of the upstreams' entries, ``None`` without
-            any.
-        vms: VMs that it knows, for a receiver that knows fewer.
-        vms_known: Number of VMs that it knows.
-        configuration: Packed content of the configuration, for a receiver
-            that has an older one.
+        phase: Phase of the sender.
+        configuration_version: Version of the active configuration.
+        in_flight: The sender's number of requests in flight, by upstream.
+        slowness: Slowness and its age in seconds, by upstream.
+        demand: Work that arrives at the sender, in slots by service.
+        losses: Fingerprints of requests during which an upstream was lost,
+            each with the upstream.
+        operators_version: Store version that ``evacuated`` was read at.
+        evacuated: Failure domains that must receive no requests.
+        directory_delta: Changes of the upstream directory, ``None`` if there
+            are none.
+        vms: VMs known to the sender, for a receiver that knows fewer.
+        vms_known: Number of VMs known to the sender.
+        configuration: Compressed configuration, for a receiver with an older
+            one.
     """
 
     vm: fleet.Vm | None
@@ -58,7 +59,7 @@
 
 
 def encode(report: Report) -> bytes:
-    """Return a report as bytes.
+    """Return the encoded report.
 
     Args:
         report: The report.
@@ -70,10 +71,15 @@
         'o': report.operators_version,
         'f': report.in_flight,
         's': {
-            upstream: (round(value * PARTS), round(age_s * PARTS))
+            upstream: (
+                round(value * FIXED_POINT_SCALE),
+                round(age_s * FIXED_POINT_SCALE),
+            )
             for upstream, (value, age_s) in report.slowness.items()
         },
-        'd': {s: round(n * PARTS) for s, n in report.demand.items()},
+        'd': {
+            s: round(n * FIXED_POINT_SCALE) for s, n in report.demand.items()
+        },
         'l': report.losses,
         'e': report.evacuated,
         'k': report.vms_known,
@@ -81,18 +87,18 @@
         'b': report.configuration,
     }
     if report.directory_delta is not None:
-        fields['n'] = _pack_delta(report.directory_delta)
+        fields['n'] = _encode_delta(report.directory_delta)
     return msgpack.packb({key: v for key, v in fields.items() if v})
 
 
 def decode(content: bytes) -> Report:
-    """Return the report that bytes hold.
+    """Return the report in a byte string.
 
     Args:
-        content: The bytes.
+        content: The encoded report.
 
     Raises:
-        MalformedReport: If they hold none.
+        MalformedReport: If it cannot be decoded.
     """
     try:
         fields = msgpack.unpackb(content)
@@ -103,14 +109,17 @@
             configuration_version=fields.get('c', 0),
             in_flight=fields.get('f', {}),
             slowness={
-                upstream: (value / PARTS, age / PARTS)
+                upstream: (value / FIXED_POINT_SCALE, age / FIXED_POINT_SCALE)
                 for upstream, (value, age) in fields.get('s', {}).items()
             },
-            demand={s: n / PARTS for s, n in fields.get('d', {}).items()},
+            demand={
+                s: n / FIXED_POINT_SCALE
+                for s, n in fields.get('d', {}).items()
+            },
             losses=[(f, u) for f, u in fields.get('l', [])],
             operators_version=fields.get('o', 0),
             evacuated=fields.get('e', []),
-            directory_delta=_unpack_delta(delta) if delta else None,
+            directory_delta=_decode_delta(delta) if delta else None,
             vms=[fleet.Vm(*vm) for vm in fields.get('m', [])],
             vms_known=fields.get('k', 0),
             configuration=fields.get('b', b''),
@@ -121,10 +130,10 @@
 
 
 def pack_content(content: bytes) -> bytes:
-    """Return a configuration as reports carry it.
+    """Compress a configuration for a report.
 
     A configuration of 1,400 routes is sent to each VM that is behind, and
-    its text repeats itself.
+    its text is repetitive.
 
     Args:
         content: The configuration.
@@ -137,10 +146,10 @@
 
 
 def unpack_content(packed: bytes) -> bytes:
-    """Return the configuration that a report carries.
+    """Return the decompressed configuration of a report.
 
     Args:
-        packed: What the report carries.
+        packed: The compressed configuration.
 
     Raises:
         MalformedReport: If it is damaged or too long.
@@ -149,28 +158,28 @@
         >>> unpack_content(pack_content(b'routes'))
         b'routes'
     """
-    unpacker = zlib.decompressobj()
+    decompressor = zlib.decompressobj()
     try:
-        content = unpacker.decompress(packed, MOST_CONTENT_BYTES)
+        content = decompressor.decompress(packed, MAX_CONFIGURATION_BYTES)
     except zlib.error as error:
         raise MalformedReport(repr(error)) from error
-    if not unpacker.eof:
-        raise MalformedReport('the configuration is cut off or too long')
+    if not decompressor.eof:
+        raise MalformedReport('the configuration is truncated or too long')
     return content
 
 
-def _pack_delta(delta: upstreams.DirectoryDelta) -> list[typing.Any]:
+def _encode_delta(delta: upstreams.DirectoryDelta) -> list[typing.Any]:
     changed = [attrs.astuple(entry) for entry in delta.changed]
     age_ms = int(delta.age_s * 1000)
     return [delta.base, delta.version, changed, list(delta.gone), age_ms]
 
 
-def _unpack_delta(fields: list[typing.Any]) -> upstreams.DirectoryDelta:
-    base, version, changed, gone, age_ms = fields
+def _decode_delta(fields: list[typing.Any]) -> upstreams.DirectoryDelta:
+    base, version, changed, removed, age_ms = fields
     return upstreams.DirectoryDelta(
         base,
         version,
         tuple(upstreams.Upstream(*entry) for entry in changed),
-        tuple(gone),
+        tuple(removed),
         age_ms / 1000,
     )
--- a/packages/wire/bulrushcourse_wire/frames.py
+++ b/packages/wire/bulrushcourse_wire/frames.py
@@ -28,8 +28,8 @@
         value: An instance of a registered message class.
 
     Examples:
-        >>> text = encode_message(messages.Proof(b'x'))
-        >>> decode_message(text)
+        >>> payload = encode_message(messages.Proof(b'x'))
+        >>> decode_message(payload)
         Proof(digest=b'x')
     """
     fields = _CONVERTER.unstructure(value)
@@ -62,11 +62,12 @@
         header: ``HEADER_BYTES`` bytes.
 
     Raises:
-        FrameError: If the frame is larger than ``MAX_FRAME_BYTES``.
+        FrameError: If the frame is larger than ``MAX_FRAME_BYTES`` or too
+            short for its code.
     """
     (length,) = _HEADER.unpack(header)
     if not DIGEST_BYTES <= length <= MAX_FRAME_BYTES:
-        raise FrameError(f'frame of {length} bytes')
+        raise FrameError(f'frame length of {length} bytes is out of range')
     return length
 
 
@@ -74,8 +75,8 @@
 class FrameSealer:
     """Authenticates the frames of one direction of a stream.
 
-    The sequence number is part of the code, so that a replayed, reordered or
-    dropped frame is refused.
+    The authentication code covers a sequence number, so that replayed,
+    reordered and dropped frames are detected.
 
     Attributes:
         key: Key of this direction.
@@ -86,10 +87,10 @@
     sequence: int = 0
 
     def digest(self, payload: bytes) -> bytes:
-        """Return the code of the next frame and count it.
+        """Return the code of the next frame and advance the sequence.
 
         Args:
-            payload: Content of the frame.
+            payload: Payload of the frame.
         """
         number = self.sequence.to_bytes(8, 'big')
         self.sequence += 1
@@ -97,10 +98,10 @@
         return code[:DIGEST_BYTES]
 
     def seal(self, payload: bytes) -> bytes:
-        """Return a whole frame.
+        """Return the frame of a payload: header, code and payload.
 
         Args:
-            payload: Content of the frame.
+            payload: Payload of the frame.
 
         Raises:
             FrameError: If the frame would be too large.
@@ -112,7 +113,7 @@
         """
         length = len(payload) + DIGEST_BYTES
         if length > MAX_FRAME_BYTES:
-            raise FrameError(f'frame of {length} bytes')
+            raise FrameError(f'frame of {length} bytes is too large')
         return _HEADER.pack(length) + self.digest(payload) + payload
 
     def open(self, body: bytes) -> bytes:
@@ -135,8 +136,8 @@
 
     Args:
         secret: The shared secret.
-        role: What the digest is for, such as ``dialer`` or ``key``.
-        nonces: Nonces of dialer and listener.
+        role: Purpose of the digest, such as ``dialer`` or ``dialer key``.
+        nonces: Nonces of dialer and listener, none for the first frames.
 
     Examples:
         >>> len(handshake_digest(b'secret', 'dialer', b'a', b'b'))
--- a/packages/wire/bulrushcourse_wire/health_messages.py
+++ b/packages/wire/bulrushcourse_wire/health_messages.py
@@ -5,11 +5,11 @@
 
 @messages.message('upstream_sign')
 class UpstreamLeaving:
-    """An instance leaves, or serves again.
+    """An instance is leaving or serving again.
 
     Attributes:
         instance: Name of the instance.
-        leaving: Whether it is leaving.
+        leaving: Whether the instance is leaving.
     """
 
     instance: str
--- a/packages/wire/bulrushcourse_wire/key_messages.py
+++ b/packages/wire/bulrushcourse_wire/key_messages.py
@@ -1,4 +1,4 @@
-"""Messages that carry a request with an issued key to its issuer."""
+"""Messages that forward a request with an issued key to the key's issuer."""
 
 import attrs
 
@@ -7,20 +7,20 @@
 
 @messages.message('key_forward')
 class KeyForward:
-    """A request, or a question about it, for the issuer of its key.
+    """A request, or a query for its outcome, for the issuer of its key.
 
     Attributes:
-        exchange: Identifier of the exchange, unique for the sender.
+        exchange: Identifier of the exchange, unique per sender.
         service: Name of the service.
         key: The issued key.
         digest: Digest of the request.
-        ask_only: Whether only the outcome is asked for.
+        ask_only: Whether only the outcome is requested.
         remaining_ms: Milliseconds until the deadline.
         request_class: Name of the request's class.
         method: HTTP method.
         path: Path with query.
-        headers: Headers to pass on.
-        body: Whole body.
+        headers: Headers to forward.
+        body: Complete body.
     """
 
     exchange: str
@@ -38,15 +38,15 @@
 
 @messages.message('key_answer')
 class KeyAnswer:
-    """What the issuer says of a key.
+    """The issuer's reply about a key.
 
     Attributes:
         exchange: Identifier of the exchange.
         outcome: ``done``, ``not-run`` or ``unknown``.
-        reason: Why there is no answer; empty with one.
-        status: HTTP status of the run's answer, 0 without one.
-        headers: Headers of the run's answer as name and value.
-        body: Content of the run's answer.
+        reason: Why there is no response; empty if there is one.
+        status: HTTP status of the run's response, 0 without one.
+        headers: Names and values of the headers of the run's response.
+        body: Body of the run's response.
     """
 
     exchange: str
--- a/packages/wire/bulrushcourse_wire/ledgers.py
+++ b/packages/wire/bulrushcourse_wire/ledgers.py
@@ -1,4 +1,4 @@
-"""JSON form of the rows that hold the shares of limits."""
+"""JSON encoding of the ledger rows with the shares of limits."""
 
 import typing
 
@@ -14,13 +14,13 @@
     """Return a ledger as a JSON value.
 
     Args:
-        ledger: Content of a row.
+        ledger: The ledger to store.
     """
     return _CONVERTER.unstructure(ledger)
 
 
 def parse_ledger(value: typing.Any) -> result.Result[ledgers.Ledger, str]:
-    """Return the ledger in a JSON value, or why there is none.
+    """Return the ledger in a JSON value, or why it cannot be parsed.
 
     Unknown fields are ignored.
 
--- a/packages/wire/bulrushcourse_wire/load_messages.py
+++ b/packages/wire/bulrushcourse_wire/load_messages.py
@@ -1,4 +1,4 @@
-"""Messages about the load of pools."""
+"""Messages that report the load of pools."""
 
 import attrs
 
@@ -11,10 +11,10 @@
 
     Attributes:
         pool: Name of the pool.
-        slots: Slots that may be granted.
-        in_flight: Slots in use.
-        waiting: Requests that wait for a slot.
-        healthy: Those of the slots whose instances look healthy.
+        slots: Number of slots that may be granted.
+        in_flight: Number of slots in use.
+        waiting: Number of requests that wait for a slot.
+        healthy: Number of those slots whose instances appear healthy.
     """
 
     pool: str
@@ -26,10 +26,10 @@
 
 @messages.message('pool_loads')
 class PoolLoads:
-    """Load of the pools that the sender owns.
+    """Loads of the pools that the sender owns.
 
     Attributes:
-        loads: One load for each pool.
+        loads: One load per pool.
     """
 
     loads: tuple[PoolLoad, ...]
--- a/packages/wire/bulrushcourse_wire/messages.py
+++ b/packages/wire/bulrushcourse_wire/messages.py
@@ -1,7 +1,7 @@
 """Messages that entries exchange over peer streams.
 
-A message is a frozen attrs class registered under a short type name. Unknown
-fields are ignored when decoding, so that a newer entry can add fields.
+A message is a frozen attrs class that is registered under a type name. Unknown
+fields are ignored when decoding, so that newer entries can add fields.
 """
 
 import typing
@@ -26,12 +26,12 @@
         type_name: Name of the message on the wire.
 
     Raises:
-        ValueError: If the name is already taken.
+        ValueError: If the name is already registered.
     """
 
     def register(cls: type) -> type:
         if type_name in _REGISTRY:
-            raise ValueError(f'message type {type_name!r} is taken')
+            raise ValueError(f'message type {type_name!r} is registered twice')
         cls.type_name = type_name
         decorated = attrs.frozen(cls)
         _REGISTRY[type_name] = decorated
@@ -58,7 +58,7 @@
     """First message of each side of a stream.
 
     Attributes:
-        protocol: Version of the protocol.
+        protocol: Protocol version of the sender.
         entry: Name of the sending entry.
         incarnation: Random identifier of the sending process.
         vm_id: The platform's identifier of the sender's VM.
@@ -77,7 +77,7 @@
     """Proof that the sender knows the shared secret.
 
     Attributes:
-        digest: HMAC-SHA256 over role and both nonces, 32 bytes.
+        digest: HMAC-SHA256 over the sender's role and both nonces, 32 bytes.
     """
 
     digest: bytes
@@ -89,13 +89,13 @@
 
     Attributes:
         state: ``starting``, ``serving`` or ``leaving``.
-        configuration_version: Version in force, 0 for none.
+        configuration_version: Version of the active configuration, 0 for none.
         store_reachable: Whether the sender's last store call was answered.
         region: Region of the sender.
-        callers_address: ``ip:port`` of its callers' listener.
-        in_flight: Requests at work in the sender.
-        held_version: Newest configuration version that it holds, in force or
-            not.
+        callers_address: ``ip:port`` of the sender's listener for callers.
+        in_flight: Number of requests in flight at the sender.
+        held_version: Newest configuration version of the sender, whether
+            active or staged.
         failure_domain: Failure domain of the sender.
     """
 
@@ -111,7 +111,7 @@
 
 @message('configuration')
 class Configuration:
-    """A configuration passed on to a peer.
+    """A configuration that is relayed to a peer.
 
     Attributes:
         version: Version of the document.
--- a/packages/wire/bulrushcourse_wire/publications.py
+++ b/packages/wire/bulrushcourse_wire/publications.py
@@ -1,4 +1,4 @@
-"""Publications as JSON values of the table's rows."""
+"""Conversion of publications to and from JSON values of table rows."""
 
 import datetime
 import typing
@@ -29,7 +29,7 @@
 def describe_publication(
     published: publication.Publication,
 ) -> dict[str, typing.Any]:
-    """Return what is told of a publication, less its objects.
+    """Return a publication's metadata, without its objects.
 
     Args:
         published: The publication.
@@ -53,7 +53,7 @@
 def parse_publication(
     value: typing.Any,
 ) -> result.Result[publication.Publication, tuple[findings.Finding, ...]]:
-    """Return the publication in a row, or all findings against its form.
+    """Return the publication in a row, or all findings if it is malformed.
 
     Args:
         value: Value of the row; only version and document are required.
--- a/packages/wire/bulrushcourse_wire/slot_messages.py
+++ b/packages/wire/bulrushcourse_wire/slot_messages.py
@@ -1,7 +1,7 @@
-"""Messages about slots, the ownership of pools and crash requests.
+"""Messages about slots, pool ownership and crash-inducing requests.
 
-A pool is named ``region/service``. Durations travel as seconds that remain,
-since clocks of entries have nothing in common.
+A pool is named ``region/service``. Deadlines are sent as remaining seconds,
+since the monotonic clocks of entries are unrelated.
 """
 
 import attrs
@@ -11,7 +11,7 @@
 
 @messages.message('slot_request')
 class SlotRequest:
-    """Asks the owner of a pool for a slot.
+    """Requests a slot from the owner of a pool.
 
     Attributes:
         pool: Name of the pool.
@@ -20,7 +20,7 @@
         remaining_s: Seconds until the deadline.
         fingerprint: Hash of the request's content.
         avoid: Instances that already failed the request.
-        hedged: For a second copy, the instance that runs the first.
+        hedged: For a hedge, the instance that runs the first copy.
     """
 
     pool: str
@@ -34,7 +34,7 @@
 
 @messages.message('slot_cancel')
 class SlotCancel:
-    """Withdraws a request, or gives back a grant that was not used.
+    """Cancels a request, or releases a grant that was not used.
 
     Attributes:
         pool: Name of the pool.
@@ -47,13 +47,13 @@
 
 @messages.message('slot_release')
 class SlotRelease:
-    """Gives a slot back.
+    """Releases a slot.
 
     Attributes:
         pool: Name of the pool.
         request_id: The request that held the slot.
         outcome: A value of ``ReleaseOutcome``.
-        seconds: Measured service time.
+        seconds: Measured service time, in seconds.
     """
 
     pool: str
@@ -79,7 +79,7 @@
 
 @messages.message('slot_refusal')
 class SlotRefusal:
-    """Refuses a slot.
+    """Refuses a slot request.
 
     Attributes:
         pool: Name of the pool.
@@ -94,11 +94,11 @@
 
 @messages.message('slots_wanted')
 class HeldSlotsRequest:
-    """States that the sender owns a pool and asks for the slots held.
+    """Announces the pool's owner and requests a report of held slots.
 
     Attributes:
         pool: Name of the pool.
-        term: Number of the sender's ownership.
+        term: Term of the sender's ownership.
     """
 
     pool: str
@@ -126,12 +126,12 @@
 
 @messages.message('slots_held')
 class HeldSlotsReport:
-    """Answers ``slots_wanted`` with all slots that the sender holds.
+    """Reply to ``slots_wanted`` with all slots that the sender holds.
 
     Attributes:
         pool: Name of the pool.
-        term: Term that was asked for.
-        held: The slots.
+        term: Term of the request.
+        held: The held slots.
     """
 
     pool: str
@@ -141,13 +141,13 @@
 
 @messages.message('promise_wish')
 class PromiseRequest:
-    """Asks for a promise not to take over a pool.
+    """Requests a promise not to take over a pool.
 
     Attributes:
         pool: Name of the pool.
         candidate: Incarnation of the sender.
         number: Number of the request.
-        owns: Whether the sender owns the pool already.
+        owns: Whether the sender already owns the pool.
     """
 
     pool: str
@@ -163,7 +163,7 @@
     Attributes:
         pool: Name of the pool.
         candidate: Incarnation that the pool is promised to.
-        number: Number of the request that is answered.
+        number: Number of the promise request.
     """
 
     pool: str
@@ -173,7 +173,7 @@
 
 @messages.message('pool_released')
 class PoolReleased:
-    """The sender gave a pool up for good.
+    """The sender released a pool permanently.
 
     Attributes:
         pool: Name of the pool.
@@ -186,7 +186,7 @@
 
 @messages.message('quarantine')
 class UpstreamLoss:
-    """An instance that was lost to a request.
+    """An instance was lost while it ran a request.
 
     Attributes:
         fingerprint: Hash of the request's content.
@@ -205,12 +205,12 @@
 
 @messages.message('quarantine_cleared')
 class UpstreamLossCleared:
-    """A whole answer showed that losses had another cause.
+    """A complete response showed that losses had another cause.
 
     Attributes:
         fingerprint: Hash of the request's content.
-        loss_ids: Losses that no longer count.
-        expires: Seconds since the epoch until which to remember this.
+        loss_ids: Identifiers of the losses that no longer count.
+        expires: Seconds since the epoch until which this must be kept.
     """
 
     fingerprint: str
--- a/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
@@ -1,4 +1,4 @@
-"""Reports between VMs hold what was sent and stay small."""
+"""Guards against reports between VMs that lose content or grow too large."""
 
 import pytest
 from hypothesis import given
@@ -34,13 +34,13 @@
 
 
 @given(REPORTS)
-def test_reports_hold_what_was_sent(report):
+def test_reports_survive_a_round_trip(report):
     assert fleet_messages.decode(fleet_messages.encode(report)) == report
 
 
 @given(strategies.binary(max_size=40))
-def test_other_bytes_are_refused(content):
-    # Guards against an unexpected exception that ends the receiving task.
+def test_arbitrary_bytes_are_refused(content):
+    # Guards against an unexpected exception that would end the receiving task.
     try:
         fleet_messages.decode(content)
     except fleet_messages.MalformedReport:
@@ -48,8 +48,8 @@
 
 
 def test_later_reports_of_a_stream_are_short():
-    # Guards against names and floating-point numbers in each report: bytes
-    # between regions were the highest price of a fleet of 76 VMs.
+    # Guards against field names and floating-point numbers in each report:
+    # bytes between regions were the highest cost of a fleet of 76 VMs.
     names = [f'i-{number:010x}' for number in range(10)]
     report = fleet_messages.Report(
         vm=None,
@@ -63,7 +63,7 @@
     assert len(fleet_messages.encode(report)) < 420
 
 
-def test_phase_must_be_known():
+def test_unknown_phase_is_refused():
     with pytest.raises(fleet_messages.MalformedReport):
         fleet_messages.decode(b'\x81\xa1p\xa3odd')
 
@@ -78,13 +78,13 @@
     ],
 )
 def test_damaged_or_huge_configurations_are_refused(packed):
-    # Guards against a few bytes that unpack to more than a VM can hold.
+    # Guards against a few bytes that decompress to more than a VM's memory.
     with pytest.raises(fleet_messages.MalformedReport):
         fleet_messages.unpack_content(packed)
 
 
-def test_configuration_of_many_routes_travels_short():
-    # Guards against 150 KB to each of 74 VMs at each change of routes.
+def test_configuration_of_many_routes_is_compressed():
+    # Guards against sending 150 KB to each of 74 VMs on each change of routes.
     routes = b','.join(
         b'{"host": "h%d.example", "prefix": "/p%d/", "timeout": "1200ms"}'
         % (number, number * 7919)
--- a/packages/wire/bulrushcourse_wire/tests/test_key_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_key_messages.py
@@ -1,11 +1,11 @@
-"""Messages about issued keys on the wire."""
+"""Guards against changes to forwarded requests and answers on the wire."""
 
 from bulrushcourse_wire import frames
 from bulrushcourse_wire import key_messages
 
 
-def test_requests_and_answers_come_back_unchanged():
-    """Guards P3: bodies and headers pass the stream byte for byte."""
+def test_requests_and_answers_survive_a_round_trip():
+    """Guards P3: bodies and headers cross the stream byte for byte."""
     forward = key_messages.KeyForward(
         'x1', 'orders', 'ik1~', 'd', False, 900, 'short', 'POST', '/o?a=%20',
         {'X-A': 'b'}, bytes(range(256)),
--- a/packages/wire/bulrushcourse_wire/tests/test_publications.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_publications.py
@@ -1,4 +1,4 @@
-"""Tests of publications as rows."""
+"""Guards against lost or malformed publications in rows."""
 
 import pytest
 
@@ -7,8 +7,8 @@
 from bulrushcourse_wire import publications
 
 
-def test_a_row_gives_back_what_was_published():
-    """A field lost in the row would hide who published, or a repeat."""
+def test_publication_survives_a_round_trip():
+    """A lost field would hide the operator or a repeated publish request."""
     published = publication.Publication(
         3, 'p3', 'ana', 'note', publications.EPOCH, objects.Objects()
     )
