Name the members that describe their peers

Cause: known stood for another entry's member in two loops. Change: the loop variable is peer. Result: make check passes; the folder has no tests of its own.

--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -151,7 +151,7 @@
     def newest_peer_version(self) -> int:
         """Return the newest configuration version of any other entry."""
         return max(
-            (known.info.held_version for known in self.view.members.values()),
+            (peer.info.held_version for peer in self.view.members.values()),
             default=0,
         )
 
@@ -181,12 +181,12 @@
         )
         own['state'] = 'isolated' if self.isolated else own['state']
         return [own | {'silent_s': 0.0}] + [
-            attrs.asdict(known.info)
+            attrs.asdict(peer.info)
             | {
                 'state': states[incarnation].value,
-                'silent_s': round(now - known.heard_at, 3),
+                'silent_s': round(now - peer.heard_at, 3),
             }
-            for incarnation, known in self.view.members.items()
+            for incarnation, peer in self.view.members.items()
         ]
 
     def explain(self, client: str) -> dict[str, typing.Any]:
