Reword the claims rules in the terms of the field

The doc comments spoke of rows that attempts meet, of what may be said or is told, and of keys that are forgotten, which readers had to decode.

Doc comments, error messages and test doc comments now name the claim row, the write result, expiry and eviction. No comment was deleted.

--- a/packages/domain/bulrushcourse_domain/claims/__init__.py
+++ b/packages/domain/bulrushcourse_domain/claims/__init__.py
@@ -1,1 +1,1 @@
-"""Claims of idempotency keys: at most one run each, truthful outcomes."""
+"""Idempotency keys: each runs at most once and reports a proven outcome."""
--- a/packages/domain/bulrushcourse_domain/claims/claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/claim.py
@@ -1,4 +1,7 @@
-"""The row that decides which attempt may run a free-form key."""
+"""Store row that decides which attempt may run a free-form key.
+
+A free-form key is an idempotency key that the caller chose itself.
+"""
 
 import enum
 import hashlib
@@ -10,18 +13,19 @@
 
 RETENTION_S = 900.0
 
-# A re-send at the end of the retention may still write its refusal until its
-# deadline and the limit of recording (300 s) have passed. If the row went
-# away before, that refusal would be untrue.
+# A retry sent at the end of the retention period can still write a refusal
+# until its deadline and the recording limit (300 s) have passed. If the row
+# had been deleted by then, the retry would report that the request never ran
+# although it did.
 DELETE_MARGIN_S = 600.0
 
-# The claimant of a row without an outcome may still be paused before its
-# dispatch, so the row outlives any pause of a VM that is still in use.
+# The attempt that claimed the key may be paused just before its dispatch, so
+# a row without an outcome outlives any pause of a VM that is still in use.
 CLAIMED_RETENTION_S = 86_400.0
 
 
 class ClaimState(enum.Enum):
-    """State of a claim's row."""
+    """State of a claim row."""
 
     CLAIMED = 'claimed'
     REFUSED = 'refused'
@@ -30,7 +34,7 @@
 
 
 class AttemptCheck(enum.Enum):
-    """What an attempt finds when it meets the row of its key."""
+    """What an existing claim row means for an attempt."""
 
     OWN = 'own'
     ELSEWHERE = 'elsewhere'
@@ -39,10 +43,10 @@
 
 
 class ClaimError(Exception):
-    """A transition of a claim is not allowed."""
+    """An outcome that the present state of a claim does not allow."""
 
 
-# A state that is not listed as a source is final.
+# States that are not listed as a source are final.
 TRANSITIONS = {
     (ClaimState.CLAIMED, outcomes.Outcome.DONE): ClaimState.DONE,
     (ClaimState.CLAIMED, outcomes.Outcome.NOT_RUN): ClaimState.REFUSED,
@@ -66,14 +70,14 @@
 
 @attrs.frozen
 class Claim:
-    """The claim of a key by one attempt.
+    """Claim of a key by one attempt, stored as a row.
 
     Attributes:
         state: State of the row.
         attempt: Identifier of the attempt, unique over all entries.
         digest: Digest of the request, see ``request_digest``.
         written_at: Wall-clock seconds of the last transition.
-        answer: The run's answer, only if ``DONE``.
+        answer: Response of the upstream, only if ``DONE``.
     """
 
     state: ClaimState
@@ -83,11 +87,11 @@
     answer: outcomes.Answer | None = None
 
     def check_attempt(self, attempt: str, digest: str) -> AttemptCheck:
-        """Return what the row means to an attempt.
+        """Return what the row means for an attempt with the same key.
 
         Args:
-            attempt: The attempt that meets the row.
-            digest: Digest of its request.
+            attempt: Identifier of the attempt.
+            digest: Digest of the attempt's request.
 
         Examples:
             >>> claim = open_claim('a1', 'd', 0.0)
@@ -113,16 +117,17 @@
         now: float,
         answer: outcomes.Answer | None = None,
     ) -> 'Claim':
-        """Return the claim with the outcome of its attempt.
+        """Return the claim with the outcome that its attempt reports.
 
         Args:
-            attempt: The attempt that reports.
-            outcome: What the attempt proved.
+            attempt: Identifier of the reporting attempt.
+            outcome: The outcome that the attempt can prove.
             now: Wall-clock seconds.
-            answer: The run's answer, only if done.
+            answer: Response of the upstream, only with ``DONE``.
 
         Raises:
-            ClaimError: If another attempt reports, or the claim is final.
+            ClaimError: If another attempt holds the claim, the claim is final,
+                or the answer does not go with the outcome.
 
         Examples:
             >>> claim = open_claim('a1', 'd', 0.0)
@@ -131,19 +136,21 @@
             >>> claim.finish('a2', outcomes.Outcome.NOT_RUN, 1.0)
             Traceback (most recent call last):
             ...
-            bulrushcourse_domain.claims.claim.ClaimError: claim of attempt a1
+            bulrushcourse_domain.claims.claim.ClaimError: claimed by attempt a1
         """
         if attempt != self.attempt:
-            raise ClaimError(f'claim of attempt {self.attempt}')
+            raise ClaimError(f'claimed by attempt {self.attempt}')
         state = TRANSITIONS.get((self.state, outcome))
         if state is None:
-            raise ClaimError(f'claim is {self.state.value}')
+            raise ClaimError(f'claim is already {self.state.value}')
         if (answer is not None) != (state is ClaimState.DONE):
-            raise ClaimError('an answer belongs to a run that is done')
+            raise ClaimError(
+                'an answer is required with outcome done, and only then'
+            )
         return attrs.evolve(self, state=state, written_at=now, answer=answer)
 
     def reply(self) -> outcomes.Reply:
-        """Return what anyone may say about the key from this row."""
+        """Return the reply that this row alone justifies, for any caller."""
         return outcomes.Reply(
             ROW_OUTCOMES[self.state], _REASONS[self.state], self.answer
         )
@@ -156,7 +163,7 @@
 
 
 def open_claim(attempt: str, digest: str, now: float) -> Claim:
-    """Return the row that lets an attempt dispatch.
+    """Return a claim that allows an attempt to dispatch once it is stored.
 
     Args:
         attempt: Identifier of the attempt.
@@ -167,7 +174,7 @@
 
 
 def refused_claim(attempt: str, digest: str, now: float) -> Claim:
-    """Return the row by which an attempt refuses a key without a claim.
+    """Return a final row that refuses a key that no attempt has claimed.
 
     Args:
         attempt: Identifier of the attempt.
@@ -178,13 +185,13 @@
 
 
 def may_dispatch(
-    stored: outcomes.StoreFact, row: Claim | None, attempt: str
+    write_result: outcomes.StoreFact, row: Claim | None, attempt: str
 ) -> bool:
     """Return whether an attempt may dispatch after writing its claim.
 
     Args:
-        stored: What is known of the write.
-        row: The row as read afterwards, ``None`` if absent or not read.
+        write_result: Result of the write.
+        row: Row read back after the write, ``None`` if absent or not read.
         attempt: Identifier of the attempt.
 
     Examples:
@@ -196,7 +203,7 @@
         >>> may_dispatch(outcomes.StoreFact.CONFLICT, row, 'a2')
         False
     """
-    if stored is outcomes.StoreFact.COMMITTED:
+    if write_result is outcomes.StoreFact.COMMITTED:
         return True
     return (
         row is not None
@@ -206,19 +213,19 @@
 
 
 def refusal_reply(
-    stored: outcomes.StoreFact, row: Claim | None
+    write_result: outcomes.StoreFact, row: Claim | None
 ) -> outcomes.Reply:
-    """Return what may be said after writing a ``refused`` row.
+    """Return the reply after writing a row from ``refused_claim``.
 
     Args:
-        stored: What is known of the write.
-        row: The row as read afterwards, ``None`` if absent or not read.
+        write_result: Result of the write.
+        row: Row read back after the write, ``None`` if absent or not read.
 
     Examples:
         >>> refusal_reply(outcomes.StoreFact.UNKNOWN, None).outcome
         <Outcome.UNKNOWN: 'unknown'>
     """
-    if stored is outcomes.StoreFact.COMMITTED:
+    if write_result is outcomes.StoreFact.COMMITTED:
         return outcomes.Reply(outcomes.Outcome.NOT_RUN, 'refused')
     if row is not None:
         return row.reply()
@@ -226,14 +233,14 @@
 
 
 def request_digest(
-    method: str, path: str, parts: typing.Iterable[bytes]
+    method: str, path: str, chunks: typing.Iterable[bytes]
 ) -> str:
-    """Return the digest that tells requests with the same key apart.
+    """Return a digest that distinguishes requests with the same key.
 
     Args:
         method: HTTP method.
         path: Path with query.
-        parts: Body in pieces.
+        chunks: The request body in chunks of any size.
 
     Examples:
         >>> request_digest('POST', '/a', [b'x', b'y']) == request_digest(
@@ -242,7 +249,7 @@
         True
     """
     body = hashlib.sha256()
-    for part in parts:
-        body.update(part)
+    for chunk in chunks:
+        body.update(chunk)
     head = f'{method}\n{path}\n{body.hexdigest()}'
     return hashlib.sha256(head.encode()).hexdigest()
--- a/packages/domain/bulrushcourse_domain/claims/issued_keys.py
+++ b/packages/domain/bulrushcourse_domain/claims/issued_keys.py
@@ -1,4 +1,4 @@
-"""The aggregate that runs the keys of one incarnation at most once."""
+"""Aggregate that lets each key of one incarnation start at most one run."""
 
 import enum
 import itertools
@@ -12,14 +12,15 @@
 
 KEY_LIFETIME_S = 900.0
 
-# 20,000 keys of about 0.5 kB are 10 MB; over 900 s of lifetime and 900 s of
-# retention one entry sustains 11 keys/s, nine entries 100 keys/s.
+# 20,000 keys of about 0.5 kB take 10 MB. A key is kept for up to 900 s of
+# lifetime and 900 s of retention, so one entry sustains 11 keys/s and nine
+# entries sustain 100 keys/s.
 MAX_KEYS = 20_000
 MAX_ANSWER_BYTES = 32 << 20
 
 
 class KeyCheck(enum.Enum):
-    """What an incarnation finds when it is asked to run a key."""
+    """What the issuing incarnation knows about a key in a request."""
 
     FIRST = 'first'
     RUNNING = 'running'
@@ -33,11 +34,11 @@
 
 @attrs.define
 class KeyRecord:
-    """State of a key that was sent at least once.
+    """State of a key that a caller has used at least once.
 
     Attributes:
         digest: Digest of the first request with the key.
-        reply: The outcome, ``None`` while the run is under way.
+        reply: Reply with the outcome, ``None`` while the request runs.
     """
 
     digest: str
@@ -46,24 +47,27 @@
 
 @attrs.define
 class IssuedKeys:
-    """Keys of one incarnation.
+    """Keys issued by one incarnation of an entry.
 
-    A key can start a run only while it is in ``unused``, which it leaves for
-    good at its first use or at the end of its lifetime. A key found neither
-    there nor in ``records`` may have run and been forgotten.
+    A key can start a run only while it is in ``unused``. It is removed from
+    there for good at its first use or when its lifetime ends. A key that is
+    neither in ``unused`` nor in ``records`` may have run before its record
+    expired.
 
     Attributes:
         entry: Name of this entry.
         incarnation: Identifier of this process.
-        secret: The secret that entries share.
+        secret: Secret shared by all entries.
         clock: Source of time.
-        max_keys: Largest number of keys that are kept.
-        max_answer_bytes: Largest size of all kept answers.
-        unused: End of lifetime by key that was never sent.
-        records: State by key that was sent, oldest first.
-        ended: End of retention by key with an outcome, oldest first.
-        answer_bytes: Size of all kept answers.
-        number: Number of keys issued.
+        max_keys: Maximum number of keys in ``unused`` and ``records``.
+        max_answer_bytes: Maximum total size of the stored answer bodies.
+        unused: End of lifetime of each unused key, in clock seconds, oldest
+            first.
+        records: State of each used key, oldest first.
+        retention_ends: End of retention of each key with an outcome, in clock
+            seconds, oldest first.
+        answer_bytes: Total size of the stored answer bodies.
+        number: Number of keys issued so far.
     """
 
     entry: str
@@ -74,27 +78,27 @@
     max_answer_bytes: int = MAX_ANSWER_BYTES
     unused: dict[str, float] = attrs.field(factory=dict)
     records: dict[str, KeyRecord] = attrs.field(factory=dict)
-    ended: dict[str, float] = attrs.field(factory=dict)
+    retention_ends: dict[str, float] = attrs.field(factory=dict)
     answer_bytes: int = 0
     number: int = 0
 
     def issue(self, service: str, count: int) -> tuple[str, ...]:
-        """Return new keys, fewer than asked for if memory is short.
+        """Issue keys, fewer than requested once ``max_keys`` is reached.
 
         Args:
             service: Service that the keys are for.
-            count: Number of keys wanted.
+            count: Number of keys requested.
 
         Examples:
-            >>> issued = IssuedKeys('e', 'i', b's', clocks.ManualClock())
-            >>> (key,) = issued.issue('orders', 1)
-            >>> issued.check_request(key, 'orders', 'd')
+            >>> keys = IssuedKeys('e', 'i', b's', clocks.ManualClock())
+            >>> (key,) = keys.issue('orders', 1)
+            >>> keys.check_request(key, 'orders', 'd')
             <KeyCheck.FIRST: 'first'>
         """
-        self._forget()
+        self._remove_expired()
         now = self.clock.monotonic()
         free = self.max_keys - len(self.unused) - len(self.records)
-        made = []
+        issued = []
         for _ in range(min(count, free)):
             self.number += 1
             key = keys.IssuedKey(
@@ -106,11 +110,11 @@
             )
             text = keys.sign_key(self.secret, key)
             self.unused[text] = now + KEY_LIFETIME_S
-            made.append(text)
-        return tuple(made)
+            issued.append(text)
+        return tuple(issued)
 
     def check_request(self, text: str, service: str, digest: str) -> KeyCheck:
-        """Return what a request with a key means, and note its first use.
+        """Check a request with a key; the first use is recorded.
 
         Args:
             text: The key.
@@ -124,7 +128,7 @@
             return KeyCheck.OTHER_SERVICE
         if not self.may_run(key):
             return KeyCheck.FOREIGN
-        self._forget()
+        self._remove_expired()
         record = self.records.get(text)
         if record is not None:
             return _meet_record(record, digest)
@@ -134,34 +138,34 @@
         return KeyCheck.FIRST
 
     def may_run(self, key: keys.IssuedKey) -> bool:
-        """Return whether this process is the one that issued a key.
+        """Return whether this process issued a key and so may run it.
 
         Args:
-            key: An authentic key.
+            key: A key whose signature is valid.
         """
-        mine = (self.entry, self.incarnation)
-        return (key.entry, key.incarnation) == mine
+        issuer = (self.entry, self.incarnation)
+        return (key.entry, key.incarnation) == issuer
 
     def finish(self, text: str, reply: outcomes.Reply) -> None:
-        """Record the outcome of the only run of a key.
+        """Record the outcome of the run of a key.
 
         Args:
             text: The key.
-            reply: What its callers are told.
+            reply: Reply to all requests with the key.
 
         Raises:
-            claims.ClaimError: If the key has an outcome or was never sent.
+            claims.ClaimError: If the key is unused, expired or has an outcome.
         """
         record = self.records.get(text)
         if record is None or record.reply is not None:
-            raise claims.ClaimError('no run of this key is under way')
+            raise claims.ClaimError('no request with this key is running')
         record.reply = reply
-        self.ended[text] = self.clock.monotonic() + claims.RETENTION_S
-        self.answer_bytes += _size(reply)
-        self._drop_answers()
+        self.retention_ends[text] = self.clock.monotonic() + claims.RETENTION_S
+        self.answer_bytes += _body_bytes(reply)
+        self._evict_answers()
 
     def reply(self, text: str) -> outcomes.Reply:
-        """Return what may be said of a key of this incarnation.
+        """Return the current reply for a key of this incarnation.
 
         Args:
             text: The key.
@@ -174,21 +178,21 @@
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'under-way')
         return record.reply
 
-    def _forget(self) -> None:
+    def _remove_expired(self) -> None:
         now = self.clock.monotonic()
-        for text in _due(self.unused, now):
+        for text in _expired_keys(self.unused, now):
             del self.unused[text]
-        for text in _due(self.ended, now):
-            del self.ended[text]
-            self.answer_bytes -= _size(self.records.pop(text).reply)
+        for text in _expired_keys(self.retention_ends, now):
+            del self.retention_ends[text]
+            self.answer_bytes -= _body_bytes(self.records.pop(text).reply)
 
-    def _drop_answers(self) -> None:
-        for text in self.ended:
+    def _evict_answers(self) -> None:
+        for text in self.retention_ends:
             if self.answer_bytes <= self.max_answer_bytes:
                 return
             record = self.records[text]
             if record.reply is not None and record.reply.answer is not None:
-                self.answer_bytes -= _size(record.reply)
+                self.answer_bytes -= _body_bytes(record.reply)
                 record.reply = outcomes.Reply(
                     outcomes.Outcome.UNKNOWN, 'answer-not-kept'
                 )
@@ -200,12 +204,12 @@
     return KeyCheck.RUNNING if record.reply is None else KeyCheck.FINAL
 
 
-def _due(ends: dict[str, float], now: float) -> list[str]:
-    """Return the keys whose time has come; times grow along the dict."""
+def _expired_keys(ends: dict[str, float], now: float) -> list[str]:
+    """Return the keys that have expired; the dict is ordered by end time."""
     return list(itertools.takewhile(lambda text: ends[text] <= now, ends))
 
 
-def _size(reply: outcomes.Reply | None) -> int:
+def _body_bytes(reply: outcomes.Reply | None) -> int:
     if reply is None or reply.answer is None:
         return 0
     return len(reply.answer.body)
--- a/packages/domain/bulrushcourse_domain/claims/keys.py
+++ b/packages/domain/bulrushcourse_domain/claims/keys.py
@@ -1,4 +1,4 @@
-"""Signed idempotency keys that entries hand out."""
+"""Idempotency keys that entries issue and sign."""
 
 import hashlib
 import hmac
@@ -8,19 +8,20 @@
 
 PREFIX = 'ik1'
 SEPARATOR = '~'
-SIGNATURE_CHARACTERS = 32
+SIGNATURE_HEX_DIGITS = 32
 
 
 @attrs.frozen
 class IssuedKey:
-    """A key that an entry handed out.
+    """Content of an issued key.
 
     Attributes:
         entry: Name of the issuing entry.
         incarnation: Identifier of the issuing process.
         service: Service that the key is for.
-        issued_ms: Milliseconds of the issuer's clock.
-        number: Counts the keys of the incarnation.
+        issued_ms: Time of issue in milliseconds of the issuer's monotonic
+            clock.
+        number: Sequence number within the incarnation.
     """
 
     entry: str
@@ -31,9 +32,10 @@
 
 
 def is_issued_form(text: str) -> bool:
-    """Return whether a key claims to be an issued key.
+    """Return whether a key has the format of an issued key.
 
-    Such a key never takes the free-form path, whether or not it is authentic.
+    Such a key is never treated as a free-form key, even if its signature is
+    invalid.
 
     Args:
         text: Key as sent by a caller.
@@ -46,14 +48,14 @@
 
 
 def sign_key(secret: bytes, key: IssuedKey) -> str:
-    """Return the text of a key with its signature.
+    """Return the text of a key, including its signature.
 
     Args:
-        secret: The secret that entries share.
+        secret: Secret shared by all entries.
         key: The key.
 
     Raises:
-        ValueError: If a name has the separator in it.
+        ValueError: If a field contains the separator.
 
     Examples:
         >>> key = IssuedKey('e1', '7f', 'orders', 1000, 1)
@@ -63,16 +65,18 @@
     """
     fields = (PREFIX, *(str(value) for value in attrs.astuple(key)))
     if any(SEPARATOR in field for field in fields):
-        raise ValueError(f'{SEPARATOR!r} in a field of {key}')
+        raise ValueError(
+            f'a field of {key} contains the separator {SEPARATOR!r}'
+        )
     content = SEPARATOR.join(fields)
     return f'{content}{SEPARATOR}{_signature(secret, content)}'
 
 
 def read_key(secret: bytes, text: str) -> IssuedKey | None:
-    """Return an authentic key, ``None`` for any other text.
+    """Verify the signature and return the key, ``None`` if it is invalid.
 
     Args:
-        secret: The secret that entries share.
+        secret: Secret shared by all entries.
         text: Key as sent by a caller.
     """
     if not text.isascii():
@@ -93,4 +97,4 @@
 def _signature(secret: bytes, content: str) -> str:
     message = b'issued-key\x00' + content.encode()
     digest = hmac.digest(secret, message, hashlib.sha256)
-    return digest.hex()[:SIGNATURE_CHARACTERS]
+    return digest.hex()[:SIGNATURE_HEX_DIGITS]
--- a/packages/domain/bulrushcourse_domain/claims/outcomes.py
+++ b/packages/domain/bulrushcourse_domain/claims/outcomes.py
@@ -1,4 +1,4 @@
-"""Facts about an attempt and the outcomes that they prove."""
+"""Results of dispatches and store writes, and the outcomes they prove."""
 
 import enum
 
@@ -6,10 +6,10 @@
 
 
 class Outcome(enum.Enum):
-    """What a caller is told about the request with its key.
+    """Outcome reported to a caller for the request with its key.
 
     ``NOT_RUN`` is final: the request did not run and never will under this
-    key. ``UNKNOWN`` claims nothing.
+    key. ``UNKNOWN`` says nothing about whether it ran.
     """
 
     DONE = 'done'
@@ -30,16 +30,16 @@
 
 
 class StoreFact(enum.Enum):
-    """What is known of a write to the store."""
+    """Result of a write to the store, as far as it is known."""
 
     COMMITTED = 'committed'
     CONFLICT = 'conflict'
     UNKNOWN = 'unknown'
 
 
-# A reset, a time-out or a truncated answer may follow a run. A shed answer
-# without the pool's header may come from a part in front of the instance that
-# gave up after the instance had started.
+# The request may have run before a reset, a timeout or a truncated response.
+# A 429 or 503 without the pool's "not run" header may come from a proxy in
+# front of the instance that gave up after the instance had started.
 UPSTREAM_OUTCOMES = {
     UpstreamFact.NO_BYTE_SENT: Outcome.NOT_RUN,
     UpstreamFact.SHED_NOT_RUN: Outcome.NOT_RUN,
@@ -55,13 +55,14 @@
 
 @attrs.frozen
 class Answer:
-    """A whole answer of an upstream.
+    """A complete response of an upstream.
 
     Attributes:
         status: HTTP status.
-        headers: End-to-end headers as name and value.
+        headers: End-to-end headers as pairs of name and value.
         body: Content; empty if it is kept in the object store.
-        object_key: Key of the content in the object store, empty for none.
+        object_key: Key of the content in the object store, empty if the
+            content is in ``body``.
     """
 
     status: int
@@ -72,12 +73,12 @@
 
 @attrs.frozen
 class Reply:
-    """What a caller is told.
+    """Reply to a caller about its key.
 
     Attributes:
-        outcome: One of the three outcomes.
-        reason: Stable identifier of the reason, empty for an answer.
-        answer: The run's whole answer, only with ``DONE``.
+        outcome: The proven outcome.
+        reason: Stable identifier of the reason, empty with an answer.
+        answer: Response of the upstream, only with ``DONE``.
     """
 
     outcome: Outcome
@@ -86,11 +87,11 @@
 
 
 def answer_fact(status: int, not_run: bool) -> UpstreamFact:
-    """Return the fact that a whole answer states.
+    """Classify a complete response of an upstream.
 
     Args:
-        status: HTTP status of the answer.
-        not_run: Whether the answer has the pool's header for "not run".
+        status: HTTP status of the response.
+        not_run: Whether the response has the pool's "not run" header.
 
     Examples:
         >>> answer_fact(503, True), answer_fact(503, False)
@@ -104,7 +105,7 @@
 
 
 def attempt_outcome(fact: UpstreamFact) -> Outcome:
-    """Return what a dispatch proves about its own attempt.
+    """Return the outcome that a dispatch proves for its attempt.
 
     Args:
         fact: How the dispatch ended.
@@ -117,7 +118,7 @@
 
 
 def may_dispatch_again(fact: UpstreamFact) -> bool:
-    """Return whether the attempt may try another instance.
+    """Return whether the attempt may be dispatched to another instance.
 
     Args:
         fact: How the last dispatch ended.
--- a/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
@@ -1,4 +1,4 @@
-"""Rules of the claim's row."""
+"""Tests of claim rows."""
 
 import pytest
 
@@ -20,7 +20,7 @@
 
 @pytest.mark.parametrize('outcome', STATES)
 def test_outcome_of_a_claim_is_final(outcome):
-    """Guards against an outcome that is told and then replaced."""
+    """Guards against an outcome that changes after it was reported."""
     finished = finish(claims.open_claim('a1', 'd', 0.0), outcome)
     assert finished.state is STATES[outcome]
     assert finished.reply().outcome is outcome
@@ -30,23 +30,23 @@
 
 
 def test_refused_key_is_final_for_every_attempt():
-    """Guards against a run after ``not-run`` was told."""
+    """Guards against a run after ``not-run`` was reported."""
     row = claims.refused_claim('a1', 'd', 0.0)
     for attempt in ('a1', 'a2'):
         assert row.check_attempt(attempt, 'd') is claims.AttemptCheck.FINAL
-        for stored in outcomes.StoreFact:
-            if stored is not outcomes.StoreFact.COMMITTED:
-                assert not claims.may_dispatch(stored, row, attempt)
+        for write_result in outcomes.StoreFact:
+            if write_result is not outcomes.StoreFact.COMMITTED:
+                assert not claims.may_dispatch(write_result, row, attempt)
 
 
-def test_claimed_row_says_nothing_to_others():
-    """Guards against ``not-run`` about a claim whose holder may wake up."""
+def test_claimed_row_proves_nothing_to_other_attempts():
+    """Guards against ``not-run`` while the claiming attempt may resume."""
     row = claims.open_claim('a1', 'd', 0.0)
     reply = claims.refusal_reply(outcomes.StoreFact.CONFLICT, row)
     assert reply.outcome is outcomes.Outcome.UNKNOWN
 
 
-def test_answer_belongs_to_a_run_that_is_done():
+def test_answer_is_required_exactly_when_done():
     """Guards against answers without a run and runs without an answer."""
     row = claims.open_claim('a1', 'd', 0.0)
     with pytest.raises(claims.ClaimError):
@@ -55,8 +55,8 @@
         row.finish('a1', outcomes.Outcome.NOT_RUN, 1.0, ANSWER)
 
 
-def test_rows_outlive_late_refusals():
-    """Guards against a refusal that is written after the row went away."""
+def test_rows_outlive_late_retries():
+    """Guards against a refusal written after the row was deleted."""
     row = claims.open_claim('a1', 'd', 0.0)
     done = finish(row, outcomes.Outcome.DONE)
     assert done.expires_at() >= 5.0 + claims.RETENTION_S + 300.0
