Reword the configuration rules in the terms of the field

The comments spoke of configurations in force, held or offered, of seats and of plans at odds, and messages of findings were terse.

They now speak of active, staged and rejected versions, configured entries, floor shares and conflicts; messages and remedies of findings say what is expected, with codes and places unchanged. No comment was deleted.

--- a/packages/domain/bulrushcourse_domain/claims/outcomes.py
+++ b/packages/domain/bulrushcourse_domain/claims/outcomes.py
@@ -104,23 +104,23 @@
     return UpstreamFact.SHED_NOT_RUN if not_run else UpstreamFact.SHED
 
 
-def attempt_outcome(fact: UpstreamFact) -> Outcome:
+def attempt_outcome(result: UpstreamFact) -> Outcome:
     """Return the outcome that a dispatch proves for its attempt.
 
     Args:
-        fact: How the dispatch ended.
+        result: How the dispatch ended.
 
     Examples:
         >>> attempt_outcome(UpstreamFact.RESET)
         <Outcome.UNKNOWN: 'unknown'>
     """
-    return UPSTREAM_OUTCOMES[fact]
+    return UPSTREAM_OUTCOMES[result]
 
 
-def may_dispatch_again(fact: UpstreamFact) -> bool:
+def may_dispatch_again(result: UpstreamFact) -> bool:
     """Return whether the attempt may be dispatched to another instance.
 
     Args:
-        fact: How the last dispatch ended.
+        result: How the last dispatch ended.
     """
-    return attempt_outcome(fact) is Outcome.NOT_RUN
+    return attempt_outcome(result) is Outcome.NOT_RUN
--- a/packages/domain/bulrushcourse_domain/configuration/__init__.py
+++ b/packages/domain/bulrushcourse_domain/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""The set of objects that operators edit and publish."""
+"""The configuration that operators edit and publish."""
--- a/packages/domain/bulrushcourse_domain/configuration/active_configuration.py
+++ b/packages/domain/bulrushcourse_domain/configuration/active_configuration.py
@@ -1,4 +1,4 @@
-"""The configuration that an entry serves with."""
+"""The configuration that an entry currently applies."""
 
 import attrs
 
@@ -7,18 +7,19 @@
 
 @attrs.define
 class ActiveConfiguration:
-    """Holds the newest configuration seen; versions only grow.
+    """Holds the active and the staged configuration; versions only increase.
 
-    A version that this entry alone has is held, but not yet in force: if the
-    store failed right after the commit and this entry restarted, all other
-    entries would know only the version before, and the entry would come back
-    with it. The version is put in force once another entry holds it too, or
-    once the store was readable long enough for the other entries to read it.
+    A version that only this entry has is staged, but not yet active. Suppose
+    that it were active, the store failed right after the commit and this entry
+    restarted: all other entries would have only the previous version, and this
+    entry would go back to it. So a staged version becomes active once another
+    entry has it too, or once the store was readable for long enough that the
+    other entries have read it.
 
     Attributes:
-        current: The configuration in force, ``None`` before the first.
-        pending: A newer configuration that is held, but not yet in force.
-        refused: Number of older versions that were offered and refused.
+        current: The active configuration, ``None`` before the first.
+        pending: The staged configuration, newer than the active one.
+        refused: Number of times that an older version was rejected.
     """
 
     current: configuration_set.ConfigurationSet | None = None
@@ -27,27 +28,27 @@
 
     @property
     def version(self) -> int:
-        """Version in force, 0 before the first."""
+        """Active version, 0 before the first."""
         return self.current.version if self.current else 0
 
     @property
     def newest_version(self) -> int:
-        """Newest version held, 0 before the first."""
+        """Staged version, or else the active one; 0 before the first."""
         return self.pending.version if self.pending else self.version
 
     @property
     def newest(self) -> configuration_set.ConfigurationSet | None:
-        """The newest configuration held, to be passed on to peers."""
+        """The configuration of ``newest_version``, to be sent to peers."""
         return self.pending or self.current
 
     def stage(self, candidate: configuration_set.ConfigurationSet) -> bool:
-        """Hold a configuration that is newer than all seen before.
+        """Stage a configuration if it is newer than the newest one.
 
         Args:
             candidate: A checked configuration.
 
         Returns:
-            Whether it is now held and was not before.
+            Whether it was staged.
         """
         if candidate.version <= self.newest_version:
             self.refused += candidate.version < self.newest_version
@@ -56,13 +57,13 @@
         return True
 
     def confirm(self, version: int) -> bool:
-        """Take note that others hold a version or a newer one.
+        """Activate the staged configuration if other entries have it.
 
         Args:
-            version: Version that another entry holds.
+            version: Version that other entries have staged or active.
 
         Returns:
-            Whether the pending configuration came into force.
+            Whether the staged configuration became active.
 
         Examples:
             >>> from bulrushcourse_domain.configuration import objects
@@ -82,13 +83,13 @@
         return True
 
     def activate(self, candidate: configuration_set.ConfigurationSet) -> bool:
-        """Put a configuration in force that another entry holds too.
+        """Activate a configuration that another entry sent, if it is newer.
 
         Args:
             candidate: A checked configuration from a peer.
 
         Returns:
-            Whether it is now in force and was not before.
+            Whether it became active.
 
         Examples:
             >>> from bulrushcourse_domain.configuration import objects
--- a/packages/domain/bulrushcourse_domain/configuration/check.py
+++ b/packages/domain/bulrushcourse_domain/configuration/check.py
@@ -1,4 +1,4 @@
-"""Checks of a configuration as a whole."""
+"""Validation of a whole configuration, by all checks of this package."""
 
 import collections
 import typing
@@ -53,9 +53,11 @@
 def _check_unique(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    named = {kind: list(getattr(candidate, kind)) for kind in KINDS}
-    named['instances'] = [i for p in candidate.pools for i in p.instances]
-    for kind, members in named.items():
+    members_by_kind = {kind: list(getattr(candidate, kind)) for kind in KINDS}
+    members_by_kind['instances'] = [
+        i for p in candidate.pools for i in p.instances
+    ]
+    for kind, members in members_by_kind.items():
         counts = collections.Counter(member.name for member in members)
         for name, count in counts.items():
             if count > 1 or not name:
@@ -63,7 +65,7 @@
                     f'{kind}[{name}].name',
                     'duplicate' if name else 'empty',
                     f'is used {count} times',
-                    'each name once and not empty',
+                    'a unique, non-empty name',
                 )
 
 
@@ -114,13 +116,13 @@
         if plan.kind is objects.PlanKind.SHIFT:
             references.append((f'{place}.target', plan.target, regions))
             references.append((f'{place}.limit', plan.limit, names['limits']))
-    for place, name, known in references:
-        if name not in known:
+    for place, name, defined in references:
+        if name not in defined:
             yield findings.Finding(
                 place,
                 'dangling',
-                f'names {name!r}, which is not defined',
-                f'one of {", ".join(sorted(known)) or "none defined"}',
+                f'refers to {name!r}, which is not defined',
+                f'one of {", ".join(sorted(defined)) or "none defined"}',
             )
 
 
--- a/packages/domain/bulrushcourse_domain/configuration/check_capacity.py
+++ b/packages/domain/bulrushcourse_domain/configuration/check_capacity.py
@@ -1,4 +1,4 @@
-"""Checks whether the objects together can serve at all."""
+"""Checks that pools, entries, limits and deadlines fit together."""
 
 import collections
 import typing
@@ -10,7 +10,7 @@
 def check_capacity(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    """Yield the findings against pools, services and region limits.
+    """Yield findings on entries, pools, region limits and deadlines.
 
     Args:
         candidate: The objects to check.
@@ -36,7 +36,7 @@
 def _check_entries(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    """A pool is owned by an entry of its region."""
+    """Check that each region with instances has an entry to own its pools."""
     region_of = {place.name: place.region for place in candidate.places}
     served = {region_of.get(entry.place) for entry in candidate.entries}
     for region, pools in _pools_by_region(candidate).items():
@@ -53,27 +53,27 @@
 def _check_region_limits(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    """A region's limit is divided among its pools."""
+    """Check that a region's limit allows one slot for each of its pools."""
     pools = _pools_by_region(candidate)
     for limit in candidate.limits:
-        least = len(pools.get(limit.target, ()))
+        min_in_flight = len(pools.get(limit.target, ()))
         if (
             limit.kind is objects.LimitKind.REGION
-            and 0 < limit.in_flight < least
+            and 0 < limit.in_flight < min_in_flight
         ):
             yield findings.Finding(
                 f'limits[{limit.name}].in_flight',
                 'capacity',
                 f'is {limit.in_flight}, less than one slot for each of the '
-                f'{least} pools of {limit.target!r}',
-                f'at least {least}',
+                f'{min_in_flight} pools of {limit.target!r}',
+                f'at least {min_in_flight}',
             )
 
 
 def _check_pools(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    users = collections.defaultdict(list)
+    places_by_address = collections.defaultdict(list)
     for pool in candidate.pools:
         if 0 < pool.connections < pool.slots:
             yield findings.Finding(
@@ -84,18 +84,18 @@
             )
         for instance in pool.instances:
             place = f'pools[{pool.name}].instances[{instance.name}].address'
-            users[instance.address].append(place)
+            places_by_address[instance.address].append(place)
             if not _is_address(instance.address):
                 yield findings.Finding(
                     place, 'address', f'is {instance.address!r}', 'ip:port'
                 )
-    for address, places in users.items():
+    for address, places in places_by_address.items():
         for place in places[1:]:
             yield findings.Finding(
                 place,
                 'same_address',
-                f'{address} is also that of {places[0]}',
-                'one address for each instance',
+                f'{address} is also the address of {places[0]}',
+                'a different address for each instance',
             )
 
 
--- a/packages/domain/bulrushcourse_domain/configuration/check_limits.py
+++ b/packages/domain/bulrushcourse_domain/configuration/check_limits.py
@@ -13,25 +13,26 @@
 }
 
 
-# A share of a link that cannot take one piece of an answer within the window
-# of 1 s would never send anything. Half of a cap is divided into floor shares.
-_PIECE_BITS = 8 * (16 << 10)
-_FLOOR_PART = 0.5
+# The floor share of a link must allow one chunk of a response within the
+# window of 1 s, or nothing could ever be sent under it.
+_CHUNK_BITS = 8 * (16 << 10)
+# Part of a cap that is divided into floor shares.
+_FLOOR_SHARE_RATIO = 0.5
 
 
 def check_limits(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    """Yield the findings against limits.
+    """Yield findings on limits.
 
     Args:
         candidate: The objects to check.
     """
     for limit in candidate.limits:
         yield from _check_unit(limit)
-        yield from _check_ends(limit)
-        yield from _check_floor(limit, len(candidate.entries))
-    yield from _check_one_per_target(candidate)
+        yield from _check_source(limit)
+        yield from _check_floor_share(limit, len(candidate.entries))
+    yield from _check_unique_targets(candidate)
 
 
 def _check_unit(limit: objects.Limit) -> typing.Iterator[findings.Finding]:
@@ -49,7 +50,7 @@
             )
 
 
-def _check_ends(limit: objects.Limit) -> typing.Iterator[findings.Finding]:
+def _check_source(limit: objects.Limit) -> typing.Iterator[findings.Finding]:
     place = f'limits[{limit.name}].source'
     if limit.kind is objects.LimitKind.REGION:
         if limit.source:
@@ -58,44 +59,46 @@
             )
     elif limit.source == limit.target:
         yield findings.Finding(
-            place, 'same_region', 'is also the target', 'another region'
+            place, 'same_region', 'equals the target', 'another region'
         )
 
 
-def _check_floor(
+def _check_floor_share(
     limit: objects.Limit, entries: int
 ) -> typing.Iterator[findings.Finding]:
-    """Yield a finding if an entry's floor share is of no use."""
-    needed = {
-        objects.LimitKind.LINK: _PIECE_BITS / 1e6,
+    """Check that an entry can make progress with its floor share alone."""
+    min_floor_share = {
+        objects.LimitKind.LINK: _CHUNK_BITS / 1e6,
         objects.LimitKind.SHIFT: 1.0,
     }.get(limit.kind)
-    if needed is None or not entries:
+    if min_floor_share is None or not entries:
         return
     field = _CAP_FIELDS[limit.kind]
-    least = needed * entries / _FLOOR_PART
-    if 0 < getattr(limit, field) < least:
+    min_cap = min_floor_share * entries / _FLOOR_SHARE_RATIO
+    if 0 < getattr(limit, field) < min_cap:
         yield findings.Finding(
             f'limits[{limit.name}].{field}',
             'floor_share',
             f'is too low to be divided among {entries} entries',
-            f'at least {least:g}, so that the floor share of each entry '
-            f'allows {needed:g} in 1 s',
+            f'at least {min_cap:g}, so that the floor share of each entry '
+            f'allows {min_floor_share:g} in 1 s',
         )
 
 
-def _check_one_per_target(
+def _check_unique_targets(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    names = collections.defaultdict(list)
+    limits_by_scope = collections.defaultdict(list)
     for limit in candidate.limits:
-        names[limit.kind, limit.source, limit.target].append(limit.name)
-    for (kind, _, _), bound in names.items():
-        # Shift limits may each bound plans of their own.
-        if kind is not objects.LimitKind.SHIFT and len(bound) > 1:
+        limits_by_scope[limit.kind, limit.source, limit.target].append(
+            limit.name
+        )
+    for (kind, _, _), names in limits_by_scope.items():
+        # Several shift limits may share a scope: each bounds its own plans.
+        if kind is not objects.LimitKind.SHIFT and len(names) > 1:
             yield findings.Finding(
-                f'limits[{bound[1]}]',
+                f'limits[{names[1]}]',
                 'same_target',
-                f'bounds the same {kind.value} as {bound[0]!r}',
-                'one limit',
+                f'bounds the same {kind.value} as {names[0]!r}',
+                'a single limit',
             )
--- a/packages/domain/bulrushcourse_domain/configuration/check_plans.py
+++ b/packages/domain/bulrushcourse_domain/configuration/check_plans.py
@@ -13,7 +13,7 @@
 def check_plans(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
-    """Yield the findings against plans.
+    """Yield findings on plans.
 
     Args:
         candidate: The objects to check.
@@ -27,7 +27,10 @@
                 times[field] = _parse_time(getattr(plan, field))
             except ValueError as error:
                 yield findings.Finding(
-                    place, 'time', str(error), 'as 2026-12-04T12:00:00Z'
+                    place,
+                    'time',
+                    str(error),
+                    'a time such as 2026-12-04T12:00:00Z',
                 )
         if len(times) < 2:
             continue
@@ -41,14 +44,14 @@
             )
     yield from _check_overlaps(candidate, windows)
     yield from _check_shifts(candidate)
-    yield from _check_last_places(candidate)
+    yield from _check_remaining_instances(candidate)
 
 
 def _parse_time(text: str) -> datetime.datetime:
     try:
         parsed = datetime.datetime.fromisoformat(text)
     except ValueError as error:
-        raise ValueError(f'is {text!r}, no ISO 8601 time') from error
+        raise ValueError(f'is {text!r}, not an ISO 8601 time') from error
     if parsed.tzinfo is None:
         raise ValueError(f'{text!r} has no UTC offset')
     return parsed
@@ -57,7 +60,7 @@
 def _check_overlaps(
     candidate: objects.Objects, windows: dict[str, Window]
 ) -> typing.Iterator[findings.Finding]:
-    """Two plans at once must not move the same traffic or work at odds."""
+    """Check that plans that overlap in time do not conflict."""
     region_of = {place.name: place.region for place in candidate.places}
     for earlier, later in itertools.combinations(candidate.plans, 2):
         if earlier.name not in windows or later.name not in windows:
@@ -67,36 +70,42 @@
             continue
         if earlier.service and later.service not in ('', earlier.service):
             continue
-        problem = _contradiction(earlier, later, region_of)
-        if problem:
+        conflict = _find_conflict(earlier, later, region_of)
+        if conflict:
             yield findings.Finding(
                 f'plans[{later.name}]',
                 'overlap',
-                f'{problem} {earlier.name!r} at the same time',
+                f'{conflict} {earlier.name!r} at the same time',
                 'times that do not overlap, or one plan',
             )
 
 
-def _contradiction(
+def _find_conflict(
     one: objects.Plan, other: objects.Plan, region_of: dict[str, str]
 ) -> str:
-    """Return how two plans are at odds, empty if they are not."""
+    """Return how two plans conflict, empty if they do not."""
     shift = objects.PlanKind.SHIFT
-    if _holds(one.source, other.source, region_of):
+    if _is_same_or_within(one.source, other.source, region_of):
         both = one.kind is other.kind is shift
         if not both or one.target == other.target:
-            return 'moves the traffic of'
+            return 'moves the same traffic as'
         if one.share + other.share > 1:
-            return 'together moves more than all traffic of'
-    if other.kind is shift and _holds(other.target, one.source, region_of):
+            return 'moves more than all traffic together with'
+    if other.kind is shift and _is_same_or_within(
+        other.target, one.source, region_of
+    ):
         return 'moves traffic into the source of'
-    if one.kind is shift and _holds(one.target, other.source, region_of):
+    if one.kind is shift and _is_same_or_within(
+        one.target, other.source, region_of
+    ):
         return 'moves traffic out of the target of'
     return ''
 
 
-def _holds(one: str, other: str, region_of: dict[str, str]) -> bool:
-    """Return whether one of two places is the other or holds it."""
+def _is_same_or_within(
+    one: str, other: str, region_of: dict[str, str]
+) -> bool:
+    """Return whether two names are equal or one is a place in the other."""
     return (
         one == other
         or region_of.get(one) == other
@@ -119,7 +128,7 @@
             yield findings.Finding(
                 place,
                 'kind',
-                f'names the {limit.kind.value} limit {limit.name!r}',
+                f'refers to the {limit.kind.value} limit {limit.name!r}',
                 'a shift limit',
             )
         elif (limit.source, limit.target) != (source, plan.target):
@@ -133,7 +142,7 @@
             yield findings.Finding(
                 f'plans[{plan.name}].target',
                 'same_region',
-                'is also the source',
+                'equals the source',
                 'another region',
             )
         yield from _check_target(candidate, plan, region_of)
@@ -157,11 +166,11 @@
             )
 
 
-def _check_last_places(
+def _check_remaining_instances(
     candidate: objects.Objects,
 ) -> typing.Iterator[findings.Finding]:
     region_of = {place.name: place.region for place in candidate.places}
-    drained = {
+    drains = {
         plan.source: plan.name
         for plan in candidate.plans
         if plan.kind is objects.PlanKind.DRAIN
@@ -171,21 +180,21 @@
         pool = pools.get(service.pool)
         if pool is None:
             continue
-        left = [
+        remaining = [
             i
             for i in pool.instances
-            if i.place not in drained and region_of.get(i.place) not in drained
+            if i.place not in drains and region_of.get(i.place) not in drains
         ]
-        if left:
+        if remaining:
             continue
         place = (
-            f'plans[{sorted(drained.values())[0]}].source'
-            if drained
+            f'plans[{sorted(drains.values())[0]}].source'
+            if drains
             else f'pools[{pool.name}].instances'
         )
         yield findings.Finding(
             place,
             'last_place',
             f'leaves service {service.name!r} without an instance',
-            'keep at least one place that serves it',
+            'at least one instance in a place that is not drained',
         )
--- a/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
+++ b/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
@@ -1,4 +1,4 @@
-"""The aggregate of a checked configuration."""
+"""Aggregate of a checked configuration with its derived indexes."""
 
 import functools
 
@@ -13,11 +13,11 @@
 
 @attrs.frozen(slots=False)
 class ConfigurationSet:
-    """A checked set of objects under a version.
+    """A checked configuration with its version.
 
     Attributes:
-        version: Number that grows with every publication.
-        objects: The objects, free of findings.
+        version: Number that increases with each publication.
+        objects: The objects; the checks have no findings on them.
     """
 
     version: int
@@ -35,17 +35,17 @@
 
     @functools.cached_property
     def request_classes(self) -> dict[str, objects.RequestClass]:
-        """Classes of requests by name."""
+        """Request classes by name."""
         return {c.name: c for c in self.objects.request_classes}
 
     @functools.cached_property
     def regions(self) -> dict[str, str]:
-        """Region of each place, by the place's name."""
+        """Region of each place, by name of the place."""
         return {place.name: place.region for place in self.objects.places}
 
     @functools.cached_property
     def nearness(self) -> dict[str, tuple[str, ...]]:
-        """Other regions by region, nearest first."""
+        """Other regions, nearest first, by region that lists any."""
         return {
             place.region: place.near_regions
             for place in self.objects.places
@@ -54,7 +54,7 @@
 
     @functools.cached_property
     def client_blocks(self) -> blocks.ClientBlocks:
-        """Places of callers."""
+        """Places of callers by address prefix."""
         return blocks.build_blocks(
             (prefix, place.name)
             for place in self.objects.places
@@ -64,11 +64,11 @@
     def time_limit_ms(
         self, service: objects.Service, request_class: objects.RequestClass
     ) -> int:
-        """Return the longest time that a request may take, in milliseconds.
+        """Return the upper bound of a request's deadline, in milliseconds.
 
-        A class that a caller names does not extend the time of a service.
-        Otherwise the slots of an entry that died would be kept back in each
-        pool for the limit of the longest class.
+        A class that a caller selects cannot extend the bound of the service.
+        Otherwise each pool would have to reserve the slots of an entry that
+        died for as long as the longest deadline limit of any class.
 
         Args:
             service: The service.
@@ -93,7 +93,7 @@
         )
 
     def entries(self, region: str) -> tuple[objects.Entry, ...]:
-        """Return the entry seats of a region.
+        """Return the configured entries of a region.
 
         Args:
             region: Name of the region.
@@ -106,10 +106,10 @@
 def check_configuration(
     version: int, candidate: objects.Objects
 ) -> result.Result[ConfigurationSet, tuple[findings.Finding, ...]]:
-    """Return a configuration set, or all findings against it.
+    """Check objects and return a configuration set, or all findings.
 
     Args:
-        version: Version that the set is to have.
+        version: Version of the set.
         candidate: Objects to check.
 
     Examples:
--- a/packages/domain/bulrushcourse_domain/configuration/difference.py
+++ b/packages/domain/bulrushcourse_domain/configuration/difference.py
@@ -1,4 +1,4 @@
-"""Differences between two sets of objects."""
+"""Differences between two configurations."""
 
 import enum
 import typing
@@ -10,7 +10,7 @@
 
 
 class ChangeKind(enum.Enum):
-    """What happened to an object or a field."""
+    """Kind of change of an object or a field."""
 
     ADDED = 'added'
     REMOVED = 'removed'
@@ -19,11 +19,11 @@
 
 @attrs.frozen
 class Change:
-    """One difference.
+    """One changed object or field.
 
     Attributes:
-        place: Object or field, such as ``pools[catalog].slots``.
-        kind: What happened to it.
+        place: Path of the object or field, such as ``pools[catalog].slots``.
+        kind: Kind of change.
         before: Earlier value of a changed field.
         after: Later value of a changed field.
     """
@@ -42,13 +42,13 @@
 def list_changes(
     before: objects.Objects, after: objects.Objects
 ) -> tuple[Change, ...]:
-    """Return the differences of two sets, ordered by kind and name.
+    """Return the differences of two configurations, by kind and name.
 
-    The order of objects within a set means nothing and is not compared.
+    Objects are matched by name; their order is not compared.
 
     Args:
-        before: The earlier set.
-        after: The later set.
+        before: The earlier configuration.
+        after: The later configuration.
 
     Examples:
         >>> old = objects.Objects((objects.Place('cluj-a', 'nord'),))
@@ -59,21 +59,21 @@
     return tuple(
         change
         for kind in check.KINDS
-        for change in _compare(
+        for change in _compare_members(
             kind, getattr(before, kind), getattr(after, kind)
         )
     )
 
 
-def _compare(
-    label: str,
+def _compare_members(
+    path: str,
     before: typing.Iterable[typing.Any],
     after: typing.Iterable[typing.Any],
 ) -> typing.Iterator[Change]:
-    old = {found.name: found for found in before}
-    new = {found.name: found for found in after}
+    old = {member.name: member for member in before}
+    new = {member.name: member for member in after}
     for name in sorted(old.keys() | new.keys()):
-        place = f'{label}[{name}]'
+        place = f'{path}[{name}]'
         if name not in new:
             yield Change(place, ChangeKind.REMOVED)
         elif name not in old:
@@ -86,15 +86,18 @@
     place: str, old: typing.Any, new: typing.Any
 ) -> typing.Iterator[Change]:
     for field in attrs.fields(type(new)):
-        label = f'{place}.{field.name}'
+        path = f'{place}.{field.name}'
         before, after = getattr(old, field.name), getattr(new, field.name)
         if field.name == 'instances':
-            yield from _compare(label, before, after)
+            yield from _compare_members(path, before, after)
         elif before != after:
             yield Change(
-                label, ChangeKind.CHANGED, _text(before), _text(after)
+                path,
+                ChangeKind.CHANGED,
+                _format_value(before),
+                _format_value(after),
             )
 
 
-def _text(value: typing.Any) -> str:
+def _format_value(value: typing.Any) -> str:
     return repr(value.value if isinstance(value, enum.Enum) else value)
--- a/packages/domain/bulrushcourse_domain/configuration/objects.py
+++ b/packages/domain/bulrushcourse_domain/configuration/objects.py
@@ -1,4 +1,4 @@
-"""Objects that operators edit; they refer to one another by name."""
+"""Configuration objects that operators edit; references are by name."""
 
 import enum
 
@@ -6,7 +6,7 @@
 
 
 class LimitKind(enum.Enum):
-    """What a limit bounds."""
+    """Kind of traffic that a limit bounds."""
 
     LINK = 'link'
     REGION = 'region'
@@ -14,7 +14,7 @@
 
 
 class PlanKind(enum.Enum):
-    """What a plan does."""
+    """Kind of planned traffic change."""
 
     SHIFT = 'shift'
     DRAIN = 'drain'
@@ -27,9 +27,9 @@
     Attributes:
         name: Name of the failure domain.
         region: Name of the region that it belongs to.
-        near_regions: Other regions, nearest first; the same in each place of
-            a region that states any. Regions not listed come last.
-        clients: Address prefixes of the callers that are nearest to it.
+        near_regions: Other regions, nearest first; all places of a region that
+            list any list the same. Regions not listed come last.
+        clients: Address prefixes of the callers that are nearest to the place.
     """
 
     name: str
@@ -40,10 +40,10 @@
 
 @attrs.frozen
 class Entry:
-    """A seat for one entry VM; a replacement VM takes the same seat.
+    """A configured entry; a replacement VM takes over its name.
 
     Attributes:
-        name: Name of the seat, the entry's name in its settings.
+        name: Name of the entry, as in the settings of its VM.
         place: Name of its failure domain.
     """
 
@@ -72,8 +72,8 @@
 
     Attributes:
         name: Name of the pool.
-        slots: Requests that one instance works on at a time.
-        connections: Connections that one instance holds, over all entries.
+        slots: Requests that one instance runs concurrently.
+        connections: Maximum connections to one instance, over all entries.
         not_run_header: Response header by which an instance states that it
             did not run the request; empty if its protocol has none.
         instances: The pool's instances.
@@ -88,13 +88,13 @@
 
 @attrs.frozen
 class RequestClass:
-    """A class of requests that wait together.
+    """A class of requests that share a priority and limits.
 
     Attributes:
         name: Name that callers send.
-        priority: Order of service, 0 first.
-        deadline_limit_ms: Longest time that a request may take.
-        slot_share: Largest part of a pool's slots that the class may hold,
+        priority: Order in which classes get slots, 0 first.
+        deadline_limit_ms: Longest deadline that a request may have.
+        slot_share: Largest share of a pool's slots that the class may hold,
             between 0 and 1.
     """
 
@@ -111,9 +111,9 @@
     Attributes:
         name: Name in the request's path.
         pool: Name of the pool that serves it.
-        request_class: Class of requests that name none.
+        request_class: Default class, for requests that name none.
         idempotent: Whether a request may run more than once.
-        deadline_ms: Time allowed to requests that state none.
+        deadline_ms: Default deadline, for requests that state none.
         max_body_bytes: Largest request body.
     """
 
@@ -127,16 +127,16 @@
 
 @attrs.frozen
 class Limit:
-    """A cap that all entries share.
+    """A limit that all entries share.
 
     Attributes:
         name: Name of the limit.
-        kind: What it bounds.
+        kind: Kind of traffic that it bounds.
         source: Region that traffic leaves (link, shift).
         target: Region that traffic enters (link, shift, region).
         mbit_per_s: Cap of a link, in each window of one second.
         requests_per_s: Cap of a shift.
-        in_flight: Cap of a region, in requests at work.
+        in_flight: Cap of a region, in concurrent requests.
     """
 
     name: str
@@ -158,10 +158,10 @@
         service: Service whose traffic moves; empty for all.
         source: Region or place that traffic leaves.
         target: Region that traffic enters; empty for a drain.
-        limit: Name of the shift limit that bounds it.
-        start: ISO 8601 time in UTC.
-        finish_by: ISO 8601 time in UTC.
-        share: Part of the source's traffic that moves, between 0 and 1.
+        limit: Name of the shift limit that bounds the moved traffic.
+        start: ISO 8601 time in UTC from which traffic moves.
+        finish_by: ISO 8601 time in UTC by which the plan must have finished.
+        share: Share of the source's traffic to move, between 0 and 1.
     """
 
     name: str
@@ -181,11 +181,11 @@
 
     Attributes:
         places: Failure domains and their regions.
-        entries: Seats of entry VMs.
+        entries: Configured entries.
         request_classes: Classes of requests.
         pools: Upstream pools.
         services: Services that callers use.
-        limits: Caps.
+        limits: Limits shared by all entries.
         plans: Planned shifts and drains.
     """
 
--- a/packages/domain/bulrushcourse_domain/configuration/publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/publication.py
@@ -1,8 +1,8 @@
-"""Rules by which configurations are published.
+"""Rules for publishing configurations.
 
-A publication is written by compare-and-set on the stored row together with
-its history row. Its version is that of its base plus one, so that a publish
-whose answer was lost can have taken effect in one history row only.
+A publication is written by one compare-and-set that covers the current row
+and its history row. Its version is that of its base plus one, so a publish
+whose reply was lost can have taken effect in one history row only.
 """
 
 import datetime
@@ -21,11 +21,12 @@
 
     Attributes:
         version: Version, one more than that of its base.
-        publish_id: Identifier that the operator's tool chose for the publish.
+        publish_id: Identifier of the publish request, chosen by the operator's
+            tool.
         operator: Who published it.
         note: Why it was published.
-        published_at: When, in UTC.
-        objects: The objects.
+        published_at: Time of the publish in UTC.
+        objects: The published objects.
     """
 
     version: int
@@ -41,11 +42,11 @@
     """An operator's request to publish.
 
     Attributes:
-        base_version: Version that the operator's set was made from.
-        publish_id: Identifier of the publish, the same in each repetition.
+        base_version: Version that the operator's changes are based on.
+        publish_id: Identifier of the request, the same in each retry.
         operator: Who publishes.
         objects: Checked objects.
-        note: Why.
+        note: Why they are published.
     """
 
     base_version: int
@@ -57,10 +58,10 @@
 
 @attrs.frozen
 class Conflict:
-    """A publish whose base is not the stored version.
+    """Rejection of a publish whose base is not the stored version.
 
     Attributes:
-        base_version: Version that the operator's set was made from.
+        base_version: Version that the operator's changes are based on.
         stored: The stored publication, ``None`` if there is none.
         changes: What changed from the base to the stored publication.
     """
@@ -72,11 +73,11 @@
 
 @attrs.frozen
 class Proposal:
-    """The publication that a request leads to.
+    """The publication that results from a request.
 
     Attributes:
         publication: The publication.
-        stored: Whether an earlier attempt already stored it.
+        stored: Whether an earlier send of the same request already stored it.
     """
 
     publication: Publication
@@ -89,13 +90,13 @@
     request: PublishRequest,
     now: datetime.datetime,
 ) -> result.Result[Proposal, Conflict]:
-    """Return what a request leads to, given the store's content.
+    """Decide a publish request, given the content of the store.
 
     Args:
         stored: The stored publication, ``None`` if there is none.
         history: Publications of ``request.base_version`` and the version after
             it, as far as they are stored.
-        request: What the operator wants.
+        request: The operator's request.
         now: Time of the publish in UTC.
 
     Examples:
@@ -138,13 +139,13 @@
 ) -> PublishRequest:
     """Return the request that publishes old content as a new version.
 
-    The old version itself never comes back into force: entries that saw a
-    later one would refuse it.
+    The old version itself cannot become active again: entries that have seen
+    a later version reject it.
 
     Args:
-        base_version: Version that is to be replaced.
-        old: The publication whose content is wanted.
-        publish_id: Identifier of the new publish.
+        base_version: Version to be replaced.
+        old: The publication whose content is restored.
+        publish_id: Identifier of the new request.
         operator: Who rolls back.
     """
     return PublishRequest(
--- a/packages/domain/bulrushcourse_domain/configuration/startup.py
+++ b/packages/domain/bulrushcourse_domain/configuration/startup.py
@@ -1,26 +1,28 @@
-"""When a starting entry may serve."""
+"""Rule for when a starting entry may begin to serve."""
 
 import attrs
 
 
 @attrs.define
 class StartupConfiguration:
-    """Keeps a starting entry from serving with an outdated configuration.
+    """Prevents a starting entry from serving an outdated configuration.
 
-    One peer is not enough: it may itself lag. The entry is ready once it has
-    read the stored row or, with the store down, once it has heard from each
-    live VM of the platform's list, one of which holds the newest version.
+    The version of a single peer is not enough, since that peer may lag. The
+    entry is ready once its active version is at least that of the stored row
+    or, while the row cannot be read, once each live VM of the platform's list
+    has sent a heartbeat and none reports a newer version: one of them has the
+    newest.
 
     Attributes:
         row_version: Version in the stored row, ``None`` before it was read.
-        ready: Whether the entry was ready once; it stays so.
+        ready: Whether the entry was ready once; it then stays ready.
     """
 
     row_version: int | None = None
     ready: bool = False
 
     def record_stored_version(self, version: int) -> None:
-        """Take note of the version in the stored row.
+        """Record the version in the stored row.
 
         Args:
             version: Version in the row, 0 if there is no row.
@@ -29,17 +31,17 @@
 
     def decide(
         self,
-        in_force: int,
-        unheard: frozenset[str] | None,
-        highest_heard: int,
+        active_version: int,
+        silent_vms: frozenset[str] | None,
+        newest_peer_version: int,
     ) -> bool:
-        """Return whether the entry may serve.
+        """Update ``ready`` and return it.
 
         Args:
-            in_force: Version in force in this entry, 0 for none.
-            unheard: Other live VMs of the list that were not heard lately;
+            active_version: Active version of this entry, 0 for none.
+            silent_vms: Other live VMs of the list without a recent heartbeat;
                 ``None`` if there is no fresh list.
-            highest_heard: Newest version that any peer holds.
+            newest_peer_version: Newest version that any peer reports.
 
         Examples:
             >>> startup = StartupConfiguration()
@@ -50,10 +52,12 @@
             >>> startup.decide(5, frozenset(), 5)
             True
         """
-        if self.ready or not in_force:
+        if self.ready or not active_version:
             return self.ready
         if self.row_version is not None:
-            self.ready = in_force >= self.row_version
-        elif unheard is not None:
-            self.ready = not unheard and in_force >= highest_heard
+            self.ready = active_version >= self.row_version
+        elif silent_vms is not None:
+            self.ready = (
+                not silent_vms and active_version >= newest_peer_version
+            )
         return self.ready
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_check.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_check.py
@@ -1,4 +1,4 @@
-"""Tests of the checks: each defect is found at its field."""
+"""Tests of the checks: each defect is reported at its field."""
 
 import attrs
 import pytest
@@ -11,7 +11,7 @@
     objects.Place('b', 'nord'),
     objects.Place('c', 'sud'),
 )
-GOOD = objects.Objects(
+VALID = objects.Objects(
     places=PLACES,
     entries=(objects.Entry('e1', 'a'), objects.Entry('e2', 'c')),
     request_classes=(objects.RequestClass('short', 1, 5000),),
@@ -60,21 +60,21 @@
 
 
 def change(kind, index, **fields):
-    members = list(getattr(GOOD, kind))
+    members = list(getattr(VALID, kind))
     members[index] = attrs.evolve(members[index], **fields)
     return {kind: tuple(members)}
 
 
-def test_good_set_has_no_findings():
-    """A check that finds faults in a good set would stop publishing."""
-    good = attrs.evolve(GOOD, plans=(shift('x'), shift('y', 2, 3)))
-    assert check.check_objects(good) == ()
+def test_valid_set_has_no_findings():
+    """Guards against findings on a valid set, which would block publishing."""
+    valid = attrs.evolve(VALID, plans=(shift('x'), shift('y', 2, 3)))
+    assert check.check_objects(valid) == ()
 
 
 @pytest.mark.parametrize(
     'changes, expected',
     [
-        ({'entries': GOOD.entries[:1]}, 'entries no_entry'),
+        ({'entries': VALID.entries[:1]}, 'entries no_entry'),
         (change('limits', 1, in_flight=0), 'limits[region].in_flight range'),
         (
             change('limits', 0, mbit_per_s=0.1),
@@ -91,8 +91,8 @@
         (
             {
                 'limits': (
-                    *GOOD.limits,
-                    attrs.evolve(GOOD.limits[1], name='z'),
+                    *VALID.limits,
+                    attrs.evolve(VALID.limits[1], name='z'),
                 )
             },
             'limits[z] same_target',
@@ -124,32 +124,34 @@
         ({'plans': (drain('x', 'nord'), drain('y', 'sud'))}, 'last_place'),
     ],
 )
-def test_defect_is_found(changes, expected):
-    """A defect that is not found would be published to all entries."""
-    found = check.check_objects(attrs.evolve(GOOD, **changes))
+def test_defect_is_reported(changes, expected):
+    """Guards against a defect that is published to all entries."""
+    found = check.check_objects(attrs.evolve(VALID, **changes))
     texts = [f'{one.place} {one.code}' for one in found]
     assert any(expected in text for text in texts), texts
 
 
-def test_region_limit_below_one_slot_a_pool_is_found():
-    """A pool whose part of the limit is 0 could never serve."""
+def test_region_limit_below_one_slot_per_pool_is_reported():
+    """Guards against a pool whose share of the limit is 0 and never serves."""
     second = attrs.evolve(
-        GOOD.pools[0],
+        VALID.pools[0],
         name='q',
         instances=(objects.Instance('j', 'c', '10.0.0.2:1'),),
     )
-    bad = attrs.evolve(
-        GOOD,
-        pools=(*GOOD.pools, second),
+    invalid = attrs.evolve(
+        VALID,
+        pools=(*VALID.pools, second),
         **change('limits', 1, in_flight=1),
     )
-    codes = [f'{f.place} {f.code}' for f in check.check_objects(bad)]
+    codes = [f'{f.place} {f.code}' for f in check.check_objects(invalid)]
     assert codes == ['limits[region].in_flight capacity']
 
 
 def test_two_pools_cannot_share_an_address():
-    """Slots of one instance counted twice would overload it."""
-    instances = list(GOOD.pools[0].instances)
+    """Guards against an overload of an instance whose slots count twice."""
+    instances = list(VALID.pools[0].instances)
     instances[1] = attrs.evolve(instances[1], address=instances[0].address)
-    bad = attrs.evolve(GOOD, **change('pools', 0, instances=tuple(instances)))
-    assert [f.code for f in check.check_objects(bad)] == ['same_address']
+    invalid = attrs.evolve(
+        VALID, **change('pools', 0, instances=tuple(instances))
+    )
+    assert [f.code for f in check.check_objects(invalid)] == ['same_address']
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
@@ -1,4 +1,4 @@
-"""Tests of publication rules and differences."""
+"""Tests of the publication rules and of differences."""
 
 import datetime
 
@@ -13,52 +13,59 @@
     return objects.Objects(tuple(objects.Place(n, 'nord') for n in names))
 
 
-def order(base, publish_id, content):
+def publish_request(base, publish_id, content):
     return publication.PublishRequest(base, publish_id, 'ana', content)
 
 
-def publish(stored, history, wanted):
-    proposal = publication.propose(stored, history, wanted, NOW).unwrap()
+def publish(stored, history, request):
+    proposal = publication.propose(stored, history, request, NOW).unwrap()
     history[proposal.publication.version] = proposal.publication
     return proposal
 
 
-def test_lost_answer_is_recognised_after_a_later_publish():
-    """A repeated publish must not be reported as a conflict with itself."""
+def test_retried_publish_is_recognised_after_a_later_publish():
+    """Guards against a retried publish that conflicts with itself."""
     history = {}
-    wanted = order(0, 'p1', place_set('a'))
-    first = publish(None, history, wanted).publication
-    later = publish(first, history, order(1, 'p2', place_set('b')))
-    again = publication.propose(later.publication, history, wanted, NOW)
-    assert again.unwrap() == publication.Proposal(first, True)
+    request = publish_request(0, 'p1', place_set('a'))
+    first = publish(None, history, request).publication
+    later = publish(first, history, publish_request(1, 'p2', place_set('b')))
+    retried = publication.propose(later.publication, history, request, NOW)
+    assert retried.unwrap() == publication.Proposal(first, True)
 
 
-def test_conflict_tells_what_changed_since_the_base():
-    """The operator who lost the race must see the other's changes."""
+def test_conflict_lists_changes_since_the_base():
+    """Guards against a conflict that hides the other operator's changes."""
     history = {}
-    first = publish(None, history, order(0, 'p1', place_set('a')))
+    first = publish(None, history, publish_request(0, 'p1', place_set('a')))
     second = publish(
-        first.publication, history, order(1, 'p2', place_set('a', 'b'))
+        first.publication,
+        history,
+        publish_request(1, 'p2', place_set('a', 'b')),
     )
-    refused = publication.propose(
-        second.publication, history, order(1, 'p3', place_set('c')), NOW
+    conflict = publication.propose(
+        second.publication,
+        history,
+        publish_request(1, 'p3', place_set('c')),
+        NOW,
     ).failure()
-    assert refused.stored == second.publication
-    assert [str(change) for change in refused.changes] == ['places[b]: added']
+    assert conflict.stored == second.publication
+    assert [str(change) for change in conflict.changes] == ['places[b]: added']
 
 
 def test_rollback_is_a_new_version_with_old_content():
-    """An old version number would be refused by every entry."""
+    """Guards against reusing an old version, which every entry rejects."""
     history = {}
-    first = publish(None, history, order(0, 'p1', place_set('a')))
-    second = publish(first.publication, history, order(1, 'p2', place_set()))
-    wanted = publication.roll_back(2, first.publication, 'p3', 'ana')
-    third = publish(second.publication, history, wanted).publication
+    first = publish(None, history, publish_request(0, 'p1', place_set('a')))
+    second = publish(
+        first.publication, history, publish_request(1, 'p2', place_set())
+    )
+    request = publication.roll_back(2, first.publication, 'p3', 'ana')
+    third = publish(second.publication, history, request).publication
     assert (third.version, third.objects) == (3, place_set('a'))
 
 
-def test_changes_reach_into_pools():
-    """A changed instance must not show as a whole changed pool."""
+def test_changes_within_pools_are_listed_by_field():
+    """Guards against one changed instance shown as a whole changed pool."""
     old = objects.Instance('i1', 'a', '10.0.0.1:80')
     new = objects.Instance('i1', 'a', '10.0.0.2:80')
     changes = difference.list_changes(
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
@@ -1,7 +1,7 @@
-"""Stateful test: versions in force never go back.
+"""Stateful test: the active version never decreases.
 
-The model holds three seats and a store. One entry at a time may be starting;
-publishes, polls, messages, outages and restarts come in any order.
+The model has three entries and a store. One entry at a time may be starting;
+publishes, polls, messages, outages and restarts happen in any order.
 """
 
 import datetime
@@ -20,20 +20,20 @@
 from bulrushcourse_domain.configuration import startup
 
 NOW = datetime.datetime(2026, 12, 4, tzinfo=datetime.UTC)
-SEATS = strategies.sampled_from('abc')
+NAMES = strategies.sampled_from('abc')
 
 
 @attrs.define
 class Entry:
-    held: active_configuration.ActiveConfiguration
+    active: active_configuration.ActiveConfiguration
     startup: startup.StartupConfiguration
-    heard: dict = attrs.field(factory=dict)
+    peer_versions: dict = attrs.field(factory=dict)
 
 
 class Versions(stateful.RuleBasedStateMachine):
-    """The rules under test; broken variants replace one of them."""
+    """State machine of the rules; faulty variants replace one rule each."""
 
-    held_class = active_configuration.ActiveConfiguration
+    active_class = active_configuration.ActiveConfiguration
     startup_class = startup.StartupConfiguration
     propose = staticmethod(publication.propose)
 
@@ -41,31 +41,31 @@
         super().__init__()
         self.store_up = True
         self.history = {}
-        self.highest = dict.fromkeys('abc', 0)
-        self.entries = {seat: self.new_entry() for seat in 'abc'}
-        self.orders = []
+        self.highest_active = dict.fromkeys('abc', 0)
+        self.entries = {name: self.new_entry() for name in 'abc'}
+        self.requests = []
 
     def new_entry(self):
-        return Entry(self.held_class(), self.startup_class())
+        return Entry(self.active_class(), self.startup_class())
 
     @property
     def stored(self):
         return self.history[max(self.history)] if self.history else None
 
-    def is_ready(self, seat):
-        entry = self.entries[seat]
+    def is_ready(self, name):
+        entry = self.entries[name]
         return entry.startup.decide(
-            entry.held.version,
-            frozenset('abc') - {seat} - entry.heard.keys(),
-            max(entry.heard.values(), default=0),
+            entry.active.version,
+            frozenset('abc') - {name} - entry.peer_versions.keys(),
+            max(entry.peer_versions.values(), default=0),
         )
 
-    def read(self, seat):
-        entry = self.entries[seat]
+    def read(self, name):
+        entry = self.entries[name]
         stored = self.stored
         entry.startup.record_stored_version(stored.version if stored else 0)
         if stored:
-            entry.held.stage(
+            entry.active.stage(
                 configuration_set.ConfigurationSet(
                     stored.version, stored.objects
                 )
@@ -74,83 +74,87 @@
     @stateful.initialize()
     def start_with_version_one(self):
         self.publish('a', lost=False, repeat=False, outage=False)
-        self.second()
+        self.pass_second()
 
     @stateful.precondition(lambda self: self.store_up)
     @stateful.rule(
-        seat=SEATS,
+        name=NAMES,
         lost=strategies.booleans(),
         repeat=strategies.booleans(),
         outage=strategies.booleans(),
     )
-    def publish(self, seat, lost, repeat, outage):
-        """Publish, perhaps again after a lost answer or before an outage."""
-        entry = self.entries[seat]
-        if not self.is_ready(seat) and self.history:
+    def publish(self, name, lost, repeat, outage):
+        """Publish or retry, maybe with a lost reply or before an outage."""
+        entry = self.entries[name]
+        if not self.is_ready(name) and self.history:
             return
-        if not repeat or not self.orders:
-            number = len(self.orders)
+        if not repeat or not self.requests:
+            number = len(self.requests)
             content = objects.Objects((objects.Place(f'{number}', 'nord'),))
-            self.orders.append(
+            self.requests.append(
                 publication.PublishRequest(
-                    entry.held.version, f'p{number}', 'ana', content
+                    entry.active.version, f'p{number}', 'ana', content
                 )
             )
-        decided = self.propose(self.stored, self.history, self.orders[-1], NOW)
-        if isinstance(decided, result.Success):
-            new = decided.unwrap().publication
-            kept = self.history.setdefault(new.version, new)
-            assert kept.objects == new.objects, 'two contents of a version'
+        proposed = self.propose(
+            self.stored, self.history, self.requests[-1], NOW
+        )
+        if isinstance(proposed, result.Success):
+            new = proposed.unwrap().publication
+            recorded = self.history.setdefault(new.version, new)
+            assert recorded.objects == new.objects, (
+                'two contents of one version'
+            )
             if not lost:
-                self.read(seat)
+                self.read(name)
         self.store_up = not outage
 
     @stateful.precondition(lambda self: self.store_up)
-    @stateful.rule(seat=SEATS)
-    def poll(self, seat):
-        self.read(seat)
+    @stateful.rule(name=NAMES)
+    def poll(self, name):
+        self.read(name)
 
-    @stateful.rule(sender=SEATS, receivers=strategies.sets(SEATS))
+    @stateful.rule(sender=NAMES, receivers=strategies.sets(NAMES))
     def send(self, sender, receivers):
         for receiver in sorted(receivers - {sender}):
-            self.hear(sender, receiver)
+            self.receive_heartbeat(sender, receiver)
 
-    def hear(self, sender, receiver):
+    def receive_heartbeat(self, sender, receiver):
         source, target = self.entries[sender], self.entries[receiver]
-        target.heard[sender] = source.held.newest_version
-        if source.held.newest_version > target.held.newest_version:
-            target.held.activate(source.held.newest)
-        target.held.confirm(source.held.newest_version)
+        target.peer_versions[sender] = source.active.newest_version
+        if source.active.newest_version > target.active.newest_version:
+            target.active.activate(source.active.newest)
+        target.active.confirm(source.active.newest_version)
 
     @stateful.rule()
-    def second(self):
-        """Let a second pass: all entries read, then trust what they hold."""
+    def pass_second(self):
+        """Let 1 s pass: entries read the store and activate the version."""
         if self.store_up and self.stored:
-            for seat in 'abc':
-                self.read(seat)
+            for name in 'abc':
+                self.read(name)
             for entry in self.entries.values():
-                entry.held.confirm(self.stored.version)
+                entry.active.confirm(self.stored.version)
 
     @stateful.rule()
     def outage(self):
         self.store_up = not self.store_up
 
-    @stateful.rule(seat=SEATS, senders=strategies.sets(SEATS))
-    def restart(self, seat, senders):
+    @stateful.rule(name=NAMES, senders=strategies.sets(NAMES))
+    def restart(self, name, senders):
         """Restart an entry, which then hears from some of the others."""
-        if all(self.is_ready(other) for other in 'abc' if other != seat):
-            self.entries[seat] = self.new_entry()
+        if all(self.is_ready(other) for other in 'abc' if other != name):
+            self.entries[name] = self.new_entry()
             for other in 'abc':
-                self.entries[other].heard.pop(seat, None)
-            for sender in sorted(senders - {seat}):
-                self.hear(sender, seat)
+                self.entries[other].peer_versions.pop(name, None)
+            for sender in sorted(senders - {name}):
+                self.receive_heartbeat(sender, name)
 
     @stateful.invariant()
-    def versions_never_go_back(self):
-        for seat, entry in self.entries.items():
-            if self.is_ready(seat):
-                assert entry.held.version >= self.highest[seat], seat
-                self.highest[seat] = entry.held.version
+    def active_versions_never_decrease(self):
+        for name, entry in self.entries.items():
+            if self.is_ready(name):
+                assert entry.active.version >= self.highest_active[name], name
+                self.highest_active[name] = entry.active.version
 
     @stateful.invariant()
     def each_publish_has_one_version(self):
@@ -158,31 +162,31 @@
         assert len(set(identifiers)) == len(identifiers)
 
 
-class OlderAccepted(active_configuration.ActiveConfiguration):
+class AcceptsOlder(active_configuration.ActiveConfiguration):
     def stage(self, candidate):
         self.current, self.pending = None, candidate
         return True
 
 
-class InForceAtOnce(active_configuration.ActiveConfiguration):
+class ActiveImmediately(active_configuration.ActiveConfiguration):
     def stage(self, candidate):
         return super().stage(candidate) and self.confirm(candidate.version)
 
 
-class OnePeerIsEnough(startup.StartupConfiguration):
-    def decide(self, in_force, unheard, highest_heard):
-        if len(unheard) <= 1:
-            unheard = frozenset()
-        return super().decide(in_force, unheard, highest_heard)
+class OnePeerSuffices(startup.StartupConfiguration):
+    def decide(self, active_version, silent_vms, newest_peer_version):
+        if len(silent_vms) <= 1:
+            silent_vms = frozenset()
+        return super().decide(active_version, silent_vms, newest_peer_version)
 
 
-def propose_anew(stored, history, order, now):
-    """Take the stored version as base and ignore the publish identifier."""
+def propose_on_stored(stored, history, request, now):
+    """Use the stored version as the base, whatever the request says."""
     base = stored.version if stored else 0
-    order = attrs.evolve(order, base_version=base)
+    request = attrs.evolve(request, base_version=base)
     if stored:
         stored = attrs.evolve(stored, publish_id='')
-    return publication.propose(stored, {}, order, now)
+    return publication.propose(stored, {}, request, now)
 
 
 SETTINGS = hypothesis.settings(
@@ -194,23 +198,23 @@
 )
 
 
-def test_versions_in_force_never_go_back():
-    """Restarts, outages and lost answers must not revert a version."""
+def test_active_version_never_decreases():
+    """Guards against restarts, outages or lost replies that revert it."""
     stateful.run_state_machine_as_test(Versions, settings=SETTINGS)
 
 
 @pytest.mark.parametrize(
     'broken',
     [
-        {'held_class': OlderAccepted},
-        {'held_class': InForceAtOnce},
-        {'startup_class': OnePeerIsEnough},
-        {'propose': staticmethod(propose_anew)},
+        {'active_class': AcceptsOlder},
+        {'active_class': ActiveImmediately},
+        {'startup_class': OnePeerSuffices},
+        {'propose': staticmethod(propose_on_stored)},
     ],
     ids=['older', 'at-once', 'one-peer', 'publish-anew'],
 )
-def test_check_catches_broken_rules(broken):
-    """The stateful test must fail for each rule that is left out."""
+def test_state_machine_detects_broken_rules(broken):
+    """Guards against a state machine that passes without one of the rules."""
     machine = type('Broken', (Versions,), broken)
     settings = hypothesis.settings(
         SETTINGS,
