Reword the membership view in the terms of the field

The comments spoke of seats, runs that are heard, news that is taken in and entries that go, which readers of other membership code do not use.

They now speak of incarnations, heartbeats, configured entries, cached look-up orders and look-up candidates. No comment was deleted.

--- a/packages/domain/bulrushcourse_domain/membership/__init__.py
+++ b/packages/domain/bulrushcourse_domain/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Which entries are live, leaving or gone."""
+"""Membership: which entries are live, leaving, suspected or gone."""
--- a/packages/domain/bulrushcourse_domain/membership/lookup.py
+++ b/packages/domain/bulrushcourse_domain/membership/lookup.py
@@ -1,10 +1,10 @@
-"""Answers to "which entry": near regions first, spread by hashing.
+"""Look-up of entries for a caller: near regions first, spread by hashing.
 
-Callers fall into a fixed number of buckets. In each bucket the entries are
-ordered by rendezvous hashing, so that an entry that goes moves only the
-callers that it had, and they spread over all the others. A bucket is ordered
-when it is first asked for and kept until the members change: ordering 160
-entries for each look-up would by itself use up the control budget.
+Callers are hashed into a fixed number of buckets. In each bucket the entries
+are ordered by rendezvous hashing, so the loss of an entry moves only the
+callers that it had, and spreads them over all others. The order of a bucket is
+computed when it is first needed and cached until the members change: ordering
+160 entries for each look-up would by itself exhaust the control-plane budget.
 """
 
 import typing
@@ -14,28 +14,29 @@
 
 from bulrushcourse_domain.membership import member
 
-# With 160 entries in a region each has about 100 buckets, so that its part of
-# the callers is within about a tenth of the mean.
-BUCKETS = 1 << 14
-# Alternatives in the first region that has entries, and in each later one. A
-# caller tries the next after at most 2 s, so a long answer is of no use.
-NEAR_ALTERNATIVES = 3
-FAR_ALTERNATIVES = 1
-ANSWER_LIMIT = 5
+# With 160 entries in a region each is first in about 100 buckets, so that its
+# share of the callers is within about 10 % of the mean.
+BUCKET_COUNT = 1 << 14
+# Entries named in the first region that has any, and in each later region. A
+# caller tries the next entry after at most 2 s, so it would hardly reach the
+# end of a longer answer.
+ENTRIES_IN_NEAREST_REGION = 3
+ENTRIES_IN_OTHER_REGION = 1
+MAX_ENTRIES = 5
 
 Answer = tuple[member.MemberInfo, ...]
 
 
 @attrs.define
 class Lookup:
-    """Look-up answers for one set of members.
+    """Look-up answers for a fixed set of members.
 
     Attributes:
         members: Entries that answers may name.
-        nearness: Regions by region of the caller, nearest first; a region
-            that is not listed comes last, in order of name.
-        by_region: Members by their region.
-        answers: Answers by caller's region, then by bucket.
+        nearness: Other regions, nearest first, by region of the caller;
+            regions that are not listed come last, in order of name.
+        by_region: Members by region, in order of name.
+        answers: Cached answers by region of the caller, then by bucket.
     """
 
     members: tuple[member.MemberInfo, ...] = ()
@@ -47,8 +48,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.by_region = {}
-        for found in sorted(self.members, key=lambda m: m.entry):
-            self.by_region.setdefault(found.region, []).append(found)
+        for entry in sorted(self.members, key=lambda m: m.entry):
+            self.by_region.setdefault(entry.region, []).append(entry)
 
     def answer(self, caller: str, region: str) -> Answer:
         """Return entries for a caller, in order of preference.
@@ -64,14 +65,14 @@
             >>> [m.entry for m in lookup.answer('10.0.0.1', 'north')]
             ['a', 'b']
         """
-        bucket = xxhash.xxh3_64_intdigest(caller.encode()) % BUCKETS
-        kept = self.answers.get(region)
-        if kept is None:
-            kept = self.answers[region] = [None] * BUCKETS
-        found = kept[bucket]
-        if found is None:
-            found = kept[bucket] = self._order(bucket, region)
-        return found
+        bucket = xxhash.xxh3_64_intdigest(caller.encode()) % BUCKET_COUNT
+        cached = self.answers.get(region)
+        if cached is None:
+            cached = self.answers[region] = [None] * BUCKET_COUNT
+        answer = cached[bucket]
+        if answer is None:
+            answer = cached[bucket] = self._rank_entries(bucket, region)
+        return answer
 
     def regions(self, region: str) -> list[str]:
         """Return the regions that have entries, nearest to a region first.
@@ -87,17 +88,21 @@
             self.by_region, key=lambda name: (rank.get(name, len(order)), name)
         )
 
-    def _order(self, bucket: int, region: str) -> Answer:
+    def _rank_entries(self, bucket: int, region: str) -> Answer:
         chosen: list[member.MemberInfo] = []
         for name in self.regions(region):
-            number = FAR_ALTERNATIVES if chosen else NEAR_ALTERNATIVES
+            count = (
+                ENTRIES_IN_OTHER_REGION
+                if chosen
+                else ENTRIES_IN_NEAREST_REGION
+            )
             ranked = sorted(
                 self.by_region[name],
                 key=lambda m: _score(bucket, m.entry),
                 reverse=True,
             )
-            chosen += _spread_domains(ranked)[:number]
-        return tuple(chosen[:ANSWER_LIMIT])
+            chosen += _spread_domains(ranked)[:count]
+        return tuple(chosen[:MAX_ENTRIES])
 
 
 def _score(bucket: int, entry: str) -> int:
@@ -107,12 +112,12 @@
 def _spread_domains(
     ranked: list[member.MemberInfo],
 ) -> list[member.MemberInfo]:
-    """Return members in order, the second from another failure domain.
+    """Move the first member of another failure domain to the second place.
 
-    A caller whose first entry fell with its failure domain must not wait for
-    a second one of the same domain.
+    A caller whose first entry was lost with its failure domain should not
+    waste its second try on the same domain.
     """
-    for index, found in enumerate(ranked):
-        if found.failure_domain != ranked[0].failure_domain:
-            return [ranked[0], found, *ranked[1:index], *ranked[index + 1 :]]
+    for index, other in enumerate(ranked):
+        if other.failure_domain != ranked[0].failure_domain:
+            return [ranked[0], other, *ranked[1:index], *ranked[index + 1 :]]
     return ranked
--- a/packages/domain/bulrushcourse_domain/membership/member.py
+++ b/packages/domain/bulrushcourse_domain/membership/member.py
@@ -1,4 +1,4 @@
-"""Members: what is known of one run of an entry."""
+"""Members: one process of an entry, as its peers know it."""
 
 import enum
 
@@ -6,7 +6,7 @@
 
 
 class MemberState(enum.Enum):
-    """How a member looks from this entry."""
+    """State of a member as this entry sees it."""
 
     STARTING = 'starting'
     LIVE = 'live'
@@ -24,19 +24,19 @@
 
 @attrs.frozen
 class MemberInfo:
-    """What an entry says of itself in a heartbeat.
+    """What an entry reports about itself in a heartbeat.
 
     Attributes:
-        entry: Name of its seat.
+        entry: Name of its configured entry.
         incarnation: Identifier of its process.
         vm_id: The platform's identifier of its VM.
         region: Its region.
         failure_domain: Its failure domain.
-        address: ``ip:port`` of its callers' listener.
+        address: ``ip:port`` of its listener for callers.
         state: ``starting``, ``serving`` or ``leaving``.
-        version: Configuration version in force, 0 for none.
-        held_version: Newest configuration version that it holds.
-        store_reachable: Whether its last store call was answered.
+        version: Active configuration version, 0 for none.
+        held_version: Newest configuration version, active or staged.
+        store_reachable: Whether the store answered its last call.
     """
 
     entry: str
@@ -53,11 +53,11 @@
 
 @attrs.frozen
 class ListedVm:
-    """A VM in the platform's list.
+    """A VM in the platform's list of VMs.
 
     Attributes:
         vm_id: The platform's identifier of the VM.
-        entry: Name of the seat that the VM was made for.
+        entry: Name of the configured entry that the VM was created for.
         leaving: Whether the platform is about to remove it.
     """
 
@@ -68,16 +68,16 @@
 
 @attrs.frozen
 class Member:
-    """One run of an entry, as this entry sees it.
+    """One incarnation of an entry, as this entry sees it.
 
     Attributes:
-        info: Its newest heartbeat.
-        since: Clock seconds of its first heartbeat.
+        info: Content of its newest heartbeat.
+        first_heard_at: Clock seconds of its first heartbeat.
         heard_at: Clock seconds of its newest heartbeat.
         state: Its state at the last heartbeat or sweep.
     """
 
     info: MemberInfo
-    since: float
+    first_heard_at: float
     heard_at: float
     state: MemberState
--- a/packages/domain/bulrushcourse_domain/membership/readers.py
+++ b/packages/domain/bulrushcourse_domain/membership/readers.py
@@ -1,24 +1,24 @@
-"""Which VMs read a table of the store often, for all others."""
+"""Designated readers: VMs that poll a table of the store for all others."""
 
 import typing
 
 from bulrushcourse_domain import rendezvous
 
-# One more than needed, so that a dead reader delays nothing.
+# Two, so that the loss of one reader does not delay the others.
 READERS = 2
 
 
 def designate_readers(
     table: str, names: typing.Iterable[str]
 ) -> frozenset[str]:
-    """Return the names of the readers of a table.
+    """Return the names of the designated readers of a table.
 
-    VMs whose views differ for a moment may both read; that costs reads, not
-    correctness.
+    While the membership views of VMs differ, more VMs may read; that only adds
+    reads to the store.
 
     Args:
-        table: What is read.
-        names: Names of the VMs that are live.
+        table: Name of the table.
+        names: Names of the live VMs.
 
     Examples:
         >>> len(designate_readers('configuration', 'abc'))
--- a/packages/domain/bulrushcourse_domain/membership/tests/test_lookup.py
+++ b/packages/domain/bulrushcourse_domain/membership/tests/test_lookup.py
@@ -29,42 +29,42 @@
 )
 @hypothesis.settings(derandomize=True, max_examples=25, deadline=None)
 def test_only_callers_of_a_lost_entry_move(number, lost, data):
-    """A restart must not move callers between entries that stay."""
-    full = entries(number)
+    """Guards against a restart that moves callers of other entries."""
+    all_entries = entries(number)
     lost %= number
-    before = lookup.Lookup(full)
-    after = lookup.Lookup(full[:lost] + full[lost + 1 :])
+    before = lookup.Lookup(all_entries)
+    after = lookup.Lookup(all_entries[:lost] + all_entries[lost + 1 :])
     for caller in data.draw(strategies.sets(strategies.sampled_from(CALLERS))):
         first = before.answer(caller, 'north')[0]
-        if first is not full[lost]:
+        if first is not all_entries[lost]:
             assert after.answer(caller, 'north')[0] is first
 
 
 def test_callers_are_spread_evenly():
-    """No entry of a region may get far more callers than another."""
-    near = lookup.Lookup(entries(4))
+    """Guards against an entry with far more callers than another."""
+    answers = lookup.Lookup(entries(4))
     counts = collections.Counter(
-        near.answer(caller, 'north')[0].entry for caller in CALLERS
+        answers.answer(caller, 'north')[0].entry for caller in CALLERS
     )
     mean = len(CALLERS) / 4
     assert len(counts) == 4
     assert all(0.85 < count / mean < 1.15 for count in counts.values())
 
 
-def test_lost_entry_spreads_over_all_others():
-    """Callers of a lost entry must not all fall on one neighbour."""
-    near = lookup.Lookup(entries(6))
+def test_callers_of_a_lost_entry_spread_over_the_others():
+    """Guards against all callers of a lost entry moving to one other."""
+    answers = lookup.Lookup(entries(6))
     seconds = collections.Counter(
-        near.answer(caller, 'north')[1].entry
+        answers.answer(caller, 'north')[1].entry
         for caller in CALLERS
-        if near.answer(caller, 'north')[0].entry == 'north-0'
+        if answers.answer(caller, 'north')[0].entry == 'north-0'
     )
-    # The second is of the other failure domain, which has three entries.
+    # The second choice is in the other failure domain, which has three.
     assert set(seconds) == {'north-1', 'north-3', 'north-5'}
 
 
-def test_alternatives_end_in_other_regions_by_nearness():
-    """A caller must have a way out when its whole region fails."""
+def test_answers_end_with_other_regions_nearest_first():
+    """Guards against callers without an entry when a whole region fails."""
     all_entries = entries(4) + entries(2, 'east') + entries(2, 'west')
     answers = lookup.Lookup(all_entries, {'north': ('west', 'east')})
     found = answers.answer('10.0.0.1', 'north')
@@ -73,7 +73,7 @@
 
 
 def test_unknown_region_and_no_members_are_answered():
-    """A caller outside all blocks, or a lone start, must not fail."""
+    """Guards against errors for callers in no prefix, or without members."""
     assert lookup.Lookup(()).answer('10.0.0.1', 'north') == ()
     found = lookup.Lookup(entries(2)).answer('10.0.0.1', '')
     assert len(found) == 2
--- a/packages/domain/bulrushcourse_domain/membership/tests/test_view.py
+++ b/packages/domain/bulrushcourse_domain/membership/tests/test_view.py
@@ -1,4 +1,4 @@
-"""Tests of the membership view."""
+"""Tests of the membership view: states and look-up candidates."""
 
 import hypothesis
 import pytest
@@ -19,94 +19,104 @@
 
 
 @pytest.fixture
-def members(clock):
+def member_view(clock):
     return view.MemberView(clock, info('a'))
 
 
-def names(members):
-    return [run.entry for run in members.lookup_candidates()]
+def names(member_view):
+    return [candidate.entry for candidate in member_view.lookup_candidates()]
 
 
-def test_dead_entry_leaves_answers_within_two_seconds(clock, members):
-    """Callers must not be sent to an entry that died."""
-    members.record_heartbeat(info('b'))
+def test_dead_entry_is_dropped_within_two_seconds(clock, member_view):
+    """Guards against callers that are sent to an entry that died."""
+    member_view.record_heartbeat(info('b'))
     for _ in range(7):
         clock.advance(0.25)
-        members.record_heartbeat(info('c'))
-        members.sweep()
-    assert names(members) == ['a', 'c']
+        member_view.record_heartbeat(info('c'))
+        member_view.sweep()
+    assert names(member_view) == ['a', 'c']
 
 
 @pytest.mark.parametrize('by_list', [True, False])
-def test_leaving_entry_leaves_answers_at_once(members, by_list):
-    """A planned stop must get no new callers from a look-up."""
-    members.record_heartbeat(info('b'))
+def test_leaving_entry_is_dropped_immediately(member_view, by_list):
+    """Guards against look-ups that name an entry before a planned stop."""
+    member_view.record_heartbeat(info('b'))
     if by_list:
-        members.update_vm_list([member.ListedVm('vm-b', 'b', leaving=True)])
+        member_view.update_vm_list(
+            [member.ListedVm('vm-b', 'b', leaving=True)]
+        )
     else:
-        members.record_heartbeat(info('b', state='leaving'))
-    assert names(members) == ['a']
+        member_view.record_heartbeat(info('b', state='leaving'))
+    assert names(member_view) == ['a']
 
 
-def test_isolated_entry_names_others_instead_of_itself(clock, members):
-    """An entry that no peer hears must not keep callers to itself."""
-    members.record_heartbeat(info('b'))
+def test_isolated_entry_names_others_instead_of_itself(clock, member_view):
+    """Guards against an isolated entry that keeps its callers."""
+    member_view.record_heartbeat(info('b'))
     clock.advance(view.ISOLATED_AFTER_S - 0.01)
-    assert names(members) == ['a']
+    assert names(member_view) == ['a']
     clock.advance(0.01)
-    assert members.is_isolated
-    assert names(members) == ['b']
+    assert member_view.is_isolated
+    assert names(member_view) == ['b']
 
 
-def test_store_contact_prevents_isolation(clock, members):
-    """An entry that reads the store can serve the newest configuration."""
-    members.record_heartbeat(info('b'))
+def test_store_contact_prevents_isolation(clock, member_view):
+    """Guards against isolation of an entry that can read the store."""
+    member_view.record_heartbeat(info('b'))
     clock.advance(view.ISOLATED_AFTER_S - 1)
-    members.record_store_contact()
+    member_view.record_store_contact()
     clock.advance(view.ISOLATED_AFTER_S - 1)
-    assert not members.is_isolated
+    assert not member_view.is_isolated
 
 
-def test_late_heartbeat_of_a_replaced_run_is_dropped(members):
-    """A delayed heartbeat must not revive the process before a restart."""
-    members.record_heartbeat(info('b'))
-    members.record_heartbeat(
+def test_late_heartbeat_of_a_replaced_incarnation_is_dropped(member_view):
+    """Guards against a delayed heartbeat that revives an ended process."""
+    member_view.record_heartbeat(info('b'))
+    member_view.record_heartbeat(
         member.MemberInfo('b', 'b2', 'vm-b', 'north', address='new')
     )
-    members.record_heartbeat(info('b', address='old'))
+    member_view.record_heartbeat(info('b', address='old'))
     assert [
-        run.address for run in members.lookup_candidates() if run.entry == 'b'
+        candidate.address
+        for candidate in member_view.lookup_candidates()
+        if candidate.entry == 'b'
     ] == ['new']
 
 
-def test_replacement_vm_takes_the_seat_without_flapping(members):
-    """Answers must not alternate while two VMs of a seat are alive."""
-    members.record_heartbeat(info('b'))
-    members.record_heartbeat(member.MemberInfo('b', 'b2', 'vm-b2', 'north'))
-    members.record_heartbeat(info('b'))
-    assert [run.incarnation for run in members.lookup_candidates()] == [
+def test_replacement_vm_is_named_without_flapping(member_view):
+    """Guards against answers that alternate between two VMs of an entry."""
+    member_view.record_heartbeat(info('b'))
+    member_view.record_heartbeat(
+        member.MemberInfo('b', 'b2', 'vm-b2', 'north')
+    )
+    member_view.record_heartbeat(info('b'))
+    assert [
+        candidate.incarnation for candidate in member_view.lookup_candidates()
+    ] == [
         'a1',
         'b2',
     ]
 
 
-def test_silent_member_is_gone_only_by_a_newer_list(clock, members):
-    """A list older than the heartbeat may lack a VM that is just created."""
-    members.update_vm_list([])
-    members.record_heartbeat(info('b'))
+def test_silent_member_is_gone_only_by_a_newer_list(clock, member_view):
+    """Guards against removal by a list that predates a new VM."""
+    member_view.update_vm_list([])
+    member_view.record_heartbeat(info('b'))
     clock.advance(view.SUSPECT_AFTER_S)
-    assert [m.state for m in members.sweep()] == [member.MemberState.SUSPECTED]
-    members.update_vm_list([])
-    assert [m.state for m in members.sweep()] == [member.MemberState.GONE]
+    assert [m.state for m in member_view.sweep()] == [
+        member.MemberState.SUSPECTED
+    ]
+    member_view.update_vm_list([])
+    assert [m.state for m in member_view.sweep()] == [member.MemberState.GONE]
 
 
-def test_unheard_counts_live_vms_only(clock, members):
-    """A starting entry waits for live VMs, not for leaving ones."""
-    members.update_vm_list(
+def test_silent_vms_are_live_vms_only(clock, member_view):
+    """Guards against a starting entry that waits for leaving VMs."""
+    member_view.update_vm_list(
         member.ListedVm(f'vm-{name}', name, name == 'd') for name in 'abcd'
     )
-    members.record_heartbeat(info('b'))
-    assert members.silent_vms() == {'vm-c'}
+    member_view.record_heartbeat(info('b'))
+    assert member_view.silent_vms() == {'vm-c'}
 
 
 @hypothesis.given(
@@ -120,19 +130,19 @@
     )
 )
 @hypothesis.settings(derandomize=True, max_examples=200)
-def test_named_are_exactly_the_recent_serving_entries(events):
-    """No order of heartbeats may keep a dead or leaving entry in answers."""
+def test_candidates_are_exactly_the_recent_serving_entries(events):
+    """Guards against dead or leaving entries after any heartbeat order."""
     clock = clocks.ManualClock()
-    members = view.MemberView(clock, info('a'))
+    member_view = view.MemberView(clock, info('a'))
     last = {}
     for name, state, pause in events:
         clock.advance(pause)
-        members.record_heartbeat(info(name, state=state))
-        members.sweep()
+        member_view.record_heartbeat(info(name, state=state))
+        member_view.sweep()
         last[name] = (state, clock.now)
     expected = {
         name
         for name, (state, at) in last.items()
         if state == 'serving' and clock.now - at < view.SUSPECT_AFTER_S
     }
-    assert set(names(members)) == expected | {'a'}
+    assert set(names(member_view)) == expected | {'a'}
--- a/packages/domain/bulrushcourse_domain/membership/view.py
+++ b/packages/domain/bulrushcourse_domain/membership/view.py
@@ -1,4 +1,4 @@
-"""The aggregate that tells which entries are live, leaving or gone."""
+"""Aggregate that decides which entries are live, leaving or gone."""
 
 import typing
 
@@ -7,20 +7,21 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.membership import member
 
-# Six heartbeats of 250 ms. With a sweep every 250 ms a dead entry leaves the
-# look-up answers at most 1.75 s after its last heartbeat; the target is 2 s.
+# Six heartbeat intervals of 250 ms. With a sweep every 250 ms a dead entry is
+# dropped from look-up answers at most 1.75 s after its last heartbeat; the
+# target is 2 s.
 SUSPECT_AFTER_S = 1.5
-# An unheard member is forgotten after this time even if the list of VMs,
-# which lags, still names its VM.
-FORGET_AFTER_S = 30.0
+# A silent member is removed after this time even if the list of VMs, which
+# lags, still includes its VM.
+REMOVE_AFTER_S = 30.0
 ISOLATED_AFTER_S = 5.0
-# The list of VMs is polled every second; after three missed polls it decides
-# nothing any more.
-LIST_FRESH_S = 4.0
-# Ended incarnations that are remembered, so that their late heartbeats do not
-# revive them.
-ENDED_KEPT = 4096
-HEARD = frozenset(
+# The list of VMs is polled every second; it is not used for decisions after
+# three missed polls.
+MAX_LIST_AGE_S = 4.0
+# Ended incarnations are remembered, so that a delayed heartbeat does not add
+# them again.
+MAX_ENDED_INCARNATIONS = 4096
+RESPONSIVE_STATES = frozenset(
     (
         member.MemberState.STARTING,
         member.MemberState.LIVE,
@@ -33,16 +34,18 @@
 class MemberView:
     """Members by incarnation, from heartbeats and the platform's VM list.
 
-    Two runs of one seat can be members at once: a leaving VM and its
-    replacement. Of two runs on one VM, only the one heard of last is kept.
+    Two incarnations of one entry can be members at the same time: a leaving VM
+    and its replacement. Of the incarnations on one VM, only the newest one
+    heard is a member.
 
     Attributes:
         clock: Source of time.
-        own: What this entry says of itself.
-        members: Other runs of entries, by incarnation.
+        own: What this entry reports about itself.
+        members: Other incarnations of entries, by identifier.
         listed: The newest list of VMs, by VM identifier.
         listed_at: Clock seconds of that list, ``None`` before the first.
-        contact_at: Clock seconds of the last sign of a peer or the store.
+        contact_at: Clock seconds of the last heartbeat of a peer or reply of
+            the store.
         ended: Incarnations that were replaced or ended, oldest first.
     """
 
@@ -58,10 +61,10 @@
         self.contact_at = self.clock.monotonic()
 
     def record_heartbeat(self, info: member.MemberInfo) -> None:
-        """Take in a heartbeat of another entry.
+        """Record a heartbeat of another entry.
 
         Args:
-            info: Its content.
+            info: Content of the heartbeat.
 
         Examples:
             >>> own = member.MemberInfo('a', 'a1', 'vm-a', 'north')
@@ -70,10 +73,10 @@
             >>> view.record_heartbeat(
             ...     member.MemberInfo('b', 'b1', 'vm-b', 'north')
             ... )
-            >>> [found.entry for found in view.lookup_candidates()]
+            >>> [m.entry for m in view.lookup_candidates()]
             ['a', 'b']
             >>> clock.advance(SUSPECT_AFTER_S)
-            >>> [found.entry for found in view.lookup_candidates()]
+            >>> [m.entry for m in view.lookup_candidates()]
             ['a']
         """
         if (
@@ -83,128 +86,130 @@
             return
         now = self.clock.monotonic()
         self.contact_at = now
-        known = self.members.get(info.incarnation)
-        if known is None:
-            self._end_runs_on(info.vm_id)
+        previous = self.members.get(info.incarnation)
+        if previous is None:
+            self._end_incarnations_on(info.vm_id)
         self.members[info.incarnation] = member.Member(
             info,
-            known.since if known else now,
+            previous.first_heard_at if previous else now,
             now,
             self._state(info, now, now),
         )
 
     def record_store_contact(self) -> None:
-        """Take note that the store answered this entry."""
+        """Record that the store answered this entry."""
         self.contact_at = self.clock.monotonic()
 
     def update_vm_list(self, vms: typing.Iterable[member.ListedVm]) -> None:
-        """Take in the platform's list of VMs.
+        """Replace the platform's list of VMs.
 
         Args:
-            vms: All VMs of the list.
+            vms: All VMs of the new list.
         """
         self.listed = {vm.vm_id: vm for vm in vms}
         self.listed_at = self.clock.monotonic()
 
     def record_end(self, incarnation: str) -> None:
-        """Take note that a run ended, such as after its last message.
+        """Record that an incarnation ended, such as after its last message.
 
         Args:
-            incarnation: The run that ended.
+            incarnation: The incarnation that ended.
         """
         self.members.pop(incarnation, None)
         self.ended[incarnation] = None
-        while len(self.ended) > ENDED_KEPT:
+        while len(self.ended) > MAX_ENDED_INCARNATIONS:
             del self.ended[next(iter(self.ended))]
 
     def sweep(self) -> tuple[member.Member, ...]:
-        """Bring states up to date and drop members that are gone.
+        """Update the states of members and remove those that are gone.
 
         Returns:
-            Members whose state changed; dropped ones are ``GONE``.
+            Members whose state changed; removed ones are ``GONE``.
         """
         now = self.clock.monotonic()
         changed = []
-        for incarnation, known in list(self.members.items()):
-            state = self._state(known.info, known.heard_at, now)
-            if state is known.state:
+        for incarnation, peer in list(self.members.items()):
+            state = self._state(peer.info, peer.heard_at, now)
+            if state is peer.state:
                 continue
-            known = attrs.evolve(known, state=state)
-            changed.append(known)
+            peer = attrs.evolve(peer, state=state)
+            changed.append(peer)
             if state is member.MemberState.GONE:
                 del self.members[incarnation]
             else:
-                self.members[incarnation] = known
+                self.members[incarnation] = peer
         return tuple(changed)
 
     def states(self) -> dict[str, member.MemberState]:
-        """Return the state of each other run now, by incarnation."""
+        """Return the present state of each member, by incarnation."""
         now = self.clock.monotonic()
         return {
-            incarnation: self._state(known.info, known.heard_at, now)
-            for incarnation, known in self.members.items()
+            incarnation: self._state(peer.info, peer.heard_at, now)
+            for incarnation, peer in self.members.items()
         }
 
     @property
     def list_is_fresh(self) -> bool:
-        """Whether the list of VMs is new enough to decide by."""
+        """Whether the list of VMs is recent enough to decide by."""
         if self.listed_at is None:
             return False
-        return self.clock.monotonic() - self.listed_at < LIST_FRESH_S
+        return self.clock.monotonic() - self.listed_at < MAX_LIST_AGE_S
 
     @property
     def is_isolated(self) -> bool:
-        """Whether this entry is cut off from both the store and its peers.
+        """Whether this entry has lost contact with the store and all peers.
 
-        An entry that knows of no other entry cannot be cut off from them.
+        Always false if no other entry is known.
         """
-        known = self.members or self.listed.keys() - {self.own.vm_id}
+        others = self.members or self.listed.keys() - {self.own.vm_id}
         silence = self.clock.monotonic() - self.contact_at
-        return bool(known) and silence >= ISOLATED_AFTER_S
+        return bool(others) and silence >= ISOLATED_AFTER_S
 
     def lookup_candidates(self) -> tuple[member.MemberInfo, ...]:
-        """Return the runs that look-up answers may name, one for each seat.
+        """Return the members that look-up answers may name, one per entry.
 
-        An isolated entry names those it heard last instead of itself: its
-        callers may still reach them. Of two runs of a seat the newer is
-        named: the older is about to be replaced.
+        An isolated entry names suspected members too, but not itself: its
+        callers may still reach them. Of two incarnations of an entry, the
+        newer is named, since the older is about to be replaced.
         """
-        wanted = {member.MemberState.LIVE}
+        eligible = {member.MemberState.LIVE}
         if self.is_isolated:
-            wanted.add(member.MemberState.SUSPECTED)
+            eligible.add(member.MemberState.SUSPECTED)
         states = self.states()
-        found = [
-            (known.since, incarnation, known.info)
-            for incarnation, known in self.members.items()
-            if states[incarnation] in wanted
+        candidates = [
+            (peer.first_heard_at, incarnation, peer.info)
+            for incarnation, peer in self.members.items()
+            if states[incarnation] in eligible
         ]
-        seats = {run.entry: run for _, _, run in sorted(found, key=_since)}
+        by_entry = {
+            info.entry: info for _, _, info in sorted(candidates, key=_age_key)
+        }
         if (
             not self.is_isolated
             and self._own_state() is member.MemberState.LIVE
         ):
-            seats[self.own.entry] = self.own
-        return tuple(seats[entry] for entry in sorted(seats))
+            by_entry[self.own.entry] = self.own
+        return tuple(by_entry[entry] for entry in sorted(by_entry))
 
     def silent_vms(self) -> frozenset[str]:
-        """Return the live VMs of the list, less this one, not heard lately."""
+        """Return the other live VMs of the list without a recent heartbeat."""
         states = self.states()
-        heard = {
-            known.info.vm_id
-            for incarnation, known in self.members.items()
-            if states[incarnation] in HEARD
+        responsive = {
+            peer.info.vm_id
+            for incarnation, peer in self.members.items()
+            if states[incarnation] in RESPONSIVE_STATES
         }
         return frozenset(
             vm.vm_id
             for vm in self.listed.values()
             if not vm.leaving
             and vm.vm_id != self.own.vm_id
-            and vm.vm_id not in heard
+            and vm.vm_id not in responsive
         )
 
-    def _end_runs_on(self, vm_id: str) -> None:
-        for incarnation, known in list(self.members.items()):
-            if known.info.vm_id == vm_id:
+    def _end_incarnations_on(self, vm_id: str) -> None:
+        for incarnation, peer in list(self.members.items()):
+            if peer.info.vm_id == vm_id:
                 self.record_end(incarnation)
 
     def _own_state(self) -> member.MemberState:
@@ -216,10 +221,10 @@
     ) -> member.MemberState:
         silence = now - heard_at
         listed = self.listed.get(info.vm_id)
-        if silence >= FORGET_AFTER_S:
+        if silence >= REMOVE_AFTER_S:
             return member.MemberState.GONE
         if silence >= SUSPECT_AFTER_S:
-            if listed is None and self._is_listed_after(heard_at):
+            if listed is None and self._has_list_after(heard_at):
                 return member.MemberState.GONE
             return member.MemberState.SUSPECTED
         if listed is not None and listed.leaving:
@@ -228,10 +233,10 @@
             info.state, member.MemberState.STARTING
         )
 
-    def _is_listed_after(self, heard_at: float) -> bool:
-        """Return whether a fresh list was read after a time.
+    def _has_list_after(self, heard_at: float) -> bool:
+        """Return whether a fresh list was read after a heartbeat.
 
-        A list read earlier may lack a VM that was only just created.
+        A list that was read earlier may lack a VM that was just created.
         """
         return (
             self.listed_at is not None
@@ -240,5 +245,7 @@
         )
 
 
-def _since(run: tuple[float, str, member.MemberInfo]) -> tuple[float, str]:
-    return run[:2]
+def _age_key(
+    candidate: tuple[float, str, member.MemberInfo],
+) -> tuple[float, str]:
+    return candidate[:2]
