Reword the routing rules in the terms of the field

The comments spoke of blocks around blocks, caps without room, trials and of what the receiving side has shown.

They now speak of longest prefix match, exhausted limits, probes, ejected instances and measurements. No comment was deleted.

--- a/packages/domain/bulrushcourse_domain/routing/__init__.py
+++ b/packages/domain/bulrushcourse_domain/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Choice of the region and the place that serve a request."""
+"""Choice of the region that serves a request, and places of callers."""
--- a/packages/domain/bulrushcourse_domain/routing/drains.py
+++ b/packages/domain/bulrushcourse_domain/routing/drains.py
@@ -1,4 +1,4 @@
-"""Instances that a planned drain of a failure domain takes out of use."""
+"""Instances taken out of use by a planned drain of their failure domain."""
 
 import datetime
 
@@ -12,12 +12,12 @@
 ) -> frozenset[str]:
     """Return the instances in failure domains whose drain has started.
 
-    A drain of a whole region moves traffic to other regions step by step and
-    is a shift plan; it is not counted here.
+    Drains of whole regions are not included: a ``ShiftPlan`` moves their
+    traffic to other regions step by step.
 
     Args:
-        configuration: The configuration in force.
-        now: Current time with its UTC offset.
+        configuration: The active configuration.
+        now: Current time, with a UTC offset.
 
     Examples:
         >>> empty = configuration_set.ConfigurationSet(1, objects.Objects())
--- a/packages/domain/bulrushcourse_domain/routing/region_failures.py
+++ b/packages/domain/bulrushcourse_domain/routing/region_failures.py
@@ -1,8 +1,8 @@
-"""Failures of a region's instances as one entry sees them.
+"""Consecutive failures of a region's instances, as one entry sees them.
 
-The owner of a pool blames an entry that fails at most instances, since the
-cause may be that entry's network. For that entry's own requests the cause does
-not matter: other regions serve them better.
+If an entry fails at most instances of a pool, the pool's owner attributes the
+failures to that entry, since its network may be the cause. For the entry's own
+requests the cause does not matter: other regions serve them better.
 """
 
 import attrs
@@ -12,8 +12,8 @@
 
 # With half of the instances lost, chance alone gives this many failures in a
 # row once in 64 requests.
-FAILURES_IN_A_ROW = 6
-TRIAL_INTERVAL_S = 0.5
+CONSECUTIVE_FAILURE_THRESHOLD = 6
+PROBE_INTERVAL_S = 0.5
 FAILURES = frozenset(
     (
         requests.ReleaseOutcome.LOST,
@@ -24,46 +24,47 @@
 
 @attrs.define
 class RegionFailures:
-    """Counts failures in a row and spaces the trials that follow.
+    """Counts consecutive failures and limits the rate of probes after them.
 
     Attributes:
         clock: Source of time.
         failures: Failures since the last request that was answered.
-        trial_at: Clock seconds from which the next request is a trial.
+        next_probe_at: Clock seconds from which a request may be a probe.
 
     Examples:
-        >>> seen = RegionFailures(clocks.ManualClock())
-        >>> for _ in range(FAILURES_IN_A_ROW):
-        ...     seen.record_outcome(requests.ReleaseOutcome.LOST)
-        >>> seen.admits()
+        >>> region = RegionFailures(clocks.ManualClock())
+        >>> for _ in range(CONSECUTIVE_FAILURE_THRESHOLD):
+        ...     region.record_outcome(requests.ReleaseOutcome.LOST)
+        >>> region.admits()
         False
-        >>> seen.record_outcome(requests.ReleaseOutcome.DONE)
-        >>> seen.admits()
+        >>> region.record_outcome(requests.ReleaseOutcome.DONE)
+        >>> region.admits()
         True
     """
 
     clock: clocks.Clock
     failures: int = 0
-    trial_at: float = 0.0
+    next_probe_at: float = 0.0
 
     def record_outcome(self, outcome: requests.ReleaseOutcome) -> None:
-        """Count how a request ended.
+        """Record the outcome of a request.
 
         Args:
-            outcome: How its work ended.
+            outcome: Its outcome; ignored unless it is ``DONE`` or one of
+                ``FAILURES``.
         """
         if outcome is requests.ReleaseOutcome.DONE:
             self.failures = 0
         elif outcome in FAILURES:
             self.failures += 1
-            self.trial_at = self.clock.monotonic() + TRIAL_INTERVAL_S
+            self.next_probe_at = self.clock.monotonic() + PROBE_INTERVAL_S
 
     def admits(self) -> bool:
-        """Return whether a request may go to the region, as a trial or not."""
-        if self.failures < FAILURES_IN_A_ROW:
+        """Return whether the region may get a request, perhaps as a probe."""
+        if self.failures < CONSECUTIVE_FAILURE_THRESHOLD:
             return True
         now = self.clock.monotonic()
-        if now < self.trial_at:
+        if now < self.next_probe_at:
             return False
-        self.trial_at = now + TRIAL_INTERVAL_S
+        self.next_probe_at = now + PROBE_INTERVAL_S
         return True
--- a/packages/domain/bulrushcourse_domain/routing/router.py
+++ b/packages/domain/bulrushcourse_domain/routing/router.py
@@ -7,7 +7,7 @@
 
 
 class Reason(enum.Enum):
-    """Why a region was chosen, or passed over."""
+    """Why a region was chosen or passed over."""
 
     LOCAL = 'local'
     PLAN = 'plan'
@@ -23,15 +23,16 @@
 
 @attrs.frozen
 class RegionLoad:
-    """What is known of a service's pool in a region.
+    """Load of a service's pool in a region, as far as this entry knows it.
 
     Attributes:
         region: Name of the region.
-        slots: Slots of the pool, 0 without an instance.
+        slots: Slots of the pool, 0 if it has no instance.
         in_flight: Slots in use by grants.
         waiting: Requests that wait for a slot.
-        healthy: Slots at instances that are not set aside nor would be if
-            more than half of a pool might; ``None`` for all slots.
+        healthy: Slots at instances that are not ejected, and would not be
+            even without the rule that at most half of a pool is ejected;
+            ``None`` for all slots.
     """
 
     region: str
@@ -42,10 +43,10 @@
 
     @property
     def headroom(self) -> float:
-        """Part of the slots that is free, negative if requests wait.
+        """Share of the slots that is free, negative if requests wait.
 
-        Only healthy slots count: a pool whose instances all fail keeps half
-        of them in use, but other regions serve its requests better.
+        Only healthy slots count: half of a pool whose instances all fail stays
+        in use, but other regions serve its requests better.
         """
         if not self.slots:
             return 0.0
@@ -54,28 +55,28 @@
 
 
 class LimitChecker(typing.Protocol):
-    """Tells whether shares of limits have room."""
+    """Checks this entry's shares of limits."""
 
     def blocked_by(self, source: str, target: str) -> Reason | None:
-        """Return the kind of cap without room, ``None`` if there is room.
+        """Return the reason if a limit is exhausted, ``None`` otherwise.
 
         Args:
             source: Region of this entry.
-            target: Another region, or this one for its own cap.
+            target: Another region, or this one for its region limit.
         """
         ...
 
 
 @attrs.frozen
 class RoutingRequest:
-    """A request that needs a region.
+    """A request to be routed to a region.
 
     Attributes:
         region: Region of this entry.
         rank: Priority of the request's class, 0 first.
         ranks: Number of priorities.
         planned: Region that a plan moves the request to, empty for none.
-        drained: Regions that a plan takes traffic from.
+        drained: Regions that a plan moves traffic out of.
     """
 
     region: str
@@ -87,12 +88,12 @@
 
 @attrs.frozen
 class RoutingDecision:
-    """A decision with what it was based on.
+    """The chosen region with the reasons.
 
     Attributes:
-        region: Region to ask for a slot; ``None`` if the request is shed.
-        reason: Why that region.
-        passed_over: Other regions and why they were not chosen.
+        region: Region to request a slot in; ``None`` if the request is shed.
+        reason: Why the region was chosen, or ``SHED``.
+        passed_over: Other regions, each with the reason against it.
     """
 
     region: str | None
@@ -100,13 +101,15 @@
     passed_over: tuple[tuple[str, Reason], ...] = ()
 
 
-# Work per slot from which the lowest priority is shed. Each higher priority
-# bears twice as much, so rush work is shed last.
-SHED_AT = 1.5
-# Spill starts when the local pool has no free slot left.
-SPILL_BELOW = 0.0
-# Regions whose headroom differs by less count as equal; the nearer one wins.
-HEADROOM_STEP = 0.25
+# Requests per slot, running and waiting, from which the lowest priority is
+# shed. Each higher priority tolerates twice as many, so that the most urgent
+# requests are shed last.
+SHED_REQUESTS_PER_SLOT = 1.5
+# Requests spill from a pool without a free slot, and only to pools with one.
+SPILL_HEADROOM_SHARE = 0.0
+# Headroom is compared in steps of this size; within a step the nearer region
+# wins.
+HEADROOM_STEP_SHARE = 0.25
 
 
 @attrs.frozen
@@ -114,7 +117,7 @@
     """Prefers the local region, then near regions with headroom.
 
     Attributes:
-        limit_checker: Shares of limits.
+        limit_checker: Checks this entry's shares of limits.
         near: Other regions, nearest first.
     """
 
@@ -124,86 +127,90 @@
     def route(
         self, request: RoutingRequest, loads: typing.Mapping[str, RegionLoad]
     ) -> RoutingDecision:
-        """Return where a request goes, with reasons for ``explain``.
+        """Choose the region of a request, with the reasons for ``explain``.
 
         Args:
             request: The request.
-            loads: Load of the service's pools by region.
+            loads: Load of the service's pool in each region.
         """
-        passed: list[tuple[str, Reason]] = []
+        passed_over: list[tuple[str, Reason]] = []
         if request.planned:
-            block = self._block(
-                request, request.planned, loads, need_room=False
+            reason = self._region_blocked_by(
+                request, request.planned, loads, need_headroom=False
             )
-            if block is None:
+            if reason is None:
                 return RoutingDecision(request.planned, Reason.PLAN)
-            passed.append((request.planned, block))
+            passed_over.append((request.planned, reason))
         local = loads.get(request.region, RegionLoad(request.region, 0))
-        block = self._block_local(request, local)
-        if block is None:
-            return RoutingDecision(request.region, Reason.LOCAL, tuple(passed))
-        passed.append((request.region, block))
+        reason = self._local_blocked_by(request, local)
+        if reason is None:
+            return RoutingDecision(
+                request.region, Reason.LOCAL, tuple(passed_over)
+            )
+        passed_over.append((request.region, reason))
         spill, others = self._spill(request, loads)
-        passed += others
+        passed_over += others
         if spill is not None:
-            return RoutingDecision(spill, Reason.SPILL, tuple(passed))
-        if self._may_queue(request, local, block):
+            return RoutingDecision(spill, Reason.SPILL, tuple(passed_over))
+        if self._may_queue(request, local, reason):
             return RoutingDecision(
-                request.region, Reason.QUEUE_LOCAL, tuple(passed)
+                request.region, Reason.QUEUE_LOCAL, tuple(passed_over)
             )
-        return RoutingDecision(None, Reason.SHED, tuple(passed))
+        return RoutingDecision(None, Reason.SHED, tuple(passed_over))
 
-    def _block_local(
+    def _local_blocked_by(
         self, request: RoutingRequest, local: RegionLoad
     ) -> Reason | None:
         if not local.slots:
             return Reason.NO_INSTANCE
         if request.region in request.drained:
             return Reason.PLAN
-        if local.headroom <= SPILL_BELOW:
+        if local.headroom <= SPILL_HEADROOM_SHARE:
             return Reason.NO_HEADROOM
         return self.limit_checker.blocked_by(request.region, request.region)
 
     def _may_queue(
-        self, request: RoutingRequest, local: RegionLoad, block: Reason
+        self, request: RoutingRequest, local: RegionLoad, reason: Reason
     ) -> bool:
-        if block is Reason.NO_INSTANCE:
+        if reason is Reason.NO_INSTANCE:
             return False
         return not is_shed(request.rank, request.ranks, local)
 
     def _spill(
         self, request: RoutingRequest, loads: typing.Mapping[str, RegionLoad]
     ) -> tuple[str | None, list[tuple[str, Reason]]]:
-        fits: list[tuple[int, int, str]] = []
-        passed = []
+        candidates: list[tuple[int, int, str]] = []
+        passed_over = []
         for distance, region in enumerate(self.near):
-            block = self._block(request, region, loads, need_room=True)
-            if block is not None:
-                passed.append((region, block))
+            reason = self._region_blocked_by(
+                request, region, loads, need_headroom=True
+            )
+            if reason is not None:
+                passed_over.append((region, reason))
                 continue
-            room = int(loads[region].headroom / HEADROOM_STEP)
-            fits.append((-room, distance, region))
-        return (min(fits)[2] if fits else None), passed
+            free_steps = int(loads[region].headroom / HEADROOM_STEP_SHARE)
+            candidates.append((-free_steps, distance, region))
+        return (min(candidates)[2] if candidates else None), passed_over
 
-    def _block(
+    def _region_blocked_by(
         self,
         request: RoutingRequest,
         region: str,
         loads: typing.Mapping[str, RegionLoad],
-        need_room: bool,
+        need_headroom: bool,
     ) -> Reason | None:
         load = loads.get(region)
         if load is None or not load.slots:
             return Reason.NO_INSTANCE
         if region in request.drained:
             return Reason.PLAN
-        if need_room and load.headroom <= SPILL_BELOW:
+        if need_headroom and load.headroom <= SPILL_HEADROOM_SHARE:
             return Reason.NO_HEADROOM
         return self.limit_checker.blocked_by(request.region, region)
 
 
 def is_shed(rank: int, ranks: int, load: RegionLoad) -> bool:
-    """Return whether a pool has too much work for one more request.
+    """Return whether a pool is too loaded for a request of this priority.
 
     Args:
         rank: Priority of the request's class, 0 first.
@@ -217,5 +224,7 @@
     """
     if not load.slots:
         return True
-    work = (load.in_flight + load.waiting) / load.slots
-    return work >= SHED_AT * 2 ** (ranks - 1 - rank)
+    requests_per_slot = (load.in_flight + load.waiting) / load.slots
+    return requests_per_slot >= SHED_REQUESTS_PER_SLOT * 2 ** (
+        ranks - 1 - rank
+    )
--- a/packages/domain/bulrushcourse_domain/routing/shift_plan.py
+++ b/packages/domain/bulrushcourse_domain/routing/shift_plan.py
@@ -1,4 +1,4 @@
-"""The aggregate of a planned shift or drain."""
+"""Aggregate of a planned shift or drain in progress."""
 
 import datetime
 import enum
@@ -10,7 +10,7 @@
 
 
 class State(enum.Enum):
-    """Life of a plan."""
+    """State of a plan."""
 
     WAITING = 'waiting'
     RAMPING = 'ramping'
@@ -20,61 +20,63 @@
 
 
 class HoldReason(enum.Enum):
-    """Why a plan does not move more traffic."""
+    """Why a plan does not move more traffic, as shown to operators."""
 
     NONE = ''
     SLOW = 'receiving side is slow'
-    FAILURES = 'receiving side fails'
+    FAILURES = 'too many requests fail at the receiving side'
     NO_HEADROOM = 'receiving side has no free slots'
-    UNKNOWN = 'receiving side shows no service times'
-    CAP = 'the shift cap is reached'
-    IN_FLIGHT = 'work is still in flight at the source'
+    UNKNOWN = 'receiving side reports no service times'
+    LIMIT_REACHED = 'the shift limit is reached'
+    IN_FLIGHT = 'requests are still in flight at the source'
 
 
 @attrs.frozen
 class Evidence:
-    """What the receiving side has shown since the last step.
+    """Measurements of the receiving side since the last step.
 
     Attributes:
-        service_time_ratio: Service time by its usual value; ``None`` if no
-            request has ended.
-        failure_part: Part of the requests that failed.
-        headroom: Part of the slots that is free.
-        cap_reached: Whether the shift cap turned requests away.
-        source_in_flight: Requests at work at the source.
-        offered: Requests that the plan concerned.
+        service_time_ratio: Service time divided by its typical value; ``None``
+            if no request has finished.
+        failure_ratio: Share of the requests that failed.
+        headroom: Share of the slots that is free.
+        limit_reached: Whether the shift limit rejected requests.
+        source_in_flight: Requests in flight at the source.
+        request_count: Requests that the plan applied to.
     """
 
     service_time_ratio: float | None = None
-    failure_part: float = 0.0
+    failure_ratio: float = 0.0
     headroom: float = 1.0
-    cap_reached: bool = False
+    limit_reached: bool = False
     source_in_flight: int = 0
-    offered: int = 1
+    request_count: int = 1
 
 
-# A cold cache raises service times. Above this ratio a ramp holds, and goes on
-# below the lower one, so that it does not alternate at one value.
+# A cold cache raises service times. A ramp holds above the first ratio and
+# resumes below the second; the gap keeps it from oscillating.
 SLOW_RATIO = 1.5
 RECOVERED_RATIO = 1.2
-FAILURE_LIMIT = 0.02
-HEADROOM_FLOOR = 0.1
-# First part of the traffic; each later step adds half of what flows already.
-FIRST_PART = 0.02
-GROWTH = 1.5
-RETREAT = 0.8
-TERMINAL = frozenset((State.FINISHED, State.FAILED))
+MAX_FAILURE_RATIO = 0.02
+MIN_HEADROOM_SHARE = 0.1
+# Share of the traffic that the first step moves; each later step adds half of
+# what is moved already.
+INITIAL_SHARE = 0.02
+GROWTH_RATIO = 1.5
+BACKOFF_RATIO = 0.8
+TERMINAL_STATES = frozenset((State.FINISHED, State.FAILED))
 
 
 @attrs.define
 class ShiftPlan:
-    """Moves part of the traffic and reports how that went.
+    """Ramps up the share of the traffic that a plan moves.
 
     Attributes:
-        plan: The plan as it was published.
-        state: Where the plan stands.
-        moved_share: Part of the source's traffic that moves now, 0 to 1.
-        hold_reason: What held the plan last.
+        plan: The plan as published.
+        state: State after the last step.
+        moved_share: Share of the source's traffic that moves now, 0 to 1.
+        hold_reason: Last reason not to move more traffic; cleared by each step
+            of the ramp that has none.
     """
 
     plan: objects.Plan
@@ -84,20 +86,20 @@
 
     @property
     def start(self) -> datetime.datetime:
-        """When the plan starts."""
+        """Time at which the plan starts."""
         return datetime.datetime.fromisoformat(self.plan.start)
 
     @property
     def finish_by(self) -> datetime.datetime:
-        """When the plan must have finished."""
+        """Time by which the plan must have finished."""
         return datetime.datetime.fromisoformat(self.plan.finish_by)
 
-    def step(self, now: datetime.datetime, evidence: Evidence) -> State:
-        """Take the next step and return the state that it led to.
+    def step(self, now: datetime.datetime, measurements: Evidence) -> State:
+        """Take the next step and return the new state.
 
         Args:
-            now: Time of day in UTC.
-            evidence: What the receiving side has shown since the last step.
+            now: Current time in UTC.
+            measurements: Measurements since the last step.
 
         Examples:
             >>> times = ('2026-12-04T10:00:00Z', '2026-12-04T11:00:00Z')
@@ -108,63 +110,65 @@
             >>> shift.step(shift.start, Evidence()).value, shift.moved_share
             ('ramping', 0.02)
         """
-        if self.state not in TERMINAL and now >= self.finish_by:
-            self.state = self._conclude(evidence)
+        if self.state not in TERMINAL_STATES and now >= self.finish_by:
+            self.state = self._final_state(measurements)
         else:
-            self.state = STEPS[self.state](self, now, evidence)
+            self.state = STEPS[self.state](self, now, measurements)
         return self.state
 
     @property
     def report(self) -> str:
-        """Why the plan failed or holds, empty if it does neither."""
+        """Reason why the plan failed or is holding, empty in other states."""
         if self.state not in (State.FAILED, State.HOLDING):
             return ''
         return f'{self.moved_share:.0%} of {self.plan.share:.0%} moved: ' + (
-            self.hold_reason.value or 'there was too little time'
+            self.hold_reason.value or 'not enough time'
         )
 
-    def _wait(self, now: datetime.datetime, evidence: Evidence) -> State:
+    def _wait(self, now: datetime.datetime, measurements: Evidence) -> State:
         if now < self.start:
             return State.WAITING
-        self.moved_share = min(self.plan.share, FIRST_PART)
+        self.moved_share = min(self.plan.share, INITIAL_SHARE)
         return State.RAMPING
 
-    def _ramp(self, now: datetime.datetime, evidence: Evidence) -> State:
-        self.hold_reason = find_hold_reason(evidence, SLOW_RATIO)
+    def _ramp(self, now: datetime.datetime, measurements: Evidence) -> State:
+        self.hold_reason = find_hold_reason(measurements, SLOW_RATIO)
         if self.hold_reason is not HoldReason.NONE:
             if self.hold_reason is not HoldReason.UNKNOWN:
-                self.moved_share *= RETREAT
+                self.moved_share *= BACKOFF_RATIO
             return State.HOLDING
-        if evidence.cap_reached:
-            # More traffic would only be turned away.
-            self.hold_reason = HoldReason.CAP
+        if measurements.limit_reached:
+            # The shift limit would reject any further traffic.
+            self.hold_reason = HoldReason.LIMIT_REACHED
             return State.RAMPING
         if self.moved_share >= self.plan.share:
-            return self._arrive(evidence)
-        self.moved_share = min(self.plan.share, self.moved_share * GROWTH)
+            return self._finish_if_drained(measurements)
+        self.moved_share = min(
+            self.plan.share, self.moved_share * GROWTH_RATIO
+        )
         return State.RAMPING
 
-    def _hold(self, now: datetime.datetime, evidence: Evidence) -> State:
-        hold_reason = find_hold_reason(evidence, RECOVERED_RATIO)
+    def _hold(self, now: datetime.datetime, measurements: Evidence) -> State:
+        hold_reason = find_hold_reason(measurements, RECOVERED_RATIO)
         if hold_reason is HoldReason.NONE:
             return State.RAMPING
         self.hold_reason = hold_reason
         return State.HOLDING
 
-    def _stay(self, now: datetime.datetime, evidence: Evidence) -> State:
+    def _stay(self, now: datetime.datetime, measurements: Evidence) -> State:
         return self.state
 
-    def _arrive(self, evidence: Evidence) -> State:
+    def _finish_if_drained(self, measurements: Evidence) -> State:
         drains = self.plan.kind is objects.PlanKind.DRAIN
-        if drains and evidence.source_in_flight:
+        if drains and measurements.source_in_flight:
             self.hold_reason = HoldReason.IN_FLIGHT
             return State.RAMPING
         return State.FINISHED
 
-    def _conclude(self, evidence: Evidence) -> State:
-        """Return how the plan stands when its time is over."""
+    def _final_state(self, measurements: Evidence) -> State:
+        """Return the final state once ``finish_by`` has passed."""
         if self.moved_share >= self.plan.share:
-            state = self._arrive(evidence)
+            state = self._finish_if_drained(measurements)
             return state if state is State.FINISHED else State.FAILED
         return State.FAILED
 
@@ -179,23 +183,27 @@
 }
 
 
-def find_hold_reason(evidence: Evidence, slow_ratio: float) -> HoldReason:
-    """Return what speaks against more traffic, ``NONE`` if nothing does.
+def find_hold_reason(measurements: Evidence, slow_ratio: float) -> HoldReason:
+    """Return why no more traffic should move, ``NONE`` if more may move.
 
     Args:
-        evidence: What the receiving side has shown.
-        slow_ratio: Ratio of service times from which it counts as slow.
+        measurements: Measurements of the receiving side.
+        slow_ratio: Service time ratio above which it counts as slow.
 
     Examples:
         >>> find_hold_reason(Evidence(service_time_ratio=1.6), SLOW_RATIO).name
         'SLOW'
     """
-    if evidence.failure_part > FAILURE_LIMIT:
+    if measurements.failure_ratio > MAX_FAILURE_RATIO:
         return HoldReason.FAILURES
-    if evidence.service_time_ratio is None:
-        return HoldReason.UNKNOWN if evidence.offered else HoldReason.NONE
-    if evidence.service_time_ratio > slow_ratio:
+    if measurements.service_time_ratio is None:
+        return (
+            HoldReason.UNKNOWN
+            if measurements.request_count
+            else HoldReason.NONE
+        )
+    if measurements.service_time_ratio > slow_ratio:
         return HoldReason.SLOW
-    if evidence.headroom < HEADROOM_FLOOR:
+    if measurements.headroom < MIN_HEADROOM_SHARE:
         return HoldReason.NO_HEADROOM
     return HoldReason.NONE
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_blocks.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_blocks.py
@@ -1,4 +1,4 @@
-"""Tests of client blocks."""
+"""Tests of the client prefixes."""
 
 import ipaddress
 
@@ -13,7 +13,7 @@
 
 @strategies.composite
 def prefixes(draw):
-    """Draw prefixes of a small space, so that they nest and touch."""
+    """Generate prefixes in a small space, so that they nest and adjoin."""
     if draw(strategies.booleans()):
         length = draw(strategies.integers(24, 32))
         number = draw(strategies.integers(0, 255)) >> (32 - length)
@@ -23,32 +23,32 @@
     return str(ipaddress.IPv6Network((number << (128 - length), length)))
 
 
-def longest(listed, address):
-    """Return the place by the plain rule that blocks must follow."""
+def find_longest(places, address):
+    """Return the place by a direct search for the longest prefix."""
     parsed = ipaddress.ip_address(address)
-    holding = [
+    matches = [
         (network.prefixlen, place)
-        for network, place in listed.items()
+        for network, place in places.items()
         if parsed.version == network.version and parsed in network
     ]
-    return max(holding)[1] if holding else ''
+    return max(matches)[1] if matches else ''
 
 
 @hypothesis.given(strategies.dictionaries(prefixes(), PLACES, max_size=20))
 @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
-def test_longest_prefix_decides(listed):
-    """Flattened ranges must give what the longest prefix gives."""
-    compact = blocks.build_blocks(listed.items())
-    networks = {ipaddress.ip_network(p): v for p, v in listed.items()}
+def test_longest_prefix_decides(places):
+    """Guards against ranges that differ from longest prefix match."""
+    compact = blocks.build_blocks(places.items())
+    networks = {ipaddress.ip_network(p): v for p, v in places.items()}
     for number in range(0, 256, 5):
         v4 = str(ipaddress.IPv4Address(number))
         v6 = str(ipaddress.IPv6Address(number << 64 | 7))
-        assert compact.place(v4) == longest(networks, v4)
-        assert compact.place(v6) == longest(networks, v6)
+        assert compact.place(v4) == find_longest(networks, v4)
+        assert compact.place(v6) == find_longest(networks, v6)
 
 
-def test_default_and_last_prefix_end_at_the_end_of_the_space():
-    """The end of the last block must not run over the address width."""
+def test_default_and_last_prefix_end_at_the_last_address():
+    """Guards against an overflow at the end of the address space."""
     compact = blocks.build_blocks(
         [('0.0.0.0/0', 'a'), ('255.255.255.255/32', 'b'), ('::/0', 'c')]
     )
@@ -59,8 +59,8 @@
 
 
 @pytest.mark.parametrize('prefix', ['10.0.0.1/8', 'x', '2001:db8::/65'])
-def test_malformed_prefix_is_found_and_refused(prefix):
-    """A prefix that the arrays cannot hold must not be published."""
+def test_malformed_prefix_is_reported_and_rejected(prefix):
+    """Guards against publishing a prefix that the arrays cannot store."""
     assert blocks.check_block(prefix, 'p')[0].code == 'prefix'
     with pytest.raises(ValueError):
         blocks.build_blocks([(prefix, 'a')])
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_drains.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_drains.py
@@ -9,7 +9,7 @@
 START = datetime.datetime(2026, 12, 4, 12, 0, tzinfo=datetime.UTC)
 
 
-def make(source, service=''):
+def make_configuration(source, service=''):
     plan = objects.Plan(
         'd',
         objects.PlanKind.DRAIN,
@@ -42,10 +42,12 @@
     )
 
 
-def test_only_the_failure_domain_is_drained_from_the_start_on():
+def test_only_the_failure_domain_is_drained_from_its_start():
     second = datetime.timedelta(seconds=1)
-    configuration = make('a')
+    configuration = make_configuration('a')
     assert drains.drained_instances(configuration, START - second) == set()
     assert drains.drained_instances(configuration, START) == {'x-1', 'y-1'}
-    assert drains.drained_instances(make('a', 'y'), START) == {'y-1'}
-    assert drains.drained_instances(make('r'), START) == set()
+    assert drains.drained_instances(make_configuration('a', 'y'), START) == {
+        'y-1'
+    }
+    assert drains.drained_instances(make_configuration('r'), START) == set()
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_region_failures.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_region_failures.py
@@ -1,4 +1,4 @@
-"""Guards against regions that are tried by every request, or never again."""
+"""Guards against regions that every request tries, or none ever again."""
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.routing import region_failures
@@ -7,23 +7,23 @@
 OUTCOMES = requests.ReleaseOutcome
 
 
-def test_trials_are_spaced_until_one_is_answered():
+def test_probes_are_spaced_until_one_is_answered():
     clock = clocks.ManualClock()
-    seen = region_failures.RegionFailures(clock)
-    for _ in range(region_failures.FAILURES_IN_A_ROW - 1):
-        seen.record_outcome(OUTCOMES.UNREACHABLE)
-        assert seen.admits()
-    seen.record_outcome(OUTCOMES.LOST)
-    assert not seen.admits()
-    clock.advance(region_failures.TRIAL_INTERVAL_S)
-    assert [seen.admits() for _ in range(3)] == [True, False, False]
-    seen.record_outcome(OUTCOMES.DONE)
-    assert all(seen.admits() for _ in range(3))
+    region = region_failures.RegionFailures(clock)
+    for _ in range(region_failures.CONSECUTIVE_FAILURE_THRESHOLD - 1):
+        region.record_outcome(OUTCOMES.UNREACHABLE)
+        assert region.admits()
+    region.record_outcome(OUTCOMES.LOST)
+    assert not region.admits()
+    clock.advance(region_failures.PROBE_INTERVAL_S)
+    assert [region.admits() for _ in range(3)] == [True, False, False]
+    region.record_outcome(OUTCOMES.DONE)
+    assert all(region.admits() for _ in range(3))
 
 
-def test_cancelled_and_shed_work_says_nothing():
-    seen = region_failures.RegionFailures(clocks.ManualClock())
+def test_cancelled_and_shed_requests_do_not_count():
+    region = region_failures.RegionFailures(clocks.ManualClock())
     for _ in range(20):
-        seen.record_outcome(OUTCOMES.CANCELLED)
-        seen.record_outcome(OUTCOMES.SHED)
-    assert seen.admits()
+        region.record_outcome(OUTCOMES.CANCELLED)
+        region.record_outcome(OUTCOMES.SHED)
+    assert region.admits()
