Reword one error message and one doc comment

The message about a separator in a key's field and the doc comment of the membership view were still unclear. No name changed.

Tests and doctests of claims and membership: 41 passed.

--- a/packages/domain/bulrushcourse_domain/claims/keys.py
+++ b/packages/domain/bulrushcourse_domain/claims/keys.py
@@ -65,9 +65,7 @@
     """
     fields = (PREFIX, *(str(value) for value in attrs.astuple(key)))
     if any(SEPARATOR in field for field in fields):
-        raise ValueError(
-            f'a field of {key} contains the separator {SEPARATOR!r}'
-        )
+        raise ValueError(f'{SEPARATOR!r} is not allowed in a field of {key}')
     content = SEPARATOR.join(fields)
     return f'{content}{SEPARATOR}{_signature(secret, content)}'
 
--- a/packages/domain/bulrushcourse_domain/membership/view.py
+++ b/packages/domain/bulrushcourse_domain/membership/view.py
@@ -35,8 +35,8 @@
     """Members by incarnation, from heartbeats and the platform's VM list.
 
     Two incarnations of one entry can be members at the same time: a leaving VM
-    and its replacement. Of the incarnations on one VM, only the newest one
-    heard is a member.
+    and its replacement. Of the incarnations on one VM, only the most
+    recent one is a member.
 
     Attributes:
         clock: Source of time.
