State the deletion margin of claims exactly

Without the margin a late retry could deny a run that may have happened, not one that surely did. Only the comment changed.

--- a/packages/domain/bulrushcourse_domain/claims/claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/claim.py
@@ -16,7 +16,7 @@
 # A retry sent at the end of the retention period can still write a refusal
 # until its deadline and the recording limit (300 s) have passed. If the row
 # had been deleted by then, the retry would report that the request never ran
-# although it did.
+# although it may have.
 DELETE_MARGIN_S = 600.0
 
 # The attempt that claimed the key may be paused just before its dispatch, so
