Merge the wording of the decisions, the edge program, slots, limits and wire

Shared renames over the whole tree, then the folders placement, upstreams, routes, fleet, retries, quarantine, claims, configuration, membership and routing of the domain, edge, platform, slots, limits, peers, membership and health of the entry, and the wire package.

--- a/packages/domain/bulrushcourse_domain/configuration/publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/publication.py
@@ -1,8 +1,8 @@
-"""Rules by which configurations are published.
+"""Rules for publishing configurations.
 
-A publication is written by compare-and-set on the stored row together with
-its history row. Its version is that of its base plus one, so that a publish
-whose answer was lost can have taken effect in one history row only.
+A publication is written by one compare-and-set that covers the current row
+and its history row. Its version is that of its base plus one, so a publish
+whose reply was lost can have taken effect in one history row only.
 """
 
 import datetime
@@ -21,11 +21,12 @@
 
     Attributes:
         version: Version, one more than that of its base.
-        publish_id: Identifier that the operator's tool chose for the publish.
+        publish_id: Identifier of the publish request, chosen by the operator's
+            tool.
         operator: Who published it.
         note: Why it was published.
-        published_at: When, in UTC.
-        objects: The objects.
+        published_at: Time of the publish in UTC.
+        objects: The published objects.
     """
 
     version: int
@@ -37,15 +38,15 @@
 
 
 @attrs.frozen
-class PublishOrder:
-    """An operator's wish to publish.
+class PublishRequest:
+    """An operator's request to publish.
 
     Attributes:
-        base_version: Version that the operator's set was made from.
-        publish_id: Identifier of the publish, the same in each repetition.
+        base_version: Version that the operator's changes are based on.
+        publish_id: Identifier of the request, the same in each retry.
         operator: Who publishes.
         objects: Checked objects.
-        note: Why.
+        note: Why they are published.
     """
 
     base_version: int
@@ -57,10 +58,10 @@
 
 @attrs.frozen
 class Conflict:
-    """A publish whose base is not the stored version.
+    """Rejection of a publish whose base is not the stored version.
 
     Attributes:
-        base_version: Version that the operator's set was made from.
+        base_version: Version that the operator's changes are based on.
         stored: The stored publication, ``None`` if there is none.
         changes: What changed from the base to the stored publication.
     """
@@ -72,11 +73,11 @@
 
 @attrs.frozen
 class Proposal:
-    """The publication that an order leads to.
+    """The publication that results from a request.
 
     Attributes:
         publication: The publication.
-        stored: Whether an earlier attempt already stored it.
+        stored: Whether an earlier send of the same request already stored it.
     """
 
     publication: Publication
@@ -86,68 +87,68 @@
 def propose(
     stored: Publication | None,
     history: typing.Mapping[int, Publication],
-    order: PublishOrder,
+    request: PublishRequest,
     now: datetime.datetime,
 ) -> result.Result[Proposal, Conflict]:
-    """Return what an order leads to, given the store's content.
+    """Decide a publish request, given the content of the store.
 
     Args:
         stored: The stored publication, ``None`` if there is none.
-        history: Publications of ``order.base_version`` and the version after
+        history: Publications of ``request.base_version`` and the version after
             it, as far as they are stored.
-        order: What the operator wants.
+        request: The operator's request.
         now: Time of the publish in UTC.
 
     Examples:
         >>> now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-        >>> order = PublishOrder(0, 'p1', 'ana', objects.Objects())
-        >>> first = propose(None, {}, order, now).unwrap()
+        >>> request = PublishRequest(0, 'p1', 'ana', objects.Objects())
+        >>> first = propose(None, {}, request, now).unwrap()
         >>> first.publication.version, first.stored
         (1, False)
-        >>> propose(first.publication, {}, order, now).unwrap().stored
+        >>> propose(first.publication, {}, request, now).unwrap().stored
         True
     """
-    for earlier in (stored, history.get(order.base_version + 1)):
-        if earlier is not None and earlier.publish_id == order.publish_id:
+    for earlier in (stored, history.get(request.base_version + 1)):
+        if earlier is not None and earlier.publish_id == request.publish_id:
             return result.Success(Proposal(earlier, True))
     version = stored.version if stored else 0
-    if version != order.base_version:
-        base = history.get(order.base_version)
+    if version != request.base_version:
+        base = history.get(request.base_version)
         before = base.objects if base else objects.Objects()
         after = stored.objects if stored else objects.Objects()
         return result.Failure(
             Conflict(
-                order.base_version,
+                request.base_version,
                 stored,
                 difference.list_changes(before, after),
             )
         )
     publication = Publication(
         version + 1,
-        order.publish_id,
-        order.operator,
-        order.note,
+        request.publish_id,
+        request.operator,
+        request.note,
         now,
-        order.objects,
+        request.objects,
     )
     return result.Success(Proposal(publication, False))
 
 
 def roll_back(
     base_version: int, old: Publication, publish_id: str, operator: str
-) -> PublishOrder:
-    """Return the order that publishes old content as a new version.
+) -> PublishRequest:
+    """Return the request that publishes old content as a new version.
 
-    The old version itself never comes back into force: entries that saw a
-    later one would refuse it.
+    The old version itself cannot become active again: entries that have seen
+    a later version reject it.
 
     Args:
-        base_version: Version that is to be replaced.
-        old: The publication whose content is wanted.
-        publish_id: Identifier of the new publish.
+        base_version: Version to be replaced.
+        old: The publication whose content is restored.
+        publish_id: Identifier of the new request.
         operator: Who rolls back.
     """
-    return PublishOrder(
+    return PublishRequest(
         base_version,
         publish_id,
         operator,
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -1,4 +1,4 @@
-"""The aggregate that chooses an upstream for a request or refuses it."""
+"""Selection of the upstream with the lowest expected cost for a request."""
 
 import random
 import typing
@@ -11,36 +11,39 @@
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_domain.upstreams import loads
+from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_domain.upstreams import recent_objects
-from bulrushcourse_domain.upstreams import trouble
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_domain.upstreams import warmup
 
-# Work at a cold upstream takes about this much longer.
+# Factor on the service time at an upstream that is still warming up.
 COLD_FACTOR = 2.0
 Affinity = service_times.Affinity
-# Affinities of the upstreams that are preferred for an object, in order.
-PREFERRED = (Affinity.FIRST, Affinity.SECOND)
+# Affinities of the preferred upstreams of an object, best first.
+PREFERRED_AFFINITIES = (Affinity.FIRST, Affinity.SECOND)
 
-# A request that fails is repeated or lost; its cost in objectives.
+# Cost of a failed request, which is retried or lost, as a multiple of the
+# route's latency objective.
 FAILURE_COST = 2.0
-# A busier upstream is avoided among equals, by this share of the work.
-USE_COST = 0.15
-# Estimates closer than this share of the objective are a draw, so that VMs
-# with the same view do not all pick the same upstream.
-DRAW_SHARE = 0.04
+# Cost of a fully used upstream, as a share of the service time, so that the
+# less used of two similar upstreams is chosen.
+UTILIZATION_COST = 0.15
+# Costs that differ by less than this share of the objective are a tie, which
+# is broken at random so that VMs in the same state do not all choose the same
+# upstream.
+TIE_SHARE = 0.04
 
 
 @attrs.frozen
-class Query:
-    """What a request needs of an upstream.
+class PlacementRequest:
+    """Constraints on the upstream of a request.
 
     Attributes:
-        route: The request's route.
-        service: Service that shall run it.
-        object_key: Object that it concerns, empty if it names none.
-        region: Region that shall run it, empty for any.
-        tried: Upstreams that it was sent to.
+        route: Route of the request.
+        service: Name of the service that must run it.
+        object_key: Affinity object of the request, empty if it has none.
+        region: Region that must run it, empty for any.
+        tried: Names of the upstreams that have already been tried.
     """
 
     route: routes.Route
@@ -52,15 +55,16 @@
 
 @attrs.frozen
 class Choice:
-    """An upstream with what is expected of it.
+    """A chosen upstream and the estimates behind the choice.
 
     Attributes:
         upstream: The upstream.
-        completion_s: Expected time until its answer.
-        work_s: Part of it that is work.
-        affinity: What it has to do with the object.
+        completion_s: Expected seconds until its response.
+        work_s: Expected service time, the part of it without network and
+            queueing.
+        affinity: Affinity of the upstream to the object.
         busy: Requests in flight beyond its slots, at least 0.
-        cold: Whether it is in its warm-up.
+        cold: Whether it is still warming up.
     """
 
     upstream: upstreams.Upstream
@@ -73,123 +77,133 @@
 
 @attrs.define
 class Placement:
-    """Expected completion of a request at each upstream.
+    """Chooses upstreams by expected completion time and failure rate.
 
     Attributes:
         clock: Source of time.
-        directory: Known upstreams.
-        load: Their load.
-        troubles: Their failures.
-        objects: Objects that they have handled.
-        cold: Limits on cold upstreams.
-        times: Service times.
-        delays: Round trip to each failure domain in seconds.
-        rng: Source of randomness for draws.
-        sharers: Number of VMs that may use the same upstreams.
+        directory: Registered upstreams.
+        load: Load of the upstreams.
+        outliers: Failures of the upstreams.
+        objects: Objects that each upstream handled recently.
+        warmup_limiter: Rate limits of cold upstreams.
+        times: Service times by route and service.
+        round_trip_s: Function that returns the round-trip time to an
+            upstream's failure domain in seconds.
+        rng: Source of randomness for breaking ties.
+        sharing_vm_count: Number of VMs that may use the same upstreams.
     """
 
     clock: clocks.Clock
     directory: directories.UpstreamDirectory
     load: loads.LoadView
-    troubles: trouble.TroubleLog
+    outliers: outlier_detection.OutlierDetector
     objects: recent_objects.RecentObjects
-    cold: warmup.WarmupLimiter
+    warmup_limiter: warmup.WarmupLimiter
     times: service_times.ServiceTimes
-    delays: typing.Callable[[upstreams.Upstream], float]
+    round_trip_s: typing.Callable[[upstreams.Upstream], float]
     rng: random.Random
-    sharers: int = 1
+    sharing_vm_count: int = 1
 
-    def choose(self, query: Query, service: routes.Service) -> Choice | None:
-        """Return the best upstream, ``None`` if there is none.
+    def choose(
+        self, request: PlacementRequest, service: routes.Service
+    ) -> Choice | None:
+        """Return the cheapest usable upstream, ``None`` if there is none.
 
         Args:
-            query: What the request needs.
-            service: The service that shall run it.
+            request: Constraints of the request.
+            service: The service that must run it.
         """
-        candidates = self._candidates(query, service)
+        candidates = self._candidates(request, service)
         if not candidates:
             return None
-        times = self.times.of(
-            query.route.key, query.service, query.route.objective_s
+        times = self.times.route_times(
+            request.route.key, request.service, request.route.objective_s
         )
-        objective = query.route.objective_s
-        affinities = self._affinities(query, candidates)
+        objective = request.route.objective_s
+        affinities = self._affinities(request, candidates)
 
-        def rank(upstream: upstreams.Upstream) -> float:
+        def score(upstream: upstreams.Upstream) -> float:
             affinity = affinities[upstream.name]
             cost = self._cost(upstream, affinity, times, objective)
-            if query.object_key and affinity is not Affinity.FIRST:
+            if request.object_key and affinity is not Affinity.FIRST:
                 cost += times.displacement_s()
-            return cost + self.rng.random() * objective * DRAW_SHARE
+            return cost + self.rng.random() * objective * TIE_SHARE
 
-        best = min(candidates, key=rank)
+        best = min(candidates, key=score)
         affinity = affinities[best.name]
-        work, wait, busy = self._expect(best, affinity, times)
+        work, wait, queued = self._estimate(best, affinity, times)
         return Choice(
             best,
-            self.delays(best) + wait + work,
+            self.round_trip_s(best) + wait + work,
             work,
             affinity,
-            busy,
+            queued,
             self.directory.is_cold(best.name),
         )
 
     def _candidates(
-        self, query: Query, service: routes.Service
+        self, request: PlacementRequest, service: routes.Service
     ) -> list[upstreams.Upstream]:
         allowed_each = connections.allowed_connections(
-            service.max_connections, self.sharers
+            service.max_connections, self.sharing_vm_count
         )
-        found = [
+        eligible = [
             u
-            for u in self.directory.usable(query.service, query.region)
-            if query.route.may_run_in(u.region)
+            for u in self.directory.usable(request.service, request.region)
+            if request.route.may_run_in(u.region)
             and self.load.own.get(u.name, 0) < allowed_each
-            and u.name not in query.tried
+            and u.name not in request.tried
         ]
         allowed = [
             u
-            for u in found
+            for u in eligible
             if not self.directory.is_cold(u.name)
-            or self.cold.may_send(u.name, service.warmup_per_s)
+            or self.warmup_limiter.may_send(u.name, service.warmup_per_s)
         ]
-        sound = [u for u in allowed if not self.troubles.is_paused(u.name)]
-        # When every upstream looks bad, the fault is more likely to be here.
-        return sound or allowed
+        healthy = [u for u in allowed if not self.outliers.is_ejected(u.name)]
+        # If every upstream is ejected, the fault is more likely at this VM.
+        return healthy or allowed
 
     def _affinities(
-        self, query: Query, candidates: list[upstreams.Upstream]
+        self, request: PlacementRequest, candidates: list[upstreams.Upstream]
     ) -> dict[str, Affinity]:
-        if not query.object_key:
+        if not request.object_key:
             return dict.fromkeys((u.name for u in candidates), Affinity.NONE)
-        found = {
-            u.name: self._seen(u.name, query.object_key) for u in candidates
+        affinities = {
+            u.name: self._past_affinity(u.name, request.object_key)
+            for u in candidates
         }
-        # Upstreams that are set aside or cold for the moment stay preferred,
-        # so that their objects do not move for a short while.
+        # Upstreams that are ejected or cold remain preferred, so that their
+        # objects do not move to other upstreams for a short time.
         preferred = self.directory.preferred(
-            query.service, query.region, query.object_key
+            request.service, request.region, request.object_key
+        )
+        return affinities | dict(
+            zip(preferred, PREFERRED_AFFINITIES, strict=False)
         )
-        return found | dict(zip(preferred, PREFERRED, strict=False))
 
-    def _seen(self, upstream: str, object_key: str) -> Affinity:
-        known = self.objects.has_handled(upstream, object_key)
-        return Affinity.SEEN if known else Affinity.NONE
+    def _past_affinity(self, upstream: str, object_key: str) -> Affinity:
+        handled = self.objects.has_handled(upstream, object_key)
+        return Affinity.SEEN if handled else Affinity.NONE
 
-    def _expect(
+    def _estimate(
         self,
         upstream: upstreams.Upstream,
         affinity: Affinity,
         times: service_times.RouteTimes,
     ) -> tuple[float, float, int]:
-        """Return work and wait in seconds and the requests over the slots."""
+        """Return service time and wait in seconds, and the queue length."""
         work = times.expected_s(affinity)
         work *= self.load.expected_slowness(upstream.name)
         if self.directory.is_cold(upstream.name):
             work *= COLD_FACTOR
         in_flight = self.load.in_flight(upstream.name)
-        busy = max(0, in_flight + 1 - upstream.slots)
-        return work, busy * times.usual_s / upstream.slots, busy
+        queued = max(0, in_flight + 1 - upstream.slots)
+        return (
+            work,
+            queued * times.typical_s / upstream.slots,
+            queued,
+        )
 
     def _cost(
         self,
@@ -198,13 +212,13 @@
         times: service_times.RouteTimes,
         objective_s: float,
     ) -> float:
-        work, wait, _ = self._expect(upstream, affinity, times)
-        failing = self.troubles.failure_share(upstream.name)
-        use = self.load.in_flight(upstream.name) / upstream.slots
+        work, wait, _ = self._estimate(upstream, affinity, times)
+        failure_share = self.outliers.failure_share(upstream.name)
+        utilization = self.load.in_flight(upstream.name) / upstream.slots
         return (
-            self.delays(upstream)
+            self.round_trip_s(upstream)
             + wait
             + work
-            + failing * FAILURE_COST * objective_s
-            + min(1.0, use) * USE_COST * work
+            + failure_share * FAILURE_COST * objective_s
+            + min(1.0, utilization) * UTILIZATION_COST * work
         )
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_supervision.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_supervision.py
@@ -1,4 +1,4 @@
-"""Long-lived tasks go on after a fault of this program."""
+"""Long-lived tasks are restarted after an unexpected exception."""
 
 import asyncio
 
@@ -6,41 +6,41 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_entry import events
-from bulrushcourse_entry.edge import journal as journals
+from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import supervision
 
 
-class Recorder(journals.Journal):
-    """Journal that keeps what it is told."""
+class Recorder(event_logs.EventLog):
+    """Event log that records the logged changes."""
 
-    def belief(self, event, **fields):
-        self.told = [*getattr(self, 'told', ()), (event, fields)]
+    def log_change(self, event, **fields):
+        self.logged = [*getattr(self, 'logged', ()), (event, fields)]
 
 
-def test_failed_task_is_reported_and_started_again():
-    # Guards against a reader that ends unseen, so that the process serves
-    # on with the configuration of that moment.
+def test_failed_task_is_logged_and_restarted():
+    # Guards against a reader task that stops unnoticed, so that the process
+    # goes on with an outdated configuration.
     outcomes = [KeyError('ver'), TypeError('x'), None]
-    journal = Recorder(clocks.ManualClock())
+    event_log = Recorder(clocks.ManualClock())
 
     async def work():
         outcome = outcomes.pop(0)
         if outcome is not None:
             raise outcome
 
-    asyncio.run(supervision.keep_running('reader', work, journal, 0.0))
+    asyncio.run(supervision.keep_running('reader', work, event_log, 0.0))
     assert not outcomes
-    assert [event for event, _ in journal.told] == [
+    assert [event for event, _ in event_log.logged] == [
         events.Event.TASK_FAILED
     ] * 2
-    assert [fields['kind'] for _, fields in journal.told] == [
+    assert [fields['kind'] for _, fields in event_log.logged] == [
         'KeyError',
         'TypeError',
     ]
 
 
 def test_cancelled_task_ends():
-    # Guards against a shutdown that starts its tasks again.
+    # Guards against tasks that are restarted during shutdown.
     async def scenario():
         task = asyncio.create_task(
             supervision.keep_running(
--- a/packages/wire/bulrushcourse_wire/health_messages.py
+++ b/packages/wire/bulrushcourse_wire/health_messages.py
@@ -4,12 +4,12 @@
 
 
 @messages.message('upstream_sign')
-class UpstreamSign:
-    """An instance leaves, or serves again.
+class UpstreamLeaving:
+    """An instance is leaving or serving again.
 
     Attributes:
         instance: Name of the instance.
-        leaving: Whether it is leaving.
+        leaving: Whether the instance is leaving.
     """
 
     instance: str
