--- a/packages/entry/bulrushcourse_entry/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/callers/attempts.py
@@ -1,4 +1,4 @@
-"""What the attempts of a call hold and lead to."""
+"""Slots and results of the attempts of a call."""
 
 import typing
 
@@ -7,8 +7,9 @@
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.upstreams import client
 
-# Numbers of second copies begin here, apart from those of retries.
-HEDGE_NUMBER = 100
+# Attempt numbers of hedges start here, so that they differ from those of
+# retries.
+FIRST_HEDGE_NUMBER = 100
 
 
 @attrs.frozen
@@ -18,44 +19,45 @@
     Attributes:
         region: Region of the instance.
         instance: Name of the instance.
-        finish: Gives the slot back; called once with how the work ended.
+        release: Releases the slot; called once, with the outcome.
     """
 
     region: str
     instance: str
-    finish: typing.Callable[[requests.ReleaseOutcome], None]
+    release: typing.Callable[[requests.ReleaseOutcome], None]
 
 
 @attrs.define
 class Exchange:
-    """An answer under way, with the slot that it holds.
+    """A response that is being received, and the slot that it occupies.
 
     Attributes:
-        answer: Answer whose beginning has arrived.
-        finish: Gives the slot back; called once with how the work ended.
-        remaining_s: Returns the seconds until the deadline, after which the
-            slot is granted to other work.
+        answer: Response whose headers and first bytes have arrived.
+        release_slot: Releases the slot; called once, with the outcome.
+        remaining_s: Returns the seconds until the deadline, when the grant
+            expires and the slot may be granted again.
     """
 
-    answer: client.UpstreamAnswer
-    finish: typing.Callable[[requests.ReleaseOutcome], None]
+    answer: client.UpstreamResponse
+    release_slot: typing.Callable[[requests.ReleaseOutcome], None]
     remaining_s: typing.Callable[[], float]
 
 
 @attrs.define
 class Attempt:
-    """What one attempt led to.
+    """Result of one attempt.
 
     Attributes:
-        exchange: Set if the instance answered.
-        failure: Set if it did not.
+        exchange: Set if the instance responded.
+        failure: Set if a slot was granted but no response arrived.
         instance: Name of the instance, empty if no slot was granted.
         refusal: Set if no slot was granted.
-        taken: Whether the answer goes to the caller.
+        selected: Whether this attempt's result is used, rather than that of
+            its hedge or primary request.
     """
 
     exchange: Exchange | None = None
     failure: client.Failure | None = None
     instance: str = ''
     refusal: requests.Refusal | None = None
-    taken: bool = False
+    selected: bool = False
--- a/packages/entry/bulrushcourse_entry/callers/failures.py
+++ b/packages/entry/bulrushcourse_entry/callers/failures.py
@@ -1,4 +1,4 @@
-"""What failures of upstream requests mean for slots and callers."""
+"""Mapping of upstream failures to slot outcomes and caller problems."""
 
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry.callers import problems
@@ -23,7 +23,7 @@
         client.Failure.NO_SHARE,
     )
 )
-STATUSES = {
+HTTP_STATUSES = {
     client.Failure.NOT_SENT: 502,
     client.Failure.SHED: 503,
     client.Failure.NO_SHARE: 503,
@@ -33,23 +33,23 @@
 }
 
 
-def describe(
+def describe_failure(
     call: request_parsing.Call,
     refusal: requests.Refusal | None,
     failure: client.Failure | None,
 ) -> problems.Problem:
-    """Return the problem that reports a failed attempt.
+    """Return the problem that reports a failed attempt to the caller.
 
     Args:
         call: The caller's request.
-        refusal: Set if the last attempt got no slot.
-        failure: Set if the instance did not answer it.
+        refusal: Set if no slot was granted for the attempt.
+        failure: Set if a slot was granted but no response arrived.
     """
     if refusal is not None:
         return problems.not_run(
             503,
             f'no-slot-{refusal.reason.value}',
-            f'no slot of {call.service.name} in time',
+            f'no slot of {call.service.name} was granted in time',
             RETRY_AFTER_S,
         )
     outcome = (
@@ -58,7 +58,7 @@
         else problems.Outcome.UNKNOWN
     )
     return problems.Problem(
-        STATUSES[failure],
+        HTTP_STATUSES[failure],
         f'upstream-{failure.value}',
         f'upstream of {call.service.name} failed: {failure.value}',
         outcome,
@@ -67,7 +67,7 @@
 
 
 def may_have_run(failure: client.Failure | None) -> bool:
-    """Return whether a request may have run although it failed.
+    """Return whether a failed request may have run.
 
     Args:
         failure: How it failed, ``None`` if it was not sent.
@@ -75,11 +75,11 @@
     return failure is not None and failure not in NOT_RUN_FAILURES
 
 
-def is_free(failure: client.Failure) -> bool:
-    """Return whether a failed attempt cost no work at an instance.
+def used_no_capacity(failure: client.Failure) -> bool:
+    """Return whether a failed attempt used no capacity of an instance.
 
-    A request of which no byte was sent cost no work, so sending it to
-    another instance adds none.
+    No byte of such a request was sent, so a retry adds no load and is not
+    charged to the retry budget.
 
     Args:
         failure: How the attempt failed.
@@ -88,14 +88,14 @@
 
 
 def may_retry(call: request_parsing.Call, failure: client.Failure) -> bool:
-    """Return whether a call may be sent again after a failure.
+    """Return whether a call may be retried after a failure.
 
     Args:
         call: The caller's request.
         failure: How its last attempt failed.
     """
     if call.body_stream is not None:
-        # The body was streamed and cannot be sent again.
+        # A streamed body is not buffered, so it cannot be sent again.
         return False
     if failure is client.Failure.DEADLINE:
         return False
--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -25,10 +25,10 @@
 
 
 class RegionChooser(typing.Protocol):
-    """Chooses the region of a request and charges what crosses to it."""
+    """Chooses a request's region and charges the limits on the way to it."""
 
     def choose(self, service: str, request_class: str) -> str | None:
-        """Return the region to ask for a slot, ``None`` to shed."""
+        """Return the region to request a slot in, ``None`` to shed."""
         ...
 
     async def admit(
@@ -39,7 +39,7 @@
 
 
 class OutcomeListener(typing.Protocol):
-    """Receiver of how requests ended."""
+    """Receives the outcome of each request."""
 
     def record_outcome(
         self,
@@ -48,7 +48,7 @@
         outcome: requests.ReleaseOutcome,
         time_s: float,
     ) -> None:
-        """Take up how a request ended."""
+        """Record the outcome of a request."""
         ...
 
 
@@ -59,14 +59,14 @@
     Attributes:
         entry: Name of this entry.
         clock: Source of time.
-        slots: Where slots come from.
-        regions: Chooser of the region.
+        slots: Source of slots.
+        regions: Chooses the region of each attempt.
         upstreams: HTTP client of the instances.
-        outcome_listener: Receiver of how requests ended.
+        outcome_listener: Receives the outcome of each request.
         priorities: Priority of each request class.
-        instances: Instances of the configuration in force, by name.
-        budgets: Budget for repeated work by service.
-        hedger: Sends second copies of calls that take long.
+        instances: Instances of the active configuration, by name.
+        budgets: Retry budget by service; hedges use it too.
+        hedger: Sends hedges for slow calls.
     """
 
     entry: str
@@ -89,10 +89,10 @@
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take the instances from a configuration.
+        """Apply a configuration's instances and request classes.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The configuration that was just activated.
         """
         self.priorities = {
             name: request_class.priority
@@ -107,7 +107,7 @@
     async def forward(
         self, call: request_parsing.Call
     ) -> result.Result[attempts.Exchange, problems.Problem]:
-        """Run a call and return its answer, or why there is none.
+        """Run a call and return its response, or the problem that it met.
 
         Args:
             call: The caller's request.
@@ -123,38 +123,38 @@
             if reported.failure is None or failures.may_have_run(
                 attempt.failure
             ):
-                # An attempt that may have run decides what the caller is
-                # told, whatever became of later ones.
+                # If any attempt may have run, that one determines the
+                # reported outcome, whatever the result of later attempts.
                 reported = attempt
             if attempt.refusal or not failures.may_retry(
                 call, attempt.failure
             ):
                 break
             if (
-                not failures.is_free(attempt.failure)
+                not failures.used_no_capacity(attempt.failure)
                 and not budget.try_spend()
             ):
                 break
             avoid += (attempt.instance,)
         return result.Failure(
-            failures.describe(call, reported.refusal, reported.failure)
+            failures.describe_failure(call, reported.refusal, reported.failure)
         )
 
     async def attempt(
         self, call: request_parsing.Call, number: int, avoid: tuple[str, ...]
     ) -> attempts.Attempt:
-        """Get a slot and send the call once.
+        """Acquire a slot and send the call once.
 
         Args:
             call: The caller's request.
-            number: How many attempts there were before.
+            number: Number of earlier attempts.
             avoid: Instances that failed this call.
         """
-        held = await self.acquire(call, number, avoid)
-        if isinstance(held, result.Failure):
-            return attempts.Attempt(refusal=held.failure())
+        acquired = await self.acquire(call, number, avoid)
+        if isinstance(acquired, result.Failure):
+            return attempts.Attempt(refusal=acquired.failure())
         budget = self.budgets[call.service.name]
-        return await self.hedger.send(call, held.unwrap(), budget)
+        return await self.hedger.send(call, acquired.unwrap(), budget)
 
     async def acquire(
         self,
@@ -163,16 +163,16 @@
         avoid: tuple[str, ...],
         hedged: str = '',
     ) -> result.Result[attempts.HeldSlot, requests.Refusal]:
-        """Get a slot for one attempt.
+        """Acquire a slot for one attempt.
 
         Args:
             call: The caller's request.
-            number: How many attempts there were before.
+            number: Attempt number, unique within the call.
             avoid: Instances that failed this call.
-            hedged: For a second copy, the instance of the first.
+            hedged: For a hedge, the instance of the primary request.
         """
         region = self.regions.choose(call.service.name, call.request_class)
-        wish = requests.SlotRequest(
+        slot_request = requests.SlotRequest(
             f'{call.request_id}.{number}',
             self.entry,
             call.request_class,
@@ -184,45 +184,47 @@
         if region is None:
             reason = requests.RefusalReason.NO_INSTANCE
             return result.Failure(
-                requests.Refusal(wish.request_id, self.entry, reason)
+                requests.Refusal(slot_request.request_id, self.entry, reason)
             )
-        granted = await self.slots.acquire(call.service.name, region, wish)
+        granted = await self.slots.acquire(
+            call.service.name, region, slot_request
+        )
         return granted.map(
             lambda grant: attempts.HeldSlot(
                 region,
                 grant.instance,
-                self._finisher(call, region, grant),
+                self._release_callback(call, region, grant),
             )
         )
 
     async def send(
-        self, call: request_parsing.Call, held: attempts.HeldSlot
+        self, call: request_parsing.Call, slot: attempts.HeldSlot
     ) -> attempts.Attempt:
         """Send the call to the instance of a slot.
 
         Args:
             call: The caller's request.
-            held: The slot; it is given back if there is no answer.
+            slot: The slot; it is released if no response arrives.
         """
-        instance, finish = held.instance, held.finish
+        instance, release = slot.instance, slot.release
         try:
             admitted, throttle = await self.regions.admit(
-                held.region, self.priorities[call.request_class], call.deadline
+                slot.region, self.priorities[call.request_class], call.deadline
             )
         except BaseException:
-            finish(requests.ReleaseOutcome.CANCELLED)
+            release(requests.ReleaseOutcome.CANCELLED)
             raise
         if not admitted:
-            finish(failures.RELEASE_OUTCOMES[client.Failure.NO_SHARE])
+            release(failures.RELEASE_OUTCOMES[client.Failure.NO_SHARE])
             return attempts.Attempt(
                 failure=client.Failure.NO_SHARE, instance=instance
             )
         remaining = call.deadline - self.clock.monotonic()
-        known = self.instances.get(instance)
-        if remaining <= 0 or known is None:
-            # The grant came while this entry was paused, or it is for an
-            # instance that this entry's configuration does not have.
-            finish(requests.ReleaseOutcome.CANCELLED)
+        target = self.instances.get(instance)
+        if remaining <= 0 or target is None:
+            # The deadline passed while this process was suspended, or the
+            # granted instance is missing from the local configuration.
+            release(requests.ReleaseOutcome.CANCELLED)
             return attempts.Attempt(
                 failure=client.Failure.NOT_SENT, instance=instance
             )
@@ -238,14 +240,14 @@
         )
         try:
             sent = await self.upstreams.send(
-                known, request, call.pool.not_run_header
+                target, request, call.pool.not_run_header
             )
         except BaseException:
-            finish(requests.ReleaseOutcome.CANCELLED)
+            release(requests.ReleaseOutcome.CANCELLED)
             raise
         if isinstance(sent, result.Failure):
             failure = sent.failure()
-            finish(failures.RELEASE_OUTCOMES[failure])
+            release(failures.RELEASE_OUTCOMES[failure])
             events.emit(
                 events.Event.UPSTREAM_FAILED,
                 instance=instance,
@@ -254,18 +256,18 @@
             return attempts.Attempt(failure=failure, instance=instance)
         exchange = attempts.Exchange(
             sent.unwrap(),
-            finish,
+            release,
             lambda: call.deadline - self.clock.monotonic(),
         )
         return attempts.Attempt(exchange, instance=instance)
 
-    def _finisher(
+    def _release_callback(
         self, call: request_parsing.Call, region: str, grant: requests.Grant
     ) -> typing.Callable[[requests.ReleaseOutcome], None]:
         started = self.clock.monotonic()
         service = call.service.name
 
-        def finish(outcome: requests.ReleaseOutcome) -> None:
+        def release(outcome: requests.ReleaseOutcome) -> None:
             time_s = self.clock.monotonic() - started
             if outcome is requests.ReleaseOutcome.DONE:
                 self.hedger.observe(call, time_s)
@@ -276,4 +278,4 @@
                 service, region, grant.request_id, outcome, time_s
             )
 
-        return finish
+        return release
--- a/packages/entry/bulrushcourse_entry/callers/hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/hedging.py
@@ -1,4 +1,4 @@
-"""A second copy of a request whose first copy takes long."""
+"""Hedging: a second request is sent if the primary one is slow."""
 
 import asyncio
 import typing
@@ -12,16 +12,17 @@
 from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import request_parsing
 
-# A pool's owner refuses a hedge while the first copy's instance is not slow,
-# which may show only later.
-ASKS = 6
-# The bench lost more than it gained from the 80th percentile, because the
-# budget ran out, and gained less from the 95th.
-QUANTILE = 0.9
+# Slot requests for one hedge. The pool's owner refuses them until it has
+# classified the primary request's instance as slow, which may happen later.
+MAX_SLOT_REQUESTS = 6
+# Percentile of service times after which a hedge is sent. Hedging at the 80th
+# exhausted the retry budget and cost more than it gained; the 95th gained
+# less.
+DELAY_QUANTILE = 0.9
 
 
-class CopySender(typing.Protocol):
-    """Gets slots and sends copies of a call."""
+class RequestSender(typing.Protocol):
+    """Acquires slots and sends requests to instances."""
 
     async def acquire(
         self,
@@ -30,11 +31,11 @@
         avoid: tuple[str, ...],
         hedged: str = '',
     ) -> result.Result[attempts.HeldSlot, requests.Refusal]:
-        """Get a slot for one copy."""
+        """Acquire a slot for one request."""
         ...
 
     async def send(
-        self, call: request_parsing.Call, held: attempts.HeldSlot
+        self, call: request_parsing.Call, slot: attempts.HeldSlot
     ) -> attempts.Attempt:
         """Send the call to the instance of a slot."""
         ...
@@ -42,20 +43,20 @@
 
 @attrs.define(eq=False)
 class Hedger:
-    """Races two copies of idempotent calls and cancels the loser.
+    """Hedges slow idempotent calls and cancels the losing request.
 
     Attributes:
-        sender: Gets slots and sends copies.
-        policies: When to hedge, by service.
-        hedges: Second copies sent so far.
+        sender: Acquires slots and sends requests.
+        policies: Hedging policy by service.
+        hedge_count: Hedges sent so far.
     """
 
-    sender: CopySender
+    sender: RequestSender
     policies: dict[str, hedge_policy.HedgePolicy] = attrs.field(factory=dict)
-    hedges: int = 0
+    hedge_count: int = 0
 
     def observe(self, call: request_parsing.Call, seconds: float) -> None:
-        """Count the service time of a call that was answered.
+        """Record the service time of a call that was answered.
 
         Args:
             call: The call.
@@ -66,103 +67,103 @@
     async def send(
         self,
         call: request_parsing.Call,
-        held: attempts.HeldSlot,
+        slot: attempts.HeldSlot,
         budget: retry_budget.RetryBudget,
     ) -> attempts.Attempt:
-        """Send a call, and a second copy if the first takes long.
+        """Send a call, and a hedge if the primary request is slow.
 
         Args:
             call: The caller's request.
-            held: Slot of the first copy.
-            budget: Budget of the service for extra work.
+            slot: Slot of the primary request.
+            budget: Retry budget of the service, which a hedge is charged to.
         """
         repeatable = call.service.idempotent and call.body_stream is None
         delay_s = self._policy(call).delay_s(call.request_class, repeatable)
         if delay_s is None:
-            return await self.sender.send(call, held)
-        first = asyncio.create_task(self.sender.send(call, held))
-        copies = [first]
+            return await self.sender.send(call, slot)
+        primary = asyncio.create_task(self.sender.send(call, slot))
+        tasks = [primary]
         try:
-            # Most calls end in time, so the second task is made only then.
-            await asyncio.wait((first,), timeout=delay_s)
-            if first.done():
-                return _take(first)
-            second = asyncio.create_task(
-                self._send_second(call, held.instance, budget, delay_s)
+            # Most calls need no hedge, so its task is created only now.
+            await asyncio.wait((primary,), timeout=delay_s)
+            if primary.done():
+                return _select(primary)
+            hedge = asyncio.create_task(
+                self._send_hedge(call, slot.instance, budget, delay_s)
             )
-            copies.append(second)
-            return await _first_answer(first, second)
+            tasks.append(hedge)
+            return await _first_response(primary, hedge)
         finally:
-            for copy in copies:
-                copy.cancel()
-                copy.add_done_callback(_drop_answer)
+            for task in tasks:
+                task.cancel()
+                task.add_done_callback(_close_unselected)
 
-    async def _send_second(
+    async def _send_hedge(
         self,
         call: request_parsing.Call,
         instance: str,
         budget: retry_budget.RetryBudget,
         delay_s: float,
     ) -> attempts.Attempt | None:
-        for number in range(ASKS):
+        for number in range(MAX_SLOT_REQUESTS):
             if number:
                 await asyncio.sleep(delay_s)
             if budget.tokens < 1:
                 return None
-            name = attempts.HEDGE_NUMBER + number
+            attempt_number = attempts.FIRST_HEDGE_NUMBER + number
             granted = await self.sender.acquire(
-                call, name, (instance,), instance
+                call, attempt_number, (instance,), instance
             )
             if isinstance(granted, result.Success):
-                held = granted.unwrap()
+                slot = granted.unwrap()
                 if not budget.try_spend():
-                    held.finish(requests.ReleaseOutcome.CANCELLED)
+                    slot.release(requests.ReleaseOutcome.CANCELLED)
                     return None
-                self.hedges += 1
-                return await self.sender.send(call, held)
+                self.hedge_count += 1
+                return await self.sender.send(call, slot)
         return None
 
     def _policy(self, call: request_parsing.Call) -> hedge_policy.HedgePolicy:
         return self.policies.setdefault(
-            call.service.name, hedge_policy.HedgePolicy(QUANTILE)
+            call.service.name, hedge_policy.HedgePolicy(DELAY_QUANTILE)
         )
 
 
-async def _first_answer(
-    first: asyncio.Task, second: asyncio.Task
+async def _first_response(
+    primary: asyncio.Task, hedge: asyncio.Task
 ) -> attempts.Attempt:
-    """Return the copy that answered first, or how the first copy failed."""
-    await asyncio.wait((first, second), return_when=asyncio.FIRST_COMPLETED)
-    for copy in (first, second):
-        if copy.done() and _answered(copy):
-            return _take(copy)
-    if first.done() and not second.done():
-        # The first copy failed. A second copy is under way only if its slot
-        # was granted; else the retry rules go on at once.
-        second.cancel()
-    await asyncio.wait((first,))
-    return _take(first)
-
-
-def _answered(copy: asyncio.Task) -> bool:
-    if copy.cancelled() or copy.exception() is not None:
+    """Return the first response, or the primary request's failure."""
+    await asyncio.wait((primary, hedge), return_when=asyncio.FIRST_COMPLETED)
+    for task in (primary, hedge):
+        if task.done() and _has_response(task):
+            return _select(task)
+    if primary.done() and not hedge.done():
+        # The primary request failed; the retry rules apply without waiting
+        # for the hedge.
+        hedge.cancel()
+    await asyncio.wait((primary,))
+    return _select(primary)
+
+
+def _has_response(task: asyncio.Task) -> bool:
+    if task.cancelled() or task.exception() is not None:
         return False
-    attempt = copy.result()
+    attempt = task.result()
     return attempt is not None and attempt.exchange is not None
 
 
-def _take(copy: asyncio.Task) -> attempts.Attempt:
-    attempt = copy.result()
-    attempt.taken = True
+def _select(task: asyncio.Task) -> attempts.Attempt:
+    attempt = task.result()
+    attempt.selected = True
     return attempt
 
 
-def _drop_answer(copy: asyncio.Task) -> None:
-    """Close an answer that arrived although its copy lost."""
-    if copy.cancelled() or copy.exception() is not None:
+def _close_unselected(task: asyncio.Task) -> None:
+    """Close a response of the losing request and release its slot."""
+    if task.cancelled() or task.exception() is not None:
         return
-    attempt = copy.result()
-    if attempt is None or attempt.taken or attempt.exchange is None:
+    attempt = task.result()
+    if attempt is None or attempt.selected or attempt.exchange is None:
         return
     attempt.exchange.answer.close()
-    attempt.exchange.finish(requests.ReleaseOutcome.CANCELLED)
+    attempt.exchange.release_slot(requests.ReleaseOutcome.CANCELLED)
--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -24,10 +24,10 @@
 
 
 class Lookups(typing.Protocol):
-    """Answers which entries a caller is to use."""
+    """Resolves client addresses to the entries that they are to use."""
 
     def answer(self, client: str) -> dict[str, typing.Any]:
-        """Return the answer for a client address, ready for JSON."""
+        """Return the answer for a client address as a JSON object."""
         ...
 
 
@@ -37,13 +37,13 @@
 
     Attributes:
         clock: Source of time.
-        configuration: Configuration in force.
+        configuration: Holder of the active configuration.
         forwarder: Runs calls on upstreams.
-        lookups: Answers which entries to use.
+        lookups: Answers look-ups.
         metrics: Receiver of metrics.
         claims: Serves requests that run at most once.
-        in_flight: Requests at work.
-        idle: Set while no request is at work.
+        in_flight: Number of requests in flight.
+        idle: Set while no request is in flight.
         leaving: Whether the entry is shutting down.
     """
 
@@ -74,10 +74,11 @@
         return application
 
     async def look_up(self, request: web.Request) -> web.Response:
-        """Answer which entries to use.
+        """Answer a look-up of the entries that a client is to use.
 
         Args:
-            request: Query ``client`` may give the client's IP address.
+            request: Query ``client`` may give the client's IP address; the
+                default is the address of the connection.
         """
         address = request.query.get('client', request.remote or '')
         answer = self.lookups.answer(address)
@@ -96,7 +97,7 @@
         try:
             response = await self._serve(request)
             if self.leaving:
-                # Callers open their next connection to another entry.
+                # Makes the caller reconnect, to another entry.
                 response.force_close()
             return response
         finally:
@@ -110,7 +111,7 @@
         configuration = self.configuration.current
         name = request.match_info['service']
         if configuration is None or name not in configuration.services:
-            # Callers must not be able to create metrics at will.
+            # A caller must not be able to create any number of metrics.
             return
         class_name = request.headers.get(
             request_parsing.CLASS_HEADER,
@@ -123,17 +124,19 @@
         configuration = self.configuration.current
         if configuration is None:
             problem = problems.not_run(
-                503, 'no-configuration', 'no configuration is in force', 1
+                503, 'no-configuration', 'no configuration is active', 1
             )
-            return claims_listener.refusal(problem, request).response()
-        read = await request_parsing.read_call(
+            return claims_listener.refusal_problem(problem, request).response()
+        parsed = await request_parsing.parse_call(
             request, configuration, self.clock
         )
-        if isinstance(read, result.Failure):
-            problem = claims_listener.refusal(read.failure(), request)
+        if isinstance(parsed, result.Failure):
+            problem = claims_listener.refusal_problem(
+                parsed.failure(), request
+            )
             return problem.response()
-        call = read.unwrap()
-        if not claims_listener.may_repeat(call):
+        call = parsed.unwrap()
+        if not claims_listener.is_repeatable(call):
             response = await self.claims.serve(call)
             outcome = response.headers[problems.OUTCOME_HEADER]
             self.metrics.incr(f'outcome.{outcome}')
@@ -150,28 +153,28 @@
 async def relay(
     request: web.Request, exchange: attempts.Exchange
 ) -> web.StreamResponse:
-    """Pass an answer on to the caller.
+    """Relay a response to the caller.
 
-    An answer that the instance cuts off, or that does not end by the
-    deadline, aborts the caller's connection, so that a part never looks
-    whole.
+    If the instance truncates the response, or it does not end by the
+    deadline, the caller's connection is aborted, so that a partial response
+    is never taken for a complete one.
 
     Args:
         request: The caller's request.
-        exchange: The answer under way.
+        exchange: The response that is being received.
     """
     answer = exchange.answer
-    ending = requests.ReleaseOutcome.CANCELLED
+    outcome = requests.ReleaseOutcome.CANCELLED
     try:
-        # A header may come more than once, such as Set-Cookie.
+        # A multidict, since headers such as Set-Cookie may be repeated.
         headers = multidict.CIMultiDict(
             (name, value)
             for name, value in answer.headers.items()
-            if name.lower() not in request_parsing.HOP_HEADERS
+            if name.lower() not in request_parsing.HOP_BY_HOP_HEADERS
         )
         headers[problems.OUTCOME_HEADER] = problems.Outcome.DONE.value
-        if answer.whole:
-            ending = requests.ReleaseOutcome.DONE
+        if answer.complete:
+            outcome = requests.ReleaseOutcome.DONE
             return web.Response(
                 status=answer.status, headers=headers, body=answer.prefix
             )
@@ -183,18 +186,19 @@
             async for chunk in answer.chunks():
                 await response.write(chunk)
             await response.write_eof()
-        ending = requests.ReleaseOutcome.DONE
+        outcome = requests.ReleaseOutcome.DONE
         return response
     except aiohttp.ClientConnectionResetError:
-        # The caller left. That is no sign of a request that ends instances.
+        # The caller disconnected, so the outcome stays CANCELLED: a LOST one
+        # would count as evidence of a crash-inducing request.
         raise
     except (aiohttp.ClientError, TimeoutError) as error:
         if not isinstance(error, TimeoutError):
-            ending = requests.ReleaseOutcome.LOST
+            outcome = requests.ReleaseOutcome.LOST
         if request.transport is not None:
             request.transport.abort()
         raise
     finally:
-        if ending is not requests.ReleaseOutcome.DONE:
+        if outcome is not requests.ReleaseOutcome.DONE:
             answer.close()
-        exchange.finish(ending)
+        exchange.release_slot(outcome)
--- a/packages/entry/bulrushcourse_entry/callers/problems.py
+++ b/packages/entry/bulrushcourse_entry/callers/problems.py
@@ -1,4 +1,4 @@
-"""Answers that say what went wrong, as problem details in JSON."""
+"""Error responses as JSON problem details (RFC 9457)."""
 
 import enum
 import json
@@ -10,7 +10,7 @@
 
 
 class Outcome(enum.Enum):
-    """What a caller is told of its request."""
+    """Outcome of a request as reported to its caller."""
 
     DONE = 'done'
     NOT_RUN = 'not-run'
@@ -19,14 +19,14 @@
 
 @attrs.frozen
 class Problem:
-    """A request that was not answered by an upstream.
+    """Error response to a request that no upstream answered.
 
     Attributes:
         status: HTTP status.
         code: Stable identifier of the problem.
-        detail: What went wrong.
-        outcome: What is known of the request.
-        retry_after_s: When to try again, 0 for never.
+        detail: Description for people.
+        outcome: Whether the request ran, as far as is known.
+        retry_after_s: Retry-After delay, 0 to omit the header.
     """
 
     status: int
@@ -58,13 +58,13 @@
 def not_run(
     status: int, code: str, detail: str, retry_after_s: int = 0
 ) -> Problem:
-    """Return a problem whose request did not run.
+    """Return a problem for a request that did not run.
 
     Args:
         status: HTTP status.
         code: Stable identifier of the problem.
-        detail: What went wrong.
-        retry_after_s: When to try again, 0 for never.
+        detail: Description for people.
+        retry_after_s: Retry-After delay, 0 to omit the header.
 
     Examples:
         >>> not_run(404, 'no-service', 'no such service').outcome.value
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
@@ -1,4 +1,4 @@
-"""Outcomes of calls that were tried more than once."""
+"""Reported outcomes of calls that were retried."""
 
 import asyncio
 
@@ -20,7 +20,7 @@
 
 
 class Script:
-    """Slots and upstreams that fail as a list says."""
+    """Stand-in for slots, regions and upstreams; fails in a given order."""
 
     def __init__(self, steps):
         self.steps = list(steps)
@@ -62,8 +62,8 @@
         ([SHED, LOST, NOT_SENT], problems.Outcome.UNKNOWN),
     ],
 )
-def test_not_run_is_said_of_all_attempts(steps, outcome):
-    """Guards P4: the last attempt says nothing of the ones before it."""
+def test_not_run_is_reported_only_if_no_attempt_may_have_run(steps, outcome):
+    """Guards P4: the last attempt proves nothing about earlier ones."""
     script = Script(steps)
     forwarder = forwarding.Forwarder(
         'e', clocks.ManualClock(), script, script, script, script
@@ -71,7 +71,7 @@
     instance = objects.Instance('i', 'p', '127.0.0.1:1')
     forwarder.instances = {'i': instance}
     forwarder.priorities = {'short': 1}
-    # Saved retries, so that every step of the script is reached.
+    # Enough retry tokens to reach every step of the script.
     forwarder.budgets['s'].tokens = len(steps)
     forwarder.priorities = {'short': 1}
     service = objects.Service('s', 'pool', 'short', idempotent=True)
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
@@ -27,34 +27,34 @@
 
 @attrs.define(eq=False)
 class Sender:
-    """Copies that answer, fail or wait as their instance says."""
+    """Requests that are answered, fail or hang, by the instance's name."""
 
-    endings: list = attrs.field(factory=list)
+    outcomes: list = attrs.field(factory=list)
     sent: list = attrs.field(factory=list)
-    release: asyncio.Event = attrs.field(factory=asyncio.Event)
+    resume: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def acquire(self, call, number, avoid, hedged=''):
         assert avoid == (hedged,)
-        return result.Success(self.hold('second'))
+        return result.Success(self.grant('second'))
 
-    def hold(self, instance):
-        def finish(outcome):
-            self.endings.append((instance, outcome))
+    def grant(self, instance):
+        def release(outcome):
+            self.outcomes.append((instance, outcome))
 
-        return attempts.HeldSlot('r', instance, finish)
+        return attempts.HeldSlot('r', instance, release)
 
-    async def send(self, call, held):
-        self.sent.append(held.instance)
+    async def send(self, call, slot):
+        self.sent.append(slot.instance)
         try:
-            if held.instance == 'hangs':
-                await self.release.wait()
+            if slot.instance == 'hangs':
+                await self.resume.wait()
         except asyncio.CancelledError:
-            held.finish(CANCELLED)
+            slot.release(CANCELLED)
             raise
-        if held.instance == 'fails':
+        if slot.instance == 'fails':
             return attempts.Attempt(failure=client.Failure.LOST)
-        answer = attempts.Exchange(Answer(), held.finish, lambda: 1.0)
-        return attempts.Attempt(answer, instance=held.instance)
+        exchange = attempts.Exchange(Answer(), slot.release, lambda: 1.0)
+        return attempts.Attempt(exchange, instance=slot.instance)
 
 
 def make_call(idempotent=True):
@@ -65,7 +65,7 @@
     )
 
 
-def race(instance, call, saved=5.0):
+def race(instance, call, tokens=5.0):
     async def run():
         sender = Sender()
         hedger = hedging.Hedger(sender)
@@ -73,12 +73,12 @@
         for _ in range(hedge_policy.MIN_SAMPLES):
             policy.observe('short', 0.001)
         hedger.policies['s'] = policy
-        budget = retry_budget.RetryBudget(tokens=saved)
+        budget = retry_budget.RetryBudget(tokens=tokens)
         sending = asyncio.create_task(
-            hedger.send(call, sender.hold(instance), budget)
+            hedger.send(call, sender.grant(instance), budget)
         )
         await asyncio.wait({sending}, timeout=0.5)
-        sender.release.set()
+        sender.resume.set()
         attempt = await sending
         for _ in range(3):
             await asyncio.sleep(0)
@@ -87,15 +87,15 @@
     return asyncio.run(run())
 
 
-def test_second_copy_answers_for_a_first_one_that_hangs():
+def test_hedge_answers_for_a_primary_request_that_hangs():
     sender, attempt = race('hangs', make_call())
     assert attempt.instance == 'second'
     assert not attempt.exchange.answer.closed
-    assert sender.endings == [('hangs', CANCELLED)]
+    assert sender.outcomes == [('hangs', CANCELLED)]
 
 
 @pytest.mark.parametrize(
-    ('instance', 'call', 'saved'),
+    ('instance', 'call', 'tokens'),
     [
         ('answers', make_call(), 5.0),
         ('hangs', make_call(idempotent=False), 5.0),
@@ -103,7 +103,7 @@
         ('fails', make_call(), 5.0),
     ],
 )
-def test_no_second_copy_without_cause_right_or_budget(instance, call, saved):
-    sender, attempt = race(instance, call, saved)
+def test_no_hedge_if_fast_unsafe_failed_or_over_budget(instance, call, tokens):
+    sender, attempt = race(instance, call, tokens)
     assert sender.sent == [instance]
     assert (attempt.failure is None) == (instance != 'fails')
--- a/packages/entry/bulrushcourse_entry/claims/__init__.py
+++ b/packages/entry/bulrushcourse_entry/claims/__init__.py
@@ -1,1 +1,1 @@
-"""Requests that must not be repeated: claims, issued keys and outcomes."""
+"""At-most-once execution: claims, issued keys and recorded outcomes."""
--- a/packages/entry/bulrushcourse_entry/claims/assembly.py
+++ b/packages/entry/bulrushcourse_entry/claims/assembly.py
@@ -1,4 +1,4 @@
-"""How the parts that run requests at most once fit together."""
+"""Construction of the components that run requests at most once."""
 
 import asyncio
 import random
@@ -28,45 +28,50 @@
 
 @attrs.define(eq=False)
 class ClaimsParts:
-    """The parts of one entry that run requests at most once.
+    """Components of one entry that run requests at most once.
 
     Attributes:
-        gateway: Serves requests with a key.
-        forwarded: Answers other entries about keys issued here.
-        issuers: Asks other entries about their keys.
-        sweep: Deletes rows of stopped processes.
+        gateway: Serves requests with an idempotency key.
+        forwarded_keys: Serves requests that other entries forward because
+            their keys were issued here.
+        issuers: Forwards requests to the entries that issued their keys.
+        sweep: Deletes the rows of stopped processes.
     """
 
     gateway: claim_gateway.Gateway
-    forwarded: exchanges.ForwardedKeys
+    forwarded_keys: exchanges.ForwardedKeys
     issuers: exchanges.PeerIssuers
     sweep: claim_sweep.Sweep
 
     def configure(
         self, configuration: configuration_set.ConfigurationSet
     ) -> None:
-        """Take the number of entries from a configuration.
+        """Apply the number of entries of a configuration.
 
         Args:
-            configuration: The configuration that is now in force.
+            configuration: The configuration that was just activated.
         """
         entries = len(configuration.objects.entries)
-        self.gateway.rows.writer.set_entries(entries)
+        self.gateway.rows.writer.set_entry_count(entries)
 
     def start(self) -> tuple[asyncio.Task, ...]:
-        """Follow the peers and return the tasks that run until cancelled."""
+        """Subscribe to peer messages and start the background tasks.
+
+        Returns:
+            The tasks, which run until they are cancelled.
+        """
         self.issuers.start()
-        self.forwarded.start()
+        self.forwarded_keys.start()
         return (
             asyncio.create_task(self.gateway.rows.writer.run()),
-            asyncio.create_task(self.gateway.free.cleanup.run()),
+            asyncio.create_task(self.gateway.free_form.cleanup.run()),
             asyncio.create_task(self.sweep.run()),
         )
 
     async def drain(self) -> None:
-        """Wait until all runs are over, recorded and answered."""
+        """Wait until all runs have ended and are recorded and answered."""
         await self.gateway.drain()
-        while tasks := self.forwarded.tasks:
+        while tasks := self.forwarded_keys.tasks:
             await asyncio.wait(tasks)
 
     def dump(self) -> dict[str, typing.Any]:
@@ -82,15 +87,15 @@
     forwarder: forwarding.Forwarder,
     configuration: active_configuration.ActiveConfiguration,
 ) -> ClaimsParts:
-    """Return the parts, not yet started.
+    """Return the components, not yet started.
 
     Args:
-        hub: Streams to peers, and who this entry is.
+        hub: Streams to peers, and the identity of this entry.
         clock: Source of time.
         table: The platform's table service.
         objects: The platform's object store.
-        forwarder: Asks for slots and sends requests.
-        configuration: Configuration in force.
+        forwarder: Acquires slots and sends requests.
+        configuration: Holder of the active configuration.
     """
     rows = claim_rows.ClaimRows(
         table, objects, claim_writer.BatchWriter(table, clock)
@@ -100,13 +105,13 @@
     free = free_form.FreeFormRuns(
         rows, dispatcher, clock, cleanup, lambda: uuid.uuid4().hex
     )
-    who = hub.identity
+    identity = hub.identity
     keys = issued_keys.IssuedKeys(
-        who.entry, who.incarnation, who.secret, clock
+        identity.entry, identity.incarnation, identity.secret, clock
     )
-    own = issued_runs.IssuedRuns(keys, rows, dispatcher, clock, cleanup)
+    issued = issued_runs.IssuedRuns(keys, rows, dispatcher, clock, cleanup)
     issuers = exchanges.PeerIssuers(hub, clock)
-    gateway = claim_gateway.Gateway(free, own, issuers, rows)
+    gateway = claim_gateway.Gateway(free, issued, issuers, rows)
     forwarded = exchanges.ForwardedKeys(hub, gateway, configuration, clock)
     sweep = claim_sweep.Sweep(rows, table, clock, random.Random())
     return ClaimsParts(gateway, forwarded, issuers, sweep)
--- a/packages/entry/bulrushcourse_entry/claims/cleanup.py
+++ b/packages/entry/bulrushcourse_entry/claims/cleanup.py
@@ -10,31 +10,32 @@
 from bulrushcourse_domain.claims import claim as claims
 from bulrushcourse_entry.claims import rows as claim_rows
 
-# Per entry. Deletes share the write budget and come after all other writes.
-ROWS_PER_S = 10
-MAX_ROWS = 50_000
+# Per entry. Deletes count against the write budget, with the lowest priority.
+DELETES_PER_S = 10
+MAX_PENDING_ROWS = 50_000
 
 
 @attrs.define(eq=False)
 class Cleanup:
-    """Deletes the rows of this process's finished claims after retention.
+    """Deletes rows of claims finished by this process once they expire.
 
     Attributes:
         rows: Claims in the table.
         clock: Source of time.
-        waiting: Expiry in wall-clock seconds and key, oldest first.
-        left_over: Rows that were not noted because too many wait.
+        pending: Expiry in wall-clock seconds and key, oldest first.
+        dropped: Rows not scheduled because the queue was full; ``Sweep``
+            deletes them.
     """
 
     rows: claim_rows.ClaimRows
     clock: clocks.Clock
-    waiting: collections.deque[tuple[float, str]] = attrs.field(
+    pending: collections.deque[tuple[float, str]] = attrs.field(
         factory=collections.deque
     )
-    left_over: int = 0
+    dropped: int = 0
 
     def add(self, key: str, claim: claims.Claim) -> None:
-        """Note a row that is to be deleted when it has expired.
+        """Schedule a row for deletion at its expiry.
 
         Args:
             key: Key of the row.
@@ -42,28 +43,28 @@
         """
         if claim.state is claims.ClaimState.CLAIMED:
             return
-        if len(self.waiting) >= MAX_ROWS:
-            self.left_over += 1
+        if len(self.pending) >= MAX_PENDING_ROWS:
+            self.dropped += 1
             return
-        self.waiting.append((claim.expires_at(), key))
+        self.pending.append((claim.expires_at(), key))
 
     async def run(self) -> None:
         """Delete expired rows until cancelled."""
         while True:
-            await asyncio.sleep(1 / ROWS_PER_S)
+            await asyncio.sleep(1 / DELETES_PER_S)
             now = self.clock.wall().timestamp()
-            if self.waiting and self.waiting[0][0] <= now:
-                await self._delete(self.waiting.popleft()[1], now)
+            if self.pending and self.pending[0][0] <= now:
+                await self._delete(self.pending.popleft()[1], now)
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the number of noted rows for a state dump."""
-        return {'waiting': len(self.waiting), 'left_over': self.left_over}
+        """Return counts of scheduled and dropped rows for a state dump."""
+        return {'waiting': len(self.pending), 'left_over': self.dropped}
 
     async def _delete(self, key: str, now: float) -> None:
         try:
             found = await self.rows.read(key)
         except claim_rows.RowUnreadable:
-            self.waiting.append((now + 1.0, key))
+            self.pending.append((now + 1.0, key))
             return
         if found is not None and found.claim.expires_at() <= now:
             await self.rows.delete(key, found)
--- a/packages/entry/bulrushcourse_entry/claims/dispatch.py
+++ b/packages/entry/bulrushcourse_entry/claims/dispatch.py
@@ -1,4 +1,4 @@
-"""Running a claimed request on an upstream instance."""
+"""Dispatching of claimed requests to upstream instances."""
 
 import asyncio
 import typing
@@ -19,8 +19,10 @@
         service: Name of the service.
         key: Idempotency key.
         digest: Digest of the request.
-        deadline: Clock seconds by which the answer must be there.
-        call: The request as the dispatcher needs it.
+        deadline: Monotonic clock seconds by which the response must be
+            complete.
+        call: The request in the form that the dispatcher expects, ``None``
+            if only its outcome is requested.
     """
 
     service: str
@@ -37,48 +39,48 @@
 
 @attrs.frozen
 class Dispatched:
-    """How a dispatch ended.
+    """Result of a dispatch.
 
     Attributes:
-        fact: What is known.
-        answer: The whole answer, only with ``ANSWERED``.
+        fact: What the exchange with the instance proves.
+        answer: The complete response, only with ``ANSWERED``.
     """
 
     fact: outcomes.UpstreamFact
     answer: outcomes.Answer | None = None
 
 
-class Hold(typing.Protocol):
-    """A slot at an instance, held for one request."""
+class DispatchSlot(typing.Protocol):
+    """A slot at an instance, granted to one request."""
 
     instance: str
 
     async def dispatch(self) -> Dispatched:
-        """Send the request, read the whole answer, give the slot back."""
+        """Send the request, read the whole response, release the slot."""
         ...
 
     def release(self) -> None:
-        """Give the slot back without a dispatch."""
+        """Release the slot without a dispatch."""
         ...
 
 
 class Dispatcher(typing.Protocol):
-    """Gets slots for requests."""
+    """Acquires slots for requests."""
 
     async def acquire(
         self, request: KeyedRequest, number: int, avoid: tuple[str, ...]
-    ) -> Hold | None:
-        """Return a slot, ``None`` if there is none in time."""
+    ) -> DispatchSlot | None:
+        """Return a slot, ``None`` if none is granted in time."""
         ...
 
 
 @attrs.define(eq=False)
 class Run:
-    """A run under way in this process.
+    """A run in progress in this process.
 
     Attributes:
         digest: Digest of the request.
-        reply: What its callers are told, once that is known.
+        reply: Future of the reply to its callers.
     """
 
     digest: str
@@ -86,22 +88,22 @@
         factory=lambda: asyncio.get_running_loop().create_future()
     )
 
-    def tell(self, reply: outcomes.Reply) -> None:
-        """Tell the callers, unless they were told before.
+    def resolve(self, reply: outcomes.Reply) -> None:
+        """Set the reply to the callers; only the first call has an effect.
 
         Args:
-            reply: What they are told.
+            reply: The reply.
         """
         if not self.reply.done():
             self.reply.set_result(reply)
 
     async def wait(self, seconds: float) -> outcomes.Reply:
-        """Return what to tell a caller that waits for the run.
+        """Wait for the run and return its reply, or that it is in progress.
 
-        The run goes on if the caller leaves.
+        The run continues if the caller disconnects.
 
         Args:
-            seconds: Longest time to wait.
+            seconds: Maximum time to wait.
         """
         await asyncio.wait((self.reply,), timeout=max(seconds, 0.0))
         if self.reply.done():
@@ -109,33 +111,33 @@
         return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'under-way')
 
 
-async def dispatch_held(
+async def dispatch_with_retries(
     dispatcher: Dispatcher,
     clock: clocks.Clock,
     request: KeyedRequest,
-    hold: Hold,
+    slot: DispatchSlot,
 ) -> Dispatched:
-    """Dispatch until an attempt may have run or no time is left.
+    """Dispatch until an attempt may have run or the deadline has passed.
 
     Args:
-        dispatcher: Where further slots come from.
+        dispatcher: Acquires the slots of further attempts.
         clock: Source of time.
-        request: The request, whose key the caller has claimed.
-        hold: The first slot.
+        request: The request, whose key this process has claimed.
+        slot: Slot of the first attempt.
     """
     avoid: tuple[str, ...] = ()
     for number in range(1, MAX_DISPATCHES + 1):
         if clock.monotonic() >= request.deadline:
-            hold.release()
+            slot.release()
             return Dispatched(outcomes.UpstreamFact.NO_BYTE_SENT)
-        dispatched = await hold.dispatch()
+        dispatched = await slot.dispatch()
         if not outcomes.may_dispatch_again(dispatched.fact):
             return dispatched
         if number == MAX_DISPATCHES:
             return dispatched
-        avoid += (hold.instance,)
-        following = await dispatcher.acquire(request, number, avoid)
-        if following is None:
+        avoid += (slot.instance,)
+        next_slot = await dispatcher.acquire(request, number, avoid)
+        if next_slot is None:
             return dispatched
-        hold = following
+        slot = next_slot
     raise AssertionError('unreachable')
--- a/packages/entry/bulrushcourse_entry/claims/exchanges.py
+++ b/packages/entry/bulrushcourse_entry/claims/exchanges.py
@@ -1,4 +1,4 @@
-"""Forwarding of issued keys to their issuers over peer streams."""
+"""Forwarding of requests to the issuers of their keys over peer streams."""
 
 import asyncio
 import typing
@@ -16,26 +16,26 @@
 from bulrushcourse_entry.peers import hub as peer_hub
 from bulrushcourse_wire import key_messages
 
-# Larger bodies would hold up the heartbeats on the stream.
+# Larger bodies would delay the heartbeats on the same stream.
 MAX_FORWARDED_BYTES = 2 << 20
 
 
 @attrs.define(eq=False)
 class PeerIssuers:
-    """Asks the issuers of keys over peer streams.
+    """Forwards requests to the issuers of their keys over peer streams.
 
     Attributes:
         hub: Streams to peers.
         clock: Source of time.
-        waiting: Peer and future by exchange.
+        pending: Peer and future of the reply, by exchange identifier.
     """
 
     hub: peer_hub.PeerHub
     clock: clocks.Clock
-    waiting: dict[str, tuple[str, asyncio.Future]] = attrs.field(factory=dict)
+    pending: dict[str, tuple[str, asyncio.Future]] = attrs.field(factory=dict)
 
     def start(self) -> None:
-        """Follow the messages of peers."""
+        """Subscribe to the messages of peers."""
         self.hub.received.subscribe(self._on_message)
         self.hub.changes.subscribe(self._on_change)
 
@@ -45,59 +45,59 @@
         request: dispatch.KeyedRequest,
         ask_only: bool,
     ) -> outcomes.Reply | None:
-        """Return what the issuer says, ``None`` if it cannot be asked.
+        """Return the issuer's reply, ``None`` if it is unreachable.
 
         Args:
             key: The key.
             request: The request with the key.
-            ask_only: Whether only the outcome is asked for.
+            ask_only: Whether to request only the outcome, without a run.
         """
         stream = self.hub.streams.get(key.entry)
         if stream is None or stream.hello.incarnation != key.incarnation:
             return None
-        left = request.deadline - self.clock.monotonic()
+        remaining_s = request.deadline - self.clock.monotonic()
         exchange = uuid.uuid4().hex
-        message = _forward(exchange, request, ask_only, left)
+        message = _encode_forward(exchange, request, ask_only, remaining_s)
         if len(message.body) > MAX_FORWARDED_BYTES:
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'body-too-large')
         future = asyncio.get_running_loop().create_future()
-        self.waiting[exchange] = (key.entry, future)
+        self.pending[exchange] = (key.entry, future)
         try:
             if not self.hub.send(key.entry, message):
                 return None
-            async with asyncio.timeout(left):
+            async with asyncio.timeout(remaining_s):
                 return await future
         except TimeoutError:
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'under-way')
         finally:
-            del self.waiting[exchange]
+            del self.pending[exchange]
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         answer = received.message
         if not isinstance(answer, key_messages.KeyAnswer):
             return
-        peer, future = self.waiting.get(answer.exchange, ('', None))
+        peer, future = self.pending.get(answer.exchange, ('', None))
         if peer == received.peer and not future.done():
-            future.set_result(_read_answer(answer))
+            future.set_result(_decode_answer(answer))
 
     def _on_change(self, change: peer_hub.PeerConnectionChange) -> None:
         if change.connected:
             return
-        for peer, future in self.waiting.values():
+        for peer, future in self.pending.values():
             if peer == change.peer and not future.done():
                 future.set_result(None)
 
 
 @attrs.define(eq=False)
 class ForwardedKeys:
-    """Answers the exchanges of other entries about keys issued here.
+    """Serves requests that peers forward because their keys are from here.
 
     Attributes:
         hub: Streams to peers.
         gateway: Runs requests.
-        configuration: Configuration in force.
+        configuration: Holder of the active configuration.
         clock: Source of time.
-        tasks: Exchanges under way.
+        tasks: Exchanges in progress.
     """
 
     hub: peer_hub.PeerHub
@@ -107,28 +107,28 @@
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     def start(self) -> None:
-        """Follow the messages of peers."""
+        """Subscribe to the messages of peers."""
         self.hub.received.subscribe(self._on_message)
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         if isinstance(received.message, key_messages.KeyForward):
             task = asyncio.create_task(
-                self._answer(received.peer, received.message)
+                self._serve_forward(received.peer, received.message)
             )
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def _answer(
+    async def _serve_forward(
         self, peer: str, message: key_messages.KeyForward
     ) -> None:
-        request = self._request(message)
+        request = self._decode_request(message)
         if request is None:
             reply = outcomes.Reply(outcomes.Outcome.UNKNOWN, 'no-service')
         else:
             reply = await self.gateway.serve_own(request, message.ask_only)
-        self.hub.send(peer, _answer(message.exchange, reply))
+        self.hub.send(peer, _encode_answer(message.exchange, reply))
 
-    def _request(
+    def _decode_request(
         self, message: key_messages.KeyForward
     ) -> dispatch.KeyedRequest | None:
         current = self.configuration.current
@@ -157,11 +157,11 @@
         )
 
 
-def _forward(
+def _encode_forward(
     exchange: str,
     request: dispatch.KeyedRequest,
     ask_only: bool,
-    left: float,
+    remaining_s: float,
 ) -> key_messages.KeyForward:
     call: typing.Any = None if ask_only else request.call
     return key_messages.KeyForward(
@@ -170,7 +170,7 @@
         key=request.key,
         digest=request.digest,
         ask_only=ask_only,
-        remaining_ms=max(int(left * 1000), 1),
+        remaining_ms=max(int(remaining_s * 1000), 1),
         request_class=call.request_class if call else '',
         method=call.method if call else '',
         path=call.path if call else '',
@@ -179,7 +179,9 @@
     )
 
 
-def _answer(exchange: str, reply: outcomes.Reply) -> key_messages.KeyAnswer:
+def _encode_answer(
+    exchange: str, reply: outcomes.Reply
+) -> key_messages.KeyAnswer:
     answer = reply.answer
     if answer is None:
         return key_messages.KeyAnswer(
@@ -197,7 +199,7 @@
     )
 
 
-def _read_answer(message: key_messages.KeyAnswer) -> outcomes.Reply:
+def _decode_answer(message: key_messages.KeyAnswer) -> outcomes.Reply:
     outcome = outcomes.Outcome(message.outcome)
     if outcome is not outcomes.Outcome.DONE:
         return outcomes.Reply(outcome, message.reason)
--- a/packages/entry/bulrushcourse_entry/claims/free_form.py
+++ b/packages/entry/bulrushcourse_entry/claims/free_form.py
@@ -1,4 +1,4 @@
-"""Running requests whose key the caller made up."""
+"""Runs of requests with free-form keys, which callers generate."""
 
 import asyncio
 import contextlib
@@ -13,41 +13,42 @@
 from bulrushcourse_entry.claims import dispatch
 from bulrushcourse_entry.claims import rows as claim_rows
 
-STORE_RETRY_S = 0.2
+INITIAL_STORE_RETRY_S = 0.2
 MAX_STORE_RETRY_S = 2.0
-ROW_POLL_S = 0.1
+INITIAL_ROW_POLL_S = 0.1
 MAX_ROW_POLL_S = 0.8
 
-# A slot is held while the claim is written. Without this limit, free-form
-# orders in a store outage would take the slots from orders with issued keys.
-CLAIM_LIMIT_S = 2.0
+# A slot is held while the claim is written. Without this timeout, requests
+# with free-form keys would occupy the slots during a store outage, and those
+# with issued keys, which need no store, would get none.
+CLAIM_TIMEOUT_S = 2.0
 
-# Four round trips between the farthest regions (110 ms each). A claim whose
-# answer is lost is then looked for while there is still time to run.
-CLAIM_WRITE_S = 0.5
+# Four round trips between the farthest regions (110 ms each). If the response
+# to the write is lost, the row is then read while there is time left to run.
+CLAIM_WRITE_TIMEOUT_S = 0.5
 
-# A refusal is often decided at the deadline itself and is told only after its
+# A refusal is often decided at the deadline itself and reported only when its
 # row is durable, which takes one round trip to the store.
 REFUSAL_GRACE_S = 0.5
 
-# Each run holds its answer until it is recorded.
+# Bounds memory: each run keeps its response until it is recorded.
 MAX_RUNS = 5_000
 
-# Recording goes on through a store outage of a few minutes.
-RECORD_LIMIT_S = 300.0
+# Long enough to record outcomes after a store outage of a few minutes.
+RECORD_TIMEOUT_S = 300.0
 
 
 @attrs.define(eq=False)
 class FreeFormRuns:
-    """Runs under way in this process whose keys are claimed in the table.
+    """Runs requests whose keys this process claims in the table.
 
     Attributes:
         rows: Claims in the table.
-        dispatcher: Gets slots and sends requests.
+        dispatcher: Acquires slots and sends requests.
         clock: Source of time.
         cleanup: Deletes expired rows.
-        make_attempt: Returns an identifier that no other attempt has.
-        runs: Runs under way by service and key.
+        make_attempt: Returns a unique attempt identifier.
+        runs: Runs in progress by service and key.
         tasks: Tasks of the runs.
     """
 
@@ -60,32 +61,33 @@
     tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
-        """Run a request, or join its run, and return what to tell.
+        """Run a request, or join its run in progress, and return the reply.
 
         Args:
             request: The request.
         """
         run = self.runs.get(request.identity)
         if run is None:
-            obstacle = self._obstacle(request)
-            if obstacle:
-                return outcomes.Reply(outcomes.Outcome.UNKNOWN, obstacle)
+            rejection = self._rejection_reason(request)
+            if rejection:
+                return outcomes.Reply(outcomes.Outcome.UNKNOWN, rejection)
             run = self._start(request)
         elif run.digest != request.digest:
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'other-request')
-        left = request.deadline - self.clock.monotonic()
-        return await run.wait(left + REFUSAL_GRACE_S)
+        remaining_s = request.deadline - self.clock.monotonic()
+        return await run.wait(remaining_s + REFUSAL_GRACE_S)
 
-    def _obstacle(self, request: dispatch.KeyedRequest) -> str:
+    def _rejection_reason(self, request: dispatch.KeyedRequest) -> str:
         """Return why no claim can be written in time, empty if it can.
 
-        Nothing is claimed then, and a refusal would need a write as well.
+        The reported outcome is then ``unknown``: reporting ``not-run`` would
+        need a write as well.
         """
         if not self.rows.reachable:
             return 'store'
-        left = request.deadline - self.clock.monotonic()
+        remaining_s = request.deadline - self.clock.monotonic()
         backlog_s = self.rows.writer.backlog_s()
-        if len(self.tasks) >= MAX_RUNS or backlog_s >= left:
+        if len(self.tasks) >= MAX_RUNS or backlog_s >= remaining_s:
             return 'overloaded'
         return ''
 
@@ -101,42 +103,43 @@
         self, request: dispatch.KeyedRequest, run: dispatch.Run
     ) -> None:
         try:
-            await self._settle(request, run)
+            await self._execute(request, run)
         finally:
-            run.tell(outcomes.Reply(outcomes.Outcome.UNKNOWN, 'lost'))
+            run.resolve(outcomes.Reply(outcomes.Outcome.UNKNOWN, 'lost'))
             del self.runs[request.identity]
 
-    async def _settle(
+    async def _execute(
         self, request: dispatch.KeyedRequest, run: dispatch.Run
     ) -> None:
         attempt = self.make_attempt()
-        hold = await self.dispatcher.acquire(request, 0, ())
-        if hold is None:
-            run.tell(await self.refuse(request, attempt, claimed=False))
+        slot = await self.dispatcher.acquire(request, 0, ())
+        if slot is None:
+            run.resolve(await self.refuse(request, attempt, claimed=False))
             return
         claimed, row = False, None
         try:
-            async with asyncio.timeout(CLAIM_LIMIT_S):
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
                 claimed, row = await self.claim(request, attempt)
         except TimeoutError:
-            # The claim may still be written; only a refusal can follow.
+            # The claim may still be written later, so the request is not
+            # dispatched; a refusal must be recorded.
             pass
         except BaseException:
-            hold.release()
+            slot.release()
             raise
         if not claimed:
-            hold.release()
+            slot.release()
             if row is None:
-                run.tell(await self.refuse(request, attempt, claimed=True))
+                run.resolve(await self.refuse(request, attempt, claimed=True))
             else:
-                run.tell(await self.follow(request, row))
+                run.resolve(await self.await_outcome(request, row))
             return
-        dispatched = await dispatch.dispatch_held(
-            self.dispatcher, self.clock, request, hold
+        dispatched = await dispatch.dispatch_with_retries(
+            self.dispatcher, self.clock, request, slot
         )
-        await self._report(request, attempt, run, dispatched)
+        await self._finish(request, attempt, run, dispatched)
 
-    async def _report(
+    async def _finish(
         self,
         request: dispatch.KeyedRequest,
         attempt: str,
@@ -145,12 +148,12 @@
     ) -> None:
         outcome = outcomes.attempt_outcome(dispatched.fact)
         if outcome is outcomes.Outcome.NOT_RUN:
-            run.tell(await self.refuse(request, attempt, claimed=True))
+            run.resolve(await self.refuse(request, attempt, claimed=True))
             return
         reply = outcomes.Reply(outcome, answer=dispatched.answer)
         if outcome is outcomes.Outcome.UNKNOWN:
             reply = outcomes.Reply(outcome, dispatched.fact.value)
-        run.tell(reply)
+        run.resolve(reply)
         await self._record(
             request, attempt, outcome, dispatched.answer, urgent=False
         )
@@ -160,24 +163,26 @@
     ) -> tuple[bool, claims.Claim | None]:
         """Claim the key and return whether the attempt may dispatch.
 
-        An absent row proves nothing after a lost answer, since the write may
-        still be under way; the same insert is sent again instead.
+        If the response to the insert is lost, an absent row proves nothing,
+        since the insert may still take effect; it is sent again instead.
 
         Args:
             request: The request.
             attempt: Identifier of the attempt.
 
         Returns:
-            Whether the claim is held, and the row that prevents it; no row
-            if the store did not answer until the deadline.
+            Whether the claim is held, and the conflicting row if it is not;
+            no row if the store did not answer before the deadline.
         """
         key = claim_rows.row_key(*request.identity)
-        delay = STORE_RETRY_S
+        delay = INITIAL_STORE_RETRY_S
         while self.clock.monotonic() < request.deadline:
-            opened = claims.open_claim(attempt, request.digest, self._wall())
+            opened = claims.open_claim(
+                attempt, request.digest, self._wall_time_s()
+            )
             stored = outcomes.StoreFact.UNKNOWN
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CLAIM_WRITE_S):
+                async with asyncio.timeout(CLAIM_WRITE_TIMEOUT_S):
                     stored = await self.rows.write(key, opened, 0, True)
             row = None
             if stored is not outcomes.StoreFact.COMMITTED:
@@ -193,18 +198,18 @@
     async def refuse(
         self, request: dispatch.KeyedRequest, attempt: str, claimed: bool
     ) -> outcomes.Reply:
-        """Make a refusal durable and return what may be told.
+        """Record that the request was not run and return the reply.
 
         Args:
             request: The request.
             attempt: Identifier of the attempt, which has not run the request
                 and will not.
-            claimed: Whether the attempt may have a row.
+            claimed: Whether the attempt may have written a row.
         """
         key = claim_rows.row_key(*request.identity)
         if not claimed:
             refused = claims.refused_claim(
-                attempt, request.digest, self._wall()
+                attempt, request.digest, self._wall_time_s()
             )
             stored = await self.rows.write(key, refused, 0, urgent=True)
             if stored is outcomes.StoreFact.COMMITTED:
@@ -214,22 +219,22 @@
             request, attempt, outcomes.Outcome.NOT_RUN, None, urgent=True
         )
 
-    async def follow(
+    async def await_outcome(
         self, request: dispatch.KeyedRequest, row: claims.Claim
     ) -> outcomes.Reply:
-        """Wait for the outcome of another attempt and return what to tell.
+        """Wait for the outcome of another attempt and return the reply.
 
         Args:
             request: The request.
             row: The other attempt's claim.
         """
         key = claim_rows.row_key(*request.identity)
-        delay = ROW_POLL_S
+        delay = INITIAL_ROW_POLL_S
         while row is not None:
             if row.digest != request.digest:
                 break
             if row.state is not claims.ClaimState.CLAIMED:
-                return await self.rows.whole(row.reply())
+                return await self.rows.load_answer(row.reply())
             if self.clock.monotonic() + delay >= request.deadline:
                 return row.reply()
             await asyncio.sleep(delay)
@@ -245,15 +250,15 @@
         answer: outcomes.Answer | None,
         urgent: bool,
     ) -> outcomes.Reply:
-        """Write an outcome and return what the row then says."""
-        limit = self.clock.monotonic() + RECORD_LIMIT_S
-        delay = STORE_RETRY_S
+        """Record an outcome and return the reply that the row then implies."""
+        limit = self.clock.monotonic() + RECORD_TIMEOUT_S
+        delay = INITIAL_STORE_RETRY_S
         while self.clock.monotonic() < limit:
             row = await self._finish_row(
                 request, attempt, outcome, answer, urgent
             )
             if row is not None and row.digest == request.digest:
-                return await self.rows.whole(row.reply())
+                return await self.rows.load_answer(row.reply())
             if row is not None:
                 break
             await asyncio.sleep(delay)
@@ -269,13 +274,13 @@
         answer: outcomes.Answer | None,
         urgent: bool,
     ) -> claims.Claim | None:
-        """Write an outcome once; ``None`` if it has to be tried again."""
+        """Try once to write an outcome; return the row, ``None`` to retry."""
         key = claim_rows.row_key(*request.identity)
         try:
             found = await self.rows.read(key)
         except claim_rows.RowUnreadable:
             return None
-        row = claims.open_claim(attempt, request.digest, self._wall())
+        row = claims.open_claim(attempt, request.digest, self._wall_time_s())
         version = 0
         if found is not None:
             version, row = found.version, found.claim
@@ -284,7 +289,7 @@
             is not claims.AttemptCheck.OWN
         ):
             return row
-        finished = row.finish(attempt, outcome, self._wall(), answer)
+        finished = row.finish(attempt, outcome, self._wall_time_s(), answer)
         stored = await self.rows.write(key, finished, version, urgent)
         if stored is not outcomes.StoreFact.COMMITTED:
             return None
@@ -298,5 +303,5 @@
             return None
         return None if found is None else found.claim
 
-    def _wall(self) -> float:
+    def _wall_time_s(self) -> float:
         return self.clock.wall().timestamp()
--- a/packages/entry/bulrushcourse_entry/claims/gateway.py
+++ b/packages/entry/bulrushcourse_entry/claims/gateway.py
@@ -1,4 +1,4 @@
-"""Which way a request with an idempotency key takes."""
+"""Dispatch of keyed requests by the kind and the issuer of the key."""
 
 import asyncio
 import typing
@@ -15,7 +15,7 @@
 
 
 class Issuers(typing.Protocol):
-    """Reaches the entries that issued keys."""
+    """Forwards requests to the entries that issued their keys."""
 
     async def ask(
         self,
@@ -23,7 +23,7 @@
         request: dispatch.KeyedRequest,
         ask_only: bool,
     ) -> outcomes.Reply | None:
-        """Return what the issuer says, ``None`` if it cannot be asked."""
+        """Return the issuer's reply, ``None`` if it is unreachable."""
         ...
 
 
@@ -32,39 +32,39 @@
     """Serves requests with an idempotency key.
 
     Attributes:
-        free: Runs of free-form keys.
-        issued: Runs of the keys of this incarnation.
-        issuers: Reaches the issuers of other keys.
+        free_form: Runs requests with free-form keys.
+        issued: Runs requests with keys that this incarnation issued.
+        issuers: Forwards requests with other issued keys.
         rows: Claims in the table.
     """
 
-    free: free_form.FreeFormRuns
+    free_form: free_form.FreeFormRuns
     issued: issued_runs.IssuedRuns
     issuers: Issuers
     rows: claim_rows.ClaimRows
 
     async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
-        """Run a request at most once and return what to tell its caller.
+        """Run a request at most once and return the reply to its caller.
 
         Args:
             request: The request.
         """
         if not keys.is_issued_form(request.key):
-            return await self.free.serve(request)
-        return await self._ask_issuer(request, ask_only=False)
+            return await self.free_form.serve(request)
+        return await self._serve_issued(request, ask_only=False)
 
     async def outcome(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
-        """Return what is known of a key without running it.
+        """Return the known outcome of a key's request without running it.
 
         Args:
-            request: Names service and key.
+            request: Service and key; its other fields are not used.
         """
         if keys.is_issued_form(request.key):
-            return await self._ask_issuer(request, ask_only=True)
-        run = self.free.runs.get(request.identity)
+            return await self._serve_issued(request, ask_only=True)
+        run = self.free_form.runs.get(request.identity)
         if run is not None:
             return await run.wait(0.0)
-        return await self._stored(request, 'no-claim', ask_only=True)
+        return await self._stored_reply(request, 'no-claim', ask_only=True)
 
     async def serve_own(
         self, request: dispatch.KeyedRequest, ask_only: bool
@@ -80,23 +80,23 @@
         return await self.issued.serve(request)
 
     async def drain(self) -> None:
-        """Wait until all runs are over and all outcomes are recorded."""
-        while tasks := self.free.tasks | self.issued.tasks:
+        """Wait until all runs have ended and all outcomes are recorded."""
+        while tasks := self.free_form.tasks | self.issued.tasks:
             await asyncio.wait(tasks)
 
     def dump(self) -> dict[str, typing.Any]:
         """Return counts for a state dump."""
         return {
-            'free_form_tasks': len(self.free.tasks),
+            'free_form_tasks': len(self.free_form.tasks),
             'issued_tasks': len(self.issued.tasks),
             'keys_unused': len(self.issued.keys.unused),
             'keys_kept': len(self.issued.keys.records),
-            'outcomes_not_copied': self.issued.not_copied,
-            'cleanup': self.free.cleanup.dump(),
+            'outcomes_not_copied': self.issued.uncopied_outcomes,
+            'cleanup': self.free_form.cleanup.dump(),
             'writes': self.rows.writer.dump(),
         }
 
-    async def _ask_issuer(
+    async def _serve_issued(
         self, request: dispatch.KeyedRequest, ask_only: bool
     ) -> outcomes.Reply:
         key = keys.read_key(self.issued.keys.secret, request.key)
@@ -107,12 +107,14 @@
         reply = await self.issuers.ask(key, request, ask_only)
         if reply is not None:
             return reply
-        return await self._stored(request, 'issuer-unreachable', ask_only)
+        return await self._stored_reply(
+            request, 'issuer-unreachable', ask_only
+        )
 
-    async def _stored(
+    async def _stored_reply(
         self, request: dispatch.KeyedRequest, absent: str, ask_only: bool
     ) -> outcomes.Reply:
-        """Return what the row says; an absent row proves nothing."""
+        """Return the reply that the row implies; no row proves nothing."""
         try:
             found = await self.rows.read(claim_rows.row_key(*request.identity))
         except claim_rows.RowUnreadable:
@@ -121,7 +123,7 @@
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, absent)
         if not ask_only and _differs(found.claim, request):
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'other-request')
-        return await self.rows.whole(found.claim.reply())
+        return await self.rows.load_answer(found.claim.reply())
 
 
 def _differs(claim: claims.Claim, request: dispatch.KeyedRequest) -> bool:
--- a/packages/entry/bulrushcourse_entry/claims/issued_runs.py
+++ b/packages/entry/bulrushcourse_entry/claims/issued_runs.py
@@ -1,4 +1,4 @@
-"""Running requests whose key this process issued."""
+"""Runs of requests with keys that this process issued."""
 
 import asyncio
 
@@ -13,28 +13,31 @@
 from bulrushcourse_entry.claims import dispatch
 from bulrushcourse_entry.claims import rows as claim_rows
 
-COPY_RETRY_S = 0.5
+INITIAL_COPY_RETRY_S = 0.5
 MAX_COPY_RETRY_S = 4.0
-COPY_LIMIT_S = 300.0
+COPY_TIMEOUT_S = 300.0
 
-# Outcomes that wait for a copy through a store outage. Beyond this the
-# outcome is known only here.
-MAX_COPIES = 5_000
+# Outcomes that wait to be copied during a store outage. Further outcomes are
+# known only to this process.
+MAX_PENDING_COPIES = 5_000
 
 
 @attrs.define(eq=False)
 class IssuedRuns:
-    """Runs of issued keys; the store only gets copies of their outcomes.
+    """Runs requests with issued keys and copies their outcomes to the store.
+
+    This process's memory is authoritative for them, so no claim is written
+    before a run.
 
     Attributes:
         keys: Keys of this incarnation.
         rows: Claims in the table.
-        dispatcher: Gets slots and sends requests.
+        dispatcher: Acquires slots and sends requests.
         clock: Source of time.
         cleanup: Deletes expired rows.
-        runs: Runs under way by key.
+        runs: Runs in progress by key.
         tasks: Tasks of runs and copies.
-        not_copied: Outcomes that were not copied.
+        uncopied_outcomes: Number of outcomes that were never copied.
     """
 
     keys: issued_keys.IssuedKeys
@@ -44,10 +47,10 @@
     cleanup: claim_cleanup.Cleanup
     runs: dict[str, dispatch.Run] = attrs.field(factory=dict)
     tasks: set[asyncio.Task] = attrs.field(factory=set)
-    not_copied: int = 0
+    uncopied_outcomes: int = 0
 
     async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
-        """Run a request, or join its run, and return what to tell.
+        """Run a request, or join its run in progress, and return the reply.
 
         Args:
             request: The request; its key has the issued form.
@@ -61,14 +64,14 @@
             return self.keys.reply(request.key)
         elif check is not issued_keys.KeyCheck.RUNNING:
             return self.decline(check)
-        left = request.deadline - self.clock.monotonic()
-        return await self.runs[request.key].wait(left)
+        remaining_s = request.deadline - self.clock.monotonic()
+        return await self.runs[request.key].wait(remaining_s)
 
     def decline(self, check: issued_keys.KeyCheck) -> outcomes.Reply:
-        """Return what to tell about a key that is not run here.
+        """Return the reply to a request that is not run.
 
         Args:
-            check: Why it is not run.
+            check: Result of the key's check, which is the reason.
         """
         return outcomes.Reply(outcomes.Outcome.UNKNOWN, check.value)
 
@@ -84,20 +87,20 @@
     ) -> None:
         reply = outcomes.Reply(outcomes.Outcome.UNKNOWN, 'lost')
         try:
-            reply = await self._settle(request)
+            reply = await self._execute(request)
         finally:
             self.keys.finish(request.key, reply)
-            run.tell(reply)
+            run.resolve(reply)
             del self.runs[request.key]
         if reply.outcome is not outcomes.Outcome.UNKNOWN:
             await self._copy(request, reply)
 
-    async def _settle(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
-        hold = await self.dispatcher.acquire(request, 0, ())
-        if hold is None:
+    async def _execute(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
+        slot = await self.dispatcher.acquire(request, 0, ())
+        if slot is None:
             return outcomes.Reply(outcomes.Outcome.NOT_RUN, 'refused')
-        dispatched = await dispatch.dispatch_held(
-            self.dispatcher, self.clock, request, hold
+        dispatched = await dispatch.dispatch_with_retries(
+            self.dispatcher, self.clock, request, slot
         )
         outcome = outcomes.attempt_outcome(dispatched.fact)
         if outcome is outcomes.Outcome.DONE:
@@ -107,9 +110,9 @@
     async def _copy(
         self, request: dispatch.KeyedRequest, reply: outcomes.Reply
     ) -> None:
-        """Write an outcome to the table, where it outlives this process."""
-        if len(self.tasks) > MAX_COPIES:
-            self._give_up(request)
+        """Copy an outcome to the table, so that it survives this process."""
+        if len(self.tasks) > MAX_PENDING_COPIES:
+            self._record_uncopied(request)
             return
         key = claim_rows.row_key(*request.identity)
         attempt = self.keys.incarnation
@@ -117,19 +120,19 @@
         copy = claims.open_claim(attempt, request.digest, now).finish(
             attempt, reply.outcome, now, reply.answer
         )
-        limit = self.clock.monotonic() + COPY_LIMIT_S
-        delay = COPY_RETRY_S
+        limit = self.clock.monotonic() + COPY_TIMEOUT_S
+        delay = INITIAL_COPY_RETRY_S
         while self.clock.monotonic() < limit:
             stored = await self.rows.write(key, copy, 0, urgent=False)
             if stored is not outcomes.StoreFact.UNKNOWN:
-                # A conflict is an earlier write of this copy whose answer
-                # was lost: nobody else writes the rows of these keys.
+                # Only this process writes the rows of these keys, so a
+                # conflict is an earlier write whose response was lost.
                 self.cleanup.add(key, copy)
                 return
             await asyncio.sleep(delay)
             delay = min(2 * delay, MAX_COPY_RETRY_S)
-        self._give_up(request)
+        self._record_uncopied(request)
 
-    def _give_up(self, request: dispatch.KeyedRequest) -> None:
-        self.not_copied += 1
+    def _record_uncopied(self, request: dispatch.KeyedRequest) -> None:
+        self.uncopied_outcomes += 1
         events.emit(events.Event.OUTCOME_NOT_COPIED, service=request.service)
--- a/packages/entry/bulrushcourse_entry/claims/listener.py
+++ b/packages/entry/bulrushcourse_entry/claims/listener.py
@@ -1,4 +1,4 @@
-"""HTTP interface of keys, outcomes and requests that run at most once."""
+"""HTTP handlers for keys, outcomes and at-most-once requests."""
 
 import typing
 
@@ -16,10 +16,10 @@
 from bulrushcourse_entry.claims import gateway as claim_gateway
 
 MAX_KEYS_PER_CALL = 100
-ASK_LIMIT_S = 2.0
+OUTCOME_TIMEOUT_S = 2.0
 RETRY_AFTER_S = 1
 
-# Status and seconds until another try of what is told without an answer.
+# HTTP status and Retry-After delay by the reason of an unknown outcome.
 UNKNOWN_STATUSES = {
     'invalid': (400, 0),
     'other-request': (422, 0),
@@ -31,16 +31,16 @@
     'store': (503, RETRY_AFTER_S),
     'issuer-unreachable': (503, RETRY_AFTER_S),
 }
-OTHER_STATUS = (502, RETRY_AFTER_S)
+DEFAULT_UNKNOWN_STATUS = (502, RETRY_AFTER_S)
 
 
 @attrs.define(eq=False)
 class ClaimsListener:
-    """Serves the part of the callers' interface that has keys.
+    """Serves the part of the callers' API that concerns idempotency keys.
 
     Attributes:
         clock: Source of time.
-        configuration: Configuration in force.
+        configuration: Holder of the active configuration.
         gateway: Runs requests at most once.
         accepting: Returns whether new keys may be issued.
     """
@@ -54,7 +54,8 @@
         """Add the routes of keys and outcomes.
 
         Args:
-            application: The callers' application, before its general routes.
+            application: The callers' application; its catch-all route must be
+                added later.
         """
         prefix = '/v1/services/{service}'
         router = application.router
@@ -62,72 +63,72 @@
         router.add_get(f'{prefix}/outcomes/{{key}}', self.show_outcome)
 
     async def issue(self, request: web.Request) -> web.Response:
-        """Hand out keys that are bound to this process.
+        """Issue keys that are bound to this process.
 
         Args:
             request: Query ``count`` gives the number of keys.
         """
         service = request.match_info['service']
         text = request.query.get('count', '1')
-        if not self._knows(service):
+        if not self._has_service(service):
             return _problem(404, 'no-service', 'no such service')
         if not text.isdecimal() or not 1 <= int(text) <= MAX_KEYS_PER_CALL:
-            detail = f'count is not between 1 and {MAX_KEYS_PER_CALL}'
+            detail = f'count must be between 1 and {MAX_KEYS_PER_CALL}'
             return _problem(400, 'count', detail)
         if not self.accepting():
             return _problem(503, 'leaving', 'entry is shutting down', 1)
-        made = self.gateway.issued.keys.issue(service, int(text))
-        if not made:
-            detail = 'too many keys are kept'
+        new_keys = self.gateway.issued.keys.issue(service, int(text))
+        if not new_keys:
+            detail = 'the maximum number of issued keys is reached'
             return _problem(503, 'too-many-keys', detail, RETRY_AFTER_S)
-        body = {'keys': made, 'lifetime_s': issued_keys.KEY_LIFETIME_S}
+        body = {'keys': new_keys, 'lifetime_s': issued_keys.KEY_LIFETIME_S}
         return web.json_response(body, status=201)
 
     async def show_outcome(self, request: web.Request) -> web.Response:
-        """Answer what is known of a key, without running its request.
+        """Return the known outcome of a key, without running its request.
 
         Args:
             request: Path with service and key.
         """
         service = request.match_info['service']
-        if not self._knows(service):
+        if not self._has_service(service):
             return _problem(404, 'no-service', 'no such service')
-        asked = dispatch.KeyedRequest(
+        keyed_request = dispatch.KeyedRequest(
             service,
             request.match_info['key'],
             '',
-            self.clock.monotonic() + ASK_LIMIT_S,
+            self.clock.monotonic() + OUTCOME_TIMEOUT_S,
         )
-        reply = await self.gateway.outcome(asked)
+        reply = await self.gateway.outcome(keyed_request)
         if reply.outcome is outcomes.Outcome.DONE:
-            return render_told(reply)
+            return render_reply(reply)
         body = {'outcome': reply.outcome.value, 'reason': reply.reason}
         headers = {problems.OUTCOME_HEADER: reply.outcome.value}
         return web.json_response(body, headers=headers)
 
     async def serve(self, call: request_parsing.Call) -> web.Response:
-        """Run a request with a key and return what its caller is told.
+        """Run a request with a key and return the response to its caller.
 
         Args:
             call: The request.
         """
         try:
-            call = await read_whole(call)
+            call = await buffer_body(call)
         except request_parsing.BodyTooLarge:
             return _problem(413, 'body-too-large', 'request body is too large')
         digest = claims.request_digest(call.method, call.path, [call.body])
-        keyed = dispatch.KeyedRequest(
+        keyed_request = dispatch.KeyedRequest(
             call.service.name, call.key, digest, call.deadline, call
         )
-        return render_told(await self.gateway.serve(keyed))
+        return render_reply(await self.gateway.serve(keyed_request))
 
-    def _knows(self, service: str) -> bool:
+    def _has_service(self, service: str) -> bool:
         current = self.configuration.current
         return current is not None and service in current.services
 
 
-def may_repeat(call: request_parsing.Call) -> bool:
-    """Return whether a request needs no claim.
+def is_repeatable(call: request_parsing.Call) -> bool:
+    """Return whether a request may run more than once and needs no claim.
 
     Args:
         call: The request.
@@ -135,13 +136,13 @@
     return call.service.idempotent or not call.key
 
 
-def refusal(
+def refusal_problem(
     problem: problems.Problem, request: web.Request
 ) -> problems.Problem:
-    """Return a refusal that says nothing of earlier sends of its key.
+    """Return a refusal with outcome ``unknown`` if the request has a key.
 
-    A request that is refused before its key was looked at did not run now,
-    but an earlier one with the same key may have.
+    A request that is refused before its key was checked did not run, but an
+    earlier request with the same key may have.
 
     Args:
         problem: Why the request is refused.
@@ -149,12 +150,13 @@
     """
     key = request.headers.get(request_parsing.KEY_HEADER, '')
     if not key or len(key) > request_parsing.MAX_KEY_LENGTH:
-        # No entry has ever run a request with such a key.
+        # Without a key there is no earlier request to consider, and entries
+        # reject keys that are too long.
         return problem
     return attrs.evolve(problem, outcome=problems.Outcome.UNKNOWN)
 
 
-async def read_whole(call: request_parsing.Call) -> request_parsing.Call:
+async def buffer_body(call: request_parsing.Call) -> request_parsing.Call:
     """Return a call with its whole body in memory.
 
     The run must not depend on the caller's connection.
@@ -163,7 +165,7 @@
         call: The request.
 
     Raises:
-        BodyTooLarge: If the body passes the service's limit.
+        BodyTooLarge: If the body exceeds the service's limit.
     """
     if call.body_stream is None:
         return call
@@ -180,18 +182,18 @@
     )
 
 
-def render_told(reply: outcomes.Reply) -> web.Response:
-    """Return the HTTP response that tells an outcome.
+def render_reply(reply: outcomes.Reply) -> web.Response:
+    """Return the HTTP response that reports an outcome.
 
     Args:
-        reply: What the caller is told.
+        reply: The reply to the caller.
     """
     outcome = problems.Outcome(reply.outcome.value)
     if reply.answer is not None:
         response = web.Response(
             status=reply.answer.status, body=reply.answer.body
         )
-        # The default content type is no part of the instance's answer.
+        # Drops aiohttp's default, which the instance did not send.
         response.headers.popall('Content-Type', None)
         for name, value in reply.answer.headers:
             response.headers.add(name, value)
@@ -201,7 +203,7 @@
         status, retry_after_s = 503, RETRY_AFTER_S
     else:
         status, retry_after_s = UNKNOWN_STATUSES.get(
-            reply.reason, OTHER_STATUS
+            reply.reason, DEFAULT_UNKNOWN_STATUS
         )
     return problems.Problem(
         status,
--- a/packages/entry/bulrushcourse_entry/claims/rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/rows.py
@@ -1,4 +1,4 @@
-"""Claims as rows of the table, large answers as objects."""
+"""Storage of claims in the table and of large responses as objects."""
 
 import base64
 import binascii
@@ -12,12 +12,12 @@
 from bulrushcourse_entry.platform import objects as platform_objects
 from bulrushcourse_entry.platform import table as platform_table
 
-# Larger answers go to the object store.
+# Larger responses are stored in the object store.
 ROW_ANSWER_BYTES = 64 << 10
 
 
 class RowUnreadable(Exception):
-    """The store did not answer, or the row is malformed."""
+    """The table is unavailable, or the row is malformed."""
 
 
 @attrs.frozen
@@ -40,7 +40,7 @@
     Attributes:
         table: The platform's table service.
         objects: The platform's object store.
-        writer: Writes rows in batches within the budget.
+        writer: Writes rows in batches, within the write budget.
     """
 
     table: platform_table.Table
@@ -49,7 +49,7 @@
 
     @property
     def reachable(self) -> bool:
-        """Whether the last call of the table was answered."""
+        """Whether the table answered the last call."""
         return self.table.reachable
 
     async def read(self, key: str) -> StoredClaim | None:
@@ -59,7 +59,7 @@
             key: Key of the row.
 
         Raises:
-            RowUnreadable: If the store did not answer.
+            RowUnreadable: If the table is unavailable or the row malformed.
         """
         try:
             row = await self.table.get(key)
@@ -72,16 +72,16 @@
     async def write(
         self, key: str, claim: claims.Claim, expected: int, urgent: bool
     ) -> outcomes.StoreFact:
-        """Write a claim, its large answer first.
+        """Write a claim, after storing its response if that is large.
 
         Args:
             key: Key of the row.
             claim: The claim.
-            expected: Version that the row must have, 0 for absent.
-            urgent: Whether a caller waits for the write.
+            expected: Version that the row must have, 0 if it must be absent.
+            urgent: Whether a caller is waiting for the write.
         """
         try:
-            claim = await self._move_answer(key, claim)
+            claim = await self._store_large_answer(key, claim)
         except platform_objects.ObjectsUnavailable:
             # The row itself was not written.
             return outcomes.StoreFact.UNKNOWN
@@ -89,7 +89,10 @@
         return await self.writer.submit(write, urgent)
 
     async def delete(self, key: str, stored: StoredClaim) -> None:
-        """Delete a row and its answer; a lost delete leaves an orphan.
+        """Delete a row and its stored response.
+
+        The response goes first. If that fails, the row stays and is deleted
+        later.
 
         Args:
             key: Key of the row.
@@ -104,11 +107,11 @@
         write = platform_table.Write(key, None, stored.version)
         await self.writer.submit(write, urgent=False)
 
-    async def whole(self, reply: outcomes.Reply) -> outcomes.Reply:
-        """Return what to tell with its answer read from the object store.
+    async def load_answer(self, reply: outcomes.Reply) -> outcomes.Reply:
+        """Return a reply with its response read from the object store.
 
         Args:
-            reply: What the row says.
+            reply: The reply that the row implies.
         """
         answer = reply.answer
         if answer is None or not answer.object_key:
@@ -121,10 +124,10 @@
             return outcomes.Reply(
                 outcomes.Outcome.UNKNOWN, 'answer-unreadable'
             )
-        whole = attrs.evolve(answer, body=body, object_key='')
-        return attrs.evolve(reply, answer=whole)
+        complete = attrs.evolve(answer, body=body, object_key='')
+        return attrs.evolve(reply, answer=complete)
 
-    async def _move_answer(
+    async def _store_large_answer(
         self, key: str, claim: claims.Claim
     ) -> claims.Claim:
         answer = claim.answer
@@ -132,8 +135,8 @@
             return claim
         object_key = f'{key}/{claim.attempt}'
         await self.objects.put(object_key, answer.body)
-        moved = attrs.evolve(answer, body=b'', object_key=object_key)
-        return attrs.evolve(claim, answer=moved)
+        stored_answer = attrs.evolve(answer, body=b'', object_key=object_key)
+        return attrs.evolve(claim, answer=stored_answer)
 
 
 def row_key(service: str, key: str) -> str:
@@ -149,7 +152,7 @@
         >>> row_key('orders', 'a/b')
         'claims/orders/YS9i'
     """
-    # aiohttp decodes header bytes that are no UTF-8 to surrogates.
+    # aiohttp decodes header bytes that are not UTF-8 to surrogates.
     octets = key.encode(errors='surrogateescape')
     encoded = base64.urlsafe_b64encode(octets).decode().rstrip('=')
     return f'claims/{service}/{encoded}'
--- a/packages/entry/bulrushcourse_entry/claims/sweep.py
+++ b/packages/entry/bulrushcourse_entry/claims/sweep.py
@@ -1,4 +1,4 @@
-"""Deletion of expired rows that no process deletes any more."""
+"""Deletion of expired rows whose process has stopped."""
 
 import asyncio
 import random
@@ -9,26 +9,26 @@
 from bulrushcourse_entry.claims import rows as claim_rows
 from bulrushcourse_entry.platform import table as platform_table
 
-PREFIX = 'claims/'
+ROW_PREFIX = 'claims/'
 PAGE_ROWS = 50
 
-# One page per entry in 5 s on average: at most 10 rows/s and entry.
+# One page of 50 rows in 5 s on average: at most 10 rows/s per entry.
 MEAN_INTERVAL_S = 5.0
 
-# Leaves the rows of living processes to their own clean-up.
+# Running processes delete their own rows within this time after expiry.
 ORPHAN_MARGIN_S = 60.0
 
 
 @attrs.define(eq=False)
 class Sweep:
-    """Deletes the rows that stopped processes left behind.
+    """Deletes the expired rows of stopped processes.
 
     Attributes:
         rows: Claims in the table.
         scanner: Lists rows of the table.
         clock: Source of time.
-        random: Source of the pauses, which keep entries apart.
-        after: Key after which the next page begins.
+        random: Source of jitter, so that entries do not scan in step.
+        after: Key after which the next page starts.
     """
 
     rows: claim_rows.ClaimRows
@@ -38,7 +38,7 @@
     after: str = ''
 
     async def run(self) -> None:
-        """Read page after page until cancelled."""
+        """Sweep one page after another until cancelled."""
         while True:
             pause_s = MEAN_INTERVAL_S * self.random.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s)
@@ -47,13 +47,13 @@
     async def sweep_page(self) -> int:
         """Delete the expired rows of the next page and return their number."""
         try:
-            found = await self.scanner.scan(PREFIX, self.after, PAGE_ROWS)
+            page = await self.scanner.scan(ROW_PREFIX, self.after, PAGE_ROWS)
         except platform_table.TableUnavailable:
             return 0
-        self.after = found[-1][0] if len(found) == PAGE_ROWS else ''
+        self.after = page[-1][0] if len(page) == PAGE_ROWS else ''
         now = self.clock.wall().timestamp() - ORPHAN_MARGIN_S
         deleted = 0
-        for key, row in found:
+        for key, row in page:
             try:
                 claim = claim_rows.decode_claim(row.value)
             except claim_rows.RowUnreadable:
--- a/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
@@ -1,4 +1,4 @@
-"""Claims as rows, large answers as objects."""
+"""Storage of claims as rows and of large responses as objects."""
 
 import asyncio
 
@@ -48,8 +48,8 @@
             stored = MemoryTable()
             batches = writer.BatchWriter(stored, clocks.SystemClock())
             runner = asyncio.create_task(batches.run())
-            held = rows.ClaimRows(stored, MemoryObjects(), batches)
-            await scenario(held)
+            claim_rows = rows.ClaimRows(stored, MemoryObjects(), batches)
+            await scenario(claim_rows)
             runner.cancel()
 
         asyncio.run(run())
@@ -66,38 +66,40 @@
 
 
 @with_rows
-async def test_answers_come_back_whole(held):
-    """Guards P3: an answer is read as it was recorded."""
+async def test_answers_are_read_as_they_were_recorded(claim_rows):
+    """Guards P3: a response is read as it was recorded."""
     for size in (0, 10, rows.ROW_ANSWER_BYTES + 1):
-        await held.write('k', done(size), 0, urgent=True)
-        found = await held.read('k')
-        assert await held.whole(found.claim.reply()) == done(size).reply()
-    assert len(held.objects.content) == 1
+        await claim_rows.write('k', done(size), 0, urgent=True)
+        found = await claim_rows.read('k')
+        loaded = await claim_rows.load_answer(found.claim.reply())
+        assert loaded == done(size).reply()
+    assert len(claim_rows.objects.content) == 1
 
 
 @with_rows
-async def test_row_is_not_written_before_its_answer(held):
-    """Guards against a ``done`` row whose answer does not exist."""
-    held.objects.up = False
+async def test_row_is_not_written_before_its_answer(claim_rows):
+    """Guards against a ``done`` row whose response does not exist."""
+    claim_rows.objects.up = False
     big = done(rows.ROW_ANSWER_BYTES + 1)
-    fact = await held.write('k', big, 0, urgent=True)
+    fact = await claim_rows.write('k', big, 0, urgent=True)
     assert fact is outcomes.StoreFact.UNKNOWN
-    assert await held.read('k') is None
+    assert await claim_rows.read('k') is None
 
 
 @with_rows
-async def test_unreadable_answer_is_unknown(held):
-    """Guards against an empty answer in place of the run's."""
-    await held.write('k', done(rows.ROW_ANSWER_BYTES + 1), 0, urgent=True)
-    held.objects.up = False
-    found = await held.read('k')
-    reply = await held.whole(found.claim.reply())
+async def test_unreadable_answer_is_unknown(claim_rows):
+    """Guards against an empty response in place of the recorded one."""
+    big = done(rows.ROW_ANSWER_BYTES + 1)
+    await claim_rows.write('k', big, 0, urgent=True)
+    claim_rows.objects.up = False
+    found = await claim_rows.read('k')
+    reply = await claim_rows.load_answer(found.claim.reply())
     assert reply.outcome is outcomes.Outcome.UNKNOWN
 
 
 @with_rows
-async def test_malformed_row_is_reported(held):
-    """Guards against a damaged row that is taken for an absent one."""
-    held.table.rows['k'] = table.Row(1, {'state': 'strange'})
+async def test_malformed_row_is_reported(claim_rows):
+    """Guards against a malformed row that is taken for an absent one."""
+    claim_rows.table.rows['k'] = table.Row(1, {'state': 'strange'})
     with pytest.raises(rows.RowUnreadable):
-        await held.read('k')
+        await claim_rows.read('k')
--- a/packages/entry/bulrushcourse_entry/claims/tests/test_sweep.py
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_sweep.py
@@ -1,4 +1,4 @@
-"""Clean-up of rows whose writer is gone."""
+"""Deletion of expired rows whose process has stopped."""
 
 import asyncio
 import random
@@ -28,24 +28,24 @@
         del self.content[key]
 
 
-def test_only_expired_rows_go_and_all_pages_are_read():
-    """Guards against rows that pile up, and against early deletion."""
+def test_only_expired_rows_are_deleted_and_all_pages_are_read():
+    """Guards against rows that accumulate, and against early deletion."""
     clock = clocks.ManualClock(10_000.0)
     expired = claims.refused_claim('a', 'd', 0.0)
     kept = claims.refused_claim('a', 'd', 9_900.0)
-    working = claims.open_claim('a', 'd', 0.0)
+    running = claims.open_claim('a', 'd', 0.0)
     content = {}
     for number in range(3 * sweep.PAGE_ROWS):
-        claim = (expired, kept, working)[number % 3]
+        claim = (expired, kept, running)[number % 3]
         value = rows.encode_claim(claim)
         content[f'claims/s/{number:04}'] = table.Row(number + 1, value)
     content['claims/s/odd'] = table.Row(1, {'state': 'strange'})
-    parts = sweep.Sweep(
+    sweeper = sweep.Sweep(
         Deletes(content), PagedTable(content), clock, random.Random(1)
     )
 
     async def run():
-        return sum([await parts.sweep_page() for _ in range(5)])
+        return sum([await sweeper.sweep_page() for _ in range(5)])
 
     assert asyncio.run(run()) == sweep.PAGE_ROWS
     assert len(content) == 2 * sweep.PAGE_ROWS + 1
--- a/packages/entry/bulrushcourse_entry/claims/tests/test_writer.py
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_writer.py
@@ -1,4 +1,4 @@
-"""Batches and budget of claim writes."""
+"""Batching, priority and rate of claim writes."""
 
 import asyncio
 
@@ -9,15 +9,15 @@
 
 
 class RecordingTable:
-    def __init__(self, taken=()):
+    def __init__(self, conflicting=()):
         self.batches = []
-        self.taken = set(taken)
+        self.conflicting = set(conflicting)
         self.open = asyncio.Event()
 
     async def transact(self, writes):
         self.batches.append([write.key for write in writes])
         await self.open.wait()
-        if any(write.key in self.taken for write in writes):
+        if any(write.key in self.conflicting for write in writes):
             return table.WriteResult.CONFLICT
         return table.WriteResult.COMMITTED
 
@@ -40,7 +40,7 @@
 
 
 def test_waiting_writes_share_transactions():
-    """Guards the write budget: no transaction for each waiting row."""
+    """Guards against one transaction for each waiting row."""
 
     async def run():
         recording = RecordingTable()
@@ -53,10 +53,10 @@
 
 
 def test_conflict_of_one_row_does_not_fail_the_others():
-    """Guards against orders that fail because of another caller's key."""
+    """Guards against requests that fail because of another caller's key."""
 
     async def run():
-        recording = RecordingTable(taken=['k3'])
+        recording = RecordingTable(conflicting=['k3'])
         keys = [f'k{n}' for n in range(6)]
         facts = await submit_all(recording, keys)
         conflicts = [
@@ -69,7 +69,7 @@
     asyncio.run(run())
 
 
-def test_callers_go_before_copies():
+def test_urgent_writes_go_before_background_writes():
     """Guards against callers that wait behind background writes."""
 
     async def run():
@@ -82,7 +82,7 @@
 
 
 def test_rows_per_second_are_bounded():
-    """Guards the store's budget, with time that a test clock gives."""
+    """Guards against more writes than the store's budget allows."""
 
     async def run():
         recording = RecordingTable()
@@ -92,11 +92,11 @@
         batches.refilled_at = 0.0
         batches.tokens = 5.0
         for n in range(12):
-            batches.later.append((table.Write(f'k{n}', {}, 0), _future()))
-        assert len(batches._take()) == 5
+            batches.background.append((table.Write(f'k{n}', {}, 0), _future()))
+        assert len(batches._next_batch()) == 5
         clock.advance(3e-6)
         batches._refill()
-        assert len(batches._take()) == 3
+        assert len(batches._next_batch()) == 3
 
     asyncio.run(run())
 
--- a/packages/entry/bulrushcourse_entry/claims/upstream.py
+++ b/packages/entry/bulrushcourse_entry/claims/upstream.py
@@ -1,4 +1,4 @@
-"""Dispatching claimed requests through the forwarding path."""
+"""Dispatching of claimed requests through the forwarder."""
 
 import asyncio
 import typing
@@ -15,8 +15,9 @@
 from bulrushcourse_entry.claims import dispatch
 from bulrushcourse_entry.upstreams import client
 
-# Answers are held whole, for re-sends. The run of a larger answer has the
-# outcome ``unknown``, since no caller can be given the whole of it.
+# Responses are buffered completely, so that they can be sent again. A run with
+# a larger response has the outcome ``unknown``, since its response cannot be
+# delivered completely.
 MAX_ANSWER_BYTES = 8 << 20
 
 FAILURE_FACTS = {
@@ -31,59 +32,60 @@
 
 
 @attrs.define(eq=False)
-class ForwarderHold:
+class ForwarderSlot:
     """A slot granted by the pool owner.
 
     Attributes:
         forwarder: Sends requests to instances.
         call: The request.
-        held: The slot.
-        deadline: Clock seconds by which the answer must be there.
+        slot: The slot.
+        deadline: Monotonic clock seconds by which the response must be
+            complete.
     """
 
     forwarder: forwarding.Forwarder
     call: request_parsing.Call
-    held: attempts.HeldSlot
+    slot: attempts.HeldSlot
     deadline: float
 
     @property
     def instance(self) -> str:
         """Name of the instance."""
-        return self.held.instance
+        return self.slot.instance
 
     async def dispatch(self) -> dispatch.Dispatched:
-        """Send the request, read the whole answer, give the slot back."""
-        attempt = await self.forwarder.send(self.call, self.held)
+        """Send the request, read the whole response, release the slot."""
+        attempt = await self.forwarder.send(self.call, self.slot)
         if attempt.exchange is None:
             return dispatch.Dispatched(FAILURE_FACTS[attempt.failure])
         exchange = attempt.exchange
-        ending = requests.ReleaseOutcome.LOST
+        release_outcome = requests.ReleaseOutcome.LOST
         try:
-            left = self.deadline - self.forwarder.clock.monotonic()
-            async with asyncio.timeout(left):
-                dispatched = await read_answer(self.call, exchange.answer)
-            ending = requests.ReleaseOutcome.DONE
+            remaining_s = self.deadline - self.forwarder.clock.monotonic()
+            async with asyncio.timeout(remaining_s):
+                dispatched = await read_response(self.call, exchange.answer)
+            release_outcome = requests.ReleaseOutcome.DONE
             return dispatched
         except TimeoutError:
-            ending = requests.ReleaseOutcome.CANCELLED
+            release_outcome = requests.ReleaseOutcome.CANCELLED
             return dispatch.Dispatched(outcomes.UpstreamFact.TIMED_OUT)
         except (aiohttp.ClientError, OSError):
             return dispatch.Dispatched(outcomes.UpstreamFact.TRUNCATED)
         finally:
             exchange.answer.close()
-            exchange.finish(ending)
+            exchange.release_slot(release_outcome)
 
     def release(self) -> None:
-        """Give the slot back without a dispatch."""
-        self.held.finish(requests.ReleaseOutcome.CANCELLED)
+        """Release the slot without a dispatch."""
+        self.slot.release(requests.ReleaseOutcome.CANCELLED)
 
 
 @attrs.define(eq=False)
 class ForwarderDispatcher:
-    """Gets slots through the forwarding path.
+    """Acquires slots through the forwarder.
 
     Attributes:
-        forwarder: Asks for slots and sends requests.
+        forwarder: Acquires slots and sends requests.
     """
 
     forwarder: forwarding.Forwarder
@@ -93,34 +95,34 @@
         request: dispatch.KeyedRequest,
         number: int,
         avoid: tuple[str, ...],
-    ) -> ForwarderHold | None:
-        """Return a slot, ``None`` if there is none in time.
+    ) -> ForwarderSlot | None:
+        """Return a slot, ``None`` if none is granted in time.
 
         Args:
             request: The request.
-            number: How many dispatches there were before.
+            number: Number of earlier dispatches.
             avoid: Instances that failed this request.
         """
         call: request_parsing.Call = request.call
-        held = await self.forwarder.acquire(call, number, avoid)
-        if isinstance(held, result.Failure):
+        acquired = await self.forwarder.acquire(call, number, avoid)
+        if isinstance(acquired, result.Failure):
             return None
-        return ForwarderHold(
-            self.forwarder, call, held.unwrap(), request.deadline
+        return ForwarderSlot(
+            self.forwarder, call, acquired.unwrap(), request.deadline
         )
 
 
-async def read_answer(
-    call: request_parsing.Call, answer: client.UpstreamAnswer
+async def read_response(
+    call: request_parsing.Call, answer: client.UpstreamResponse
 ) -> dispatch.Dispatched:
-    """Return the whole answer and what it states.
+    """Read the whole response and return what it proves about the run.
 
     Args:
         call: The request.
-        answer: Answer whose beginning has arrived.
+        answer: Response whose headers and first bytes have arrived.
 
     Raises:
-        aiohttp.ClientError: If the answer is cut off.
+        aiohttp.ClientError: If the response is truncated.
     """
     body = bytearray(answer.prefix)
     async for chunk in answer.chunks():
@@ -135,7 +137,7 @@
     headers = tuple(
         (name, value)
         for name, value in answer.headers.items()
-        if name.lower() not in request_parsing.HOP_HEADERS
+        if name.lower() not in request_parsing.HOP_BY_HOP_HEADERS
     )
     return dispatch.Dispatched(
         fact, outcomes.Answer(answer.status, headers, bytes(body))
@@ -145,15 +147,15 @@
 def is_delimited(
     method: str, status: int, headers: typing.Mapping[str, str]
 ) -> bool:
-    """Return whether an answer states where it ends.
+    """Return whether a response's body has an explicit end.
 
-    An answer that ends with its connection looks whole when the instance
-    dies in the middle of it.
+    If the body ends with the connection, a response that the instance's crash
+    truncated looks complete.
 
     Args:
         method: HTTP method of the request.
-        status: HTTP status of the answer.
-        headers: Headers of the answer.
+        status: HTTP status of the response.
+        headers: Headers of the response.
 
     Examples:
         >>> is_delimited('POST', 200, {'Content-Length': '3'})
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -14,19 +14,19 @@
 
 DEADLINE_HEADER = 'Bulrushcourse-Deadline-Ms'
 CONNECT_TIMEOUT_S = 1.0
-PREFIX_BYTES = 64 << 10
+MAX_PREFIX_BYTES = 64 << 10
 CHUNK_BYTES = 16 << 10
-# Charged to a link for the request's line and headers.
-HEADER_BYTES = 512
+# Charged to a link for the request line and headers.
+HEADER_CHARGE_BYTES = 512
 
 
 class Failure(enum.Enum):
     """How a request to an instance failed.
 
     ``NOT_SENT``, ``SHED``, ``NO_SHARE`` and ``MISDIRECTED`` prove that the
-    request did not run. After ``FOREIGN``, an answer that belongs to another
-    request, nothing is known, nor after ``STALE``, the reset of a connection
-    that the instance seems to have forgotten.
+    request did not run. ``FOREIGN``, a response that belongs to another
+    request, proves nothing, and neither does ``STALE``, the reset of a reused
+    connection that the instance has apparently dropped.
     """
 
     NOT_SENT = 'not-sent'
@@ -44,11 +44,11 @@
     """Charges bytes to the link between this entry and an instance."""
 
     async def send(self, size: int) -> None:
-        """Wait until bytes may flow to the instance."""
+        """Wait until the link admits bytes to the instance."""
         ...
 
     async def receive(self, size: int) -> None:
-        """Wait until bytes may flow from the instance."""
+        """Wait until the link admits bytes from the instance."""
         ...
 
 
@@ -59,12 +59,13 @@
     Attributes:
         method: HTTP method.
         path: Path and query.
-        headers: Headers to pass on.
+        headers: Headers to forward.
         body: Body, or its beginning if ``body_stream`` is given.
         body_stream: Remaining chunks of the body.
         remaining_s: Seconds until the deadline.
         idempotent: Whether the request may run more than once.
-        throttle: The link to the instance, ``None`` within a region.
+        throttle: Throttle of the link to the instance, ``None`` within a
+            region.
     """
 
     method: str
@@ -77,36 +78,37 @@
     throttle: LinkThrottle | None = None
 
     async def chunks(self) -> typing.AsyncIterator[bytes]:
-        """Yield the chunks of the body as they may flow."""
+        """Yield the chunks of the body, each when the link admits it."""
         for start in range(0, len(self.body), CHUNK_BYTES):
-            yield await self._charged(self.body[start : start + CHUNK_BYTES])
+            yield await self._throttle(self.body[start : start + CHUNK_BYTES])
         if self.body_stream is not None:
             async for chunk in self.body_stream:
-                yield await self._charged(chunk)
+                yield await self._throttle(chunk)
 
-    async def _charged(self, chunk: bytes) -> bytes:
+    async def _throttle(self, chunk: bytes) -> bytes:
         if self.throttle is not None:
             await self.throttle.send(len(chunk))
         return chunk
 
 
 @attrs.define
-class UpstreamAnswer:
-    """An answer whose beginning has arrived.
+class UpstreamResponse:
+    """A response whose headers and first bytes have arrived.
 
     Attributes:
         status: HTTP status.
-        headers: Headers of the answer.
+        headers: Headers of the response.
         prefix: First bytes of the body.
-        whole: Whether ``prefix`` is the whole body.
-        response: The response to read the remaining body from.
-        throttle: The link from the instance, ``None`` within a region.
+        complete: Whether ``prefix`` is the whole body.
+        response: Where the rest of the body is read from.
+        throttle: Throttle of the link from the instance, ``None`` within a
+            region.
     """
 
     status: int
     headers: multidict.CIMultiDictProxy[str]
     prefix: bytes
-    whole: bool
+    complete: bool
     response: aiohttp.ClientResponse
     throttle: LinkThrottle | None = None
 
@@ -114,16 +116,16 @@
         """Yield the rest of the body after ``prefix``.
 
         Raises:
-            aiohttp.ClientError: If the answer is cut off.
+            aiohttp.ClientError: If the response is truncated.
         """
-        if not self.whole:
+        if not self.complete:
             async for chunk in self.response.content.iter_chunked(CHUNK_BYTES):
                 if self.throttle is not None:
                     await self.throttle.receive(len(chunk))
                 yield chunk
 
     def close(self) -> None:
-        """Drop the connection; the instance sees a cancellation."""
+        """Close the connection, which cancels the request."""
         self.response.close()
 
 
@@ -133,8 +135,8 @@
 
     Attributes:
         pooled: Session that reuses connections, for idempotent requests.
-        fresh: Session with a new connection for each request. A reused
-            connection that breaks cannot tell whether the request ran.
+        fresh: Session that opens a connection for each request. If a reused
+            connection breaks, it is unknown whether the request ran.
     """
 
     pooled: aiohttp.ClientSession
@@ -145,13 +147,14 @@
         instance: objects.Instance,
         request: UpstreamRequest,
         not_run_header: str = '',
-    ) -> result.Result[UpstreamAnswer, Failure]:
-        """Send a request and return the beginning of its answer.
+    ) -> result.Result[UpstreamResponse, Failure]:
+        """Send a request and return the beginning of its response.
 
         Args:
-            instance: Where to send it.
+            instance: The instance to send it to.
             request: The request.
-            not_run_header: Header that proves a shed request did not run.
+            not_run_header: Response header that proves that the request was
+                shed and did not run.
         """
         response = None
         try:
@@ -160,11 +163,11 @@
                 if not_run_header and not_run_header in response.headers:
                     response.release()
                     return result.Failure(Failure.SHED)
-                prefix, whole = await _read_prefix(
+                prefix, complete = await _read_prefix(
                     response.content, request.throttle
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            # No connection, so no byte of the request was sent.
+            # There was no connection, so no byte of the request was sent.
             return result.Failure(Failure.NOT_SENT)
         except TimeoutError:
             _close(response)
@@ -180,11 +183,11 @@
             _close(response)
             raise
         return result.Success(
-            UpstreamAnswer(
+            UpstreamResponse(
                 response.status,
                 response.headers,
                 prefix,
-                whole,
+                complete,
                 response,
                 request.throttle,
             )
@@ -198,7 +201,7 @@
             request.throttle is not None and request.body
         )
         if request.throttle is not None:
-            await request.throttle.send(HEADER_BYTES)
+            await request.throttle.send(HEADER_CHARGE_BYTES)
             if request.body_stream is None and request.body:
                 headers['Content-Length'] = str(len(request.body))
         headers[DEADLINE_HEADER] = str(int(request.remaining_s * 1000))
@@ -216,8 +219,8 @@
     """Return a client; call it inside a running event loop.
 
     Args:
-        connections_per_instance: Connections that this entry may hold to one
-            instance.
+        connections_per_instance: Maximum number of connections of this entry
+            to one instance.
     """
     pooled, fresh = (
         sessions.open_session(
@@ -247,9 +250,9 @@
     content: aiohttp.StreamReader, throttle: LinkThrottle | None
 ) -> tuple[bytes, bool]:
     chunks = bytearray()
-    while len(chunks) < PREFIX_BYTES:
+    while len(chunks) < MAX_PREFIX_BYTES:
         chunk = await content.read(
-            min(CHUNK_BYTES, PREFIX_BYTES - len(chunks))
+            min(CHUNK_BYTES, MAX_PREFIX_BYTES - len(chunks))
         )
         if not chunk and content.at_eof():
             return bytes(chunks), True
--- a/packages/entry/bulrushcourse_entry/upstreams/sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/sessions.py
@@ -1,4 +1,4 @@
-"""HTTP sessions with upstreams."""
+"""HTTP client sessions for upstreams."""
 
 import asyncio
 import functools
@@ -8,20 +8,23 @@
 import aiohttp
 import aiohttp.client_proto
 
-# Data that is not acknowledged for so long ends a connection.
+# The kernel closes a connection whose data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 3000
-# Upstreams close idle connections after some seconds; one that is closed by
-# this side first cannot break under a request.
-IDLE_S = 5.0
-# Longest line and field of a header that is read.
-HEADER_BYTES = 1 << 16
+# Shorter than the idle timeout of upstreams: a connection that this side
+# closes first cannot be reset while a request is being sent on it.
+IDLE_TIMEOUT_S = 5.0
+# Maximum size of a status line and of a header field.
+MAX_HEADER_BYTES = 1 << 16
 
 
-class WholeAnswerHandler(aiohttp.client_proto.ResponseHandler):
-    """Connection that tells a reset from the end of an unframed answer."""
+class ResetDetectingHandler(aiohttp.client_proto.ResponseHandler):
+    """Connection that distinguishes a reset from the end of a response.
+
+    It matters for responses whose body ends with the connection.
+    """
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Bound how long unacknowledged data may hang.
+        """Set the timeout for unacknowledged data.
 
         Args:
             transport: The new connection.
@@ -34,13 +37,13 @@
             )
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an answer that was reset before its end.
+        """Fail a response whose connection was reset before its end.
 
-        aiohttp takes the end of the connection for the end of an answer
-        without a length, even after a reset.
+        For a response without a length, aiohttp takes the end of the
+        connection for the end of the body, even after a reset.
 
         Args:
-            exc: Why the connection was lost, ``None`` for a proper end.
+            exc: Why the connection was lost, ``None`` if it was closed.
         """
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
@@ -50,22 +53,22 @@
         super().connection_lost(exc)
 
 
-class CleanConnector(aiohttp.TCPConnector):
+class SafeReuseConnector(aiohttp.TCPConnector):
     """Connector that does not reuse a connection with unread bytes.
 
-    An upstream may send a second answer after its answer. It would be taken
-    for the answer to the next request on that connection.
+    A faulty upstream may send a second response after the first. It would be
+    taken for the response to the next request on that connection.
     """
 
     def __init__(self, **options: typing.Any) -> None:
         super().__init__(**options)
         self._factory = functools.partial(
-            WholeAnswerHandler, loop=asyncio.get_running_loop()
+            ResetDetectingHandler, loop=asyncio.get_running_loop()
         )
 
     async def _get(self, key: typing.Any, traces: typing.Any) -> typing.Any:
-        for kept in list(self._conns.get(key, ())):
-            protocol = kept[0]
+        for connection in list(self._conns.get(key, ())):
+            protocol = connection[0]
             if protocol.should_close and protocol.transport is not None:
                 protocol.transport.abort()
         return await super()._get(key, traces)
@@ -80,15 +83,21 @@
     """Return an HTTP session; call it inside a running event loop.
 
     Args:
-        connections: Connections that it may hold to one upstream.
-        fresh: Whether each request gets a new connection. A used one that
-            breaks cannot tell whether the request ran.
-        connect_timeout_s: Longest time to open a connection.
+        connections: Maximum number of connections to one upstream.
+        fresh: Whether each request gets a new connection. If a reused one
+            breaks, it is unknown whether the request ran.
+        connect_timeout_s: Timeout for opening a connection.
         traces: Observers of its connections.
     """
-    reuse = {'force_close': True} if fresh else {'keepalive_timeout': IDLE_S}
+    reuse = (
+        {'force_close': True}
+        if fresh
+        else {'keepalive_timeout': IDLE_TIMEOUT_S}
+    )
     session = aiohttp.ClientSession(
-        connector=CleanConnector(limit=0, limit_per_host=connections, **reuse),
+        connector=SafeReuseConnector(
+            limit=0, limit_per_host=connections, **reuse
+        ),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         ),
@@ -101,10 +110,10 @@
             'Content-Type',
         ),
         trace_configs=list(traces),
-        max_line_size=HEADER_BYTES,
-        max_field_size=HEADER_BYTES,
+        max_line_size=MAX_HEADER_BYTES,
+        max_field_size=MAX_HEADER_BYTES,
     )
-    # aiohttp repeats idempotent methods on a broken connection. Such a
-    # hidden retry would bypass the retry budget and the quarantine.
+    # By default aiohttp retries idempotent methods when a connection breaks,
+    # which would bypass the retry budget and the quarantine.
     session._retry_connection = False
     return session
