Reword configuration exchange and operators' routes of the entry

The prose spoke of configurations that are held, put in force and passed on, and of seats and sets, without saying when a version is activated.

Keys of JSON bodies and of the state dump, reasons and statuses stay; some detail texts are reworded.

The tests of the folders pass; the type checker reports no new error.

--- a/packages/entry/bulrushcourse_entry/configuration/__init__.py
+++ b/packages/entry/bulrushcourse_entry/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""Keeping the newest configuration in force."""
+"""Distribution, publication and storage of the configuration."""
--- a/packages/entry/bulrushcourse_entry/configuration/publisher.py
+++ b/packages/entry/bulrushcourse_entry/configuration/publisher.py
@@ -1,4 +1,4 @@
-"""Publishing a configuration through this entry."""
+"""Publication of configurations through this entry."""
 
 import enum
 import typing
@@ -16,11 +16,11 @@
 from bulrushcourse_entry.membership import members as entry_members
 from bulrushcourse_entry.platform import table as platform_table
 
-ATTEMPTS = 3
+MAX_ATTEMPTS = 3
 
 
 class Reason(enum.Enum):
-    """Why a publish did not succeed."""
+    """Why a publish failed or its outcome is unknown."""
 
     FINDINGS = 'findings'
     CONFLICT = 'conflict'
@@ -32,13 +32,13 @@
 
 @attrs.frozen
 class Refusal:
-    """A publish that is not known to have succeeded.
+    """A publish that failed or whose outcome is unknown.
 
     Attributes:
         reason: Why.
-        detail: The same in words.
+        detail: Description for people.
         findings: Findings against the objects.
-        conflict: What the stored publication is and what changed.
+        conflict: The stored publication and what changed in it.
     """
 
     reason: Reason
@@ -50,24 +50,25 @@
 Outcome = result.Result[publication.Proposal, Refusal]
 
 _UNAVAILABLE = Refusal(
-    Reason.UNAVAILABLE, 'the table service does not answer; nothing is written'
+    Reason.UNAVAILABLE,
+    'the table service does not answer; nothing was written',
 )
 _UNKNOWN = Refusal(
     Reason.UNKNOWN,
-    'the table service did not answer the write; send the publish again with '
-    'the same publish_id to learn whether it took effect',
+    'the table service did not answer the write; repeat the publish with the '
+    'same publish_id to find out whether it took effect',
 )
 
 
 @attrs.define(eq=False)
 class Publisher:
-    """Publishes checked sets by compare-and-set.
+    """Checks configurations and publishes them by compare-and-set.
 
     Attributes:
         clock: Source of time.
         store: Configurations in the table.
-        members: Tells whether this entry is isolated.
-        exchange: Puts in force and passes on.
+        members: Reports whether this entry is isolated.
+        exchange: Stages published configurations and sends them to peers.
     """
 
     clock: clocks.Clock
@@ -76,10 +77,13 @@
     exchange: exchange.ConfigurationExchange
 
     async def publish(self, request: publication.PublishRequest) -> Outcome:
-        """Publish and return the publication, or why it is refused.
+        """Publish a configuration.
 
         Args:
-            request: What the operator wants.
+            request: The operator's request.
+
+        Returns:
+            The publication, or why it is refused.
         """
         outcome = await self._publish(request)
         if isinstance(outcome, result.Success):
@@ -90,8 +94,8 @@
                 operator=stored.operator,
                 publish_id=stored.publish_id,
             )
-            self.exchange.accept(stored.version, stored.objects)
-            self.exchange.pass_on()
+            self.exchange.stage(stored.version, stored.objects)
+            self.exchange.send_to_peers()
         else:
             events.emit(
                 events.Event.PUBLISH_REFUSED,
@@ -107,17 +111,17 @@
         """Publish the content of an earlier version as a new version.
 
         Args:
-            base_version: Version that is to be replaced.
+            base_version: Version to replace.
             version: The earlier version.
             publish_id: Identifier of the publish.
-            operator: Who rolls back.
+            operator: Name of the operator.
         """
         try:
             old = await self.store.read_history(version)
         except platform_table.TableUnavailable:
             return result.Failure(_UNAVAILABLE)
         if old is None:
-            detail = f'version {version} is not in history'
+            detail = f'version {version} is not in the history'
             return result.Failure(Refusal(Reason.NO_VERSION, detail))
         return await self.publish(
             publication.roll_back(base_version, old, publish_id, operator)
@@ -128,7 +132,7 @@
             return result.Failure(
                 Refusal(
                     Reason.ISOLATED,
-                    'this entry is cut off from the store and its peers',
+                    'this entry is isolated from the store and its peers',
                 )
             )
         checked = configuration_set.check_configuration(
@@ -142,7 +146,7 @@
                 )
             )
         unanswered = False
-        for _ in range(ATTEMPTS):
+        for _ in range(MAX_ATTEMPTS):
             try:
                 attempt = await self._attempt(request)
             except platform_table.TableUnavailable:
@@ -155,7 +159,7 @@
     async def _attempt(
         self, request: publication.PublishRequest
     ) -> Outcome | None:
-        """Return the outcome of one attempt, ``None`` if it is not known."""
+        """Return the outcome of one attempt, ``None`` if it is unknown."""
         current = await self.store.read_current()
         history = await self._read_history(request.base_version, current)
         proposed = publication.propose(
@@ -166,8 +170,8 @@
             return result.Failure(
                 Refusal(
                     Reason.CONFLICT,
-                    f'the set was made from version {conflict.base_version}, '
-                    f'version {current.version} is stored',
+                    f'the set is based on version {conflict.base_version}, '
+                    f'but version {current.version} is stored',
                     conflict=conflict,
                 )
             )
@@ -184,11 +188,18 @@
     async def _read_history(
         self, base: int, current: configuration_store.StoredCurrent
     ) -> dict[int, publication.Publication]:
-        """Return the publications that decide on a stale base."""
+        """Return the publications needed to check an outdated base version.
+
+        They are those of the base version and of the one after it.
+        """
         if base >= current.version:
             return {}
-        found: dict[int, typing.Any] = {
+        publications: dict[int, typing.Any] = {
             version: await self.store.read_history(version)
             for version in (base, base + 1)
         }
-        return {number: kept for number, kept in found.items() if kept}
+        return {
+            version: published
+            for version, published in publications.items()
+            if published
+        }
--- a/packages/entry/bulrushcourse_entry/configuration/store.py
+++ b/packages/entry/bulrushcourse_entry/configuration/store.py
@@ -1,4 +1,4 @@
-"""Configurations in the platform's table."""
+"""Storage of configurations in the platform's table."""
 
 import attrs
 from returns import result
@@ -14,13 +14,13 @@
 
 @attrs.frozen
 class StoredCurrent:
-    """The newest publication with the version of its row.
+    """The newest publication and the version of its row.
 
     Attributes:
-        row_version: Version that the next write must expect.
+        row_version: Row version that the next write must expect.
         publication: The publication, ``None`` if there is none or its
-            document has not the right form.
-        version: Its version, 0 if there is none.
+            document is malformed.
+        version: Its configuration version, 0 if there is none.
     """
 
     row_version: int
@@ -34,20 +34,20 @@
 
     Attributes:
         table: The platform's table service.
-        last: The newest publication as last read; readers poll twice a
-            second, and parsing an unchanged document cost them more than the
-            read itself.
+        last_read: Cache of the last parsed publication. Designated readers
+            poll twice a second, and parsing an unchanged document took longer
+            than the read itself.
     """
 
     table: platform_table.Table
-    last: StoredCurrent = StoredCurrent(0, None, 0)
+    last_read: StoredCurrent = StoredCurrent(0, None, 0)
 
     async def read_current(self) -> StoredCurrent:
         """Return the newest publication.
 
         Raises:
-            TableUnavailable: If there was no answer, or none that can be
-                understood.
+            TableUnavailable: If the table did not answer, or the row is
+                malformed.
         """
         row = await self.table.get(CURRENT_ROW)
         if row is None:
@@ -55,9 +55,9 @@
         version = _version(row)
         if not version:
             raise platform_table.TableUnavailable(f'{CURRENT_ROW}: malformed')
-        if row.version != self.last.row_version:
-            self.last = StoredCurrent(row.version, _parse(row), version)
-        return self.last
+        if row.version != self.last_read.row_version:
+            self.last_read = StoredCurrent(row.version, _parse(row), version)
+        return self.last_read
 
     async def read_history(
         self, version: int
@@ -68,7 +68,7 @@
             version: Its version.
 
         Raises:
-            TableUnavailable: If there was no answer.
+            TableUnavailable: If the table did not answer.
         """
         row = await self.table.get(f'{HISTORY_PREFIX}{version}')
         return None if row is None else _parse(row)
@@ -80,7 +80,7 @@
 
         Args:
             published: The publication.
-            row_version: Version that the row must have.
+            row_version: Version that the current row must have.
         """
         value = publications.render_publication(published)
         history_row = f'{HISTORY_PREFIX}{published.version}'
--- a/packages/entry/bulrushcourse_entry/operators/assembly.py
+++ b/packages/entry/bulrushcourse_entry/operators/assembly.py
@@ -1,4 +1,4 @@
-"""The route groups of the operators' listener."""
+"""Construction of the route groups of the operators' listener."""
 
 import typing
 
@@ -12,22 +12,27 @@
 
 
 def build_groups(
-    exchanged: exchange.ConfigurationExchange,
+    configurations: exchange.ConfigurationExchange,
     set_drained: typing.Callable[[bool], None],
     limits: limits_assembly.LimitsParts,
 ) -> tuple[listener.RouteGroup, ...]:
     """Return the routes for configurations, members and routing.
 
     Args:
-        exchanged: Puts configurations in force and passes them on.
-        set_drained: Takes this entry out of look-up answers, or back in.
-        limits: Plans, shares and choices of regions of this entry.
+        configurations: Stages configurations and sends them to peers.
+        set_drained: Removes this entry from look-up answers, or restores it.
+        limits: Plans, shares and region choices of this entry.
     """
-    published = publisher.Publisher(
-        exchanged.clock, exchanged.store, exchanged.members, exchanged
+    configuration_publisher = publisher.Publisher(
+        configurations.clock,
+        configurations.store,
+        configurations.members,
+        configurations,
     )
     return (
-        configuration.ConfigurationRoutes(published, exchanged.members),
-        members.MemberRoutes(exchanged.members, set_drained),
+        configuration.ConfigurationRoutes(
+            configuration_publisher, configurations.members
+        ),
+        members.MemberRoutes(configurations.members, set_drained),
         routing.RoutingRoutes(limits),
     )
--- a/packages/entry/bulrushcourse_entry/operators/configuration.py
+++ b/packages/entry/bulrushcourse_entry/operators/configuration.py
@@ -1,4 +1,4 @@
-"""Routes for operators: publish, history, rollback, versions in force."""
+"""Routes for operators: publish, rollback, history and active versions."""
 
 import json
 import typing
@@ -29,14 +29,14 @@
 
 @attrs.frozen
 class PublishBody:
-    """Body of a publish.
+    """Body of a publish request.
 
     Attributes:
-        base_version: Version that the set was made from.
-        publish_id: Identifier, the same in each repetition.
-        operator: Who publishes.
+        base_version: Version that the objects are based on.
+        publish_id: Identifier of the publish; a retry sends the same one.
+        operator: Name of the operator.
         objects: The objects.
-        note: Why.
+        note: Reason for the change.
     """
 
     base_version: int
@@ -48,13 +48,13 @@
 
 @attrs.frozen
 class RollbackBody:
-    """Body of a rollback.
+    """Body of a rollback request.
 
     Attributes:
-        base_version: Version that is to be replaced.
-        version: Version whose content is wanted.
-        publish_id: Identifier, the same in each repetition.
-        operator: Who rolls back.
+        base_version: Version to replace.
+        version: Earlier version whose content is published again.
+        publish_id: Identifier of the publish; a retry sends the same one.
+        operator: Name of the operator.
     """
 
     base_version: int
@@ -65,11 +65,11 @@
 
 @attrs.define(eq=False)
 class ConfigurationRoutes:
-    """Serves the configuration to operators.
+    """Serves and publishes configurations for operators.
 
     Attributes:
-        publisher: Publishes sets.
-        members: Knows the versions in force of all entries.
+        publisher: Publishes configurations.
+        members: Reports the active version of each entry.
     """
 
     publisher: publisher.Publisher
@@ -87,7 +87,7 @@
         )
 
     async def show_current(self, request: web.Request) -> web.Response:
-        """Return the configuration that this entry serves with.
+        """Return the active configuration of this entry.
 
         Args:
             request: The operator's request.
@@ -104,7 +104,7 @@
         )
 
     async def publish(self, request: web.Request) -> web.Response:
-        """Publish a set.
+        """Publish a configuration.
 
         Args:
             request: Its body has the fields of ``PublishBody``.
@@ -150,7 +150,7 @@
         store = self.publisher.store
         try:
             newest = await store.read_current()
-            found = [newest.publication] + [
+            history = [newest.publication] + [
                 await store.read_history(version)
                 for version in range(newest.version - 1, 0, -1)[
                     : HISTORY_LIMIT - 1
@@ -161,9 +161,9 @@
         return web.json_response(
             {
                 'publications': [
-                    publications.describe_publication(kept)
-                    for kept in found
-                    if kept
+                    publications.describe_publication(published)
+                    for published in history
+                    if published
                 ]
             }
         )
@@ -176,37 +176,39 @@
         """
         version = request.match_info['version']
         try:
-            kept = await self.publisher.store.read_history(
+            published = await self.publisher.store.read_history(
                 int(version) if version.isdecimal() else 0
             )
         except platform_table.TableUnavailable as error:
             return _show_unavailable(error)
-        if kept is None:
+        if published is None:
             return web.json_response(
                 {'title': 'no-version', 'detail': f'{version} is not stored'},
                 status=404,
             )
-        content = documents.render_document(kept.objects)
+        content = documents.render_document(published.objects)
         return web.json_response(
-            publications.describe_publication(kept)
+            publications.describe_publication(published)
             | {'objects': json.loads(content)}
         )
 
     async def show_versions(self, request: web.Request) -> web.Response:
-        """Return the version in force of each entry.
+        """Return the active version of each entry.
 
         Args:
             request: The operator's request.
         """
         entries = self.members.describe()
-        heard = {found['entry'] for found in entries}
+        heard_entries = {member['entry'] for member in entries}
         current = self.members.held.current
-        seats = current.objects.entries if current else ()
+        configured = current.objects.entries if current else ()
         return web.json_response(
             {
                 'entries': entries,
                 'unheard': sorted(
-                    seat.name for seat in seats if seat.name not in heard
+                    entry.name
+                    for entry in configured
+                    if entry.name not in heard_entries
                 ),
                 'listed': sorted({vm.entry for vm in self.members.listed}),
                 'isolated': self.members.isolated,
--- a/packages/entry/bulrushcourse_entry/operators/listener.py
+++ b/packages/entry/bulrushcourse_entry/operators/listener.py
@@ -9,20 +9,20 @@
 from bulrushcourse_entry import events
 
 READY_PATH = '/v1/ready'
-# A published set must fit into one frame of a peer stream, which is as large.
+# The frame size of peer streams, since a publication is sent in one frame.
 MAX_BODY_BYTES = 8 << 20
 
 
 class Dumpable(typing.Protocol):
-    """A part of the process that can show its state."""
+    """A component that contributes to the state dump."""
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the state, ready for JSON and free of secrets."""
+        """Return the state as a JSON object without secrets."""
         ...
 
 
 class RouteGroup(typing.Protocol):
-    """Routes of one subject."""
+    """A group of related routes."""
 
     def routes(self) -> typing.Sequence[web.RouteDef]:
         """Return the routes to serve."""
@@ -31,12 +31,12 @@
 
 @attrs.define(eq=False)
 class OperatorsListener:
-    """Serves state dumps, readiness and drains to operators.
+    """Serves readiness, state dumps and further route groups to operators.
 
     Attributes:
-        token: Bearer token that operators present.
+        token: Bearer token that operators must send.
         ready: Returns whether the entry serves callers.
-        parts: Parts of the state dump by name.
+        parts: Components of the state dump by name.
         groups: Further routes.
     """
 
@@ -60,11 +60,11 @@
     async def authorize(
         self, request: web.Request, handler: typing.Callable
     ) -> web.StreamResponse:
-        """Refuse requests without the token, readiness excepted.
+        """Reject requests without the token, except those of readiness.
 
         Args:
             request: The operator's request.
-            handler: Serves the request if it is allowed.
+            handler: Serves the request if it is authorized.
         """
         if request.path != READY_PATH and not self.is_operator(request):
             events.emit(
@@ -73,7 +73,10 @@
                 remote=request.remote,
             )
             return web.json_response(
-                {'title': 'unauthorized', 'detail': 'send a bearer token'},
+                {
+                    'title': 'unauthorized',
+                    'detail': 'a valid bearer token is required',
+                },
                 status=401,
                 headers={'WWW-Authenticate': 'Bearer'},
             )
@@ -100,7 +103,7 @@
         )
 
     async def show_state(self, request: web.Request) -> web.Response:
-        """Return the state of each part.
+        """Return the state of each component.
 
         Args:
             request: The operator's request.
--- a/packages/entry/bulrushcourse_entry/operators/members.py
+++ b/packages/entry/bulrushcourse_entry/operators/members.py
@@ -1,4 +1,4 @@
-"""Routes for operators: drain this entry, explain look-up answers."""
+"""Routes for operators: drains and explanations of look-up answers."""
 
 import typing
 
@@ -10,11 +10,11 @@
 
 @attrs.define(eq=False)
 class MemberRoutes:
-    """Serves membership to operators.
+    """Serves drains and look-up explanations to operators.
 
     Attributes:
-        members: Which entries are live.
-        set_drained: Takes this entry out of look-up answers, or back in.
+        members: The membership of the entries.
+        set_drained: Removes this entry from look-up answers, or restores it.
     """
 
     members: entry_members.Members
@@ -29,7 +29,7 @@
         )
 
     async def drain(self, request: web.Request) -> web.Response:
-        """Take this entry out of look-up answers; it serves on.
+        """Remove this entry from look-up answers; it continues to serve.
 
         Args:
             request: The operator's request.
@@ -38,7 +38,7 @@
         return web.json_response({'drained': True})
 
     async def undrain(self, request: web.Request) -> web.Response:
-        """Let look-up answers name this entry again.
+        """Restore this entry to look-up answers.
 
         Args:
             request: The operator's request.
@@ -47,7 +47,7 @@
         return web.json_response({'drained': False})
 
     async def explain(self, request: web.Request) -> web.Response:
-        """Tell how the look-up answer for a client comes about.
+        """Explain the look-up answer for a client.
 
         Args:
             request: Query ``client`` gives the client's IP address.
--- a/packages/entry/bulrushcourse_entry/operators/routing.py
+++ b/packages/entry/bulrushcourse_entry/operators/routing.py
@@ -1,4 +1,4 @@
-"""Routes for operators: progress of plans and choice of regions."""
+"""Routes for operators: progress of plans and choices of regions."""
 
 import typing
 
@@ -10,10 +10,10 @@
 
 @attrs.define(eq=False)
 class RoutingRoutes:
-    """Serves plans and the last choices of regions to operators.
+    """Serves the state of plans and region choices to operators.
 
     Attributes:
-        limits: Plans, shares and choices of regions of this entry.
+        limits: Plans, shares and region choices of this entry.
     """
 
     limits: limits_assembly.LimitsParts
@@ -26,7 +26,7 @@
         )
 
     async def show_plans(self, request: web.Request) -> web.Response:
-        """Return how each plan stands at this entry.
+        """Return the state of each plan at this entry.
 
         Args:
             request: The operator's request.
@@ -34,7 +34,7 @@
         return web.json_response(self.limits.plans.dump())
 
     async def show_routes(self, request: web.Request) -> web.Response:
-        """Return the last choice of a region by service, with the reasons.
+        """Return the last region choice for each service, with its reasons.
 
         Args:
             request: The operator's request.
