Reword the entry's process, settings, events and command line

Several event messages and findings read oddly ("entry is cut off", "ended by a fault of this program"), an unreadable settings file printed an exception's own text, and most fields of the process had no doc comment.

Event messages use the terms of the field; numbers, levels and names of the events stay. Findings of settings say what is expected; their places and codes stay. Locals, constants and two fields are renamed, and all fields of the process are described.

--- a/packages/entry/bulrushcourse_entry/__init__.py
+++ b/packages/entry/bulrushcourse_entry/__init__.py
@@ -1,1 +1,1 @@
-"""The process that runs on an entry VM."""
+"""The processes that run on an entry VM."""
--- a/packages/entry/bulrushcourse_entry/__main__.py
+++ b/packages/entry/bulrushcourse_entry/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the binary as ``python -m bulrushcourse_entry``."""
+"""Runs the command line as ``python -m bulrushcourse_entry``."""
 
 from bulrushcourse_entry import command
 
--- a/packages/entry/bulrushcourse_entry/command.py
+++ b/packages/entry/bulrushcourse_entry/command.py
@@ -1,4 +1,4 @@
-"""Command line of the binary ``bulrushcourse``."""
+"""The ``bulrushcourse`` command line."""
 
 import asyncio
 import importlib.metadata
@@ -56,6 +56,8 @@
 def check_settings(command: 'CheckSettings') -> None:
     """Check a settings file and print all findings.
 
+    A ``.toml`` file is checked as a settings file of the users' platform.
+
     Args:
         command: Parsed arguments.
     """
@@ -120,8 +122,10 @@
     """Arguments of ``edge``.
 
     Attributes:
-        settings: Path of the platform's settings file.
-        metrics_port: Port of metrics and state.
+        settings: Path of the platform's settings file; empty for the one
+            that ``BULRUSHCOURSE_CONFIG`` names.
+        metrics_port: Port of the HTTP listener for metrics and state, 0 for
+            none.
     """
 
     settings: typing.Annotated[
@@ -133,7 +137,11 @@
         ),
     ] = ''
     metrics_port: typing.Annotated[
-        int, cappa.Arg(long=True, help='Port of metrics and state; 0: none.')
+        int,
+        cappa.Arg(
+            long=True,
+            help='Port of the listener for metrics and state; 0 for none.',
+        ),
     ] = 0
 
 
@@ -172,7 +180,7 @@
     """The command line.
 
     Attributes:
-        command: The chosen command.
+        command: The selected subcommand.
     """
 
     command: cappa.Subcommands[Run | Edge | CheckSettings | Version]
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -1,4 +1,4 @@
-"""Numbered log events; ``docs/EVENTS.md`` is their catalogue."""
+"""Numbered log events, which ``docs/EVENTS.md`` lists."""
 
 import enum
 import typing
@@ -12,7 +12,7 @@
 class Event(enum.Enum):
     """Events of an entry: number, level, message.
 
-    Numbers are never reused. The first digit names the part: 1 process,
+    Numbers are never reused. The first digit is the area: 1 process,
     2 callers, 3 peers, 4 platform, 5 configuration, 6 upstreams, 7 limits,
     8 claims, 9 operators.
     """
@@ -21,40 +21,40 @@
     READY = (1002, 'info', 'entry is ready to serve callers')
     STOPPING = (1003, 'info', 'graceful shutdown started')
     STOPPED = (1004, 'info', 'entry stopped')
-    RELOADED = (1006, 'info', 'settings were read again')
-    SETTINGS_REFUSED = (1007, 'error', 'settings are not usable')
-    TASK_FAILED = (1008, 'error', 'task failed and is started again')
+    RELOADED = (1006, 'info', 'settings reloaded')
+    SETTINGS_REFUSED = (1007, 'error', 'settings are invalid')
+    TASK_FAILED = (1008, 'error', 'task failed and is restarted')
     REQUEST_SERVED = (2001, 'info', 'request served')
     REQUEST_FAILED = (2002, 'info', 'request not served')
-    REQUEST_ERROR = (2003, 'error', 'request ended by a fault of this program')
-    STOP_FORCED = (1005, 'warning', 'shutdown cut off requests in flight')
+    REQUEST_ERROR = (2003, 'error', 'request failed with an internal error')
+    STOP_FORCED = (1005, 'warning', 'shutdown aborted requests in flight')
     PEER_CONNECTED = (3001, 'info', 'peer stream established')
     PEER_LOST = (3002, 'warning', 'peer stream lost')
     PEER_REFUSED = (3003, 'warning', 'peer stream refused')
     MEMBER_CHANGED = (3004, 'info', 'state of a member changed')
-    ISOLATED = (3005, 'error', 'entry is cut off from the store and its peers')
-    NOT_ISOLATED = (3006, 'info', 'entry is no longer cut off')
+    ISOLATED = (3005, 'error', 'entry is isolated from the store and peers')
+    NOT_ISOLATED = (3006, 'info', 'entry is no longer isolated')
     STORE_UNREACHABLE = (4001, 'warning', 'table service does not answer')
     STORE_REACHABLE = (4002, 'info', 'table service answers again')
-    ROW_MALFORMED = (4004, 'warning', 'stored row cannot be read')
-    VM_ROW_NOT_WRITTEN = (4005, 'warning', 'entry of this VM not written')
-    VM_LIST_UNREACHABLE = (4003, 'warning', 'list of VMs does not answer')
-    CONFIGURATION_IN_FORCE = (5001, 'info', 'configuration is in force')
+    ROW_MALFORMED = (4004, 'warning', 'stored row is malformed')
+    VM_ROW_NOT_WRITTEN = (4005, 'warning', 'row of this VM not written')
+    VM_LIST_UNREACHABLE = (4003, 'warning', 'VM list does not answer')
+    CONFIGURATION_IN_FORCE = (5001, 'info', 'configuration is active')
     CONFIGURATION_REFUSED = (5002, 'error', 'stored configuration is invalid')
-    EVACUATION_CHANGED = (5005, 'info', 'failure domains under evacuation')
+    EVACUATION_CHANGED = (5005, 'info', 'evacuated failure domains changed')
     PUBLISHED = (5003, 'info', 'operator published a configuration')
     PUBLISH_REFUSED = (5004, 'info', 'publish was refused')
     UPSTREAM_FAILED = (6001, 'warning', 'upstream request failed')
     UPSTREAM_LEAVING = (6002, 'info', 'upstream instance is leaving')
     UPSTREAM_RETURNED = (6003, 'info', 'upstream instance serves again')
-    UPSTREAM_CHANGED = (6004, 'info', 'entry of an upstream changed')
-    UPSTREAM_SET_ASIDE = (6005, 'warning', 'upstream set aside')
+    UPSTREAM_CHANGED = (6004, 'info', 'upstream changed in the directory')
+    UPSTREAM_SET_ASIDE = (6005, 'warning', 'upstream ejected')
     POOL_TAKEN = (6101, 'info', 'entry owns a pool')
     POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
     LEDGER_REFUSED = (7001, 'error', 'stored shares of a limit are invalid')
-    PLAN_CHANGED = (7002, 'info', 'plan has changed its state')
+    PLAN_CHANGED = (7002, 'info', 'state of a plan changed')
     OUTCOME_NOT_COPIED = (8001, 'warning', 'outcome not copied to the store')
-    OPERATOR_REFUSED = (9001, 'warning', 'operator request without token')
+    OPERATOR_REFUSED = (9001, 'warning', 'operator request not authorized')
 
     @property
     def number(self) -> int:
@@ -72,27 +72,30 @@
         return self.value[2]
 
 
-LIMIT_INTERVAL_S = 10.0
-LIMIT_PER_INTERVAL = 20
+LIMITER_INTERVAL_S = 10.0
+MAX_EVENTS_PER_INTERVAL = 20
 
 
 @attrs.define
 class EventLimiter:
-    """Bounds how often one event is logged, so that faults cause no flood.
+    """Limits the rate at which each event is logged.
 
     Attributes:
         clock: Source of time.
-        windows: Start of the interval and count, by event.
+        windows: Start of the current interval and count in it, by event.
     """
 
     clock: clocks.Clock
     windows: dict[Event, tuple[float, int]] = attrs.field(factory=dict)
 
     def admit(self, event: Event) -> tuple[bool, int]:
-        """Return whether to log an event and how many were left out.
+        """Return whether to log an event and how many were suppressed.
+
+        The number is that of the last interval; it is reported with the first
+        event after it.
 
         Args:
-            event: What happened.
+            event: The event.
 
         Examples:
             >>> limiter = EventLimiter(clocks.ManualClock())
@@ -102,12 +105,12 @@
         """
         now = self.clock.monotonic()
         start, count = self.windows.get(event, (now, 0))
-        left_out = 0
-        if now - start >= LIMIT_INTERVAL_S:
-            left_out = max(0, count - LIMIT_PER_INTERVAL)
+        suppressed = 0
+        if now - start >= LIMITER_INTERVAL_S:
+            suppressed = max(0, count - MAX_EVENTS_PER_INTERVAL)
             start, count = now, 0
         self.windows[event] = start, count + 1
-        return count < LIMIT_PER_INTERVAL, left_out
+        return count < MAX_EVENTS_PER_INTERVAL, suppressed
 
 
 _LOGGER = logbook.Logger('bulrushcourse')
@@ -115,27 +118,30 @@
 
 
 def emit(event: Event, **fields: typing.Any) -> None:
-    """Write an event to the log unless it came too often.
+    """Write an event to the log unless its rate limit is exceeded.
 
     Args:
-        event: What happened.
+        event: The event.
         **fields: Details, written as ``name=value``.
     """
-    logged, left_out = _LIMITER.admit(event)
-    if not logged:
+    admitted, suppressed = _LIMITER.admit(event)
+    if not admitted:
         return
-    if left_out:
-        fields['left_out'] = left_out
+    if suppressed:
+        fields['left_out'] = suppressed
     details = ' '.join(f'{name}={value!r}' for name, value in fields.items())
     level = logbook.lookup_level(event.level.upper())
     _LOGGER.log(level, f'E{event.number} {event.message} {details}'.rstrip())
 
 
 def write_fields(event: Event, fields: dict[str, typing.Any]) -> None:
-    """Write an event as named fields, for handlers of structured lines.
+    """Write an event with its details as fields of the log record.
+
+    Unlike ``emit``, it serves log handlers that write structured lines, and
+    limits no rate.
 
     Args:
-        event: What happened.
+        event: The event.
         fields: Details.
     """
     level = logbook.lookup_level(event.level.upper())
--- a/packages/entry/bulrushcourse_entry/listening.py
+++ b/packages/entry/bulrushcourse_entry/listening.py
@@ -1,30 +1,30 @@
-"""Opening of HTTP listeners."""
+"""Starting of HTTP listeners."""
 
 from aiohttp import web
 
 from bulrushcourse_entry import settings as entry_settings
 
-# The graceful drain has waited for requests before a listener is closed; what
-# is still at work then was given up by the limit or by a second signal.
-CLOSE_LIMIT_S = 1.0
+# A listener is closed after the graceful drain. Requests that are still in
+# flight then have exceeded the stop limit, or a second signal forced the stop.
+CLOSE_TIMEOUT_S = 1.0
 
 
-async def listen(application: web.Application, at: str) -> web.AppRunner:
-    """Serve an application and return what stops it.
+async def listen(application: web.Application, address: str) -> web.AppRunner:
+    """Start to serve an application and return its runner, which stops it.
 
     A handler is cancelled when its client closes the connection.
 
     Args:
         application: The HTTP application.
-        at: ``ip:port`` to listen on.
+        address: ``ip:port`` to listen on.
     """
     runner = web.AppRunner(
         application,
         handler_cancellation=True,
         access_log=None,
-        shutdown_timeout=CLOSE_LIMIT_S,
+        shutdown_timeout=CLOSE_TIMEOUT_S,
     )
     await runner.setup()
-    host, port = entry_settings.split_address(at)
+    host, port = entry_settings.split_address(address)
     await web.TCPSite(runner, host, port).start()
     return runner
--- a/packages/entry/bulrushcourse_entry/metrics.py
+++ b/packages/entry/bulrushcourse_entry/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics sent by statsd."""
+"""Metrics, sent by the statsd protocol."""
 
 import typing
 
@@ -39,7 +39,7 @@
 
 
 def open_metrics(address: str, entry: str) -> Metrics:
-    """Return metrics that are sent to a statsd server over UDP.
+    """Return a client that sends metrics to a statsd server over UDP.
 
     Args:
         address: ``ip:port``; empty to drop all metrics.
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -1,4 +1,4 @@
-"""The parts of an entry process, how they start and how they stop."""
+"""Construction, start and graceful stop of an entry process."""
 
 import asyncio
 import enum
@@ -41,7 +41,7 @@
 
 
 class State(enum.Enum):
-    """Life of an entry process."""
+    """State in the life cycle of an entry process."""
 
     STARTING = 'starting'
     SERVING = 'serving'
@@ -50,22 +50,38 @@
 
 @attrs.define(eq=False)
 class EntryProcess:
-    """One entry.
+    """The entry process with all of its components.
 
     Attributes:
         settings: Checked settings.
         clock: Source of time.
         state: Whether it is starting, serving or leaving.
-        drained: Whether an operator took it out of look-up answers.
-        held: Configuration in force.
-        stop: Signals that end the process.
+        drained: Whether an operator removed it from look-up answers.
+        active: Active and newest configuration.
+        stop: Signals that stop the process.
+        tasks: Background tasks, cancelled at the end.
+        runners: Runners of the HTTP listeners.
+        metrics: Receiver of metrics.
+        table: The platform's table service.
+        hub: Streams to peers.
+        members: The membership of the entries.
+        configuration: Reads configurations and exchanges them with peers.
+        slots: Pools and slots.
+        limits: Plans, shares and region choices.
+        upstreams: HTTP client of the instances.
+        forwarder: Runs calls on upstreams.
+        health: Health monitor of the instances.
+        claims: Components that run requests at most once.
+        callers: HTTP listener for callers.
+        operators: HTTP listener for operators.
+        reporter: Sends gauges.
     """
 
     settings: entry_settings.Settings
     clock: clocks.Clock = attrs.field(factory=clocks.SystemClock)
     state: State = State.STARTING
     drained: bool = False
-    held: active_configuration.ActiveConfiguration = attrs.field(
+    active: active_configuration.ActiveConfiguration = attrs.field(
         factory=active_configuration.ActiveConfiguration
     )
     stop: stopping.StopSignals = attrs.field(factory=stopping.StopSignals)
@@ -92,7 +108,7 @@
         async with aiohttp.ClientSession() as session:
             self._build(session)
             await self._start()
-            await self.stop.wanted.wait()
+            await self.stop.requested.wait()
             await self._drain()
             await self._stop()
 
@@ -100,17 +116,17 @@
         """Return this entry's heartbeat."""
         return messages.Heartbeat(
             state=(State.LEAVING if self.drained else self.state).value,
-            configuration_version=self.held.version,
+            configuration_version=self.active.version,
             store_reachable=self.table.reachable,
             region=self.settings.region,
             callers_address=self.settings.listen.callers,
             in_flight=self.callers.in_flight,
-            held_version=self.held.newest_version,
+            held_version=self.active.newest_version,
             failure_domain=self.settings.failure_domain,
         )
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the process's own state for a state dump."""
+        """Return the process's identity and state for a state dump."""
         return {
             'entry': self.settings.entry,
             'vm_id': self.settings.vm_id,
@@ -142,11 +158,11 @@
             self.clock,
             vm_list.HttpVmList(settings.platform.vms, session),
             self.hub,
-            self.held,
+            self.active,
             self.heartbeat,
         )
         self.configuration = exchange.ConfigurationExchange(
-            self.clock, self.table, self.held, self.members, self.hub
+            self.clock, self.table, self.active, self.members, self.hub
         )
         self._build_request_path(session)
         self.health = monitor.HealthMonitor(
@@ -212,23 +228,23 @@
                 self.settings.platform.objects, session
             ),
             self.forwarder,
-            self.held,
+            self.active,
         )
         self.callers = callers_listener.CallersListener(
             self.clock,
-            self.held,
+            self.active,
             self.forwarder,
             self.members,
             self.metrics,
             claims_listener.ClaimsListener(
                 self.clock,
-                self.held,
+                self.active,
                 self.claims.gateway,
                 lambda: self.state is State.SERVING,
             ),
         )
         self.configuration.changes.subscribe(self._configure)
-        self.members.sweeps.subscribe(lambda _: self._decide_ready())
+        self.members.sweeps.subscribe(lambda _: self._update_readiness())
 
     def _configure(
         self, configuration: configuration_set.ConfigurationSet
@@ -238,23 +254,23 @@
         self.forwarder.configure(configuration)
         self.health.configure(configuration)
         self.claims.configure(configuration)
-        self._decide_ready()
+        self._update_readiness()
 
     def _set_drained(self, drained: bool) -> None:
         self.drained = drained
         self.hub.broadcast(self.heartbeat())
         self.members.sweep()
 
-    def _decide_ready(self) -> None:
+    def _update_readiness(self) -> None:
         if self.state is not State.STARTING:
             return
         if self.configuration.startup.decide(
-            self.held.version,
+            self.active.version,
             self.members.silent_vms(),
             self.members.newest_peer_version(),
         ):
             self.state = State.SERVING
-            events.emit(events.Event.READY, version=self.held.version)
+            events.emit(events.Event.READY, version=self.active.version)
             self.hub.broadcast(self.heartbeat())
             self.members.sweep()
 
@@ -266,20 +282,22 @@
         self.configuration.start()
         self.health.start()
         self.tasks.extend(self.claims.start())
-        for part, at in (
+        for listener, address in (
             (self.operators, listen.operators),
             (self.callers, listen.callers),
         ):
-            self.runners.append(await listening.listen(part.application(), at))
+            self.runners.append(
+                await listening.listen(listener.application(), address)
+            )
         self.tasks.extend(self.limits.start())
-        for work in (
+        for run in (
             self.members.run,
             self.members.run_sweeps,
             self.configuration.run,
             self.health.run,
             self.reporter.run,
         ):
-            self.tasks.append(asyncio.create_task(work()))
+            self.tasks.append(asyncio.create_task(run()))
         events.emit(
             events.Event.STARTED,
             entry=self.settings.entry,
@@ -287,7 +305,7 @@
         )
 
     async def _drain(self) -> None:
-        """Leave look-up answers and serve until all work is done."""
+        """Leave look-up answers and serve until no work is left."""
         self.state = State.LEAVING
         self.members.sweep()
         self.hub.broadcast(self.heartbeat())
--- a/packages/entry/bulrushcourse_entry/reporting.py
+++ b/packages/entry/bulrushcourse_entry/reporting.py
@@ -1,4 +1,4 @@
-"""Gauges of headroom, waiting work, share use and state, sent regularly."""
+"""Periodic gauges of store access, limits and pools."""
 
 import asyncio
 
@@ -15,13 +15,13 @@
 
 @attrs.define(eq=False)
 class GaugeReporter:
-    """Sends gauges of what this entry owns and holds.
+    """Sends gauges of the pools that this entry owns and of its shares.
 
     Attributes:
         metrics: Receiver of metrics.
         table: The platform's table service.
         server: Pools that this entry may own.
-        limits: Shares that this entry holds.
+        limits: This entry's shares of limits.
     """
 
     metrics: entry_metrics.Metrics
@@ -41,11 +41,11 @@
         for name, owned in self.server.pools.items():
             if owned.term:
                 self._report_pool(name.replace('/', '.'), owned.pool)
-        for name, held in self.limits.limits.items():
-            usable = held.shares.usable
+        for name, limit in self.limits.limits.items():
+            usable = limit.shares.usable
             self.metrics.gauge(f'limit.{name}.usable', usable)
             self.metrics.gauge(
-                f'limit.{name}.headroom', usable - held.window.in_use()
+                f'limit.{name}.headroom', usable - limit.window.in_use()
             )
 
     def _report_pool(self, name: str, pool: slot_pool.SlotPool) -> None:
--- a/packages/entry/bulrushcourse_entry/settings.py
+++ b/packages/entry/bulrushcourse_entry/settings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry, read from a JSON file and checked as a whole."""
+"""Settings of an entry: loading from a JSON file and validation."""
 
 import pathlib
 import typing
@@ -42,22 +42,22 @@
 
 @attrs.frozen
 class Settings:
-    """What one entry process is told when it starts.
+    """Settings of one entry process.
 
     Attributes:
-        entry: Name of the entry object whose seat the process takes.
+        entry: Name of the configured entry that the process runs as.
         vm_id: The platform's identifier of this VM.
         region: Region of this VM.
         failure_domain: Failure domain of this VM.
         listen: Addresses to listen on.
         platform: The platform's services.
-        peers: Peer addresses ``ip:port`` by entry name, used until the list
-            of VMs is known.
+        peers: Peer addresses ``ip:port`` by entry name, used until the VM
+            list is known.
         peer_secret_file: File with the secret that entries share.
         operator_token_file: File with the operators' bearer token.
         statsd: ``ip:port`` of the statsd server; empty for none.
-        answer_max_age_s: Time that callers may cache a look-up answer.
-        stop_limit_s: Longest time that a graceful shutdown may take.
+        answer_max_age_s: Time for which callers may cache a look-up answer.
+        stop_limit_s: Maximum duration of a graceful shutdown.
         log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -89,9 +89,16 @@
     """
     try:
         text = pathlib.Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, UnicodeDecodeError):
         return result.Failure(
-            (findings.Finding(path, 'unreadable', str(error)),)
+            (
+                findings.Finding(
+                    path,
+                    'unreadable',
+                    'cannot be read',
+                    'a readable JSON file in UTF-8',
+                ),
+            )
         )
     return documents.parse_document(text, Settings).bind(check_settings)
 
@@ -99,13 +106,13 @@
 def check_settings(
     settings: Settings,
 ) -> result.Result[Settings, tuple[findings.Finding, ...]]:
-    """Return settings without findings, or all findings.
+    """Return the settings if all rules hold, else all findings.
 
     Args:
-        settings: Settings of the right form.
+        settings: Settings whose fields have the right types.
     """
     rules = (_check_addresses, _check_names, _check_secrets, _check_ranges)
-    found = [f for rule in rules for f in rule(settings)]
+    found = [finding for rule in rules for finding in rule(settings)]
     if found:
         return result.Failure(findings.sort_findings(found))
     return result.Success(settings)
@@ -150,7 +157,9 @@
         'listen.operators': settings.listen.operators,
         'listen.peers': settings.listen.peers,
     }
-    addresses |= {f'peers[{n}]': a for n, a in settings.peers.items()}
+    addresses |= {
+        f'peers[{name}]': address for name, address in settings.peers.items()
+    }
     if settings.statsd:
         addresses['statsd'] = settings.statsd
     for place, address in addresses.items():
@@ -163,7 +172,9 @@
 def _check_names(settings: Settings) -> typing.Iterator[findings.Finding]:
     for place in ('entry', 'vm_id', 'region', 'failure_domain'):
         if not getattr(settings, place):
-            yield findings.Finding(place, 'empty', 'is empty')
+            yield findings.Finding(
+                place, 'empty', 'is empty', 'at least one character'
+            )
 
 
 def _check_secrets(settings: Settings) -> typing.Iterator[findings.Finding]:
@@ -179,8 +190,11 @@
 
 def _check_ranges(settings: Settings) -> typing.Iterator[findings.Finding]:
     for place in ('answer_max_age_s', 'stop_limit_s'):
-        if getattr(settings, place) <= 0:
-            yield findings.Finding(place, 'range', 'is not positive')
+        value = getattr(settings, place)
+        if value <= 0:
+            yield findings.Finding(
+                place, 'range', f'is {value}', 'a positive number of seconds'
+            )
     if settings.log_level not in _LOG_LEVELS:
         yield findings.Finding(
             'log_level',
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -1,4 +1,4 @@
-"""Graceful shutdown: serve until all work is done, or until it is forced."""
+"""Stop signals and the graceful drain before a shutdown."""
 
 import asyncio
 import signal
@@ -10,9 +10,9 @@
 from bulrushcourse_entry.claims import assembly as claims_assembly
 from bulrushcourse_entry.slots import assembly as slots_assembly
 
-# An answer given just before the shutdown started may reach its caller late,
-# and the caller's cache lifetime starts only then.
-ANSWER_TRAVEL_LIMIT_S = 1.0
+# A look-up answer sent just before the shutdown may arrive this much later,
+# and the caller's cache lifetime starts only on arrival.
+MAX_ANSWER_DELAY_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -20,35 +20,35 @@
     """SIGTERM and SIGINT of the process.
 
     Attributes:
-        wanted: Set by the first signal.
+        requested: Set by the first signal.
         forced: Set by the second signal.
     """
 
-    wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    requested: asyncio.Event = attrs.field(factory=asyncio.Event)
     forced: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def install(self) -> None:
-        """Handle the signals in the running event loop."""
+        """Register the signal handlers in the running event loop."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
 
     def _on_signal(self) -> None:
-        if self.wanted.is_set():
+        if self.requested.is_set():
             self.forced.set()
-        self.wanted.set()
+        self.requested.set()
 
 
 @attrs.define(eq=False)
 class GracefulDrain:
-    """Waits until an entry that left look-up answers has no work.
+    """Waits until an entry that left look-up answers has no work left.
 
     Attributes:
         callers: Listener with the requests in flight.
         slots: Pools to hand over.
-        claims: Outcomes that are still to be recorded.
+        claims: Runs in progress and outcomes to record.
         answer_max_age_s: Cache lifetime of look-up answers.
-        limit_s: Longest time to wait.
+        limit_s: Maximum time to wait.
     """
 
     callers: callers_listener.CallersListener
@@ -58,10 +58,10 @@
     limit_s: float
 
     async def run(self, forced: asyncio.Event) -> None:
-        """Return when no work is left, at the limit or when forced.
+        """Wait until no work is left, the limit is reached or it is forced.
 
         Args:
-            forced: Set to end the wait at once.
+            forced: Set to end the wait immediately.
         """
         self.callers.leaving = True
         events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
@@ -82,10 +82,11 @@
             )
 
     async def _wait_until_idle(self) -> None:
-        wait_s = self.answer_max_age_s + ANSWER_TRAVEL_LIMIT_S
+        wait_s = self.answer_max_age_s + MAX_ANSWER_DELAY_S
         async with asyncio.TaskGroup() as group:
             group.create_task(self.slots.leave())
             group.create_task(asyncio.sleep(wait_s))
         await self.callers.idle.wait()
-        # Runs whose callers have left, and outcomes not yet recorded.
+        # Waits for runs whose callers have disconnected and for outcomes that
+        # are not recorded yet.
         await self.claims.drain()
--- a/packages/entry/bulrushcourse_entry/tests/test_events.py
+++ b/packages/entry/bulrushcourse_entry/tests/test_events.py
@@ -1,4 +1,4 @@
-"""Guards against a catalogue that differs from the code."""
+"""Guards against differences between the event catalogue and the code."""
 
 import pathlib
 import re
@@ -21,7 +21,7 @@
 
 
 def test_every_event_is_emitted_somewhere():
-    """Guards against advice on events that no operator will ever see."""
+    """Guards against documented events that are never logged."""
     sources = pathlib.Path(events.__file__).parent.rglob('*.py')
     code = '\n'.join(
         path.read_text() for path in sources if 'tests' not in path.parts
--- a/packages/entry/bulrushcourse_entry/tests/test_settings.py
+++ b/packages/entry/bulrushcourse_entry/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Guards against settings that would fail only after the start."""
+"""Guards against invalid settings that fail only after the start."""
 
 import json
 import pathlib
