Mend wording left in the entry's callers, claims and settings

A second reading found names and comments that still stopped a reader: HeldSlot, FAILURE_FACTS, an import alias, and two comments that did not say when a grant is too late or where a figure of nine entries is from.

Rename them to GrantedSlot, DISPATCH_RESULTS and domain_findings, reword the comments, and give two tests of rows their former shape again.

--- a/packages/entry/bulrushcourse_entry/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/callers/attempts.py
@@ -13,7 +13,7 @@
 
 
 @attrs.frozen
-class HeldSlot:
+class GrantedSlot:
     """A granted slot.
 
     Attributes:
--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -162,7 +162,7 @@
         number: int,
         avoid: tuple[str, ...],
         hedged: str = '',
-    ) -> result.Result[attempts.HeldSlot, requests.Refusal]:
+    ) -> result.Result[attempts.GrantedSlot, requests.Refusal]:
         """Acquire a slot for one attempt.
 
         Args:
@@ -190,7 +190,7 @@
             call.service.name, region, slot_request
         )
         return granted.map(
-            lambda grant: attempts.HeldSlot(
+            lambda grant: attempts.GrantedSlot(
                 region,
                 grant.instance,
                 self._release_callback(call, region, grant),
@@ -198,7 +198,7 @@
         )
 
     async def send(
-        self, call: request_parsing.Call, slot: attempts.HeldSlot
+        self, call: request_parsing.Call, slot: attempts.GrantedSlot
     ) -> attempts.Attempt:
         """Send the call to the instance of a slot.
 
@@ -222,8 +222,8 @@
         remaining = call.deadline - self.clock.monotonic()
         target = self.instances.get(instance)
         if remaining <= 0 or target is None:
-            # The deadline passed while this process was suspended, or the
-            # granted instance is missing from the local configuration.
+            # The grant arrived too late, for instance because this process
+            # was suspended, or the local configuration lacks the instance.
             release(requests.ReleaseOutcome.CANCELLED)
             return attempts.Attempt(
                 failure=client.Failure.NOT_SENT, instance=instance
--- a/packages/entry/bulrushcourse_entry/callers/hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/hedging.py
@@ -30,12 +30,12 @@
         number: int,
         avoid: tuple[str, ...],
         hedged: str = '',
-    ) -> result.Result[attempts.HeldSlot, requests.Refusal]:
+    ) -> result.Result[attempts.GrantedSlot, requests.Refusal]:
         """Acquire a slot for one request."""
         ...
 
     async def send(
-        self, call: request_parsing.Call, slot: attempts.HeldSlot
+        self, call: request_parsing.Call, slot: attempts.GrantedSlot
     ) -> attempts.Attempt:
         """Send the call to the instance of a slot."""
         ...
@@ -67,7 +67,7 @@
     async def send(
         self,
         call: request_parsing.Call,
-        slot: attempts.HeldSlot,
+        slot: attempts.GrantedSlot,
         budget: retry_budget.RetryBudget,
     ) -> attempts.Attempt:
         """Send a call, and a hedge if the primary request is slow.
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
@@ -41,7 +41,7 @@
         def release(outcome):
             self.outcomes.append((instance, outcome))
 
-        return attempts.HeldSlot('r', instance, release)
+        return attempts.GrantedSlot('r', instance, release)
 
     async def send(self, call, slot):
         self.sent.append(slot.instance)
--- a/packages/entry/bulrushcourse_entry/claims/gateway.py
+++ b/packages/entry/bulrushcourse_entry/claims/gateway.py
@@ -73,7 +73,7 @@
 
         Args:
             request: The request, sent by a caller or forwarded.
-            ask_only: Whether only the outcome is asked for.
+            ask_only: Whether to return only the outcome, without a run.
         """
         if ask_only:
             return self.issued.keys.reply(request.key)
--- a/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
@@ -71,8 +71,10 @@
     for size in (0, 10, rows.ROW_ANSWER_BYTES + 1):
         await claim_rows.write('k', done(size), 0, urgent=True)
         found = await claim_rows.read('k')
-        loaded = await claim_rows.load_answer(found.claim.reply())
-        assert loaded == done(size).reply()
+        assert (
+            await claim_rows.load_answer(found.claim.reply())
+            == done(size).reply()
+        )
     assert len(claim_rows.objects.content) == 1
 
 
@@ -89,8 +91,9 @@
 @with_rows
 async def test_unreadable_answer_is_unknown(claim_rows):
     """Guards against an empty response in place of the recorded one."""
-    big = done(rows.ROW_ANSWER_BYTES + 1)
-    await claim_rows.write('k', big, 0, urgent=True)
+    await claim_rows.write(
+        'k', done(rows.ROW_ANSWER_BYTES + 1), 0, urgent=True
+    )
     claim_rows.objects.up = False
     found = await claim_rows.read('k')
     reply = await claim_rows.load_answer(found.claim.reply())
--- a/packages/entry/bulrushcourse_entry/claims/upstream.py
+++ b/packages/entry/bulrushcourse_entry/claims/upstream.py
@@ -20,7 +20,7 @@
 # delivered completely.
 MAX_ANSWER_BYTES = 8 << 20
 
-FAILURE_FACTS = {
+DISPATCH_RESULTS = {
     client.Failure.NOT_SENT: outcomes.UpstreamFact.NO_BYTE_SENT,
     client.Failure.NO_SHARE: outcomes.UpstreamFact.NO_BYTE_SENT,
     client.Failure.SHED: outcomes.UpstreamFact.SHED_NOT_RUN,
@@ -45,7 +45,7 @@
 
     forwarder: forwarding.Forwarder
     call: request_parsing.Call
-    slot: attempts.HeldSlot
+    slot: attempts.GrantedSlot
     deadline: float
 
     @property
@@ -57,7 +57,7 @@
         """Send the request, read the whole response, release the slot."""
         attempt = await self.forwarder.send(self.call, self.slot)
         if attempt.exchange is None:
-            return dispatch.Dispatched(FAILURE_FACTS[attempt.failure])
+            return dispatch.Dispatched(DISPATCH_RESULTS[attempt.failure])
         exchange = attempt.exchange
         release_outcome = requests.ReleaseOutcome.LOST
         try:
--- a/packages/entry/bulrushcourse_entry/claims/writer.py
+++ b/packages/entry/bulrushcourse_entry/claims/writer.py
@@ -14,8 +14,8 @@
 MAX_CONCURRENT_COMMITS = 4
 
 # Share of the store's several hundred writes a second that claims may use,
-# divided evenly among the entries. The rest is for leases, the configuration
-# and the quarantine.
+# divided evenly among the entries (9 until a configuration is active). The
+# rest is for leases, the configuration and the quarantine.
 FLEET_ROWS_PER_S = 270.0
 DEFAULT_ROWS_PER_S = FLEET_ROWS_PER_S / 9
 DEFAULT_BURST_ROWS = 60.0
--- a/packages/entry/bulrushcourse_entry/configuration/publisher.py
+++ b/packages/entry/bulrushcourse_entry/configuration/publisher.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain import findings as found_defects
+from bulrushcourse_domain import findings as domain_findings
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import publication
 from bulrushcourse_entry import events
@@ -43,7 +43,7 @@
 
     reason: Reason
     detail: str
-    findings: tuple[found_defects.Finding, ...] = ()
+    findings: tuple[domain_findings.Finding, ...] = ()
     conflict: publication.Conflict | None = None
 
 
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -58,7 +58,7 @@
     limit_s: float
 
     async def run(self, forced: asyncio.Event) -> None:
-        """Wait until no work is left, the limit is reached or it is forced.
+        """Wait until no work is left, the limit passes or a stop is forced.
 
         Args:
             forced: Set to end the wait immediately.
--- a/packages/entry/bulrushcourse_entry/tests/test_settings.py
+++ b/packages/entry/bulrushcourse_entry/tests/test_settings.py
@@ -35,7 +35,7 @@
     return entry_settings.load_settings(str(path))
 
 
-def test_good_settings_have_no_findings(tmp_path, settings_fields):
+def test_valid_settings_have_no_findings(tmp_path, settings_fields):
     loaded = load(tmp_path / 's.json', settings_fields)
     assert loaded.unwrap().entry == 'entry-1'
 
@@ -62,7 +62,7 @@
         ({'listen': {'callers': 'a:1'}}, 'listen.operators'),
     ],
 )
-def test_wrong_form_names_the_field(tmp_path, settings_fields, change, place):
+def test_malformed_field_is_named(tmp_path, settings_fields, change, place):
     found = load(tmp_path / 's.json', settings_fields | change).failure()
     assert place in [f.place for f in found]
 
