Restore two reasons in comments of the entry

The rewording had dropped why events are limited in rate and that a failed delete of a claim leaves an orphan row. Both comments say so again.

--- a/packages/entry/bulrushcourse_entry/claims/rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/rows.py
@@ -91,8 +91,8 @@
     async def delete(self, key: str, stored: StoredClaim) -> None:
         """Delete a row and its stored response.
 
-        The response goes first. If that fails, the row stays and is deleted
-        later.
+        The response is deleted first. If either delete fails, the row is left
+        as an orphan, which ``Sweep`` deletes.
 
         Args:
             key: Key of the row.
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -78,7 +78,7 @@
 
 @attrs.define
 class EventLimiter:
-    """Limits the rate at which each event is logged.
+    """Limits the rate of each event, so that a fault does not flood the log.
 
     Attributes:
         clock: Source of time.
