--- a/packages/domain/bulrushcourse_domain/health/instance_health.py
+++ b/packages/domain/bulrushcourse_domain/health/instance_health.py
@@ -246,8 +246,8 @@
         now = self.clock.monotonic()
         seconds = result.seconds
         if seconds is None:
-            seconds = now - run.started
-        record.index.end(now, run.started, run.typical_s, seconds)
+            seconds = now - run.granted_at
+        record.index.end(now, run.granted_at, run.typical_s, seconds)
         self.references.setdefault(
             run.grant.request_class, service_times.ClassReference()
         ).observe(seconds)
@@ -259,7 +259,7 @@
         run: requests.ActiveGrant,
         result: requests.ReleaseResult,
     ) -> None:
-        record.index.forget(run.started, run.typical_s)
+        record.index.forget(run.granted_at, run.typical_s)
         record.index.add(self.clock.monotonic(), SHED_UNITS, 0.0)
 
     def _fail(
@@ -269,7 +269,7 @@
         result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
-        record.index.forget(run.started, run.typical_s)
+        record.index.forget(run.granted_at, run.typical_s)
         holder = run.grant.holder
         self.blame.setdefault(holder, {})[run.grant.instance] = now
         record.fail(now, holder)
@@ -282,7 +282,7 @@
         result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
-        record.index.stop(now, run.started, run.typical_s)
+        record.index.stop(now, run.granted_at, run.typical_s)
 
 
 ENDINGS = {
--- a/packages/domain/bulrushcourse_domain/slots/__init__.py
+++ b/packages/domain/bulrushcourse_domain/slots/__init__.py
@@ -1,1 +1,1 @@
-"""Slots of upstream instances and who may use them."""
+"""Granting the slots of upstream instances, and ownership of the pools."""
--- a/packages/domain/bulrushcourse_domain/slots/instances.py
+++ b/packages/domain/bulrushcourse_domain/slots/instances.py
@@ -1,4 +1,4 @@
-"""Slots of instances, and the order in which instances are chosen."""
+"""Slots of instances, and selection of the instance for a grant."""
 
 import collections
 import math
@@ -11,14 +11,14 @@
 from bulrushcourse_domain.health import instance_health
 from bulrushcourse_domain.slots import requests
 
-REFRESH_S = 0.005
-REFRESH_PER_INSTANCE_S = 0.000_2
-"""Interval between reorderings: the first one, or if it is longer, the second
-one for each instance of the pool. This bounds the cost at a few percent of a
-core at any size.
+MIN_REFRESH_INTERVAL_S = 0.005
+REFRESH_INTERVAL_PER_INSTANCE_S = 0.000_2
+"""The order is refreshed at the longer of the minimum interval and this time
+for each instance, which bounds the cost at a few percent of a core for pools
+of any size.
 """
 
-SLOW_RATIO = 2.0
+MIN_SLOW_RATIO = 2.0
 """Slowness from which an instance is used only when the queue is long."""
 
 
@@ -28,21 +28,25 @@
 
     Attributes:
         slots: Number of slots.
-        held: Identifiers of the requests at work.
-        classes: Number of requests at work by class.
-        usable: Slots that health and recovery leave, held ones included.
-        slowness: Service time against the pool's median when last ordered.
-        granted_at: Number of the grant that it got last.
-        weight: Key in the order, ``None`` while it has no free slot.
+        held: Identifiers of the requests that hold a slot.
+        held_by_class: Number of slots in use by class.
+        usable: Slots that may be in use, given the instance's health and the
+            slots reserved after a takeover.
+        slowness: Slowness when the instance was last ordered, in multiples
+            of the pool's median.
+        last_grant_number: Number of the last grant of one of its slots.
+        sort_key: Position in the order, ``None`` while no slot is free.
     """
 
     slots: int
     held: set[str] = attrs.field(factory=set)
-    classes: collections.Counter = attrs.field(factory=collections.Counter)
+    held_by_class: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
     usable: int = 0
     slowness: float = 1.0
-    granted_at: int = 0
-    weight: tuple[bool, float, int, str] | None = None
+    last_grant_number: int = 0
+    sort_key: tuple[bool, float, int, str] | None = None
 
     @property
     def free(self) -> int:
@@ -51,163 +55,180 @@
 
 
 @attrs.define
-class InstanceOrder:
-    """Instances with free slots, lowest weight first.
+class InstanceSelector:
+    """Chooses the instance for each grant, the least loaded one first.
 
-    The weight is the share of an instance's slots that would be in use times
-    its slowness. Choosing costs logarithmic time; measurements age, so the
-    whole order is renewed at a fixed interval.
+    Instances with a free slot are ordered by weight: the share of their
+    slots in use after one more grant, times their slowness. Instances that
+    are not slow come before slow ones. Updating one instance takes
+    logarithmic time. Slowness also changes without grants, so the whole
+    order is refreshed at an interval.
 
     Attributes:
         clock: Source of time.
-        health: State of the pool's instances.
+        health: Health of the pool's instances.
         instances: Slots by name of instance.
-        free: Weights of instances with a free slot, in order.
-        grants: Number of grants so far.
-        refreshed_at: Clock seconds of the last renewal.
-        usable_slots: Usable slots of the pool at the last renewal.
-        fast_slots: Those of them at instances that are not slow.
+        available: Sort keys of the instances with a free slot.
+        grant_count: Number of grants so far.
+        refreshed_at: Clock seconds of the last refresh.
+        usable_slots: Usable slots of the pool at the last refresh.
+        fast_slots: Usable slots at instances that were not slow then.
     """
 
     clock: clocks.Clock
     health: instance_health.InstanceHealth
     instances: dict[str, InstanceSlots] = attrs.field(factory=dict)
-    free: sortedcontainers.SortedList = attrs.field(
+    available: sortedcontainers.SortedList = attrs.field(
         factory=sortedcontainers.SortedList
     )
-    grants: int = 0
+    grant_count: int = 0
     refreshed_at: float = -math.inf
     usable_slots: int = 0
     fast_slots: int = 0
 
     def set_instances(self, slots: dict[str, int]) -> None:
-        """Replace the instances; one with work stays until it has ended.
+        """Replace the instances.
+
+        A removed instance stays, without usable slots, until its last slot
+        is released.
 
         Args:
             slots: Number of slots by name of instance.
         """
         for name in self.instances.keys() - slots.keys():
             self.instances[name].slots = self.instances[name].usable = 0
-            self.place(name)
+            self.reorder(name)
             if not self.instances[name].held:
                 del self.instances[name]
         for name, number in slots.items():
-            held = self.instances.setdefault(name, InstanceSlots(number))
-            held.slots = number
+            instance = self.instances.setdefault(name, InstanceSlots(number))
+            instance.slots = number
 
-    def has_other(self, avoid: typing.Collection[str]) -> bool:
-        """Return whether there is an instance that is not avoided.
+    def has_alternative(self, avoid: typing.Collection[str]) -> bool:
+        """Return whether the pool has an instance outside the given ones.
 
         Args:
-            avoid: Names of the avoided instances.
+            avoid: Names of instances that must not be chosen.
         """
         return any(
-            held.slots and name not in avoid
-            for name, held in self.instances.items()
+            instance.slots and name not in avoid
+            for name, instance in self.instances.items()
         )
 
     def choose(
         self,
-        wish: requests.SlotRequest,
+        request: requests.SlotRequest,
         class_limit: typing.Callable[[int], int],
-        queued: int,
+        queued_requests: int,
     ) -> str | None:
-        """Return the best instance for a request, if there is one.
+        """Return the best instance for a request, ``None`` to wait.
 
         Args:
-            wish: The request.
-            class_limit: Slots that the class may hold at one instance, from
-                the instance's number of slots.
-            queued: Number of waiting requests.
+            request: The request.
+            class_limit: Returns how many slots of one instance the class may
+                hold, given the instance's number of slots.
+            queued_requests: Number of queued requests.
         """
-        for slow, _, _, name in self.free:
-            held = self.instances[name]
-            if name in wish.avoid:
+        for slow, _, _, name in self.available:
+            instance = self.instances[name]
+            if name in request.avoid:
                 continue
-            if held.classes[wish.request_class] >= class_limit(held.slots):
+            if instance.held_by_class[request.request_class] >= class_limit(
+                instance.slots
+            ):
                 continue
-            # Waiting for a faster instance pays off while the queue is
-            # shorter than the time that the slow instance would add.
-            if slow and queued <= (held.slowness - 1) * self.fast_slots:
+            # Waiting for a faster instance is shorter than the time that the
+            # slow instance would add while the queue is short.
+            if (
+                slow
+                and queued_requests
+                <= (instance.slowness - 1) * self.fast_slots
+            ):
                 return None
             return name
         return None
 
-    def hold(self, name: str, request_id: str, request_class: str) -> None:
-        """Take a slot of an instance.
+    def acquire(self, name: str, request_id: str, request_class: str) -> None:
+        """Acquire a slot of an instance.
 
         Args:
             name: The instance.
-            request_id: The request that uses it.
+            request_id: The request that uses the slot.
             request_class: The request's class.
         """
-        held = self.instances.setdefault(name, InstanceSlots(0))
-        held.held.add(request_id)
-        held.classes[request_class] += 1
-        self.grants += 1
-        held.granted_at = self.grants
-        self.place(name)
-
-    def give_back(
-        self, name: str, request_id: str, request_class: str
-    ) -> None:
-        """Return a slot of an instance.
+        instance = self.instances.setdefault(name, InstanceSlots(0))
+        instance.held.add(request_id)
+        instance.held_by_class[request_class] += 1
+        self.grant_count += 1
+        instance.last_grant_number = self.grant_count
+        self.reorder(name)
+
+    def release(self, name: str, request_id: str, request_class: str) -> None:
+        """Release a slot of an instance.
 
         Args:
             name: The instance.
-            request_id: The request that used it.
+            request_id: The request that used the slot.
             request_class: The request's class.
         """
-        held = self.instances[name]
-        held.held.discard(request_id)
-        held.classes[request_class] -= 1
-        self.place(name)
-        if not held.slots and not held.held:
+        instance = self.instances[name]
+        instance.held.discard(request_id)
+        instance.held_by_class[request_class] -= 1
+        self.reorder(name)
+        if not instance.slots and not instance.held:
             del self.instances[name]
 
-    def place(self, name: str) -> None:
-        """Put an instance at its place in the order.
+    def reorder(self, name: str) -> None:
+        """Update the position of an instance in the order.
 
         Args:
             name: The instance.
         """
-        held = self.instances[name]
-        if held.weight is not None:
-            self.free.remove(held.weight)
-            held.weight = None
-        held.slowness = self.health.slowness(name)
-        if held.free > 0:
-            weight = (len(held.held) + 1) / held.slots * held.slowness
-            slow = held.slowness >= SLOW_RATIO
-            held.weight = (slow, weight, held.granted_at, name)
-            self.free.add(held.weight)
-
-    def refresh(self, reserved: typing.Callable[[int], int]) -> None:
-        """Renew health, usable slots and order, at most once an interval.
+        instance = self.instances[name]
+        if instance.sort_key is not None:
+            self.available.remove(instance.sort_key)
+            instance.sort_key = None
+        instance.slowness = self.health.slowness(name)
+        if instance.free > 0:
+            weight = (
+                (len(instance.held) + 1) / instance.slots * instance.slowness
+            )
+            slow = instance.slowness >= MIN_SLOW_RATIO
+            instance.sort_key = (
+                slow,
+                weight,
+                instance.last_grant_number,
+                name,
+            )
+            self.available.add(instance.sort_key)
+
+    def refresh(self, reserved_slots: typing.Callable[[int], int]) -> None:
+        """Update health, usable slots and order, at most once an interval.
 
         Args:
-            reserved: Slots of an instance that are kept back, from its
-                number of slots.
+            reserved_slots: Returns how many slots of an instance must not be
+                granted, given the instance's number of slots.
         """
         now = self.clock.monotonic()
         interval_s = max(
-            REFRESH_S, REFRESH_PER_INSTANCE_S * len(self.instances)
+            MIN_REFRESH_INTERVAL_S,
+            REFRESH_INTERVAL_PER_INSTANCE_S * len(self.instances),
         )
         if now - self.refreshed_at < interval_s:
             return
         self.refreshed_at = now
         self.health.refresh()
-        for name, held in self.instances.items():
-            held.usable = min(
+        for name, instance in self.instances.items():
+            instance.usable = min(
                 self.health.open_slots(name),
-                held.slots - reserved(held.slots),
+                instance.slots - reserved_slots(instance.slots),
             )
-            self.place(name)
+            self.reorder(name)
         self.usable_slots = sum(
-            held.usable for held in self.instances.values()
+            instance.usable for instance in self.instances.values()
         )
         self.fast_slots = sum(
-            held.usable
-            for held in self.instances.values()
-            if held.slowness < SLOW_RATIO
+            instance.usable
+            for instance in self.instances.values()
+            if instance.slowness < MIN_SLOW_RATIO
         )
--- a/packages/domain/bulrushcourse_domain/slots/lease.py
+++ b/packages/domain/bulrushcourse_domain/slots/lease.py
@@ -1,4 +1,4 @@
-"""The lease of a pool in the table, as one entry sees it."""
+"""The table lease of a pool, from the point of view of one entry."""
 
 import enum
 import math
@@ -10,7 +10,7 @@
 
 
 class LeaseWriteResult(enum.Enum):
-    """What is known of a write of the lease row."""
+    """What the writer knows about the result of a write of the lease row."""
 
     COMMITTED = 'committed'
     CONFLICT = 'conflict'
@@ -25,7 +25,7 @@
         version: Version of the row, 0 if it is absent.
         entry: Name of the entry that holds the lease.
         holder: Incarnation that holds the lease; empty if it was released.
-        renewal: Identifier of the write.
+        renewal: Identifier of the write that made this version.
     """
 
     version: int = 0
@@ -39,11 +39,11 @@
     """A compare-and-set of the lease row.
 
     Attributes:
-        expected: Version that the row must have.
+        expected: Version that the row must have for the write to apply.
         entry: Name of the writing entry.
-        holder: Incarnation that is to hold the lease; empty to release it.
+        holder: Incarnation that will hold the lease; empty to release it.
         renewal: Identifier of the write, by which its writer recognises it
-            after a lost answer.
+            if the response is lost.
     """
 
     expected: int
@@ -54,53 +54,54 @@
 
 @attrs.define
 class PoolLease:
-    """Observes, takes and renews the lease of one pool.
+    """Observes, acquires, renews and releases the lease of one pool.
 
     Attributes:
         clock: Source of time.
         entry: Name of this entry.
         incarnation: Identifier of this run of the entry.
-        times: Durations.
-        row: Last row seen; ``None`` until it is read.
-        row_since: Clock seconds at which that row was first seen.
-        valid_until: Clock seconds at which this entry's lease ends.
-        pending: Write whose result is not known.
-        sent_at: Clock seconds before the last write was sent.
-        writes: Number of writes so far.
+        durations: Durations of leases and promises.
+        row: Last row that was read; ``None`` before the first read and after
+            a write until the next read.
+        row_seen_at: Clock seconds at which that version was first read.
+        valid_until: Clock seconds at which this entry's lease expires.
+        pending: Write of which the result is unknown.
+        sent_at: Clock seconds just before the last write was sent.
+        write_count: Number of writes so far.
     """
 
     clock: clocks.Clock
     entry: str
     incarnation: str
-    times: timing.OwnershipTimes = timing.OwnershipTimes()
+    durations: timing.OwnershipDurations = timing.OwnershipDurations()
     row: LeaseRow | None = None
-    row_since: float = math.inf
+    row_seen_at: float = math.inf
     valid_until: float = -math.inf
     pending: LeaseWrite | None = None
     sent_at: float = -math.inf
-    writes: int = 0
+    write_count: int = 0
 
     def is_held(self) -> bool:
         """Return whether this entry holds the lease by its own clock."""
         return self.clock.monotonic() < self.valid_until
 
-    def may_become_held(self) -> bool:
-        """Return whether the lease is held or a write may prove it so."""
-        pending_until = self.sent_at + self.times.lease_s
+    def may_be_held(self) -> bool:
+        """Return whether the lease is held if the pending write committed."""
+        pending_until = self.sent_at + self.durations.lease_s
         pending = self.pending is not None
         now = self.clock.monotonic()
         return self.is_held() or (pending and now < pending_until)
 
     def observe(self, row: LeaseRow) -> None:
-        """Take over a row that was read.
+        """Update the state from a row that was read.
 
         Args:
-            row: The row; one of version 0 if it is absent.
+            row: The row; version 0 if it is absent.
         """
         if self.row is not None and row.version < self.row.version:
             return
         if self.row is None or row.version != self.row.version:
-            self.row_since = self.clock.monotonic()
+            self.row_seen_at = self.clock.monotonic()
         self.row = row
         pending = self.pending
         if pending is not None and row.renewal == pending.renewal:
@@ -110,45 +111,54 @@
         if row.holder != self.incarnation:
             self.valid_until = -math.inf
 
-    def unchanged_for(self) -> float:
-        """Return how long the lease has been free, negative if it is not.
+    def free_for_s(self) -> float:
+        """Return how long this entry could have acquired or renewed the lease.
 
-        A released lease is free from when that was seen. The lease of
-        another entry is free once its renewal stayed unchanged for the
-        lease time, as measured by the slowest clock.
+        Negative if it cannot. A released lease is free from the time at
+        which the release was read. Another entry's lease is free once its
+        row has not changed for the lease duration, as measured by the
+        slowest clock.
         """
         now = self.clock.monotonic()
         if self.row is None:
             return -math.inf
         if self.row.holder in ('', self.incarnation):
-            return now - self.row_since
-        return now - self.row_since - self.times.outlast(self.times.lease_s)
+            return now - self.row_seen_at
+        return (
+            now
+            - self.row_seen_at
+            - self.durations.with_drift_margin(self.durations.lease_s)
+        )
 
-    def write(self, holder: str) -> LeaseWrite:
-        """Return a write of the row last seen and count the lease from now.
+    def plan_write(self, holder: str) -> LeaseWrite:
+        """Return a write based on the last row read, to be sent immediately.
+
+        If it commits, the lease is valid from now, not from the response.
 
         Args:
             holder: This incarnation, or empty to release the lease.
         """
-        self.writes += 1
-        renewal = f'{self.incarnation}-{self.writes}'
-        planned = LeaseWrite(self.row.version, self.entry, holder, renewal)
+        self.write_count += 1
+        renewal = f'{self.incarnation}-{self.write_count}'
+        write = LeaseWrite(self.row.version, self.entry, holder, renewal)
         self.sent_at = self.clock.monotonic()
-        self.pending = planned if holder else None
+        self.pending = write if holder else None
         if not holder:
             self.valid_until = -math.inf
-        return planned
+        return write
 
-    def finish(self, write: LeaseWrite, result: LeaseWriteResult) -> None:
-        """Take over the result of a write.
+    def record_write_result(
+        self, write: LeaseWrite, result: LeaseWriteResult
+    ) -> None:
+        """Record the result of a write.
 
         Args:
             write: The write.
-            result: What is known of it. After ``UNKNOWN`` the next row read
-                tells whether the write took effect.
+            result: What is known about it. After ``UNKNOWN`` the next row
+                read shows whether the write was applied.
         """
         if result is not LeaseWriteResult.UNKNOWN:
-            # The version after the write is not known until it is read.
+            # The version of the row is unknown until the next read.
             self.row = None
         if write != self.pending:
             return
@@ -158,5 +168,5 @@
             self.pending = None
 
     def _confirm(self) -> None:
-        self.valid_until = self.sent_at + self.times.lease_s
+        self.valid_until = self.sent_at + self.durations.lease_s
         self.pending = None
--- a/packages/domain/bulrushcourse_domain/slots/ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/ownership.py
@@ -14,27 +14,29 @@
 
 @attrs.define
 class PoolOwnership:
-    """One entry's part in the ownership of one pool.
+    """State of one entry in the election of a pool's owner.
 
-    At any instant at most one entry may grant. There are two grounds: the
-    lease in the table, or the promises of all other entries of the region
-    that are not gone. An entry that gave a promise neither grants nor writes
-    the lease until it has run out. An entry that has a ground, or whose write
-    of the lease may still turn out to have succeeded, promises nothing.
+    At most one entry may grant at any time. An entry owns the pool either by
+    the lease in the table or by the promises of all other entries of the
+    region that still have a VM. An entry that gave a promise neither grants
+    nor writes the lease until the promise has expired. An entry gives no
+    promise while it owns the pool, or while a pending write of the lease may
+    have committed.
 
     Attributes:
         clock: Source of time.
         pool: Name of the pool, ``region/service``.
         incarnation: Identifier of this run of the entry.
         members: Entries of the region.
-        rng: Source of the waits between turns.
+        rng: Random source of the delays between turns.
         lease: The lease in the table.
         pool_promises: Promises given and received.
-        stopped: Whether this entry gave its pools up for good.
-        term: Number of times that this entry began to own the pool.
-        ground_until: Clock seconds up to which the term is known to last.
-        turn_from: Clock seconds at which this entry next asks for promises
-            without owning the pool.
+        resigned: Whether this entry gave the pool up for good.
+        term: Number of terms for which this entry has owned the pool.
+        term_until: Clock seconds until which the term is known to last;
+            minus infinity without a term.
+        turn_starts_at: Clock seconds at which this entry's turn to request
+            promises without owning the pool starts.
     """
 
     clock: clocks.Clock
@@ -44,10 +46,10 @@
     rng: random.Random
     lease: leases.PoolLease
     pool_promises: promises.PoolPromises
-    stopped: bool = False
+    resigned: bool = False
     term: int = 0
-    ground_until: float = -math.inf
-    turn_from: float = math.inf
+    term_until: float = -math.inf
+    turn_starts_at: float = math.inf
 
     @property
     def entry(self) -> str:
@@ -55,116 +57,117 @@
         return self.members.entry
 
     def may_grant(self) -> bool:
-        """Return whether this entry may grant at this instant."""
-        eligible = not self.stopped and self.members.is_settled()
+        """Return whether this entry may grant slots now."""
+        eligible = not self.resigned and self.members.is_settled()
         if not eligible or self.pool_promises.is_outstanding():
             return False
-        return self.lease.is_held() or self._is_promised()
+        return self.lease.is_held() or self._has_all_promises()
 
     def current_term(self) -> int | None:
-        """Return the term of this entry's ownership, ``None`` if it has none.
+        """Return this entry's current term, ``None`` if it is not the owner.
 
-        Another entry may have owned the pool between two terms, so a new
-        term begins by asking every entry for the slots that it holds.
+        Another entry may have owned the pool between two terms, so at the
+        start of a term the owner requests the held slots of every entry.
         """
         now = self.clock.monotonic()
         if not self.may_grant():
-            if self.ground_until > -math.inf:
-                # A ground lost for a moment is asked for again at once.
-                self.turn_from = now
-            self.ground_until = -math.inf
+            if self.term_until > -math.inf:
+                # An owner that lost the pool tries to regain it immediately.
+                self.turn_starts_at = now
+            self.term_until = -math.inf
             return None
-        if now > self.ground_until:
+        if now > self.term_until:
             self.term += 1
-        until = max(self.lease.valid_until, self._promised_until())
-        self.ground_until = max(self.ground_until, until)
+        until = max(self.lease.valid_until, self._promises_until())
+        self.term_until = max(self.term_until, until)
         return self.term
 
     def rank(self) -> int:
-        """Return this entry's rank for the pool, 0 for the preferred one."""
-        present = self.members.present()
+        """Return this entry's rank for the pool, 0 for the preferred owner."""
+        present = self.members.present_entries()
         return rendezvous.rank(self.pool, present).index(self.entry)
 
     def observe_row(self, row: leases.LeaseRow) -> None:
-        """Take over the lease row as read from the table.
+        """Update the state from the lease row as read from the table.
 
         Args:
-            row: The row; one of version 0 if it is absent.
+            row: The row; version 0 if it is absent.
         """
         self.current_term()
         self.lease.observe(row)
         self.current_term()
 
     def plan_write(self) -> leases.LeaseWrite | None:
-        """Return the write that renews or takes the lease, if it is due.
+        """Return the write that renews or acquires the lease, if it is due.
 
-        The caller reads the row first, sends the write at once and reports
-        its result to ``finish_write``.
+        The caller reads the row before, sends the write immediately and
+        passes its result to ``finish_write``.
         """
-        eligible = not self.stopped and self.members.is_settled()
+        eligible = not self.resigned and self.members.is_settled()
         if not eligible or self.pool_promises.is_outstanding():
             return None
         row = self.lease.row
         own = row is not None and row.holder == self.incarnation
-        stagger_s = self.rank() * self.lease.times.stagger_s
+        stagger_s = self.rank() * self.lease.durations.stagger_s
         if not own and not self.may_grant():
-            if self.lease.unchanged_for() <= stagger_s:
+            if self.lease.free_for_s() <= stagger_s:
                 return None
-        elif self.lease.unchanged_for() < 0:
+        elif self.lease.free_for_s() < 0:
             return None
-        return self.lease.write(self.incarnation)
+        return self.lease.plan_write(self.incarnation)
 
     def finish_write(
         self, write: leases.LeaseWrite, result: leases.LeaseWriteResult
     ) -> None:
-        """Take over the result of a write.
+        """Record the result of a write of the lease.
 
         Args:
             write: The write.
-            result: What is known of it.
+            result: What is known about it.
         """
         self.current_term()
-        self.lease.finish(write, result)
+        self.lease.record_write_result(write, result)
         self.current_term()
 
     def release(self) -> leases.LeaseWrite | None:
         """Give the pool up for good.
 
         Returns:
-            The write that lets another entry take the lease at once; none
-            if this entry is not known to hold it.
+            The write that lets another entry acquire the lease immediately;
+            ``None`` if this entry does not hold the row.
         """
-        self.stopped = True
-        self.ground_until = -math.inf
+        self.resigned = True
+        self.term_until = -math.inf
         row = self.lease.row
         if row is None or row.holder != self.incarnation:
             return None
-        return self.lease.write('')
+        return self.lease.plan_write('')
 
-    def record_release(self, candidate: str) -> None:
-        """Note that another entry gave the pool up for good.
+    def record_release(self, incarnation: str) -> None:
+        """Record that another entry gave the pool up for good.
 
         Args:
-            candidate: Its incarnation, which will never grant again.
+            incarnation: Its incarnation, which will never grant again.
         """
-        self.pool_promises.free(candidate)
-        stagger_s = self.rank() * self.lease.times.stagger_s
-        self.turn_from = self.clock.monotonic() + stagger_s
+        self.pool_promises.release(incarnation)
+        stagger_s = self.rank() * self.lease.durations.stagger_s
+        self.turn_starts_at = self.clock.monotonic() + stagger_s
 
     def request_promises(self) -> promises.PromiseRequest | None:
-        """Return a request for all other entries of the region, if it is due.
+        """Return a promise request to all other entries, if it is due.
 
-        The owner always asks. Without an owner, candidates ask in turns, so
-        that one that cannot reach every entry gives way to the next.
+        The owner always requests promises. Without an owner, candidates do
+        so in turns, so that a candidate that cannot reach every entry does
+        not block the next one.
         """
-        eligible = not self.stopped and self.members.is_settled()
+        eligible = not self.resigned and self.members.is_settled()
         if not eligible or self.pool_promises.is_outstanding():
-            self.turn_from = math.inf
+            self.turn_starts_at = math.inf
             return None
         owns = self.current_term() is not None
-        if not owns and not self._is_turn():
+        if not owns and not self._update_turn():
             return None
-        number = self.pool_promises.ask()
+        number = self.pool_promises.start_request()
         return promises.PromiseRequest(
             self.pool, self.entry, self.incarnation, number, owns
         )
@@ -172,20 +175,20 @@
     def answer_promise_request(
         self, request: promises.PromiseRequest
     ) -> promises.Promise | None:
-        """Return the promise asked for, ``None`` if it cannot be given.
+        """Return the requested promise, ``None`` if it cannot be given.
 
         Args:
             request: Request of another entry of the region.
         """
-        if not self.members.may_promise() or not self._may_promise(request):
+        if not self.members.may_promise() or not self._may_promise_to(request):
             return None
-        self.pool_promises.give(request.candidate)
+        self.pool_promises.promise_to(request.candidate)
         return promises.Promise(
             self.pool, self.entry, request.candidate, request.number
         )
 
     def record_promise(self, promise: promises.Promise) -> None:
-        """Take over a promise of another entry.
+        """Record a promise of another entry.
 
         Args:
             promise: The promise.
@@ -193,59 +196,63 @@
         if promise.candidate != self.incarnation:
             return
         self.current_term()
-        self.pool_promises.receive(promise.entry, promise.number)
+        self.pool_promises.record_promise(promise.entry, promise.number)
         self.current_term()
 
-    def _may_promise(self, request: promises.PromiseRequest) -> bool:
-        if self.lease.may_become_held() or self.may_grant():
+    def _may_promise_to(self, request: promises.PromiseRequest) -> bool:
+        if self.lease.may_be_held() or self.may_grant():
             return False
-        if not self.pool_promises.is_free_for(request.candidate):
+        if not self.pool_promises.may_promise_to(request.candidate):
             return False
-        if self.stopped or request.owns or not self._is_asking():
+        if self.resigned or request.owns or not self._is_in_turn():
             return True
-        present = self.members.present() | {request.entry}
+        present = self.members.present_entries() | {request.entry}
         ranked = rendezvous.rank(self.pool, present)
         return ranked.index(request.entry) < ranked.index(self.entry)
 
-    def _promised_until(self) -> float:
-        gone = self.members.gone()
-        received = self.pool_promises.received
+    def _promises_until(self) -> float:
+        removed = self.members.removed_entries()
+        received = self.pool_promises.received_until
         ends = [
             max(
                 received.get(entry, -math.inf),
                 self.members.unsettled_until(entry),
             )
-            for entry in self.members.others() - gone
+            for entry in self.members.others() - removed
         ]
-        if gone or not ends:
+        if removed or not ends:
             ends.append(self.members.fresh_until())
         return min(ends)
 
-    def _is_promised(self) -> bool:
-        return self.clock.monotonic() < self._promised_until()
+    def _has_all_promises(self) -> bool:
+        return self.clock.monotonic() < self._promises_until()
 
-    def _is_asking(self) -> bool:
+    def _is_in_turn(self) -> bool:
         now = self.clock.monotonic()
-        return self.turn_from <= now < self.turn_from + self._turn_s()
+        return (
+            self.turn_starts_at <= now < self.turn_starts_at + self._turn_s()
+        )
 
     def _turn_s(self) -> float:
-        return self.lease.times.turn_s
+        return self.lease.durations.turn_s
 
-    def _is_turn(self) -> bool:
+    def _update_turn(self) -> bool:
         now = self.clock.monotonic()
         row = self.lease.row
-        if row is not None and self.lease.unchanged_for() <= 0:
-            self.turn_from = math.inf
-        elif self.turn_from == math.inf:
-            self.turn_from = now + self.rank() * self._turn_s()
+        if row is not None and self.lease.free_for_s() <= 0:
+            self.turn_starts_at = math.inf
+        elif self.turn_starts_at == math.inf:
+            self.turn_starts_at = now + self.rank() * self._turn_s()
             if row is None:
-                # Without a view of the row, an owner may hold its lease.
-                times = self.lease.times
-                self.turn_from += times.outlast(times.lease_s)
-        elif now >= self.turn_from + self._turn_s():
-            turns = self.rng.uniform(1, len(self.members.present()))
-            self.turn_from = now + turns * self._turn_s()
-        return self._is_asking()
+                # The row is unknown, so an owner may still hold the lease.
+                durations = self.lease.durations
+                self.turn_starts_at += durations.with_drift_margin(
+                    durations.lease_s
+                )
+        elif now >= self.turn_starts_at + self._turn_s():
+            turns = self.rng.uniform(1, len(self.members.present_entries()))
+            self.turn_starts_at = now + turns * self._turn_s()
+        return self._is_in_turn()
 
 
 def open_ownership(
@@ -254,31 +261,31 @@
     members: region_members.RegionMembers,
     rng: random.Random,
 ) -> PoolOwnership:
-    """Return an entry's part in the ownership of a pool.
+    """Return the state of an entry in the election of a pool's owner.
 
     Args:
         pool: Name of the pool, ``region/service``.
         incarnation: Identifier of this run of the entry.
         members: Entries of the region.
-        rng: Source of the waits between turns.
+        rng: Random source of the delays between turns.
 
     Examples:
         >>> clock = clocks.ManualClock()
         >>> members = region_members.RegionMembers(clock, 'a', 'vm-1')
         >>> rng = random.Random(1)
         >>> owner = open_ownership('ro-nord/catalog', 'a-1', members, rng)
-        >>> only = [region_members.ListedVm('vm-1', 'a')]
-        >>> members.update_list(only, clock.monotonic())
+        >>> listed = [region_members.ListedVm('vm-1', 'a')]
+        >>> members.update_list(listed, clock.monotonic())
         >>> owner.may_grant()
         False
         >>> clock.advance(members.times.settle_s + 0.1)
-        >>> members.update_list(only, clock.monotonic())
+        >>> members.update_list(listed, clock.monotonic())
         >>> owner.may_grant()
         True
     """
-    clock, times = members.clock, members.times
-    lease = leases.PoolLease(clock, members.entry, incarnation, times)
-    pool_promises = promises.PoolPromises(clock, times)
+    clock, durations = members.clock, members.times
+    lease = leases.PoolLease(clock, members.entry, incarnation, durations)
+    pool_promises = promises.PoolPromises(clock, durations)
     return PoolOwnership(
         clock, pool, incarnation, members, rng, lease, pool_promises
     )
--- a/packages/domain/bulrushcourse_domain/slots/promises.py
+++ b/packages/domain/bulrushcourse_domain/slots/promises.py
@@ -7,7 +7,7 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.slots import timing
 
-REMEMBERED_WISHES = 8
+MAX_REMEMBERED_REQUESTS = 8
 
 
 @attrs.frozen
@@ -18,9 +18,9 @@
         pool: Name of the pool, ``region/service``.
         entry: Name of the candidate.
         candidate: Incarnation of the candidate.
-        number: Number of the request, from which the candidate knows when it
-            asked.
-        owns: Whether the candidate owns the pool already.
+        number: Number of the request, by which the candidate looks up when
+            it sent the request.
+        owns: Whether the candidate already owns the pool.
     """
 
     pool: str
@@ -32,12 +32,12 @@
 
 @attrs.frozen
 class Promise:
-    """A promise not to take over a pool.
+    """A promise not to take over a pool, as in Paxos.
 
     Attributes:
         pool: Name of the pool.
-        entry: Name of the entry that promises.
-        candidate: Incarnation that the pool is promised to.
+        entry: Name of the entry that gives the promise.
+        candidate: Incarnation to which the pool is promised.
         number: Number of the request that is answered.
     """
 
@@ -49,74 +49,79 @@
 
 @attrs.define
 class PoolPromises:
-    """Promises about one pool.
+    """Promises that one entry gave and received for one pool.
 
-    The receiver counts a promise from before it asked, the giver from its
-    answer and with a margin for drift; so the giver always keeps it longer.
+    For the receiver a promise starts when it sent the request; for the giver
+    it starts with the answer and lasts longer by a margin for clock drift.
+    So a promise never expires at its giver first.
 
     Attributes:
         clock: Source of time.
-        times: Durations.
-        given_to: Incarnation that this entry last promised the pool to.
-        given_until: Clock seconds at which that promise ends.
-        received: End of the promise of each other entry.
-        asked: Clock seconds at which recent requests were made, by number.
-        number: Number of the last request.
+        durations: Durations of leases and promises.
+        given_to: Incarnation to which this entry last promised the pool.
+        promised_until: Clock seconds at which that promise expires.
+        received_until: Clock seconds at which the promise of each other
+            entry expires, by name of the entry.
+        requested_at: Clock seconds at which the latest requests were made,
+            by number of the request.
+        last_number: Number of the last request.
     """
 
     clock: clocks.Clock
-    times: timing.OwnershipTimes = timing.OwnershipTimes()
+    durations: timing.OwnershipDurations = timing.OwnershipDurations()
     given_to: str = ''
-    given_until: float = -math.inf
-    received: dict[str, float] = attrs.field(factory=dict)
-    asked: dict[int, float] = attrs.field(factory=dict)
-    number: int = 0
+    promised_until: float = -math.inf
+    received_until: dict[str, float] = attrs.field(factory=dict)
+    requested_at: dict[int, float] = attrs.field(factory=dict)
+    last_number: int = 0
 
     def is_outstanding(self) -> bool:
-        """Return whether a promise given by this entry still holds."""
-        return self.clock.monotonic() <= self.given_until
+        """Return whether a promise given by this entry is still valid."""
+        return self.clock.monotonic() <= self.promised_until
 
-    def is_free_for(self, candidate: str) -> bool:
-        """Return whether no promise to another candidate holds.
+    def may_promise_to(self, candidate: str) -> bool:
+        """Return whether no promise to another candidate is valid.
 
         Args:
             candidate: Incarnation of the candidate.
         """
         return not self.is_outstanding() or self.given_to == candidate
 
-    def ask(self) -> int:
-        """Return the number of a new request."""
-        self.number += 1
-        self.asked[self.number] = self.clock.monotonic()
-        self.asked.pop(self.number - REMEMBERED_WISHES, None)
-        return self.number
+    def start_request(self) -> int:
+        """Record the time of a new request and return its number."""
+        self.last_number += 1
+        self.requested_at[self.last_number] = self.clock.monotonic()
+        self.requested_at.pop(self.last_number - MAX_REMEMBERED_REQUESTS, None)
+        return self.last_number
 
-    def give(self, candidate: str) -> None:
-        """Promise the pool.
+    def promise_to(self, candidate: str) -> None:
+        """Promise the pool to a candidate from now on.
 
         Args:
             candidate: Incarnation of the candidate.
         """
         self.given_to = candidate
-        kept_s = self.times.outlast(self.times.promise_s)
-        self.given_until = self.clock.monotonic() + kept_s
+        valid_s = self.durations.with_drift_margin(self.durations.promise_s)
+        self.promised_until = self.clock.monotonic() + valid_s
 
-    def free(self, candidate: str) -> None:
-        """End a promise whose receiver has no more use for it.
+    def release(self, candidate: str) -> None:
+        """End the promise to a candidate that gave the pool up for good.
 
         Args:
-            candidate: Incarnation that gave the pool up for good.
+            candidate: Incarnation of the candidate.
         """
         if self.given_to == candidate:
-            self.given_until = -math.inf
+            self.promised_until = -math.inf
 
-    def receive(self, entry: str, number: int) -> None:
-        """Count a promise from when it was asked for.
+    def record_promise(self, entry: str, number: int) -> None:
+        """Record a received promise, valid from the time of its request.
 
         Args:
-            entry: Name of the entry that promised.
+            entry: Name of the entry that gave the promise.
             number: Number of the request.
         """
-        asked_at = self.asked.get(number, -math.inf)
-        until = asked_at + self.times.promise_s
-        self.received[entry] = max(until, self.received.get(entry, until))
+        requested_at = self.requested_at.get(number, -math.inf)
+        until = requested_at + self.durations.promise_s
+        self.received_until[entry] = max(
+            until, self.received_until.get(entry, until)
+        )
--- a/packages/domain/bulrushcourse_domain/slots/region_limit.py
+++ b/packages/domain/bulrushcourse_domain/slots/region_limit.py
@@ -1,4 +1,4 @@
-"""Division of a region's limit over its pools."""
+"""Division of a region's limit among its pools."""
 
 import math
 
@@ -6,11 +6,11 @@
 from bulrushcourse_domain.configuration import objects
 
 
-def divide_limit(cap: int, slots: dict[str, int]) -> dict[str, int]:
-    """Return parts of a cap in proportion to slots; their sum is the cap.
+def divide_limit(limit: int, slots: dict[str, int]) -> dict[str, int]:
+    """Divide a limit in proportion to slots; the shares add up to it.
 
     Args:
-        cap: Requests at work that all pools together may have.
+        limit: Maximum of concurrent requests of all pools together.
         slots: Number of slots by pool.
 
     Examples:
@@ -20,14 +20,14 @@
         {'a': 40, 'b': 20}
     """
     total = sum(slots.values())
-    exact = {name: cap * number / total for name, number in slots.items()}
-    parts = {name: math.floor(part) for name, part in exact.items()}
+    exact = {name: limit * number / total for name, number in slots.items()}
+    shares = {name: math.floor(share) for name, share in exact.items()}
     by_remainder = sorted(
-        slots, key=lambda name: (parts[name] - exact[name], name)
+        slots, key=lambda name: (shares[name] - exact[name], name)
     )
-    for name in by_remainder[: cap - sum(parts.values())]:
-        parts[name] += 1
-    return parts
+    for name in by_remainder[: limit - sum(shares.values())]:
+        shares[name] += 1
+    return shares
 
 
 def in_flight_limit(
@@ -35,30 +35,30 @@
     service: str,
     region: str,
 ) -> int | None:
-    """Return the most grants of a service's pool in a region.
+    """Return the maximum of concurrent grants of a pool.
 
-    Each owner of a pool applies its part alone, so that the region's limit
-    needs no coordination.
+    Each owner of a pool enforces its share of the region's limit alone, so
+    the owners need no coordination.
 
     Args:
-        configuration: The configuration in force.
+        configuration: The active configuration.
         service: Name of the service.
         region: Name of the region.
 
     Returns:
-        The pool's part of the region's limit, ``None`` without a limit.
+        The pool's share of the region's limit, ``None`` without a limit.
     """
-    caps = [
+    limits = [
         limit.in_flight
         for limit in configuration.objects.limits
         if limit.kind is objects.LimitKind.REGION and limit.target == region
     ]
-    if not caps:
+    if not limits:
         return None
     slots = {
-        name: configuration.pools[found.pool].slots
+        name: configuration.pools[definition.pool].slots
         * len(configuration.instances(name, region))
-        for name, found in configuration.services.items()
+        for name, definition in configuration.services.items()
     }
     served = {name: number for name, number in slots.items() if number}
-    return divide_limit(min(caps), served).get(service)
+    return divide_limit(min(limits), served).get(service)
--- a/packages/domain/bulrushcourse_domain/slots/region_members.py
+++ b/packages/domain/bulrushcourse_domain/slots/region_members.py
@@ -1,4 +1,4 @@
-"""Entries of a region that can own its pools, by the VM list."""
+"""Entries of a region that may own its pools, according to the VM list."""
 
 import math
 import typing
@@ -11,11 +11,11 @@
 
 @attrs.frozen
 class ListedVm:
-    """A VM of the region in the platform's list.
+    """A VM of the region in the platform's VM list.
 
     Attributes:
-        vm_id: The platform's identifier.
-        entry: Name of its entry.
+        vm_id: The platform's identifier of the VM.
+        entry: Name of the VM's entry.
     """
 
     vm_id: str
@@ -24,107 +24,108 @@
 
 @attrs.define
 class RegionMembers:
-    """Who else could own a pool of the region.
+    """Which other entries may own a pool of the region.
 
-    A VM that the list no longer names has ended. A VM that it does not name
-    yet may run already, so a new VM *settles* before it owns a pool or
-    promises one: the list has named it, as its entry's only VM, for long
-    enough that every fresh list names it.
+    A VM that is no longer listed has ended. A VM that is not listed yet may
+    already run, so a new VM must *settle* before it owns or promises a pool:
+    it must have been listed as its entry's only VM for so long that every
+    fresh list names it.
 
     Attributes:
         clock: Source of time.
         entry: Name of this entry.
         vm_id: Identifier of this VM.
-        seats: Entries of the region by the configuration in force.
-        times: Durations.
+        seats: Entries of the region in the active configuration.
+        times: Durations of leases and promises.
         listed: VMs of the region in the last list.
-        asked_at: Clock seconds before the last list was asked for.
-        alone_since: Clock seconds since which the list names this VM as
-            its entry's only one; infinite if it does not.
+        requested_at: Clock seconds just before the last list was requested.
+        sole_since: Clock seconds since which the list names this VM as its
+            entry's only one; infinite if it does not.
         settled: Whether this entry has settled.
-        newcomers: VMs that appeared in the list, with the clock seconds
-            before the last list without them was asked for.
+        last_absent_at: Clock seconds just before the last list without a VM
+            was requested, by identifier of a VM that has appeared since.
     """
 
     clock: clocks.Clock
     entry: str
     vm_id: str
     seats: frozenset[str] = frozenset()
-    times: timing.OwnershipTimes = timing.OwnershipTimes()
+    times: timing.OwnershipDurations = timing.OwnershipDurations()
     listed: frozenset[ListedVm] = frozenset()
-    asked_at: float = -math.inf
-    alone_since: float = math.inf
+    requested_at: float = -math.inf
+    sole_since: float = math.inf
     settled: bool = False
-    newcomers: dict[str, float] = attrs.field(factory=dict)
+    last_absent_at: dict[str, float] = attrs.field(factory=dict)
 
     def update_list(
-        self, listed: typing.Iterable[ListedVm], asked_at: float
+        self, listed: typing.Iterable[ListedVm], requested_at: float
     ) -> None:
-        """Take over an answer of the VM list.
+        """Apply a VM list, unless a newer one has been applied.
 
         Args:
             listed: VMs of the region.
-            asked_at: Clock seconds before the list was asked for.
+            requested_at: Clock seconds just before the list was requested.
         """
-        if asked_at < self.asked_at:
+        if requested_at < self.requested_at:
             return
-        named = frozenset(listed)
-        added = {vm.vm_id for vm in named - self.listed}
-        self.newcomers |= dict.fromkeys(added, self.asked_at)
-        for vm in self.listed - named:
-            self.newcomers.pop(vm.vm_id, None)
-        self.listed = named
-        self.asked_at = asked_at
-        own = {vm.vm_id for vm in self.listed if vm.entry == self.entry}
-        if self.vm_id not in own:
+        current = frozenset(listed)
+        added = {vm.vm_id for vm in current - self.listed}
+        self.last_absent_at |= dict.fromkeys(added, self.requested_at)
+        for vm in self.listed - current:
+            self.last_absent_at.pop(vm.vm_id, None)
+        self.listed = current
+        self.requested_at = requested_at
+        own_vms = {vm.vm_id for vm in self.listed if vm.entry == self.entry}
+        if self.vm_id not in own_vms:
             self.settled = False
-        if own != {self.vm_id}:
-            self.alone_since = math.inf
+        if own_vms != {self.vm_id}:
+            self.sole_since = math.inf
         else:
-            self.alone_since = min(self.alone_since, self.clock.monotonic())
+            self.sole_since = min(self.sole_since, self.clock.monotonic())
 
     def is_settled(self) -> bool:
         """Return whether this entry may own pools and promise them."""
-        waited = self.clock.monotonic() - self.alone_since
-        # A settled entry stays so when the list names its replacement: the
-        # replacement settles only after this VM has gone.
+        waited = self.clock.monotonic() - self.sole_since
+        # A settled entry stays settled when its replacement is listed: the
+        # replacement settles only after this VM has ended.
         self.settled = self.settled or waited > self.times.settle_s
         return self.settled
 
     def may_promise(self) -> bool:
-        """Return whether promises of a predecessor have run out."""
-        waited = self.clock.monotonic() - self.alone_since
-        kept_s = self.times.outlast(self.times.promise_s)
-        return self.is_settled() or waited > kept_s
+        """Return whether all promises of a predecessor have expired."""
+        waited = self.clock.monotonic() - self.sole_since
+        valid_s = self.times.with_drift_margin(self.times.promise_s)
+        return self.is_settled() or waited > valid_s
 
     def unsettled_until(self, entry: str) -> float:
-        """Return until when an entry cannot have settled, by a fresh list.
+        """Return until when the last list proves an entry has not settled.
 
         Args:
             entry: Name of another entry.
         """
         ends = [
-            self.newcomers.get(vm.vm_id, -math.inf) + self.times.newcomer_s
+            self.last_absent_at.get(vm.vm_id, -math.inf)
+            + self.times.min_settling_s
             for vm in self.listed
             if vm.entry == entry
         ]
         return min(min(ends, default=-math.inf), self.fresh_until())
 
     def fresh_until(self) -> float:
-        """Return until when the last list proves that a VM is gone."""
-        return self.asked_at + self.times.list_fresh_s
+        """Return until when the last list proves that a VM has ended."""
+        return self.requested_at + self.times.list_fresh_s
 
     def others(self) -> frozenset[str]:
-        """Return the other entries of the region."""
+        """Return the other entries, configured or listed, of the region."""
         listed = {vm.entry for vm in self.listed}
         return (self.seats | listed) - {self.entry}
 
-    def gone(self) -> frozenset[str]:
-        """Return entries without a VM, by a fresh list."""
+    def removed_entries(self) -> frozenset[str]:
+        """Return the entries without a VM; none if the list is not fresh."""
         if self.clock.monotonic() > self.fresh_until():
             return frozenset()
         return self.others() - {vm.entry for vm in self.listed}
 
-    def present(self) -> frozenset[str]:
-        """Return the entries of the region, this one included, not gone."""
-        return (self.others() - self.gone()) | {self.entry}
+    def present_entries(self) -> frozenset[str]:
+        """Return the entries that may have a VM, including this one."""
+        return (self.others() - self.removed_entries()) | {self.entry}
--- a/packages/domain/bulrushcourse_domain/slots/requests.py
+++ b/packages/domain/bulrushcourse_domain/slots/requests.py
@@ -19,7 +19,7 @@
 
 
 class ReleaseOutcome(enum.Enum):
-    """How the work in a slot ended."""
+    """Outcome of the request for which a slot was granted."""
 
     DONE = 'done'
     SHED = 'shed'
@@ -30,16 +30,17 @@
 
 @attrs.frozen
 class SlotRequest:
-    """A wish to run one request.
+    """A request for one slot, to run one caller's request.
 
     Attributes:
         request_id: Identifier, unique over all entries.
-        holder: Name of the entry that asks.
+        holder: Incarnation of the entry that requests the slot.
         request_class: Name of the request's class.
-        deadline: Clock seconds by which the work must have ended.
+        deadline: Clock seconds by which the request must have completed.
         fingerprint: Hash of the request's content.
-        avoid: Instances that already failed this request.
-        hedged: For a hedge, the instance that runs the first copy.
+        avoid: Instances at which this request has already failed.
+        hedged: For a hedge, the instance that runs the first attempt;
+            otherwise empty.
     """
 
     request_id: str
@@ -53,14 +54,14 @@
 
 @attrs.frozen
 class Grant:
-    """A slot at an instance.
+    """The right to use one slot of an instance for one request.
 
     Attributes:
         request_id: The request that may run.
-        holder: Name of the entry that asked.
+        holder: Incarnation of the entry that requested the slot.
         instance: Name of the instance.
         request_class: Name of the request's class.
-        deadline: Clock seconds by which the work must have ended.
+        deadline: Clock seconds by which the request must have completed.
     """
 
     request_id: str
@@ -76,22 +77,24 @@
 
     Attributes:
         grant: The grant.
-        started: Clock seconds when it was granted.
-        typical_s: Typical service time of its class then, 0 if not known.
+        granted_at: Clock seconds at which it was granted.
+        typical_s: Typical service time of its class at that time, 0 if
+            unknown.
     """
 
     grant: Grant
-    started: float
+    granted_at: float
     typical_s: float = 0.0
 
 
 @attrs.frozen
 class ReleaseResult:
-    """How the work in a slot ended.
+    """Outcome and service time of the request that held a slot.
 
     Attributes:
-        outcome: What happened.
-        seconds: Measured service time; ``None`` for the time of the grant.
+        outcome: Outcome of the request.
+        seconds: Measured service time; ``None`` to use the time since the
+            grant.
     """
 
     outcome: ReleaseOutcome
@@ -100,11 +103,11 @@
 
 @attrs.frozen
 class Refusal:
-    """A request that gets no slot; it did not run.
+    """The decision not to grant a slot; the request has not run.
 
     Attributes:
         request_id: The refused request.
-        holder: Name of the entry that asked.
+        holder: Incarnation of the entry that requested the slot.
         reason: Why it is refused.
     """
 
--- a/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
@@ -1,4 +1,4 @@
-"""A region of entries with drifting clocks, a table, a list and faults."""
+"""Simulates a region: entries with drifting clocks, table, VM list, faults."""
 
 import random
 import typing
@@ -13,14 +13,14 @@
 from bulrushcourse_domain.slots import timing
 
 POOL = 'ro-nord/catalog'
-SEATS = ('a', 'b', 'c')
+ENTRIES = ('a', 'b', 'c')
 
-Build = typing.Callable[
+BuildOwnership = typing.Callable[
     [region_members.RegionMembers, str], ownership.PoolOwnership
 ]
 
 
-def build_sound(
+def build_correct(
     members: region_members.RegionMembers, incarnation: str
 ) -> ownership.PoolOwnership:
     return ownership.open_ownership(
@@ -39,7 +39,7 @@
 @attrs.define
 class Table:
     row: leases.LeaseRow = leases.LeaseRow()
-    up: bool = True
+    available: bool = True
 
     def apply(self, write: leases.LeaseWrite) -> leases.LeaseWriteResult:
         if write.expected != self.row.version:
@@ -52,42 +52,44 @@
 
 @attrs.define(eq=False)
 class Node:
-    """An entry's process with what it has in flight."""
+    """An entry's process, with its write of the lease in flight."""
 
     vm: region_members.ListedVm
     clock: DriftingClock
-    own: ownership.PoolOwnership
+    pool_ownership: ownership.PoolOwnership
     write: leases.LeaseWrite | None = None
     result: leases.LeaseWriteResult = leases.LeaseWriteResult.UNKNOWN
     paused: bool = False
-    store_cut: bool = False
+    table_unreachable: bool = False
 
 
 @attrs.define
 class World:
-    build: Build
-    times: timing.OwnershipTimes = timing.OwnershipTimes()
+    build: BuildOwnership
+    durations: timing.OwnershipDurations = timing.OwnershipDurations()
     table: Table = attrs.field(factory=Table)
     nodes: list[Node] = attrs.field(factory=list)
     listed: frozenset[region_members.ListedVm] = frozenset()
-    cuts: set[frozenset[str]] = attrs.field(factory=set)
-    requests: list[tuple[Node, promises.PromiseRequest, Node]] = attrs.field(
-        factory=list
+    broken_links: set[frozenset[str]] = attrs.field(factory=set)
+    requests_in_flight: list[tuple[Node, promises.PromiseRequest, Node]] = (
+        attrs.field(factory=list)
     )
-    answers: list[tuple[Node, promises.Promise, Node]] = attrs.field(
-        factory=list
+    promises_in_flight: list[tuple[Node, promises.Promise, Node]] = (
+        attrs.field(factory=list)
     )
-    born: int = 0
+    started_count: int = 0
 
-    def start(self, seat: str, rate: float, vm_id: str = '') -> Node:
-        self.born += 1
-        vm = region_members.ListedVm(vm_id or f'vm-{self.born}', seat)
-        clock = DriftingClock(100.0 * self.born, rate)
+    def start(self, entry: str, rate: float, vm_id: str = '') -> Node:
+        self.started_count += 1
+        vm = region_members.ListedVm(
+            vm_id or f'vm-{self.started_count}', entry
+        )
+        clock = DriftingClock(100.0 * self.started_count, rate)
         members = region_members.RegionMembers(
-            clock, seat, vm.vm_id, frozenset(SEATS), self.times
+            clock, entry, vm.vm_id, frozenset(ENTRIES), self.durations
         )
-        own = self.build(members, f'{seat}-{self.born}')
-        node = Node(vm, clock, own)
+        pool_ownership = self.build(members, f'{entry}-{self.started_count}')
+        node = Node(vm, clock, pool_ownership)
         self.nodes.append(node)
         return node
 
@@ -102,7 +104,7 @@
             node.clock.advance(seconds)
 
     def owners(self) -> list[str]:
-        return [n.vm.vm_id for n in self.nodes if n.own.may_grant()]
+        return [n.vm.vm_id for n in self.nodes if n.pool_ownership.may_grant()]
 
     def check(self) -> None:
         assert len(self.owners()) <= 1, f'two owners: {self.owners()}'
@@ -110,75 +112,81 @@
     def connected(self, one: Node, other: Node) -> bool:
         pair = frozenset((one.vm.entry, other.vm.entry))
         alive = one in self.nodes and other in self.nodes
-        return alive and pair not in self.cuts
+        return alive and pair not in self.broken_links
 
     def fetch_list(self, node: Node) -> None:
-        node.own.members.update_list(self.listed, node.clock.now)
+        node.pool_ownership.members.update_list(self.listed, node.clock.now)
 
     def read(self, node: Node) -> None:
-        if self.table.up and not node.store_cut:
-            node.own.observe_row(self.table.row)
+        if self.table.available and not node.table_unreachable:
+            node.pool_ownership.observe_row(self.table.row)
 
     def send_write(self, node: Node) -> None:
         if node.write is None:
-            node.write = node.own.plan_write()
+            node.write = node.pool_ownership.plan_write()
             node.result = leases.LeaseWriteResult.UNKNOWN
 
-    def land_write(self, node: Node) -> None:
-        if node.write is not None and self.table.up and not node.store_cut:
+    def apply_write(self, node: Node) -> None:
+        if (
+            node.write is not None
+            and self.table.available
+            and not node.table_unreachable
+        ):
             node.result = self.table.apply(node.write)
 
-    def answer_write(self, node: Node, lost: bool = False) -> None:
+    def finish_write(self, node: Node, response_lost: bool = False) -> None:
         if node.write is not None:
             unknown = leases.LeaseWriteResult.UNKNOWN
-            node.own.finish_write(node.write, unknown if lost else node.result)
+            node.pool_ownership.finish_write(
+                node.write, unknown if response_lost else node.result
+            )
             node.write = None
 
-    def ask(self, node: Node) -> None:
-        request = node.own.request_promises()
+    def request_promises(self, node: Node) -> None:
+        request = node.pool_ownership.request_promises()
         if request is not None:
-            self.requests += [
+            self.requests_in_flight += [
                 (node, request, other)
                 for other in self.nodes
                 if other.vm.entry != node.vm.entry
             ]
 
     def deliver_requests(self) -> None:
-        """Deliver requests to all entries that are not paused."""
-        queued, self.requests = self.requests, []
-        for asker, request, other in queued:
+        """Deliver promise requests to the entries that are not paused."""
+        in_flight, self.requests_in_flight = self.requests_in_flight, []
+        for candidate, request, other in in_flight:
             if other.paused:
-                self.requests.append((asker, request, other))
-            elif self.connected(asker, other):
-                promise = other.own.answer_promise_request(request)
+                self.requests_in_flight.append((candidate, request, other))
+            elif self.connected(candidate, other):
+                promise = other.pool_ownership.answer_promise_request(request)
                 if promise is not None:
-                    self.answers.append((other, promise, asker))
+                    self.promises_in_flight.append((other, promise, candidate))
 
-    def deliver_answers(self) -> None:
-        """Deliver promises to all entries that are not paused."""
-        queued, self.answers = self.answers, []
-        for giver, promise, asker in queued:
-            if asker.paused:
-                self.answers.append((giver, promise, asker))
-            elif self.connected(giver, asker):
-                asker.own.record_promise(promise)
+    def deliver_promises(self) -> None:
+        """Deliver promises to the candidates that are not paused."""
+        in_flight, self.promises_in_flight = self.promises_in_flight, []
+        for giver, promise, candidate in in_flight:
+            if candidate.paused:
+                self.promises_in_flight.append((giver, promise, candidate))
+            elif self.connected(giver, candidate):
+                candidate.pool_ownership.record_promise(promise)
 
     def tick(self, node: Node) -> None:
-        """Do what an entry's tasks do in one round, without delays."""
+        """Run one round of an entry's tasks, without delays."""
         if node.paused:
             return
-        self.answer_write(node)
-        self.deliver_answers()
+        self.finish_write(node)
+        self.deliver_promises()
         self.check()
         self.fetch_list(node)
-        if self.table.up and not node.store_cut:
+        if self.table.available and not node.table_unreachable:
             self.read(node)
             self.send_write(node)
-            self.land_write(node)
-            self.answer_write(node)
-        self.ask(node)
+            self.apply_write(node)
+            self.finish_write(node)
+        self.request_promises(node)
         self.deliver_requests()
-        self.deliver_answers()
+        self.deliver_promises()
         self.check()
 
     def run(self, seconds: float, step: float = 0.25) -> None:
@@ -187,12 +195,12 @@
             for node in tuple(self.nodes):
                 self.tick(node)
 
-    def heal(self) -> None:
-        self.table.up = True
-        self.cuts.clear()
+    def repair(self) -> None:
+        self.table.available = True
+        self.broken_links.clear()
         for node in self.nodes:
             node.paused = False
-        for seat in SEATS:
-            if not any(node.vm.entry == seat for node in self.nodes):
-                self.start(seat, 1.0)
+        for entry in ENTRIES:
+            if not any(node.vm.entry == entry for node in self.nodes):
+                self.start(entry, 1.0)
         self.publish_list()
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
@@ -1,4 +1,4 @@
-"""Guards against two owners of a pool, and against pools without owner."""
+"""Guards against two owners of a pool, and against pools without an owner."""
 
 import attrs
 import hypothesis
@@ -18,30 +18,30 @@
 
 
 class OwnershipMachine(stateful.RuleBasedStateMachine):
-    """Faults in any order; two entries may never grant at one instant."""
+    """Injects faults in any order; at most one entry may grant at any time."""
 
-    build = staticmethod(ownership_world.build_sound)
-    times = timing.OwnershipTimes()
+    build = staticmethod(ownership_world.build_correct)
+    durations = timing.OwnershipDurations()
 
     def __init__(self) -> None:
         super().__init__()
-        self.world = ownership_world.World(self.build, self.times)
+        self.world = ownership_world.World(self.build, self.durations)
 
     def node(self, index: int) -> ownership_world.Node:
         return self.world.nodes[index % len(self.world.nodes)]
 
     @stateful.initialize(
         rates=strategies.tuples(RATES, RATES, RATES),
-        late=strategies.sampled_from(ownership_world.SEATS),
+        last=strategies.sampled_from(ownership_world.ENTRIES),
     )
-    def start_region(self, rates, late):
-        """Start the last entry late, so that any entry may be the owner."""
-        seats = sorted(
-            zip(ownership_world.SEATS, rates, strict=True),
-            key=lambda pair: pair[0] == late,
+    def start_region(self, rates, last):
+        """Start a random entry last, so that any entry can be the owner."""
+        entries = sorted(
+            zip(ownership_world.ENTRIES, rates, strict=True),
+            key=lambda pair: pair[0] == last,
         )
-        for seat, rate in seats:
-            self.world.start(seat, rate)
+        for entry, rate in entries:
+            self.world.start(entry, rate)
             self.world.publish_list()
             if len(self.world.nodes) != 1:
                 self.world.run(5)
@@ -51,69 +51,72 @@
         self.world.advance(seconds)
 
     @stateful.rule(seconds=strategies.sampled_from([0.25, 1, 3, 6]))
-    def run_under_present_faults(self, seconds):
+    def run_with_current_faults(self, seconds):
         self.world.run(seconds)
 
     @stateful.rule(
-        stage=strategies.sampled_from(['write', 'wish']),
+        stage=strategies.sampled_from(['write', 'promises']),
         delay=strategies.sampled_from([0, 1, 2.5]),
     )
-    def silence_owner(self, stage, delay):
-        """Answer the owner late, then pause it past its lease.
+    def pause_owner_past_lease(self, stage, delay):
+        """Deliver the owner's responses late, then pause it past its lease.
 
-        The others run in short steps, so that they act as soon as they may.
+        The other entries run in short steps, so that they act as early as
+        they may.
         """
         world = self.world
-        owners = [node for node in world.nodes if node.own.may_grant()]
+        owners = [
+            node for node in world.nodes if node.pool_ownership.may_grant()
+        ]
         for owner in owners:
             world.read(owner)
             if stage == 'write':
                 world.send_write(owner)
-                world.land_write(owner)
+                world.apply_write(owner)
             else:
-                world.ask(owner)
+                world.request_promises(owner)
             owner.paused = True
             world.run(0.02, 0.02)
             world.run(delay, 0.1)
-            world.answer_write(owner)
+            world.finish_write(owner)
             owner.paused = False
-            world.deliver_answers()
+            world.deliver_promises()
             owner.paused = True
             world.check()
             world.run(3.6, 0.02)
             owner.paused = False
 
     @stateful.rule(index=INDEX)
-    def cut_off(self, index):
-        """Cut an entry off from store and peers; its peers return first."""
+    def isolate(self, index):
+        """Cut an entry off from table and peers; restore its peers first."""
         world, node = self.world, self.node(index)
-        cuts = set(world.cuts)
-        node.store_cut = True
-        for seat in ownership_world.SEATS:
-            world.cuts.add(frozenset((node.vm.entry, seat)))
+        broken_links = set(world.broken_links)
+        node.table_unreachable = True
+        for entry in ownership_world.ENTRIES:
+            world.broken_links.add(frozenset((node.vm.entry, entry)))
         world.run(3.5)
-        world.cuts = cuts
+        world.broken_links = broken_links
         world.tick(node)
         world.run(3.5)
-        node.store_cut = False
+        node.table_unreachable = False
 
     @stateful.rule(index=INDEX)
     def tick(self, index):
         self.world.tick(self.node(index))
 
-    @stateful.rule(index=INDEX, lands=strategies.booleans())
-    def pause_in_write(self, index, lands):
+    @stateful.rule(index=INDEX, applied=strategies.booleans())
+    def pause_during_write(self, index, applied):
         node = self.node(index)
         self.world.read(node)
         self.world.send_write(node)
-        if lands:
-            self.world.land_write(node)
+        if applied:
+            self.world.apply_write(node)
         node.paused = True
 
     @stateful.rule(index=INDEX)
-    def pause_in_wish(self, index):
+    def pause_during_promise_request(self, index):
         node = self.node(index)
-        self.world.ask(node)
+        self.world.request_promises(node)
         node.paused = True
         self.world.deliver_requests()
 
@@ -122,26 +125,26 @@
         self.node(index).paused = False
 
     @stateful.rule(index=INDEX)
-    def land_write(self, index):
-        self.world.land_write(self.node(index))
+    def apply_write(self, index):
+        self.world.apply_write(self.node(index))
 
     @stateful.rule(index=INDEX)
-    def lose_answer(self, index):
-        self.world.answer_write(self.node(index), lost=True)
+    def lose_write_response(self, index):
+        self.world.finish_write(self.node(index), response_lost=True)
 
     @stateful.rule(index=INDEX)
     def fetch_list(self, index):
         self.world.fetch_list(self.node(index))
 
     @stateful.rule()
-    def toggle_store(self):
-        self.world.table.up = not self.world.table.up
+    def toggle_table(self):
+        self.world.table.available = not self.world.table.available
 
     @stateful.rule(
         pair=strategies.sampled_from(['ab', 'ac', 'bc']),
     )
     def toggle_link(self, pair):
-        self.world.cuts ^= {frozenset(pair)}
+        self.world.broken_links ^= {frozenset(pair)}
 
     @stateful.rule()
     def publish_list(self):
@@ -167,27 +170,31 @@
     @stateful.rule(index=INDEX, rate=RATES)
     def leave(self, index, rate):
         node = self.node(index)
-        write = node.own.release()
-        if write is not None and self.world.table.up:
+        write = node.pool_ownership.release()
+        if write is not None and self.world.table.available:
             self.world.table.apply(write)
         for other in self.world.nodes:
             if other is not node and not other.paused:
-                other.own.record_release(node.own.incarnation)
+                other.pool_ownership.record_release(
+                    node.pool_ownership.incarnation
+                )
         self.world.run(1)
         self.world.kill(node)
         self.world.start(node.vm.entry, rate)
 
     @stateful.invariant()
-    def one_owner_at_most(self):
+    def at_most_one_owner(self):
         self.world.check()
 
     def teardown(self):
         world = self.world
         if not world.nodes:
             return
-        world.heal()
+        world.repair()
         world.run(20)
-        assert len(world.owners()) == 1, 'no owner without faults'
+        assert len(world.owners()) == 1, (
+            'no owner after all faults were repaired'
+        )
 
 
 SETTINGS = hypothesis.settings(
@@ -200,74 +207,76 @@
 )
 
 
-def test_one_owner_at_any_instant():
+def test_at_most_one_owner_at_any_time():
     stateful.run_state_machine_as_test(OwnershipMachine, settings=SETTINGS)
 
 
-@pytest.mark.parametrize('late', ownership_world.SEATS)
-def test_outage_at_start_takes_no_pool_from_its_owner(late):
-    """Entries that saw the lease free stood in the new owner's way."""
-    world = ownership_world.World(ownership_world.build_sound)
-    seats = sorted(ownership_world.SEATS, key=lambda seat: seat == late)
-    for seat in seats[:2]:
-        world.start(seat, 1.0)
+@pytest.mark.parametrize('last', ownership_world.ENTRIES)
+def test_owner_keeps_pool_in_table_outage_after_start(last):
+    """Entries that had read a free lease gave the new owner no promise."""
+    world = ownership_world.World(ownership_world.build_correct)
+    entries = sorted(ownership_world.ENTRIES, key=lambda entry: entry == last)
+    for entry in entries[:2]:
+        world.start(entry, 1.0)
     world.publish_list()
     world.run(0.5)
-    world.start(late, 1.0)
+    world.start(last, 1.0)
     world.publish_list()
-    while world.table.up:
+    while world.table.available:
         world.advance(0.05)
         for node in world.nodes:
-            if world.table.up:
+            if world.table.available:
                 world.tick(node)
-                world.table.up = not world.owners()
+                world.table.available = not world.owners()
     owners = world.owners()
     for _ in range(60):
         world.run(0.25)
         assert world.owners() == owners
 
 
-def test_replacement_in_an_outage_takes_no_pool_for_long():
-    """A new VM cannot promise yet, and stood in the owner's way."""
-    world = ownership_world.World(ownership_world.build_sound)
-    for seat in ownership_world.SEATS:
-        world.start(seat, 1.0)
+def test_replacement_in_table_outage_interrupts_ownership_briefly():
+    """A new VM cannot give promises yet, so the owner lost the pool."""
+    world = ownership_world.World(ownership_world.build_correct)
+    for entry in ownership_world.ENTRIES:
+        world.start(entry, 1.0)
     world.publish_list()
     world.run(6)
     (owner,) = world.owners()
-    world.table.up = False
+    world.table.available = False
     world.run(6)
     replaced = next(n for n in world.nodes if n.vm.vm_id != owner)
     world.kill(replaced)
     world.start(replaced.vm.entry, 1.0)
     world.publish_list()
-    without = 0
+    steps_without_owner = 0
     for _ in range(100):
         world.run(0.1, 0.1)
-        without += not world.owners()
-    # The lists that tell of the VM are polled every 0.5 s.
-    assert without <= 5
+        steps_without_owner += not world.owners()
+    # VM lists, which show the replacement, are polled every 0.5 s.
+    assert steps_without_owner <= 5
 
 
-def test_planned_stop_in_an_outage_hands_the_pool_over():
-    """The successor waited for its promise, and for its turn, to end."""
-    world = ownership_world.World(ownership_world.build_sound)
-    for seat in ownership_world.SEATS:
-        world.start(seat, 1.0)
+def test_planned_stop_in_table_outage_hands_pool_over():
+    """The successor waited until its promise expired and its turn came."""
+    world = ownership_world.World(ownership_world.build_correct)
+    for entry in ownership_world.ENTRIES:
+        world.start(entry, 1.0)
     world.publish_list()
     world.run(6)
-    world.table.up = False
+    world.table.available = False
     world.run(6)
-    (owner,) = (node for node in world.nodes if node.own.may_grant())
-    owner.own.release()
+    (owner,) = (
+        node for node in world.nodes if node.pool_ownership.may_grant()
+    )
+    owner.pool_ownership.release()
     for node in world.nodes:
-        node.own.record_release(owner.own.incarnation)
+        node.pool_ownership.record_release(owner.pool_ownership.incarnation)
     world.run(1.5)
     assert len(world.owners()) == 1
 
 
-class CountsLeaseFromAnswer(leases.PoolLease):
-    """Broken: the answer may come long after the write took effect."""
+class LeaseStartsAtResponse(leases.PoolLease):
+    """Broken: the response may arrive long after the write committed."""
 
     def _confirm(self):
         self.sent_at = self.clock.monotonic()
@@ -275,69 +284,78 @@
 
 
 class PromisesWhileHolding(ownership.PoolOwnership):
-    """Broken: the holder of the lease promises the pool to another."""
+    """Broken: the holder of the lease promises the pool to another entry."""
 
-    def _may_promise(self, request):
-        return self.pool_promises.is_free_for(request.candidate)
+    def _may_promise_to(self, request):
+        return self.pool_promises.may_promise_to(request.candidate)
 
     def may_grant(self):
-        eligible = not self.stopped and self.members.is_settled()
-        return eligible and (self.lease.is_held() or self._is_promised())
+        eligible = not self.resigned and self.members.is_settled()
+        return eligible and (self.lease.is_held() or self._has_all_promises())
 
 
-class CountsPromiseFromArrival(promises.PoolPromises):
-    """Broken: a delayed promise has run out at its giver."""
+class PromiseStartsAtArrival(promises.PoolPromises):
+    """Broken: a delayed promise has already expired at its giver."""
 
-    def receive(self, entry, number):
-        self.received[entry] = self.clock.monotonic() + self.times.promise_s
+    def record_promise(self, entry, number):
+        self.received_until[entry] = (
+            self.clock.monotonic() + self.durations.promise_s
+        )
 
 
-def build_counting_lease_from_answer(members, incarnation):
-    own = ownership_world.build_sound(members, incarnation)
-    own.lease = CountsLeaseFromAnswer(
-        own.clock, own.entry, incarnation, members.times
+def build_with_lease_from_response(members, incarnation):
+    pool_ownership = ownership_world.build_correct(members, incarnation)
+    pool_ownership.lease = LeaseStartsAtResponse(
+        pool_ownership.clock, pool_ownership.entry, incarnation, members.times
     )
-    return own
+    return pool_ownership
 
 
 def build_promising_while_holding(members, incarnation):
-    own = ownership_world.build_sound(members, incarnation)
+    pool_ownership = ownership_world.build_correct(members, incarnation)
     return PromisesWhileHolding(
-        own.clock,
-        own.pool,
+        pool_ownership.clock,
+        pool_ownership.pool,
         incarnation,
         members,
-        own.rng,
-        own.lease,
-        own.pool_promises,
+        pool_ownership.rng,
+        pool_ownership.lease,
+        pool_ownership.pool_promises,
     )
 
 
-def build_counting_promise_from_arrival(members, incarnation):
-    own = ownership_world.build_sound(members, incarnation)
-    own.pool_promises = CountsPromiseFromArrival(own.clock, members.times)
-    return own
+def build_with_promise_from_arrival(members, incarnation):
+    pool_ownership = ownership_world.build_correct(members, incarnation)
+    pool_ownership.pool_promises = PromiseStartsAtArrival(
+        pool_ownership.clock, members.times
+    )
+    return pool_ownership
 
 
 @pytest.mark.parametrize(
     ('build', 'max_drift'),
     [
-        (ownership_world.build_sound, 0.0),
-        (build_counting_lease_from_answer, 0.01),
+        (ownership_world.build_correct, 0.0),
+        (build_with_lease_from_response, 0.01),
         (build_promising_while_holding, 0.01),
-        (build_counting_promise_from_arrival, 0.01),
+        (build_with_promise_from_arrival, 0.01),
+    ],
+    ids=[
+        'no-drift-margin',
+        'lease-from-response',
+        'promise-while-holding',
+        'promise-from-arrival',
     ],
-    ids=['no-drift-margin', 'lease-from-answer', 'promise', 'arrival'],
 )
 def test_machine_finds_broken_variant(build, max_drift):
-    """Guards against a machine too weak to notice a missing rule."""
+    """Guards against a state machine that misses a broken rule."""
     machine = type(
         'BrokenMachine',
         (OwnershipMachine,),
         {
             'build': staticmethod(build),
-            'times': attrs.evolve(
-                timing.OwnershipTimes(), max_drift=max_drift
+            'durations': attrs.evolve(
+                timing.OwnershipDurations(), max_drift=max_drift
             ),
         },
     )
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_region_limit.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_region_limit.py
@@ -1,4 +1,4 @@
-"""Guards against pools that together pass their region's limit."""
+"""Guards against pools that together exceed their region's limit."""
 
 import hypothesis
 from hypothesis import strategies
@@ -13,17 +13,17 @@
 
 
 @hypothesis.settings(derandomize=True)
-@hypothesis.given(cap=strategies.integers(0, 500), slots=SLOTS)
-def test_parts_add_up_to_the_cap(cap, slots):
-    parts = region_limit.divide_limit(cap, slots)
-    assert sum(parts.values()) == cap
-    assert all(part >= 0 for part in parts.values())
+@hypothesis.given(limit=strategies.integers(0, 500), slots=SLOTS)
+def test_shares_add_up_to_the_limit(limit, slots):
+    shares = region_limit.divide_limit(limit, slots)
+    assert sum(shares.values()) == limit
+    assert all(share >= 0 for share in shares.values())
 
 
-def test_pool_gets_its_part_of_the_lowest_limit():
-    def limit(name, region, cap):
+def test_pool_gets_its_share_of_the_lowest_limit():
+    def region_limit_of(name, region, in_flight):
         kind = objects.LimitKind.REGION
-        return objects.Limit(name, kind, region, in_flight=cap)
+        return objects.Limit(name, kind, region, in_flight=in_flight)
 
     pools = tuple(
         objects.Pool(
@@ -39,10 +39,13 @@
             services=tuple(
                 objects.Service(n, n, 'short', True) for n in ('x', 'y')
             ),
-            limits=(limit('a', 'r', 6), limit('b', 'r', 9)),
+            limits=(
+                region_limit_of('a', 'r', 6),
+                region_limit_of('b', 'r', 9),
+            ),
         ),
     )
-    found = region_limit.in_flight_limit
-    assert found(configuration, 'x', 'r') == 4
-    assert found(configuration, 'y', 'r') == 2
-    assert found(configuration, 'x', 'elsewhere') is None
+    in_flight_limit = region_limit.in_flight_limit
+    assert in_flight_limit(configuration, 'x', 'r') == 4
+    assert in_flight_limit(configuration, 'y', 'r') == 2
+    assert in_flight_limit(configuration, 'x', 'elsewhere') is None
--- a/packages/domain/bulrushcourse_domain/slots/timing.py
+++ b/packages/domain/bulrushcourse_domain/slots/timing.py
@@ -1,21 +1,23 @@
-"""Durations that the ownership of pools depends on."""
+"""Durations on which the ownership of pools depends."""
 
 import attrs
 
 
 @attrs.frozen
-class OwnershipTimes:
-    """Durations of leases and promises, the same at every entry.
+class OwnershipDurations:
+    """Durations of leases and promises, equal at all entries.
 
     Attributes:
-        lease_s: Time that a renewal of the table lease is valid.
-        promise_s: Time that a promise is valid for its receiver.
-        list_fresh_s: Age up to which a VM list proves that a VM is gone.
-        list_skew_s: Largest difference between the states of the VM list
-            that two entries are shown at one time.
+        lease_s: Validity of the table lease after a renewal.
+        promise_s: Validity of a promise for its receiver.
+        list_fresh_s: Maximum age of a VM list that proves that a VM has
+            ended.
+        list_skew_s: Maximum difference in age between the versions of the VM
+            list that two entries receive at the same time.
         stagger_s: Delay between candidates of consecutive rank.
-        turn_s: Time that a candidate asks for promises before it gives way.
-        max_drift: Largest deviation of a clock's rate from 1.
+        turn_s: Time for which a candidate requests promises before the next
+            candidate's turn.
+        max_drift: Maximum deviation of a clock's rate from 1.
     """
 
     lease_s: float = 3.0
@@ -26,34 +28,34 @@
     turn_s: float = 5.0
     max_drift: float = 0.01
 
-    def outlast(self, seconds: float) -> float:
-        """Return a duration that no other clock measures as shorter.
+    def with_drift_margin(self, seconds: float) -> float:
+        """Return a duration in which any other clock advances by ``seconds``.
 
         Args:
             seconds: Duration on the clock of another entry.
 
         Examples:
-            >>> round(OwnershipTimes().outlast(3.0), 3)
+            >>> round(OwnershipDurations().with_drift_margin(3.0), 3)
             3.061
         """
         return seconds * (1 + self.max_drift) / (1 - self.max_drift)
 
     @property
     def settle_s(self) -> float:
-        """Time that a new VM is listed before it may own pools.
+        """Time for which a new VM must be listed before it may own pools.
 
-        By then every fresh list names the VM, and the promises that a
-        predecessor gave have run out.
+        After it every fresh list names the VM, and all promises of its
+        predecessor have expired.
         """
         listed = self.list_fresh_s + self.list_skew_s
-        return self.outlast(max(listed, self.promise_s))
+        return self.with_drift_margin(max(listed, self.promise_s))
 
     @property
-    def newcomer_s(self) -> float:
-        """Time that a VM cannot have settled, from a list without it.
+    def min_settling_s(self) -> float:
+        """Time for which a VM that a list omits cannot have settled.
 
-        Counted on the clock of another entry from before it asked for the
-        last list that did not name the VM.
+        Measured on the clock of another entry, from before it requested the
+        last list that omitted the VM.
         """
         settling_s = self.settle_s / (1 + self.max_drift) - self.list_skew_s
         return settling_s * (1 - self.max_drift)
--- a/packages/testkit/bulrushcourse_testkit/bench/policies.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/policies.py
@@ -174,7 +174,7 @@
             self.world.hop(self._decided, call, hedged, decision)
         if len(self.pool.waiting) and not self.polling:
             self.polling = True
-            self.world.later(pools.POLL_S, self._poll)
+            self.world.later(pools.DECISION_INTERVAL_S, self._poll)
 
     def _poll(self) -> None:
         self.polling = False
