Use the usual terms for shares, leases and pacing of limits

Comments and names of the limits package spoke of seats, attempts that are adopted, lines of pieces and work that flows.

Rename locals, parameters, methods and constants to pending writes, floor shares, chunk queues and the clock drift ratio, and state in each doc comment what the code does and why. Fields of the stored terms, leases and ledgers keep their names. The test model uses responses and requests in place of answers and work; its checks are the same.

--- a/packages/domain/bulrushcourse_domain/limits/__init__.py
+++ b/packages/domain/bulrushcourse_domain/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Shares of caps on links and shifts, and the pacing within a share."""
+"""Shares of link and shift limits, and pacing within a share."""
--- a/packages/domain/bulrushcourse_domain/limits/floor_binding.py
+++ b/packages/domain/bulrushcourse_domain/limits/floor_binding.py
@@ -1,4 +1,4 @@
-"""Which VM may use the floor share of a seat."""
+"""Which VM may use the floor share of a configured entry."""
 
 import typing
 
@@ -6,62 +6,67 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# Bound on the relative rate of any two clocks of the platform.
-CLOCK_DRIFT = 0.02
+# Bound on the difference between the rates of any two clocks of the platform.
+MAX_CLOCK_DRIFT_RATIO = 0.02
 
 
 @attrs.define
 class FloorBinding:
-    """Binds the floor share of a seat to its only VM.
+    """Binds the floor share of an entry to the entry's only VM.
 
-    The platform removes a VM from its list only after the VM has ended. A
-    VM that the list shows as the only one of its seat therefore has no
-    running predecessor, but work that a predecessor admitted may still run
-    at upstreams for the time limit of work.
+    The platform removes a VM from its list only after the VM has ended. So a
+    VM that is listed as the only one of its entry has no running
+    predecessor. Requests that a predecessor admitted may still run at
+    upstreams until their time limit.
 
     Attributes:
         clock: Source of time.
         vm_id: The platform's identifier of this VM.
-        seat: Name of this VM's seat.
-        listed: Whether the last list showed this VM.
-        sole_since: Clock seconds when a list first showed this VM as the
-            only one of its seat; ``None`` while it does not.
+        entry: Name of this VM's entry.
+        is_listed: Whether the last list contained this VM.
+        sole_since: Clock seconds at which a list first contained this VM as
+            the only one of its entry; ``None`` if none has or the VM was
+            missing from a later list.
     """
 
     clock: clocks.Clock
     vm_id: str
-    seat: str
-    listed: bool = False
+    entry: str
+    is_listed: bool = False
     sole_since: float | None = None
 
-    def update_vm_list(self, seats: typing.Mapping[str, str]) -> None:
-        """Take up an answer of the platform's list.
+    def update_vm_list(self, entries_by_vm: typing.Mapping[str, str]) -> None:
+        """Update the binding from the platform's VM list.
 
-        A VM that is bound stays bound beside its replacement: the
-        replacement is not the only VM before this one has ended.
+        A bound VM stays bound while its replacement runs: the replacement
+        becomes the only VM only after this one has ended.
 
         Args:
-            seats: Seat of each listed VM by the VM's identifier.
+            entries_by_vm: Entry of each listed VM by the VM's identifier.
         """
-        self.listed = self.vm_id in seats
-        if self.vm_id not in seats:
+        self.is_listed = self.vm_id in entries_by_vm
+        if self.vm_id not in entries_by_vm:
             self.sole_since = None
-        elif self.sole_since is None and self.is_sole(seats):
+        elif self.sole_since is None and self.is_only_vm(entries_by_vm):
             self.sole_since = self.clock.monotonic()
 
-    def is_sole(self, seats: typing.Mapping[str, str]) -> bool:
-        """Return whether a list shows this VM as the only one of its seat.
+    def is_only_vm(self, entries_by_vm: typing.Mapping[str, str]) -> bool:
+        """Return whether a list has this VM as the only one of its entry.
 
         Args:
-            seats: Seat of each listed VM by the VM's identifier.
+            entries_by_vm: Entry of each listed VM by the VM's identifier.
         """
-        return [v for v, s in seats.items() if s == self.seat] == [self.vm_id]
+        return [
+            vm_id
+            for vm_id, entry in entries_by_vm.items()
+            if entry == self.entry
+        ] == [self.vm_id]
 
     def is_usable(self, work_limit_s: float) -> bool:
-        """Return whether this VM may use the floor share of its seat.
+        """Return whether this VM may use the floor share of its entry.
 
         Args:
-            work_limit_s: Longest time that a predecessor's work may last.
+            work_limit_s: Maximum duration of a predecessor's requests.
 
         Examples:
             >>> clock = clocks.ManualClock()
@@ -76,4 +81,4 @@
         if self.sole_since is None:
             return False
         waited = self.clock.monotonic() - self.sole_since
-        return waited >= work_limit_s * (1 + CLOCK_DRIFT)
+        return waited >= work_limit_s * (1 + MAX_CLOCK_DRIFT_RATIO)
--- a/packages/domain/bulrushcourse_domain/limits/lease_monitor.py
+++ b/packages/domain/bulrushcourse_domain/limits/lease_monitor.py
@@ -1,4 +1,4 @@
-"""Observation of other holders, to take back shares they lost."""
+"""Observation of other holders, to reclaim the shares that they lost."""
 
 import typing
 
@@ -13,37 +13,37 @@
 
 @attrs.define
 class LeaseObservation:
-    """What an observer knows of another holder's lease.
+    """What an observer knows about another holder's lease.
 
     Attributes:
-        renewal: The renewal that was seen last.
-        since: Clock seconds when that renewal was first seen.
-        gone_since: Clock seconds when a list, fetched after the lease was
-            seen, first lacked the holder's VM.
+        renewal: The renewal that was read last.
+        renewal_seen_at: Clock seconds at which that renewal was first read.
+        unlisted_since: Clock seconds at which a list that was fetched after
+            the renewal was read first lacked the holder's VM.
     """
 
     renewal: str
-    since: float
-    gone_since: float | None = None
+    renewal_seen_at: float
+    unlisted_since: float | None = None
 
 
 @attrs.define
 class LeaseMonitor:
-    """Finds shares that nobody can use any more.
+    """Finds shares that no holder can use any more.
 
     Attributes:
         clock: Source of time.
         observations: Observations of leases by holder.
-        empty_seats: Clock seconds when a list first showed no VM of a seat,
-            by seat.
+        vacant_since: Clock seconds since which no list has contained a VM of
+            an entry, by name of the entry.
     """
 
     clock: clocks.Clock
     observations: dict[str, LeaseObservation] = attrs.field(factory=dict)
-    empty_seats: dict[str, float] = attrs.field(factory=dict)
+    vacant_since: dict[str, float] = attrs.field(factory=dict)
 
     def update_ledger(self, ledger: ledgers.Ledger) -> None:
-        """Take up the content of the row.
+        """Update the observations from the row.
 
         Args:
             ledger: The row as it was read.
@@ -60,17 +60,18 @@
 
     def update_vm_list(
         self,
-        seats: typing.Mapping[str, str],
+        entries_by_vm: typing.Mapping[str, str],
         ledger: ledgers.Ledger | None,
     ) -> None:
-        """Take up an answer of the platform's list.
+        """Update the observations from the platform's VM list.
 
-        A holder takes a lease only after a list has shown its VM. A list
-        fetched after the lease was seen lacks the VM only if it has ended.
+        A holder acquires a lease only after a list has contained its VM. So
+        a list that was fetched after the lease was read lacks the VM only if
+        the VM has ended.
 
         Args:
-            seats: Seat of each listed VM by the VM's identifier.
-            ledger: The row as it was read before the list was asked.
+            entries_by_vm: Entry of each listed VM by the VM's identifier.
+            ledger: The row as it was read before the list was requested.
         """
         if ledger is None:
             return
@@ -79,36 +80,36 @@
             observation = self.observations.get(holder)
             if observation is None or observation.renewal != lease.renewal:
                 continue
-            if lease.vm_id in seats:
-                observation.gone_since = None
-            elif observation.gone_since is None:
-                observation.gone_since = now
-        filled = set(seats.values())
-        self.empty_seats = {
-            seat: self.empty_seats.get(seat, now)
-            for seat in ledger.floors
-            if seat not in filled
+            if lease.vm_id in entries_by_vm:
+                observation.unlisted_since = None
+            elif observation.unlisted_since is None:
+                observation.unlisted_since = now
+        listed_entries = set(entries_by_vm.values())
+        self.vacant_since = {
+            entry: self.vacant_since.get(entry, now)
+            for entry in ledger.floors
+            if entry not in listed_entries
         }
 
     def reclaim(self, ledger: ledgers.Ledger) -> ledgers.Ledger:
-        """Return the ledger without the shares that nobody can use.
+        """Return the ledger without the shares that no holder can use.
 
         Args:
             ledger: The row as it was read.
         """
         for holder, lease in ledger.leases.items():
-            if self.is_lost(holder, lease):
+            if self.is_reclaimable(holder, lease):
                 ledger = ledger.with_lease(holder, None)
         now = self.clock.monotonic()
-        wait = self.work_margin_s(ledger.terms.work_limit_s)
-        for seat, since in self.empty_seats.items():
-            due = ledger.terms.floor(seat)
-            if now - since >= wait and ledger.floors.get(seat, 0) > due:
-                ledger = ledger.with_floor(seat, due)
+        margin = self.work_margin_s(ledger.terms.work_limit_s)
+        for entry, since in self.vacant_since.items():
+            floor = ledger.terms.floor_share(entry)
+            if now - since >= margin and ledger.floors.get(entry, 0) > floor:
+                ledger = ledger.with_floor(entry, floor)
         return ledger
 
-    def is_lost(self, holder: str, lease: ledgers.Lease) -> bool:
-        """Return whether a lease and the work under it have ended.
+    def is_reclaimable(self, holder: str, lease: ledgers.Lease) -> bool:
+        """Return whether a lease and the requests under it have ended.
 
         Args:
             holder: Holder of the lease.
@@ -120,17 +121,17 @@
         now = self.clock.monotonic()
         margin = self.work_margin_s(lease.work_limit_s)
         if (
-            observation.gone_since is not None
-            and now - observation.gone_since >= margin
+            observation.unlisted_since is not None
+            and now - observation.unlisted_since >= margin
         ):
             return True
-        lease_s = LEASE_S * (1 + floors.CLOCK_DRIFT)
-        return now - observation.since >= lease_s + margin
+        lease_s = LEASE_S * (1 + floors.MAX_CLOCK_DRIFT_RATIO)
+        return now - observation.renewal_seen_at >= lease_s + margin
 
     def work_margin_s(self, work_limit_s: float) -> float:
-        """Return how long to wait for the work under a lost share.
+        """Return how long to wait for requests admitted under a lost share.
 
         Args:
-            work_limit_s: Longest time that the work may last.
+            work_limit_s: Maximum duration of the requests.
         """
-        return work_limit_s * (1 + floors.CLOCK_DRIFT)
+        return work_limit_s * (1 + floors.MAX_CLOCK_DRIFT_RATIO)
--- a/packages/domain/bulrushcourse_domain/limits/ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/ledger.py
@@ -1,4 +1,4 @@
-"""The ledger of a limit: who may use which part of its cap."""
+"""The ledger of a limit: the shares of its cap and their holders."""
 
 import typing
 
@@ -7,20 +7,20 @@
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
 
-# Half of a cap needs no store, the other half follows the demand.
-FLOOR_PART = 0.5
+# Half of a cap is guaranteed without the store, the rest follows demand.
+FLOOR_SHARE = 0.5
 BYTES_PER_MBIT = 125_000
 
 
 @attrs.frozen
 class Terms:
-    """What a configuration version says of a limit.
+    """Definition of a limit in one version of the configuration.
 
     Attributes:
         version: Version of the configuration.
         cap: Whole units per second: bytes of a link, requests of a shift.
-        seats: Names of the entry seats that divide the floor half.
-        work_limit_s: Longest time that admitted work may last.
+        seats: Names of the entries that divide the floor half of the cap.
+        work_limit_s: Maximum duration of an admitted request.
     """
 
     version: int
@@ -28,33 +28,33 @@
     seats: tuple[str, ...]
     work_limit_s: float
 
-    def floor(self, seat: str) -> int:
-        """Return the floor share of a seat.
+    def floor_share(self, entry: str) -> int:
+        """Return the floor share of an entry in units per second.
 
         Args:
-            seat: Name of the seat.
+            entry: Name of the entry; one that is not configured has none.
 
         Examples:
             >>> terms = Terms(1, 100, ('a', 'b'), 5.0)
-            >>> terms.floor('a'), terms.floor('unknown')
+            >>> terms.floor_share('a'), terms.floor_share('unknown')
             (25, 0)
         """
-        if seat not in self.seats:
+        if entry not in self.seats:
             return 0
-        return int(self.cap * FLOOR_PART) // len(self.seats)
+        return int(self.cap * FLOOR_SHARE) // len(self.seats)
 
 
 @attrs.frozen
 class Lease:
-    """Elastic share of one incarnation of an entry.
+    """Elastic share that one incarnation of an entry holds.
 
     Attributes:
         vm_id: The platform's identifier of the holder's VM.
-        seat: Name of the holder's seat.
+        seat: Name of the holder's entry.
         share: Units per second.
-        demand: Units per second that the holder could use beyond its floor.
+        demand: Units per second that the holder needs beyond its floor.
         renewal: Identifier of the write that renewed the lease.
-        work_limit_s: Longest time that the holder's work may last.
+        work_limit_s: Maximum duration of the holder's admitted requests.
     """
 
     vm_id: str
@@ -69,12 +69,12 @@
 class Ledger:
     """Content of a limit's row.
 
-    The sum of floors and leases stays within the cap. After a cap was
-    lowered, writes only shrink the sum until it fits again.
+    The sum of floors and leases does not exceed the cap. After the cap was
+    lowered, writes only reduce the sum until it fits again.
 
     Attributes:
-        terms: Newest terms that any writer knew.
-        floors: Units per second reserved for each seat.
+        terms: Newest terms of all writers.
+        floors: Units per second reserved for each entry.
         leases: Elastic shares by holder.
     """
 
@@ -91,21 +91,21 @@
 
     @property
     def free(self) -> int:
-        """Units per second that nobody may use."""
+        """Units per second that are neither reserved nor leased."""
         return max(0, self.terms.cap - self.used)
 
     @property
     def elastic(self) -> int:
-        """Units per second that leases may hold once all floors fit."""
-        seats = {*self.terms.seats, *self.floors}
+        """Units per second left for leases once all floors are reserved."""
+        entries = {*self.terms.seats, *self.floors}
         floors = sum(
-            max(self.floors.get(seat, 0), self.terms.floor(seat))
-            for seat in seats
+            max(self.floors.get(entry, 0), self.terms.floor_share(entry))
+            for entry in entries
         )
         return max(0, self.terms.cap - floors)
 
-    def under(self, terms: Terms) -> 'Ledger':
-        """Return the ledger with terms taken up if they are newer.
+    def with_terms(self, terms: Terms) -> 'Ledger':
+        """Return the ledger with the given terms if they are newer.
 
         Args:
             terms: Terms of the writer's configuration.
@@ -115,7 +115,7 @@
         return attrs.evolve(self, terms=terms)
 
     def with_floors_raised(self) -> 'Ledger':
-        """Return the ledger with floors raised as far as there is room.
+        """Return the ledger with floors raised as far as the cap allows.
 
         Examples:
             >>> terms = Terms(1, 100, ('a', 'b'), 5.0)
@@ -124,15 +124,15 @@
         """
         floors = dict(self.floors)
         free = self.free
-        for seat in self.terms.seats:
-            old = floors.get(seat, 0)
-            rise = min(free, max(0, self.terms.floor(seat) - old))
-            floors[seat] = old + rise
+        for entry in self.terms.seats:
+            old = floors.get(entry, 0)
+            rise = min(free, max(0, self.terms.floor_share(entry) - old))
+            floors[entry] = old + rise
             free -= rise
         return attrs.evolve(self, floors=floors)
 
     def with_lease(self, holder: str, lease: Lease | None) -> 'Ledger':
-        """Return the ledger with one lease replaced, or removed.
+        """Return the ledger with one lease replaced or removed.
 
         Args:
             holder: The holder of the lease.
@@ -143,27 +143,27 @@
             leases[holder] = lease
         return attrs.evolve(self, leases=leases)
 
-    def with_floor(self, seat: str, floor: int) -> 'Ledger':
+    def with_floor(self, entry: str, floor: int) -> 'Ledger':
         """Return the ledger with one floor replaced; 0 removes it.
 
         Args:
-            seat: Name of the seat.
+            entry: Name of the entry.
             floor: Units per second.
         """
-        floors = {s: old for s, old in self.floors.items() if s != seat}
+        floors = {e: old for e, old in self.floors.items() if e != entry}
         if floor:
-            floors[seat] = floor
+            floors[entry] = floor
         return attrs.evolve(self, floors=floors)
 
 
 def fair_shares(
     capacity: int, demands: typing.Mapping[str, int]
 ) -> dict[str, int]:
-    """Return max-min fair shares, none above its demand.
+    """Return the max-min fair shares of a capacity.
 
     Args:
         capacity: Whole units to divide.
-        demands: Whole units wanted by holder.
+        demands: Demand in whole units by holder; no share exceeds it.
 
     Examples:
         >>> fair_shares(10, {'a': 2, 'b': 9, 'c': 9})
@@ -178,32 +178,34 @@
 
 
 def limit_terms(
-    held: configuration_set.ConfigurationSet, limit: objects.Limit
+    configuration: configuration_set.ConfigurationSet, limit: objects.Limit
 ) -> Terms | None:
-    """Return a limit's terms, ``None`` if it has no shares.
+    """Return the terms of a limit, ``None`` if it is not divided in shares.
 
-    The limit of a region has none: the owners of its pools enforce it. The
-    seats of a link are those of its two regions, as entries elsewhere send
-    nothing across it.
+    The limit of a region is not, since the owners of its pools enforce it. A
+    link is shared by the entries of its two regions, since entries of other
+    regions send nothing across it.
 
     Args:
-        held: Configuration in force.
+        configuration: The active configuration.
         limit: A limit of that configuration.
     """
-    entries: typing.Iterable[objects.Entry] = held.objects.entries
+    entries: typing.Iterable[objects.Entry] = configuration.objects.entries
     if limit.kind is objects.LimitKind.REGION:
         return None
     cap = int(limit.requests_per_s)
     if limit.kind is objects.LimitKind.LINK:
         cap = int(limit.mbit_per_s * BYTES_PER_MBIT)
-        entries = held.entries(limit.source) + held.entries(limit.target)
-    longest_ms = max(
-        (c.deadline_limit_ms for c in held.objects.request_classes),
+        entries = configuration.entries(limit.source) + configuration.entries(
+            limit.target
+        )
+    max_duration_ms = max(
+        (c.deadline_limit_ms for c in configuration.objects.request_classes),
         default=0,
     )
     return Terms(
-        held.version,
+        configuration.version,
         cap,
         tuple(sorted({entry.name for entry in entries})),
-        longest_ms / 1000,
+        max_duration_ms / 1000,
     )
--- a/packages/domain/bulrushcourse_domain/limits/rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/rate_window.py
@@ -1,4 +1,4 @@
-"""A rate bound that holds in every window of one second."""
+"""A rate limit that holds in every interval of one second."""
 
 import collections
 import math
@@ -7,28 +7,29 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# The window is longer than the second that a cap speaks of, so that pieces
-# that the network delays unevenly still keep the cap where they arrive. At
-# 1.03 s a sender may use 97% of its share, at 1.1 s 90.9%; the target is 90%.
+# Caps are per second. The window is longer, so that chunks that the network
+# delays unevenly still keep the cap where they arrive. At 1.03 s a sender can
+# use 97% of its share, at 1.1 s 90.9%; the target is 90%.
 BYTES_WINDOW_S = 1.03
 REQUESTS_WINDOW_S = 1.1
-BUCKETS = 200
-# Keeps a wait from ending a rounding error before the window does.
+BUCKETS_PER_WINDOW = 200
+# Keeps a wait from ending before the window does because of rounding.
 ROUNDING_S = 1e-6
 
 
 @attrs.define
 class RateWindow:
-    """Counts charges so that no window holds more than the share.
+    """Sliding window in which the sum of charges never exceeds the share.
 
-    Charges close in time are kept as one charge at the time of the latest,
-    which bounds the memory and errs on the safe side.
+    Charges close in time are stored as one that expires with the latest of
+    them. This bounds the memory and never counts too little.
 
     Attributes:
         clock: Source of time.
         window_s: Length of the window.
-        charges: First and latest clock seconds and amount, oldest first.
-        used: Sum of the amounts in the window.
+        charges: Clock seconds of the first and the latest charge, and their
+            sum, oldest first.
+        used: Sum of the stored charges.
     """
 
     clock: clocks.Clock
@@ -49,11 +50,11 @@
         """Charge an amount if the share has room for it.
 
         Args:
-            amount: Units that are about to flow.
-            share: Units that a window may hold now.
+            amount: Units that are about to be sent.
+            share: Maximum of units in a window now.
 
         Returns:
-            Whether the amount was charged and may flow.
+            Whether the amount was charged and may be sent.
 
         Examples:
             >>> clock = clocks.ManualClock()
@@ -69,7 +70,7 @@
         self.used += amount
         now = self.clock.monotonic()
         last = self.charges[-1] if self.charges else None
-        if last and now - last[0] < self.window_s / BUCKETS:
+        if last and now - last[0] < self.window_s / BUCKETS_PER_WINDOW:
             last[1], last[2] = now, last[2] + amount
         else:
             self.charges.append([now, now, amount])
@@ -79,8 +80,8 @@
         """Return the seconds until an amount has room, infinite if never.
 
         Args:
-            amount: Units that are to flow.
-            share: Units that a window may hold.
+            amount: Units to be sent.
+            share: Maximum of units in a window.
         """
         excess = self.in_use() + amount - share
         if excess <= 0:
--- a/packages/domain/bulrushcourse_domain/limits/share_ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/share_ledger.py
@@ -1,4 +1,4 @@
-"""The aggregate that decides how much of a cap this entry may use."""
+"""The aggregate that decides how much of a limit this entry may use."""
 
 import typing
 
@@ -13,14 +13,14 @@
 
 
 @attrs.frozen
-class Attempt:
-    """A write whose outcome is not known yet.
+class PendingWrite:
+    """A write of which the outcome is unknown.
 
     Attributes:
-        expected: Version of the row that the write expects.
-        sent_at: Clock seconds before the write was sent.
-        elastic: Elastic units per second usable once it is committed.
-        floor: Floor units per second reserved once it is committed.
+        expected: Version that the row must have for the write to apply.
+        sent_at: Clock seconds just before the write was sent.
+        elastic: Elastic units per second usable after the commit.
+        floor: Floor units per second reserved after the commit.
     """
 
     expected: int
@@ -31,26 +31,27 @@
 
 @attrs.define
 class ShareLedger:
-    """Holds one entry's shares of one limit.
+    """One entry's shares of one limit.
 
     The caller reads the row, passes it to ``observe``, writes what
-    ``propose`` returns and reports the answer. Shares shrink before the
-    write is sent and grow only after its commit is known.
+    ``propose`` returns and passes the result to ``confirm_write`` or
+    ``reject_write``. Shares shrink before the write is sent and grow only
+    after its commit is known.
 
     Attributes:
-        clock: Source of time; it counts suspended time.
-        holder: Identifier of this incarnation, unique for good.
+        clock: Source of time, which includes time in suspension.
+        holder: Identifier of this incarnation, never reused.
         binding: Binding of the floor share to this VM.
-        terms: Newest terms known, of the configuration or the row.
-        monitor: Observation of the other holders.
+        terms: Newest terms of the configuration or the row.
+        monitor: Observes the other holders.
         ledger: The row as it was last read.
         version: Version of the row as it was last read, 0 if absent.
-        reserved: Floor that the row reserves for this seat; ``None`` while
-            this incarnation has not read the row.
+        reserved_floor: Floor units per second that the row reserves for this
+            entry; ``None`` until this incarnation has read the row.
         elastic: Elastic units per second usable until ``expires``.
-        expires: Clock seconds when the lease ends.
-        attempts: Writes without a known outcome by renewal.
-        sent: Number of writes sent.
+        expires: Clock seconds at which the lease expires.
+        pending_writes: Writes of unknown outcome, by renewal.
+        write_count: Number of writes proposed.
     """
 
     clock: clocks.Clock
@@ -60,52 +61,57 @@
     monitor: lease_monitor.LeaseMonitor
     ledger: ledgers.Ledger | None = None
     version: int = 0
-    reserved: int | None = None
+    reserved_floor: int | None = None
     elastic: int = 0
     expires: float = float('-inf')
-    attempts: dict[str, Attempt] = attrs.field(factory=dict)
-    sent: int = 0
+    pending_writes: dict[str, PendingWrite] = attrs.field(factory=dict)
+    write_count: int = 0
 
     def configure(self, terms: ledgers.Terms) -> None:
-        """Take up the terms of a configuration if they are newer.
+        """Apply the terms of a configuration if they are newer.
 
         Args:
-            terms: Terms of the configuration in force.
+            terms: Terms of the configuration.
         """
         if terms.version > self.terms.version:
             self.terms = terms
 
-    def update_vm_list(self, seats: typing.Mapping[str, str]) -> None:
-        """Take up an answer of the platform's list, asked after the row.
+    def update_vm_list(self, entries_by_vm: typing.Mapping[str, str]) -> None:
+        """Apply the platform's VM list, requested after the row was read.
 
         Args:
-            seats: Seat of each listed VM by the VM's identifier.
+            entries_by_vm: Entry of each listed VM by the VM's identifier.
         """
-        self.binding.update_vm_list(seats)
-        if not self.binding.listed:
-            # Observers take the shares of a VM that is not listed.
+        self.binding.update_vm_list(entries_by_vm)
+        if not self.binding.is_listed:
+            # Observers reclaim the shares of a VM that is not listed.
             self.elastic = 0
-        self.monitor.update_vm_list(seats, self.ledger)
+        self.monitor.update_vm_list(entries_by_vm, self.ledger)
 
     @property
     def floor(self) -> int:
         """Floor units per second that this entry may use now."""
         if not self.is_bound:
             return 0
-        due = self.terms.floor(self.binding.seat)
-        return due if self.reserved is None else min(due, self.reserved)
+        floor = self.terms.floor_share(self.binding.entry)
+        return (
+            floor
+            if self.reserved_floor is None
+            else min(floor, self.reserved_floor)
+        )
 
     @property
     def usable(self) -> int:
         """Units per second that this entry may use now."""
-        held = self.clock.monotonic() < self.expires
-        return self.floor + (self.elastic if held else 0)
+        is_leased = self.clock.monotonic() < self.expires
+        return self.floor + (self.elastic if is_leased else 0)
 
     def observe(self, ledger: ledgers.Ledger | None, version: int) -> None:
-        """Take up the row as it was read.
+        """Update the shares from the row as it was read.
 
-        A write whose answer was lost is recognised by its renewal. Writes
-        that expect an older version can no longer take effect.
+        A committed write of which the response was lost is recognised by its
+        renewal. Pending writes that expect an older version can no longer
+        be applied.
 
         Args:
             ledger: Content of the row, ``None`` if absent.
@@ -119,32 +125,32 @@
         lease = ledger.leases.get(self.holder)
         if lease is None:
             self.elastic = 0
-        elif lease.renewal in self.attempts:
-            self._adopt(self.attempts.pop(lease.renewal))
-        self.attempts = {
-            renewal: attempt
-            for renewal, attempt in self.attempts.items()
-            if attempt.expected >= version
+        elif lease.renewal in self.pending_writes:
+            self._apply_write(self.pending_writes.pop(lease.renewal))
+        self.pending_writes = {
+            renewal: write
+            for renewal, write in self.pending_writes.items()
+            if write.expected >= version
         }
-        reserved = ledger.floors.get(self.binding.seat, 0)
-        alive = [attempt.floor for attempt in self.attempts.values()]
-        self.reserved = min([reserved, *alive])
+        reserved = ledger.floors.get(self.binding.entry, 0)
+        pending = [write.floor for write in self.pending_writes.values()]
+        self.reserved_floor = min([reserved, *pending])
 
     def is_due(self, demand: int) -> bool:
         """Return whether this entry has something to write.
 
         Args:
-            demand: Units per second that this entry could use.
+            demand: Units per second that this entry needs.
         """
         if self.ledger is None:
             return True
-        base = self.ledger.under(self.terms)
-        kept = self.monitor.reclaim(base).with_floors_raised()
-        reserved = base.floors.get(self.binding.seat, 0)
+        base = self.ledger.with_terms(self.terms)
+        updated = self.monitor.reclaim(base).with_floors_raised()
+        reserved = base.floors.get(self.binding.entry, 0)
         return (
-            kept != self.ledger
+            updated != self.ledger
             or self.holder in base.leases
-            or (self.binding.listed and demand > self.floor)
+            or (self.binding.is_listed and demand > self.floor)
             or (self.is_bound and reserved > self.floor)
         )
 
@@ -154,109 +160,115 @@
         return self.binding.is_usable(self.terms.work_limit_s)
 
     def propose(self, demand: int, in_use: int) -> ledgers.Ledger:
-        """Return the row to write, expected at the version last read.
+        """Return the row to write if the row still has the version last read.
 
         Args:
-            demand: Units per second that this entry could use.
-            in_use: Units per second that admitted work still takes up.
+            demand: Units per second that this entry needs.
+            in_use: Units per second that admitted requests still use.
         """
-        base = (self.ledger or ledgers.Ledger(self.terms)).under(self.terms)
+        base = (self.ledger or ledgers.Ledger(self.terms)).with_terms(
+            self.terms
+        )
         base = self.monitor.reclaim(base).with_floors_raised()
-        reserved = base.floors.get(self.binding.seat, 0)
+        reserved = base.floors.get(self.binding.entry, 0)
         floor = reserved
         if self.is_bound:
-            floor = min(reserved, self.terms.floor(self.binding.seat))
+            floor = min(reserved, self.terms.floor_share(self.binding.entry))
         own_floor = floor if self.is_bound else 0
-        target, share = self._shares(base, demand, in_use, own_floor)
-        renewal = self._note_attempt(target, floor)
-        wanted = max(0, demand - own_floor) if self.binding.listed else 0
+        target, share = self._elastic_shares(base, demand, in_use, own_floor)
+        renewal = self._record_pending_write(target, floor)
+        extra_demand = (
+            max(0, demand - own_floor) if self.binding.is_listed else 0
+        )
         lease = ledgers.Lease(
             self.binding.vm_id,
-            self.binding.seat,
+            self.binding.entry,
             share,
-            wanted,
+            extra_demand,
             renewal,
             self.terms.work_limit_s,
         )
-        return base.with_floor(self.binding.seat, floor).with_lease(
-            self.holder, lease if share or wanted else None
+        return base.with_floor(self.binding.entry, floor).with_lease(
+            self.holder, lease if share or extra_demand else None
         )
 
     def confirm_write(self, renewal: str) -> None:
-        """Take up that a write took effect.
+        """Apply the shares of a write that was committed.
 
         Args:
-            renewal: The write, ``last_renewal`` when it was proposed.
+            renewal: Identifier of the write: ``last_renewal`` when it was
+                proposed.
         """
-        attempt = self.attempts.pop(renewal, None)
-        if attempt is not None:
-            self._adopt(attempt)
+        write = self.pending_writes.pop(renewal, None)
+        if write is not None:
+            self._apply_write(write)
 
     def reject_write(self, renewal: str) -> None:
-        """Take up that a write met another version and had no effect.
+        """Discard a write that failed because the row had another version.
 
         Args:
-            renewal: The write, ``last_renewal`` when it was proposed.
+            renewal: Identifier of the write: ``last_renewal`` when it was
+                proposed.
         """
-        self.attempts.pop(renewal, None)
+        self.pending_writes.pop(renewal, None)
 
     @property
     def last_renewal(self) -> str:
-        """Identifier of the write proposed last."""
-        return f'{self.holder}/{self.sent}'
+        """Identifier of the write that was proposed last."""
+        return f'{self.holder}/{self.write_count}'
 
-    def _shares(
+    def _elastic_shares(
         self, base: ledgers.Ledger, demand: int, in_use: int, floor: int
     ) -> tuple[int, int]:
-        """Return usable elastic units and those that the row must state.
+        """Return the usable elastic units and those to write to the row.
 
-        Admitted work keeps its part of the cap in the row until it has
-        ended, so that nobody takes it up before.
+        The row includes the units of admitted requests until these have
+        ended, so that no other holder uses them before.
         """
         old = base.leases.get(self.holder)
-        reserved = base.floors.get(self.binding.seat, 0)
-        over = reserved - floor if self.is_bound else 0
-        room = (old.share if old else 0) + over + base.free
-        wanted = max(0, demand - floor) if self.binding.listed else 0
+        reserved = base.floors.get(self.binding.entry, 0)
+        released_floor = reserved - floor if self.is_bound else 0
+        available = (old.share if old else 0) + released_floor + base.free
+        extra_demand = max(0, demand - floor) if self.binding.is_listed else 0
         demands = {h: lease.demand for h, lease in base.leases.items()}
-        demands[self.holder] = wanted
+        demands[self.holder] = extra_demand
         fair = ledgers.fair_shares(base.elastic, demands)[self.holder]
-        target = min(fair, room)
-        return target, min(room, max(target, in_use - floor))
+        target = min(fair, available)
+        return target, min(available, max(target, in_use - floor))
 
-    def _note_attempt(self, target: int, floor: int) -> str:
-        """Shrink shares to what is proposed and remember when."""
+    def _record_pending_write(self, target: int, floor: int) -> str:
+        """Reduce the shares to those proposed and record the pending write."""
         self.elastic = min(self.elastic, target)
-        if self.reserved is not None:
-            self.reserved = min(self.reserved, floor)
-        self.sent += 1
-        self.attempts[self.last_renewal] = Attempt(
+        if self.reserved_floor is not None:
+            self.reserved_floor = min(self.reserved_floor, floor)
+        self.write_count += 1
+        self.pending_writes[self.last_renewal] = PendingWrite(
             self.version, self.clock.monotonic(), target, floor
         )
         return self.last_renewal
 
-    def _adopt(self, attempt: Attempt) -> None:
-        """Count the lease from before its write was sent."""
-        self.elastic = attempt.elastic
-        self.reserved = attempt.floor
-        self.expires = attempt.sent_at + lease_monitor.LEASE_S
+    def _apply_write(self, write: PendingWrite) -> None:
+        """Apply a committed write; its lease starts when it was sent."""
+        self.elastic = write.elastic
+        self.reserved_floor = write.floor
+        self.expires = write.sent_at + lease_monitor.LEASE_S
 
 
 def open_ledger(
     clock: clocks.Clock,
     holder: str,
     vm_id: str,
-    seat: str,
+    entry: str,
     terms: ledgers.Terms,
 ) -> ShareLedger:
-    """Return the shares of an incarnation that has read nothing yet.
+    """Return the shares of an incarnation that has not read the row yet.
 
     Args:
         clock: Source of time.
-        holder: Identifier of the incarnation, unique for good.
+        holder: Identifier of the incarnation, never reused.
         vm_id: The platform's identifier of its VM.
-        seat: Name of its seat.
-        terms: Terms of the configuration in force.
+        entry: Name of its entry.
+        terms: Terms of the active configuration.
 
     Examples:
         >>> clock = clocks.ManualClock()
@@ -276,7 +288,7 @@
     return ShareLedger(
         clock,
         holder,
-        floors.FloorBinding(clock, vm_id, seat),
+        floors.FloorBinding(clock, vm_id, entry),
         terms,
         lease_monitor.LeaseMonitor(clock),
     )
--- a/packages/domain/bulrushcourse_domain/limits/tests/share_model.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/share_model.py
@@ -1,8 +1,8 @@
-"""Guards against shares that together exceed a cap, or are lost for good.
+"""Guards against shares that exceed a cap together or are lost for good.
 
-The model plays grants, renewals, pauses, lost and late answers, drifting
-clocks, replaced VMs, lagging lists, changed caps and outages of any length:
-every VM acts only when a rule picks it.
+The model covers grants, renewals, pauses, lost and late responses, drifting
+clocks, replaced VMs, outdated VM lists, changed caps and outages of any
+length: a VM acts only when a rule chooses it.
 """
 
 import attrs
@@ -14,10 +14,11 @@
 from bulrushcourse_domain.limits import ledger
 from bulrushcourse_domain.limits import share_ledger
 
-SEATS = ('a', 'b', 'c')
+ENTRIES = ('a', 'b', 'c')
 CAP = 100
 WORK_LIMIT_S = 10.0
-# Any old terms have passed after a lease, its work and the work after it.
+# By then, leases under old terms and the requests admitted under them, and
+# the requests after these, have ended.
 SETTLED_S = 2 * (lease_monitor.LEASE_S + 2 * WORK_LIMIT_S)
 INDEXES = strategies.integers(0, 5)
 RATES = (0.991, 1.0, 1.009)
@@ -39,7 +40,7 @@
 
     def terms(self):
         version = len(self.caps)
-        return ledger.Terms(version, self.caps[-1], SEATS, WORK_LIMIT_S)
+        return ledger.Terms(version, self.caps[-1], ENTRIES, WORK_LIMIT_S)
 
 
 @attrs.define
@@ -51,29 +52,29 @@
         return 1000.0 + self.world.now * self.rate
 
     def wall(self):
-        raise AssertionError('shares must not depend on the time of day')
+        raise AssertionError('shares must not depend on the wall clock')
 
 
 @attrs.define(eq=False)
 class ModelVm:
     name: str
-    seat: str
+    entry: str
     shares: share_ledger.ShareLedger
     live: bool = True
-    work: list[tuple[float, int]] = attrs.field(factory=list)
-    answers: list[tuple[str, bool]] = attrs.field(factory=list)
+    requests: list[tuple[float, int]] = attrs.field(factory=list)
+    responses: list[tuple[str, bool]] = attrs.field(factory=list)
 
     def in_use(self, now):
-        return sum(amount for ends, amount in self.work if ends > now)
+        return sum(amount for ends, amount in self.requests if ends > now)
 
-    def taken(self, now):
+    def used(self, now):
         usable = self.shares.usable if self.live else 0
         return max(usable, self.in_use(now))
 
 
 class ShareModel(stateful.RuleBasedStateMachine):
     ledger_type = share_ledger.ShareLedger
-    watch_type = lease_monitor.LeaseMonitor
+    monitor_type = lease_monitor.LeaseMonitor
     binding_type = floor_binding.FloorBinding
 
     def __init__(self):
@@ -82,23 +83,23 @@
         self.vms = []
         self.late_writes = []
         self.last_used = {}
-        for seat in SEATS:
-            self.add_vm(seat, 1.0)
+        for entry in ENTRIES:
+            self.add_vm(entry, 1.0)
         self.publish_list()
 
-    def add_vm(self, seat, rate):
+    def add_vm(self, entry, rate):
         name = f'vm-{len(self.vms)}'
         clock = VmClock(self.world, rate)
         shares = self.ledger_type(
             clock,
             f'{name}/1',
-            self.binding_type(clock, name, seat),
+            self.binding_type(clock, name, entry),
             self.world.terms(),
-            self.watch_type(clock),
+            self.monitor_type(clock),
         )
-        self.vms.append(ModelVm(name, seat, shares))
+        self.vms.append(ModelVm(name, entry, shares))
 
-    def pick(self, index):
+    def choose_vm(self, index):
         live = [vm for vm in self.vms if vm.live]
         return live[index % len(live)] if live else None
 
@@ -107,24 +108,24 @@
         self.world.now += seconds
 
     @stateful.rule(
-        seat=strategies.sampled_from(SEATS),
+        entry=strategies.sampled_from(ENTRIES),
         rate=strategies.sampled_from(RATES),
     )
-    def start_vm(self, seat, rate):
-        if sum(vm.live and vm.seat == seat for vm in self.vms) < 2:
-            self.add_vm(seat, rate)
+    def start_vm(self, entry, rate):
+        if sum(vm.live and vm.entry == entry for vm in self.vms) < 2:
+            self.add_vm(entry, rate)
 
     @stateful.rule(index=INDEXES)
     def end_vm(self, index):
-        if (vm := self.pick(index)) is not None:
+        if (vm := self.choose_vm(index)) is not None:
             vm.live = False
 
     @stateful.rule()
     def replace_fleet(self):
         for vm in self.vms:
             vm.live = False
-        for seat in SEATS:
-            self.add_vm(seat, 1.0)
+        for entry in ENTRIES:
+            self.add_vm(entry, 1.0)
         self.publish_list()
         for vm in self.vms:
             if vm.live:
@@ -138,26 +139,28 @@
 
     @stateful.rule()
     def publish_list(self):
-        self.world.listed = {vm.name: vm.seat for vm in self.vms if vm.live}
+        self.world.listed = {vm.name: vm.entry for vm in self.vms if vm.live}
 
     @stateful.rule(index=INDEXES)
-    def see_list(self, index):
-        if (vm := self.pick(index)) is not None:
+    def fetch_list(self, index):
+        if (vm := self.choose_vm(index)) is not None:
             vm.shares.update_vm_list(self.world.listed)
 
     @stateful.rule(index=INDEXES)
     def read(self, index):
-        if (vm := self.pick(index)) is not None:
+        if (vm := self.choose_vm(index)) is not None:
             vm.shares.observe(self.world.row, self.world.version)
 
     @stateful.rule(
         index=INDEXES,
         demand=strategies.sampled_from([0, 30, 100]),
-        fate=strategies.sampled_from(['waits', 'lost', 'late']),
+        fate=strategies.sampled_from(
+            ['response-pending', 'response-lost', 'late']
+        ),
     )
     def write(self, index, demand, fate):
-        vm = self.pick(index)
-        if vm is None or vm.answers:
+        vm = self.choose_vm(index)
+        if vm is None or vm.responses:
             return
         expected = vm.shares.version
         in_use = vm.in_use(self.world.now)
@@ -167,30 +170,30 @@
             self.late_writes.append((expected, proposed))
             return
         applied = self.world.transact(expected, proposed)
-        if fate == 'waits':
-            vm.answers.append((renewal, applied))
+        if fate == 'response-pending':
+            vm.responses.append((renewal, applied))
 
     @stateful.rule(index=INDEXES)
-    def answer(self, index):
-        if (vm := self.pick(index)) is not None and vm.answers:
-            renewal, applied = vm.answers.pop()
-            tell = (
+    def deliver_response(self, index):
+        if (vm := self.choose_vm(index)) is not None and vm.responses:
+            renewal, applied = vm.responses.pop()
+            report = (
                 vm.shares.confirm_write if applied else vm.shares.reject_write
             )
-            tell(renewal)
+            report(renewal)
 
     @stateful.rule()
-    def late_write_arrives(self):
+    def apply_late_write(self):
         if self.late_writes:
             self.world.transact(*self.late_writes.pop(0))
 
     @stateful.rule(index=INDEXES, demand=strategies.sampled_from([0, 30, 100]))
     def renew(self, index, demand):
-        if (vm := self.pick(index)) is not None:
+        if (vm := self.choose_vm(index)) is not None:
             self.renew_vm(vm, demand)
 
     def renew_vm(self, vm, demand):
-        vm.answers.clear()
+        vm.responses.clear()
         vm.shares.observe(self.world.row, self.world.version)
         vm.shares.update_vm_list(self.world.listed)
         if not vm.shares.is_due(demand):
@@ -200,20 +203,20 @@
         vm.shares.confirm_write(vm.shares.last_renewal)
 
     @stateful.rule(index=INDEXES)
-    def admit_work(self, index):
-        if (vm := self.pick(index)) is not None:
+    def admit_requests(self, index):
+        if (vm := self.choose_vm(index)) is not None:
             now = self.world.now
             room = vm.shares.usable - vm.in_use(now)
             if room > 0:
-                vm.work.append((now + WORK_LIMIT_S, room))
+                vm.requests.append((now + WORK_LIMIT_S, room))
 
     @stateful.rule(cap=strategies.sampled_from([40, 100, 160]))
     def publish_configuration(self, cap):
         self.world.caps.append(cap)
 
     @stateful.rule(index=INDEXES)
-    def configuration_arrives(self, index):
-        if (vm := self.pick(index)) is not None:
+    def apply_configuration(self, index):
+        if (vm := self.choose_vm(index)) is not None:
             vm.shares.configure(self.world.terms())
 
     @stateful.invariant()
@@ -225,20 +228,20 @@
             self.last_used[version] = now
         caps = [
             self.world.caps[version - 1]
-            for version, used in self.last_used.items()
-            if now - used <= SETTLED_S
+            for version, last in self.last_used.items()
+            if now - last <= SETTLED_S
         ]
-        taken = sum(vm.taken(now) for vm in self.vms)
-        assert taken <= max(caps), (taken, caps)
+        used = sum(vm.used(now) for vm in self.vms)
+        assert used <= max(caps), (used, caps)
 
     def teardown(self):
-        """Check that a fleet in order gets the whole cap again."""
-        for seat in SEATS:
-            live = [vm for vm in self.vms if vm.live and vm.seat == seat]
+        """Check that VMs without faults regain the whole cap."""
+        for entry in ENTRIES:
+            live = [vm for vm in self.vms if vm.live and vm.entry == entry]
             for vm in live[1:]:
                 vm.live = False
             if not live:
-                self.add_vm(seat, 1.0)
+                self.add_vm(entry, 1.0)
         for _ in range(int(SETTLED_S / 5) + 1):
             self.publish_list()
             for vm in self.vms:
@@ -248,4 +251,4 @@
             self.stays_within_cap()
             self.world.now += 5
         usable = sum(vm.shares.usable for vm in self.vms if vm.live)
-        assert usable == self.world.caps[-1], 'a share was lost for good'
+        assert usable == self.world.caps[-1], 'a share was not reclaimed'
--- a/packages/domain/bulrushcourse_domain/limits/tests/test_rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/test_rate_window.py
@@ -1,4 +1,4 @@
-"""Guards against bursts above a share and against unused shares."""
+"""Guards against bursts above a share, and against shares left unused."""
 
 import hypothesis
 import pytest
@@ -20,17 +20,17 @@
         max_size=60,
     )
 )
-def test_no_second_holds_more_than_share(steps):
+def test_no_second_exceeds_share(steps):
     clock = clocks.ManualClock()
     window = rate_window.RateWindow(clock)
-    flowed = []
-    for pause, amount in steps:
-        clock.advance(pause)
+    sent = []
+    for delay, amount in steps:
+        clock.advance(delay)
         if window.charge(amount, 100):
-            flowed.append((clock.now, amount))
-    for start, _ in flowed:
-        held = sum(a for t, a in flowed if start <= t < start + 1.0)
-        assert held <= 100
+            sent.append((clock.now, amount))
+    for start, _ in sent:
+        total = sum(a for t, a in sent if start <= t < start + 1.0)
+        assert total <= 100
 
 
 @pytest.mark.parametrize(
@@ -40,20 +40,20 @@
         (rate_window.REQUESTS_WINDOW_S, 1, 7),
     ],
 )
-def test_greedy_sender_uses_nine_tenths(window_s, amount, share):
+def test_greedy_sender_uses_at_least_90_percent(window_s, amount, share):
     clock = clocks.ManualClock()
     window = rate_window.RateWindow(clock, window_s)
-    flowed = 0
+    sent = 0
     while clock.now < 60:
         if window.charge(amount, share):
-            flowed += amount
+            sent += amount
         else:
             clock.advance(window.wait_s(amount, share))
-    assert flowed >= 0.9 * share * 60
+    assert sent >= 0.9 * share * 60
 
 
 def test_lowered_share_waits_for_window():
-    """Guards against charges that count against the earlier share."""
+    """Guards against a lowered share that ignores earlier charges."""
     clock = clocks.ManualClock()
     window = rate_window.RateWindow(clock)
     assert window.charge(10, 10)
