Use the terms of outlier ejection for instance health

Comments and names of the health package spoke of standing, blame and parts of a pool that are set aside.

Rename classes, fields, methods and constants to health states, ejection, slowness index and typical times, and state in each doc comment what the code does and why. No figure or reason is dropped.

--- a/packages/domain/bulrushcourse_domain/health/__init__.py
+++ b/packages/domain/bulrushcourse_domain/health/__init__.py
@@ -1,1 +1,1 @@
-"""Which upstream instances are leaving, cold, slow, lost or suspect."""
+"""Which upstream instances are leaving, cold, slow, ejected or suspect."""
--- a/packages/domain/bulrushcourse_domain/health/instance_health.py
+++ b/packages/domain/bulrushcourse_domain/health/instance_health.py
@@ -1,4 +1,4 @@
-"""The aggregate that knows how far each instance of a pool may be used."""
+"""The aggregate that decides how many slots of each instance may be used."""
 
 import statistics
 
@@ -9,40 +9,42 @@
 from bulrushcourse_domain.health import service_times
 from bulrushcourse_domain.slots import requests
 
-LARGEST_PART_ASIDE = 0.5
-"""Part of a pool that may be set aside or restricted.
+MAX_RESTRICTED_SHARE = 0.5
+"""Maximum share of a pool's instances that may be restricted.
 
-When more than half of a pool looks bad, the sign is more likely wrong, and
-the rest could not carry the load anyway.
+If more than half of a pool seems to fail, the observation is more likely
+wrong, and the other instances could not carry the load anyway.
 """
 
-BLAME_WINDOW_S = 2.0
-"""Time within which an entry's failures at different instances are compared.
+ENTRY_FAILURE_WINDOW_S = 2.0
+"""Window in which an entry's failures at different instances are counted.
 
-An entry that fails at more than half of the pool has trouble of its own.
+An entry that fails at more than half of the pool is itself faulty, and its
+failures are ignored.
 """
 
-SHED_UNITS = 4.0
-"""Time that a shed request adds to the index, in typical times.
+SHED_COST_RATIO = 4.0
+"""Time that a shed request adds to the slowness index, in typical times.
 
-A quick rejection must not look like a quick answer.
+A fast rejection must not count as a fast response.
 """
 
 
 @attrs.define
 class InstanceHealth:
-    """Restricts instances that leave, fail or are cold, never most of a pool.
+    """Restricts instances that leave, fail or are cold, up to half of a pool.
 
-    Only the entries' own results and signs of leaving count. Load reports
-    lag and may be false, so no decision uses them.
+    Uses only the outcomes that entries observed and the instances' notices
+    of leaving. Load reports lag and may be wrong, so no decision uses them.
 
     Attributes:
         clock: Source of time.
-        records: What is known, by name of instance.
-        references: Typical service times, by class.
-        median: Median of the instances' indices.
-        restricted: Standings that are in force, by name of instance.
-        blame: Time of the last failure, by entry and instance.
+        records: Outcomes and service times, by name of instance.
+        typical_times: Typical service times, by class.
+        median_index: Median of the instances' slowness indices.
+        restricted: States of the restricted instances, by name of instance.
+        last_failures: Clock seconds of the last failure, by entry and
+            instance.
 
     Examples:
         >>> health = InstanceHealth(clocks.ManualClock())
@@ -56,39 +58,41 @@
     records: dict[str, instance_record.InstanceRecord] = attrs.field(
         factory=dict
     )
-    references: dict[str, service_times.ClassReference] = attrs.field(
+    typical_times: dict[str, service_times.TypicalTime] = attrs.field(
         factory=dict
     )
-    median: float = 1.0
-    restricted: dict[str, instance_record.Standing] = attrs.field(factory=dict)
-    blame: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    median_index: float = 1.0
+    restricted: dict[str, instance_record.HealthState] = attrs.field(
+        factory=dict
+    )
+    last_failures: dict[str, dict[str, float]] = attrs.field(factory=dict)
 
     def set_instances(self, slots: dict[str, int]) -> None:
-        """Replace the pool's instances; those that join later start cold.
+        """Replace the pool's instances; those added to a used pool start cold.
 
         Args:
             slots: Number of slots by name of instance.
         """
-        first = not self.records
+        is_first = not self.records
         for name in self.records.keys() - slots.keys():
             del self.records[name]
-            for seen in self.blame.values():
-                seen.pop(name, None)
+            for failed_at in self.last_failures.values():
+                failed_at.pop(name, None)
         for name, number in slots.items():
             record = self.records.get(name)
             if record is None:
                 record = instance_record.InstanceRecord(
-                    number, since=self.clock.monotonic()
+                    number, degraded_since=self.clock.monotonic()
                 )
-                record.proven = number if first else 1
+                record.opened_slots = number if is_first else 1
                 self.records[name] = record
-            elif record.proven >= record.slots:
-                record.proven = number
+            elif record.opened_slots >= record.slots:
+                record.opened_slots = number
             record.slots = number
         self.refresh()
 
     def set_leaving(self, name: str, leaving: bool = True) -> None:
-        """Note that an instance is leaving, or that it is no longer.
+        """Record that an instance is leaving, or no longer is.
 
         Args:
             name: The instance.
@@ -98,51 +102,51 @@
         if record is None or record.leaving == leaving:
             return
         record.leaving = leaving
-        record.since = self.clock.monotonic()
-        record.proven, record.steps = 1, 0
+        record.degraded_since = self.clock.monotonic()
+        record.opened_slots, record.slot_completions = 1, 0
         self.refresh()
 
     def typical_s(self, request_class: str) -> float:
-        """Return the typical service time of a class, 0 if not known.
+        """Return the typical service time of a class, 0 if unknown.
 
         Args:
             request_class: Name of the class.
         """
-        reference = self.references.get(request_class)
-        return reference.seconds if reference else 0.0
+        typical = self.typical_times.get(request_class)
+        return typical.seconds if typical else 0.0
 
-    def start(self, name: str, typical_s: float) -> None:
-        """Note that a request starts at an instance.
+    def record_start(self, name: str, typical_s: float) -> None:
+        """Record that a request starts at an instance.
 
         Args:
             name: The instance.
-            typical_s: Typical time of the request's class.
+            typical_s: Typical service time of the request's class.
         """
         record = self.records.get(name)
         if record is not None:
-            record.index.start(self.clock.monotonic(), typical_s)
+            record.slowness_index.start(self.clock.monotonic(), typical_s)
 
-    def end(
-        self, run: requests.ActiveGrant, result: requests.ReleaseResult
+    def record_end(
+        self, active: requests.ActiveGrant, result: requests.ReleaseResult
     ) -> None:
-        """Note how a request ended.
+        """Record the outcome of a request.
 
         Args:
-            run: The request's run.
-            result: How it ended.
+            active: The request's grant.
+            result: Its outcome and service time.
         """
-        record = self.records.get(run.grant.instance)
+        record = self.records.get(active.grant.instance)
         if record is None:
             return
-        ENDINGS.get(result.outcome, InstanceHealth._stop)(
-            self, record, run, result
+        OUTCOME_HANDLERS.get(result.outcome, InstanceHealth._record_stop)(
+            self, record, active, result
         )
 
     def slowness(self, name: str) -> float:
-        """Return the index against the pool's median, at least 1.
+        """Return the slowness index relative to the pool's median, at least 1.
 
-        A value under 1 is not rewarded: an instance that fails at once with
-        an answer would attract all work.
+        Values below 1 are not used, as an instance that fails immediately
+        with a response would attract all requests.
 
         Args:
             name: The instance.
@@ -150,8 +154,8 @@
         record = self.records.get(name)
         if record is None:
             return 1.0
-        value = record.index.value(self.clock.monotonic())
-        return max(1.0, value / self.median)
+        value = record.slowness_index.value(self.clock.monotonic())
+        return max(1.0, value / self.median_index)
 
     def open_slots(self, name: str) -> int:
         """Return how many slots of an instance may be used.
@@ -159,13 +163,13 @@
         Args:
             name: The instance.
         """
-        standing = self.restricted.get(name, instance_record.Standing.SERVING)
-        return self._slots_at(name, standing)
+        state = self.restricted.get(name, instance_record.HealthState.SERVING)
+        return self._slots_in_state(name, state)
 
     def healthy_slots(self, name: str) -> int:
-        """Return the slots that an instance's own standing leaves open.
+        """Return how many slots an instance's own state allows to use.
 
-        In contrast to ``open_slots``, more than half of a pool may be closed.
+        Unlike ``open_slots``, this may restrict more than half of a pool.
 
         Args:
             name: The instance.
@@ -173,122 +177,129 @@
         record = self.records.get(name)
         if record is None:
             return 0
-        standing = self._standing(record, self.clock.monotonic())
-        return self._slots_at(name, standing)
+        state = self._current_state(record, self.clock.monotonic())
+        return self._slots_in_state(name, state)
 
-    def _slots_at(self, name: str, standing: instance_record.Standing) -> int:
+    def _slots_in_state(
+        self, name: str, state: instance_record.HealthState
+    ) -> int:
         record = self.records.get(name)
         if record is None:
             return 0
-        if standing <= instance_record.Standing.LOST:
+        if state <= instance_record.HealthState.EJECTED:
             return 0
-        if standing < instance_record.Standing.SERVING:
-            return min(record.proven, record.slots)
+        if state < instance_record.HealthState.SERVING:
+            return min(record.opened_slots, record.slots)
         return record.slots
 
     def refresh(self) -> None:
-        """Work out the median and which restrictions are in force."""
+        """Update the median index and the restricted instances."""
         now = self.clock.monotonic()
         if self.records:
-            self.median = statistics.median(
-                record.index.value(now) for record in self.records.values()
+            self.median_index = statistics.median(
+                record.slowness_index.value(now)
+                for record in self.records.values()
             )
-        bad = sorted(
-            (standing, record.since, name)
+        degraded = sorted(
+            (state, record.degraded_since, name)
             for name, record in self.records.items()
-            if (standing := self._standing(record, now))
-            < instance_record.Standing.SERVING
+            if (state := self._current_state(record, now))
+            < instance_record.HealthState.SERVING
         )
-        most = int(len(self.records) * LARGEST_PART_ASIDE)
-        # Leaving instances are obeyed however many there are: work sent to
-        # one would be cut off when it stops.
-        leaving = instance_record.Standing.LEAVING
+        max_restricted = int(len(self.records) * MAX_RESTRICTED_SHARE)
+        # Leaving instances are always restricted: requests sent to one would
+        # be aborted when it stops.
+        leaving = instance_record.HealthState.LEAVING
         self.restricted = {
-            name: standing
-            for number, (standing, _, name) in enumerate(bad)
-            if standing is leaving or number < most
+            name: state
+            for number, (state, _, name) in enumerate(degraded)
+            if state is leaving or number < max_restricted
         }
 
-    def _standing(
+    def _current_state(
         self, record: instance_record.InstanceRecord, now: float
-    ) -> instance_record.Standing:
+    ) -> instance_record.HealthState:
         if record.leaving:
-            return instance_record.Standing.LEAVING
+            return instance_record.HealthState.LEAVING
         failures = sum(
             number
             for holder, number in record.failures.items()
-            if not self._troubled(holder, now)
+            if not self._is_entry_failing(holder, now)
         )
         if (
-            failures >= instance_record.FAILURES_TO_LOST
-            and now < record.retry_at
+            failures >= instance_record.FAILURES_TO_EJECT
+            and now < record.ejected_until
         ):
-            return instance_record.Standing.LOST
+            return instance_record.HealthState.EJECTED
         if failures:
-            return instance_record.Standing.SUSPECT
-        if record.proven < record.slots and not record.failures:
-            return instance_record.Standing.COLD
-        return instance_record.Standing.SERVING
+            return instance_record.HealthState.SUSPECT
+        if record.opened_slots < record.slots and not record.failures:
+            return instance_record.HealthState.COLD
+        return instance_record.HealthState.SERVING
 
-    def _troubled(self, holder: str, now: float) -> bool:
+    def _is_entry_failing(self, holder: str, now: float) -> bool:
         recent = sum(
-            now - at < BLAME_WINDOW_S
-            for at in self.blame.get(holder, {}).values()
+            now - at < ENTRY_FAILURE_WINDOW_S
+            for at in self.last_failures.get(holder, {}).values()
         )
-        return recent > max(1, len(self.records) * LARGEST_PART_ASIDE)
+        return recent > max(1, len(self.records) * MAX_RESTRICTED_SHARE)
 
-    def _complete(
+    def _record_completion(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.ActiveGrant,
+        active: requests.ActiveGrant,
         result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
         seconds = result.seconds
         if seconds is None:
-            seconds = now - run.granted_at
-        record.index.end(now, run.granted_at, run.typical_s, seconds)
-        self.references.setdefault(
-            run.grant.request_class, service_times.ClassReference()
-        ).observe(seconds)
-        record.succeed(record.index.value(now) / self.median)
-
-    def _shed(
+            seconds = now - active.granted_at
+        record.slowness_index.complete(
+            now, active.granted_at, active.typical_s, seconds
+        )
+        self.typical_times.setdefault(
+            active.grant.request_class, service_times.TypicalTime()
+        ).add(seconds)
+        record.record_completion(
+            record.slowness_index.value(now) / self.median_index
+        )
+
+    def _record_shed(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.ActiveGrant,
+        active: requests.ActiveGrant,
         result: requests.ReleaseResult,
     ) -> None:
-        record.index.forget(run.granted_at, run.typical_s)
-        record.index.add(self.clock.monotonic(), SHED_UNITS, 0.0)
+        record.slowness_index.discard(active.granted_at, active.typical_s)
+        record.slowness_index.add(self.clock.monotonic(), SHED_COST_RATIO, 0.0)
 
-    def _fail(
+    def _record_failure(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.ActiveGrant,
+        active: requests.ActiveGrant,
         result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
-        record.index.forget(run.granted_at, run.typical_s)
-        holder = run.grant.holder
-        self.blame.setdefault(holder, {})[run.grant.instance] = now
-        record.fail(now, holder)
+        record.slowness_index.discard(active.granted_at, active.typical_s)
+        holder = active.grant.holder
+        self.last_failures.setdefault(holder, {})[active.grant.instance] = now
+        record.record_failure(now, holder)
         self.refresh()
 
-    def _stop(
+    def _record_stop(
         self,
         record: instance_record.InstanceRecord,
-        run: requests.ActiveGrant,
+        active: requests.ActiveGrant,
         result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
-        record.index.stop(now, run.granted_at, run.typical_s)
+        record.slowness_index.stop(now, active.granted_at, active.typical_s)
 
 
-ENDINGS = {
-    requests.ReleaseOutcome.DONE: InstanceHealth._complete,
-    requests.ReleaseOutcome.SHED: InstanceHealth._shed,
-    requests.ReleaseOutcome.UNREACHABLE: InstanceHealth._fail,
-    requests.ReleaseOutcome.LOST: InstanceHealth._fail,
+OUTCOME_HANDLERS = {
+    requests.ReleaseOutcome.DONE: InstanceHealth._record_completion,
+    requests.ReleaseOutcome.SHED: InstanceHealth._record_shed,
+    requests.ReleaseOutcome.UNREACHABLE: InstanceHealth._record_failure,
+    requests.ReleaseOutcome.LOST: InstanceHealth._record_failure,
 }
-"""What each outcome changes; other outcomes only end the run."""
+"""Handlers by outcome; other outcomes only end the running request."""
--- a/packages/domain/bulrushcourse_domain/health/instance_record.py
+++ b/packages/domain/bulrushcourse_domain/health/instance_record.py
@@ -1,4 +1,4 @@
-"""What is known of one upstream instance."""
+"""Outcomes and service times of one upstream instance."""
 
 import enum
 
@@ -6,24 +6,24 @@
 
 from bulrushcourse_domain.health import service_times
 
-FAILURES_TO_LOST = 2
-"""Failures in a row after which an instance counts as lost."""
+FAILURES_TO_EJECT = 2
+"""Consecutive failures after which an instance is ejected."""
 
-FIRST_RETRY_S = 0.5
-LONGEST_RETRY_S = 8.0
+INITIAL_EJECTION_S = 0.5
+MAX_EJECTION_S = 8.0
 
-COMPLETIONS_PER_STEP = 4
-"""Completions at a typical time that open one more slot of a cold instance."""
+COMPLETIONS_PER_OPENED_SLOT = 4
+"""Completions near the typical time that open one more cold slot."""
 
-COLD_RATIO = 2.0
-"""Index below which a completion counts towards opening a slot."""
+MAX_WARMUP_SLOWNESS_RATIO = 2.0
+"""Slowness below which a completion counts towards opening a slot."""
 
 
-class Standing(enum.IntEnum):
-    """How far an instance may be used, worst first."""
+class HealthState(enum.IntEnum):
+    """Restrictions of an instance's use, worst first."""
 
     LEAVING = 0
-    LOST = 1
+    EJECTED = 1
     SUSPECT = 2
     COLD = 3
     SERVING = 4
@@ -31,57 +31,68 @@
 
 @attrs.define
 class InstanceRecord:
-    """What is known of one instance.
+    """Outcomes and service times of one instance.
 
     Attributes:
         slots: Number of slots.
-        index: Its measured service times.
-        since: Clock seconds when its standing last became worse.
-        leaving: Whether a sign said that it is leaving.
-        failures: Failures in a row, by entry.
-        retry_at: Clock seconds from which a lost instance is tried again.
-        retry_s: Time until the next retry.
-        proven: Slots of a cold instance that are open.
-        steps: Completions towards the next open slot.
+        slowness_index: Index of its measured service times.
+        degraded_since: Clock seconds at which its state last became worse.
+        leaving: Whether the instance has announced that it is leaving.
+        failures: Consecutive failures, by entry.
+        ejected_until: Clock seconds from which an ejected instance gets a
+            probe.
+        next_ejection_s: Duration of the next ejection.
+        opened_slots: Slots that may be used while the instance is cold or
+            suspect.
+        slot_completions: Completions towards the next opened slot.
     """
 
     slots: int
-    index: service_times.SlownessIndex = attrs.field(
+    slowness_index: service_times.SlownessIndex = attrs.field(
         factory=service_times.SlownessIndex
     )
-    since: float = 0.0
+    degraded_since: float = 0.0
     leaving: bool = False
     failures: dict[str, int] = attrs.field(factory=dict)
-    retry_at: float = 0.0
-    retry_s: float = FIRST_RETRY_S
-    proven: int = 0
-    steps: int = 0
+    ejected_until: float = 0.0
+    next_ejection_s: float = INITIAL_EJECTION_S
+    opened_slots: int = 0
+    slot_completions: int = 0
 
-    def succeed(self, index: float) -> None:
-        """Note a completion.
+    def record_completion(self, slowness: float) -> None:
+        """Record a completed request.
 
         Args:
-            index: The instance's index against the pool's median.
+            slowness: The instance's slowness index relative to the pool's
+                median.
         """
         self.failures.clear()
-        self.retry_s = FIRST_RETRY_S
-        if self.proven < self.slots and index < COLD_RATIO:
-            self.steps += 1
-            if self.steps >= COMPLETIONS_PER_STEP:
-                self.proven, self.steps = self.proven + 1, 0
-
-    def fail(self, now: float, holder: str) -> None:
-        """Note a failure.
+        self.next_ejection_s = INITIAL_EJECTION_S
+        if (
+            self.opened_slots < self.slots
+            and slowness < MAX_WARMUP_SLOWNESS_RATIO
+        ):
+            self.slot_completions += 1
+            if self.slot_completions >= COMPLETIONS_PER_OPENED_SLOT:
+                self.opened_slots, self.slot_completions = (
+                    self.opened_slots + 1,
+                    0,
+                )
+
+    def record_failure(self, now: float, holder: str) -> None:
+        """Record a failed request.
 
         Args:
             now: Clock seconds.
-            holder: The entry that saw it.
+            holder: Incarnation of the entry that observed the failure.
         """
         if not self.failures:
-            self.since = now
+            self.degraded_since = now
         self.failures[holder] = self.failures.get(holder, 0) + 1
-        self.proven, self.steps = 1, 0
-        if sum(self.failures.values()) >= FAILURES_TO_LOST:
-            if now >= self.retry_at:
-                self.retry_at = now + self.retry_s
-                self.retry_s = min(2 * self.retry_s, LONGEST_RETRY_S)
+        self.opened_slots, self.slot_completions = 1, 0
+        if sum(self.failures.values()) >= FAILURES_TO_EJECT:
+            if now >= self.ejected_until:
+                self.ejected_until = now + self.next_ejection_s
+                self.next_ejection_s = min(
+                    2 * self.next_ejection_s, MAX_EJECTION_S
+                )
--- a/packages/domain/bulrushcourse_domain/health/service_times.py
+++ b/packages/domain/bulrushcourse_domain/health/service_times.py
@@ -1,78 +1,82 @@
-"""Measured service times of instances, running work included."""
+"""Measured service times of instances, running requests included."""
 
 import attrs
 
-REFERENCE_SAMPLES = 200
-"""Samples that the typical time of a class averages over."""
+MAX_TYPICAL_SAMPLES = 200
+"""Number of samples over which a class's typical time is averaged."""
 
-WINDOW = 8.0
-"""Completions that an instance's index averages over.
+WINDOW_COMPLETIONS = 8.0
+"""Number of completions over which an instance's index is averaged.
 
-A short window finds an instance that became slow after a few requests. The
-noise that it leaves costs little, because a wrong preference between free
-instances of equal speed does not change any latency.
+A short window detects an instance that became slow after a few requests. The
+remaining noise costs little, because a wrong preference between free
+instances of equal speed does not change the latency.
 """
 
-PRIOR = 2.0
+PRIOR_COMPLETIONS = 2.0
 """Weight, in completions, of the assumption that an instance is typical."""
 
 HALF_LIFE_S = 0.5
 """Age at which a measurement counts half, so that slow instances are retried.
 
-A third of the spells that the project plans for (1.5 s).
+A third of the slow periods for which the system is designed (1.5 s).
 """
 
-LARGEST_SAMPLE = 10.0
-"""Bound of one request's part, in typical times; one stuck request must not
-decide about its instance."""
+MAX_SAMPLE_RATIO = 10.0
+"""Maximum time of one request in the index, in typical times.
+
+One stuck request must not decide about its instance.
+"""
 
 
 @attrs.define
-class ClassReference:
-    """Typical service time of a class of requests in a pool.
+class TypicalTime:
+    """Typical service time of a request class in a pool.
 
     Attributes:
         seconds: Running mean; 0 before the first sample.
-        samples: Samples that the mean holds.
+        sample_count: Number of samples in the mean.
 
     Examples:
-        >>> reference = ClassReference()
-        >>> reference.observe(0.02)
-        >>> reference.observe(0.04)
-        >>> round(reference.seconds, 3)
+        >>> typical = TypicalTime()
+        >>> typical.add(0.02)
+        >>> typical.add(0.04)
+        >>> round(typical.seconds, 3)
         0.03
     """
 
     seconds: float = 0.0
-    samples: int = 0
+    sample_count: int = 0
 
-    def observe(self, seconds: float) -> None:
-        """Add a completed request.
+    def add(self, seconds: float) -> None:
+        """Add the service time of a completed request.
 
         Args:
-            seconds: Its service time.
+            seconds: The service time.
         """
-        if self.samples:
-            seconds = min(seconds, LARGEST_SAMPLE * self.seconds)
-        self.samples = min(self.samples + 1, REFERENCE_SAMPLES)
-        self.seconds += (seconds - self.seconds) / self.samples
+        if self.sample_count:
+            seconds = min(seconds, MAX_SAMPLE_RATIO * self.seconds)
+        self.sample_count = min(self.sample_count + 1, MAX_TYPICAL_SAMPLES)
+        self.seconds += (seconds - self.seconds) / self.sample_count
 
 
 @attrs.define
 class SlownessIndex:
-    """Service time of one instance in typical times of the classes it ran.
+    """Service time of one instance, in typical times of the request classes.
 
     The index is the time spent on requests, running ones included, divided
-    by the number of completions. Running work makes it rise before the first
-    slow request has ended. Without new work it ages back to 1.
+    by the number of completions. Running requests raise it before the first
+    slow request has ended. Without new requests it decays back to 1.
 
     Attributes:
-        spent: Aged time of completed requests, in typical times.
-        completions: Aged number of completed requests.
-        aged_at: Clock seconds of the last aging.
-        running: Number of running requests with a known typical time.
-        rate: Sum of 1 / typical time over running requests, per second.
-        started: Sum of start / typical time over running requests.
+        spent_units: Decayed time of ended requests, in typical times.
+        completions: Decayed number of completed requests.
+        decayed_at: Clock seconds up to which both have been decayed.
+        running_count: Number of running requests with a known typical time.
+        running_rate: Sum of 1 / typical time over running requests, per
+            second.
+        running_start_units: Sum of start time / typical time over running
+            requests.
 
     Examples:
         >>> index = SlownessIndex()
@@ -81,78 +85,78 @@
         1.0
         >>> index.value(0.12)
         4.0
-        >>> index.end(0.12, 0.0, 0.02, 0.12)
+        >>> index.complete(0.12, 0.0, 0.02, 0.12)
         >>> round(index.value(0.12), 2)
         2.67
         >>> round(index.value(5.0), 2)
         1.0
     """
 
-    spent: float = 0.0
+    spent_units: float = 0.0
     completions: float = 0.0
-    aged_at: float = 0.0
-    running: int = 0
-    rate: float = 0.0
-    started: float = 0.0
+    decayed_at: float = 0.0
+    running_count: int = 0
+    running_rate: float = 0.0
+    running_start_units: float = 0.0
 
     def start(self, now: float, typical_s: float) -> None:
         """Add a request that starts now.
 
         Args:
             now: Clock seconds.
-            typical_s: Typical time of its class; 0 if not known yet.
+            typical_s: Typical time of its class; 0 if unknown.
         """
         if typical_s > 0:
-            self.running += 1
-            self.rate += 1 / typical_s
-            self.started += now / typical_s
+            self.running_count += 1
+            self.running_rate += 1 / typical_s
+            self.running_start_units += now / typical_s
 
     def stop(self, now: float, started_s: float, typical_s: float) -> None:
-        """End a running request that did not complete.
+        """Remove a running request that did not complete.
 
-        The time that it took stays: a request given up at a slow instance
+        Its time is counted: a request that was cancelled at a slow instance
         shows that the instance is slow.
 
         Args:
             now: Clock seconds.
-            started_s: Clock seconds when it started.
-            typical_s: The typical time that was given at its start.
+            started_s: Clock seconds at which it started.
+            typical_s: The typical time that was passed at its start.
         """
-        self.forget(started_s, typical_s)
+        self.discard(started_s, typical_s)
         if typical_s > 0:
             units = (now - started_s) / typical_s
-            self.add(now, min(units, LARGEST_SAMPLE), 0.0)
+            self.add(now, min(units, MAX_SAMPLE_RATIO), 0.0)
 
-    def forget(self, started_s: float, typical_s: float) -> None:
-        """Remove a running request without a trace.
+    def discard(self, started_s: float, typical_s: float) -> None:
+        """Remove a running request without counting its time.
 
         Args:
-            started_s: Clock seconds when it started.
-            typical_s: The typical time that was given at its start.
+            started_s: Clock seconds at which it started.
+            typical_s: The typical time that was passed at its start.
         """
         if typical_s <= 0:
             return
-        self.running -= 1
-        self.rate -= 1 / typical_s
-        self.started -= started_s / typical_s
-        if not self.running:
-            # Removes what rounding left.
-            self.rate = self.started = 0.0
-
-    def end(
+        self.running_count -= 1
+        self.running_rate -= 1 / typical_s
+        self.running_start_units -= started_s / typical_s
+        if not self.running_count:
+            # Clears rounding errors.
+            self.running_rate = self.running_start_units = 0.0
+
+    def complete(
         self, now: float, started_s: float, typical_s: float, seconds: float
     ) -> None:
-        """Turn a running request into a completed one.
+        """Record the completion of a running request.
 
         Args:
             now: Clock seconds.
-            started_s: Clock seconds when it started.
-            typical_s: The typical time that was given at its start.
+            started_s: Clock seconds at which it started.
+            typical_s: The typical time that was passed at its start.
             seconds: Its measured service time.
         """
-        self.forget(started_s, typical_s)
+        self.discard(started_s, typical_s)
         if typical_s > 0:
-            self.add(now, min(seconds / typical_s, LARGEST_SAMPLE))
+            self.add(now, min(seconds / typical_s, MAX_SAMPLE_RATIO))
 
     def add(self, now: float, units: float, completions: float = 1.0) -> None:
         """Add a measurement.
@@ -160,26 +164,27 @@
         Args:
             now: Clock seconds.
             units: Time spent, in typical times.
-            completions: Completions that the time led to.
+            completions: Number of completions in that time.
         """
-        keep = self._kept(now) * (1 - completions / WINDOW)
-        self.spent = self.spent * keep + units
-        self.completions = self.completions * keep + completions
-        self.aged_at = now
+        decay = self._decay(now) * (1 - completions / WINDOW_COMPLETIONS)
+        self.spent_units = self.spent_units * decay + units
+        self.completions = self.completions * decay + completions
+        self.decayed_at = now
 
     def value(self, now: float) -> float:
-        """Return the index; 1 stands for a typical instance.
+        """Return the index; it is 1 for a typical instance.
 
         Args:
             now: Clock seconds.
         """
-        keep = self._kept(now)
+        decay = self._decay(now)
         running = min(
-            now * self.rate - self.started, LARGEST_SAMPLE * self.running
-        )
-        return (PRIOR + self.spent * keep + max(running, 0.0)) / (
-            PRIOR + self.completions * keep
+            now * self.running_rate - self.running_start_units,
+            MAX_SAMPLE_RATIO * self.running_count,
         )
+        return (
+            PRIOR_COMPLETIONS + self.spent_units * decay + max(running, 0.0)
+        ) / (PRIOR_COMPLETIONS + self.completions * decay)
 
-    def _kept(self, now: float) -> float:
-        return 0.5 ** ((now - self.aged_at) / HALF_LIFE_S)
+    def _decay(self, now: float) -> float:
+        return 0.5 ** ((now - self.decayed_at) / HALF_LIFE_S)
--- a/packages/domain/bulrushcourse_domain/slots/pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/pool.py
@@ -294,7 +294,7 @@
         self.active.add(
             requests.ActiveGrant(grant, self.clock.monotonic(), typical_s)
         )
-        self.health.start(grant.instance, typical_s)
+        self.health.record_start(grant.instance, typical_s)
         self.selector.acquire(
             grant.instance, grant.request_id, grant.request_class
         )
@@ -306,7 +306,7 @@
         if active is None:
             return
         grant = active.grant
-        self.health.end(active, result)
+        self.health.record_end(active, result)
         self.selector.release(grant.instance, request_id, grant.request_class)
 
     def _is_hedge_useful(self, request: requests.SlotRequest) -> bool:
