State more precisely when lease rows and grant expiries are dropped

The doc comments left out that a write of unknown result keeps the last row, and used the word entries for two things.

--- a/packages/domain/bulrushcourse_domain/slots/active_grants.py
+++ b/packages/domain/bulrushcourse_domain/slots/active_grants.py
@@ -22,8 +22,8 @@
     Attributes:
         by_request_id: Grants by request identifier.
         count_by_class: Number of grants by class.
-        expiries: Heap of expiry times with request identifiers. Entries of
-            released grants stay until their expiry time.
+        expiries: Heap of expiry times with request identifiers; those of
+            released grants stay until they are due.
 
     Examples:
         >>> active = ActiveGrants()
--- a/packages/domain/bulrushcourse_domain/slots/lease.py
+++ b/packages/domain/bulrushcourse_domain/slots/lease.py
@@ -61,8 +61,8 @@
         entry: Name of this entry.
         incarnation: Identifier of this run of the entry.
         durations: Durations of leases and promises.
-        row: Last row that was read; ``None`` before the first read and after
-            a write until the next read.
+        row: Last row that was read; ``None`` before the first read, and
+            after a write with a known result until the next read.
         row_seen_at: Clock seconds at which that version was first read.
         valid_until: Clock seconds at which this entry's lease expires.
         pending: Write of which the result is unknown.
--- a/packages/domain/bulrushcourse_domain/slots/ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/ownership.py
@@ -32,7 +32,7 @@
         lease: The lease in the table.
         pool_promises: Promises given and received.
         resigned: Whether this entry gave the pool up for good.
-        term: Number of terms for which this entry has owned the pool.
+        term: Number of terms that this entry has begun as the owner.
         term_until: Clock seconds until which the term is known to last;
             minus infinity without a term.
         turn_starts_at: Clock seconds at which this entry's turn to request
