Name things plainly in the test kit's process stand-ins

Doc comments of the platform, upstreams and fault proxy stand-ins were terse or figurative, and a few names were vague.

Rewrote the doc comments, with units and the control paths spelled out, and renamed internals (chunk for piece, rng, slot_semaphore, LOG_SIGMA, target_writer, _relay, _throttle, _apply_faults, _write_row). Paths, JSON keys, headers and the fields of Faults, LinkFaults, Behaviour, Run and Link keep their names.

--- a/packages/testkit/bulrushcourse_testkit/standins/__init__.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins of outside systems, each a process with HTTP control."""
+"""Stand-ins of external systems, each a process controlled over HTTP."""
--- a/packages/testkit/bulrushcourse_testkit/standins/fault_proxy.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/fault_proxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy that injects faults between two processes.
+"""TCP proxy that injects faults into connections between two processes.
 
 Run it with ``python -m bulrushcourse_testkit.standins.fault_proxy SPEC`` where
 SPEC is a JSON file::
@@ -8,7 +8,8 @@
         'links': [{'name': 'store', 'port': 9001, 'target': '127.0.0.1:8000'}],
     }
 
-``PUT /control/{link}`` sets the fields of ``LinkFaults``.
+``PUT /control/{link}`` with a JSON object of ``LinkFaults`` fields sets the
+faults of a link.
 """
 
 import asyncio
@@ -22,8 +23,8 @@
 import attrs
 from aiohttp import web
 
-PIECE_BYTES = 16 << 10
-CUT_CHECK_S = 0.02
+CHUNK_BYTES = 16 << 10
+STALL_POLL_S = 0.02
 
 
 @attrs.define
@@ -31,11 +32,12 @@
     """Faults of a link.
 
     Attributes:
-        cut: Connections are reset and new ones refused.
-        stalled: Bytes stay in the proxy until the fault ends.
+        cut: Whether connections are reset, open and new ones.
+        stalled: Whether the proxy holds back all bytes until the fault ends.
         delay_ms: One-way delay.
-        mbit_per_s: Bandwidth each way over all connections, 0 for no limit.
-        drop_answers: Bytes from the target are dropped.
+        mbit_per_s: Bandwidth per direction over all connections, 0 for no
+            limit.
+        drop_answers: Whether bytes from the target are dropped.
     """
 
     cut: bool = False
@@ -47,16 +49,17 @@
 
 @attrs.define(eq=False)
 class Link:
-    """A listening port that is connected through to a target.
+    """A listening port whose connections are relayed to a target.
 
     Attributes:
         name: Name of the link.
         port: Port to listen on.
         target: ``ip:port`` to connect to.
-        faults: Faults in effect.
+        faults: Active faults.
         writers: Writers of open connections.
-        free_at: When the link is free again, by direction.
-        passed: Bytes passed, by direction.
+        free_at: Monotonic time at which the bandwidth limit allows the next
+            byte, by direction.
+        passed: Number of bytes relayed, by direction.
     """
 
     name: str
@@ -68,7 +71,7 @@
     passed: dict[str, int] = attrs.field(factory=dict)
 
     async def start(self) -> None:
-        """Listen."""
+        """Start to listen."""
         await asyncio.start_server(self._accept, '127.0.0.1', self.port)
 
     def set_faults(self, faults: LinkFaults) -> None:
@@ -90,26 +93,26 @@
             return
         host, _, port = self.target.rpartition(':')
         try:
-            far_reader, far_writer = await asyncio.open_connection(
+            target_reader, target_writer = await asyncio.open_connection(
                 host, int(port)
             )
         except OSError:
             writer.transport.abort()
             return
-        ends = (writer, far_writer)
-        self.writers.update(ends)
+        writers = (writer, target_writer)
+        self.writers.update(writers)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._pump(reader, far_writer, 'to'))
-                group.create_task(self._pump(far_reader, writer, 'from'))
+                group.create_task(self._relay(reader, target_writer, 'to'))
+                group.create_task(self._relay(target_reader, writer, 'from'))
         except* OSError:
             pass
         finally:
-            self.writers.difference_update(ends)
-            for end in ends:
-                end.transport.abort()
+            self.writers.difference_update(writers)
+            for open_writer in writers:
+                open_writer.transport.abort()
 
-    async def _pump(
+    async def _relay(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -118,9 +121,9 @@
         queue: asyncio.Queue = asyncio.Queue(256)
         sender = asyncio.create_task(self._deliver(queue, writer, direction))
         try:
-            while piece := await reader.read(PIECE_BYTES):
-                arrival = time.monotonic() + self.faults.delay_ms / 1000
-                await queue.put((arrival, piece))
+            while chunk := await reader.read(CHUNK_BYTES):
+                deliver_at = time.monotonic() + self.faults.delay_ms / 1000
+                await queue.put((deliver_at, chunk))
             await queue.put((time.monotonic(), b''))
             await sender
         finally:
@@ -133,23 +136,23 @@
         direction: str,
     ) -> None:
         while True:
-            arrival, piece = await queue.get()
-            await asyncio.sleep(max(0.0, arrival - time.monotonic()))
-            await self._hold(len(piece), direction)
-            if not piece:
+            deliver_at, chunk = await queue.get()
+            await asyncio.sleep(max(0.0, deliver_at - time.monotonic()))
+            await self._throttle(len(chunk), direction)
+            if not chunk:
                 with contextlib.suppress(OSError, RuntimeError):
                     writer.write_eof()
                 return
             if direction == 'from' and self.faults.drop_answers:
                 continue
-            self.passed[direction] = self.passed.get(direction, 0) + len(piece)
+            self.passed[direction] = self.passed.get(direction, 0) + len(chunk)
             with contextlib.suppress(OSError):
-                writer.write(piece)
+                writer.write(chunk)
                 await writer.drain()
 
-    async def _hold(self, size: int, direction: str) -> None:
+    async def _throttle(self, size: int, direction: str) -> None:
         while self.faults.stalled:  # noqa: ASYNC110
-            await asyncio.sleep(CUT_CHECK_S)
+            await asyncio.sleep(STALL_POLL_S)
         if self.faults.mbit_per_s:
             now = time.monotonic()
             start = max(now, self.free_at.get(direction, 0.0))
@@ -160,7 +163,7 @@
 
 @attrs.define
 class FaultProxy:
-    """All links of the process.
+    """All links of the process and their control interface.
 
     Attributes:
         links: Links by name.
@@ -169,7 +172,7 @@
     links: dict[str, Link]
 
     def application(self) -> web.Application:
-        """Return the HTTP application for control."""
+        """Return the HTTP application of the control interface."""
         application = web.Application()
         application.router.add_get('/control/passed', self.show_passed)
         application.router.add_put('/control/{name}', self.set_faults)
@@ -182,7 +185,7 @@
         return web.Response(status=204)
 
     async def show_passed(self, request: web.Request) -> web.Response:
-        """Answer the bytes that each link passed."""
+        """Return the number of bytes that each link relayed."""
         return web.json_response(
             {name: link.passed for name, link in self.links.items()}
         )
--- a/packages/testkit/bulrushcourse_testkit/standins/platform.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/platform.py
@@ -1,8 +1,8 @@
-"""Stand-in of the platform: table service, object store, list of VMs.
+"""Stand-in of the platform: table service, object store and VM list.
 
-Run it with ``python -m bulrushcourse_testkit.standins.platform PORT``. Faults
-are set with ``PUT /control/faults`` and a JSON object of ``Faults`` fields,
-VMs with ``PUT /control/vms`` and a JSON list.
+Run it with ``python -m bulrushcourse_testkit.standins.platform PORT``.
+``PUT /control/faults`` with a JSON object of ``Faults`` fields sets the
+faults, and ``PUT /control/vms`` with a JSON list sets the VMs.
 """
 
 import asyncio
@@ -12,7 +12,7 @@
 import attrs
 from aiohttp import web
 
-# A delay that outlasts every client's timeout.
+# Longer than the timeout of any client.
 HANG_S = 3600.0
 
 
@@ -21,14 +21,14 @@
     """Faults of the table service and the object store.
 
     Attributes:
-        down: Requests are not answered.
-        delay_ms: Added to every answer.
-        lose_answers: Writes take effect, but their answers are lost.
-        fail_after_commits: Commits after which the store goes down, -1 for
-            never.
-        counted_prefix: Prefix of keys; commits of others do not count for
+        down: Whether requests get no response.
+        delay_ms: Delay of every response.
+        lose_answers: Whether writes take effect but get no response.
+        fail_after_commits: Number of commits after which the store goes down,
+            -1 for never.
+        counted_prefix: Only commits of a key with this prefix count for
             ``fail_after_commits``.
-        vms_down: The list of VMs is not answered.
+        vms_down: Whether requests for the VM list get no response.
     """
 
     down: bool = False
@@ -41,16 +41,16 @@
 
 @attrs.define
 class PlatformStandIn:
-    """Rows, objects and VMs in memory.
+    """In-memory rows, objects and VMs.
 
     Attributes:
         rows: Version and value by key.
         objects: Objects by key.
-        vms: Listed VMs.
-        faults: Faults in effect.
-        reads: Reads served.
-        writes: Writes committed.
-        last_version: Version of the newest row.
+        vms: VMs in the VM list.
+        faults: Active faults.
+        reads: Number of reads served.
+        writes: Number of rows and objects written or deleted.
+        last_version: Version of the newest change of a row.
     """
 
     rows: dict[str, tuple[int, typing.Any]] = attrs.field(factory=dict)
@@ -81,54 +81,54 @@
         return application
 
     async def get_row(self, request: web.Request) -> web.Response:
-        """Answer a row with its version, version 0 if absent."""
-        await self._disturb()
+        """Return a row with its version, version 0 if absent."""
+        await self._apply_faults()
         self.reads += 1
         version, value = self.rows.get(request.match_info['key'], (0, None))
         return web.json_response({'version': version, 'value': value})
 
     async def scan_rows(self, request: web.Request) -> web.Response:
-        """Answer at most ``limit`` rows whose key has a prefix.
+        """Return at most ``limit`` rows whose keys have a prefix.
 
-        They come in order of their keys, those up to ``after`` left out.
+        They are sorted by key and start after the key ``after``.
         """
-        await self._disturb()
+        await self._apply_faults()
         self.reads += 1
         limit = int(request.query.get('limit', '100'))
         prefix = request.match_info['prefix']
         after = request.query.get('after', '')
-        found = [
+        matching = [
             {'key': key, 'version': version, 'value': value}
             for key, (version, value) in sorted(self.rows.items())
             if key.startswith(prefix) and key > after
         ]
-        return web.json_response(found[:limit])
+        return web.json_response(matching[:limit])
 
     async def transact(self, request: web.Request) -> web.Response:
-        """Apply all writes if each expected version matches."""
+        """Apply all writes if every expected version matches."""
         writes = await request.json()
-        await self._disturb()
+        await self._apply_faults()
         current = {
             w['key']: self.rows.get(w['key'], (0, None))[0] for w in writes
         }
         if any(current[w['key']] != w['expected'] for w in writes):
             return web.json_response({'result': 'conflict'})
         for write in writes:
-            self._apply(write['key'], write['value'])
-        lost = self.faults.lose_answers
+            self._write_row(write['key'], write['value'])
+        lose_response = self.faults.lose_answers
         prefix = self.faults.counted_prefix
-        counts = any(w['key'].startswith(prefix) for w in writes)
-        if counts and self.faults.fail_after_commits > 0:
+        is_counted = any(w['key'].startswith(prefix) for w in writes)
+        if is_counted and self.faults.fail_after_commits > 0:
             self.faults.fail_after_commits -= 1
             if self.faults.fail_after_commits == 0:
-                self.faults.down = lost = True
-        if lost:
+                self.faults.down = lose_response = True
+        if lose_response:
             await asyncio.sleep(HANG_S)
         return web.json_response({'result': 'committed'})
 
     async def get_object(self, request: web.Request) -> web.Response:
-        """Answer an object, 404 if absent."""
-        await self._disturb()
+        """Return an object, 404 if absent."""
+        await self._apply_faults()
         self.reads += 1
         content = self.objects.get(request.match_info['key'])
         if content is None:
@@ -138,39 +138,39 @@
     async def put_object(self, request: web.Request) -> web.Response:
         """Store an object."""
         content = await request.read()
-        await self._disturb()
+        await self._apply_faults()
         self.writes += 1
         self.objects[request.match_info['key']] = content
         return web.Response(status=204)
 
     async def delete_object(self, request: web.Request) -> web.Response:
-        """Delete an object if it is there."""
-        await self._disturb()
+        """Delete an object if it exists."""
+        await self._apply_faults()
         self.writes += 1
         self.objects.pop(request.match_info['key'], None)
         return web.Response(status=204)
 
     async def list_vms(self, request: web.Request) -> web.Response:
-        """Answer the listed VMs."""
+        """Return the VM list."""
         if self.faults.vms_down:
             await asyncio.sleep(HANG_S)
         return web.json_response(self.vms)
 
     async def set_faults(self, request: web.Request) -> web.Response:
-        """Replace the faults in effect."""
+        """Replace the active faults."""
         self.faults = Faults(**await request.json())
         return web.Response(status=204)
 
     async def set_vms(self, request: web.Request) -> web.Response:
-        """Replace the listed VMs."""
+        """Replace the VM list."""
         self.vms = await request.json()
         return web.Response(status=204)
 
     async def show_counts(self, request: web.Request) -> web.Response:
-        """Answer how many reads and writes were served."""
+        """Return the number of reads and writes."""
         return web.json_response({'reads': self.reads, 'writes': self.writes})
 
-    def _apply(self, key: str, value: typing.Any) -> None:
+    def _write_row(self, key: str, value: typing.Any) -> None:
         self.writes += 1
         self.last_version += 1
         if value is None:
@@ -178,7 +178,7 @@
         else:
             self.rows[key] = (self.last_version, value)
 
-    async def _disturb(self) -> None:
+    async def _apply_faults(self) -> None:
         if self.faults.down:
             await asyncio.sleep(HANG_S)
         if self.faults.delay_ms:
--- a/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
@@ -11,13 +11,14 @@
         ],
     }
 
-Faults are set per instance with ``PUT /control/{instance}`` and a JSON object
-of ``Behaviour`` fields. ``GET /control/journal`` returns every run with the
-request's key, ``GET /control/peaks`` the most work at a time per instance.
-
-An answer's body is the digest of the request's path and body, repeated to the
-size that the query ``size`` asks for, so that a caller can check that an
-answer is whole and its own.
+``PUT /control/{instance}`` with a JSON object of ``Behaviour`` fields sets the
+faults of an instance. ``GET /control/journal`` returns every run with the key
+of its request, and ``GET /control/peaks`` the maximum number of concurrent
+requests per instance.
+
+The body of a response is the digest of the request's path and body, repeated
+up to the size in the query parameter ``size``. From it a caller can check that
+a response is complete and belongs to its request.
 """
 
 import asyncio
@@ -35,27 +36,29 @@
 from aiohttp import web
 
 NOT_RUN_HEADER = 'Upstream-Not-Run'
-SIGMA = 0.7
+# Of the service times, which are log-normally distributed.
+LOG_SIGMA = 0.7
 MAX_BODY_BYTES = 256 << 20
-PIECE_BYTES = 64 << 10
+CHUNK_BYTES = 64 << 10
 
 
 @attrs.define
 class Behaviour:
-    """How an instance behaves.
+    """Simulated faults and state of an instance.
 
     Attributes:
-        slow_factor: Service times are multiplied by it.
-        state: Answer of the health endpoint.
-        shed: Whether work is refused with the not-run header.
-        reset: Whether the connection is cut after the work ran.
-        reset_before: Whether it is cut before the work runs.
-        truncate: Whether answers are cut in the middle.
-        hang: Whether work never ends.
-        reported_in_flight: Load that is reported instead of the true one;
-            -1 for the true one.
-        reports_stopped: Whether load and health are not answered.
-        crash_path: Requests whose path contains it stop the instance.
+        slow_factor: Factor by which service times are multiplied.
+        state: State that the health endpoint reports.
+        shed: Whether requests are refused with the not-run header.
+        reset: Whether the connection is reset after the request ran.
+        reset_before: Whether it is reset before the request runs.
+        truncate: Whether responses are cut off in the middle.
+        hang: Whether requests never complete.
+        reported_in_flight: Number of requests in flight to report, -1 for
+            the actual number.
+        reports_stopped: Whether load and health requests get no response.
+        crash_path: Part of a path; a request whose path contains it crashes
+            the instance. Empty for none.
     """
 
     slow_factor: float = 1.0
@@ -78,8 +81,8 @@
         instance: Name of the instance.
         key: Idempotency key, empty if there was none.
         path: Path of the request.
-        start: Seconds of the machine's clock.
-        end: Seconds of the machine's clock.
+        start: Monotonic time of the start in seconds.
+        end: Monotonic time of the end in seconds.
     """
 
     instance: str
@@ -95,23 +98,25 @@
 
     Attributes:
         name: Name of the instance.
-        slots: Requests worked on at a time; more wait.
-        mean_ms: Mean service time.
-        random: Source of service times.
+        slots: Maximum number of requests that run concurrently; further
+            requests wait.
+        mean_ms: Mean service time in milliseconds.
+        rng: Source of service times.
         journal: Runs of all instances.
-        behaviour: Faults in effect.
-        in_flight: Requests at work or waiting.
-        peak: Most requests at work or waiting at a time.
-        waited: Requests that found no free slot.
-        arrived: Requests that arrived.
-        crashed: Whether the instance refuses all work.
-        received: Bytes of bodies by hundredth of a second of arrival.
+        behaviour: Active faults.
+        in_flight: Number of requests that run or wait.
+        peak: Maximum of ``in_flight`` so far.
+        waited: Number of requests that found no free slot.
+        arrived: Number of requests that arrived and were not shed or reset.
+        crashed: Whether the instance aborts health checks and all work.
+        received: Bytes of request bodies by hundredth of a second of arrival.
+        slot_semaphore: Free slots.
     """
 
     name: str
     slots: int
     mean_ms: float
-    random: random.Random
+    rng: random.Random
     journal: list[Run]
     behaviour: Behaviour = attrs.field(factory=Behaviour)
     in_flight: int = 0
@@ -122,10 +127,10 @@
     received: collections.Counter[int] = attrs.field(
         factory=collections.Counter
     )
-    gate: asyncio.Semaphore = attrs.field(init=False)
+    slot_semaphore: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.gate = asyncio.Semaphore(self.slots)
+        self.slot_semaphore = asyncio.Semaphore(self.slots)
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -136,7 +141,7 @@
         return application
 
     async def health(self, request: web.Request) -> web.Response:
-        """Answer whether the instance serves or drains."""
+        """Return whether the instance is serving or draining."""
         if self.crashed:
             request.transport.abort()
         if self.behaviour.reports_stopped:
@@ -144,7 +149,7 @@
         return web.json_response({'state': self.behaviour.state, 'warm': 1.0})
 
     async def load(self, request: web.Request) -> web.Response:
-        """Answer work in flight, or what the fault says instead."""
+        """Return the requests in flight, or the number set as a fault."""
         if self.behaviour.reports_stopped:
             await asyncio.sleep(3600)
         reported = self.behaviour.reported_in_flight
@@ -152,7 +157,7 @@
         return web.json_response({'in_flight': in_flight, 'slots': self.slots})
 
     async def work(self, request: web.Request) -> web.StreamResponse:
-        """Run a request for a drawn service time."""
+        """Run a request for a random service time."""
         behaviour = self.behaviour
         if behaviour.crash_path and behaviour.crash_path in request.path:
             self.crashed = True
@@ -168,25 +173,25 @@
         deadline_ms = request.headers.get('Bulrushcourse-Deadline-Ms')
         limit_s = int(deadline_ms) / 1000 if deadline_ms else None
         try:
-            async with asyncio.timeout(limit_s), self.gate:
-                return await self._run(request)
+            async with asyncio.timeout(limit_s), self.slot_semaphore:
+                return await self._run_request(request)
         except TimeoutError:
             return web.Response(status=504)
         finally:
             self.in_flight -= 1
 
-    async def _run(self, request: web.Request) -> web.StreamResponse:
+    async def _run_request(self, request: web.Request) -> web.StreamResponse:
         start = time.monotonic()
         digest = hashlib.sha256(request.path_qs.encode())
-        async for piece in request.content.iter_chunked(PIECE_BYTES):
-            digest.update(piece)
-            self.received[int(time.monotonic() * 100)] += len(piece)
+        async for chunk in request.content.iter_chunked(CHUNK_BYTES):
+            digest.update(chunk)
+            self.received[int(time.monotonic() * 100)] += len(chunk)
         if self.behaviour.hang:
             await asyncio.sleep(3600)
         mean_ms = float(request.query.get('work_ms', self.mean_ms))
-        mu = math.log(mean_ms / 1000) - SIGMA * SIGMA / 2
-        drawn = self.random.lognormvariate(mu, SIGMA)
-        await asyncio.sleep(drawn * self.behaviour.slow_factor)
+        mu = math.log(mean_ms / 1000) - LOG_SIGMA * LOG_SIGMA / 2
+        service_s = self.rng.lognormvariate(mu, LOG_SIGMA)
+        await asyncio.sleep(service_s * self.behaviour.slow_factor)
         key = request.headers.get('Idempotency-Key', '')
         self.journal.append(
             Run(self.name, key, request.path_qs, start, time.monotonic())
@@ -194,9 +199,9 @@
         if self.behaviour.reset:
             request.transport.abort()
             return web.Response()
-        return await self._answer(request, digest.hexdigest())
+        return await self._respond(request, digest.hexdigest())
 
-    async def _answer(
+    async def _respond(
         self, request: web.Request, digest: str
     ) -> web.StreamResponse:
         size = int(request.query.get('size', str(len(digest))))
@@ -213,7 +218,7 @@
 
 @attrs.define
 class UpstreamsStandIn:
-    """All instances of the process.
+    """All instances of the process and their control interface.
 
     Attributes:
         instances: Instances by name.
@@ -224,7 +229,7 @@
     journal: list[Run]
 
     def application(self) -> web.Application:
-        """Return the HTTP application for control."""
+        """Return the HTTP application of the control interface."""
         application = web.Application()
         application.router.add_get('/control/journal', self.show_journal)
         application.router.add_get('/control/peaks', self.show_peaks)
@@ -233,11 +238,11 @@
         return application
 
     async def show_journal(self, request: web.Request) -> web.Response:
-        """Answer all runs."""
+        """Return all runs."""
         return web.json_response([attrs.asdict(run) for run in self.journal])
 
     async def show_peaks(self, request: web.Request) -> web.Response:
-        """Answer work at a time and arrivals at full instances."""
+        """Return the concurrency and the waiting requests of each instance."""
         return web.json_response(
             {
                 name: {
@@ -252,18 +257,18 @@
         )
 
     async def show_received(self, request: web.Request) -> web.Response:
-        """Answer bytes of bodies by instance and hundredth of a second."""
+        """Return received bytes by instance and hundredth of a second."""
         return web.json_response(
             {n: dict(i.received) for n, i in self.instances.items()}
         )
 
     async def set_behaviour(self, request: web.Request) -> web.Response:
-        """Replace an instance's faults, or ``all`` instances' faults."""
+        """Replace the faults of an instance, or of all if it is ``all``."""
         name = request.match_info['name']
         fields = await request.json()
         crashed = fields.pop('crashed', False)
-        chosen = self.instances if name == 'all' else (name,)
-        for instance in chosen:
+        names = self.instances if name == 'all' else (name,)
+        for instance in names:
             self.instances[instance].behaviour = Behaviour(**fields)
             self.instances[instance].crashed = crashed
         return web.Response(status=204)
@@ -288,9 +293,9 @@
     }
     ports = {i['port']: instances[i['name']] for i in spec['instances']}
     ports[spec['control_port']] = UpstreamsStandIn(instances, journal)
-    for port, part in ports.items():
+    for port, server in ports.items():
         runner = web.AppRunner(
-            part.application(), access_log=None, handler_cancellation=True
+            server.application(), access_log=None, handler_cancellation=True
         )
         await runner.setup()
         await web.TCPSite(runner, '127.0.0.1', port, backlog=1024).start()
