--- a/packages/testkit/bulrushcourse_testkit/claims/__init__.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/__init__.py
@@ -1,1 +1,1 @@
-"""Simulated and real trials of the rules on claims."""
+"""Trials of the claims on idempotency keys, simulated and with processes."""
--- a/packages/testkit/bulrushcourse_testkit/claims/driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/driver.py
@@ -1,4 +1,4 @@
-"""Moves of a trial: callers, faults, and the fate of each operation."""
+"""Drive a trial: make calls, inject faults and complete operations."""
 
 import asyncio
 import random
@@ -13,52 +13,57 @@
 from bulrushcourse_testkit.claims import virtual
 from bulrushcourse_testkit.claims import world as claim_world
 
-ADVANCES_S = (0.05, 0.3, 1.0, 2.5, 9.0, 60.0, 400.0, 1000.0)
+TIME_STEPS_S = (0.05, 0.3, 1.0, 2.5, 9.0, 60.0, 400.0, 1000.0)
 DIGESTS = ('d1', 'd1', 'd1', 'd2')
 MAX_KEYS = 6
-FACT = outcomes.UpstreamFact
+Fact = outcomes.UpstreamFact
 
 
 @attrs.define(eq=False)
 class Driver:
-    """Makes one move after another in a world.
+    """Makes moves in a simulated environment, one after the other.
+
+    A move takes numbers that select its target (``pick``) and its result
+    (``choice``, 0 to 7, 0 without a fault), so that any source of numbers can
+    drive a trial.
 
     Attributes:
-        world: The world.
-        keys: Keys in use and when each was first sent, 0 for never.
-        store_up: Whether operations of the table can succeed.
-        steps: Number of moves made.
+        world: Simulated environment.
+        keys: Virtual time at which each key in use was first sent, 0 for
+            never.
+        store_up: Whether table operations can succeed.
+        moves: Number of moves made.
     """
 
     world: claim_world.World
     keys: dict[str, float] = attrs.field(factory=dict)
     store_up: bool = True
-    steps: int = 0
+    moves: int = 0
 
     def new_key(self, pick: int) -> None:
-        """Take a key into use, issued or made up by the caller."""
+        """Add an issued or free-form key to the keys in use."""
         if len(self.keys) >= MAX_KEYS:
             del self.keys[next(iter(self.keys))]
         if pick % 2:
-            self.keys[f'k{next(self.world.counter)}'] = 0.0
+            self.keys[f'k{next(self.world.unique_ids)}'] = 0.0
             return
         process = self._process(pick // 2)
         for key in process.gateway.issued.keys.issue(claim_world.SERVICE, 1):
             self.keys[key] = 0.0
 
     def send(self, pick: int, ask_only: bool) -> None:
-        """Send a request with a key, or ask for its outcome."""
+        """Send a request with a key, or query the outcome of the key."""
         if not self.keys:
             self.new_key(pick)
         now = self.world.loop.now
-        texts = list(self.keys)
-        key = texts[pick % len(texts)]
-        first = self.keys[key] or now
-        if now > first + claims.RETENTION_S and not key.startswith('ik1'):
-            # Callers must not send a free-form key after its retention.
+        known_keys = list(self.keys)
+        key = known_keys[pick % len(known_keys)]
+        first_sent = self.keys[key] or now
+        if now > first_sent + claims.RETENTION_S and not key.startswith('ik1'):
+            # Callers must not send a free-form key after its retention time.
             return
-        self.keys[key] = first
-        process = self._process(pick // len(texts))
+        self.keys[key] = first_sent
+        process = self._process(pick // len(known_keys))
         digest = DIGESTS[pick // 18 % len(DIGESTS)]
         request = dispatch.KeyedRequest(
             claim_world.SERVICE, key, digest, now + claim_world.DEADLINE_S
@@ -69,45 +74,45 @@
         self.world.calls.append((process, task))
         self.world.loop.settle()
 
-    def leave(self, pick: int) -> None:
-        """Let a caller close its connection."""
+    def disconnect_caller(self, pick: int) -> None:
+        """Close the connection of a caller that waits for its reply."""
         waiting = [t for _, t in self.world.calls if not t.done()]
         if waiting:
             waiting[pick % len(waiting)].cancel()
             self.world.loop.settle()
 
-    def step(self, pick: int, how: int) -> None:
-        """Let an operation take effect, be answered, or fail."""
+    def step(self, pick: int, choice: int) -> None:
+        """Let an operation take effect, answer it, or let it fail."""
         if not self.world.operations:
             return
         index = pick % len(self.world.operations)
         operation = self.world.operations[index]
         move = getattr(self, f'_step_{operation.kind}')
-        if move(operation, how):
+        if move(operation, choice):
             self.world.operations.remove(operation)
         self.world.loop.settle()
 
     def set_store(self, up: bool) -> None:
-        """Make the table and the object store answer or not."""
+        """Set whether the table and the object store are available."""
         self.store_up = self.world.objects.up = up
 
     def flush(self) -> None:
-        """Let everything under way end without a fault."""
+        """Complete all pending operations without a fault."""
         self.set_store(True)
         for _ in range(20):
             for operation in list(self.world.operations):
                 self.step(self.world.operations.index(operation), 0)
 
     def check(self) -> None:
-        """Raise what a finished call raised.
+        """Raise the exception of a finished call, if there is one.
 
         Raises:
-            Violation: If a caller was told something untrue.
+            Violation: If a caller got an untrue reply.
         """
-        self.steps += 1
-        ended = [t for _, t in self.world.calls if t.done()]
+        self.moves += 1
+        finished = [t for _, t in self.world.calls if t.done()]
         self.world.calls = [c for c in self.world.calls if not c[1].done()]
-        for task in ended:
+        for task in finished:
             if not task.cancelled() and task.exception() is not None:
                 raise task.exception()
 
@@ -122,20 +127,20 @@
         reply = await serve(request)
         if process.alive:
             digest = '' if ask_only else request.digest
-            self.world.ledger.tell(request.key, digest, reply)
+            self.world.ledger.record_reply(request.key, digest, reply)
 
     def _process(self, pick: int) -> claim_world.Process:
         names = claim_world.ENTRIES
         return self.world.processes[names[pick % len(names)]]
 
-    def _step_table(self, operation: virtual.Operation, how: int) -> bool:
+    def _step_table(self, operation: virtual.Operation, choice: int) -> bool:
         age = self.world.loop.now - operation.started
-        if how == 7 or age > claim_world.MAX_WRITE_DELAY_S:
+        if choice == 7 or age > claim_world.MAX_WRITE_DELAY_S:
             return True
         if not self.store_up:
             return False
         answer = self._apply(operation.payload)
-        if how != 6:
+        if choice != 6:
             operation.deliver(answer)
         return True
 
@@ -151,59 +156,65 @@
             if write.value is None:
                 rows.pop(write.key, None)
             else:
-                version = next(self.world.counter) + 1
+                version = next(self.world.unique_ids) + 1
                 rows[write.key] = (version, write.value)
         return platform_table.WriteResult.COMMITTED
 
-    def _step_slot(self, operation: virtual.Operation, how: int) -> bool:
-        operation.deliver(how != 7)
+    def _step_slot(self, operation: virtual.Operation, choice: int) -> bool:
+        operation.deliver(choice != 7)
         return True
 
-    def _step_dispatch(self, operation: virtual.Operation, how: int) -> bool:
+    def _step_dispatch(
+        self, operation: virtual.Operation, choice: int
+    ) -> bool:
         if operation.effect is None:
-            return self._reach_upstream(operation, how)
-        facts = (FACT.RESET, FACT.TRUNCATED, FACT.SHED)
-        if how >= 5:
-            operation.deliver(dispatch.Dispatched(facts[how - 5]))
+            return self._reach_upstream(operation, choice)
+        facts = (Fact.RESET, Fact.TRUNCATED, Fact.SHED)
+        if choice >= 5:
+            operation.deliver(dispatch.Dispatched(facts[choice - 5]))
         else:
             answer = outcomes.Answer(200, (), operation.effect)
-            operation.deliver(dispatch.Dispatched(FACT.ANSWERED, answer))
+            operation.deliver(dispatch.Dispatched(Fact.ANSWERED, answer))
         return True
 
-    def _reach_upstream(self, operation: virtual.Operation, how: int) -> bool:
-        before = {
-            4: FACT.NO_BYTE_SENT,
-            5: FACT.SHED_NOT_RUN,
-            6: FACT.RESET,
-            7: FACT.SHED,
+    def _reach_upstream(
+        self, operation: virtual.Operation, choice: int
+    ) -> bool:
+        facts_without_run = {
+            4: Fact.NO_BYTE_SENT,
+            5: Fact.SHED_NOT_RUN,
+            6: Fact.RESET,
+            7: Fact.SHED,
         }
-        if how in before:
-            operation.deliver(dispatch.Dispatched(before[how]))
+        if choice in facts_without_run:
+            operation.deliver(dispatch.Dispatched(facts_without_run[choice]))
             return True
         request = operation.payload
-        size = claim_rows.ROW_ANSWER_BYTES + 1 if how == 3 else 8
-        body = f'{next(self.world.counter)}'.encode().ljust(size, b'.')
-        self.world.ledger.run(request.key, request.digest, body)
+        size = claim_rows.ROW_ANSWER_BYTES + 1 if choice == 3 else 8
+        body = f'{next(self.world.unique_ids)}'.encode().ljust(size, b'.')
+        self.world.ledger.record_run(request.key, request.digest, body)
         operation.effect = body
         return False
 
-    def _step_forward(self, operation: virtual.Operation, how: int) -> bool:
+    def _step_forward(self, operation: virtual.Operation, choice: int) -> bool:
         if operation.effect is not None:
-            return self._answer_forward(operation, how)
+            return self._finish_forward(operation, choice)
         key, request, ask_only = operation.payload
         issuer = self.world.processes[key.entry]
-        if how == 7 or issuer.incarnation != key.incarnation:
+        if choice == 7 or issuer.incarnation != key.incarnation:
             operation.deliver('unreachable')
             return True
         operation.effect = self.world.loop.create_task(
             issuer.gateway.serve_own(request, ask_only)
         )
-        operation.notes['issuer'] = issuer
+        operation.details['issuer'] = issuer
         return False
 
-    def _answer_forward(self, operation: virtual.Operation, how: int) -> bool:
+    def _finish_forward(
+        self, operation: virtual.Operation, choice: int
+    ) -> bool:
         task: asyncio.Task = operation.effect
-        if how == 7 or not operation.notes['issuer'].alive:
+        if choice == 7 or not operation.details['issuer'].alive:
             operation.deliver('stream lost')
             return True
         if not task.done():
@@ -213,46 +224,46 @@
 
 
 def random_move(driver: Driver, rng: random.Random) -> None:
-    """Make one move drawn at random and check the promises.
+    """Make a random move and check the guarantees.
 
     Args:
-        driver: The driver.
-        rng: Source of choices.
+        driver: Driver of the trial.
+        rng: Source of randomness.
     """
-    pick, how = rng.randrange(1 << 16), rng.randrange(8)
-    drawn = rng.random()
-    if drawn < 0.62:
-        # Two of three operations go without a fault.
-        driver.step(pick, how if rng.random() < 0.35 else 0)
-    elif drawn < 0.80:
-        driver.send(pick, ask_only=how == 0)
-    elif drawn < 0.90:
-        driver.world.loop.advance(rng.choice(ADVANCES_S[:4]))
-    elif drawn < 0.915:
-        driver.world.loop.advance(rng.choice(ADVANCES_S[4:]))
-    elif drawn < 0.955:
+    pick, choice = rng.randrange(1 << 16), rng.randrange(8)
+    sample = rng.random()
+    if sample < 0.62:
+        # About two of three operations complete without a fault.
+        driver.step(pick, choice if rng.random() < 0.35 else 0)
+    elif sample < 0.80:
+        driver.send(pick, ask_only=choice == 0)
+    elif sample < 0.90:
+        driver.world.loop.advance(rng.choice(TIME_STEPS_S[:4]))
+    elif sample < 0.915:
+        driver.world.loop.advance(rng.choice(TIME_STEPS_S[4:]))
+    elif sample < 0.955:
         driver.new_key(pick)
-    elif drawn < 0.97:
-        driver.leave(pick)
-    elif drawn < 0.985:
-        # The store is up for most of a trial; entries decline free-form keys
-        # at once while it is known to be down.
-        driver.set_store(not driver.store_up or how < 5)
+    elif sample < 0.97:
+        driver.disconnect_caller(pick)
+    elif sample < 0.985:
+        # Keeps the store up for most of a trial, since entries refuse
+        # free-form keys immediately while the store is known to be down.
+        driver.set_store(not driver.store_up or choice < 5)
     else:
         driver.world.restart(claim_world.ENTRIES[pick % 3])
     driver.check()
 
 
 def run_trial(world: claim_world.World, seed: int, moves: int) -> Driver:
-    """Make moves drawn from a seed and return the driver.
+    """Run a trial of random moves and return its driver.
 
     Args:
-        world: A new world; it is closed at the end.
-        seed: Seed of the choices.
+        world: New simulated environment; it is closed at the end.
+        seed: Seed of the random moves.
         moves: Number of moves.
 
     Raises:
-        Violation: If a promise was broken.
+        Violation: If a guarantee was violated.
     """
     rng = random.Random(seed)
     driver = Driver(world)
--- a/packages/testkit/bulrushcourse_testkit/claims/orders.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/orders.py
@@ -1,4 +1,4 @@
-"""Callers that send orders, re-send them, and note what they are told."""
+"""Callers that send and resend orders and record the replies."""
 
 import asyncio
 import hashlib
@@ -11,118 +11,122 @@
 from bulrushcourse_testkit import cluster as clusters
 
 DEADLINE_MS = 2500
-CALL_LIMIT_S = 4.0
+CALL_TIMEOUT_S = 4.0
 MAX_SENDS = 5
-# Part of the sends whose caller closes the connection early.
-LEAVING_SHARE = 0.1
-AGAIN_SHARE = 0.1
-LEAVE_AFTER_S = (0.005, 0.06)
-BIG_SHARE = 0.05
-BIG_BYTES = 150_000
+# Share of the sends whose caller closes the connection early.
+DISCONNECT_SHARE = 0.1
+RESEND_SHARE = 0.1
+DISCONNECT_AFTER_S = (0.005, 0.06)
+LARGE_SHARE = 0.05
+LARGE_BYTES = 150_000
 WORK_MS = 15
 
 
 @attrs.frozen
-class Note:
-    """What a caller was told by one send or question.
+class CallResult:
+    """Result of one send of an order or one query of its outcome.
 
     Attributes:
         key: Idempotency key.
-        outcome: One of the three outcomes, empty if it was told nothing.
-        whole: Whether a ``done`` answer was the answer of this order.
-        reason: Title of the problem details, empty for an answer.
-        first: Whether this was the first send of the key.
+        outcome: ``done``, ``not-run`` or ``unknown``, empty without a
+            response.
+        is_expected: Whether the outcome is ``done`` and the body is that of
+            this order.
+        reason: Title of the problem details or name of the exception, empty
+            for ``done``.
+        is_first: Whether this was the first send of the key.
     """
 
     key: str
     outcome: str
-    whole: bool
+    is_expected: bool
     reason: str
-    first: bool
+    is_first: bool
 
 
 @attrs.define(eq=False)
 class OrderCallers:
-    """Callers of a cluster.
+    """Callers that send orders to a cluster.
 
     Attributes:
-        cluster: The cluster.
-        service: Service that must not repeat work.
-        random: Source of choices.
-        notes: All that callers were told.
+        cluster: Cluster that serves the orders.
+        service: Service whose requests are not idempotent.
+        rng: Source of randomness.
+        results: Results of all sends and queries.
         paths: Path of the order by key.
-        issued_share: Part of the orders that use issued keys.
-        leaving_share: Part of the sends that are given up early.
-        again_share: Part of the told callers that send again.
-        no_key: Times that an entry did not give a key.
+        issued_share: Share of the orders that use issued keys.
+        disconnect_share: Share of the sends whose caller disconnects early.
+        resend_share: Share of the callers that send again although they know
+            the outcome.
+        failed_key_requests: Number of requests for a key that failed.
     """
 
     cluster: clusters.Cluster
     service: str
-    random: random.Random
-    notes: list[Note] = attrs.field(factory=list)
+    rng: random.Random
+    results: list[CallResult] = attrs.field(factory=list)
     paths: dict[str, str] = attrs.field(factory=dict)
     issued_share: float = 0.5
-    leaving_share: float = LEAVING_SHARE
-    again_share: float = AGAIN_SHARE
-    no_key: int = 0
+    disconnect_share: float = DISCONNECT_SHARE
+    resend_share: float = RESEND_SHARE
+    failed_key_requests: int = 0
 
     async def run(self, number: int, workers: int, pause_s: float) -> None:
-        """Send orders until a number of them is over.
+        """Send a number of orders.
 
         Args:
             number: Number of orders.
-            workers: Orders that are sent at a time.
-            pause_s: Pause of a worker after an order.
+            workers: Maximum number of concurrent orders.
+            pause_s: Pause of a worker after each order, in seconds.
         """
-        waiting = iter(range(number))
+        order_numbers = iter(range(number))
 
         async def work() -> None:
-            for order in waiting:
+            for order in order_numbers:
                 await self.order(order)
                 await asyncio.sleep(pause_s)
 
         await asyncio.gather(*(work() for _ in range(workers)))
 
     async def order(self, number: int) -> None:
-        """Send one order until its outcome is known or sends run out.
+        """Send an order up to ``MAX_SENDS`` times until its outcome is known.
 
         Args:
             number: Number of the order.
         """
-        entry = self.random.choice(self.cluster.entry_names)
+        entry = self.rng.choice(self.cluster.entry_names)
         key = f'order-{number}'
-        if self.random.random() < self.issued_share:
-            key = await self.take_key(entry)
+        if self.rng.random() < self.issued_share:
+            key = await self.request_key(entry)
             for _ in range(MAX_SENDS):
                 if key:
                     break
-                self.no_key += 1
-                entry = self.random.choice(self.cluster.entry_names)
-                key = await self.take_key(entry)
+                self.failed_key_requests += 1
+                entry = self.rng.choice(self.cluster.entry_names)
+                key = await self.request_key(entry)
             if not key:
                 return
-        size = BIG_BYTES if self.random.random() < BIG_SHARE else 64
+        size = LARGE_BYTES if self.rng.random() < LARGE_SHARE else 64
         path = f'/order/{number}?work_ms={WORK_MS}&size={size}'
         self.paths[key] = path
         for send in range(MAX_SENDS):
-            note = await self.send(entry, key, path, first=send == 0)
-            self.notes.append(note)
-            # Some callers send again although they were told.
-            if note.outcome in ('done', 'not-run'):
-                if self.random.random() >= self.again_share:
+            result = await self.send(entry, key, path, is_first=send == 0)
+            self.results.append(result)
+            # Some callers send again although they know the outcome.
+            if result.outcome in ('done', 'not-run'):
+                if self.rng.random() >= self.resend_share:
                     return
-            entry = self.random.choice(self.cluster.entry_names)
+            entry = self.rng.choice(self.cluster.entry_names)
 
-    async def take_key(self, entry: str) -> str:
-        """Return a new key of an entry, empty if there is none.
+    async def request_key(self, entry: str) -> str:
+        """Request a new key of an entry; return an empty one on failure.
 
         Args:
             entry: Name of the entry.
         """
         url = self._url(entry, 'keys?count=1')
         try:
-            async with asyncio.timeout(CALL_LIMIT_S):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
                 async with self.cluster.session.post(url) as response:
                     if response.status != 201:
                         return ''
@@ -130,35 +134,37 @@
         except (aiohttp.ClientError, TimeoutError):
             return ''
 
-    async def send(self, entry: str, key: str, path: str, first: bool) -> Note:
+    async def send(
+        self, entry: str, key: str, path: str, is_first: bool
+    ) -> CallResult:
         """Send an order once.
 
         Args:
             entry: Name of the entry.
             key: Idempotency key.
             path: Path of the order.
-            first: Whether the key was never sent before.
+            is_first: Whether the key has not been sent before.
         """
-        limit_s = CALL_LIMIT_S
-        if self.random.random() < self.leaving_share:
-            limit_s = self.random.uniform(*LEAVE_AFTER_S)
+        timeout_s = CALL_TIMEOUT_S
+        if self.rng.random() < self.disconnect_share:
+            timeout_s = self.rng.uniform(*DISCONNECT_AFTER_S)
         headers = {
             'Idempotency-Key': key,
             'Bulrushcourse-Deadline-Ms': str(DEADLINE_MS),
         }
         return await self._call(
-            'POST', entry, path.lstrip('/'), key, limit_s, headers, first
+            'POST', entry, path.lstrip('/'), key, timeout_s, headers, is_first
         )
 
-    async def ask(self, entry: str, key: str) -> Note:
-        """Ask for the outcome of an order.
+    async def query_outcome(self, entry: str, key: str) -> CallResult:
+        """Query the outcome of an order.
 
         Args:
             entry: Name of the entry.
             key: Idempotency key.
         """
         path = f'outcomes/{key}'
-        return await self._call('GET', entry, path, key, CALL_LIMIT_S, {})
+        return await self._call('GET', entry, path, key, CALL_TIMEOUT_S, {})
 
     async def _call(
         self,
@@ -166,26 +172,26 @@
         entry: str,
         path: str,
         key: str,
-        limit_s: float,
+        timeout_s: float,
         headers: dict[str, str],
-        first: bool = False,
-    ) -> Note:
+        is_first: bool = False,
+    ) -> CallResult:
         data = key.encode() if method == 'POST' else None
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(timeout_s):
                 async with self.cluster.session.request(
                     method, self._url(entry, path), headers=headers, data=data
                 ) as response:
                     body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
-            return Note(key, '', False, type(error).__name__, first)
+            return CallResult(key, '', False, type(error).__name__, is_first)
         outcome = response.headers.get('Bulrushcourse-Outcome', '')
-        whole = outcome == 'done' and body == self.expected(key)
+        is_expected = outcome == 'done' and body == self.expected(key)
         reason = '' if outcome == 'done' else _reason(body)
-        return Note(key, outcome, whole, reason, first)
+        return CallResult(key, outcome, is_expected, reason, is_first)
 
     def expected(self, key: str) -> bytes:
-        """Return the answer that the run of a key gives.
+        """Return the body that the run of a key responds with.
 
         Args:
             key: Idempotency key.
@@ -202,17 +208,19 @@
 
 
 @attrs.frozen
-class Verdict:
-    """Comparison of what ran with what callers were told.
+class TrialResult:
+    """Comparison of the runs with the results of the callers.
 
     Attributes:
-        orders: Orders that were sent.
-        runs: Runs in the journal.
+        orders: Number of orders sent.
+        runs: Number of runs in the journal.
         ran_twice: Keys that ran more than once.
-        false_not_run: Keys that ran and of which ``not-run`` was told.
-        wrong_answers: Sends that got an answer of no or another run.
-        final: Number of orders by the best outcome that was told.
-        reply: Number of sends by outcome and reason.
+        false_not_run: Keys that ran although a caller got ``not-run``.
+        wrong_answers: Keys with a ``done`` result that is not that of their
+            run, one for each such result.
+        orders_by_outcome: Number of orders by last definite outcome and
+            whether they ran.
+        results_by_reason: Number of results by outcome and reason.
     """
 
     orders: int
@@ -220,50 +228,50 @@
     ran_twice: tuple[str, ...]
     false_not_run: tuple[str, ...]
     wrong_answers: tuple[str, ...]
-    final: dict[str, int]
-    reply: dict[str, int]
+    orders_by_outcome: dict[str, int]
+    results_by_reason: dict[str, int]
 
     @property
-    def holds(self) -> bool:
-        """Whether no promise was broken."""
+    def passed(self) -> bool:
+        """Whether no guarantee was violated."""
         return not (self.ran_twice or self.false_not_run or self.wrong_answers)
 
 
-def judge(
+def evaluate(
     callers: OrderCallers, journal: list[dict[str, typing.Any]]
-) -> Verdict:
-    """Compare the journal of the upstreams with what callers were told.
+) -> TrialResult:
+    """Compare the runs of the upstreams with the results of the callers.
 
     Args:
-        callers: The callers, all orders over.
+        callers: Callers, after all orders.
         journal: Runs of all instances.
     """
     runs: dict[str, int] = {}
     for run in journal:
         if run['key'] in callers.paths:
             runs[run['key']] = runs.get(run['key'], 0) + 1
-    reply: dict[str, int] = {}
-    best = dict.fromkeys(callers.paths, 'unknown')
-    for note in callers.notes:
-        label = f'{note.outcome or "nothing"} {note.reason}'.strip()
-        reply[label] = reply.get(label, 0) + 1
-        if note.outcome in ('done', 'not-run'):
-            best[note.key] = note.outcome
-    not_run = {n.key for n in callers.notes if n.outcome == 'not-run'}
-    done = [n for n in callers.notes if n.outcome == 'done']
-    final: dict[str, int] = {}
-    for key, outcome in best.items():
+    results_by_reason: dict[str, int] = {}
+    outcomes = dict.fromkeys(callers.paths, 'unknown')
+    for result in callers.results:
+        label = f'{result.outcome or "nothing"} {result.reason}'.strip()
+        results_by_reason[label] = results_by_reason.get(label, 0) + 1
+        if result.outcome in ('done', 'not-run'):
+            outcomes[result.key] = result.outcome
+    not_run = {r.key for r in callers.results if r.outcome == 'not-run'}
+    done = [r for r in callers.results if r.outcome == 'done']
+    orders_by_outcome: dict[str, int] = {}
+    for key, outcome in outcomes.items():
         ran = 'ran' if key in runs else 'did not run'
         label = f'{outcome}, {ran}'
-        final[label] = final.get(label, 0) + 1
-    return Verdict(
+        orders_by_outcome[label] = orders_by_outcome.get(label, 0) + 1
+    return TrialResult(
         len(callers.paths),
         sum(runs.values()),
         tuple(key for key, count in runs.items() if count > 1),
         tuple(sorted(not_run & runs.keys())),
-        tuple(n.key for n in done if not n.whole or n.key not in runs),
-        dict(sorted(final.items())),
-        dict(sorted(reply.items())),
+        tuple(r.key for r in done if not r.is_expected or r.key not in runs),
+        dict(sorted(orders_by_outcome.items())),
+        dict(sorted(results_by_reason.items())),
     )
 
 
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
@@ -1,4 +1,4 @@
-"""Trials of the rules on claims under every interleaving of faults."""
+"""Simulated trials of claims with random interleavings of faults."""
 
 import hypothesis
 from hypothesis import stateful
@@ -8,13 +8,13 @@
 from bulrushcourse_testkit.claims import world as claim_world
 
 PICKS = strategies.integers(0, (1 << 16) - 1)
-HOWS = strategies.integers(0, 7)
-# Faults are drawn as often as their absence.
-MOSTLY_WELL = strategies.one_of(strategies.just(0), HOWS)
+CHOICES = strategies.integers(0, 7)
+# 0 is a move without a fault; it is at least as likely as all faults together.
+MOSTLY_ZERO_CHOICES = strategies.one_of(strategies.just(0), CHOICES)
 EXAMPLES = 250
 STEPS = 60
 MIN_STEPS = 10_000
-STEPS_MADE = [0]
+CHECKED_STEPS = [0]
 
 
 class ClaimsMachine(stateful.RuleBasedStateMachine):
@@ -22,17 +22,17 @@
         super().__init__()
         self.driver = claim_driver.Driver(claim_world.World())
 
-    @stateful.rule(pick=PICKS, how=MOSTLY_WELL)
-    def step(self, pick, how):
-        self.driver.step(pick, how)
+    @stateful.rule(pick=PICKS, choice=MOSTLY_ZERO_CHOICES)
+    def step(self, pick, choice):
+        self.driver.step(pick, choice)
 
-    @stateful.rule(pick=PICKS, how=MOSTLY_WELL)
-    def step_again(self, pick, how):
-        self.driver.step(pick, how)
+    @stateful.rule(pick=PICKS, choice=MOSTLY_ZERO_CHOICES)
+    def step_again(self, pick, choice):
+        self.driver.step(pick, choice)
 
-    @stateful.rule(pick=PICKS, how=MOSTLY_WELL)
-    def step_once_more(self, pick, how):
-        self.driver.step(pick, how)
+    @stateful.rule(pick=PICKS, choice=MOSTLY_ZERO_CHOICES)
+    def step_once_more(self, pick, choice):
+        self.driver.step(pick, choice)
 
     @stateful.rule(pick=PICKS, ask_only=strategies.booleans())
     def send(self, pick, ask_only):
@@ -47,10 +47,10 @@
         self.driver.new_key(pick)
 
     @stateful.rule(pick=PICKS)
-    def leave(self, pick):
-        self.driver.leave(pick)
+    def disconnect_caller(self, pick):
+        self.driver.disconnect_caller(pick)
 
-    @stateful.rule(seconds=strategies.sampled_from(claim_driver.ADVANCES_S))
+    @stateful.rule(seconds=strategies.sampled_from(claim_driver.TIME_STEPS_S))
     def advance(self, seconds):
         self.driver.world.loop.advance(seconds)
 
@@ -63,8 +63,8 @@
         self.driver.world.restart(name)
 
     @stateful.invariant()
-    def promises_hold(self):
-        STEPS_MADE[0] += 1
+    def guarantees_hold(self):
+        CHECKED_STEPS[0] += 1
         self.driver.check()
 
     def teardown(self):
@@ -75,9 +75,9 @@
             self.driver.world.close()
 
 
-def test_promises_hold_under_any_interleaving():
-    """Guards P4 and P5: no key runs twice, no outcome is untrue."""
-    STEPS_MADE[0] = 0
+def test_guarantees_hold_under_any_interleaving():
+    """Guards P4 and P5: against a second run of a key and untrue outcomes."""
+    CHECKED_STEPS[0] = 0
     stateful.run_state_machine_as_test(
         ClaimsMachine,
         settings=hypothesis.settings(
@@ -88,23 +88,26 @@
             suppress_health_check=list(hypothesis.HealthCheck),
         ),
     )
-    print(f'{STEPS_MADE[0]} steps')
-    assert STEPS_MADE[0] >= MIN_STEPS
+    print(f'{CHECKED_STEPS[0]} steps')
+    assert CHECKED_STEPS[0] >= MIN_STEPS
 
 
 def test_random_trials_run_and_refuse():
-    """Guards against trials in which nothing runs or nothing is refused."""
-    reply = {}
+    """Guards against trials that never run or never refuse a request."""
+    reply_counts = {}
     for seed in range(12):
         world = claim_world.World()
         claim_driver.run_trial(world, seed, 300)
         for outcome, count in world.ledger.reply.items():
-            reply[outcome] = reply.get(outcome, 0) + count
-    assert min(reply[name] for name in ('done', 'not-run', 'unknown')) >= 10
+            reply_counts[outcome] = reply_counts.get(outcome, 0) + count
+    assert (
+        min(reply_counts[name] for name in ('done', 'not-run', 'unknown'))
+        >= 10
+    )
 
 
 def test_same_seed_gives_same_trial():
-    """Guards the printed seeds: a violation must be found again."""
+    """Guards against violations that the printed seed does not reproduce."""
     ledgers = []
     for _ in range(2):
         world = claim_world.World()
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_interface.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_interface.py
@@ -1,4 +1,4 @@
-"""The callers' interface of keys and outcomes, with three real entries."""
+"""The HTTP interface for keys and outcomes, with three real entries."""
 
 import asyncio
 import signal
@@ -12,7 +12,7 @@
 
 
 def with_cluster(scenario):
-    """Run an async scenario against three entries of Filatab."""
+    """Make a test that runs a scenario against three entries of Filatab."""
 
     def test(tmp_path):
         async def run():
@@ -26,11 +26,11 @@
     return test
 
 
-async def call(cluster, entry, method, path, key='', data=None, limit_s=10):
+async def call(cluster, entry, method, path, key='', data=None, timeout_s=10):
     port = cluster.entry_ports[entry].callers
     url = f'http://{clusters.HOST}:{port}/v1/services/orders/{path}'
     headers = {'Idempotency-Key': key} if key else {}
-    timeout = aiohttp.ClientTimeout(total=limit_s)
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
     async with cluster.session.request(
         method, url, headers=headers, data=data, timeout=timeout
     ) as response:
@@ -38,7 +38,7 @@
         return response.status, reply, await response.read()
 
 
-async def take_key(cluster, entry):
+async def request_key(cluster, entry):
     port = cluster.entry_ports[entry].callers
     url = f'http://{clusters.HOST}:{port}/v1/services/orders/keys?count=1'
     async with cluster.session.post(url) as response:
@@ -46,31 +46,31 @@
         return (await response.json())['keys'][0]
 
 
-async def runs(cluster, key):
+async def count_runs(cluster, key):
     journal = await cluster.observe(cluster.upstreams_port, 'journal')
     return sum(run['key'] == key for run in journal)
 
 
 @with_cluster
 async def test_resend_through_any_entry_gets_the_same_answer(cluster):
-    """Guards P3 and P5 for both kinds of keys, with small and big answers."""
+    """Guards P3 and P5 for both kinds of keys, small and large answers."""
     for size in (64, 100_000):
-        for key in (f'free/{size}', await take_key(cluster, ENTRIES[0])):
+        for key in (f'free/{size}', await request_key(cluster, ENTRIES[0])):
             path = f'o?size={size}&work_ms=20'
-            reply = [
+            replies = [
                 await call(cluster, entry, 'POST', path, key, b'body')
                 for entry in ENTRIES
             ]
-            assert {(s, o) for s, o, _ in reply} == {(200, 'done')}
-            assert len({body for _, _, body in reply}) == 1
-            assert len(reply[0][2]) == size
-            assert await runs(cluster, key) == 1
+            assert {(s, o) for s, o, _ in replies} == {(200, 'done')}
+            assert len({body for _, _, body in replies}) == 1
+            assert len(replies[0][2]) == size
+            assert await count_runs(cluster, key) == 1
 
 
 @with_cluster
-async def test_caller_that_leaves_gets_its_answer_later(cluster):
-    """Guards case 6: a closed connection neither stops nor repeats a run."""
-    for key in ('left', await take_key(cluster, ENTRIES[0])):
+async def test_disconnected_caller_gets_its_answer_later(cluster):
+    """Guards case 6: against a disconnect that stops or repeats a run."""
+    for key in ('left', await request_key(cluster, ENTRIES[0])):
         try:
             await call(
                 cluster, ENTRIES[0], 'POST', 'o?work_ms=600', key, b'x', 0.2
@@ -81,33 +81,33 @@
             cluster, ENTRIES[1], 'POST', 'o?work_ms=600', key, b'x'
         )
         assert (status, reply) == (200, 'done')
-        asked = await call(cluster, ENTRIES[2], 'GET', f'outcomes/{key}')
-        assert asked == (200, 'done', body)
-        assert await runs(cluster, key) == 1
+        queried = await call(cluster, ENTRIES[2], 'GET', f'outcomes/{key}')
+        assert queried == (200, 'done', body)
+        assert await count_runs(cluster, key) == 1
 
 
 @with_cluster
 async def test_key_with_another_body_is_refused(cluster):
-    """Guards against the answer to another request."""
-    for key in ('twice', await take_key(cluster, ENTRIES[0])):
+    """Guards against returning the answer to another request."""
+    for key in ('twice', await request_key(cluster, ENTRIES[0])):
         await call(cluster, ENTRIES[0], 'POST', 'o', key, b'one')
         for entry in ENTRIES:
             status, reply, _ = await call(
                 cluster, entry, 'POST', 'o', key, b'two'
             )
             assert (status, reply) == (422, 'unknown')
-        assert await runs(cluster, key) == 1
+        assert await count_runs(cluster, key) == 1
 
 
 @with_cluster
-async def test_nothing_is_claimed_about_keys_that_nobody_knows(cluster):
-    """Guards P4: absence of a record is no proof."""
-    key = await take_key(cluster, ENTRIES[0])
+async def test_outcome_of_a_key_without_a_record_is_unknown(cluster):
+    """Guards P4: against taking a missing record as proof of not-run."""
+    key = await request_key(cluster, ENTRIES[0])
     forged = key[:-1] + ('0' if key[-1] != '0' else '1')
-    for asked in ('never-sent', key, forged):
+    for queried_key in ('never-sent', key, forged):
         for entry in ENTRIES:
             status, reply, _ = await call(
-                cluster, entry, 'GET', f'outcomes/{asked}'
+                cluster, entry, 'GET', f'outcomes/{queried_key}'
             )
             assert (status, reply) == (200, 'unknown')
     status, reply, _ = await call(
@@ -121,12 +121,12 @@
     for entry in ENTRIES:
         _, reply, _ = await call(cluster, entry, 'POST', 'o', key, b'x')
         assert reply == 'unknown'
-    assert await runs(cluster, key) == 0
+    assert await count_runs(cluster, key) == 0
 
 
 @with_cluster
 async def test_early_refusal_of_a_key_that_ran_is_unknown(cluster):
-    """Guards P4: a bad re-send says nothing of the run before it."""
+    """Guards P4: against not-run for a rejected resend of a key that ran."""
     await call(cluster, ENTRIES[0], 'POST', 'o', 'ran', b'x')
     status, reply, _ = await call(
         cluster, ENTRIES[1], 'POST', 'o', 'ran', b'x' * 2_000_000
@@ -136,9 +136,9 @@
 
 @with_cluster
 async def test_refused_order_never_runs(cluster):
-    """Guards P4: after ``not-run`` the key stays refused everywhere."""
+    """Guards P4: against a run of a key after ``not-run``, at any entry."""
     await cluster.set_upstream('all', shed=True)
-    for key in ('shed', await take_key(cluster, ENTRIES[0])):
+    for key in ('shed', await request_key(cluster, ENTRIES[0])):
         _, reply, _ = await call(cluster, ENTRIES[0], 'POST', 'o', key, b'x')
         assert reply == 'not-run'
     await cluster.set_upstream('all')
@@ -147,12 +147,16 @@
         assert reply == 'not-run'
         _, reply, _ = await call(cluster, entry, 'POST', 'o', 'shed', b'x')
         assert reply == 'not-run'
-    assert await runs(cluster, 'shed') == await runs(cluster, key) == 0
+    assert (
+        await count_runs(cluster, 'shed')
+        == await count_runs(cluster, key)
+        == 0
+    )
 
 
 @with_cluster
-async def test_planned_stop_records_runs_whose_callers_left(cluster):
-    """Guards P7 and case 6 for work that nobody waits for."""
+async def test_planned_stop_records_runs_of_disconnected_callers(cluster):
+    """Guards P7 and case 6 for runs whose callers have disconnected."""
     try:
         await call(
             cluster, ENTRIES[0], 'POST', 'o?work_ms=1500', 'stop', b'x', 0.3
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_trial.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_trial.py
@@ -1,4 +1,4 @@
-"""At most once, with real processes and faults."""
+"""At-most-once execution with real processes and faults."""
 
 import pytest
 
@@ -12,27 +12,27 @@
 
 
 @pytest.mark.parametrize('deployment', trial.SERVICES)
-def test_orders_run_at_most_once_and_are_told_the_truth(tmp_path, deployment):
-    """Guards P3, P4 and P5 while processes and the store fail."""
-    verdict, faults = trial.run_faults(
+def test_orders_run_at_most_once_and_get_true_outcomes(tmp_path, deployment):
+    """Guards P3, P4 and P5 during failures of processes and the store."""
+    result, faults = trial.run_fault_trial(
         tmp_path, deployment, ORDERS, SEEDS[deployment]
     )
     print(faults)
-    trial.print_verdict(verdict)
-    assert verdict.ran_twice == ()
-    assert verdict.false_not_run == ()
-    assert verdict.wrong_answers == ()
-    assert verdict.orders >= MIN_ORDERS
-    assert verdict.runs >= verdict.orders * 0.5
+    trial.print_result(result)
+    assert result.ran_twice == ()
+    assert result.false_not_run == ()
+    assert result.wrong_answers == ()
+    assert result.orders >= MIN_ORDERS
+    assert result.runs >= result.orders * 0.5
     assert sum(faults.values()) >= 10
 
 
 def test_issued_keys_complete_without_the_store(tmp_path):
-    """Guards the share of first attempts that complete in an outage."""
-    verdict, before, during = trial.run_outage(
+    """Guards against first attempts that fail in an outage of the store."""
+    result, before, during = trial.run_outage_trial(
         tmp_path, 'filatab', OUTAGE_S, 13
     )
     print(before, during)
-    assert verdict.holds
+    assert result.passed
     assert during[1] >= 100
     assert during[0] >= MIN_COMPLETED * during[1]
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_variants.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_variants.py
@@ -1,4 +1,4 @@
-"""The trials find each deliberately broken rule."""
+"""The trials find a violation in each deliberately broken variant."""
 
 import pytest
 
@@ -11,8 +11,8 @@
 
 
 @pytest.mark.parametrize('variant', variants.VARIANTS)
-def test_trials_find_broken_rule(variant, monkeypatch):
-    """Guards against trials that would miss a fault in one of the rules."""
+def test_trials_find_a_violation_in_each_variant(variant, monkeypatch):
+    """Guards against trials that would miss a violation of a rule."""
     for seed in range(MAX_TRIALS):
         world = variant(monkeypatch.setattr)
         try:
--- a/packages/testkit/bulrushcourse_testkit/claims/variants.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/variants.py
@@ -1,7 +1,7 @@
-"""Deliberately broken variants of the rules on claims.
+"""Deliberately broken variants of the code for claims.
 
-Each breaks one rule. The trials must find a violation in every one of them;
-otherwise they would not notice the same fault in the product.
+Each variant violates one rule. The trials must find a violation in each of
+them; otherwise they would miss the same fault in production code.
 """
 
 import typing
@@ -18,16 +18,16 @@
 
 NOT_RUN = outcomes.Reply(outcomes.Outcome.NOT_RUN, 'broken')
 
-Set = typing.Callable[[typing.Any, str, typing.Any], None]
+Patch = typing.Callable[[typing.Any, str, typing.Any], None]
 
 
-def without_attempt_id(patch: Set) -> claim_world.World:
-    """All attempts have the same identifier."""
+def without_attempt_id(patch: Patch) -> claim_world.World:
+    """Give all attempts the same identifier."""
     return claim_world.World(make_attempt=lambda: 'same')
 
 
-def refusal_not_durable(patch: Set) -> claim_world.World:
-    """A refusal is told without its row."""
+def refusal_not_written(patch: Patch) -> claim_world.World:
+    """Refuse a request without writing the refusal to the store."""
 
     async def refuse(*args: typing.Any, **options: typing.Any):
         return NOT_RUN
@@ -36,8 +36,8 @@
     return claim_world.World()
 
 
-def not_run_after_reset(patch: Set) -> claim_world.World:
-    """A reset counts as proof that nothing ran."""
+def not_run_after_reset(patch: Patch) -> claim_world.World:
+    """Take a connection reset as proof that the request did not run."""
     broken = outcomes.UPSTREAM_OUTCOMES | {
         outcomes.UpstreamFact.RESET: outcomes.Outcome.NOT_RUN
     }
@@ -45,8 +45,8 @@
     return claim_world.World()
 
 
-def not_run_after_any_shed(patch: Set) -> claim_world.World:
-    """A shed answer without the pool's header counts as proof."""
+def not_run_after_any_shed(patch: Patch) -> claim_world.World:
+    """Take a shed response without the not-run header as proof."""
     broken = outcomes.UPSTREAM_OUTCOMES | {
         outcomes.UpstreamFact.SHED: outcomes.Outcome.NOT_RUN
     }
@@ -54,8 +54,8 @@
     return claim_world.World()
 
 
-def forgotten_key_not_run(patch: Set) -> claim_world.World:
-    """An issued key that was forgotten is said not to have run."""
+def forgotten_key_is_not_run(patch: Patch) -> claim_world.World:
+    """Report ``not-run`` for an issued key whose record was removed."""
 
     def decline(self, check: issued_keys.KeyCheck) -> outcomes.Reply:
         return NOT_RUN
@@ -65,13 +65,13 @@
 
 
 @attrs.define
-class KeysOfAnyone(issued_keys.IssuedKeys):
-    """Runs the keys of other incarnations too."""
+class AnyIncarnationKeys(issued_keys.IssuedKeys):
+    """Issued keys that also run keys of other incarnations."""
 
     def check_request(
         self, text: str, service: str, digest: str
     ) -> issued_keys.KeyCheck:
-        """Treat a key that is not recorded here as new."""
+        """Treat a key without a record as unused."""
         if text not in self.records:
             self.unused.setdefault(text, self.clock.monotonic() + 1.0)
         return issued_keys.IssuedKeys.check_request(
@@ -79,17 +79,17 @@
         )
 
     def may_run(self, key: keys.IssuedKey) -> bool:
-        """Accept any incarnation."""
+        """Accept keys of all incarnations."""
         return True
 
 
-def key_run_by_another(patch: Set) -> claim_world.World:
-    """An issued key is run by an incarnation that did not issue it."""
-    return claim_world.World(make_keys=KeysOfAnyone)
+def key_run_by_other_incarnation(patch: Patch) -> claim_world.World:
+    """Run an issued key in an incarnation that did not issue it."""
+    return claim_world.World(make_keys=AnyIncarnationKeys)
 
 
-def lost_claim_taken_as_held(patch: Set) -> claim_world.World:
-    """A claim whose write was not answered counts as held."""
+def unconfirmed_claim_is_held(patch: Patch) -> claim_world.World:
+    """Take a claim as held although its write was not confirmed."""
 
     def may_dispatch(stored, row, attempt) -> bool:
         return row is None or row.attempt == attempt
@@ -98,20 +98,20 @@
     return claim_world.World()
 
 
-def digest_not_compared(patch: Set) -> claim_world.World:
-    """A key with another body gets the answer of the first body."""
+def digest_not_compared(patch: Patch) -> claim_world.World:
+    """Return the answer to the first body for a key with another body."""
 
-    def meet_record(record, digest) -> issued_keys.KeyCheck:
+    def check_record(record, digest) -> issued_keys.KeyCheck:
         if record.reply is None:
             return issued_keys.KeyCheck.RUNNING
         return issued_keys.KeyCheck.FINAL
 
-    patch(issued_keys, '_meet_record', meet_record)
+    patch(issued_keys, '_meet_record', check_record)
     return claim_world.World()
 
 
-def anyone_refuses(patch: Set) -> claim_world.World:
-    """An attempt refuses a key that another attempt has claimed."""
+def refusal_by_other_attempt(patch: Patch) -> claim_world.World:
+    """Let an attempt refuse a key that another attempt has claimed."""
 
     def finish(self, attempt, outcome, now, answer=None):
         state = claims.TRANSITIONS[claims.ClaimState.CLAIMED, outcome]
@@ -129,12 +129,12 @@
 
 VARIANTS = (
     without_attempt_id,
-    refusal_not_durable,
+    refusal_not_written,
     not_run_after_reset,
     not_run_after_any_shed,
-    forgotten_key_not_run,
-    key_run_by_another,
-    lost_claim_taken_as_held,
+    forgotten_key_is_not_run,
+    key_run_by_other_incarnation,
+    unconfirmed_claim_is_held,
     digest_not_compared,
-    anyone_refuses,
+    refusal_by_other_attempt,
 )
--- a/packages/testkit/bulrushcourse_testkit/claims/virtual.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/virtual.py
@@ -1,4 +1,4 @@
-"""Virtual time and operations whose fate a test decides."""
+"""Virtual time, and operations whose results a test decides."""
 
 import asyncio
 import datetime
@@ -6,11 +6,11 @@
 
 import attrs
 
-SETTLE_TURNS = 30
+SETTLE_ITERATIONS = 30
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time moves only when it is told to.
+    """Event loop whose time advances only by calls of ``advance``.
 
     Examples:
         >>> loop = VirtualLoop()
@@ -31,30 +31,30 @@
         return self.now
 
     def settle(self) -> None:
-        """Run callbacks until nothing more happens at this time."""
-        self.run_until_complete(_turns())
+        """Run all callbacks that are due at the current time."""
+        self.run_until_complete(_run_pending_callbacks())
 
     def advance(self, seconds: float) -> None:
-        """Move the time forward and run what is due.
+        """Advance the time and run the callbacks that are due.
 
         Args:
-            seconds: Amount to add.
+            seconds: Time to add.
         """
         self.now += seconds
         self.settle()
 
 
-async def _turns() -> None:
-    for _ in range(SETTLE_TURNS):
+async def _run_pending_callbacks() -> None:
+    for _ in range(SETTLE_ITERATIONS):
         await asyncio.sleep(0)
 
 
 @attrs.frozen
 class VirtualClock:
-    """Clock that shows the time of a virtual loop.
+    """Clock with the time of a virtual loop.
 
     Attributes:
-        loop: The loop.
+        loop: Event loop that provides the time.
     """
 
     loop: VirtualLoop
@@ -64,22 +64,22 @@
         return self.loop.now
 
     def wall(self) -> datetime.datetime:
-        """Return the virtual time as a time of day."""
+        """Return the virtual time as a UTC date and time."""
         return datetime.datetime.fromtimestamp(self.loop.now, datetime.UTC)
 
 
 @attrs.define(eq=False)
 class Operation:
-    """Something an entry asked of another system.
+    """A call of an entry to another system.
 
     Attributes:
         kind: ``table``, ``slot``, ``dispatch`` or ``forward``.
-        process: The process that asked.
-        payload: What it asked for.
-        started: Virtual time at which it asked.
+        process: Process that made the call.
+        payload: Arguments of the call.
+        started: Virtual time of the call in seconds.
         future: Resolved when an answer reaches the process.
-        effect: What the system did; ``None`` before it took effect.
-        notes: Further state of the operation.
+        effect: Effect of the call, ``None`` before it took effect.
+        details: Further state of the operation.
     """
 
     kind: str
@@ -88,13 +88,13 @@
     started: float
     future: asyncio.Future
     effect: typing.Any = None
-    notes: dict[str, typing.Any] = attrs.field(factory=dict)
+    details: dict[str, typing.Any] = attrs.field(factory=dict)
 
     def deliver(self, answer: typing.Any) -> None:
-        """Pass an answer to the process, if it still lives and waits.
+        """Deliver an answer to the process if it is alive and still waits.
 
         Args:
-            answer: The answer.
+            answer: Answer to deliver.
         """
         if self.process.alive and not self.future.done():
             self.future.set_result(answer)
--- a/packages/testkit/bulrushcourse_testkit/claims/world.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/world.py
@@ -1,8 +1,8 @@
-"""Simulated entries, store, upstreams and callers with faults.
+"""Simulate entries, store, upstreams and callers with faults.
 
-The entries run the code that they run in production; only the table, the
-slots, the upstreams and the streams to peers are simulated. Each operation
-takes effect and is answered when the driver says so, if at all.
+The entries run production code; only the table, the slots, the upstreams and
+the streams to peers are simulated. The driver decides when each operation
+takes effect and when it is answered, if at all.
 """
 
 import asyncio
@@ -30,30 +30,30 @@
 DEADLINE_S = 8.0
 CALL_TIMEOUT_S = 2.0
 
-# The store applies no write later than this after it was sent.
+# The store does not apply a write later than this after it was sent.
 MAX_WRITE_DELAY_S = 120.0
 
 
 class Violation(AssertionError):
-    """A promise to callers was broken."""
+    """A guarantee to callers was violated."""
 
 
 @attrs.define
 class Ledger:
-    """What ran, what callers were told, and the rules between them.
+    """Records runs and replies and checks them against each other.
 
     Attributes:
-        ran: Digest and answer of the run, by key.
-        not_run: Keys whose callers were told ``not-run``.
-        reply: Number of callers told, by outcome.
+        ran: Digest of the request and body of the answer, by key that ran.
+        not_run: Keys with a ``not-run`` reply.
+        reply: Number of replies by outcome.
     """
 
     ran: dict[str, tuple[str, bytes]] = attrs.field(factory=dict)
     not_run: set[str] = attrs.field(factory=set)
     reply: dict[str, int] = attrs.field(factory=dict)
 
-    def run(self, key: str, digest: str, answer: bytes) -> None:
-        """Note a run.
+    def record_run(self, key: str, digest: str, answer: bytes) -> None:
+        """Record a run of a request.
 
         Args:
             key: Idempotency key.
@@ -61,31 +61,33 @@
             answer: Body of the run's answer.
 
         Raises:
-            Violation: If the key ran before or was said not to run.
+            Violation: If the key ran before or has a ``not-run`` reply.
         """
         if key in self.ran:
             raise Violation(f'{key} ran twice')
         if key in self.not_run:
-            raise Violation(f'{key} ran after not-run')
+            raise Violation(f'{key} ran after a not-run reply')
         self.ran[key] = (digest, answer)
 
-    def tell(self, key: str, digest: str, reply: outcomes.Reply) -> None:
-        """Note what a caller was told.
+    def record_reply(
+        self, key: str, digest: str, reply: outcomes.Reply
+    ) -> None:
+        """Record the reply to a caller.
 
         Args:
             key: Idempotency key.
-            digest: Digest of its request, empty if it only asked.
-            reply: What it was told.
+            digest: Digest of the request, empty for a query of the outcome.
+            reply: The reply.
 
         Raises:
-            Violation: If it is not true.
+            Violation: If the reply contradicts the runs.
         """
         self.reply[reply.outcome.value] = (
             self.reply.get(reply.outcome.value, 0) + 1
         )
         if reply.outcome is outcomes.Outcome.NOT_RUN:
             if key in self.ran:
-                raise Violation(f'{key} ran and was told not-run')
+                raise Violation(f'{key} ran but got a not-run reply')
             self.not_run.add(key)
         if reply.outcome is outcomes.Outcome.DONE:
             self._check_answer(key, digest, reply)
@@ -95,20 +97,22 @@
     ) -> None:
         ran_digest, answer = self.ran.get(key, ('', None))
         if reply.answer is None or reply.answer.body != answer:
-            raise Violation(f'{key}: answer of no run of it')
+            raise Violation(f'{key}: answer is not that of its run')
         if digest and digest != ran_digest:
             raise Violation(f'{key}: answer to another request')
 
 
 @attrs.define(eq=False)
 class Process:
-    """One incarnation of an entry.
+    """A process of an entry.
 
     Attributes:
         name: Name of the entry.
         incarnation: Identifier of the process.
-        world: The world that it runs in.
-        alive: Whether it was not killed.
+        world: Simulated environment of the process.
+        alive: Whether the process has not been killed.
+        gateway: Serves requests, ``None`` before the start.
+        tasks: Background tasks.
     """
 
     name: str
@@ -119,40 +123,42 @@
     tasks: list[asyncio.Task] = attrs.field(factory=list)
 
     def start(self) -> None:
-        """Build the parts and start their tasks; runs inside the loop."""
+        """Build the gateway and start its tasks; call it inside the loop."""
         clock = self.world.clock
         table = SimulatedTable(self)
-        batches = writer.BatchWriter(table, clock, 1000.0, 1000.0)
-        stored = claim_rows.ClaimRows(table, self.world.objects, batches)
-        deletes = cleanup.Cleanup(stored, clock)
+        batch_writer = writer.BatchWriter(table, clock, 1000.0, 1000.0)
+        rows = claim_rows.ClaimRows(table, self.world.objects, batch_writer)
+        deletions = cleanup.Cleanup(rows, clock)
         dispatcher = SimulatedDispatcher(self)
         free = free_form.FreeFormRuns(
-            stored, dispatcher, clock, deletes, self.world.make_attempt
+            rows, dispatcher, clock, deletions, self.world.make_attempt
         )
         keys = self.world.make_keys(
             self.name, self.incarnation, SECRET, clock, max_keys=50
         )
-        own = issued_runs.IssuedRuns(keys, stored, dispatcher, clock, deletes)
+        issued = issued_runs.IssuedRuns(
+            keys, rows, dispatcher, clock, deletions
+        )
         self.gateway = claim_gateway.Gateway(
-            free, own, SimulatedIssuers(self), stored
+            free, issued, SimulatedIssuers(self), rows
         )
         self.tasks = [
-            asyncio.create_task(batches.run()),
-            asyncio.create_task(deletes.run()),
+            asyncio.create_task(batch_writer.run()),
+            asyncio.create_task(deletions.run()),
         ]
 
-    async def ask(
-        self, kind: str, payload: typing.Any, limit_s: float
+    async def perform(
+        self, kind: str, payload: typing.Any, timeout_s: float
     ) -> typing.Any:
-        """Start an operation; ``None`` if no answer comes in time."""
+        """Start an operation; return ``None`` without an answer in time."""
         loop = self.world.loop
         future = loop.create_future()
         if not self.alive:
-            # A killed process does nothing more.
+            # Blocks forever, since a killed process does nothing more.
             await future
         operation = virtual.Operation(kind, self, payload, loop.now, future)
         self.world.operations.append(operation)
-        await asyncio.wait((future,), timeout=max(limit_s, 0.0))
+        await asyncio.wait((future,), timeout=max(timeout_s, 0.0))
         if not self.alive:
             await loop.create_future()
         return future.result() if future.done() else None
@@ -160,7 +166,7 @@
 
 @attrs.frozen
 class SimulatedTable:
-    """Table whose calls are operations of a process."""
+    """Table whose calls become operations for the driver."""
 
     process: Process
 
@@ -171,7 +177,7 @@
 
     async def get(self, key: str) -> platform_table.Row | None:
         """Return a row."""
-        answer = await self.process.ask('table', key, CALL_TIMEOUT_S)
+        answer = await self.process.perform('table', key, CALL_TIMEOUT_S)
         if answer is None:
             raise platform_table.TableUnavailable
         return answer[0]
@@ -180,31 +186,35 @@
         self, writes: typing.Sequence[platform_table.Write]
     ) -> platform_table.WriteResult:
         """Apply writes."""
-        answer = await self.process.ask('table', list(writes), CALL_TIMEOUT_S)
+        answer = await self.process.perform(
+            'table', list(writes), CALL_TIMEOUT_S
+        )
         return answer or platform_table.WriteResult.UNKNOWN
 
 
 @attrs.frozen(eq=False)
 class SimulatedHold:
-    """Slot whose dispatch is an operation of a process."""
+    """Slot whose dispatch becomes an operation for the driver."""
 
     process: Process
     request: dispatch.KeyedRequest
     instance: str
 
     async def dispatch(self) -> dispatch.Dispatched:
-        """Send the request."""
-        left = self.request.deadline - self.process.world.loop.now
-        answer = await self.process.ask('dispatch', self.request, left)
+        """Send the request to the instance."""
+        remaining_s = self.request.deadline - self.process.world.loop.now
+        answer = await self.process.perform(
+            'dispatch', self.request, remaining_s
+        )
         return answer or dispatch.Dispatched(outcomes.UpstreamFact.TIMED_OUT)
 
     def release(self) -> None:
-        """Give the slot back; slots are not counted here."""
+        """Release the slot; slots are not counted here."""
 
 
 @attrs.frozen
 class SimulatedDispatcher:
-    """Slots that are operations of a process."""
+    """Slots whose requests become operations for the driver."""
 
     process: Process
 
@@ -214,9 +224,9 @@
         number: int,
         avoid: tuple[str, ...],
     ) -> SimulatedHold | None:
-        """Ask for a slot."""
-        left = request.deadline - self.process.world.loop.now
-        granted = await self.process.ask('slot', request, left)
+        """Request a slot."""
+        remaining_s = request.deadline - self.process.world.loop.now
+        granted = await self.process.perform('slot', request, remaining_s)
         if not granted:
             return None
         return SimulatedHold(self.process, request, f'i{number}')
@@ -224,7 +234,7 @@
 
 @attrs.frozen
 class SimulatedIssuers:
-    """Streams to peers that are operations of a process."""
+    """Streams to peers whose requests become operations for the driver."""
 
     process: Process
 
@@ -234,16 +244,16 @@
         request: dispatch.KeyedRequest,
         ask_only: bool,
     ) -> outcomes.Reply | None:
-        """Ask the issuer of a key."""
-        left = request.deadline - self.process.world.loop.now
+        """Forward the request to the issuer of its key."""
+        remaining_s = request.deadline - self.process.world.loop.now
         payload = (key, request, ask_only)
-        answer = await self.process.ask('forward', payload, left)
+        answer = await self.process.perform('forward', payload, remaining_s)
         return answer if isinstance(answer, outcomes.Reply) else None
 
 
 @attrs.define
 class MemoryObjects:
-    """Object store in memory.
+    """In-memory object store.
 
     Attributes:
         content: Objects by key.
@@ -275,16 +285,21 @@
 
 @attrs.define(eq=False)
 class World:
-    """Everything that a trial needs.
+    """Simulated environment of a trial.
 
     Attributes:
-        make_keys: Class of the issued keys, replaced by broken variants.
-        make_attempt: Makes attempt ids, replaced by broken variants.
+        make_keys: Creates the issued keys; broken variants replace it.
+        make_attempt: Creates attempt identifiers; broken variants replace it.
         loop: Event loop with virtual time.
-        ledger: What ran and what was told.
-        operations: Operations that the driver has not ended.
+        ledger: Recorded runs and replies.
+        operations: Operations that the driver has not completed.
         processes: Running process by entry.
-        rows: Rows of the table as version and value.
+        rows: Version and value of the table's rows by key.
+        objects: Object store.
+        unique_ids: Source of unique numbers.
+        calls: Calls of callers that are under way, each with its process.
+        killed: Killed processes.
+        clock: Clock with the loop's virtual time.
     """
 
     make_keys: typing.Callable[..., issued_keys.IssuedKeys] = (
@@ -297,7 +312,7 @@
     processes: dict[str, Process] = attrs.field(factory=dict)
     rows: dict[str, tuple[int, typing.Any]] = attrs.field(factory=dict)
     objects: MemoryObjects = attrs.field(factory=MemoryObjects)
-    counter: typing.Iterator[int] = attrs.field(factory=itertools.count)
+    unique_ids: typing.Iterator[int] = attrs.field(factory=itertools.count)
     calls: list[tuple[Process, asyncio.Task]] = attrs.field(factory=list)
 
     killed: list[Process] = attrs.field(factory=list)
@@ -306,28 +321,28 @@
     def __attrs_post_init__(self) -> None:
         self.clock = virtual.VirtualClock(self.loop)
         if self.make_attempt is None:
-            self.make_attempt = lambda: f'a{next(self.counter)}'
+            self.make_attempt = lambda: f'a{next(self.unique_ids)}'
         for name in ENTRIES:
             self.restart(name)
 
     def restart(self, name: str) -> None:
-        """Kill an entry's process at this instant and start another.
+        """Kill the process of an entry immediately and start another.
 
         Args:
             name: Name of the entry.
         """
         if name in self.processes:
             self.processes[name].alive = False
-            # Keeps the tasks of the killed process from being collected,
-            # which would run their clean-up code.
+            # The reference keeps the tasks of the killed process from being
+            # garbage-collected, which would run their cleanup code.
             self.killed.append(self.processes[name])
-        process = Process(name, f'n{next(self.counter)}', self)
+        process = Process(name, f'n{next(self.unique_ids)}', self)
         self.processes[name] = process
         self.loop.call_soon(process.start)
         self.loop.settle()
 
     def close(self) -> None:
-        """End all tasks and the loop."""
+        """Cancel all tasks and close the loop."""
         tasks = asyncio.all_tasks(self.loop)
         for task in tasks:
             task.cancel()
