Explain the upstream faults of the test kit's platform folder

The members of Fault had no description, test_operating.py had a test without a stated failure, and the sigma of service times an unclear comment.

Documented the members, stated the failure, named two tests after what they check and reworded the comment.

--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
@@ -21,6 +21,8 @@
 
 
 def test_state_and_metrics_are_served_on_request():
+    # Guards against a state or metrics page without the values that operators
+    # need to find a cause.
     async def scenario():
         reserved = ports.reserve_ports(1)
         async with clusters.EdgeCluster() as cluster:
@@ -56,7 +58,7 @@
         (Fault.NONE, '/nowhere/x', 'rejected', 'no-route'),
     ],
 )
-def test_id_of_a_failed_request_leads_to_its_cause(
+def test_log_line_of_a_failed_request_states_its_cause(
     fault, path, outcome, reason
 ):
     # Checks docs/OPERATIONS.md: the log line with the request id states the
@@ -84,7 +86,7 @@
     assert found[0]['configuration'] == 1
 
 
-def test_late_request_in_a_store_outage_leads_to_its_cause(tmp_path):
+def test_logs_state_the_cause_of_a_late_request_in_a_store_outage(tmp_path):
     # Checks the third case of docs/OPERATIONS.md with the page's commands: an
     # upstream hangs during a store outage, so that the VM does not see that
     # it is leaving.
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -11,7 +11,19 @@
 
 
 class Fault(enum.Enum):
-    """Fault that an upstream simulates."""
+    """Fault that an upstream simulates.
+
+    Attributes:
+        NONE: No fault.
+        EXTRA_ANSWER: A stray response follows each response.
+        UNFRAMED: A response has no length and ends with its connection.
+        UNFRAMED_RESET: Like ``UNFRAMED``, but truncated by a reset.
+        CUT: The connection closes before the end of the response.
+        LOSE_ANSWER: The connection is aborted after the request ran.
+        SHED: Requests get status 503 with the not-run header.
+        ERROR: Responses have status 500.
+        SILENT: Requests get no response.
+    """
 
     NONE = 'none'
     EXTRA_ANSWER = 'extra-answer'
--- a/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/upstreams.py
@@ -36,7 +36,7 @@
 from aiohttp import web
 
 NOT_RUN_HEADER = 'Upstream-Not-Run'
-# Of the service times, which are log-normally distributed.
+# Standard deviation of the logarithm of the service times.
 LOG_SIGMA = 0.7
 MAX_BODY_BYTES = 256 << 20
 CHUNK_BYTES = 64 << 10
