Reword the ctl package

Help texts, messages and doc comments of bulrushctl used figurative terms ("what an entry tells", "without a VM that is heard"). They now use the terms of HTTP clients and configuration management: response, request, validate, active, reachable. Renamed the client's Response and request(), describe_error(), load_valid(), list_lagging(), the retry and polling constants, and locals. Command names, flags, JSON keys and exit codes are the same; no comment was dropped.

--- a/packages/ctl/bulrushcourse_ctl/__init__.py
+++ b/packages/ctl/bulrushcourse_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command-line tool."""
+"""``bulrushctl``, the command-line tool for operators."""
--- a/packages/ctl/bulrushcourse_ctl/__main__.py
+++ b/packages/ctl/bulrushcourse_ctl/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the binary as ``python -m bulrushcourse_ctl``."""
+"""Entry point of ``python -m bulrushcourse_ctl``."""
 
 from bulrushcourse_ctl import command
 
--- a/packages/ctl/bulrushcourse_ctl/client.py
+++ b/packages/ctl/bulrushcourse_ctl/client.py
@@ -1,4 +1,4 @@
-"""Client of the operators' listeners of entries."""
+"""HTTP client for the operators' API of entries."""
 
 import asyncio
 import pathlib
@@ -9,68 +9,74 @@
 
 from bulrushcourse_ctl import exits
 
-# Longer than a publish through an entry whose store does not answer.
+# Longer than an entry takes to report that its store does not respond.
 CALL_TIMEOUT_S = 15.0
 CONNECT_TIMEOUT_S = 2.0
 
 
 @attrs.frozen
-class Answer:
-    """An entry's answer.
+class Response:
+    """Response of an entry.
 
     Attributes:
         status: HTTP status.
-        body: JSON value.
+        body: Decoded JSON body.
     """
 
     status: int
     body: typing.Any
 
     @property
-    def is_done(self) -> bool:
-        """Whether the entry did what was asked."""
+    def is_success(self) -> bool:
+        """Whether the entry carried out the request."""
         return self.status < 300
 
 
 @attrs.frozen
 class OperatorsClient:
-    """Calls the first entry that can be reached.
+    """Sends each request to the first reachable entry.
 
     Attributes:
-        addresses: ``ip:port`` of operators' listeners, in order of trial.
+        addresses: ``ip:port`` of operators' listeners, tried in this order.
         token: Bearer token.
     """
 
     addresses: tuple[str, ...]
     token: str = attrs.field(repr=False)
 
-    def call(self, method: str, path: str, body: typing.Any = None) -> Answer:
-        """Return the answer of the first entry that can be reached.
+    def request(
+        self, method: str, path: str, body: typing.Any = None
+    ) -> Response:
+        """Send a request to the first reachable entry.
+
+        Exits with ``UNREACHABLE`` if there is none.
 
         Args:
             method: HTTP method.
-            path: Path with its query.
-            body: JSON value to send.
+            path: Path, with query if any.
+            body: Value to send as JSON.
         """
-        return asyncio.run(self._call(method, path, body))
+        return asyncio.run(self._request(method, path, body))
 
     def fetch(self, path: str) -> typing.Any:
-        """Return what an entry tells, or end the command.
+        """Return the JSON body of a GET; exit if the entry refuses it.
 
         Args:
-            path: Path with its query.
+            path: Path, with query if any.
         """
-        answer = self.call('GET', path)
-        if not answer.is_done:
+        response = self.request('GET', path)
+        if not response.is_success:
             exits.fail(
                 exits.ExitCode.UNREACHABLE
-                if answer.status >= 500
+                if response.status >= 500
                 else exits.ExitCode.REFUSED,
-                describe_refusal(answer),
+                describe_error(response),
             )
-        return answer.body
+        return response.body
 
-    async def _call(self, method: str, path: str, body: typing.Any) -> Answer:
+    async def _request(
+        self, method: str, path: str, body: typing.Any
+    ) -> Response:
         errors = []
         timeout = aiohttp.ClientTimeout(
             CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
@@ -85,7 +91,7 @@
                         method, f'http://{address}{path}', json=body
                     ) as response:
                         content = await response.json(content_type=None)
-                        return Answer(response.status, content)
+                        return Response(response.status, content)
                 except (
                     aiohttp.ClientError,
                     TimeoutError,
@@ -94,12 +100,12 @@
                     errors.append(f'{address}: {error!r}')
         exits.fail(
             exits.ExitCode.UNREACHABLE,
-            'no entry can be reached:\n' + '\n'.join(errors),
+            'no entry is reachable:\n' + '\n'.join(errors),
         )
 
 
 def open_client(addresses: list[str], token_file: str) -> OperatorsClient:
-    """Return a client, or end the command if the token cannot be read.
+    """Return a client; exit with ``BAD_INPUT`` if an option is unusable.
 
     Args:
         addresses: ``ip:port`` of operators' listeners.
@@ -113,21 +119,23 @@
     try:
         token = pathlib.Path(token_file).read_text(encoding='utf-8').strip()
     except OSError as error:
-        exits.fail(exits.ExitCode.BAD_INPUT, f'token file: {error}')
+        exits.fail(
+            exits.ExitCode.BAD_INPUT, f'cannot read the token file: {error}'
+        )
     return OperatorsClient(tuple(addresses), token)
 
 
-def describe_refusal(answer: Answer) -> str:
-    """Return a refusal in words.
+def describe_error(response: Response) -> str:
+    """Return the problem details of an error response as one line.
 
     Args:
-        answer: An answer that is not done.
+        response: Response with an error status.
 
     Examples:
-        >>> describe_refusal(Answer(404, {'title': 'x', 'detail': 'gone'}))
+        >>> describe_error(Response(404, {'title': 'x', 'detail': 'gone'}))
         'x: gone'
     """
-    if not isinstance(answer.body, dict):
-        return f'status {answer.status}'
-    title = answer.body.get('title', f'status {answer.status}')
-    return f'{title}: {answer.body.get("detail", "")}'
+    if not isinstance(response.body, dict):
+        return f'status {response.status}'
+    title = response.body.get('title', f'status {response.status}')
+    return f'{title}: {response.body.get("detail", "")}'
--- a/packages/ctl/bulrushcourse_ctl/command.py
+++ b/packages/ctl/bulrushcourse_ctl/command.py
@@ -1,4 +1,4 @@
-"""Command line of the binary ``bulrushctl``."""
+"""Commands and help of ``bulrushctl``."""
 
 import attrs
 import cappa
@@ -9,8 +9,9 @@
 from bulrushcourse_ctl import publishing
 
 EXIT_CODES = """\
-Exit codes: 0 done; 1 refused or conflict; 2 bad input; 3 no entry or store
-can be reached; 4 published, but not in force everywhere in time.
+Exit codes: 0 success; 1 refused or conflict; 2 invalid input; 3 no entry
+reachable, or store unavailable; 4 published, but not in force on every entry
+within the time limit.
 
 Example: export BULRUSHCTL_ENTRIES=10.0.0.1:9002,10.0.0.2:9002;
 export BULRUSHCTL_TOKEN_FILE=token; bulrushctl status"""
@@ -18,15 +19,15 @@
 
 @cappa.command(
     name='bulrushctl',
-    help="Global traffic steering: the operators' tool.",
+    help='Operate a global traffic steering system.',
     description=EXIT_CODES,
 )
 @attrs.define
 class Bulrushctl:
-    """The command line.
+    """Arguments of ``bulrushctl``.
 
     Attributes:
-        command: The chosen command.
+        command: Selected subcommand.
     """
 
     command: cappa.Subcommands[
@@ -46,5 +47,5 @@
 
 
 def main() -> None:
-    """Run the command line."""
+    """Parse the arguments and run the selected subcommand."""
     cappa.invoke(Bulrushctl)
--- a/packages/ctl/bulrushcourse_ctl/documents.py
+++ b/packages/ctl/bulrushcourse_ctl/documents.py
@@ -1,4 +1,4 @@
-"""Configuration files that operators edit."""
+"""Reads configuration files and converts configurations to and from JSON."""
 
 import json
 import pathlib
@@ -8,7 +8,7 @@
 from returns import result
 
 from bulrushcourse_ctl import exits
-from bulrushcourse_domain import findings as found_defects
+from bulrushcourse_domain import findings as domain_findings
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_wire import documents
@@ -16,27 +16,28 @@
 
 @attrs.frozen
 class ConfigurationFile:
-    """A file with a configuration.
+    """A configuration file and the result of its validation.
 
     Attributes:
-        path: Its path.
-        base_version: Version that it was made from, ``None`` if the file
-            does not tell.
-        objects: The objects, of the right form, perhaps with findings.
-        findings: Findings against it.
+        path: Path of the file.
+        base_version: Version that the file is based on, ``None`` if the file
+            does not state it.
+        objects: Parsed objects, which may have findings; ``None`` if the file
+            does not match the schema.
+        findings: Validation findings.
     """
 
     path: str
     base_version: int | None = None
     objects: typing.Any = None
-    findings: tuple[found_defects.Finding, ...] = ()
+    findings: tuple[domain_findings.Finding, ...] = ()
 
 
 def read_file(path: str) -> ConfigurationFile:
-    """Return the configuration in a file with all findings against it.
+    """Parse and validate a configuration file.
 
-    The file has the objects alone, or ``{"version": N, "objects": {...}}`` as
-    ``bulrushctl show`` prints it.
+    The file contains either the objects alone or
+    ``{"version": N, "objects": {...}}``, as ``bulrushctl show`` prints it.
 
     Args:
         path: Path of the JSON file.
@@ -49,14 +50,14 @@
     parsed = documents.parse_document(text, objects.Objects)
     if isinstance(parsed, result.Failure):
         return ConfigurationFile(path, version, None, parsed.failure())
-    found = configuration_set.check_configuration(
+    checked = configuration_set.check_configuration(
         (version or 0) + 1, parsed.unwrap()
     )
     return ConfigurationFile(
         path,
         version,
         parsed.unwrap(),
-        found.failure() if isinstance(found, result.Failure) else (),
+        checked.failure() if isinstance(checked, result.Failure) else (),
     )
 
 
@@ -73,10 +74,10 @@
 
 
 def parse_objects(content: typing.Any) -> objects.Objects:
-    """Return the objects that an entry sent.
+    """Return the objects of a configuration that an entry returned.
 
     Args:
-        content: JSON value.
+        content: Decoded JSON value.
     """
     return documents.parse_document(
         json.dumps(content), objects.Objects
@@ -84,9 +85,9 @@
 
 
 def unstructure(value: objects.Objects) -> typing.Any:
-    """Return objects as a JSON value.
+    """Return objects as a value that can be encoded as JSON.
 
     Args:
-        value: The objects.
+        value: Objects of a configuration.
     """
     return json.loads(documents.render_document(value))
--- a/packages/ctl/bulrushcourse_ctl/exits.py
+++ b/packages/ctl/bulrushcourse_ctl/exits.py
@@ -1,4 +1,4 @@
-"""How commands end."""
+"""Exit codes of commands."""
 
 import enum
 import typing
@@ -7,21 +7,21 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes, documented in the help of ``bulrushctl``."""
+    """Exit codes, as listed in the help of ``bulrushctl``."""
 
     DONE = 0
     REFUSED = 1
     BAD_INPUT = 2
     UNREACHABLE = 3
-    NOT_IN_FORCE = 4
+    NOT_ACTIVE = 4
 
 
 def fail(code: ExitCode, message: str) -> typing.NoReturn:
-    """End the command with a message on standard error.
+    """Exit with a message on standard error.
 
     Args:
         code: Exit code.
-        message: What went wrong and what to do.
+        message: What failed and what the operator can do about it.
 
     Raises:
         cappa.Exit: Always.
--- a/packages/ctl/bulrushcourse_ctl/files.py
+++ b/packages/ctl/bulrushcourse_ctl/files.py
@@ -1,4 +1,4 @@
-"""Commands that check, show and compare configuration files."""
+"""Commands that validate, print and compare configurations."""
 
 import typing
 
@@ -12,31 +12,31 @@
 from bulrushcourse_domain.configuration import difference
 
 
-def read_checked(path: str, as_json: bool) -> documents.ConfigurationFile:
-    """Return a file without findings, or print them and end the command.
+def load_valid(path: str, as_json: bool) -> documents.ConfigurationFile:
+    """Load a file; if it has findings, print them and exit.
 
     Args:
         path: Path of the file.
-        as_json: Whether to print findings as JSON.
+        as_json: Whether to print the findings as JSON.
     """
-    read = documents.read_file(path)
-    if not read.findings:
-        return read
-    found = [attrs.asdict(one) for one in read.findings]
+    loaded = documents.read_file(path)
+    if not loaded.findings:
+        return loaded
+    findings = [attrs.asdict(finding) for finding in loaded.findings]
     if as_json:
-        options.print_json({'file': path, 'findings': found})
+        options.print_json({'file': path, 'findings': findings})
     else:
-        tables.print_findings(path, found)
-    exits.fail(exits.ExitCode.BAD_INPUT, f'{path}: {len(found)} findings')
+        tables.print_findings(path, findings)
+    exits.fail(exits.ExitCode.BAD_INPUT, f'{path}: {len(findings)} findings')
 
 
 def check(command: 'Check') -> None:
-    """Check a file without any entry.
+    """Validate a file locally, without contacting an entry.
 
     Args:
         command: Parsed arguments.
     """
-    read_checked(command.file, command.json)
+    load_valid(command.file, command.json)
     if command.json:
         options.print_json({'file': command.file, 'findings': []})
     else:
@@ -44,7 +44,7 @@
 
 
 def show(command: 'Show') -> None:
-    """Print a configuration with its version, ready to be edited.
+    """Print a configuration and its version in the format of the files.
 
     Args:
         command: Parsed arguments.
@@ -57,15 +57,15 @@
 
 
 def diff(command: 'Diff') -> None:
-    """Print what a file changes.
+    """Print the differences between the active configuration and a file.
 
     Args:
         command: Parsed arguments.
     """
-    read = read_checked(command.file, command.json)
+    loaded = load_valid(command.file, command.json)
     current = command.open().fetch('/v1/configuration')
     changes = difference.list_changes(
-        documents.parse_objects(current['objects']), read.objects
+        documents.parse_objects(current['objects']), loaded.objects
     )
     if command.json:
         options.print_json(
@@ -75,7 +75,7 @@
             }
         )
         return
-    print(f'compared with version {current["version"]}:')
+    print(f'changes against version {current["version"]}:')
     for change in changes:
         print(f'  {change}')
     if not changes:
@@ -90,7 +90,7 @@
 @cappa.command(
     name='check',
     invoke=check,
-    help='Check a file; needs no entry.',
+    help='Validate a file without contacting an entry.',
     description='Example: bulrushctl check configuration.json',
 )
 @attrs.define
@@ -103,15 +103,15 @@
     """
 
     file: FileArgument
-    json: typing.Annotated[
-        bool, cappa.Arg(long=True, help='Print JSON for programs.')
-    ] = False
+    json: typing.Annotated[bool, cappa.Arg(long=True, help='Print JSON.')] = (
+        False
+    )
 
 
 @cappa.command(
     name='show',
     invoke=show,
-    help='Print a configuration with its version, ready to be edited.',
+    help='Print a configuration and its version, ready for editing.',
     description='Example: bulrushctl show > configuration.json',
 )
 @attrs.define(kw_only=True)
@@ -119,19 +119,21 @@
     """Arguments of ``show``.
 
     Attributes:
-        version: Version in the history, ``None`` for the one in force.
+        version: Version to print, ``None`` for the active one.
     """
 
     version: typing.Annotated[
         int | None,
-        cappa.Arg(long=True, help='Earlier version; else that in force.'),
+        cappa.Arg(
+            long=True, help='Version to print; default: the one in force.'
+        ),
     ] = None
 
 
 @cappa.command(
     name='diff',
     invoke=diff,
-    help='Print what a file changes against the version in force.',
+    help='Print how a file differs from the version in force.',
     description='Example: bulrushctl diff configuration.json',
 )
 @attrs.define(kw_only=True)
--- a/packages/ctl/bulrushcourse_ctl/inspecting.py
+++ b/packages/ctl/bulrushcourse_ctl/inspecting.py
@@ -1,4 +1,4 @@
-"""Commands that show the state of entries."""
+"""Commands that print the state of entries."""
 
 import typing
 import urllib.parse
@@ -11,7 +11,7 @@
 
 
 def status(command: 'Status') -> None:
-    """Print all entries with their versions in force.
+    """Print all entries with their active configuration versions.
 
     Args:
         command: Parsed arguments.
@@ -21,24 +21,32 @@
         options.print_json(body)
         return
     tables.print_table(
-        ('entry', 'region', 'state', 'version', 'held', 'store', 'silent s'),
+        (
+            'entry',
+            'region',
+            'state',
+            'version',
+            'newest',
+            'store',
+            'silent (s)',
+        ),
         [
             (
-                run['entry'],
-                run['region'],
-                run['state'],
-                run['version'],
-                run['held_version'],
-                'answers' if run['store_reachable'] else 'does not answer',
-                run['silent_s'],
+                vm['entry'],
+                vm['region'],
+                vm['state'],
+                vm['version'],
+                vm['held_version'],
+                'reachable' if vm['store_reachable'] else 'unreachable',
+                vm['silent_s'],
             )
-            for run in sorted(body['entries'], key=lambda r: r['entry'])
+            for vm in sorted(body['entries'], key=lambda vm: vm['entry'])
         ],
     )
     if body['unheard']:
-        print(f'without a VM that is heard: {", ".join(body["unheard"])}')
+        print(f'entries without a reporting VM: {", ".join(body["unheard"])}')
     if body['isolated']:
-        print('the entry that answered is cut off from store and peers')
+        print('the responding entry is isolated from the store and its peers')
 
 
 def history(command: 'History') -> None:
@@ -55,13 +63,13 @@
         ('version', 'published at', 'operator', 'note', 'publish id'),
         [
             (
-                kept['version'],
-                kept['published_at'],
-                kept['operator'],
-                kept['note'],
-                kept['publish_id'],
+                publication['version'],
+                publication['published_at'],
+                publication['operator'],
+                publication['note'],
+                publication['publish_id'],
             )
-            for kept in body['publications']
+            for publication in body['publications']
         ],
     )
 
@@ -76,15 +84,15 @@
 
 
 def explain(command: 'Explain') -> None:
-    """Print a client's look-up answer and the last choices of regions.
+    """Print a client's look-up answer and the entry's last region choices.
 
     Args:
         command: Parsed arguments.
     """
     query = urllib.parse.urlencode({'client': command.client})
-    entry = command.open()
-    body = entry.fetch(f'/v1/explain?{query}')
-    body['routes'] = entry.fetch('/v1/routes')
+    entry_client = command.open()
+    body = entry_client.fetch(f'/v1/explain?{query}')
+    body['routes'] = entry_client.fetch('/v1/routes')
     if command.json:
         options.print_json(body)
         return
@@ -100,10 +108,10 @@
             for found in body['entries']
         ],
     )
-    for left_out in body['left_out']:
-        print(f'not named: {left_out["entry"]} is {left_out["state"]}')
+    for omitted in body['left_out']:
+        print(f'omitted: {omitted["entry"]} is {omitted["state"]}')
     tables.print_table(
-        ('service', 'last region', 'because', 'passed over'),
+        ('service', 'last region', 'reason', 'skipped'),
         [
             (
                 service,
@@ -116,14 +124,14 @@
             )
             for service, route in body['routes'].items()
         ],
-        'last choices of this entry',
+        'last region choices of this entry',
     )
 
 
 @cappa.command(
     name='status',
     invoke=status,
-    help='Show all entries with their versions in force.',
+    help='Print all entries with their versions in force.',
     description='Example: bulrushctl status --entry 10.0.0.1:9002',
 )
 @attrs.define(kw_only=True)
@@ -134,7 +142,7 @@
 @cappa.command(
     name='history',
     invoke=history,
-    help='Show the newest publications.',
+    help='Print the newest publications.',
     description='Example: bulrushctl history --json',
 )
 @attrs.define(kw_only=True)
@@ -156,7 +164,7 @@
 @cappa.command(
     name='explain',
     invoke=explain,
-    help='Show how the look-up answer for a client comes about.',
+    help='Print the look-up answer for a client and the reasons for it.',
     description='Example: bulrushctl explain 192.0.2.7',
 )
 @attrs.define(kw_only=True)
--- a/packages/ctl/bulrushcourse_ctl/options.py
+++ b/packages/ctl/bulrushcourse_ctl/options.py
@@ -1,4 +1,4 @@
-"""Options that many commands share."""
+"""Options shared by several commands."""
 
 import json
 import typing
@@ -10,10 +10,10 @@
 
 
 def split_addresses(text: str) -> list[str]:
-    """Return the addresses of a list with commas.
+    """Split a comma-separated list of addresses.
 
     Args:
-        text: Addresses ``ip:port``.
+        text: Addresses in the form ``ip:port``.
 
     Examples:
         >>> split_addresses('127.0.0.1:1, 127.0.0.1:2')
@@ -24,10 +24,10 @@
 
 @attrs.define(kw_only=True)
 class Connection:
-    """How to reach the entries.
+    """Options of commands that connect to an entry.
 
     Attributes:
-        entry: Addresses of operators' listeners, with commas.
+        entry: Comma-separated addresses of operators' listeners.
         token_file: File with the bearer token.
         json: Whether to print JSON instead of tables.
     """
@@ -37,8 +37,8 @@
         cappa.Arg(
             long=True,
             default=cappa.Env('BULRUSHCTL_ENTRIES', default=''),
-            help='Operators\' listeners, "ip:port,ip:port"; the first that '
-            'answers is used.',
+            help='Operators\' listeners, "ip:port,ip:port"; the first one '
+            'that is reachable is used.',
         ),
     ] = ''
     token_file: typing.Annotated[
@@ -46,22 +46,22 @@
         cappa.Arg(
             long=True,
             default=cappa.Env('BULRUSHCTL_TOKEN_FILE', default=''),
-            help="File with the operators' token.",
+            help="File with the operators' bearer token.",
         ),
     ] = ''
     json: typing.Annotated[
-        bool, cappa.Arg(long=True, help='Print JSON for programs.')
+        bool, cappa.Arg(long=True, help='Print JSON instead of tables.')
     ] = False
 
     def open(self) -> client.OperatorsClient:
-        """Return a client for these options."""
+        """Return a client; exit if an option is missing or unusable."""
         return client.open_client(split_addresses(self.entry), self.token_file)
 
 
 def print_json(value: typing.Any) -> None:
-    """Print a JSON value.
+    """Print a value as indented JSON with sorted keys.
 
     Args:
-        value: What to print.
+        value: Value to print.
     """
     print(json.dumps(value, indent=2, sort_keys=True))
--- a/packages/ctl/bulrushcourse_ctl/plans.py
+++ b/packages/ctl/bulrushcourse_ctl/plans.py
@@ -1,4 +1,4 @@
-"""Commands that drain places or an entry and show plans."""
+"""Commands that drain failure domains, regions or entries and show plans."""
 
 import datetime
 import typing
@@ -15,7 +15,7 @@
 
 
 def drain(command: 'Drain') -> None:
-    """Plan the drain of a place, or take an entry out of answers.
+    """Publish a drain plan, or remove an entry from look-up answers.
 
     Args:
         command: Parsed arguments.
@@ -31,11 +31,13 @@
         now.isoformat(),
         (now + datetime.timedelta(minutes=command.within_min)).isoformat(),
     )
-    _edit_plans(command, lambda plans: (*plans, plan), f'{plan.name}: start')
+    _publish_plans(
+        command, lambda plans: (*plans, plan), f'{plan.name}: start'
+    )
 
 
 def undrain(command: 'Undrain') -> None:
-    """Remove the drains of a place, or name an entry in answers again.
+    """Remove drain plans, or return an entry to look-up answers.
 
     Args:
         command: Parsed arguments.
@@ -57,7 +59,7 @@
             )
         return kept
 
-    _edit_plans(command, remove, f'drain-{command.place}: end')
+    _publish_plans(command, remove, f'drain-{command.place}: end')
 
 
 def _set_drained(command: options.Connection, path: str) -> None:
@@ -65,26 +67,27 @@
     if len(addresses) != 1:
         exits.fail(
             exits.ExitCode.BAD_INPUT,
-            'name a place, or exactly one entry with --entry',
+            'give a failure domain, a region, or exactly one entry with '
+            '--entry',
         )
-    answer = command.open().call('POST', path)
-    if not answer.is_done:
-        exits.fail(exits.ExitCode.REFUSED, f'status {answer.status}')
+    response = command.open().request('POST', path)
+    if not response.is_success:
+        exits.fail(exits.ExitCode.REFUSED, f'status {response.status}')
     if command.json:
-        options.print_json(answer.body)
+        options.print_json(response.body)
     else:
-        named = 'not named' if answer.body['drained'] else 'named'
-        print(f'{addresses[0]} is {named} in look-up answers')
+        listed = 'omitted from' if response.body['drained'] else 'included in'
+        print(f'{addresses[0]} is {listed} look-up answers')
 
 
-def _edit_plans(
+def _publish_plans(
     command: 'Drain | Undrain',
     edit: typing.Callable[
         [tuple[objects.Plan, ...]], tuple[objects.Plan, ...]
     ],
     note: str,
 ) -> None:
-    """Publish the configuration in force with other plans."""
+    """Publish the active configuration with edited plans."""
     current = command.open().fetch('/v1/configuration')
     before = documents.parse_objects(current['objects'])
     after = attrs.evolve(before, plans=edit(before.plans))
@@ -98,14 +101,14 @@
 
 
 def show_plans(command: 'PlanShow') -> None:
-    """Print the plans of the configuration in force.
+    """Print the plans of the active configuration.
 
     Args:
         command: Parsed arguments.
     """
-    entry = command.open()
-    current = entry.fetch('/v1/configuration')
-    progress = entry.fetch('/v1/plans')
+    entry_client = command.open()
+    current = entry_client.fetch('/v1/configuration')
+    progress = entry_client.fetch('/v1/plans')
     plans = current['objects']['plans']
     if command.json:
         options.print_json(
@@ -124,7 +127,7 @@
             'source',
             'target',
             'finish by',
-            'time',
+            'window',
             'progress',
         ),
         [
@@ -134,7 +137,7 @@
                 plan['source'],
                 plan['target'],
                 plan['finish_by'],
-                describe_time(plan['start'], plan['finish_by'], now),
+                describe_window(plan['start'], plan['finish_by'], now),
                 describe_progress(progress.get(plan['name'])),
             )
             for plan in plans
@@ -143,47 +146,47 @@
     )
 
 
-def describe_progress(found: dict[str, typing.Any] | None) -> str:
-    """Return how a plan stands at the entry that was asked.
+def describe_progress(progress: dict[str, typing.Any] | None) -> str:
+    """Return the progress of a plan at the entry that was queried.
 
     Args:
-        found: State, moved part and report; ``None`` for a drain of a failure
-            domain, which has no steps.
+        progress: State, moved share and report; ``None`` for a drain of a
+            failure domain, which takes effect in one step.
 
     Examples:
         >>> describe_progress({'state': 'ramping', 'part': 0.25, 'report': ''})
         'ramping, 25% moved'
     """
-    if found is None:
-        return 'at once'
-    report = f': {found["report"]}' if found['report'] else ''
-    return f'{found["state"]}, {found["part"]:.0%} moved{report}'
+    if progress is None:
+        return 'immediate'
+    report = f': {progress["report"]}' if progress['report'] else ''
+    return f'{progress["state"]}, {progress["part"]:.0%} moved{report}'
 
 
-def describe_time(start: str, finish_by: str, now: datetime.datetime) -> str:
-    """Return whether a time is before, within or after a plan's window.
+def describe_window(start: str, finish_by: str, now: datetime.datetime) -> str:
+    """Return whether a time is before, within or after the window of a plan.
 
     Args:
-        start: ISO 8601 time.
-        finish_by: ISO 8601 time.
-        now: The time.
+        start: Start of the window, ISO 8601.
+        finish_by: End of the window, ISO 8601.
+        now: Time to classify.
 
     Examples:
         >>> noon = datetime.datetime(2026, 12, 4, 12, tzinfo=datetime.UTC)
-        >>> describe_time('2026-12-04T13:00Z', '2026-12-04T14:00Z', noon)
+        >>> describe_window('2026-12-04T13:00Z', '2026-12-04T14:00Z', noon)
         'not started'
     """
     if now < datetime.datetime.fromisoformat(start):
         return 'not started'
     if now < datetime.datetime.fromisoformat(finish_by):
-        return 'within its time'
-    return 'past its time'
+        return 'within its window'
+    return 'past its window'
 
 
 PlaceArgument = typing.Annotated[
     str | None,
     cappa.Arg(
-        help='Failure domain or region; without it the one entry given with '
+        help='Failure domain or region; default: the one entry given with '
         '--entry.'
     ),
 ]
@@ -192,7 +195,7 @@
 @cappa.command(
     name='drain',
     invoke=drain,
-    help='Drain a place by a plan, or take one entry out of look-ups.',
+    help='Drain a failure domain or region, or omit an entry from look-ups.',
     description='Examples: bulrushctl drain cluj-a --within-min 30; '
     'bulrushctl drain --entry 10.0.0.1:9002',
 )
@@ -201,20 +204,20 @@
     """Arguments of ``drain``.
 
     Attributes:
-        place: Failure domain or region, ``None`` for an entry.
-        within_min: Time for the drain, in minutes.
+        place: Failure domain or region, ``None`` to act on an entry.
+        within_min: Length of the drain window, in minutes.
     """
 
     place: PlaceArgument = None
     within_min: typing.Annotated[
-        float, cappa.Arg(long=True, help='Time for the drain, in minutes.')
+        float, cappa.Arg(long=True, help='Length of the drain, in minutes.')
     ] = 30.0
 
 
 @cappa.command(
     name='undrain',
     invoke=undrain,
-    help='End the drain of a place or of one entry.',
+    help='End the drain of a failure domain, a region or an entry.',
     description='Example: bulrushctl undrain cluj-a',
 )
 @attrs.define(kw_only=True)
@@ -222,7 +225,7 @@
     """Arguments of ``undrain``.
 
     Attributes:
-        place: Failure domain or region, ``None`` for an entry.
+        place: Failure domain or region, ``None`` to act on an entry.
     """
 
     place: PlaceArgument = None
@@ -231,7 +234,7 @@
 @cappa.command(
     name='show',
     invoke=show_plans,
-    help='Show the plans of the configuration in force.',
+    help='Print the plans of the configuration in force.',
     description='Example: bulrushctl plan show',
 )
 @attrs.define(kw_only=True)
@@ -239,13 +242,13 @@
     """Arguments of ``plan show``."""
 
 
-@cappa.command(name='plan', help='Work with plans.')
+@cappa.command(name='plan', help='Inspect plans.')
 @attrs.define
 class Plan:
-    """The group ``plan``.
+    """Subcommands of ``plan``.
 
     Attributes:
-        command: The chosen command.
+        command: Selected subcommand.
     """
 
     command: cappa.Subcommands[PlanShow]
--- a/packages/ctl/bulrushcourse_ctl/publishing.py
+++ b/packages/ctl/bulrushcourse_ctl/publishing.py
@@ -1,4 +1,4 @@
-"""Commands that publish configurations and roll them back."""
+"""Commands that publish a configuration or roll it back."""
 
 import getpass
 import time
@@ -15,30 +15,31 @@
 from bulrushcourse_ctl import options
 from bulrushcourse_ctl import tables
 
-# A publish whose answer was lost is sent again with the same identifier.
-SEND_ATTEMPTS = 3
+# A publish whose response was lost is repeated with the same publish id, by
+# which the entry recognises it.
+MAX_ATTEMPTS = 3
 RETRY_DELAY_S = 1.0
-WAIT_CHECK_S = 0.2
-UNKNOWN_STATUS = 504
+WAIT_POLL_S = 0.2
+UNKNOWN_OUTCOME_STATUS = 504
 
 
 def publish(command: 'Publish') -> None:
-    """Publish a file.
+    """Publish the configuration in a file.
 
     Args:
         command: Parsed arguments.
     """
-    read = files.read_checked(command.file, command.json)
-    base = read.base_version if command.base is None else command.base
+    loaded = files.load_valid(command.file, command.json)
+    base = loaded.base_version if command.base is None else command.base
     if base is None:
         exits.fail(
             exits.ExitCode.BAD_INPUT,
-            f'{command.file} does not tell its version: use --base, or edit '
+            f'{command.file} does not state its version: use --base, or edit '
             'the output of "bulrushctl show"',
         )
     body = {
         'base_version': base,
-        'objects': documents.unstructure(read.objects),
+        'objects': documents.unstructure(loaded.objects),
         'note': command.note or '',
     }
     send(command, '/v1/configuration', body)
@@ -60,120 +61,127 @@
 def send(
     command: 'Publishing', path: str, body: dict[str, typing.Any]
 ) -> None:
-    """Send a publish until its outcome is known, print it and wait.
+    """Send a publish, retry while its outcome is unknown, and report it.
+
+    With ``--wait`` it also waits until the version is active on every entry.
 
     Args:
         command: Options of the publish.
-        path: Path to post to.
-        body: Body without identifier and operator.
+        path: Path of the request.
+        body: Request body without publish id and operator.
     """
     publish_id = command.publish_id or uuid.uuid4().hex
     body |= {
         'publish_id': publish_id,
         'operator': command.operator or getpass.getuser(),
     }
-    opened = command.open()
-    answer = opened.call('POST', path, body)
-    for _ in range(SEND_ATTEMPTS - 1):
-        if answer.status != UNKNOWN_STATUS:
+    entry_client = command.open()
+    response = entry_client.request('POST', path, body)
+    for _ in range(MAX_ATTEMPTS - 1):
+        if response.status != UNKNOWN_OUTCOME_STATUS:
             break
         time.sleep(RETRY_DELAY_S)
-        answer = opened.call('POST', path, body)
-    if not answer.is_done:
-        _end_refused(command, answer, publish_id)
-    version = answer.body['version']
-    behind = _wait(opened, version, command.wait_s) if command.wait else None
+        response = entry_client.request('POST', path, body)
+    if not response.is_success:
+        _exit_with_error(command, response, publish_id)
+    version = response.body['version']
+    lagging = (
+        _wait_until_active(entry_client, version, command.wait_s)
+        if command.wait
+        else None
+    )
     if command.json:
-        options.print_json(answer.body | {'behind': behind})
+        options.print_json(response.body | {'behind': lagging})
     else:
         print(f'published version {version} (publish id {publish_id})')
-        if behind == []:
+        if lagging == []:
             print(f'version {version} is in force on every entry')
-    if behind:
+    if lagging:
         exits.fail(
-            exits.ExitCode.NOT_IN_FORCE,
+            exits.ExitCode.NOT_ACTIVE,
             f'version {version} is not in force after {command.wait_s} s on: '
-            f'{", ".join(behind)}',
+            f'{", ".join(lagging)}',
         )
 
 
-def _end_refused(
-    command: 'Publishing', answer: client.Answer, publish_id: str
+def _exit_with_error(
+    command: 'Publishing', response: client.Response, publish_id: str
 ) -> typing.NoReturn:
     if command.json:
-        options.print_json(answer.body)
-    elif isinstance(answer.body, dict):
-        if 'findings' in answer.body:
-            tables.print_findings('request', answer.body['findings'])
-        stored = answer.body.get('stored')
+        options.print_json(response.body)
+    elif isinstance(response.body, dict):
+        if 'findings' in response.body:
+            tables.print_findings('request', response.body['findings'])
+        stored = response.body.get('stored')
         if stored:
             print(
                 f'version {stored["version"]} was published by '
                 f'{stored["operator"]} at {stored["published_at"]}; changes:'
             )
-            for change in answer.body.get('changes', ()):
+            for change in response.body.get('changes', ()):
                 print(f'  {change}')
-    message = client.describe_refusal(answer)
-    if answer.status == UNKNOWN_STATUS:
-        message += f'\nrepeat with --publish-id {publish_id}'
+    message = client.describe_error(response)
+    if response.status == UNKNOWN_OUTCOME_STATUS:
+        message += f'\nretry with --publish-id {publish_id}'
     exits.fail(
         exits.ExitCode.UNREACHABLE
-        if answer.status >= 500
+        if response.status >= 500
         else exits.ExitCode.REFUSED,
         message,
     )
 
 
-def _wait(
-    opened: client.OperatorsClient, version: int, limit_s: float
+def _wait_until_active(
+    entry_client: client.OperatorsClient, version: int, timeout_s: float
 ) -> list[str]:
-    """Return the entries in which a version is not in force in time."""
-    end = time.monotonic() + limit_s
+    """Return the entries on which a version is still not active in time."""
+    deadline = time.monotonic() + timeout_s
     while True:
-        behind = list_behind(opened.fetch('/v1/versions'), version)
-        if not behind or time.monotonic() >= end:
-            return behind
-        time.sleep(WAIT_CHECK_S)
+        lagging = list_lagging(entry_client.fetch('/v1/versions'), version)
+        if not lagging or time.monotonic() >= deadline:
+            return lagging
+        time.sleep(WAIT_POLL_S)
 
 
-def list_behind(versions: dict[str, typing.Any], version: int) -> list[str]:
-    """Return the entries that do not serve with a version yet.
+def list_lagging(versions: dict[str, typing.Any], version: int) -> list[str]:
+    """Return the entries on which a version is not active yet.
 
-    An entry object without a VM counts only while the platform lists one.
+    A configured entry without a known VM counts only while the platform lists
+    a VM for it.
 
     Args:
-        versions: Answer of ``/v1/versions``.
-        version: Version that is waited for.
+        versions: Response body of ``/v1/versions``.
+        version: Expected version.
 
     Examples:
-        >>> run = {'entry': 'a', 'version': 3, 'state': 'live'}
-        >>> answer = {'entries': [run], 'listed': ['a', 'b']}
-        >>> list_behind(answer, 3), list_behind(answer, 4)
+        >>> vm = {'entry': 'a', 'version': 3, 'state': 'live'}
+        >>> body = {'entries': [vm], 'listed': ['a', 'b']}
+        >>> list_lagging(body, 3), list_lagging(body, 4)
         (['b'], ['a', 'b'])
     """
     reached = {
-        run['entry']
-        for run in versions['entries']
-        if run['version'] >= version and run['state'] != 'suspected'
+        vm['entry']
+        for vm in versions['entries']
+        if vm['version'] >= version and vm['state'] != 'suspected'
     }
     lagging = {
-        run['entry']
-        for run in versions['entries']
-        if run['version'] < version and run['state'] != 'suspected'
+        vm['entry']
+        for vm in versions['entries']
+        if vm['version'] < version and vm['state'] != 'suspected'
     }
     return sorted(lagging | (set(versions['listed']) - reached))
 
 
 @attrs.define(kw_only=True)
 class Publishing(options.Connection):
-    """Options of commands that publish.
+    """Options shared by commands that publish.
 
     Attributes:
-        wait: Whether to wait until the version is in force everywhere.
-        wait_s: Longest time to wait.
-        operator: Name that the history shows.
-        publish_id: Identifier of an earlier try whose outcome is unknown.
-        base: Version that is to be replaced.
+        wait: Whether to wait until the version is active on every entry.
+        wait_s: Time limit of the wait, in seconds.
+        operator: Name to record in the history.
+        publish_id: Identifier of an earlier attempt whose outcome is unknown.
+        base: Version that the publish replaces.
     """
 
     wait: typing.Annotated[
@@ -181,29 +189,31 @@
         cappa.Arg(long=True, help='Wait until in force on every entry.'),
     ] = False
     wait_s: typing.Annotated[
-        float, cappa.Arg(long=True, help='Longest time to wait, in seconds.')
+        float, cappa.Arg(long=True, help='Time limit of --wait, in seconds.')
     ] = 10.0
     operator: typing.Annotated[
         str | None,
-        cappa.Arg(long=True, help='Name for the history; else the login.'),
+        cappa.Arg(
+            long=True, help='Name for the history; default: login name.'
+        ),
     ] = None
     publish_id: typing.Annotated[
         str | None,
         cappa.Arg(
             long=True,
-            help='Identifier of an earlier try whose outcome is unknown.',
+            help='Publish id of an earlier attempt whose outcome is unknown.',
         ),
     ] = None
     base: typing.Annotated[
         int | None,
-        cappa.Arg(long=True, help='Version that is to be replaced.'),
+        cappa.Arg(long=True, help='Version that the new one replaces.'),
     ] = None
 
 
 @cappa.command(
     name='publish',
     invoke=publish,
-    help='Publish a file.',
+    help='Publish the configuration in a file.',
     description='Example: bulrushctl publish configuration.json --wait '
     '--note "more slots"',
 )
@@ -213,12 +223,12 @@
 
     Attributes:
         file: Path of the file.
-        note: Why it is published.
+        note: Reason for the change, recorded in the history.
     """
 
     file: files.FileArgument
     note: typing.Annotated[
-        str | None, cappa.Arg(long=True, help='Why, for the history.')
+        str | None, cappa.Arg(long=True, help='Reason, for the history.')
     ] = None
 
 
@@ -233,7 +243,7 @@
     """Arguments of ``rollback``.
 
     Attributes:
-        version: The earlier version.
+        version: Version whose content is published.
     """
 
-    version: typing.Annotated[int, cappa.Arg(help='The earlier version.')]
+    version: typing.Annotated[int, cappa.Arg(help='Version to return to.')]
--- a/packages/ctl/bulrushcourse_ctl/tables.py
+++ b/packages/ctl/bulrushcourse_ctl/tables.py
@@ -1,4 +1,4 @@
-"""Tables for people."""
+"""Prints tables for human readers."""
 
 import typing
 
@@ -6,8 +6,8 @@
 import rich.console
 import rich.table
 
-# Names in output that is piped to other tools must not be folded.
-PIPE_COLUMNS = 400
+# Wide enough that names are not folded in output that is piped to other tools.
+PIPE_WIDTH_COLUMNS = 400
 
 
 def print_table(
@@ -18,14 +18,14 @@
     """Print a table.
 
     Args:
-        columns: Heads of the columns.
-        rows: Cells of each row; they are printed as they are.
+        columns: Column headings.
+        rows: Cells of each row, printed without markup.
         title: Line above the table.
     """
     console = rich.console.Console(markup=False, highlight=False)
     if not console.is_terminal:
         console = rich.console.Console(
-            markup=False, highlight=False, width=PIPE_COLUMNS
+            markup=False, highlight=False, width=PIPE_WIDTH_COLUMNS
         )
     table = rich.table.Table(box=rich.box.SIMPLE, pad_edge=False)
     for column in columns:
@@ -40,24 +40,26 @@
 def print_findings(
     path: str, findings: typing.Iterable[typing.Mapping[str, str]]
 ) -> None:
-    """Print findings with the file, object and field of each.
+    """Print findings as a table with file, object and field.
 
     Args:
-        path: The checked file.
+        path: File that was validated.
         findings: Findings with ``place``, ``message`` and ``remedy``.
     """
     rows = []
-    for found in findings:
-        label, field = split_place(found['place'])
-        rows.append((path, label, field, found['message'], found['remedy']))
+    for finding in findings:
+        label, field = split_place(finding['place'])
+        rows.append(
+            (path, label, field, finding['message'], finding['remedy'])
+        )
     print_table(('file', 'object', 'field', 'finding', 'remedy'), rows)
 
 
 def split_place(place: str) -> tuple[str, str]:
-    """Return object and field of a finding's place.
+    """Split the location of a finding into object and field.
 
     Args:
-        place: Such as ``pools[catalog].slots``.
+        place: Location, such as ``pools[catalog].slots``.
 
     Examples:
         >>> split_place('pools[a].instances[a.1].address')
