--- a/packages/testkit/bulrushcourse_testkit/bench/__init__.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/__init__.py
@@ -1,5 +1,5 @@
-"""Discrete-event comparison of ways to choose an instance.
+"""Discrete-event simulation that compares load-balancing policies.
 
-It drives the domain classes with a manual clock. Networks are fixed delays
-and instances are queues; it says nothing about sockets or processor time.
+It drives the domain classes with a manual clock. Network delays are constant
+and instances are queues; costs of sockets and CPU time are not modelled.
 """
--- a/packages/testkit/bulrushcourse_testkit/bench/__main__.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the comparison, writes a result and a plot and prints ratios."""
+"""Runs the comparison, prints the ratios and writes results and plots."""
 
 import concurrent.futures
 import json
@@ -29,18 +29,18 @@
 def run_all(
     deployment: str, rows: list[measures.Measure]
 ) -> dict[tuple[str, str, int], scenarios.Outcome]:
-    """Run what the measures of a deployment need."""
-    settings = scenarios.make_scenarios(*DEPLOYMENTS[deployment])
+    """Run every scenario and policy that the measures of a deployment use."""
+    by_name = scenarios.make_scenarios(*DEPLOYMENTS[deployment])
     runs = {run for row in rows for run in (row.upper, row.lower) if run}
     keys = sorted((*run, seed) for run in runs for seed in measures.SEEDS)
     with concurrent.futures.ProcessPoolExecutor(WORKERS) as workers:
-        found = workers.map(
+        outcomes = workers.map(
             scenarios.run,
-            [settings[name] for name, _, _ in keys],
+            [by_name[name] for name, _, _ in keys],
             [policy for _, policy, _ in keys],
             [seed for _, _, seed in keys],
         )
-        return dict(zip(keys, found, strict=True))
+        return dict(zip(keys, outcomes, strict=True))
 
 
 def report(
@@ -48,36 +48,36 @@
     rows: list[measures.Measure],
     outcomes: measures.Outcomes,
 ) -> list[dict]:
-    """Print and return the values of the measures."""
-    found = []
+    """Print the values of the measures and return them for the result file."""
+    results = []
     for row in rows:
         values = [row.value(outcomes, seed) for seed in measures.SEEDS]
         met = None if row.bound is None else max(values) <= row.bound
-        found.append(attrs.asdict(row) | {'values': values, 'met': met})
+        results.append(attrs.asdict(row) | {'values': values, 'met': met})
         shown = ' '.join(f'{value:8.3f}' for value in values)
         bound = '' if row.bound is None else f'{row.bound:5g}'
         state = {None: '', True: 'met', False: 'MISSED'}[met]
         print(f'{deployment:8}{row.title:36}{shown} {bound} {state}')
-    return found
+    return results
 
 
-def draw(deployment: str, outcomes: measures.Outcomes) -> str:
-    """Return the plot of the slowed scenario for the first seed."""
-    seed, length_s = measures.SEEDS[0], scenarios.LENGTH_S
+def render_plot(deployment: str, outcomes: measures.Outcomes) -> str:
+    """Return the plot of scenario ``slowed`` for the first seed, as SVG."""
+    seed, duration_s = measures.SEEDS[0], scenarios.DURATION_S
     site = DEPLOYMENTS[deployment][0]
-    return plot.draw(
+    return plot.render(
         f'{site.name}: p99 of short work per 0.1 s, seed {seed}',
         {
             policy: outcomes['slowed', policy, seed].latencies['short']
-            for policy in (measures.GRANTS, measures.TWO)
+            for policy in (measures.GRANTS, measures.TWO_CHOICES)
         },
-        workload.draw_spells(site, length_s, seed, 2),
-        length_s,
+        workload.sample_slowdowns(site, duration_s, seed, 2),
+        duration_s,
     )
 
 
 def main() -> int:
-    """Run the deployments that are named, or both."""
+    """Run the deployments given as arguments, by default both."""
     OUTPUT.mkdir(parents=True, exist_ok=True)
     rows, result = measures.make_measures(), {}
     print('p99 ratios for seeds', *measures.SEEDS, '- target - state')
@@ -87,14 +87,14 @@
             'measures': report(name, rows, outcomes),
             'p50_p99_ms': {
                 '/'.join(map(str, (*key, request_class))): [
-                    outcome.quantile_ms(part, request_class, 1.0)
-                    for part in (0.5, 0.99)
+                    outcome.quantile_ms(fraction, request_class, 1.0)
+                    for fraction in (0.5, 0.99)
                 ]
                 for key, outcome in outcomes.items()
                 for request_class in outcome.latencies
             },
         }
-        (OUTPUT / f'{name}.svg').write_text(draw(name, outcomes))
+        (OUTPUT / f'{name}.svg').write_text(render_plot(name, outcomes))
     (OUTPUT / 'result.json').write_text(json.dumps(result, indent=1))
     return 0
 
--- a/packages/testkit/bulrushcourse_testkit/bench/plot.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/plot.py
@@ -1,4 +1,4 @@
-"""A plot of latency over time as SVG."""
+"""Renders latency over time as an SVG plot."""
 
 from bulrushcourse_testkit.bench import workload
 
@@ -10,7 +10,7 @@
 
 
 def p99_over_time(latencies: Series) -> Series:
-    """Return the p99 latency in ms of each bucket of time.
+    """Return the start and the p99 latency in ms of each time bucket.
 
     Examples:
         >>> p99_over_time([(0.01, 0.2), (0.02, 0.1), (0.15, 0.3)])
@@ -20,33 +20,36 @@
     for at, seconds in latencies:
         buckets.setdefault(int(at / BUCKET_S), []).append(1_000 * seconds)
     return [
-        (number * BUCKET_S, sorted(found)[int(0.99 * len(found))])
-        for number, found in sorted(buckets.items())
+        (number * BUCKET_S, sorted(values)[int(0.99 * len(values))])
+        for number, values in sorted(buckets.items())
     ]
 
 
-def draw(
+def render(
     title: str,
     series: dict[str, Series],
-    spells: list[workload.Spell],
-    length_s: float,
+    slowdowns: list[workload.Slowdown],
+    duration_s: float,
 ) -> str:
-    """Return an SVG document; slow spells are drawn as grey boxes."""
-    lines = {name: p99_over_time(found) for name, found in series.items()}
+    """Return an SVG document that shows slowdowns as grey boxes."""
+    lines = {name: p99_over_time(points) for name, points in series.items()}
     top = max(ms for line in lines.values() for _, ms in line)
-    wide, high = (WIDTH - 2 * MARGIN) / length_s, (HEIGHT - 2 * MARGIN) / top
+    x_scale, y_scale = (
+        (WIDTH - 2 * MARGIN) / duration_s,
+        (HEIGHT - 2 * MARGIN) / top,
+    )
     base = HEIGHT - MARGIN
     parts = [_text(MARGIN, 16, f'{title}; grey: two instances slowed')]
-    for spell in spells:
+    for slowdown in slowdowns:
         parts.append(
-            f'<rect x="{MARGIN + spell.start * wide:.1f}" y="{MARGIN}" '
-            f'width="{(spell.end - spell.start) * wide:.1f}" '
+            f'<rect x="{MARGIN + slowdown.start * x_scale:.1f}" y="{MARGIN}" '
+            f'width="{(slowdown.end - slowdown.start) * x_scale:.1f}" '
             f'height="{base - MARGIN}" fill="#888" fill-opacity="0.1" '
             'stroke="#888" stroke-dasharray="2"/>'
         )
     for number, (name, line) in enumerate(lines.items()):
         points = ' '.join(
-            f'{MARGIN + at * wide:.1f},{base - ms * high:.1f}'
+            f'{MARGIN + at * x_scale:.1f},{base - ms * y_scale:.1f}'
             for at, ms in line
         )
         color = COLORS[number]
@@ -55,9 +58,11 @@
         )
         parts.append(_text(MARGIN + 190 * number, 34, name, color))
     for ms in (0, top / 2, top):
-        parts.append(_text(2, base - ms * high, f'{ms:.0f} ms'))
-    for second in range(int(length_s) + 1):
-        parts.append(_text(MARGIN + second * wide, base + 18, f'{second} s'))
+        parts.append(_text(2, base - ms * y_scale, f'{ms:.0f} ms'))
+    for second in range(int(duration_s) + 1):
+        parts.append(
+            _text(MARGIN + second * x_scale, base + 18, f'{second} s')
+        )
     return (
         f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH}" '
         f'height="{HEIGHT}" font-family="sans-serif" font-size="11">'
--- a/packages/testkit/bulrushcourse_testkit/bench/tests/test_world.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/tests/test_world.py
@@ -1,11 +1,11 @@
-"""Tests of the bench's upstream instances."""
+"""Tests of the simulated upstream instances."""
 
 import pytest
 
 from bulrushcourse_testkit.bench import workload
 from bulrushcourse_testkit.bench import world as worlds
 
-SPELLS = [workload.Spell(0, 1.0, 2.5)]
+SLOWDOWNS = [workload.Slowdown(0, 1.0, 2.5)]
 
 
 @pytest.mark.parametrize(
@@ -17,12 +17,14 @@
         (2.5, 0.1, 2.6),
     ],
 )
-def test_work_takes_longer_only_during_a_spell(start, work_s, end):
-    upstream = worlds.Upstream(5, SPELLS)
-    assert upstream.end_of(start, work_s) == pytest.approx(end)
+def test_work_takes_longer_only_during_a_slowdown(start, work_s, end):
+    """Guards against slowdowns that affect work outside of their period."""
+    upstream = worlds.Upstream(5, SLOWDOWNS)
+    assert upstream.completion_time(start, work_s) == pytest.approx(end)
 
 
 def test_instance_runs_no_more_calls_than_slots():
+    """Guards against simulated instances that exceed their slots."""
     site = workload.Site('a', 1, 2, 0.001)
     world = worlds.World(site, [worlds.Upstream(2, [])])
     ended = []
--- a/packages/testkit/bulrushcourse_testkit/bench/workload.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/workload.py
@@ -1,4 +1,4 @@
-"""Arrivals and slow spells, drawn before any policy runs."""
+"""Arrivals and slowdowns, sampled before any policy runs."""
 
 import math
 import random
@@ -6,13 +6,13 @@
 import attrs
 
 ENTRIES = 9
-VARIATION = 0.7
-"""Standard deviation of service times in means (lognormal)."""
+VARIATION_COEFFICIENT = 0.7
+"""Coefficient of variation of the lognormal service times."""
 
 
 @attrs.frozen
 class Site:
-    """One pool of a deployment; ``hop_s`` is the delay of a message."""
+    """One pool of a deployment; ``hop_s`` is the one-way network delay."""
 
     name: str
     instances: int
@@ -22,13 +22,13 @@
 
 @attrs.frozen
 class Stream:
-    """Open-loop arrivals of one class.
+    """Open-loop arrivals of one request class.
 
     Attributes:
         request_class: Name of the class.
-        load: Part of all slots that the stream keeps in use, the network
-            time during which a slot is held included.
-        mean_s: Mean service time.
+        load: Share of all slots that the stream occupies, including the
+            network time during which a slot is held.
+        mean_s: Mean service time, in seconds.
     """
 
     request_class: str
@@ -37,8 +37,8 @@
 
 
 @attrs.frozen
-class Spell:
-    """A time during which work at an instance takes longer."""
+class Slowdown:
+    """A period in which work at an instance takes ``factor`` times as long."""
 
     instance: int
     start: float
@@ -48,51 +48,51 @@
 
 @attrs.define(eq=False)
 class Call:
-    """One request; ``work_s`` is its service time at a typical instance."""
+    """One request; ``work_s`` is its service time at an unslowed instance."""
 
     number: int
-    at: float
+    arrives_at: float
     entry: int
     request_class: str
     work_s: float
-    answered: float | None = None
+    answered_at: float | None = None
     refused: bool = False
 
 
-def draw_calls(
-    site: Site, streams: tuple[Stream, ...], length_s: float, seed: int
+def sample_calls(
+    site: Site, streams: tuple[Stream, ...], duration_s: float, seed: int
 ) -> list[Call]:
-    """Draw the arrivals of a run.
+    """Return the calls of a run, by time of arrival.
 
     Examples:
         >>> site = Site('a', 16, 5, 0.001)
-        >>> calls = draw_calls(site, (Stream('short', 0.7),), 1.0, 1)
+        >>> calls = sample_calls(site, (Stream('short', 0.7),), 1.0, 1)
         >>> 1100 < len(calls) < 1450
         True
     """
-    drawn = []
+    sampled = []
     for number, stream in enumerate(streams):
-        source = random.Random(f'{seed}/{number}')
+        rng = random.Random(f'{seed}/{number}')
         hold_s = stream.mean_s + 4 * site.hop_s
         rate = stream.load * site.instances * site.slots / hold_s
-        sigma = math.sqrt(math.log(1 + VARIATION**2))
+        sigma = math.sqrt(math.log(1 + VARIATION_COEFFICIENT**2))
         mu = math.log(stream.mean_s) - sigma**2 / 2
-        at = source.expovariate(rate)
-        while at < length_s:
-            work_s = source.lognormvariate(mu, sigma)
-            entry = source.randrange(ENTRIES)
-            drawn.append((at, entry, stream.request_class, work_s))
-            at += source.expovariate(rate)
-    return [Call(n, *fields) for n, fields in enumerate(sorted(drawn))]
-
-
-def draw_spells(
-    site: Site, length_s: float, seed: int, at_once: int
-) -> list[Spell]:
-    """Draw spells of 1.5 s without a pause, each time at other instances."""
-    source = random.Random(f'{seed}/spells')
+        arrives_at = rng.expovariate(rate)
+        while arrives_at < duration_s:
+            work_s = rng.lognormvariate(mu, sigma)
+            entry = rng.randrange(ENTRIES)
+            sampled.append((arrives_at, entry, stream.request_class, work_s))
+            arrives_at += rng.expovariate(rate)
+    return [Call(n, *fields) for n, fields in enumerate(sorted(sampled))]
+
+
+def sample_slowdowns(
+    site: Site, duration_s: float, seed: int, concurrent: int
+) -> list[Slowdown]:
+    """Return back-to-back slowdowns of 1.5 s, each of random instances."""
+    rng = random.Random(f'{seed}/spells')
     return [
-        Spell(instance, 1.0 + 1.5 * turn, 2.5 + 1.5 * turn)
-        for turn in range(int(length_s / 1.5))
-        for instance in source.sample(range(site.instances), at_once)
+        Slowdown(instance, 1.0 + 1.5 * number, 2.5 + 1.5 * number)
+        for number in range(int(duration_s / 1.5))
+        for instance in rng.sample(range(site.instances), concurrent)
     ]
--- a/packages/testkit/bulrushcourse_testkit/bench/world.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/world.py
@@ -1,4 +1,4 @@
-"""Event loop and upstream instances of the comparison."""
+"""Discrete-event simulation of upstream instances."""
 
 import collections
 import functools
@@ -14,51 +14,51 @@
 
 COLD_FACTOR = 3.0
 COLD_CALLS = 50.0
-"""Calls after which the extra time of a cold instance has fallen to 1/e."""
+"""Calls after which the extra time of a cold instance has decayed to 1/e."""
 
 Action = typing.Callable[[], object]
 
 
 @attrs.define(eq=False)
 class Upstream:
-    """An instance that runs as many calls as it has slots, in order."""
+    """An instance that runs up to ``slots`` calls at a time, in FIFO order."""
 
     slots: int
-    spells: list[workload.Spell]
+    slowdowns: list[workload.Slowdown]
     cold: bool = False
     busy: int = 0
     queue: collections.deque = attrs.field(factory=collections.deque)
-    begun: int = 0
-    reached: int = 0
+    started: int = 0
+    arrivals: int = 0
 
     def restart(self) -> None:
-        """Lose the cache; calls at work go on."""
-        self.cold, self.begun = True, 0
+        """Empty the cache; running calls continue."""
+        self.cold, self.started = True, 0
 
-    def end_of(self, now: float, work_s: float) -> float:
-        """Return when work ends that starts now."""
+    def completion_time(self, now: float, work_s: float) -> float:
+        """Return when work that starts now will end."""
         if self.cold:
-            fade = math.exp(-self.begun / COLD_CALLS)
-            work_s *= 1 + (COLD_FACTOR - 1) * fade
-        for spell in self.spells:
-            if spell.end <= now:
+            decay = math.exp(-self.started / COLD_CALLS)
+            work_s *= 1 + (COLD_FACTOR - 1) * decay
+        for slowdown in self.slowdowns:
+            if slowdown.end <= now:
                 continue
-            before = max(0.0, spell.start - now)
+            before = max(0.0, slowdown.start - now)
             if work_s <= before:
                 break
             work_s -= before
-            now = max(now, spell.start)
-            within = (spell.end - now) / spell.factor
+            now = max(now, slowdown.start)
+            within = (slowdown.end - now) / slowdown.factor
             if work_s <= within:
-                return now + work_s * spell.factor
+                return now + work_s * slowdown.factor
             work_s -= within
-            now = spell.end
+            now = slowdown.end
         return now + work_s
 
 
 @attrs.define(eq=False)
 class World:
-    """Runs events in order of time."""
+    """Simulation that runs events in order of time."""
 
     site: workload.Site
     upstreams: list[Upstream]
@@ -66,44 +66,50 @@
     arrivals: int = 0
     arrivals_full: int = 0
     events: list = attrs.field(factory=list)
-    numbers: typing.Iterator[int] = attrs.field(factory=itertools.count)
+    event_numbers: typing.Iterator[int] = attrs.field(factory=itertools.count)
 
-    def later(self, delay_s: float, action: Action) -> None:
+    def schedule(self, delay_s: float, action: Action) -> None:
         """Run an action after a delay."""
         due = self.clock.now + delay_s
-        heapq.heappush(self.events, (due, next(self.numbers), action))
+        heapq.heappush(self.events, (due, next(self.event_numbers), action))
 
-    def hop(self, action: typing.Callable, *args: object) -> None:
-        """Run an action where a message sent now arrives."""
-        self.later(self.site.hop_s, functools.partial(action, *args))
+    def deliver(self, action: typing.Callable, *args: object) -> None:
+        """Run an action when a message that is sent now arrives."""
+        self.schedule(self.site.hop_s, functools.partial(action, *args))
 
     def run(self) -> None:
-        """Run all events."""
+        """Run events until none is left."""
         while self.events:
             self.clock.now, _, action = heapq.heappop(self.events)
             action()
 
     def send(self, instance: int, work_s: float, ended: Action) -> None:
-        """Send work to an instance; ``ended`` runs when the answer is back."""
-        self.hop(self._reach, self.upstreams[instance], work_s, ended)
+        """Send work to an instance and run ``ended`` when it has responded."""
+        self.deliver(self._arrive, self.upstreams[instance], work_s, ended)
 
-    def _reach(self, upstream: Upstream, work_s: float, ended: Action) -> None:
+    def _arrive(
+        self, upstream: Upstream, work_s: float, ended: Action
+    ) -> None:
         self.arrivals += 1
-        upstream.reached += 1
+        upstream.arrivals += 1
         if upstream.busy < upstream.slots:
-            self._begin(upstream, work_s, ended)
+            self._start(upstream, work_s, ended)
         else:
             self.arrivals_full += 1
             upstream.queue.append((work_s, ended))
 
-    def _begin(self, upstream: Upstream, work_s: float, ended: Action) -> None:
+    def _start(self, upstream: Upstream, work_s: float, ended: Action) -> None:
         upstream.busy += 1
-        delay_s = upstream.end_of(self.clock.now, work_s) - self.clock.now
-        upstream.begun += 1
-        self.later(delay_s, functools.partial(self._end, upstream, ended))
-
-    def _end(self, upstream: Upstream, ended: Action) -> None:
+        delay_s = (
+            upstream.completion_time(self.clock.now, work_s) - self.clock.now
+        )
+        upstream.started += 1
+        self.schedule(
+            delay_s, functools.partial(self._finish, upstream, ended)
+        )
+
+    def _finish(self, upstream: Upstream, ended: Action) -> None:
         upstream.busy -= 1
-        self.hop(ended)
+        self.deliver(ended)
         if upstream.queue:
-            self._begin(upstream, *upstream.queue.popleft())
+            self._start(upstream, *upstream.queue.popleft())
--- a/packages/testkit/bulrushcourse_testkit/measure_lookups.py
+++ b/packages/testkit/bulrushcourse_testkit/measure_lookups.py
@@ -95,11 +95,11 @@
         )
         for index in range(entries)
     )
-    answers = lookup.Lookup(members)
+    entry_lookup = lookup.Lookup(members)
     callers = [f'10.{i >> 8}.{i & 255}.7' for i in range(CALLERS)]
 
     def answer(caller: str) -> lookup.Answer:
-        return answers.answer(caller, 'region-1')
+        return entry_lookup.answer(caller, 'region-1')
 
     cold, warm = mean_us(answer, callers), mean_us(answer, callers)
     print(
