Reword the capacity package

Doc comments and locals of the capacity measurements now use the usual terms: minimum CPU time, look-up, fit, predict(). Names of the slopes and keys of the JSON output are the same; no comment was dropped.

The doctests of the package pass; the measurements were not run.

--- a/packages/testkit/bulrushcourse_testkit/capacity/__init__.py
+++ b/packages/testkit/bulrushcourse_testkit/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Measured slopes behind ``docs/CAPACITY.md``."""
+"""Measurements behind ``docs/CAPACITY.md``: how costs grow with sizes."""
--- a/packages/testkit/bulrushcourse_testkit/capacity/__main__.py
+++ b/packages/testkit/bulrushcourse_testkit/capacity/__main__.py
@@ -1,4 +1,4 @@
-"""Measures all slopes and prints them as JSON."""
+"""Runs all capacity measurements and prints them as JSON."""
 
 import json
 import sys
@@ -9,8 +9,8 @@
 
 
 def main() -> None:
-    """Measure and print."""
-    steps = (
+    """Run the measurements; print progress to stderr and results to stdout."""
+    measurements = (
         lambda: [in_process.measure_lookups()],
         lambda: [in_process.measure_lookup_rebuild()],
         in_process.measure_blocks,
@@ -20,11 +20,11 @@
         ),
         processes.measure_entries,
     )
-    found = []
-    for number, step in enumerate(steps, 1):
-        print(f'step {number} of {len(steps)}', file=sys.stderr)
-        found += [slope.describe() for slope in step()]
-    report = {'slopes': found, 'messages': in_process.measure_messages()}
+    described = []
+    for number, measure in enumerate(measurements, 1):
+        print(f'measurement {number} of {len(measurements)}', file=sys.stderr)
+        described += [slope.describe() for slope in measure()]
+    report = {'slopes': described, 'messages': in_process.measure_messages()}
     print(json.dumps(report, indent=1))
 
 
--- a/packages/testkit/bulrushcourse_testkit/capacity/in_process.py
+++ b/packages/testkit/bulrushcourse_testkit/capacity/in_process.py
@@ -1,4 +1,4 @@
-"""Costs of decisions and encodings, measured in this process."""
+"""Measures costs of decisions and encodings in this process."""
 
 import functools
 import random
@@ -26,20 +26,20 @@
 LOOKUPS = 50_000
 GRANTS = 5_000
 REPEATS = 3
-MICRO = 1e6
+US_PER_S = 1e6
 HEARTBEAT = messages.Heartbeat(
     'serving', 1234, True, 'ro-nord', '10.0.0.1:80', 17
 )
 
 
-def best_s(
+def min_cpu_s(
     action: typing.Callable[[], object], repeats: int = REPEATS
 ) -> float:
-    """Return the shortest of a few timings, in seconds of CPU time.
+    """Return the shortest CPU time of several runs, in seconds.
 
     Args:
-        action: What to time.
-        repeats: How often to time it.
+        action: Function to time.
+        repeats: Number of runs.
     """
     timings = []
     for _ in range(repeats):
@@ -50,26 +50,26 @@
 
 
 def measure_lookups() -> slopes.Slope:
-    """Return CPU time of a look-up against the number of entries."""
+    """Return the CPU time of a look-up by number of entries."""
     points = []
     for count in ENTRY_COUNTS:
         members = tuple(
             member.MemberInfo(f'e{n}', f'i{n}', f'v{n}', f'region-{n % 4}')
             for n in range(count)
         )
-        answers = lookup.Lookup(members)
+        entry_lookup = lookup.Lookup(members)
         callers = [f'10.{n % 250}.{n // 250}.1' for n in range(LOOKUPS)]
 
-        ask = functools.partial(_answer_all, answers, callers)
-        ask()
-        points.append((count, best_s(ask) / LOOKUPS * MICRO))
+        run_lookups = functools.partial(_answer_all, entry_lookup, callers)
+        run_lookups()
+        points.append((count, min_cpu_s(run_lookups) / LOOKUPS * US_PER_S))
     return slopes.Slope(
         'look-up answer, members unchanged', 'entries', 'us', tuple(points)
     )
 
 
 def measure_lookup_rebuild() -> slopes.Slope:
-    """Return CPU time to order all buckets again after a change."""
+    """Return the CPU time to reorder one bucket after a member change."""
     points = []
     for count in ENTRY_COUNTS:
         members = tuple(
@@ -79,7 +79,7 @@
         callers = [f'10.{n % 250}.{n // 250}.1' for n in range(2_000)]
 
         seconds = min(
-            best_s(
+            min_cpu_s(
                 functools.partial(
                     _answer_all, lookup.Lookup(members), callers
                 ),
@@ -87,7 +87,7 @@
             )
             for _ in range(REPEATS)
         )
-        points.append((count, seconds / len(callers) * MICRO))
+        points.append((count, seconds / len(callers) * US_PER_S))
     return slopes.Slope(
         'ordering of one bucket after a change',
         'entries',
@@ -97,7 +97,7 @@
 
 
 def measure_blocks() -> list[slopes.Slope]:
-    """Return memory and CPU time of client blocks."""
+    """Return memory and CPU time of client blocks by number of blocks."""
     source = random.Random(SEED)
     memory, times, builds = [], [], []
     for count in BLOCK_COUNTS:
@@ -111,8 +111,8 @@
         memory.append((count, table.size_bytes / 2**20))
         callers = [prefix[:-5] + '.7' for prefix, _ in prefixes[:20_000]]
 
-        seconds = best_s(functools.partial(_place_all, table, callers))
-        times.append((count, seconds / len(callers) * MICRO))
+        seconds = min_cpu_s(functools.partial(_place_all, table, callers))
+        times.append((count, seconds / len(callers) * US_PER_S))
     return [
         slopes.Slope('client blocks, table', 'blocks', 'MiB', tuple(memory)),
         slopes.Slope('client block look-up', 'blocks', 'us', tuple(times)),
@@ -121,22 +121,22 @@
 
 
 def measure_grants() -> slopes.Slope:
-    """Return CPU time of request and release at the pool's owner."""
+    """Return the CPU time of a slot request and its release at the owner."""
     points = []
     classes = {'short': objects.RequestClass('short', 1, 5000)}
     for count in POOL_SIZES:
         clock = clocks.ManualClock()
         pool = slot_pool.SlotPool(clock, classes)
         pool.set_instances({f'i{n}': 5 for n in range(count)})
-        run = functools.partial(_grant_often, pool, clock)
-        points.append((count, best_s(run) / GRANTS * MICRO))
+        run = functools.partial(_grant_repeatedly, pool, clock)
+        points.append((count, min_cpu_s(run) / GRANTS * US_PER_S))
     return slopes.Slope(
         'grant and release of a slot', 'instances', 'us', tuple(points)
     )
 
 
 def measure_messages() -> dict[str, float]:
-    """Return size and CPU time of one heartbeat."""
+    """Return size and CPU time of a heartbeat."""
     number = 20_000
     sealer = frames.FrameSealer(b'key')
 
@@ -153,53 +153,55 @@
 
     return {
         'heartbeat_bytes': len(sealer.seal(payload)),
-        'heartbeat_send_us': round(best_s(send) / number * MICRO, 2),
-        'heartbeat_receive_us': round(best_s(receive) / number * MICRO, 2),
+        'heartbeat_send_us': round(min_cpu_s(send) / number * US_PER_S, 2),
+        'heartbeat_receive_us': round(
+            min_cpu_s(receive) / number * US_PER_S, 2
+        ),
     }
 
 
 def measure_configuration(example: objects.Objects) -> list[slopes.Slope]:
-    """Return size, memory and CPU time of a configuration.
+    """Return size, memory and CPU time of a configuration by its instances.
 
     Args:
-        example: Objects whose first pool is grown.
+        example: Configuration whose first pool is enlarged.
     """
     sizes, times, memory = [], [], []
     pool = example.pools[0]
     for count in INSTANCE_COUNTS:
-        grown = tuple(
+        instances = tuple(
             objects.Instance(f'x{n}', pool.instances[0].place, f'10.0.0.1:{n}')
             for n in range(1, count + 1)
         )
-        changed = objects.Objects(
+        enlarged = objects.Objects(
             **{
                 'places': example.places,
                 'entries': example.entries,
                 'request_classes': example.request_classes,
                 'pools': (
-                    objects.Pool(pool.name, 5, 400, grown),
+                    objects.Pool(pool.name, 5, 400, instances),
                     *example.pools[1:],
                 ),
                 'services': example.services,
                 'limits': example.limits,
             }
         )
-        text = documents.render_document(changed)
+        text = documents.render_document(enlarged)
         sizes.append((count, len(text) / 1024))
         times.append(
             (
                 count,
-                best_s(
+                min_cpu_s(
                     lambda text=text: documents.parse_configuration(1, text)
                 )
                 * 1000,
             )
         )
         tracemalloc.start()
-        kept = documents.parse_configuration(1, text)
+        loaded = documents.parse_configuration(1, text)
         memory.append((count, tracemalloc.get_traced_memory()[0] / 1024))
         tracemalloc.stop()
-        del kept
+        del loaded
     unit = 'instances'
     return [
         slopes.Slope('configuration, document', unit, 'KiB', tuple(sizes)),
@@ -208,9 +210,9 @@
     ]
 
 
-def _answer_all(answers: lookup.Lookup, callers: list[str]) -> None:
+def _answer_all(entry_lookup: lookup.Lookup, callers: list[str]) -> None:
     for caller in callers:
-        answers.answer(caller, 'region-1')
+        entry_lookup.answer(caller, 'region-1')
 
 
 def _place_all(table: blocks.ClientBlocks, callers: list[str]) -> None:
@@ -218,10 +220,12 @@
         table.place(caller)
 
 
-def _grant_often(pool: slot_pool.SlotPool, clock: clocks.ManualClock) -> None:
+def _grant_repeatedly(
+    pool: slot_pool.SlotPool, clock: clocks.ManualClock
+) -> None:
     for number in range(GRANTS):
         clock.advance(0.001)
         name = f'{clock.now}/{number}'
-        wish = requests.SlotRequest(name, 'e', 'short', clock.now + 5.0)
-        pool.request(wish)
+        request = requests.SlotRequest(name, 'e', 'short', clock.now + 5.0)
+        pool.request(request)
         pool.release(name, requests.ReleaseOutcome.DONE, 0.02)
--- a/packages/testkit/bulrushcourse_testkit/capacity/processes.py
+++ b/packages/testkit/bulrushcourse_testkit/capacity/processes.py
@@ -1,4 +1,4 @@
-"""Costs of idle entries, measured on real processes."""
+"""Measures costs of idle entries that run as processes."""
 
 import asyncio
 import pathlib
@@ -14,10 +14,10 @@
 
 
 def resident_mib(pid: int) -> float:
-    """Return the resident memory of a process in MiB.
+    """Return the resident memory of a process, in MiB.
 
     Args:
-        pid: Identifier of the process.
+        pid: Process id.
     """
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
     line = next(x for x in status.splitlines() if x.startswith('VmRSS'))
@@ -25,36 +25,38 @@
 
 
 async def measure_idle(count: int) -> dict[str, float]:
-    """Return CPU, memory and store calls of one of several idle entries.
+    """Return the mean CPU, memory and store calls of an idle entry.
 
     Args:
-        count: Number of entries.
+        count: Number of entries in the cluster.
     """
-    wanted = clusters.example_objects('filatab')
-    names = [entry.name for entry in wanted.entries][:count]
+    example = clusters.example_objects('filatab')
+    names = [entry.name for entry in example.entries][:count]
     with tempfile.TemporaryDirectory(prefix='bulrushcourse-') as directory:
-        cluster = clusters.Cluster(pathlib.Path(directory), wanted, names)
+        cluster = clusters.Cluster(pathlib.Path(directory), example, names)
         async with cluster:
             await asyncio.sleep(SETTLE_S)
             pids = [cluster.processes[n].process.pid for n in names]
             cpu = sum(map(overhead.cpu_seconds, pids))
-            calls = await cluster.observe(cluster.platform_port, 'counts')
+            before = await cluster.observe(cluster.platform_port, 'counts')
             await asyncio.sleep(MEASURE_S)
             cpu = sum(map(overhead.cpu_seconds, pids)) - cpu
             after = await cluster.observe(cluster.platform_port, 'counts')
             memory = sum(map(resident_mib, pids)) / count
-    share = count * MEASURE_S
+    entry_seconds = count * MEASURE_S
     return {
-        'cpu_percent': cpu / share * 100,
+        'cpu_percent': cpu / entry_seconds * 100,
         'memory_mib': memory,
-        'store_reads': (after['reads'] - calls['reads']) / share,
-        'store_writes': (after['writes'] - calls['writes']) / share,
+        'store_reads': (after['reads'] - before['reads']) / entry_seconds,
+        'store_writes': (after['writes'] - before['writes']) / entry_seconds,
     }
 
 
 def measure_entries() -> list[slopes.Slope]:
-    """Return the costs of an idle entry against the number of entries."""
-    seen = {count: asyncio.run(measure_idle(count)) for count in ENTRY_COUNTS}
+    """Return the costs of an idle entry by number of entries."""
+    measured = {
+        count: asyncio.run(measure_idle(count)) for count in ENTRY_COUNTS
+    }
     units = {
         'cpu_percent': '% of a core',
         'memory_mib': 'MiB',
@@ -66,7 +68,9 @@
             f'idle entry, {name}',
             'entries',
             unit,
-            tuple((count, figures[name]) for count, figures in seen.items()),
+            tuple(
+                (count, figures[name]) for count, figures in measured.items()
+            ),
         )
         for name, unit in units.items()
     ]
--- a/packages/testkit/bulrushcourse_testkit/capacity/slopes.py
+++ b/packages/testkit/bulrushcourse_testkit/capacity/slopes.py
@@ -1,4 +1,4 @@
-"""Fits of a cost against a size."""
+"""Linear fits of costs to sizes."""
 
 import statistics
 import typing
@@ -8,7 +8,7 @@
 
 @attrs.frozen
 class Slope:
-    """A cost measured at several sizes.
+    """A cost that was measured at several sizes.
 
     Attributes:
         name: What was measured.
@@ -23,7 +23,7 @@
     points: tuple[tuple[float, float], ...]
 
     def fit(self) -> tuple[float, float]:
-        """Return slope and intercept of the least-squares line.
+        """Return slope and intercept of the least-squares fit.
 
         Examples:
             >>> Slope('a', 'x', 'y', ((1, 3), (2, 5), (3, 7))).fit()
@@ -32,8 +32,8 @@
         line = statistics.linear_regression(*zip(*self.points, strict=True))
         return line.slope, line.intercept
 
-    def at(self, size: float) -> float:
-        """Return the fitted cost at a size.
+    def predict(self, size: float) -> float:
+        """Return the cost that the fit predicts for a size.
 
         Args:
             size: Size in ``size_unit``.
@@ -42,7 +42,7 @@
         return slope * size + intercept
 
     def describe(self) -> dict[str, typing.Any]:
-        """Return points and fit, ready for JSON."""
+        """Return the points and the fit as a JSON value."""
         slope, intercept = self.fit()
         return {
             'name': self.name,
