Name the test cluster's requests to entries and its VM list

Renamed Cluster.operate() to call_operators() and list_vms() to update_vm_list(), which sends the list; reworded a few comments and locals of ctl and the tests.

--- a/packages/ctl/bulrushcourse_ctl/client.py
+++ b/packages/ctl/bulrushcourse_ctl/client.py
@@ -9,7 +9,7 @@
 
 from bulrushcourse_ctl import exits
 
-# Longer than an entry takes to report that its store does not respond.
+# Longer than a publish takes at an entry whose store does not respond.
 CALL_TIMEOUT_S = 15.0
 CONNECT_TIMEOUT_S = 2.0
 
--- a/packages/ctl/bulrushcourse_ctl/inspecting.py
+++ b/packages/ctl/bulrushcourse_ctl/inspecting.py
@@ -104,8 +104,8 @@
     tables.print_table(
         ('entry', 'region', 'address'),
         [
-            (found['name'], found['region'], found['address'])
-            for found in body['entries']
+            (entry['name'], entry['region'], entry['address'])
+            for entry in body['entries']
         ],
     )
     for omitted in body['left_out']:
--- a/packages/ctl/bulrushcourse_ctl/plans.py
+++ b/packages/ctl/bulrushcourse_ctl/plans.py
@@ -47,17 +47,17 @@
         return
 
     def remove(plans: tuple[objects.Plan, ...]) -> tuple[objects.Plan, ...]:
-        kept = tuple(
+        remaining = tuple(
             plan
             for plan in plans
             if plan.kind is not objects.PlanKind.DRAIN
             or plan.source != command.place
         )
-        if kept == plans:
+        if remaining == plans:
             exits.fail(
                 exits.ExitCode.REFUSED, f'{command.place} is not drained'
             )
-        return kept
+        return remaining
 
     _publish_plans(command, remove, f'drain-{command.place}: end')
 
--- a/packages/testkit/bulrushcourse_testkit/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/cluster.py
@@ -99,7 +99,7 @@
             self._start_upstreams(),
             self._start_proxy(),
         )
-        await self.list_vms()
+        await self.update_vm_list()
         await asyncio.gather(*map(self.start_entry, self.entry_names))
         await self.publish(self.objects)
         await asyncio.gather(*map(self.wait_ready, self.entry_names))
@@ -200,7 +200,7 @@
             'failure_domain': settings['failure_domain'],
             'state': 'live',
         }
-        await self.list_vms()
+        await self.update_vm_list()
         await self.spawn(
             name,
             '-m',
@@ -227,7 +227,7 @@
         )
         return generated | {'vm_id': vm_id} | self.settings
 
-    async def list_vms(self, without: tuple[str, ...] = ()) -> None:
+    async def update_vm_list(self, without: tuple[str, ...] = ()) -> None:
         """Send the list of VMs to the platform stand-in.
 
         Args:
@@ -256,7 +256,7 @@
         async with self.session.post(url, json=writes) as response:
             response.raise_for_status()
 
-    async def operate(
+    async def call_operators(
         self, name: str, path: str, method: str = 'GET', **options: typing.Any
     ) -> typing.Any:
         """Send a request to an entry's operators' listener.
@@ -292,7 +292,7 @@
             async with asyncio.timeout(START_TIMEOUT_S):
                 while process.process.returncode is None:
                     with contextlib.suppress(aiohttp.ClientError):
-                        response = await self.operate(name, '/v1/ready')
+                        response = await self.call_operators(name, '/v1/ready')
                         if response['ready']:
                             return
                     await asyncio.sleep(READY_POLL_S)
--- a/packages/testkit/bulrushcourse_testkit/limit_scenarios.py
+++ b/packages/testkit/bulrushcourse_testkit/limit_scenarios.py
@@ -204,5 +204,5 @@
         entry: Name of the entry.
         limit: Name of the limit.
     """
-    dump = await cluster.operate(entry, '/v1/state')
+    dump = await cluster.call_operators(entry, '/v1/state')
     return dump['limits']['shares'][limit]
--- a/packages/testkit/bulrushcourse_testkit/measure_versions.py
+++ b/packages/testkit/bulrushcourse_testkit/measure_versions.py
@@ -81,7 +81,9 @@
         'operator': 'measure',
         'objects': json.loads(documents.render_document(changed)),
     }
-    return await cluster.operate(name, '/v1/configuration', 'POST', json=body)
+    return await cluster.call_operators(
+        name, '/v1/configuration', 'POST', json=body
+    )
 
 
 async def measure(outage: bool) -> list[float]:
--- a/packages/testkit/bulrushcourse_testkit/tests/test_leaving.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_leaving.py
@@ -38,7 +38,7 @@
             'state': 'leaving',
             'instance': name,
         }
-    await cluster.list_vms()
+    await cluster.update_vm_list()
 
 
 async def announce_by_plan(cluster, names):
@@ -52,7 +52,7 @@
     )
     changed = attrs.evolve(cluster.objects, plans=(plan,))
     document = json.loads(documents.render_document(changed))
-    response = await cluster.operate(
+    response = await cluster.call_operators(
         ENTRIES[0],
         '/v1/configuration',
         'POST',
--- a/packages/testkit/bulrushcourse_testkit/tests/test_limits.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_limits.py
@@ -85,7 +85,7 @@
     await asyncio.sleep(20)
     cluster.processes['north-1'].signal(signal.SIGKILL)
     await asyncio.sleep(2)
-    await cluster.list_vms(without=('north-1',))
+    await cluster.update_vm_list(without=('north-1',))
     cluster.processes['north-2'].signal(signal.SIGSTOP)
     await asyncio.sleep(2)
     await cluster.set_store_faults(down=True)
--- a/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
@@ -42,12 +42,12 @@
 
 async def pool_owners(cluster, names):
     """Return the entries that report to own the pool."""
-    found = []
+    owners = []
     for name in names:
-        state = await cluster.operate(name, '/v1/state')
+        state = await cluster.call_operators(name, '/v1/state')
         if state['slots']['ownership'][POOL]['owns']:
-            found.append(name)
-    return found
+            owners.append(name)
+    return owners
 
 
 async def wait_for_owner(cluster, names):
@@ -157,7 +157,7 @@
             process = cluster.processes[owner]
             process.signal(signal.SIGKILL)
             await process.wait()
-            await cluster.list_vms(without=(owner,))
+            await cluster.update_vm_list(without=(owner,))
             remaining = [name for name in ENTRIES if name != owner]
             async with asyncio.timeout(30):
                 await wait_for_owner(cluster, remaining)
--- a/packages/testkit/bulrushcourse_testkit/tests/test_region_lost.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_region_lost.py
@@ -47,7 +47,7 @@
 
 async def lose_region(cluster):
     changed = without_region(cluster.objects, '127.0.0.1:1')
-    response = await cluster.operate(
+    response = await cluster.call_operators(
         ENTRIES[1],
         '/v1/configuration',
         'POST',
--- a/packages/testkit/bulrushcourse_testkit/tests/test_replacement.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_replacement.py
@@ -65,7 +65,9 @@
         samples = await load.run_load(callers, MIX, DURATION_S, SEED)
         await replacement
         polling.cancel()
-        states = [await cluster.operate(name, '/v1/state') for name in names]
+        states = [
+            await cluster.call_operators(name, '/v1/state') for name in names
+        ]
         journal = await cluster.observe(cluster.upstreams_port, 'journal')
     outcomes = collections.Counter(s.outcome for s in samples)
     assert outcomes == {'done': len(samples)}
--- a/packages/testkit/bulrushcourse_testkit/tests/test_versions_in_force.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_versions_in_force.py
@@ -72,9 +72,9 @@
 async def active_version(cluster, name):
     """Return the active version of an entry, ``None`` if it is not ready."""
     try:
-        if not (await cluster.operate(name, '/v1/ready'))['ready']:
+        if not (await cluster.call_operators(name, '/v1/ready'))['ready']:
             return None
-        response = await cluster.operate(name, '/v1/configuration')
+        response = await cluster.call_operators(name, '/v1/configuration')
         return response['version']
     except aiohttp.ClientError:
         return None
@@ -104,7 +104,7 @@
         for old in cluster.objects.limits
     )
     changed = attrs.evolve(cluster.objects, limits=limits)
-    return await cluster.operate(
+    return await cluster.call_operators(
         name,
         '/v1/configuration',
         'POST',
@@ -161,7 +161,7 @@
     repeated = await publish(cluster, names[4], 1, 'p1', 40)
     assert (repeated['version'], repeated['repeated']) == (2, True)
     await wait_version(cluster, names, 2)
-    history = await cluster.operate(names[2], '/v1/history')
+    history = await cluster.call_operators(names[2], '/v1/history')
     assert [p['version'] for p in history['publications']] == [2, 1]
 
 
@@ -185,7 +185,7 @@
         'publish_id': 'p3',
         'operator': 'ana',
     }
-    rolled_back = await cluster.operate(
+    rolled_back = await cluster.call_operators(
         names[0], '/v1/rollback', 'POST', json=rollback
     )
     assert rolled_back['version'] == 3
@@ -200,7 +200,9 @@
         await cluster.set_link_faults(link, cut=True)
 
     async def is_isolated():
-        return (await cluster.operate(isolated, '/v1/versions'))['isolated']
+        return (await cluster.call_operators(isolated, '/v1/versions'))[
+            'isolated'
+        ]
 
     await eventually(is_isolated)
     assert (await publish(cluster, isolated, 1, 'p0', 39))[
@@ -210,7 +212,7 @@
     await wait_version(cluster, names[:-1], 2)
     assert await active_version(cluster, isolated) == 1
     for name in (isolated, names[-2]):
-        state = await cluster.operate(name, '/v1/state')
+        state = await cluster.call_operators(name, '/v1/state')
         assert isolated not in state['members']['named']
         assert state['members']['named']
     for link in (f'store-{isolated}', f'peers-{isolated}'):
--- a/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
@@ -119,7 +119,7 @@
 
 @with_cluster
 async def test_a_truncated_response_never_looks_complete(cluster):
-    """Guards against partial responses that a caller takes for complete."""
+    """Guards against partial responses that a caller mistakes for complete."""
     await cluster.set_upstream('all', truncate=True)
     status, headers, _ = await get(cluster, '/v1/services/catalog/short')
     assert (status, headers['Bulrushcourse-Outcome']) == (502, 'unknown')
@@ -184,7 +184,7 @@
     state = f'http://{clusters.HOST}:{port}/v1/state'
     async with cluster.session.get(state) as response:
         assert response.status == 401
-    dump = str(await cluster.operate(ENTRY, '/v1/state'))
+    dump = str(await cluster.call_operators(ENTRY, '/v1/state'))
     assert clusters.TOKEN not in dump
     assert clusters.SECRET not in dump
     log = cluster.processes[ENTRY].log.read_text()
