State found and expected types in findings of malformed documents

Cause: a finding of a malformed document showed the text of the Python exception, such as "'str' object has no attribute 'items'" for a list of peers that is a string.

Change: the message states the JSON type or value that was found and what was expected. A syntax error states its line and column. Place, code, remedy and number of findings stay; so do messages about scalar fields.

--- a/packages/wire/bulrushcourse_wire/documents.py
+++ b/packages/wire/bulrushcourse_wire/documents.py
@@ -1,5 +1,6 @@
 """JSON documents of configurations and settings."""
 
+import enum
 import json
 import typing
 
@@ -18,17 +19,30 @@
     forbid_extra_keys=True, detailed_validation=True
 )
 
+_SCALARS = (int, float, str, bool)
+
+_JSON_TYPES = {
+    type(None): 'null',
+    bool: 'a boolean',
+    int: 'an integer',
+    float: 'a fractional number',
+    str: 'a string',
+    list: 'a list',
+    dict: 'an object',
+}
+
 
 def _check_scalar(value: typing.Any, expected: type) -> typing.Any:
     allowed = (int, float) if expected is float else (expected,)
+    # ``_describe_mismatch`` words the message of the finding.
     if isinstance(value, bool) and expected is not bool:
-        raise ValueError(f'is {value!r}, expected {expected.__name__}')
+        raise TypeError
     if not isinstance(value, allowed):
-        raise ValueError(f'is {value!r}, expected {expected.__name__}')
+        raise TypeError
     return expected(value)
 
 
-for _scalar in (int, float, str, bool):
+for _scalar in _SCALARS:
     _CONVERTER.register_structure_hook(_scalar, _check_scalar)
 
 
@@ -49,7 +63,11 @@
         content = json.loads(text)
     except ValueError as error:
         return result.Failure(
-            (findings.Finding('document', 'json', str(error), 'JSON'),)
+            (
+                findings.Finding(
+                    'document', 'json', _describe_syntax_error(error), 'JSON'
+                ),
+            )
         )
     if not isinstance(content, dict):
         return result.Failure(
@@ -60,7 +78,7 @@
     except Exception as error:
         # cattrs raises groups of arbitrary errors; each leaf is one finding.
         return result.Failure(
-            findings.sort_findings(_list_errors(error, '', content))
+            findings.sort_findings(_list_errors(error, '', content, cls))
         )
 
 
@@ -94,7 +112,10 @@
 
 
 def _list_errors(
-    error: BaseException, place: str, content: typing.Any
+    error: BaseException,
+    place: str,
+    content: typing.Any,
+    expected: typing.Any,
 ) -> typing.Iterator[findings.Finding]:
     if isinstance(error, cattrs.IterableValidationError):
         annotated, others = error.group_exceptions()
@@ -102,16 +123,17 @@
             child = _child(content, note.index)
             name = child.get('name') if isinstance(child, dict) else None
             label = f'{place}[{name or note.index}]'
-            yield from _list_errors(inner, label, child)
+            yield from _list_errors(inner, label, child, note.type)
         for inner in others:
-            yield from _list_errors(inner, place, content)
+            yield from _list_errors(inner, place, content, expected)
     elif isinstance(error, cattrs.ClassValidationError):
         annotated, others = error.group_exceptions()
         for inner, note in annotated:
             label = f'{place}.{note.name}' if place else note.name
-            yield from _list_errors(inner, label, _child(content, note.name))
+            child = _child(content, note.name)
+            yield from _list_errors(inner, label, child, note.type)
         for inner in others:
-            yield from _list_errors(inner, place, content)
+            yield from _list_errors(inner, place, content, expected)
     elif isinstance(error, cattrs.ForbiddenExtraKeysError):
         for key in sorted(error.extra_fields):
             label = f'{place}.{key}' if place else key
@@ -121,10 +143,40 @@
     elif isinstance(error, KeyError):
         yield findings.Finding(place, 'missing', 'is missing', 'add it')
     else:
-        yield findings.Finding(place or 'document', 'type', str(error))
+        message = _describe_mismatch(error, content, expected)
+        yield findings.Finding(place or 'document', 'type', message)
+
+
+def _describe_syntax_error(error: ValueError) -> str:
+    if isinstance(error, json.JSONDecodeError):
+        reason = f'{error.msg[:1].lower()}{error.msg[1:]}'
+        return (
+            f'is not valid JSON at line {error.lineno}, '
+            f'column {error.colno}: {reason}'
+        )
+    # Python limits the number of digits that it converts.
+    return 'contains an integer with too many digits, expected fewer digits'
+
+
+def _describe_mismatch(
+    error: BaseException, content: typing.Any, expected: typing.Any
+) -> str:
+    if isinstance(error, OverflowError):
+        return 'is too large a number, expected one in the range of a float'
+    if expected in _SCALARS:
+        return f'is {content!r}, expected {expected.__name__}'
+    if isinstance(expected, type) and issubclass(expected, enum.Enum):
+        values = ', '.join(repr(member.value) for member in expected)
+        return f'is {content!r}, expected one of {values}'
+    is_list = typing.get_origin(expected) in (tuple, list)
+    wanted = 'a list' if is_list else 'an object'
+    return f'is {_JSON_TYPES[type(content)]}, expected {wanted}'
 
 
 def _child(content: typing.Any, key: typing.Any) -> typing.Any:
+    if isinstance(content, dict) and isinstance(key, int):
+        # An object in place of a list is read as the list of its keys.
+        content = list(content)
     try:
         return content[key]
     except (KeyError, IndexError, TypeError):
