--- a/packages/domain/bulrushcourse_domain/claims/claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/claim.py
@@ -185,7 +185,7 @@
 
 
 def may_dispatch(
-    write_result: outcomes.StoreFact, row: Claim | None, attempt: str
+    write_result: outcomes.StoreWriteResult, row: Claim | None, attempt: str
 ) -> bool:
     """Return whether an attempt may dispatch after writing its claim.
 
@@ -196,14 +196,14 @@
 
     Examples:
         >>> row = open_claim('a1', 'd', 0.0)
-        >>> may_dispatch(outcomes.StoreFact.UNKNOWN, None, 'a1')
+        >>> may_dispatch(outcomes.StoreWriteResult.UNKNOWN, None, 'a1')
         False
-        >>> may_dispatch(outcomes.StoreFact.UNKNOWN, row, 'a1')
+        >>> may_dispatch(outcomes.StoreWriteResult.UNKNOWN, row, 'a1')
         True
-        >>> may_dispatch(outcomes.StoreFact.CONFLICT, row, 'a2')
+        >>> may_dispatch(outcomes.StoreWriteResult.CONFLICT, row, 'a2')
         False
     """
-    if write_result is outcomes.StoreFact.COMMITTED:
+    if write_result is outcomes.StoreWriteResult.COMMITTED:
         return True
     return (
         row is not None
@@ -213,7 +213,7 @@
 
 
 def refusal_reply(
-    write_result: outcomes.StoreFact, row: Claim | None
+    write_result: outcomes.StoreWriteResult, row: Claim | None
 ) -> outcomes.Reply:
     """Return the reply after writing a row from ``refused_claim``.
 
@@ -222,10 +222,10 @@
         row: Row read back after the write, ``None`` if absent or not read.
 
     Examples:
-        >>> refusal_reply(outcomes.StoreFact.UNKNOWN, None).outcome
+        >>> refusal_reply(outcomes.StoreWriteResult.UNKNOWN, None).outcome
         <Outcome.UNKNOWN: 'unknown'>
     """
-    if write_result is outcomes.StoreFact.COMMITTED:
+    if write_result is outcomes.StoreWriteResult.COMMITTED:
         return outcomes.Reply(outcomes.Outcome.NOT_RUN, 'refused')
     if row is not None:
         return row.reply()
--- a/packages/domain/bulrushcourse_domain/claims/issued_keys.py
+++ b/packages/domain/bulrushcourse_domain/claims/issued_keys.py
@@ -121,7 +121,7 @@
             service: Service of the request.
             digest: Digest of the request.
         """
-        key = keys.read_key(self.secret, text)
+        key = keys.verify_key(self.secret, text)
         if key is None:
             return KeyCheck.INVALID
         if key.service != service:
--- a/packages/domain/bulrushcourse_domain/claims/keys.py
+++ b/packages/domain/bulrushcourse_domain/claims/keys.py
@@ -31,7 +31,7 @@
     number: int
 
 
-def is_issued_form(text: str) -> bool:
+def has_issued_format(text: str) -> bool:
     """Return whether a key has the format of an issued key.
 
     Such a key is never treated as a free-form key, even if its signature is
@@ -41,7 +41,7 @@
         text: Key as sent by a caller.
 
     Examples:
-        >>> is_issued_form('order-17')
+        >>> has_issued_format('order-17')
         False
     """
     return text.startswith(PREFIX + SEPARATOR)
@@ -60,7 +60,7 @@
     Examples:
         >>> key = IssuedKey('e1', '7f', 'orders', 1000, 1)
         >>> text = sign_key(b's', key)
-        >>> read_key(b's', text) == key, read_key(b'other', text)
+        >>> verify_key(b's', text) == key, verify_key(b'other', text)
         (True, None)
     """
     fields = (PREFIX, *(str(value) for value in attrs.astuple(key)))
@@ -70,7 +70,7 @@
     return f'{content}{SEPARATOR}{_signature(secret, content)}'
 
 
-def read_key(secret: bytes, text: str) -> IssuedKey | None:
+def verify_key(secret: bytes, text: str) -> IssuedKey | None:
     """Verify the signature and return the key, ``None`` if it is invalid.
 
     Args:
--- a/packages/domain/bulrushcourse_domain/claims/outcomes.py
+++ b/packages/domain/bulrushcourse_domain/claims/outcomes.py
@@ -17,7 +17,7 @@
     UNKNOWN = 'unknown'
 
 
-class UpstreamFact(enum.Enum):
+class DispatchResult(enum.Enum):
     """How a dispatch to an upstream instance ended."""
 
     NO_BYTE_SENT = 'no-byte-sent'
@@ -29,7 +29,7 @@
     ANSWERED = 'answered'
 
 
-class StoreFact(enum.Enum):
+class StoreWriteResult(enum.Enum):
     """Result of a write to the store, as far as it is known."""
 
     COMMITTED = 'committed'
@@ -41,13 +41,13 @@
 # A 429 or 503 without the pool's "not run" header may come from a proxy in
 # front of the instance that gave up after the instance had started.
 UPSTREAM_OUTCOMES = {
-    UpstreamFact.NO_BYTE_SENT: Outcome.NOT_RUN,
-    UpstreamFact.SHED_NOT_RUN: Outcome.NOT_RUN,
-    UpstreamFact.SHED: Outcome.UNKNOWN,
-    UpstreamFact.RESET: Outcome.UNKNOWN,
-    UpstreamFact.TIMED_OUT: Outcome.UNKNOWN,
-    UpstreamFact.TRUNCATED: Outcome.UNKNOWN,
-    UpstreamFact.ANSWERED: Outcome.DONE,
+    DispatchResult.NO_BYTE_SENT: Outcome.NOT_RUN,
+    DispatchResult.SHED_NOT_RUN: Outcome.NOT_RUN,
+    DispatchResult.SHED: Outcome.UNKNOWN,
+    DispatchResult.RESET: Outcome.UNKNOWN,
+    DispatchResult.TIMED_OUT: Outcome.UNKNOWN,
+    DispatchResult.TRUNCATED: Outcome.UNKNOWN,
+    DispatchResult.ANSWERED: Outcome.DONE,
 }
 
 SHED_STATUSES = frozenset({429, 503})
@@ -86,7 +86,7 @@
     answer: Answer | None = None
 
 
-def answer_fact(status: int, not_run: bool) -> UpstreamFact:
+def classify_response(status: int, not_run: bool) -> DispatchResult:
     """Classify a complete response of an upstream.
 
     Args:
@@ -94,30 +94,30 @@
         not_run: Whether the response has the pool's "not run" header.
 
     Examples:
-        >>> answer_fact(503, True), answer_fact(503, False)
-        (<UpstreamFact.SHED_NOT_RUN: 'shed-not-run'>, <UpstreamFact.SHED: 'shed'>)
-        >>> answer_fact(200, True)
-        <UpstreamFact.ANSWERED: 'answered'>
+        >>> classify_response(503, True), classify_response(503, False)
+        (<DispatchResult.SHED_NOT_RUN: 'shed-not-run'>, <DispatchResult.SHED: 'shed'>)
+        >>> classify_response(200, True)
+        <DispatchResult.ANSWERED: 'answered'>
     """  # noqa: E501
     if status not in SHED_STATUSES:
-        return UpstreamFact.ANSWERED
-    return UpstreamFact.SHED_NOT_RUN if not_run else UpstreamFact.SHED
+        return DispatchResult.ANSWERED
+    return DispatchResult.SHED_NOT_RUN if not_run else DispatchResult.SHED
 
 
-def attempt_outcome(result: UpstreamFact) -> Outcome:
+def attempt_outcome(result: DispatchResult) -> Outcome:
     """Return the outcome that a dispatch proves for its attempt.
 
     Args:
         result: How the dispatch ended.
 
     Examples:
-        >>> attempt_outcome(UpstreamFact.RESET)
+        >>> attempt_outcome(DispatchResult.RESET)
         <Outcome.UNKNOWN: 'unknown'>
     """
     return UPSTREAM_OUTCOMES[result]
 
 
-def may_dispatch_again(result: UpstreamFact) -> bool:
+def may_dispatch_again(result: DispatchResult) -> bool:
     """Return whether the attempt may be dispatched to another instance.
 
     Args:
--- a/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_claim.py
@@ -34,15 +34,15 @@
     row = claims.refused_claim('a1', 'd', 0.0)
     for attempt in ('a1', 'a2'):
         assert row.check_attempt(attempt, 'd') is claims.AttemptCheck.FINAL
-        for write_result in outcomes.StoreFact:
-            if write_result is not outcomes.StoreFact.COMMITTED:
+        for write_result in outcomes.StoreWriteResult:
+            if write_result is not outcomes.StoreWriteResult.COMMITTED:
                 assert not claims.may_dispatch(write_result, row, attempt)
 
 
 def test_claimed_row_proves_nothing_to_other_attempts():
     """Guards against ``not-run`` while the claiming attempt may resume."""
     row = claims.open_claim('a1', 'd', 0.0)
-    reply = claims.refusal_reply(outcomes.StoreFact.CONFLICT, row)
+    reply = claims.refusal_reply(outcomes.StoreWriteResult.CONFLICT, row)
     assert reply.outcome is outcomes.Outcome.UNKNOWN
 
 
--- a/packages/domain/bulrushcourse_domain/claims/tests/test_issued_keys.py
+++ b/packages/domain/bulrushcourse_domain/claims/tests/test_issued_keys.py
@@ -22,7 +22,7 @@
 
 
 def test_key_starts_one_run():
-    """Guards against a second run when a request is sent again (P5)."""
+    """Guards against a second run when a request is sent again."""
     keys = make_keys()
     (key,) = keys.issue('orders', 1)
     assert keys.check_request(key, 'orders', 'd') is CHECK.FIRST
@@ -34,7 +34,7 @@
 
 
 def test_expired_key_is_unknown():
-    """Guards against ``not-run`` for an expired key that may have run (P4)."""
+    """Guards against ``not-run`` for an expired key that may have run."""
     keys = make_keys()
     unused, used = keys.issue('orders', 2)
     keys.check_request(used, 'orders', 'd')
@@ -55,7 +55,7 @@
 
 
 def test_other_incarnations_and_forgeries_do_not_run():
-    """Guards against a run of keys issued before a restart (P5)."""
+    """Guards against a run of keys issued before a restart."""
     (key,) = make_keys('i1').issue('orders', 1)
     restarted = make_keys('i2')
     assert restarted.check_request(key, 'orders', 'd') is CHECK.FOREIGN
--- a/packages/domain/bulrushcourse_domain/configuration/active_configuration.py
+++ b/packages/domain/bulrushcourse_domain/configuration/active_configuration.py
@@ -19,12 +19,12 @@
     Attributes:
         current: The active configuration, ``None`` before the first.
         pending: The staged configuration, newer than the active one.
-        refused: Number of times that an older version was rejected.
+        rejected_count: Number of times that an older version was rejected.
     """
 
     current: configuration_set.ConfigurationSet | None = None
     pending: configuration_set.ConfigurationSet | None = None
-    refused: int = 0
+    rejected_count: int = 0
 
     @property
     def version(self) -> int:
@@ -51,7 +51,7 @@
             Whether it was staged.
         """
         if candidate.version <= self.newest_version:
-            self.refused += candidate.version < self.newest_version
+            self.rejected_count += candidate.version < self.newest_version
             return False
         self.pending = candidate
         return True
--- a/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
+++ b/packages/domain/bulrushcourse_domain/configuration/configuration_set.py
@@ -44,7 +44,7 @@
         return {place.name: place.region for place in self.objects.places}
 
     @functools.cached_property
-    def nearness(self) -> dict[str, tuple[str, ...]]:
+    def nearest_regions(self) -> dict[str, tuple[str, ...]]:
         """Other regions, nearest first, by region that lists any."""
         return {
             place.region: place.near_regions
--- a/packages/domain/bulrushcourse_domain/configuration/publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/publication.py
@@ -77,11 +77,11 @@
 
     Attributes:
         publication: The publication.
-        stored: Whether an earlier send of the same request already stored it.
+        already_stored: Whether an earlier send of the same request stored it.
     """
 
     publication: Publication
-    stored: bool
+    already_stored: bool
 
 
 def propose(
@@ -103,9 +103,10 @@
         >>> now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
         >>> request = PublishRequest(0, 'p1', 'ana', objects.Objects())
         >>> first = propose(None, {}, request, now).unwrap()
-        >>> first.publication.version, first.stored
+        >>> first.publication.version, first.already_stored
         (1, False)
-        >>> propose(first.publication, {}, request, now).unwrap().stored
+        >>> second = propose(first.publication, {}, request, now).unwrap()
+        >>> second.already_stored
         True
     """
     for earlier in (stored, history.get(request.base_version + 1)):
@@ -134,7 +135,7 @@
     return result.Success(Proposal(publication, False))
 
 
-def roll_back(
+def rollback_request(
     base_version: int, old: Publication, publish_id: str, operator: str
 ) -> PublishRequest:
     """Return the request that publishes old content as a new version.
--- a/packages/domain/bulrushcourse_domain/configuration/startup.py
+++ b/packages/domain/bulrushcourse_domain/configuration/startup.py
@@ -29,7 +29,7 @@
         """
         self.row_version = version
 
-    def decide(
+    def update_readiness(
         self,
         active_version: int,
         silent_vms: frozenset[str] | None,
@@ -45,11 +45,11 @@
 
         Examples:
             >>> startup = StartupConfiguration()
-            >>> startup.decide(4, frozenset({'vm-b'}), 4)
+            >>> startup.update_readiness(4, frozenset({'vm-b'}), 4)
             False
-            >>> startup.decide(4, frozenset(), 5)
+            >>> startup.update_readiness(4, frozenset(), 5)
             False
-            >>> startup.decide(5, frozenset(), 5)
+            >>> startup.update_readiness(5, frozenset(), 5)
             True
         """
         if self.ready or not active_version:
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_publication.py
@@ -59,7 +59,7 @@
     second = publish(
         first.publication, history, publish_request(1, 'p2', place_set())
     )
-    request = publication.roll_back(2, first.publication, 'p3', 'ana')
+    request = publication.rollback_request(2, first.publication, 'p3', 'ana')
     third = publish(second.publication, history, request).publication
     assert (third.version, third.objects) == (3, place_set('a'))
 
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
@@ -54,7 +54,7 @@
 
     def is_ready(self, name):
         entry = self.entries[name]
-        return entry.startup.decide(
+        return entry.startup.update_readiness(
             entry.active.version,
             frozenset('abc') - {name} - entry.peer_versions.keys(),
             max(entry.peer_versions.values(), default=0),
@@ -174,10 +174,14 @@
 
 
 class OnePeerSuffices(startup.StartupConfiguration):
-    def decide(self, active_version, silent_vms, newest_peer_version):
+    def update_readiness(
+        self, active_version, silent_vms, newest_peer_version
+    ):
         if len(silent_vms) <= 1:
             silent_vms = frozenset()
-        return super().decide(active_version, silent_vms, newest_peer_version)
+        return super().update_readiness(
+            active_version, silent_vms, newest_peer_version
+        )
 
 
 def propose_on_stored(stored, history, request, now):
--- a/packages/domain/bulrushcourse_domain/fleet/fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/fleet.py
@@ -9,7 +9,7 @@
 from bulrushcourse_domain import clock as clocks
 
 # VMs send several heartbeats per second.
-SILENT_S = 2.5
+HEARTBEAT_TIMEOUT_S = 2.5
 # VMs that were silent for less than this still share the limits, since they
 # may be cut off from this VM only and still serve.
 SHARING_TIMEOUT_S = 20.0
@@ -69,20 +69,22 @@
         clock: Source of time.
         local_vm: This VM.
         phase: Phase that this VM reports.
-        known: Other VMs by name, including those that have not sent a
+        peers: Other VMs by name, including those that have not sent a
             heartbeat to this VM.
         heartbeats: Last heartbeat of each VM, by name.
         added_at: Time when each VM was added, by name.
-        sizes: Number of other VMs in each region.
+        region_sizes: Number of other VMs in each region.
     """
 
     clock: clocks.Clock
     local_vm: Vm
     phase: Phase = Phase.STARTING
-    known: dict[str, Vm] = attrs.field(factory=dict)
+    peers: dict[str, Vm] = attrs.field(factory=dict)
     heartbeats: dict[str, Heartbeat] = attrs.field(factory=dict)
     added_at: dict[str, float] = attrs.field(factory=dict)
-    sizes: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    region_sizes: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
     def add_vm(self, vm: Vm, self_reported: bool = False) -> bool:
         """Add a VM, or replace its former incarnation.
@@ -97,16 +99,16 @@
         """
         if vm.name == self.local_vm.name:
             return False
-        previous = self.known.get(vm.name)
+        previous = self.peers.get(vm.name)
         if previous is not None and not (
             vm.incarnation > previous.incarnation
             or (self_reported and self._clock_was_set_back(previous, vm))
         ):
             return False
         if previous is not None:
-            self.sizes[previous.region] -= 1
-        self.sizes[vm.region] += 1
-        self.known[vm.name] = vm
+            self.region_sizes[previous.region] -= 1
+        self.region_sizes[vm.region] += 1
+        self.peers[vm.name] = vm
         self.added_at[vm.name] = self.clock.monotonic()
         self.heartbeats.pop(vm.name, None)
         return True
@@ -130,7 +132,7 @@
             Whether it was not alive before.
         """
         self.add_vm(vm, self_reported=True)
-        if self.known.get(vm.name) != vm:
+        if self.peers.get(vm.name) != vm:
             return False
         was_alive = self.is_alive(vm.name)
         self.heartbeats[vm.name] = Heartbeat(phase, self.clock.monotonic())
@@ -145,11 +147,11 @@
         heartbeat = self.heartbeats.get(name)
         if heartbeat is None:
             return False
-        return self.clock.monotonic() - heartbeat.at <= SILENT_S
+        return self.clock.monotonic() - heartbeat.at <= HEARTBEAT_TIMEOUT_S
 
     def alive(self) -> tuple[str, ...]:
         """Return the names of the VMs that are alive, this one included."""
-        others = (name for name in self.known if self.is_alive(name))
+        others = (name for name in self.peers if self.is_alive(name))
         return (self.local_vm.name, *sorted(others))
 
     def sharing_vm_count(self) -> int:
@@ -165,7 +167,7 @@
         }
         expired = tuple(name for name, at in last_times.items() if at < oldest)
         for name in expired:
-            self.sizes[self.known.pop(name).region] -= 1
+            self.region_sizes[self.peers.pop(name).region] -= 1
             self.heartbeats.pop(name, None)
             del self.added_at[name]
         return expired
@@ -173,7 +175,7 @@
     def serving(self) -> tuple[Vm, ...]:
         """Return the VMs that callers may connect to."""
         serving = [self.local_vm] if self.phase is Phase.READY else []
-        for name, vm in self.known.items():
+        for name, vm in self.peers.items():
             if (
                 self.is_alive(name)
                 and self.heartbeats[name].phase is Phase.READY
--- a/packages/domain/bulrushcourse_domain/fleet/lookups.py
+++ b/packages/domain/bulrushcourse_domain/fleet/lookups.py
@@ -10,7 +10,7 @@
 
 
 @attrs.define
-class LookupAnswers:
+class LookupCache:
     """Addresses for callers, cached for a short time.
 
     Attributes:
--- a/packages/domain/bulrushcourse_domain/fleet/peer_versions.py
+++ b/packages/domain/bulrushcourse_domain/fleet/peer_versions.py
@@ -6,7 +6,7 @@
 
 # VMs get updates from the store or from the VM where they arise. One that is
 # behind for longer than this gets them from all VMs with a newer version.
-HELP_AFTER_S = 0.8
+UPDATE_DELAY_S = 0.8
 
 
 @attrs.define
@@ -32,17 +32,17 @@
     versions: dict[str, int] = attrs.field(factory=dict)
     behind_since: dict[str, float] = attrs.field(factory=dict)
 
-    def record_version(self, vm: str, version: int, own_level: int) -> None:
+    def record_version(self, vm: str, version: int, own_version: int) -> None:
         """Record the version that a VM reports.
 
         Args:
             vm: Name of the VM.
             version: Its version.
-            own_level: The version of this VM.
+            own_version: The version of this VM.
         """
-        if version >= own_level or self.versions.get(vm, version) != version:
+        if version >= own_version or self.versions.get(vm, version) != version:
             self.behind_since.pop(vm, None)
-        if version < own_level:
+        if version < own_version:
             self.behind_since.setdefault(vm, self.clock.monotonic())
         self.versions[vm] = version
 
@@ -55,17 +55,19 @@
         self.versions.pop(vm, None)
         self.behind_since.pop(vm, None)
 
-    def needs_update(self, vm: str, own_level: int, immediately: bool) -> bool:
+    def needs_update(
+        self, vm: str, own_version: int, immediately: bool
+    ) -> bool:
         """Return whether this VM should send an update to another one.
 
         Args:
             vm: Name of the VM.
-            own_level: The version of this VM.
+            own_version: The version of this VM.
             immediately: Whether this VM sends updates without a delay.
         """
-        if self.versions.get(vm, own_level) >= own_level:
+        if self.versions.get(vm, own_version) >= own_version:
             return False
         behind_since = self.behind_since.get(vm)
         if immediately or behind_since is None:
             return immediately
-        return self.clock.monotonic() - behind_since > HELP_AFTER_S
+        return self.clock.monotonic() - behind_since > UPDATE_DELAY_S
--- a/packages/domain/bulrushcourse_domain/fleet/tests/test_fleet.py
+++ b/packages/domain/bulrushcourse_domain/fleet/tests/test_fleet.py
@@ -23,7 +23,7 @@
     members.record_heartbeat(make_vm('c'), fleet.Phase.STARTING)
     members.record_heartbeat(make_vm('d'), fleet.Phase.LEAVING)
     assert {vm.name for vm in members.serving()} == {'me', 'b'}
-    members.clock.advance(fleet.SILENT_S + 0.1)
+    members.clock.advance(fleet.HEARTBEAT_TIMEOUT_S + 0.1)
     assert {vm.name for vm in members.serving()} == {'me'}
 
 
@@ -55,7 +55,7 @@
     # Guards against using the share of a VM that is cut off from this one but
     # still serves.
     members = make_ready_fleet(make_vm('b'), make_vm('c'))
-    members.clock.advance(fleet.SILENT_S + 0.1)
+    members.clock.advance(fleet.HEARTBEAT_TIMEOUT_S + 0.1)
     assert members.sharing_vm_count() == 3
     members.clock.advance(fleet.SHARING_TIMEOUT_S)
     assert members.sharing_vm_count() == 1
@@ -70,13 +70,13 @@
     members.record_heartbeat(make_vm('b'), fleet.Phase.READY)
     members.clock.advance(2.0)
     assert members.remove_expired() == ('never-heard',)
-    assert set(members.known) == {'b'}
-    assert members.sizes['x'] == 0
+    assert set(members.peers) == {'b'}
+    assert members.region_sizes['x'] == 0
     members.clock.advance(fleet.REMOVAL_TIMEOUT_S)
     assert members.remove_expired() == ('b',)
     members.record_heartbeat(make_vm('b'), fleet.Phase.READY)
     assert {vm.name for vm in members.serving()} == {'me', 'b'}
-    assert members.sizes['a'] == 1
+    assert members.region_sizes['a'] == 1
 
 
 def test_vm_whose_clock_was_set_back_replaces_its_silent_incarnation():
@@ -87,7 +87,7 @@
     )
     members.record_heartbeat(restarted, fleet.Phase.READY)
     assert {vm.caller_address for vm in members.serving()} == {'me:2', 'b:2'}
-    members.clock.advance(fleet.SILENT_S + 0.1)
+    members.clock.advance(fleet.HEARTBEAT_TIMEOUT_S + 0.1)
     assert not members.add_vm(restarted)
     assert members.record_heartbeat(restarted, fleet.Phase.READY)
     assert {vm.caller_address for vm in members.serving()} == {'me:2', 'new:2'}
--- a/packages/domain/bulrushcourse_domain/health/instance_health.py
+++ b/packages/domain/bulrushcourse_domain/health/instance_health.py
@@ -251,7 +251,7 @@
         result: requests.ReleaseResult,
     ) -> None:
         now = self.clock.monotonic()
-        seconds = result.seconds
+        seconds = result.service_time_s
         if seconds is None:
             seconds = now - active.granted_at
         record.slowness_index.complete(
--- a/packages/domain/bulrushcourse_domain/limits/pacing.py
+++ b/packages/domain/bulrushcourse_domain/limits/pacing.py
@@ -101,7 +101,7 @@
         while (chunk := self.next_chunk()) is not None:
             if self._delay_s(chunk, share) > 0:
                 break
-            self.window.charge(chunk.size_bytes, share)
+            self.window.try_charge(chunk.size_bytes, share)
             self._dequeue(chunk, share)
             released.append(chunk)
         return released
--- a/packages/domain/bulrushcourse_domain/limits/rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/rate_window.py
@@ -14,7 +14,7 @@
 REQUESTS_WINDOW_S = 1.1
 BUCKETS_PER_WINDOW = 200
 # Keeps a wait from ending before the window does because of rounding.
-ROUNDING_S = 1e-6
+ROUNDING_MARGIN_S = 1e-6
 
 
 @attrs.define
@@ -46,7 +46,7 @@
             self.used -= int(self.charges.popleft()[2])
         return self.used
 
-    def charge(self, amount: int, share: int) -> bool:
+    def try_charge(self, amount: int, share: int) -> bool:
         """Charge an amount if the share has room for it.
 
         Args:
@@ -59,10 +59,10 @@
         Examples:
             >>> clock = clocks.ManualClock()
             >>> window = RateWindow(clock)
-            >>> window.charge(6, 10), window.charge(6, 10)
+            >>> window.try_charge(6, 10), window.try_charge(6, 10)
             (True, False)
             >>> clock.advance(1.03)
-            >>> window.charge(6, 10)
+            >>> window.try_charge(6, 10)
             True
         """
         if self.in_use() + amount > share:
@@ -90,5 +90,7 @@
         for _, latest, charged in self.charges:
             excess -= int(charged)
             if excess <= 0:
-                return max(0.0, latest + self.window_s - now) + ROUNDING_S
+                return (
+                    max(0.0, latest + self.window_s - now) + ROUNDING_MARGIN_S
+                )
         return math.inf
--- a/packages/domain/bulrushcourse_domain/limits/share_ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/share_ledger.py
@@ -48,8 +48,8 @@
         version: Version of the row as it was last read, 0 if absent.
         reserved_floor: Floor units per second that the row reserves for this
             entry; ``None`` until this incarnation has read the row.
-        elastic: Elastic units per second usable until ``expires``.
-        expires: Clock seconds at which the lease expires.
+        elastic: Elastic units per second usable until ``expires_at``.
+        expires_at: Clock seconds at which the lease expires.
         pending_writes: Writes of unknown outcome, by renewal.
         write_count: Number of writes proposed.
     """
@@ -63,7 +63,7 @@
     version: int = 0
     reserved_floor: int | None = None
     elastic: int = 0
-    expires: float = float('-inf')
+    expires_at: float = float('-inf')
     pending_writes: dict[str, PendingWrite] = attrs.field(factory=dict)
     write_count: int = 0
 
@@ -103,7 +103,7 @@
     @property
     def usable(self) -> int:
         """Units per second that this entry may use now."""
-        is_leased = self.clock.monotonic() < self.expires
+        is_leased = self.clock.monotonic() < self.expires_at
         return self.floor + (self.elastic if is_leased else 0)
 
     def observe(self, ledger: ledgers.Ledger | None, version: int) -> None:
@@ -251,10 +251,10 @@
         """Apply a committed write; its lease starts when it was sent."""
         self.elastic = write.elastic
         self.reserved_floor = write.floor
-        self.expires = write.sent_at + lease_monitor.LEASE_S
+        self.expires_at = write.sent_at + lease_monitor.LEASE_S
 
 
-def open_ledger(
+def build_ledger(
     clock: clocks.Clock,
     holder: str,
     vm_id: str,
@@ -273,7 +273,7 @@
     Examples:
         >>> clock = clocks.ManualClock()
         >>> terms = ledgers.Terms(1, 100, ('a', 'b'), 5.0)
-        >>> shares = open_ledger(clock, 'vm-1/1', 'vm-1', 'a', terms)
+        >>> shares = build_ledger(clock, 'vm-1/1', 'vm-1', 'a', terms)
         >>> shares.update_vm_list({'vm-1': 'a'})
         >>> row = shares.propose(demand=60, in_use=0)
         >>> shares.usable
--- a/packages/domain/bulrushcourse_domain/limits/tests/test_rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/test_rate_window.py
@@ -26,7 +26,7 @@
     sent = []
     for delay, amount in steps:
         clock.advance(delay)
-        if window.charge(amount, 100):
+        if window.try_charge(amount, 100):
             sent.append((clock.now, amount))
     for start, _ in sent:
         total = sum(a for t, a in sent if start <= t < start + 1.0)
@@ -45,7 +45,7 @@
     window = rate_window.RateWindow(clock, window_s)
     sent = 0
     while clock.now < 60:
-        if window.charge(amount, share):
+        if window.try_charge(amount, share):
             sent += amount
         else:
             clock.advance(window.wait_s(amount, share))
@@ -56,8 +56,8 @@
     """Guards against a lowered share that ignores earlier charges."""
     clock = clocks.ManualClock()
     window = rate_window.RateWindow(clock)
-    assert window.charge(10, 10)
-    assert not window.charge(1, 5)
+    assert window.try_charge(10, 10)
+    assert not window.try_charge(1, 5)
     wait = window.wait_s(1, 5)
     assert wait == pytest.approx(rate_window.BYTES_WINDOW_S, abs=1e-5)
     assert window.wait_s(6, 5) == float('inf')
--- a/packages/domain/bulrushcourse_domain/limits/tests/test_share_ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/test_share_ledger.py
@@ -25,7 +25,7 @@
 class LeaseStartsAtResponse(share_ledger.ShareLedger):
     def confirm_write(self, renewal):
         super().confirm_write(renewal)
-        self.expires = self.clock.monotonic() + lease_monitor.LEASE_S
+        self.expires_at = self.clock.monotonic() + lease_monitor.LEASE_S
 
 
 class ReclaimsWithoutWorkLimit(lease_monitor.LeaseMonitor):
--- a/packages/domain/bulrushcourse_domain/membership/lookup.py
+++ b/packages/domain/bulrushcourse_domain/membership/lookup.py
@@ -33,14 +33,16 @@
 
     Attributes:
         members: Entries that answers may name.
-        nearness: Other regions, nearest first, by region of the caller;
+        nearest_regions: Other regions, nearest first, by region of the caller;
             regions that are not listed come last, in order of name.
         by_region: Members by region, in order of name.
         answers: Cached answers by region of the caller, then by bucket.
     """
 
     members: tuple[member.MemberInfo, ...] = ()
-    nearness: typing.Mapping[str, tuple[str, ...]] = attrs.field(factory=dict)
+    nearest_regions: typing.Mapping[str, tuple[str, ...]] = attrs.field(
+        factory=dict
+    )
     by_region: dict[str, list[member.MemberInfo]] = attrs.field(init=False)
     answers: dict[str, list[Answer | None]] = attrs.field(
         init=False, factory=dict
@@ -74,13 +76,13 @@
             answer = cached[bucket] = self._rank_entries(bucket, region)
         return answer
 
-    def regions(self, region: str) -> list[str]:
+    def regions_by_distance(self, region: str) -> list[str]:
         """Return the regions that have entries, nearest to a region first.
 
         Args:
             region: Region of the caller.
         """
-        order = (region, *self.nearness.get(region, ()))
+        order = (region, *self.nearest_regions.get(region, ()))
         rank = {
             name: index for index, name in reversed(list(enumerate(order)))
         }
@@ -90,7 +92,7 @@
 
     def _rank_entries(self, bucket: int, region: str) -> Answer:
         chosen: list[member.MemberInfo] = []
-        for name in self.regions(region):
+        for name in self.regions_by_distance(region):
             count = (
                 ENTRIES_IN_OTHER_REGION
                 if chosen
--- a/packages/domain/bulrushcourse_domain/membership/readers.py
+++ b/packages/domain/bulrushcourse_domain/membership/readers.py
@@ -26,4 +26,4 @@
         >>> sorted(designate_readers('configuration', 'a'))
         ['a']
     """
-    return frozenset(rendezvous.first(table, names, READERS))
+    return frozenset(rendezvous.top(table, names, READERS))
--- a/packages/domain/bulrushcourse_domain/placement/admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/admission.py
@@ -48,11 +48,11 @@
         return Verdict.NO_UPSTREAM
     # At a free slot only the service time is uncertain. If the estimate alone
     # led to a refusal, no measurement could ever correct it.
-    needed_s = choice.completion_s - (0.0 if choice.busy else choice.work_s)
+    needed_s = choice.completion_s - (0.0 if choice.queued else choice.work_s)
     if needed_s > remaining_s * DEADLINE_SHARE:
         return Verdict.TOO_LATE
     wait_s = choice.completion_s - choice.work_s
-    if choice.busy and wait_s + elapsed_s > (
+    if choice.queued and wait_s + elapsed_s > (
         MAX_QUEUE_OBJECTIVES * route.objective_s
     ):
         return Verdict.FULL
--- a/packages/domain/bulrushcourse_domain/placement/allocation.py
+++ b/packages/domain/bulrushcourse_domain/placement/allocation.py
@@ -9,7 +9,7 @@
 DEFAULT_UTILIZATION = 0.75
 
 
-def usual_demand(
+def default_demand(
     capacity: typing.Mapping[str, float], regions: typing.Collection[str]
 ) -> dict[str, float]:
     """Return the demand to assume until it is known, equal in all regions.
--- a/packages/domain/bulrushcourse_domain/placement/connections.py
+++ b/packages/domain/bulrushcourse_domain/placement/connections.py
@@ -5,7 +5,7 @@
 USABLE_SHARE = 0.9
 # Bounds the file descriptors and memory of a VM. A fleet of one VM needs as
 # many connections as an upstream has slots.
-MOST_CONNECTIONS = 64
+MAX_CONNECTIONS = 64
 
 
 def allowed_connections(limit: int, vm_count: int) -> int:
@@ -20,4 +20,4 @@
         (64, 2)
     """
     share = int(limit * USABLE_SHARE / vm_count)
-    return min(MOST_CONNECTIONS, max(1, share))
+    return min(MAX_CONNECTIONS, max(1, share))
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -63,7 +63,7 @@
         work_s: Expected service time, the part of it without network and
             queueing.
         affinity: Affinity of the upstream to the object.
-        busy: Requests in flight beyond its slots, at least 0.
+        queued: Requests in flight beyond its slots, at least 0.
         cold: Whether it is still warming up.
     """
 
@@ -71,7 +71,7 @@
     completion_s: float
     work_s: float
     affinity: service_times.Affinity
-    busy: int
+    queued: int
     cold: bool = False
 
 
@@ -151,7 +151,7 @@
             u
             for u in self.directory.usable(request.service, request.region)
             if request.route.may_run_in(u.region)
-            and self.load.own.get(u.name, 0) < allowed_each
+            and self.load.own_in_flight.get(u.name, 0) < allowed_each
             and u.name not in request.tried
         ]
         allowed = [
--- a/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/quarantine.py
@@ -50,7 +50,7 @@
 
     Attributes:
         clock: Source of time.
-        lost: Losses by fingerprint and identifier.
+        losses_by_fingerprint: Losses by fingerprint and identifier.
         cleared: Expiry of cleared losses by identifier.
         proven: Expiry of fingerprints that got a complete response, oldest
             first.
@@ -58,7 +58,9 @@
     """
 
     clock: clocks.Clock
-    lost: dict[str, dict[str, losses.Loss]] = attrs.field(factory=dict)
+    losses_by_fingerprint: dict[str, dict[str, losses.Loss]] = attrs.field(
+        factory=dict
+    )
     cleared: dict[str, float] = attrs.field(factory=dict)
     proven: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
@@ -85,7 +87,7 @@
         proven = self._is_proven(fingerprint)
         if not proven:
             limit = self._limit(fingerprint, repeatable)
-            counted = len(self.counted(fingerprint))
+            counted = len(self.counted_losses(fingerprint))
             if counted >= limit:
                 return Admission.REFUSE
             running = len(self.active.get(fingerprint, ()))
@@ -131,7 +133,7 @@
             return self._mark_proven(fingerprint)
         if outcome is not requests.ReleaseOutcome.LOST:
             return None
-        if run.proven and self.counted(fingerprint):
+        if run.proven and self.counted_losses(fingerprint):
             return None
         loss = losses.Loss(
             fingerprint, run_id, instance, self._expiry_s(), run.repeatable
@@ -150,10 +152,12 @@
                 until = max(update.expires, self.cleared.get(loss_id, 0.0))
                 self.cleared[loss_id] = until
             return
-        self.lost.setdefault(update.fingerprint, {})[update.loss_id] = update
+        self.losses_by_fingerprint.setdefault(update.fingerprint, {})[
+            update.loss_id
+        ] = update
         self.proven.pop(update.fingerprint, None)
 
-    def counted(self, fingerprint: str) -> tuple[losses.Loss, ...]:
+    def counted_losses(self, fingerprint: str) -> tuple[losses.Loss, ...]:
         """Return the losses that count against a request.
 
         Args:
@@ -162,7 +166,9 @@
         now = self._wall_time_s()
         return tuple(
             loss
-            for loss in self.lost.get(fingerprint, {}).values()
+            for loss in self.losses_by_fingerprint.get(
+                fingerprint, {}
+            ).values()
             if loss.expires > now and loss.loss_id not in self.cleared
         )
 
@@ -174,21 +180,21 @@
             repeatable: Whether the request may run more than once.
         """
         limit = self._limit(fingerprint, repeatable)
-        return len(self.counted(fingerprint)) >= limit
+        return len(self.counted_losses(fingerprint)) >= limit
 
     def remove_expired(self) -> None:
         """Discard expired losses and clearances; to be called periodically."""
         now = self._wall_time_s()
-        for fingerprint, lost in list(self.lost.items()):
+        for fingerprint, lost in list(self.losses_by_fingerprint.items()):
             kept = {i: loss for i, loss in lost.items() if loss.expires > now}
             if kept:
-                self.lost[fingerprint] = kept
+                self.losses_by_fingerprint[fingerprint] = kept
             else:
-                del self.lost[fingerprint]
+                del self.losses_by_fingerprint[fingerprint]
         self.cleared = {i: t for i, t in self.cleared.items() if t > now}
 
     def _mark_proven(self, fingerprint: str) -> losses.LossClearance | None:
-        counted = self.counted(fingerprint)
+        counted = self.counted_losses(fingerprint)
         self.proven[fingerprint] = self._expiry_s()
         self.proven.move_to_end(fingerprint)
         if len(self.proven) > MAX_PROVEN_FINGERPRINTS:
@@ -204,7 +210,7 @@
         return clearance
 
     def _limit(self, fingerprint: str, repeatable: bool) -> int:
-        counted = self.counted(fingerprint)
+        counted = self.counted_losses(fingerprint)
         if repeatable and all(loss.repeatable for loss in counted):
             return REPEATABLE_LOSS_LIMIT
         return NON_REPEATABLE_LOSS_LIMIT
--- a/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_quarantine.py
@@ -75,7 +75,7 @@
         quarantine = new_quarantine()
         for update in (*order, *order[:2]):
             quarantine.merge(update)
-        state = quarantine.lost, quarantine.cleared
+        state = quarantine.losses_by_fingerprint, quarantine.cleared
         expected = expected or state
         assert state == expected
 
@@ -109,7 +109,7 @@
     quarantine.admit('f', 'b', True)
     update = quarantine.finish('f', 'b', 'i', DONE)
     assert update.loss_ids == {'a'}
-    assert not quarantine.counted('f')
+    assert not quarantine.counted_losses('f')
 
 
 def test_outage_does_not_quarantine_popular_request():
@@ -131,5 +131,5 @@
         quarantine.merge(update)
     quarantine.clock.advance(4000)
     quarantine.remove_expired()
-    assert not quarantine.lost
+    assert not quarantine.losses_by_fingerprint
     assert not quarantine.cleared
--- a/packages/domain/bulrushcourse_domain/rendezvous.py
+++ b/packages/domain/bulrushcourse_domain/rendezvous.py
@@ -29,12 +29,10 @@
         True
     """
     distinct = set(names)
-    return first(key, distinct, len(distinct))
+    return top(key, distinct, len(distinct))
 
 
-def first(
-    key: str, names: typing.Iterable[str], count: int
-) -> tuple[str, ...]:
+def top(key: str, names: typing.Iterable[str], count: int) -> tuple[str, ...]:
     """Return the most preferred names for a key, best first.
 
     Args:
@@ -43,7 +41,7 @@
         count: Largest number of names to return.
 
     Examples:
-        >>> first('17', 'abc', 2) == rank('17', 'abc')[:2]
+        >>> top('17', 'abc', 2) == rank('17', 'abc')[:2]
         True
     """
     return tuple(
--- a/packages/domain/bulrushcourse_domain/retries/shared_budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/shared_budget.py
@@ -22,14 +22,14 @@
         extra: Additional retries per window, over all VMs.
         window_s: Length of the window.
         tokens: Retries that are allowed now.
-        at: Time of the last refill.
+        refilled_at: Time of the last refill.
     """
 
     ratio: float
     extra: float
     window_s: float
     tokens: float = 1.0
-    at: float = 0.0
+    refilled_at: float = 0.0
 
     def record_request(self) -> None:
         """Add the tokens earned by the first attempt of a request.
@@ -58,8 +58,8 @@
             (True, False)
         """
         rate = self.extra / self.window_s / (members + ASSUMED_JOINERS)
-        elapsed = min(self.window_s, max(0.0, now - self.at))
-        self.at = now
+        elapsed = min(self.window_s, max(0.0, now - self.refilled_at))
+        self.refilled_at = now
         refill = elapsed * rate * USABLE_SHARE
         self.tokens = min(self.max_tokens(), self.tokens + refill)
         if self.tokens < 1.0:
--- a/packages/domain/bulrushcourse_domain/routing/shift_plan.py
+++ b/packages/domain/bulrushcourse_domain/routing/shift_plan.py
@@ -32,7 +32,7 @@
 
 
 @attrs.frozen
-class Evidence:
+class RampMeasurements:
     """Measurements of the receiving side since the last step.
 
     Attributes:
@@ -94,7 +94,9 @@
         """Time by which the plan must have finished."""
         return datetime.datetime.fromisoformat(self.plan.finish_by)
 
-    def step(self, now: datetime.datetime, measurements: Evidence) -> State:
+    def step(
+        self, now: datetime.datetime, measurements: RampMeasurements
+    ) -> State:
         """Take the next step and return the new state.
 
         Args:
@@ -107,7 +109,8 @@
             ...     'p', objects.PlanKind.SHIFT, 'dakar', *times
             ... )
             >>> shift = ShiftPlan(plan)
-            >>> shift.step(shift.start, Evidence()).value, shift.moved_share
+            >>> state = shift.step(shift.start, RampMeasurements())
+            >>> state.value, shift.moved_share
             ('ramping', 0.02)
         """
         if self.state not in TERMINAL_STATES and now >= self.finish_by:
@@ -125,13 +128,17 @@
             self.hold_reason.value or 'not enough time'
         )
 
-    def _wait(self, now: datetime.datetime, measurements: Evidence) -> State:
+    def _wait(
+        self, now: datetime.datetime, measurements: RampMeasurements
+    ) -> State:
         if now < self.start:
             return State.WAITING
         self.moved_share = min(self.plan.share, INITIAL_SHARE)
         return State.RAMPING
 
-    def _ramp(self, now: datetime.datetime, measurements: Evidence) -> State:
+    def _ramp(
+        self, now: datetime.datetime, measurements: RampMeasurements
+    ) -> State:
         self.hold_reason = find_hold_reason(measurements, SLOW_RATIO)
         if self.hold_reason is not HoldReason.NONE:
             if self.hold_reason is not HoldReason.UNKNOWN:
@@ -148,24 +155,28 @@
         )
         return State.RAMPING
 
-    def _hold(self, now: datetime.datetime, measurements: Evidence) -> State:
+    def _hold(
+        self, now: datetime.datetime, measurements: RampMeasurements
+    ) -> State:
         hold_reason = find_hold_reason(measurements, RECOVERED_RATIO)
         if hold_reason is HoldReason.NONE:
             return State.RAMPING
         self.hold_reason = hold_reason
         return State.HOLDING
 
-    def _stay(self, now: datetime.datetime, measurements: Evidence) -> State:
+    def _stay(
+        self, now: datetime.datetime, measurements: RampMeasurements
+    ) -> State:
         return self.state
 
-    def _finish_if_drained(self, measurements: Evidence) -> State:
+    def _finish_if_drained(self, measurements: RampMeasurements) -> State:
         drains = self.plan.kind is objects.PlanKind.DRAIN
         if drains and measurements.source_in_flight:
             self.hold_reason = HoldReason.IN_FLIGHT
             return State.RAMPING
         return State.FINISHED
 
-    def _final_state(self, measurements: Evidence) -> State:
+    def _final_state(self, measurements: RampMeasurements) -> State:
         """Return the final state once ``finish_by`` has passed."""
         if self.moved_share >= self.plan.share:
             state = self._finish_if_drained(measurements)
@@ -173,7 +184,7 @@
         return State.FAILED
 
 
-Step = typing.Callable[[ShiftPlan, datetime.datetime, Evidence], State]
+Step = typing.Callable[[ShiftPlan, datetime.datetime, RampMeasurements], State]
 STEPS: dict[State, Step] = {
     State.WAITING: ShiftPlan._wait,
     State.RAMPING: ShiftPlan._ramp,
@@ -183,7 +194,9 @@
 }
 
 
-def find_hold_reason(measurements: Evidence, slow_ratio: float) -> HoldReason:
+def find_hold_reason(
+    measurements: RampMeasurements, slow_ratio: float
+) -> HoldReason:
     """Return why no more traffic should move, ``NONE`` if more may move.
 
     Args:
@@ -191,7 +204,8 @@
         slow_ratio: Service time ratio above which it counts as slow.
 
     Examples:
-        >>> find_hold_reason(Evidence(service_time_ratio=1.6), SLOW_RATIO).name
+        >>> slow = RampMeasurements(service_time_ratio=1.6)
+        >>> find_hold_reason(slow, SLOW_RATIO).name
         'SLOW'
     """
     if measurements.failure_ratio > MAX_FAILURE_RATIO:
--- a/packages/domain/bulrushcourse_domain/routing/tests/test_shift_plan.py
+++ b/packages/domain/bulrushcourse_domain/routing/tests/test_shift_plan.py
@@ -5,9 +5,9 @@
 from bulrushcourse_domain.configuration import objects
 from bulrushcourse_domain.routing import shift_plan
 
-NORMAL = shift_plan.Evidence(service_time_ratio=1.0)
-SLOW = shift_plan.Evidence(service_time_ratio=2.0)
-HALF_SLOW = shift_plan.Evidence(service_time_ratio=1.3)
+NORMAL = shift_plan.RampMeasurements(service_time_ratio=1.0)
+SLOW = shift_plan.RampMeasurements(service_time_ratio=2.0)
+HALF_SLOW = shift_plan.RampMeasurements(service_time_ratio=1.3)
 SECOND = datetime.timedelta(seconds=1)
 
 
@@ -51,25 +51,29 @@
 
 
 def test_missing_service_times_do_not_count_as_normal():
-    plan = run(open_plan(), NORMAL, *[shift_plan.Evidence()] * 20)
+    plan = run(open_plan(), NORMAL, *[shift_plan.RampMeasurements()] * 20)
     assert plan.state is shift_plan.State.HOLDING
     assert plan.moved_share == shift_plan.INITIAL_SHARE
 
 
 def test_drain_of_an_idle_source_finishes():
-    idle = shift_plan.Evidence(request_count=0)
+    idle = shift_plan.RampMeasurements(request_count=0)
     plan = run(open_plan(objects.PlanKind.DRAIN, 1.0), *[idle] * 30)
     assert plan.state is shift_plan.State.FINISHED
 
 
 def test_reached_limit_adds_no_traffic():
-    limited = shift_plan.Evidence(service_time_ratio=1.0, limit_reached=True)
+    limited = shift_plan.RampMeasurements(
+        service_time_ratio=1.0, limit_reached=True
+    )
     plan = run(open_plan(), NORMAL, *[limited] * 20)
     assert plan.moved_share == shift_plan.INITIAL_SHARE
 
 
 def test_drain_waits_for_requests_at_the_source():
-    busy = shift_plan.Evidence(service_time_ratio=1.0, source_in_flight=1)
+    busy = shift_plan.RampMeasurements(
+        service_time_ratio=1.0, source_in_flight=1
+    )
     plan = run(open_plan(objects.PlanKind.DRAIN, 1.0), *[busy] * 30)
     assert plan.state is shift_plan.State.RAMPING
     run(plan, NORMAL)
@@ -86,7 +90,9 @@
 
 
 def test_drain_with_requests_left_fails_and_reports_it():
-    busy = shift_plan.Evidence(service_time_ratio=1.0, source_in_flight=2)
+    busy = shift_plan.RampMeasurements(
+        service_time_ratio=1.0, source_in_flight=2
+    )
     plan = run(open_plan(objects.PlanKind.DRAIN, 1.0), *[busy] * 30)
     run(plan, busy, at=plan.finish_by)
     assert plan.state is shift_plan.State.FAILED
--- a/packages/domain/bulrushcourse_domain/slots/ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/ownership.py
@@ -59,7 +59,7 @@
     def may_grant(self) -> bool:
         """Return whether this entry may grant slots now."""
         eligible = not self.resigned and self.members.is_settled()
-        if not eligible or self.pool_promises.is_outstanding():
+        if not eligible or self.pool_promises.is_promised():
             return False
         return self.lease.is_held() or self._has_all_promises()
 
@@ -101,10 +101,10 @@
         """Return the write that renews or acquires the lease, if it is due.
 
         The caller reads the row before, sends the write immediately and
-        passes its result to ``finish_write``.
+        passes its result to ``record_write_result``.
         """
         eligible = not self.resigned and self.members.is_settled()
-        if not eligible or self.pool_promises.is_outstanding():
+        if not eligible or self.pool_promises.is_promised():
             return None
         row = self.lease.row
         own = row is not None and row.holder == self.incarnation
@@ -116,7 +116,7 @@
             return None
         return self.lease.plan_write(self.incarnation)
 
-    def finish_write(
+    def record_write_result(
         self, write: leases.LeaseWrite, result: leases.LeaseWriteResult
     ) -> None:
         """Record the result of a write of the lease.
@@ -129,7 +129,7 @@
         self.lease.record_write_result(write, result)
         self.current_term()
 
-    def release(self) -> leases.LeaseWrite | None:
+    def resign(self) -> leases.LeaseWrite | None:
         """Give the pool up for good.
 
         Returns:
@@ -143,7 +143,7 @@
             return None
         return self.lease.plan_write('')
 
-    def record_release(self, incarnation: str) -> None:
+    def record_resignation(self, incarnation: str) -> None:
         """Record that another entry gave the pool up for good.
 
         Args:
@@ -161,7 +161,7 @@
         not block the next one.
         """
         eligible = not self.resigned and self.members.is_settled()
-        if not eligible or self.pool_promises.is_outstanding():
+        if not eligible or self.pool_promises.is_promised():
             self.turn_starts_at = math.inf
             return None
         owns = self.current_term() is not None
@@ -218,7 +218,7 @@
                 received.get(entry, -math.inf),
                 self.members.unsettled_until(entry),
             )
-            for entry in self.members.others() - removed
+            for entry in self.members.other_entries() - removed
         ]
         if removed or not ends:
             ends.append(self.members.fresh_until())
@@ -255,7 +255,7 @@
         return self._is_in_turn()
 
 
-def open_ownership(
+def build_ownership(
     pool: str,
     incarnation: str,
     members: region_members.RegionMembers,
@@ -273,17 +273,17 @@
         >>> clock = clocks.ManualClock()
         >>> members = region_members.RegionMembers(clock, 'a', 'vm-1')
         >>> rng = random.Random(1)
-        >>> owner = open_ownership('ro-nord/catalog', 'a-1', members, rng)
+        >>> owner = build_ownership('ro-nord/catalog', 'a-1', members, rng)
         >>> listed = [region_members.ListedVm('vm-1', 'a')]
-        >>> members.update_list(listed, clock.monotonic())
+        >>> members.update_vm_list(listed, clock.monotonic())
         >>> owner.may_grant()
         False
-        >>> clock.advance(members.times.settle_s + 0.1)
-        >>> members.update_list(listed, clock.monotonic())
+        >>> clock.advance(members.durations.settling_s + 0.1)
+        >>> members.update_vm_list(listed, clock.monotonic())
         >>> owner.may_grant()
         True
     """
-    clock, durations = members.clock, members.times
+    clock, durations = members.clock, members.durations
     lease = leases.PoolLease(clock, members.entry, incarnation, durations)
     pool_promises = promises.PoolPromises(clock, durations)
     return PoolOwnership(
--- a/packages/domain/bulrushcourse_domain/slots/pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/pool.py
@@ -55,7 +55,7 @@
         health: Health of the pool's instances.
         selector: Slots by instance, and choice of the instance for a grant.
         active: Grants in use.
-        waiting: Queued requests.
+        queue: Queued requests.
         recovery: Slots that are reserved after a takeover.
         queue_grant_count: Number of grants from the queue.
     """
@@ -80,7 +80,7 @@
     active: active_grants.ActiveGrants = attrs.field(
         init=False, factory=active_grants.ActiveGrants
     )
-    waiting: queues.RequestQueue = attrs.field(
+    queue: queues.RequestQueue = attrs.field(
         init=False, factory=queues.RequestQueue
     )
     recovery: recoveries.Recovery = attrs.field(
@@ -146,7 +146,7 @@
         """
         if (
             request.request_id in self.granted
-            or request.request_id in self.waiting
+            or request.request_id in self.queue
         ):
             return ()
         if not self.selector.has_alternative(request.avoid):
@@ -157,12 +157,12 @@
         decisions = self._shed_if_full(request, priority)
         if decisions and decisions[0].request_id == request.request_id:
             return decisions
-        self.waiting.push(request, priority, self.clock.monotonic())
+        self.queue.push(request, priority, self.clock.monotonic())
         decisions += self.decide()
-        if request.request_id in self.waiting and not self._can_meet_deadline(
+        if request.request_id in self.queue and not self._can_meet_deadline(
             request
         ):
-            self.waiting.remove(request.request_id)
+            self.queue.remove(request.request_id)
             decisions += (_refuse(request, requests.RefusalReason.DEADLINE),)
         return decisions
 
@@ -191,9 +191,9 @@
         Args:
             request_id: The request that no longer needs a slot.
         """
-        self.waiting.remove(request_id)
+        self.queue.remove(request_id)
 
-    def take_over(self, holders: typing.Iterable[str]) -> None:
+    def start_recovery(self, holders: typing.Iterable[str]) -> None:
         """Reserve the slots that entries may hold from a former owner.
 
         Args:
@@ -204,7 +204,7 @@
         )
         self._refresh()
 
-    def report_held(
+    def record_held_grants(
         self, holder: str, grants: typing.Iterable[requests.Grant]
     ) -> tuple[requests.Decision, ...]:
         """Record the grants that an entry reports to hold.
@@ -215,7 +215,7 @@
         """
         for grant in grants:
             if grant.request_id not in self.granted:
-                self.waiting.remove(grant.request_id)
+                self.queue.remove(grant.request_id)
                 self._record_grant(grant)
         self.recovery.record_report(holder)
         self.selector.refreshed_at = -math.inf
@@ -235,7 +235,7 @@
     def next_due(self) -> float | None:
         """Return when to call ``decide`` next, ``None`` for no such time."""
         now = self.clock.monotonic()
-        if len(self.waiting):
+        if len(self.queue):
             return now + DECISION_INTERVAL_S
         return self.active.next_expiry()
 
@@ -244,11 +244,11 @@
         for queued in self._candidates(now):
             request = queued.request
             if request.deadline <= now:
-                self.waiting.remove(request.request_id)
+                self.queue.remove(request.request_id)
                 return _refuse(request, requests.RefusalReason.DEADLINE)
             name = self._choose_instance(request)
             if name is not None:
-                self.waiting.remove(request.request_id)
+                self.queue.remove(request.request_id)
                 self.queue_grant_count += 1
                 grant = requests.Grant(
                     request.request_id,
@@ -259,20 +259,20 @@
                 )
                 self._record_grant(grant)
                 return grant
-        for queued in self.waiting.earliest_deadlines():
+        for queued in self.queue.earliest_deadlines():
             request = queued.request
             typical_s = self.health.typical_s(request.request_class)
             if request.deadline <= now + typical_s:
-                self.waiting.remove(request.request_id)
+                self.queue.remove(request.request_id)
                 return _refuse(request, requests.RefusalReason.DEADLINE)
         return None
 
     def _candidates(self, now: float) -> typing.Iterator[queues.QueuedRequest]:
         if self.queue_grant_count % GRANTS_PER_AGED_GRANT == 0:
-            for queued in self.waiting.oldest_by_class():
+            for queued in self.queue.oldest_by_class():
                 if now - queued.queued_at >= AGED_AFTER_S:
                     yield queued
-        yield from self.waiting.candidates()
+        yield from self.queue.candidates()
 
     def _choose_instance(self, request: requests.SlotRequest) -> str | None:
         limit = self.in_flight_limit
@@ -287,7 +287,7 @@
         instance_limit = functools.partial(
             recoveries.max_instance_slots, request_class
         )
-        return self.selector.choose(request, instance_limit, len(self.waiting))
+        return self.selector.choose(request, instance_limit, len(self.queue))
 
     def _record_grant(self, grant: requests.Grant) -> None:
         typical_s = self.health.typical_s(grant.request_class)
@@ -318,20 +318,20 @@
         slowness = self.health.slowness(request.hedged)
         return (
             slowness >= MIN_HEDGE_SLOWNESS_RATIO
-            and not len(self.waiting)
+            and not len(self.queue)
             and self._choose_instance(request) is not None
         )
 
     def _shed_if_full(
         self, request: requests.SlotRequest, priority: int
     ) -> tuple[requests.Decision, ...]:
-        last = self.waiting.last()
-        if last is None or len(self.waiting) < MAX_QUEUED_REQUESTS:
+        last = self.queue.last()
+        if last is None or len(self.queue) < MAX_QUEUED_REQUESTS:
             return ()
         shed = request
         if priority < last[0]:
             shed = last[1].request
-            self.waiting.remove(shed.request_id)
+            self.queue.remove(shed.request_id)
         return (_refuse(shed, requests.RefusalReason.QUEUE_FULL),)
 
     def _can_meet_deadline(self, request: requests.SlotRequest) -> bool:
@@ -340,7 +340,7 @@
         }
         wait_s = estimates.estimate_wait_s(
             request,
-            self.waiting,
+            self.queue,
             self.classes,
             self.active.count_by_class,
             typical_s,
--- a/packages/domain/bulrushcourse_domain/slots/promises.py
+++ b/packages/domain/bulrushcourse_domain/slots/promises.py
@@ -58,7 +58,7 @@
     Attributes:
         clock: Source of time.
         durations: Durations of leases and promises.
-        given_to: Incarnation to which this entry last promised the pool.
+        promised_to: Incarnation to which this entry last promised the pool.
         promised_until: Clock seconds at which that promise expires.
         received_until: Clock seconds at which the promise of each other
             entry expires, by name of the entry.
@@ -69,13 +69,13 @@
 
     clock: clocks.Clock
     durations: timing.OwnershipDurations = timing.OwnershipDurations()
-    given_to: str = ''
+    promised_to: str = ''
     promised_until: float = -math.inf
     received_until: dict[str, float] = attrs.field(factory=dict)
     requested_at: dict[int, float] = attrs.field(factory=dict)
     last_number: int = 0
 
-    def is_outstanding(self) -> bool:
+    def is_promised(self) -> bool:
         """Return whether a promise given by this entry is still valid."""
         return self.clock.monotonic() <= self.promised_until
 
@@ -85,7 +85,7 @@
         Args:
             candidate: Incarnation of the candidate.
         """
-        return not self.is_outstanding() or self.given_to == candidate
+        return not self.is_promised() or self.promised_to == candidate
 
     def start_request(self) -> int:
         """Record the time of a new request and return its number."""
@@ -100,7 +100,7 @@
         Args:
             candidate: Incarnation of the candidate.
         """
-        self.given_to = candidate
+        self.promised_to = candidate
         valid_s = self.durations.with_drift_margin(self.durations.promise_s)
         self.promised_until = self.clock.monotonic() + valid_s
 
@@ -110,7 +110,7 @@
         Args:
             candidate: Incarnation of the candidate.
         """
-        if self.given_to == candidate:
+        if self.promised_to == candidate:
             self.promised_until = -math.inf
 
     def record_promise(self, entry: str, number: int) -> None:
--- a/packages/domain/bulrushcourse_domain/slots/recovery.py
+++ b/packages/domain/bulrushcourse_domain/slots/recovery.py
@@ -57,7 +57,7 @@
             (
                 max_instance_slots(request_class, slots)
                 for request_class in classes.values()
-                if now < self.started_at + limit_s(request_class)
+                if now < self.started_at + max_duration_s(request_class)
             ),
             default=0,
         )
@@ -75,11 +75,11 @@
         """
         if not self.unreported:
             return math.inf
-        ends = [self.started_at + limit_s(c) for c in classes.values()]
+        ends = [self.started_at + max_duration_s(c) for c in classes.values()]
         return min((end for end in ends if end > now), default=math.inf)
 
 
-def limit_s(request_class: objects.RequestClass) -> float:
+def max_duration_s(request_class: objects.RequestClass) -> float:
     """Return the maximum duration of a request of a class, in seconds.
 
     Args:
--- a/packages/domain/bulrushcourse_domain/slots/region_members.py
+++ b/packages/domain/bulrushcourse_domain/slots/region_members.py
@@ -35,8 +35,8 @@
         clock: Source of time.
         entry: Name of this entry.
         vm_id: Identifier of this VM.
-        seats: Entries of the region in the active configuration.
-        times: Durations of leases and promises.
+        configured_entries: Entries of the region in the active configuration.
+        durations: Durations of leases and promises.
         listed: VMs of the region in the last list.
         requested_at: Clock seconds just before the last list was requested.
         sole_since: Clock seconds since which the list names this VM as its
@@ -49,15 +49,15 @@
     clock: clocks.Clock
     entry: str
     vm_id: str
-    seats: frozenset[str] = frozenset()
-    times: timing.OwnershipDurations = timing.OwnershipDurations()
+    configured_entries: frozenset[str] = frozenset()
+    durations: timing.OwnershipDurations = timing.OwnershipDurations()
     listed: frozenset[ListedVm] = frozenset()
     requested_at: float = -math.inf
     sole_since: float = math.inf
     settled: bool = False
     last_absent_at: dict[str, float] = attrs.field(factory=dict)
 
-    def update_list(
+    def update_vm_list(
         self, listed: typing.Iterable[ListedVm], requested_at: float
     ) -> None:
         """Apply a VM list, unless a newer one has been applied.
@@ -88,13 +88,13 @@
         waited = self.clock.monotonic() - self.sole_since
         # A settled entry stays settled when its replacement is listed: the
         # replacement settles only after this VM has ended.
-        self.settled = self.settled or waited > self.times.settle_s
+        self.settled = self.settled or waited > self.durations.settling_s
         return self.settled
 
     def may_promise(self) -> bool:
         """Return whether all promises of a predecessor have expired."""
         waited = self.clock.monotonic() - self.sole_since
-        valid_s = self.times.with_drift_margin(self.times.promise_s)
+        valid_s = self.durations.with_drift_margin(self.durations.promise_s)
         return self.is_settled() or waited > valid_s
 
     def unsettled_until(self, entry: str) -> float:
@@ -105,7 +105,7 @@
         """
         ends = [
             self.last_absent_at.get(vm.vm_id, -math.inf)
-            + self.times.min_settling_s
+            + self.durations.min_settling_s
             for vm in self.listed
             if vm.entry == entry
         ]
@@ -113,19 +113,19 @@
 
     def fresh_until(self) -> float:
         """Return until when the last list proves that a VM has ended."""
-        return self.requested_at + self.times.list_fresh_s
+        return self.requested_at + self.durations.list_fresh_s
 
-    def others(self) -> frozenset[str]:
+    def other_entries(self) -> frozenset[str]:
         """Return the other entries, configured or listed, of the region."""
         listed = {vm.entry for vm in self.listed}
-        return (self.seats | listed) - {self.entry}
+        return (self.configured_entries | listed) - {self.entry}
 
     def removed_entries(self) -> frozenset[str]:
         """Return the entries without a VM; none if the list is not fresh."""
         if self.clock.monotonic() > self.fresh_until():
             return frozenset()
-        return self.others() - {vm.entry for vm in self.listed}
+        return self.other_entries() - {vm.entry for vm in self.listed}
 
     def present_entries(self) -> frozenset[str]:
         """Return the entries that may have a VM, including this one."""
-        return (self.others() - self.removed_entries()) | {self.entry}
+        return (self.other_entries() - self.removed_entries()) | {self.entry}
--- a/packages/domain/bulrushcourse_domain/slots/requests.py
+++ b/packages/domain/bulrushcourse_domain/slots/requests.py
@@ -93,12 +93,12 @@
 
     Attributes:
         outcome: Outcome of the request.
-        seconds: Measured service time; ``None`` to use the time since the
-            grant.
+        service_time_s: Measured service time; ``None`` to use the time since
+            the grant.
     """
 
     outcome: ReleaseOutcome
-    seconds: float | None = None
+    service_time_s: float | None = None
 
 
 @attrs.frozen
--- a/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/ownership_world.py
@@ -23,7 +23,7 @@
 def build_correct(
     members: region_members.RegionMembers, incarnation: str
 ) -> ownership.PoolOwnership:
-    return ownership.open_ownership(
+    return ownership.build_ownership(
         POOL, incarnation, members, random.Random(incarnation)
     )
 
@@ -115,7 +115,7 @@
         return alive and pair not in self.broken_links
 
     def fetch_list(self, node: Node) -> None:
-        node.pool_ownership.members.update_list(self.listed, node.clock.now)
+        node.pool_ownership.members.update_vm_list(self.listed, node.clock.now)
 
     def read(self, node: Node) -> None:
         if self.table.available and not node.table_unreachable:
@@ -137,7 +137,7 @@
     def finish_write(self, node: Node, response_lost: bool = False) -> None:
         if node.write is not None:
             unknown = leases.LeaseWriteResult.UNKNOWN
-            node.pool_ownership.finish_write(
+            node.pool_ownership.record_write_result(
                 node.write, unknown if response_lost else node.result
             )
             node.write = None
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_ownership.py
@@ -170,12 +170,12 @@
     @stateful.rule(index=INDEX, rate=RATES)
     def leave(self, index, rate):
         node = self.node(index)
-        write = node.pool_ownership.release()
+        write = node.pool_ownership.resign()
         if write is not None and self.world.table.available:
             self.world.table.apply(write)
         for other in self.world.nodes:
             if other is not node and not other.paused:
-                other.pool_ownership.record_release(
+                other.pool_ownership.record_resignation(
                     node.pool_ownership.incarnation
                 )
         self.world.run(1)
@@ -268,9 +268,11 @@
     (owner,) = (
         node for node in world.nodes if node.pool_ownership.may_grant()
     )
-    owner.pool_ownership.release()
+    owner.pool_ownership.resign()
     for node in world.nodes:
-        node.pool_ownership.record_release(owner.pool_ownership.incarnation)
+        node.pool_ownership.record_resignation(
+            owner.pool_ownership.incarnation
+        )
     world.run(1.5)
     assert len(world.owners()) == 1
 
@@ -306,7 +308,10 @@
 def build_with_lease_from_response(members, incarnation):
     pool_ownership = ownership_world.build_correct(members, incarnation)
     pool_ownership.lease = LeaseStartsAtResponse(
-        pool_ownership.clock, pool_ownership.entry, incarnation, members.times
+        pool_ownership.clock,
+        pool_ownership.entry,
+        incarnation,
+        members.durations,
     )
     return pool_ownership
 
@@ -327,7 +332,7 @@
 def build_with_promise_from_arrival(members, incarnation):
     pool_ownership = ownership_world.build_correct(members, incarnation)
     pool_ownership.pool_promises = PromiseStartsAtArrival(
-        pool_ownership.clock, members.times
+        pool_ownership.clock, members.durations
     )
     return pool_ownership
 
--- a/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/tests/test_pool.py
@@ -73,13 +73,14 @@
             used[instance] += 1
             used[instance, name] += 1
             if used[instance] <= 2 and used[instance, name] <= limit:
-                deadline = self.clock.now + elapsed_share * recoveries.limit_s(
-                    CLASSES[name]
+                deadline = (
+                    self.clock.now
+                    + elapsed_share * recoveries.max_duration_s(CLASSES[name])
                 )
                 self.unreported[f'p{number}'] = requests.Grant(
                     f'p{number}', 'e2', instance, name, deadline
                 )
-        self.pool.take_over(['e2'])
+        self.pool.start_recovery(['e2'])
 
     @stateful.rule()
     def report_held(self):
@@ -88,7 +89,7 @@
         self.requested |= set(self.unreported)
         self.decisions |= self.unreported
         reported, self.unreported = self.unreported, {}
-        self.record(self.pool.report_held('e2', reported.values()))
+        self.record(self.pool.record_held_grants('e2', reported.values()))
 
     def record(self, decisions):
         self.expire()
@@ -204,7 +205,7 @@
 
     def fill_queue():
         nonlocal number
-        while sum(k != 'low' for k in pool.waiting.class_keys) < backlog:
+        while sum(k != 'low' for k in pool.queue.class_keys) < backlog:
             number += 1
             record_grants(
                 pool.request(make_request(f'r{number}', 'rush', 50.0))
@@ -302,22 +303,22 @@
 
 def test_new_owner_waits_for_unreported_entries():
     clock, pool = make_pool({'a': 5, 'b': 5})
-    pool.take_over(['e1', 'e2'])
+    pool.start_recovery(['e1', 'e2'])
     assert pool.request(make_request('r', within=20.0)) == ()
     held = [requests.Grant(f'h{n}', 'e1', 'a', 'short', 105.0) for n in '1234']
-    assert pool.report_held('e1', held) == ()
-    assert [d.instance for d in pool.report_held('e2', [])] == ['b']
+    assert pool.record_held_grants('e1', held) == ()
+    assert [d.instance for d in pool.record_held_grants('e2', [])] == ['b']
     assert len(pool.instances['a'].held) == 4
 
 
 def test_after_the_short_limit_an_unreported_entry_reserves_the_long_share():
     clock, pool = make_pool({'a': 5, 'b': 5})
-    pool.take_over(['e1'])
+    pool.start_recovery(['e1'])
     for number in range(10):
         pool.request(make_request(f'r{number}', within=80.0))
-    clock.advance(recoveries.limit_s(CLASSES['short']))
+    clock.advance(recoveries.max_duration_s(CLASSES['short']))
     assert len(pool.decide()) == 6
-    clock.advance(recoveries.limit_s(CLASSES['long']))
+    clock.advance(recoveries.max_duration_s(CLASSES['long']))
     pool.decide()
     assert len(pool.granted) == 10
 
--- a/packages/domain/bulrushcourse_domain/slots/timing.py
+++ b/packages/domain/bulrushcourse_domain/slots/timing.py
@@ -41,7 +41,7 @@
         return seconds * (1 + self.max_drift) / (1 - self.max_drift)
 
     @property
-    def settle_s(self) -> float:
+    def settling_s(self) -> float:
         """Time for which a new VM must be listed before it may own pools.
 
         After it every fresh list names the VM, and all promises of its
@@ -57,5 +57,5 @@
         Measured on the clock of another entry, from before it requested the
         last list that omitted the VM.
         """
-        settling_s = self.settle_s / (1 + self.max_drift) - self.list_skew_s
+        settling_s = self.settling_s / (1 + self.max_drift) - self.list_skew_s
         return settling_s * (1 - self.max_drift)
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -48,7 +48,7 @@
         clock: Source of time.
         version: Newest version of the store that was applied.
         read_at: Time when that version was read.
-        entries: Upstreams by name.
+        by_name: Upstreams by name.
         cold_until: End of the warm-up, by name.
         evacuated: Failure domains that must get no requests.
         grace_until: Time until which missing upstreams are kept, since their
@@ -67,7 +67,7 @@
     clock: clocks.Clock
     version: int = 0
     read_at: float = float('-inf')
-    entries: dict[str, upstreams.Upstream] = attrs.field(factory=dict)
+    by_name: dict[str, upstreams.Upstream] = attrs.field(factory=dict)
     cold_until: dict[str, float] = attrs.field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     grace_until: float = float('-inf')
@@ -113,7 +113,7 @@
     def _remove_missing(
         self, listed: typing.Mapping[str, upstreams.Upstream], now: float
     ) -> typing.Iterator[Change]:
-        missing = [n for n in self.entries if n not in listed]
+        missing = [n for n in self.by_name if n not in listed]
         if now < self.grace_until:
             missing = self._deregistered(missing)
         for name in missing:
@@ -121,12 +121,12 @@
 
     def _deregistered(self, missing: list[str]) -> list[str]:
         """Return the missing upstreams that did not expire in an outage."""
-        listed = collections.Counter(u.service for u in self.entries.values())
-        absent = collections.Counter(self.entries[n].service for n in missing)
+        listed = collections.Counter(u.service for u in self.by_name.values())
+        absent = collections.Counter(self.by_name[n].service for n in missing)
         return [
             name
             for name in missing
-            for service in [self.entries[name].service]
+            for service in [self.by_name[name].service]
             if absent[service] <= listed[service] * MAX_REMOVED_SHARE
         ]
 
@@ -141,16 +141,16 @@
         self.removed_in[name] = self.version
         if len(self.removed_in) > MAX_TOMBSTONES:
             self.removed_in.pop(next(iter(self.removed_in)))
-        return Change(self.entries.pop(name), 'gone')
+        return Change(self.by_name.pop(name), 'gone')
 
     def _merge(
         self, upstream: upstreams.Upstream, now: float
     ) -> typing.Iterator[Change]:
-        previous = self.entries.get(upstream.name)
+        previous = self.by_name.get(upstream.name)
         if previous == upstream:
             return
         self._clear_caches()
-        self.entries[upstream.name] = upstream
+        self.by_name[upstream.name] = upstream
         self.changed_in[upstream.name] = self.version
         self.removed_in.pop(upstream.name, None)
         if upstream.cold_for_s > 0:
@@ -174,7 +174,7 @@
             base=base,
             version=self.version,
             changed=tuple(
-                self.entries[name]
+                self.by_name[name]
                 for name, version in self.changed_in.items()
                 if version > base
             ),
@@ -201,7 +201,7 @@
         now = self.clock.monotonic()
         self.version = delta.version
         self.read_at = max(self.read_at, now - delta.age_s)
-        changes = [self._remove(n) for n in delta.gone if n in self.entries]
+        changes = [self._remove(n) for n in delta.gone if n in self.by_name]
         for upstream in delta.changed:
             changes.extend(self._merge(upstream, now))
         return tuple(changes)
@@ -225,7 +225,7 @@
         self.evacuated = failure_domains
         self._clear_caches()
         until = self.clock.monotonic() + warmup_s + WARMUP_MARGIN_S
-        for upstream in self.entries.values():
+        for upstream in self.by_name.values():
             if upstream.failure_domain in returned:
                 self.mark_cold(upstream.name, until)
         return returned
@@ -266,7 +266,7 @@
         if key not in self.usable_cache:
             self.usable_cache[key] = tuple(
                 upstream
-                for upstream in self.entries.values()
+                for upstream in self.by_name.values()
                 if upstream.service == service
                 and not upstream.draining
                 and upstream.failure_domain not in self.evacuated
@@ -292,7 +292,7 @@
             if len(self.preferred_cache) >= MAX_PREFERRED_CACHED:
                 self.preferred_cache.clear()
             names = [u.name for u in self.usable(service, region)]
-            self.preferred_cache[key] = rendezvous.first(
+            self.preferred_cache[key] = rendezvous.top(
                 object_key, names, PREFERRED_COUNT
             )
         return self.preferred_cache[key]
--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -42,21 +42,21 @@
 
     Attributes:
         clock: Source of time.
-        own: Requests of this VM in flight, by upstream.
+        own_in_flight: Requests of this VM in flight, by upstream.
         peer_loads: Requests of other VMs in flight, by VM and upstream.
         reported_at: Time of the last report, by VM.
         slowness: Latest slowness and its time, by upstream.
-        fresh: Latest slowness that an upstream reported to this VM,
+        own_slowness: Latest slowness that an upstream reported to this VM,
             and its time, by upstream.
         peer_totals: Sum of the reports of other VMs, by upstream.
     """
 
     clock: clocks.Clock
-    own: dict[str, int] = attrs.field(factory=dict)
+    own_in_flight: dict[str, int] = attrs.field(factory=dict)
     peer_loads: dict[str, dict[str, int]] = attrs.field(factory=dict)
     reported_at: dict[str, float] = attrs.field(factory=dict)
     slowness: dict[str, tuple[float, float]] = attrs.field(factory=dict)
-    fresh: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    own_slowness: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     peer_totals: dict[str, int] = attrs.field(factory=dict)
 
     def begin_request(self, upstream: str) -> None:
@@ -65,7 +65,7 @@
         Args:
             upstream: Name of the upstream.
         """
-        self.own[upstream] = self.own.get(upstream, 0) + 1
+        self.own_in_flight[upstream] = self.own_in_flight.get(upstream, 0) + 1
 
     def end_request(self, upstream: str) -> None:
         """Count the end of a request.
@@ -73,11 +73,11 @@
         Args:
             upstream: Name of the upstream.
         """
-        remaining = self.own.get(upstream, 0) - 1
+        remaining = self.own_in_flight.get(upstream, 0) - 1
         if remaining > 0:
-            self.own[upstream] = remaining
+            self.own_in_flight[upstream] = remaining
         else:
-            self.own.pop(upstream, None)
+            self.own_in_flight.pop(upstream, None)
 
     def record_peer_load(
         self, vm: str, in_flight: typing.Mapping[str, int]
@@ -124,7 +124,7 @@
         if report.slowness is not None:
             measured = report.slowness, self.clock.monotonic()
             self.slowness[upstream] = measured
-            self.fresh[upstream] = measured
+            self.own_slowness[upstream] = measured
 
     def record_peer_slowness(
         self, upstream: str, value: float, age_s: float
@@ -147,7 +147,7 @@
             upstream: Name of the upstream.
         """
         self.slowness.pop(upstream, None)
-        self.fresh.pop(upstream, None)
+        self.own_slowness.pop(upstream, None)
 
     def in_flight(self, upstream: str) -> int:
         """Return the requests of all VMs in flight at an upstream.
@@ -155,7 +155,9 @@
         Args:
             upstream: Name of the upstream.
         """
-        return self.own.get(upstream, 0) + self.peer_totals.get(upstream, 0)
+        return self.own_in_flight.get(upstream, 0) + self.peer_totals.get(
+            upstream, 0
+        )
 
     def expected_slowness(self, upstream: str) -> float:
         """Return the expected slowness, weighting the last report by its age.
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -131,7 +131,7 @@
         if data.draw(strategies.booleans()) or version == len(snapshots):
             receiver.apply_delta(sender.delta_since(base))
             base = sender.version
-    assert receiver.entries == sender.entries
+    assert receiver.by_name == sender.by_name
 
 
 @given(SNAPSHOTS, strategies.sets(strategies.sampled_from(['d', 'e'])))
@@ -147,7 +147,7 @@
     directory.evacuate(frozenset(evacuated), 1.0)
     assert {u.name for u in directory.usable('s')} == {
         u.name
-        for u in directory.entries.values()
+        for u in directory.by_name.values()
         if not u.draining and u.failure_domain not in evacuated
     }
 
--- a/packages/domain/bulrushcourse_domain/upstreams/warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/warmup.py
@@ -91,6 +91,6 @@
     def _senders(self, upstream: str) -> frozenset[str]:
         if upstream not in self.senders:
             self.senders[upstream] = frozenset(
-                rendezvous.first(upstream, self.members, SENDERS_PER_UPSTREAM)
+                rendezvous.top(upstream, self.members, SENDERS_PER_UPSTREAM)
             )
         return self.senders[upstream]
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
@@ -63,7 +63,10 @@
     ],
 )
 def test_not_run_is_reported_only_if_no_attempt_may_have_run(steps, outcome):
-    """Guards P4: the last attempt proves nothing about earlier ones."""
+    """Guards against ``not-run`` when an earlier attempt may have run.
+
+    The last attempt proves nothing about earlier ones.
+    """
     script = Script(steps)
     forwarder = forwarding.Forwarder(
         'e', clocks.ManualClock(), script, script, script, script
--- a/packages/entry/bulrushcourse_entry/claims/dispatch.py
+++ b/packages/entry/bulrushcourse_entry/claims/dispatch.py
@@ -38,15 +38,15 @@
 
 
 @attrs.frozen
-class Dispatched:
+class CompletedDispatch:
     """Result of a dispatch.
 
     Attributes:
-        fact: What the exchange with the instance proves.
+        result: What the exchange with the instance proves.
         answer: The complete response, only with ``ANSWERED``.
     """
 
-    fact: outcomes.UpstreamFact
+    result: outcomes.DispatchResult
     answer: outcomes.Answer | None = None
 
 
@@ -55,7 +55,7 @@
 
     instance: str
 
-    async def dispatch(self) -> Dispatched:
+    async def dispatch(self) -> CompletedDispatch:
         """Send the request, read the whole response, release the slot."""
         ...
 
@@ -116,7 +116,7 @@
     clock: clocks.Clock,
     request: KeyedRequest,
     slot: DispatchSlot,
-) -> Dispatched:
+) -> CompletedDispatch:
     """Dispatch until an attempt may have run or the deadline has passed.
 
     Args:
@@ -129,9 +129,9 @@
     for number in range(1, MAX_DISPATCHES + 1):
         if clock.monotonic() >= request.deadline:
             slot.release()
-            return Dispatched(outcomes.UpstreamFact.NO_BYTE_SENT)
+            return CompletedDispatch(outcomes.DispatchResult.NO_BYTE_SENT)
         dispatched = await slot.dispatch()
-        if not outcomes.may_dispatch_again(dispatched.fact):
+        if not outcomes.may_dispatch_again(dispatched.result):
             return dispatched
         if number == MAX_DISPATCHES:
             return dispatched
--- a/packages/entry/bulrushcourse_entry/claims/exchanges.py
+++ b/packages/entry/bulrushcourse_entry/claims/exchanges.py
@@ -39,7 +39,7 @@
         self.hub.received.subscribe(self._on_message)
         self.hub.changes.subscribe(self._on_change)
 
-    async def ask(
+    async def forward(
         self,
         key: keys.IssuedKey,
         request: dispatch.KeyedRequest,
--- a/packages/entry/bulrushcourse_entry/claims/free_form.py
+++ b/packages/entry/bulrushcourse_entry/claims/free_form.py
@@ -144,15 +144,15 @@
         request: dispatch.KeyedRequest,
         attempt: str,
         run: dispatch.Run,
-        dispatched: dispatch.Dispatched,
+        dispatched: dispatch.CompletedDispatch,
     ) -> None:
-        outcome = outcomes.attempt_outcome(dispatched.fact)
+        outcome = outcomes.attempt_outcome(dispatched.result)
         if outcome is outcomes.Outcome.NOT_RUN:
             run.resolve(await self.refuse(request, attempt, claimed=True))
             return
         reply = outcomes.Reply(outcome, answer=dispatched.answer)
         if outcome is outcomes.Outcome.UNKNOWN:
-            reply = outcomes.Reply(outcome, dispatched.fact.value)
+            reply = outcomes.Reply(outcome, dispatched.result.value)
         run.resolve(reply)
         await self._record(
             request, attempt, outcome, dispatched.answer, urgent=False
@@ -180,12 +180,12 @@
             opened = claims.open_claim(
                 attempt, request.digest, self._wall_time_s()
             )
-            stored = outcomes.StoreFact.UNKNOWN
+            stored = outcomes.StoreWriteResult.UNKNOWN
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(CLAIM_WRITE_TIMEOUT_S):
                     stored = await self.rows.write(key, opened, 0, True)
             row = None
-            if stored is not outcomes.StoreFact.COMMITTED:
+            if stored is not outcomes.StoreWriteResult.COMMITTED:
                 row = await self._read(key)
             if claims.may_dispatch(stored, row, attempt):
                 return True, None
@@ -212,7 +212,7 @@
                 attempt, request.digest, self._wall_time_s()
             )
             stored = await self.rows.write(key, refused, 0, urgent=True)
-            if stored is outcomes.StoreFact.COMMITTED:
+            if stored is outcomes.StoreWriteResult.COMMITTED:
                 self.cleanup.add(key, refused)
                 return claims.refusal_reply(stored, None)
         return await self._record(
@@ -291,7 +291,7 @@
             return row
         finished = row.finish(attempt, outcome, self._wall_time_s(), answer)
         stored = await self.rows.write(key, finished, version, urgent)
-        if stored is not outcomes.StoreFact.COMMITTED:
+        if stored is not outcomes.StoreWriteResult.COMMITTED:
             return None
         self.cleanup.add(key, finished)
         return finished
--- a/packages/entry/bulrushcourse_entry/claims/gateway.py
+++ b/packages/entry/bulrushcourse_entry/claims/gateway.py
@@ -17,7 +17,7 @@
 class Issuers(typing.Protocol):
     """Forwards requests to the entries that issued their keys."""
 
-    async def ask(
+    async def forward(
         self,
         key: keys.IssuedKey,
         request: dispatch.KeyedRequest,
@@ -49,17 +49,19 @@
         Args:
             request: The request.
         """
-        if not keys.is_issued_form(request.key):
+        if not keys.has_issued_format(request.key):
             return await self.free_form.serve(request)
         return await self._serve_issued(request, ask_only=False)
 
-    async def outcome(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
+    async def find_outcome(
+        self, request: dispatch.KeyedRequest
+    ) -> outcomes.Reply:
         """Return the known outcome of a key's request without running it.
 
         Args:
             request: Service and key; its other fields are not used.
         """
-        if keys.is_issued_form(request.key):
+        if keys.has_issued_format(request.key):
             return await self._serve_issued(request, ask_only=True)
         run = self.free_form.runs.get(request.identity)
         if run is not None:
@@ -99,12 +101,12 @@
     async def _serve_issued(
         self, request: dispatch.KeyedRequest, ask_only: bool
     ) -> outcomes.Reply:
-        key = keys.read_key(self.issued.keys.secret, request.key)
+        key = keys.verify_key(self.issued.keys.secret, request.key)
         if key is None:
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'invalid')
         if self.issued.keys.may_run(key):
             return await self.serve_own(request, ask_only)
-        reply = await self.issuers.ask(key, request, ask_only)
+        reply = await self.issuers.forward(key, request, ask_only)
         if reply is not None:
             return reply
         return await self._stored_reply(
--- a/packages/entry/bulrushcourse_entry/claims/issued_runs.py
+++ b/packages/entry/bulrushcourse_entry/claims/issued_runs.py
@@ -102,10 +102,10 @@
         dispatched = await dispatch.dispatch_with_retries(
             self.dispatcher, self.clock, request, slot
         )
-        outcome = outcomes.attempt_outcome(dispatched.fact)
+        outcome = outcomes.attempt_outcome(dispatched.result)
         if outcome is outcomes.Outcome.DONE:
             return outcomes.Reply(outcome, answer=dispatched.answer)
-        return outcomes.Reply(outcome, dispatched.fact.value)
+        return outcomes.Reply(outcome, dispatched.result.value)
 
     async def _copy(
         self, request: dispatch.KeyedRequest, reply: outcomes.Reply
@@ -124,7 +124,7 @@
         delay = INITIAL_COPY_RETRY_S
         while self.clock.monotonic() < limit:
             stored = await self.rows.write(key, copy, 0, urgent=False)
-            if stored is not outcomes.StoreFact.UNKNOWN:
+            if stored is not outcomes.StoreWriteResult.UNKNOWN:
                 # Only this process writes the rows of these keys, so a
                 # conflict is an earlier write whose response was lost.
                 self.cleanup.add(key, copy)
--- a/packages/entry/bulrushcourse_entry/claims/listener.py
+++ b/packages/entry/bulrushcourse_entry/claims/listener.py
@@ -99,7 +99,7 @@
             '',
             self.clock.monotonic() + OUTCOME_TIMEOUT_S,
         )
-        reply = await self.gateway.outcome(keyed_request)
+        reply = await self.gateway.find_outcome(keyed_request)
         if reply.outcome is outcomes.Outcome.DONE:
             return render_reply(reply)
         body = {'outcome': reply.outcome.value, 'reason': reply.reason}
--- a/packages/entry/bulrushcourse_entry/claims/rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/rows.py
@@ -13,7 +13,7 @@
 from bulrushcourse_entry.platform import table as platform_table
 
 # Larger responses are stored in the object store.
-ROW_ANSWER_BYTES = 64 << 10
+MAX_ROW_ANSWER_BYTES = 64 << 10
 
 
 class RowUnreadable(Exception):
@@ -71,7 +71,7 @@
 
     async def write(
         self, key: str, claim: claims.Claim, expected: int, urgent: bool
-    ) -> outcomes.StoreFact:
+    ) -> outcomes.StoreWriteResult:
         """Write a claim, after storing its response if that is large.
 
         Args:
@@ -82,9 +82,9 @@
         """
         try:
             claim = await self._store_large_answer(key, claim)
-        except platform_objects.ObjectsUnavailable:
+        except platform_objects.ObjectStoreUnavailable:
             # The row itself was not written.
-            return outcomes.StoreFact.UNKNOWN
+            return outcomes.StoreWriteResult.UNKNOWN
         write = platform_table.Write(key, encode_claim(claim), expected)
         return await self.writer.submit(write, urgent)
 
@@ -102,7 +102,7 @@
         if answer is not None and answer.object_key:
             try:
                 await self.objects.delete(answer.object_key)
-            except platform_objects.ObjectsUnavailable:
+            except platform_objects.ObjectStoreUnavailable:
                 return
         write = platform_table.Write(key, None, stored.version)
         await self.writer.submit(write, urgent=False)
@@ -118,7 +118,7 @@
             return reply
         try:
             body = await self.objects.get(answer.object_key)
-        except platform_objects.ObjectsUnavailable:
+        except platform_objects.ObjectStoreUnavailable:
             body = None
         if body is None:
             return outcomes.Reply(
@@ -131,7 +131,7 @@
         self, key: str, claim: claims.Claim
     ) -> claims.Claim:
         answer = claim.answer
-        if answer is None or len(answer.body) <= ROW_ANSWER_BYTES:
+        if answer is None or len(answer.body) <= MAX_ROW_ANSWER_BYTES:
             return claim
         object_key = f'{key}/{claim.attempt}'
         await self.objects.put(object_key, answer.body)
--- a/packages/entry/bulrushcourse_entry/claims/sweep.py
+++ b/packages/entry/bulrushcourse_entry/claims/sweep.py
@@ -32,7 +32,7 @@
     """
 
     rows: claim_rows.ClaimRows
-    scanner: platform_table.Scanner
+    scanner: platform_table.TableScanner
     clock: clocks.Clock
     random: random.Random
     after: str = ''
--- a/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_rows.py
@@ -33,12 +33,12 @@
 
     async def put(self, key, content):
         if not self.up:
-            raise objects.ObjectsUnavailable
+            raise objects.ObjectStoreUnavailable
         self.content[key] = content
 
     async def get(self, key):
         if not self.up:
-            raise objects.ObjectsUnavailable
+            raise objects.ObjectStoreUnavailable
         return self.content.get(key)
 
 
@@ -67,8 +67,8 @@
 
 @with_rows
 async def test_answers_are_read_as_they_were_recorded(claim_rows):
-    """Guards P3: a response is read as it was recorded."""
-    for size in (0, 10, rows.ROW_ANSWER_BYTES + 1):
+    """Guards against a response that differs from the recorded one."""
+    for size in (0, 10, rows.MAX_ROW_ANSWER_BYTES + 1):
         await claim_rows.write('k', done(size), 0, urgent=True)
         found = await claim_rows.read('k')
         assert (
@@ -82,9 +82,9 @@
 async def test_row_is_not_written_before_its_answer(claim_rows):
     """Guards against a ``done`` row whose response does not exist."""
     claim_rows.objects.up = False
-    big = done(rows.ROW_ANSWER_BYTES + 1)
-    fact = await claim_rows.write('k', big, 0, urgent=True)
-    assert fact is outcomes.StoreFact.UNKNOWN
+    big = done(rows.MAX_ROW_ANSWER_BYTES + 1)
+    write_result = await claim_rows.write('k', big, 0, urgent=True)
+    assert write_result is outcomes.StoreWriteResult.UNKNOWN
     assert await claim_rows.read('k') is None
 
 
@@ -92,7 +92,7 @@
 async def test_unreadable_answer_is_unknown(claim_rows):
     """Guards against an empty response in place of the recorded one."""
     await claim_rows.write(
-        'k', done(rows.ROW_ANSWER_BYTES + 1), 0, urgent=True
+        'k', done(rows.MAX_ROW_ANSWER_BYTES + 1), 0, urgent=True
     )
     claim_rows.objects.up = False
     found = await claim_rows.read('k')
--- a/packages/entry/bulrushcourse_entry/claims/tests/test_writer.py
+++ b/packages/entry/bulrushcourse_entry/claims/tests/test_writer.py
@@ -34,9 +34,9 @@
     for _ in range(20):
         await asyncio.sleep(0)
     recording.open.set()
-    facts = await asyncio.gather(*submitted)
+    write_results = await asyncio.gather(*submitted)
     runner.cancel()
-    return facts
+    return write_results
 
 
 def test_waiting_writes_share_transactions():
@@ -45,8 +45,8 @@
     async def run():
         recording = RecordingTable()
         keys = [f'k{n}' for n in range(60)]
-        facts = await submit_all(recording, keys)
-        assert set(facts) == {outcomes.StoreFact.COMMITTED}
+        write_results = await submit_all(recording, keys)
+        assert set(write_results) == {outcomes.StoreWriteResult.COMMITTED}
         assert len(recording.batches) <= 10
 
     asyncio.run(run())
@@ -58,11 +58,11 @@
     async def run():
         recording = RecordingTable(conflicting=['k3'])
         keys = [f'k{n}' for n in range(6)]
-        facts = await submit_all(recording, keys)
+        write_results = await submit_all(recording, keys)
         conflicts = [
             key
-            for key, fact in zip(keys, facts, strict=True)
-            if fact is outcomes.StoreFact.CONFLICT
+            for key, write_result in zip(keys, write_results, strict=True)
+            if write_result is outcomes.StoreWriteResult.CONFLICT
         ]
         assert conflicts == ['k3']
 
--- a/packages/entry/bulrushcourse_entry/claims/upstream.py
+++ b/packages/entry/bulrushcourse_entry/claims/upstream.py
@@ -21,12 +21,12 @@
 MAX_ANSWER_BYTES = 8 << 20
 
 DISPATCH_RESULTS = {
-    client.Failure.NOT_SENT: outcomes.UpstreamFact.NO_BYTE_SENT,
-    client.Failure.NO_SHARE: outcomes.UpstreamFact.NO_BYTE_SENT,
-    client.Failure.SHED: outcomes.UpstreamFact.SHED_NOT_RUN,
-    client.Failure.LOST: outcomes.UpstreamFact.RESET,
-    client.Failure.TRUNCATED: outcomes.UpstreamFact.TRUNCATED,
-    client.Failure.DEADLINE: outcomes.UpstreamFact.TIMED_OUT,
+    client.Failure.NOT_SENT: outcomes.DispatchResult.NO_BYTE_SENT,
+    client.Failure.NO_SHARE: outcomes.DispatchResult.NO_BYTE_SENT,
+    client.Failure.SHED: outcomes.DispatchResult.SHED_NOT_RUN,
+    client.Failure.LOST: outcomes.DispatchResult.RESET,
+    client.Failure.TRUNCATED: outcomes.DispatchResult.TRUNCATED,
+    client.Failure.DEADLINE: outcomes.DispatchResult.TIMED_OUT,
 }
 _BODILESS_STATUSES = frozenset({204, 304})
 
@@ -53,11 +53,13 @@
         """Name of the instance."""
         return self.slot.instance
 
-    async def dispatch(self) -> dispatch.Dispatched:
+    async def dispatch(self) -> dispatch.CompletedDispatch:
         """Send the request, read the whole response, release the slot."""
         attempt = await self.forwarder.send(self.call, self.slot)
         if attempt.exchange is None:
-            return dispatch.Dispatched(DISPATCH_RESULTS[attempt.failure])
+            return dispatch.CompletedDispatch(
+                DISPATCH_RESULTS[attempt.failure]
+            )
         exchange = attempt.exchange
         release_outcome = requests.ReleaseOutcome.LOST
         try:
@@ -68,9 +70,13 @@
             return dispatched
         except TimeoutError:
             release_outcome = requests.ReleaseOutcome.CANCELLED
-            return dispatch.Dispatched(outcomes.UpstreamFact.TIMED_OUT)
+            return dispatch.CompletedDispatch(
+                outcomes.DispatchResult.TIMED_OUT
+            )
         except (aiohttp.ClientError, OSError):
-            return dispatch.Dispatched(outcomes.UpstreamFact.TRUNCATED)
+            return dispatch.CompletedDispatch(
+                outcomes.DispatchResult.TRUNCATED
+            )
         finally:
             exchange.answer.close()
             exchange.release_slot(release_outcome)
@@ -114,7 +120,7 @@
 
 async def read_response(
     call: request_parsing.Call, answer: client.UpstreamResponse
-) -> dispatch.Dispatched:
+) -> dispatch.CompletedDispatch:
     """Read the whole response and return what it proves about the run.
 
     Args:
@@ -128,19 +134,21 @@
     async for chunk in answer.chunks():
         body += chunk
         if len(body) > MAX_ANSWER_BYTES:
-            return dispatch.Dispatched(outcomes.UpstreamFact.TRUNCATED)
+            return dispatch.CompletedDispatch(
+                outcomes.DispatchResult.TRUNCATED
+            )
     if not is_delimited(call.method, answer.status, answer.headers):
-        return dispatch.Dispatched(outcomes.UpstreamFact.TRUNCATED)
-    fact = outcomes.answer_fact(answer.status, not_run=False)
-    if fact is not outcomes.UpstreamFact.ANSWERED:
-        return dispatch.Dispatched(fact)
+        return dispatch.CompletedDispatch(outcomes.DispatchResult.TRUNCATED)
+    dispatch_result = outcomes.classify_response(answer.status, not_run=False)
+    if dispatch_result is not outcomes.DispatchResult.ANSWERED:
+        return dispatch.CompletedDispatch(dispatch_result)
     headers = tuple(
         (name, value)
         for name, value in answer.headers.items()
         if name.lower() not in request_parsing.HOP_BY_HOP_HEADERS
     )
-    return dispatch.Dispatched(
-        fact, outcomes.Answer(answer.status, headers, bytes(body))
+    return dispatch.CompletedDispatch(
+        dispatch_result, outcomes.Answer(answer.status, headers, bytes(body))
     )
 
 
--- a/packages/entry/bulrushcourse_entry/claims/writer.py
+++ b/packages/entry/bulrushcourse_entry/claims/writer.py
@@ -64,7 +64,7 @@
 
     async def submit(
         self, write: platform_table.Write, urgent: bool
-    ) -> outcomes.StoreFact:
+    ) -> outcomes.StoreWriteResult:
         """Queue a row write, wait for its commit and return its result.
 
         Args:
@@ -149,7 +149,7 @@
         try:
             stored = await self.table.transact([write for write, _ in batch])
         except BaseException:
-            _resolve(batch, outcomes.StoreFact.UNKNOWN)
+            _resolve(batch, outcomes.StoreWriteResult.UNKNOWN)
             raise
         if stored is platform_table.WriteResult.CONFLICT and len(batch) > 1:
             # A conflict on one row fails the whole transaction, so the writes
@@ -158,10 +158,12 @@
             for submitted in batch:
                 await self._commit([submitted])
             return
-        _resolve(batch, outcomes.StoreFact(stored.value))
+        _resolve(batch, outcomes.StoreWriteResult(stored.value))
 
 
-def _resolve(batch: list[PendingWrite], fact: outcomes.StoreFact) -> None:
+def _resolve(
+    batch: list[PendingWrite], write_result: outcomes.StoreWriteResult
+) -> None:
     for _, future in batch:
         if not future.done():
-            future.set_result(fact)
+            future.set_result(write_result)
--- a/packages/entry/bulrushcourse_entry/configuration/exchange.py
+++ b/packages/entry/bulrushcourse_entry/configuration/exchange.py
@@ -159,7 +159,7 @@
         return {
             'version': self.configuration.version,
             'held_version': self.configuration.newest_version,
-            'refused': self.configuration.refused,
+            'refused': self.configuration.rejected_count,
             'row_version_at_start': self.startup.row_version,
             'ready': self.startup.ready,
             'reader': self.members.is_reader(),
--- a/packages/entry/bulrushcourse_entry/configuration/publisher.py
+++ b/packages/entry/bulrushcourse_entry/configuration/publisher.py
@@ -124,7 +124,9 @@
             detail = f'version {version} is not in the history'
             return result.Failure(Refusal(Reason.NO_VERSION, detail))
         return await self.publish(
-            publication.roll_back(base_version, old, publish_id, operator)
+            publication.rollback_request(
+                base_version, old, publish_id, operator
+            )
         )
 
     async def _publish(self, request: publication.PublishRequest) -> Outcome:
@@ -176,7 +178,7 @@
                 )
             )
         proposal = proposed.unwrap()
-        if proposal.stored:
+        if proposal.already_stored:
             return result.Success(proposal)
         written = await self.store.write(
             proposal.publication, current.row_version
--- a/packages/entry/bulrushcourse_entry/edge/destinations.py
+++ b/packages/entry/bulrushcourse_entry/edge/destinations.py
@@ -100,7 +100,7 @@
         capacity = self._capacity(route, service)
         demand = state.demand.by_region(service)
         if now < state.demand.settled_at:
-            demand = allocation.usual_demand(
+            demand = allocation.default_demand(
                 capacity, set(state.settings.regions.values())
             )
         shares = allocation.allocate(demand, capacity)
--- a/packages/entry/bulrushcourse_entry/edge/outcomes.py
+++ b/packages/entry/bulrushcourse_entry/edge/outcomes.py
@@ -69,7 +69,7 @@
     return (
         f'{choice.upstream.name} {outcome} after {elapsed_s * 1000:.0f} ms'
         f' (expected {choice.completion_s * 1000:.0f} ms,'
-        f' affinity {choice.affinity.value}, {choice.busy} queued)'
+        f' affinity {choice.affinity.value}, {choice.queued} queued)'
     )
 
 
@@ -87,7 +87,7 @@
         f'{reason} at {choice.upstream.name}'
         f' (expected {choice.completion_s * 1000:.0f} ms,'
         f' of which {choice.work_s * 1000:.0f} ms work,'
-        f' affinity {choice.affinity.value}, {choice.busy} queued)'
+        f' affinity {choice.affinity.value}, {choice.queued} queued)'
     )
 
 
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -228,7 +228,7 @@
                 event_log.log_change(
                     events.Event.READY,
                     configuration=state.routes.version,
-                    upstreams=len(state.upstreams.entries),
+                    upstreams=len(state.upstreams.by_name),
                 )
             state.warmup_limiter.set_members(state.fleet.alive())
             state.placement.sharing_vm_count = state.fleet.sharing_vm_count()
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -78,7 +78,7 @@
     service_times: service_times.ServiceTimes
     round_trips: round_trips.RoundTripTimes
     fleet: fleet.Fleet
-    lookup_answers: lookups.LookupAnswers
+    lookup_answers: lookups.LookupCache
     demand: demand.Demand
     crash_ledger: crashes.CrashLedger
     placement: placement.Placement
@@ -117,7 +117,7 @@
                 bounds.retry_ratio,
                 bounds.retry_extra,
                 bounds.retry_window_s,
-                at=self.clock.monotonic(),
+                refilled_at=self.clock.monotonic(),
             )
         return self.retry_budgets[service]
 
@@ -209,7 +209,7 @@
         service_times=times,
         round_trips=round_trip_times,
         fleet=vms,
-        lookup_answers=lookups.LookupAnswers(vms),
+        lookup_answers=lookups.LookupCache(vms),
         demand=demand.Demand(clock, settings.region),
         crash_ledger=crashes.CrashLedger(clock),
         placement=placement.Placement(
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -70,7 +70,7 @@
             fingerprint: Hash of the request during which it was lost.
             upstream: Incarnation of the upstream.
         """
-        for name in self.state.fleet.known:
+        for name in self.state.fleet.peers:
             self.pending_losses.setdefault(name, []).append(
                 (fingerprint, upstream)
             )
@@ -83,8 +83,8 @@
         """
         vms = self.state.fleet
         if region != self.state.settings.region:
-            return report_interval_s(len(vms.known) + 1, other_region=True)
-        return report_interval_s(vms.sizes.get(region, 0) + 1)
+            return report_interval_s(len(vms.peers) + 1, other_region=True)
+        return report_interval_s(vms.region_sizes.get(region, 0) + 1)
 
     def build(
         self,
@@ -106,7 +106,7 @@
                 may not know it yet.
         """
         state = self.state
-        other_vms = state.fleet.known
+        other_vms = state.fleet.peers
         send_configuration = self.configuration_versions.needs_update(
             to, state.routes.version, state.is_designated_reader
         )
@@ -117,7 +117,7 @@
             vm=state.fleet.local_vm if include_sender else None,
             phase=state.fleet.phase,
             configuration_version=state.routes.version,
-            in_flight=state.load.own,
+            in_flight=state.load.own_in_flight,
             slowness=self._recent_slowness(region),
             demand=state.demand.own_slots(),
             losses=self.pending_losses.pop(to, []),
@@ -140,7 +140,7 @@
         interval = self.interval_s(region) * 1.2
         return {
             upstream: (value, now - at)
-            for upstream, (value, at) in self.state.load.fresh.items()
+            for upstream, (value, at) in self.state.load.own_slowness.items()
             if now - at <= interval
         }
 
@@ -165,7 +165,7 @@
             vm.name, report.configuration_version, state.routes.version
         )
         self.vm_counts.record_version(
-            vm.name, report.vms_known, len(state.fleet.known)
+            vm.name, report.vms_known, len(state.fleet.peers)
         )
         state.load.record_peer_load(vm.name, report.in_flight)
         state.demand.record_peer_demand(vm.name, vm.region, report.demand)
--- a/packages/entry/bulrushcourse_entry/edge/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/request_executor.py
@@ -300,7 +300,7 @@
         name = choice.upstream.name
         if request.object_key:
             state.recent_objects.record(name, request.object_key)
-        if choice.busy or choice.cold:
+        if choice.queued or choice.cold:
             return
         slowness = state.load.expected_slowness(name)
         work_s = (
--- a/packages/entry/bulrushcourse_entry/edge/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/state_dump.py
@@ -23,7 +23,7 @@
         'upstreams_version': state.upstreams.version,
         'upstreams_age_s': _age(now, state.upstreams.read_at),
         'upstreams': {
-            name: _upstream(state, name) for name in state.upstreams.entries
+            name: _upstream(state, name) for name in state.upstreams.by_name
         },
         'vms': {
             name: {
@@ -50,7 +50,7 @@
 def _upstream(
     state: process_state.ProcessState, name: str
 ) -> dict[str, typing.Any]:
-    upstream = state.upstreams.entries[name]
+    upstream = state.upstreams.by_name[name]
     slowness, at = state.load.slowness.get(name, (None, 0.0))
     return {
         **attrs.asdict(upstream),
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
@@ -36,15 +36,15 @@
     # Guards against each of 76 VMs sending a new configuration to every
     # other VM that has not yet reported it after reading it from the store.
     reporting = make_reports(is_designated_reader)
-    reporting.configuration_versions.record_version('vm-2', 4, own_level=4)
+    reporting.configuration_versions.record_version('vm-2', 4, own_version=4)
     assert (
         bool(reporting.build(to='vm-2').configuration) == is_designated_reader
     )
-    reporting.configuration_versions.record_version('vm-2', 4, own_level=5)
+    reporting.configuration_versions.record_version('vm-2', 4, own_version=5)
     assert (
         bool(reporting.build(to='vm-2').configuration) == is_designated_reader
     )
-    reporting.configuration_versions.record_version('vm-2', 5, own_level=5)
+    reporting.configuration_versions.record_version('vm-2', 5, own_version=5)
     assert reporting.build(to='vm-2').configuration == b''
 
 
@@ -52,9 +52,9 @@
     # Guards against a VM that keeps an old configuration because the store
     # rejects the calls of this VM and of both designated readers.
     reporting = make_reports(False)
-    reporting.configuration_versions.record_version('vm-2', 4, own_level=5)
-    reporting.state.clock.advance(peer_versions.HELP_AFTER_S * 1.1)
-    reporting.configuration_versions.record_version('vm-2', 4, own_level=5)
+    reporting.configuration_versions.record_version('vm-2', 4, own_version=5)
+    reporting.state.clock.advance(peer_versions.UPDATE_DELAY_S * 1.1)
+    reporting.configuration_versions.record_version('vm-2', 4, own_version=5)
     assert reporting.build(to='vm-2').configuration == CONTENT
 
 
@@ -70,10 +70,10 @@
     for number in (2, 3, 4):
         name = f'vm-{number}'
         reporting.state.fleet.add_vm(fleet.Vm(name, 1, '', '', 'r1', 'd'))
-    reporting.vm_counts.record_version('vm-2', 3, own_level=3)
-    reporting.vm_counts.record_version('vm-3', 1, own_level=3)
+    reporting.vm_counts.record_version('vm-2', 3, own_version=3)
+    reporting.vm_counts.record_version('vm-3', 1, own_version=3)
     assert not reporting.build(to='vm-3').vms
-    reporting.state.clock.advance(peer_versions.HELP_AFTER_S * 1.1)
+    reporting.state.clock.advance(peer_versions.UPDATE_DELAY_S * 1.1)
     assert len(reporting.build(to='vm-3').vms) == 3
     assert not reporting.build(to='vm-2').vms
 
--- a/packages/entry/bulrushcourse_entry/edge/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstream_client.py
@@ -170,7 +170,7 @@
     traces = (connection_tracing.trace_connections(state),)
     pooled, fresh = (
         sessions.open_session(
-            connections.MOST_CONNECTIONS, fresh, CONNECT_TIMEOUT_S, traces
+            connections.MAX_CONNECTIONS, fresh, CONNECT_TIMEOUT_S, traces
         )
         for fresh in (False, True)
     )
--- a/packages/entry/bulrushcourse_entry/health/monitor.py
+++ b/packages/entry/bulrushcourse_entry/health/monitor.py
@@ -114,7 +114,7 @@
         assigned = {
             name: instance
             for name, instance in self.instances.items()
-            if own in rendezvous.first(name, entries, POLLERS_PER_INSTANCE)
+            if own in rendezvous.top(name, entries, POLLERS_PER_INSTANCE)
         }
         for name in self.tasks.keys() - assigned.keys():
             self.tasks.pop(name).cancel()
--- a/packages/entry/bulrushcourse_entry/limits/assembly.py
+++ b/packages/entry/bulrushcourse_entry/limits/assembly.py
@@ -9,7 +9,7 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_entry import settings as entry_settings
-from bulrushcourse_entry.limits import keeper as limit_keeper
+from bulrushcourse_entry.limits import limit_manager as limit_managers
 from bulrushcourse_entry.limits import loads as load_exchange
 from bulrushcourse_entry.limits import plans as plan_runner
 from bulrushcourse_entry.limits import regions as region_selection
@@ -25,13 +25,13 @@
 
     Attributes:
         pool_loads: Exchanges the loads of pools with peers.
-        keeper: Renews this entry's shares.
+        limit_manager: Renews this entry's shares.
         plans: Steps shift plans.
         regions: Chooses regions.
     """
 
     pool_loads: load_exchange.PoolLoadExchange
-    keeper: limit_keeper.LimitKeeper
+    limit_manager: limit_managers.LimitManager
     plans: plan_runner.PlanRunner
     regions: region_selection.RegionSelector
 
@@ -44,7 +44,7 @@
             configuration: The active configuration.
         """
         self.pool_loads.configure(configuration)
-        self.keeper.configure(configuration)
+        self.limit_manager.configure(configuration)
         self.plans.configure(configuration)
         self.regions.configure(configuration)
 
@@ -53,7 +53,7 @@
         self.pool_loads.start()
         return (
             asyncio.create_task(self.pool_loads.run()),
-            asyncio.create_task(self.keeper.run()),
+            asyncio.create_task(self.limit_manager.run()),
             asyncio.create_task(self.plans.run()),
         )
 
@@ -64,7 +64,7 @@
     def dump(self) -> dict[str, typing.Any]:
         """Return shares, plans and routing decisions for a state dump."""
         return {
-            'shares': self.keeper.dump(),
+            'shares': self.limit_manager.dump(),
             'plans': self.plans.dump(),
             'routes': self.regions.dump(),
         }
@@ -90,7 +90,7 @@
     """
     incarnation = hub.identity.incarnation
     rng = random.Random(incarnation)
-    keeper = limit_keeper.LimitKeeper(
+    limit_manager = limit_managers.LimitManager(
         clock,
         rng,
         table,
@@ -103,6 +103,6 @@
     )
     plans = plan_runner.PlanRunner(settings.region, clock, pool_loads)
     regions = region_selection.RegionSelector(
-        settings.region, clock, rng, keeper, pool_loads, plans
+        settings.region, clock, rng, limit_manager, pool_loads, plans
     )
-    return LimitsParts(pool_loads, keeper, plans, regions)
+    return LimitsParts(pool_loads, limit_manager, plans, regions)
--- a/packages/entry/bulrushcourse_entry/limits/keeper.py
+++ b/packages/entry/bulrushcourse_entry/limits/limit_manager.py
@@ -25,7 +25,7 @@
 
 
 @attrs.define(eq=False)
-class LimitKeeper:
+class LimitManager:
     """Reads and renews this entry's shares of all limits.
 
     Attributes:
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -90,7 +90,7 @@
                 # free soon, so requests should wait rather than be shed.
                 sum(map(owned.pool.health.open_slots, owned.pool.instances)),
                 sum(len(instance.held) for instance in instances),
-                len(owned.pool.waiting) + len(owned.parked),
+                len(owned.pool.queue) + len(owned.parked),
                 owned.pool.healthy_slots(),
             )
             self.reports[name] = ReportedLoad(load, '', now)
--- a/packages/entry/bulrushcourse_entry/limits/local_limit.py
+++ b/packages/entry/bulrushcourse_entry/limits/local_limit.py
@@ -50,7 +50,7 @@
         Args:
             amount: Units to charge.
         """
-        charged = self.window.charge(amount, self.shares.usable)
+        charged = self.window.try_charge(amount, self.shares.usable)
         self.record_use(not charged)
         return charged
 
@@ -85,7 +85,7 @@
             'floor': shares.floor,
             'in_use': self.window.in_use(),
             'lease_ends_in_s': round(
-                shares.expires - shares.clock.monotonic(), 3
+                shares.expires_at - shares.clock.monotonic(), 3
             )
             if shares.elastic
             else None,
@@ -114,6 +114,6 @@
     }
     return LocalLimit(
         limit,
-        share_ledger.open_ledger(clock, holder, *vm, terms),
+        share_ledger.build_ledger(clock, holder, *vm, terms),
         rate_window.RateWindow(clock, windows[limit.kind]),
     )
--- a/packages/entry/bulrushcourse_entry/limits/plans.py
+++ b/packages/entry/bulrushcourse_entry/limits/plans.py
@@ -178,7 +178,7 @@
         now = self.clock.wall()
         for shift in self.plans.values():
             before = shift.state
-            shift.step(now, self.evidence(shift.plan))
+            shift.step(now, self.measurements(shift.plan))
             if shift.state is not before:
                 events.emit(
                     events.Event.PLAN_CHANGED,
@@ -191,7 +191,7 @@
         self.capped_regions.clear()
         self.request_counts.clear()
 
-    def evidence(self, plan: objects.Plan) -> shift_plan.Evidence:
+    def measurements(self, plan: objects.Plan) -> shift_plan.RampMeasurements:
         """Return the state of a plan's receiving regions since the last step.
 
         Args:
@@ -214,7 +214,7 @@
         ]
         loads = [self.loads.loads(service) for service in services]
         finished = sum(times.succeeded + times.failed for times in observed)
-        return shift_plan.Evidence(
+        return shift_plan.RampMeasurements(
             max(ratios, default=None),
             sum(times.failed for times in observed) / max(1, finished),
             min((self._headroom(load, targets) for load in loads), default=1),
--- a/packages/entry/bulrushcourse_entry/limits/regions.py
+++ b/packages/entry/bulrushcourse_entry/limits/regions.py
@@ -13,7 +13,7 @@
 from bulrushcourse_domain.routing import region_failures
 from bulrushcourse_domain.routing import router
 from bulrushcourse_domain.slots import requests
-from bulrushcourse_entry.limits import keeper as limit_keeper
+from bulrushcourse_entry.limits import limit_manager as limit_managers
 from bulrushcourse_entry.limits import local_limit as local_limits
 from bulrushcourse_entry.limits import pacer as link_pacers
 from bulrushcourse_entry.limits import plans as plan_runner
@@ -51,7 +51,7 @@
     region: str
     clock: clocks.Clock
     rng: random.Random
-    limit_manager: limit_keeper.LimitKeeper
+    limit_manager: limit_managers.LimitManager
     loads: PoolLoads
     plans: plan_runner.PlanRunner
     configuration: configuration_set.ConfigurationSet | None = None
@@ -149,7 +149,9 @@
     @property
     def nearest_regions(self) -> tuple[str, ...]:
         """Other regions, nearest first."""
-        configured_order = self.configuration.nearness.get(self.region, ())
+        configured_order = self.configuration.nearest_regions.get(
+            self.region, ()
+        )
         others = sorted(set(self.configuration.regions.values()))
         return configured_order + tuple(
             r for r in others if r != self.region and r not in configured_order
@@ -219,7 +221,7 @@
                 return False
             await asyncio.sleep(
                 min(wait_s, left_s, SHARE_CHECK_INTERVAL_S)
-                + rate_window.ROUNDING_S
+                + rate_window.ROUNDING_MARGIN_S
             )
         return True
 
--- a/packages/entry/bulrushcourse_entry/limits/tests/test_keeper.py
+++ b/packages/entry/bulrushcourse_entry/limits/tests/test_limit_manager.py
@@ -8,7 +8,7 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import configuration_set
 from bulrushcourse_domain.configuration import objects
-from bulrushcourse_entry.limits import keeper
+from bulrushcourse_entry.limits import limit_manager
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.platform import vm_list
 
@@ -68,44 +68,42 @@
     )
 
 
-def build_keepers(table):
+def build_managers(table):
     clock = clocks.ManualClock()
     vms = FixedList(
-        tuple(vm_list.Vm(f'vm-{n}', n, '', '', 'live') for n in 'ab')
+        tuple(vm_list.VmRecord(f'vm-{n}', n, '', '', 'live') for n in 'ab')
     )
-    keepers = [
-        keeper.LimitKeeper(
+    managers = [
+        limit_manager.LimitManager(
             clock, random.Random(n), table, vms, f'vm-{n}/1', (f'vm-{n}', n)
         )
         for n in 'ab'
     ]
-    for limit_keeper in keepers:
-        limit_keeper.configure(configuration())
-    return clock, keepers
+    for manager in managers:
+        manager.configure(configuration())
+    return clock, managers
 
 
-def exhaust_shares(keepers):
-    for limit_keeper in keepers:
-        limit_keeper.limits['shift'].record_use(True)
+def exhaust_shares(managers):
+    for manager in managers:
+        manager.limits['shift'].record_use(True)
 
 
-def usable(keepers):
-    return [
-        limit_keeper.limits['shift'].shares.usable for limit_keeper in keepers
-    ]
+def usable(managers):
+    return [manager.limits['shift'].shares.usable for manager in managers]
 
 
 def test_write_with_lost_response_is_recognised_in_the_next_round():
     table = MemoryTable(lose_answers=True)
-    _, keepers = build_keepers(table)
+    _, managers = build_managers(table)
 
     async def run():
-        exhaust_shares(keepers)
-        await keepers[0].renew_shares()
-        assert usable(keepers) == [0, 0]
-        exhaust_shares(keepers)
-        await keepers[0].renew_shares()
-        assert usable(keepers) == [50, 0]
+        exhaust_shares(managers)
+        await managers[0].renew_shares()
+        assert usable(managers) == [0, 0]
+        exhaust_shares(managers)
+        await managers[0].renew_shares()
+        assert usable(managers) == [50, 0]
 
     asyncio.run(run())
 
@@ -113,36 +111,36 @@
 def test_concurrent_writers_divide_the_elastic_half():
     """Guards against a conflict that counts as a grant."""
     table = MemoryTable()
-    clock, keepers = build_keepers(table)
+    clock, managers = build_managers(table)
 
     async def run():
         for _ in range(3):
-            exhaust_shares(keepers)
+            exhaust_shares(managers)
             await asyncio.gather(
-                *(limit_keeper.renew_shares() for limit_keeper in keepers)
+                *(manager.renew_shares() for manager in managers)
             )
-            assert sum(usable(keepers)) <= 50
-        assert usable(keepers) == [25, 25]
+            assert sum(usable(managers)) <= 50
+        assert usable(managers) == [25, 25]
         clock.advance(1.1)
-        assert usable(keepers) == [50, 50]
+        assert usable(managers) == [50, 50]
 
     asyncio.run(run())
 
 
 def test_outage_leaves_the_floor_share():
     table = MemoryTable()
-    clock, keepers = build_keepers(table)
+    clock, managers = build_managers(table)
 
     async def run():
-        exhaust_shares(keepers)
-        await keepers[0].renew_shares()
+        exhaust_shares(managers)
+        await managers[0].renew_shares()
         table.down = True
         clock.advance(60)
-        await keepers[0].renew_shares()
-        assert usable(keepers)[0] == 75
+        await managers[0].renew_shares()
+        assert usable(managers)[0] == 75
         clock.advance(16)
-        await keepers[0].renew_shares()
-        assert usable(keepers)[0] == 25
+        await managers[0].renew_shares()
+        assert usable(managers)[0] == 25
 
     asyncio.run(run())
 
@@ -150,7 +148,7 @@
 def test_invalid_row_is_left_alone():
     broken = platform_table.Row(7, {'terms': 3})
     table = MemoryTable({ROW: broken})
-    _, keepers = build_keepers(table)
-    exhaust_shares(keepers)
-    asyncio.run(keepers[0].renew_shares())
+    _, managers = build_managers(table)
+    exhaust_shares(managers)
+    asyncio.run(managers[0].renew_shares())
     assert table.rows[ROW] == broken
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -32,7 +32,7 @@
         clock: Source of time.
         vms: The platform's list of VMs.
         hub: Streams to peers.
-        held: The active configuration.
+        configuration: The active configuration.
         own_heartbeat: Returns this entry's heartbeat.
         view: State of each member.
         lookup: Look-up answers from the members that may serve clients.
@@ -45,12 +45,12 @@
     clock: clocks.Clock
     vms: vm_list.VmList
     hub: peer_hub.PeerHub
-    held: active_configuration.ActiveConfiguration
+    configuration: active_configuration.ActiveConfiguration
     own_heartbeat: typing.Callable[[], messages.Heartbeat]
     view: member_view.MemberView = attrs.field(init=False)
     lookup: member_lookup.Lookup = attrs.field(factory=member_lookup.Lookup)
     sweeps: reactivex.Subject = attrs.field(factory=subject.Subject)
-    listed: tuple[vm_list.Vm, ...] = ()
+    listed: tuple[vm_list.VmRecord, ...] = ()
     isolated: bool = False
 
     def __attrs_post_init__(self) -> None:
@@ -125,7 +125,7 @@
                 )
             ],
             'max_age_s': self.settings.answer_max_age_s,
-            'version': self.held.version,
+            'version': self.configuration.version,
         }
 
     def region_entries(self) -> list[str]:
@@ -202,7 +202,7 @@
             'place': place,
             'region': region,
             'region_from': 'client blocks' if place else 'this entry',
-            'regions': self.lookup.regions(region),
+            'regions': self.lookup.regions_by_distance(region),
             'entries': self.answer(client)['entries'],
             'left_out': [
                 {'entry': described['entry'], 'state': described['state']}
@@ -214,10 +214,10 @@
 
     def _client_place(self, client: str) -> str:
         """Return the place of a client, empty if no address block matches."""
-        if self.held.current is None:
+        if self.configuration.current is None:
             return ''
         try:
-            return self.held.current.client_blocks.place(client)
+            return self.configuration.current.client_blocks.place(client)
         except ValueError:
             return ''
 
@@ -225,12 +225,12 @@
         """Return the region of a client, this entry's region if unknown."""
         place = self._client_place(client)
         if place:
-            return self.held.current.regions[place]
+            return self.configuration.current.regions[place]
         return self.settings.region
 
     def _refresh_lookup(self) -> None:
-        current = self.held.current
-        nearness = current.nearness if current else {}
+        current = self.configuration.current
+        nearest_regions = current.nearest_regions if current else {}
         # Versions and store contact change often and affect no answer.
         candidates = tuple(
             attrs.evolve(
@@ -240,9 +240,9 @@
         )
         if (
             candidates != self.lookup.members
-            or nearness != self.lookup.nearness
+            or nearest_regions != self.lookup.nearest_regions
         ):
-            self.lookup = member_lookup.Lookup(candidates, nearness)
+            self.lookup = member_lookup.Lookup(candidates, nearest_regions)
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
         stream = self.hub.streams.get(received.peer)
--- a/packages/entry/bulrushcourse_entry/operators/configuration.py
+++ b/packages/entry/bulrushcourse_entry/operators/configuration.py
@@ -92,13 +92,13 @@
         Args:
             request: The operator's request.
         """
-        current = self.members.held.current
+        current = self.members.configuration.current
         content = documents.render_document(
             current.objects if current else objects.Objects()
         )
         return web.json_response(
             {
-                'version': self.members.held.version,
+                'version': self.members.configuration.version,
                 'objects': json.loads(content),
             }
         )
@@ -200,7 +200,7 @@
         """
         entries = self.members.describe()
         heard_entries = {member['entry'] for member in entries}
-        current = self.members.held.current
+        current = self.members.configuration.current
         configured = current.objects.entries if current else ()
         return web.json_response(
             {
@@ -222,7 +222,7 @@
     proposal = outcome.unwrap()
     return web.json_response(
         publications.describe_publication(proposal.publication)
-        | {'repeated': proposal.stored}
+        | {'repeated': proposal.already_stored}
     )
 
 
--- a/packages/entry/bulrushcourse_entry/platform/objects.py
+++ b/packages/entry/bulrushcourse_entry/platform/objects.py
@@ -9,7 +9,7 @@
 CALL_TIMEOUT_S = 5.0
 
 
-class ObjectsUnavailable(Exception):
+class ObjectStoreUnavailable(Exception):
     """A call to the object store failed."""
 
 
@@ -20,7 +20,7 @@
         """Store an object.
 
         Raises:
-            ObjectsUnavailable: If the call failed.
+            ObjectStoreUnavailable: If the call failed.
         """
         ...
 
@@ -28,7 +28,7 @@
         """Return an object, ``None`` if absent.
 
         Raises:
-            ObjectsUnavailable: If the call failed.
+            ObjectStoreUnavailable: If the call failed.
         """
         ...
 
@@ -36,7 +36,7 @@
         """Delete an object if it exists.
 
         Raises:
-            ObjectsUnavailable: If the call failed.
+            ObjectStoreUnavailable: If the call failed.
         """
         ...
 
@@ -63,7 +63,7 @@
             content: Its content.
 
         Raises:
-            ObjectsUnavailable: If the call failed.
+            ObjectStoreUnavailable: If the call failed.
         """
         await self._call('PUT', key, content)
 
@@ -74,7 +74,7 @@
             key: Key of the object.
 
         Raises:
-            ObjectsUnavailable: If the call failed.
+            ObjectStoreUnavailable: If the call failed.
         """
         return await self._call('GET', key)
 
@@ -85,7 +85,7 @@
             key: Key of the object.
 
         Raises:
-            ObjectsUnavailable: If the call failed.
+            ObjectStoreUnavailable: If the call failed.
         """
         await self._call('DELETE', key)
 
@@ -102,4 +102,4 @@
                     response.raise_for_status()
                     return await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise ObjectsUnavailable(repr(error)) from error
+            raise ObjectStoreUnavailable(repr(error)) from error
--- a/packages/entry/bulrushcourse_entry/platform/table.py
+++ b/packages/entry/bulrushcourse_entry/platform/table.py
@@ -74,7 +74,7 @@
         ...
 
 
-class Scanner(typing.Protocol):
+class TableScanner(typing.Protocol):
     """Lists the rows of the table service."""
 
     async def scan(
--- a/packages/entry/bulrushcourse_entry/platform/vm_list.py
+++ b/packages/entry/bulrushcourse_entry/platform/vm_list.py
@@ -12,7 +12,7 @@
 
 
 @attrs.frozen
-class Vm:
+class VmRecord:
     """A VM in the platform's list.
 
     Attributes:
@@ -35,7 +35,7 @@
 class VmList(typing.Protocol):
     """The platform's list of VMs."""
 
-    async def list(self) -> tuple[Vm, ...] | None:
+    async def list(self) -> tuple[VmRecord, ...] | None:
         """Return live and leaving VMs, ``None`` if the call failed."""
         ...
 
@@ -57,7 +57,7 @@
     leaving_instances: frozenset[str] = frozenset()
     reachable: bool = True
 
-    async def list(self) -> tuple[Vm, ...] | None:
+    async def list(self) -> tuple[VmRecord, ...] | None:
         """Return live and leaving entry VMs, ``None`` if the call failed.
 
         VMs of upstream instances are not returned. Those that are leaving are
@@ -68,7 +68,7 @@
                 async with self.session.get(f'{self.base}/vms') as response:
                     response.raise_for_status()
                     listed = await response.json()
-            vms = [Vm(**fields) for fields in listed]
+            vms = [VmRecord(**fields) for fields in listed]
         except (
             aiohttp.ClientError,
             TimeoutError,
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -175,7 +175,10 @@
             self.members.region_entries,
         )
         self.reporter = reporting.GaugeReporter(
-            self.metrics, self.table, self.slots.server, self.limits.keeper
+            self.metrics,
+            self.table,
+            self.slots.server,
+            self.limits.limit_manager,
         )
         self.operators = operators_listener.OperatorsListener(
             entry_settings.read_secret(settings.operator_token_file),
@@ -264,7 +267,7 @@
     def _update_readiness(self) -> None:
         if self.state is not State.STARTING:
             return
-        if self.configuration.startup.decide(
+        if self.configuration.startup.update_readiness(
             self.active.version,
             self.members.silent_vms(),
             self.members.newest_peer_version(),
--- a/packages/entry/bulrushcourse_entry/reporting.py
+++ b/packages/entry/bulrushcourse_entry/reporting.py
@@ -6,7 +6,7 @@
 
 from bulrushcourse_domain.slots import pool as slot_pool
 from bulrushcourse_entry import metrics as entry_metrics
-from bulrushcourse_entry.limits import keeper as limit_keeper
+from bulrushcourse_entry.limits import limit_manager as limit_managers
 from bulrushcourse_entry.platform import table as platform_table
 from bulrushcourse_entry.slots import server as pool_server
 
@@ -27,7 +27,7 @@
     metrics: entry_metrics.Metrics
     table: platform_table.HttpTable
     server: pool_server.PoolServer
-    limits: limit_keeper.LimitKeeper
+    limits: limit_managers.LimitManager
 
     async def run(self) -> None:
         """Send gauges until cancelled."""
@@ -51,7 +51,7 @@
     def _report_pool(self, name: str, pool: slot_pool.SlotPool) -> None:
         usable = sum(map(pool.health.open_slots, pool.instances))
         self.metrics.gauge(f'pool.{name}.headroom', usable - len(pool.granted))
-        self.metrics.gauge(f'pool.{name}.waiting', len(pool.waiting))
+        self.metrics.gauge(f'pool.{name}.waiting', len(pool.queue))
         self.metrics.gauge(
             f'pool.{name}.set_aside', len(pool.health.restricted)
         )
--- a/packages/entry/bulrushcourse_entry/slots/client.py
+++ b/packages/entry/bulrushcourse_entry/slots/client.py
@@ -127,7 +127,7 @@
                     held.pool,
                     request_id,
                     release_result.outcome.value,
-                    release_result.seconds,
+                    release_result.service_time_s,
                 ),
             )
 
--- a/packages/entry/bulrushcourse_entry/slots/ownership_manager.py
+++ b/packages/entry/bulrushcourse_entry/slots/ownership_manager.py
@@ -111,13 +111,15 @@
         """
         self.failure_domain_regions = configuration.regions
         entries = configuration.entries(self.region)
-        self.members.seats = frozenset(entry.name for entry in entries)
+        self.members.configured_entries = frozenset(
+            entry.name for entry in entries
+        )
         for service in configuration.services:
             pool = pool_name(self.region, service)
             if pool in self.pools:
                 continue
             if configuration.instances(service, self.region):
-                self.pools[pool] = ownerships.open_ownership(
+                self.pools[pool] = ownerships.build_ownership(
                     pool,
                     self.hub.identity.incarnation,
                     self.members,
@@ -148,8 +150,8 @@
                 'lease': ownership.lease.is_held(),
                 'rank': ownership.rank(),
                 'settled': ownership.members.is_settled(),
-                'promised_to': ownership.pool_promises.given_to
-                if ownership.pool_promises.is_outstanding()
+                'promised_to': ownership.pool_promises.promised_to
+                if ownership.pool_promises.is_promised()
                 else '',
             }
             for pool, ownership in self.pools.items()
@@ -165,7 +167,7 @@
             if listed is not None and self.failure_domain_regions:
                 now = self.clock.monotonic()
                 self.last_listed |= {vm.entry: now for vm in listed}
-                self.members.update_list(
+                self.members.update_vm_list(
                     [
                         region_members.ListedVm(vm.vm_id, vm.entry)
                         for vm in listed
@@ -201,7 +203,9 @@
             self.former_holders[pool] = row.holder
         write = ownership.plan_write()
         if write is not None:
-            ownership.finish_write(write, await self._send_write(pool, write))
+            ownership.record_write_result(
+                write, await self._send_write(pool, write)
+            )
 
     def _successor_ready_in_s(self) -> float:
         """Return the seconds until a connected peer of the region settles.
@@ -209,10 +213,11 @@
         Infinite if no peer is connected. A pool released earlier would have
         no owner until then, which is as long as short requests may wait.
         """
-        settling_s = self.members.times.settle_s + VM_LIST_INTERVAL_S
+        settling_s = self.members.durations.settling_s + VM_LIST_INTERVAL_S
         ready_at = [
             self.connected_since[peer] + settling_s
-            for peer in self.members.others() & self.connected_since.keys()
+            for peer in self.members.other_entries()
+            & self.connected_since.keys()
         ]
         return min(ready_at, default=math.inf) - self.clock.monotonic()
 
@@ -226,13 +231,13 @@
     async def _release_pool(
         self, pool: str, ownership: ownerships.PoolOwnership
     ) -> None:
-        ownership.release()
+        ownership.resign()
         self._notify_release(pool, ownership)
         try:
             ownership.observe_row(await self._read_row(pool))
         except platform_table.TableUnavailable:
             return
-        write = ownership.release()
+        write = ownership.resign()
         if write is not None:
             await self._send_write(pool, write)
             self._notify_release(pool, ownership)
@@ -241,7 +246,7 @@
         self, pool: str, ownership: ownerships.PoolOwnership
     ) -> None:
         released = slot_messages.PoolReleased(pool, ownership.incarnation)
-        for peer in self.members.others():
+        for peer in self.members.other_entries():
             self.hub.send(peer, released)
 
     async def _read_row(self, pool: str) -> leases.LeaseRow:
@@ -272,7 +277,7 @@
         message = slot_messages.PromiseRequest(
             request.pool, request.candidate, request.number, request.owns
         )
-        for peer in self.members.others():
+        for peer in self.members.other_entries():
             self.hub.send(peer, message)
 
     def _on_message(self, received: peer_hub.ReceivedMessage) -> None:
@@ -281,7 +286,7 @@
         if ownership is None:
             return
         if isinstance(message, slot_messages.PoolReleased):
-            ownership.record_release(message.candidate)
+            ownership.record_resignation(message.candidate)
             self.release_events[message.pool].set()
         elif isinstance(message, slot_messages.PromiseRequest):
             promise = ownership.answer_promise_request(
--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -128,7 +128,7 @@
                     instance: len(slots.held)
                     for instance, slots in owned.pool.instances.items()
                 },
-                'waiting': len(owned.pool.waiting),
+                'waiting': len(owned.pool.queue),
                 'parked': len(owned.parked),
                 'unreported': sorted(owned.pool.recovery.unreported),
             }
@@ -151,7 +151,7 @@
     def _begin_term(self, owned: owned_pools.OwnedPool, term: int) -> None:
         owned.term = term
         owned.reported.clear()
-        owned.pool.take_over(self._possible_holders(owned))
+        owned.pool.start_recovery(self._possible_holders(owned))
         events.emit(events.Event.POOL_TAKEN, pool=owned.name, term=term)
         self.messenger.broadcast(
             slot_messages.HeldSlotsRequest(owned.name, term)
@@ -181,7 +181,7 @@
             return holders
         holders |= {former} - {'', None}
         max_duration_s = max(
-            map(recovery.limit_s, owned.pool.classes.values())
+            map(recovery.max_duration_s, owned.pool.classes.values())
         )
         now = self.clock.monotonic()
         for entry, last in self.ownership_manager.last_listed.items():
@@ -193,7 +193,7 @@
         if not self._refresh_ownership(owned):
             return
         self.granter.apply(owned, owned.pool.decide())
-        granted, waiting = owned.pool.granted, owned.pool.waiting
+        granted, waiting = owned.pool.granted, owned.pool.queue
         for request_id, tracked in list(owned.tracked.items()):
             is_in_pool = request_id in granted or request_id in waiting
             if not is_in_pool and request_id not in owned.parked:
@@ -287,7 +287,9 @@
             if slot.instance in owned.pool.instances
         ]
         owned.reported[received.peer] = holder
-        self.granter.apply(owned, owned.pool.report_held(holder, grants))
+        self.granter.apply(
+            owned, owned.pool.record_held_grants(holder, grants)
+        )
 
     def _on_connection_change(
         self, change: peer_hub.PeerConnectionChange
--- a/packages/entry/bulrushcourse_entry/slots/shared_quarantine.py
+++ b/packages/entry/bulrushcourse_entry/slots/shared_quarantine.py
@@ -77,9 +77,9 @@
         return {
             fingerprint: [
                 {'instance': loss.instance, 'repeatable': loss.repeatable}
-                for loss in self.quarantine.counted(fingerprint)
+                for loss in self.quarantine.counted_losses(fingerprint)
             ]
-            for fingerprint in self.quarantine.lost
+            for fingerprint in self.quarantine.losses_by_fingerprint
         }
 
     def _spawn(self, coroutine: typing.Coroutine) -> None:
@@ -105,7 +105,7 @@
             value = {
                 'losses': [
                     attrs.asdict(loss)
-                    for loss in self.quarantine.counted(fingerprint)
+                    for loss in self.quarantine.counted_losses(fingerprint)
                 ]
             }
             write = platform_table.Write(key, value, row.version if row else 0)
@@ -131,6 +131,6 @@
     ) -> None:
         if not change.connected:
             return
-        for fingerprint in self.quarantine.lost:
-            for loss in self.quarantine.counted(fingerprint):
+        for fingerprint in self.quarantine.losses_by_fingerprint:
+            for loss in self.quarantine.counted_losses(fingerprint):
                 self.hub.send(change.peer, to_message(loss))
--- a/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/test_server.py
@@ -29,7 +29,7 @@
         self.messenger = fakes.FakeMessenger()
         self.messenger.connected['e2'] = 'e2-1'
         self.members = region_members.RegionMembers(self.clock, 'e1', 'vm')
-        pool_ownership = ownerships.open_ownership(
+        pool_ownership = ownerships.build_ownership(
             POOL, 'e1-1', self.members, random.Random(1)
         )
         ownership_manager = types.SimpleNamespace(
@@ -52,13 +52,13 @@
         self.server.pools[POOL] = self.owned
         self.server.start()
         self.refresh_list()
-        self.clock.advance(self.members.times.settle_s + 0.1)
+        self.clock.advance(self.members.durations.settling_s + 0.1)
         self.refresh_list()
         self.server._decide(self.owned)
 
     def refresh_list(self):
         vm = region_members.ListedVm('vm', 'e1')
-        self.members.update_list([vm], self.clock.monotonic())
+        self.members.update_vm_list([vm], self.clock.monotonic())
 
     def report(self, *held):
         for entry in ('e1', 'e2'):
@@ -118,7 +118,7 @@
     harness.request('r')
     harness.request('waits')
     assert harness.granted() == ['r']
-    harness.clock.advance(harness.members.times.list_fresh_s + 0.1)
+    harness.clock.advance(harness.members.durations.list_fresh_s + 0.1)
     release = slot_messages.SlotRelease(POOL, 'r', 'done', 0.1)
     harness.messenger.receive('e2', release)
     assert harness.granted() == []
@@ -128,7 +128,7 @@
 def test_new_term_requests_held_slots_again(harness):
     harness.report()
     harness.request('r')
-    harness.clock.advance(harness.members.times.list_fresh_s + 0.1)
+    harness.clock.advance(harness.members.durations.list_fresh_s + 0.1)
     harness.server._decide(harness.owned)
     harness.refresh_list()
     harness.messenger.take_sent(slot_messages.HeldSlotsRequest)
--- a/packages/testkit/bulrushcourse_testkit/bench/policies.py
+++ b/packages/testkit/bulrushcourse_testkit/bench/policies.py
@@ -181,7 +181,7 @@
         for decision in decisions:
             call, hedged = self.calls.pop(decision.request_id)
             self.world.deliver(self._handle_decision, call, hedged, decision)
-        if len(self.pool.waiting) and not self.polling:
+        if len(self.pool.queue) and not self.polling:
             self.polling = True
             self.world.schedule(pools.DECISION_INTERVAL_S, self._poll)
 
--- a/packages/testkit/bulrushcourse_testkit/claims/driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/driver.py
@@ -16,7 +16,7 @@
 TIME_STEPS_S = (0.05, 0.3, 1.0, 2.5, 9.0, 60.0, 400.0, 1000.0)
 DIGESTS = ('d1', 'd1', 'd1', 'd2')
 MAX_KEYS = 6
-Fact = outcomes.UpstreamFact
+DispatchResult = outcomes.DispatchResult
 
 
 @attrs.define(eq=False)
@@ -123,7 +123,7 @@
         ask_only: bool,
     ) -> None:
         gateway = process.gateway
-        serve = gateway.outcome if ask_only else gateway.serve
+        serve = gateway.find_outcome if ask_only else gateway.serve
         reply = await serve(request)
         if process.alive:
             digest = '' if ask_only else request.digest
@@ -169,28 +169,36 @@
     ) -> bool:
         if operation.effect is None:
             return self._reach_upstream(operation, choice)
-        facts = (Fact.RESET, Fact.TRUNCATED, Fact.SHED)
+        results = (
+            DispatchResult.RESET,
+            DispatchResult.TRUNCATED,
+            DispatchResult.SHED,
+        )
         if choice >= 5:
-            operation.deliver(dispatch.Dispatched(facts[choice - 5]))
+            operation.deliver(dispatch.CompletedDispatch(results[choice - 5]))
         else:
             answer = outcomes.Answer(200, (), operation.effect)
-            operation.deliver(dispatch.Dispatched(Fact.ANSWERED, answer))
+            operation.deliver(
+                dispatch.CompletedDispatch(DispatchResult.ANSWERED, answer)
+            )
         return True
 
     def _reach_upstream(
         self, operation: virtual.Operation, choice: int
     ) -> bool:
-        facts_without_run = {
-            4: Fact.NO_BYTE_SENT,
-            5: Fact.SHED_NOT_RUN,
-            6: Fact.RESET,
-            7: Fact.SHED,
+        results_without_run = {
+            4: DispatchResult.NO_BYTE_SENT,
+            5: DispatchResult.SHED_NOT_RUN,
+            6: DispatchResult.RESET,
+            7: DispatchResult.SHED,
         }
-        if choice in facts_without_run:
-            operation.deliver(dispatch.Dispatched(facts_without_run[choice]))
+        if choice in results_without_run:
+            operation.deliver(
+                dispatch.CompletedDispatch(results_without_run[choice])
+            )
             return True
         request = operation.payload
-        size = claim_rows.ROW_ANSWER_BYTES + 1 if choice == 3 else 8
+        size = claim_rows.MAX_ROW_ANSWER_BYTES + 1 if choice == 3 else 8
         body = f'{next(self.world.unique_ids)}'.encode().ljust(size, b'.')
         self.world.ledger.record_run(request.key, request.digest, body)
         operation.effect = body
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
@@ -76,7 +76,7 @@
 
 
 def test_guarantees_hold_under_any_interleaving():
-    """Guards P4 and P5: against a second run of a key and untrue outcomes."""
+    """Guards against a second run of a key and untrue outcomes."""
     CHECKED_STEPS[0] = 0
     stateful.run_state_machine_as_test(
         ClaimsMachine,
@@ -98,7 +98,7 @@
     for seed in range(12):
         world = claim_world.World()
         claim_driver.run_trial(world, seed, 300)
-        for outcome, count in world.ledger.reply.items():
+        for outcome, count in world.ledger.reply_counts.items():
             reply_counts[outcome] = reply_counts.get(outcome, 0) + count
     assert (
         min(reply_counts[name] for name in ('done', 'not-run', 'unknown'))
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_interface.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_interface.py
@@ -53,7 +53,10 @@
 
 @with_cluster
 async def test_resend_through_any_entry_gets_the_same_answer(cluster):
-    """Guards P3 and P5 for both kinds of keys, small and large answers."""
+    """Guards against a second run or a different answer on a resend.
+
+    This holds for both kinds of keys and for small and large answers.
+    """
     for size in (64, 100_000):
         for key in (f'free/{size}', await request_key(cluster, ENTRIES[0])):
             path = f'o?size={size}&work_ms=20'
@@ -69,7 +72,7 @@
 
 @with_cluster
 async def test_disconnected_caller_gets_its_answer_later(cluster):
-    """Guards case 6: against a disconnect that stops or repeats a run."""
+    """Guards against a disconnect that stops or repeats a run."""
     for key in ('left', await request_key(cluster, ENTRIES[0])):
         try:
             await call(
@@ -101,7 +104,7 @@
 
 @with_cluster
 async def test_outcome_of_a_key_without_a_record_is_unknown(cluster):
-    """Guards P4: against taking a missing record as proof of not-run."""
+    """Guards against taking a missing record as proof of not-run."""
     key = await request_key(cluster, ENTRIES[0])
     forged = key[:-1] + ('0' if key[-1] != '0' else '1')
     for queried_key in ('never-sent', key, forged):
@@ -126,7 +129,7 @@
 
 @with_cluster
 async def test_early_refusal_of_a_key_that_ran_is_unknown(cluster):
-    """Guards P4: against not-run for a rejected resend of a key that ran."""
+    """Guards against not-run for a rejected resend of a key that ran."""
     await call(cluster, ENTRIES[0], 'POST', 'o', 'ran', b'x')
     status, reply, _ = await call(
         cluster, ENTRIES[1], 'POST', 'o', 'ran', b'x' * 2_000_000
@@ -136,7 +139,7 @@
 
 @with_cluster
 async def test_refused_order_never_runs(cluster):
-    """Guards P4: against a run of a key after ``not-run``, at any entry."""
+    """Guards against a run of a key after ``not-run``, at any entry."""
     await cluster.set_upstream('all', shed=True)
     for key in ('shed', await request_key(cluster, ENTRIES[0])):
         _, reply, _ = await call(cluster, ENTRIES[0], 'POST', 'o', key, b'x')
@@ -156,7 +159,10 @@
 
 @with_cluster
 async def test_planned_stop_records_runs_of_disconnected_callers(cluster):
-    """Guards P7 and case 6 for runs whose callers have disconnected."""
+    """Guards against a planned stop that loses the outcome of a run.
+
+    The caller of the run has already disconnected.
+    """
     try:
         await call(
             cluster, ENTRIES[0], 'POST', 'o?work_ms=1500', 'stop', b'x', 0.3
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_trial.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_trial.py
@@ -13,7 +13,10 @@
 
 @pytest.mark.parametrize('deployment', trial.SERVICES)
 def test_orders_run_at_most_once_and_get_true_outcomes(tmp_path, deployment):
-    """Guards P3, P4 and P5 during failures of processes and the store."""
+    """Guards against second runs, untrue outcomes and altered answers.
+
+    Processes and the store fail while callers send and resend requests.
+    """
     result, faults = trial.run_fault_trial(
         tmp_path, deployment, ORDERS, SEEDS[deployment]
     )
--- a/packages/testkit/bulrushcourse_testkit/claims/trial.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/trial.py
@@ -145,7 +145,7 @@
     first = [
         result
         for result in callers.results
-        if result.is_first and keys.is_issued_form(result.key)
+        if result.is_first and keys.has_issued_format(result.key)
     ]
     done = sum(
         attempt.outcome == 'done' and attempt.is_expected for attempt in first
--- a/packages/testkit/bulrushcourse_testkit/claims/variants.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/variants.py
@@ -39,7 +39,7 @@
 def not_run_after_reset(patch: Patch) -> claim_world.World:
     """Take a connection reset as proof that the request did not run."""
     broken = outcomes.UPSTREAM_OUTCOMES | {
-        outcomes.UpstreamFact.RESET: outcomes.Outcome.NOT_RUN
+        outcomes.DispatchResult.RESET: outcomes.Outcome.NOT_RUN
     }
     patch(outcomes, 'UPSTREAM_OUTCOMES', broken)
     return claim_world.World()
@@ -48,7 +48,7 @@
 def not_run_after_any_shed(patch: Patch) -> claim_world.World:
     """Take a shed response without the not-run header as proof."""
     broken = outcomes.UPSTREAM_OUTCOMES | {
-        outcomes.UpstreamFact.SHED: outcomes.Outcome.NOT_RUN
+        outcomes.DispatchResult.SHED: outcomes.Outcome.NOT_RUN
     }
     patch(outcomes, 'UPSTREAM_OUTCOMES', broken)
     return claim_world.World()
--- a/packages/testkit/bulrushcourse_testkit/claims/world.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/world.py
@@ -45,12 +45,12 @@
     Attributes:
         ran: Digest of the request and body of the answer, by key that ran.
         not_run: Keys with a ``not-run`` reply.
-        reply: Number of replies by outcome.
+        reply_counts: Number of replies by outcome.
     """
 
     ran: dict[str, tuple[str, bytes]] = attrs.field(factory=dict)
     not_run: set[str] = attrs.field(factory=set)
-    reply: dict[str, int] = attrs.field(factory=dict)
+    reply_counts: dict[str, int] = attrs.field(factory=dict)
 
     def record_run(self, key: str, digest: str, answer: bytes) -> None:
         """Record a run of a request.
@@ -82,8 +82,8 @@
         Raises:
             Violation: If the reply contradicts the runs.
         """
-        self.reply[reply.outcome.value] = (
-            self.reply.get(reply.outcome.value, 0) + 1
+        self.reply_counts[reply.outcome.value] = (
+            self.reply_counts.get(reply.outcome.value, 0) + 1
         )
         if reply.outcome is outcomes.Outcome.NOT_RUN:
             if key in self.ran:
@@ -200,13 +200,15 @@
     request: dispatch.KeyedRequest
     instance: str
 
-    async def dispatch(self) -> dispatch.Dispatched:
+    async def dispatch(self) -> dispatch.CompletedDispatch:
         """Send the request to the instance."""
         remaining_s = self.request.deadline - self.process.world.loop.now
         answer = await self.process.perform(
             'dispatch', self.request, remaining_s
         )
-        return answer or dispatch.Dispatched(outcomes.UpstreamFact.TIMED_OUT)
+        return answer or dispatch.CompletedDispatch(
+            outcomes.DispatchResult.TIMED_OUT
+        )
 
     def release(self) -> None:
         """Release the slot; slots are not counted here."""
@@ -238,7 +240,7 @@
 
     process: Process
 
-    async def ask(
+    async def forward(
         self,
         key: typing.Any,
         request: dispatch.KeyedRequest,
@@ -280,7 +282,7 @@
 
     def _check(self) -> None:
         if not self.up:
-            raise platform_objects.ObjectsUnavailable
+            raise platform_objects.ObjectStoreUnavailable
 
 
 @attrs.define(eq=False)
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_vms.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_vms.py
@@ -103,7 +103,7 @@
                 return address in addresses
 
             # Before that, the old process is still taken for running.
-            await asyncio.sleep(fleet.SILENT_S + 0.5)
+            await asyncio.sleep(fleet.HEARTBEAT_TIMEOUT_S + 0.5)
             cluster.store.down = False
             await cluster.wait_until(is_listed)
 
--- a/packages/testkit/bulrushcourse_testkit/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/soak.py
@@ -35,7 +35,7 @@
         seed += 1
         moves += MOVES_PER_TRIAL
         runs += len(world.ledger.ran)
-        for outcome, count in world.ledger.reply.items():
+        for outcome, count in world.ledger.reply_counts.items():
             outcomes[outcome] = outcomes.get(outcome, 0) + count
     print(f'seeds {first_seed} to {seed - 1}, {moves} moves, {runs} runs')
     print(f'reported outcomes: {outcomes}; trials with a violation: {failed}')
--- a/packages/wire/bulrushcourse_wire/tests/test_key_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_key_messages.py
@@ -5,7 +5,7 @@
 
 
 def test_requests_and_answers_survive_a_round_trip():
-    """Guards P3: bodies and headers cross the stream byte for byte."""
+    """Guards against bodies or headers altered on a stream."""
     forward = key_messages.KeyForward(
         'x1', 'orders', 'ik1~', 'd', False, 900, 'short', 'POST', '/o?a=%20',
         {'X-A': 'b'}, bytes(range(256)),
