Clarify wording that stops new readers of the domain package

Some comments and doc comments had to be read twice, several fields were named only "at", and idle connections were also called used connections.

Reword these comments. Name timestamp fields after the event (updated_at, last_request_at, cleared_at), LeaseMonitor.update_ledger observe_ledger and MAX_QUEUE_OBJECTIVES MAX_WAIT_RATIO. Add units where a time was returned without one.

make check and the tests of the changed folders pass.

--- a/packages/domain/bulrushcourse_domain/configuration/active_configuration.py
+++ b/packages/domain/bulrushcourse_domain/configuration/active_configuration.py
@@ -9,12 +9,12 @@
 class ActiveConfiguration:
     """Holds the active and the staged configuration; versions only increase.
 
-    A version that only this entry has is staged, but not yet active. Suppose
-    that it were active, the store failed right after the commit and this entry
-    restarted: all other entries would have only the previous version, and this
-    entry would go back to it. So a staged version becomes active once another
-    entry has it too, or once the store was readable for long enough that the
-    other entries have read it.
+    A version that only this entry has is staged, but not yet active. If it
+    were active, and the store failed right after the commit and this entry
+    restarted, the entry would revert to the previous version, the only one
+    that all other entries have. So a staged version becomes active once
+    another entry has it too, or once the store was readable for long enough
+    that the other entries have read it.
 
     Attributes:
         current: The active configuration, ``None`` before the first.
--- a/packages/domain/bulrushcourse_domain/configuration/objects.py
+++ b/packages/domain/bulrushcourse_domain/configuration/objects.py
@@ -27,8 +27,8 @@
     Attributes:
         name: Name of the failure domain.
         region: Name of the region that it belongs to.
-        near_regions: Other regions, nearest first; all places of a region that
-            list any list the same. Regions not listed come last.
+        near_regions: Other regions, nearest first, the same in all places of
+            a region that list any. Regions not listed come last.
         clients: Address prefixes of the callers that are nearest to the place.
     """
 
--- a/packages/domain/bulrushcourse_domain/configuration/publication.py
+++ b/packages/domain/bulrushcourse_domain/configuration/publication.py
@@ -77,7 +77,8 @@
 
     Attributes:
         publication: The publication.
-        already_stored: Whether an earlier send of the same request stored it.
+        already_stored: Whether an earlier attempt of the same request stored
+            it.
     """
 
     publication: Publication
--- a/packages/domain/bulrushcourse_domain/configuration/startup.py
+++ b/packages/domain/bulrushcourse_domain/configuration/startup.py
@@ -8,10 +8,10 @@
     """Prevents a starting entry from serving an outdated configuration.
 
     The version of a single peer is not enough, since that peer may lag. The
-    entry is ready once its active version is at least that of the stored row
-    or, while the row cannot be read, once each live VM of the platform's list
-    has sent a heartbeat and none reports a newer version: one of them has the
-    newest.
+    entry is ready once its active version is at least that of the stored row.
+    While the row cannot be read, it is ready once each live VM of the
+    platform's list has sent a heartbeat and none reports a newer version: one
+    of them has the newest.
 
     Attributes:
         row_version: Version in the stored row, ``None`` before it was read.
--- a/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
+++ b/packages/domain/bulrushcourse_domain/configuration/tests/test_versions.py
@@ -136,7 +136,7 @@
                 entry.active.confirm(self.stored.version)
 
     @stateful.rule()
-    def outage(self):
+    def toggle_store(self):
         self.store_up = not self.store_up
 
     @stateful.rule(name=NAMES, senders=strategies.sets(NAMES))
--- a/packages/domain/bulrushcourse_domain/fleet/lookups.py
+++ b/packages/domain/bulrushcourse_domain/fleet/lookups.py
@@ -15,12 +15,12 @@
 
     Attributes:
         vms: The fleet.
-        cached_at: Time when the cache was last cleared.
+        cleared_at: Time when the cache was last cleared.
         cached: Addresses by region of the caller and home regions of the host.
     """
 
     vms: fleet.Fleet
-    cached_at: float = float('-inf')
+    cleared_at: float = float('-inf')
     cached: dict[tuple[str, frozenset[str]], tuple[str, ...]] = attrs.field(
         factory=dict
     )
@@ -35,9 +35,9 @@
             home_regions: Home regions of the host, empty if it has none.
         """
         now = self.vms.clock.monotonic()
-        if now - self.cached_at > CACHE_TTL_S:
+        if now - self.cleared_at > CACHE_TTL_S:
             self.cached.clear()
-            self.cached_at = now
+            self.cleared_at = now
         key = region, home_regions
         if key not in self.cached:
             self.cached[key] = fleet.select_addresses(
--- a/packages/domain/bulrushcourse_domain/fleet/peer_versions.py
+++ b/packages/domain/bulrushcourse_domain/fleet/peer_versions.py
@@ -11,7 +11,7 @@
 
 @attrs.define
 class PeerVersions:
-    """Versions that the other VMs have of something that only grows.
+    """Versions of a replicated state at the other VMs; they only increase.
 
     Attributes:
         clock: Source of time.
--- a/packages/domain/bulrushcourse_domain/limits/lease_monitor.py
+++ b/packages/domain/bulrushcourse_domain/limits/lease_monitor.py
@@ -18,8 +18,9 @@
     Attributes:
         renewal: The renewal that was read last.
         renewal_seen_at: Clock seconds at which that renewal was first read.
-        unlisted_since: Clock seconds at which a list that was fetched after
-            the renewal was read first lacked the holder's VM.
+        unlisted_since: Clock seconds at which the holder's VM was first
+            missing from a list that was fetched after the renewal was read;
+            ``None`` while it is listed.
     """
 
     renewal: str
@@ -42,7 +43,7 @@
     observations: dict[str, LeaseObservation] = attrs.field(factory=dict)
     vacant_since: dict[str, float] = attrs.field(factory=dict)
 
-    def update_ledger(self, ledger: ledgers.Ledger) -> None:
+    def observe_ledger(self, ledger: ledgers.Ledger) -> None:
         """Update the observations from the row.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/limits/ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/ledger.py
@@ -19,7 +19,8 @@
     Attributes:
         version: Version of the configuration.
         cap: Whole units per second: bytes of a link, requests of a shift.
-        seats: Names of the entries that divide the floor half of the cap.
+        seats: Names of the entries among which the half of the cap that
+            is reserved for floor shares is divided.
         work_limit_s: Maximum duration of an admitted request.
     """
 
@@ -182,9 +183,9 @@
 ) -> Terms | None:
     """Return the terms of a limit, ``None`` if it is not divided in shares.
 
-    The limit of a region is not, since the owners of its pools enforce it. A
-    link is shared by the entries of its two regions, since entries of other
-    regions send nothing across it.
+    The limit of a region is not divided in shares, since the owners of its
+    pools enforce it. A link is shared by the entries of its two regions, since
+    entries of other regions send nothing across it.
 
     Args:
         configuration: The active configuration.
--- a/packages/domain/bulrushcourse_domain/limits/pacing.py
+++ b/packages/domain/bulrushcourse_domain/limits/pacing.py
@@ -16,7 +16,7 @@
 # One chunk in 16 is of the lowest waiting priority, so that it does not
 # starve. This delays the other priorities by at most 6%.
 CHUNKS_PER_LOW_PRIORITY_CHUNK = 16
-# Long requests may make up for this much delay of a late timer.
+# Long requests may catch up on this much delay caused by a late timer.
 MAX_CATCH_UP_S = 0.05
 
 
--- a/packages/domain/bulrushcourse_domain/limits/rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/rate_window.py
@@ -7,9 +7,9 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# Caps are per second. The window is longer, so that chunks that the network
-# delays unevenly still keep the cap where they arrive. At 1.03 s a sender can
-# use 97% of its share, at 1.1 s 90.9%; the target is 90%.
+# Caps are per second. The window is longer, so that the cap also holds at the
+# receiver when the network delays chunks unevenly. At 1.03 s a sender can use
+# 97% of its share, at 1.1 s 90.9%; the target is 90%.
 BYTES_WINDOW_S = 1.03
 REQUESTS_WINDOW_S = 1.1
 BUCKETS_PER_WINDOW = 200
@@ -27,8 +27,8 @@
     Attributes:
         clock: Source of time.
         window_s: Length of the window.
-        charges: Clock seconds of the first and the latest charge, and their
-            sum, oldest first.
+        charges: Groups of charges, oldest first, each with the clock seconds
+            of its first and its latest charge and their sum.
         used: Sum of the stored charges.
     """
 
--- a/packages/domain/bulrushcourse_domain/limits/share_ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/share_ledger.py
@@ -39,7 +39,7 @@
     after its commit is known.
 
     Attributes:
-        clock: Source of time, which includes time in suspension.
+        clock: Source of time that also advances while the VM is suspended.
         holder: Identifier of this incarnation, never reused.
         binding: Binding of the floor share to this VM.
         terms: Newest terms of the configuration or the row.
@@ -121,7 +121,7 @@
         if ledger is None:
             return
         self.configure(ledger.terms)
-        self.monitor.update_ledger(ledger)
+        self.monitor.observe_ledger(ledger)
         lease = ledger.leases.get(self.holder)
         if lease is None:
             self.elastic = 0
--- a/packages/domain/bulrushcourse_domain/limits/tests/share_model.py
+++ b/packages/domain/bulrushcourse_domain/limits/tests/share_model.py
@@ -17,8 +17,8 @@
 ENTRIES = ('a', 'b', 'c')
 CAP = 100
 WORK_LIMIT_S = 10.0
-# By then, leases under old terms and the requests admitted under them, and
-# the requests after these, have ended.
+# Time after a change of terms in which the leases under the old terms, the
+# requests admitted under these leases and the requests after those have ended.
 SETTLED_S = 2 * (lease_monitor.LEASE_S + 2 * WORK_LIMIT_S)
 INDEXES = strategies.integers(0, 5)
 RATES = (0.991, 1.0, 1.009)
@@ -154,11 +154,11 @@
     @stateful.rule(
         index=INDEXES,
         demand=strategies.sampled_from([0, 30, 100]),
-        fate=strategies.sampled_from(
+        delivery=strategies.sampled_from(
             ['response-pending', 'response-lost', 'late']
         ),
     )
-    def write(self, index, demand, fate):
+    def write(self, index, demand, delivery):
         vm = self.choose_vm(index)
         if vm is None or vm.responses:
             return
@@ -166,11 +166,11 @@
         in_use = vm.in_use(self.world.now)
         proposed = vm.shares.propose(demand, in_use)
         renewal = vm.shares.last_renewal
-        if fate == 'late':
+        if delivery == 'late':
             self.late_writes.append((expected, proposed))
             return
         applied = self.world.transact(expected, proposed)
-        if fate == 'response-pending':
+        if delivery == 'response-pending':
             vm.responses.append((renewal, applied))
 
     @stateful.rule(index=INDEXES)
--- a/packages/domain/bulrushcourse_domain/membership/lookup.py
+++ b/packages/domain/bulrushcourse_domain/membership/lookup.py
@@ -17,9 +17,9 @@
 # With 160 entries in a region each is first in about 100 buckets, so that its
 # share of the callers is within about 10 % of the mean.
 BUCKET_COUNT = 1 << 14
-# Entries named in the first region that has any, and in each later region. A
-# caller tries the next entry after at most 2 s, so it would hardly reach the
-# end of a longer answer.
+# Number of entries that an answer names in the nearest region that has any,
+# and in each other region. A caller tries the next entry after at most 2 s, so
+# it would hardly reach the end of a longer answer.
 ENTRIES_IN_NEAREST_REGION = 3
 ENTRIES_IN_OTHER_REGION = 1
 MAX_ENTRIES = 5
--- a/packages/domain/bulrushcourse_domain/membership/view.py
+++ b/packages/domain/bulrushcourse_domain/membership/view.py
@@ -110,7 +110,7 @@
         self.listed_at = self.clock.monotonic()
 
     def record_end(self, incarnation: str) -> None:
-        """Record that an incarnation ended, such as after its last message.
+        """Remove an incarnation that ended and ignore its later heartbeats.
 
         Args:
             incarnation: The incarnation that ended.
@@ -150,7 +150,7 @@
 
     @property
     def list_is_fresh(self) -> bool:
-        """Whether the list of VMs is recent enough to decide by."""
+        """Whether the list of VMs is recent enough to base decisions on."""
         if self.listed_at is None:
             return False
         return self.clock.monotonic() - self.listed_at < MAX_LIST_AGE_S
--- a/packages/domain/bulrushcourse_domain/placement/admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/admission.py
@@ -11,14 +11,14 @@
 # A request that is expected to need more than this share of its remaining
 # time would most likely miss its deadline.
 DEADLINE_SHARE = 0.8
-# Clients wait for a Retry-After delay of at most a third of their remaining
+# Clients honour a Retry-After delay of at most a third of their remaining
 # time.
 MAX_RETRY_AFTER_SHARE = 0.3
-# The longest delay is at least this.
+# Lower bound of the longest Retry-After delay.
 MIN_RETRY_AFTER_S = 0.05
-# Longest expected wait, queue and time already elapsed together, as a multiple
-# of the route's latency objective.
-MAX_QUEUE_OBJECTIVES = 1.5
+# Maximum sum of the elapsed time and the expected wait in the queue, as a
+# multiple of the route's latency objective.
+MAX_WAIT_RATIO = 1.5
 
 
 class Verdict(enum.Enum):
@@ -53,7 +53,7 @@
         return Verdict.TOO_LATE
     wait_s = choice.completion_s - choice.work_s
     if choice.queued and wait_s + elapsed_s > (
-        MAX_QUEUE_OBJECTIVES * route.objective_s
+        MAX_WAIT_RATIO * route.objective_s
     ):
         return Verdict.FULL
     return Verdict.SEND
--- a/packages/domain/bulrushcourse_domain/placement/demand.py
+++ b/packages/domain/bulrushcourse_domain/placement/demand.py
@@ -19,12 +19,12 @@
     """Exponentially decaying average of the rate of work.
 
     Attributes:
-        per_s: Seconds of work per second, as of ``at``.
-        at: Time of the last update.
+        per_s: Seconds of work per second, as of ``updated_at``.
+        updated_at: Time of the last update.
     """
 
     per_s: float = 0.0
-    at: float = 0.0
+    updated_at: float = 0.0
 
     def rate_at(self, now: float) -> float:
         """Return the decayed rate.
@@ -32,7 +32,7 @@
         Args:
             now: The time.
         """
-        return self.per_s * 0.5 ** ((now - self.at) / HALF_LIFE_S)
+        return self.per_s * 0.5 ** ((now - self.updated_at) / HALF_LIFE_S)
 
     def add(self, amount: float, now: float) -> None:
         """Add work that arrived.
@@ -42,7 +42,7 @@
             now: The time.
         """
         self.per_s = self.rate_at(now) + amount * math.log(2) / HALF_LIFE_S
-        self.at = now
+        self.updated_at = now
 
 
 @attrs.define
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -60,8 +60,8 @@
     Attributes:
         upstream: The upstream.
         completion_s: Expected seconds until its response.
-        work_s: Expected service time, the part of it without network and
-            queueing.
+        work_s: Expected service time, which is ``completion_s`` without
+            network and queueing delays.
         affinity: Affinity of the upstream to the object.
         queued: Requests in flight beyond its slots, at least 0.
         cold: Whether it is still warming up.
--- a/packages/domain/bulrushcourse_domain/placement/region_mix.py
+++ b/packages/domain/bulrushcourse_domain/placement/region_mix.py
@@ -8,8 +8,9 @@
 from bulrushcourse_domain import rendezvous
 from bulrushcourse_domain.routes import weighted_round_robin
 
-# Share of the bound between windows of two seconds that may move in one
-# second; two consecutive windows then differ by 0.4 of the bound.
+# The bound on the change between consecutive windows of two seconds is
+# ``shift_share``. In one second this part of the bound may move, so that two
+# such windows differ by 0.4 of the bound.
 RAMP_SHARE_PER_S = 0.2
 DEFAULT_SHIFT_SHARE = 0.15
 MAX_STEP_S = 1.0
@@ -61,14 +62,14 @@
         shift_share: Largest share of the requests that may change region
             from one window of two seconds to the next.
         shares: Current share of each region.
-        at: Time of the last request.
+        last_request_at: Time of the last request.
         round_robin: Chooses regions according to the shares.
     """
 
     clock: clocks.Clock
     shift_share: float = DEFAULT_SHIFT_SHARE
     shares: dict[str, float] = attrs.field(factory=dict)
-    at: float = 0.0
+    last_request_at: float = 0.0
     round_robin: weighted_round_robin.WeightedRoundRobin = attrs.field(
         factory=weighted_round_robin.WeightedRoundRobin
     )
@@ -96,10 +97,10 @@
         else:
             total = sum(kept.values())
             scaled = {r: share / total for r, share in kept.items()}
-            elapsed = min(MAX_STEP_S, now - self.at)
+            elapsed = min(MAX_STEP_S, now - self.last_request_at)
             max_step = elapsed * RAMP_SHARE_PER_S * self.shift_share
             self.shares = move_towards(scaled, target, max_step, DEAD_BAND)
-        self.at = now
+        self.last_request_at = now
         if not object_key:
             return self.round_robin.next_choice(self.shares)
         preferred = rendezvous.choose_weighted(object_key, self.shares)
--- a/packages/domain/bulrushcourse_domain/placement/service_times.py
+++ b/packages/domain/bulrushcourse_domain/placement/service_times.py
@@ -17,8 +17,8 @@
 # Service times far above the mean are rare and say little about the next
 # request, so samples are clipped at this multiple of the mean.
 MAX_SAMPLE_FACTOR = 3.0
-# An evicted object is cold at its next request, whose work may evict further
-# objects in turn.
+# Factor on the cost of an eviction: the evicted object is cold at its next
+# request, whose work may evict further objects in turn.
 DISPLACEMENT_WEIGHT = 6.0
 
 
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_admission.py
@@ -17,9 +17,9 @@
 Verdict = admission.Verdict
 
 
-def choice(completion_s, work_s, busy):
+def choice(completion_s, work_s, queued):
     return placement.Choice(
-        UPSTREAM, completion_s, work_s, service_times.Affinity.NONE, busy
+        UPSTREAM, completion_s, work_s, service_times.Affinity.NONE, queued
     )
 
 
--- a/packages/domain/bulrushcourse_domain/quarantine/crashes.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/crashes.py
@@ -35,7 +35,7 @@
     )
 
     def record_loss(self, fingerprint: str, upstream: str) -> None:
-        """Record the loss of an upstream, seen by this VM or another one.
+        """Record the loss of an upstream, observed by any VM.
 
         Args:
             fingerprint: Hash of the request's content.
--- a/packages/domain/bulrushcourse_domain/retries/budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/budget.py
@@ -4,7 +4,7 @@
 
 EXTRA_RUN_SHARE = 0.05
 MAX_TOKENS = 20.0
-# Rounding must not make a sum of shares that add up to one token fall short.
+# Shares that add up to one token count as one in spite of rounding errors.
 ROUNDING_TOLERANCE = 1e-9
 
 
--- a/packages/domain/bulrushcourse_domain/retries/shared_budget.py
+++ b/packages/domain/bulrushcourse_domain/retries/shared_budget.py
@@ -5,7 +5,7 @@
 # Share of the budget that is used, so that VMs that join or restart do not
 # make the sum exceed it.
 USABLE_SHARE = 0.75
-# Number of VMs that may join, since a VM is not counted yet when it starts.
+# Number of VMs that may be joining: a VM that starts is not counted yet.
 ASSUMED_JOINERS = 4
 
 
--- a/packages/domain/bulrushcourse_domain/routing/region_failures.py
+++ b/packages/domain/bulrushcourse_domain/routing/region_failures.py
@@ -10,8 +10,8 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.slots import requests
 
-# With half of the instances lost, chance alone gives this many failures in a
-# row once in 64 requests.
+# If half of the instances have failed, this many consecutive failures occur by
+# chance once in 64 requests.
 CONSECUTIVE_FAILURE_THRESHOLD = 6
 PROBE_INTERVAL_S = 0.5
 FAILURES = frozenset(
--- a/packages/domain/bulrushcourse_domain/routing/router.py
+++ b/packages/domain/bulrushcourse_domain/routing/router.py
@@ -30,9 +30,9 @@
         slots: Slots of the pool, 0 if it has no instance.
         in_flight: Slots in use by grants.
         waiting: Requests that wait for a slot.
-        healthy: Slots at instances that are not ejected, and would not be
-            even without the rule that at most half of a pool is ejected;
-            ``None`` for all slots.
+        healthy: Slots that the instances' own states allow to use, without
+            the rule that keeps at least half of a pool in use; ``None`` for
+            all slots.
     """
 
     region: str
--- a/packages/domain/bulrushcourse_domain/slots/instances.py
+++ b/packages/domain/bulrushcourse_domain/slots/instances.py
@@ -13,9 +13,10 @@
 
 MIN_REFRESH_INTERVAL_S = 0.005
 REFRESH_INTERVAL_PER_INSTANCE_S = 0.000_2
-"""The order is refreshed at the longer of the minimum interval and this time
-for each instance, which bounds the cost at a few percent of a core for pools
-of any size.
+"""Refresh interval per instance of the pool.
+
+An interval that grows with the pool bounds the cost of refreshing the order at
+a few percent of a core, whatever the size of the pool.
 """
 
 MIN_SLOW_RATIO = 2.0
@@ -34,7 +35,8 @@
             slots reserved after a takeover.
         slowness: Slowness when the instance was last ordered, in multiples
             of the pool's median.
-        last_grant_number: Number of the last grant of one of its slots.
+        last_grant_number: Sequence number of the last grant of one of its
+            slots.
         sort_key: Position in the order, ``None`` while no slot is free.
     """
 
@@ -137,8 +139,8 @@
                 instance.slots
             ):
                 continue
-            # Waiting for a faster instance is shorter than the time that the
-            # slow instance would add while the queue is short.
+            # While the queue is short, waiting for a faster instance takes
+            # less time than the slow instance would add.
             if (
                 slow
                 and queued_requests
--- a/packages/domain/bulrushcourse_domain/slots/lease.py
+++ b/packages/domain/bulrushcourse_domain/slots/lease.py
@@ -1,4 +1,4 @@
-"""The table lease of a pool, from the point of view of one entry."""
+"""The lease of a pool in the table, as one entry sees it."""
 
 import enum
 import math
@@ -112,12 +112,12 @@
             self.valid_until = -math.inf
 
     def free_for_s(self) -> float:
-        """Return how long this entry could have acquired or renewed the lease.
+        """Return for how many seconds the lease has been free for this entry.
 
-        Negative if it cannot. A released lease is free from the time at
+        Negative if it is not free. A released lease is free from the time at
         which the release was read. Another entry's lease is free once its
-        row has not changed for the lease duration, as measured by the
-        slowest clock.
+        row has not changed for the lease duration plus a margin for clock
+        drift.
         """
         now = self.clock.monotonic()
         if self.row is None:
--- a/packages/domain/bulrushcourse_domain/slots/ownership.py
+++ b/packages/domain/bulrushcourse_domain/slots/ownership.py
@@ -35,8 +35,9 @@
         term: Number of terms that this entry has begun as the owner.
         term_until: Clock seconds until which the term is known to last;
             minus infinity without a term.
-        turn_starts_at: Clock seconds at which this entry's turn to request
-            promises without owning the pool starts.
+        turn_starts_at: Clock seconds at which this entry's turn as a
+            candidate starts, in which it requests promises without owning the
+            pool; infinite without a turn.
     """
 
     clock: clocks.Clock
@@ -67,7 +68,7 @@
         """Return this entry's current term, ``None`` if it is not the owner.
 
         Another entry may have owned the pool between two terms, so at the
-        start of a term the owner requests the held slots of every entry.
+        start of a term the owner queries every entry for the slots it holds.
         """
         now = self.clock.monotonic()
         if not self.may_grant():
--- a/packages/domain/bulrushcourse_domain/slots/pool.py
+++ b/packages/domain/bulrushcourse_domain/slots/pool.py
@@ -233,7 +233,10 @@
         return tuple(decisions)
 
     def next_due(self) -> float | None:
-        """Return when to call ``decide`` next, ``None`` for no such time."""
+        """Return when to call ``decide`` next, ``None`` if nothing is due.
+
+        The result is in clock seconds.
+        """
         now = self.clock.monotonic()
         if len(self.queue):
             return now + DECISION_INTERVAL_S
--- a/packages/domain/bulrushcourse_domain/slots/promises.py
+++ b/packages/domain/bulrushcourse_domain/slots/promises.py
@@ -53,7 +53,7 @@
 
     For the receiver a promise starts when it sent the request; for the giver
     it starts with the answer and lasts longer by a margin for clock drift.
-    So a promise never expires at its giver first.
+    So a promise never expires at its giver before it does at its receiver.
 
     Attributes:
         clock: Source of time.
--- a/packages/domain/bulrushcourse_domain/slots/region_members.py
+++ b/packages/domain/bulrushcourse_domain/slots/region_members.py
@@ -42,8 +42,8 @@
         sole_since: Clock seconds since which the list names this VM as its
             entry's only one; infinite if it does not.
         settled: Whether this entry has settled.
-        last_absent_at: Clock seconds just before the last list without a VM
-            was requested, by identifier of a VM that has appeared since.
+        last_absent_at: For each listed VM, clock seconds just before the last
+            list that did not contain it was requested, by identifier.
     """
 
     clock: clocks.Clock
@@ -100,6 +100,8 @@
     def unsettled_until(self, entry: str) -> float:
         """Return until when the last list proves an entry has not settled.
 
+        The result is in clock seconds.
+
         Args:
             entry: Name of another entry.
         """
@@ -112,7 +114,10 @@
         return min(min(ends, default=-math.inf), self.fresh_until())
 
     def fresh_until(self) -> float:
-        """Return until when the last list proves that a VM has ended."""
+        """Return until when the last list proves that a VM has ended.
+
+        The result is in clock seconds.
+        """
         return self.requested_at + self.durations.list_fresh_s
 
     def other_entries(self) -> frozenset[str]:
--- a/packages/domain/bulrushcourse_domain/slots/timing.py
+++ b/packages/domain/bulrushcourse_domain/slots/timing.py
@@ -29,7 +29,7 @@
     max_drift: float = 0.01
 
     def with_drift_margin(self, seconds: float) -> float:
-        """Return a duration in which any other clock advances by ``seconds``.
+        """Return a duration that is at least ``seconds`` on any other clock.
 
         Args:
             seconds: Duration on the clock of another entry.
@@ -52,10 +52,10 @@
 
     @property
     def min_settling_s(self) -> float:
-        """Time for which a VM that a list omits cannot have settled.
+        """Time after a list without a VM for which it cannot have settled.
 
         Measured on the clock of another entry, from before it requested the
-        last list that omitted the VM.
+        last list without the VM.
         """
         settling_s = self.settling_s / (1 + self.max_drift) - self.list_skew_s
         return settling_s * (1 - self.max_drift)
--- a/packages/domain/bulrushcourse_domain/upstreams/idle_connections.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/idle_connections.py
@@ -5,26 +5,26 @@
 from bulrushcourse_domain import clock as clocks
 
 # An upstream that silently dropped one idle connection is likely to have
-# dropped others, so that no connection to it is reused for this time.
+# dropped others, so no connection to it is reused for this time.
 NO_REUSE_S = 10.0
-# A reset that arrives within two round trips and this time did not come after
-# any work.
+# A reset that arrives within two round trips plus this time precedes any work
+# on the request.
 RESET_MARGIN_S = 0.03
 
 
 @attrs.define
 class IdleConnectionPolicy:
-    """Decides which requests may be sent on a used connection.
+    """Decides which requests may be sent on an idle connection.
 
     Some upstreams drop idle connections without closing them. The next
     request on such a connection is reset, and it is unknown whether it ran. A
-    request that may run only once is therefore never sent on a used
-    connection. A repeatable one costs only a retry, so it uses them until an
-    upstream is seen to drop one.
+    request that may run only once is therefore never sent on an idle
+    connection. A repeatable one costs only a retry, so it reuses idle
+    connections to an upstream until the upstream has dropped one.
 
     Attributes:
         clock: Source of time.
-        no_reuse_until: Time until which used connections to an upstream are
+        no_reuse_until: Time until which idle connections to an upstream are
             not reused, by name.
     """
 
@@ -32,7 +32,7 @@
     no_reuse_until: dict[str, float] = attrs.field(factory=dict)
 
     def may_reuse(self, upstream: str, repeatable: bool) -> bool:
-        """Return whether a request may be sent on a used connection.
+        """Return whether a request may be sent on an idle connection.
 
         Args:
             upstream: Name of the upstream.
@@ -44,7 +44,7 @@
     def record_reset(
         self, upstream: str, took_s: float, round_trip_s: float
     ) -> bool:
-        """Record that a used connection was reset before any response.
+        """Record that a reused connection was reset before any response.
 
         Args:
             upstream: Name of the upstream.
--- a/packages/domain/bulrushcourse_domain/upstreams/loads.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/loads.py
@@ -6,8 +6,8 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# Reports of a VM that has stopped sending no longer count; VMs send several a
-# second.
+# Older reports do not count, since their VM has stopped sending; VMs send
+# several reports per second.
 PEER_REPORT_MAX_AGE_S = 1.5
 # The speed of a shared machine changes several times a second, so a report
 # loses half of its weight in this time.
@@ -129,7 +129,7 @@
     def record_peer_slowness(
         self, upstream: str, value: float, age_s: float
     ) -> None:
-        """Record a slowness forwarded by another VM unless a newer is known.
+        """Record a slowness from another VM unless a newer one is known.
 
         Args:
             upstream: Name of the upstream.
--- a/packages/domain/bulrushcourse_domain/upstreams/outlier_detection.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/outlier_detection.py
@@ -14,7 +14,8 @@
 FAILURE_WEIGHT = 0.25
 # The estimated share of failures halves in this time without outcomes.
 FAILURE_HALF_LIFE_S = 3.0
-# Ejection of an upstream that shed a request because it had no free slot.
+# Duration of the ejection of an upstream that shed a request because it had no
+# free slot.
 SHED_EJECTION_S = 0.08
 
 
@@ -44,15 +45,16 @@
 
     Attributes:
         consecutive_failures: Consecutive failures since the last response.
-        failure_share: Estimated share of requests that fail, as of ``at``.
-        at: Time of the last outcome.
+        failure_share: Estimated share of requests that fail, as of
+            ``updated_at``.
+        updated_at: Time of the last outcome.
         ejected_until: Time until which it gets no requests.
         probing: Whether a probe is under way.
     """
 
     consecutive_failures: int = 0
     failure_share: float = 0.0
-    at: float = 0.0
+    updated_at: float = 0.0
     ejected_until: float = float('-inf')
     probing: bool = False
 
@@ -86,7 +88,7 @@
         failed = outcome is not Outcome.GOOD
         share = self._decayed_share(record, now)
         record.failure_share = share + FAILURE_WEIGHT * (failed - share)
-        record.at = now
+        record.updated_at = now
         record.probing = False
         if outcome is Outcome.SHED:
             record.ejected_until = max(
@@ -165,5 +167,5 @@
 
     def _decayed_share(self, record: FailureRecord, now: float) -> float:
         return record.failure_share * 0.5 ** (
-            (now - record.at) / FAILURE_HALF_LIFE_S
+            (now - record.updated_at) / FAILURE_HALF_LIFE_S
         )
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_idle_connections.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_idle_connections.py
@@ -4,7 +4,7 @@
 from bulrushcourse_domain.upstreams import idle_connections
 
 
-def test_non_repeatable_request_is_never_sent_on_a_used_connection():
+def test_non_repeatable_request_is_never_sent_on_an_idle_connection():
     # Guards against an order whose outcome is unknown after a reset.
     policy = idle_connections.IdleConnectionPolicy(clocks.ManualClock())
     assert not policy.may_reuse('u', repeatable=False)
--- a/packages/domain/bulrushcourse_domain/upstreams/warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/warmup.py
@@ -10,9 +10,9 @@
 # Number of VMs that may send to a cold upstream, which bounds the sum of their
 # requests.
 SENDERS_PER_UPSTREAM = 2
-# VMs that disagree on which VMs are alive may double the number of senders.
-# Three quarters of the limit, divided by three senders, stay within it even
-# then.
+# VMs that disagree on which VMs are alive may double the number of senders to
+# four. Each sender may use a third of three quarters of the limit, so that
+# four of them stay within it.
 USABLE_SHARE = 0.75
 ASSUMED_SENDERS = 3
 
