Use one name for floor share ratio and buckets of charges

Two modules named the part of a cap that is divided into floor shares differently, and the rate window's doc comment did not use the term bucket of its constant.

Rename FLOOR_SHARE of the ledger to FLOOR_SHARE_RATIO, as in the limit checks, reword the two doc comments of the rate window and the router, and rename a placement test after what it checks.

make check passes; 269 tests of the domain's folders passed.

--- a/packages/domain/bulrushcourse_domain/limits/ledger.py
+++ b/packages/domain/bulrushcourse_domain/limits/ledger.py
@@ -8,7 +8,7 @@
 from bulrushcourse_domain.configuration import objects
 
 # Half of a cap is guaranteed without the store, the rest follows demand.
-FLOOR_SHARE = 0.5
+FLOOR_SHARE_RATIO = 0.5
 BYTES_PER_MBIT = 125_000
 
 
@@ -42,7 +42,7 @@
         """
         if entry not in self.seats:
             return 0
-        return int(self.cap * FLOOR_SHARE) // len(self.seats)
+        return int(self.cap * FLOOR_SHARE_RATIO) // len(self.seats)
 
 
 @attrs.frozen
--- a/packages/domain/bulrushcourse_domain/limits/rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/rate_window.py
@@ -21,14 +21,14 @@
 class RateWindow:
     """Sliding window in which the sum of charges never exceeds the share.
 
-    Charges close in time are stored as one that expires with the latest of
-    them. This bounds the memory and never counts too little.
+    Charges close in time are stored in one bucket that expires with the
+    latest of them. This bounds the memory and never counts too little.
 
     Attributes:
         clock: Source of time.
         window_s: Length of the window.
-        charges: Groups of charges, oldest first, each with the clock seconds
-            of its first and its latest charge and their sum.
+        charges: Buckets of charges, oldest first, each with the clock
+            seconds of its first and its latest charge and their sum.
         used: Sum of the stored charges.
     """
 
--- a/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/tests/test_placement.py
@@ -168,7 +168,7 @@
     assert selector.choose(tried, SERVICE) is None
 
 
-def test_upstreams_that_come_back_cold_are_spared():
+def test_upstreams_that_return_cold_get_no_requests():
     # A whole failure domain returns cold while the load continues.
     selector = make_placement(
         attrs.evolve(make_upstream(0), cold_for_s=3.0), make_upstream(1)
--- a/packages/domain/bulrushcourse_domain/routing/router.py
+++ b/packages/domain/bulrushcourse_domain/routing/router.py
@@ -127,7 +127,7 @@
     def route(
         self, request: RoutingRequest, loads: typing.Mapping[str, RegionLoad]
     ) -> RoutingDecision:
-        """Choose the region of a request, with the reasons for ``explain``.
+        """Choose a request's region, with the reasons that ``explain`` shows.
 
         Args:
             request: The request.
