--- a/packages/domain/bulrushcourse_domain/limits/rate_window.py
+++ b/packages/domain/bulrushcourse_domain/limits/rate_window.py
@@ -7,9 +7,9 @@
 
 from bulrushcourse_domain import clock as clocks
 
-# Caps are per second. The window is longer, so that chunks that the network
-# delays unevenly still keep the cap where they arrive. At 1.03 s a sender can
-# use 97% of its share, at 1.1 s 90.9%; the target is 90%.
+# Caps are per second. The window is longer, so that the cap also holds at the
+# receiver when the network delays chunks unevenly. At 1.03 s a sender can use
+# 97% of its share, at 1.1 s 90.9%; the target is 90%.
 BYTES_WINDOW_S = 1.03
 REQUESTS_WINDOW_S = 1.1
 BUCKETS_PER_WINDOW = 200
@@ -21,14 +21,14 @@
 class RateWindow:
     """Sliding window in which the sum of charges never exceeds the share.
 
-    Charges close in time are stored as one that expires with the latest of
-    them. This bounds the memory and never counts too little.
+    Charges close in time are stored in one bucket that expires with the
+    latest of them. This bounds the memory and never counts too little.
 
     Attributes:
         clock: Source of time.
         window_s: Length of the window.
-        charges: Clock seconds of the first and the latest charge, and their
-            sum, oldest first.
+        charges: Buckets of charges, oldest first, each with the clock
+            seconds of its first and its latest charge and their sum.
         used: Sum of the stored charges.
     """
 
