Reword comments and names of entry that read unclearly

Cause: reading entry as a newcomer showed sentences that had to be read twice, names that say less than their doc comments (open, apply, parts, inspect, log_decision) and things with two names (is_reader beside is_designated_reader, watch beside poll). Change: reword these comments, and rename the names, all of whose uses are in entry. Behaviour, wire names, log details and dump keys stay.

--- a/packages/entry/bulrushcourse_entry/callers/forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/forwarding.py
@@ -107,7 +107,7 @@
     async def forward(
         self, call: request_parsing.Call
     ) -> result.Result[attempts.Exchange, problems.Problem]:
-        """Run a call and return its response, or the problem that it met.
+        """Run a call and return its response, or the problem to report.
 
         Args:
             call: The caller's request.
--- a/packages/entry/bulrushcourse_entry/callers/hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/hedging.py
@@ -16,8 +16,7 @@
 # classified the primary request's instance as slow, which may happen later.
 MAX_SLOT_REQUESTS = 6
 # Percentile of service times after which a hedge is sent. Hedging at the 80th
-# exhausted the retry budget and cost more than it gained; the 95th gained
-# less.
+# exhausts the retry budget and costs more than it gains; the 95th gains less.
 DELAY_QUANTILE = 0.9
 
 
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_forwarding.py
@@ -37,11 +37,11 @@
     def record_outcome(self, *details):
         pass
 
-    async def acquire(self, service, region, wish):
+    async def acquire(self, service, region, request):
         if self.steps[0] is NO_SLOT:
-            refusal = requests.Refusal(wish.request_id, 'e', NO_SLOT)
+            refusal = requests.Refusal(request.request_id, 'e', NO_SLOT)
             return result.Failure(refusal)
-        return result.Success(requests.Grant(wish.request_id, 'e', 'i'))
+        return result.Success(requests.Grant(request.request_id, 'e', 'i'))
 
     def release(self, *details):
         pass
--- a/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
+++ b/packages/entry/bulrushcourse_entry/callers/tests/test_hedging.py
@@ -27,7 +27,7 @@
 
 @attrs.define(eq=False)
 class Sender:
-    """Requests that are answered, fail or hang, by the instance's name."""
+    """Stand-in that answers, fails or hangs, by the instance's name."""
 
     outcomes: list = attrs.field(factory=list)
     sent: list = attrs.field(factory=list)
--- a/packages/entry/bulrushcourse_entry/claims/dispatch.py
+++ b/packages/entry/bulrushcourse_entry/claims/dispatch.py
@@ -98,12 +98,15 @@
             self.reply.set_result(reply)
 
     async def wait(self, seconds: float) -> outcomes.Reply:
-        """Wait for the run and return its reply, or that it is in progress.
+        """Wait for the run and return its reply.
 
         The run continues if the caller disconnects.
 
         Args:
             seconds: Maximum time to wait.
+
+        Returns:
+            The reply, or an ``under-way`` reply if the run has not ended.
         """
         await asyncio.wait((self.reply,), timeout=max(seconds, 0.0))
         if self.reply.done():
--- a/packages/entry/bulrushcourse_entry/claims/exchanges.py
+++ b/packages/entry/bulrushcourse_entry/claims/exchanges.py
@@ -90,7 +90,7 @@
 
 @attrs.define(eq=False)
 class ForwardedKeys:
-    """Serves requests that peers forward because their keys are from here.
+    """Serves requests that peers forward since this entry issued their keys.
 
     Attributes:
         hub: Streams to peers.
--- a/packages/entry/bulrushcourse_entry/claims/gateway.py
+++ b/packages/entry/bulrushcourse_entry/claims/gateway.py
@@ -1,4 +1,4 @@
-"""Dispatch of keyed requests by the kind and the issuer of the key."""
+"""Handling of keyed requests by the kind and the issuer of the key."""
 
 import asyncio
 import typing
--- a/packages/entry/bulrushcourse_entry/claims/issued_runs.py
+++ b/packages/entry/bulrushcourse_entry/claims/issued_runs.py
@@ -53,7 +53,7 @@
         """Run a request, or join its run in progress, and return the reply.
 
         Args:
-            request: The request; its key has the issued form.
+            request: The request; its key has the format of issued keys.
         """
         check = self.keys.check_request(
             request.key, request.service, request.digest
--- a/packages/entry/bulrushcourse_entry/configuration/exchange.py
+++ b/packages/entry/bulrushcourse_entry/configuration/exchange.py
@@ -93,7 +93,11 @@
         whose newest version is not yet known to have reached others.
         """
         waiting = self.configuration.pending or not self.startup.ready
-        if waiting or self.members.isolated or self.members.is_reader():
+        if (
+            waiting
+            or self.members.isolated
+            or self.members.is_designated_reader()
+        ):
             return READER_POLL_INTERVAL_S
         return DEFAULT_POLL_INTERVAL_S
 
@@ -162,7 +166,7 @@
             'refused': self.configuration.rejected_count,
             'row_version_at_start': self.startup.row_version,
             'ready': self.startup.ready,
-            'reader': self.members.is_reader(),
+            'reader': self.members.is_designated_reader(),
             'store_answers': self.store_reachable,
         }
 
--- a/packages/entry/bulrushcourse_entry/configuration/store.py
+++ b/packages/entry/bulrushcourse_entry/configuration/store.py
@@ -35,7 +35,7 @@
     Attributes:
         table: The platform's table service.
         last_read: Cache of the last parsed publication. Designated readers
-            poll twice a second, and parsing an unchanged document took longer
+            poll twice a second, and parsing an unchanged document takes longer
             than the read itself.
     """
 
--- a/packages/entry/bulrushcourse_entry/edge/__main__.py
+++ b/packages/entry/bulrushcourse_entry/edge/__main__.py
@@ -1,6 +1,6 @@
 """Run the edge program as ``python -m bulrushcourse_entry.edge PORT``.
 
-The binary ``bulrushcourse edge`` does the same. This entry point does not
+The command ``bulrushcourse edge`` does the same. This entry point does not
 import the command line library, which takes a third of the process's memory.
 The argument is the port that serves metrics and the state dump; without it
 neither is served.
--- a/packages/entry/bulrushcourse_entry/edge/bodies.py
+++ b/packages/entry/bulrushcourse_entry/edge/bodies.py
@@ -77,7 +77,7 @@
             limit: Largest body that is allowed, in bytes.
 
         Returns:
-            The reason for which the body is not accepted, empty if it is.
+            Why the body is rejected, empty if it is accepted.
         """
         if not request.body_exists:
             return ''
--- a/packages/entry/bulrushcourse_entry/edge/destinations.py
+++ b/packages/entry/bulrushcourse_entry/edge/destinations.py
@@ -9,11 +9,11 @@
 from bulrushcourse_domain.routes import weighted_round_robin
 from bulrushcourse_entry.edge import process_state
 
-# Share of its slots with which a cold upstream counts, since it is sent only
-# a few requests.
+# Share of a cold upstream's slots that counts as capacity, since it is sent
+# only a few requests.
 COLD_CAPACITY_RATIO = 0.25
-# Regions' shares move by at most 3% a second, so that their target need not be
-# computed anew for each request.
+# The shares of the regions change by at most 3% a second, so their target need
+# not be recomputed for each request.
 MAX_TARGET_AGE_S = 0.1
 
 
--- a/packages/entry/bulrushcourse_entry/edge/event_log.py
+++ b/packages/entry/bulrushcourse_entry/edge/event_log.py
@@ -145,7 +145,7 @@
     )
     suppressed: int = 0
 
-    def log_decision(self, served: bool, **fields: typing.Any) -> None:
+    def log_request_outcome(self, served: bool, **fields: typing.Any) -> None:
         """Write the outcome of a request and the inputs of its decisions.
 
         Args:
--- a/packages/entry/bulrushcourse_entry/edge/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/handlers.py
@@ -43,7 +43,7 @@
         metrics: Counters and histograms.
         closing: Whether each connection is closed after its next response.
         refusing: Whether new requests are refused.
-        open: Number of requests being served.
+        open_requests: Number of requests being served.
         body_budget: Memory budget for their bodies.
     """
 
@@ -54,7 +54,7 @@
     metrics: metrics.Metrics
     closing: bool = False
     refusing: bool = False
-    open: int = 0
+    open_requests: int = 0
     body_budget: bodies.BodyMemoryBudget = attrs.field(
         factory=bodies.BodyMemoryBudget
     )
@@ -65,7 +65,7 @@
         Args:
             request: The request.
         """
-        self.open += 1
+        self.open_requests += 1
         try:
             response = await self._serve(request)
         except Exception as error:
@@ -78,7 +78,7 @@
             )
             response = web.Response(status=502)
         finally:
-            self.open -= 1
+            self.open_requests -= 1
         if self.closing:
             response.force_close()
         return response
@@ -183,7 +183,7 @@
     ) -> web.Response:
         self.metrics.record_refusal(refusal.reason)
         if refusal.reason in EARLY_REFUSAL_REASONS:
-            self.event_log.log_decision(
+            self.event_log.log_request_outcome(
                 False,
                 id=request_id,
                 outcome='refused',
@@ -201,7 +201,7 @@
         reason: str,
         caller: platform_headers.CallerHeaders,
     ) -> web.Response:
-        self.event_log.log_decision(
+        self.event_log.log_request_outcome(
             False,
             id=caller.request_id,
             outcome='rejected',
@@ -220,7 +220,7 @@
         elapsed_s = state.clock.monotonic() - parsed.arrived
         is_answer = isinstance(outcome, upstream_client.Answer)
         self.metrics.record_request(parsed.service, outcome, elapsed_s)
-        self.event_log.log_decision(
+        self.event_log.log_request_outcome(
             is_answer and outcome.status < 500,
             id=parsed.request_id,
             outcome=type(outcome).__name__.lower(),
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -19,8 +19,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 INITIAL_RECONNECT_PAUSE_S = 0.3
-# A VM has to meet all requirements again 3 s after its network is back, so
-# that the other VMs must reconnect sooner than that.
+# A VM must meet all requirements again 3 s after its network has recovered, so
+# the other VMs must reconnect sooner than that.
 MAX_RECONNECT_PAUSE_S = 1.2
 # A connection is closed when data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 1500
@@ -41,7 +41,7 @@
         inbound: Tasks of incoming streams.
         snapshots_read: How often this VM has read the upstreams' rows as a
             designated reader.
-        snapshot_read: Wakes the sending tasks after each such read.
+        snapshot_read_event: Wakes the sending tasks after each such read.
     """
 
     state: process_state.ProcessState
@@ -50,7 +50,7 @@
     tasks: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     inbound: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
     snapshots_read: int = 0
-    snapshot_read: asyncio.Event = attrs.field(factory=asyncio.Event)
+    snapshot_read_event: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to snapshots to be forwarded and to removed VMs."""
@@ -59,8 +59,8 @@
 
     def _on_snapshot(self, _version: int) -> None:
         self.snapshots_read += 1
-        self.snapshot_read.set()
-        self.snapshot_read.clear()
+        self.snapshot_read_event.set()
+        self.snapshot_read_event.clear()
 
     def _stop_sending(self, vm: str) -> None:
         task = self.tasks.pop(vm, None)
@@ -193,7 +193,7 @@
         """Wait until a report is due or a snapshot is to be forwarded."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.reports.interval_s(region)):
-                await self.snapshot_read.wait()
+                await self.snapshot_read_event.wait()
 
     async def _receive(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -170,7 +170,7 @@
         metrics: edge_metrics.Metrics,
         stack: contextlib.AsyncExitStack,
     ) -> None:
-        async def inspect(request: web.BaseRequest) -> web.Response:
+        async def serve_diagnostics(request: web.BaseRequest) -> web.Response:
             if request.path == STATE_PATH:
                 return web.json_response(state_dump.dump(handlers.state))
             return web.Response(body=metrics.render())
@@ -181,7 +181,7 @@
             (self.settings.callers, handlers.handle),
             (self.settings.lookups, handlers.look_up),
             (self.settings.readiness, handlers.ready),
-            (metrics_address if self.metrics_port else '', inspect),
+            (metrics_address if self.metrics_port else '', serve_diagnostics),
         )
         for address, handler in endpoints:
             if address:
@@ -246,15 +246,17 @@
     ) -> None:
         state.fleet.phase = fleet.Phase.LEAVING
         handlers.closing = True
-        event_log.log_change(events.Event.STOPPING, open=handlers.open)
+        event_log.log_change(
+            events.Event.STOPPING, open=handlers.open_requests
+        )
         limit_s = self.settings.bounds.stop_limit_s
         started = time.monotonic()
         await asyncio.sleep(limit_s * ACCEPT_SHARE)
         handlers.refusing = True
-        while handlers.open or handlers.executor.running:
+        while handlers.open_requests or handlers.executor.running:
             if time.monotonic() - started > limit_s * FINISH_SHARE:
                 event_log.log_change(
-                    events.Event.STOP_FORCED, open=handlers.open
+                    events.Event.STOP_FORCED, open=handlers.open_requests
                 )
                 return
             await asyncio.sleep(0.05)
--- a/packages/entry/bulrushcourse_entry/edge/registration.py
+++ b/packages/entry/bulrushcourse_entry/edge/registration.py
@@ -52,8 +52,8 @@
         try:
             await self.store.remove(vm_rows.TABLE, name)
         except rows.StoreUnavailable as error:
-            # The row stays. The next VM that starts will add the VM from it
-            # and remove both once the VM has expired.
+            # The row stays. A VM that starts later adds the removed VM from
+            # it, and discards the VM and its row once the VM has expired.
             self.reachability.record_call(False, str(error))
 
     async def _register(self) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -15,9 +15,9 @@
 MIN_REPORT_INTERVAL_S = 0.25
 # The cost of reports grows with the number of receivers, so that the interval
 # is longer in larger fleets. It stays short since request counts older than
-# the service time say little: in a fleet of 76 VMs that reported once a
-# second, requests to upstreams with a reported queue of six took no longer
-# than others.
+# the service time are no use: with 76 VMs that report once a second,
+# requests to upstreams with a reported queue of six take no longer than
+# others.
 MAX_VMS_AT_MIN_INTERVAL = 16
 MAX_REPORT_INTERVAL_S = 1.0
 # Traffic between regions is expensive, and placement in other regions follows
--- a/packages/entry/bulrushcourse_entry/edge/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/request_executor.py
@@ -32,8 +32,8 @@
     Attributes:
         state: The process state.
         client: Client of the upstreams.
-        report_loss: Reports an upstream that was lost while it ran a request
-            to the other VMs; gets the request's fingerprint and the
+        report_loss: Reports to the other VMs that an upstream was lost while
+            it ran a request; gets the request's fingerprint and the
             upstream's incarnation.
         on_ejected: Called with the name of an ejected upstream.
         running: Tasks of requests that must not run twice; they go on when
--- a/packages/entry/bulrushcourse_entry/edge/round_trips.py
+++ b/packages/entry/bulrushcourse_entry/edge/round_trips.py
@@ -8,8 +8,8 @@
 DEFAULT_SAME_DOMAIN_S = 0.001
 DEFAULT_SAME_REGION_S = 0.003
 DEFAULT_OTHER_REGION_S = 0.05
-# Share of the difference by which one longer measurement raises the minimum.
-# It is small so that a queue on the path does not look like distance.
+# A measurement above the minimum raises it by this share of the difference.
+# The share is small so that a queue on the path does not look like distance.
 GROWTH_RATIO = 0.02
 
 
--- a/packages/entry/bulrushcourse_entry/edge/store_readers.py
+++ b/packages/entry/bulrushcourse_entry/edge/store_readers.py
@@ -19,11 +19,12 @@
 # VMs read them only when they got no update for the second one.
 READ_INTERVAL_SHARE = 0.35
 STALE_AGE_SHARE = 0.6
-# Longest wait of a designated reader for a change, which ends the wait. It is
-# short since a broken connection may stay unnoticed until the wait ends.
+# Timeout of a designated reader's request that waits for a change. It is short
+# since a broken connection may stay unnoticed until the timeout.
 READER_WAIT_S = 6.0
-# The other VMs get changes from the readers' reports several times a second.
-FOLLOWER_WAIT_S = 20.0
+# The same timeout for the other VMs. It may be long since they also get
+# changes from the readers' reports, several times a second.
+DEFAULT_WAIT_S = 20.0
 RETRY_PAUSE_S = 0.5
 INITIAL_RETRY_PAUSE_S = 0.1
 MIN_SLEEP_S = 0.1
@@ -111,7 +112,7 @@
         return (
             READER_WAIT_S
             if self.state.is_designated_reader
-            else FOLLOWER_WAIT_S
+            else DEFAULT_WAIT_S
         )
 
     def _apply(self, batch: rows.RowBatch) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/supervision.py
+++ b/packages/entry/bulrushcourse_entry/edge/supervision.py
@@ -18,8 +18,8 @@
 ) -> None:
     """Run a task until it returns, and restart it after an exception.
 
-    If a task that reads the store stopped unnoticed, the process would go on
-    with the state of that moment.
+    If a task that reads the store stopped unnoticed, the process would keep
+    using outdated state.
 
     Args:
         name: Name of the task, for the log.
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_bodies.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_bodies.py
@@ -39,8 +39,8 @@
 
 @pytest.mark.parametrize('announced', [True, False])
 def test_concurrent_bodies_stay_within_the_budget(announced):
-    # Guards against a process that many concurrent uploads push out of
-    # memory.
+    # Guards against a process that runs out of memory under many concurrent
+    # uploads.
     budget = bodies.BodyMemoryBudget(LIMIT_BYTES)
     opened = []
     for _ in range(20):
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_event_log.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_event_log.py
@@ -30,10 +30,10 @@
     event_log = event_logs.EventLog(clock)
     with writer:
         for number in range(1000):
-            event_log.log_decision(False, id=str(number), reason='full')
+            event_log.log_request_outcome(False, id=str(number), reason='full')
             clock.advance(0.001)
         clock.advance(1.0)
-        event_log.log_decision(False, id='last', reason='full')
+        event_log.log_request_outcome(False, id='last', reason='full')
     writer.close()
     lines = [json.loads(line) for line in stream.getvalue().splitlines()]
     assert len(lines) <= 60 + 2 * event_logs.FAILURE_LINES_PER_S
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
@@ -34,7 +34,7 @@
     is_designated_reader,
 ):
     # Guards against each of 76 VMs sending a new configuration to every
-    # other VM that has not yet reported it after reading it from the store.
+    # other VM, although that VM is about to read it from the store itself.
     reporting = make_reports(is_designated_reader)
     reporting.configuration_versions.record_version('vm-2', 4, own_version=4)
     assert (
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -91,7 +91,7 @@
     def admit(self, event: Event) -> tuple[bool, int]:
         """Return whether to log an event and how many were suppressed.
 
-        The number is that of the last interval; it is reported with the first
+        The number covers the previous interval and is 0 except for the first
         event after it.
 
         Args:
--- a/packages/entry/bulrushcourse_entry/health/monitor.py
+++ b/packages/entry/bulrushcourse_entry/health/monitor.py
@@ -120,7 +120,7 @@
             self.tasks.pop(name).cancel()
         for name in assigned.keys() - self.tasks.keys():
             self.tasks[name] = asyncio.create_task(
-                self._poll(assigned[name]), name=f'watch {name}'
+                self._poll(assigned[name]), name=f'poll {name}'
             )
 
     def apply_drains(self) -> None:
--- a/packages/entry/bulrushcourse_entry/limits/limit_manager.py
+++ b/packages/entry/bulrushcourse_entry/limits/limit_manager.py
@@ -114,7 +114,7 @@
         """Read the rows and the list of VMs, then write the rows that are due.
 
         The list is read after the rows, so that a holder that is in a row but
-        not in the list has ended.
+        not in the list has stopped.
         """
         self.renewal_requested.clear()
         limits = list(self.limits.values())
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -100,9 +100,10 @@
     def loads(self, service: str) -> dict[str, router.RegionLoad]:
         """Return the load of a service's pools by region.
 
-        Without a recent report the local pool has no healthy slot, so that
-        requests go to other regions while it has no owner and wait for one
-        only if they cannot; the pools of other regions are omitted.
+        A pool without a recent report has no running owner. In this region it
+        counts as a pool without healthy slots, so that requests go to other
+        regions and wait for an owner only if they cannot; in other regions it
+        is omitted.
 
         Args:
             service: Name of the service.
--- a/packages/entry/bulrushcourse_entry/limits/local_limit.py
+++ b/packages/entry/bulrushcourse_entry/limits/local_limit.py
@@ -11,7 +11,7 @@
 from bulrushcourse_domain.limits import rate_window
 from bulrushcourse_domain.limits import share_ledger
 
-# Requests more than is used, so that demand may grow between renewals.
+# Units requested per unit used, so that use may grow between renewals.
 DEMAND_GROWTH_RATIO = 1.25
 # Share of the cap that is requested while there is any use. A share sized for
 # a few small requests would not hold one chunk of 16 KiB, so that a link with
@@ -45,7 +45,7 @@
         return f'limits/{self.limit.name}'
 
     def try_charge(self, amount: int) -> bool:
-        """Charge an amount before it is sent; return false without room.
+        """Charge an amount before it is sent; return false if it has no room.
 
         Args:
             amount: Units to charge.
@@ -58,7 +58,7 @@
         """Record the present use as demand for the next round.
 
         Args:
-            exhausted: Whether an amount found no room.
+            exhausted: Whether there was no room for an amount.
         """
         self.peak = max(self.peak, self.window.in_use())
         self.exhausted = self.exhausted or exhausted
--- a/packages/entry/bulrushcourse_entry/limits/plans.py
+++ b/packages/entry/bulrushcourse_entry/limits/plans.py
@@ -1,4 +1,4 @@
-"""Task that steps shift plans by the state of the receiving regions."""
+"""Task that steps shift plans by measurements of the receiving regions."""
 
 import asyncio
 import typing
@@ -81,7 +81,8 @@
         plans: Plans by name.
         configuration: The active configuration.
         times: Service times by service and region.
-        capped_regions: Regions whose shift cap was reached since the step.
+        capped_regions: Regions whose shift cap was reached since the last
+            step.
         request_counts: Number of requests since the last step, by service.
     """
 
@@ -240,10 +241,11 @@
     def _time_ratios(
         self, service: str, plan: objects.Plan, targets: set[str]
     ) -> typing.Iterator[float]:
-        """Yield the targets' mean service times by the source's typical time.
+        """Yield each target's mean service time relative to the source.
 
-        The difference of the shortest times estimates the network delay, which
-        is subtracted.
+        The network delay is subtracted from the mean, and the result divided
+        by the source's typical time. The difference of the shortest times
+        estimates the delay.
         """
         source_times = self.times.get((service, plan.source), ServiceTimes())
         for target in targets:
--- a/packages/entry/bulrushcourse_entry/listening.py
+++ b/packages/entry/bulrushcourse_entry/listening.py
@@ -10,7 +10,7 @@
 
 
 async def listen(application: web.Application, address: str) -> web.AppRunner:
-    """Start to serve an application and return its runner, which stops it.
+    """Serve an application and return its runner, whose cleanup stops it.
 
     A handler is cancelled when its client closes the connection.
 
--- a/packages/entry/bulrushcourse_entry/membership/members.py
+++ b/packages/entry/bulrushcourse_entry/membership/members.py
@@ -140,7 +140,7 @@
             ),
         ]
 
-    def is_reader(self) -> bool:
+    def is_designated_reader(self) -> bool:
         """Return whether this entry is a designated reader of its region."""
         region = self.settings.region
         return self.settings.entry in readers.designate_readers(
@@ -173,7 +173,7 @@
         }
 
     def describe(self) -> list[dict[str, typing.Any]]:
-        """Return the state of all incarnations of entries, own one first."""
+        """Return the state of each known incarnation, this entry's first."""
         states = self.view.states()
         now = self.clock.monotonic()
         own = attrs.asdict(
--- a/packages/entry/bulrushcourse_entry/operators/assembly.py
+++ b/packages/entry/bulrushcourse_entry/operators/assembly.py
@@ -11,7 +11,7 @@
 from bulrushcourse_entry.operators import routing
 
 
-def build_groups(
+def build_route_groups(
     configurations: exchange.ConfigurationExchange,
     set_drained: typing.Callable[[bool], None],
     limits: limits_assembly.LimitsParts,
--- a/packages/entry/bulrushcourse_entry/operators/configuration.py
+++ b/packages/entry/bulrushcourse_entry/operators/configuration.py
@@ -199,7 +199,7 @@
             request: The operator's request.
         """
         entries = self.members.describe()
-        heard_entries = {member['entry'] for member in entries}
+        known_entries = {member['entry'] for member in entries}
         current = self.members.configuration.current
         configured = current.objects.entries if current else ()
         return web.json_response(
@@ -208,7 +208,7 @@
                 'unheard': sorted(
                     entry.name
                     for entry in configured
-                    if entry.name not in heard_entries
+                    if entry.name not in known_entries
                 ),
                 'listed': sorted({vm.entry for vm in self.members.listed}),
                 'isolated': self.members.isolated,
--- a/packages/entry/bulrushcourse_entry/operators/listener.py
+++ b/packages/entry/bulrushcourse_entry/operators/listener.py
@@ -9,7 +9,8 @@
 from bulrushcourse_entry import events
 
 READY_PATH = '/v1/ready'
-# The frame size of peer streams, since a publication is sent in one frame.
+# The maximum frame size of peer streams, since a publication is sent in one
+# frame.
 MAX_BODY_BYTES = 8 << 20
 
 
@@ -36,13 +37,13 @@
     Attributes:
         token: Bearer token that operators must send.
         ready: Returns whether the entry serves callers.
-        parts: Components of the state dump by name.
-        groups: Further routes.
+        components: Components of the state dump by name.
+        groups: Groups of further routes.
     """
 
     token: bytes = attrs.field(repr=False)
     ready: typing.Callable[[], bool]
-    parts: dict[str, Dumpable] = attrs.field(factory=dict)
+    components: dict[str, Dumpable] = attrs.field(factory=dict)
     groups: tuple[RouteGroup, ...] = ()
 
     def application(self) -> web.Application:
@@ -109,5 +110,8 @@
             request: The operator's request.
         """
         return web.json_response(
-            {name: part.dump() for name, part in self.parts.items()}
+            {
+                name: component.dump()
+                for name, component in self.components.items()
+            }
         )
--- a/packages/entry/bulrushcourse_entry/peers/hub.py
+++ b/packages/entry/bulrushcourse_entry/peers/hub.py
@@ -15,7 +15,7 @@
 from bulrushcourse_wire import messages
 
 HEARTBEAT_INTERVAL_S = 0.25
-# Six heartbeats; shorter limits closed streams while a VM was busy.
+# Six heartbeats; shorter limits close the streams of a busy VM.
 MAX_SILENCE_S = 1.5
 REDIAL_DELAY_S = 0.3
 
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -193,7 +193,7 @@
                 'claims': self.claims,
                 'limits': self.limits,
             },
-            operators_assembly.build_groups(
+            operators_assembly.build_route_groups(
                 self.configuration, self._set_drained, self.limits
             ),
         )
@@ -308,7 +308,7 @@
         )
 
     async def _drain(self) -> None:
-        """Leave look-up answers and serve until no work is left."""
+        """Withdraw from look-up answers and serve until no work is left."""
         self.state = State.LEAVING
         self.members.sweep()
         self.hub.broadcast(self.heartbeat())
--- a/packages/entry/bulrushcourse_entry/slots/granter.py
+++ b/packages/entry/bulrushcourse_entry/slots/granter.py
@@ -32,7 +32,7 @@
     messenger: messengers.EntryMessenger
     shared_quarantine: shared_quarantines.SharedQuarantine
 
-    def apply(
+    def send_decisions(
         self,
         owned: owned_pools.OwnedPool,
         decisions: tuple[requests.Decision, ...],
@@ -74,7 +74,7 @@
         )
         owned.parked.pop(request.request_id, None)
         if admission is quarantines.Admission.RUN:
-            self.apply(owned, owned.pool.request(request))
+            self.send_decisions(owned, owned.pool.request(request))
         elif admission is quarantines.Admission.REFUSE:
             self.withdraw(owned, tracked)
             self.send_refusal(
@@ -144,7 +144,9 @@
         tracked = owned.tracked.get(request_id)
         if tracked is not None:
             self.finish(owned, tracked, outcome, active.grant.instance)
-        self.apply(owned, owned.pool.release(request_id, outcome, seconds))
+        self.send_decisions(
+            owned, owned.pool.release(request_id, outcome, seconds)
+        )
 
     def finish(
         self,
--- a/packages/entry/bulrushcourse_entry/slots/messenger.py
+++ b/packages/entry/bulrushcourse_entry/slots/messenger.py
@@ -49,7 +49,7 @@
         self.hub.broadcast(message)
 
     def incarnations(self) -> dict[str, str]:
-        """Return the incarnations of this entry and connected ones by name."""
+        """Return incarnations of this entry and of connected peers by name."""
         connected = {
             peer: stream.hello.incarnation
             for peer, stream in self.hub.streams.items()
--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -110,7 +110,7 @@
         for owned in self.pools.values():
             if instance in owned.pool.instances:
                 self._refresh_ownership(owned)
-                self.granter.apply(
+                self.granter.send_decisions(
                     owned, owned.pool.set_leaving(instance, leaving)
                 )
 
@@ -192,7 +192,7 @@
     def _decide(self, owned: owned_pools.OwnedPool) -> None:
         if not self._refresh_ownership(owned):
             return
-        self.granter.apply(owned, owned.pool.decide())
+        self.granter.send_decisions(owned, owned.pool.decide())
         granted, waiting = owned.pool.granted, owned.pool.queue
         for request_id, tracked in list(owned.tracked.items()):
             is_in_pool = request_id in granted or request_id in waiting
@@ -287,7 +287,7 @@
             if slot.instance in owned.pool.instances
         ]
         owned.reported[received.peer] = holder
-        self.granter.apply(
+        self.granter.send_decisions(
             owned, owned.pool.record_held_grants(holder, grants)
         )
 
--- a/packages/entry/bulrushcourse_entry/slots/shared_quarantine.py
+++ b/packages/entry/bulrushcourse_entry/slots/shared_quarantine.py
@@ -1,4 +1,4 @@
-"""Replication of crash-inducing requests to all entries and the table."""
+"""Replication of the quarantine to all entries and the table."""
 
 import asyncio
 import typing
@@ -93,7 +93,7 @@
             self.quarantine.remove_expired()
 
     async def _write(self, fingerprint: str) -> None:
-        """Merge the row's losses of a request with this entry's and write."""
+        """Merge this entry's losses of a request into its row and write it."""
         key = f'quarantine/{fingerprint}'
         for _ in range(MAX_WRITE_ATTEMPTS):
             try:
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -41,7 +41,7 @@
 
 @attrs.define(eq=False)
 class GracefulDrain:
-    """Waits until an entry that left look-up answers has no work left.
+    """Waits until an entry removed from look-up answers has no work left.
 
     Attributes:
         callers: Listener with the requests in flight.
