--- a/packages/entry/bulrushcourse_entry/claims/gateway.py
+++ b/packages/entry/bulrushcourse_entry/claims/gateway.py
@@ -114,7 +114,10 @@
         )
 
     async def _stored_reply(
-        self, request: dispatch.KeyedRequest, absent: str, ask_only: bool
+        self,
+        request: dispatch.KeyedRequest,
+        absent_reason: str,
+        ask_only: bool,
     ) -> outcomes.Reply:
         """Return the reply that the row implies; no row proves nothing."""
         try:
@@ -122,7 +125,7 @@
         except claim_rows.RowUnreadable:
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'store')
         if found is None:
-            return outcomes.Reply(outcomes.Outcome.UNKNOWN, absent)
+            return outcomes.Reply(outcomes.Outcome.UNKNOWN, absent_reason)
         if not ask_only and _differs(found.claim, request):
             return outcomes.Reply(outcomes.Outcome.UNKNOWN, 'other-request')
         return await self.rows.load_answer(found.claim.reply())
--- a/packages/entry/bulrushcourse_entry/claims/sweep.py
+++ b/packages/entry/bulrushcourse_entry/claims/sweep.py
@@ -27,20 +27,20 @@
         rows: Claims in the table.
         scanner: Lists rows of the table.
         clock: Source of time.
-        random: Source of jitter, so that entries do not scan in step.
+        rng: Source of jitter, so that entries do not scan in step.
         after: Key after which the next page starts.
     """
 
     rows: claim_rows.ClaimRows
     scanner: platform_table.TableScanner
     clock: clocks.Clock
-    random: random.Random
+    rng: random.Random
     after: str = ''
 
     async def run(self) -> None:
         """Sweep one page after another until cancelled."""
         while True:
-            pause_s = MEAN_INTERVAL_S * self.random.uniform(0.5, 1.5)
+            pause_s = MEAN_INTERVAL_S * self.rng.uniform(0.5, 1.5)
             await asyncio.sleep(pause_s)
             await self.sweep_page()
 
--- a/packages/entry/bulrushcourse_entry/edge/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/handlers.py
@@ -24,8 +24,8 @@
 # maximum, so that callers soon stop using a VM that leaves.
 LOOKUP_MAX_AGE_S = 2.0
 REFUSED_STATUS = 503
-# Reasons for which requests are refused before they are parsed. The refusal
-# logs them, since no outcome of a parsed request will be logged.
+# Reasons for which requests are refused before they are parsed. Such a refusal
+# is logged when it is sent, since only parsed requests are logged later.
 EARLY_REFUSAL_REASONS = frozenset(
     {'stopping', 'no-configuration', bodies.NO_MEMORY}
 )
--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -77,7 +77,7 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     def own_loads(self) -> tuple[load_messages.PoolLoad, ...]:
-        """Return the loads of the pools that this entry owns."""
+        """Store and return the loads of the pools that this entry owns."""
         now = self.clock.monotonic()
         loads = []
         for name, owned in self.pools.items():
--- a/packages/entry/bulrushcourse_entry/limits/regions.py
+++ b/packages/entry/bulrushcourse_entry/limits/regions.py
@@ -158,7 +158,7 @@
         )
 
     def blocked_by(self, source: str, target: str) -> router.Reason | None:
-        """Return the exhausted kind of cap, ``None`` if there is room.
+        """Return which kind of cap is exhausted, ``None`` if there is room.
 
         The cap of a region itself is enforced by the owners of its pools.
 
--- a/packages/entry/bulrushcourse_entry/slots/server.py
+++ b/packages/entry/bulrushcourse_entry/slots/server.py
@@ -171,6 +171,7 @@
 
         An entry that is not connected is represented by its last known
         incarnation, or by its own name, which never reports, if none is known.
+        The pool's former holder is cleared.
         """
         connected = self.messenger.incarnations()
         holders = set(connected.values())
