Clarify names and comments of wire, ctl and testkit

Some names meant two things (`ledger`, `publish`, `digest`, `REFUSALS`) and some comments had to be read twice or did not fit their function.

The record of runs in claim trials is `RunHistory`, an upstream's row is written by `write_upstream`, the code of a frame is its `auth_code`, and ambiguous references in comments name what they refer to. The finding for a document that is not an object says so like the other findings.

--- a/packages/ctl/bulrushcourse_ctl/command.py
+++ b/packages/ctl/bulrushcourse_ctl/command.py
@@ -8,7 +8,7 @@
 from bulrushcourse_ctl import plans
 from bulrushcourse_ctl import publishing
 
-EXIT_CODES = """\
+DESCRIPTION = """\
 Exit codes: 0 success; 1 refused or conflict; 2 invalid input; 3 no entry
 reachable, or store unavailable; 4 published, but not in force on every entry
 within the time limit.
@@ -20,7 +20,7 @@
 @cappa.command(
     name='bulrushctl',
     help='Operate a global traffic steering system.',
-    description=EXIT_CODES,
+    description=DESCRIPTION,
 )
 @attrs.define
 class Bulrushctl:
--- a/packages/testkit/bulrushcourse_testkit/capacity/in_process.py
+++ b/packages/testkit/bulrushcourse_testkit/capacity/in_process.py
@@ -148,7 +148,7 @@
 
     def receive() -> None:
         for _ in range(number):
-            sealer.digest(payload)
+            sealer.auth_code(payload)
             frames.decode_message(payload)
 
     return {
--- a/packages/testkit/bulrushcourse_testkit/claims/driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/driver.py
@@ -64,6 +64,7 @@
             return
         self.keys[key] = first_sent
         process = self._process(pick // len(known_keys))
+        # 18 is ``MAX_KEYS`` times the number of entries.
         digest = DIGESTS[pick // 18 % len(DIGESTS)]
         request = dispatch.KeyedRequest(
             claim_world.SERVICE, key, digest, now + claim_world.DEADLINE_S
@@ -127,7 +128,7 @@
         reply = await serve(request)
         if process.alive:
             digest = '' if ask_only else request.digest
-            self.world.ledger.record_reply(request.key, digest, reply)
+            self.world.history.record_reply(request.key, digest, reply)
 
     def _process(self, pick: int) -> claim_world.Process:
         names = claim_world.ENTRIES
@@ -200,7 +201,7 @@
         request = operation.payload
         size = claim_rows.MAX_ROW_ANSWER_BYTES + 1 if choice == 3 else 8
         body = f'{next(self.world.unique_ids)}'.encode().ljust(size, b'.')
-        self.world.ledger.record_run(request.key, request.digest, body)
+        self.world.history.record_run(request.key, request.digest, body)
         operation.effect = body
         return False
 
--- a/packages/testkit/bulrushcourse_testkit/claims/fault_injector.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/fault_injector.py
@@ -9,7 +9,7 @@
 
 from bulrushcourse_testkit import cluster as clusters
 
-PAUSE_S = (0.05, 0.3)
+FAULT_GAP_S = (0.05, 0.3)
 SHORT_FAULT_S = (0.3, 1.5)
 LONG_FAULT_S = (0.5, 4.0)
 
@@ -59,12 +59,13 @@
             self.lose_store_answers,
             self.cut_store_link,
             self.drop_store_answers,
+            # Listed three times to inject it more often.
             self.break_upstream,
             self.break_upstream,
             self.break_upstream,
         )
         while True:
-            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+            await asyncio.sleep(self.rng.uniform(*FAULT_GAP_S))
             kind = self.rng.choice(kinds)
             name = kind.__name__
             self.counts[name] = self.counts.get(name, 0) + 1
--- a/packages/testkit/bulrushcourse_testkit/claims/orders.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/orders.py
@@ -83,12 +83,12 @@
 
         async def work() -> None:
             for order in order_numbers:
-                await self.order(order)
+                await self.send_order(order)
                 await asyncio.sleep(pause_s)
 
         await asyncio.gather(*(work() for _ in range(workers)))
 
-    async def order(self, number: int) -> None:
+    async def send_order(self, number: int) -> None:
         """Send an order up to ``MAX_SENDS`` times until its outcome is known.
 
         Args:
@@ -216,8 +216,8 @@
         runs: Number of runs in the journal.
         ran_twice: Keys that ran more than once.
         false_not_run: Keys that ran although a caller got ``not-run``.
-        wrong_answers: Keys with a ``done`` result that is not that of their
-            run, one for each such result.
+        wrong_answers: Key of each ``done`` result whose body is not that of
+            the order or whose key did not run.
         orders_by_outcome: Number of orders by last definite outcome and
             whether they ran.
         results_by_reason: Number of results by outcome and reason.
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_driver.py
@@ -22,6 +22,7 @@
         super().__init__()
         self.driver = claim_driver.Driver(claim_world.World())
 
+    # Rules with the same effect make their move more frequent.
     @stateful.rule(pick=PICKS, choice=MOSTLY_ZERO_CHOICES)
     def step(self, pick, choice):
         self.driver.step(pick, choice)
@@ -98,7 +99,7 @@
     for seed in range(12):
         world = claim_world.World()
         claim_driver.run_trial(world, seed, 300)
-        for outcome, count in world.ledger.reply_counts.items():
+        for outcome, count in world.history.reply_counts.items():
             reply_counts[outcome] = reply_counts.get(outcome, 0) + count
     assert (
         min(reply_counts[name] for name in ('done', 'not-run', 'unknown'))
@@ -108,9 +109,9 @@
 
 def test_same_seed_gives_same_trial():
     """Guards against violations that the printed seed does not reproduce."""
-    ledgers = []
+    histories = []
     for _ in range(2):
         world = claim_world.World()
         claim_driver.run_trial(world, 5, 200)
-        ledgers.append(world.ledger)
-    assert ledgers[0] == ledgers[1]
+        histories.append(world.history)
+    assert histories[0] == histories[1]
--- a/packages/testkit/bulrushcourse_testkit/claims/tests/test_trial.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/tests/test_trial.py
@@ -8,7 +8,7 @@
 MIN_ORDERS = 500
 SEEDS = {'filatab': 11, 'thies': 12}
 OUTAGE_S = 10
-MIN_COMPLETED = 0.99
+MIN_COMPLETED_SHARE = 0.99
 
 
 @pytest.mark.parametrize('deployment', trial.SERVICES)
@@ -38,4 +38,4 @@
     print(before, during)
     assert result.passed
     assert during[1] >= 100
-    assert during[0] >= MIN_COMPLETED * during[1]
+    assert during[0] >= MIN_COMPLETED_SHARE * during[1]
--- a/packages/testkit/bulrushcourse_testkit/claims/trial.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/trial.py
@@ -137,7 +137,9 @@
 
 
 def count_first_attempts(callers: orders.OrderCallers) -> tuple[int, int]:
-    """Return the completed and all first attempts with issued keys.
+    """Return the numbers of completed and of all first attempts.
+
+    Only attempts with issued keys count.
 
     Args:
         callers: Callers whose attempts are counted.
@@ -217,7 +219,7 @@
 
     async def work() -> None:
         while loop.time() < end:
-            await callers.order(next(numbers))
+            await callers.send_order(next(numbers))
             await asyncio.sleep(OUTAGE_PAUSE_S)
 
     await asyncio.gather(*(work() for _ in range(OUTAGE_WORKERS)))
--- a/packages/testkit/bulrushcourse_testkit/claims/world.py
+++ b/packages/testkit/bulrushcourse_testkit/claims/world.py
@@ -39,7 +39,7 @@
 
 
 @attrs.define
-class Ledger:
+class RunHistory:
     """Records runs and replies and checks them against each other.
 
     Attributes:
@@ -150,7 +150,7 @@
     async def perform(
         self, kind: str, payload: typing.Any, timeout_s: float
     ) -> typing.Any:
-        """Start an operation; return ``None`` without an answer in time."""
+        """Start an operation; return its answer, ``None`` if it is late."""
         loop = self.world.loop
         future = loop.create_future()
         if not self.alive:
@@ -293,7 +293,7 @@
         make_keys: Creates the issued keys; broken variants replace it.
         make_attempt: Creates attempt identifiers; broken variants replace it.
         loop: Event loop with virtual time.
-        ledger: Recorded runs and replies.
+        history: Recorded runs and replies.
         operations: Operations that the driver has not completed.
         processes: Running process by entry.
         rows: Version and value of the table's rows by key.
@@ -309,7 +309,7 @@
     )
     make_attempt: typing.Callable[[], str] | None = None
     loop: virtual.VirtualLoop = attrs.field(factory=virtual.VirtualLoop)
-    ledger: Ledger = attrs.field(factory=Ledger)
+    history: RunHistory = attrs.field(factory=RunHistory)
     operations: list[virtual.Operation] = attrs.field(factory=list)
     processes: dict[str, Process] = attrs.field(factory=dict)
     rows: dict[str, tuple[int, typing.Any]] = attrs.field(factory=dict)
--- a/packages/testkit/bulrushcourse_testkit/demo.py
+++ b/packages/testkit/bulrushcourse_testkit/demo.py
@@ -156,7 +156,8 @@
     Args:
         samples: Outcomes that the callers received.
         journal: Requests that the upstreams ran.
-        peaks: Highest number of concurrent requests by instance.
+        peaks: Highest number of concurrent requests and number of slots, by
+            instance.
         exit_code: Exit code of the entry that stopped gracefully.
         cut_off: How often that entry logged that it cut off requests.
     """
--- a/packages/testkit/bulrushcourse_testkit/platform/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/cluster.py
@@ -154,10 +154,12 @@
         upstream = upstream_standin.UpstreamStandIn(name, **fields)
         await upstream.start()
         self.upstreams[name] = upstream
-        self.publish(upstream)
+        self.write_upstream(upstream)
         return upstream
 
-    def publish(self, upstream: upstream_standin.UpstreamStandIn) -> None:
+    def write_upstream(
+        self, upstream: upstream_standin.UpstreamStandIn
+    ) -> None:
         """Write an upstream's row to the store.
 
         Args:
@@ -172,7 +174,8 @@
 
         Args:
             version: Version of the configuration.
-            *rules: Routes; by default one idempotent and one not.
+            *rules: Routes; by default one for idempotent requests and one for
+                others.
         """
         document = documents.configuration(
             version, *(rules or documents.DEFAULT_RULES)
--- a/packages/testkit/bulrushcourse_testkit/platform/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak.py
@@ -31,7 +31,7 @@
 # Required by the users: time to recovery after all faults have ended.
 RECOVERY_S = 15.0
 CALLERS = 6
-REFUSALS = frozenset({408, 421, 429, 503})
+REFUSAL_STATUSES = frozenset({408, 421, 429, 503})
 KEPT_VERSIONS = 3
 
 
@@ -211,7 +211,7 @@
                 self.findings.append(
                     f'{reply.request_id} ran {run_count} times'
                 )
-            if path.startswith('/order/') and reply.status in REFUSALS:
+            if path.startswith('/order/') and reply.status in REFUSAL_STATUSES:
                 if run_count:
                     self.findings.append(
                         f'{reply.request_id} was refused but ran'
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
@@ -121,14 +121,14 @@
     async def _restart_upstream(self) -> None:
         upstream = self.rng.choice(list(self.cluster.upstreams.values()))
         upstream.state = 'draining'
-        self.cluster.publish(upstream)
+        self.cluster.write_upstream(upstream)
         await asyncio.sleep(self.rng.uniform(0.5, 2.0))
         self.cluster.store.remove('servers', upstream.name)
         upstream.state, upstream.incarnation = (
             'ready',
             upstream.incarnation + 1,
         )
-        self.cluster.publish(upstream)
+        self.cluster.write_upstream(upstream)
 
     async def _send_sighup(self) -> None:
         self._any_vm().send_signal(signal.SIGHUP)
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_answers.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_answers.py
@@ -13,7 +13,7 @@
 from bulrushcourse_testkit.platform import upstream as upstream_standin
 
 Fault = upstream_standin.Fault
-REFUSALS = (408, 421, 429, 503)
+REFUSAL_STATUSES = (408, 421, 429, 503)
 
 
 def run(scenario):
@@ -79,7 +79,7 @@
                 *(cluster.send('/order/x', body=b'tabs') for _ in range(10))
             )
             for reply in replies:
-                assert reply.status not in REFUSALS or (
+                assert reply.status not in REFUSAL_STATUSES or (
                     cluster.run_count(reply.request_id) == 0
                 )
                 assert cluster.run_count(reply.request_id) <= 1
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_state_changes.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_state_changes.py
@@ -34,7 +34,7 @@
             await cluster.add_upstream('u2')
             await cluster.start()
             leaving.state = 'draining'
-            cluster.publish(leaving)
+            cluster.write_upstream(leaving)
             bound = time.monotonic() + 2.0
             await asyncio.gather(
                 *(send_for(cluster, 3.0, vm=n) for n in range(4))
@@ -75,7 +75,7 @@
             cluster.store.remove('servers', 'u1')
             cluster.store.down = False
             replies = await send_for(cluster, 1.4)
-            cluster.publish(u1)
+            cluster.write_upstream(u1)
             replies += await send_for(cluster, 2.0)
             assert {r.status for r in replies} == {200}
 
@@ -98,7 +98,8 @@
             assert len(u1.arrivals) == before
             assert {r.status for r in replies} == {200}
             cluster.store.remove('op', 'evacuate/a1')
-            # It counts as cold during its warm-up of 3 s and is used after it.
+            # The upstream counts as cold during its warm-up of 3 s and gets
+            # requests after it.
             await asyncio.gather(
                 *(send_for(cluster, 5.0, vm=n) for n in (0, 1))
             )
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_vms.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_vms.py
@@ -102,7 +102,7 @@
                 addresses = await cluster.look_up(cluster.vms[0], 'a')
                 return address in addresses
 
-            # Before that, the old process is still taken for running.
+            # Until this timeout the old process is still taken for running.
             await asyncio.sleep(fleet.HEARTBEAT_TIMEOUT_S + 0.5)
             cluster.store.down = False
             await cluster.wait_until(is_listed)
--- a/packages/testkit/bulrushcourse_testkit/ports.py
+++ b/packages/testkit/bulrushcourse_testkit/ports.py
@@ -15,8 +15,8 @@
 
 import attrs
 
-# Below the range from which the kernel chooses ports for outgoing connections,
-# and below 10,000 to 32,000, which test kits without these locks use.
+# Avoids the ports that the kernel chooses for outgoing connections, and those
+# from 10,000 to 32,000, which test kits without these locks use.
 PORTS = range(2_000, 10_000)
 BLOCK_PORTS = 50
 HOST = '127.0.0.1'
--- a/packages/testkit/bulrushcourse_testkit/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/soak.py
@@ -34,8 +34,8 @@
             print(f'seed {seed}: {violation}', flush=True)
         seed += 1
         moves += MOVES_PER_TRIAL
-        runs += len(world.ledger.ran)
-        for outcome, count in world.ledger.reply_counts.items():
+        runs += len(world.history.ran)
+        for outcome, count in world.history.reply_counts.items():
             outcomes[outcome] = outcomes.get(outcome, 0) + count
     print(f'seeds {first_seed} to {seed - 1}, {moves} moves, {runs} runs')
     print(f'reported outcomes: {outcomes}; trials with a violation: {failed}')
--- a/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_pool_owner.py
@@ -131,9 +131,9 @@
             late = [s for s in samples if s.due_s > RECOVERED_AT_S]
             done = sum(s.outcome == 'done' for s in late)
             # Slots that the former owner may still have granted become free
-            # after the time limit of the service's own class. Withheld for
-            # that of long work, they left a fifth of the pool, enough for a
-            # quarter of this load.
+            # after the time limit of the service's own request class. If
+            # they were withheld for the time limit of long work, a fifth of
+            # the pool would be left, enough for a quarter of this load.
             assert done > 0.5 * len(late)
 
     asyncio.run(run())
--- a/packages/wire/bulrushcourse_wire/documents.py
+++ b/packages/wire/bulrushcourse_wire/documents.py
@@ -34,7 +34,7 @@
 
 def _check_scalar(value: typing.Any, expected: type) -> typing.Any:
     allowed = (int, float) if expected is float else (expected,)
-    # ``_describe_mismatch`` words the message of the finding.
+    # ``_describe_mismatch`` builds the message of the finding.
     if isinstance(value, bool) and expected is not bool:
         raise TypeError
     if not isinstance(value, allowed):
@@ -71,7 +71,11 @@
         )
     if not isinstance(content, dict):
         return result.Failure(
-            (findings.Finding('document', 'type', 'is no object', 'object'),)
+            (
+                findings.Finding(
+                    'document', 'type', 'is not an object', 'object'
+                ),
+            )
         )
     try:
         return result.Success(_CONVERTER.structure(content, cls))
--- a/packages/wire/bulrushcourse_wire/frames.py
+++ b/packages/wire/bulrushcourse_wire/frames.py
@@ -11,7 +11,7 @@
 from bulrushcourse_wire import messages
 
 MAX_FRAME_BYTES = 8 << 20
-DIGEST_BYTES = 16
+AUTH_CODE_BYTES = 16
 _HEADER = struct.Struct('>I')
 HEADER_BYTES = _HEADER.size
 _CONVERTER = msgpack_converter.make_converter()
@@ -63,10 +63,10 @@
 
     Raises:
         FrameError: If the frame is larger than ``MAX_FRAME_BYTES`` or too
-            short for its code.
+            short for its authentication code.
     """
     (length,) = _HEADER.unpack(header)
-    if not DIGEST_BYTES <= length <= MAX_FRAME_BYTES:
+    if not AUTH_CODE_BYTES <= length <= MAX_FRAME_BYTES:
         raise FrameError(f'frame length of {length} bytes is out of range')
     return length
 
@@ -86,8 +86,8 @@
     key: bytes
     sequence: int = 0
 
-    def digest(self, payload: bytes) -> bytes:
-        """Return the code of the next frame and advance the sequence.
+    def auth_code(self, payload: bytes) -> bytes:
+        """Return the next frame's authentication code; advance the sequence.
 
         Args:
             payload: Payload of the frame.
@@ -95,10 +95,10 @@
         number = self.sequence.to_bytes(8, 'big')
         self.sequence += 1
         code = hmac.digest(self.key, number + payload, hashlib.sha256)
-        return code[:DIGEST_BYTES]
+        return code[:AUTH_CODE_BYTES]
 
     def seal(self, payload: bytes) -> bytes:
-        """Return the frame of a payload: header, code and payload.
+        """Return the frame of a payload: header, authentication code, payload.
 
         Args:
             payload: Payload of the frame.
@@ -111,33 +111,36 @@
             >>> FrameSealer(b'k').open(frame[HEADER_BYTES:])
             b'abc'
         """
-        length = len(payload) + DIGEST_BYTES
+        length = len(payload) + AUTH_CODE_BYTES
         if length > MAX_FRAME_BYTES:
             raise FrameError(f'frame of {length} bytes is too large')
-        return _HEADER.pack(length) + self.digest(payload) + payload
+        return _HEADER.pack(length) + self.auth_code(payload) + payload
 
     def open(self, body: bytes) -> bytes:
-        """Return the payload of a frame after checking its code.
+        """Check the authentication code of a frame and return its payload.
 
         Args:
             body: The frame without its header.
 
         Raises:
-            FrameError: If the code does not match.
+            FrameError: If the authentication code does not match.
         """
-        payload = body[DIGEST_BYTES:]
-        if not hmac.compare_digest(body[:DIGEST_BYTES], self.digest(payload)):
+        payload = body[AUTH_CODE_BYTES:]
+        if not hmac.compare_digest(
+            body[:AUTH_CODE_BYTES], self.auth_code(payload)
+        ):
             raise FrameError('frame is not authentic')
         return payload
 
 
 def handshake_digest(secret: bytes, role: str, *nonces: bytes) -> bytes:
-    """Return the HMAC-SHA256 that proves a secret in a role.
+    """Return the HMAC-SHA256 of a role and nonces under the shared secret.
 
     Args:
         secret: The shared secret.
         role: Purpose of the digest, such as ``dialer`` or ``dialer key``.
-        nonces: Nonces of dialer and listener, none for the first frames.
+        nonces: Nonces of dialer and listener; none for the keys of the
+            handshake itself.
 
     Examples:
         >>> len(handshake_digest(b'secret', 'dialer', b'a', b'b'))
--- a/packages/wire/bulrushcourse_wire/load_messages.py
+++ b/packages/wire/bulrushcourse_wire/load_messages.py
@@ -14,7 +14,7 @@
         slots: Number of slots that may be granted.
         in_flight: Number of slots in use.
         waiting: Number of requests that wait for a slot.
-        healthy: Number of those slots whose instances appear healthy.
+        healthy: Number of the ``slots`` whose instances appear healthy.
     """
 
     pool: str
--- a/packages/wire/bulrushcourse_wire/slot_messages.py
+++ b/packages/wire/bulrushcourse_wire/slot_messages.py
@@ -20,7 +20,8 @@
         remaining_s: Seconds until the deadline.
         fingerprint: Hash of the request's content.
         avoid: Instances that already failed the request.
-        hedged: For a hedge, the instance that runs the first copy.
+        hedged: For a hedge, the instance that runs the first copy; otherwise
+            empty.
     """
 
     pool: str
@@ -94,7 +95,9 @@
 
 @messages.message('slots_wanted')
 class HeldSlotsRequest:
-    """Announces the pool's owner and requests a report of held slots.
+    """Announces the sender as the pool's owner and requests a report.
+
+    The report lists the slots of the pool that the receiver holds.
 
     Attributes:
         pool: Name of the pool.
@@ -126,11 +129,11 @@
 
 @messages.message('slots_held')
 class HeldSlotsReport:
-    """Reply to ``slots_wanted`` with all slots that the sender holds.
+    """Replies to ``HeldSlotsRequest`` with all slots that the sender holds.
 
     Attributes:
         pool: Name of the pool.
-        term: Term of the request.
+        term: Term in the ``HeldSlotsRequest``.
         held: The held slots.
     """
 
