--- a/packages/entry/bulrushcourse_entry/limits/loads.py
+++ b/packages/entry/bulrushcourse_entry/limits/loads.py
@@ -77,7 +77,7 @@
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     def own_loads(self) -> tuple[load_messages.PoolLoad, ...]:
-        """Return the loads of the pools that this entry owns."""
+        """Store and return the loads of the pools that this entry owns."""
         now = self.clock.monotonic()
         loads = []
         for name, owned in self.pools.items():
@@ -100,9 +100,10 @@
     def loads(self, service: str) -> dict[str, router.RegionLoad]:
         """Return the load of a service's pools by region.
 
-        Without a recent report the local pool has no healthy slot, so that
-        requests go to other regions while it has no owner and wait for one
-        only if they cannot; the pools of other regions are omitted.
+        A pool without a recent report has no running owner. In this region it
+        counts as a pool without healthy slots, so that requests go to other
+        regions and wait for an owner only if they cannot; in other regions it
+        is omitted.
 
         Args:
             service: Name of the service.
