--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -412,7 +412,8 @@
             'serves = ["front","control","directory"]', 'ip = "127.0.0.1"',
             f'zone = {text(self.zone)}', f'region = {text(ZONES[self.zone])}',
             'bootstrap = true', '[self.limits]', 'cpu_share = 0.86',
-            'cpu_cores = 1', 'memory_mb = 300', 'max_fds = 4100',
+            'cpu_cores = 1', f'memory_mb = {self.lab.memory_mb}',
+            'max_fds = 4100',
             '[network]', f'seeds = {text(seeds)}', '[network.listen]',
             *(f'{key} = {text(value)}' for key, value in self.listen.items()),
             '[network.zones]',
@@ -462,11 +463,14 @@
 class Lab:
     """A store, instances and edge processes, and what happened to them."""
 
-    def __init__(self, record, vms=3, bounds=None, relay_store=False):
+    def __init__(
+        self, record, vms=3, bounds=None, relay_store=False, memory_mb=300
+    ):
         self.record = record
         self.vm_count = vms
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.relay_store = relay_store
+        self.memory_mb = memory_mb
         self.store = Store()
         self.instances = []
         self.vms = []
@@ -582,7 +586,8 @@
         await asyncio.sleep(1.5)
 
     async def exchange(
-        self, address, method, target, headers, body, timeout_s, stream=None
+        self, address, method, target, headers, body, timeout_s, stream=None,
+        bytes_per_s=0.0
     ):
         """Send one request on a new connection, or on a kept one."""
         host, _, port = address.rpartition(':')
@@ -597,8 +602,11 @@
                 lines += [f'{n}: {v}' for n, v in headers.items()]
                 if body or method == 'POST':
                     lines.append(f'Content-Length: {len(body)}')
-                writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n'
-                             + body)
+                head = '\r\n'.join(lines).encode() + b'\r\n\r\n'
+                if not bytes_per_s:
+                    writer.write(head + body)
+                else:
+                    await self._upload(writer, head + body, bytes_per_s)
                 try:
                     line, got, content = await read_message(reader)
                     answer = Answer(int(line.split(' ')[1]), got, content)
@@ -617,9 +625,17 @@
         except TimeoutError:
             return Answer(-1, {}, b'no answer within the deadline')
 
+    async def _upload(self, writer, content, bytes_per_s):
+        start = time.monotonic()
+        for sent in range(0, len(content), 65536):
+            writer.write(content[sent:sent + 65536])
+            await writer.drain()
+            due = start + sent / bytes_per_s
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+
     async def send(
         self, vm, method, target, deadline_ms=2000, body=b'', stream=None,
-        **headers
+        bytes_per_s=0.0, **headers
     ):
         """Send a request as a client does, and record it and its answer."""
         self.number += 1
@@ -634,7 +650,7 @@
                           f' to {vm.name}')
         answer = await self.exchange(
             vm.listen['front'], method, target, fields, body,
-            deadline_ms / 1000, stream)
+            deadline_ms / 1000, stream, bytes_per_s)
         what = {0: 'closed connection', -1: 'nothing'}.get(
             answer.status, answer.status)
         self.record.write(f'client gets {what} for {request_id}')
