--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -54,19 +54,24 @@
         self.file.flush()
 
 
+_used_ports = set()
+
+
 def free_ports(count):
     """Return free ports below those that the kernel gives to clients."""
     ports = []
     rng = random.SystemRandom()
     while len(ports) < count:
         port = rng.randrange(12_000, 30_000)
+        if port in _used_ports:
+            continue
         with socket.socket() as sock:
             try:
                 sock.bind(('127.0.0.1', port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        _used_ports.add(port)
+        ports.append(port)
     return ports
 
 
