Begin no request late in a planned stop that may outlast it

Cause: requests were accepted for half of the grace time and finished until 0.84 of it; the time that a request may take was compared with neither.

Change: PlannedStop decides directly before a request is sent to an upstream. Later only one whose deadline passes before the stop ends is begun; others are refused, truly not run. Bodies that arrive slowly and attempts after an upstream's refusal pass the same check.

--- a/packages/entry/bulrushcourse_entry/edge/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/handlers.py
@@ -24,11 +24,7 @@
 # maximum, so that callers soon stop using a VM that leaves.
 LOOKUP_MAX_AGE_S = 2.0
 REFUSED_STATUS = 503
-# Reasons for which requests are refused before they are parsed. Such a refusal
-# is logged when it is sent, since only parsed requests are logged later.
-EARLY_REFUSAL_REASONS = frozenset(
-    {'stopping', 'no-configuration', bodies.NO_MEMORY}
-)
+NO_CONFIGURATION = outcomes.Refusal('no-configuration', 0.1)
 
 
 @attrs.define(eq=False)
@@ -42,7 +38,6 @@
         event_log: Log.
         metrics: Counters and histograms.
         closing: Whether each connection is closed after its next response.
-        refusing: Whether new requests are refused.
         open_requests: Number of requests being served.
         body_budget: Memory budget for their bodies.
     """
@@ -53,7 +48,6 @@
     event_log: event_logs.EventLog
     metrics: metrics.Metrics
     closing: bool = False
-    refusing: bool = False
     open_requests: int = 0
     body_budget: bodies.BodyMemoryBudget = attrs.field(
         factory=bodies.BodyMemoryBudget
@@ -88,16 +82,16 @@
         caller = platform_headers.decode_caller(request.headers)
         if not caller.request_id:
             return self._reject(400, 'no-request-id', caller)
-        if self.refusing or not self.state.routes.version:
-            reason = 'stopping' if self.refusing else 'no-configuration'
-            return self._refuse(
-                caller.request_id, outcomes.Refusal(reason, 0.1)
-            )
+        if not self.state.routes.version:
+            return self._refuse_early(caller.request_id, NO_CONFIGURATION)
         host = request.headers.get('Host', '').partition(':')[0].lower()
         target = request.raw_path
         route = self.state.routes.match(host, target.partition('?')[0])
         if route is None:
             return self._reject(404, 'no-route', caller)
+        deadline = arrived + self._allowed_s(caller, route)
+        if not self.state.may_begin(deadline):
+            return self._refuse_early(caller.request_id, outcomes.STOPPING)
         self.state.upstreams_needed.set()
         body = bodies.Body(self.body_budget)
         try:
@@ -106,18 +100,20 @@
             if reason == bodies.TOO_LARGE:
                 return self._reject(413, reason, caller)
             if reason:
-                return self._refuse(
+                return self._refuse_early(
                     caller.request_id,
                     outcomes.Refusal(
                         reason, self._retry_after_s(caller, route)
                     ),
                 )
-            parsed = self._parse(request, caller, route, arrived, body.content)
+            parsed = self._parse(
+                request, caller, route, arrived, deadline, body.content
+            )
             outcome = await self.executor.execute(parsed)
         finally:
             body.release()
         self._record(parsed, outcome)
-        response = self._respond(parsed.request_id, outcome)
+        response = self._respond(outcome)
         if isinstance(outcome, upstream_client.Answer):
             await self._deliver(request, response, outcome)
         return response
@@ -140,6 +136,17 @@
         finally:
             answer.memory.release()
 
+    def _allowed_s(
+        self, caller: platform_headers.CallerHeaders, route: routes.Route
+    ) -> float:
+        """Return the time within which a request is answered."""
+        if caller.remaining_s is None:
+            return route.timeout_s
+        return min(
+            route.timeout_s,
+            caller.remaining_s - request_executor.DEADLINE_MARGIN_S,
+        )
+
     def _retry_after_s(
         self, caller: platform_headers.CallerHeaders, route: routes.Route
     ) -> float:
@@ -154,20 +161,15 @@
         caller: platform_headers.CallerHeaders,
         route: routes.Route,
         arrived: float,
+        deadline: float,
         body: bytes,
     ) -> caller_request.CallerRequest:
         state = self.state
         service = self.destinations.choose_service(route)
-        times = state.service_times.route_times(
+        service_times = state.service_times.route_times(
             route.key, service, route.objective_s
         )
-        state.demand.record_request(service, times.typical_s)
-        allowed_s = route.timeout_s
-        if caller.remaining_s is not None:
-            allowed_s = min(
-                allowed_s,
-                caller.remaining_s - request_executor.DEADLINE_MARGIN_S,
-            )
+        state.demand.record_request(service, service_times.typical_s)
         object_key = ''
         if route.affinity and caller.object_key:
             object_key = f'{route.key}{caller.object_key}'
@@ -183,14 +185,12 @@
             region=self.destinations.choose_region(route, service, object_key),
             object_key=object_key,
             arrived=arrived,
-            deadline=arrived + allowed_s,
+            deadline=deadline,
         )
 
-    def _respond(
-        self, request_id: str, outcome: outcomes.Outcome
-    ) -> web.Response:
+    def _respond(self, outcome: outcomes.Outcome) -> web.Response:
         if isinstance(outcome, outcomes.Refusal):
-            return self._refuse(request_id, outcome)
+            return self._refuse(outcome)
         if isinstance(outcome, outcomes.Lost):
             return web.Response(status=504 if outcome.timed_out else 502)
         response = web.Response(
@@ -200,18 +200,21 @@
         )
         return response
 
-    def _refuse(
+    def _refuse_early(
         self, request_id: str, refusal: outcomes.Refusal
     ) -> web.Response:
+        """Refuse a request that is not executed, and log it."""
+        self.event_log.log_request_outcome(
+            False,
+            id=request_id,
+            outcome='refused',
+            reason=refusal.reason,
+            configuration=self.state.routes.version,
+        )
+        return self._refuse(refusal)
+
+    def _refuse(self, refusal: outcomes.Refusal) -> web.Response:
         self.metrics.record_refusal(refusal.reason)
-        if refusal.reason in EARLY_REFUSAL_REASONS:
-            self.event_log.log_request_outcome(
-                False,
-                id=request_id,
-                outcome='refused',
-                reason=refusal.reason,
-                configuration=self.state.routes.version,
-            )
         return web.Response(
             status=REFUSED_STATUS,
             headers=platform_headers.encode_retry_after(refusal.retry_after_s),
--- a/packages/entry/bulrushcourse_entry/edge/outcomes.py
+++ b/packages/entry/bulrushcourse_entry/edge/outcomes.py
@@ -51,6 +51,9 @@
     timed_out: bool
 
 
+# Another VM can serve the request at once.
+STOPPING = Refusal('stopping', 0.1)
+
 # The names of the three classes, in lower case, are the outcomes in logs and
 # metrics.
 Outcome = upstream_client.Answer | Refusal | Lost
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -5,7 +5,6 @@
 import functools
 import random
 import signal
-import time
 import typing
 
 import aiohttp
@@ -15,6 +14,7 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.fleet import fleet
+from bulrushcourse_domain.fleet import planned_stop as planned_stops
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import destinations
@@ -38,12 +38,6 @@
 TICK_S = 0.25
 # Path of the state dump on the metrics listener.
 STATE_PATH = '/state'
-# Shares of the time limit for a planned stop. New connections are accepted
-# until the first one. After it, requests on open connections are refused until
-# the second one. The rest is left to close listeners and streams, which takes
-# up to 0.2 s each.
-ACCEPT_SHARE = 0.5
-FINISH_SHARE = 0.84
 # Phases of a VM that serves, by whether it is slow.
 SERVING_PHASES = (fleet.Phase.READY, fleet.Phase.BUSY)
 
@@ -286,17 +280,22 @@
     ) -> None:
         state.fleet.phase = fleet.Phase.LEAVING
         handlers.closing = True
+        now = self.clock.monotonic
+        stop = planned_stops.PlannedStop(
+            now(), self.settings.bounds.stop_limit_s
+        )
+        state.planned_stop = stop
         event_log.log_change(
-            events.Event.STOPPING, open=handlers.open_requests
+            events.Event.STOPPING,
+            open=handlers.open_requests,
+            accept_ms=round((stop.accept_until - stop.started) * 1000),
+            finish_ms=round((stop.finish_until - stop.started) * 1000),
         )
-        limit_s = self.settings.bounds.stop_limit_s
-        started = time.monotonic()
-        await asyncio.sleep(limit_s * ACCEPT_SHARE)
+        await asyncio.sleep(stop.accept_until - now())
         # A caller whose connection is refused tries another VM at once.
         await listeners.stop_accepting(caller_listener)
-        handlers.refusing = True
         while handlers.open_requests or handlers.executor.running:
-            if time.monotonic() - started > limit_s * FINISH_SHARE:
+            if now() > stop.finish_until:
                 event_log.log_change(
                     events.Event.STOP_FORCED, open=handlers.open_requests
                 )
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -11,6 +11,7 @@
 from bulrushcourse_domain.fleet import lag as lags
 from bulrushcourse_domain.fleet import links as fleet_links
 from bulrushcourse_domain.fleet import lookups
+from bulrushcourse_domain.fleet import planned_stop as planned_stops
 from bulrushcourse_domain.placement import admission
 from bulrushcourse_domain.placement import demand
 from bulrushcourse_domain.placement import placement
@@ -52,6 +53,7 @@
         fleet: The VMs.
         links: The VMs that get reports of this one.
         lag: How late the tasks of this VM run.
+        planned_stop: Planned stop of this VM, ``None`` before it begins.
         lookup_answers: Addresses returned by look-ups.
         demand: Arriving work by region and service.
         crash_ledger: Requests that crash upstreams.
@@ -97,6 +99,7 @@
     placement: placement.Placement
     retry_after: admission.RetryAfterSampler
     lag: lags.LagMonitor = attrs.field(factory=lags.LagMonitor)
+    planned_stop: planned_stops.PlannedStop | None = None
     packed_configuration: bytes = b''
     operators_version: int = 0
     region_mixes: dict[tuple[str, str], region_mix.RegionMix] = attrs.field(
@@ -124,6 +127,16 @@
         factory=reactivex.Subject
     )
 
+    def may_begin(self, deadline: float) -> bool:
+        """Return whether a request may be sent before a planned stop ends.
+
+        Args:
+            deadline: Time when it is answered at the latest.
+        """
+        return self.planned_stop is None or self.planned_stop.may_begin(
+            self.clock.monotonic(), deadline
+        )
+
     def retry_budget(self, service: str) -> shared_budget.SharedRetryBudget:
         """Return the budget for retries and hedges of a service.
 
--- a/packages/entry/bulrushcourse_entry/edge/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/request_executor.py
@@ -172,6 +172,13 @@
     def _choose(
         self, request: caller_request.CallerRequest
     ) -> placement.Choice | outcomes.Outcome:
+        if not request.may_have_run and not self.state.may_begin(
+            request.deadline
+        ):
+            # A body may have arrived late, and a refusal of the upstream may
+            # have come late.
+            request.steps.append(outcomes.STOPPING.reason)
+            return outcomes.STOPPING
         now = self.state.clock.monotonic()
         placement_request = placement.PlacementRequest(
             request.route,
