Stop using upstreams that left when a VM wakes after an outage

The store had been down ten seconds before.

Cause: a failed query was remembered until the VM's own next one, which a VM that gets its updates from designated readers does not send. It then kept the missing upstreams as expired in that outage, adopted the version, and updates from other VMs begin at that version and name no earlier removal. Evidence: the paused VM logged no upstream as gone, the other five VMs logged five each; its event 4002 came after it woke, 18 s after 4001.

Change: RowExpiry ends an outage with any later answer of the store, also one to another VM, and gives each kept upstream an end, which is checked when upstreams are chosen. Updates begin at the newest version in which nothing was kept, and carry what the sender keeps and a digest of its upstreams; a VM whose upstreams differ asks for all of them (event 3007). Related: a VM that had just started omitted removals before its own first query; upstreams that came and went between two queries were missed.

--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -1,21 +1,14 @@
 """The directory of registered upstreams, kept up to date from the store."""
 
-import collections
 import typing
 
 import attrs
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain import rendezvous
+from bulrushcourse_domain.upstreams import row_expiry
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
-# Rows that expired during an outage of the store are written again about two
-# seconds after its end; the remainder allows for one more query.
-EXPIRY_GRACE_S = 2.3
-# An outage for all VMs lets most rows of a service expire. If at most this
-# share of them is missing, only this VM was cut off from the store, and the
-# missing upstreams have left.
-MAX_REMOVED_SHARE = 1 / 3
 # An upstream counts as cold for this much longer than its row says, since rows
 # are written only at each heartbeat.
 WARMUP_MARGIN_S = 0.3
@@ -33,7 +26,8 @@
 
     Attributes:
         upstream: The upstream after the change, or before its removal.
-        kind: ``joined``, ``restarted``, ``draining`` or ``gone``.
+        kind: ``joined``, ``restarted``, ``draining``, ``gone``, or ``kept``
+            for one whose row is missing and may have expired in an outage.
     """
 
     upstream: upstreams.Upstream
@@ -51,9 +45,13 @@
         by_name: Upstreams by name.
         cold_until: End of the warm-up, by name.
         evacuated: Failure domains that must get no requests.
-        grace_until: Time until which missing upstreams are kept, since their
-            rows may have expired in an outage of the store.
-        store_unavailable: Whether the last query of the store failed.
+        expiry: Upstreams that are kept although their rows are missing.
+        exact_version: Newest version in which no upstream was kept. Changes
+            that other VMs send must begin there, since a later version may
+            lack the removal of a kept upstream.
+        digest: Exclusive or of the digests of all upstreams in ``by_name``.
+        has_diverged: Whether changes from another VM led to other upstreams
+            than the sender has. Only a complete directory is applied then.
         changed_in: Version of the store in which each upstream was last
             changed, by name.
         removed_in: Version in which each upstream was removed, by name; only
@@ -66,6 +64,7 @@
             change. Every request needs them.
         preferred_cache: Names of the preferred upstreams by service, region
             and object, cleared likewise.
+        cached_until: Time when a kept upstream must be left out of both.
     """
 
     clock: clocks.Clock
@@ -74,8 +73,10 @@
     by_name: dict[str, upstreams.Upstream] = attrs.field(factory=dict)
     cold_until: dict[str, float] = attrs.field(factory=dict)
     evacuated: frozenset[str] = frozenset()
-    grace_until: float = float('-inf')
-    store_unavailable: bool = False
+    expiry: row_expiry.RowExpiry = attrs.field(factory=row_expiry.RowExpiry)
+    exact_version: int = 0
+    digest: int = 0
+    has_diverged: bool = False
     changed_in: dict[str, int] = attrs.field(factory=dict)
     removed_in: dict[str, int] = attrs.field(factory=dict)
     changed_at_version: int = 0
@@ -87,10 +88,11 @@
     preferred_cache: dict[tuple[str, str, str], tuple[str, ...]] = attrs.field(
         factory=dict
     )
+    cached_until: float = float('inf')
 
     def mark_store_unavailable(self) -> None:
         """Record a failed query of the store; rows may expire meanwhile."""
-        self.store_unavailable = True
+        self.expiry.record_failure(self.clock.monotonic())
 
     def apply_snapshot(
         self, snapshot: upstreams.Snapshot
@@ -106,42 +108,63 @@
         if snapshot.version < self.version:
             return ()
         now = self.clock.monotonic()
-        if self.store_unavailable:
-            self.store_unavailable = False
-            self.grace_until = now + EXPIRY_GRACE_S
+        self.expiry.record_answer(now)
+        changes = list(self.remove_expired())
+        if not self.version:
+            # Removals before the first version are not known.
+            self.complete_since = snapshot.version
         self.version = snapshot.version
         self.read_at = now
+        self.has_diverged = False
         listed = {u.name: u for u in snapshot.upstreams}
-        changes = list(self._remove_missing(listed, now))
+        changes.extend(self._drop_missing(listed, now))
         for upstream in listed.values():
             changes.extend(self._merge(upstream, now))
+        self._update_exact_version()
         return tuple(changes)
 
-    def _remove_missing(
+    def _drop_missing(
         self, listed: typing.Mapping[str, upstreams.Upstream], now: float
     ) -> typing.Iterator[Change]:
         missing = [n for n in self.by_name if n not in listed]
-        if now < self.grace_until:
-            missing = self._deregistered(missing)
+        before = frozenset(self.expiry.kept_until)
+        left = self.expiry.keep_missing(self.by_name, missing, now)
         for name in missing:
-            yield self._remove(name)
-
-    def _deregistered(self, missing: list[str]) -> list[str]:
-        """Return the missing upstreams that did not expire in an outage."""
-        listed = collections.Counter(u.service for u in self.by_name.values())
-        absent = collections.Counter(self.by_name[n].service for n in missing)
-        return [
-            name
-            for name in missing
-            for service in [self.by_name[name].service]
-            if absent[service] <= listed[service] * MAX_REMOVED_SHARE
-        ]
+            if name in left:
+                yield self._remove(name)
+            elif name not in before:
+                yield Change(self.by_name[name], 'kept')
+        self._clear_caches()
+
+    def remove_expired(self) -> tuple[Change, ...]:
+        """Remove the kept upstreams whose time has passed.
+
+        Returns:
+            The changes that it made.
+        """
+        ended = self.expiry.ended(self.clock.monotonic())
+        changes = tuple(self._remove(name) for name in ended)
+        self._update_exact_version()
+        return changes
+
+    def _update_exact_version(self) -> None:
+        if not self.expiry.kept_until and not self.has_diverged:
+            self.exact_version = self.version
+
+    def _listed_digest(self) -> int:
+        """Return the digest of the upstreams that have a row."""
+        digest = self.digest
+        for name in self.expiry.kept_until:
+            digest ^= self.by_name[name].digest
+        return digest
 
     def _clear_caches(self) -> None:
+        self.cached_until = self.expiry.next_end(self.clock.monotonic())
         self.usable_cache.clear()
         self.preferred_cache.clear()
 
     def _remove(self, name: str) -> Change:
+        self.expiry.release(name)
         self._clear_caches()
         self.cold_until.pop(name, None)
         self.changed_in.pop(name, None)
@@ -150,15 +173,21 @@
             oldest = next(iter(self.removed_in))
             self.complete_since = self.removed_in.pop(oldest)
         self.names.pop(upstreams.short_id(name), None)
-        return Change(self.by_name.pop(name), 'gone')
+        removed = self.by_name.pop(name)
+        self.digest ^= removed.digest
+        return Change(removed, 'gone')
 
     def _merge(
         self, upstream: upstreams.Upstream, now: float
     ) -> typing.Iterator[Change]:
+        self.expiry.release(upstream.name)
         previous = self.by_name.get(upstream.name)
         if previous == upstream:
             return
         self._clear_caches()
+        self.digest ^= upstream.digest
+        if previous is not None:
+            self.digest ^= previous.digest
         self.by_name[upstream.name] = upstream
         self.names[upstreams.short_id(upstream.name)] = upstream.name
         self.changed_in[upstream.name] = self.version
@@ -179,8 +208,9 @@
         """Return the changes after a version of the store.
 
         Args:
-            base: Version that the receiver has applied.
+            base: Exact version of the receiver.
         """
+        now = self.clock.monotonic()
         if base < self.complete_since:
             base = 0
         return upstreams.DirectoryDelta(
@@ -192,7 +222,12 @@
                 if version > base
             ),
             gone=tuple(n for n, v in self.removed_in.items() if v > base),
-            age_s=max(0.0, self.clock.monotonic() - self.read_at),
+            age_s=max(0.0, now - self.read_at),
+            kept={
+                name: max(0.0, until - now)
+                for name, until in self.expiry.kept_until.items()
+            },
+            digest=self._listed_digest(),
         )
 
     def apply_delta(
@@ -209,20 +244,53 @@
         Returns:
             The changes that it made.
         """
-        if delta.base > self.version or delta.version < self.version:
+        if delta.base > self.exact_version or delta.version < self.version:
             return ()
         now = self.clock.monotonic()
+        self.expiry.record_answer(now - delta.age_s)
         self.version = delta.version
         self.read_at = max(self.read_at, now - delta.age_s)
         gone = list(delta.gone)
         if not delta.base:
+            self.has_diverged = False
+            self.complete_since = delta.version
             kept = {upstream.name for upstream in delta.changed}
             gone = [name for name in self.by_name if name not in kept]
         changes = [self._remove(n) for n in gone if n in self.by_name]
         for upstream in delta.changed:
             changes.extend(self._merge(upstream, now))
+        changes.extend(self._adopt_kept(delta.kept, now))
+        if delta.digest not in (None, self._listed_digest()):
+            # Upstreams may have come and gone, or left and come back, between
+            # two queries of the sender.
+            self.has_diverged = True
+            self.exact_version = 0
+        self._update_exact_version()
         return tuple(changes)
 
+    def _adopt_kept(
+        self, kept: typing.Mapping[str, float], now: float
+    ) -> list[Change]:
+        """Keep what the sender of a delta keeps.
+
+        It has rows for the others, unless they joined since the exact version
+        and it never had them.
+        """
+        resolved = [n for n in self.expiry.kept_until if n not in kept]
+        changes = []
+        for name in resolved:
+            if self.changed_in[name] > self.exact_version:
+                changes.append(self._remove(name))
+            self.expiry.release(name)
+        for name, remaining_s in kept.items():
+            if name not in self.by_name:
+                continue
+            if name not in self.expiry.kept_until:
+                changes.append(Change(self.by_name[name], 'kept'))
+            self.expiry.keep(name, now + remaining_s)
+        self._clear_caches()
+        return changes
+
     def evacuate(
         self, failure_domains: frozenset[str], warmup_s: float
     ) -> frozenset[str]:
@@ -270,6 +338,14 @@
             return False
         return True
 
+    def _check_caches(self) -> None:
+        """Clear the caches if the time of a kept upstream has passed.
+
+        The process may have been paused since they were filled.
+        """
+        if self.clock.monotonic() >= self.cached_until:
+            self._clear_caches()
+
     def usable(
         self, service: str, region: str = ''
     ) -> tuple[upstreams.Upstream, ...]:
@@ -279,14 +355,17 @@
             service: Name of the service.
             region: Region of the upstreams, empty for any.
         """
+        self._check_caches()
         key = service, region
         if key not in self.usable_cache:
+            ended = self.expiry.ended(self.clock.monotonic())
             self.usable_cache[key] = tuple(
                 upstream
                 for upstream in self.by_name.values()
                 if upstream.service == service
                 and not upstream.draining
                 and upstream.failure_domain not in self.evacuated
+                and upstream.name not in ended
                 and region in ('', upstream.region)
             )
         return self.usable_cache[key]
@@ -304,6 +383,7 @@
             region: Region of the upstreams, empty for any.
             object_key: Identifier of the object.
         """
+        self._check_caches()
         key = service, region, object_key
         if key not in self.preferred_cache:
             if len(self.preferred_cache) >= MAX_PREFERRED_CACHED:
--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/upstreams/row_expiry.py
@@ -0,0 +1,122 @@
+"""Upstreams whose rows may have expired in an outage of the store."""
+
+import collections
+import typing
+
+import attrs
+
+from bulrushcourse_domain.upstreams import upstream as upstreams
+
+# Rows that expired during an outage of the store are written again about two
+# seconds after its end; the remainder allows for one more query.
+EXPIRY_GRACE_S = 2.3
+# An outage for all VMs lets most rows of a service expire. If at most this
+# share of them is missing, only this VM was cut off from the store, and the
+# missing upstreams have left.
+MAX_REMOVED_SHARE = 1 / 3
+
+
+@attrs.define
+class RowExpiry:
+    """Decides which upstreams are kept although their rows are missing.
+
+    A kept upstream is used until its time has passed or its row is back. The
+    time counts from the first query that the store answered, whether this VM
+    or another one sent it, so that an old failure of this VM's own queries
+    keeps nothing.
+
+    Attributes:
+        failed_at: Time of the last failed query, ``None`` if one was answered
+            since then.
+        grace_until: Time until which missing upstreams are kept.
+        kept_until: Time until which each kept upstream is used, by name.
+
+    Examples:
+        >>> expiry = RowExpiry()
+        >>> expiry.record_failure(10.0)
+        >>> expiry.record_answer(12.0)
+        >>> expiry.grace_until
+        14.3
+    """
+
+    failed_at: float | None = None
+    grace_until: float = float('-inf')
+    kept_until: dict[str, float] = attrs.field(factory=dict)
+
+    def record_failure(self, now: float) -> None:
+        """Record a failed query; rows may expire from now on.
+
+        Args:
+            now: Current time in seconds.
+        """
+        self.failed_at = now
+
+    def record_answer(self, read_at: float) -> None:
+        """Record a query that was answered, possibly that of another VM.
+
+        Args:
+            read_at: Time of the answer in seconds.
+        """
+        if self.failed_at is not None and read_at >= self.failed_at:
+            self.failed_at = None
+            self.grace_until = read_at + EXPIRY_GRACE_S
+
+    def keep_missing(
+        self,
+        known: typing.Mapping[str, upstreams.Upstream],
+        missing: typing.Collection[str],
+        now: float,
+    ) -> frozenset[str]:
+        """Keep the missing upstreams that may have expired; return the others.
+
+        Args:
+            known: All known upstreams by name, also the missing ones.
+            missing: Names of those without a row.
+            now: Current time in seconds.
+        """
+        if now >= self.grace_until:
+            return frozenset(missing)
+        counts = collections.Counter(u.service for u in known.values())
+        absent = collections.Counter(known[name].service for name in missing)
+        left = set()
+        for name in missing:
+            service = known[name].service
+            if absent[service] <= counts[service] * MAX_REMOVED_SHARE:
+                left.add(name)
+            else:
+                self.keep(name, self.grace_until)
+        return frozenset(left)
+
+    def keep(self, name: str, until: float) -> None:
+        """Keep an upstream until a time, or a sooner one that was set before.
+
+        Args:
+            name: Name of the upstream.
+            until: The time in seconds.
+        """
+        self.kept_until[name] = min(until, self.kept_until.get(name, until))
+
+    def release(self, name: str) -> None:
+        """Forget an upstream whose row is back, or that was removed.
+
+        Args:
+            name: Name of the upstream.
+        """
+        self.kept_until.pop(name, None)
+
+    def next_end(self, now: float) -> float:
+        """Return when the time of the next kept upstream passes.
+
+        Args:
+            now: Current time in seconds.
+        """
+        ends = (end for end in self.kept_until.values() if end > now)
+        return min(ends, default=float('inf'))
+
+    def ended(self, now: float) -> tuple[str, ...]:
+        """Return the names of the kept upstreams whose time has passed.
+
+        Args:
+            now: Current time in seconds.
+        """
+        return tuple(n for n, end in self.kept_until.items() if end <= now)
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -6,6 +6,7 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.upstreams import directory as directories
+from bulrushcourse_domain.upstreams import row_expiry
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 
@@ -66,7 +67,7 @@
     directory.mark_store_unavailable()
     directory.apply_snapshot(upstreams.Snapshot(2, ()))
     assert names(directory) == {'u'}
-    directory.clock.advance(directories.EXPIRY_GRACE_S)
+    directory.clock.advance(row_expiry.EXPIRY_GRACE_S)
     directory.apply_snapshot(upstreams.Snapshot(3, ()))
     assert names(directory) == set()
 
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -1,6 +1,7 @@
 """Upstreams as described by their rows in the store."""
 
 import functools
+import typing
 
 import attrs
 import xxhash
@@ -52,6 +53,14 @@
     born: int = 0
     version: int = attrs.field(default=0, eq=False)
 
+    @property
+    def digest(self) -> int:
+        """Number that differs between states of upstreams; see ``short_id``.
+
+        The exclusive or of several stands for all of them.
+        """
+        return short_id(f'{self.incarnation} {self.draining}')
+
     @property
     def incarnation(self) -> str:
         """Identifier of the upstream's present process."""
@@ -82,6 +91,10 @@
         changed: Upstreams that were added or changed.
         gone: Names of upstreams that were removed.
         age_s: Time since the version was read from the store.
+        kept: For how long upstreams without a row are still used, in seconds
+            by name; their rows may have expired in an outage of the store.
+        digest: Exclusive or of the digests of the upstreams that have a row in
+            ``version``, ``None`` if the sender does not state it.
     """
 
     base: int
@@ -89,3 +102,5 @@
     changed: tuple[Upstream, ...] = ()
     gone: tuple[str, ...] = ()
     age_s: float = 0.0
+    kept: typing.Mapping[str, float] = attrs.field(factory=dict)
+    digest: int | None = None
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -246,6 +246,8 @@
             state.warmup_limiter.set_members(state.fleet.alive())
             state.placement.sharing_vm_count = state.fleet.sharing_vm_count()
             state.load.expire_peer_loads()
+            for change in state.upstreams.remove_expired():
+                state.upstream_changes.on_next(change)
             planned = clock.monotonic() + TICK_S
             await asyncio.sleep(TICK_S)
 
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -156,7 +156,7 @@
             relation=cursor.relation,
             phase=state.fleet.phase,
             configuration_version=state.routes.version,
-            directory_version=state.upstreams.version,
+            directory_version=state.upstreams.exact_version,
             directory_age_s=state.clock.monotonic() - state.upstreams.read_at,
             scopes=self.work.scopes(cursor),
             slowness=self.work.recent_slowness(cursor.relation),
@@ -196,7 +196,7 @@
             relation=cursor.relation,
             phase=state.fleet.phase,
             configuration_version=state.routes.version,
-            directory_version=state.upstreams.version,
+            directory_version=state.upstreams.exact_version,
             vms=self._vms_to_send(cursor),
             vms_known=len(state.fleet.peers),
         )
@@ -279,7 +279,14 @@
             report.operators_version,
             frozenset(report.evacuated),
         )
+        had_diverged = state.upstreams.has_diverged
         self.directory.apply(vm, report)
+        if state.upstreams.has_diverged and not had_diverged:
+            self.event_log.log_change(
+                events.Event.DIRECTORY_DIVERGED,
+                vm=vm.name,
+                version=state.upstreams.version,
+            )
         return list(report.vms)
 
     def _apply_work(self, report: fleet_messages.Report) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/state_dump.py
@@ -68,9 +68,13 @@
     slowness, at = state.load.slowness.get(name, (None, 0.0))
     now = state.clock.monotonic()
     ban = state.permissions.prohibition(upstream)
+    kept_until = state.upstreams.expiry.kept_until.get(name)
     return {
         **attrs.asdict(upstream),
         'cold': state.upstreams.is_cold(name),
+        'kept_without_row_for_s': (
+            round(kept_until - now, 3) if kept_until is not None else None
+        ),
         'in_flight': state.load.in_flight(name),
         'slowness': slowness,
         'slowness_age_s': (_age(now, at) if slowness else None),
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -33,6 +33,11 @@
     PEER_LOST = (3002, 'warning', 'peer stream lost')
     PEER_REFUSED = (3003, 'warning', 'peer stream refused')
     MEMBER_CHANGED = (3004, 'info', 'state of a member changed')
+    DIRECTORY_DIVERGED = (
+        3007,
+        'warning',
+        'changes of upstreams from another VM are incomplete',
+    )
     ISOLATED = (3005, 'error', 'entry is isolated from the store and peers')
     NOT_ISOLATED = (3006, 'info', 'entry is no longer isolated')
     STORE_UNREACHABLE = (4001, 'warning', 'table service does not answer')
--- a/packages/wire/bulrushcourse_wire/directory_deltas.py
+++ b/packages/wire/bulrushcourse_wire/directory_deltas.py
@@ -8,6 +8,9 @@
 from bulrushcourse_wire import fields as checks
 
 MAX_UPSTREAMS = 100_000
+MAX_DIGEST = (1 << 32) - 1
+# Longer times for which an upstream without a row is used are mistakes.
+MAX_KEPT_MS = 60_000
 
 
 def encode_delta(delta: upstreams.DirectoryDelta) -> list[typing.Any]:
@@ -21,11 +24,24 @@
     return [delta.base, delta.version, changed, list(delta.gone), age_ms]
 
 
-def decode_delta(fields: typing.Any) -> upstreams.DirectoryDelta:
+def encode_kept(delta: upstreams.DirectoryDelta) -> dict[str, int]:
+    """Return for how many milliseconds upstreams without a row are used.
+
+    Args:
+        delta: The delta.
+    """
+    return {name: int(left_s * 1000) for name, left_s in delta.kept.items()}
+
+
+def decode_delta(
+    fields: typing.Any, kept: typing.Any = None, digest: typing.Any = None
+) -> upstreams.DirectoryDelta:
     """Return the delta in the fields of a message.
 
     Args:
         fields: The fields.
+        kept: See ``encode_kept``.
+        digest: Digest of the upstreams, ``None`` if there is none.
 
     Raises:
         ValueError: If a field has another type or is out of range.
@@ -42,6 +58,13 @@
             checks.text(name) for name in checks.items(removed, MAX_UPSTREAMS)
         ),
         checks.integer(age_ms) / 1000,
+        {
+            checks.text(name): checks.integer(left_ms, MAX_KEPT_MS) / 1000
+            for name, left_ms in checks.mapping(
+                kept or {}, MAX_UPSTREAMS
+            ).items()
+        },
+        None if digest is None else checks.integer(digest, MAX_DIGEST),
     )
 
 
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -180,6 +180,11 @@
         content['w'] = report.roster
     if report.directory_delta is not None:
         content['n'] = directory_deltas.encode_delta(report.directory_delta)
+        # VMs of versions without these two fields ignore them.
+        content['g'] = report.directory_delta.digest
+        kept = directory_deltas.encode_kept(report.directory_delta)
+        if kept:
+            content['q'] = kept
     return msgpack.packb(content)
 
 
@@ -247,7 +252,9 @@
         leaving=_texts(get('x', []), MAX_FACTS),
         operators_version=checks.integer(get('o', 0)),
         evacuated=_texts(get('e', []), MAX_REGIONS),
-        directory_delta=directory_deltas.decode_delta(fields['n'])
+        directory_delta=directory_deltas.decode_delta(
+            fields['n'], get('q', {}), get('g')
+        )
         if 'n' in fields
         else None,
         vms=tuple(
--- a/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
@@ -54,7 +54,11 @@
     operators_version=strategies.integers(0, 1 << 40),
     evacuated=tuples_of(NAMES),
     directory_delta=strategies.sampled_from(
-        [None, upstreams.DirectoryDelta(3, 4, (UPSTREAM,), ('u',), 0.25)]
+        [
+            None,
+            upstreams.DirectoryDelta(3, 4, (UPSTREAM,), ('u',), 0.25),
+            upstreams.DirectoryDelta(3, 4, kept={'u': 1.5}, digest=7),
+        ]
     ),
     vms=strategies.sampled_from([(), (VM,)]),
     vms_known=strategies.integers(0, 999),
