Believe no refusal on a reused connection that names no request

Callers of repeatable requests could be told that a request has not run (503) while it ran: an upstream that wrote an earlier refusal once more on a kept connection, without an identifier, was believed.

Cause: a response without an identifier was accepted if its status was 300 or more. On a reused connection it may belong to an earlier request.

Change: on a reused connection each response must name the request; others prove nothing. Requests that may run once use new connections, so that they were not affected.

Measured: test_copy_of_an_earlier_refusal_does_not_refuse_a_request_that_runs failed before for refusals without an identifier and passes.

--- a/packages/entry/bulrushcourse_entry/edge/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstream_client.py
@@ -129,7 +129,7 @@
             _close(response)
             raise
         return self._classify_response(
-            upstream,
+            trace,
             outbound,
             Answer(response.status, response.headers, body, memory),
             response,
@@ -149,11 +149,12 @@
 
     def _classify_response(
         self,
-        upstream: upstreams.Upstream,
+        trace: connection_tracing.AttemptTrace,
         outbound: OutboundRequest,
         answer: Answer,
         response: aiohttp.ClientResponse,
     ) -> result.Result[Answer, Failure]:
+        upstream = trace.upstream
         headers = answer.headers
         load = platform_headers.decode_load(headers)
         if load is not None:
@@ -165,7 +166,7 @@
             )
         status = answer.status
         if not platform_headers.is_genuine(
-            status, headers, outbound.request_id
+            status, headers, outbound.request_id, trace.reused
         ):
             response.close()
             return result.Failure(Failure.FOREIGN)
--- a/packages/entry/bulrushcourse_entry/platform/headers.py
+++ b/packages/entry/bulrushcourse_entry/platform/headers.py
@@ -124,18 +124,32 @@
 
 
 def is_genuine(
-    status: int, headers: typing.Mapping[str, str], request_id: str
+    status: int,
+    headers: typing.Mapping[str, str],
+    request_id: str,
+    reused: bool,
 ) -> bool:
     """Return whether a response is from an upstream and to this request.
 
+    On a reused connection a response that names no request may be a copy of
+    an earlier one, or refer to the connection.
+
     Args:
         status: Status of the response.
         headers: Headers of the response.
         request_id: Identifier of the request.
+        reused: Whether the connection had carried a request before.
+
+    Examples:
+        >>> is_genuine(503, {}, 'r1', reused=False)
+        True
+        >>> is_genuine(503, {}, 'r1', reused=True)
+        False
     """
-    if headers.get(REQUEST_ID, request_id) != request_id:
-        return False
-    return status >= 300 or (SIGNATURE in headers and REQUEST_ID in headers)
+    named = headers.get(REQUEST_ID)
+    if named is None:
+        return status >= 300 and not reused
+    return named == request_id and (status >= 300 or SIGNATURE in headers)
 
 
 def decode_load(headers: typing.Mapping[str, str]) -> loads.LoadReport | None:
--- a/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
+++ b/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
@@ -140,12 +140,22 @@
 
 
 def test_response_is_genuine_only_with_its_identifier_and_signature():
-    # Guards against delivering a late response to another request.
-    signed = {headers.REQUEST_ID: 'a', headers.SIGNATURE: 'x'}
-    assert headers.is_genuine(200, signed, 'a')
-    assert not headers.is_genuine(200, signed, 'b')
-    assert not headers.is_genuine(200, {headers.REQUEST_ID: 'a'}, 'a')
-    assert not headers.is_genuine(500, signed, 'b')
+    # Guards against a response that belongs to another request or is no
+    # upstream's, and against a refusal that refers to the connection.
+    signed = {headers.REQUEST_ID: 'a', headers.SIGNATURE: 's'}
+    for reused in (False, True):
+        assert headers.is_genuine(200, signed, 'a', reused)
+        assert headers.is_genuine(503, {headers.REQUEST_ID: 'a'}, 'a', reused)
+        assert not headers.is_genuine(200, signed, 'b', reused)
+        assert not headers.is_genuine(
+            200, {headers.REQUEST_ID: 'a'}, 'a', reused
+        )
+        assert not headers.is_genuine(500, signed, 'b', reused)
+        assert not headers.is_genuine(
+            200, {headers.SIGNATURE: 's'}, 'a', reused
+        )
+    assert headers.is_genuine(503, {}, 'a', reused=False)
+    assert not headers.is_genuine(503, {}, 'a', reused=True)
 
 
 def test_lookup_is_decoded_and_its_response_encoded():
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_answers.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_answers.py
@@ -121,6 +121,53 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    'fault', [Fault.REFUSAL_COPY, Fault.NAMELESS_REFUSAL_COPY]
+)
+def test_copy_of_an_earlier_refusal_does_not_refuse_a_request_that_runs(fault):
+    # Guards against a refusal that an upstream sends once more on a reused
+    # connection and that is taken for the response to the next request, which
+    # is running.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1', fault=fault)
+            await cluster.add_upstream('u2', fault=fault)
+            await cluster.start()
+            replies = []
+            for number in range(30):
+                replies.append(await cluster.send(f'/browse/{number}'))
+                replies.append(await cluster.send('/order/x', body=b'tabs'))
+            ran = {
+                a.request_id for u in cluster.upstreams.values() for a in u.ran
+            }
+            assert ran
+            refused = {
+                r.request_id for r in replies if r.status in REFUSAL_STATUSES
+            }
+            assert refused & ran == set()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize('path, runs', [('/order/x', 1), ('/browse/x', 2)])
+def test_response_that_ends_in_its_head_never_looks_complete(path, runs):
+    # Guards against a head that ends with its connection and is taken for a
+    # complete one with an empty body.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure()
+            upstream = await cluster.add_upstream('u1')
+            await cluster.start()
+            assert (await cluster.send(path)).is_own_answer
+            upstream.fault = Fault.HEAD_CUT
+            reply = await cluster.send(path)
+            assert reply.status == 502
+            assert 1 <= cluster.run_count(reply.request_id) <= runs
+
+    run(scenario())
+
+
 def test_order_does_not_run_at_an_address_with_a_new_owner():
     # Guards against running a request at an upstream that reuses the address
     # of a stopped one.
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -29,6 +29,10 @@
         SILENT: Requests get no response.
         LATE_COPY: Each response on a reused connection follows a second copy
             of the response before it.
+        REFUSAL_COPY: The first request on a connection is shed; each later
+            one runs, and its response follows a copy of that refusal.
+        NAMELESS_REFUSAL_COPY: The same, and refusals name no request.
+        HEAD_CUT: The connection closes before the end of the response's head.
         ENDLESS_HEAD: Responses never end, like in the other faults with this
             prefix; see ``endless`` for each.
         ENDLESS_IDLE: Bytes without end follow each response.
@@ -44,6 +48,9 @@
     ERROR = 'error'
     SILENT = 'silent'
     LATE_COPY = 'late-copy'
+    REFUSAL_COPY = 'refusal-copy'
+    NAMELESS_REFUSAL_COPY = 'nameless-refusal-copy'
+    HEAD_CUT = 'head-cut'
     ENDLESS_HEAD = 'endless-head'
     ENDLESS_FIELDS = 'endless-fields'
     ENDLESS_BODY = 'endless-body'
@@ -54,6 +61,19 @@
     ENDLESS_IDLE = 'endless-idle'
 
 
+# What is sent of a response before its connection closes.
+_PARTS: typing.Mapping[Fault, typing.Callable[[bytes], bytes]] = {
+    Fault.CUT: lambda response: response[:-3],
+    Fault.HEAD_CUT: lambda response: response[
+        : response.index(b'\r\n\r\n') - 1
+    ],
+}
+# Faults with a copy of an earlier response before a response.
+_COPYING = (
+    Fault.LATE_COPY,
+    Fault.REFUSAL_COPY,
+    Fault.NAMELESS_REFUSAL_COPY,
+)
 _ENDLESS: typing.Mapping[
     Fault, typing.Callable[[bytes], typing.Iterator[bytes]]
 ] = {
@@ -203,7 +223,7 @@
         body = await reader.readexactly(int(headers.get('content-length', 0)))
         request_id = headers.get('x-request-id', '')
         expected_name = headers.get('x-expect-instance', self.name)
-        shed = self.fault is Fault.SHED
+        shed = self._sheds(writer)
         runs = expected_name == self.name and not shed
         self.arrivals.append(
             Arrival(
@@ -221,23 +241,30 @@
             writer.write(_format_response(421, request_id, b'', instance_id))
             return True
         if shed:
-            writer.write(
-                _format_response(
-                    503,
-                    request_id,
-                    b'',
-                    'X-Not-Executed: 1',
-                    *self.extra_headers,
-                )
-            )
+            self._refuse(writer, request_id)
             return True
         if not await self._simulate_work(reader):
             return False
         content = f'{self.name}:{request_id}'.encode()
-        if self.fault is Fault.LATE_COPY and self._last_response(writer):
+        if self.fault in _COPYING and self._last_response(writer):
             writer.write(self._last_response(writer))
+            await writer.drain()
         return await self._send_response(writer, request_id, content)
 
+    def _sheds(self, writer: asyncio.StreamWriter) -> bool:
+        if self.fault in (Fault.REFUSAL_COPY, Fault.NAMELESS_REFUSAL_COPY):
+            return not self._last_response(writer)
+        return self.fault is Fault.SHED
+
+    def _refuse(self, writer: asyncio.StreamWriter, request_id: str) -> None:
+        if self.fault is Fault.NAMELESS_REFUSAL_COPY:
+            request_id = ''
+        refusal = _format_response(
+            503, request_id, b'', 'X-Not-Executed: 1', *self.extra_headers
+        )
+        self.last_responses[writer] = refusal
+        writer.write(refusal)
+
     async def _simulate_work(self, reader: asyncio.StreamReader) -> bool:
         self.running += 1
         try:
@@ -266,14 +293,15 @@
             stream = _ENDLESS[self.fault](request_id.encode())
             await self._send_without_end(writer, stream)
             return False
-        self.last_responses[writer] = response
+        if self.fault not in (Fault.REFUSAL_COPY, Fault.NAMELESS_REFUSAL_COPY):
+            self.last_responses[writer] = response
         if self.fault is Fault.LOSE_ANSWER:
             writer.transport.abort()
             return False
         if self.fault is Fault.ERROR:
             response = _format_response(500, request_id, b'error', signature)
-        if self.fault is Fault.CUT:
-            writer.write(response[:-3])
+        if self.fault in _PARTS:
+            writer.write(_PARTS[self.fault](response))
             return False
         if self.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
             head, _, rest = response.partition(b'\r\n\r\n')
@@ -325,7 +353,7 @@
 ) -> bytes:
     lines = [
         f'HTTP/1.1 {status} Status',
-        f'X-Request-Id: {request_id}',
+        *([f'X-Request-Id: {request_id}'] if request_id else []),
         f'Content-Length: {len(content)}',
         *headers,
     ]
