Move the versions of changes out of the upstream directory

ChangeHistory holds which upstream was changed or removed in which version; no behaviour changes. The tests of the domain, the edge program and the model of the fleet pass.

--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -6,13 +6,13 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain import rendezvous
+from bulrushcourse_domain.upstreams import change_history
 from bulrushcourse_domain.upstreams import row_expiry
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 # An upstream counts as cold for this much longer than its row says, since rows
 # are written only at each heartbeat.
 WARMUP_MARGIN_S = 0.3
-MAX_TOMBSTONES = 200
 # Number of preferred upstreams of an object; the second gets what exceeds the
 # capacity of the first.
 PREFERRED_COUNT = 2
@@ -52,13 +52,7 @@
         digest: Exclusive or of the digests of all upstreams in ``by_name``.
         has_diverged: Whether changes from another VM led to other upstreams
             than the sender has. Only a complete directory is applied then.
-        changed_in: Version of the store in which each upstream was last
-            changed, by name.
-        removed_in: Version in which each upstream was removed, by name; only
-            the last ``MAX_TOMBSTONES`` are kept.
-        changed_at_version: Version in which any upstream was last changed or
-            removed.
-        complete_since: Oldest version since which all removals are known.
+        history: Versions in which upstreams were changed and removed.
         names: Names of the upstreams by their short identifiers.
         usable_cache: Usable upstreams by service and region, cleared at each
             change. Every request needs them.
@@ -77,10 +71,9 @@
     exact_version: int = 0
     digest: int = 0
     has_diverged: bool = False
-    changed_in: dict[str, int] = attrs.field(factory=dict)
-    removed_in: dict[str, int] = attrs.field(factory=dict)
-    changed_at_version: int = 0
-    complete_since: int = 0
+    history: change_history.ChangeHistory = attrs.field(
+        factory=change_history.ChangeHistory
+    )
     names: dict[int, str] = attrs.field(factory=dict)
     usable_cache: dict[tuple[str, str], tuple[upstreams.Upstream, ...]] = (
         attrs.field(factory=dict)
@@ -111,8 +104,7 @@
         self.expiry.record_answer(now)
         changes = list(self.remove_expired())
         if not self.version:
-            # Removals before the first version are not known.
-            self.complete_since = snapshot.version
+            self.history.restart_at(snapshot.version)
         self.version = snapshot.version
         self.read_at = now
         self.has_diverged = False
@@ -167,11 +159,7 @@
         self.expiry.release(name)
         self._clear_caches()
         self.cold_until.pop(name, None)
-        self.changed_in.pop(name, None)
-        self.removed_in[name] = self.changed_at_version = self.version
-        if len(self.removed_in) > MAX_TOMBSTONES:
-            oldest = next(iter(self.removed_in))
-            self.complete_since = self.removed_in.pop(oldest)
+        self.history.record_removal(name, self.version)
         self.names.pop(upstreams.short_id(name), None)
         removed = self.by_name.pop(name)
         self.digest ^= removed.digest
@@ -190,9 +178,7 @@
             self.digest ^= previous.digest
         self.by_name[upstream.name] = upstream
         self.names[upstreams.short_id(upstream.name)] = upstream.name
-        self.changed_in[upstream.name] = self.version
-        self.changed_at_version = self.version
-        self.removed_in.pop(upstream.name, None)
+        self.history.record_change(upstream.name, self.version)
         if upstream.cold_for_s > 0:
             self.cold_until[upstream.name] = (
                 now + upstream.cold_for_s + WARMUP_MARGIN_S
@@ -211,17 +197,15 @@
             base: Exact version of the receiver.
         """
         now = self.clock.monotonic()
-        if base < self.complete_since:
+        if not self.history.covers(base):
             base = 0
         return upstreams.DirectoryDelta(
             base=base,
             version=self.version,
             changed=tuple(
-                self.by_name[name]
-                for name, version in self.changed_in.items()
-                if version > base
+                self.by_name[name] for name in self.history.changed_since(base)
             ),
-            gone=tuple(n for n, v in self.removed_in.items() if v > base),
+            gone=self.history.removed_since(base),
             age_s=max(0.0, now - self.read_at),
             kept={
                 name: max(0.0, until - now)
@@ -253,7 +237,7 @@
         gone = list(delta.gone)
         if not delta.base:
             self.has_diverged = False
-            self.complete_since = delta.version
+            self.history.restart_at(delta.version)
             kept = {upstream.name for upstream in delta.changed}
             gone = [name for name in self.by_name if name not in kept]
         changes = [self._remove(n) for n in gone if n in self.by_name]
@@ -279,7 +263,7 @@
         resolved = [n for n in self.expiry.kept_until if n not in kept]
         changes = []
         for name in resolved:
-            if self.changed_in[name] > self.exact_version:
+            if self.history.changed_in[name] > self.exact_version:
                 changes.append(self._remove(name))
             self.expiry.release(name)
         for name, remaining_s in kept.items():
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.upstreams import change_history
 from bulrushcourse_domain.upstreams import directory as directories
 from bulrushcourse_domain.upstreams import row_expiry
 from bulrushcourse_domain.upstreams import upstream as upstreams
@@ -169,7 +170,7 @@
     receiver, sender = (
         directories.UpstreamDirectory(clocks.ManualClock()) for _ in range(2)
     )
-    many = [f'u{n}' for n in range(directories.MAX_TOMBSTONES + 5)]
+    many = [f'u{n}' for n in range(change_history.MAX_TOMBSTONES + 5)]
     for directory in (receiver, sender):
         directory.apply_snapshot(
             upstreams.Snapshot(3, tuple(map(make_upstream, many)))
--- a/packages/entry/bulrushcourse_entry/edge/directory_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/edge/directory_forwarding.py
@@ -81,10 +81,8 @@
     def _has_changes(self, cursor: stream_cursor.StreamCursor) -> bool:
         """Return whether the receiver lacks changes that were not sent."""
         known = self.directories.get(cursor.receiver)
-        return (
-            known is not None
-            and self.state.upstreams.changed_at_version
-            > max(known.version, cursor.directory_version)
+        return known is not None and self.state.upstreams.history.latest > max(
+            known.version, cursor.directory_version
         )
 
     def has_news(self, cursor: stream_cursor.StreamCursor) -> bool:
