Let the soak silence connections and send refusals twice

The soak gets connections to the store that go silent, copies of earlier refusals and heads that end early. A change of its faults changes what each seed does, so that they are listed by number: seeds that ever failed are played with the repertoire that they failed with. The link of the fault proxy can silence its open connections and replaces the relay of test_silent_connections.

--- a/packages/testkit/bulrushcourse_testkit/platform/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak.py
@@ -1,6 +1,7 @@
 """Inject random faults into real edge processes and check the guarantees.
 
-Run ``python -m bulrushcourse_testkit.platform.soak FIRST COUNT [JOBS]``. Each
+Run ``python -m bulrushcourse_testkit.platform.soak FIRST COUNT [JOBS]
+[REPERTOIRE]``; see ``soak_faults.REPERTOIRES`` for the last one. Each
 seed starts edge processes behind loopback proxies, injects overlapping faults,
 and then checks that the fleet recovers within the required time.
 """
@@ -43,6 +44,7 @@
         seed: Seed of all random choices.
         rng: Source of randomness.
         cluster: Store, upstreams and settings.
+        repertoire: Faults to choose from.
         vms: VMs with their edge processes.
         replies: Path and reply of each request.
         findings: Descriptions of violated guarantees.
@@ -56,6 +58,7 @@
     seed: int
     rng: random.Random
     cluster: clusters.EdgeCluster
+    repertoire: soak_faults.Repertoire
     vms: list[soak_vms.SoakVm] = attrs.field(factory=list)
     replies: list[tuple[str, clusters.Reply]] = attrs.field(factory=list)
     findings: list[str] = attrs.field(factory=list)
@@ -72,6 +75,7 @@
             self.vms,
             self._publish_version,
             self.started,
+            self.repertoire,
         )
 
     async def _publish_version(self) -> None:
@@ -222,20 +226,29 @@
                 )
 
 
-async def run_seed(seed: int, folder: pathlib.Path) -> Soak:
+async def run_seed(
+    seed: int, folder: pathlib.Path, repertoire: int = soak_faults.LATEST
+) -> Soak:
     """Run the soak with one seed and return it.
 
     Args:
         seed: Seed of all random choices.
         folder: Directory of the settings and log files.
+        repertoire: Number of the faults to choose from.
     """
-    rng = random.Random(seed)
-    soak = Soak(seed, rng, clusters.EdgeCluster(FAILURE_DOMAINS))
+    soak = Soak(
+        seed,
+        random.Random(seed),
+        clusters.EdgeCluster(FAILURE_DOMAINS),
+        soak_faults.REPERTOIRES[repertoire],
+    )
     await soak.run(folder)
     return soak
 
 
-async def _run_seeds(seeds: typing.Iterable[int], jobs: int) -> int:
+async def _run_seeds(
+    seeds: typing.Iterable[int], jobs: int, repertoire: int
+) -> int:
     limit = asyncio.Semaphore(jobs)
     failed_seeds = 0
 
@@ -243,7 +256,7 @@
         nonlocal failed_seeds
         async with limit:
             folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-            soak = await run_seed(seed, folder)
+            soak = await run_seed(seed, folder, repertoire)
         served = sum(r.status == 200 for _, r in soak.replies)
         print(
             f'seed {seed}: {len(soak.replies)} requests, {served} served,'
@@ -267,9 +280,10 @@
 
 def main() -> int:
     """Run the seeds of the command line; return 1 if there are findings."""
-    first, count, *jobs = map(int, sys.argv[1:])
+    first, count, *options = map(int, sys.argv[1:])
+    jobs, repertoire, *_ = (*options, *(1, soak_faults.LATEST)[len(options) :])
     seeds = range(first, first + count)
-    failed_seeds = asyncio.run(_run_seeds(seeds, jobs[0] if jobs else 1))
+    failed_seeds = asyncio.run(_run_seeds(seeds, jobs, repertoire))
     print(f'{count} seeds, {failed_seeds} with findings')
     return 1 if failed_seeds else 0
 
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
@@ -16,6 +16,56 @@
 Fault = upstream_standin.Fault
 
 INJECTION_S = 8.0
+LINK_FAULTS = (
+    fault_proxy.LinkFaults(cut=True),
+    fault_proxy.LinkFaults(stalled=True),
+    fault_proxy.LinkFaults(delay_ms=300.0),
+    fault_proxy.LinkFaults(drop_answers=True),
+)
+
+
+@attrs.frozen
+class Repertoire:
+    """Faults that a seed chooses from; a change of it changes every run.
+
+    Attributes:
+        upstream_faults: Faults of upstreams.
+        actions: Names of the injector's methods. Faults of upstreams are
+            listed twice, to inject them more often, since most guarantees
+            about responses concern failing upstreams.
+    """
+
+    upstream_faults: tuple[Fault, ...]
+    actions: tuple[str, ...]
+
+
+_NEW_IN_SECOND = (
+    Fault.REFUSAL_COPY,
+    Fault.NAMELESS_REFUSAL_COPY,
+    Fault.HEAD_CUT,
+)
+_FIRST_ACTIONS = (
+    '_kill',
+    '_pause',
+    '_terminate',
+    '_store_fault',
+    '_link_fault',
+    '_upstream_fault',
+    '_upstream_fault',
+    '_restart_upstream',
+    '_publish',
+    '_send_sighup',
+)
+# By number. Seeds that ever failed are played with the repertoire that they
+# failed with.
+REPERTOIRES: typing.Mapping[int, Repertoire] = {
+    1: Repertoire(
+        tuple(fault for fault in Fault if fault not in _NEW_IN_SECOND),
+        _FIRST_ACTIONS,
+    ),
+    2: Repertoire(tuple(Fault), (*_FIRST_ACTIONS, '_silence')),
+}
+LATEST = max(REPERTOIRES)
 
 
 @attrs.define(eq=False)
@@ -28,6 +78,7 @@
         vms: VMs with their edge processes.
         publish_version: Writes a new configuration to the store.
         started: Monotonic time at which the run started, in seconds.
+        repertoire: What it chooses from.
         injected: Injected faults, each with its time in the run.
     """
 
@@ -36,28 +87,15 @@
     vms: list[soak_vms.SoakVm]
     publish_version: typing.Callable[[], typing.Awaitable[None]]
     started: float
+    repertoire: Repertoire = REPERTOIRES[LATEST]
     injected: list[str] = attrs.field(factory=list)
 
     async def inject(self) -> None:
         """Inject overlapping faults and wait until all have ended."""
-        actions = (
-            self._kill,
-            self._pause,
-            self._terminate,
-            self._store_fault,
-            self._link_fault,
-            self._upstream_fault,
-            # Listed twice to inject it more often, since most guarantees
-            # about responses concern failing upstreams.
-            self._upstream_fault,
-            self._restart_upstream,
-            self.publish_version,
-            self._send_sighup,
-        )
         end = time.monotonic() + INJECTION_S
         pending: set[asyncio.Task[None]] = set()
         while time.monotonic() < end:
-            action = self.rng.choice(actions)
+            action = getattr(self, self.rng.choice(self.repertoire.actions))
             at = time.monotonic() - self.started
             self.injected.append(f'{at:.2f} {action.__name__.strip("_")}')
             task = asyncio.create_task(action())
@@ -96,14 +134,7 @@
 
     async def _link_fault(self) -> None:
         vm = self._any_vm()
-        faults = self.rng.choice(
-            (
-                fault_proxy.LinkFaults(cut=True),
-                fault_proxy.LinkFaults(stalled=True),
-                fault_proxy.LinkFaults(delay_ms=300.0),
-                fault_proxy.LinkFaults(drop_answers=True),
-            )
-        )
+        faults = self.rng.choice(LINK_FAULTS)
         vm.link.set_faults(faults)
         await asyncio.sleep(self.rng.uniform(0.2, 2.0))
         vm.link.set_faults(fault_proxy.LinkFaults())
@@ -111,7 +142,7 @@
     async def _upstream_fault(self) -> None:
         upstreams = list(self.cluster.upstreams.values())
         faulty = self.rng.sample(upstreams, self.rng.randint(1, 4))
-        fault = self.rng.choice(list(Fault))
+        fault = self.rng.choice(self.repertoire.upstream_faults)
         for upstream in faulty:
             upstream.fault = fault
         await asyncio.sleep(self.rng.uniform(0.5, 2.5))
@@ -132,3 +163,11 @@
 
     async def _send_sighup(self) -> None:
         self._any_vm().send_signal(signal.SIGHUP)
+
+    async def _publish(self) -> None:
+        await self.publish_version()
+
+    async def _silence(self) -> None:
+        """Silence the open connections of all VMs to the store."""
+        for vm in self.vms:
+            vm.link.silence_open()
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_silent_connections.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_silent_connections.py
@@ -6,9 +6,10 @@
 
 import pytest
 
+from bulrushcourse_testkit import ports
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import documents
-from bulrushcourse_testkit.platform import silent_relay
+from bulrushcourse_testkit.standins import fault_proxy
 
 CONTACT_S = 3.0
 CONFIG_APPLY_S = 2.0
@@ -21,20 +22,22 @@
 
 
 @contextlib.asynccontextmanager
-async def cluster_behind_relays():
-    """Start VMs that reach the store through one relay each."""
+async def cluster_behind_links():
+    """Start VMs that reach the store through one link each."""
     bounds = {'contact': '3s', 'config_apply': '2s', 'drain': '2s'}
     async with contextlib.AsyncExitStack() as stack:
         cluster = await stack.enter_async_context(
             clusters.EdgeCluster(DOMAINS, bounds)
         )
-        relays = []
-        for vm in cluster.vms:
-            relay = silent_relay.SilentRelay(cluster.store.address)
-            await relay.start()
-            stack.push_async_callback(relay.close)
-            relays.append(relay)
-            vm.document['platform']['platform']['address'] = relay.address
+        reserved = ports.reserve_ports(len(DOMAINS))
+        stack.callback(reserved.close)
+        links = []
+        for vm, port in zip(cluster.vms, reserved.ports, strict=True):
+            link = fault_proxy.Link(vm.name, port, cluster.store.address)
+            await link.start()
+            links.append(link)
+            address = f'127.0.0.1:{port}'
+            vm.document['platform']['platform']['address'] = address
         cluster.configure(1, documents.rule('/browse/'))
         await cluster.add_upstream('u1', failure_domain='a1', slots=50)
         await cluster.add_upstream('u2', failure_domain='b1', slots=50)
@@ -42,7 +45,7 @@
         await cluster.start()
         # Each VM has waited for changes for some time.
         await asyncio.sleep(2.0)
-        yield cluster, relays
+        yield cluster, links
 
 
 async def send_from(cluster, begin, end):
@@ -64,11 +67,11 @@
     # Guards against a VM that waits for changes on a silent connection while
     # the configuration changes.
     async def scenario():
-        async with cluster_behind_relays() as (cluster, relays):
+        async with cluster_behind_links() as (cluster, links):
             cluster.configure(2, documents.rule('/browse/'))
             await asyncio.sleep(waited_s)
             silenced = time.monotonic()
-            assert all([relay.silence_open() for relay in relays])
+            assert all([link.silence_open() for link in links])
             await asyncio.sleep(1.0)
             cluster.configure(3, documents.rule('/browse/', service='orders'))
             changed = time.monotonic()
@@ -83,8 +86,8 @@
 def test_evacuation_is_in_force_in_time_after_connections_went_silent():
     # Guards against evacuations that are learned only when a silent call ends.
     async def scenario():
-        async with cluster_behind_relays() as (cluster, relays):
-            assert all([relay.silence_open() for relay in relays])
+        async with cluster_behind_links() as (cluster, links):
+            assert all([link.silence_open() for link in links])
             cluster.store.put('op', 'evacuate/a1', {})
             bound = time.monotonic() + EVACUATE_S
             replies = await send_from(cluster, bound, bound + 0.5)
@@ -97,7 +100,7 @@
 def test_calm_vms_make_few_calls_that_wait_for_changes():
     # Guards against a short wait at VMs that get changes from the readers.
     async def scenario():
-        async with cluster_behind_relays() as (cluster, _):
+        async with cluster_behind_links() as (cluster, _):
             before = cluster.store.calls['/rows-feed']
             await asyncio.sleep(4.0)
             calls = cluster.store.calls['/rows-feed'] - before
--- a/packages/testkit/bulrushcourse_testkit/standins/fault_proxy.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/fault_proxy.py
@@ -57,6 +57,8 @@
         target: ``ip:port`` to connect to.
         faults: Active faults.
         writers: Writers of open connections.
+        silent_writers: Those of connections that stay open and relay nothing;
+            only a time-out of their user shows it.
         free_at: Monotonic time at which the bandwidth limit allows the next
             byte, by direction.
         passed: Number of bytes relayed, by direction.
@@ -67,6 +69,7 @@
     target: str
     faults: LinkFaults = attrs.field(factory=LinkFaults)
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    silent_writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     free_at: dict[str, float] = attrs.field(factory=dict)
     passed: dict[str, int] = attrs.field(factory=dict)
 
@@ -85,6 +88,11 @@
             for writer in list(self.writers):
                 writer.transport.abort()
 
+    def silence_open(self) -> int:
+        """Silence the open connections, not new ones; return their number."""
+        self.silent_writers.update(self.writers)
+        return len(self.writers) // 2
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -109,6 +117,7 @@
             pass
         finally:
             self.writers.difference_update(writers)
+            self.silent_writers.difference_update(writers)
             for open_writer in writers:
                 open_writer.transport.abort()
 
@@ -139,6 +148,8 @@
             deliver_at, chunk = await queue.get()
             await asyncio.sleep(max(0.0, deliver_at - time.monotonic()))
             await self._throttle(len(chunk), direction)
+            if writer in self.silent_writers:
+                continue
             if not chunk:
                 with contextlib.suppress(OSError, RuntimeError):
                     writer.write_eof()
