--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bulrushcourse_testkit.platform import soak
+from bulrushcourse_testkit.platform import soak_faults
 
 
 # Guards against violated guarantees while faults overlap. With seeds 231 and
@@ -22,6 +23,17 @@
     check_seed(seed, tmp_path, 2)
 
 
+def test_repertoires_of_earlier_seeds_stay_as_they_are():
+    # Guards against a new fault that changes what a seed does which failed
+    # once: a choice among more faults gives other runs.
+    repertoires = soak_faults.REPERTOIRES
+    assert {
+        number: (len(entry.upstream_faults), len(entry.actions))
+        for number, entry in repertoires.items()
+    } == {1: (18, 10), 2: (21, 11)}
+    assert repertoires[1].upstream_faults[-1] is soak_faults.Fault.ENDLESS_IDLE
+
+
 def check_seed(seed, folder, repertoire):
     run = soak.run_seed(seed, folder, repertoire)
     result = asyncio.run(asyncio.wait_for(run, 120))
