--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -141,7 +141,7 @@
             work,
             affinity,
             queued,
-            self.directory.is_cold(best.name),
+            self.directory.cold.is_cold(best.name),
         )
 
     def _candidates(
@@ -152,7 +152,9 @@
         )
         eligible = [
             u
-            for u in self.directory.usable(request.service, request.region)
+            for u in self.directory.candidates.usable(
+                request.service, request.region
+            )
             if request.route.may_run_in(u.region)
             and self.load.own_in_flight.get(u.name, 0) < allowed_each
             and u.name not in request.tried
@@ -161,7 +163,7 @@
         allowed = [
             u
             for u in eligible
-            if not self.directory.is_cold(u.name)
+            if not self.directory.cold.is_cold(u.name)
             or self.warmup_limiter.may_send(u.name, service.warmup_per_s)
         ]
         healthy = [u for u in allowed if not self.outliers.is_ejected(u.name)]
@@ -179,7 +181,7 @@
         }
         # Upstreams that are ejected or cold remain preferred, so that their
         # objects do not move to other upstreams for a short time.
-        preferred = self.directory.preferred(
+        preferred = self.directory.candidates.preferred(
             request.service, request.region, request.object_key
         )
         return affinities | dict(
@@ -199,7 +201,7 @@
         """Return service time and wait in seconds, and the queue length."""
         work = times.expected_s(affinity)
         work *= self.load.expected_slowness(upstream.name)
-        if self.directory.is_cold(upstream.name):
+        if self.directory.cold.is_cold(upstream.name):
             work *= COLD_FACTOR
         in_flight = self.load.in_flight(upstream.name)
         queued = max(0, in_flight + 1 - upstream.slots)
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -5,19 +5,15 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain import rendezvous
+from bulrushcourse_domain.upstreams import candidates as candidate_upstreams
 from bulrushcourse_domain.upstreams import change_history
+from bulrushcourse_domain.upstreams import cold_periods
 from bulrushcourse_domain.upstreams import row_expiry
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 # An upstream counts as cold for this much longer than its row says, since rows
 # are written only at each heartbeat.
 WARMUP_MARGIN_S = 0.3
-# Number of preferred upstreams of an object; the second gets what exceeds the
-# capacity of the first.
-PREFERRED_COUNT = 2
-# About 3 MB; beyond it, preferred upstreams are computed again.
-MAX_PREFERRED_CACHED = 20_000
 
 
 @attrs.frozen
@@ -43,8 +39,7 @@
         version: Newest version of the store that was applied.
         read_at: Time when that version was read.
         by_name: Upstreams by name.
-        cold_until: End of the warm-up, by name.
-        evacuated: Failure domains that must get no requests.
+        cold: Upstreams that are warming up.
         expiry: Upstreams that are kept although their rows are missing.
         exact_version: Newest version in which no upstream was kept. Changes
             that other VMs send must begin there, since a later version may
@@ -54,19 +49,13 @@
             than the sender has. Only a complete directory is applied then.
         history: Versions in which upstreams were changed and removed.
         names: Names of the upstreams by their short identifiers.
-        usable_cache: Usable upstreams by service and region, cleared at each
-            change. Every request needs them.
-        preferred_cache: Names of the preferred upstreams by service, region
-            and object, cleared likewise.
-        cached_until: Time when a kept upstream must be left out of both.
+        candidates: Upstreams that may get new requests.
     """
 
     clock: clocks.Clock
     version: int = 0
     read_at: float = float('-inf')
     by_name: dict[str, upstreams.Upstream] = attrs.field(factory=dict)
-    cold_until: dict[str, float] = attrs.field(factory=dict)
-    evacuated: frozenset[str] = frozenset()
     expiry: row_expiry.RowExpiry = attrs.field(factory=row_expiry.RowExpiry)
     exact_version: int = 0
     digest: int = 0
@@ -75,13 +64,15 @@
         factory=change_history.ChangeHistory
     )
     names: dict[int, str] = attrs.field(factory=dict)
-    usable_cache: dict[tuple[str, str], tuple[upstreams.Upstream, ...]] = (
-        attrs.field(factory=dict)
-    )
-    preferred_cache: dict[tuple[str, str, str], tuple[str, ...]] = attrs.field(
-        factory=dict
-    )
-    cached_until: float = float('inf')
+    cold: cold_periods.ColdPeriods = attrs.field(init=False)
+    candidates: candidate_upstreams.Candidates = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the parts that follow the upstreams of this directory."""
+        self.cold = cold_periods.ColdPeriods(self.clock)
+        self.candidates = candidate_upstreams.Candidates(
+            self.clock, self.by_name, self.expiry
+        )
 
     def mark_store_unavailable(self) -> None:
         """Record a failed query of the store; rows may expire meanwhile."""
@@ -126,7 +117,7 @@
                 yield self._remove(name)
             elif name not in before:
                 yield Change(self.by_name[name], 'kept')
-        self._clear_caches()
+        self.candidates.clear_caches()
 
     def remove_expired(self) -> tuple[Change, ...]:
         """Remove the kept upstreams whose time has passed.
@@ -150,15 +141,10 @@
             digest ^= self.by_name[name].digest
         return digest
 
-    def _clear_caches(self) -> None:
-        self.cached_until = self.expiry.next_end(self.clock.monotonic())
-        self.usable_cache.clear()
-        self.preferred_cache.clear()
-
     def _remove(self, name: str) -> Change:
         self.expiry.release(name)
-        self._clear_caches()
-        self.cold_until.pop(name, None)
+        self.candidates.clear_caches()
+        self.cold.discard(name)
         self.history.record_removal(name, self.version)
         self.names.pop(upstreams.short_id(name), None)
         removed = self.by_name.pop(name)
@@ -172,7 +158,7 @@
         previous = self.by_name.get(upstream.name)
         if previous == upstream:
             return
-        self._clear_caches()
+        self.candidates.clear_caches()
         self.digest ^= upstream.digest
         if previous is not None:
             self.digest ^= previous.digest
@@ -180,8 +166,8 @@
         self.names[upstreams.short_id(upstream.name)] = upstream.name
         self.history.record_change(upstream.name, self.version)
         if upstream.cold_for_s > 0:
-            self.cold_until[upstream.name] = (
-                now + upstream.cold_for_s + WARMUP_MARGIN_S
+            self.cold.begin(
+                upstream.name, now + upstream.cold_for_s + WARMUP_MARGIN_S
             )
         if previous is None:
             yield Change(upstream, 'joined')
@@ -272,7 +258,7 @@
             if name not in self.expiry.kept_until:
                 changes.append(Change(self.by_name[name], 'kept'))
             self.expiry.keep(name, now + remaining_s)
-        self._clear_caches()
+        self.candidates.clear_caches()
         return changes
 
     def evacuate(
@@ -290,90 +276,11 @@
         Returns:
             The failure domains that are no longer evacuated.
         """
-        returned = self.evacuated - failure_domains
-        self.evacuated = failure_domains
-        self._clear_caches()
+        returned = self.candidates.evacuated - failure_domains
+        self.candidates.evacuated = failure_domains
+        self.candidates.clear_caches()
         until = self.clock.monotonic() + warmup_s + WARMUP_MARGIN_S
         for upstream in self.by_name.values():
             if upstream.failure_domain in returned:
-                self.mark_cold(upstream.name, until)
+                self.cold.extend(upstream.name, until)
         return returned
-
-    def mark_cold(self, name: str, until: float) -> None:
-        """Treat an upstream as cold at least until a time.
-
-        Args:
-            name: Name of the upstream.
-            until: Time on the directory's clock.
-        """
-        self.cold_until[name] = max(until, self.cold_until.get(name, until))
-
-    def is_cold(self, name: str) -> bool:
-        """Return whether an upstream is warming up.
-
-        Args:
-            name: Name of the upstream.
-        """
-        until = self.cold_until.get(name)
-        if until is None:
-            return False
-        if until <= self.clock.monotonic():
-            del self.cold_until[name]
-            return False
-        return True
-
-    def _check_caches(self) -> None:
-        """Clear the caches if the time of a kept upstream has passed.
-
-        The process may have been paused since they were filled.
-        """
-        if self.clock.monotonic() >= self.cached_until:
-            self._clear_caches()
-
-    def usable(
-        self, service: str, region: str = ''
-    ) -> tuple[upstreams.Upstream, ...]:
-        """Return the upstreams of a service that may get new requests.
-
-        Args:
-            service: Name of the service.
-            region: Region of the upstreams, empty for any.
-        """
-        self._check_caches()
-        key = service, region
-        if key not in self.usable_cache:
-            ended = self.expiry.ended(self.clock.monotonic())
-            self.usable_cache[key] = tuple(
-                upstream
-                for upstream in self.by_name.values()
-                if upstream.service == service
-                and not upstream.draining
-                and upstream.failure_domain not in self.evacuated
-                and upstream.name not in ended
-                and region in ('', upstream.region)
-            )
-        return self.usable_cache[key]
-
-    def preferred(
-        self, service: str, region: str, object_key: str
-    ) -> tuple[str, ...]:
-        """Return the preferred upstreams of an object, best first.
-
-        Every VM computes the same ones, so that requests for an object from
-        all VMs reach the upstream that has it in memory.
-
-        Args:
-            service: Name of the service.
-            region: Region of the upstreams, empty for any.
-            object_key: Identifier of the object.
-        """
-        self._check_caches()
-        key = service, region, object_key
-        if key not in self.preferred_cache:
-            if len(self.preferred_cache) >= MAX_PREFERRED_CACHED:
-                self.preferred_cache.clear()
-            names = [u.name for u in self.usable(service, region)]
-            self.preferred_cache[key] = rendezvous.top(
-                object_key, names, PREFERRED_COUNT
-            )
-        return self.preferred_cache[key]
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_directory.py
@@ -21,7 +21,7 @@
 
 
 def names(directory):
-    return {entry.name for entry in directory.usable('s')}
+    return {entry.name for entry in directory.candidates.usable('s')}
 
 
 def test_draining_missing_and_evacuated_upstreams_are_not_usable():
@@ -86,7 +86,7 @@
     directory.apply_snapshot(upstreams.Snapshot(2, tuple(listed[1:])))
     assert names(directory) == {u.name for u in listed[1:]}
     # All rows of this service are missing, so they must have expired.
-    assert [u.name for u in directory.usable('t')] == ['x']
+    assert [u.name for u in directory.candidates.usable('t')] == ['x']
 
 
 def test_restart_under_the_same_name_is_reported():
@@ -104,13 +104,13 @@
     directory.apply_snapshot(
         upstreams.Snapshot(1, (make_upstream(cold_for_s=2.0),))
     )
-    assert directory.is_cold('u')
+    assert directory.cold.is_cold('u')
     directory.clock.advance(2.0 + directories.WARMUP_MARGIN_S)
-    assert not directory.is_cold('u')
+    assert not directory.cold.is_cold('u')
     directory.evacuate(frozenset({'d'}), 3.0)
-    assert not directory.is_cold('u')
+    assert not directory.cold.is_cold('u')
     directory.evacuate(frozenset(), 3.0)
-    assert directory.is_cold('u')
+    assert directory.cold.is_cold('u')
 
 
 SNAPSHOTS = strategies.lists(
@@ -143,11 +143,11 @@
     for version, states in enumerate(snapshots, 1):
         listed = tuple(make_upstream(n, draining=d) for n, d in states.items())
         directory.apply_snapshot(upstreams.Snapshot(version, listed))
-        usable = {u.name for u in directory.usable('s')}
+        usable = {u.name for u in directory.candidates.usable('s')}
         assert usable == {n for n, draining in states.items() if not draining}
-        assert set(directory.preferred('s', '', 'object')) <= usable
+        assert set(directory.candidates.preferred('s', '', 'object')) <= usable
     directory.evacuate(frozenset(evacuated), 1.0)
-    assert {u.name for u in directory.usable('s')} == {
+    assert {u.name for u in directory.candidates.usable('s')} == {
         u.name
         for u in directory.by_name.values()
         if not u.draining and u.failure_domain not in evacuated
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_row_expiry.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_row_expiry.py
@@ -25,7 +25,7 @@
 
 
 def names(directory):
-    return {entry.name for entry in directory.usable('s')}
+    return {entry.name for entry in directory.candidates.usable('s')}
 
 
 def send_delta(sender, receiver):
@@ -61,7 +61,7 @@
     # The time passes while nothing else happens, as in a pause.
     clock.advance(GRACE_S)
     assert names(other) == {'a', 'b'}
-    assert set(other.preferred('s', '', 'object')) == {'a', 'b'}
+    assert set(other.candidates.preferred('s', '', 'object')) == {'a', 'b'}
     send_delta(reader, other)
     assert names(other) == {'a', 'b'}
 
--- a/packages/entry/bulrushcourse_entry/edge/destinations.py
+++ b/packages/entry/bulrushcourse_entry/edge/destinations.py
@@ -111,7 +111,7 @@
     def _capacity(self, route: routes.Route, service: str) -> dict[str, float]:
         state = self.state
         capacity: dict[str, float] = {}
-        for upstream in state.upstreams.usable(service):
+        for upstream in state.upstreams.candidates.usable(service):
             if (
                 not route.may_run_in(upstream.region)
                 or state.outliers.is_ejected(upstream.name)
@@ -119,7 +119,7 @@
             ):
                 continue
             slots = float(upstream.slots)
-            if state.upstreams.is_cold(upstream.name):
+            if state.upstreams.cold.is_cold(upstream.name):
                 slots *= COLD_CAPACITY_RATIO
             region = upstream.region
             capacity[region] = capacity.get(region, 0.0) + slots
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -165,7 +165,7 @@
             losses=tuple(losses),
             leaving=tuple(leaving),
             operators_version=state.operators_version,
-            evacuated=tuple(sorted(state.upstreams.evacuated)),
+            evacuated=tuple(sorted(state.upstreams.candidates.evacuated)),
             directory_delta=self.directory.delta(cursor),
             vms=vms,
             vms_known=len(state.fleet.peers),
--- a/packages/entry/bulrushcourse_entry/edge/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/state_dump.py
@@ -20,7 +20,7 @@
         'phase': state.fleet.phase.value,
         'configuration': state.routes.version,
         'operators_version': state.operators_version,
-        'evacuated': sorted(state.upstreams.evacuated),
+        'evacuated': sorted(state.upstreams.candidates.evacuated),
         'upstreams_version': state.upstreams.version,
         'upstreams_age_s': _age(now, state.upstreams.read_at),
         'upstreams': {
@@ -71,7 +71,7 @@
     kept_until = state.upstreams.expiry.kept_until.get(name)
     return {
         **attrs.asdict(upstream),
-        'cold': state.upstreams.is_cold(name),
+        'cold': state.upstreams.cold.is_cold(name),
         'kept_without_row_for_s': (
             round(kept_until - now, 3) if kept_until is not None else None
         ),
--- a/packages/entry/bulrushcourse_entry/edge/store_readers.py
+++ b/packages/entry/bulrushcourse_entry/edge/store_readers.py
@@ -210,7 +210,7 @@
     if version < state.operators_version:
         return
     state.operators_version = version
-    previous = state.upstreams.evacuated
+    previous = state.upstreams.candidates.evacuated
     if domains == previous:
         return
     services = state.routes.active.services if state.routes.active else {}
--- a/packages/entry/bulrushcourse_entry/edge/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstream_client.py
@@ -161,7 +161,7 @@
             self.state.load.record_load_report(upstream.name, load)
         warmup_s = platform_headers.decode_warmup_s(headers)
         if warmup_s:
-            self.state.upstreams.mark_cold(
+            self.state.upstreams.cold.extend(
                 upstream.name, self.state.clock.monotonic() + warmup_s
             )
         status = answer.status
