Use plain names for hints, fault sets and the reconnect bound

Change: contact_s, a word of the users' pages, is reconnect_s; signs of silence are hints of a silent connection, the field sign of event 4006 is hint; the soak's repertoires are fault sets. Report intervals and the faults of the stand-in have modules of their own; the outage tests share their set-up.

--- a/packages/domain/bulrushcourse_domain/membership/feed_poll.py
+++ b/packages/domain/bulrushcourse_domain/membership/feed_poll.py
@@ -10,9 +10,9 @@
 # A suspected call is repeated no sooner than this share of the time in which
 # VMs have to recover, which bounds the rate of the calls.
 MIN_AGE_SHARE = 0.3
-# Time within which the store answers all VMs after a change. A sign of silence
-# may be seen in it although the answer is on its way.
-PATIENCE_S = 0.15
+# Time within which the store answers all VMs after a change. Another VM may
+# have its answer while that of this VM is on its way.
+ANSWER_MARGIN_S = 0.15
 
 
 @attrs.frozen
@@ -20,16 +20,16 @@
     """A call that waits for changes.
 
     An open connection may go silent without a reset, so that such a call gets
-    no answer before its own time-out. Signs of that are a newer state at
-    another VM and a time-out of another call or stream.
+    no answer before its own time-out. A newer state at another VM, and a
+    time-out of another call or stream, suggest that.
 
     Attributes:
         started: Time when the call was sent, in seconds.
-        contact_s: Time in which a VM has to recover from silent connections.
+        reconnect_s: Time in which a VM has to recover from silent connections.
         is_reader: Whether other VMs rely on this one.
 
     Examples:
-        >>> poll = FeedPoll(started=10.0, contact_s=3.0, is_reader=False)
+        >>> poll = FeedPoll(started=10.0, reconnect_s=3.0, is_reader=False)
         >>> round(poll.abandon_at(suspected=14.0), 2)
         14.15
         >>> round(poll.abandon_at(suspected=10.2), 2)
@@ -37,7 +37,7 @@
     """
 
     started: float
-    contact_s: float
+    reconnect_s: float
     is_reader: bool
 
     @property
@@ -45,15 +45,15 @@
         """How long the store may hold the call back, in seconds."""
         if not self.is_reader:
             return DEFAULT_WAIT_S
-        return min(DEFAULT_WAIT_S, self.contact_s * READER_WAIT_RATIO)
+        return min(DEFAULT_WAIT_S, self.reconnect_s * READER_WAIT_RATIO)
 
     def abandon_at(self, suspected: float) -> float:
         """Return when to repeat the call on a new connection.
 
         Args:
-            suspected: Time when a sign of silence was seen.
+            suspected: Time when something suggested that it is silent.
         """
         return max(
-            suspected + PATIENCE_S,
-            self.started + self.contact_s * MIN_AGE_SHARE,
+            suspected + ANSWER_MARGIN_S,
+            self.started + self.reconnect_s * MIN_AGE_SHARE,
         )
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_row_expiry.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_row_expiry.py
@@ -28,6 +28,12 @@
     return {entry.name for entry in directory.candidates.usable('s')}
 
 
+def start_with(rows, *vms):
+    """Let VMs read the same rows in version 1."""
+    for vm in vms:
+        vm.apply_snapshot(make_snapshot(1, rows))
+
+
 def send_delta(sender, receiver):
     receiver.apply_delta(sender.delta_since(receiver.exact_version))
 
@@ -37,8 +43,7 @@
     # one: it gets its updates from other VMs, is paused, and then takes
     # upstreams that left for ones whose rows expired in that outage.
     clock, (reader, paused) = make_directories(2)
-    for directory in (reader, paused):
-        directory.apply_snapshot(make_snapshot(1, 'abcd'))
+    start_with('abcd', reader, paused)
     paused.mark_store_unavailable()
     clock.advance(1.0)
     reader.apply_snapshot(make_snapshot(2, 'abcd'))
@@ -52,7 +57,7 @@
     # Guards against upstreams that are kept until the next own query, which
     # a VM that gets its updates from other VMs does not send.
     clock, (reader, other) = make_directories(2)
-    other.apply_snapshot(make_snapshot(1, 'abcd'))
+    start_with('abcd', other)
     other.mark_store_unavailable()
     clock.advance(1.0)
     other.apply_snapshot(make_snapshot(6, 'ab'))
@@ -70,8 +75,7 @@
     # Guards against a version that is adopted without the removals before it:
     # no later update names them.
     clock, (keeping, other, exact) = make_directories(3)
-    for directory in (keeping, other):
-        directory.apply_snapshot(make_snapshot(1, 'abcd'))
+    start_with('abcd', keeping, other)
     keeping.mark_store_unavailable()
     clock.advance(0.1)
     exact.apply_snapshot(make_snapshot(5, 'ab'))
@@ -89,8 +93,8 @@
     # Guards against an upstream that lives and is dropped all the same when
     # the time for rows to come back is over.
     clock, (reader, other) = make_directories(2)
+    start_with('ab', reader, other)
     for directory in (reader, other):
-        directory.apply_snapshot(make_snapshot(1, 'ab'))
         directory.mark_store_unavailable()
     clock.advance(1.0)
     reader.apply_snapshot(make_snapshot(2, ''))
--- a/packages/entry/bulrushcourse_entry/edge/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/peers.py
@@ -14,6 +14,7 @@
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge import report_intervals
 from bulrushcourse_entry.edge import reports
 from bulrushcourse_entry.edge import stream_cursor
 from bulrushcourse_entry.edge import supervision
@@ -179,7 +180,7 @@
         while len(self.state.fleet.alive()) == 1:
             try:
                 await self._introduce(address, '', '')
-                await asyncio.sleep(reports.MIN_REPORT_INTERVAL_S)
+                await asyncio.sleep(report_intervals.MIN_REPORT_INTERVAL_S)
             except (OSError, TimeoutError):
                 # The seed may be down. Other seeds and the rows in the store
                 # lead to the other VMs as well.
@@ -213,8 +214,8 @@
                 await self._send_reports(vm, relation, reader, writer)
             except (OSError, TimeoutError) as error:
                 if connected and isinstance(error, TimeoutError):
-                    self.state.silence_signs.on_next(
-                        process_state.SilenceSign.PEER_STREAM
+                    self.state.silent_connection_hints.on_next(
+                        process_state.SilentConnectionHint.PEER_STREAM
                     )
                 if connected:
                     self.event_log.log_change(
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -33,8 +33,8 @@
 from bulrushcourse_entry.edge import settings as edge_settings
 
 
-class SilenceSign(enum.Enum):
-    """Sign that open connections may have gone silent without a reset."""
+class SilentConnectionHint(enum.Enum):
+    """What suggests that open connections went silent without a reset."""
 
     NEWER_CONFIGURATION = 'newer-configuration'
     STORE_CALL = 'store-call'
@@ -85,8 +85,8 @@
         directory_reads: Stream of the versions of the directory that was read
             last, by this VM or another one.
         removed_vms: Stream of the names of removed VMs.
-        silence_signs: Stream of signs that open connections of this VM may
-            have gone silent.
+        silent_connection_hints: Stream of what suggests that open connections
+            of this VM have gone silent.
     """
 
     settings: edge_settings.EdgeSettings
@@ -137,8 +137,8 @@
     removed_vms: reactivex.Subject[str] = attrs.field(
         factory=reactivex.Subject
     )
-    silence_signs: reactivex.Subject[SilenceSign] = attrs.field(
-        factory=reactivex.Subject
+    silent_connection_hints: reactivex.Subject[SilentConnectionHint] = (
+        attrs.field(factory=reactivex.Subject)
     )
 
     def may_begin(self, deadline: float) -> bool:
--- a/packages/entry/bulrushcourse_entry/edge/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/reports.py
@@ -10,6 +10,7 @@
 from bulrushcourse_entry.edge import directory_forwarding
 from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge import report_intervals
 from bulrushcourse_entry.edge import store_readers
 from bulrushcourse_entry.edge import stream_cursor
 from bulrushcourse_entry.edge import work_summaries
@@ -18,18 +19,6 @@
 
 Relation = fleet_links.Relation
 
-# Gives several reports during the typical service time of a request.
-MIN_REPORT_INTERVAL_S = 0.25
-# In larger regions the interval grows with the fourth root of their size: the
-# reports of a relay then grow with the fourth root as well, and the age of
-# what VMs learn through two relays stays below the time after which a silent
-# VM counts as failed.
-MAX_VMS_AT_MIN_INTERVAL = 16
-MAX_REPORT_INTERVAL_S = 0.6
-# Traffic between regions is expensive, and placement in other regions follows
-# shares that change slowly.
-GATEWAY_INTERVAL_S = 0.5
-SECONDARY_INTERVAL_S = 0.8
 # Time between two lists of all VMs to the same VM. New VMs are passed on one
 # by one; the list is for a VM that missed some.
 VMS_INTERVAL_S = 2.0
@@ -128,7 +117,7 @@
         """
         region = self.state.settings.region
         vm_count = self.state.fleet.region_sizes.get(region, 0) + 1
-        return report_interval_s(vm_count, relation)
+        return report_intervals.report_interval_s(vm_count, relation)
 
     def build(
         self, cursor: stream_cursor.StreamCursor
@@ -269,8 +258,8 @@
         )
         self._apply_facts(report)
         if report.configuration_version > state.routes.version:
-            state.silence_signs.on_next(
-                process_state.SilenceSign.NEWER_CONFIGURATION
+            state.silent_connection_hints.on_next(
+                process_state.SilentConnectionHint.NEWER_CONFIGURATION
             )
             self._apply_configuration(report.configuration)
         store_readers.apply_evacuations(
@@ -328,29 +317,3 @@
             store_readers.apply_configuration(
                 self.state, self.event_log, content
             )
-
-
-def report_interval_s(vm_count: int, relation: Relation) -> float:
-    """Return the time between reports to one VM in seconds.
-
-    Args:
-        vm_count: Number of VMs in the region.
-        relation: What the receiver is to the sender.
-
-    Examples:
-        >>> report_interval_s(4, Relation.RELAY)
-        0.25
-        >>> round(report_interval_s(65, Relation.RELAY), 2)
-        0.35
-    """
-    scaled = MIN_REPORT_INTERVAL_S * (
-        (vm_count / MAX_VMS_AT_MIN_INTERVAL) ** 0.25
-    )
-    interval = min(MAX_REPORT_INTERVAL_S, max(MIN_REPORT_INTERVAL_S, scaled))
-    longest = {
-        Relation.GATEWAY: GATEWAY_INTERVAL_S,
-        Relation.SECONDARY: SECONDARY_INTERVAL_S,
-        Relation.STANDBY: SECONDARY_INTERVAL_S,
-        Relation.INTRODUCED: SECONDARY_INTERVAL_S,
-    }
-    return max(interval, longest.get(relation, interval))
--- a/packages/entry/bulrushcourse_entry/edge/settings.py
+++ b/packages/entry/bulrushcourse_entry/edge/settings.py
@@ -14,7 +14,7 @@
     The defaults apply to bounds that the settings file omits.
 
     Attributes:
-        contact_s: Longest time until a VM whose connections broke or went
+        reconnect_s: Longest time until a VM whose connections broke or went
             silent must meet all other bounds again.
         drain_s: Longest time until a leaving upstream gets no new requests.
         stop_limit_s: Longest time that a graceful shutdown may take.
@@ -29,7 +29,7 @@
             region between two windows of two seconds.
     """
 
-    contact_s: float = 3.0
+    reconnect_s: float = 3.0
     drain_s: float = 2.0
     stop_limit_s: float = 6.0
     answer_max_age_s: float = 5.0
--- a/packages/entry/bulrushcourse_entry/edge/store_readers.py
+++ b/packages/entry/bulrushcourse_entry/edge/store_readers.py
@@ -82,8 +82,8 @@
     poll_limit: asyncio.Timeout | None = None
 
     def __attrs_post_init__(self) -> None:
-        """Subscribe to signs that the call in progress gets no answer."""
-        self.state.silence_signs.subscribe(self._suspect)
+        """Subscribe to what suggests that a call gets no answer."""
+        self.state.silent_connection_hints.subscribe(self._suspect)
 
     async def run(self) -> None:
         """Follow changes until cancelled."""
@@ -117,7 +117,7 @@
         """Wait for changes and apply them; return the version after them."""
         self.poll = feed_poll.FeedPoll(
             self.state.clock.monotonic(),
-            self.state.settings.bounds.contact_s,
+            self.state.settings.bounds.reconnect_s,
             self.state.is_designated_reader,
         )
         try:
@@ -134,7 +134,7 @@
         self._apply(batch)
         return max(after, batch.version)
 
-    def _suspect(self, sign: process_state.SilenceSign) -> None:
+    def _suspect(self, hint: process_state.SilentConnectionHint) -> None:
         """Bring the end of the call in progress forward."""
         if self.poll_limit is None or self.poll_limit.when() is not None:
             return
@@ -143,7 +143,7 @@
         self.poll_limit.reschedule(asyncio.get_running_loop().time() + delay_s)
         self.event_log.log_change(
             events.Event.STORE_POLL_SUSPECTED,
-            sign=sign.value,
+            hint=hint.value,
             age_ms=round((now - self.poll.started) * 1000),
         )
 
@@ -293,8 +293,8 @@
             batch = await self.store.read(upstream_rows.TABLE)
         except rows.StoreUnavailable as error:
             if isinstance(error, rows.StoreSilent):
-                self.state.silence_signs.on_next(
-                    process_state.SilenceSign.STORE_CALL
+                self.state.silent_connection_hints.on_next(
+                    process_state.SilentConnectionHint.STORE_CALL
                 )
             self.state.upstreams.mark_store_unavailable()
             self.reachability.record_call(False, str(error))
--- a/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/tests/test_reports.py
@@ -13,6 +13,7 @@
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import event_log as event_logs
 from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge import report_intervals
 from bulrushcourse_entry.edge import reports
 from bulrushcourse_entry.edge import settings as edge_settings
 
@@ -165,4 +166,4 @@
         vm = fleet.Vm(f'vm-{number}', 1, '', '', region, 'd')
         reporting.state.fleet.add_vm(vm)
     assert reporting.interval_s(Relation.RELAY) < 0.45
-    assert reports.report_interval_s(215, Relation.RELAY) <= 0.5
+    assert report_intervals.report_interval_s(215, Relation.RELAY) <= 0.5
--- a/packages/entry/bulrushcourse_entry/platform/settings_file.py
+++ b/packages/entry/bulrushcourse_entry/platform/settings_file.py
@@ -19,7 +19,7 @@
 # Fields of the bounds table: the platform's name, this project's name and the
 # conversion.
 _BOUNDS: typing.Mapping[str, tuple[str, typing.Callable]] = {
-    'contact': ('contact_s', units.duration_s),
+    'contact': ('reconnect_s', units.duration_s),
     'drain': ('drain_s', units.duration_s),
     'grace': ('stop_limit_s', units.duration_s),
     'ttl_max': ('answer_max_age_s', units.duration_s),
--- a/packages/testkit/bulrushcourse_testkit/platform/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak.py
@@ -1,7 +1,7 @@
 """Inject random faults into real edge processes and check the guarantees.
 
 Run ``python -m bulrushcourse_testkit.platform.soak FIRST COUNT [JOBS]
-[REPERTOIRE]``; see ``soak_faults.REPERTOIRES`` for the last one. Each
+[FAULT_SET]``; see ``soak_faults.FAULT_SETS`` for the last one. Each
 seed starts edge processes behind loopback proxies, injects overlapping faults,
 and then checks that the fleet recovers within the required time.
 """
@@ -44,7 +44,7 @@
         seed: Seed of all random choices.
         rng: Source of randomness.
         cluster: Store, upstreams and settings.
-        repertoire: Faults to choose from.
+        fault_set: Faults to choose from.
         vms: VMs with their edge processes.
         replies: Path and reply of each request.
         findings: Descriptions of violated guarantees.
@@ -58,7 +58,7 @@
     seed: int
     rng: random.Random
     cluster: clusters.EdgeCluster
-    repertoire: soak_faults.Repertoire
+    fault_set: soak_faults.FaultSet
     vms: list[soak_vms.SoakVm] = attrs.field(factory=list)
     replies: list[tuple[str, clusters.Reply]] = attrs.field(factory=list)
     findings: list[str] = attrs.field(factory=list)
@@ -75,7 +75,7 @@
             self.vms,
             self._publish_version,
             self.started,
-            self.repertoire,
+            self.fault_set,
         )
 
     async def _publish_version(self) -> None:
@@ -227,27 +227,27 @@
 
 
 async def run_seed(
-    seed: int, folder: pathlib.Path, repertoire: int = soak_faults.LATEST
+    seed: int, folder: pathlib.Path, fault_set: int = soak_faults.LATEST
 ) -> Soak:
     """Run the soak with one seed and return it.
 
     Args:
         seed: Seed of all random choices.
         folder: Directory of the settings and log files.
-        repertoire: Number of the faults to choose from.
+        fault_set: Number of the faults to choose from.
     """
     soak = Soak(
         seed,
         random.Random(seed),
         clusters.EdgeCluster(FAILURE_DOMAINS),
-        soak_faults.REPERTOIRES[repertoire],
+        soak_faults.FAULT_SETS[fault_set],
     )
     await soak.run(folder)
     return soak
 
 
 async def _run_seeds(
-    seeds: typing.Iterable[int], jobs: int, repertoire: int
+    seeds: typing.Iterable[int], jobs: int, fault_set: int
 ) -> int:
     limit = asyncio.Semaphore(jobs)
     failed_seeds = 0
@@ -256,7 +256,7 @@
         nonlocal failed_seeds
         async with limit:
             folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-            soak = await run_seed(seed, folder, repertoire)
+            soak = await run_seed(seed, folder, fault_set)
         served = sum(r.status == 200 for _, r in soak.replies)
         print(
             f'seed {seed}: {len(soak.replies)} requests, {served} served,'
@@ -281,9 +281,9 @@
 def main() -> int:
     """Run the seeds of the command line; return 1 if there are findings."""
     first, count, *options = map(int, sys.argv[1:])
-    jobs, repertoire, *_ = (*options, *(1, soak_faults.LATEST)[len(options) :])
+    jobs, fault_set, *_ = (*options, *(1, soak_faults.LATEST)[len(options) :])
     seeds = range(first, first + count)
-    failed_seeds = asyncio.run(_run_seeds(seeds, jobs, repertoire))
+    failed_seeds = asyncio.run(_run_seeds(seeds, jobs, fault_set))
     print(f'{count} seeds, {failed_seeds} with findings')
     return 1 if failed_seeds else 0
 
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
@@ -25,7 +25,7 @@
 
 
 @attrs.frozen
-class Repertoire:
+class FaultSet:
     """Faults that a seed chooses from; a change of it changes every run.
 
     Attributes:
@@ -56,16 +56,16 @@
     '_publish',
     '_send_sighup',
 )
-# By number. Seeds that ever failed are played with the repertoire that they
-# failed with.
-REPERTOIRES: typing.Mapping[int, Repertoire] = {
-    1: Repertoire(
+# By number. Seeds that ever failed are played with the set that they failed
+# with.
+FAULT_SETS: typing.Mapping[int, FaultSet] = {
+    1: FaultSet(
         tuple(fault for fault in Fault if fault not in _NEW_IN_SECOND),
         _FIRST_ACTIONS,
     ),
-    2: Repertoire(tuple(Fault), (*_FIRST_ACTIONS, '_silence')),
+    2: FaultSet(tuple(Fault), (*_FIRST_ACTIONS, '_silence')),
 }
-LATEST = max(REPERTOIRES)
+LATEST = max(FAULT_SETS)
 
 
 @attrs.define(eq=False)
@@ -78,7 +78,7 @@
         vms: VMs with their edge processes.
         publish_version: Writes a new configuration to the store.
         started: Monotonic time at which the run started, in seconds.
-        repertoire: What it chooses from.
+        fault_set: What it chooses from.
         injected: Injected faults, each with its time in the run.
     """
 
@@ -87,7 +87,7 @@
     vms: list[soak_vms.SoakVm]
     publish_version: typing.Callable[[], typing.Awaitable[None]]
     started: float
-    repertoire: Repertoire = REPERTOIRES[LATEST]
+    fault_set: FaultSet = FAULT_SETS[LATEST]
     injected: list[str] = attrs.field(factory=list)
 
     async def inject(self) -> None:
@@ -95,7 +95,7 @@
         end = time.monotonic() + INJECTION_S
         pending: set[asyncio.Task[None]] = set()
         while time.monotonic() < end:
-            action = getattr(self, self.rng.choice(self.repertoire.actions))
+            action = getattr(self, self.rng.choice(self.fault_set.actions))
             at = time.monotonic() - self.started
             self.injected.append(f'{at:.2f} {action.__name__.strip("_")}')
             task = asyncio.create_task(action())
@@ -142,7 +142,7 @@
     async def _upstream_fault(self) -> None:
         upstreams = list(self.cluster.upstreams.values())
         faulty = self.rng.sample(upstreams, self.rng.randint(1, 4))
-        fault = self.rng.choice(self.repertoire.upstream_faults)
+        fault = self.rng.choice(self.fault_set.upstream_faults)
         for upstream in faulty:
             upstream.fault = fault
         await asyncio.sleep(self.rng.uniform(0.5, 2.5))
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
@@ -10,7 +10,7 @@
 
 # Guards against violated guarantees while faults overlap. With seeds 231 and
 # 243, a frequent request was refused as crash-inducing. The earlier seeds are
-# played with the repertoire that they failed with.
+# played with the fault set that they failed with.
 @pytest.mark.parametrize('seed', [2, 4, 231, 243])
 def test_guarantees_hold_under_random_faults(seed, tmp_path):
     check_seed(seed, tmp_path, 1)
@@ -23,19 +23,19 @@
     check_seed(seed, tmp_path, 2)
 
 
-def test_repertoires_of_earlier_seeds_stay_as_they_are():
+def test_fault_sets_of_earlier_seeds_stay_as_they_are():
     # Guards against a new fault that changes what a seed does which failed
     # once: a choice among more faults gives other runs.
-    repertoires = soak_faults.REPERTOIRES
+    fault_sets = soak_faults.FAULT_SETS
     assert {
         number: (len(entry.upstream_faults), len(entry.actions))
-        for number, entry in repertoires.items()
+        for number, entry in fault_sets.items()
     } == {1: (18, 10), 2: (21, 11)}
-    assert repertoires[1].upstream_faults[-1] is soak_faults.Fault.ENDLESS_IDLE
+    assert fault_sets[1].upstream_faults[-1] is soak_faults.Fault.ENDLESS_IDLE
 
 
-def check_seed(seed, folder, repertoire):
-    run = soak.run_seed(seed, folder, repertoire)
+def check_seed(seed, folder, fault_set):
+    run = soak.run_seed(seed, folder, fault_set)
     result = asyncio.run(asyncio.wait_for(run, 120))
     assert not result.findings, (result.findings, result.injector.injected)
     assert len(result.replies) > 100
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -1,7 +1,6 @@
 """Stand-in of an upstream of the users' platform."""
 
 import asyncio
-import enum
 import math
 import socket
 import struct
@@ -12,79 +11,9 @@
 import attrs
 
 from bulrushcourse_testkit.platform import endless
+from bulrushcourse_testkit.platform import upstream_faults
 
-
-class Fault(enum.Enum):
-    """Fault that an upstream simulates.
-
-    Attributes:
-        NONE: No fault.
-        EXTRA_ANSWER: A stray response follows each response.
-        UNFRAMED: A response has no length and ends with its connection.
-        UNFRAMED_RESET: Like ``UNFRAMED``, but truncated by a reset.
-        CUT: The connection closes before the end of the response.
-        LOSE_ANSWER: The connection is aborted after the request ran.
-        SHED: Requests get status 503 with the not-run header.
-        ERROR: Responses have status 500.
-        SILENT: Requests get no response.
-        LATE_COPY: Each response on a reused connection follows a second copy
-            of the response before it.
-        REFUSAL_COPY: The first request on a connection is shed; each later
-            one runs, and its response follows a copy of that refusal.
-        NAMELESS_REFUSAL_COPY: The same, and refusals name no request.
-        HEAD_CUT: The connection closes before the end of the response's head.
-        ENDLESS_HEAD: Responses never end, like in the other faults with this
-            prefix; see ``endless`` for each.
-        ENDLESS_IDLE: Bytes without end follow each response.
-    """
-
-    NONE = 'none'
-    EXTRA_ANSWER = 'extra-answer'
-    UNFRAMED = 'unframed'
-    UNFRAMED_RESET = 'unframed-reset'
-    CUT = 'cut'
-    LOSE_ANSWER = 'lose-answer'
-    SHED = 'shed'
-    ERROR = 'error'
-    SILENT = 'silent'
-    LATE_COPY = 'late-copy'
-    REFUSAL_COPY = 'refusal-copy'
-    NAMELESS_REFUSAL_COPY = 'nameless-refusal-copy'
-    HEAD_CUT = 'head-cut'
-    ENDLESS_HEAD = 'endless-head'
-    ENDLESS_FIELDS = 'endless-fields'
-    ENDLESS_BODY = 'endless-body'
-    ENDLESS_CHUNKS = 'endless-chunks'
-    ENDLESS_EXTENSIONS = 'endless-extensions'
-    ENDLESS_TRAILERS = 'endless-trailers'
-    ENDLESS_INTERIM = 'endless-interim'
-    ENDLESS_IDLE = 'endless-idle'
-
-
-# What is sent of a response before its connection closes.
-_PARTS: typing.Mapping[Fault, typing.Callable[[bytes], bytes]] = {
-    Fault.CUT: lambda response: response[:-3],
-    Fault.HEAD_CUT: lambda response: response[
-        : response.index(b'\r\n\r\n') - 1
-    ],
-}
-# Faults with a copy of an earlier response before a response.
-_COPYING = (
-    Fault.LATE_COPY,
-    Fault.REFUSAL_COPY,
-    Fault.NAMELESS_REFUSAL_COPY,
-)
-_ENDLESS: typing.Mapping[
-    Fault, typing.Callable[[bytes], typing.Iterator[bytes]]
-] = {
-    Fault.ENDLESS_HEAD: endless.head,
-    Fault.ENDLESS_FIELDS: endless.fields,
-    Fault.ENDLESS_BODY: endless.body,
-    Fault.ENDLESS_CHUNKS: endless.chunks,
-    Fault.ENDLESS_EXTENSIONS: endless.extensions,
-    Fault.ENDLESS_TRAILERS: endless.trailers,
-    Fault.ENDLESS_INTERIM: endless.interim,
-}
+Fault = upstream_faults.Fault
 
 
 @attrs.frozen
@@ -246,7 +175,9 @@
         if not await self._simulate_work(reader):
             return False
         content = f'{self.name}:{request_id}'.encode()
-        if self.fault in _COPYING and self._last_response(writer):
+        if self.fault in upstream_faults.COPYING and self._last_response(
+            writer
+        ):
             writer.write(self._last_response(writer))
             await writer.drain()
         return await self._send_response(writer, request_id, content)
@@ -289,8 +220,8 @@
         response = _format_response(
             200, request_id, content, signature, load, *self.extra_headers
         )
-        if self.fault in _ENDLESS:
-            stream = _ENDLESS[self.fault](request_id.encode())
+        if self.fault in upstream_faults.ENDLESS:
+            stream = upstream_faults.ENDLESS[self.fault](request_id.encode())
             await self._send_without_end(writer, stream)
             return False
         if self.fault not in (Fault.REFUSAL_COPY, Fault.NAMELESS_REFUSAL_COPY):
@@ -300,8 +231,8 @@
             return False
         if self.fault is Fault.ERROR:
             response = _format_response(500, request_id, b'error', signature)
-        if self.fault in _PARTS:
-            writer.write(_PARTS[self.fault](response))
+        if self.fault in upstream_faults.PARTS:
+            writer.write(upstream_faults.PARTS[self.fault](response))
             return False
         if self.fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
             head, _, rest = response.partition(b'\r\n\r\n')
