Log the row and the answer behind each attempt

A request at the wrong upstream could not be explained from the log: the line named the upstream, not the start of its process, its row or the row's age, nor who answered a 421. Each attempt is now logged with them and with the kind of its connection; a 421 is event 6009 with the name of the upstream that answered. Heads that are refused unread are logged with their request id and line, and error statuses that must not be retried are counted by status and reason. The age of the active configuration is in each line.

--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -14,6 +14,7 @@
 from bulrushcourse_entry.edge.accounts import token_exchange
 from bulrushcourse_entry.edge.accounts import token_granter
 from bulrushcourse_entry.edge.accounts import token_streams
+from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import attempts
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import handlers as request_handlers
@@ -144,6 +145,12 @@
     client: upstream_client.UpstreamClient,
     gate: account_gate.AccountGate,
 ) -> request_handlers.Handlers:
+    def on_misdirected(record: attempt_records.AttemptRecord) -> None:
+        metrics.record_misdirected()
+        event_log.log_change(
+            events.Event.UPSTREAM_MISDIRECTED, **record.fields()
+        )
+
     executor = request_executor.RequestExecutor(
         state,
         attempts.AttemptRunner(
@@ -152,6 +159,7 @@
             lambda name: event_log.log_change(
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
+            on_misdirected,
         ),
         waiting_admission.WaitingRoomAdmission(
             state,
--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -8,8 +8,10 @@
 from bulrushcourse_domain.placement import placement
 from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import caller_request
 from bulrushcourse_entry.edge.callers import outcomes
+from bulrushcourse_entry.edge.upstreams import connection_tracing
 from bulrushcourse_entry.edge.upstreams import upstream_client
 from bulrushcourse_entry.platform import headers as platform_headers
 
@@ -25,11 +27,13 @@
         state: The process state.
         client: Client of the upstreams.
         on_ejected: Called with the name of an ejected upstream.
+        on_misdirected: Called with an attempt that another upstream answered.
     """
 
     state: process_state.ProcessState
     client: upstream_client.UpstreamClient
     on_ejected: typing.Callable[[str], None]
+    on_misdirected: typing.Callable[[attempt_records.AttemptRecord], None]
 
     async def run(
         self,
@@ -58,9 +62,13 @@
                 started, state.placement.sharing_vm_count
             )
         outbound = self._outbound(request, upstream.name, remaining_s)
+        record = attempt_records.begin(
+            state, connection_tracing.AttemptTrace(upstream)
+        )
+        request.records.append(record)
         attempt = None
         try:
-            attempt = await self.client.send(upstream, outbound)
+            attempt = await self.client.send(record.trace, outbound)
         finally:
             state.load.end_request(upstream.name)
             elapsed_s = state.clock.monotonic() - started
@@ -68,10 +76,22 @@
             state.room_changes.on_next(None)
             if attempt is None:
                 state.outliers.abandon_request(upstream.name)
+        self._record_outcome(record, attempt)
         self._record_evidence(request, choice, attempt, started)
         self._record_attempt(request, choice, attempt, elapsed_s)
         return attempt
 
+    def _record_outcome(
+        self, record: attempt_records.AttemptRecord, attempt: Attempt
+    ) -> None:
+        if isinstance(attempt, result.Success):
+            record.outcome = str(attempt.unwrap().status)
+            return
+        failure = attempt.failure()
+        record.outcome = failure.value
+        if failure is Failure.MISDIRECTED:
+            self.on_misdirected(record)
+
     def _outbound(
         self,
         request: caller_request.CallerRequest,
--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -331,7 +331,7 @@
         size = len(self.held) if end < 0 else end + len(END_OF_HEAD)
         self.guard.table.begin_head(self.entry)
         if self.before_head + size > self.guard.head_limit:
-            self._refuse(431, 'head-too-large')
+            self._refuse(431, 'head-too-large', self.held)
             return False
         if end < 0:
             self.searched = size
@@ -347,7 +347,7 @@
         self.heads.append(parsed)
         self.is_safe = pipelining.may_precede_response(head)
         self._feed(head)
-        return self._begin_request()
+        return self._begin_request(head)
 
     def _pass_next_head(self) -> bool:
         """Pass on a safe request that waits for a response before it.
@@ -385,14 +385,14 @@
             self._messages[-1][0], http.RawRequestMessage
         ):
             # The parser has refused the head; nothing behind it is read.
-            self.guard.record('malformed', self.entry.stage)
+            self.guard.record('malformed', self.entry.stage, head)
             self.awaiting = Awaiting.NOTHING
             self.held = b''
             return False
         self.begin_waiting()
         return True
 
-    def _begin_request(self) -> bool:
+    def _begin_request(self, head: bytes) -> bool:
         if not self._messages:
             # The parser expects more of the head.
             self.searched = 0
@@ -401,7 +401,7 @@
         message, self.payload = self._messages[-1]
         if not isinstance(message, http.RawRequestMessage):
             # The parser has refused the head, with 400.
-            self.guard.record('malformed', self.entry.stage)
+            self.guard.record('malformed', self.entry.stage, head)
             self.awaiting = Awaiting.NOTHING
             self.held = b''
             return False
@@ -533,8 +533,8 @@
         self.held = b''
         return False
 
-    def _refuse(self, status: int, reason: str) -> None:
-        self.guard.record(reason, self.entry.stage)
+    def _refuse(self, status: int, reason: str, head: bytes = b'') -> None:
+        self.guard.record(reason, self.entry.stage, head)
         self.refuse(status, reason)
 
     def _refuse_body(self, reason: str) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
@@ -9,6 +9,7 @@
 from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.quotas import token_stock
 from bulrushcourse_domain.routes import route as routes
+from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import body_content
 
 
@@ -39,6 +40,7 @@
             again.
         may_have_run: Whether one of them may have run it.
         steps: Descriptions of the attempts, for the log.
+        records: Rows behind the attempts, for the log.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     met_stale: bool = False
     may_have_run: bool = False
     steps: list[str] = attrs.field(factory=list)
+    records: list[attempt_records.AttemptRecord] = attrs.field(factory=list)
 
     @property
     def priority(self) -> int:
--- a/packages/entry/bulrushcourse_entry/edge/callers/connection_guard.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/connection_guard.py
@@ -10,6 +10,7 @@
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
 from bulrushcourse_entry.edge.reporting import metrics as edge_metrics
+from bulrushcourse_entry.platform import headers as platform_headers
 
 # Bytes that are received at once, outside a body that is being read.
 READ_BYTES = 16 << 10
@@ -19,6 +20,8 @@
 REQUEST_LINE_BYTES = 8 << 10
 # Delay after which a client that was refused for lack of memory may return.
 RETRY_AFTER_S = 1.0
+# Longer request lines are cut off in logs.
+MAX_LOGGED_LINE = 120
 HEAD_STAGES = tuple(connections.HEAD_STAGES.values())
 
 
@@ -116,18 +119,25 @@
         self.remove(connection)
         connection.handle.abort()
 
-    def record(self, reason: str, stage: connections.Stage) -> None:
+    def record(
+        self, reason: str, stage: connections.Stage, head: bytes = b''
+    ) -> None:
         """Log and count that a client was outside the limits.
 
         Args:
             reason: Reason.
             stage: What its connection was doing.
+            head: Head that was refused, empty if none is known.
         """
         self.metrics.record_closed_connection(reason)
         self.event_log.log_client_outside_limits(
             reason=reason,
             stage=stage.value,
             connections=len(self.table),
+            id=platform_headers.find_request_id(head),
+            line=head[:MAX_LOGGED_LINE]
+            .partition(b'\r\n')[0]
+            .decode('latin-1'),
         )
 
     def record_error(self, error: BaseException) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -130,7 +130,13 @@
             return self.responder.refuse(caller.request_id, NO_CONFIGURATION)
         route = self._match(request)
         if route is None:
-            return self.responder.reject(404, 'no-route', caller.request_id)
+            return self.responder.reject(
+                404,
+                'no-route',
+                caller.request_id,
+                request.headers.get('Host', ''),
+                request.raw_path,
+            )
         identity = self.state.routes.accounts.identify(
             caller.key, route.public
         )
--- a/packages/entry/bulrushcourse_entry/edge/callers/responses.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/responses.py
@@ -13,6 +13,8 @@
 
 REFUSED_STATUS = 503
 OVER_QUOTA_STATUS = 429
+# Longer hosts and targets are cut off in logs.
+MAX_LOGGED_LENGTH = 120
 
 
 @attrs.frozen
@@ -73,9 +75,19 @@
             outcome='refused',
             reason=refusal.reason,
             configuration=self.state.routes.version,
+            configuration_age_ms=self._configuration_age_ms(),
         )
         return Served(self._encode_refusal(refusal))
 
+    def _configuration_age_ms(self) -> int | None:
+        """Return for how long the active configuration has been active."""
+        state = self.state
+        if not state.routes.version:
+            return None
+        return round(
+            (state.clock.monotonic() - state.configuration_since) * 1000
+        )
+
     def _encode_refusal(self, refusal: outcomes.Refusal) -> web.Response:
         self.metrics.record_refusal(refusal.reason)
         return web.Response(
@@ -83,21 +95,34 @@
             headers=platform_headers.encode_retry_after(refusal.retry_after_s),
         )
 
-    def reject(self, status: int, reason: str, request_id: str) -> Served:
+    def reject(
+        self,
+        status: int,
+        reason: str,
+        request_id: str,
+        host: str = '',
+        target: str = '',
+    ) -> Served:
         """Return an error status for a request that is not executed.
 
         Args:
             status: HTTP status.
             reason: Why the request is rejected.
             request_id: Its identifier.
+            host: Host that it names.
+            target: Path and query, for the log.
         """
+        self.metrics.record_rejection(status, reason)
         self.event_log.log_request_outcome(
             False,
             id=request_id,
             outcome='rejected',
             reason=reason,
             status=status,
+            host=host[:MAX_LOGGED_LENGTH],
+            target=target[:MAX_LOGGED_LENGTH],
             configuration=self.state.routes.version,
+            configuration_age_ms=self._configuration_age_ms(),
         )
         return Served(web.Response(status=status))
 
@@ -129,7 +154,9 @@
             region=parsed.region,
             object=parsed.object_key,
             steps=parsed.steps,
+            attempts=[record.fields() for record in parsed.records],
             configuration=parsed.configuration_version,
+            configuration_age_ms=self._configuration_age_ms(),
             upstreams_version=state.upstreams.version,
             upstreams_age_ms=round(
                 (state.clock.monotonic() - state.upstreams.read_at) * 1000
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -88,6 +88,8 @@
         waiting_room: Requests that wait for room at upstreams.
         packed_configuration: Compressed content of the active configuration,
             as it is sent to other VMs.
+        configuration_since: Time when this VM activated its configuration,
+            monotonic seconds.
         operators_version: Store version of the evacuations.
         region_mixes: Shares of the regions, by route, service and home
             regions.
@@ -147,6 +149,7 @@
     lag: lags.LagMonitor = attrs.field(factory=lags.LagMonitor)
     planned_stop: planned_stops.PlannedStop | None = None
     packed_configuration: bytes = b''
+    configuration_since: float = float('-inf')
     operators_version: int = 0
     region_mixes: dict[
         tuple[str, str, frozenset[str]], region_mix.RegionMix
--- a/packages/entry/bulrushcourse_entry/edge/reporting/metrics.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/metrics.py
@@ -22,6 +22,9 @@
         requests: Finished requests by service and outcome.
         latency: Time from arrival to response by service.
         refusals: Refused requests by reason.
+        rejections: Requests with an error status of this VM that must not be
+            retried, by status and reason.
+        misdirected: Attempts that another upstream answered.
         closed_connections: Connections of clients that were closed or refused
             for being outside the limits, by reason.
         waits: Requests that found no room at once, by what became of them.
@@ -51,6 +54,17 @@
             ('reason',),
             registry=self.registry,
         )
+        self.rejections = prometheus_client.Counter(
+            'bulrushcourse_rejections',
+            'Requests with an error status that must not be retried',
+            ('status', 'reason'),
+            registry=self.registry,
+        )
+        self.misdirected = prometheus_client.Counter(
+            'bulrushcourse_misdirected',
+            'Attempts at an address that another upstream uses',
+            registry=self.registry,
+        )
         self.quota_requests = prometheus_client.Counter(
             'bulrushcourse_quota_requests',
             'Requests of client accounts with a quota',
@@ -103,6 +117,19 @@
         """
         self.refusals.labels(reason).inc()
 
+    def record_rejection(self, status: int, reason: str) -> None:
+        """Count a request with an error status that must not be retried.
+
+        Args:
+            status: HTTP status.
+            reason: Why the request is rejected.
+        """
+        self.rejections.labels(str(status), reason).inc()
+
+    def record_misdirected(self) -> None:
+        """Count an attempt that another upstream answered."""
+        self.misdirected.inc()
+
     def record_closed_connection(self, reason: str) -> None:
         """Count a connection that was closed for being outside the limits.
 
--- a/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
@@ -203,6 +203,7 @@
         )
         return
     if state.routes.install(route_set):
+        state.configuration_since = state.clock.monotonic()
         state.discard_removed_routes()
         state.packed_configuration = packing.pack_content(value)
         event_log.log_change(
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
@@ -21,6 +21,8 @@
         connect_started_at: When a new connection was begun, monotonic
             seconds.
         connection: The connection, ``None`` before there is one.
+        answered_by: Name that the response states for its upstream, empty if
+            none.
     """
 
     upstream: upstreams.Upstream
@@ -28,6 +30,7 @@
     wrote: bool = False
     connect_started_at: float = 0.0
     connection: sessions.BoundedResponseHandler | None = None
+    answered_by: str = ''
 
     @property
     def answer_bytes(self) -> int:
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -95,18 +95,20 @@
     on_banned: typing.Callable[[upstreams.Upstream, float], None]
 
     async def send(
-        self, upstream: upstreams.Upstream, outbound: OutboundRequest
+        self,
+        trace: connection_tracing.AttemptTrace,
+        outbound: OutboundRequest,
     ) -> result.Result[Answer, Failure]:
         """Send a request and return the complete response or the failure.
 
         Args:
-            upstream: Upstream to send it to.
+            trace: The attempt, with the upstream to send it to.
             outbound: The request.
         """
         response = None
+        upstream = trace.upstream
         memory = bodies.ResponseMemory(self.memory)
         state = self.state
-        trace = connection_tracing.AttemptTrace(upstream)
         may_reuse = state.idle_connections.may_reuse(
             upstream.name, outbound.may_reuse
         )
@@ -169,6 +171,7 @@
     ) -> result.Result[Answer, Failure]:
         upstream = trace.upstream
         headers = answer.headers
+        trace.answered_by = platform_headers.decode_answerer(headers)
         load = platform_headers.decode_load(headers)
         if load is not None:
             self.state.load.record_load_report(upstream.name, load)
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -88,6 +88,11 @@
         'request is refused because upstreams were lost while running it',
     )
     REQUEST_RELEASED = (6008, 'info', 'request is no longer refused')
+    UPSTREAM_MISDIRECTED = (
+        6009,
+        'warning',
+        'address of an upstream is used by another one',
+    )
     POOL_TAKEN = (6101, 'info', 'entry owns a pool')
     POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
     LEDGER_REFUSED = (7001, 'error', 'stored shares of a limit are invalid')
--- a/packages/entry/bulrushcourse_entry/platform/headers.py
+++ b/packages/entry/bulrushcourse_entry/platform/headers.py
@@ -20,6 +20,7 @@
 LEAVING = 'Server-Leaving'
 API_KEY = 'Api-Key'
 ACCOUNT = 'X-Tenant'
+INSTANCE_ID = 'X-Instance-Id'
 
 UNAVAILABLE = 503
 
@@ -29,6 +30,8 @@
 MAX_LOAD_VALUE = 1_000_000
 # Longer numbers are refused unread.
 MAX_NUMBER_LENGTH = 32
+# Longer identifiers are cut off in logs.
+MAX_LOGGED_ID = 64
 
 # Sent by an upstream that now has the address of the expected one; it did not
 # run the request.
@@ -202,6 +205,34 @@
     return _seconds(headers.get(WARMUP_MS))
 
 
+def decode_answerer(headers: typing.Mapping[str, str]) -> str:
+    """Return the name that an upstream states for itself, empty if none.
+
+    Args:
+        headers: Headers of a response.
+    """
+    return headers.get(INSTANCE_ID, '').strip()
+
+
+def find_request_id(head: bytes) -> str:
+    r"""Return the request id in a head that was not parsed, empty if none.
+
+    Args:
+        head: Received bytes of the head.
+
+    Examples:
+        >>> find_request_id(b'FOO / HTTP/1.1\r\nx-request-id: r7\r\n')
+        'r7'
+    """
+    _, found, rest = head.lower().partition(
+        f'\r\n{REQUEST_ID.lower()}:'.encode()
+    )
+    if not found:
+        return ''
+    value = head[len(head) - len(rest) :].partition(b'\r\n')[0]
+    return value.strip().decode('latin-1')[:MAX_LOGGED_ID]
+
+
 def states_leaving(headers: typing.Mapping[str, str]) -> bool:
     """Return whether an upstream says that it is leaving.
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_operating.py
@@ -11,6 +11,7 @@
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
 from bulrushcourse_testkit import ports
 from bulrushcourse_testkit.platform import cluster as clusters
+from bulrushcourse_testkit.platform import raw_client
 from bulrushcourse_testkit.platform import upstream as upstream_standin
 
 Fault = upstream_standin.Fault
@@ -70,20 +71,73 @@
             await cluster.start()
             return await cluster.send(path, body=b'tabs')
 
+    reply, lines = run_with_log(scenario())
+    found = [line for line in lines if line.get('id') == reply.request_id]
+    assert [line['outcome'] for line in found] == [outcome]
+    assert found[0]['reason'] == reason
+    assert found[0]['configuration'] == 1
+
+
+def test_log_line_names_the_row_and_the_upstream_that_answered():
+    # Guards against requests at the wrong upstream that the log can't
+    # explain: by which row and connection they got there, and who answered.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure()
+            holder = await cluster.add_upstream('holder', service='orders')
+            gone = upstream_standin.UpstreamStandIn(
+                'gone', address=holder.address, incarnation=7
+            )
+            cluster.write_upstream(gone)
+            await cluster.start()
+            return await cluster.send('/browse/x')
+
+    reply, lines = run_with_log(scenario())
+    (line,) = [x for x in lines if x.get('id') == reply.request_id]
+    attempt = line['attempts'][0]
+    assert attempt['upstream'] == 'gone'
+    assert attempt['born'] == 7
+    assert attempt['row'] == 3
+    assert attempt['rows_version'] >= 3
+    assert attempt['rows_age_ms'] >= 0
+    assert attempt['kept_connection'] is False
+    assert attempt['answered_by'] == 'holder'
+    assert attempt['outcome'] == 'misdirected'
+    assert line['configuration_age_ms'] >= 0
+    (event,) = [x for x in lines if x['event'] == 6009]
+    assert event['answered_by'] == 'holder'
+
+
+def test_refused_head_is_logged_with_its_request_id():
+    # Guards against requests that are refused unread and that no line of the
+    # log belongs to.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            return await raw_client.exchange(
+                cluster.vms[0].listen['front'],
+                b'GET /browse/ HTTP/1.1\r\n',
+                b'X-Request-Id: r-9\r\nbad line\r\n\r\n',
+            )
+
+    response, lines = run_with_log(scenario())
+    assert response.status == 400
+    (line,) = [x for x in lines if x.get('id') == 'r-9']
+    assert line['reason'] == 'malformed'
+    assert line['line'] == 'GET /browse/ HTTP/1.1'
+
+
+def run_with_log(scenario):
+    """Return the result of a scenario and the log lines written meanwhile."""
     stream = io.StringIO()
     writer = event_logs.LineWriter(stream)
-    replies = []
+    results = []
     with writer:
-        asyncio.run(asyncio.wait_for(append_result(scenario(), replies), 30))
+        asyncio.run(asyncio.wait_for(append_result(scenario, results), 30))
     writer.close()
-    found = [
-        json.loads(line)
-        for line in stream.getvalue().splitlines()
-        if f'"id": "{replies[0].request_id}"' in line
-    ]
-    assert [line['outcome'] for line in found] == [outcome]
-    assert found[0]['reason'] == reason
-    assert found[0]['configuration'] == 1
+    return results[0], [json.loads(x) for x in stream.getvalue().splitlines()]
 
 
 def test_logs_state_the_cause_of_a_late_request_in_a_store_outage(tmp_path):
