Send requests with homes only where the address is proven

Callers with home regions got 503, and their requests, heads and bodies alike, reached an upstream in another region: the address of an upstream that had ended had passed on while its row was still known, after a restart of the VM, or in an outage of the store. The expected upstream in the headers prevents a run (421), not that the request is sent, and neither the 421, a refused connection nor a newer row with the address taught anything.

A row states an address and an identity, which have different lifetimes; nobody owned their relation, and kept connections belonged to an address. AddressBindings now knows until when an upstream is proven to have its address: a response that identifies it proves it from the time of the request until the address may be used again. Kept connections have an owner. Requests that must not reach another region are sent only on a connection that leads to the expected process; without a proof one shared health request asks for one. An upstream that proves nothing costs no attempt. After a 421 other requests avoid the address as well, for at most a second at a time, so that one wrong row takes no sound upstream away.

--- a/packages/ctl/bulrushcourse_ctl/explaining.py
+++ b/packages/ctl/bulrushcourse_ctl/explaining.py
@@ -89,6 +89,12 @@
             )
         ],
     )
+    for destination in answer['destinations']:
+        if destination.get('withheld'):
+            print(
+                f'no proof of the address in {destination["region"] or "any"}'
+                f' region: {", ".join(destination["withheld"])}'
+            )
 
 
 _NO_CANDIDATE: typing.Mapping[str, typing.Any] = {
--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -187,6 +187,9 @@
         allowed_each = connections.allowed_connections(
             service.max_connections, self.sharing_vm_count
         )
+        excluded = request.tried | self.directory.addresses.withheld(
+            bool(request.route.home_regions)
+        )
         eligible = [
             u
             for u in self.directory.candidates.usable(
@@ -194,7 +197,7 @@
             )
             if request.route.may_run_in(u.region)
             and self.load.own_in_flight.get(u.name, 0) < allowed_each
-            and u.name not in request.tried
+            and u.name not in excluded
             and self.permissions.may_send(u)
         ]
         allowed = [
--- a/packages/domain/bulrushcourse_domain/routes/route.py
+++ b/packages/domain/bulrushcourse_domain/routes/route.py
@@ -65,6 +65,16 @@
         """Identifier of the route, the same in all versions."""
         return self.host + self.prefix
 
+    def is_confined(self, regions: typing.Iterable[str]) -> bool:
+        """Return whether requests must not reach some of the regions.
+
+        Args:
+            regions: Names of all regions.
+        """
+        if not self.home_regions:
+            return False
+        return not self.home_regions.issuperset(regions)
+
     def may_run_in(self, region: str) -> bool:
         """Return whether upstreams in a region may run the requests.
 
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.upstreams import address_bindings
 from bulrushcourse_domain.upstreams import candidates as candidate_upstreams
 from bulrushcourse_domain.upstreams import change_history
 from bulrushcourse_domain.upstreams import cold_periods
@@ -40,6 +41,8 @@
         read_at: Time when that version was read.
         by_name: Upstreams by name.
         cold: Upstreams that are warming up.
+        addresses: Proofs that upstreams still have the addresses in their
+            rows.
         expiry: Upstreams that are kept although their rows are missing.
         exact_version: Newest version in which no upstream was kept. Changes
             that other VMs send must begin there, since a later version may
@@ -65,11 +68,13 @@
     )
     names: dict[int, str] = attrs.field(factory=dict)
     cold: cold_periods.ColdPeriods = attrs.field(init=False)
+    addresses: address_bindings.AddressBindings = attrs.field(init=False)
     candidates: candidate_upstreams.Candidates = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the parts that follow the upstreams of this directory."""
         self.cold = cold_periods.ColdPeriods(self.clock)
+        self.addresses = address_bindings.AddressBindings(self.clock)
         self.candidates = candidate_upstreams.Candidates(
             self.clock, self.by_name, self.expiry
         )
@@ -145,6 +150,7 @@
         self.expiry.release(name)
         self.candidates.clear_caches()
         self.cold.discard(name)
+        self.addresses.discard(name)
         self.history.record_removal(name, self.version)
         self.names.pop(upstreams.short_id(name), None)
         removed = self.by_name.pop(name)
@@ -164,6 +170,7 @@
             self.digest ^= previous.digest
         self.by_name[upstream.name] = upstream
         self.names[upstreams.short_id(upstream.name)] = upstream.name
+        self.addresses.record_row(upstream)
         self.history.record_change(upstream.name, self.version)
         if upstream.cold_for_s > 0:
             self.cold.begin(
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -25,6 +25,7 @@
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
 from bulrushcourse_entry.edge.reporting import metrics as edge_metrics
 from bulrushcourse_entry.edge.upstreams import destinations
+from bulrushcourse_entry.edge.upstreams import identity_checks
 from bulrushcourse_entry.edge.upstreams import upstream_client
 from bulrushcourse_entry.edge.waiting import waiting_admission
 from bulrushcourse_entry.platform import rows
@@ -70,7 +71,7 @@
     streams = peers.PeerStreams(
         state, event_log, reports.Reports(state, event_log), granter.serve
     )
-    client = await _open_client(state, event_log, streams, stack)
+    client = await _open_client(state, event_log, metrics, streams, stack)
     store = await stack.enter_async_context(
         rows.open_store(state.settings.store, state.clock)
     )
@@ -107,6 +108,7 @@
 async def _open_client(
     state: process_state.ProcessState,
     event_log: event_logs.EventLog,
+    metrics: edge_metrics.Metrics,
     streams: peers.PeerStreams,
     stack: contextlib.AsyncExitStack,
 ) -> upstream_client.UpstreamClient:
@@ -115,9 +117,19 @@
         if not pause_s:
             streams.reports.queue_leaving(upstream.incarnation)
 
-    client = upstream_client.open_client(state, on_banned)
+    def on_checked(
+        upstream: upstreams.Upstream,
+        finding: identity_checks.Finding,
+        answered_by: str,
+    ) -> None:
+        metrics.record_identity_check(finding.value)
+        if finding is not identity_checks.Finding.PROVEN:
+            event_log.log_unproven(upstream, finding.value, answered_by)
+
+    client = upstream_client.open_client(state, on_banned, on_checked)
     for session in (client.pooled, client.fresh):
         await stack.enter_async_context(session)
+    stack.push_async_callback(client.identities.close)
     return client
 
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/attempt_records.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempt_records.py
@@ -39,6 +39,7 @@
             'rows_version': self.rows_version,
             'rows_age_ms': round(self.rows_age_s * 1000),
             'kept_connection': self.trace.reused,
+            'proof_ms': round(self.trace.proof_s * 1000),
             'answered_by': self.trace.answered_by,
             'outcome': self.outcome or 'cancelled',
         }
--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -50,20 +50,25 @@
         upstream = choice.upstream
         started = state.clock.monotonic()
         remaining_s = request.deadline - started
-        is_first = not request.attempts
         request.attempts += 1
         request.tried.add(upstream.name)
         state.load.begin_request(upstream.name)
         state.outliers.begin_request(upstream.name)
         if choice.cold:
             state.warmup_limiter.record_sent(upstream.name)
-        if is_first:
+        if not request.is_counted:
+            request.is_counted = True
             state.retry_budget(request.service).record_request(
                 started, state.placement.sharing_vm_count
             )
         outbound = self._outbound(request, upstream.name, remaining_s)
         record = attempt_records.begin(
-            state, connection_tracing.AttemptTrace(upstream)
+            state,
+            connection_tracing.AttemptTrace(
+                upstream,
+                state.upstreams.addresses,
+                request.route.is_confined(state.settings.regions.values()),
+            ),
         )
         request.records.append(record)
         attempt = None
@@ -72,6 +77,7 @@
         finally:
             state.load.end_request(upstream.name)
             elapsed_s = state.clock.monotonic() - started
+            elapsed_s -= record.trace.proof_s
             self._record_duration(request, choice, attempt, elapsed_s)
             state.room_changes.on_next(None)
             if attempt is None:
@@ -194,6 +200,11 @@
         )
         if failure not in outcomes.NOT_EXECUTED:
             request.may_have_run = True
+        if failure is Failure.UNPROVEN:
+            # Nothing was sent, so that it counts as no attempt.
+            request.attempts -= 1
+            state.outliers.abandon_request(name)
+            return
         if failure is Failure.STALE:
             # The next attempt uses a new connection and may go to the same
             # upstream; that it answers, or refuses the connection, shows
--- a/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
@@ -34,6 +34,7 @@
         token: Token of its account's quota, ``None`` if it needs none.
         tried: Upstreams that the request is not sent to again.
         attempts: Number of attempts at upstreams.
+        is_counted: Whether it counts for the retry budget.
         is_probe: Whether it shows if a quarantined request still crashes
             upstreams.
         met_stale: Whether a reused connection was reset, which is not risked
@@ -59,6 +60,7 @@
     token: token_stock.Token | None = None
     tried: set[str] = attrs.field(factory=set)
     attempts: int = 0
+    is_counted: bool = False
     is_probe: bool = False
     met_stale: bool = False
     may_have_run: bool = False
--- a/packages/entry/bulrushcourse_entry/edge/callers/outcomes.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/outcomes.py
@@ -13,7 +13,16 @@
 Failure = upstream_client.Failure
 
 # Failures that prove that the request did not run.
-NOT_EXECUTED = frozenset({Failure.NOT_SENT, Failure.SHED, Failure.MISDIRECTED})
+NOT_EXECUTED = frozenset(
+    {
+        Failure.NOT_SENT,
+        Failure.SHED,
+        Failure.MISDIRECTED,
+        Failure.UNPROVEN,
+    }
+)
+# Failures after which the request has reached no upstream at all.
+NOT_SENT = frozenset({Failure.NOT_SENT, Failure.UNPROVEN})
 # Failures by which a crash of the upstream is suspected.
 SUSPECTING_CRASH = frozenset(
     upstream_client.FAILURES[proof]
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -218,13 +218,15 @@
     ) -> bool:
         if request.attempts >= request.route.max_attempts:
             return False
+        if failure is Failure.UNPROVEN and not request.attempts:
+            return request.deadline > self.state.clock.monotonic()
         if request.is_probe or self.state.crash_ledger.is_quarantined(
             request.fingerprint
         ):
             return False
         if request.deadline <= self.state.clock.monotonic():
             return False
-        if failure is Failure.NOT_SENT:
+        if failure in outcomes.NOT_SENT:
             # The request reached no upstream, so that the next attempt is not
             # a retry to any of them and costs no retry budget.
             return True
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -129,6 +129,9 @@
             seeds=loaded_settings.seeds,
         )
         state.settings = self.settings
+        state.upstreams.addresses.reuse_s = (
+            self.settings.bounds.address_reuse_s
+        )
         event_log.log_change(events.Event.RELOADED, path=self.settings_path)
 
     async def _listen(
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -292,6 +292,7 @@
     )
     vms = fleet.Fleet(clock, local_vm)
     upstreams = directories.UpstreamDirectory(clock)
+    upstreams.addresses.reuse_s = bounds.address_reuse_s
     load = loads.LoadView(clock)
     outliers = outlier_detection.OutlierDetector(clock)
     permissions = sending_permissions.SendingPermissions(clock)
--- a/packages/entry/bulrushcourse_entry/edge/reporting/event_log.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/event_log.py
@@ -216,6 +216,27 @@
             event, upstream=upstream.incarnation, pause_s=round(pause_s, 2)
         )
 
+    def log_unproven(
+        self, upstream: upstreams.Upstream, finding: str, answered_by: str
+    ) -> None:
+        """Write that an upstream did not prove that it has its address.
+
+        Args:
+            upstream: The upstream.
+            finding: What was found instead.
+            answered_by: Name of the upstream that answered, empty if none.
+        """
+        self.log_change(
+            events.Event.UPSTREAM_UNPROVEN,
+            upstream=upstream.name,
+            born=upstream.born,
+            row=upstream.version,
+            address=upstream.address,
+            region=upstream.region,
+            finding=finding,
+            answered_by=answered_by,
+        )
+
     def log_quarantine(self, ledger: crashes.CrashLedger) -> None:
         """Write the requests whose quarantine has begun or ended.
 
--- a/packages/entry/bulrushcourse_entry/edge/reporting/explaining.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/explaining.py
@@ -161,6 +161,7 @@
             deadline=now + route.timeout_s,
             identity=identity,
         )
+        withheld = state.upstreams.addresses.withheld(bool(route.home_regions))
         ranked = state.placement.rank(
             admission_control.placement_request(request),
             state.routes.service(weighted.service),
@@ -172,6 +173,14 @@
             'share': round(share, 3),
             'priority': request.priority,
             'verdict': self._verdict(request, ranked),
+            # Its address belongs to another upstream, or is not proven.
+            'withheld': sorted(
+                u.name
+                for u in state.upstreams.candidates.usable(
+                    weighted.service, region
+                )
+                if u.name in withheld
+            ),
             'steps': request.steps,
             'candidates': [
                 self._explain_candidate(choice)
@@ -213,6 +222,9 @@
             'slowness': slowness,
             'slowness_age_s': _age(self.state.clock.monotonic() - at),
             'failing': round(self.state.outliers.failure_share(name), 3),
+            'address_proven_for_s': round(
+                self.state.upstreams.addresses.proven_for_s(choice.upstream), 3
+            ),
         }
 
 
--- a/packages/entry/bulrushcourse_entry/edge/reporting/metrics.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/metrics.py
@@ -25,6 +25,8 @@
         rejections: Requests with an error status of this VM that must not be
             retried, by status and reason.
         misdirected: Attempts that another upstream answered.
+        identity_checks: Health requests that were sent to prove the identity
+            of an upstream, by finding.
         closed_connections: Connections of clients that were closed or refused
             for being outside the limits, by reason.
         waits: Requests that found no room at once, by what became of them.
@@ -65,6 +67,12 @@
             'Attempts at an address that another upstream uses',
             registry=self.registry,
         )
+        self.identity_checks = prometheus_client.Counter(
+            'bulrushcourse_identity_checks',
+            'Health requests for a proof that an upstream has its address',
+            ('finding',),
+            registry=self.registry,
+        )
         self.quota_requests = prometheus_client.Counter(
             'bulrushcourse_quota_requests',
             'Requests of client accounts with a quota',
@@ -130,6 +138,14 @@
         """Count an attempt that another upstream answered."""
         self.misdirected.inc()
 
+    def record_identity_check(self, finding: str) -> None:
+        """Count a check of the identity of an upstream.
+
+        Args:
+            finding: What was found.
+        """
+        self.identity_checks.labels(finding).inc()
+
     def record_closed_connection(self, reason: str) -> None:
         """Count a connection that was closed for being outside the limits.
 
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -185,6 +185,10 @@
         'kept_without_row_for_s': (
             round(kept_until - now, 3) if kept_until is not None else None
         ),
+        'address_proven_for_s': round(
+            state.upstreams.addresses.proven_for_s(upstream), 3
+        ),
+        'address_withheld': name in state.upstreams.addresses.withheld(True),
         'in_flight': state.load.in_flight(name),
         'slowness': slowness,
         'slowness_age_s': (_age(now, at) if slowness else None),
--- a/packages/entry/bulrushcourse_entry/edge/settings.py
+++ b/packages/entry/bulrushcourse_entry/edge/settings.py
@@ -18,6 +18,8 @@
             silent must meet all other bounds again.
         drain_s: Longest time until a leaving upstream gets no new requests.
         stop_limit_s: Longest time that a graceful shutdown may take.
+        address_reuse_s: Shortest time from the end of an upstream until
+            another one may have its address.
         answer_max_age_s: Longest time that callers may cache a look-up.
         retry_ratio: Allowed retries and hedges per request.
         retry_window_s: Window of the retry budget in seconds.
@@ -39,6 +41,7 @@
     reconnect_s: float = 3.0
     drain_s: float = 2.0
     stop_limit_s: float = 6.0
+    address_reuse_s: float = 2.0
     answer_max_age_s: float = 5.0
     retry_ratio: float = 0.1
     retry_window_s: float = 10.0
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
@@ -5,6 +5,7 @@
 import aiohttp
 import attrs
 
+from bulrushcourse_domain.upstreams import address_bindings
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.upstreams import sessions
@@ -16,8 +17,13 @@
 
     Attributes:
         upstream: Upstream that the request is sent to.
+        addresses: Proofs that upstreams still have their addresses.
+        is_confined: Whether the request must not reach another region, and
+            so no other upstream than this one.
         reused: Whether the connection had been used before.
         wrote: Whether any byte of the request may have been written.
+        wrote_at: Time before the first byte was written, monotonic seconds.
+        proof_s: Time spent on proofs that the upstream has its address.
         connect_started_at: When a new connection was begun, monotonic
             seconds.
         connection: The connection, ``None`` before there is one.
@@ -26,8 +32,12 @@
     """
 
     upstream: upstreams.Upstream
+    addresses: address_bindings.AddressBindings
+    is_confined: bool = False
     reused: bool = False
     wrote: bool = False
+    wrote_at: float = float('inf')
+    proof_s: float = 0.0
     connect_started_at: float = 0.0
     connection: sessions.BoundedResponseHandler | None = None
     answered_by: str = ''
@@ -37,6 +47,44 @@
         """Bytes received of the response."""
         return self.connection.response_bytes if self.connection else 0
 
+    def may_reuse(self, connection: sessions.BoundedResponseHandler) -> bool:
+        """Return whether the request may be sent on an idle connection.
+
+        A connection stays with the process that accepted it, whoever has its
+        address later.
+
+        Args:
+            connection: The connection.
+        """
+        if connection.owner:
+            return connection.owner == self.upstream.incarnation
+        return not self.is_confined
+
+    def may_connect(self) -> bool:
+        """Return whether opening a connection now can be of use."""
+        return not self.is_confined or self.addresses.is_proven(self.upstream)
+
+    def accept_new(self, connection: sessions.BoundedResponseHandler) -> bool:
+        """Return whether it may be sent on a connection opened just now.
+
+        Args:
+            connection: The connection.
+        """
+        if self.addresses.is_proven(self.upstream):
+            connection.owner = self.upstream.incarnation
+            return True
+        return not self.is_confined
+
+    def record_identified(self) -> None:
+        """Record that the upstream certainly sent the response."""
+        self.connection.owner = self.upstream.incarnation
+        self.addresses.record_identified(self.upstream, self.wrote_at)
+
+    def record_displaced(self) -> None:
+        """Record that another upstream sent the response."""
+        self.connection.close()
+        self.addresses.record_displaced(self.upstream)
+
 
 def trace_connections(
     state: process_state.ProcessState,
@@ -69,7 +117,9 @@
     async def on_headers(
         _: typing.Any, context: typing.Any, __: object
     ) -> None:
-        _attempt(context).wrote = True
+        attempt = _attempt(context)
+        attempt.wrote = True
+        attempt.wrote_at = state.clock.monotonic()
 
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(on_connect_start)
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/destinations.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/destinations.py
@@ -170,11 +170,13 @@
     def _capacity(self, route: routes.Route, service: str) -> dict[str, float]:
         state = self.state
         capacity: dict[str, float] = {}
+        withheld = state.upstreams.addresses.withheld(bool(route.home_regions))
         for upstream in state.upstreams.candidates.usable(service):
             if (
                 not route.may_run_in(upstream.region)
                 or state.outliers.is_ejected(upstream.name)
                 or not state.permissions.may_send(upstream)
+                or upstream.name in withheld
             ):
                 continue
             slots = float(upstream.slots)
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -6,7 +6,6 @@
 import aiohttp
 import attrs
 import multidict
-import yarl
 from returns import result
 
 from bulrushcourse_domain.attempts import broken
@@ -17,6 +16,8 @@
 from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import body_content
 from bulrushcourse_entry.edge.upstreams import connection_tracing
+from bulrushcourse_entry.edge.upstreams import identity_checks
+from bulrushcourse_entry.edge.upstreams import urls
 from bulrushcourse_entry.platform import headers as platform_headers
 from bulrushcourse_entry.upstreams import client as instance_client
 from bulrushcourse_entry.upstreams import sessions
@@ -30,9 +31,14 @@
     broken.Proof.ANSWERED_IN_PART: Failure.TRUNCATED,
 }
 
+# A proof of an identity may end while a connection is opened, so that another
+# one is needed.
+MAX_PROOFS = 2
 # Connecting takes one round trip and about a millisecond.
 CONNECT_TIMEOUT_S = 0.5
 
+UNPROVEN: result.Result[typing.Any, Failure] = result.Failure(Failure.UNPROVEN)
+
 
 @attrs.frozen
 class Answer:
@@ -84,6 +90,7 @@
         pooled: Session that reuses connections.
         fresh: Session with a new connection for each request.
         memory: Memory of the VM's traffic.
+        identities: Proves that upstreams still have their addresses.
         on_banned: Called with an upstream that states that it is leaving or
             asks for a pause, and with the pause in seconds, 0 for leaving.
     """
@@ -92,6 +99,7 @@
     pooled: aiohttp.ClientSession
     fresh: aiohttp.ClientSession
     memory: memories.MemoryBudget
+    identities: identity_checks.IdentityChecks
     on_banned: typing.Callable[[upstreams.Upstream, float], None]
 
     async def send(
@@ -105,6 +113,29 @@
             trace: The attempt, with the upstream to send it to.
             outbound: The request.
         """
+        now = self.state.clock.monotonic
+        deadline = now() + outbound.remaining_s
+        for _ in range(MAX_PROOFS):
+            outcome = await self._send(trace, outbound)
+            if outcome != UNPROVEN:
+                return outcome
+            started = now()
+            is_proven = await self.identities.prove(
+                trace.upstream, deadline - started
+            )
+            trace.proof_s += now() - started
+            if not is_proven:
+                return UNPROVEN
+            remaining_s = deadline - now()
+            outbound = attrs.evolve(outbound, remaining_s=remaining_s)
+            platform_headers.update_remaining(outbound.headers, remaining_s)
+        return await self._send(trace, outbound)
+
+    async def _send(
+        self,
+        trace: connection_tracing.AttemptTrace,
+        outbound: OutboundRequest,
+    ) -> result.Result[Answer, Failure]:
         response = None
         upstream = trace.upstream
         memory = bodies.ResponseMemory(self.memory)
@@ -118,14 +149,21 @@
             async with asyncio.timeout(outbound.remaining_s):
                 response = await session.request(
                     outbound.method,
-                    _url(upstream.address, outbound.target),
+                    urls.upstream_url(upstream.address, outbound.target),
                     headers=outbound.headers,
                     data=outbound.body.payload() or None,
                     allow_redirects=False,
                     trace_request_ctx=trace,
                 )
                 body = await _read_body(response, memory)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except sessions.ConnectionRejectedError:
+            return UNPROVEN
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            if _was_refused(error):
+                state.upstreams.addresses.record_refused(upstream)
             return result.Failure(Failure.NOT_SENT)
         except TimeoutError:
             _close(response)
@@ -172,14 +210,7 @@
         upstream = trace.upstream
         headers = answer.headers
         trace.answered_by = platform_headers.decode_answerer(headers)
-        load = platform_headers.decode_load(headers)
-        if load is not None:
-            self.state.load.record_load_report(upstream.name, load)
-        warmup_s = platform_headers.decode_warmup_s(headers)
-        if warmup_s:
-            self.state.upstreams.cold.extend(
-                upstream.name, self.state.clock.monotonic() + warmup_s
-            )
+        identity_checks.record_condition(self.state, upstream, headers)
         status = answer.status
         if not platform_headers.is_genuine(
             status, headers, outbound.request_id, trace.reused
@@ -187,7 +218,11 @@
             response.close()
             return result.Failure(Failure.FOREIGN)
         if status == platform_headers.MISDIRECTED:
+            if trace.answered_by != upstream.name:
+                trace.record_displaced()
             return result.Failure(Failure.MISDIRECTED)
+        if platform_headers.proves_identity(status, headers, upstream.name):
+            trace.record_identified()
         self._record_bans(upstream, answer)
         if platform_headers.proves_not_executed(status, headers):
             return result.Failure(Failure.SHED)
@@ -214,12 +249,16 @@
 def open_client(
     state: process_state.ProcessState,
     on_banned: typing.Callable[[upstreams.Upstream, float], None],
+    on_checked: typing.Callable[
+        [upstreams.Upstream, identity_checks.Finding, str], None
+    ],
 ) -> UpstreamClient:
     """Return a client; must be called inside a running event loop.
 
     Args:
         state: The process state.
         on_banned: See ``UpstreamClient``.
+        on_checked: Called at the end of an identity check.
     """
     traces = (connection_tracing.trace_connections(state),)
     pooled, fresh = (
@@ -228,18 +267,11 @@
         )
         for fresh in (False, True)
     )
-    return UpstreamClient(state, pooled, fresh, state.memory, on_banned)
-
-
-def _url(address: str, target: str) -> yarl.URL:
-    """Return a URL that is requested with exactly the given target.
-
-    The whole target is taken as the path, since a URL that is parsed loses an
-    empty query.
-    """
-    host, _, port = address.rpartition(':')
-    return yarl.URL.build(
-        scheme='http', host=host, port=int(port), path=target, encoded=True
+    identities = identity_checks.IdentityChecks(
+        state, pooled, fresh, on_checked
+    )
+    return UpstreamClient(
+        state, pooled, fresh, state.memory, identities, on_banned
     )
 
 
@@ -259,6 +291,12 @@
     return content
 
 
+def _was_refused(error: aiohttp.ClientError) -> bool:
+    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
+
+
 def _close(response: aiohttp.ClientResponse | None) -> None:
     if response is not None:
         response.close()
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -93,6 +93,11 @@
         'warning',
         'address of an upstream is used by another one',
     )
+    UPSTREAM_UNPROVEN = (
+        6010,
+        'warning',
+        'upstream did not prove that it still has its address',
+    )
     POOL_TAKEN = (6101, 'info', 'entry owns a pool')
     POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
     LEDGER_REFUSED = (7001, 'error', 'stored shares of a limit are invalid')
--- a/packages/entry/bulrushcourse_entry/platform/headers.py
+++ b/packages/entry/bulrushcourse_entry/platform/headers.py
@@ -114,10 +114,22 @@
     if account:
         forwarded[ACCOUNT] = account
     forwarded[EXPECTED_UPSTREAM] = upstream
-    forwarded[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
+    update_remaining(forwarded, remaining_s)
     return forwarded
 
 
+def update_remaining(
+    headers: multidict.CIMultiDict[str], remaining_s: float
+) -> None:
+    """Set the time that is left in headers that were encoded before.
+
+    Args:
+        headers: Headers of a request to an upstream.
+        remaining_s: Time until the deadline in seconds.
+    """
+    headers[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
+
+
 def encode_returned(
     headers: multidict.CIMultiDictProxy[str],
 ) -> multidict.CIMultiDict[str]:
@@ -214,6 +226,32 @@
     return headers.get(INSTANCE_ID, '').strip()
 
 
+def proves_identity(
+    status: int, headers: typing.Mapping[str, str], upstream: str
+) -> bool:
+    """Return whether only the expected upstream can have sent a response.
+
+    Others answer ``MISDIRECTED``. A refusal without a name is not relied on,
+    as an upstream may refuse a request before it has read its headers.
+
+    Args:
+        status: Status of the response.
+        headers: Headers of a response that belongs to the request.
+        upstream: Name of the expected upstream.
+
+    Examples:
+        >>> proves_identity(200, {'X-Server-Signature': 's'}, 'u')
+        True
+        >>> proves_identity(503, {}, 'u')
+        False
+    """
+    if status == MISDIRECTED:
+        return False
+    return decode_answerer(headers) in ('', upstream) and (
+        SIGNATURE in headers or INSTANCE_ID in headers
+    )
+
+
 def find_request_id(head: bytes) -> str:
     r"""Return the request id in a head that was not parsed, empty if none.
 
--- a/packages/entry/bulrushcourse_entry/platform/settings_file.py
+++ b/packages/entry/bulrushcourse_entry/platform/settings_file.py
@@ -40,6 +40,7 @@
     'contact': ('reconnect_s', units.duration_s),
     'drain': ('drain_s', units.duration_s),
     'grace': ('stop_limit_s', units.duration_s),
+    'addr_reuse': ('address_reuse_s', units.duration_s),
     'ttl_max': ('answer_max_age_s', units.duration_s),
     'retry_budget_ratio': ('retry_ratio', float),
     'budget_window': ('retry_window_s', units.duration_s),
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -24,9 +24,10 @@
     """How a request to an instance failed.
 
     ``NOT_SENT``, ``SHED``, ``NO_SHARE`` and ``MISDIRECTED`` prove that the
-    request did not run. ``FOREIGN``, a response that belongs to another
-    request, proves nothing, and neither does ``STALE``, the reset of a reused
-    connection that the instance has apparently dropped.
+    request did not run, and so does ``UNPROVEN``: it was not sent, since the
+    address may have passed to another instance. ``FOREIGN``, a response that
+    belongs to another request, proves nothing, and neither does ``STALE``, the
+    reset of a reused connection that the instance has apparently dropped.
     """
 
     NOT_SENT = 'not-sent'
@@ -36,6 +37,7 @@
     TRUNCATED = 'truncated'
     DEADLINE = 'deadline'
     MISDIRECTED = 'misdirected'
+    UNPROVEN = 'unproven-address'
     FOREIGN = 'foreign'
     STALE = 'stale'
 
--- a/packages/entry/bulrushcourse_entry/upstreams/sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/sessions.py
@@ -1,6 +1,7 @@
 """HTTP client sessions for upstreams."""
 
 import asyncio
+import collections
 import functools
 import socket
 import typing
@@ -37,12 +38,15 @@
     Attributes:
         is_idle: Whether no request is waiting for a response.
         response_bytes: Bytes received since the last request.
+        owner: Process of an upstream that it certainly leads to, empty if
+            unknown.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.is_idle = False
         self.response_bytes = 0
+        self.owner = ''
 
     def set_response_params(self, **options: typing.Any) -> None:
         """Start to receive the response to a new request.
@@ -107,11 +111,38 @@
         super().connection_lost(exc)
 
 
+class ConnectionRejectedError(aiohttp.ClientConnectionError):
+    """No connection was acceptable, and nothing was sent on any."""
+
+
+class ConnectionUser(typing.Protocol):
+    """Request that needs a connection, the context of a trace.
+
+    Attributes:
+        connection: The connection that it uses, ``None`` before it has one.
+    """
+
+    connection: BoundedResponseHandler | None
+
+    def may_reuse(self, connection: BoundedResponseHandler) -> bool:
+        """Return whether the request may be sent on an idle connection."""
+        ...
+
+    def may_connect(self) -> bool:
+        """Return whether opening a connection now can be of use."""
+        ...
+
+    def accept_new(self, connection: BoundedResponseHandler) -> bool:
+        """Return whether it may be sent on a connection opened just now."""
+        ...
+
+
 class SafeReuseConnector(aiohttp.TCPConnector):
-    """Connector that does not reuse a connection with unread bytes.
+    """Connector whose users decide on which connections they are sent.
 
-    A faulty upstream may send a second response after the first. It would be
-    taken for the response to the next request on that connection.
+    It does not reuse a connection with unread bytes. A faulty upstream may
+    send a second response after the first, which would be taken for the
+    response to the next request on that connection.
     """
 
     def __init__(self, **options: typing.Any) -> None:
@@ -123,29 +154,52 @@
     async def connect(
         self, req: typing.Any, traces: typing.Any, **options: typing.Any
     ) -> typing.Any:
-        """Return a connection and show it to the contexts of the traces.
+        """Return a connection that the users of the traces accept.
 
         Args:
             req: The request that is sent on it.
-            traces: Traces of the request, whose contexts have an attribute
-                ``connection``.
+            traces: Traces of the request, whose contexts are
+                ``ConnectionUser``.
             **options: Further options of the base class.
+
+        Raises:
+            ConnectionRejectedError: If they accept none.
         """
         connection = await super().connect(req, traces, **options)
-        for trace in traces:
-            context = trace._trace_config_ctx.trace_request_ctx
-            context.connection = connection.protocol
+        protocol = connection.protocol
+        was_idle, protocol.is_idle = protocol.is_idle, False
+        for user in _users(traces):
+            if not was_idle and not user.accept_new(protocol):
+                connection.close()
+                raise ConnectionRejectedError('not to the expected upstream')
+            user.connection = protocol
         return connection
 
+    async def _create_connection(
+        self, req: typing.Any, traces: typing.Any, *args: typing.Any
+    ) -> typing.Any:
+        if not all(user.may_connect() for user in _users(traces)):
+            raise ConnectionRejectedError('the address is not proven')
+        return await super()._create_connection(req, traces, *args)
+
     async def _get(self, key: typing.Any, traces: typing.Any) -> typing.Any:
-        for connection in list(self._conns.get(key, ())):
-            protocol = connection[0]
+        kept = self._conns.pop(key, ())
+        usable: collections.deque[typing.Any] = collections.deque()
+        others: collections.deque[typing.Any] = collections.deque()
+        users = _users(traces)
+        for idle in kept:
+            protocol = idle[0]
             if protocol.should_close and protocol.transport is not None:
                 protocol.transport.abort()
-        connection = await super()._get(key, traces)
-        if connection is not None:
-            connection.protocol.is_idle = False
-        return connection
+            may_reuse = all(user.may_reuse(protocol) for user in users)
+            (usable if may_reuse else others).append(idle)
+        if usable:
+            self._conns[key] = usable
+        try:
+            return await super()._get(key, traces)
+        finally:
+            if others:
+                self._conns[key].extendleft(reversed(others))
 
     def _release(
         self,
@@ -158,6 +212,10 @@
         super()._release(key, protocol, should_close=should_close)
 
 
+def _users(traces: typing.Any) -> list[ConnectionUser]:
+    return [trace._trace_config_ctx.trace_request_ctx for trace in traces]
+
+
 def open_session(
     connections: int,
     fresh: bool,
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_explaining.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_explaining.py
@@ -41,6 +41,26 @@
     run(scenario())
 
 
+def test_explanation_names_upstreams_whose_address_is_not_proven():
+    # Guards against a refusal that the explanation does not account for: no
+    # candidate, and nothing that says why.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure(1, documents.rule('/home/', home_regions=['a']))
+            ended = await cluster.add_upstream('u1')
+            ended.end()
+            await cluster.start()
+            assert (await cluster.send('/home/x')).status == 503
+            explained = explainer_of(cluster).explain(
+                documents.HOST, '/home/x', '', ''
+            )
+            (destination,) = explained['destinations']
+            assert destination['withheld'] == ['u1']
+            assert not destination['candidates']
+
+    run(scenario())
+
+
 def test_explanation_changes_no_decision():
     # Guards against explanations that take their turn in a rotation of
     # services, move the shares of regions or count as demand.
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -13,6 +13,7 @@
 from bulrushcourse_testkit.platform import upstream_faults
 
 Fault = upstream_faults.Fault
+HEALTH_PATH = '/health'
 
 
 @attrs.frozen
@@ -61,6 +62,7 @@
         aborted_runs: Number of requests whose connection closed while they
             ran.
         running: Number of requests that are running.
+        health_checks: Number of health requests that reached it.
         sending: Number of connections on which it sends without end.
         cut_off: Number of such connections that the VM closed.
         extra_headers: Further header lines of all responses.
@@ -86,6 +88,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     aborted_runs: int = 0
     running: int = 0
+    health_checks: int = 0
     sending: int = 0
     cut_off: int = 0
     extra_headers: tuple[str, ...] = ()
@@ -163,6 +166,8 @@
             for name, _, value in (text.partition(': ') for text in lines)
         }
         body = await reader.readexactly(int(headers.get('content-length', 0)))
+        if target == HEALTH_PATH:
+            return await self._answer_health_request(reader, writer)
         request_id = headers.get('x-request-id', '')
         expected_name = headers.get('x-expect-instance', self.name)
         shed = self._sheds(writer)
@@ -182,14 +187,16 @@
         if expected_name != self.name:
             instance_id = f'X-Instance-Id: {self.name}'
             writer.write(
-                raw_http.format_response(421, request_id, b'', instance_id)
+                raw_http.format_response(
+                    421, request_id, b'', instance_id, *self.extra_headers
+                )
             )
             return True
         if shed:
             self._refuse(writer, request_id)
             return True
         if target == self.crashes_on:
-            self._crash()
+            self.end()
             return False
         if not await self._simulate_work(reader):
             return False
@@ -203,7 +210,22 @@
             await writer.drain()
         return await self._send_response(writer, request_id, content)
 
-    def _crash(self) -> None:
+    async def _answer_health_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        self.health_checks += 1
+        if self.fault is Fault.SILENT:
+            await reader.read(1)
+            return False
+        if self.fault is Fault.SHED:
+            self._refuse(writer, '')
+            return True
+        instance_id = f'X-Instance-Id: {self.name}'
+        writer.write(raw_http.format_response(200, '', b'', instance_id))
+        return True
+
+    def end(self) -> None:
+        """End like a process that crashes: without a word to the store."""
         self.server.close()
         for writer in list(self.connections):
             raw_http.reset_connection(writer)
