Record load and warm-up only of the upstream itself

Load, slowness and warm-up were taken from every response before it was known whose it was. The new holder of an address answers 421 with its own figures, which were recorded for the upstream that had the address before: it was avoided as slow, or limited as cold for as long as the new holder. They are now read after the 421 and foreign responses are sorted out. The new test failed before: the slowness of the other upstream was recorded for u1.

--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -210,7 +210,6 @@
         upstream = trace.upstream
         headers = answer.headers
         trace.answered_by = platform_headers.decode_answerer(headers)
-        identity_checks.record_condition(self.state, upstream, headers)
         status = answer.status
         if not platform_headers.is_genuine(
             status, headers, outbound.request_id, trace.reused
@@ -223,6 +222,7 @@
             return result.Failure(Failure.MISDIRECTED)
         if platform_headers.proves_identity(status, headers, upstream.name):
             trace.record_identified()
+        identity_checks.record_condition(self.state, upstream, headers)
         self._record_bans(upstream, answer)
         if platform_headers.proves_not_executed(status, headers):
             return result.Failure(Failure.SHED)
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
@@ -223,6 +223,28 @@
     run(scenario())
 
 
+def test_response_of_another_upstream_says_nothing_about_the_expected_one():
+    # Guards against the load and the warm-up of the new holder of an address
+    # that are recorded for the upstream that had it before.
+    async def scenario():
+        async with edge_cluster() as cluster:
+            ended = await add_short_lived(cluster, 'u1')
+            ended.end()
+            other = await pass_address(cluster, ended, 'other', service='x')
+            other.extra_headers = (
+                'X-Server-Load: 4,9,4,900',
+                'X-Warmup-Ms: 60000',
+            )
+            await cluster.start()
+            await cluster.send('/any/x')
+            assert other.arrivals
+            state = cluster.vms[0].process.state
+            assert 'u1' not in state.load.slowness
+            assert not state.upstreams.cold.is_cold('u1')
+
+    run(scenario())
+
+
 def test_odd_row_with_the_address_of_a_sound_upstream_takes_nothing_away():
     # Guards against a row of another writer that takes a sound upstream out
     # of use since it claims the same address later.
