Count outcomes only for the process that they come from

An upstream that had restarted was ejected for up to 4 s at once: requests that the process before it had left unanswered ended after its new row was read, and their failures were counted under its name, as were objects, load and warm-up that the earlier process stated late. They are now recorded only if that process is still the one that the directory lists. The new test failed before: four unanswered requests ejected the restarted upstream.

--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -79,6 +79,17 @@
             self.clock, self.by_name, self.expiry
         )
 
+    def lists(self, upstream: upstreams.Upstream) -> bool:
+        """Return whether an upstream's process is the present one of its name.
+
+        Args:
+            upstream: The upstream, as it was listed earlier.
+        """
+        present = self.by_name.get(upstream.name)
+        return (
+            present is not None and present.incarnation == upstream.incarnation
+        )
+
     def mark_store_unavailable(self) -> None:
         """Record a failed query of the store; rows may expire meanwhile."""
         self.expiry.record_failure(self.clock.monotonic())
--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -7,6 +7,7 @@
 
 from bulrushcourse_domain.placement import placement
 from bulrushcourse_domain.upstreams import outlier_detection
+from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import caller_request
@@ -185,8 +186,8 @@
                 )
             )
             is_good = answer.status < 500
-            state.outliers.record_outcome(
-                name,
+            self._record_health(
+                choice.upstream,
                 outlier_detection.Outcome.GOOD
                 if is_good
                 else outlier_detection.Outcome.ERROR,
@@ -213,10 +214,20 @@
             request.tried.discard(name)
             state.outliers.abandon_request(name)
             return
-        if state.outliers.record_outcome(
-            name, outcomes.DETECTOR_OUTCOMES[failure]
-        ):
-            self.on_ejected(name)
+        self._record_health(
+            choice.upstream, outcomes.DETECTOR_OUTCOMES[failure]
+        )
+
+    def _record_health(
+        self,
+        upstream: upstreams.Upstream,
+        outcome: outlier_detection.Outcome,
+    ) -> None:
+        if not self.state.upstreams.lists(upstream):
+            # The statistics under its name are those of another process.
+            return
+        if self.state.outliers.record_outcome(upstream.name, outcome):
+            self.on_ejected(upstream.name)
 
     def _record_service_time(
         self,
@@ -226,7 +237,7 @@
     ) -> None:
         state = self.state
         name = choice.upstream.name
-        if request.object_key:
+        if request.object_key and state.upstreams.lists(choice.upstream):
             state.recent_objects.record(name, request.object_key)
         if choice.queued or choice.cold:
             return
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
@@ -158,6 +158,9 @@
         upstream: The upstream, which sent the response itself.
         headers: Headers of its response.
     """
+    if not state.upstreams.lists(upstream):
+        # What is kept under its name belongs to another process.
+        return
     load = platform_headers.decode_load(headers)
     if load is not None:
         state.load.record_load_report(upstream.name, load)
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
@@ -22,6 +22,7 @@
     documents.rule('/once/', kind='non_idempotent', home_regions=['a']),
     documents.rule('/upload/', kind='upload', home_regions=['a']),
     documents.rule('/any/'),
+    documents.rule('/order/', kind='non_idempotent'),
 )
 # Shortest time from the end of an upstream to the reuse of its address.
 REUSE_S = 1.0
@@ -300,3 +301,29 @@
             assert count_home_requests(upstream) > 20 * upstream.health_checks
 
     run(scenario())
+
+
+def test_failures_of_an_ended_process_do_not_count_for_its_successor():
+    # Guards against an upstream that is ejected right after its restart, for
+    # requests that the process before it left unanswered.
+    async def scenario():
+        async with edge_cluster() as cluster:
+            ended = await add_short_lived(
+                cluster, 'u1', fault=upstream_standin.Fault.SILENT
+            )
+            await cluster.start()
+            unanswered = [
+                asyncio.create_task(cluster.send('/order/x', vm=0))
+                for _ in range(4)
+            ]
+            await asyncio.sleep(0.2)
+            await cluster.add_upstream('u1', incarnation=2)
+            await asyncio.sleep(0.7)
+            ended.end()
+            lost = await asyncio.gather(*unanswered)
+            assert [reply.status for reply in lost] == [502] * 4
+            state = cluster.vms[0].process.state
+            assert not state.outliers.is_ejected('u1')
+            assert not state.outliers.failure_share('u1')
+
+    run(scenario())
