--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -7,6 +7,7 @@
 
 from bulrushcourse_domain.placement import placement
 from bulrushcourse_domain.upstreams import outlier_detection
+from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import caller_request
@@ -50,20 +51,25 @@
         upstream = choice.upstream
         started = state.clock.monotonic()
         remaining_s = request.deadline - started
-        is_first = not request.attempts
         request.attempts += 1
         request.tried.add(upstream.name)
         state.load.begin_request(upstream.name)
         state.outliers.begin_request(upstream.name)
         if choice.cold:
             state.warmup_limiter.record_sent(upstream.name)
-        if is_first:
+        if not request.is_counted:
+            request.is_counted = True
             state.retry_budget(request.service).record_request(
                 started, state.placement.sharing_vm_count
             )
         outbound = self._outbound(request, upstream.name, remaining_s)
         record = attempt_records.begin(
-            state, connection_tracing.AttemptTrace(upstream)
+            state,
+            connection_tracing.AttemptTrace(
+                upstream,
+                state.upstreams.addresses,
+                request.route.is_confined(state.settings.regions.values()),
+            ),
         )
         request.records.append(record)
         attempt = None
@@ -72,6 +78,7 @@
         finally:
             state.load.end_request(upstream.name)
             elapsed_s = state.clock.monotonic() - started
+            elapsed_s -= record.trace.proof_s
             self._record_duration(request, choice, attempt, elapsed_s)
             state.room_changes.on_next(None)
             if attempt is None:
@@ -179,8 +186,8 @@
                 )
             )
             is_good = answer.status < 500
-            state.outliers.record_outcome(
-                name,
+            self._record_health(
+                choice.upstream,
                 outlier_detection.Outcome.GOOD
                 if is_good
                 else outlier_detection.Outcome.ERROR,
@@ -194,6 +201,11 @@
         )
         if failure not in outcomes.NOT_EXECUTED:
             request.may_have_run = True
+        if failure is Failure.UNPROVEN:
+            # Nothing was sent, so that it counts as no attempt.
+            request.attempts -= 1
+            state.outliers.abandon_request(name)
+            return
         if failure is Failure.STALE:
             # The next attempt uses a new connection and may go to the same
             # upstream; that it answers, or refuses the connection, shows
@@ -202,10 +214,20 @@
             request.tried.discard(name)
             state.outliers.abandon_request(name)
             return
-        if state.outliers.record_outcome(
-            name, outcomes.DETECTOR_OUTCOMES[failure]
-        ):
-            self.on_ejected(name)
+        self._record_health(
+            choice.upstream, outcomes.DETECTOR_OUTCOMES[failure]
+        )
+
+    def _record_health(
+        self,
+        upstream: upstreams.Upstream,
+        outcome: outlier_detection.Outcome,
+    ) -> None:
+        if not self.state.upstreams.lists(upstream):
+            # The statistics under its name are those of another process.
+            return
+        if self.state.outliers.record_outcome(upstream.name, outcome):
+            self.on_ejected(upstream.name)
 
     def _record_service_time(
         self,
@@ -215,7 +237,7 @@
     ) -> None:
         state = self.state
         name = choice.upstream.name
-        if request.object_key:
+        if request.object_key and state.upstreams.lists(choice.upstream):
             state.recent_objects.record(name, request.object_key)
         if choice.queued or choice.cold:
             return
