Feed the parser only after it has returned

A client that sent an upload which was answered before its end (404, 401, 503 without a configuration) and then a proper request on the same connection got 400, or the connection was closed without an answer.

At the end of a body the parser calls resume_reading(). The connection then passed the next head on, into the parser that had not returned yet. Its state was overwritten: the head was refused as malformed, or the call ended with MemoryError and the connection was aborted. This needs a body that ends after its response, and a further head that was received with that end.

Now the connection notes while the parser is fed, and whoever feeds it continues afterwards. The end of a body ends the request if its response came first; that had relied on the nested call.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -76,6 +76,7 @@
         reads_body: Whether the handler is reading the body.
         heads: Memory of the heads that were passed on and not answered.
         is_safe: Whether the request in progress changes nothing.
+        parsing: Whether the parser is being fed.
     """
 
     __slots__ = (
@@ -97,6 +98,7 @@
         'reads_body',
         'heads',
         'is_safe',
+        'parsing',
     )
 
     def __init__(
@@ -126,6 +128,7 @@
         self.reads_body = False
         self.heads: collections.deque[int] = collections.deque()
         self.is_safe = False
+        self.parsing = False
         self._await_head()
 
     def _await_head(self) -> None:
@@ -196,6 +199,18 @@
 
     # Calls of aiohttp.
 
+    def data_received(self, data: bytes) -> None:
+        """Feed bytes to the parser.
+
+        Args:
+            data: The bytes, none to resume the parser.
+        """
+        self.parsing = True
+        try:
+            super().data_received(data)
+        finally:
+            self.parsing = False
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Continue with a body whose reader has caught up.
 
@@ -203,6 +218,10 @@
             resume_parser: Whether the parser continues.
         """
         super().resume_reading(resume_parser)
+        if self.parsing:
+            # The parser calls this at the end of a body and can't be fed
+            # until it has returned; whoever feeds it continues.
+            return
         self._end_body_if_complete()
         self._end_request_if_complete()
         self._pass_on()
@@ -497,6 +516,8 @@
         self.awaiting = Awaiting.RESPONSE
         if self.entry.stage is not connections.Stage.WRITING:
             self.guard.table.enter(self.entry, connections.Stage.SERVED)
+        # The response may have preceded the end of the body.
+        self._end_request_if_complete()
 
     def _end_request_if_complete(self) -> None:
         """Continue with the next head after the response and the body."""
@@ -509,6 +530,7 @@
                 self._resume_if_drained()
                 return
             if self._close or self._force_close:
+                self.awaiting = Awaiting.NOTHING
                 return
             self._await_head()
             self.guard.table.enter(self.entry, connections.Stage.KEPT)
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -0,0 +1,69 @@
+"""Proper requests are never answered as if they were wrong."""
+
+import asyncio
+
+import pytest
+
+from bulrushcourse_testkit.platform import cluster as clusters
+from bulrushcourse_testkit.platform import documents
+from bulrushcourse_testkit.platform import raw_client
+
+HOST = documents.HOST
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 30))
+
+
+def head(line, *fields, host=HOST, request_id='p1'):
+    lines = (line, f'Host: {host}', f'X-Request-Id: {request_id}', *fields)
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode()
+
+
+async def start(cluster, **limits):
+    document = documents.configuration(1, *documents.DEFAULT_RULES)
+    document['limits'].update(limits)
+    cluster.store.put('op', 'config', document)
+    upstream = await cluster.add_upstream('u1')
+    await cluster.start()
+    return upstream
+
+
+async def ask(cluster, *pieces):
+    return await raw_client.exchange(cluster.vms[0].listen['front'], *pieces)
+
+
+@pytest.mark.parametrize('framing', ('sized', 'chunked'))
+@pytest.mark.parametrize('pause_s', (0, 0.05))
+@pytest.mark.parametrize('size', (10, 3000, 60_000, 300_000))
+@pytest.mark.parametrize('path', ('/gone/1', '/browse/1'))
+def test_request_behind_an_upload_that_was_answered_early_is_served(
+    path, size, pause_s, framing
+):
+    # Guards against 400, a lost connection or silence for a request that
+    # arrives together with the end of a body that nobody read.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            await start(cluster)
+            host, _, port = cluster.vms[0].listen['front'].rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            line = f'POST {path} HTTP/1.1'
+            if framing == 'sized':
+                data = head(line, f'Content-Length: {size}') + bytes(size)
+            else:
+                data = head(line, 'Transfer-Encoding: chunked')
+                data += b'%x\r\n%s\r\n0\r\n\r\n' % (size, bytes(size))
+            cut = len(data) - size // 2
+            writer.write(data[:cut])
+            await asyncio.sleep(pause_s)
+            following = head('GET /browse/2 HTTP/1.1', request_id='p2')
+            writer.write(data[cut:] + following)
+            for status in (404 if path == '/gone/1' else 200, 200):
+                reply = await asyncio.wait_for(
+                    raw_client.read_response(reader), 5
+                )
+                assert reply.status == status
+            assert reply.body == b'u1:p2'
+            writer.close()
+
+    run(scenario())
