Pass on only the statuses that an upstream certainly gave

Callers got 301, 400, 404, 413 and 431 that no upstream of ours had given, and must not retry them; and 408, 429 and 503, which promise that the request has not run, for requests that had run.

A response with a status of 300 or more counted as the upstream's if it named the request, or on a new connection even if it named none. Another kind of server at an address that was used again answers so, and so may garbled bytes.

An unsigned status now counts only as a server error that promises nothing, or with the header that says that the request has not run. Signed statuses pass unchanged.

test_response_is_genuine_only_with_its_identifier_and_signature demanded that an unsigned 503 is genuine, but only the header proves that a request has not run. It now demands the signature or the header, for six statuses.

--- a/packages/entry/bulrushcourse_entry/platform/headers.py
+++ b/packages/entry/bulrushcourse_entry/platform/headers.py
@@ -150,7 +150,11 @@
     """Return whether a response is from an upstream and to this request.
 
     On a reused connection a response that names no request may be a copy of
-    an earlier one, or refer to the connection.
+    an earlier one, or refer to the connection. An unsigned status may come
+    from another server at the address, or from garbled bytes. It counts only
+    where it tells the caller nothing that it would act on: not a success, not
+    an error that forbids a retry, and not a promise that the request has not
+    run, unless the header says so.
 
     Args:
         status: Status of the response.
@@ -159,15 +163,23 @@
         reused: Whether the connection had carried a request before.
 
     Examples:
-        >>> is_genuine(503, {}, 'r1', reused=False)
+        >>> is_genuine(500, {}, 'r1', reused=False)
         True
-        >>> is_genuine(503, {}, 'r1', reused=True)
+        >>> is_genuine(500, {}, 'r1', reused=True)
+        False
+        >>> is_genuine(404, {'X-Request-Id': 'r1'}, 'r1', reused=False)
         False
     """
     named = headers.get(REQUEST_ID)
-    if named is None:
-        return status >= 300 and not reused
-    return named == request_id and (status >= 300 or SIGNATURE in headers)
+    if named is None and (reused or status < 300):
+        return False
+    if named is not None and named != request_id:
+        return False
+    if SIGNATURE in headers:
+        return status >= 200
+    if proves_not_executed(status, headers):
+        return status >= 300
+    return status >= 500 and status != UNAVAILABLE
 
 
 def decode_load(headers: typing.Mapping[str, str]) -> loads.LoadReport | None:
--- a/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
+++ b/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
@@ -174,7 +174,13 @@
     signed = {headers.REQUEST_ID: 'a', headers.SIGNATURE: 's'}
     for reused in (False, True):
         assert headers.is_genuine(200, signed, 'a', reused)
-        assert headers.is_genuine(503, {headers.REQUEST_ID: 'a'}, 'a', reused)
+        assert headers.is_genuine(500, {headers.REQUEST_ID: 'a'}, 'a', reused)
+        for status in (301, 400, 404, 408, 429, 503):
+            assert headers.is_genuine(status, signed, 'a', reused)
+            named = {headers.REQUEST_ID: 'a'}
+            assert not headers.is_genuine(status, named, 'a', reused)
+            named[headers.NOT_EXECUTED] = '1'
+            assert headers.is_genuine(status, named, 'a', reused)
         assert not headers.is_genuine(200, signed, 'b', reused)
         assert not headers.is_genuine(
             200, {headers.REQUEST_ID: 'a'}, 'a', reused
@@ -183,8 +189,12 @@
         assert not headers.is_genuine(
             200, {headers.SIGNATURE: 's'}, 'a', reused
         )
-    assert headers.is_genuine(503, {}, 'a', reused=False)
-    assert not headers.is_genuine(503, {}, 'a', reused=True)
+    not_run = {headers.NOT_EXECUTED: '1'}
+    assert headers.is_genuine(503, not_run, 'a', reused=False)
+    assert not headers.is_genuine(503, not_run, 'a', reused=True)
+    assert headers.is_genuine(500, {}, 'a', reused=False)
+    assert not headers.is_genuine(500, {}, 'a', reused=True)
+    assert not headers.is_genuine(503, {}, 'a', reused=False)
 
 
 def test_lookup_is_decoded_and_its_response_encoded():
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -66,6 +66,8 @@
         extra_headers: Further header lines of all responses.
         content: Body of its responses, ``None`` for its name and the
             identifier of the request.
+        respond: Returns the bytes that it sends after it ran a request, from
+            the identifier of the request; ``None`` for a response.
         address: ``ip:port`` once started.
         state: State in its row.
         warmup_left: Remaining warm-up time in its row.
@@ -90,6 +92,7 @@
     cut_off: int = 0
     extra_headers: tuple[str, ...] = ()
     content: bytes | None = None
+    respond: typing.Callable[[str], bytes] | None = None
     address: str = ''
     state: str = 'ready'
     warmup_left: str = '0ms'
@@ -201,8 +204,23 @@
         ):
             writer.write(self._last_response(writer))
             await writer.drain()
+        if self.respond is not None:
+            writer.write(self.respond(request_id))
+            return True
+        if method == 'HEAD':
+            await self._send_head(writer, request_id, content)
+            return True
         return await self._send_response(writer, request_id, content)
 
+    async def _send_head(
+        self, writer: asyncio.StreamWriter, request_id: str, content: bytes
+    ) -> None:
+        response = raw_http.format_response(
+            200, request_id, content, 'X-Server-Signature: signed'
+        )
+        writer.write(response.removesuffix(content))
+        await writer.drain()
+
     def _crash(self) -> None:
         self.server.close()
         for writer in list(self.connections):
