Answer 503 to a long head before the limits are known

A VM that had just started answered 431 to a head of 40,000 bytes, by default limits, though the configuration that it read a moment later allowed it, and clients do not send such a request again.

The size of a head was checked against the limits in use, without regard to whether a configuration had set them. ProcessState.may_deny now says whether clients may be told that a request is wrong; without that, a head, trailers or a body over the limits in use get 503 with Retry-After. The limits themselves still bound the memory.

--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -98,6 +98,7 @@
         state.memory,
         descriptors.plan(state.settings.max_descriptors).connections,
         lambda: state.request_limits,
+        lambda: state.may_deny,
         event_log,
         metrics,
     )
--- a/packages/entry/bulrushcourse_entry/edge/callers/bodies.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bodies.py
@@ -14,10 +14,23 @@
 TOO_LARGE = 'body-too-large'
 NO_MEMORY = 'no-memory'
 MALFORMED = 'malformed'
+UNKNOWN_LIMITS = 'unknown-limits'
 TIMED_OUT = 'body-timeout'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
+class BodyRefused(web_protocol.RequestPayloadError):
+    """A connection received no more of a body.
+
+    Attributes:
+        reason: Why.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
 @typing.runtime_checkable
 class BodySource(typing.Protocol):
     """A connection that receives larger parts of a body once it is read."""
@@ -119,6 +132,8 @@
                 return await self._read_parts(request, limits, ending)
         except TimeoutError:
             return TIMED_OUT
+        except BodyRefused as refused:
+            return refused.reason
         except web_protocol.RequestPayloadError:
             return MALFORMED
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -19,6 +19,7 @@
 from aiohttp import web_protocol
 
 from bulrushcourse_domain.resources import connections
+from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import pipelining
 from bulrushcourse_entry.platform import headers as platform_headers
@@ -39,8 +40,6 @@
 # Memory of trailers that are being received, for each of their bytes.
 TRAILER_COPIES = 8
 
-Malformed = web_protocol.RequestPayloadError
-
 
 class Awaiting(enum.Enum):
     """What the next received bytes belong to."""
@@ -350,7 +349,10 @@
         size = len(self.held) if end < 0 else end + len(END_OF_HEAD)
         self.guard.table.begin_head(self.entry)
         if self.before_head + size > self.guard.head_limit:
-            self._refuse(431, 'head-too-large', self.held)
+            if self.guard.may_deny():
+                self._refuse(431, 'head-too-large', self.held)
+            else:
+                self._refuse(503, bodies.UNKNOWN_LIMITS, self.held)
             return False
         if end < 0:
             self.searched = size
@@ -473,7 +475,7 @@
             self._end_body()
             return True
         if surplus:
-            self._refuse_body('malformed')
+            self._refuse_body(bodies.MALFORMED)
             return False
         return self._check_overhead(len(part))
 
@@ -495,14 +497,19 @@
             self.body_bytes = self.payload.total_bytes
             self.overhead = 0
         if self.overhead > self.guard.head_limit:
-            self._refuse_body('chunk-overhead')
+            self._refuse_body(
+                'chunk-overhead',
+                bodies.MALFORMED
+                if self.guard.may_deny()
+                else bodies.UNKNOWN_LIMITS,
+            )
             return False
         if self.overhead <= FREE_OVERHEAD_BYTES:
             return True
         # The parser keeps trailers like the lines of a head.
         taken = max(self.entry.head_bytes, TRAILER_COPIES * self.overhead)
         if not self.guard.try_take_head(self.entry, taken):
-            self._refuse_body('head-memory')
+            self._refuse_body('head-memory', bodies.MALFORMED)
             return False
         return True
 
@@ -559,13 +566,18 @@
         self.guard.record(reason, self.entry.stage, head)
         self.refuse(status, reason)
 
-    def _refuse_body(self, reason: str) -> None:
-        """End a request whose body is malformed; nothing was passed on."""
+    def _refuse_body(self, reason: str, answer: str = '') -> None:
+        """End a request whose body is refused; nothing was passed on.
+
+        Args:
+            reason: Reason for the log.
+            answer: Reason by which the request is answered, if another one.
+        """
         self.guard.record(reason, self.entry.stage)
         self.awaiting = Awaiting.NOTHING
         self.held = b''
         if not self.payload.is_eof():
-            self.payload.set_exception(Malformed(reason))
+            self.payload.set_exception(bodies.BodyRefused(answer or reason))
         self.close()
 
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/connection_guard.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/connection_guard.py
@@ -48,6 +48,8 @@
     Attributes:
         table: The open connections.
         limits: Returns the limits of the configuration in force.
+        may_deny: Returns whether these are known well enough for an answer
+            that clients must not retry.
         event_log: Log.
         metrics: Counters.
         buffer: Receive buffer of all connections; the event loop empties it
@@ -58,6 +60,7 @@
 
     table: connections.ConnectionTable
     limits: typing.Callable[[], routes.RequestLimits]
+    may_deny: typing.Callable[[], bool]
     event_log: event_logs.EventLog
     metrics: edge_metrics.Metrics
     buffer: memoryview = attrs.field(
@@ -187,6 +190,7 @@
     budget: memories.MemoryBudget,
     limit: int,
     limits: typing.Callable[[], routes.RequestLimits],
+    may_deny: typing.Callable[[], bool],
     event_log: event_logs.EventLog,
     metrics: edge_metrics.Metrics,
 ) -> ConnectionGuard:
@@ -196,6 +200,7 @@
         budget: Memory of the VM's traffic.
         limit: Largest number of connections.
         limits: Returns the limits of the configuration in force.
+        may_deny: See ``ConnectionGuard``.
         event_log: Log.
         metrics: Counters.
     """
@@ -205,4 +210,4 @@
         'Open connections of clients',
         lambda: float(len(table)),
     )
-    return ConnectionGuard(table, limits, event_log, metrics)
+    return ConnectionGuard(table, limits, may_deny, event_log, metrics)
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -203,6 +203,8 @@
         reason: str,
     ) -> responses.Served:
         status = BODY_STATUSES.get(reason)
+        if reason == bodies.TOO_LARGE and not self.state.may_deny:
+            reason, status = bodies.UNKNOWN_LIMITS, None
         if status is None:
             served = self.responder.refuse(
                 caller.request_id,
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -197,6 +197,15 @@
         active = self.routes.active
         return active.limits if active else routes.RequestLimits()
 
+    @property
+    def may_deny(self) -> bool:
+        """Whether clients may be told that their requests are wrong.
+
+        They do not repeat such requests, also where another VM or a later
+        configuration would accept them.
+        """
+        return self.routes.active is not None
+
     def may_begin(self, deadline: float) -> bool:
         """Return whether a request may be sent before a planned stop ends.
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -9,6 +9,8 @@
 from bulrushcourse_testkit.platform import raw_client
 
 HOST = documents.HOST
+# Largest request line beside a head with the largest fields.
+LINE_BYTES = 8 << 10
 
 
 def run(scenario):
@@ -67,3 +69,45 @@
             writer.close()
 
     run(scenario())
+
+
+def test_long_head_before_a_configuration_is_known_may_be_retried():
+    # Guards against 431 by default limits, which a VM that has just started
+    # applied before it knew those of the configuration.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            vm = cluster.vms[0]
+            vm.start()
+
+            async def is_listening():
+                return await cluster.readiness_status(vm) != 0
+
+            await cluster.wait_until(is_listening)
+            data = head('GET /browse/1 HTTP/1.1', 'X-Long: ' + 'a' * 40_000)
+            reply = await ask(cluster, data)
+            assert reply.status == 503
+            assert float(dict(reply.fields())['retry-after']) > 0
+
+    run(scenario())
+
+
+def test_largest_head_and_body_are_served():
+    # Guards against limits that are one byte too low.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            await start(cluster, max_header_bytes=30_000, max_body_bytes=3000)
+            line = 'POST /order/1 HTTP/1.1'
+            plain = head(line, 'Content-Length: 3000', 'X-Long: ')
+            fields = len(plain) - len(line) - 2
+            data = head(
+                line.replace('1 ', 'a' * (LINE_BYTES - len(line) - 1) + ' '),
+                'Content-Length: 3000',
+                'X-Long: ' + 'a' * (30_000 - fields),
+            )
+            assert len(data) == 30_000 + LINE_BYTES
+            reply = await ask(cluster, data, bytes(3000))
+            assert reply.status == 200
+            longer = data.replace(b'X-Long: ', b'X-Long: a')
+            assert (await ask(cluster, longer)).status == 431
+
+    run(scenario())
