Answer 503 to a body whose trailers find no memory

A proper chunked body with 3,000 bytes of trailers got 400 from a VM that was short of memory for heads; the new test got 400 instead of 503.

Each end of a body by the connection reached the handler as the same parser error. It now carries its reason, and lack of memory is answered like that of a body or a head: not run, with Retry-After.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -509,7 +509,7 @@
         # The parser keeps trailers like the lines of a head.
         taken = max(self.entry.head_bytes, TRAILER_COPIES * self.overhead)
         if not self.guard.try_take_head(self.entry, taken):
-            self._refuse_body('head-memory', bodies.MALFORMED)
+            self._refuse_body('head-memory', bodies.NO_MEMORY)
             return False
         return True
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bulrushcourse_domain.resources import memory as memories
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import documents
 from bulrushcourse_testkit.platform import raw_client
@@ -111,3 +112,27 @@
             assert (await ask(cluster, longer)).status == 431
 
     run(scenario())
+
+
+def test_trailers_that_find_no_memory_may_be_retried():
+    # Guards against 400 for a proper body while a VM is short of memory.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            upstream = await start(cluster)
+            memory = cluster.vms[0].process.state.memory
+            data = head('POST /order/1 HTTP/1.1', 'Transfer-Encoding: chunked')
+            trailers = b'x-sum: ' + b'a' * 3000
+            host, _, port = cluster.vms[0].listen['front'].rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data + b'3\r\nabc\r\n0\r\n')
+            await asyncio.sleep(0.1)
+            use = memories.Use.CONNECTIONS
+            memory.used_bytes[use] += int(memory.share_bytes(use))
+            writer.write(trailers + b'\r\n')
+            reply = await raw_client.read_response(reader)
+            assert reply.status == 503
+            assert float(dict(reply.fields())['retry-after']) > 0
+            assert upstream.arrivals == []
+            writer.close()
+
+    run(scenario())
