Find the route by the host of the target in every form

Proper requests got 404: with the target in absolute form, which every server has to accept (RFC 9112, section 3.2.2), and with a host that ends with a dot. The five new cases through a VM got 404 instead of 200.

The route was looked up with the Host header as spelled and with the whole target as path. The target is now split into authority and path first; its authority goes before the Host header and replaces it in what is forwarded, path and query stay as they came. Look-ups take a name by the same rule, so that they find the home regions of such a host.

--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -16,6 +16,7 @@
 from bulrushcourse_entry.edge.callers import caller_request
 from bulrushcourse_entry.edge.callers import outcomes
 from bulrushcourse_entry.edge.callers import request_executor
+from bulrushcourse_entry.edge.callers import request_target
 from bulrushcourse_entry.edge.callers import responses
 from bulrushcourse_entry.edge.upstreams import destinations
 from bulrushcourse_entry.edge.upstreams import upstream_client
@@ -114,10 +115,8 @@
             served.answer.memory.release()
 
     def _match(self, request: web.BaseRequest) -> routes.Route | None:
-        host = request.headers.get('Host', '').partition(':')[0].lower()
-        return self.state.routes.match(
-            host, request.raw_path.partition('?')[0]
-        )
+        target = _target(request)
+        return self.state.routes.match(target.host, target.path)
 
     async def _serve(self, request: web.BaseRequest) -> responses.Served:
         arrived = self.state.clock.monotonic()
@@ -257,6 +256,7 @@
         deadline: float,
     ) -> caller_request.CallerRequest:
         state = self.state
+        target = _target(request)
         service = self.destinations.choose_service(route)
         service_times = state.service_times.route_times(
             route.key, service, route.objective_s
@@ -268,8 +268,8 @@
         return caller_request.CallerRequest(
             request_id=caller.request_id,
             method=request.method,
-            target=request.raw_path,
-            headers=request.headers,
+            target=target.path_and_query,
+            headers=target.forwarded(request.headers),
             body=body_content.Content(),
             route=route,
             configuration_version=state.routes.version,
@@ -279,3 +279,9 @@
             arrived=arrived,
             deadline=deadline,
         )
+
+
+def _target(request: web.BaseRequest) -> request_target.RequestTarget:
+    return request_target.parse(
+        request.raw_path, request.headers.get(request_target.HOST, '')
+    )
--- a/packages/entry/bulrushcourse_entry/platform/lookups.py
+++ b/packages/entry/bulrushcourse_entry/platform/lookups.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from bulrushcourse_domain.routes import host_names
+
 _PATH = '/resolve'
 
 
@@ -33,7 +35,7 @@
     if path != _PATH:
         return None
     return LookupQuery(
-        query.get('name', '').lower(),
+        host_names.canonical(query.get('name', '')),
         query.get('region', ''),
         query.get('zone', ''),
     )
--- a/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
+++ b/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
@@ -212,3 +212,9 @@
 def test_durations_without_number_or_unit_are_refused(bad):
     with pytest.raises(units.MalformedValue):
         units.duration_s(bad)
+
+
+def test_lookup_of_a_name_with_a_port_or_final_dot_finds_its_host():
+    # Guards against look-ups that miss the home regions of their host.
+    for name in ('H.Example.', 'h.example:80', 'h.example.:80'):
+        assert lookups.decode('/resolve', {'name': name}).host == 'h.example'
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -136,3 +136,39 @@
             writer.close()
 
     run(scenario())
+
+
+ABSOLUTE = {
+    f'http://{HOST}/browse/1?a=/b': '/browse/1?a=/b',
+    f'HTTP://{HOST.upper()}:80/browse/?': '/browse/?',
+    f'https://{HOST}/browse/http://x/': '/browse/http://x/',
+}
+
+
+@pytest.mark.parametrize('target', ABSOLUTE)
+def test_absolute_form_selects_the_route_of_its_host(target):
+    # Guards against 404 for a form that every server accepts, and against a
+    # target that the upstream does not get as a path.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            upstream = await start(cluster)
+            data = head(f'GET {target} HTTP/1.1', host='other.example')
+            assert (await ask(cluster, data)).status == 200
+            assert upstream.arrivals[-1].target == ABSOLUTE[target]
+            authority = target.split('/')[2]
+            assert upstream.arrivals[-1].headers['host'] == authority
+
+    run(scenario())
+
+
+@pytest.mark.parametrize('host', (HOST + '.', HOST.upper() + '.:80'))
+def test_host_with_a_final_dot_selects_the_route(host):
+    # Guards against 404 for the same name in its absolute form.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            upstream = await start(cluster)
+            data = head('GET /browse/1 HTTP/1.1', host=host)
+            assert (await ask(cluster, data)).status == 200
+            assert upstream.arrivals[-1].headers['host'] == host
+
+    run(scenario())
