Keep the length of an answer to HEAD

Callers got answers to HEAD without Content-Length though the upstream stated it.

The header was left out of every response because the length of the body is set anew. A response to HEAD has no body whose length could replace it.

--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -178,7 +178,7 @@
         self.gate.settle(parsed, outcome)
         self.responder.record(parsed, outcome)
         return responses.Served(
-            self.responder.respond(outcome),
+            self.responder.respond(parsed, outcome),
             outcome if isinstance(outcome, upstream_client.Answer) else None,
         )
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/responses.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/responses.py
@@ -1,6 +1,7 @@
 """Responses to callers: statuses, headers and what is logged about them."""
 
 import attrs
+from aiohttp import hdrs
 from aiohttp import web
 
 from bulrushcourse_entry.edge import process_state
@@ -45,10 +46,13 @@
     event_log: event_logs.EventLog
     metrics: metrics.Metrics
 
-    def respond(self, outcome: outcomes.Outcome) -> web.Response:
+    def respond(
+        self, parsed: caller_request.CallerRequest, outcome: outcomes.Outcome
+    ) -> web.Response:
         """Return the response to an executed request.
 
         Args:
+            parsed: The request.
             outcome: Its outcome.
         """
         if isinstance(outcome, outcomes.Refusal):
@@ -57,7 +61,9 @@
             return web.Response(status=504 if outcome.timed_out else 502)
         response = web.Response(
             status=outcome.status,
-            headers=platform_headers.encode_returned(outcome.headers),
+            headers=platform_headers.encode_returned(
+                outcome.headers, parsed.method == hdrs.METH_HEAD
+            ),
             body=outcome.body.payload(),
         )
         return response
--- a/packages/entry/bulrushcourse_entry/platform/headers.py
+++ b/packages/entry/bulrushcourse_entry/platform/headers.py
@@ -17,6 +17,7 @@
 LOAD = 'X-Server-Load'
 WARMUP_MS = 'X-Warmup-Ms'
 RETRY_AFTER = 'Retry-After'
+CONTENT_LENGTH = 'Content-Length'
 LEAVING = 'Server-Leaving'
 API_KEY = 'Api-Key'
 ACCOUNT = 'X-Tenant'
@@ -50,7 +51,7 @@
         'Trailer',
         'Transfer-Encoding',
         'Upgrade',
-        'Content-Length',
+        CONTENT_LENGTH,
         'Expect',
         DEADLINE_MS,
         EXPECTED_UPSTREAM,
@@ -119,14 +120,19 @@
 
 
 def encode_returned(
-    headers: multidict.CIMultiDictProxy[str],
+    headers: multidict.CIMultiDictProxy[str], states_length: bool = False
 ) -> multidict.CIMultiDict[str]:
     """Return the headers of a response to a caller.
 
     Args:
         headers: Headers of the upstream's response.
+        states_length: Whether the response has no body and may state the
+            length of another one, as the response to HEAD does.
     """
-    return _without(headers, _NOT_RETURNED)
+    returned = _without(headers, _NOT_RETURNED)
+    if states_length and CONTENT_LENGTH in headers:
+        returned[CONTENT_LENGTH] = headers[CONTENT_LENGTH]
+    return returned
 
 
 def proves_not_executed(
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -172,3 +172,24 @@
             assert upstream.arrivals[-1].headers['host'] == host
 
     run(scenario())
+
+
+def test_answer_to_head_keeps_its_length_without_a_body():
+    # Guards against 502, or a length of 0, for the answer to HEAD.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            upstream = await start(cluster)
+            upstream.content = b'x' * 70
+            host, _, port = cluster.vms[0].listen['front'].rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head('HEAD /browse/1 HTTP/1.1'))
+            reply = await reader.readuntil(b'\r\n\r\n')
+            assert reply.startswith(b'HTTP/1.1 200 ')
+            assert (
+                dict(raw_client.parse_fields(reply))['content-length'] == b'70'
+            )
+            writer.write(head('GET /browse/2 HTTP/1.1', request_id='p2'))
+            assert (await raw_client.read_response(reader)).body == b'x' * 70
+            writer.close()
+
+    run(scenario())
