Answer 501 to a method that the parser does not know

A proper request with an unregistered method got 400, as if it were malformed; the new test got 400 instead of 501.

A method may be any token (RFC 9110, section 9.1), and aiohttp's parser takes the registered ones only. Such a head is still refused, but by the status for methods that a server does not implement, and logged as unknown-method.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -22,6 +22,7 @@
 from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import pipelining
+from bulrushcourse_entry.edge.callers import refused_heads
 from bulrushcourse_entry.platform import headers as platform_headers
 
 END_OF_HEAD = b'\r\n\r\n'
@@ -421,10 +422,7 @@
             return True
         message, self.payload = self._messages[-1]
         if not isinstance(message, http.RawRequestMessage):
-            # The parser has refused the head, with 400.
-            self.guard.record('malformed', self.entry.stage, head)
-            self.awaiting = Awaiting.NOTHING
-            self.held = b''
+            self._refuse_head(message.exc, head)
             return False
         self.responded = False
         self.body_left = 0
@@ -562,6 +560,12 @@
         self.held = b''
         return False
 
+    def _refuse_head(self, error: BaseException, head: bytes) -> None:
+        """Answer a head that the parser has refused, with its reason."""
+        reason = refused_heads.classify(error, head)
+        self._messages.pop()
+        self._refuse(refused_heads.STATUSES[reason], reason, head)
+
     def _refuse(self, status: int, reason: str, head: bytes = b'') -> None:
         self.guard.record(reason, self.entry.stage, head)
         self.refuse(status, reason)
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -193,3 +193,15 @@
             writer.close()
 
     run(scenario())
+
+
+def test_unknown_method_is_not_called_malformed():
+    # Guards against 400 for a method that is a token, which says that the
+    # client must not send the request to any server.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            await start(cluster)
+            reply = await ask(cluster, head('FROB /browse/1 HTTP/1.1'))
+            assert reply.head.startswith(b'HTTP/1.0 501 ')
+
+    run(scenario())
