Answer refused heads in the version of the server

Refusals of malformed heads, and all others that are written before a request was parsed (408, 431, 503), began with HTTP/1.0 and had no Connection: close.

In place of the request that it could not parse, aiohttp answers one in HTTP/1.0. A server answers in its own version (RFC 9112, section 2.3).

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -274,6 +274,7 @@
             self.guard.record_error(exc)
         if request.writer.output_size > 0:
             raise ConnectionError('a response was begun')
+        refused_heads.use_own_version(request)
         response = web.Response(status=status)
         if status == platform_headers.UNAVAILABLE:
             response.headers.update(
--- a/packages/entry/bulrushcourse_entry/edge/callers/refused_heads.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/refused_heads.py
@@ -2,7 +2,10 @@
 
 import re
 
+from aiohttp import http
 from aiohttp import http_exceptions
+from aiohttp import web
+from aiohttp import web_protocol
 
 MALFORMED = 'malformed'
 UNKNOWN_METHOD = 'unknown-method'
@@ -32,3 +35,15 @@
     if is_proper and isinstance(error, http_exceptions.BadHttpMethod):
         return UNKNOWN_METHOD
     return MALFORMED
+
+
+def use_own_version(request: web.BaseRequest) -> None:
+    """Answer a refused head in the version of this server.
+
+    In its place aiohttp has a request in HTTP/1.0.
+
+    Args:
+        request: The request that is answered.
+    """
+    if request._message is web_protocol.ERROR:
+        request._version = http.HttpVersion11
