--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -19,8 +19,10 @@
 from aiohttp import web_protocol
 
 from bulrushcourse_domain.resources import connections
+from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import pipelining
+from bulrushcourse_entry.edge.callers import refused_heads
 from bulrushcourse_entry.platform import headers as platform_headers
 
 END_OF_HEAD = b'\r\n\r\n'
@@ -39,8 +41,6 @@
 # Memory of trailers that are being received, for each of their bytes.
 TRAILER_COPIES = 8
 
-Malformed = web_protocol.RequestPayloadError
-
 
 class Awaiting(enum.Enum):
     """What the next received bytes belong to."""
@@ -76,6 +76,7 @@
         reads_body: Whether the handler is reading the body.
         heads: Memory of the heads that were passed on and not answered.
         is_safe: Whether the request in progress changes nothing.
+        parsing: Whether the parser is being fed.
     """
 
     __slots__ = (
@@ -97,6 +98,7 @@
         'reads_body',
         'heads',
         'is_safe',
+        'parsing',
     )
 
     def __init__(
@@ -126,6 +128,7 @@
         self.reads_body = False
         self.heads: collections.deque[int] = collections.deque()
         self.is_safe = False
+        self.parsing = False
         self._await_head()
 
     def _await_head(self) -> None:
@@ -196,6 +199,18 @@
 
     # Calls of aiohttp.
 
+    def data_received(self, data: bytes) -> None:
+        """Feed bytes to the parser.
+
+        Args:
+            data: The bytes, none to resume the parser.
+        """
+        self.parsing = True
+        try:
+            super().data_received(data)
+        finally:
+            self.parsing = False
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Continue with a body whose reader has caught up.
 
@@ -203,6 +218,10 @@
             resume_parser: Whether the parser continues.
         """
         super().resume_reading(resume_parser)
+        if self.parsing:
+            # The parser calls this at the end of a body and can't be fed
+            # until it has returned; whoever feeds it continues.
+            return
         self._end_body_if_complete()
         self._end_request_if_complete()
         self._pass_on()
@@ -255,6 +274,7 @@
             self.guard.record_error(exc)
         if request.writer.output_size > 0:
             raise ConnectionError('a response was begun')
+        refused_heads.use_own_version(request)
         response = web.Response(status=status)
         if status == platform_headers.UNAVAILABLE:
             response.headers.update(
@@ -331,7 +351,10 @@
         size = len(self.held) if end < 0 else end + len(END_OF_HEAD)
         self.guard.table.begin_head(self.entry)
         if self.before_head + size > self.guard.head_limit:
-            self._refuse(431, 'head-too-large', self.held)
+            if self.guard.may_deny():
+                self._refuse(431, 'head-too-large', self.held)
+            else:
+                self._refuse(503, bodies.UNKNOWN_LIMITS, self.held)
             return False
         if end < 0:
             self.searched = size
@@ -400,10 +423,7 @@
             return True
         message, self.payload = self._messages[-1]
         if not isinstance(message, http.RawRequestMessage):
-            # The parser has refused the head, with 400.
-            self.guard.record('malformed', self.entry.stage, head)
-            self.awaiting = Awaiting.NOTHING
-            self.held = b''
+            self._refuse_head(message.exc, head)
             return False
         self.responded = False
         self.body_left = 0
@@ -454,7 +474,7 @@
             self._end_body()
             return True
         if surplus:
-            self._refuse_body('malformed')
+            self._refuse_body(bodies.MALFORMED)
             return False
         return self._check_overhead(len(part))
 
@@ -476,14 +496,19 @@
             self.body_bytes = self.payload.total_bytes
             self.overhead = 0
         if self.overhead > self.guard.head_limit:
-            self._refuse_body('chunk-overhead')
+            self._refuse_body(
+                'chunk-overhead',
+                bodies.MALFORMED
+                if self.guard.may_deny()
+                else bodies.UNKNOWN_LIMITS,
+            )
             return False
         if self.overhead <= FREE_OVERHEAD_BYTES:
             return True
         # The parser keeps trailers like the lines of a head.
         taken = max(self.entry.head_bytes, TRAILER_COPIES * self.overhead)
         if not self.guard.try_take_head(self.entry, taken):
-            self._refuse_body('head-memory')
+            self._refuse_body('head-memory', bodies.NO_MEMORY)
             return False
         return True
 
@@ -497,6 +522,8 @@
         self.awaiting = Awaiting.RESPONSE
         if self.entry.stage is not connections.Stage.WRITING:
             self.guard.table.enter(self.entry, connections.Stage.SERVED)
+        # The response may have preceded the end of the body.
+        self._end_request_if_complete()
 
     def _end_request_if_complete(self) -> None:
         """Continue with the next head after the response and the body."""
@@ -509,6 +536,7 @@
                 self._resume_if_drained()
                 return
             if self._close or self._force_close:
+                self.awaiting = Awaiting.NOTHING
                 return
             self._await_head()
             self.guard.table.enter(self.entry, connections.Stage.KEPT)
@@ -533,17 +561,28 @@
         self.held = b''
         return False
 
+    def _refuse_head(self, error: BaseException, head: bytes) -> None:
+        """Answer a head that the parser has refused, with its reason."""
+        reason = refused_heads.classify(error, head)
+        self._messages.pop()
+        self._refuse(refused_heads.STATUSES[reason], reason, head)
+
     def _refuse(self, status: int, reason: str, head: bytes = b'') -> None:
         self.guard.record(reason, self.entry.stage, head)
         self.refuse(status, reason)
 
-    def _refuse_body(self, reason: str) -> None:
-        """End a request whose body is malformed; nothing was passed on."""
+    def _refuse_body(self, reason: str, answer: str = '') -> None:
+        """End a request whose body is refused; nothing was passed on.
+
+        Args:
+            reason: Reason for the log.
+            answer: Reason by which the request is answered, if another one.
+        """
         self.guard.record(reason, self.entry.stage)
         self.awaiting = Awaiting.NOTHING
         self.held = b''
         if not self.payload.is_eof():
-            self.payload.set_exception(Malformed(reason))
+            self.payload.set_exception(bodies.BodyRefused(answer or reason))
         self.close()
 
 
