Test that requests share a proof and pass on the time left

Requests that wait for a proof of the same upstream share one health request, and the time that it takes is taken off the deadline in their headers.

--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
@@ -290,6 +290,32 @@
     run(scenario())
 
 
+def test_requests_share_a_proof_and_pass_on_the_time_that_is_left():
+    # Guards against a health request for each of many requests that wait for
+    # the same proof, and against upstreams that are handed the time which the
+    # proof took.
+    async def scenario():
+        async with edge_cluster() as cluster:
+            upstream = await cluster.add_upstream('h1', slots=20, health_s=0.4)
+            await cluster.start()
+            replies = await asyncio.gather(
+                *(
+                    cluster.send(path, deadline_ms=2000)
+                    for path in ('/home/x', '/once/x')
+                    for _ in range(8)
+                )
+            )
+            assert all_served(replies)
+            assert upstream.health_checks == 1
+            left_ms = [
+                int(a.headers['x-request-deadline-ms'])
+                for a in home_requests(upstream)
+            ]
+            assert max(left_ms) <= 1600
+
+    run(scenario())
+
+
 def test_short_requests_need_few_health_requests():
     # Guards against a health request with each request: answers prove the
     # identity of an upstream as well.
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -62,6 +62,7 @@
         aborted_runs: Number of requests whose connection closed while they
             ran.
         running: Number of requests that are running.
+        health_s: Time until it answers a health request, in seconds.
         health_checks: Number of health requests that reached it.
         sending: Number of connections on which it sends without end.
         cut_off: Number of such connections that the VM closed.
@@ -88,6 +89,7 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     aborted_runs: int = 0
     running: int = 0
+    health_s: float = 0.0
     health_checks: int = 0
     sending: int = 0
     cut_off: int = 0
@@ -220,6 +222,7 @@
         if self.fault is Fault.SHED:
             self._refuse(writer, '')
             return True
+        await asyncio.sleep(self.health_s)
         instance_id = f'X-Instance-Id: {self.name}'
         writer.write(raw_http.format_response(200, '', b'', instance_id))
         return True
