Keep upstreams of unknown failure domains out of home regions

The row of an upstream may name a failure domain that the settings lack. Its name was taken for its region, so that a domain called like a home region got the requests that are bound to that region, without any evidence where it is.

Such an upstream is now in a region of its own, with a prefix that no region has; it still serves requests without homes. The test failed before with region 'r'. Found by reading; not seen in a run of processes.

--- a/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
+++ b/packages/entry/bulrushcourse_entry/platform/tests/test_decoding.py
@@ -59,6 +59,14 @@
     assert not upstream.draining
 
 
+def test_unknown_failure_domain_is_in_no_region_of_the_settings():
+    # Guards against an upstream that counts as one of a home region because
+    # its failure domain, which the settings do not name, is called like it.
+    fields = {**UPSTREAM_FIELDS, 'zone': 'r'}
+    upstream = upstream_rows.decode(row(fields), {'z': 'r'})
+    assert upstream.region not in ('r', '')
+
+
 @given(strategies.sampled_from(sorted(UPSTREAM_FIELDS)), JSON)
 def test_upstream_row_with_any_wrong_field_is_decoded_or_refused(field, value):
     # Guards against a malformed row of an upstream that crashes the process.
--- a/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
@@ -11,6 +11,8 @@
 # Whether an upstream in this state is leaving.
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 MAX_SLOTS = 100_000
+# Prefix of the region of a failure domain that the settings don't name.
+UNKNOWN_REGION = 'unknown'
 
 
 def decode(
@@ -35,7 +37,8 @@
             service=units.non_empty_string(fields['service'], 'service'),
             address=units.address(fields['address'], 'address'),
             failure_domain=domain,
-            region=regions.get(domain, domain),
+            # A failure domain may be called like a region that is a home.
+            region=regions.get(domain, f'{UNKNOWN_REGION}:{domain}'),
             slots=slots,
             draining=draining,
             cold_for_s=units.duration_s(fields.get('warmup_left', '0ms')),
