Confirm the configuration after a start or a pause

A VM that had been suspended, or that had just started, sent requests to regions that were their homes in an earlier version, and answered 404 for routes that were there.

The active configuration was used without regard to how it was known: after a pause, requests in the sockets were read before the news, and a new process took the version of a peer that was cut from the store for the newest.

Freshness keeps since when the configuration is to be confirmed. Without any answer the VM goes on after contact. A VM that runs calls the store as before.

--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/routes/tests/test_freshness.py
@@ -0,0 +1,75 @@
+"""What a VM may decide by the configuration that it has."""
+
+import pytest
+
+from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.routes import freshness as freshnesses
+
+TERMS = freshnesses.Terms(contact_s=3.0, apply_s=2.0)
+STORE, PEERS = freshnesses.Source.STORE, freshnesses.Source.PEERS
+
+
+def make_confirmed():
+    clock = clocks.ManualClock(100.0)
+    freshness = freshnesses.start(clock)
+    freshness.confirm(100.0, STORE)
+    return clock, freshness
+
+
+def pause(clock, freshness, seconds):
+    clock.advance(seconds)
+    return freshness.observe(TERMS)
+
+
+def decisions(freshness):
+    return (
+        freshness.may_send_home_bound(TERMS),
+        freshness.may_deny(TERMS),
+    )
+
+
+def test_process_that_has_started_decides_nothing_final():
+    # Guards against 404 by a configuration that another VM sent at the start.
+    freshness = freshnesses.start(clocks.ManualClock(100.0))
+    assert decisions(freshness) == (False, False)
+
+
+@pytest.mark.parametrize('source', [STORE, PEERS])
+def test_answer_since_the_start_confirms(source):
+    # Guards against a VM that waits although it knows the newest version.
+    clock = clocks.ManualClock(100.0)
+    freshness = freshnesses.start(clock)
+    clock.advance(0.2)
+    freshness.confirm(100.0, source)
+    assert decisions(freshness) == (True, True)
+    assert freshness.source is source
+
+
+def test_answer_to_a_question_before_the_pause_confirms_nothing():
+    # Guards against an answer that waited in a socket during a pause.
+    clock, freshness = make_confirmed()
+    clock.advance(0.5)
+    assert not freshness.observe(TERMS)
+    asked = clock.monotonic()
+    assert pause(clock, freshness, 5.0)
+    freshness.confirm(asked, STORE)
+    assert decisions(freshness) == (False, False)
+    freshness.confirm(clock.monotonic(), STORE)
+    assert decisions(freshness) == (True, True)
+
+
+def test_short_delays_are_no_pauses():
+    # Guards against reads of the store whenever tasks run a bit late.
+    clock, freshness = make_confirmed()
+    assert not any(pause(clock, freshness, 0.9) for _ in range(3))
+    assert decisions(freshness) == (True, True)
+
+
+def test_configuration_is_used_when_nobody_answers_in_time():
+    # Guards against an outage of the store that stops a VM for good.
+    clock, freshness = make_confirmed()
+    pause(clock, freshness, 5.0)
+    clock.advance(2.9)
+    assert decisions(freshness) == (False, False)
+    clock.advance(0.1)
+    assert decisions(freshness) == (True, True)
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -16,10 +16,13 @@
 from bulrushcourse_entry.edge.accounts import token_streams
 from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import attempts
+from bulrushcourse_entry.edge.callers import configuration_gate
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import handlers as request_handlers
 from bulrushcourse_entry.edge.callers import request_executor
 from bulrushcourse_entry.edge.callers import responses
+from bulrushcourse_entry.edge.callers import target_lookup
+from bulrushcourse_entry.edge.fleet import configuration_queries
 from bulrushcourse_entry.edge.fleet import peers
 from bulrushcourse_entry.edge.fleet import reports
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
@@ -69,7 +72,11 @@
     metrics = edge_metrics.Metrics()
     granter = token_granter.TokenGranter(state, event_log)
     streams = peers.PeerStreams(
-        state, event_log, reports.Reports(state, event_log), granter.serve
+        state,
+        event_log,
+        reports.Reports(state, event_log),
+        granter.serve,
+        configuration_queries.ConfigurationQueries(state, event_log),
     )
     client = await _open_client(state, event_log, metrics, streams, stack)
     store = await stack.enter_async_context(
@@ -164,6 +171,7 @@
             events.Event.UPSTREAM_MISDIRECTED, **record.fields()
         )
 
+    configuration = configuration_gate.ConfigurationGate(state)
     executor = request_executor.RequestExecutor(
         state,
         attempts.AttemptRunner(
@@ -180,11 +188,13 @@
             on_room=event_log.log_room,
         ),
         gate,
+        configuration,
     )
     return request_handlers.Handlers(
         state,
         destinations.DestinationSelector(state),
         executor,
         gate,
+        target_lookup.TargetLookup(state, configuration),
         responses.Responder(state, event_log, metrics),
     )
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -1,12 +1,12 @@
 """HTTP handler for callers' requests."""
 
 import asyncio
+import functools
 import traceback
 
 import attrs
 from aiohttp import web
 
-from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
@@ -18,6 +18,7 @@
 from bulrushcourse_entry.edge.callers import request_executor
 from bulrushcourse_entry.edge.callers import request_target
 from bulrushcourse_entry.edge.callers import responses
+from bulrushcourse_entry.edge.callers import target_lookup
 from bulrushcourse_entry.edge.upstreams import destinations
 from bulrushcourse_entry.edge.upstreams import upstream_client
 from bulrushcourse_entry.platform import headers as platform_headers
@@ -40,6 +41,7 @@
         destinations: Chooses services and regions.
         executor: Executes parsed requests.
         gate: Checks of client accounts.
+        targets: Finds what the configuration has for requests.
         responder: Encodes the responses.
         closing: Whether each connection is closed after its next response.
         open_requests: Number of requests being served.
@@ -49,6 +51,7 @@
     destinations: destinations.DestinationSelector
     executor: request_executor.RequestExecutor
     gate: account_gate.AccountGate
+    targets: target_lookup.TargetLookup
     responder: responses.Responder
     closing: bool = False
     open_requests: int = 0
@@ -127,24 +130,14 @@
             )
         if not self.state.routes.version:
             return self.responder.refuse(caller.request_id, NO_CONFIGURATION)
-        route = self._match(request)
-        if route is None:
-            return self.responder.reject(
-                404,
-                'no-route',
-                caller.request_id,
-                request.headers.get('Host', ''),
-                request.raw_path,
-            )
-        identity = self.state.routes.accounts.identify(
-            caller.key, route.public
+        found = await self.targets.find(
+            functools.partial(self._match, request),
+            caller.key,
+            self._remaining_s(caller),
         )
-        if identity.verdict is account_table.KeyVerdict.UNKNOWN:
-            return self.responder.reject(
-                401, identity.verdict.value, caller.request_id
-            )
-        if identity.account is not None:
-            route = routes.within_homes(route, identity.account.home_regions)
+        if not isinstance(found, target_lookup.Target):
+            return self._turn_away(found, caller, request)
+        route, identity = found.route, found.identity
         deadline = arrived + self._allowed_s(caller, route)
         if not self.state.may_begin(deadline):
             return self.responder.refuse(caller.request_id, outcomes.STOPPING)
@@ -157,6 +150,22 @@
         parsed.token = admitted
         return await self._execute(request, caller, parsed)
 
+    def _turn_away(
+        self,
+        verdict: target_lookup.Denial | outcomes.Refusal,
+        caller: platform_headers.CallerHeaders,
+        request: web.BaseRequest,
+    ) -> responses.Served:
+        if isinstance(verdict, outcomes.Refusal):
+            return self.responder.refuse(caller.request_id, verdict)
+        return self.responder.reject(
+            verdict.status,
+            verdict.reason,
+            caller.request_id,
+            request.headers.get('Host', ''),
+            request.raw_path,
+        )
+
     async def _execute(
         self,
         request: web.BaseRequest,
@@ -239,6 +248,11 @@
             caller.remaining_s - request_executor.DEADLINE_MARGIN_S,
         )
 
+    def _remaining_s(self, caller: platform_headers.CallerHeaders) -> float:
+        if caller.remaining_s is None:
+            return routes.DEFAULT_TIMEOUT_S
+        return caller.remaining_s
+
     def _retry_after_s(
         self, caller: platform_headers.CallerHeaders, route: routes.Route
     ) -> float:
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -14,6 +14,7 @@
 from bulrushcourse_entry.edge.callers import admission_control
 from bulrushcourse_entry.edge.callers import attempts
 from bulrushcourse_entry.edge.callers import caller_request
+from bulrushcourse_entry.edge.callers import configuration_gate
 from bulrushcourse_entry.edge.callers import outcomes
 from bulrushcourse_entry.edge.upstreams import upstream_client
 
@@ -37,6 +38,7 @@
         attempts: Sends requests to upstreams.
         admission: Decides when and where a request is sent.
         gate: Checks of client accounts.
+        configuration: Checks of how well the configuration is known.
         running: Tasks of requests that must not run twice; they go on when
             the caller disconnects.
     """
@@ -45,6 +47,7 @@
     attempts: attempts.AttemptRunner
     admission: admission_control.AdmissionControl
     gate: account_gate.AccountGate
+    configuration: configuration_gate.ConfigurationGate
     running: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
 
     async def close(self) -> None:
@@ -159,15 +162,25 @@
     async def _choose_first(
         self, request: caller_request.CallerRequest
     ) -> placement.Choice | outcomes.Outcome:
+        # The body may have taken long.
+        remaining_s = request.deadline - self.state.clock.monotonic()
+        await self.configuration.settle(remaining_s)
         choice = await self.admission.choose_first(request)
+        return self._recheck(request) or choice
+
+    def _recheck(
+        self, request: caller_request.CallerRequest
+    ) -> outcomes.Refusal | None:
         # The key may have been withdrawn while the request waited.
-        return self.gate.recheck(request) or choice
+        return self.gate.recheck(request) or self.configuration.check_homes(
+            request.route
+        )
 
     def _choose_again(
         self, request: caller_request.CallerRequest
     ) -> placement.Choice | outcomes.Outcome:
         choice = self.admission.choose_again(request)
-        outdated = self.gate.recheck(request)
+        outdated = self._recheck(request)
         if outdated is None or not isinstance(choice, placement.Choice):
             return choice
         if request.may_have_run:
--- a/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
@@ -14,11 +14,13 @@
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge import supervision
+from bulrushcourse_entry.edge.fleet import configuration_queries as vm_queries
 from bulrushcourse_entry.edge.fleet import framing
 from bulrushcourse_entry.edge.fleet import report_intervals
 from bulrushcourse_entry.edge.fleet import reports
 from bulrushcourse_entry.edge.fleet import stream_cursor
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
+from bulrushcourse_wire import configuration_queries
 from bulrushcourse_wire import fleet_messages
 from bulrushcourse_wire import quota_messages
 
@@ -76,6 +78,7 @@
         seeds: Sending tasks by address of the seed.
         inbound: Tasks of incoming streams.
         serve_tokens: Serves streams that ask for tokens of quotas.
+        queries: Answers questions about the configuration.
         unknown: Incoming streams that have sent no report yet, oldest first.
         directory_read: Wakes the sending tasks when this VM has got the
             upstreams of a later read.
@@ -85,6 +88,7 @@
     event_log: event_logs.EventLog
     reports: reports.Reports
     serve_tokens: StreamServer
+    queries: vm_queries.ConfigurationQueries
     sending: dict[str, SendingTask] = attrs.field(factory=dict)
     seeds: dict[str, asyncio.Task[None]] = attrs.field(factory=dict)
     inbound: set[asyncio.Task[typing.Any]] = attrs.field(factory=set)
@@ -291,9 +295,7 @@
                 async with asyncio.timeout(READ_TIMEOUT_S):
                     size = await framing.read_size(reader, MAX_REPORT_BYTES)
                     content = await self._read_content(reader, size)
-                if content == quota_messages.STREAM_PREFACE:
-                    self.unknown.pop(task, None)
-                    await self.serve_tokens(reader, writer)
+                if await self._serve_other(content, reader, writer):
                     return
                 report = fleet_messages.decode(content)
                 self.unknown.pop(task, None)
@@ -311,6 +313,7 @@
             pass
         except (
             fleet_messages.MalformedReport,
+            configuration_queries.MalformedMessage,
             framing.OversizedFrame,
         ) as error:
             self.event_log.log_change(
@@ -331,6 +334,26 @@
             self.unknown.pop(task, None)
             writer.close()
 
+    async def _serve_other(
+        self,
+        content: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Serve a stream that carries no reports until it ends.
+
+        Returns:
+            Whether it is such a stream, by its first frame.
+        """
+        if content == quota_messages.STREAM_PREFACE:
+            self.unknown.pop(asyncio.current_task(), None)
+            await self.serve_tokens(reader, writer)
+            return True
+        if content.startswith(configuration_queries.PREFACE):
+            await self.queries.answer(content, writer)
+            return True
+        return False
+
     def _limit_unknown(
         self, task: asyncio.Task[typing.Any], writer: asyncio.StreamWriter
     ) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -28,6 +28,7 @@
 from bulrushcourse_entry.edge.reporting import diagnostic_handlers
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
 from bulrushcourse_entry.edge.reporting import explaining
+from bulrushcourse_entry.edge.store import configuration_monitor
 from bulrushcourse_entry.edge.store import operator_reader
 from bulrushcourse_entry.edge.store import registration
 from bulrushcourse_entry.edge.store import store_readers
@@ -176,7 +177,7 @@
             parts.store, state, event_log, reachability, parts.streams.add_vm
         )
         operators = operator_reader.OperatorReader(
-            parts.store, state, event_log, reachability
+            parts.store, state, event_log, reachability, parts.streams.queries
         )
         upstream_reader = store_readers.UpstreamReader(
             parts.store, state, event_log, reachability
@@ -208,8 +209,10 @@
     ) -> None:
         """Update derived state periodically and mark the VM ready."""
         clock = self.clock
+        monitor = configuration_monitor.ConfigurationMonitor(state, event_log)
         planned = clock.monotonic()
         while True:
+            monitor.check()
             self._record_lag(state, event_log, clock.monotonic() - planned)
             if state.fleet.phase is fleet.Phase.STARTING and self._is_ready(
                 state
@@ -250,7 +253,11 @@
             ]
 
     def _is_ready(self, state: process_state.ProcessState) -> bool:
-        return bool(state.routes.version and state.upstreams.version)
+        return bool(
+            state.routes.version
+            and state.upstreams.version
+            and not state.configuration_unconfirmed
+        )
 
     async def _stop(
         self,
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -26,6 +26,7 @@
 from bulrushcourse_domain.quotas import ownership
 from bulrushcourse_domain.resources import memory as memories
 from bulrushcourse_domain.retries import shared_budget
+from bulrushcourse_domain.routes import freshness as freshnesses
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.routes import table as route_table
 from bulrushcourse_domain.routes import weighted_round_robin
@@ -60,6 +61,7 @@
         clock: Source of time.
         rng: Source of randomness.
         routes: Active configuration.
+        freshness: What is known about its age.
         upstreams: Upstreams by their rows in the store.
         load: Load of the upstreams.
         outliers: Failures of the upstreams.
@@ -112,12 +114,17 @@
             requests of this VM, and reports of others.
         silent_connection_hints: Stream of what suggests that open connections
             of this VM have gone silent.
+        pauses: Stream of the ends of pauses in which this process did not
+            run.
+        configuration_news: Stream of what is learned about the newest
+            configuration.
     """
 
     settings: edge_settings.EdgeSettings
     clock: clocks.Clock
     rng: random.Random
     routes: route_table.RouteTable
+    freshness: freshnesses.Freshness
     upstreams: directories.UpstreamDirectory
     load: loads.LoadView
     outliers: outlier_detection.OutlierDetector
@@ -182,6 +189,38 @@
     silent_connection_hints: reactivex.Subject[SilentConnectionHint] = (
         attrs.field(factory=reactivex.Subject)
     )
+    pauses: reactivex.Subject[None] = attrs.field(factory=reactivex.Subject)
+    configuration_news: reactivex.Subject[None] = attrs.field(
+        factory=reactivex.Subject
+    )
+
+    def observe_running(self) -> None:
+        """Record that the process runs, before decisions and periodically.
+
+        A process that was suspended continues with what it knew, and what
+        waits in its sockets may be read before any news.
+        """
+        if self.freshness.observe(self.settings.bounds.freshness_terms):
+            self.pauses.on_next(None)
+
+    def confirm_configuration(
+        self, at: float, source: freshnesses.Source
+    ) -> None:
+        """Record that the newest configuration of a source was applied.
+
+        Args:
+            at: Time before the source was asked, monotonic seconds.
+            source: The source.
+        """
+        self.freshness.confirm(at, source)
+        self.configuration_news.on_next(None)
+
+    @property
+    def configuration_unconfirmed(self) -> bool:
+        """Whether the configuration has to be confirmed before use."""
+        return self.freshness.is_unconfirmed(
+            self.settings.bounds.freshness_terms
+        )
 
     @property
     def keys_must_be_current(self) -> bool:
@@ -318,6 +357,7 @@
         clock=clock,
         rng=rng,
         routes=route_table.RouteTable(),
+        freshness=freshnesses.start(clock),
         upstreams=upstreams,
         load=load,
         outliers=outliers,
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -31,6 +31,7 @@
         'vm': attrs.asdict(state.fleet.local_vm),
         'phase': state.fleet.phase.value,
         'configuration': state.routes.version,
+        'configuration_evidence': _configuration_evidence(state),
         'accounts': len(state.routes.accounts.by_name),
         'key_permission': _key_permission(state),
         'operators_version': state.operators_version,
@@ -106,6 +107,18 @@
     }
 
 
+def _configuration_evidence(
+    state: process_state.ProcessState,
+) -> dict[str, typing.Any]:
+    now = state.clock.monotonic()
+    freshness = state.freshness
+    return {
+        'confirmed_by': freshness.source.value,
+        'age_s': _age(now, freshness.confirmed_at),
+        'unconfirmed': state.configuration_unconfirmed,
+    }
+
+
 def _key_permission(
     state: process_state.ProcessState,
 ) -> dict[str, typing.Any]:
--- a/packages/entry/bulrushcourse_entry/edge/settings.py
+++ b/packages/entry/bulrushcourse_entry/edge/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bulrushcourse_domain.quotas import shares
+from bulrushcourse_domain.routes import freshness
 
 
 @attrs.frozen
@@ -17,6 +18,7 @@
         reconnect_s: Longest time until a VM whose connections broke or went
             silent must meet all other bounds again.
         drain_s: Longest time until a leaving upstream gets no new requests.
+        apply_s: Longest time until a configuration is active everywhere.
         stop_limit_s: Longest time that a graceful shutdown may take.
         address_reuse_s: Shortest time from the end of an upstream until
             another one may have its address.
@@ -40,6 +42,7 @@
 
     reconnect_s: float = 3.0
     drain_s: float = 2.0
+    apply_s: float = 2.0
     stop_limit_s: float = 6.0
     address_reuse_s: float = 2.0
     answer_max_age_s: float = 5.0
@@ -55,6 +58,11 @@
     quota_excess: float = 0.0
     quota_margin: float = 0.0
 
+    @property
+    def freshness_terms(self) -> freshness.Terms:
+        """What was agreed on the age of configurations."""
+        return freshness.Terms(self.reconnect_s, self.apply_s)
+
     @property
     def quota_terms(self) -> shares.QuotaTerms:
         """What was agreed on quotas."""
--- a/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
@@ -1,7 +1,9 @@
 """The task that follows the rows that operators write."""
 
 import asyncio
+import contextlib
 import math
+import typing
 
 import attrs
 
@@ -9,6 +11,7 @@
 from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.accounts import proof_reads
 from bulrushcourse_domain.membership import feed_poll
+from bulrushcourse_domain.routes import freshness
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
@@ -21,10 +24,21 @@
 
 # The first call of a VM that has just started is repeated sooner.
 INITIAL_RETRY_PAUSE_S = 0.1
+# Pause after failed calls while the configuration is to be confirmed. Requests
+# wait for it, and other VMs are asked between the calls.
+CONFIRMATION_PAUSE_S = 0.3
 # Findings that one event lists.
 MAX_LOGGED_FINDINGS = 10
 
 
+class OtherVms(typing.Protocol):
+    """The other VMs as a source of the configuration."""
+
+    async def ask(self) -> None:
+        """Ask some of them for the newest one and apply it."""
+        ...
+
+
 @attrs.define(eq=False)
 class OperatorReader:
     """Follows the rows that operators write.
@@ -34,21 +48,26 @@
         state: The process state.
         event_log: Log.
         reachability: Whether the store answers.
+        other_vms: Asked when the store does not answer and the configuration
+            has to be confirmed.
         proving: Decides how long a call may wait while keys have to be
             proven.
         evacuations: Version of the row by evacuated failure domain.
         poll: The call in progress that waits for changes.
         poll_limit: Its time limit, ``None`` without such a call.
+        resumed: Set when this process runs again after a pause.
     """
 
     store: rows.RowStore
     state: process_state.ProcessState
     event_log: event_logs.EventLog
     reachability: store_readers.StoreReachability
+    other_vms: OtherVms
     proving: proof_reads.ProofReads = attrs.field(init=False)
     evacuations: dict[str, int] = attrs.field(factory=dict)
     poll: feed_poll.FeedPoll | None = None
     poll_limit: asyncio.Timeout | None = None
+    resumed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to what suggests that a call gets no answer."""
@@ -56,6 +75,7 @@
             self.state.key_permission, self.state.rng
         )
         self.state.silent_connection_hints.subscribe(self._suspect)
+        self.state.pauses.subscribe(self._resume)
 
     async def run(self) -> None:
         """Follow changes until cancelled."""
@@ -72,13 +92,26 @@
                 after = None
             except rows.StoreUnavailable as error:
                 self.reachability.record_call(False, str(error))
-                await asyncio.sleep(self._pause_s(failures))
+                if self.state.configuration_unconfirmed:
+                    await self.other_vms.ask()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(self._pause_s(failures)):
+                        await self.resumed.wait()
+                self.resumed.clear()
                 failures += 1
 
+    def _resume(self, _: None) -> None:
+        """Read the store at once, since this VM may have missed changes."""
+        self.resumed.set()
+        if self.poll_limit is not None and not self.poll_limit.expired():
+            self.poll_limit.reschedule(asyncio.get_running_loop().time())
+
     def _pause_s(self, failures: int) -> float:
         state = self.state
         if not failures:
             return INITIAL_RETRY_PAUSE_S
+        if state.configuration_unconfirmed:
+            return CONFIRMATION_PAUSE_S
         # Only proofs make all VMs read, instead of waiting for changes.
         if not state.keys_must_be_current:
             return store_readers.RETRY_PAUSE_S
@@ -126,6 +159,8 @@
 
     def _longest_wait_s(self) -> float:
         state = self.state
+        if state.configuration_unconfirmed:
+            return 0.0
         if not state.keys_must_be_current:
             return math.inf
         return self.proving.longest_wait_s(
@@ -149,6 +184,9 @@
         # A configuration that is refused leaves the last one in force, so that
         # the active one counts as the newest.
         if batch.is_complete:
+            self.state.confirm_configuration(
+                batch.started, freshness.Source.STORE
+            )
             self.state.key_permission.record_read(
                 self.state.routes.version, batch.started, batch.store_s
             )
@@ -212,6 +250,7 @@
             routes=len(route_set.routes),
             accounts=len(route_set.accounts.by_name),
         )
+        state.configuration_news.on_next(None)
         _log_findings(state, event_log, route_set)
 
 
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -74,6 +74,21 @@
         'requests with keys are refused: no proof that the keys still hold',
     )
     KEYS_PROVEN = (5008, 'info', 'requests with keys are served again')
+    CONFIGURATION_UNCONFIRMED = (
+        5009,
+        'warning',
+        'VM did not run for a while; its configuration is to be confirmed',
+    )
+    CONFIGURATION_CONFIRMED = (
+        5010,
+        'info',
+        'configuration is confirmed',
+    )
+    CONFIGURATION_ASSUMED = (
+        5011,
+        'warning',
+        'configuration could not be confirmed in time and is used',
+    )
     PUBLISHED = (5003, 'info', 'operator published a configuration')
     PUBLISH_REFUSED = (5004, 'info', 'publish was refused')
     UPSTREAM_FAILED = (6001, 'warning', 'upstream request failed')
--- a/packages/entry/bulrushcourse_entry/platform/settings_file.py
+++ b/packages/entry/bulrushcourse_entry/platform/settings_file.py
@@ -39,6 +39,7 @@
 _BOUNDS: typing.Mapping[str, tuple[str, typing.Callable]] = {
     'contact': ('reconnect_s', units.duration_s),
     'drain': ('drain_s', units.duration_s),
+    'config_apply': ('apply_s', units.duration_s),
     'grace': ('stop_limit_s', units.duration_s),
     'addr_reuse': ('address_reuse_s', units.duration_s),
     'ttl_max': ('answer_max_age_s', units.duration_s),
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
@@ -0,0 +1,200 @@
+"""How old the configuration may be that decides, in real processes."""
+
+import asyncio
+import contextlib
+import signal
+
+from bulrushcourse_testkit import ports
+from bulrushcourse_testkit.platform import cluster as clusters
+from bulrushcourse_testkit.platform import documents
+from bulrushcourse_testkit.platform import soak_vms
+from bulrushcourse_testkit.standins import fault_proxy
+
+CONTACT_S = 2.0
+BOUNDS = {'contact': '2s', 'drain': '2s', 'config_apply': '2s'}
+PAUSE_S = 4.0
+SETTLED_S = 1.0
+WAITING_REQUESTS = 40
+CUT = fault_proxy.LinkFaults(cut=True)
+# News of the store arrive after the requests.
+LATE = fault_proxy.LinkFaults(delay_ms=50)
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 60))
+
+
+@contextlib.asynccontextmanager
+async def running_processes(folder, domains):
+    """Run edge processes that reach the store through one link each."""
+    async with contextlib.AsyncExitStack() as stack:
+        cluster = await stack.enter_async_context(
+            clusters.EdgeCluster(domains, BOUNDS)
+        )
+        reserved = ports.reserve_ports(len(domains))
+        stack.callback(reserved.close)
+        configure(cluster, 1, 'a')
+        await cluster.add_upstream('ua', slots=50)
+        await cluster.add_upstream('ub', slots=50, failure_domain='b1')
+        vms = []
+        for vm, port in zip(cluster.vms, reserved.ports, strict=True):
+            link = fault_proxy.Link(vm.name, port, cluster.store.address)
+            await link.start()
+            address = f'127.0.0.1:{port}'
+            vm.document['platform']['platform']['address'] = address
+            vms.append(soak_vms.SoakVm(vm, folder, link))
+            stack.push_async_callback(vms[-1].kill)
+            await vms[-1].start()
+        await cluster.wait_until(cluster.all_ready)
+        # The upstreams that were read first are no longer new.
+        await asyncio.sleep(SETTLED_S)
+        yield cluster, vms
+
+
+def configure(cluster, version, home, *added):
+    """Write a configuration with routes that have one home region."""
+    cluster.configure(
+        version,
+        documents.rule('/home/', home_regions=[home]),
+        documents.rule('/order/', kind='non_idempotent', home_regions=[home]),
+        documents.rule('/browse/'),
+        *(documents.rule(prefix) for prefix in added),
+    )
+
+
+def home_arrivals(cluster, upstream):
+    return sum(
+        arrival.target.startswith(('/home/', '/order/'))
+        for arrival in cluster.upstreams[upstream].arrivals
+    )
+
+
+async def send_to_paused(cluster, vm, path):
+    """Return the replies of requests that a paused VM reads when it wakes."""
+    waiting = [
+        asyncio.create_task(cluster.send(path, deadline_ms=4000))
+        for _ in range(WAITING_REQUESTS)
+    ]
+    await asyncio.sleep(0.3)
+    vm.send_signal(signal.SIGCONT)
+    return [reply.status for reply in await asyncio.gather(*waiting)]
+
+
+def test_vm_that_was_paused_sends_nothing_to_earlier_home_regions(tmp_path):
+    # Guards against requests that wait at a paused VM and run in a region
+    # that was their home before the pause.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1', 'a2')) as (
+            cluster,
+            (first, _),
+        ):
+            assert (await cluster.send('/home/x')).status == 200
+            first.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.5)
+            first.link.set_faults(CUT)
+            configure(cluster, 2, 'b')
+            await asyncio.sleep(PAUSE_S)
+            first.link.set_faults(LATE)
+            before = home_arrivals(cluster, 'ua')
+            found = await send_to_paused(cluster, first, '/home/x')
+            assert home_arrivals(cluster, 'ua') == before
+            assert found == [200] * WAITING_REQUESTS
+
+    run(scenario())
+
+
+def test_paused_vm_without_the_store_asks_other_vms_for_home_regions(
+    tmp_path,
+):
+    # Guards against a VM that is cut from the store in its pause and sends
+    # requests to earlier home regions, although another VM knows the new ones.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1', 'a2')) as (
+            cluster,
+            (first, _),
+        ):
+            first.send_signal(signal.SIGSTOP)
+            first.link.set_faults(CUT)
+            await asyncio.sleep(0.5)
+            configure(cluster, 2, 'b')
+            await asyncio.sleep(PAUSE_S)
+            before = home_arrivals(cluster, 'ua')
+            found = await send_to_paused(cluster, first, '/home/x')
+            assert home_arrivals(cluster, 'ua') == before
+            assert found == [200] * WAITING_REQUESTS
+
+    run(scenario())
+
+
+def test_vm_that_was_paused_denies_no_route_that_was_added(tmp_path):
+    # Guards against 404 for requests that wait at a paused VM, to routes that
+    # were added during the pause.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1', 'a2')) as (
+            cluster,
+            (first, _),
+        ):
+            first.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.5)
+            first.link.set_faults(CUT)
+            configure(cluster, 2, 'a', '/added/')
+            await asyncio.sleep(PAUSE_S)
+            first.link.set_faults(LATE)
+            found = await send_to_paused(cluster, first, '/added/x')
+            assert found == [200] * WAITING_REQUESTS
+
+    run(scenario())
+
+
+def test_vm_that_was_paused_serves_without_store_and_other_vms(tmp_path):
+    # Guards against an outage of the store that stops a VM for good after a
+    # pause, and against requests without home regions that it refuses.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1',)) as (
+            cluster,
+            (first,),
+        ):
+            first.send_signal(signal.SIGSTOP)
+            first.link.set_faults(CUT)
+            await asyncio.sleep(PAUSE_S)
+            found = await send_to_paused(cluster, first, '/browse/x')
+            assert found == [200] * WAITING_REQUESTS
+            await asyncio.sleep(CONTACT_S)
+            assert (await cluster.send('/home/x')).status == 200
+
+    run(scenario())
+
+
+async def first_decisions(cluster, paths):
+    """Return the statuses of a VM that starts, without refusals."""
+    found = []
+    async with asyncio.timeout(8):
+        while len(found) < WAITING_REQUESTS:
+            for path in paths:
+                reply = await cluster.send(path)
+                if reply.status not in (0, 503):
+                    found.append(reply.status)
+            await asyncio.sleep(0.005)
+    return found
+
+
+def test_vm_that_restarts_does_not_decide_by_an_outdated_peer(tmp_path):
+    # Guards against 404, and against runs in earlier home regions, by a
+    # configuration of another VM that is cut from the store, while the store
+    # answers late.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1', 'a2')) as (
+            cluster,
+            (first, second),
+        ):
+            second.link.set_faults(CUT)
+            await first.kill()
+            configure(cluster, 2, 'b', '/added/')
+            before = home_arrivals(cluster, 'ua')
+            first.link.set_faults(fault_proxy.LinkFaults(delay_ms=200))
+            await first.start()
+            found = await first_decisions(cluster, ('/added/x', '/home/x'))
+            assert set(found) == {200}
+            assert home_arrivals(cluster, 'ua') == before
+
+    run(scenario())
