Deny unknown routes and keys only with recent contact

A VM that was cut from the store and from the other VMs answered 404 and 401, which callers do not repeat, for a route and a key that had been added meanwhile.

It took what its configuration lacks for what does not exist, however long nobody had answered it. Before the fix: five of five requests got 404, and one 401, after 2.5 s without contact, where contact is 2 s.

Both now need an answer of the store, or a report of a VM that is not behind, within contact, and that no VM has reported a newer version; otherwise the caller gets 503 with Retry-After and can use another VM. While the store is down for all VMs, their reports are contact enough: a test has 200 and 404 as before.

--- a/packages/domain/bulrushcourse_domain/routes/freshness.py
+++ b/packages/domain/bulrushcourse_domain/routes/freshness.py
@@ -30,8 +30,8 @@
     """Agreed times behind the decisions.
 
     Attributes:
-        contact_s: Time after which a configuration that cannot be confirmed
-            is used.
+        contact_s: Time without contact after which a VM counts as cut off.
+            A configuration that cannot be confirmed for this long is used.
         apply_s: Time in which a configuration must be active.
     """
 
@@ -54,6 +54,10 @@
         confirmed_at: Time at which the configuration certainly was the newest
             one that its source knew.
         source: The source.
+        contact_at: Time of the last answer of the store, or of the last
+            report of a VM whose configuration is not older.
+        newest_heard: Newest version that another VM has reported.
+        heard_at: Time of the first report of that version.
 
     Examples:
         >>> clock = clocks.ManualClock(10.0)
@@ -74,6 +78,9 @@
     doubted_at: float
     confirmed_at: float = -math.inf
     source: Source = Source.NONE
+    contact_at: float = -math.inf
+    newest_heard: int = 0
+    heard_at: float = -math.inf
 
     def observe(self, terms: Terms) -> bool:
         """Record that the process runs.
@@ -101,6 +108,24 @@
         """
         if at > self.confirmed_at:
             self.confirmed_at, self.source = at, source
+        self.record_contact()
+
+    def record_contact(self) -> None:
+        """Record an answer of the store."""
+        self.contact_at = self.clock.monotonic()
+
+    def record_report(self, version: int, active_version: int) -> None:
+        """Record a report of another VM.
+
+        Args:
+            version: Version of its configuration.
+            active_version: Version of the active configuration.
+        """
+        if version >= active_version:
+            self.record_contact()
+        if version > self.newest_heard:
+            self.newest_heard = version
+            self.heard_at = self.clock.monotonic()
 
     def is_unconfirmed(self, terms: Terms) -> bool:
         """Return whether the configuration has to be confirmed before use.
@@ -113,6 +138,20 @@
             and self.clock.monotonic() - self.doubted_at < terms.contact_s
         )
 
+    def is_behind(self, active_version: int, terms: Terms) -> bool:
+        """Return whether another VM has just reported a newer version.
+
+        One that does not arrive in time is invalid here.
+
+        Args:
+            active_version: Version of the active configuration.
+            terms: The agreed times.
+        """
+        return (
+            self.newest_heard > active_version
+            and self.clock.monotonic() - self.heard_at < terms.contact_s
+        )
+
     def may_send_home_bound(self, terms: Terms) -> bool:
         """Return whether requests with home regions may be sent.
 
@@ -121,13 +160,22 @@
         """
         return not self.is_unconfirmed(terms)
 
-    def may_deny(self, terms: Terms) -> bool:
+    def may_deny(self, active_version: int, terms: Terms) -> bool:
         """Return whether callers may be told that something does not exist.
 
         Args:
+            active_version: Version of the active configuration.
             terms: The agreed times.
         """
-        return not self.is_unconfirmed(terms)
+        return (
+            not self.is_unconfirmed(terms)
+            and not self.is_behind(active_version, terms)
+            and self.contact_age_s() <= terms.contact_s
+        )
+
+    def contact_age_s(self) -> float:
+        """Return the time since the last contact, infinite without one."""
+        return self.clock.monotonic() - self.contact_at
 
     def age_s(self) -> float:
         """Return the time since the confirmation, infinite without one."""
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -83,6 +83,7 @@
         rows.open_store(state.settings.store, state.clock)
     )
     store.readings.subscribe(state.key_permission.record_time)
+    store.readings.subscribe(lambda _: state.freshness.record_contact())
     keys = proven_keys.ProvenKeys(state)
     _add_gauges(metrics, store, keys)
     quotas = token_admission.TokenAdmission(
--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -39,20 +39,33 @@
         self.news.set()
         self.news.clear()
 
-    async def settle(self, remaining_s: float) -> None:
+    async def settle(self, remaining_s: float, newest: bool = False) -> bool:
         """Wait for a short time until the configuration is confirmed.
 
         Args:
             remaining_s: Time that the request has left.
+            newest: Whether a newer version that other VMs have is awaited.
+
+        Returns:
+            Whether it has waited, so that the configuration may have changed.
         """
         self.state.observe_running()
-        if not self.state.configuration_unconfirmed:
-            return
+        if self._is_settled(newest):
+            return False
         limit_s = min(MAX_WAIT_S, remaining_s * WAIT_SHARE)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
-                while self.state.configuration_unconfirmed:
+                while not self._is_settled(newest):
                     await self.news.wait()
+        return True
+
+    def _is_settled(self, newest: bool) -> bool:
+        state = self.state
+        if state.configuration_unconfirmed:
+            return False
+        return not newest or not state.freshness.is_behind(
+            state.routes.version, state.settings.bounds.freshness_terms
+        )
 
     def check_denial(self) -> outcomes.Refusal | None:
         """Return the refusal that replaces an answer that callers accept.
@@ -60,7 +73,8 @@
         Callers do not repeat a request whose route or key is unknown.
         """
         may_deny = self.state.freshness.may_deny(
-            self.state.settings.bounds.freshness_terms
+            self.state.routes.version,
+            self.state.settings.bounds.freshness_terms,
         )
         return None if may_deny else self._unconfirmed()
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/target_lookup.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/target_lookup.py
@@ -64,6 +64,11 @@
         """
         await self.configuration.settle(remaining_s)
         found = self._find(match(), key)
+        needs_newest = isinstance(found, Denial) or found.route.home_regions
+        if needs_newest and (
+            await self.configuration.settle(remaining_s, newest=True)
+        ):
+            found = self._find(match(), key)
         if isinstance(found, Denial):
             return self.configuration.check_denial() or found
         return self.configuration.check_homes(found.route) or found
--- a/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
@@ -258,6 +258,9 @@
         self.vm_counts.record_version(
             vm.name, report.vms_known, len(state.fleet.peers)
         )
+        state.freshness.record_report(
+            report.configuration_version, state.routes.version
+        )
         self._apply_work(report)
         state.fleet.record_relayed_heartbeats(
             roster,
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -115,6 +115,8 @@
     return {
         'confirmed_by': freshness.source.value,
         'age_s': _age(now, freshness.confirmed_at),
+        'contact_age_s': _age(now, freshness.contact_at),
+        'newest_reported': freshness.newest_heard,
         'unconfirmed': state.configuration_unconfirmed,
     }
 
--- a/packages/entry/bulrushcourse_entry/edge/store/configuration_monitor.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/configuration_monitor.py
@@ -49,6 +49,7 @@
             event,
             version=self.state.routes.version,
             source=freshness.source.value,
-            # An infinite age has no number in JSON.
+            # Infinite ages have no number in JSON.
             age_s=round(min(freshness.age_s(), 1e6), 3),
+            contact_age_s=round(min(freshness.contact_age_s(), 1e6), 3),
         )
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
@@ -16,6 +16,7 @@
 SETTLED_S = 1.0
 WAITING_REQUESTS = 40
 CUT = fault_proxy.LinkFaults(cut=True)
+OPEN = fault_proxy.LinkFaults()
 # News of the store arrive after the requests.
 LATE = fault_proxy.LinkFaults(delay_ms=50)
 
@@ -51,7 +52,7 @@
         yield cluster, vms
 
 
-def configure(cluster, version, home, *added):
+def configure(cluster, version, home, *added, accounts=()):
     """Write a configuration with routes that have one home region."""
     cluster.configure(
         version,
@@ -59,6 +60,7 @@
         documents.rule('/order/', kind='non_idempotent', home_regions=[home]),
         documents.rule('/browse/'),
         *(documents.rule(prefix) for prefix in added),
+        accounts=accounts,
     )
 
 
@@ -198,3 +200,81 @@
             assert home_arrivals(cluster, 'ua') == before
 
     run(scenario())
+
+
+def test_vm_without_any_contact_denies_no_unknown_route(tmp_path):
+    # Guards against 404 for a route that was added while a VM had contact
+    # neither with the store nor with another VM.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1', 'a2')) as (
+            cluster,
+            (first, second),
+        ):
+            first.link.set_faults(CUT)
+            await second.kill()
+            configure(cluster, 2, 'a', '/added/')
+            await asyncio.sleep(CONTACT_S + 0.5)
+            replies = [await cluster.send('/added/x') for _ in range(5)]
+            assert [r.status for r in replies] == [503] * 5
+            assert all('Retry-After' in r.headers for r in replies)
+            assert (await cluster.send('/home/x')).status == 200
+            first.link.set_faults(OPEN)
+            await cluster.wait_until(lambda: is_served(cluster, '/added/x'))
+            assert (await cluster.send('/never/x')).status == 404
+
+    run(scenario())
+
+
+def test_vm_without_any_contact_denies_no_unknown_key(tmp_path):
+    # Guards against 401 for a key that was added while a VM had contact
+    # neither with the store nor with another VM.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1',)) as (
+            cluster,
+            (first,),
+        ):
+            old = (documents.account('acme', 'old'),)
+            configure(cluster, 2, 'a', accounts=old)
+            await cluster.wait_until(lambda: is_refused(cluster, 'new', 401))
+            first.link.set_faults(CUT)
+            both = (documents.account('acme', 'old', 'new'),)
+            configure(cluster, 3, 'a', accounts=both)
+            await asyncio.sleep(CONTACT_S + 0.5)
+            assert await key_status(cluster, 'new') == 503
+            assert await key_status(cluster, 'old') == 200
+
+    run(scenario())
+
+
+async def key_status(cluster, key):
+    return (await cluster.send('/browse/x', **{'Api-Key': key})).status
+
+
+async def is_refused(cluster, key, status):
+    return await key_status(cluster, key) == status
+
+
+def test_vms_deny_unknown_routes_while_the_store_is_down(tmp_path):
+    # Guards against an outage of the store that makes all VMs refuse.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1', 'a2')) as (
+            cluster,
+            vms,
+        ):
+            for vm in vms:
+                vm.link.set_faults(CUT)
+            await asyncio.sleep(2 * CONTACT_S)
+            for number in (0, 1):
+                for path, status in (
+                    ('/home/x', 200),
+                    ('/browse/x', 200),
+                    ('/never/x', 404),
+                ):
+                    reply = await cluster.send(path, number)
+                    assert reply.status == status
+
+    run(scenario())
+
+
+async def is_served(cluster, path):
+    return (await cluster.send(path)).status == 200
