Bind accepted requests to the active home regions

A request whose body came slowly, a retry and a hedge ran in a region that was a home when the request arrived and no longer when it was sent.

Route, service and region were set once, at arrival, and used for every attempt.

Before each choice of an upstream, and after a wait for room, the request is now bound to the active configuration: always to its homes, to its route and service only before the first attempt, since later ones are counted for them. A request whose route was dropped ends with the homes that it had; a test has that.

--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -172,7 +172,8 @@
             events.Event.UPSTREAM_MISDIRECTED, **record.fields()
         )
 
-    configuration = configuration_gate.ConfigurationGate(state)
+    selector = destinations.DestinationSelector(state)
+    configuration = configuration_gate.ConfigurationGate(state, selector)
     executor = request_executor.RequestExecutor(
         state,
         attempts.AttemptRunner(
@@ -193,7 +194,7 @@
     )
     return request_handlers.Handlers(
         state,
-        destinations.DestinationSelector(state),
+        selector,
         executor,
         gate,
         target_lookup.TargetLookup(state, configuration),
--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -1,13 +1,16 @@
-"""What a request waits for until the configuration decides on it."""
+"""Which configuration decides on a request, at its arrival and later."""
 
 import asyncio
 import contextlib
 
 import attrs
 
+from bulrushcourse_domain.accounts import account as accounts
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge.callers import caller_request
 from bulrushcourse_entry.edge.callers import outcomes
+from bulrushcourse_entry.edge.upstreams import destinations
 
 # Longest wait of a request for a configuration that is being confirmed. A call
 # to the store without an answer ends within this, and other VMs are asked.
@@ -25,10 +28,12 @@
 
     Attributes:
         state: The process state.
+        destinations: Chooses services and regions.
         news: Set for a moment by each piece of news on the configuration.
     """
 
     state: process_state.ProcessState
+    destinations: destinations.DestinationSelector
     news: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -93,6 +98,62 @@
             return None
         return self._unconfirmed()
 
+    def rebind(self, request: caller_request.CallerRequest) -> bool:
+        """Bind a request to the active configuration before it is sent.
+
+        The configuration may have changed since the request arrived. One
+        whose route was dropped keeps the home regions that it had.
+
+        Args:
+            request: The request.
+
+        Returns:
+            Whether the configuration has changed.
+        """
+        state = self.state
+        if request.configuration_version == state.routes.version:
+            return False
+        request.configuration_version = state.routes.version
+        route = state.routes.match(
+            request.route.host, request.target.partition('?')[0]
+        )
+        route = self._with_account(route or request.route, request)
+        self._bind(request, route)
+        return True
+
+    def _with_account(
+        self, route: routes.Route, request: caller_request.CallerRequest
+    ) -> routes.Route:
+        previous = request.identity.account
+        if previous is None:
+            return route
+        account: accounts.ClientAccount = (
+            self.state.routes.accounts.by_name.get(previous.name, previous)
+        )
+        return routes.within_homes(route, account.home_regions)
+
+    def _bind(
+        self, request: caller_request.CallerRequest, route: routes.Route
+    ) -> None:
+        previous = request.service
+        if request.attempts:
+            # The attempts so far are counted for the route and the service.
+            request.route = attrs.evolve(
+                request.route, home_regions=route.home_regions
+            )
+        else:
+            # Its caller may not expect that it runs twice.
+            request.route = attrs.evolve(
+                route,
+                idempotent=route.idempotent and request.route.idempotent,
+            )
+            if all(w.service != previous for w in route.weighted_services):
+                request.service = self.destinations.choose_service(route)
+        if request.service != previous or not route.may_run_in(request.region):
+            request.region = self.destinations.choose_region(
+                request.route, request.service, request.object_key
+            )
+
     def _unconfirmed(self) -> outcomes.Refusal:
         return outcomes.Refusal(
             'configuration-unconfirmed',
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -38,7 +38,7 @@
         attempts: Sends requests to upstreams.
         admission: Decides when and where a request is sent.
         gate: Checks of client accounts.
-        configuration: Checks of how well the configuration is known.
+        configuration: Binds requests to the active configuration.
         running: Tasks of requests that must not run twice; they go on when
             the caller disconnects.
     """
@@ -162,11 +162,16 @@
     async def _choose_first(
         self, request: caller_request.CallerRequest
     ) -> placement.Choice | outcomes.Outcome:
-        # The body may have taken long.
-        remaining_s = request.deadline - self.state.clock.monotonic()
-        await self.configuration.settle(remaining_s)
-        choice = await self.admission.choose_first(request)
-        return self._recheck(request) or choice
+        while True:
+            # The body may have taken long.
+            remaining_s = request.deadline - self.state.clock.monotonic()
+            await self.configuration.settle(remaining_s)
+            self.configuration.rebind(request)
+            choice = await self.admission.choose_first(request)
+            if not isinstance(choice, placement.Choice):
+                return choice
+            if not self.configuration.rebind(request):
+                return self._recheck(request) or choice
 
     def _recheck(
         self, request: caller_request.CallerRequest
@@ -179,6 +184,7 @@
     def _choose_again(
         self, request: caller_request.CallerRequest
     ) -> placement.Choice | outcomes.Outcome:
+        self.configuration.rebind(request)
         choice = self.admission.choose_again(request)
         outdated = self._recheck(request)
         if outdated is None or not isinstance(choice, placement.Choice):
--- a/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
@@ -1,14 +1,23 @@
-"""Requests wait for a configuration that is being confirmed."""
+"""The configuration in force binds requests that were accepted before it."""
 
 import asyncio
 import random
 
+import attrs
+import multidict
+
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.accounts import account as accounts
+from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.routes import freshness
 from bulrushcourse_domain.routes import route as routes
+from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge import settings as edge_settings
+from bulrushcourse_entry.edge.callers import body_content
+from bulrushcourse_entry.edge.callers import caller_request
 from bulrushcourse_entry.edge.callers import configuration_gate
+from bulrushcourse_entry.edge.upstreams import destinations
 
 
 def make_route(prefix='/p/', service='s', homes=('a',)):
@@ -20,21 +29,134 @@
     )
 
 
-def make_gate():
+def make_gate(*listed, account=None):
     settings = edge_settings.EdgeSettings(
-        'vm-1', 'a', 'a', '127.0.0.1:1', '127.0.0.1:2'
+        'vm-1',
+        'a',
+        'a',
+        '127.0.0.1:1',
+        '127.0.0.1:2',
+        regions={'a': 'a', 'b': 'b'},
+    )
+    state = process_state.build_state(
+        settings, clocks.ManualClock(100.0), random.Random(1)
     )
-    return configuration_gate.ConfigurationGate(
-        process_state.build_state(
-            settings, clocks.ManualClock(100.0), random.Random(1)
+    state.upstreams.apply_snapshot(
+        upstreams.Snapshot(
+            1,
+            [
+                upstreams.Upstream(f'{s}{r}', s, f'{s}{r}:1', r, r, 4)
+                for s in 'st'
+                for r in 'ab'
+            ],
         )
     )
+    gate = configuration_gate.ConfigurationGate(
+        state, destinations.DestinationSelector(state)
+    )
+    install(gate, 1, *listed, account=account)
+    return gate
+
+
+def install(gate, version, *listed, account=None):
+    table = account_table.build_table([account] if account else [])
+    gate.state.routes.install(
+        routes.RouteSet(version, tuple(listed), accounts=table)
+    )
+
+
+def make_request(gate, account=None):
+    route = gate.state.routes.match('h', '/p/x')
+    if account:
+        route = routes.within_homes(route, account.home_regions)
+    now = gate.state.clock.monotonic()
+    return caller_request.CallerRequest(
+        'id',
+        'GET',
+        '/p/x?q=/r/',
+        multidict.CIMultiDictProxy(multidict.CIMultiDict()),
+        body_content.Content(),
+        route,
+        1,
+        's',
+        'a',
+        '',
+        now,
+        now + 5.0,
+        account_table.Identity(account_table.KeyVerdict.NOT_NEEDED, account),
+    )
+
+
+def test_request_that_waits_moves_with_its_home_regions_and_service():
+    # Guards against a request that runs in an earlier home region, or at a
+    # service that its route no longer names, because it waited for room.
+    gate = make_gate(make_route())
+    request = make_request(gate)
+    assert not gate.rebind(request)
+    install(gate, 2, make_route(service='t', homes='b'))
+    assert gate.rebind(request)
+    assert request.route.home_regions == {'b'}
+    assert (request.service, request.region) == ('t', 'b')
+    assert request.configuration_version == 2
+    assert not gate.rebind(request)
+
+
+def test_request_that_must_not_run_twice_stays_so():
+    # Guards against a hedge of a request whose route became repeatable after
+    # its caller had sent it.
+    gate = make_gate(make_route())
+    request = make_request(gate)
+    install(gate, 2, attrs.evolve(make_route(), idempotent=True))
+    gate.rebind(request)
+    assert not request.route.idempotent
+
+
+def test_longer_prefix_that_was_added_binds_a_waiting_request():
+    # Guards against the home regions of a shorter prefix.
+    gate = make_gate(make_route('/'))
+    request = make_request(gate)
+    install(gate, 2, make_route('/'), make_route('/p/', homes='b'))
+    gate.rebind(request)
+    assert (request.route.prefix, request.region) == ('/p/', 'b')
+
+
+def test_further_attempt_keeps_its_service_and_moves_home():
+    # Guards against attempts that are counted for two services.
+    gate = make_gate(make_route())
+    request = make_request(gate)
+    request.attempts = 1
+    install(gate, 2, make_route(service='t', homes='b'))
+    gate.rebind(request)
+    assert (request.service, request.region) == ('s', 'b')
+    assert request.route.home_regions == {'b'}
+
+
+def test_request_without_a_route_keeps_its_home_regions():
+    # Guards against a dropped route that frees its requests from their homes.
+    gate = make_gate(make_route())
+    request = make_request(gate)
+    install(gate, 2)
+    gate.rebind(request)
+    assert request.route.home_regions == {'a'}
+    assert (request.service, request.region) == ('s', 'a')
+
+
+def test_home_regions_of_the_account_bind_as_well():
+    # Guards against a request that leaves the home of its account, which
+    # moved while it waited.
+    account = accounts.ClientAccount('acme', home_regions=frozenset('a'))
+    gate = make_gate(make_route(homes='ab'), account=account)
+    request = make_request(gate, account)
+    moved = accounts.ClientAccount('acme', home_regions=frozenset('b'))
+    install(gate, 2, make_route(homes='ab'), account=moved)
+    gate.rebind(request)
+    assert (request.route.home_regions, request.region) == ({'b'}, 'b')
 
 
 def test_wait_ends_with_the_confirmation_or_after_a_short_time():
     # Guards against requests that wait for the whole outage of the store.
     async def scenario():
-        gate = make_gate()
+        gate = make_gate(make_route())
         state = gate.state
         waiting = asyncio.create_task(gate.settle(5.0))
         await asyncio.sleep(0.01)
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
@@ -8,8 +8,11 @@
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import documents
 from bulrushcourse_testkit.platform import soak_vms
+from bulrushcourse_testkit.platform import upstream_faults
 from bulrushcourse_testkit.standins import fault_proxy
 
+Fault = upstream_faults.Fault
+
 CONTACT_S = 2.0
 BOUNDS = {'contact': '2s', 'drain': '2s', 'config_apply': '2s'}
 PAUSE_S = 4.0
@@ -300,3 +303,98 @@
 
 async def is_served(cluster, path):
     return (await cluster.send(path)).status == 200
+
+
+async def slow_upload(cluster, path, seconds):
+    """Return the status of a request whose body takes some time."""
+
+    async def parts():
+        yield b'first'
+        await asyncio.sleep(seconds)
+        yield b'last'
+
+    url = f'http://{cluster.vms[0].listen["front"]}{path}'
+    headers = {
+        'Host': documents.HOST,
+        'X-Request-Id': 'slow',
+        'X-Request-Deadline-Ms': '5000',
+    }
+    async with cluster.session.post(
+        url, data=parts(), headers=headers
+    ) as response:
+        return response.status
+
+
+def test_body_that_arrives_after_homes_moved_stays_in_the_new_ones(tmp_path):
+    # Guards against a request that was accepted before its home regions
+    # changed and is sent to an earlier one afterwards.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1',)) as (cluster, _):
+            before = home_arrivals(cluster, 'ua')
+            sending = asyncio.create_task(
+                slow_upload(cluster, '/order/x', 1.5)
+            )
+            await asyncio.sleep(0.3)
+            configure(cluster, 2, 'b')
+            assert await sending == 200
+            assert home_arrivals(cluster, 'ua') == before
+            assert home_arrivals(cluster, 'ub') == 1
+
+    run(scenario())
+
+
+def test_retry_after_homes_moved_stays_in_the_new_ones(tmp_path):
+    # Guards against a retry or hedge in a region that was a home when the
+    # request arrived.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1',)) as (cluster, _):
+            cluster.configure(2, retried_rule('a'))
+            for name in ('ua2', 'ua3'):
+                await cluster.add_upstream(name)
+            for name in ('ua', 'ua2', 'ua3'):
+                cluster.upstreams[name].fault = Fault.LOSE_ANSWER
+                cluster.upstreams[name].work_s = 1.0
+            # The VM reads the rows of upstreams several times in this time.
+            await asyncio.sleep(CONTACT_S)
+            sending = asyncio.create_task(
+                cluster.send('/retried/x', deadline_ms=5000)
+            )
+            await asyncio.sleep(0.3)
+            cluster.configure(3, retried_rule('b'))
+            await asyncio.sleep(0.3)
+            before = all_arrivals(cluster, 'ua', 'ua2', 'ua3')
+            assert before
+            reply = await sending
+            assert all_arrivals(cluster, 'ua', 'ua2', 'ua3') == before
+            assert all_arrivals(cluster, 'ub') == 1
+            assert reply.status == 200
+
+    run(scenario())
+
+
+def retried_rule(home):
+    return documents.rule(
+        '/retried/', home_regions=[home], max_attempts=3, timeout='5s'
+    )
+
+
+def all_arrivals(cluster, *upstreams):
+    return sum(len(cluster.upstreams[u].arrivals) for u in upstreams)
+
+
+def test_request_whose_route_is_dropped_ends_in_its_home_region(tmp_path):
+    # Guards against a request that fails because its route was dropped after
+    # it was accepted.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1',)) as (cluster, _):
+            before = home_arrivals(cluster, 'ua')
+            sending = asyncio.create_task(
+                slow_upload(cluster, '/order/x', 1.5)
+            )
+            await asyncio.sleep(0.3)
+            cluster.configure(2, documents.rule('/browse/'))
+            assert await sending == 200
+            assert home_arrivals(cluster, 'ua') == before + 1
+            assert not home_arrivals(cluster, 'ub')
+
+    run(scenario())
