--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
@@ -227,6 +227,32 @@
     run(scenario())
 
 
+def test_vm_that_restarts_without_the_store_asks_other_vms(tmp_path):
+    # Guards against a VM that starts in an outage of the store and refuses
+    # requests with home regions although another VM serves them.
+    async def scenario():
+        async with running_processes(tmp_path, ('a1', 'a2')) as (
+            cluster,
+            (first, _),
+        ):
+            await first.kill()
+            first.link.set_faults(CUT)
+            await first.start()
+            await cluster.wait_until(lambda: is_ready(cluster))
+            replies = [await cluster.send('/home/x') for _ in range(20)]
+            assert [r.status for r in replies] == [200] * 20
+            assert (await cluster.send('/never/x')).status == 404
+            log = (tmp_path / 'vm-0.log').read_text().splitlines()
+            confirmed = [line for line in log if '"event": 5010' in line]
+            assert '"source": "peers"' in confirmed[-1]
+
+    run(scenario())
+
+
+async def is_ready(cluster):
+    return await cluster.readiness_status(cluster.vms[0]) == 200
+
+
 def test_vm_without_any_contact_denies_no_unknown_route(tmp_path):
     # Guards against 404 for a route that was added while a VM had contact
     # neither with the store nor with another VM.
