Hold requests only shortly after a pause

While all VMs had been suspended and the store was down, every request waited up to 0.8 s for a confirmation that did not come, also requests without home regions.

The wait was counted from the arrival of each request. It now ends 0.8 s after the pause, or after the report of a newer version; later requests are sent or refused at once. In 5 s after a pause of three VMs, a caller that sends one request after the other got 2 answers in the first 3 s before, and 60 answers of 200 for requests without homes after; those with homes are refused for contact in both cases. The test timed out before.

--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -12,8 +12,9 @@
 from bulrushcourse_entry.edge.callers import outcomes
 from bulrushcourse_entry.edge.upstreams import destinations
 
-# Longest wait of a request for a configuration that is being confirmed. A call
-# to the store without an answer ends within this, and other VMs are asked.
+# Time after a start or a pause for which requests wait for a confirmation. A
+# call to the store without an answer ends within it, and other VMs are asked.
+# Later requests would most likely wait in vain.
 MAX_WAIT_S = 0.8
 # Share of a request's time that it waits at most, so that a refused caller can
 # use another VM.
@@ -55,22 +56,29 @@
             Whether it has waited, so that the configuration may have changed.
         """
         self.state.observe_running()
-        if self._is_settled(newest):
+        since = self._unsettled_since(newest)
+        if since is None:
             return False
-        limit_s = min(MAX_WAIT_S, remaining_s * WAIT_SHARE)
+        limit_s = min(
+            since + MAX_WAIT_S - self.state.clock.monotonic(),
+            remaining_s * WAIT_SHARE,
+        )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
-                while not self._is_settled(newest):
+                while self._unsettled_since(newest) is not None:
                     await self.news.wait()
         return True
 
-    def _is_settled(self, newest: bool) -> bool:
+    def _unsettled_since(self, newest: bool) -> float | None:
+        """Return since when a confirmation or newer version is awaited."""
         state = self.state
         if state.configuration_unconfirmed:
-            return False
-        return not newest or not state.freshness.is_behind(
+            return state.freshness.doubted_at
+        if newest and state.freshness.is_behind(
             state.routes.version, state.settings.bounds.freshness_terms
-        )
+        ):
+            return state.freshness.heard_at
+        return None
 
     def check_denial(self) -> outcomes.Refusal | None:
         """Return the refusal that replaces an answer that callers accept.
--- a/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
@@ -173,3 +173,17 @@
         assert gate.check_homes(make_route(homes='')) is None
 
     asyncio.run(scenario())
+
+
+def test_later_requests_do_not_wait_for_a_confirmation():
+    # Guards against every request being held while the store is down and the
+    # other VMs were suspended as well.
+    async def scenario():
+        gate = make_gate(make_route())
+        clock = gate.state.clock
+        clock.advance(0.9)
+        async with asyncio.timeout(0.2):
+            await gate.settle(5.0)
+        assert gate.check_homes(make_route()) is not None
+
+    asyncio.run(scenario())
