Answer no look-up without a configuration

A VM that has no configuration yet does not know which hosts have home regions, and named VMs of any region to callers whose own region has none.

Before, it named itself 2.5 s after its start without a configuration; now it answers 503, so that callers ask another VM, until the first configuration is active.

--- a/packages/entry/bulrushcourse_entry/edge/callers/lookup_handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/lookup_handlers.py
@@ -52,7 +52,8 @@
         """Return whether homes and serving VMs are known well enough."""
         self.state.observe_running()
         return (
-            not self.state.configuration_unconfirmed
+            bool(self.state.routes.version)
+            and not self.state.configuration_unconfirmed
             and self.state.fleet.has_heard_all_regions()
         )
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 
+from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_testkit import ports
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import documents
@@ -192,6 +193,31 @@
     run(scenario())
 
 
+def test_vm_without_a_configuration_answers_no_look_up():
+    # Guards against look-ups that name VMs outside the home regions, which a
+    # VM without a configuration does not know.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1',), BOUNDS) as cluster:
+            vm = cluster.vms[0]
+            vm.start()
+            await cluster.wait_until(lambda: is_listening(cluster, vm))
+            vm.process.state.fleet.phase = fleet.Phase.READY
+            await asyncio.sleep(CONTACT_S + 0.5)
+            assert await cluster.look_up(vm, 'b') == []
+            cluster.configure()
+            await cluster.wait_until(lambda: is_named(cluster, vm))
+
+    run(scenario())
+
+
+async def is_listening(cluster, vm):
+    return await cluster.readiness_status(vm) > 0
+
+
+async def is_named(cluster, vm):
+    return await cluster.look_up(vm, 'b') == [vm.listen['front']]
+
+
 async def first_decisions(cluster, paths):
     """Return the statuses of a VM that starts, without refusals."""
     found = []
