Check the region once more when a connection is open

A request could be written to an upstream in a region that had ceased to be a home after the upstream was chosen: opening a connection, and proving the address, take time, and the process may be suspended meanwhile.

The choice was not checked again before the first byte. The new tests fail without the change, as nothing could hold a request back.

The user of a connection is now asked once more when the connection is open. A request that is held back has not been sent, counts as no attempt, and is placed again by the active configuration.

--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -183,6 +183,7 @@
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
             on_misdirected,
+            configuration.may_still_send,
         ),
         waiting_admission.WaitingRoomAdmission(
             state,
--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -1,5 +1,6 @@
 """One attempt of a request at an upstream, and what it shows."""
 
+import functools
 import typing
 
 import attrs
@@ -29,12 +30,14 @@
         client: Client of the upstreams.
         on_ejected: Called with the name of an ejected upstream.
         on_misdirected: Called with an attempt that another upstream answered.
+        may_send: Returns whether a request may still be sent to a region.
     """
 
     state: process_state.ProcessState
     client: upstream_client.UpstreamClient
     on_ejected: typing.Callable[[str], None]
     on_misdirected: typing.Callable[[attempt_records.AttemptRecord], None]
+    may_send: typing.Callable[[caller_request.CallerRequest, str], bool]
 
     async def run(
         self,
@@ -69,6 +72,7 @@
                 upstream,
                 state.upstreams.addresses,
                 request.route.is_confined(state.settings.regions.values()),
+                functools.partial(self.may_send, request, upstream.region),
             ),
         )
         request.records.append(record)
@@ -201,7 +205,7 @@
         )
         if failure not in outcomes.NOT_EXECUTED:
             request.may_have_run = True
-        if failure is Failure.UNPROVEN:
+        if failure in outcomes.NOT_BEGUN:
             # Nothing was sent, so that it counts as no attempt.
             request.attempts -= 1
             state.outliers.abandon_request(name)
--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -122,16 +122,33 @@
         if request.configuration_version == state.routes.version:
             return False
         request.configuration_version = state.routes.version
-        route = state.routes.match(
-            request.route.host, request.target.partition('?')[0]
-        )
-        route = self._with_account(route or request.route, request)
-        self._bind(request, route)
+        self._bind(request, self._active_route(request))
         return True
 
-    def _with_account(
-        self, route: routes.Route, request: caller_request.CallerRequest
+    def may_still_send(
+        self, request: caller_request.CallerRequest, region: str
+    ) -> bool:
+        """Return whether a request may be sent to the region chosen for it.
+
+        The connection may have taken long to open.
+
+        Args:
+            request: The request.
+            region: Region of its upstream.
+        """
+        route = request.route
+        if request.configuration_version != self.state.routes.version:
+            route = self._active_route(request)
+        return route.may_run_in(region) and self.check_homes(route) is None
+
+    def _active_route(
+        self, request: caller_request.CallerRequest
     ) -> routes.Route:
+        """Return the route of a request with its home regions in force."""
+        matched = self.state.routes.match(
+            request.route.host, request.target.partition('?')[0]
+        )
+        route = matched or request.route
         previous = request.identity.account
         if previous is None:
             return route
--- a/packages/entry/bulrushcourse_entry/edge/callers/outcomes.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/outcomes.py
@@ -19,10 +19,13 @@
         Failure.SHED,
         Failure.MISDIRECTED,
         Failure.UNPROVEN,
+        Failure.OUTDATED,
     }
 )
 # Failures after which the request has reached no upstream at all.
-NOT_SENT = frozenset({Failure.NOT_SENT, Failure.UNPROVEN})
+NOT_SENT = frozenset({Failure.NOT_SENT, Failure.UNPROVEN, Failure.OUTDATED})
+# Those for a reason of this VM, which count as no attempt.
+NOT_BEGUN = frozenset({Failure.UNPROVEN, Failure.OUTDATED})
 # Failures by which a crash of the upstream is suspected.
 SUSPECTING_CRASH = frozenset(
     upstream_client.FAILURES[proof]
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -237,7 +237,7 @@
     ) -> bool:
         if request.attempts >= request.route.max_attempts:
             return False
-        if failure is Failure.UNPROVEN and not request.attempts:
+        if failure in outcomes.NOT_BEGUN and not request.attempts:
             return request.deadline > self.state.clock.monotonic()
         if request.is_probe or self.state.crash_ledger.is_quarantined(
             request.fingerprint
--- a/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
@@ -111,6 +111,20 @@
     assert not request.route.idempotent
 
 
+def test_request_is_held_back_when_its_region_is_no_home_any_more():
+    # Guards against a request that is written to a connection which was opened
+    # under an earlier version, or before a pause.
+    gate = make_gate(make_route())
+    gate.state.confirm_configuration(100.0, freshness.Source.STORE)
+    request = make_request(gate)
+    assert gate.may_still_send(request, 'a')
+    install(gate, 2, make_route(homes='b'))
+    assert not gate.may_still_send(request, 'a')
+    assert gate.may_still_send(request, 'b')
+    gate.state.clock.advance(5.0)
+    assert not gate.may_still_send(request, 'b')
+
+
 def test_longer_prefix_that_was_added_binds_a_waiting_request():
     # Guards against the home regions of a shorter prefix.
     gate = make_gate(make_route('/'))
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
@@ -11,6 +11,11 @@
 from bulrushcourse_entry.upstreams import sessions
 
 
+def always() -> bool:
+    """Return that a request may be sent whenever a connection is open."""
+    return True
+
+
 @attrs.define(eq=False)
 class AttemptTrace:
     """The connection that carries one attempt of a request.
@@ -20,6 +25,8 @@
         addresses: Proofs that upstreams still have their addresses.
         is_confined: Whether the request must not reach another region, and
             so no other upstream than this one.
+        may_send: Returns whether the upstream is still allowed when the
+            request is about to be written.
         reused: Whether the connection had been used before.
         wrote: Whether any byte of the request may have been written.
         wrote_at: Time before the first byte was written, monotonic seconds.
@@ -34,6 +41,7 @@
     upstream: upstreams.Upstream
     addresses: address_bindings.AddressBindings
     is_confined: bool = False
+    may_send: typing.Callable[[], bool] = always
     reused: bool = False
     wrote: bool = False
     wrote_at: float = float('inf')
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/tests/test_connection_owners.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/tests/test_connection_owners.py
@@ -130,3 +130,28 @@
             assert address.requests == [0]
 
     run(scenario())
+
+
+def test_nothing_is_sent_when_the_upstream_is_no_longer_allowed():
+    # Guards against a request that is written to an upstream whose region
+    # ceased to be a home while its connection was opened, and against one on
+    # an idle connection after a pause.
+    async def scenario():
+        async with listening() as (address, session):
+            upstream = address.upstream('u')
+            await address.send(session, upstream, False)
+            for kept in (True, False):
+                trace = connection_tracing.AttemptTrace(
+                    upstream, address.bindings, may_send=lambda: False
+                )
+                with pytest.raises(sessions.RequestWithdrawnError):
+                    await session.get(
+                        f'http://{address.host_port}/',
+                        trace_request_ctx=trace,
+                    )
+                assert trace.reused is kept
+                assert not trace.wrote
+            await asyncio.sleep(0.05)
+            assert sum(address.requests) == 1
+
+    run(scenario())
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -158,6 +158,8 @@
                 body = await _read_body(response, memory)
         except sessions.ConnectionRejectedError:
             return UNPROVEN
+        except sessions.RequestWithdrawnError:
+            return result.Failure(Failure.OUTDATED)
         except (
             aiohttp.ClientConnectorError,
             aiohttp.ConnectionTimeoutError,
--- a/packages/entry/bulrushcourse_entry/upstreams/client.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/client.py
@@ -24,10 +24,12 @@
     """How a request to an instance failed.
 
     ``NOT_SENT``, ``SHED``, ``NO_SHARE`` and ``MISDIRECTED`` prove that the
-    request did not run, and so does ``UNPROVEN``: it was not sent, since the
-    address may have passed to another instance. ``FOREIGN``, a response that
-    belongs to another request, proves nothing, and neither does ``STALE``, the
-    reset of a reused connection that the instance has apparently dropped.
+    request did not run. So do ``UNPROVEN``, not sent since the address may
+    have passed to another instance, and ``OUTDATED``, not sent since the
+    choice of the instance no longer held when a connection was open.
+    ``FOREIGN``, a response that belongs to another request, proves nothing,
+    and neither does ``STALE``, the reset of a reused connection that the
+    instance has apparently dropped.
     """
 
     NOT_SENT = 'not-sent'
@@ -38,6 +40,7 @@
     DEADLINE = 'deadline'
     MISDIRECTED = 'misdirected'
     UNPROVEN = 'unproven-address'
+    OUTDATED = 'outdated-choice'
     FOREIGN = 'foreign'
     STALE = 'stale'
 
--- a/packages/entry/bulrushcourse_entry/upstreams/sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/sessions.py
@@ -115,6 +115,10 @@
     """No connection was acceptable, and nothing was sent on any."""
 
 
+class RequestWithdrawnError(aiohttp.ClientConnectionError):
+    """A request must no longer be sent, and nothing was sent."""
+
+
 class ConnectionUser(typing.Protocol):
     """Request that needs a connection, the context of a trace.
 
@@ -132,6 +136,10 @@
         """Return whether opening a connection now can be of use."""
         ...
 
+    def may_send(self) -> bool:
+        """Return whether the request may still be sent to its upstream."""
+        ...
+
     def accept_new(self, connection: BoundedResponseHandler) -> bool:
         """Return whether it may be sent on a connection opened just now."""
         ...
@@ -164,10 +172,14 @@
 
         Raises:
             ConnectionRejectedError: If they accept none.
+            RequestWithdrawnError: If the request must no longer be sent.
         """
         connection = await super().connect(req, traces, **options)
         protocol = connection.protocol
         was_idle, protocol.is_idle = protocol.is_idle, False
+        if not all(user.may_send() for user in _users(traces)):
+            connection.close()
+            raise RequestWithdrawnError('the upstream is no longer allowed')
         for user in _users(traces):
             if not was_idle and not user.accept_new(protocol):
                 connection.close()
