Ask other VMs for a newer version that heartbeats report

After a pause the other VMs contacted it with heartbeats at first, which state their version and do not carry the configuration; it became active only with the store, 2.04 s after another VM had it. An operator reader whose call fails now asks other VMs while one has reported a newer version, as it does while the configuration is unconfirmed. The test counted no question before.

--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -74,9 +74,7 @@
         state = self.state
         if state.configuration_unconfirmed:
             return state.freshness.doubted_at
-        if newest and state.freshness.is_behind(
-            state.routes.version, state.settings.bounds.freshness_terms
-        ):
+        if newest and state.configuration_behind:
             return state.freshness.heard_at
         return None
 
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -223,6 +223,13 @@
             self.settings.bounds.freshness_terms
         )
 
+    @property
+    def configuration_behind(self) -> bool:
+        """Whether another VM has just reported a newer configuration."""
+        return self.freshness.is_behind(
+            self.routes.version, self.settings.bounds.freshness_terms
+        )
+
     @property
     def keys_must_be_current(self) -> bool:
         """Whether keys may be served only while they are proven to hold."""
--- a/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
@@ -49,7 +49,7 @@
         event_log: Log.
         reachability: Whether the store answers.
         other_vms: Asked when the store does not answer and the configuration
-            has to be confirmed.
+            has to be confirmed or is known to be outdated.
         proving: Decides how long a call may wait while keys have to be
             proven.
         evacuations: Version of the row by evacuated failure domain.
@@ -92,7 +92,7 @@
                 after = None
             except rows.StoreUnavailable as error:
                 self.reachability.record_call(False, str(error))
-                if self.state.configuration_unconfirmed:
+                if self._needs_other_vms():
                     await self.other_vms.ask()
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(self._pause_s(failures)):
@@ -100,6 +100,14 @@
                 self.resumed.clear()
                 failures += 1
 
+    def _needs_other_vms(self) -> bool:
+        """Return whether the configuration has to come from other VMs now.
+
+        Heartbeats tell of a newer version and do not contain it.
+        """
+        state = self.state
+        return state.configuration_unconfirmed or state.configuration_behind
+
     def _resume(self, _: None) -> None:
         """Read the store at once, since this VM may have missed changes."""
         self.resumed.set()
