--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -16,10 +16,13 @@
 from bulrushcourse_entry.edge.accounts import token_streams
 from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import attempts
+from bulrushcourse_entry.edge.callers import configuration_gate
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import handlers as request_handlers
 from bulrushcourse_entry.edge.callers import request_executor
 from bulrushcourse_entry.edge.callers import responses
+from bulrushcourse_entry.edge.callers import target_lookup
+from bulrushcourse_entry.edge.fleet import configuration_queries
 from bulrushcourse_entry.edge.fleet import peers
 from bulrushcourse_entry.edge.fleet import reports
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
@@ -69,13 +72,18 @@
     metrics = edge_metrics.Metrics()
     granter = token_granter.TokenGranter(state, event_log)
     streams = peers.PeerStreams(
-        state, event_log, reports.Reports(state, event_log), granter.serve
+        state,
+        event_log,
+        reports.Reports(state, event_log),
+        granter.serve,
+        configuration_queries.ConfigurationQueries(state, event_log),
     )
     client = await _open_client(state, event_log, metrics, streams, stack)
     store = await stack.enter_async_context(
         rows.open_store(state.settings.store, state.clock)
     )
     store.readings.subscribe(state.key_permission.record_time)
+    store.readings.subscribe(lambda _: state.freshness.record_contact())
     keys = proven_keys.ProvenKeys(state)
     _add_gauges(metrics, store, keys)
     quotas = token_admission.TokenAdmission(
@@ -164,6 +172,8 @@
             events.Event.UPSTREAM_MISDIRECTED, **record.fields()
         )
 
+    selector = destinations.DestinationSelector(state)
+    configuration = configuration_gate.ConfigurationGate(state, selector)
     executor = request_executor.RequestExecutor(
         state,
         attempts.AttemptRunner(
@@ -173,6 +183,7 @@
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
             on_misdirected,
+            configuration.may_still_send,
         ),
         waiting_admission.WaitingRoomAdmission(
             state,
@@ -180,11 +191,13 @@
             on_room=event_log.log_room,
         ),
         gate,
+        configuration,
     )
     return request_handlers.Handlers(
         state,
-        destinations.DestinationSelector(state),
+        selector,
         executor,
         gate,
+        target_lookup.TargetLookup(state, configuration),
         responses.Responder(state, event_log, metrics),
     )
