Deny requests by their size only with recent contact

A VM that was cut from the store and from the other VMs answered 431 and 413, which callers do not repeat, by limits that may have been raised meanwhile. Its test got 431 instead of 503 before. Unknown routes and keys already needed recent contact; both now ask the same property of the process state.

--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -83,11 +83,7 @@
 
         Callers do not repeat a request whose route or key is unknown.
         """
-        may_deny = self.state.freshness.may_deny(
-            self.state.routes.version,
-            self.state.settings.bounds.freshness_terms,
-        )
-        return None if may_deny else self._unconfirmed()
+        return None if self.state.may_deny else self._unconfirmed()
 
     def check_homes(self, route: routes.Route) -> outcomes.Refusal | None:
         """Return the refusal of a request that must not be sent now.
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -251,7 +251,9 @@
         They do not repeat such requests, also where another VM or a later
         configuration would accept them.
         """
-        return self.routes.active is not None
+        return self.routes.active is not None and self.freshness.may_deny(
+            self.routes.version, self.settings.bounds.freshness_terms
+        )
 
     def may_begin(self, deadline: float) -> bool:
         """Return whether a request may be sent before a planned stop ends.
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_configuration_age.py
@@ -302,6 +302,22 @@
     run(scenario())
 
 
+def test_vm_without_any_contact_denies_no_long_head(tmp_path):
+    # Guards against 431 by limits that were raised while a VM had contact
+    # neither with the store nor with another VM.
+    async def scenario():
+        long_header = {'X-Long': 'a' * 40_000}
+        async with running_processes(tmp_path, ('a1',)) as (cluster, vms):
+            known = await cluster.send('/home/x', **long_header)
+            vms[0].link.set_faults(CUT)
+            await asyncio.sleep(CONTACT_S + 0.5)
+            outdated = await cluster.send('/home/x', **long_header)
+            assert (known.status, outdated.status) == (431, 503)
+            assert 'Retry-After' in outdated.headers
+
+    run(scenario())
+
+
 def test_vm_without_any_contact_denies_no_unknown_key(tmp_path):
     # Guards against 401 for a key that was added while a VM had contact
     # neither with the store nor with another VM.
