Log the age of the configuration that decided

The line of a request had the version that decided beside the age of the present one. Both are now of the same version, and lines of refusals and rejections state how long ago the store, or a VM that is not behind, was heard. Found by the fault soak.

--- a/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
@@ -42,6 +42,8 @@
         may_have_run: Whether one of them may have run it.
         steps: Descriptions of the attempts, for the log.
         records: Rows behind the attempts, for the log.
+        configuration_age_s: For how long this VM had had its configuration
+            when it decided, in seconds.
     """
 
     request_id: str
@@ -66,6 +68,7 @@
     may_have_run: bool = False
     steps: list[str] = attrs.field(factory=list)
     records: list[attempt_records.AttemptRecord] = attrs.field(factory=list)
+    configuration_age_s: float = 0.0
 
     @property
     def priority(self) -> int:
--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -116,6 +116,7 @@
         if request.configuration_version == state.routes.version:
             return False
         request.configuration_version = state.routes.version
+        request.configuration_age_s = state.configuration_age_s
         self._bind(request, self._active_route(request))
         return True
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -287,6 +287,7 @@
             body=body_content.Content(),
             route=route,
             configuration_version=state.routes.version,
+            configuration_age_s=state.configuration_age_s,
             service=service,
             region=self.destinations.choose_region(route, service, object_key),
             object_key=object_key,
--- a/packages/entry/bulrushcourse_entry/edge/callers/responses.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/responses.py
@@ -1,5 +1,7 @@
 """Responses to callers: statuses, headers and what is logged about them."""
 
+import math
+
 import attrs
 from aiohttp import hdrs
 from aiohttp import web
@@ -80,19 +82,20 @@
             id=request_id,
             outcome='refused',
             reason=refusal.reason,
-            configuration=self.state.routes.version,
-            configuration_age_ms=self._configuration_age_ms(),
+            **self._configuration_fields(),
         )
         return Served(self._encode_refusal(refusal))
 
-    def _configuration_age_ms(self) -> int | None:
-        """Return for how long the active configuration has been active."""
+    def _configuration_fields(self) -> dict[str, int | None]:
+        """Return version and age of what denied or refused a request."""
         state = self.state
         if not state.routes.version:
-            return None
-        return round(
-            (state.clock.monotonic() - state.configuration_since) * 1000
-        )
+            return {'configuration': 0}
+        return {
+            'configuration': state.routes.version,
+            'configuration_age_ms': _milliseconds(state.configuration_age_s),
+            'contact_age_ms': _milliseconds(state.freshness.contact_age_s()),
+        }
 
     def _encode_refusal(self, refusal: outcomes.Refusal) -> web.Response:
         self.metrics.record_refusal(refusal.reason)
@@ -127,8 +130,7 @@
             status=status,
             host=host[:MAX_LOGGED_LENGTH],
             target=target[:MAX_LOGGED_LENGTH],
-            configuration=self.state.routes.version,
-            configuration_age_ms=self._configuration_age_ms(),
+            **self._configuration_fields(),
         )
         return Served(web.Response(status=status))
 
@@ -162,7 +164,7 @@
             steps=parsed.steps,
             attempts=[record.fields() for record in parsed.records],
             configuration=parsed.configuration_version,
-            configuration_age_ms=self._configuration_age_ms(),
+            configuration_age_ms=_milliseconds(parsed.configuration_age_s),
             upstreams_version=state.upstreams.version,
             upstreams_age_ms=round(
                 (state.clock.monotonic() - state.upstreams.read_at) * 1000
@@ -170,3 +172,8 @@
             if state.upstreams.version
             else None,
         )
+
+
+def _milliseconds(seconds: float) -> int | None:
+    """Return whole milliseconds, ``None`` for an unlimited time."""
+    return round(seconds * 1000) if math.isfinite(seconds) else None
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -244,6 +244,11 @@
         active = self.routes.active
         return active.limits if active else routes.RequestLimits()
 
+    @property
+    def configuration_age_s(self) -> float:
+        """For how long this VM has had its active configuration, seconds."""
+        return self.clock.monotonic() - self.configuration_since
+
     @property
     def may_deny(self) -> bool:
         """Whether clients may be told that their requests are wrong.
