Serve requests behind a declined upgrade that was answered early

A client that offered the websocket protocol with a request that was answered before the end of its body got no answer to its next request.

aiohttp goes back to HTTP/1.1 when it writes the response to such a request, but its parser accepts the offer at the end of the body, which came later. It then kept the next head as data of the other protocol. The connection now also declines the offer when a request ends.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -538,10 +538,21 @@
             if self._close or self._force_close:
                 self.awaiting = Awaiting.NOTHING
                 return
+            self._decline_upgrade()
             self._await_head()
             self.guard.table.enter(self.entry, connections.Stage.KEPT)
             self._resume_if_drained()
 
+    def _decline_upgrade(self) -> None:
+        """Keep to HTTP/1.1 after a request that offered another protocol.
+
+        aiohttp does so with the response, but its parser accepts the offer at
+        the end of the body, which may come later.
+        """
+        if self._upgraded and self._parser is not None:
+            self._parser.set_upgraded(False)
+            self._upgraded = False
+
     def _resume_if_drained(self) -> None:
         """Resume reading after a backlog of pipelined requests."""
         if self.backlogged:
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -220,3 +220,59 @@
             assert dict(reply.fields())['connection'] == b'close'
 
     run(scenario())
+
+
+@pytest.mark.parametrize('upgrade', ('websocket', 'h2c', 'tcp'))
+@pytest.mark.parametrize('body', (b'', b'tabs'))
+def test_offered_upgrade_is_ignored(upgrade, body):
+    # Guards against a body or a next request that is lost because the client
+    # offers another protocol, which a server may ignore.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            upstream = await start(cluster)
+            fields = ('Connection: Upgrade', f'Upgrade: {upgrade}')
+            line = (
+                'POST /order/1 HTTP/1.1' if body else 'GET /browse/1 HTTP/1.1'
+            )
+            if body:
+                fields += (f'Content-Length: {len(body)}',)
+            host, _, port = cluster.vms[0].listen['front'].rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for number in range(3):
+                data = head(line, *fields, request_id=f'p{number}') + body
+                for piece in (data[:30], data[30:-2], data[-2:]):
+                    writer.write(piece)
+                    await asyncio.sleep(0.01)
+                reply = await asyncio.wait_for(
+                    raw_client.read_response(reader), 2
+                )
+                assert reply.status == 200
+                assert upstream.arrivals[-1].body == body
+            writer.close()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize('upgrade', ('websocket', 'tcp'))
+@pytest.mark.parametrize('size', (2, 30_000))
+def test_offered_upgrade_is_ignored_where_the_answer_precedes_the_body(
+    upgrade, size
+):
+    # Guards against silence for the next request on the connection.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            await start(cluster)
+            fields = ('Connection: Upgrade', f'Upgrade: {upgrade}')
+            length = f'Content-Length: {size}'
+            data = head('POST /gone/1 HTTP/1.1', *fields, length)
+            host, _, port = cluster.vms[0].listen['front'].rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            assert (await raw_client.read_response(reader)).status == 404
+            following = head('GET /browse/2 HTTP/1.1', request_id='p2')
+            writer.write(bytes(size) + following)
+            reply = await asyncio.wait_for(raw_client.read_response(reader), 5)
+            assert reply.body == b'u1:p2'
+            writer.close()
+
+    run(scenario())
