Do not send a request whose caller left during the proof

A request that may run once goes on when its caller leaves, also while its upstream was asked to prove its address: it was sent up to 1.2 s later, when nobody waited for it. It is now cancelled as long as no byte of it was written. The new test failed before: one request reached the upstream. The addresses that pass between upstreams of this module are reserved until the end of a test: one run beside other tests failed because another process had taken one in between (OSError at the start of the successor).

--- a/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
@@ -78,6 +78,11 @@
             return self.route.priority
         return account.priority
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether any byte of the latest attempt may have been sent."""
+        return bool(self.records) and self.records[-1].trace.wrote
+
     @functools.cached_property
     def fingerprint(self) -> str:
         """Hash of method, target and body, the same for every attempt."""
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -97,7 +97,13 @@
         task = asyncio.create_task(self._execute_once(request, choice))
         self.running.add(task)
         task.add_done_callback(self.running.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if not request.is_sent:
+                # No byte of it has left this VM, so that it can't run.
+                task.cancel()
+            raise
 
     async def _execute_once(
         self,
--- a/packages/testkit/bulrushcourse_testkit/platform/cluster.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/cluster.py
@@ -77,6 +77,7 @@
         session: HTTP session of the callers.
         request_numbers: Source of unique request identifiers.
         reservation: Reserved ports, four for each VM.
+        addresses: Reserved ports of addresses, held until the end.
         store_runner: Server of the store.
     """
 
@@ -94,6 +95,7 @@
         factory=itertools.count
     )
     reservation: ports.Reservation | None = None
+    addresses: list[ports.Reservation] = attrs.field(factory=list)
     store_runner: typing.Any = None
 
     async def __aenter__(self) -> 'EdgeCluster':
@@ -116,7 +118,16 @@
             upstream.server.close()
         self.store.silent = False
         await self.store_runner.cleanup()
-        self.reservation.close()
+        for reserved in (self.reservation, *self.addresses):
+            reserved.close()
+
+    def reserve_address(self) -> str:
+        """Return an address that only this cluster uses until its end.
+
+        An upstream may give it up and another one take it later.
+        """
+        self.addresses.append(ports.reserve_ports(1))
+        return f'127.0.0.1:{self.addresses[-1].ports[0]}'
 
     def _make_vm(self, number: int, domain: str) -> Vm:
         listen = ('front', 'ready_addr', 'control', 'directory')
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_address_reuse.py
@@ -9,7 +9,6 @@
 import contextlib
 import time
 
-from bulrushcourse_testkit import ports
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import documents
 from bulrushcourse_testkit.platform import soak_vms
@@ -55,11 +54,10 @@
 
 
 async def add_short_lived(cluster, name, **fields):
-    """Add an upstream on a port that no outgoing connection can take."""
-    with contextlib.closing(ports.reserve_ports(1)) as reserved:
-        return await cluster.add_upstream(
-            name, address=f'127.0.0.1:{reserved.ports[0]}', **fields
-        )
+    """Add an upstream whose address other upstreams may have later."""
+    return await cluster.add_upstream(
+        name, address=cluster.reserve_address(), **fields
+    )
 
 
 async def pass_address(cluster, ended, name, row=True, **fields):
@@ -353,3 +351,24 @@
             assert not state.outliers.failure_share('u1')
 
     run(scenario())
+
+
+def test_request_whose_caller_leaves_during_the_proof_is_not_sent():
+    # Guards against work that nobody waits for: a request that may run once
+    # goes on without its caller, but not before its first byte is sent.
+    async def scenario():
+        async with edge_cluster() as cluster:
+            upstream = await cluster.add_upstream('h1', health_s=0.5)
+            await cluster.start()
+            caller = asyncio.create_task(cluster.send('/once/x'))
+            await cluster.wait_until(lambda: was_asked(upstream))
+            caller.cancel()
+            await asyncio.sleep(1.0)
+            assert count_home_requests(upstream) == 0
+            assert all_served([await cluster.send('/once/x')])
+
+    run(scenario())
+
+
+async def was_asked(upstream):
+    return upstream.health_checks > 0
