Count the bytes of responses when they are received

Callers saw nothing before the VM ended for its memory: 60 connections whose upstreams sent without end took 424 MB with whole responses, 377 MB with interim responses and 107 MB with small chunks on a VM whose settings give it 96 MB (test_flood on the code before).

A read brought up to 256 KiB, of which aiohttp parses all messages at once, a connection held 512 KiB of a body unread, interim responses had the limit of bodies, and the memory budget counted bytes only when they were read.

--- a/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
@@ -34,6 +34,7 @@
         connect_started_at: When a new connection was begun, monotonic
             seconds.
         connection: The connection, ``None`` before there is one.
+        memory: Memory of the response, ``None`` if it is not counted.
         answered_by: Name that the response states for its upstream, empty if
             none.
     """
@@ -48,6 +49,7 @@
     proof_s: float = 0.0
     connect_started_at: float = 0.0
     connection: sessions.BoundedResponseHandler | None = None
+    memory: sessions.ResponseMemory | None = None
     answered_by: str = ''
 
     @property
@@ -128,6 +130,8 @@
         attempt = _attempt(context)
         attempt.wrote = True
         attempt.wrote_at = state.clock.monotonic()
+        if attempt.memory is not None:
+            attempt.connection.count_memory(attempt.memory)
 
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(on_connect_start)
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -138,7 +138,7 @@
     ) -> result.Result[Answer, Failure]:
         response = None
         upstream = trace.upstream
-        memory = bodies.ResponseMemory(self.memory)
+        trace.memory = memory = bodies.ResponseMemory(self.memory)
         state = self.state
         may_reuse = state.idle_connections.may_reuse(
             upstream.name, outbound.may_reuse
@@ -155,7 +155,7 @@
                     allow_redirects=False,
                     trace_request_ctx=trace,
                 )
-                body = await _read_body(response, memory)
+                body = await _read_body(response)
         except sessions.ConnectionRejectedError:
             return UNPROVEN
         except sessions.RequestWithdrawnError:
@@ -278,17 +278,11 @@
 
 
 async def _read_body(
-    response: aiohttp.ClientResponse, memory: bodies.ResponseMemory
+    response: aiohttp.ClientResponse,
 ) -> body_content.Content:
-    """Return the whole body.
-
-    Raises:
-        sessions.ResponseTooLarge: If the memory budget does not allow it.
-    """
+    """Return the whole body, whose memory is counted as it is received."""
     content = body_content.Content()
     async for chunk in response.content.iter_any():
-        if not memory.try_grow(len(chunk)):
-            raise sessions.ResponseTooLarge('no memory for the response')
         content.append(chunk)
     return content
 
--- a/packages/entry/bulrushcourse_entry/upstreams/tests/test_sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/tests/test_sessions.py
@@ -68,3 +68,90 @@
         server.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+LENGTH = b'Content-Length: 4\r\n\r\n'
+
+
+class SteppingUpstream:
+    """Sends the parts of one response with pauses, and keeps it open."""
+
+    def __init__(self, *parts):
+        self.parts = parts
+
+    async def serve(self, reader, writer):
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            for part in self.parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            await reader.read()
+        except (OSError, EOFError, asyncio.CancelledError):
+            # The test has closed the connection.
+            pass
+        finally:
+            writer.close()
+
+
+def receive(*parts):
+    """Return the body of a response that is sent in parts."""
+
+    async def scenario():
+        upstream = SteppingUpstream(*parts)
+        server = await asyncio.start_server(upstream.serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        async with sessions.open_session(4, True, 1.0) as session:
+            try:
+                return await read_whole(session, f'http://{host}:{port}/')
+            finally:
+                server.close()
+
+    return asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def test_of_many_responses_only_the_first_final_one_is_kept():
+    # Guards against a response that is lost, or taken from those behind it.
+    interim = b'HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n'
+    whole = HEAD + LENGTH + b'body'
+    stray = HEAD + LENGTH + b'copy'
+    assert receive(interim * 1000 + whole + stray * 1000) == b'body'
+
+
+class CountedMemory:
+    """Memory that is left for one response."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.size = 0
+
+    def try_grow(self, added):
+        self.size += added
+        return self.size <= self.limit
+
+
+@pytest.mark.parametrize('limit', (2000, 60_000))
+def test_response_is_counted_when_it_is_received(limit):
+    # Guards against unread bytes that no budget counts.
+    async def scenario():
+        handler = sessions.BoundedResponseHandler(asyncio.get_running_loop())
+        server = await asyncio.start_server(
+            SteppingUpstream().serve, '127.0.0.1', 0
+        )
+        host, port = server.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(lambda: handler, host, port)
+        handler.set_response_params(read_until_eof=True)
+        memory = CountedMemory(limit)
+        handler.count_memory(memory)
+        handler.data_received(HEAD + b'\r\n')
+        head_bytes = memory.size
+        assert len(HEAD) < head_bytes < 2000
+        handler.data_received(bytes(50_000))
+        assert memory.size == head_bytes + 50_000
+        assert handler.transport.is_closing() == (limit < 50_000)
+        handler.transport.abort()
+        server.close()
+        await asyncio.sleep(0.01)
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_clients_outside_limits.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_clients_outside_limits.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import pathlib
 
 import pytest
 
@@ -14,6 +13,7 @@
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import crowd as crowds
 from bulrushcourse_testkit.platform import documents
+from bulrushcourse_testkit.platform import process_watch
 from bulrushcourse_testkit.platform import soak_vms
 from bulrushcourse_testkit.standins import fault_proxy
 
@@ -30,7 +30,6 @@
     'header_timeout': '2s',
     'idle_timeout': '4s',
 }
-SAMPLE_S = 0.02
 BEFORE = {
     ('front', 'oversized_heads'): (355, 580),
     ('front', 'one_long_line'): (312, 516),
@@ -61,29 +60,6 @@
     asyncio.run(asyncio.wait_for(scenario, 60))
 
 
-class Watch:
-    """Samples memory and open descriptors of a process."""
-
-    def __init__(self, process):
-        self.process = process
-        self.descriptors = 0
-        self.memory_mb = 0.0
-
-    async def sample(self):
-        while True:
-            self.read()
-            await asyncio.sleep(SAMPLE_S)
-
-    def read(self):
-        root = pathlib.Path(f'/proc/{self.process.pid}')
-        status = (root / 'status').read_text()
-        lines = [x for x in status.splitlines() if x.startswith('VmHWM')]
-        if lines:
-            self.memory_mb = int(lines[0].split()[1]) / 1024
-        opened = len(list((root / 'fd').iterdir()))
-        self.descriptors = max(self.descriptors, opened)
-
-
 async def play(tmp_path, listener, shapes, size=CROWD_SIZE):
     """Let a crowd attack a listener; check the VM during and after it."""
     diagnostics = ports.reserve_ports(1)
@@ -103,7 +79,7 @@
         await soaked.start()
         try:
             await cluster.wait_until(cluster.all_ready)
-            watch = Watch(soaked.process)
+            watch = process_watch.ProcessWatch(soaked.process)
             sampling = asyncio.create_task(watch.sample())
             listen = {**vm.listen, 'metrics': f'127.0.0.1:{port}'}
             crowd = crowds.Crowd(listen[listener], shapes, size)
