Fail a response whose chunked body ends malformed

A response whose chunk sizes or trailers were malformed kept its caller waiting until the deadline, unless the malformed bytes came in the same read as the head. aiohttp closes the connection and fails the queue of heads then, not the body that is being read.

--- a/packages/entry/bulrushcourse_entry/upstreams/sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/sessions.py
@@ -122,6 +122,8 @@
         if not self.has_final:
             self.head_bytes = self.response_bytes
         super().data_received(data)
+        if self._exception is not None:
+            self._fail_body(aiohttp.ClientPayloadError('malformed body'))
         if self.transport is None:
             return
         limit = MAX_RESPONSE_BYTES if self.has_final else MAX_HEAD_BYTES
@@ -172,7 +174,10 @@
         self.transport.abort()
 
     def _fail_body(self, error: aiohttp.ClientPayloadError) -> None:
-        """Fail a body that is being received, unless it has failed."""
+        """Fail a body that is being received, unless it has failed.
+
+        aiohttp does not, if the end of a chunked body is malformed.
+        """
         payload = self._payload
         if (
             payload is not None
--- a/packages/entry/bulrushcourse_entry/upstreams/tests/test_sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/tests/test_sessions.py
@@ -70,6 +70,7 @@
     asyncio.run(asyncio.wait_for(scenario(), 60))
 
 
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n'
 LENGTH = b'Content-Length: 4\r\n\r\n'
 
 
@@ -110,6 +111,18 @@
     return asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
+@pytest.mark.parametrize(
+    'rest',
+    (b'0\r\nX A: b\r\n\r\n', b'zz\r\n', b'0\r\nX: ' + b'x' * 70_000),
+    ids=('trailer', 'size', 'long trailer'),
+)
+def test_malformed_rest_of_a_chunked_body_fails_it(rest):
+    # Guards against a body that is waited for until its request's deadline
+    # although its connection has been closed.
+    with pytest.raises(aiohttp.ClientError):
+        receive(CHUNKED, rest)
+
+
 def test_of_many_responses_only_the_first_final_one_is_kept():
     # Guards against a response that is lost, or taken from those behind it.
     interim = b'HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n'
