Forget malformed rows of upstreams that are gone

A reader of the upstreams' rows kept the content of each malformed row that it had ever logged, so that a writer of changing keys took more memory with each read. Only a hash of the rows of the last read is kept now.

--- a/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
@@ -67,14 +67,14 @@
         state: The process state.
         event_log: Log.
         reachability: Whether the store answers.
-        logged_rows: Content of malformed rows that were logged, by key.
+        logged_rows: Hash of the malformed rows of the last read, by key.
     """
 
     store: rows.RowStore
     state: process_state.ProcessState
     event_log: event_logs.EventLog
     reachability: StoreReachability
-    logged_rows: dict[str, bytes | None] = attrs.field(factory=dict)
+    logged_rows: dict[str, int] = attrs.field(factory=dict)
 
     async def run(self) -> None:
         """Keep the upstream directory up to date until cancelled."""
@@ -131,6 +131,9 @@
             self.reachability.record_call(False, str(error))
             return
         self.reachability.record_call(True)
+        keys = {row.key for row in batch.rows}
+        for key in self.logged_rows.keys() - keys:
+            del self.logged_rows[key]
         snapshot = upstream_rows.decode_all(
             batch, self.state.settings.regions, self._log_malformed
         )
@@ -141,8 +144,9 @@
     def _log_malformed(
         self, row: rows.StoredRow, error: units.MalformedValue
     ) -> None:
-        if self.logged_rows.get(row.key, b'') != row.value:
-            self.logged_rows[row.key] = row.value
+        content = hash(row.value)
+        if self.logged_rows.get(row.key) != content:
+            self.logged_rows[row.key] = content
             self.event_log.log_change(
                 events.Event.ROW_MALFORMED, row=row.key, reason=str(error)
             )
