Bound the configuration that a report unpacks to

A configuration of 23 KB in a report of another VM unpacked to 15 MiB of JSON, which took 411 to 457 MB when it was decoded, and one of 3 MiB took 130 MB, on a VM whose settings give it 96 MB (packed_lists and packed_objects in test_faulty_peers, on the code before). The other shapes of the test passed before.

--- a/packages/wire/bulrushcourse_wire/packing.py
+++ b/packages/wire/bulrushcourse_wire/packing.py
@@ -2,8 +2,9 @@
 
 import zlib
 
-# Bounds the memory that a configuration of another VM takes when decompressed.
-MAX_CONFIGURATION_BYTES = 16 << 20
+# Maximum size of a configuration of another VM when decompressed. The store
+# holds rows of up to 1 MB.
+MAX_CONFIGURATION_BYTES = 4 << 20
 
 
 class MalformedContent(ValueError):
