Let other tasks run between reports of another VM

Twenty streams with reports without end kept a VM from answering an ordinary request for 20 s after they had been closed: reading does not wait while reports are buffered, so that each stream held the loop for hundreds of them, and connecting to a sound upstream took over its 0.5 s (not-sent after 1.2 s, endless_reports in test_faulty_peers). The stream now yields after each report, and the same test is served.

--- a/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
@@ -307,6 +307,8 @@
                     self.add_vm(sender, from_itself=True)
                     for vm in self.reports.apply(sender, report, roster):
                         self.add_vm(vm)
+                # Reading does not wait while further reports are buffered.
+                await asyncio.sleep(0)
         except (OSError, EOFError, TimeoutError):
             # The VM stopped, restarted, was cut off or uses other relays. The
             # fleet notices by the age of its last heartbeat.
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_faulty_peers.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_faulty_peers.py
@@ -54,6 +54,11 @@
     return struct.pack('>I', len(content)) + content
 
 
+def endless_reports():
+    """Yield the same report without end."""
+    yield from itertools.repeat(framed(report()) * 50)
+
+
 def huge_length():
     """Yield a frame of 4 GiB."""
     yield b'\xff\xff\xff\xff'
@@ -114,6 +119,7 @@
 
 
 SHAPES = (
+    endless_reports,
     huge_length,
     largest_length,
     large_map,
