Count the memory of other messages between VMs

A stream that begins with the preface of requests for tokens could send frames of 4 MiB, which were kept and unpacked without regard to the memory: 390 MB with empty lists and 131 MB with frames that do not end, on a VM whose settings give it 96 MB (token_lists and token_frame_without_end in test_faulty_peers, on the code before). Answers to questions about the configuration unpacked empty lists as well (test_message_memory).

Frames of all streams between VMs, in both directions, now take their memory from the share for other VMs as reports did, and a message may have as many lists as it can use.

--- a/packages/entry/bulrushcourse_entry/edge/accounts/token_granter.py
+++ b/packages/entry/bulrushcourse_entry/edge/accounts/token_granter.py
@@ -44,7 +44,9 @@
         while True:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 content = await framing.read_frame(
-                    reader, quota_messages.MAX_MESSAGE_BYTES
+                    reader,
+                    quota_messages.MAX_MESSAGE_BYTES,
+                    self.state.memory,
                 )
             try:
                 ask = quota_messages.decode_ask(content)
@@ -57,6 +59,8 @@
             framing.write_frame(writer, answer)
             async with asyncio.timeout(framing.USER_TIMEOUT_MS / 1000):
                 await writer.drain()
+            # Neither waits while further requests are buffered.
+            await asyncio.sleep(0)
 
     def answer(
         self, ask: quota_messages.Ask
--- a/packages/entry/bulrushcourse_entry/edge/accounts/token_streams.py
+++ b/packages/entry/bulrushcourse_entry/edge/accounts/token_streams.py
@@ -162,7 +162,9 @@
                     )
                     await writer.drain()
                     content = await framing.read_frame(
-                        reader, quota_messages.MAX_MESSAGE_BYTES
+                        reader,
+                        quota_messages.MAX_MESSAGE_BYTES,
+                        self.state.memory,
                     )
                 asked, stream.asked = stream.asked, {}
                 answer = quota_messages.decode_answer(content)
--- a/packages/entry/bulrushcourse_entry/edge/fleet/configuration_queries.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/configuration_queries.py
@@ -6,7 +6,6 @@
 import attrs
 
 from bulrushcourse_domain.fleet import fleet
-from bulrushcourse_domain.resources import memory as memories
 from bulrushcourse_domain.routes import freshness
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.fleet import framing
@@ -58,8 +57,12 @@
                         self.state.routes.version
                     )
                     framing.write_frame(writer, question)
-                    answer = await self._read_answer(reader)
-            return self._apply(answer)
+                    content = await framing.read_frame(
+                        reader,
+                        configuration_queries.MAX_ANSWER_BYTES,
+                        self.state.memory,
+                    )
+            return self._apply(configuration_queries.decode_answer(content))
         except (
             OSError,
             EOFError,
@@ -70,22 +73,6 @@
         ):
             return False
 
-    async def _read_answer(
-        self, reader: asyncio.StreamReader
-    ) -> configuration_queries.Answer:
-        """Return an answer; its memory is reserved meanwhile."""
-        size = await framing.read_size(
-            reader, configuration_queries.MAX_ANSWER_BYTES
-        )
-        memory = self.state.memory
-        if not memory.try_take(memories.Use.PEERS, size):
-            raise configuration_queries.MalformedMessage(f'{size} bytes')
-        try:
-            content = await reader.readexactly(size)
-            return configuration_queries.decode_answer(content)
-        finally:
-            memory.release(memories.Use.PEERS, size)
-
     def _apply(self, answer: configuration_queries.Answer) -> bool:
         state = self.state
         if answer.version > state.routes.version and answer.configuration:
--- a/packages/entry/bulrushcourse_entry/edge/fleet/framing.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/framing.py
@@ -4,8 +4,12 @@
 import socket
 import struct
 
+from bulrushcourse_domain.resources import memory as memories
+
 # A connection is closed when data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 1500
+# Memory of a message while it is unpacked, for each of its bytes.
+UNPACKED_COPIES = 8
 _HEADER = struct.Struct('>I')
 
 
@@ -40,32 +44,30 @@
     writer.write(_HEADER.pack(len(content)) + content)
 
 
-async def read_frame(reader: asyncio.StreamReader, maximum: int) -> bytes:
+async def read_frame(
+    reader: asyncio.StreamReader,
+    maximum: int,
+    memory: memories.MemoryBudget,
+) -> bytes:
     """Return the content of the next frame.
 
-    Args:
-        reader: The stream.
-        maximum: Largest allowed length in bytes.
-
-    Raises:
-        OversizedFrame: If the frame is longer.
-        EOFError: If the stream ends before the frame does.
-    """
-    return await reader.readexactly(await read_size(reader, maximum))
-
-
-async def read_size(reader: asyncio.StreamReader, maximum: int) -> int:
-    """Return the length of the next frame in bytes.
+    The memory of the message is reserved while it is received.
 
     Args:
         reader: The stream.
         maximum: Largest allowed length in bytes.
+        memory: Memory of the VM's traffic.
 
     Raises:
-        OversizedFrame: If the frame is longer.
+        OversizedFrame: If the frame is longer, or takes more memory than is
+            left.
         EOFError: If the stream ends before the frame does.
     """
     (size,) = _HEADER.unpack(await reader.readexactly(_HEADER.size))
-    if size > maximum:
+    taken = UNPACKED_COPIES * size
+    if size > maximum or not memory.try_take(memories.Use.PEERS, taken):
         raise OversizedFrame(f'{size} bytes')
-    return size
+    try:
+        return await reader.readexactly(size)
+    finally:
+        memory.release(memories.Use.PEERS, taken)
--- a/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
@@ -10,7 +10,6 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.fleet import links
 from bulrushcourse_domain.resources import descriptors
-from bulrushcourse_domain.resources import memory as memories
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge import supervision
@@ -40,8 +39,6 @@
 ISOLATED_PROBES = 4
 # Time between updates of the set of receivers.
 RECEIVERS_INTERVAL_S = 0.25
-# Memory of a report while it is unpacked, for each of its bytes.
-REPORT_COPIES = 8
 # Length of the accept queue.
 PEER_BACKLOG = 100
 
@@ -293,8 +290,9 @@
         try:
             while True:
                 async with asyncio.timeout(READ_TIMEOUT_S):
-                    size = await framing.read_size(reader, MAX_REPORT_BYTES)
-                    content = await self._read_content(reader, size)
+                    content = await framing.read_frame(
+                        reader, MAX_REPORT_BYTES, self.state.memory
+                    )
                 if await self._serve_other(content, reader, writer):
                     return
                 report = fleet_messages.decode(content)
@@ -372,24 +370,6 @@
                 events.Event.PEER_REFUSED, reason='too many unknown streams'
             )
 
-    async def _read_content(
-        self, reader: asyncio.StreamReader, size: int
-    ) -> bytes:
-        """Return the content of a frame; its memory is reserved meanwhile.
-
-        Raises:
-            fleet_messages.MalformedReport: If it is larger than the memory
-                that is left.
-        """
-        memory = self.state.memory
-        taken = REPORT_COPIES * size
-        if not memory.try_take(memories.Use.PEERS, taken):
-            raise fleet_messages.MalformedReport(f'{size} bytes')
-        try:
-            return await reader.readexactly(size)
-        finally:
-            memory.release(memories.Use.PEERS, taken)
-
 
 def _write(
     writer: asyncio.StreamWriter, report: fleet_messages.Report
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_faulty_peers.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_faulty_peers.py
@@ -22,6 +22,7 @@
 from bulrushcourse_testkit.standins import fault_proxy
 from bulrushcourse_wire import fleet_messages
 from bulrushcourse_wire import packing
+from bulrushcourse_wire import quota_messages
 
 pytestmark = pytest.mark.alone
 
@@ -118,7 +119,30 @@
         )
 
 
+def token_requests():
+    """Yield requests for tokens of accounts without end."""
+    yield framed(quota_messages.STREAM_PREFACE)
+    yield from itertools.repeat(framed(msgpack.packb(([], []))) * 500)
+
+
+def token_lists():
+    """Yield requests for tokens of 4 MiB of empty lists."""
+    yield framed(quota_messages.STREAM_PREFACE)
+    for size in itertools.cycle((4 * MIB - 8, 300_000)):
+        yield framed(b'\xdd' + struct.pack('>I', size) + b'\x90' * size)
+
+
+def token_frame_without_end():
+    """Yield a request for tokens of 4 MiB without its end."""
+    yield framed(quota_messages.STREAM_PREFACE)
+    yield framed(bytes(4 * MIB))[:-1]
+    yield from itertools.repeat(b'')
+
+
 SHAPES = (
+    token_requests,
+    token_lists,
+    token_frame_without_end,
     endless_reports,
     huge_length,
     largest_length,
--- a/packages/wire/bulrushcourse_wire/configuration_queries.py
+++ b/packages/wire/bulrushcourse_wire/configuration_queries.py
@@ -77,7 +77,10 @@
         MalformedMessage: If it is malformed.
     """
     try:
-        version, configuration = msgpack.unpackb(content)
+        count = checks.ContainerCount(1)
+        version, configuration = msgpack.unpackb(
+            content, list_hook=count.add, object_hook=count.add
+        )
         return Answer(
             checks.integer(version),
             checks.content(configuration, MAX_ANSWER_BYTES),
--- a/packages/wire/bulrushcourse_wire/fields.py
+++ b/packages/wire/bulrushcourse_wire/fields.py
@@ -3,6 +3,8 @@
 import ipaddress
 import typing
 
+import attrs
+
 MAX_INTEGER = (1 << 63) - 1
 MAX_TEXT_CHARACTERS = 200
 MAX_ITEMS = 10_000
@@ -13,6 +15,31 @@
     """A field has another type or is out of range."""
 
 
+@attrs.define
+class ContainerCount:
+    """Bounds the lists and maps of a message while it is unpacked.
+
+    Attributes:
+        left: How many more it may have.
+    """
+
+    left: int
+
+    def add(self, container: typing.Any) -> typing.Any:
+        """Count a list or map and return it.
+
+        Args:
+            container: The list or map.
+
+        Raises:
+            MalformedField: If there are too many.
+        """
+        self.left -= 1
+        if self.left < 0:
+            raise MalformedField('too many lists and maps')
+        return container
+
+
 def integer(value: typing.Any, maximum: int = MAX_INTEGER) -> int:
     """Return a value that must be an integer from 0 to a maximum.
 
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -237,19 +237,6 @@
     return scope.source, scope.in_flight, demand
 
 
-@attrs.define
-class _ContainerCount:
-    """Bounds the lists and maps of a report while it is unpacked."""
-
-    left: int
-
-    def add(self, container: typing.Any) -> typing.Any:
-        self.left -= 1
-        if self.left < 0:
-            raise ValueError('too many lists and maps')
-        return container
-
-
 def decode(content: bytes) -> Report:
     """Return the report in a byte string.
 
@@ -261,7 +248,7 @@
             or is out of range.
     """
     try:
-        count = _ContainerCount(
+        count = checks.ContainerCount(
             MIN_CONTAINERS + len(content) // MIN_CONTAINER_BYTES
         )
         fields = msgpack.unpackb(
--- a/packages/wire/bulrushcourse_wire/quota_messages.py
+++ b/packages/wire/bulrushcourse_wire/quota_messages.py
@@ -13,6 +13,8 @@
 MAX_ACCOUNTS = 10_000
 MAX_RETURNS = 50_000
 MAX_TOKENS = 100_000
+# Lists of a message: itself, two in it, and one for each account.
+MAX_LISTS = 3 + MAX_ACCOUNTS + MAX_RETURNS
 MAX_MESSAGE_BYTES = 4 << 20
 MAX_NAME_CHARACTERS = 1 << 16
 _MAX_MS = 60_000
@@ -119,7 +121,7 @@
             or is out of range.
     """
     try:
-        wanted, returned = checks.items(msgpack.unpackb(content), 2)
+        wanted, returned = checks.items(_unpack(content), 2)
         return Ask(
             tuple(
                 Wanted(
@@ -165,7 +167,7 @@
                 checks.integer(wait_ms, _MAX_MS),
             )
             for account, count, slot, lifetime_ms, wait_ms in checks.items(
-                msgpack.unpackb(content), MAX_ACCOUNTS
+                _unpack(content), MAX_ACCOUNTS
             )
         )
     except Exception as error:
@@ -173,6 +175,11 @@
         raise MalformedMessage(f'{error!r:.200}') from error
 
 
+def _unpack(content: bytes) -> typing.Any:
+    count = checks.ContainerCount(MAX_LISTS)
+    return msgpack.unpackb(content, list_hook=count.add, object_hook=count.add)
+
+
 def _name(value: typing.Any) -> str:
     """Return the name of an account, which the platform chooses."""
     if type(value) is not str or len(value) > MAX_NAME_CHARACTERS:
