--- a/packages/testkit/bulrushcourse_testkit/platform/flood.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/flood.py
@@ -89,6 +89,7 @@
         trickles: Whether a few bytes are sent at a time, with pauses.
         address: ``ip:port`` once started.
         arrived: Number of requests so far.
+        health_checks: Number of health requests among them.
         sending: Number of connections that are sending.
         sent_bytes: Bytes sent by all connections.
         all_arrived: Set when the expected number of requests has arrived.
@@ -100,6 +101,7 @@
     trickles: bool = False
     address: str = ''
     arrived: int = 0
+    health_checks: int = 0
     sending: int = 0
     sent_bytes: int = 0
     all_arrived: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -134,6 +136,7 @@
     async def _send(self, head: bytes, writer: asyncio.StreamWriter) -> None:
         stream = self.streams[self.arrived % len(self.streams)]
         self.arrived += 1
+        self.health_checks += head.startswith(b'GET /health ')
         if self.arrived >= self.expected:
             self.all_arrived.set()
         with contextlib.suppress(TimeoutError):
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_flood.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_flood.py
@@ -24,6 +24,8 @@
 DESCRIPTORS = 400
 CALLERS = 60
 FAULTY_UPSTREAMS = 4
+HEALTH_CHECKS = 40
+HEALTH_STREAMS = ('long_fields', 'interim', 'answers', 'no_length')
 ROUTE_TIMEOUT_S = 2
 UPLOADS = 4
 MIB = 1 << 20
@@ -88,9 +90,9 @@
     return soaked
 
 
-async def start_flood(cluster, flood):
+async def start_flood(cluster, flood, upstreams=FAULTY_UPSTREAMS):
     await flood.start()
-    for number in range(FAULTY_UPSTREAMS):
+    for number in range(upstreams):
         row = {
             **cluster.upstreams['sound'].row,
             'service': 'catalog',
@@ -158,6 +160,46 @@
     run(play(tmp_path, floods.BY_NAME[name], '/browse/'))
 
 
+@pytest.mark.parametrize('name', HEALTH_STREAMS)
+def test_health_responses_without_end(tmp_path, name):
+    # Guards against health responses, which decide where requests with home
+    # regions may go, that are kept as far as they come.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            cluster.configure(
+                1,
+                documents.rule('/home/', home_regions=['a'], timeout='6s'),
+                documents.rule('/art/', service='artwork', timeout='9s'),
+            )
+            await cluster.add_upstream('sound', service='artwork')
+            flood = floods.Flood((floods.BY_NAME[name],), HEALTH_CHECKS)
+            await start_flood(cluster, flood, HEALTH_CHECKS)
+            soaked = await start_vm(cluster, tmp_path)
+            try:
+                await cluster.wait_until(cluster.all_ready)
+                watch = process_watch.ProcessWatch(soaked.process)
+                replies = await asyncio.gather(
+                    *(
+                        cluster.send(f'/home/{n}', deadline_ms=4000)
+                        for n in range(CALLERS)
+                    )
+                )
+                await cluster.wait_until(flood.is_over)
+                watch.read()
+                seen = f'{watch.memory_mb:.0f} MB, {flood.arrived} arrivals'
+                print('measured', name, seen, {r.status for r in replies})
+                assert flood.health_checks >= HEALTH_CHECKS / 2, seen
+                assert soaked.process.returncode is None, seen
+                assert watch.memory_mb < MEMORY_MB, seen
+                reply = await cluster.send('/art/x', deadline_ms=9000)
+                assert reply.is_own_answer, reply
+            finally:
+                await soaked.kill()
+                flood.server.close()
+
+    run(scenario())
+
+
 @pytest.mark.parametrize('caller_leaves', (False, True))
 @pytest.mark.parametrize('path', ('/browse/', '/order/'))
 def test_answers_that_trickle_end_with_the_routes_time(caller_leaves, path):
