--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_proper_requests.py
@@ -72,6 +72,48 @@
     run(scenario())
 
 
+@pytest.mark.parametrize('cut', (4096, 20_000))
+def test_requests_behind_an_upload_that_was_answered_early_keep_their_order(
+    cut,
+):
+    # Guards against the answer to another request: pipelined requests that
+    # arrived with the end of an unread body were queued in reverse order.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            await start(cluster)
+            names = [f'p{number}' for number in range(3)]
+            size = 100 << 10
+            data = head('POST /gone/1 HTTP/1.1', f'Content-Length: {size}')
+            data += bytes(size)
+            for name in names:
+                data += head('GET /browse/2 HTTP/1.1', request_id=name)
+            parts = [data[at : at + cut] for at in range(0, len(data), cut)]
+            for _ in range(20):
+                replies = await exchange_parts(cluster, parts, 4)
+                assert [reply.status for reply in replies] == [404, *[200] * 3]
+                assert [reply.body for reply in replies[1:]] == [
+                    f'u1:{name}'.encode() for name in names
+                ]
+
+    run(scenario())
+
+
+async def exchange_parts(cluster, parts, count):
+    """Send parts on one connection and return its first responses."""
+    host, _, port = cluster.vms[0].listen['front'].rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        async with asyncio.timeout(5):
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+            return [
+                await raw_client.read_response(reader) for _ in range(count)
+            ]
+    finally:
+        writer.close()
+
+
 def test_long_head_before_a_configuration_is_known_may_be_retried():
     # Guards against 431 by default limits, which a VM that has just started
     # applied before it knew those of the configuration.
