Bind proofs and kept connections to the region of an upstream

The row of an upstream may have no start. If one came back under its name and address in another region, an earlier proof and its kept connections counted for it. Proofs, kept connections and checks under way now belong to process, address and region.

--- a/packages/domain/bulrushcourse_domain/upstreams/address_bindings.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/address_bindings.py
@@ -25,6 +25,7 @@
     Attributes:
         born: Start of the process, as its row states it.
         address: The address.
+        region: Region in which the row says that it runs.
         identified_at: Time at which the process certainly had it.
         doubted_at: Time of the last sign that another upstream may have it.
         failures: Consecutive failures to prove the identity.
@@ -34,6 +35,7 @@
 
     born: int
     address: str
+    region: str
     identified_at: float = float('-inf')
     doubted_at: float = float('-inf')
     failures: int = 0
@@ -210,7 +212,9 @@
             return None
         if len(self.by_name) >= MAX_RECORDS:
             self.by_name.clear()
-        record = AddressRecord(upstream.born, upstream.address)
+        record = AddressRecord(
+            upstream.born, upstream.address, upstream.region
+        )
         self.by_name[upstream.name] = record
         return record
 
@@ -231,4 +235,8 @@
 
 
 def _describes(record: AddressRecord, upstream: upstreams.Upstream) -> bool:
-    return (record.born, record.address) == (upstream.born, upstream.address)
+    return (record.born, record.address, record.region) == (
+        upstream.born,
+        upstream.address,
+        upstream.region,
+    )
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_address_bindings.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_address_bindings.py
@@ -95,6 +95,19 @@
     assert bindings.is_proven(restarted)
 
 
+def test_proof_ends_when_the_row_names_another_region():
+    # Guards against a process whose row has no start, that comes back under
+    # its name and address in another region, and that an earlier proof and
+    # kept connections still count for.
+    bindings = address_bindings.AddressBindings(clocks.ManualClock(10.0), 2.0)
+    before = upstreams.Upstream('u', 's', 'h:1', 'a1', 'a', born=0)
+    bindings.record_identified(before, 10.0)
+    after = attrs.evolve(before, failure_domain='b1', region='b')
+    bindings.record_row(after)
+    assert not bindings.is_proven(after)
+    assert before.residence != after.residence
+
+
 def test_wrong_sign_takes_no_upstream_out_of_use_for_good():
     # Guards against one odd row or response that takes a sound upstream away.
     bindings = proven_bindings()
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -66,6 +66,11 @@
         """Identifier of the upstream's present process."""
         return f'{self.name}@{self.born}'
 
+    @property
+    def residence(self) -> str:
+        """Identifier of the present process with its address and region."""
+        return f'{self.incarnation} {self.address} {self.region}'
+
 
 @attrs.frozen
 class Snapshot:
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
@@ -67,7 +67,7 @@
             connection: The connection.
         """
         if connection.owner:
-            return connection.owner == self.upstream.incarnation
+            return connection.owner == self.upstream.residence
         return not self.is_confined
 
     def may_connect(self) -> bool:
@@ -81,13 +81,13 @@
             connection: The connection.
         """
         if self.addresses.is_proven(self.upstream):
-            connection.owner = self.upstream.incarnation
+            connection.owner = self.upstream.residence
             return True
         return not self.is_confined
 
     def record_identified(self) -> None:
         """Record that the upstream certainly sent the response."""
-        self.connection.owner = self.upstream.incarnation
+        self.connection.owner = self.upstream.residence
         self.addresses.record_identified(self.upstream, self.wrote_at)
 
     def record_displaced(self) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
@@ -45,16 +45,14 @@
         fresh: Session with a new connection for each request.
         on_end: Called with the upstream, the finding and the name that the
             response states for its upstream.
-        running: Checks under way by process and address.
+        running: Checks under way by process, address and region.
     """
 
     state: process_state.ProcessState
     pooled: aiohttp.ClientSession
     fresh: aiohttp.ClientSession
     on_end: typing.Callable[[upstreams.Upstream, Finding, str], None]
-    running: dict[tuple[str, str], asyncio.Task[Finding]] = attrs.field(
-        factory=dict
-    )
+    running: dict[str, asyncio.Task[Finding]] = attrs.field(factory=dict)
 
     async def close(self) -> None:
         """Cancel the checks under way."""
@@ -77,7 +75,7 @@
             return True
         if upstream.name in addresses.withheld(confined=True):
             return False
-        key = upstream.incarnation, upstream.address
+        key = upstream.residence
         task = self.running.get(key)
         if task is None:
             task = asyncio.create_task(self._check(upstream))
--- a/packages/entry/bulrushcourse_entry/upstreams/sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/sessions.py
@@ -70,7 +70,7 @@
     Attributes:
         is_idle: Whether no request is waiting for a response.
         response_bytes: Bytes received since the last request.
-        owner: Process of an upstream that it certainly leads to, empty if
+        owner: Residence of the upstream that it certainly leads to, empty if
             unknown.
         head_bytes: Bytes of the head as far as it was received.
         has_final: Whether the head of the final response was received.
