Hold back a request that gains homes while it connects

An attempt that began without homes needs no proof of the address. If the route got homes while the connection was opened, the request was written to an unproven address. It is now placed again, as one whose region is no home any more.

--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -134,6 +134,9 @@
         route = request.route
         if request.configuration_version != self.state.routes.version:
             route = self._active_route(request)
+        if route.home_regions and not request.route.home_regions:
+            # The attempt began without a proof of the address.
+            return False
         return route.may_run_in(region) and self.check_homes(route) is None
 
     def _active_route(
--- a/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
@@ -125,6 +125,19 @@
     assert not gate.may_still_send(request, 'b')
 
 
+def test_request_that_gains_homes_while_it_connects_is_held_back():
+    # Guards against a request that is sent to an unproven address, since its
+    # route had no homes when the attempt began.
+    gate = make_gate(make_route(homes=()))
+    gate.state.confirm_configuration(100.0, freshness.Source.STORE)
+    request = make_request(gate)
+    assert gate.may_still_send(request, 'a')
+    install(gate, 2, make_route(homes='a'))
+    assert not gate.may_still_send(request, 'a')
+    gate.rebind(request)
+    assert gate.may_still_send(request, 'a')
+
+
 def test_longer_prefix_that_was_added_binds_a_waiting_request():
     # Guards against the home regions of a shorter prefix.
     gate = make_gate(make_route('/'))
