Rename two methods and a stream of the configuration's checks

The review stopped at settle, which meant two things on one path, at _turn_away and at news. No change of behaviour; the tests of the edge program pass.

--- a/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/configuration_gate.py
@@ -30,22 +30,24 @@
     Attributes:
         state: The process state.
         destinations: Chooses services and regions.
-        news: Set for a moment by each piece of news on the configuration.
+        updated: Set for a moment by each update on the configuration.
     """
 
     state: process_state.ProcessState
     destinations: destinations.DestinationSelector
-    news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    updated: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
-        """Subscribe to news on the configuration."""
-        self.state.configuration_news.subscribe(self._wake)
+        """Subscribe to updates on the configuration."""
+        self.state.configuration_updates.subscribe(self._wake)
 
     def _wake(self, _: None) -> None:
-        self.news.set()
-        self.news.clear()
+        self.updated.set()
+        self.updated.clear()
 
-    async def settle(self, remaining_s: float, newest: bool = False) -> bool:
+    async def wait_for_confirmation(
+        self, remaining_s: float, newest: bool = False
+    ) -> bool:
         """Wait for a short time until the configuration is confirmed.
 
         Args:
@@ -56,7 +58,7 @@
             Whether it has waited, so that the configuration may have changed.
         """
         self.state.observe_running()
-        since = self._unsettled_since(newest)
+        since = self._unconfirmed_since(newest)
         if since is None:
             return False
         limit_s = min(
@@ -65,11 +67,11 @@
         )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
-                while self._unsettled_since(newest) is not None:
-                    await self.news.wait()
+                while self._unconfirmed_since(newest) is not None:
+                    await self.updated.wait()
         return True
 
-    def _unsettled_since(self, newest: bool) -> float | None:
+    def _unconfirmed_since(self, newest: bool) -> float | None:
         """Return since when a confirmation or newer version is awaited."""
         state = self.state
         if state.configuration_unconfirmed:
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -136,7 +136,7 @@
             self._remaining_s(caller),
         )
         if not isinstance(found, target_lookup.Target):
-            return self._turn_away(found, caller, request)
+            return self._answer_untargeted(found, caller, request)
         route, identity = found.route, found.identity
         deadline = arrived + self._allowed_s(caller, route)
         if not self.state.may_begin(deadline):
@@ -150,7 +150,7 @@
         parsed.token = admitted
         return await self._execute(request, caller, parsed)
 
-    def _turn_away(
+    def _answer_untargeted(
         self,
         verdict: target_lookup.Denial | outcomes.Refusal,
         caller: platform_headers.CallerHeaders,
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -171,7 +171,7 @@
         while True:
             # The body may have taken long.
             remaining_s = request.deadline - self.state.clock.monotonic()
-            await self.configuration.settle(remaining_s)
+            await self.configuration.wait_for_confirmation(remaining_s)
             self.configuration.rebind(request)
             choice = await self.admission.choose_first(request)
             if not isinstance(choice, placement.Choice):
--- a/packages/entry/bulrushcourse_entry/edge/callers/target_lookup.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/target_lookup.py
@@ -62,11 +62,13 @@
             key: Key of its client account, empty for none.
             remaining_s: Time that it has left.
         """
-        await self.configuration.settle(remaining_s)
+        await self.configuration.wait_for_confirmation(remaining_s)
         found = self._find(match(), key)
         needs_newest = isinstance(found, Denial) or found.route.home_regions
         if needs_newest and (
-            await self.configuration.settle(remaining_s, newest=True)
+            await self.configuration.wait_for_confirmation(
+                remaining_s, newest=True
+            )
         ):
             found = self._find(match(), key)
         if isinstance(found, Denial):
--- a/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/tests/test_configuration_gate.py
@@ -185,7 +185,7 @@
     async def scenario():
         gate = make_gate(make_route())
         state = gate.state
-        waiting = asyncio.create_task(gate.settle(5.0))
+        waiting = asyncio.create_task(gate.wait_for_confirmation(5.0))
         await asyncio.sleep(0.01)
         assert not waiting.done()
         state.confirm_configuration(100.0, freshness.Source.STORE)
@@ -193,7 +193,7 @@
             await waiting
         state.clock.advance(5.0)
         async with asyncio.timeout(0.5):
-            await gate.settle(0.3)
+            await gate.wait_for_confirmation(0.3)
         refusal = gate.check_homes(make_route())
         assert refusal.reason == 'configuration-unconfirmed'
         assert refusal.retry_after_s > 0
@@ -210,7 +210,7 @@
         clock = gate.state.clock
         clock.advance(0.9)
         async with asyncio.timeout(0.2):
-            await gate.settle(5.0)
+            await gate.wait_for_confirmation(5.0)
         assert gate.check_homes(make_route()) is not None
 
     asyncio.run(scenario())
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -116,7 +116,7 @@
             of this VM have gone silent.
         pauses: Stream of the ends of pauses in which this process did not
             run.
-        configuration_news: Stream of what is learned about the newest
+        configuration_updates: Stream of what is learned about the newest
             configuration.
     """
 
@@ -190,7 +190,7 @@
         attrs.field(factory=reactivex.Subject)
     )
     pauses: reactivex.Subject[None] = attrs.field(factory=reactivex.Subject)
-    configuration_news: reactivex.Subject[None] = attrs.field(
+    configuration_updates: reactivex.Subject[None] = attrs.field(
         factory=reactivex.Subject
     )
 
@@ -214,7 +214,7 @@
             source: The source.
         """
         self.freshness.confirm(at, source)
-        self.configuration_news.on_next(None)
+        self.configuration_updates.on_next(None)
 
     @property
     def configuration_unconfirmed(self) -> bool:
--- a/packages/entry/bulrushcourse_entry/edge/store/configuration_monitor.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/configuration_monitor.py
@@ -24,7 +24,7 @@
     def __attrs_post_init__(self) -> None:
         """Subscribe to pauses and news."""
         self.state.pauses.subscribe(self._begin)
-        self.state.configuration_news.subscribe(self._end)
+        self.state.configuration_updates.subscribe(self._end)
 
     def check(self) -> None:
         """Record that the process runs, and end a wait that was too long."""
--- a/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
@@ -267,7 +267,7 @@
             routes=len(route_set.routes),
             accounts=len(route_set.accounts.by_name),
         )
-        state.configuration_news.on_next(None)
+        state.configuration_updates.on_next(None)
         _log_findings(state, event_log, route_set)
 
 
