Prefer proven upstreams for requests with homes

A request with homes waited up to 0.6 s, twice, for the proof of one upstream after the other, although a proven one was idle. It goes to a proven upstream whose queue is not longer, and the best one is asked for a proof meanwhile, so that new upstreams are not left out.

--- a/packages/domain/bulrushcourse_domain/placement/placement.py
+++ b/packages/domain/bulrushcourse_domain/placement/placement.py
@@ -46,6 +46,7 @@
         object_key: Affinity object of the request, empty if it has none.
         region: Region that must run it, empty for any.
         tried: Names of the upstreams that have already been tried.
+        proven_only: Whether the address of the upstream must be proven now.
     """
 
     route: routes.Route
@@ -53,6 +54,7 @@
     object_key: str = ''
     region: str = ''
     tried: frozenset[str] = frozenset()
+    proven_only: bool = False
 
 
 @attrs.frozen
@@ -199,6 +201,10 @@
             and self.load.own_in_flight.get(u.name, 0) < allowed_each
             and u.name not in excluded
             and self.permissions.may_send(u)
+            and not (
+                request.proven_only
+                and not self.directory.addresses.is_proven(u)
+            )
         ]
         allowed = [
             u
--- a/packages/entry/bulrushcourse_entry/edge/callers/admission_control.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/admission_control.py
@@ -118,13 +118,30 @@
 ) -> placement.Choice | None:
     """Return the best upstream for a request, ``None`` if there is none.
 
+    A request that must not reach another region goes to an upstream whose
+    address is proven, if one has room, while the best one is asked for a proof
+    for later requests.
+
     Args:
         state: The process state.
         request: The request.
     """
-    return state.placement.choose(
-        placement_request(request), state.routes.service(request.service)
+    constraints = placement_request(request)
+    service = state.routes.service(request.service)
+    best = state.placement.choose(constraints, service)
+    if (
+        best is None
+        or not request.route.is_confined(state.settings.regions.values())
+        or state.upstreams.addresses.is_proven(best.upstream)
+    ):
+        return best
+    proven = state.placement.choose(
+        attrs.evolve(constraints, proven_only=True), service
     )
+    if proven is None or proven.queued > best.queued:
+        return best
+    state.proofs_wanted.on_next(best.upstream)
+    return proven
 
 
 def placement_request(
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -36,6 +36,7 @@
 from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_domain.upstreams import recent_objects
 from bulrushcourse_domain.upstreams import sending_permissions
+from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_domain.upstreams import warmup
 from bulrushcourse_domain.waiting import pressure as pressures
 from bulrushcourse_domain.waiting import retry_schedule
@@ -112,6 +113,8 @@
         removed_vms: Stream of the names of removed VMs.
         room_changes: Stream of what may have given room at upstreams: ends of
             requests of this VM, and reports of others.
+        proofs_wanted: Stream of upstreams that will be of use once they have
+            proven their address.
         silent_connection_hints: Stream of what suggests that open connections
             of this VM have gone silent.
         pauses: Stream of the ends of pauses in which this process did not
@@ -186,6 +189,9 @@
     room_changes: reactivex.Subject[None] = attrs.field(
         factory=reactivex.Subject
     )
+    proofs_wanted: reactivex.Subject[upstreams.Upstream] = attrs.field(
+        factory=reactivex.Subject
+    )
     silent_connection_hints: reactivex.Subject[SilentConnectionHint] = (
         attrs.field(factory=reactivex.Subject)
     )
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
@@ -54,6 +54,10 @@
     on_end: typing.Callable[[upstreams.Upstream, Finding, str], None]
     running: dict[str, asyncio.Task[Finding]] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Subscribe to what will be of use to later requests."""
+        self.state.proofs_wanted.subscribe(self._begin)
+
     async def close(self) -> None:
         """Cancel the checks under way."""
         tasks = list(self.running.values())
@@ -75,14 +79,19 @@
             return True
         if upstream.name in addresses.withheld(confined=True):
             return False
+        task = self._begin(upstream)
+        done, _ = await asyncio.wait((task,), timeout=max(0.0, limit_s))
+        return bool(done) and task.result() is Finding.PROVEN
+
+    def _begin(self, upstream: upstreams.Upstream) -> asyncio.Task[Finding]:
+        """Return the check of an upstream that is under way, or a new one."""
         key = upstream.residence
         task = self.running.get(key)
         if task is None:
             task = asyncio.create_task(self._check(upstream))
             self.running[key] = task
             task.add_done_callback(lambda _: self.running.pop(key, None))
-        done, _ = await asyncio.wait((task,), timeout=max(0.0, limit_s))
-        return bool(done) and task.result() is Finding.PROVEN
+        return task
 
     async def _check(self, upstream: upstreams.Upstream) -> Finding:
         addresses = self.state.upstreams.addresses
