Log what a shutdown finds and which requests it cuts

A request that is cancelled during a planned stop left no line, and nothing told which connections were open when the listener was closed and at the end.

Event 1010 is written when the listener is closed, 2006 for each request that ends without an answer, with whether its caller had left, and 1004 gives the connections that are open by stage. No decision changes. Tests of stops and events pass.

--- a/packages/domain/bulrushcourse_domain/resources/connections.py
+++ b/packages/domain/bulrushcourse_domain/resources/connections.py
@@ -109,6 +109,14 @@
     def __len__(self) -> int:
         return sum(len(entered) for entered in self.by_stage.values())
 
+    def counts(self) -> dict[str, int]:
+        """Return the number of connections in each stage that has any."""
+        return {
+            stage.value: len(entered)
+            for stage, entered in self.by_stage.items()
+            if entered
+        }
+
     def add(self, connection: Connection) -> None:
         """Add a connection.
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -77,6 +77,7 @@
         heads: Memory of the heads that were passed on and not answered.
         is_safe: Whether the request in progress changes nothing.
         parsing: Whether the parser is being fed.
+        caller_left: Whether the connection ended, and not by this VM.
     """
 
     __slots__ = (
@@ -99,6 +100,7 @@
         'heads',
         'is_safe',
         'parsing',
+        'caller_left',
     )
 
     def __init__(
@@ -129,6 +131,7 @@
         self.heads: collections.deque[int] = collections.deque()
         self.is_safe = False
         self.parsing = False
+        self.caller_left = False
         self._await_head()
 
     def _await_head(self) -> None:
@@ -161,6 +164,8 @@
         self.guard.remove(self.entry)
         self.awaiting = Awaiting.NOTHING
         self.held = b''
+        # A close by this VM has cleared the transport before.
+        self.caller_left = self.transport is not None
         super().connection_lost(exc)
         self.wire = None
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -85,6 +85,7 @@
             return await self._serve(request)
         except asyncio.CancelledError:
             self.open_requests -= 1
+            self._record_cut(request)
             raise
         except Exception as error:
             # The request may have run, so that a refusal would be wrong.
@@ -96,6 +97,19 @@
             )
             return responses.Served(web.Response(status=502))
 
+    def _record_cut(self, request: web.BaseRequest) -> None:
+        """Log a request that gets no answer during a planned stop."""
+        stop = self.state.planned_stop
+        if stop is None:
+            return
+        age_s = self.state.clock.monotonic() - stop.started
+        self.responder.event_log.log_change(
+            events.Event.REQUEST_CUT,
+            id=request.headers.get(platform_headers.REQUEST_ID, ''),
+            stop_ms=round(age_s * 1000),
+            caller_left=request.protocol.caller_left,
+        )
+
     def may_begin_early(self, request: web.BaseRequest) -> bool:
         """Return whether a request may run before earlier ones are answered.
 
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -83,7 +83,6 @@
         self._handle_signals(state, event_log)
         async with contextlib.AsyncExitStack() as stack:
             await self._serve(state, event_log, stack)
-        event_log.log_change(events.Event.STOPPED, vm=self.settings.vm)
 
     async def _serve(
         self,
@@ -102,7 +101,15 @@
         tasks = self._start_tasks(state, event_log, parts)
         stack.push_async_callback(_cancel, tasks)
         await self.stopping.wait()
-        await self._stop(state, event_log, parts.handlers, caller_listener)
+        await self._stop(
+            state, event_log, parts.handlers, parts.guard, caller_listener
+        )
+        event_log.log_change(
+            events.Event.STOPPED,
+            vm=self.settings.vm,
+            connections=parts.guard.table.counts(),
+            running=len(parts.handlers.executor.running),
+        )
 
     def _handle_signals(
         self, state: process_state.ProcessState, event_log: event_logs.EventLog
@@ -264,6 +271,7 @@
         state: process_state.ProcessState,
         event_log: event_logs.EventLog,
         handlers: request_handlers.Handlers,
+        guard: connection_guard.ConnectionGuard,
         caller_listener: web.ServerRunner,
     ) -> None:
         state.fleet.phase = fleet.Phase.LEAVING
@@ -284,6 +292,12 @@
         await asyncio.sleep(stop.accept_until - now())
         # A caller whose connection is refused tries another VM at once.
         await listeners.stop_accepting(caller_listener)
+        event_log.log_change(
+            events.Event.ACCEPT_ENDED,
+            open=handlers.open_requests,
+            running=len(handlers.executor.running),
+            connections=guard.table.counts(),
+        )
         while handlers.open_requests or handlers.executor.running:
             if now() > stop.finish_until:
                 event_log.log_change(
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -25,6 +25,7 @@
     SETTINGS_REFUSED = (1007, 'error', 'settings are invalid')
     TASK_FAILED = (1008, 'error', 'task failed and is restarted')
     SLOW_CHANGED = (1009, 'warning', 'VM became slow or recovered')
+    ACCEPT_ENDED = (1010, 'info', 'shutdown closed the listener of callers')
     REQUEST_SERVED = (2001, 'info', 'request served')
     REQUEST_FAILED = (2002, 'info', 'request not served')
     REQUEST_ERROR = (2003, 'error', 'request failed with an internal error')
@@ -38,6 +39,11 @@
         'warning',
         'room at a service became short or sufficient',
     )
+    REQUEST_CUT = (
+        2006,
+        'warning',
+        'request ended without an answer during a shutdown',
+    )
     STOP_FORCED = (1005, 'warning', 'shutdown aborted requests in flight')
     PEER_CONNECTED = (3001, 'info', 'peer stream established')
     PEER_LOST = (3002, 'warning', 'peer stream lost')
