Let the connections decide when a planned stop ends

Callers saw a whole request end without an answer in a planned stop: sent 2.9 to 3.0 s after SIGTERM on a kept connection, its connection closed at 3.2 s, the request passed on or not.

Cause: three seconds after SIGTERM the stop looked once at two counters of requests. If they were zero, the process ended with kept connections open. A request whose bytes lay in a socket, or whose task had not begun, was not counted; it was begun while the listeners closed and cut off 0.2 s later.

Now each connection belongs to the stop until it is closed, and it is closed only while nothing that was read from it is unanswered and nothing waits to be read. The stop ends when no connection is left. Look-ups and readiness checks are ended in the same way. At the time limit, requests that are still being received are refused as not run.

--- a/packages/domain/bulrushcourse_domain/resources/connections.py
+++ b/packages/domain/bulrushcourse_domain/resources/connections.py
@@ -68,6 +68,10 @@
     Stage.FIRST_HEAD: lambda limits: limits.header_timeout_s,
     Stage.NEXT_HEAD: lambda limits: limits.header_timeout_s,
 }
+# Stages in which nothing that was received is unanswered.
+IDLE_STAGES = frozenset({Stage.NEW, Stage.KEPT})
+# Time in seconds in which a client usually sends its first request.
+FIRST_REQUEST_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -162,6 +166,32 @@
         if stage is not None:
             self.enter(connection, stage)
 
+    def may_stop(self, connection: Connection) -> bool:
+        """Return whether a planned stop may close a connection now.
+
+        A client whose kept connection is closed uses another VM. A new one
+        was opened for a request, which is answered while there is other work
+        to wait for.
+
+        Args:
+            connection: The connection.
+        """
+        if connection.stage is Stage.KEPT:
+            return True
+        opened = self.by_stage[Stage.NEW].get(connection)
+        return (
+            opened is not None
+            and not self.has_work()
+            and self.clock.monotonic() - opened >= FIRST_REQUEST_S
+        )
+
+    def has_work(self) -> bool:
+        """Return whether something that was received is unanswered."""
+        return any(
+            entered and stage not in IDLE_STAGES
+            for stage, entered in self.by_stage.items()
+        )
+
     def is_over_limit(self) -> bool:
         """Return whether there are more connections than allowed."""
         bare = len(self) * CONNECTION_BYTES
--- a/packages/domain/bulrushcourse_domain/resources/tests/test_connections.py
+++ b/packages/domain/bulrushcourse_domain/resources/tests/test_connections.py
@@ -118,3 +118,27 @@
     taken = plan.connections + plan.burst + reserved
     assert taken <= max(total - 200, total // 4) + 4
     assert min(plan.connections, plan.burst, plan.unknown_streams) > 0
+
+
+def test_stop_closes_no_connection_of_which_something_is_unanswered():
+    # Guards against a planned stop that cuts off a request that was read.
+    table = build_table(limit=10)
+    every = {stage: add(table, stage) for stage in Stage}
+    table.clock.advance(connections.FIRST_REQUEST_S)
+    closable = [stage for stage in Stage if table.may_stop(every[stage])]
+    assert closable == [Stage.KEPT]
+
+
+def test_stop_leaves_a_new_connection_the_time_for_its_request():
+    # Guards against a planned stop that closes connections while their first
+    # requests are on the way.
+    table = build_table()
+    new = add(table)
+    table.clock.advance(connections.FIRST_REQUEST_S / 2)
+    assert not table.may_stop(new)
+    table.clock.advance(connections.FIRST_REQUEST_S / 2)
+    assert table.may_stop(new)
+    busy = add(table, Stage.BODY)
+    assert not table.may_stop(new)
+    table.remove(busy)
+    assert table.may_stop(new)
--- a/packages/entry/bulrushcourse_entry/edge/callers/bodies.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bodies.py
@@ -16,6 +16,7 @@
 MALFORMED = 'malformed'
 UNKNOWN_LIMITS = 'unknown-limits'
 TIMED_OUT = 'body-timeout'
+STOPPING = 'stopping'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 import enum
+import select
 import typing
 
 from aiohttp import http
@@ -335,6 +336,30 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    # Calls of a planned stop.
+
+    def close_if_idle(self) -> None:
+        """Close the connection if nothing of it is unanswered or unread.
+
+        What arrives afterwards is never read, so that no request is begun
+        without an answer.
+        """
+        if (
+            self.wire is not None
+            and self.guard.table.may_stop(self.entry)
+            and not _has_unread_bytes(self.wire)
+        ):
+            self.awaiting = Awaiting.NOTHING
+            self.wire.close()
+
+    def refuse_unread(self) -> None:
+        """Refuse the request that is being received, if there is one."""
+        stage = self.entry.stage
+        if stage in connection_guard.HEAD_STAGES:
+            self.refuse(platform_headers.UNAVAILABLE, bodies.STOPPING)
+        elif stage is connections.Stage.BODY:
+            self._fail_body(bodies.STOPPING)
+
     # Passing on of received bytes.
 
     def _pass_on(self) -> None:
@@ -595,13 +620,23 @@
             answer: Reason by which the request is answered, if another one.
         """
         self.guard.record(reason, self.entry.stage)
+        self._fail_body(answer or reason)
+
+    def _fail_body(self, reason: str) -> None:
         self.awaiting = Awaiting.NOTHING
         self.held = b''
         if not self.payload.is_eof():
-            self.payload.set_exception(bodies.BodyRefused(answer or reason))
+            self.payload.set_exception(bodies.BodyRefused(reason))
         self.close()
 
 
+def _has_unread_bytes(wire: asyncio.Transport) -> bool:
+    """Return whether bytes or the end of a connection wait to be read."""
+    poll = select.poll()
+    poll.register(wire.get_extra_info('socket').fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 _STEPS: typing.Mapping[
     Awaiting, typing.Callable[[BoundedConnection], bool]
 ] = {
--- a/packages/entry/bulrushcourse_entry/edge/callers/listeners.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/listeners.py
@@ -101,6 +101,17 @@
         await site.stop()
 
 
+def open_connections(
+    runner: web.ServerRunner,
+) -> list[bounded_connection.BoundedConnection]:
+    """Return the connections of a listener whose tasks have not ended.
+
+    Args:
+        runner: The listener.
+    """
+    return runner.server.connections
+
+
 async def close_http(runner: web.ServerRunner) -> None:
     """Close a listener and its connections.
 
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -13,16 +13,15 @@
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.fleet import fleet
-from bulrushcourse_domain.fleet import planned_stop as planned_stops
 from bulrushcourse_domain.resources import descriptors
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import assembly
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge import settings as edge_settings
+from bulrushcourse_entry.edge import stopping
 from bulrushcourse_entry.edge import supervision
 from bulrushcourse_entry.edge.accounts import proven_keys
 from bulrushcourse_entry.edge.callers import connection_guard
-from bulrushcourse_entry.edge.callers import handlers as request_handlers
 from bulrushcourse_entry.edge.callers import listeners
 from bulrushcourse_entry.edge.callers import lookup_handlers
 from bulrushcourse_entry.edge.reporting import diagnostic_handlers
@@ -92,7 +91,7 @@
     ) -> None:
         parts = await assembly.assemble(state, event_log, stack)
         self.store = parts.store
-        caller_listener = await self._listen(parts, stack)
+        drained = await self._listen(parts, stack)
         if self.settings.peers:
             server = await parts.streams.listen(self.settings.peers)
             stack.callback(server.close)
@@ -101,9 +100,9 @@
         tasks = self._start_tasks(state, event_log, parts)
         stack.push_async_callback(_cancel, tasks)
         await self.stopping.wait()
-        await self._stop(
-            state, event_log, parts.handlers, parts.guard, caller_listener
-        )
+        await stopping.GracefulStop(
+            state, event_log, parts.handlers, parts.guard, drained
+        ).run()
         event_log.log_change(
             events.Event.STOPPED,
             vm=self.settings.vm,
@@ -144,8 +143,8 @@
 
     async def _listen(
         self, parts: assembly.Parts, stack: contextlib.AsyncExitStack
-    ) -> web.ServerRunner:
-        """Open the listeners and return that of the callers."""
+    ) -> list[web.ServerRunner]:
+        """Open the listeners; return those that a planned stop drains."""
         handlers, guard = parts.handlers, parts.guard
         backlog = descriptors.plan(self.settings.max_descriptors).burst
         lookup_answers = lookup_handlers.LookupHandlers(handlers.state)
@@ -160,18 +159,22 @@
             handlers.handle, self.settings.callers, guard, backlog, handlers
         )
         stack.push_async_callback(listeners.close_http, callers)
+        drained = [callers]
         endpoints = (
             (self.settings.lookups, lookup_answers.look_up),
             (self.settings.readiness, lookup_answers.ready),
             (metrics_address if self.metrics_port else '', diagnostics.handle),
         )
         for address, handler in endpoints:
-            if address:
-                runner = await listeners.serve_http(
-                    handler, address, guard, backlog
-                )
-                stack.push_async_callback(listeners.close_http, runner)
-        return callers
+            if not address:
+                continue
+            runner = await listeners.serve_http(
+                handler, address, guard, backlog
+            )
+            stack.push_async_callback(listeners.close_http, runner)
+            if address != metrics_address:
+                drained.append(runner)
+        return drained
 
     def _start_tasks(
         self,
@@ -266,46 +269,6 @@
             and not state.configuration_unconfirmed
         )
 
-    async def _stop(
-        self,
-        state: process_state.ProcessState,
-        event_log: event_logs.EventLog,
-        handlers: request_handlers.Handlers,
-        guard: connection_guard.ConnectionGuard,
-        caller_listener: web.ServerRunner,
-    ) -> None:
-        state.fleet.phase = fleet.Phase.LEAVING
-        handlers.closing = True
-        now = self.clock.monotonic
-        stop = planned_stops.PlannedStop(
-            now(), self.settings.bounds.stop_limit_s
-        )
-        state.planned_stop = stop
-        # Requests that wait and can't finish in time are refused now.
-        state.room_changes.on_next(None)
-        event_log.log_change(
-            events.Event.STOPPING,
-            open=handlers.open_requests,
-            accept_ms=round((stop.accept_until - stop.started) * 1000),
-            finish_ms=round((stop.finish_until - stop.started) * 1000),
-        )
-        await asyncio.sleep(stop.accept_until - now())
-        # A caller whose connection is refused tries another VM at once.
-        await listeners.stop_accepting(caller_listener)
-        event_log.log_change(
-            events.Event.ACCEPT_ENDED,
-            open=handlers.open_requests,
-            running=len(handlers.executor.running),
-            connections=guard.table.counts(),
-        )
-        while handlers.open_requests or handlers.executor.running:
-            if now() > stop.finish_until:
-                event_log.log_change(
-                    events.Event.STOP_FORCED, open=handlers.open_requests
-                )
-                return
-            await asyncio.sleep(0.05)
-
 
 async def _cancel(tasks: list[asyncio.Task[typing.Any]]) -> None:
     for task in tasks:
