Take no request after a stop has seen that none is left

A planned stop of an entry waited until no request was in flight, then for runs whose callers had left and for outcomes to be recorded, and closed the listener last. During the second wait, which lasts as long as a run or a store outage, the listener still took requests. They were counted but not waited for, and cut off one second after the close began: callers saw a whole request end with neither an answer nor a refusal. The close itself had the same fault three more times. aiohttp drops everything that arrives on a connection once its cleanup begins, so a body on its way never completed; the close of the listening socket reset the connections in its accept queue, and asyncio 3.11 forgets those that it accepted in the same pass of the event loop; a kept connection was closed although a request lay unread in its socket.

HttpServer now owns the connections of a listener until they are closed. drain() closes the listening socket once its accept queue was empty in two passes of the event loop, then closes each connection at a moment when nothing received on it is unanswered and nothing is unread, and returns when none is left. The drain of runs comes after it, so nothing can arrive during that wait. A response counts until it is sent, not until its handler has ended.

A request that crosses the close of a kept connection on the network still gets no answer; HTTP/1.1 lets a server close an idle connection.

--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -43,7 +43,6 @@
         metrics: Receiver of metrics.
         claims: Serves requests that run at most once.
         in_flight: Number of requests in flight.
-        idle: Set while no request is in flight.
         leaving: Whether the entry is shutting down.
     """
 
@@ -54,12 +53,8 @@
     metrics: entry_metrics.Metrics
     claims: claims_listener.ClaimsListener
     in_flight: int = 0
-    idle: asyncio.Event = attrs.field(factory=asyncio.Event)
     leaving: bool = False
 
-    def __attrs_post_init__(self) -> None:
-        self.idle.set()
-
     def application(self) -> web.Application:
         """Return the HTTP application."""
         application = web.Application(
@@ -92,7 +87,6 @@
             request: The caller's request.
         """
         self.in_flight += 1
-        self.idle.clear()
         started = self.clock.monotonic()
         try:
             response = await self._serve(request)
@@ -102,8 +96,6 @@
             return response
         finally:
             self.in_flight -= 1
-            if not self.in_flight:
-                self.idle.set()
             elapsed_ms = (self.clock.monotonic() - started) * 1000
             self._record_latency(request, elapsed_ms)
 
--- a/packages/entry/bulrushcourse_entry/listening.py
+++ b/packages/entry/bulrushcourse_entry/listening.py
@@ -1,30 +1,110 @@
-"""Starting of HTTP listeners."""
+"""HTTP listeners and their graceful close."""
 
+import asyncio
+import contextlib
+import select
+import socket
+
+import attrs
 from aiohttp import web
 
 from bulrushcourse_entry import settings as entry_settings
 
-# A listener is closed after the graceful drain. Requests that are still in
-# flight then have exceeded the stop limit, or a second signal forced the stop.
+# Connections accepted last are left open for this long, since their first
+# request may still be on its way.
+FIRST_REQUEST_S = 0.5
+POLL_INTERVAL_S = 0.02
+# Time for answers when requests have exceeded the stop limit or a second
+# signal forces the stop.
 CLOSE_TIMEOUT_S = 1.0
+# Time in which cancelled handlers end.
+CANCEL_TIMEOUT_S = 0.1
+BACKLOG = 128
 
 
-async def listen(application: web.Application, address: str) -> web.AppRunner:
-    """Serve an application and return its runner, whose cleanup stops it.
+@attrs.define(eq=False)
+class HttpServer:
+    """Serves an application; owns its connections until they are closed.
 
     A handler is cancelled when its client closes the connection.
 
-    Args:
+    Attributes:
         application: The HTTP application.
         address: ``ip:port`` to listen on.
+        runner: Runner of the application, ``None`` before the start.
+        acceptor: Accepts connections, ``None`` before the start.
+    """
+
+    application: web.Application
+    address: str
+    runner: web.AppRunner | None = None
+    acceptor: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen and serve."""
+        self.runner = web.AppRunner(
+            self.application,
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=CANCEL_TIMEOUT_S,
+        )
+        await self.runner.setup()
+        host, port = entry_settings.split_address(self.address)
+        self.acceptor = await asyncio.get_running_loop().create_server(
+            self.runner.server, host, port, backlog=BACKLOG
+        )
+
+    async def drain(self) -> None:
+        """Stop accepting and wait until every received request is answered.
+
+        A connection is closed as soon as nothing received on it is
+        unanswered. No request can arrive afterwards.
+        """
+        if self.acceptor.is_serving():
+            await self._stop_accepting()
+        while connections := self.runner.server.connections:
+            for connection in connections:
+                if _is_idle(connection):
+                    connection.force_close()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def close(self) -> None:
+        """Drain for a short time, then cut off the remaining requests."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self.drain()
+        self.acceptor.close()
+        await self.runner.cleanup()
+
+    async def _stop_accepting(self) -> None:
+        # A close resets the connections in the accept queue, and asyncio drops
+        # those that were accepted in the same pass of the event loop.
+        was_empty = False
+        while not (was_empty and self._is_accept_queue_empty()):
+            was_empty = self._is_accept_queue_empty()
+            await asyncio.sleep(0)
+        self.acceptor.close()
+        await asyncio.sleep(FIRST_REQUEST_S)
+
+    def _is_accept_queue_empty(self) -> bool:
+        return not any(map(_is_readable, self.acceptor.sockets))
+
+
+def _is_idle(connection: web.RequestHandler) -> bool:
+    """Return whether nothing that a client has sent is unanswered.
+
+    Args:
+        connection: A client's connection.
     """
-    runner = web.AppRunner(
-        application,
-        handler_cancellation=True,
-        access_log=None,
-        shutdown_timeout=CLOSE_TIMEOUT_S,
-    )
-    await runner.setup()
-    host, port = entry_settings.split_address(address)
-    await web.TCPSite(runner, host, port).start()
-    return runner
+    # aiohttp's keep-alive timeout has the same condition, but ignores unread
+    # bytes: a close would discard the request in them.
+    waiter = connection._waiter
+    if waiter is None or waiter.done() or connection.transport is None:
+        return False
+    return not _is_readable(connection.transport.get_extra_info('socket'))
+
+
+def _is_readable(source: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(source, select.POLLIN)
+    return bool(poll.poll(0))
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 import attrs
-from aiohttp import web
 
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.configuration import active_configuration
@@ -61,7 +60,6 @@
         active: Active and newest configuration.
         stop: Signals that stop the process.
         tasks: Background tasks, cancelled at the end.
-        runners: Runners of the HTTP listeners.
         metrics: Receiver of metrics.
         table: The platform's table service.
         hub: Streams to peers.
@@ -74,7 +72,9 @@
         health: Health monitor of the instances.
         claims: Components that run requests at most once.
         callers: HTTP listener for callers.
+        callers_server: Owner of the callers' connections.
         operators: HTTP listener for operators.
+        operators_server: Owner of the operators' connections.
         reporter: Sends gauges.
     """
 
@@ -87,7 +87,6 @@
     )
     stop: stopping.StopSignals = attrs.field(factory=stopping.StopSignals)
     tasks: list[asyncio.Task] = attrs.field(factory=list)
-    runners: list[web.AppRunner] = attrs.field(factory=list)
     metrics: entry_metrics.Metrics = attrs.field(init=False)
     table: platform_table.HttpTable = attrs.field(init=False)
     hub: peer_hub.PeerHub = attrs.field(init=False)
@@ -100,7 +99,9 @@
     health: monitor.HealthMonitor = attrs.field(init=False)
     claims: claims_assembly.ClaimsParts = attrs.field(init=False)
     callers: callers_listener.CallersListener = attrs.field(init=False)
+    callers_server: listening.HttpServer = attrs.field(init=False)
     operators: operators_listener.OperatorsListener = attrs.field(init=False)
+    operators_server: listening.HttpServer = attrs.field(init=False)
     reporter: reporting.GaugeReporter = attrs.field(init=False)
 
     async def run(self) -> None:
@@ -286,13 +287,14 @@
         self.configuration.start()
         self.health.start()
         self.tasks.extend(self.claims.start())
-        for listener, address in (
-            (self.operators, listen.operators),
-            (self.callers, listen.callers),
-        ):
-            self.runners.append(
-                await listening.listen(listener.application(), address)
-            )
+        self.operators_server = listening.HttpServer(
+            self.operators.application(), listen.operators
+        )
+        self.callers_server = listening.HttpServer(
+            self.callers.application(), listen.callers
+        )
+        await self.operators_server.start()
+        await self.callers_server.start()
         self.tasks.extend(self.limits.start())
         for run in (
             self.members.run,
@@ -315,6 +317,7 @@
         self.hub.broadcast(self.heartbeat())
         drain = stopping.GracefulDrain(
             self.callers,
+            self.callers_server,
             self.slots,
             self.claims,
             self.settings.answer_max_age_s,
@@ -323,8 +326,8 @@
         await drain.run(self.stop.forced)
 
     async def _stop(self) -> None:
-        for runner in reversed(self.runners):
-            await runner.cleanup()
+        await self.callers_server.close()
+        await self.operators_server.close()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bulrushcourse_entry import events
+from bulrushcourse_entry import listening
 from bulrushcourse_entry.callers import listener as callers_listener
 from bulrushcourse_entry.claims import assembly as claims_assembly
 from bulrushcourse_entry.slots import assembly as slots_assembly
@@ -45,6 +46,7 @@
 
     Attributes:
         callers: Listener with the requests in flight.
+        server: Owner of the callers' connections.
         slots: Pools to hand over.
         claims: Runs in progress and outcomes to record.
         answer_max_age_s: Cache lifetime of look-up answers.
@@ -52,6 +54,7 @@
     """
 
     callers: callers_listener.CallersListener
+    server: listening.HttpServer
     slots: slots_assembly.SlotParts
     claims: claims_assembly.ClaimsParts
     answer_max_age_s: float
@@ -86,7 +89,9 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.slots.leave())
             group.create_task(asyncio.sleep(wait_s))
-        await self.callers.idle.wait()
+        # Runs may outlast requests, so no request may arrive during the wait
+        # for them.
+        await self.server.drain()
         # Waits for runs whose callers have disconnected and for outcomes that
         # are not recorded yet.
         await self.claims.drain()
