Announce the close of a connection in each response of a stop

During a planned stop only responses of the forwarding route announced that their connection closes, and only those that a handler returned whole. Look-ups, keys, outcomes and unknown paths left the connection open. A streamed response was prepared before the announcement was added, and the connection then closed without it, so that the caller's next request crossed the close. The opposite happened to pipelined requests: the first response announced the close, and aiohttp dropped the requests behind it, which it had already read.

HttpServer adds the announcement where aiohttp prepares any response of the application, unless further requests of that connection are queued; the last of them carries it.

On the code before, of three pipelined requests one was answered, and a streamed response carried no announcement; the look-up's connection stayed open in the new test (TimeoutError).

--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -43,7 +43,6 @@
         metrics: Receiver of metrics.
         claims: Serves requests that run at most once.
         in_flight: Number of requests in flight.
-        leaving: Whether the entry is shutting down.
     """
 
     clock: clocks.Clock
@@ -53,7 +52,6 @@
     metrics: entry_metrics.Metrics
     claims: claims_listener.ClaimsListener
     in_flight: int = 0
-    leaving: bool = False
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -89,11 +87,7 @@
         self.in_flight += 1
         started = self.clock.monotonic()
         try:
-            response = await self._serve(request)
-            if self.leaving:
-                # Makes the caller reconnect, to another entry.
-                response.force_close()
-            return response
+            return await self._serve(request)
         finally:
             self.in_flight -= 1
             elapsed_ms = (self.clock.monotonic() - started) * 1000
--- a/packages/entry/bulrushcourse_entry/listening.py
+++ b/packages/entry/bulrushcourse_entry/listening.py
@@ -33,15 +33,19 @@
         address: ``ip:port`` to listen on.
         runner: Runner of the application, ``None`` before the start.
         acceptor: Accepts connections, ``None`` before the start.
+        leaving: Whether responses announce that their connection closes, so
+            that clients use another entry.
     """
 
     application: web.Application
     address: str
     runner: web.AppRunner | None = None
     acceptor: asyncio.Server | None = None
+    leaving: bool = False
 
     async def start(self) -> None:
         """Listen and serve."""
+        self.application.on_response_prepare.append(self._announce_close)
         self.runner = web.AppRunner(
             self.application,
             handler_cancellation=True,
@@ -60,6 +64,7 @@
         A connection is closed as soon as nothing received on it is
         unanswered. No request can arrive afterwards.
         """
+        self.leaving = True
         if self.acceptor.is_serving():
             await self._stop_accepting()
         while connections := self.runner.server.connections:
@@ -76,6 +81,14 @@
         self.acceptor.close()
         await self.runner.cleanup()
 
+    async def _announce_close(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        # aiohttp handles no request behind a response that announces a close.
+        if self.leaving and not request.protocol._messages:
+            response.force_close()
+            response.headers['Connection'] = 'close'
+
     async def _stop_accepting(self) -> None:
         # A close resets the connections in the accept queue, and asyncio drops
         # those that were accepted in the same pass of the event loop.
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -66,7 +66,7 @@
         Args:
             forced: Set to end the wait immediately.
         """
-        self.callers.leaving = True
+        self.server.leaving = True
         events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
         waits = (
             asyncio.create_task(forced.wait()),
--- a/packages/entry/bulrushcourse_entry/tests/test_listening.py
+++ b/packages/entry/bulrushcourse_entry/tests/test_listening.py
@@ -28,11 +28,19 @@
         await self.may_answer.wait()
         return web.Response(body=self.body)
 
+    async def stream(self, request):
+        response = web.StreamResponse()
+        response.content_length = len(self.body)
+        await response.prepare(request)
+        await response.write(self.body)
+        return response
+
 
 def run(scenario):
     async def start():
         upstream = Upstream()
         application = web.Application()
+        application.router.add_get('/stream', upstream.stream)
         application.router.add_route('*', '/{path:.*}', upstream.serve)
         server = listening.HttpServer(application, '127.0.0.1:0')
         await server.start()
@@ -156,6 +164,42 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('path', [b'/', b'/stream'])
+def test_each_response_announces_that_its_connection_closes(path):
+    """Guards against a next request that crosses the close."""
+
+    async def scenario(server, upstream, address):
+        upstream.may_answer.set()
+        reader, writer = await asyncio.open_connection(*address)
+        server.leaving = True
+        writer.write(GET.replace(b'/', path, 1))
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'\r\nConnection: close\r\n' in head
+        assert await reader.read() == b'done'
+        writer.close()
+
+    run(scenario)
+
+
+def test_pipelined_requests_are_answered_during_the_drain():
+    """Guards against requests dropped behind the first announced close."""
+
+    async def scenario(server, upstream, address):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(3 * GET)
+        await upstream.begun.wait()
+        drain = asyncio.create_task(server.drain())
+        await asyncio.sleep(0)
+        upstream.may_answer.set()
+        for _ in range(3):
+            assert await read_answer(reader) == (200, b'done')
+        assert await reader.read() == b''
+        writer.close()
+        await drain
+
+    run(scenario)
+
+
 def test_close_does_not_wait_for_a_request_that_never_ends():
     """Guards against a forced stop that hangs."""
 
--- a/packages/entry/bulrushcourse_entry/tests/test_stopping.py
+++ b/packages/entry/bulrushcourse_entry/tests/test_stopping.py
@@ -51,13 +51,20 @@
         return web.Response(text='done')
 
 
+class Lookups:
+    """Stand-in for the membership."""
+
+    def answer(self, client):
+        return {'max_age_s': 1}
+
+
 def build_listener(claims):
     metrics = types.SimpleNamespace(timing=lambda *details: None)
     return SlowListener(
         clocks.ManualClock(),
         active_configuration.ActiveConfiguration(),
         None,
-        None,
+        Lookups(),
         metrics,
         claims,
     )
@@ -89,3 +96,32 @@
         writer.close()
 
     asyncio.run(scenario())
+
+
+def test_look_up_during_a_stop_announces_that_its_connection_closes():
+    """Guards against kept connections that only look-ups use."""
+
+    async def scenario():
+        claims = Claims()
+        callers = build_listener(claims)
+        server = listening.HttpServer(callers.application(), '127.0.0.1:0')
+        await server.start()
+        drain = stopping.GracefulDrain(
+            callers, server, Slots(), claims, 60, 60
+        )
+        forced = asyncio.Event()
+        stop = asyncio.create_task(drain.run(forced))
+        await asyncio.sleep(0)
+        reader, writer = await asyncio.open_connection(
+            *server.acceptor.sockets[0].getsockname()
+        )
+        writer.write(b'GET /v1/entries HTTP/1.1\r\nHost: a\r\n\r\n')
+        answer = await reader.read()
+        assert answer.startswith(b'HTTP/1.1 200 ')
+        assert b'\r\nConnection: close\r\n' in answer
+        forced.set()
+        await stop
+        await server.close()
+        writer.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
