Start no runs for peers while a leaving entry waits for the last ones

An entry runs the requests whose keys it has issued, also for callers of other entries, which forward them over the peer stream. In a planned stop it waited until no run was left and then closed its streams and upstream connections. Requests forwarded in between, or during the wait, still started runs; the exit cut these off. Their callers were told "unknown", although nothing need have begun.

The drain of the claims now first ends the start of runs. A key that is used for the first time after that is answered not-run, which is also recorded as the outcome of the key; requests that join a run in progress or ask for an outcome get it as before.

The new test failed before: the late request started a run and got no answer within the drain (TimeoutError).

--- a/packages/entry/bulrushcourse_entry/claims/assembly.py
+++ b/packages/entry/bulrushcourse_entry/claims/assembly.py
@@ -69,7 +69,11 @@
         )
 
     async def drain(self) -> None:
-        """Wait until all runs have ended and are recorded and answered."""
+        """Wait until all runs have ended and are recorded and answered.
+
+        Peers still forward requests, whose runs would be cut off.
+        """
+        self.gateway.issued.leaving = True
         await self.gateway.drain()
         while tasks := self.forwarded_keys.tasks:
             await asyncio.wait(tasks)
--- a/packages/entry/bulrushcourse_entry/claims/issued_runs.py
+++ b/packages/entry/bulrushcourse_entry/claims/issued_runs.py
@@ -38,6 +38,7 @@
         runs: Runs in progress by key.
         tasks: Tasks of runs and copies.
         uncopied_outcomes: Number of outcomes that were never copied.
+        leaving: Whether no more runs are started.
     """
 
     keys: issued_keys.IssuedKeys
@@ -48,6 +49,7 @@
     runs: dict[str, dispatch.Run] = attrs.field(factory=dict)
     tasks: set[asyncio.Task] = attrs.field(factory=set)
     uncopied_outcomes: int = 0
+    leaving: bool = False
 
     async def serve(self, request: dispatch.KeyedRequest) -> outcomes.Reply:
         """Run a request, or join its run in progress, and return the reply.
@@ -58,6 +60,10 @@
         check = self.keys.check_request(
             request.key, request.service, request.digest
         )
+        if check is issued_keys.KeyCheck.FIRST and self.leaving:
+            reply = outcomes.Reply(outcomes.Outcome.NOT_RUN, 'leaving')
+            self.keys.finish(request.key, reply)
+            return reply
         if check is issued_keys.KeyCheck.FIRST:
             self._start(request)
         elif check is issued_keys.KeyCheck.FINAL:
