Answer the requests that a forced stop ends

When the stop limit passed, or a second SIGTERM forced the stop, an entry closed its listener with one second for the requests in flight and then cut their connections. Callers got neither an answer nor a refusal, also those whose requests still waited for a slot and had certainly not run.

The slot client now refuses the calls that wait for a slot with the reason "leaving", and all further ones, so that the forwarder reports not-run by its usual rules. After a second the connections to the upstreams are closed; a request that was passed on fails as lost and is answered "unknown". Only responses that were partly sent are still cut off.

test_a_second_signal_ends_a_pending_shutdown expected the caller's connection to break, whatever the error. It now expects the complete answer 502 with the outcome "unknown"; that the process ends within 20 s with event 1005 is checked as before.

--- a/packages/domain/bulrushcourse_domain/slots/requests.py
+++ b/packages/domain/bulrushcourse_domain/slots/requests.py
@@ -16,6 +16,7 @@
     QUARANTINED = 'quarantined'
     UNREACHABLE = 'unreachable'
     NO_GAIN = 'no-gain'
+    LEAVING = 'leaving'
 
 
 class ReleaseOutcome(enum.Enum):
--- a/packages/entry/bulrushcourse_entry/listening.py
+++ b/packages/entry/bulrushcourse_entry/listening.py
@@ -73,11 +73,15 @@
                     connection.force_close()
             await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def close(self) -> None:
-        """Drain for a short time, then cut off the remaining requests."""
+    async def drain_briefly(self) -> None:
+        """Drain for at most ``CLOSE_TIMEOUT_S``."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await self.drain()
+
+    async def close(self) -> None:
+        """Drain for a short time, then cut off the remaining requests."""
+        await self.drain_briefly()
         self.acceptor.close()
         await self.runner.cleanup()
 
--- a/packages/entry/bulrushcourse_entry/process.py
+++ b/packages/entry/bulrushcourse_entry/process.py
@@ -326,6 +326,11 @@
         await drain.run(self.stop.forced)
 
     async def _stop(self) -> None:
+        # Requests that have no slot did not run and are refused. Without its
+        # upstream, a request ends with the outcome ``unknown``.
+        self.slots.source.refuse_waiting()
+        await self.callers_server.drain_briefly()
+        await client.close_client(self.upstreams)
         await self.callers_server.close()
         await self.operators_server.close()
         for task in self.tasks:
@@ -335,5 +340,4 @@
         await self.health.stop()
         await self.slots.stop()
         await self.hub.stop()
-        await client.close_client(self.upstreams)
         events.emit(events.Event.STOPPED)
--- a/packages/entry/bulrushcourse_entry/slots/client.py
+++ b/packages/entry/bulrushcourse_entry/slots/client.py
@@ -41,6 +41,8 @@
         pending: Undecided requests by identifier.
         held: Grants in use by request identifier.
         waiters: Futures that wait for an owner, by pool.
+        timeouts: Time limits of the calls that wait for a slot.
+        leaving: Whether the entry stops and uses no more slots.
     """
 
     clock: clocks.Clock
@@ -49,6 +51,8 @@
     pending: dict[str, client_state.PendingRequest] = attrs.field(factory=dict)
     held: dict[str, client_state.HeldGrant] = attrs.field(factory=dict)
     waiters: dict[str, set[asyncio.Future]] = attrs.field(factory=dict)
+    timeouts: set[asyncio.Timeout] = attrs.field(factory=set)
+    leaving: bool = False
 
     def start(self) -> None:
         """Subscribe to messages of owners and to connection changes."""
@@ -66,22 +70,29 @@
             request: The slot request.
         """
         pool = ownership_manager.pool_name(region, service)
+        if self.leaving:
+            return result.Failure(self._refuse(pool, request))
+        timeout = asyncio.timeout(request.deadline - self.clock.monotonic())
+        self.timeouts.add(timeout)
         try:
-            async with asyncio.timeout(
-                request.deadline - self.clock.monotonic()
-            ):
+            async with timeout:
                 decision = await self._request_until_decided(pool, request)
         except TimeoutError:
-            reason = requests.RefusalReason.DEADLINE
-            if pool not in self.sessions:
-                reason = requests.RefusalReason.UNREACHABLE
-            decision = requests.Refusal(
-                request.request_id, request.holder, reason
-            )
+            decision = self._refuse(pool, request)
+        finally:
+            self.timeouts.discard(timeout)
         if isinstance(decision, requests.Grant):
             return result.Success(decision)
         return result.Failure(decision)
 
+    def refuse_waiting(self) -> None:
+        """Refuse the calls that wait for a slot, and all further ones."""
+        self.leaving = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self.timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+
     def release(
         self,
         service: str,
@@ -139,6 +150,16 @@
             'undecided': len(self.pending),
         }
 
+    def _refuse(
+        self, pool: str, request: requests.SlotRequest
+    ) -> requests.Refusal:
+        reason = requests.RefusalReason.DEADLINE
+        if self.leaving:
+            reason = requests.RefusalReason.LEAVING
+        elif pool not in self.sessions:
+            reason = requests.RefusalReason.UNREACHABLE
+        return requests.Refusal(request.request_id, request.holder, reason)
+
     async def _request_until_decided(
         self, pool: str, request: requests.SlotRequest
     ) -> requests.Decision:
--- a/packages/entry/bulrushcourse_entry/slots/tests/test_client.py
+++ b/packages/entry/bulrushcourse_entry/slots/tests/test_client.py
@@ -104,3 +104,26 @@
         assert not slots.pending
 
     run(scenario)
+
+
+def test_waiting_requests_are_refused_when_the_entry_leaves():
+    """Guards against requests that a forced stop cuts off unanswered."""
+
+    async def scenario(messenger, slots):
+        without_owner = asyncio.create_task(
+            slots.acquire('orders', 'ro-nord', REQUEST)
+        )
+        messenger.receive('a', slot_messages.HeldSlotsRequest(POOL, 1))
+        undecided, request_id = await start_request(messenger, slots)
+        slots.refuse_waiting()
+        later = asyncio.create_task(
+            slots.acquire('catalog', 'ro-nord', REQUEST)
+        )
+        for task in (without_owner, undecided, later):
+            refusal = (await asyncio.wait_for(task, 1)).failure()
+            assert refusal.reason is requests.RefusalReason.LEAVING
+        ((peer, cancel),) = messenger.take_sent(slot_messages.SlotCancel)
+        assert (peer, cancel.request_id) == ('a', request_id)
+        assert not messenger.take_sent(slot_messages.SlotRequest)
+
+    run(scenario)
--- a/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
+++ b/packages/testkit/bulrushcourse_testkit/tests/test_whole_path.py
@@ -247,5 +247,6 @@
     # Far less than the stop limit and the request's deadline, 60 s each.
     assert await asyncio.wait_for(process.wait(), 20) == 0
     assert 'E1005' in process.log.read_text()
-    with pytest.raises(aiohttp.ClientError):
-        await call
+    # The request was passed on, so that it may have run.
+    status, headers, _ = await call
+    assert (status, headers['Bulrushcourse-Outcome']) == (502, 'unknown')
