Accept what waits before a listener is closed, in both programs

A close of the listening socket resets the connections in the accept queue, and asyncio drops those that it accepted in the same pass of its loop (its transport can't be attached to a closed server). Callers saw a reset of a connection that they had just opened.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -11,7 +11,6 @@
 import asyncio
 import collections
 import enum
-import select
 import typing
 
 from aiohttp import http
@@ -20,6 +19,7 @@
 from aiohttp import web_protocol
 
 from bulrushcourse_domain.resources import connections
+from bulrushcourse_entry import sockets
 from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import pipelining
@@ -347,7 +347,7 @@
         if (
             self.wire is not None
             and self.guard.table.may_stop(self.entry)
-            and not _has_unread_bytes(self.wire)
+            and not sockets.is_readable(self.wire.get_extra_info('socket'))
         ):
             self.awaiting = Awaiting.NOTHING
             self.wire.close()
@@ -630,13 +630,6 @@
         self.close()
 
 
-def _has_unread_bytes(wire: asyncio.Transport) -> bool:
-    """Return whether bytes or the end of a connection wait to be read."""
-    poll = select.poll()
-    poll.register(wire.get_extra_info('socket').fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 _STEPS: typing.Mapping[
     Awaiting, typing.Callable[[BoundedConnection], bool]
 ] = {
--- a/packages/entry/bulrushcourse_entry/edge/callers/listeners.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/listeners.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from bulrushcourse_entry import sockets
 from bulrushcourse_entry.edge.callers import bounded_connection
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import pipelining
@@ -92,12 +93,13 @@
 
 
 async def stop_accepting(runner: web.ServerRunner) -> None:
-    """Close the listening socket; open connections stay.
+    """Close the listening socket; open and waiting connections stay.
 
     Args:
         runner: The listener.
     """
     for site in list(runner.sites):
+        await sockets.stop_accepting(site._server)
         await site.stop()
 
 
--- a/packages/entry/bulrushcourse_entry/listening.py
+++ b/packages/entry/bulrushcourse_entry/listening.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import contextlib
-import select
-import socket
 
 import attrs
 from aiohttp import web
 
 from bulrushcourse_entry import settings as entry_settings
+from bulrushcourse_entry import sockets
 
 # Connections accepted last are left open for this long, since their first
 # request may still be on its way.
@@ -66,7 +65,8 @@
         """
         self.leaving = True
         if self.acceptor.is_serving():
-            await self._stop_accepting()
+            await sockets.stop_accepting(self.acceptor)
+            await asyncio.sleep(FIRST_REQUEST_S)
         while connections := self.runner.server.connections:
             for connection in connections:
                 if _is_idle(connection):
@@ -93,19 +93,6 @@
             response.force_close()
             response.headers['Connection'] = 'close'
 
-    async def _stop_accepting(self) -> None:
-        # A close resets the connections in the accept queue, and asyncio drops
-        # those that were accepted in the same pass of the event loop.
-        was_empty = False
-        while not (was_empty and self._is_accept_queue_empty()):
-            was_empty = self._is_accept_queue_empty()
-            await asyncio.sleep(0)
-        self.acceptor.close()
-        await asyncio.sleep(FIRST_REQUEST_S)
-
-    def _is_accept_queue_empty(self) -> bool:
-        return not any(map(_is_readable, self.acceptor.sockets))
-
 
 def _is_idle(connection: web.RequestHandler) -> bool:
     """Return whether nothing that a client has sent is unanswered.
@@ -118,10 +105,6 @@
     waiter = connection._waiter
     if waiter is None or waiter.done() or connection.transport is None:
         return False
-    return not _is_readable(connection.transport.get_extra_info('socket'))
-
-
-def _is_readable(source: socket.socket) -> bool:
-    poll = select.poll()
-    poll.register(source, select.POLLIN)
-    return bool(poll.poll(0))
+    return not sockets.is_readable(
+        connection.transport.get_extra_info('socket')
+    )
