--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -82,6 +82,7 @@
         self._handle_signals(state, event_log)
         async with contextlib.AsyncExitStack() as stack:
             await self._serve(state, event_log, stack)
+        event_log.log_change(events.Event.STOPPED, vm=self.settings.vm)
 
     async def _serve(
         self,
@@ -103,12 +104,6 @@
         await stopping.GracefulStop(
             state, event_log, parts.handlers, parts.guard, drained
         ).run()
-        event_log.log_change(
-            events.Event.STOPPED,
-            vm=self.settings.vm,
-            connections=parts.guard.table.counts(),
-            running=len(parts.handlers.executor.running),
-        )
 
     def _handle_signals(
         self, state: process_state.ProcessState, event_log: event_logs.EventLog
