--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -78,6 +78,7 @@
         heads: Memory of the heads that were passed on and not answered.
         is_safe: Whether the request in progress changes nothing.
         parsing: Whether the parser is being fed.
+        closed_here: Whether this VM has closed the connection.
         caller_left: Whether the connection ended, and not by this VM.
     """
 
@@ -101,6 +102,7 @@
         'heads',
         'is_safe',
         'parsing',
+        'closed_here',
         'caller_left',
     )
 
@@ -132,6 +134,7 @@
         self.heads: collections.deque[int] = collections.deque()
         self.is_safe = False
         self.parsing = False
+        self.closed_here = False
         self.caller_left = False
         self._await_head()
 
@@ -165,8 +168,8 @@
         self.guard.remove(self.entry)
         self.awaiting = Awaiting.NOTHING
         self.held = b''
-        # A close by this VM has cleared the transport before.
-        self.caller_left = self.transport is not None
+        # A close by aiohttp has cleared the transport before.
+        self.caller_left = self.transport is not None and not self.closed_here
         super().connection_lost(exc)
         self.wire = None
 
@@ -312,6 +315,7 @@
         """Close the connection at once; nothing more is passed on."""
         self.awaiting = Awaiting.NOTHING
         self.held = b''
+        self.closed_here = True
         if self.wire is not None:
             self.wire.abort()
 
@@ -350,6 +354,7 @@
             and not sockets.is_readable(self.wire.get_extra_info('socket'))
         ):
             self.awaiting = Awaiting.NOTHING
+            self.closed_here = True
             self.wire.close()
 
     def refuse_unread(self) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/stopping.py
+++ b/packages/entry/bulrushcourse_entry/edge/stopping.py
@@ -16,6 +16,7 @@
 from bulrushcourse_domain.fleet import planned_stop as planned_stops
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge.callers import bounded_connection
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import handlers as request_handlers
 from bulrushcourse_entry.edge.callers import listeners
@@ -65,7 +66,7 @@
             async with asyncio.timeout(stop.finish_until - now()):
                 await self._drain()
         except TimeoutError:
-            await self._refuse_unread()
+            await self._force()
 
     def _begin(self, stop: planned_stops.PlannedStop) -> None:
         # Requests that wait and can't finish in time are refused now.
@@ -96,23 +97,34 @@
         is_open = True
         while is_open or self.handlers.executor.running:
             await asyncio.sleep(DRAIN_INTERVAL_S)
-            connections = [
-                connection
-                for listener in self.drained
-                for connection in listeners.open_connections(listener)
-            ]
+            connections = self._open_connections()
             is_open = bool(connections)
             for connection in connections:
                 connection.close_if_idle()
 
-    async def _refuse_unread(self) -> None:
-        """Refuse the requests that have not been read whole; cut the rest."""
+    async def _force(self) -> None:
+        """Refuse the requests that are being received, then cut the rest.
+
+        The connections are closed together, since the platform ends the
+        process soon.
+        """
         self.event_log.log_change(
             events.Event.STOP_FORCED,
             open=self.handlers.open_requests,
+            running=len(self.handlers.executor.running),
             connections=self.guard.table.counts(),
         )
-        for listener in self.drained:
-            for connection in listeners.open_connections(listener):
-                connection.refuse_unread()
+        for connection in self._open_connections():
+            connection.refuse_unread()
         await asyncio.sleep(REFUSAL_TIMEOUT_S)
+        for connection in self._open_connections():
+            connection.abort()
+
+    def _open_connections(
+        self,
+    ) -> list[bounded_connection.BoundedConnection]:
+        return [
+            connection
+            for listener in self.drained
+            for connection in listeners.open_connections(listener)
+        ]
