--- a/packages/testkit/bulrushcourse_testkit/platform/raw_client.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/raw_client.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+END_OF_HEAD = b'\r\n\r\n'
+
 
 @attrs.frozen
 class RawResponse:
@@ -40,6 +42,25 @@
     ]
 
 
+def split_responses(data: bytes) -> tuple[list[RawResponse], bytes]:
+    """Return the complete final responses, and the bytes behind them.
+
+    Args:
+        data: Bytes that were received on a connection.
+    """
+    responses: list[RawResponse] = []
+    while END_OF_HEAD in data:
+        head, end, rest = data.partition(END_OF_HEAD)
+        length = int(dict(parse_fields(head)).get('content-length', b'0'))
+        if len(rest) < length:
+            break
+        response = RawResponse(head + end, rest[:length])
+        data = rest[length:]
+        if response.status >= 200:
+            responses.append(response)
+    return responses, data
+
+
 async def exchange(address: str, *pieces: bytes) -> RawResponse:
     """Send bytes on a new connection and return the first response.
 
@@ -64,6 +85,6 @@
     Args:
         reader: Connection.
     """
-    head = await reader.readuntil(b'\r\n\r\n')
+    head = await reader.readuntil(END_OF_HEAD)
     length = dict(parse_fields(head)).get('content-length', b'0')
     return RawResponse(head, await reader.readexactly(int(length)))
