Accept for two passes before a listener is closed

One pass accepts as many connections as the queue holds; then the listener is no longer watched, what was accepted is attached, and the server is closed.

--- a/packages/entry/bulrushcourse_entry/listening.py
+++ b/packages/entry/bulrushcourse_entry/listening.py
@@ -105,6 +105,7 @@
     waiter = connection._waiter
     if waiter is None or waiter.done() or connection.transport is None:
         return False
-    return not sockets.is_readable(
-        connection.transport.get_extra_info('socket')
+    source = connection.transport.get_extra_info('socket')
+    return not (
+        sockets.is_readable(source) or sockets.has_undelivered_bytes(source)
     )
--- a/packages/entry/bulrushcourse_entry/sockets.py
+++ b/packages/entry/bulrushcourse_entry/sockets.py
@@ -1,12 +1,11 @@
 """What waits in the sockets of a listener and of its connections."""
 
 import asyncio
+import fcntl
 import select
 import socket
-
-# Passes of the event loop in which a listener accepts what waits, at most;
-# new clients may come faster than that.
-MAX_ACCEPT_PASSES = 50
+import struct
+import termios
 
 
 def is_readable(source: socket.socket) -> bool:
@@ -20,6 +19,22 @@
     return bool(poll.poll(0))
 
 
+def has_undelivered_bytes(source: socket.socket) -> bool:
+    """Return whether the peer's system has not confirmed all bytes yet.
+
+    A reset of the connection would discard them. Where the system does not
+    tell, they are taken for delivered.
+
+    Args:
+        source: The socket.
+    """
+    try:
+        size = fcntl.ioctl(source.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return False
+    return struct.unpack('i', size)[0] > 0
+
+
 async def stop_accepting(acceptor: asyncio.Server) -> None:
     """Accept the connections that wait, then close the listening sockets.
 
@@ -29,11 +44,17 @@
     Args:
         acceptor: The server; its open connections stay.
     """
-    was_empty = False
-    for _ in range(MAX_ACCEPT_PASSES):
-        is_empty = not any(map(is_readable, acceptor.sockets))
-        if was_empty and is_empty:
-            break
-        was_empty = is_empty
-        await asyncio.sleep(0)
+    # One pass accepts as many connections as the queue can hold.
+    await _pass_twice()
+    loop = asyncio.get_running_loop()
+    for source in acceptor.sockets:
+        loop.remove_reader(source)
+    # The connections of the last pass are given to their protocols.
+    await _pass_twice()
     acceptor.close()
+
+
+async def _pass_twice() -> None:
+    # What was ready before the first pass is handled by the second one.
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
