Begin no head with an empty line behind a request

A client that ends a request with an empty line made its connection count as busy: a planned stop waited for the head until its time limit, and the client got a 503 (a 408 outside of stops) that it had not asked for. The head begins with its first byte that is not part of an empty line; the limit on such lines stays.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -384,7 +384,9 @@
         self.held = stripped
         end = self.held.find(END_OF_HEAD, max(0, self.searched - 3))
         size = len(self.held) if end < 0 else end + len(END_OF_HEAD)
-        self.guard.table.begin_head(self.entry)
+        if stripped:
+            # Empty lines alone, as behind a request, begin none.
+            self.guard.table.begin_head(self.entry)
         if self.before_head + size > self.guard.head_limit:
             if self.guard.may_deny():
                 self._refuse(431, 'head-too-large', self.held)
--- /dev/null
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_stop_ends.py
@@ -0,0 +1,73 @@
+"""Requests and responses at the ends of a planned stop."""
+
+import asyncio
+import socket
+
+from bulrushcourse_testkit.platform import cluster as clusters
+from bulrushcourse_testkit.platform import documents
+
+LARGE = b'x' * (1 << 20)
+RECEIVE_BUFFER_BYTES = 16 << 10
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario, 30))
+
+
+def encode(request_id, deadline_ms, *lines):
+    head = [
+        'GET /browse/x HTTP/1.1',
+        f'Host: {documents.HOST}',
+        f'X-Request-Id: {request_id}',
+        f'X-Request-Deadline-Ms: {deadline_ms}',
+        *lines,
+    ]
+    return '\r\n'.join(head).encode() + b'\r\n\r\n'
+
+
+async def connect(vm, receive_bytes=0):
+    """Return a connection without buffers of its own."""
+    client = socket.socket()
+    if receive_bytes:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    host, _, port = vm.listen['front'].rpartition(':')
+    client.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(client, (host, int(port)))
+    return client
+
+
+async def send(client, data):
+    await asyncio.get_running_loop().sock_sendall(client, data)
+
+
+async def read_all(client):
+    """Return what is received until the connection ends in any way."""
+    received = b''
+    try:
+        while data := await asyncio.get_running_loop().sock_recv(
+            client, 1 << 16
+        ):
+            received += data
+    except ConnectionError:
+        pass
+    client.close()
+    return received
+
+
+def test_empty_line_behind_a_request_does_not_delay_a_stop():
+    # Guards against connections that count as busy since a client has ended
+    # its request with an empty line.
+    async def scenario():
+        async with clusters.EdgeCluster(bounds={'grace': '6s'}) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            vm = cluster.vms[0]
+            client = await connect(vm)
+            await send(client, encode('first', 3000) + b'\r\n')
+            await asyncio.sleep(0.2)
+            vm.process.stopping.set()
+            received = await read_all(client)
+            assert received.count(b'HTTP/1.1 ') == 1
+
+    run(scenario())
