Deliver the last response of a connection before it is closed

Callers could lose a response that was made: a request that was pipelined behind it reached the closed socket, the system reset the connection, and what was in its buffers was discarded (RFC 9112, section 9.6). Seen with an answer of 1 MiB and a slow reader: 24,576 bytes arrived, then a reset.

The connection now ends its side, reads on and discards until the peer's system has confirmed everything, 2 s at most; a planned stop closes no idle connection with undelivered bytes. Event 2006 is also written for a response that is cut while it is written.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -39,6 +39,9 @@
 INTERNAL_ERROR = 500
 # Overhead of chunks that is not counted as memory.
 FREE_OVERHEAD_BYTES = 1 << 10
+# Time for the last response of a connection to arrive.
+LINGER_S = 2.0
+LINGER_INTERVAL_S = 0.02
 # Memory of trailers that are being received, for each of their bytes.
 TRAILER_COPIES = 8
 
@@ -78,6 +81,8 @@
         heads: Memory of the heads that were passed on and not answered.
         is_safe: Whether the request in progress changes nothing.
         parsing: Whether the parser is being fed.
+        lingering: Whether the last response is on its way and everything
+            that arrives is discarded.
         closed_here: Whether this VM has closed the connection.
         caller_left: Whether the connection ended, and not by this VM.
     """
@@ -102,6 +107,7 @@
         'heads',
         'is_safe',
         'parsing',
+        'lingering',
         'closed_here',
         'caller_left',
     )
@@ -134,6 +140,7 @@
         self.heads: collections.deque[int] = collections.deque()
         self.is_safe = False
         self.parsing = False
+        self.lingering = False
         self.closed_here = False
         self.caller_left = False
         self._await_head()
@@ -239,6 +246,39 @@
         if not self.backlogged:
             super()._resume_transport_reading()
 
+    async def start(self) -> None:
+        """Serve the requests, then close when the last response has arrived.
+
+        A request behind the last response would reset a closed connection, by
+        which the client could lose the response (RFC 9112, section 9.6).
+        """
+        await super().start()
+        if self.wire is None or not self.lingering:
+            return
+        source = self.wire.get_extra_info('socket')
+        waits = int(LINGER_S / LINGER_INTERVAL_S)
+        while waits and self.wire and sockets.has_undelivered_bytes(source):
+            waits -= 1
+            await asyncio.sleep(LINGER_INTERVAL_S)
+        if self.wire is not None:
+            self.wire.close()
+
+    def _begin_lingering(self) -> None:
+        """End the responses, and read on without regard to what arrives."""
+        if self.wire is None or not sockets.has_undelivered_bytes(
+            self.wire.get_extra_info('socket')
+        ):
+            return
+        self.lingering = True
+        self.awaiting = Awaiting.NOTHING
+        self.held = b''
+        self.guard.table.enter(self.entry, connections.Stage.WRITING)
+        self.wire.write_eof()
+        if not self.wire.is_reading():
+            self.wire.resume_reading()
+        # aiohttp would close it.
+        self.transport = None
+
     async def finish_response(
         self,
         request: web.BaseRequest,
@@ -256,6 +296,8 @@
         self.responded = True
         self._end_request_if_complete()
         self._pass_on()
+        if not resp.keep_alive and self.payload.is_eof():
+            self._begin_lingering()
         return finished
 
     def handle_error(
@@ -343,16 +385,17 @@
     # Calls of a planned stop.
 
     def close_if_idle(self) -> None:
-        """Close the connection if nothing of it is unanswered or unread.
+        """Close the connection if nothing is unread, unanswered or unsent.
 
         What arrives afterwards is never read, so that no request is begun
         without an answer.
         """
-        if (
-            self.wire is not None
-            and self.guard.table.may_stop(self.entry)
-            and not sockets.is_readable(self.wire.get_extra_info('socket'))
-        ):
+        if self.wire is None or not self.guard.table.may_stop(self.entry):
+            return
+        source = self.wire.get_extra_info('socket')
+        if sockets.is_readable(source):
+            return
+        if not sockets.has_undelivered_bytes(source):
             self.awaiting = Awaiting.NOTHING
             self.closed_here = True
             self.wire.close()
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -70,6 +70,9 @@
                 served.response.force_close()
             if served.answer is not None:
                 await self._deliver(request, served)
+        except asyncio.CancelledError:
+            self._record_cut(request)
+            raise
         finally:
             self.open_requests -= 1
         return served.response
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_stop_ends.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_stop_ends.py
@@ -54,6 +54,30 @@
     return received
 
 
+def test_pipelined_request_does_not_destroy_the_response_before_it():
+    # Guards against a close that discards unsent bytes of a response, since
+    # a pipelined request arrives at the closed socket and resets it.
+    async def scenario():
+        async with clusters.EdgeCluster(bounds={'grace': '6s'}) as cluster:
+            cluster.configure()
+            upstream = await cluster.add_upstream('u1', content=LARGE)
+            await cluster.start()
+            vm = cluster.vms[0]
+            client = await connect(vm, RECEIVE_BUFFER_BYTES)
+            vm.process.stopping.set()
+            await asyncio.sleep(0.2)
+            await send(client, encode('first', 3000))
+            # The response is in the buffers of the system.
+            await asyncio.sleep(0.5)
+            await send(client, encode('second', 3000))
+            await asyncio.sleep(0.1)
+            received = await read_all(client)
+            assert len(upstream.ran) == 1
+            assert received.partition(b'\r\n\r\n')[2] == LARGE
+
+    run(scenario())
+
+
 def test_empty_line_behind_a_request_does_not_delay_a_stop():
     # Guards against connections that count as busy since a client has ended
     # its request with an empty line.
