Refuse requests that wait when a stop ends accepting

Callers of a VM in a planned stop got no answer to requests that waited for a token of a quota: read just before accepting ended, with a deadline after the end of the stop, they waited on for up to 2 s although they could no longer be sent, and were cut off (2006, caller_left false).

Cause: only the waiting room was woken when accepting ended. Waits for the configuration, for a token, for the rest of a body or for a connection went on until their own limits, and may_begin was checked between them only.

UnsentRequests now owns the rule. All work on a request runs under it until the first attempt has a connection to write to. When accepting ends, the work on each unsent request that may not begin any more is cancelled, and the request is refused as stopping; at the time limit, each unsent request is. The attempt asks the same object in the call in which the connection is handed over: either the request counts as sent and is never refused by the stop, or it is being refused and is not written. So a refusal proves that the request has not run. A later request is refused before it waits for the configuration. The token of a refused request is given back, also one that arrives in the moment in which the wait ends; it was lost before, for requests whose callers left as well. The waiting room counts waits that a stop has ended as stopping, not as left.

--- a/packages/entry/bulrushcourse_entry/edge/accounts/token_streams.py
+++ b/packages/entry/bulrushcourse_entry/edge/accounts/token_streams.py
@@ -97,7 +97,23 @@
         else:
             self.state.holdings.of(account).places.record_unknown(place, now)
             return None
-        return await future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._give_back(account, future)
+            raise
+
+    def _give_back(
+        self, account: str, future: asyncio.Future[token_stock.Token | None]
+    ) -> None:
+        """Return a token to the stock whose request ended as it came."""
+        if future.cancelled() or not future.done():
+            return
+        token = future.result()
+        if token is not None:
+            self.state.holdings.of(account).stock.give_back(
+                token, self.state.clock.monotonic()
+            )
 
     def send_returns(self) -> None:
         """Return unused tokens to their owners."""
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -16,12 +16,14 @@
 from bulrushcourse_entry.edge.accounts import token_streams
 from bulrushcourse_entry.edge.callers import attempt_records
 from bulrushcourse_entry.edge.callers import attempts
+from bulrushcourse_entry.edge.callers import caller_request
 from bulrushcourse_entry.edge.callers import configuration_gate
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import handlers as request_handlers
 from bulrushcourse_entry.edge.callers import request_executor
 from bulrushcourse_entry.edge.callers import responses
 from bulrushcourse_entry.edge.callers import target_lookup
+from bulrushcourse_entry.edge.callers import unsent_requests
 from bulrushcourse_entry.edge.fleet import configuration_queries
 from bulrushcourse_entry.edge.fleet import peers
 from bulrushcourse_entry.edge.fleet import reports
@@ -174,6 +176,13 @@
 
     selector = destinations.DestinationSelector(state)
     configuration = configuration_gate.ConfigurationGate(state, selector)
+    unsent = unsent_requests.UnsentRequests(state)
+
+    def may_send(request: caller_request.CallerRequest, region: str) -> bool:
+        return configuration.may_still_send(
+            request, region
+        ) and unsent.begin_send(request)
+
     executor = request_executor.RequestExecutor(
         state,
         attempts.AttemptRunner(
@@ -183,7 +192,7 @@
                 events.Event.UPSTREAM_SET_ASIDE, upstream=name
             ),
             on_misdirected,
-            configuration.may_still_send,
+            may_send,
         ),
         waiting_admission.WaitingRoomAdmission(
             state,
@@ -200,4 +209,5 @@
         gate,
         target_lookup.TargetLookup(state, configuration),
         responses.Responder(state, event_log, metrics),
+        unsent,
     )
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -11,6 +11,7 @@
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.accounts import account_gate
+from bulrushcourse_entry.edge.callers import arrived_request
 from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import body_content
 from bulrushcourse_entry.edge.callers import caller_request
@@ -19,6 +20,7 @@
 from bulrushcourse_entry.edge.callers import request_target
 from bulrushcourse_entry.edge.callers import responses
 from bulrushcourse_entry.edge.callers import target_lookup
+from bulrushcourse_entry.edge.callers import unsent_requests
 from bulrushcourse_entry.edge.upstreams import destinations
 from bulrushcourse_entry.edge.upstreams import upstream_client
 from bulrushcourse_entry.platform import headers as platform_headers
@@ -43,6 +45,7 @@
         gate: Checks of client accounts.
         targets: Finds what the configuration has for requests.
         responder: Encodes the responses.
+        unsent: Requests that were not sent yet.
         closing: Whether each connection is closed after its next response.
         open_requests: Number of requests being served.
     """
@@ -53,6 +56,7 @@
     gate: account_gate.AccountGate
     targets: target_lookup.TargetLookup
     responder: responses.Responder
+    unsent: unsent_requests.UnsentRequests
     closing: bool = False
     open_requests: int = 0
 
@@ -139,31 +143,47 @@
         return self.state.routes.match(target.host, target.path)
 
     async def _serve(self, request: web.BaseRequest) -> responses.Served:
-        arrived = self.state.clock.monotonic()
         caller = platform_headers.decode_caller(request.headers)
+        arrived = arrived_request.ArrivedRequest(
+            self.state.clock.monotonic(),
+            caller,
+            functools.partial(self._match, request),
+        )
         if not caller.request_id:
             return self.responder.reject(
                 400, 'no-request-id', caller.request_id
             )
         if not self.state.routes.version:
             return self.responder.refuse(caller.request_id, NO_CONFIGURATION)
-        found = await self.targets.find(
-            functools.partial(self._match, request),
-            caller.key,
-            self._remaining_s(caller),
+        found = await self.unsent.run(
+            arrived,
+            self.targets.find(
+                arrived.match, caller.key, self._remaining_s(caller)
+            ),
         )
         if not isinstance(found, target_lookup.Target):
             return self._answer_untargeted(found, caller, request)
-        route, identity = found.route, found.identity
-        deadline = arrived + self._allowed_s(caller, route)
-        if not self.state.may_begin(deadline):
-            return self.responder.refuse(caller.request_id, outcomes.STOPPING)
+        return await self._serve_target(request, arrived, found)
+
+    async def _serve_target(
+        self,
+        request: web.BaseRequest,
+        arrived: arrived_request.ArrivedRequest,
+        found: target_lookup.Target,
+    ) -> responses.Served:
+        """Admit a request within its account's quota and execute it."""
+        caller = arrived.caller
+        deadline = arrived.deadline_within(found.route)
         self.state.upstreams_needed.set()
-        admitted = await self.gate.admit(identity.account, deadline)
+        admitted = await self.unsent.run(
+            arrived, self.gate.admit(found.identity.account, deadline)
+        )
         if isinstance(admitted, outcomes.Refusal):
             return self.responder.refuse(caller.request_id, admitted)
-        parsed = self._parse(request, caller, route, arrived, deadline)
-        parsed.identity = identity
+        parsed = self._parse(
+            request, caller, found.route, arrived.arrived, deadline
+        )
+        parsed.identity = found.identity
         parsed.token = admitted
         return await self._execute(request, caller, parsed)
 
@@ -191,16 +211,15 @@
     ) -> responses.Served:
         """Read the body of an admitted request and execute it."""
         body = bodies.Body(self.state.memory)
-        outcome: outcomes.Outcome | None = None
         try:
-            reason = await self._read_body(request, body, parsed.deadline)
-            if reason:
-                self.gate.settle(parsed, None)
-                return self._refuse_body(caller, parsed.route, reason)
-            parsed.body = body.content
-            outcome = await self.executor.execute(parsed)
+            outcome = await self.unsent.run(
+                parsed, self._read_and_execute(request, body, parsed)
+            )
         finally:
             body.release()
+        if isinstance(outcome, str):
+            self.gate.settle(parsed, None)
+            return self._refuse_body(caller, parsed.route, outcome)
         self.gate.settle(parsed, outcome)
         self.responder.record(parsed, outcome)
         return responses.Served(
@@ -208,6 +227,19 @@
             outcome if isinstance(outcome, upstream_client.Answer) else None,
         )
 
+    async def _read_and_execute(
+        self,
+        request: web.BaseRequest,
+        body: bodies.Body,
+        parsed: caller_request.CallerRequest,
+    ) -> outcomes.Outcome | str:
+        """Return a request's outcome, or why its body was refused."""
+        reason = await self._read_body(request, body, parsed.deadline)
+        if reason:
+            return reason
+        parsed.body = body.content
+        return await self.executor.execute(parsed)
+
     async def _read_body(
         self, request: web.BaseRequest, body: bodies.Body, deadline: float
     ) -> str:
@@ -254,17 +286,6 @@
         finally:
             served.answer.memory.release()
 
-    def _allowed_s(
-        self, caller: platform_headers.CallerHeaders, route: routes.Route
-    ) -> float:
-        """Return the time within which a request is answered."""
-        if caller.remaining_s is None:
-            return route.timeout_s
-        return min(
-            route.timeout_s,
-            caller.remaining_s - request_executor.DEADLINE_MARGIN_S,
-        )
-
     def _remaining_s(self, caller: platform_headers.CallerHeaders) -> float:
         if caller.remaining_s is None:
             return routes.DEFAULT_TIMEOUT_S
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -25,8 +25,6 @@
 # attempts are finished by then.
 HEDGE_FACTOR = 3.0
 MIN_HEDGE_DELAY_S = 0.15
-# Time that is left for the response to reach the caller before its deadline.
-DEADLINE_MARGIN_S = 0.02
 
 
 @attrs.define(eq=False)
--- a/packages/entry/bulrushcourse_entry/edge/stopping.py
+++ b/packages/entry/bulrushcourse_entry/edge/stopping.py
@@ -81,7 +81,7 @@
     async def _end_accepting(self) -> None:
         for listener in self.drained:
             await listeners.stop_accepting(listener)
-        self.state.room_changes.on_next(None)
+        self.handlers.unsent.refuse_late()
         self.event_log.log_change(
             events.Event.ACCEPT_ENDED,
             open=self.handlers.open_requests,
@@ -103,7 +103,7 @@
                 connection.close_if_idle()
 
     async def _force(self) -> None:
-        """Refuse the requests that are being received, then cut the rest.
+        """Refuse the requests that were not sent, then cut the rest.
 
         The connections are closed together, since the platform ends the
         process soon.
@@ -114,6 +114,7 @@
             running=len(self.handlers.executor.running),
             connections=self.guard.table.counts(),
         )
+        self.handlers.unsent.refuse_all()
         for connection in self._open_connections():
             connection.refuse_unread()
         await asyncio.sleep(REFUSAL_TIMEOUT_S)
--- a/packages/entry/bulrushcourse_entry/edge/waiting/tests/test_waiting_admission.py
+++ b/packages/entry/bulrushcourse_entry/edge/waiting/tests/test_waiting_admission.py
@@ -178,6 +178,23 @@
     run(scenario())
 
 
+def test_wait_that_a_planned_stop_ends_is_counted_as_such():
+    # Guards against counts by which callers seem to leave at each stop.
+    async def scenario():
+        admission = make_admission()
+        set_load(admission, OVERLOAD)
+        (task,) = await start(admission, URGENT)
+        now = admission.state.clock.monotonic()
+        admission.state.planned_stop = planned_stop.PlannedStop(now - 0.9, 1.0)
+        task.cancel()
+        await settle()
+        assert not admission.waiters
+        assert ends(admission)[End.STOPPING] == 1
+        assert ends(admission)[End.LEFT] == 0
+
+    run(scenario())
+
+
 def test_requests_of_a_vm_that_was_suspended_are_refused_not_sent():
     async def scenario():
         admission = make_admission()
--- a/packages/entry/bulrushcourse_entry/edge/waiting/waiting_admission.py
+++ b/packages/entry/bulrushcourse_entry/edge/waiting/waiting_admission.py
@@ -170,7 +170,11 @@
             return await waiter.result
         finally:
             if not waiter.result.done() or waiter.result.cancelled():
-                self._record_end(End.LEFT)
+                self._record_end(
+                    End.LEFT
+                    if self.state.may_begin(request.deadline)
+                    else End.STOPPING
+                )
                 self._leave(waiter)
 
     def _refuse(
