Send one last report to each receiver at the end of a stop

A stop ends within 20 ms of the last answer, and its streams were closed at once. Losses are held back for 0.3 s, and reports are 0.25 to 0.6 s apart, so that the other VMs never learnt which upstream the last request had crashed, or which one had said that it is leaving. Callers' requests could then crash one upstream more, or go to one that was leaving.

The stop now releases the held losses and wakes the sending tasks. Each sends one more report, waits until it is written and ends. All of them together get 0.1 s; a receiver that can't be reached gets nothing.

--- a/packages/domain/bulrushcourse_domain/quarantine/outbox.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/outbox.py
@@ -50,6 +50,11 @@
             del self.held[loss]
         self.ready.extend(released)
 
+    def release_all(self) -> None:
+        """Send all losses now, as no retry is going to disprove them."""
+        self.ready.extend(self.held)
+        self.held.clear()
+
     def withdraw(self, loss: Evidence) -> bool:
         """Discard a loss that was disproved.
 
--- a/packages/domain/bulrushcourse_domain/quarantine/tests/test_crashes.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_crashes.py
@@ -52,6 +52,18 @@
     return [item.kind for item in sent]
 
 
+def test_held_losses_are_sent_at_once_when_they_are_released():
+    # Guards against losses that only a VM that has stopped knew.
+    ledger = new_ledger()
+    for fingerprint in ('f', 'g'):
+        ledger.record_loss(fingerprint, UPSTREAMS[0])
+    assert ledger.outbox.take(ledger.clock.monotonic()) == []
+    ledger.outbox.release_all()
+    sent = ledger.outbox.take(ledger.clock.monotonic())
+    assert [item.fingerprint for item in sent] == ['f', 'g']
+    assert ledger.outbox.take(ledger.clock.monotonic() + outbox.HOLD_S) == []
+
+
 def test_losses_of_different_upstreams_count_over_all_vms():
     ledger, other = new_ledger(), new_ledger()
     for _ in range(5):
--- a/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/peers.py
@@ -41,6 +41,10 @@
 RECEIVERS_INTERVAL_S = 0.25
 # Length of the accept queue.
 PEER_BACKLOG = 100
+# Time for the last reports of a VM that stops. Their streams are open, so that
+# only a receiver that is cut off uses it. The rest of what
+# ``planned_stop.FINISH_SHARE`` leaves is needed to close the listeners.
+LAST_REPORTS_TIMEOUT_S = 0.1
 
 # Serves a stream that begins with the preface of another protocol.
 StreamServer = typing.Callable[
@@ -78,7 +82,8 @@
         queries: Answers questions about the configuration.
         unknown: Incoming streams that have sent no report yet, oldest first.
         directory_read: Wakes the sending tasks when this VM has got the
-            upstreams of a later read.
+            upstreams of a later read, or stops.
+        is_ending: Whether each sending task ends with its next report.
     """
 
     state: process_state.ProcessState
@@ -93,6 +98,7 @@
         attrs.field(factory=dict)
     )
     directory_read: asyncio.Event = attrs.field(factory=asyncio.Event)
+    is_ending: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to changes that are forwarded immediately."""
@@ -188,6 +194,20 @@
             supervision.keep_running(f'stream to {name}', run, self.event_log)
         )
 
+    async def send_last_reports(self) -> None:
+        """Tell the receivers what this VM has learnt since the last reports.
+
+        Nobody else knows the losses and the leaving upstreams that were seen
+        in the last requests. A receiver that can't be reached is not waited
+        for longer than ``LAST_REPORTS_TIMEOUT_S``.
+        """
+        self.state.crash_ledger.outbox.release_all()
+        self.is_ending = True
+        self.directory_read.set()
+        tasks = [sending.task for sending in self.sending.values()]
+        if tasks:
+            await asyncio.wait(tasks, timeout=LAST_REPORTS_TIMEOUT_S)
+
     async def close(self) -> None:
         """Close all streams."""
         tasks = [
@@ -246,6 +266,8 @@
                         events.Event.PEER_LOST, vm=vm.name, reason=repr(error)
                     )
                 connected = False
+            if self.is_ending:
+                return
             await asyncio.sleep(pause)
             pause = min(MAX_RECONNECT_PAUSE_S, pause * 2)
 
@@ -259,12 +281,18 @@
         cursor = self.reports.open_cursor(vm.name, vm.region, relation)
         try:
             while not reader.at_eof():
+                is_last = self.is_ending
                 _write(writer, self.reports.build(cursor))
                 async with asyncio.timeout(framing.USER_TIMEOUT_MS / 1000):
                     await writer.drain()
+                if is_last:
+                    break
                 await self._wait_for_next_report(cursor)
         finally:
             writer.close()
+        if self.is_ending:
+            # Closing a stream sends what is still buffered first.
+            await writer.wait_closed()
 
     async def _wait_for_next_report(
         self, cursor: stream_cursor.StreamCursor
@@ -274,7 +302,7 @@
             async with asyncio.timeout(
                 self.reports.interval_s(cursor.relation)
             ):
-                while True:
+                while not self.is_ending:
                     await self.directory_read.wait()
                     if self.reports.directory.is_urgent(cursor):
                         return
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -102,7 +102,12 @@
         stack.push_async_callback(_cancel, tasks)
         await self.stopping.wait()
         await stopping.GracefulStop(
-            state, event_log, parts.handlers, parts.guard, drained
+            state,
+            event_log,
+            parts.handlers,
+            parts.guard,
+            drained,
+            parts.streams,
         ).run()
 
     def _handle_signals(
--- a/packages/entry/bulrushcourse_entry/edge/stopping.py
+++ b/packages/entry/bulrushcourse_entry/edge/stopping.py
@@ -20,6 +20,7 @@
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import handlers as request_handlers
 from bulrushcourse_entry.edge.callers import listeners
+from bulrushcourse_entry.edge.fleet import peers
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
 
 # Time between two looks for connections that have become idle.
@@ -38,6 +39,7 @@
         handlers: Handlers of callers' requests.
         guard: Limits over all connections of clients.
         drained: The listeners whose connections are closed one by one.
+        streams: Streams of reports to the other VMs.
     """
 
     state: process_state.ProcessState
@@ -45,6 +47,7 @@
     handlers: request_handlers.Handlers
     guard: connection_guard.ConnectionGuard
     drained: typing.Sequence[web.ServerRunner]
+    streams: peers.PeerStreams
 
     async def run(self) -> None:
         """Serve for a while, then finish what was read until the time limit.
@@ -67,6 +70,7 @@
                 await self._drain()
         except TimeoutError:
             await self._force()
+        await self.streams.send_last_reports()
 
     def _begin(self, stop: planned_stops.PlannedStop) -> None:
         # Requests that wait and can't finish in time are refused now.
