Check in the soak that planned stops lose no request

No fault set stopped VMs while callers kept using open connections to them, and no check compared what was sent whole with what was answered.

Fault set 4 stops VMs as planned: one, two at once, or all in series, with SIGHUP, a second SIGTERM and new configurations before and within the stop. Nine of ten processes are slowed by SIGSTOP and SIGCONT. Callers keep their connections until the process is gone: single, pipelined, uploading, reading slowly, and idle until about 3 s after SIGTERM.

--- a/packages/testkit/bulrushcourse_testkit/platform/soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak.py
@@ -21,6 +21,7 @@
 from bulrushcourse_testkit.platform import soak_faults
 from bulrushcourse_testkit.platform import soak_fleet_run
 from bulrushcourse_testkit.platform import soak_run
+from bulrushcourse_testkit.platform import soak_stop_run
 
 DEFAULT_VMS = 3
 FAILURE_DOMAINS = (*soak_run.FAILURE_DOMAINS, 'b2')
@@ -45,6 +46,8 @@
     soak_class = soak_run.Soak
     if faults.has_fleet:
         soak_class = soak_fleet_run.FleetSoak
+    if faults.has_stops:
+        soak_class = soak_stop_run.StopSoak
     domains = tuple(itertools.islice(itertools.cycle(FAILURE_DOMAINS), vms))
     cluster = clusters.EdgeCluster(domains, soak_class.bounds())
     soak = soak_class(seed, random.Random(seed), cluster, faults)
@@ -60,7 +63,8 @@
         f'seed {seed}, fault set {fault_set}, {vms} VMs:'
         f' {len(soak.statuses)} requests, {soak.statuses.count(200)} served,'
         f' {len(soak.injector.injected)} faults,'
-        f' {len(soak.findings)} findings'
+        f' {len(soak.findings)} findings',
+        *soak.figures(),
     ]
     if soak.findings:
         lines += [
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_callers.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_callers.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import random
+import time
 import typing
 
 import attrs
@@ -20,7 +21,7 @@
 BURST_CALLERS = 20
 PIECE_PAUSE_S = 0.01
 UPLOAD_BYTES = (1 << 10, 100 << 10, 200 << 10, 400 << 10)
-_CONNECTION_ERRORS = (
+CONNECTION_ERRORS = (
     OSError,
     EOFError,
     TimeoutError,
@@ -51,6 +52,7 @@
         operator: Knows the newest version of the configuration.
         numbers: Source of unique identifiers of requests.
         sent: Where it records its requests.
+        max_pause_s: Maximum time between two requests in seconds.
     """
 
     rng: random.Random
@@ -58,19 +60,23 @@
     operator: soak_operator.Operator
     numbers: typing.Iterator[int]
     sent: list[soak_observations.SentRequest]
+    max_pause_s: float = 0.05
 
     async def run(self) -> None:
         """Open connections and use each until it closes."""
         while True:
-            vm = self.rng.choice(self.vms)
-            with contextlib.suppress(*_CONNECTION_ERRORS):
+            vm = self._choose_vm()
+            with contextlib.suppress(*CONNECTION_ERRORS):
                 await self._use_connection(vm)
             await asyncio.sleep(self.rng.uniform(0.0, 0.1))
 
+    def _choose_vm(self) -> soak_vms.SoakVm:
+        return self.rng.choice(self.vms)
+
     async def send_home_request(self) -> None:
         """Send one request of a route with homes on a new connection."""
         prefix = self.rng.choice(soak_operator.MOVING_HOMES)
-        with contextlib.suppress(*_CONNECTION_ERRORS):
+        with contextlib.suppress(*CONNECTION_ERRORS):
             await self._use_connection(self.vms[0], prefix)
 
     async def _use_connection(
@@ -79,16 +85,21 @@
         host, _, port = vm.vm.listen['front'].rpartition(':')
         async with asyncio.timeout(1.0):
             reader, writer = await asyncio.open_connection(host, int(port))
+        # Each drain waits until everything is sent.
+        writer.transport.set_write_buffer_limits(0)
         try:
             stays_open = True
-            while stays_open:
+            while stays_open and not reader.at_eof():
                 exchanges = self._next_exchanges(vm, only_prefix)
                 stays_open = await self._exchange(exchanges, reader, writer)
                 stays_open = stays_open and not only_prefix
-                await asyncio.sleep(self.rng.uniform(0.0, 0.05))
+                await asyncio.sleep(self._next_pause_s())
         finally:
             writer.close()
 
+    def _next_pause_s(self) -> float:
+        return self.rng.uniform(0.0, self.max_pause_s)
+
     def _next_exchanges(
         self, vm: soak_vms.SoakVm, only_prefix: str
     ) -> list[soak_exchanges.Exchange]:
@@ -134,7 +145,11 @@
                 async with asyncio.timeout(timeout_s):
                     stays_open = await exchange.receive(reader)
                 if not stays_open:
+                    _mark_cut(exchanges, is_behind_close=True)
                     break
+        except (EOFError, ConnectionError):
+            _mark_cut(exchanges, is_behind_close=False)
+            raise
         finally:
             # A response before the end of the body ends the connection.
             stays_open = stays_open and sending.done()
@@ -144,6 +159,13 @@
         return stays_open
 
 
+def _mark_cut(
+    exchanges: list[soak_exchanges.Exchange], is_behind_close: bool
+) -> None:
+    for exchange in exchanges:
+        exchange.mark_cut(is_behind_close)
+
+
 async def _send(
     exchanges: list[soak_exchanges.Exchange], writer: asyncio.StreamWriter
 ) -> None:
@@ -151,10 +173,12 @@
         for exchange in exchanges:
             writer.write(exchange.head)
         for exchange in exchanges:
-            for piece in exchange.body_pieces():
+            for number, piece in enumerate(exchange.body_pieces()):
+                await asyncio.sleep(PIECE_PAUSE_S if number else 0.0)
                 writer.write(piece)
                 await writer.drain()
-                await asyncio.sleep(PIECE_PAUSE_S)
+            await writer.drain()
+            exchange.whole_at = time.monotonic()
 
 
 @attrs.define(eq=False)
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_exchanges.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_exchanges.py
@@ -63,6 +63,11 @@
         sent_at: Monotonic time at which it was sent, in seconds.
         ended_at: Monotonic time of the response, 0 before it.
         response: The response, ``None`` before it.
+        whole_at: Monotonic time at which its last byte was sent, 0 before.
+        is_cut: Whether the connection ended without the complete response.
+        is_behind_close: Whether it was sent behind a request whose response
+            announced the end of the connection.
+        read_pause_s: Pause of a slow reader between pieces of the response.
     """
 
     vm: soak_vms.SoakVm
@@ -77,6 +82,10 @@
     sent_at: float = attrs.field(factory=time.monotonic)
     ended_at: float = 0.0
     response: raw_client.RawResponse | None = None
+    whole_at: float = 0.0
+    is_cut: bool = False
+    is_behind_close: bool = False
+    read_pause_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         """Note the process that the request is sent to."""
@@ -126,11 +135,24 @@
         Args:
             reader: Connection.
         """
-        self.response = await soak_responses.read_response(reader)
+        self.response = await soak_responses.read_response(
+            reader, self.read_pause_s
+        )
         self.ended_at = time.monotonic()
         fields = dict(self.response.fields())
         return fields.get('connection', b'').lower() != b'close'
 
+    def mark_cut(self, is_behind_close: bool = False) -> None:
+        """Note that the connection ended, unless there is a response.
+
+        Args:
+            is_behind_close: Whether an earlier response announced it.
+        """
+        if self.response is None:
+            self.ended_at = time.monotonic()
+            self.is_cut = True
+            self.is_behind_close = is_behind_close
+
     def result(self) -> soak_observations.SentRequest:
         """Return the request as its caller saw it."""
         response = self.response
@@ -153,4 +175,8 @@
             self.size,
             len(self.head),
             self.version,
+            self.whole_at,
+            self.is_cut,
+            self.deadline_ms / 1000,
+            self.is_behind_close,
         )
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_faults.py
@@ -38,6 +38,8 @@
             of the seeds choose from them: rules with a time bound hold only
             for VMs that were in touch for the contact time.
         has_fleet: Whether upstreams, homes and routes come and go.
+        has_stops: Whether VMs stop as planned while callers keep using their
+            connections.
         injection_s: Time during which faults begin, in seconds.
         max_interval_s: Maximum time between two of them in seconds.
     """
@@ -46,6 +48,7 @@
     actions: tuple[str, ...]
     calm_actions: tuple[str, ...] = ()
     has_fleet: bool = False
+    has_stops: bool = False
     injection_s: float = INJECTION_S
     max_interval_s: float = 0.8
 
@@ -96,6 +99,14 @@
     '_move_homes_during_pause',
     '_move_homes_during_cut',
 )
+_STOP_ACTIONS = (
+    '_stop_one',
+    '_stop_two',
+    '_stop_in_series',
+    '_change_configuration',
+    '_send_sighup',
+)
+STOPS = 4
 # By number. Seeds that ever failed are played with the set that they failed
 # with.
 FAULT_SETS: typing.Mapping[int, FaultSet] = {
@@ -112,8 +123,16 @@
         injection_s=16.0,
         max_interval_s=1.6,
     ),
+    STOPS: FaultSet(
+        (),
+        _STOP_ACTIONS,
+        has_fleet=True,
+        has_stops=True,
+        injection_s=16.0,
+        max_interval_s=4.0,
+    ),
 }
-LATEST = max(FAULT_SETS)
+LATEST = 3
 
 
 @attrs.define(eq=False)
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_fleet.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_fleet.py
@@ -199,6 +199,7 @@
                     arrival.received_at,
                     arrival.headers.get('x-expect-instance', upstream.name),
                     id(arrival.headers) in ran,
+                    upstream.work_s,
                 )
 
     async def _beat(self) -> None:
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_fleet_run.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_fleet_run.py
@@ -15,6 +15,7 @@
 from bulrushcourse_testkit.platform import soak_operator
 from bulrushcourse_testkit.platform import soak_run
 from bulrushcourse_testkit.platform import soak_run_checks
+from bulrushcourse_testkit.platform import soak_stop_checks
 
 CALLERS_PER_VM = 4
 LAG_INTERVAL_S = 0.05
@@ -36,6 +37,7 @@
     soak_run_checks.refusal_violations,
     soak_run_checks.answer_violations,
     soak_run_checks.reversion_violations,
+    soak_stop_checks.loss_violations,
 )
 
 
@@ -82,6 +84,11 @@
             callers=self.callers,
         )
 
+    @classmethod
+    def callers_per_vm(cls) -> int:
+        """Return the number of callers for each VM."""
+        return CALLERS_PER_VM
+
     @classmethod
     def bounds(cls) -> dict[str, str]:
         """Return the bounds of the users' deployments."""
@@ -133,7 +140,7 @@
         # The first start of the VMs is a disruption too.
         with self.history.disruption():
             pass
-        return self.callers.start(CALLERS_PER_VM * len(self.vms))
+        return self.callers.start(self.callers_per_vm() * len(self.vms))
 
     async def _end_faults(self) -> None:
         await super()._end_faults()
@@ -173,4 +180,9 @@
         while True:
             due = time.monotonic() + LAG_INTERVAL_S
             await asyncio.sleep(LAG_INTERVAL_S)
-            self.max_lag_s = max(self.max_lag_s, time.monotonic() - due)
+            now = time.monotonic()
+            self.max_lag_s = max(self.max_lag_s, now - due)
+            if now - due > LAG_INTERVAL_S:
+                self.history.stalls.append(
+                    soak_history.Disruption(soak_history.ALL_VMS, due, now)
+                )
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_history.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_history.py
@@ -13,6 +13,10 @@
 CONTACT_S = 3.0
 EVACUATE_S = 5.0
 ROLLBACK_SLACK_S = 0.25
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+# Time after a planned stop that the users' rules still count as part of it.
+STOP_END_S = 1.0
 ALL_VMS = ''
 _ALL_REGIONS = frozenset(clusters.REGIONS.values())
 
@@ -110,6 +114,23 @@
     ended_at: float
 
 
+@attrs.frozen
+class Stop:
+    """A planned stop of a VM's process.
+
+    Attributes:
+        vm: Name of the VM.
+        term_at: Monotonic time of the first SIGTERM in seconds.
+        exited_at: Monotonic time of the end of the process in seconds.
+        was_killed: Whether the process was killed after ``GRACE_S``.
+    """
+
+    vm: str
+    term_at: float
+    exited_at: float
+    was_killed: bool
+
+
 @attrs.define(eq=False)
 class History:
     """Configurations, evacuations and disruptions of a run.
@@ -119,12 +140,18 @@
         evacuations: Evacuations that were taken back.
         disruptions: Faults of VMs and of the paths to the store.
         outages: Times at which the store served no VM.
+        stops: Planned stops.
+        held: Times for which a slowed process was stopped.
+        stalls: Times for which this process's event loop was late.
     """
 
     versions: list[Version] = attrs.field(factory=list)
     evacuations: list[Evacuation] = attrs.field(factory=list)
     disruptions: list[Disruption] = attrs.field(factory=list)
     outages: list[Disruption] = attrs.field(factory=list)
+    stops: list[Stop] = attrs.field(factory=list)
+    held: list[Disruption] = attrs.field(factory=list)
+    stalls: list[Disruption] = attrs.field(factory=list)
 
     @contextlib.contextmanager
     def disruption(self, vm: str = ALL_VMS) -> typing.Iterator[None]:
@@ -142,6 +169,45 @@
         with _recorded(self.outages, ALL_VMS):
             yield
 
+    @contextlib.contextmanager
+    def hold(self, vm: str) -> typing.Iterator[None]:
+        """Record that a process is stopped during the context.
+
+        Args:
+            vm: Name of the VM.
+        """
+        with _recorded(self.held, vm):
+            yield
+
+    def held_s(self, vm: str, first: float, last: float) -> float:
+        """Return for how long a process was held, in seconds.
+
+        Args:
+            vm: Name of the VM.
+            first: Monotonic time of the start in seconds.
+            last: Monotonic time of the end in seconds.
+        """
+        held = [hold for hold in self.held if hold.vm == vm]
+        return overlap_s(held, first, last)
+
+    def stop_during(self, vm: str, first: float, last: float) -> Stop | None:
+        """Return the planned stop that a request met, if any.
+
+        Args:
+            vm: Name of the VM.
+            first: Monotonic time at which the request was sent, in seconds.
+            last: Monotonic time of its end in seconds.
+        """
+        for stop in self.stops:
+            end = stop.exited_at
+            if (
+                stop.vm == vm
+                and first < end
+                and (stop.term_at <= last <= end + STOP_END_S)
+            ):
+                return stop
+        return None
+
     def in_touch(self, vm: str, first: float, last: float) -> bool:
         """Return whether a VM was in touch with the platform all the time.
 
@@ -197,6 +263,20 @@
         ]
 
 
+def overlap_s(spans: list[Disruption], first: float, last: float) -> float:
+    """Return how long disruptions lasted within a span, in seconds.
+
+    Args:
+        spans: Disruptions that don't overlap each other.
+        first: Monotonic time of the start in seconds.
+        last: Monotonic time of the end in seconds.
+    """
+    return sum(
+        max(0.0, min(span.end, last) - max(span.start, first))
+        for span in spans
+    )
+
+
 @contextlib.contextmanager
 def _recorded(faults: list[Disruption], vm: str) -> typing.Iterator[None]:
     start = time.monotonic()
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_observations.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_observations.py
@@ -30,6 +30,12 @@
         header_bytes: Size of its head.
         version: For a route that marks a version of the configuration, that
             version; 0 otherwise.
+        whole_at: Monotonic time at which its last byte was sent, 0 if it was
+            not sent whole.
+        is_cut: Whether the connection ended without the complete response.
+        deadline_s: Its deadline in seconds.
+        is_behind_close: Whether it was sent behind a request whose response
+            announced the end of the connection.
     """
 
     request_id: str
@@ -47,6 +53,10 @@
     body_bytes: int = 0
     header_bytes: int = 0
     version: int = 0
+    whole_at: float = 0.0
+    is_cut: bool = False
+    deadline_s: float = 0.0
+    is_behind_close: bool = False
 
 
 @attrs.frozen
@@ -63,6 +73,7 @@
         received_at: Monotonic time in seconds.
         expected: Identifier of the upstream that the request names.
         ran: Whether the upstream ran it.
+        work_s: Time that a run takes, in seconds.
     """
 
     request_id: str
@@ -74,6 +85,7 @@
     received_at: float
     expected: str
     ran: bool
+    work_s: float = 0.0
 
     @property
     def was_misdirected(self) -> bool:
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_run.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_run.py
@@ -87,6 +87,10 @@
         """Return what helps to trace findings."""
         return []
 
+    def figures(self) -> list[str]:
+        """Return further figures of the run."""
+        return []
+
     @property
     def statuses(self) -> list[int]:
         """Statuses that the callers got."""
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_soak.py
@@ -36,6 +36,15 @@
     check_seed(seed, tmp_path, 3)
 
 
+# Guards against planned stops that leave whole requests without an answer:
+# with this seed, requests that a slowed VM read three seconds after SIGTERM
+# were passed on and cut off.
+def test_planned_stops_of_slowed_vms_lose_no_request(tmp_path):
+    result = check_seed(58, tmp_path, soak_faults.STOPS)
+    assert result.history.stops
+    assert result.history.held
+
+
 def test_fault_sets_of_earlier_seeds_stay_as_they_are():
     # Guards against a new fault that changes what a seed does which failed
     # once: a choice among more faults gives other runs.
@@ -43,7 +52,7 @@
     assert {
         number: (len(entry.upstream_faults), len(entry.actions))
         for number, entry in fault_sets.items()
-    } == {1: (18, 10), 2: (21, 11), 3: (21, 25)}
+    } == {1: (18, 10), 2: (21, 11), 3: (21, 25), 4: (0, 5)}
     assert fault_sets[1].upstream_faults[-1] is soak_faults.Fault.ENDLESS_IDLE
 
 
@@ -52,3 +61,4 @@
     result = asyncio.run(asyncio.wait_for(run, 120))
     assert not result.findings, (result.findings, result.injector.injected)
     assert len(result.statuses) > 100
+    return result
