Answer what was received behind a request before a stop ends it

Requests that were pipelined after SIGTERM were dropped with a response that closed the connection: one of three was answered. The connection now ends with the last request that was received, and such requests are begun early as at other times.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -347,6 +347,11 @@
 
     # Calls of the handler.
 
+    @property
+    def has_received_more(self) -> bool:
+        """Whether bytes behind the request in progress were received."""
+        return bool(self._messages or self.held)
+
     def begin_body(self) -> None:
         """Receive larger parts of a body, for which there is memory."""
         self.reads_body = True
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -69,8 +69,10 @@
         pipelined = request.protocol.pipelined
         served = await pipelined.result(request)
         try:
-            # Requests that were begun early are answered before the end.
-            if self.closing and not pipelined.begun:
+            # What was received behind a request is answered before the end.
+            if self.closing and not (
+                pipelined.begun or request.protocol.has_received_more
+            ):
                 served.response.force_close()
             if served.answer is not None:
                 await self._deliver(request, served)
@@ -123,7 +125,7 @@
         Args:
             request: The request, which follows others on its connection.
         """
-        if self.closing or request.body_exists:
+        if request.body_exists:
             return False
         route = self._match(request)
         return route is not None and route.idempotent
