Hold signals while the edge process starts and ends

SIGHUP, SIGTERM and SIGINT had their default actions until the process had set its handlers, 0.3 s and more after its start, and again once its event loop had closed. A reload in the first moments ended the process (exit by signal 1), and a second signal at the end of a stop ended it before its last lines, such as 1004, were written.

The signals are now blocked from the first line of the program, before its imports, until the handlers are set; the system keeps them meanwhile. They are blocked again before the event loop closes.

What is left are the milliseconds in which the interpreter itself starts, and the imports of the command line if the program is started as `bulrushcourse edge`.

--- a/packages/entry/bulrushcourse_entry/edge/__main__.py
+++ b/packages/entry/bulrushcourse_entry/edge/__main__.py
@@ -8,8 +8,18 @@
 
 import sys
 
-from bulrushcourse_entry.edge import program
+from bulrushcourse_entry import held_signals
+
+
+def main() -> int:
+    """Run the program and return its exit code."""
+    held_signals.hold()
+    # Its imports take most of the start, and a signal may come meanwhile.
+    from bulrushcourse_entry.edge import program
 
-if __name__ == '__main__':
     port = int(sys.argv[1]) if sys.argv[1:] else 0
-    sys.exit(program.main(metrics_port=port))
+    return program.main(metrics_port=port)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -15,6 +15,7 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.resources import descriptors
 from bulrushcourse_entry import events
+from bulrushcourse_entry import held_signals
 from bulrushcourse_entry.edge import assembly
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge import settings as edge_settings
@@ -117,6 +118,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, state, event_log)
+        held_signals.deliver()
 
     def _reload(
         self, state: process_state.ProcessState, event_log: event_logs.EventLog
--- a/packages/entry/bulrushcourse_entry/edge/program.py
+++ b/packages/entry/bulrushcourse_entry/edge/program.py
@@ -6,6 +6,7 @@
 
 from returns import result
 
+from bulrushcourse_entry import held_signals
 from bulrushcourse_entry.edge import process
 from bulrushcourse_entry.edge import settings as edge_settings
 from bulrushcourse_entry.edge.reporting import event_log
@@ -25,6 +26,7 @@
     Returns:
         Exit code.
     """
+    held_signals.hold()
     path = path or os.environ.get(settings_file.PATH_VARIABLE, '')
     loaded = settings_file.load(path)
     if isinstance(loaded, result.Failure):
@@ -41,4 +43,8 @@
 async def _run(
     settings: edge_settings.EdgeSettings, path: str, metrics_port: int
 ) -> None:
-    await process.EdgeProcess(settings, path, metrics_port).run()
+    try:
+        await process.EdgeProcess(settings, path, metrics_port).run()
+    finally:
+        # The event loop restores the default actions when it closes.
+        held_signals.hold()
