End a stop without the rest of a body that was answered

Soaks of slowed processes had stops that lasted until their time limit with open 0 and connections in the stage body: the request had been answered early (401, 404), and the rest of its body was waited for. Such a connection is closed once its answer has arrived. The test timed out before.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -395,12 +395,17 @@
         What arrives afterwards is never read, so that no request is begun
         without an answer.
         """
-        if self.wire is None or not self.guard.table.may_stop(self.entry):
+        if self.wire is None:
             return
         source = self.wire.get_extra_info('socket')
-        if sockets.is_readable(source):
-            return
-        if not sockets.has_undelivered_bytes(source):
+        # Nobody needs the rest of a body whose request was answered.
+        is_idle = (
+            self.responded and self.entry.stage is connections.Stage.BODY
+        ) or (
+            self.guard.table.may_stop(self.entry)
+            and not sockets.is_readable(source)
+        )
+        if is_idle and not sockets.has_undelivered_bytes(source):
             self.awaiting = Awaiting.NOTHING
             self.closed_here = True
             self.wire.close()
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_stop_ends.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_stop_ends.py
@@ -95,3 +95,25 @@
             assert received.count(b'HTTP/1.1 ') == 1
 
     run(scenario())
+
+
+def test_rest_of_an_answered_upload_does_not_delay_a_stop():
+    # Guards against stops that last until their time limit since a client
+    # doesn't send the rest of a body that nobody needs.
+    async def scenario():
+        async with clusters.EdgeCluster(bounds={'grace': '6s'}) as cluster:
+            cluster.configure()
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            vm = cluster.vms[0]
+            client = await connect(vm)
+            head = encode('first', 3000, 'Content-Length: 100000')
+            await send(client, head.replace(b'GET /browse', b'POST /none'))
+            received = await asyncio.get_running_loop().sock_recv(client, 99)
+            assert received.startswith(b'HTTP/1.1 404 ')
+            vm.process.stopping.set()
+            # Connections end 3 s after the beginning; the limit is at 5 s.
+            await asyncio.wait_for(vm.task, 4.5)
+            client.close()
+
+    run(scenario())
