Hold signals while the first program starts and ends

It had the same fault as the edge process: SIGTERM and SIGINT ended it by their default actions until its handlers were set, and again once its event loop had closed, before it had exited with code 0.

`bulrushcourse run` now holds the signals from its first line until the handlers are set, and again from before the event loop closes. The imports of the command line come before that. SIGHUP, for which it has no handler, still ends it while it runs.

--- a/packages/entry/bulrushcourse_entry/command.py
+++ b/packages/entry/bulrushcourse_entry/command.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from bulrushcourse_domain import findings
+from bulrushcourse_entry import held_signals
 from bulrushcourse_entry import process
 from bulrushcourse_entry import settings as entry_settings
 from bulrushcourse_entry.edge import program
@@ -28,6 +29,7 @@
     Args:
         command: Parsed arguments.
     """
+    held_signals.hold()
     settings = _load(command.settings)
     logbook.set_datetime_format('utc')
     handler = logbook.StreamHandler(
@@ -40,7 +42,11 @@
 
 
 async def _run(settings: entry_settings.Settings) -> None:
-    await process.EntryProcess(settings).run()
+    try:
+        await process.EntryProcess(settings).run()
+    finally:
+        # The event loop restores the default actions when it closes.
+        held_signals.hold()
 
 
 def run_edge(command: 'Edge') -> None:
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bulrushcourse_entry import events
+from bulrushcourse_entry import held_signals
 from bulrushcourse_entry import listening
 from bulrushcourse_entry.callers import listener as callers_listener
 from bulrushcourse_entry.claims import assembly as claims_assembly
@@ -33,6 +34,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
+        held_signals.deliver()
 
     def _on_signal(self) -> None:
         if self.requested.is_set():
