Show upstreams whose health responses name nobody

A service whose health responses have no name gets no request with home regions: nothing proves its identity, and each request is refused as unproven-address. The pages promise the name, but nothing said so for operators, and only event 6010 showed it. The test is new with the code.

Left open: a VM finds out with the first such request.

--- a/packages/domain/bulrushcourse_domain/upstreams/address_bindings.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/address_bindings.py
@@ -31,6 +31,7 @@
         failures: Consecutive failures to prove the identity.
         pause_until: Time until which no proof is attempted after a failure.
         is_displaced: Whether another upstream was found at the address.
+        is_nameless: Whether its last health response named no upstream.
     """
 
     born: int
@@ -41,6 +42,7 @@
     failures: int = 0
     pause_until: float = float('-inf')
     is_displaced: bool = False
+    is_nameless: bool = False
 
 
 @attrs.define
@@ -134,6 +136,7 @@
         record.failures = 0
         record.pause_until = float('-inf')
         record.is_displaced = False
+        record.is_nameless = False
 
     def record_refused(self, upstream: upstreams.Upstream) -> None:
         """Record that no process accepts connections at the address.
@@ -153,6 +156,26 @@
         if record is not None:
             self._pause(record)
 
+    def record_nameless(self, upstream: upstreams.Upstream) -> None:
+        """Record a health response that names no upstream.
+
+        Without a name nothing proves the identity, so that requests which
+        must not reach another region get none of the upstream's service.
+
+        Args:
+            upstream: The upstream.
+        """
+        record = self._provide(upstream)
+        if record is not None:
+            record.is_nameless = True
+            self._pause(record)
+
+    def nameless(self) -> frozenset[str]:
+        """Return the names of upstreams whose health responses have none."""
+        return frozenset(
+            name for name, record in self.by_name.items() if record.is_nameless
+        )
+
     def record_displaced(self, upstream: upstreams.Upstream) -> bool:
         """Record a response of another upstream at the address.
 
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_address_bindings.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_address_bindings.py
@@ -140,6 +140,18 @@
     assert not bindings.withheld(confined=False)
 
 
+def test_upstream_is_nameless_until_it_names_itself():
+    # Guards against services that get no request with home regions while
+    # nothing shows why.
+    bindings = make_bindings()
+    bindings.record_nameless(UPSTREAM)
+    assert bindings.nameless() == {UPSTREAM.name}
+    assert bindings.withheld(confined=True) == {UPSTREAM.name}
+    assert not bindings.withheld(confined=False)
+    bindings.record_identified(UPSTREAM, 101.0)
+    assert not bindings.nameless()
+
+
 def test_directory_ends_proofs_with_its_changes():
     # Guards against proofs that outlast the row that they belong to.
     clock = clocks.ManualClock(100.0)
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -88,6 +88,11 @@
     store.readings.subscribe(lambda _: state.freshness.record_contact())
     keys = proven_keys.ProvenKeys(state)
     _add_gauges(metrics, store, keys)
+    metrics.add_gauge(
+        'bulrushcourse_nameless_upstreams',
+        'Upstreams whose last health response named no upstream',
+        lambda: float(len(state.upstreams.addresses.nameless())),
+    )
     quotas = token_admission.TokenAdmission(
         state,
         event_log,
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -204,6 +204,7 @@
             state.upstreams.addresses.proven_for_s(upstream), 3
         ),
         'address_withheld': name in state.upstreams.addresses.withheld(True),
+        'names_itself': (name not in state.upstreams.addresses.nameless()),
         'in_flight': state.load.in_flight(name),
         'slowness': slowness,
         'slowness_age_s': (_age(now, at) if slowness else None),
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
@@ -110,6 +110,8 @@
             addresses.record_refused(upstream)
         if finding is Finding.OTHER_UPSTREAM:
             trace.record_displaced()
+        elif finding is Finding.NO_NAME:
+            addresses.record_nameless(upstream)
         elif finding is not Finding.PROVEN:
             addresses.record_unproven(upstream)
         self.on_end(upstream, finding, trace.answered_by)
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -65,6 +65,7 @@
             ran.
         running: Number of requests that are running.
         health_s: Time until it answers a health request, in seconds.
+        names_itself: Whether health responses name the upstream.
         health_checks: Number of health requests that reached it.
         sending: Number of connections on which it sends without end.
         cut_off: Number of such connections that the VM closed.
@@ -96,6 +97,7 @@
     aborted_runs: int = 0
     running: int = 0
     health_s: float = 0.0
+    names_itself: bool = True
     health_checks: int = 0
     sending: int = 0
     cut_off: int = 0
@@ -253,8 +255,8 @@
             self._refuse(writer, '')
             return True
         await asyncio.sleep(self.health_s)
-        instance_id = f'X-Instance-Id: {self.name}'
-        writer.write(raw_http.format_response(200, '', b'', instance_id))
+        lines = [f'X-Instance-Id: {self.name}'] if self.names_itself else []
+        writer.write(raw_http.format_response(200, '', b'', *lines))
         return True
 
     async def _send_head(
