Keep the VM at work in the test of requests late in a stop

The test sends requests on idle connections 0.2 s after the VM has stopped accepting, and relied on an upload of which half was missing to keep the VM up until then. An order that is in progress keeps the VM up instead; all assertions stay, and the order must get its whole answer.

--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_stops.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_stops.py
@@ -127,6 +127,8 @@
     # Guards against orders that are accepted late in a planned stop, passed
     # on, and cut off at its end while their upstream works.
     sent_after_s = 3.2
+    # In progress until after the late requests, so that the VM still serves.
+    begun_after_s = 0.6
 
     async def scenario():
         async with clusters.EdgeCluster(bounds={'grace': '7s'}) as cluster:
@@ -145,7 +147,11 @@
             slow = asyncio.create_task(
                 send_slowly(address, 'slow', b'tabs', sent_after_s)
             )
-            await asyncio.sleep(sent_after_s)
+            await asyncio.sleep(begun_after_s)
+            begun = asyncio.create_task(
+                cluster.send('/order/x', body=b'x', deadline_ms=10_000)
+            )
+            await asyncio.sleep(sent_after_s - begun_after_s)
             late = cluster.send('/order/x', body=b'x', deadline_ms=10_000)
             reply, slow_status, *kept_statuses = await asyncio.gather(
                 late,
@@ -161,7 +167,8 @@
             assert slow_status == 503
             # The deadline of the last one passes before the stop ends.
             assert kept_statuses == [503, 504]
-            assert ran == {'short'}
+            assert (await begun).is_own_answer
+            assert ran == {'short', (await begun).request_id}
 
     run(scenario())
 
