--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -19,6 +19,7 @@
 from aiohttp import web_protocol
 
 from bulrushcourse_domain.resources import connections
+from bulrushcourse_entry import sockets
 from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import connection_guard
 from bulrushcourse_entry.edge.callers import pipelining
@@ -38,6 +39,9 @@
 INTERNAL_ERROR = 500
 # Overhead of chunks that is not counted as memory.
 FREE_OVERHEAD_BYTES = 1 << 10
+# Time for the last response of a connection to arrive.
+LINGER_S = 2.0
+LINGER_INTERVAL_S = 0.02
 # Memory of trailers that are being received, for each of their bytes.
 TRAILER_COPIES = 8
 
@@ -77,6 +81,10 @@
         heads: Memory of the heads that were passed on and not answered.
         is_safe: Whether the request in progress changes nothing.
         parsing: Whether the parser is being fed.
+        lingering: Whether the last response is on its way and everything
+            that arrives is discarded.
+        closed_here: Whether this VM has closed the connection.
+        caller_left: Whether the connection ended, and not by this VM.
     """
 
     __slots__ = (
@@ -99,6 +107,9 @@
         'heads',
         'is_safe',
         'parsing',
+        'lingering',
+        'closed_here',
+        'caller_left',
     )
 
     def __init__(
@@ -129,6 +140,9 @@
         self.heads: collections.deque[int] = collections.deque()
         self.is_safe = False
         self.parsing = False
+        self.lingering = False
+        self.closed_here = False
+        self.caller_left = False
         self._await_head()
 
     def _await_head(self) -> None:
@@ -161,6 +175,8 @@
         self.guard.remove(self.entry)
         self.awaiting = Awaiting.NOTHING
         self.held = b''
+        # A close by aiohttp has cleared the transport before.
+        self.caller_left = self.transport is not None and not self.closed_here
         super().connection_lost(exc)
         self.wire = None
 
@@ -230,6 +246,39 @@
         if not self.backlogged:
             super()._resume_transport_reading()
 
+    async def start(self) -> None:
+        """Serve the requests, then close when the last response has arrived.
+
+        A request behind the last response would reset a closed connection, by
+        which the client could lose the response (RFC 9112, section 9.6).
+        """
+        await super().start()
+        if self.wire is None or not self.lingering:
+            return
+        source = self.wire.get_extra_info('socket')
+        waits = int(LINGER_S / LINGER_INTERVAL_S)
+        while waits and self.wire and sockets.has_undelivered_bytes(source):
+            waits -= 1
+            await asyncio.sleep(LINGER_INTERVAL_S)
+        if self.wire is not None:
+            self.wire.close()
+
+    def _begin_lingering(self) -> None:
+        """End the responses, and read on without regard to what arrives."""
+        if self.wire is None or not sockets.has_undelivered_bytes(
+            self.wire.get_extra_info('socket')
+        ):
+            return
+        self.lingering = True
+        self.awaiting = Awaiting.NOTHING
+        self.held = b''
+        self.guard.table.enter(self.entry, connections.Stage.WRITING)
+        self.wire.write_eof()
+        if not self.wire.is_reading():
+            self.wire.resume_reading()
+        # aiohttp would close it.
+        self.transport = None
+
     async def finish_response(
         self,
         request: web.BaseRequest,
@@ -247,6 +296,8 @@
         self.responded = True
         self._end_request_if_complete()
         self._pass_on()
+        if not resp.keep_alive and self.payload.is_eof():
+            self._begin_lingering()
         return finished
 
     def handle_error(
@@ -296,6 +347,11 @@
 
     # Calls of the handler.
 
+    @property
+    def has_received_more(self) -> bool:
+        """Whether bytes behind the request in progress were received."""
+        return bool(self._messages or self.held)
+
     def begin_body(self) -> None:
         """Receive larger parts of a body, for which there is memory."""
         self.reads_body = True
@@ -306,6 +362,7 @@
         """Close the connection at once; nothing more is passed on."""
         self.awaiting = Awaiting.NOTHING
         self.held = b''
+        self.closed_here = True
         if self.wire is not None:
             self.wire.abort()
 
@@ -330,6 +387,37 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    # Calls of a planned stop.
+
+    def close_if_idle(self) -> None:
+        """Close the connection if nothing is unread, unanswered or unsent.
+
+        What arrives afterwards is never read, so that no request is begun
+        without an answer.
+        """
+        if self.wire is None:
+            return
+        source = self.wire.get_extra_info('socket')
+        # Nobody needs the rest of a body whose request was answered.
+        is_idle = (
+            self.responded and self.entry.stage is connections.Stage.BODY
+        ) or (
+            self.guard.table.may_stop(self.entry)
+            and not sockets.is_readable(source)
+        )
+        if is_idle and not sockets.has_undelivered_bytes(source):
+            self.awaiting = Awaiting.NOTHING
+            self.closed_here = True
+            self.wire.close()
+
+    def refuse_unread(self) -> None:
+        """Refuse the request that is being received, if there is one."""
+        stage = self.entry.stage
+        if stage in connection_guard.HEAD_STAGES:
+            self.refuse(platform_headers.UNAVAILABLE, bodies.STOPPING)
+        elif stage is connections.Stage.BODY:
+            self._fail_body(bodies.STOPPING)
+
     # Passing on of received bytes.
 
     def _pass_on(self) -> None:
@@ -349,7 +437,9 @@
         self.held = stripped
         end = self.held.find(END_OF_HEAD, max(0, self.searched - 3))
         size = len(self.held) if end < 0 else end + len(END_OF_HEAD)
-        self.guard.table.begin_head(self.entry)
+        if stripped:
+            # Empty lines alone, as behind a request, begin none.
+            self.guard.table.begin_head(self.entry)
         if self.before_head + size > self.guard.head_limit:
             if self.guard.may_deny():
                 self._refuse(431, 'head-too-large', self.held)
@@ -590,10 +680,13 @@
             answer: Reason by which the request is answered, if another one.
         """
         self.guard.record(reason, self.entry.stage)
+        self._fail_body(answer or reason)
+
+    def _fail_body(self, reason: str) -> None:
         self.awaiting = Awaiting.NOTHING
         self.held = b''
         if not self.payload.is_eof():
-            self.payload.set_exception(bodies.BodyRefused(answer or reason))
+            self.payload.set_exception(bodies.BodyRefused(reason))
         self.close()
 
 
--- a/packages/entry/bulrushcourse_entry/stopping.py
+++ b/packages/entry/bulrushcourse_entry/stopping.py
@@ -6,6 +6,8 @@
 import attrs
 
 from bulrushcourse_entry import events
+from bulrushcourse_entry import held_signals
+from bulrushcourse_entry import listening
 from bulrushcourse_entry.callers import listener as callers_listener
 from bulrushcourse_entry.claims import assembly as claims_assembly
 from bulrushcourse_entry.slots import assembly as slots_assembly
@@ -32,6 +34,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
+        held_signals.deliver()
 
     def _on_signal(self) -> None:
         if self.requested.is_set():
@@ -45,6 +48,7 @@
 
     Attributes:
         callers: Listener with the requests in flight.
+        server: Owner of the callers' connections.
         slots: Pools to hand over.
         claims: Runs in progress and outcomes to record.
         answer_max_age_s: Cache lifetime of look-up answers.
@@ -52,6 +56,7 @@
     """
 
     callers: callers_listener.CallersListener
+    server: listening.HttpServer
     slots: slots_assembly.SlotParts
     claims: claims_assembly.ClaimsParts
     answer_max_age_s: float
@@ -63,7 +68,7 @@
         Args:
             forced: Set to end the wait immediately.
         """
-        self.callers.leaving = True
+        self.server.leaving = True
         events.emit(events.Event.STOPPING, in_flight=self.callers.in_flight)
         waits = (
             asyncio.create_task(forced.wait()),
@@ -86,7 +91,9 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.slots.leave())
             group.create_task(asyncio.sleep(wait_s))
-        await self.callers.idle.wait()
+        # Runs may outlast requests, so no request may arrive during the wait
+        # for them.
+        await self.server.drain()
         # Waits for runs whose callers have disconnected and for outcomes that
         # are not recorded yet.
         await self.claims.drain()
