--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -39,9 +39,6 @@
 INTERNAL_ERROR = 500
 # Overhead of chunks that is not counted as memory.
 FREE_OVERHEAD_BYTES = 1 << 10
-# Time for the last response of a connection to arrive.
-LINGER_S = 2.0
-LINGER_INTERVAL_S = 0.02
 # Memory of trailers that are being received, for each of their bytes.
 TRAILER_COPIES = 8
 
@@ -253,15 +250,8 @@
         which the client could lose the response (RFC 9112, section 9.6).
         """
         await super().start()
-        if self.wire is None or not self.lingering:
-            return
-        source = self.wire.get_extra_info('socket')
-        waits = int(LINGER_S / LINGER_INTERVAL_S)
-        while waits and self.wire and sockets.has_undelivered_bytes(source):
-            waits -= 1
-            await asyncio.sleep(LINGER_INTERVAL_S)
-        if self.wire is not None:
-            self.wire.close()
+        if self.wire is not None and self.lingering:
+            await sockets.close_when_delivered(self.wire)
 
     def _begin_lingering(self) -> None:
         """End the responses, and read on without regard to what arrives."""
--- a/packages/entry/bulrushcourse_entry/sockets.py
+++ b/packages/entry/bulrushcourse_entry/sockets.py
@@ -7,6 +7,10 @@
 import struct
 import termios
 
+# Time for what was written last on a connection to arrive.
+LINGER_S = 2.0
+LINGER_INTERVAL_S = 0.02
+
 
 def is_readable(source: socket.socket) -> bool:
     """Return whether bytes, a connection or an end wait to be read.
@@ -35,6 +39,20 @@
     return struct.unpack('i', size)[0] > 0
 
 
+async def close_when_delivered(transport: asyncio.Transport) -> None:
+    """Close a connection once the peer's system has received all bytes.
+
+    Args:
+        transport: The connection; what arrives meanwhile must be read.
+    """
+    source = transport.get_extra_info('socket')
+    for _ in range(int(LINGER_S / LINGER_INTERVAL_S)):
+        if transport.is_closing() or not has_undelivered_bytes(source):
+            break
+        await asyncio.sleep(LINGER_INTERVAL_S)
+    transport.close()
+
+
 async def stop_accepting(acceptor: asyncio.Server) -> None:
     """Accept the connections that wait, then close the listening sockets.
 
