--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -125,7 +125,8 @@
         Args:
             request: The request, which follows others on its connection.
         """
-        if request.body_exists:
+        # The response in progress may have announced the end already.
+        if self.closing or request.body_exists:
             return False
         route = self._match(request)
         return route is not None and route.idempotent
