--- a/packages/testkit/bulrushcourse_testkit/ports.py
+++ b/packages/testkit/bulrushcourse_testkit/ports.py
@@ -18,7 +18,7 @@
 # Avoids the ports that the kernel chooses for outgoing connections, and those
 # from 10,000 to 32,000, which test kits without these locks use.
 PORTS = range(2_000, 10_000)
-BLOCK_PORTS = 50
+BLOCK_PORTS = 20
 HOST = '127.0.0.1'
 LOCK_DIRECTORY = pathlib.Path(tempfile.gettempdir()) / 'bulrushcourse-ports'
 
