--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_stop_ends.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_stop_ends.py
@@ -1,4 +1,4 @@
-"""Requests and responses at the ends of a planned stop."""
+"""Requests and responses when a planned stop ends accepting, and later."""
 
 import asyncio
 import socket
@@ -8,15 +8,16 @@
 
 LARGE = b'x' * (1 << 20)
 RECEIVE_BUFFER_BYTES = 16 << 10
+GET = 'GET /browse/x'
 
 
 def run(scenario):
     asyncio.run(asyncio.wait_for(scenario, 30))
 
 
-def encode(request_id, deadline_ms, *lines):
+def encode(request_line, request_id, deadline_ms, *lines):
     head = [
-        'GET /browse/x HTTP/1.1',
+        f'{request_line} HTTP/1.1',
         f'Host: {documents.HOST}',
         f'X-Request-Id: {request_id}',
         f'X-Request-Deadline-Ms: {deadline_ms}',
@@ -66,10 +67,10 @@
             client = await connect(vm, RECEIVE_BUFFER_BYTES)
             vm.process.stopping.set()
             await asyncio.sleep(0.2)
-            await send(client, encode('first', 3000))
+            await send(client, encode(GET, 'first', 3000))
             # The response is in the buffers of the system.
             await asyncio.sleep(0.5)
-            await send(client, encode('second', 3000))
+            await send(client, encode(GET, 'second', 3000))
             await asyncio.sleep(0.1)
             received = await read_all(client)
             assert len(upstream.ran) == 1
@@ -88,7 +89,7 @@
             await cluster.start()
             vm = cluster.vms[0]
             client = await connect(vm)
-            await send(client, encode('first', 3000) + b'\r\n')
+            await send(client, encode(GET, 'first', 3000) + b'\r\n')
             await asyncio.sleep(0.2)
             vm.process.stopping.set()
             received = await read_all(client)
@@ -107,8 +108,8 @@
             await cluster.start()
             vm = cluster.vms[0]
             client = await connect(vm)
-            head = encode('first', 3000, 'Content-Length: 100000')
-            await send(client, head.replace(b'GET /browse', b'POST /none'))
+            line = 'Content-Length: 100000'
+            await send(client, encode('POST /none/x', 'first', 3000, line))
             received = await asyncio.get_running_loop().sock_recv(client, 99)
             assert received.startswith(b'HTTP/1.1 404 ')
             vm.process.stopping.set()
@@ -117,3 +118,56 @@
             client.close()
 
     run(scenario())
+
+
+def test_request_that_waits_for_a_token_is_refused_in_a_stop():
+    # Guards against requests that are cut off at the end of a stop while they
+    # wait for a token, and could not be sent any more.
+    async def scenario():
+        async with clusters.EdgeCluster(bounds={'grace': '4s'}) as cluster:
+            cluster.configure(
+                1,
+                documents.rule('/browse/', timeout='10s'),
+                accounts=(
+                    documents.account('a', 'key', rate_per_s=5, burst=2),
+                ),
+            )
+            await cluster.add_upstream('u1')
+            await cluster.start()
+            vm = cluster.vms[0]
+            vm.process.stopping.set()
+            await asyncio.sleep(1.9)
+            client = await connect(vm)
+            await send(client, encode(GET, 'w', 9000, 'Api-Key: key'))
+            # The connections of a process that is run as a task outlive it.
+            async with asyncio.timeout(4):
+                received = await read_all(client)
+            assert received.startswith(b'HTTP/1.1 503 ')
+
+    run(scenario())
+
+
+def test_upload_that_goes_on_is_refused_once_in_a_stop():
+    # Guards against a second answer to a request whose body is still being
+    # received when the time limit is reached, and against a lost first one.
+    async def scenario():
+        async with clusters.EdgeCluster(bounds={'grace': '4s'}) as cluster:
+            cluster.configure(1, documents.rule('/order/', timeout='10s'))
+            upstream = await cluster.add_upstream('u1')
+            await cluster.start()
+            vm = cluster.vms[0]
+            client = await connect(vm)
+            await send(
+                client,
+                encode('POST /order/x', 'u', 9000, 'Content-Length: 9'),
+            )
+            await send(client, b'half')
+            await asyncio.sleep(0.1)
+            vm.process.stopping.set()
+            async with asyncio.timeout(6):
+                received = await read_all(client)
+            assert received.startswith(b'HTTP/1.1 503 ')
+            assert received.count(b'HTTP/1.1 ') == 1
+            assert upstream.ran == []
+
+    run(scenario())
