--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_last_reports.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_last_reports.py
@@ -83,8 +83,8 @@
 
 
 def test_leaving_upstream_at_the_end_of_a_stop_reaches_the_other_vm():
-    # Guards against requests to an upstream that is leaving, which only a VM
-    # that has stopped since was told.
+    # Guards against requests that another VM sends to an upstream after the
+    # only VM that knew that it is leaving has stopped.
     async def scenario():
         async with make_cluster('a1', 'a2') as cluster:
             configure(cluster)
