--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,8 @@
-"""Requests of a route that isn't idempotent run twice."""
+"""One route with a long prefix keeps every later configuration out of force."""
 
 import asyncio
 import collections
 import pathlib
-import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -11,128 +10,126 @@
 
 import standins  # noqa: E402
 
-SERVICE = 'bundler'
-PATH = '/bundle/'
-KIND = 'download'
-DEADLINE_MS = 4000
-# Below the shortest time after which the VM sends a request once more, so that
-# it does not without the disruption.
-WORK_S = 0.08
-# The site files have answer_lost (reset) with share = 0.5, x = 0.05, for_s = 4.
-SHARE = 0.5
-LOST = 0.05
-TROUBLE_S = 4.0
-CLIENTS = 12
-
-
-class LosingInstance(standins.Instance):
-    """An instance that runs some requests and loses their answers.
-
-    Attributes:
-        loses: Returns whether the answer to a request is lost.
-    """
-
-    loses = staticmethod(lambda: False)
+DEADLINE_MS = 2000
+WORK_S = 0.05
+CONFIG_APPLY_S = 2.5
+CHANGES = 2
+# Requests on the route that each change adds, and on the one that it moves.
+REQUESTS = 20
+LONG_SEGMENTS = 21
+SHORT_SEGMENTS = 3
 
-    async def _handle(self, reader, writer):
-        return await super()._handle(reader, _Losing(self, writer))
 
+def rules(changes, segments):
+    """Return the rules after some changes.
 
-class _Losing:
-    """Writes answers of an instance, or resets the connection instead."""
-
-    def __init__(self, instance, writer):
-        self.instance, self.writer = instance, writer
+    The first one moves the lists to another service and adds a route; each
+    later one adds a route with a short prefix.
+    """
+    lists = 'liste' if not changes else 'album'
+    found = [
+        standins.rule('r-list', '/list/', 'idempotent', lists, '3000ms', '500ms')
+    ]
+    for number in range(1, changes + 1):
+        found.append(
+            standins.rule(
+                f'r-added-{number}', added(number, segments), 'idempotent',
+                'album', '3000ms', '500ms',
+            )
+        )
+    return found
 
-    def write(self, content):
-        """Write an answer unless it is lost."""
-        if b'X-Server-Signature' in content and self.instance.loses():
-            self.instance.record.write('answer lost at', self.instance.id)
-            standins.reset(self.writer)
-            raise OSError('answer lost')
-        self.writer.write(content)
 
-    async def drain(self):
-        """Wait until what was written is sent."""
-        await self.writer.drain()
+def added(number, segments):
+    """Return the prefix of the route that a change adds."""
+    if number > 1:
+        return f'/added-{number}/'
+    return '/' + 'wedding-92/' * segments
 
 
 async def case(record, temporary):
     store = standins.Store(record)
     await store.start()
     instances = [
-        LosingInstance(store, record, SERVICE, zone, lambda path: WORK_S, 3, 9)
+        standins.Instance(store, record, service, zone, lambda path: WORK_S, 9, 27)
         for zone in standins.ZONES
-        for _ in range(2)
+        for service in ('liste', 'album')
     ]
     for instance in instances:
         await instance.start()
-    rule = standins.rule(
-        'r-bundle', PATH, KIND, SERVICE, '4000ms', '500ms', priority=2
-    )
-    store.put('op', 'config', standins.configuration(7, [rule], [SERVICE]))
-    vm = standins.Vm(1, 'thies-nord', store, record, temporary)
+    services = ['liste', 'album']
+    store.put('op', 'config', standins.configuration(7, rules(0, 0), services))
+    vms = [
+        standins.Vm(number, zone, store, record, temporary)
+        for number, zone in enumerate(
+            ('thies-nord', 'dakar-plateau', 'saint-louis-ile')
+        )
+    ]
+    for vm in vms:
+        vm.seeds = [other.address('control') for other in vms]
+    segments = LONG_SEGMENTS if standins.has_trouble() else SHORT_SEGMENTS
+    broken = 0
     try:
-        await vm.start()
-        await vm.wait_ready()
-        await asyncio.sleep(2)
-        return await play(record, vm, instances)
+        for vm in vms:
+            await vm.start()
+        for vm in vms:
+            await vm.wait_ready()
+        # The machines have been in touch for contact.
+        await asyncio.sleep(5)
+        for change in range(1, CHANGES + 1):
+            document = standins.configuration(
+                7 + 3 * change, rules(change, segments), services
+            )
+            store.put('op', 'config', document)
+            record.say(
+                f'version {document["version"]} is acknowledged; its longest'
+                f' prefix has {len(added(1, segments))} bytes'
+            )
+            await asyncio.sleep(CONFIG_APPLY_S + 0.5)
+            broken += await check(record, vms, instances, change, segments)
     finally:
-        await vm.end()
+        for vm in vms:
+            await vm.end()
+    record.say(f'requests handled as only an older version allows: {broken}')
+    return not broken
 
 
-async def play(record, vm, instances):
-    """Send downloads while instances lose answers."""
-    outcomes, stop = collections.Counter(), asyncio.Event()
-    clients = [
-        asyncio.create_task(client(record, vm, number, outcomes, stop))
-        for number in range(CLIENTS)
+async def check(record, vms, instances, change, segments):
+    """Send requests to each VM; return how many an older version explains."""
+    broken = 0
+    paths = ['/list/'] + [
+        added(number, segments) for number in range(1, change + 1)
     ]
-    await asyncio.sleep(2)
-    rng = random.Random(1)
-    losing = instances[: round(len(instances) * SHARE)]
-    if standins.has_trouble():
-        record.say(f'{len(losing)} instances lose answers')
-        for instance in losing:
-            instance.loses = lambda: rng.random() < LOST
-    await asyncio.sleep(TROUBLE_S)
-    for instance in losing:
-        instance.loses = lambda: False
-    await asyncio.sleep(1)
-    stop.set()
-    await asyncio.gather(*clients)
-    runs = collections.Counter(r for i in instances for r in i.ran)
-    twice = [request_id for request_id, count in runs.items() if count > 1]
-    record.say(f'requests: {len(runs)}, answers: {dict(outcomes)}')
-    record.say(f'ran more than once: {len(twice)} {twice[:5]}')
-    return not twice
-
-
-async def client(record, vm, number, outcomes, stop):
-    """Send downloads one after the other, each on a new connection."""
-    turn = 0
-    while not stop.is_set():
-        turn += 1
-        request_id = f'd{number:02d}-{turn:03d}'
-        outcome = 'closed'
-        try:
-            reader, writer = await asyncio.open_connection(
-                vm.ip, vm.ports['front']
-            )
-            record.write('sent', request_id)
-            writer.write(
-                standins.request_head(
-                    'GET', f'{PATH}{number}', request_id, DEADLINE_MS
+    for vm in vms:
+        seen = collections.Counter()
+        for number in range(REQUESTS):
+            for place, path in enumerate(paths):
+                request_id = f'{vm.name}-{change}-{place}-{number}'
+                status = await send(record, vm, path + '1', request_id)
+                old = any(
+                    i.service == 'liste' and request_id in i.ran
+                    for i in instances
                 )
-            )
-            status, _, _ = await standins.read_response(reader)
-            outcome = str(status)
-            writer.close()
-        except (OSError, EOFError):
-            pass
-        record.write('answer', request_id, outcome)
-        outcomes[outcome] += 1
-        await asyncio.sleep(0.05)
+                outcome = f'{path[:12]}: {status}{" by liste" if old else ""}'
+                seen[outcome] += 1
+                broken += status == 404 or old
+        record.say(f'{vm.name}: {dict(seen)}')
+    return broken
+
+
+async def send(record, vm, path, request_id):
+    """Send a request and return its status."""
+    reader, writer = await asyncio.open_connection(vm.ip, vm.ports['front'])
+    try:
+        record.write('sent', request_id, path)
+        writer.write(standins.request_head('GET', path, request_id, DEADLINE_MS))
+        status, _, _ = await standins.read_response(reader)
+    except (OSError, EOFError):
+        status = 0
+    finally:
+        writer.close()
+    record.write('answer', request_id, status)
+    return status
 
 
 if __name__ == '__main__':
