Accept texts of any length that the store allows

Printable characters were demanded as well. Reports between VMs had ranges of their own: warmup_left of 200,000 s, the region of an unknown failure domain with a long name, or over 100 priorities made others refuse whole reports.

Change: the domain's `ranges` states what the store's reader, the reports and the settings accept. Texts are bounded by the largest call of the store, longer durations count as 7 days.

--- a/packages/entry/bulrushcourse_entry/platform/settings_file.py
+++ b/packages/entry/bulrushcourse_entry/platform/settings_file.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from bulrushcourse_domain import findings
+from bulrushcourse_domain import ranges
 from bulrushcourse_domain.accounts import key_permission
 from bulrushcourse_entry.edge import settings as edge_settings
 from bulrushcourse_entry.platform import units
@@ -15,7 +16,6 @@
 PATH_VARIABLE = 'BULRUSHCOURSE_CONFIG'
 
 _MAX_MEMORY_MB = 1 << 30
-_MAX_CORES = 1024.0
 _MAX_DESCRIPTORS = 1 << 30
 
 
@@ -26,7 +26,7 @@
 
 
 def _revoke_s(value: typing.Any) -> float:
-    seconds = units.duration_s(value)
+    seconds = units.capped_duration_s(value)
     if seconds <= key_permission.MARGIN_S:
         raise units.MalformedValue(
             f'{value!r:.50} is not more than {key_permission.MARGIN_S:g}s'
@@ -37,21 +37,21 @@
 # Fields of the bounds table: the platform's name, this project's name and the
 # conversion.
 _BOUNDS: typing.Mapping[str, tuple[str, typing.Callable]] = {
-    'contact': ('reconnect_s', units.duration_s),
-    'drain': ('drain_s', units.duration_s),
-    'config_apply': ('apply_s', units.duration_s),
-    'grace': ('stop_limit_s', units.duration_s),
-    'addr_reuse': ('address_reuse_s', units.duration_s),
-    'ttl_max': ('answer_max_age_s', units.duration_s),
+    'contact': ('reconnect_s', units.capped_duration_s),
+    'drain': ('drain_s', units.capped_duration_s),
+    'config_apply': ('apply_s', units.capped_duration_s),
+    'grace': ('stop_limit_s', units.capped_duration_s),
+    'addr_reuse': ('address_reuse_s', units.capped_duration_s),
+    'ttl_max': ('answer_max_age_s', units.capped_duration_s),
     'retry_budget_ratio': ('retry_ratio', float),
-    'budget_window': ('retry_window_s', units.duration_s),
+    'budget_window': ('retry_window_s', units.capped_duration_s),
     'retry_budget_extra': ('retry_extra', float),
     'warmup_excess': ('warmup_excess', float),
     'warmup_margin': ('warmup_margin', float),
     'max_shift': ('shift_share', float),
     'strict_revoke': ('strict_revoke', _flag),
     'revoke': ('revoke_s', _revoke_s),
-    'quota_window': ('quota_window_s', units.duration_s),
+    'quota_window': ('quota_window_s', units.capped_duration_s),
     'quota_excess': ('quota_excess', float),
     'quota_margin': ('quota_margin', float),
 }
@@ -153,7 +153,7 @@
 
 def _cores(reader: _FieldReader, limits: typing.Any) -> float:
     def factor(value: typing.Any) -> float:
-        return units.number(value, 'factor', 0.0, _MAX_CORES)
+        return units.number(value, 'factor', 0.0, ranges.MAX_CORES)
 
     share = reader.read(limits, 'self.limits.cpu_share', factor, 0.0)
     return share * reader.read(limits, 'self.limits.cpu_cores', factor, 1.0)
--- a/packages/entry/bulrushcourse_entry/platform/units.py
+++ b/packages/entry/bulrushcourse_entry/platform/units.py
@@ -8,14 +8,12 @@
 import ipaddress
 import json
 import math
+import sys
 import typing
 
+from bulrushcourse_domain import ranges
+
 _UNIT_FACTORS = {'ms': 0.001, 's': 1.0}
-# Integers must fit a signed 64-bit field of a message to another VM.
-MAX_INTEGER = (1 << 63) - 1
-# The platform's own limit on the length of keys.
-MAX_TEXT_BYTES = 200
-MAX_DURATION_S = 7 * 86_400.0
 MAX_PORT = 65_535
 # Elements of a document. An element takes up to 240 bytes when it is decoded;
 # one of a document of 1 MB, the largest that the platform stores, has more
@@ -72,7 +70,9 @@
     raise MalformedValue(f'{name} is not a number')
 
 
-def duration_s(text: typing.Any, maximum_s: float = MAX_DURATION_S) -> float:
+def duration_s(
+    text: typing.Any, maximum_s: float = ranges.MAX_DURATION_S
+) -> float:
     """Return a duration in seconds.
 
     Args:
@@ -86,14 +86,7 @@
         >>> duration_s('1500ms'), duration_s('2.5s')
         (1.5, 2.5)
     """
-    if not isinstance(text, str) or len(text) > MAX_TEXT_BYTES:
-        raise MalformedValue(f'{text!r:.50} is not a duration')
-    digits = text.rstrip('ms')
-    factor = _UNIT_FACTORS.get(text[len(digits) :])
-    try:
-        value = float(digits) * factor if factor else math.nan
-    except ValueError:
-        value = math.nan
+    value = _seconds(text)
     if not 0 <= value <= maximum_s:
         raise MalformedValue(
             f'{text!r:.50} is not a duration of at most {maximum_s:g}s'
@@ -101,27 +94,48 @@
     return value
 
 
+def capped_duration_s(text: typing.Any) -> float:
+    """Return a duration in seconds, the longest usable one for longer ones.
+
+    Args:
+        text: Number and unit, such as ``1500ms`` or ``2.5s``.
+
+    Raises:
+        MalformedValue: If the value has another form.
+
+    Examples:
+        >>> capped_duration_s('9000000s') == ranges.MAX_DURATION_S
+        True
+    """
+    return min(ranges.MAX_DURATION_S, duration_s(text, sys.float_info.max))
+
+
+def _seconds(text: typing.Any) -> float:
+    """Return a duration, not a number if it has another form."""
+    if not isinstance(text, str):
+        return math.nan
+    digits = text.rstrip('ms')
+    factor = _UNIT_FACTORS.get(text[len(digits) :])
+    try:
+        return float(digits) * factor if factor else math.nan
+    except ValueError:
+        return math.nan
+
+
 def non_empty_string(value: typing.Any, field: str) -> str:
-    """Return a value that must be a printable, non-empty string.
+    """Return a value that must be a non-empty string.
 
     Args:
         value: The value.
         field: Name of the field.
 
     Raises:
-        MalformedValue: If it is not, or is longer than ``MAX_TEXT_BYTES`` in
-            UTF-8.
+        MalformedValue: If it is not, or if no message could carry it.
     """
-    if not isinstance(value, str) or not value:
+    if not value or not ranges.is_text(value):
         raise MalformedValue(
-            f'{field} is {value!r:.50}, not a non-empty string'
-        )
-    # Line breaks would end a header, and lone surrogates cannot be encoded.
-    if not value.isprintable():
-        raise MalformedValue(f'{field} is {value!r:.50}, not printable')
-    if len(value.encode()) > MAX_TEXT_BYTES:
-        raise MalformedValue(
-            f'{field} is longer than {MAX_TEXT_BYTES} bytes: {value!r:.50}'
+            f'{field} is {value!r:.50}, not a non-empty string without'
+            ' control characters'
         )
     return value
 
@@ -130,7 +144,7 @@
     value: typing.Any,
     field: str,
     minimum: int = 0,
-    maximum: int = MAX_INTEGER,
+    maximum: int = ranges.MAX_INTEGER,
 ) -> int:
     """Return a value that must be an integer in a range.
 
@@ -175,6 +189,39 @@
     return float(value)
 
 
+def capped_integer(value: typing.Any, field: str, maximum: int) -> int:
+    """Return a non-negative integer, the maximum for larger ones.
+
+    Args:
+        value: The value.
+        field: Name of the field.
+        maximum: Largest usable value.
+
+    Raises:
+        MalformedValue: If it is not a non-negative integer.
+
+    Examples:
+        >>> capped_integer(10**30, 'max_attempts', 1000)
+        1000
+    """
+    is_large = type(value) is int and value > maximum
+    return integer(maximum if is_large else value, field, 0, maximum)
+
+
+def capped_number(value: typing.Any, field: str, maximum: float) -> float:
+    """Return a non-negative finite number, the maximum for larger ones.
+
+    Args:
+        value: The value.
+        field: Name of the field.
+        maximum: Largest usable value.
+
+    Raises:
+        MalformedValue: If it is not a non-negative finite number.
+    """
+    return min(maximum, number(value, field, 0.0, sys.float_info.max))
+
+
 def address(value: typing.Any, field: str) -> str:
     """Return a value that must be an IPv4 address and port ``ip:port``.
 
--- a/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from bulrushcourse_domain import ranges
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.platform import rows
 from bulrushcourse_entry.platform import units
@@ -10,7 +11,6 @@
 
 # Whether an upstream in this state is leaving.
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
-MAX_SLOTS = 100_000
 # Prefix of the region of a failure domain that the settings don't name.
 UNKNOWN_REGION = 'unknown'
 
@@ -31,7 +31,7 @@
         fields = units.parse_json(row.value or b'null')
         draining = _DRAINING_BY_STATE[fields['state']]
         domain = units.non_empty_string(fields['zone'], 'zone')
-        slots = units.integer(fields['slots'], 'slots', 1, MAX_SLOTS)
+        slots = units.integer(fields['slots'], 'slots', 1, ranges.MAX_SLOTS)
         return upstreams.Upstream(
             name=units.non_empty_string(row.key, 'key'),
             service=units.non_empty_string(fields['service'], 'service'),
@@ -41,7 +41,9 @@
             region=regions.get(domain, f'{UNKNOWN_REGION}:{domain}'),
             slots=slots,
             draining=draining,
-            cold_for_s=units.duration_s(fields.get('warmup_left', '0ms')),
+            cold_for_s=units.capped_duration_s(
+                fields.get('warmup_left', '0ms')
+            ),
             born=units.integer(fields.get('born', 0), 'born'),
             version=row.version,
         )
--- a/packages/entry/bulrushcourse_entry/platform/vm_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/vm_rows.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from bulrushcourse_domain import ranges
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_entry.platform import rows
 from bulrushcourse_entry.platform import units
@@ -45,7 +46,9 @@
             failure_domain=units.non_empty_string(
                 fields['failure_domain'], 'failure_domain'
             ),
-            cores=units.number(fields.get('cores', 0.0), 'cores'),
+            cores=units.number(
+                fields.get('cores', 0.0), 'cores', 0.0, ranges.MAX_CORES
+            ),
         )
     except units.MalformedValue:
         raise
--- a/packages/wire/bulrushcourse_wire/directory_deltas.py
+++ b/packages/wire/bulrushcourse_wire/directory_deltas.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bulrushcourse_domain import ranges
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_wire import fields as checks
 
@@ -82,10 +83,11 @@
         version,
     ) = checks.items(entry, 10)
     if type(draining) is not bool or not (
-        type(cold_for_s) in (int, float) and 0 <= cold_for_s < MAX_UPSTREAMS
+        type(cold_for_s) in (int, float)
+        and 0 <= cold_for_s <= ranges.MAX_DURATION_S
     ):
         raise checks.MalformedField('draining or cold_for_s out of range')
-    if checks.integer(slots, MAX_UPSTREAMS) < 1:
+    if checks.integer(slots, ranges.MAX_SLOTS) < 1:
         raise checks.MalformedField('no slots')
     return upstreams.Upstream(
         checks.text(name),
--- a/packages/wire/bulrushcourse_wire/fields.py
+++ b/packages/wire/bulrushcourse_wire/fields.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-MAX_INTEGER = (1 << 63) - 1
-MAX_TEXT_CHARACTERS = 200
+from bulrushcourse_domain import ranges
+
 MAX_ITEMS = 10_000
 _MAX_PORT = 65_535
 
@@ -40,7 +40,7 @@
         return container
 
 
-def integer(value: typing.Any, maximum: int = MAX_INTEGER) -> int:
+def integer(value: typing.Any, maximum: int = ranges.MAX_INTEGER) -> int:
     """Return a value that must be an integer from 0 to a maximum.
 
     Args:
@@ -56,7 +56,7 @@
 
 
 def text(value: typing.Any) -> str:
-    """Return a value that must be a printable, short string.
+    """Return a value that must be a string without control characters.
 
     Args:
         value: The value.
@@ -64,12 +64,8 @@
     Raises:
         MalformedField: If it is not.
     """
-    if (
-        type(value) is not str
-        or len(value) > MAX_TEXT_CHARACTERS
-        or not value.isprintable()
-    ):
-        raise MalformedField(f'{value!r:.50} is not a short string')
+    if not ranges.is_text(value):
+        raise MalformedField(f'{value!r:.50} is not a text')
     return value
 
 
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -5,6 +5,7 @@
 import attrs
 import msgpack
 
+from bulrushcourse_domain import ranges
 from bulrushcourse_domain.accounts import key_permission
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.fleet import links
@@ -362,7 +363,7 @@
 
 def _decode_vm(value: typing.Any) -> fleet.Vm:
     name, incarnation, peers, callers, region, domain, cores = value
-    if type(cores) not in (int, float) or not 0 <= cores < MAX_VMS:
+    if type(cores) not in (int, float) or not 0 <= cores <= ranges.MAX_CORES:
         raise checks.MalformedField('cores out of range')
     return fleet.Vm(
         checks.text(name),
--- a/packages/wire/bulrushcourse_wire/pressure_counts.py
+++ b/packages/wire/bulrushcourse_wire/pressure_counts.py
@@ -1,17 +1,18 @@
 """Encoding of the requests that found no room, in the reports between VMs."""
 
+import heapq
 import typing
 
+from bulrushcourse_domain import ranges
 from bulrushcourse_domain.waiting import pressure as pressures
 from bulrushcourse_wire import fields as checks
 
 # Counts are encoded as whole tenths.
 SCALE = 10
 MAX_SOURCES = 10_000
-MAX_SERVICES = 1_000
-# More priorities than any configuration has.
+MAX_SERVICES = 10_000
+# Priorities of a service in a report, those with the most requests.
 MAX_PRIORITIES = 100
-_MAX_PRIORITY = 1_000_000
 _MAX_COUNT = (1 << 31) - 1
 
 
@@ -45,7 +46,10 @@
     by_priority: typing.Mapping[int, tuple[float, float]],
 ) -> list[int]:
     flat = []
-    for priority, (arrived, without_room) in by_priority.items():
+    largest = heapq.nlargest(
+        MAX_PRIORITIES, by_priority.items(), key=lambda item: item[1]
+    )
+    for priority, (arrived, without_room) in largest:
         if round(arrived * SCALE):
             flat += [
                 priority,
@@ -82,7 +86,7 @@
     if len(values) % 3:
         raise checks.MalformedField('incomplete counts')
     return {
-        checks.integer(priority, _MAX_PRIORITY): (
+        checks.integer(priority, ranges.MAX_PRIORITY): (
             checks.integer(arrived, _MAX_COUNT) / SCALE,
             checks.integer(without_room, _MAX_COUNT) / SCALE,
         )
--- a/packages/wire/bulrushcourse_wire/quota_messages.py
+++ b/packages/wire/bulrushcourse_wire/quota_messages.py
@@ -16,7 +16,6 @@
 # Lists of a message: itself, two in it, and one for each account.
 MAX_LISTS = 3 + MAX_ACCOUNTS + MAX_RETURNS
 MAX_MESSAGE_BYTES = 4 << 20
-MAX_NAME_CHARACTERS = 1 << 16
 _MAX_MS = 60_000
 
 
@@ -125,7 +124,7 @@
         return Ask(
             tuple(
                 Wanted(
-                    _name(account),
+                    checks.text(account),
                     checks.integer(needed, MAX_TOKENS),
                     checks.integer(extra, MAX_TOKENS),
                 )
@@ -135,7 +134,7 @@
             ),
             tuple(
                 Returned(
-                    _name(account),
+                    checks.text(account),
                     checks.integer(slot),
                     checks.integer(count, MAX_TOKENS),
                 )
@@ -160,7 +159,7 @@
     try:
         return tuple(
             Granted(
-                _name(account),
+                checks.text(account),
                 None if count is None else checks.integer(count, MAX_TOKENS),
                 checks.integer(slot),
                 checks.integer(lifetime_ms, _MAX_MS),
@@ -178,10 +177,3 @@
 def _unpack(content: bytes) -> typing.Any:
     count = checks.ContainerCount(MAX_LISTS)
     return msgpack.unpackb(content, list_hook=count.add, object_hook=count.add)
-
-
-def _name(value: typing.Any) -> str:
-    """Return the name of an account, which the platform chooses."""
-    if type(value) is not str or len(value) > MAX_NAME_CHARACTERS:
-        raise checks.MalformedField(f'{value!r:.50} is not a name')
-    return value
