Keep a malformed part of a configuration from voiding the rest

One field that a VM could not read, a time-out without a unit for instance, kept the whole version and all later ones with it out of force.

Cause: a configuration was decoded in one piece, unlike accounts and the rows of upstreams.

Change: each route, service and limit is decoded alone, and its defects are findings of the version. Requests of a malformed route get 503, neither 404 nor the service of a shorter prefix; numbers above the largest usable ones count as those. A split without any weight is a defect: it failed each request with 502.

--- a/packages/domain/bulrushcourse_domain/routes/route.py
+++ b/packages/domain/bulrushcourse_domain/routes/route.py
@@ -4,10 +4,12 @@
 
 import attrs
 
+from bulrushcourse_domain import findings as finding_lists
 from bulrushcourse_domain.accounts import account_table
 
 DEFAULT_TIMEOUT_S = 30.0
 DEFAULT_OBJECTIVE_S = 1.0
+DEFAULT_HEALTH_PATH = '/health'
 # Named as the home where two sets of home regions have none in common, so that
 # no upstream may run the request.
 NO_COMMON_HOME = ''
@@ -45,6 +47,8 @@
         affinity: Whether an upstream is faster with an object that it handled
             recently.
         public: Whether requests need no key of a client account.
+        is_defective: Whether only its host and prefix are known, so that its
+            requests cannot be sent.
     """
 
     host: str
@@ -59,6 +63,7 @@
     home_regions: frozenset[str] = frozenset()
     affinity: bool = False
     public: bool = False
+    is_defective: bool = False
 
     @property
     def key(self) -> str:
@@ -120,7 +125,7 @@
     """
 
     name: str
-    health_path: str = '/health'
+    health_path: str = DEFAULT_HEALTH_PATH
     max_connections: int = 100
     warmup_s: float = 0.0
     warmup_per_s: float = 10.0
@@ -153,6 +158,7 @@
         services: Services by name.
         limits: Limits on the requests of clients.
         accounts: Client accounts.
+        findings: Defects of its parts, except for those of the accounts.
     """
 
     version: int
@@ -160,3 +166,4 @@
     services: typing.Mapping[str, Service] = attrs.field(factory=dict)
     limits: RequestLimits = RequestLimits()
     accounts: account_table.AccountTable = account_table.AccountTable()
+    findings: tuple[finding_lists.Finding, ...] = ()
--- a/packages/entry/bulrushcourse_entry/edge/callers/target_lookup.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/target_lookup.py
@@ -10,6 +10,9 @@
 from bulrushcourse_entry.edge.callers import configuration_gate
 from bulrushcourse_entry.edge.callers import outcomes
 
+# A defective route stays so until operators publish another configuration.
+DEFECTIVE_ROUTE = outcomes.Refusal('defective-route', 5.0)
+
 
 @attrs.frozen
 class Target:
@@ -73,11 +76,16 @@
             found = self._find(match(), key)
         if isinstance(found, Denial):
             return self.configuration.check_denial() or found
+        if found.route.is_defective:
+            return DEFECTIVE_ROUTE
         return self.configuration.check_homes(found.route) or found
 
     def _find(self, route: routes.Route | None, key: str) -> Target | Denial:
         if route is None:
             return Denial(404, 'no-route')
+        if route.is_defective:
+            # It may be a public one, so that the key decides nothing.
+            return Target(route, account_table.ANONYMOUS)
         identity = self.state.routes.accounts.identify(key, route.public)
         if identity.verdict is account_table.KeyVerdict.UNKNOWN:
             return Denial(401, identity.verdict.value)
--- a/packages/entry/bulrushcourse_entry/edge/reporting/explaining.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/explaining.py
@@ -89,6 +89,8 @@
             return {**explained, 'verdict': 'no-route', 'status': 404}
         account = table.accounts.by_name.get(account_name)
         explained['route'] = route.key
+        if route.is_defective:
+            return {**explained, 'verdict': 'defective-route', 'status': 503}
         if table.accounts.requires_keys and not route.public:
             if account is None:
                 return {**explained, 'verdict': 'unknown-key', 'status': 401}
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/destinations.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/destinations.py
@@ -57,7 +57,12 @@
 
         Args:
             route: The route.
+
+        Returns:
+            Name of the service, empty if the route is defective.
         """
+        if route.is_defective:
+            return ''
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service
         rotation = self.state.service_rotations.setdefault(
--- a/packages/entry/bulrushcourse_entry/platform/account_fields.py
+++ b/packages/entry/bulrushcourse_entry/platform/account_fields.py
@@ -3,12 +3,12 @@
 import typing
 
 from bulrushcourse_domain import findings
+from bulrushcourse_domain import ranges
 from bulrushcourse_domain.accounts import account as accounts
 from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.accounts import keys
 from bulrushcourse_entry.platform import units
 
-MAX_PRIORITY = 1_000_000
 MAX_RATE_PER_S = 1e9
 
 
@@ -65,7 +65,9 @@
         priority=(
             None
             if priority is None
-            else units.integer(priority, 'priority', 0, MAX_PRIORITY)
+            else units.capped_integer(
+                priority, 'priority', ranges.MAX_PRIORITY
+            )
         ),
         home_regions=frozenset(
             units.non_empty_string(region, 'home_regions')
@@ -77,10 +79,8 @@
 
 def _quota(fields: dict[str, typing.Any]) -> accounts.Quota | None:
     """Return the quota; a rate of 0 or none means no limit."""
-    rate = units.number(
-        fields.get('rate_per_s') or 0, 'rate_per_s', 0.0, MAX_RATE_PER_S
-    )
-    burst = units.number(
-        fields.get('burst') or 0, 'burst', 0.0, MAX_RATE_PER_S
+    rate, burst = (
+        units.capped_number(fields.get(name) or 0, name, MAX_RATE_PER_S)
+        for name in ('rate_per_s', 'burst')
     )
     return accounts.Quota(rate, burst) if rate else None
