Deny nothing by a configuration that is known to be outdated

A VM that could not read the stored configuration answered 404 and 401 by the one before it, proved keys that the unreadable one may have withdrawn, and told only by one log line.

Cause: a refused document left the active version to count as the newest one.

Change: the VM remembers that the stored document is unreadable until a readable one comes. Meanwhile it answers 503 in place of 404 and 401, takes no read as a proof of keys and makes no calls for one.

--- a/packages/domain/bulrushcourse_domain/routes/freshness.py
+++ b/packages/domain/bulrushcourse_domain/routes/freshness.py
@@ -58,6 +58,8 @@
             report of a VM whose configuration is not older.
         newest_heard: Newest version that another VM has reported.
         heard_at: Time of the first report of that version.
+        unreadable: Why the configuration that is stored now cannot be read,
+            so that the active one is an earlier one; empty if it can.
 
     Examples:
         >>> clock = clocks.ManualClock(10.0)
@@ -81,6 +83,7 @@
     contact_at: float = -math.inf
     newest_heard: int = 0
     heard_at: float = -math.inf
+    unreadable: str = ''
 
     def observe(self, terms: Terms) -> bool:
         """Record that the process runs.
@@ -118,6 +121,14 @@
         """Record an answer of the store."""
         self.contact_at = self.clock.monotonic()
 
+    def record_stored(self, unreadable: str) -> None:
+        """Record whether the stored configuration can be read.
+
+        Args:
+            unreadable: Why not, empty if it can.
+        """
+        self.unreadable = unreadable
+
     def record_report(self, version: int, active_version: int) -> None:
         """Record a report of another VM.
 
@@ -175,6 +186,7 @@
             not self.is_unconfirmed(terms)
             and not self.is_behind(active_version, terms)
             and self.contact_age_s() <= terms.contact_s
+            and not self.unreadable
         )
 
     def contact_age_s(self) -> float:
--- a/packages/domain/bulrushcourse_domain/routes/table.py
+++ b/packages/domain/bulrushcourse_domain/routes/table.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bulrushcourse_domain import findings as finding_lists
 from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.routes import route as routes
 
@@ -87,6 +88,13 @@
         """Accounts of the active configuration."""
         return self.active.accounts if self.active else NO_ACCOUNTS
 
+    @property
+    def findings(self) -> tuple[finding_lists.Finding, ...]:
+        """Defects of the active configuration and its accounts."""
+        if self.active is None:
+            return ()
+        return self.active.findings + self.active.accounts.findings
+
     def install(self, route_set: routes.RouteSet) -> bool:
         """Activate a configuration if it is newer.
 
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -88,6 +88,7 @@
     store.readings.subscribe(lambda _: state.freshness.record_contact())
     keys = proven_keys.ProvenKeys(state)
     _add_gauges(metrics, store, keys)
+    _add_configuration_gauges(metrics, state)
     metrics.add_gauge(
         'bulrushcourse_nameless_upstreams',
         'Upstreams whose last health response named no upstream',
@@ -149,6 +150,26 @@
     return client
 
 
+def _add_configuration_gauges(
+    metrics: edge_metrics.Metrics, state: process_state.ProcessState
+) -> None:
+    metrics.add_gauge(
+        'bulrushcourse_configuration_version',
+        'Version of the active configuration',
+        lambda: float(state.routes.version),
+    )
+    metrics.add_gauge(
+        'bulrushcourse_configuration_unreadable',
+        'Whether the stored configuration cannot be read',
+        lambda: float(bool(state.freshness.unreadable)),
+    )
+    metrics.add_gauge(
+        'bulrushcourse_configuration_findings',
+        'Malformed parts of the active configuration',
+        lambda: float(len(state.routes.findings)),
+    )
+
+
 def _add_gauges(
     metrics: edge_metrics.Metrics,
     store: rows.RowStore,
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -14,6 +14,7 @@
 # Requests that lost upstreams, and upstreams for each of them, in a dump.
 MAX_REQUESTS = 100
 MAX_UPSTREAMS = 20
+MAX_DUMPED_FINDINGS = 100
 
 # Objects with the most work that are listed for each route.
 MAX_DUMPED_KEYS = 5
@@ -118,6 +119,13 @@
         'contact_age_s': _age(now, freshness.contact_at),
         'newest_reported': freshness.newest_heard,
         'unconfirmed': state.configuration_unconfirmed,
+        'unreadable': freshness.unreadable,
+        'findings': [
+            str(finding)
+            for finding in itertools.islice(
+                state.routes.findings, MAX_DUMPED_FINDINGS
+            )
+        ],
     }
 
 
--- a/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
@@ -178,7 +178,7 @@
         state = self.state
         if state.configuration_unconfirmed:
             return 0.0
-        if not state.keys_must_be_current:
+        if not self._can_prove_keys():
             return math.inf
         return self.proving.longest_wait_s(
             state.routes.version,
@@ -186,10 +186,20 @@
             state.is_designated_reader,
         )
 
+    def _can_prove_keys(self) -> bool:
+        """Return whether a read would prove that keys hold, where they must.
+
+        No read does while the stored configuration cannot be read.
+        """
+        return (
+            self.state.keys_must_be_current
+            and not self.state.freshness.unreadable
+        )
+
     def prove_if_due(self) -> None:
         """End a long call if the proof that keys hold has become old."""
         state = self.state
-        if self.poll_limit is None or not state.keys_must_be_current:
+        if self.poll_limit is None or not self._can_prove_keys():
             return
         bound_s = state.settings.bounds.revoke_s
         if self.poll.wait_s > bound_s * proof_reads.UNAIDED_WAIT_SHARE and (
@@ -198,12 +208,13 @@
             self.poll_limit.reschedule(asyncio.get_running_loop().time())
 
     def _record_proof(self, batch: rows.RowBatch) -> None:
-        # A configuration that is refused leaves the last one in force, so that
-        # the active one counts as the newest.
-        if batch.is_complete:
-            self.state.confirm_configuration(
-                batch.started, freshness.Source.STORE
-            )
+        if not batch.is_complete:
+            return
+        # A configuration that cannot be read leaves the last one in force, and
+        # another call would not change that.
+        self.state.confirm_configuration(batch.started, freshness.Source.STORE)
+        if not self.state.freshness.unreadable:
+            # The unreadable one may have withdrawn any key.
             self.state.key_permission.record_read(
                 self.state.routes.version, batch.started, batch.store_s
             )
@@ -225,7 +236,9 @@
         for row in batch.rows:
             domain = operator_rows.evacuated_domain(row.key)
             if row.key == operator_rows.CONFIGURATION_KEY and row.value:
-                apply_configuration(self.state, self.event_log, row.value)
+                self.state.freshness.record_stored(
+                    apply_configuration(self.state, self.event_log, row.value)
+                )
             elif domain and row.value is None:
                 self.evacuations.pop(domain, None)
             elif domain:
@@ -242,13 +255,16 @@
     state: process_state.ProcessState,
     event_log: event_logs.EventLog,
     value: bytes,
-) -> None:
-    """Install a configuration if it is valid and newer than the active one.
+) -> str:
+    """Install a configuration if it is readable and newer than the active one.
 
     Args:
         state: The process state.
         event_log: Log.
         value: Content from the store or from another VM.
+
+    Returns:
+        Why it cannot be read, empty if it can.
     """
     try:
         route_set = operator_rows.decode_configuration(value)
@@ -256,7 +272,7 @@
         event_log.log_change(
             events.Event.CONFIGURATION_REFUSED, reason=str(error)
         )
-        return
+        return str(error)
     if state.routes.install(route_set):
         state.configuration_since = state.clock.monotonic()
         state.discard_removed_routes()
@@ -269,6 +285,7 @@
         )
         state.configuration_updates.on_next(None)
         _log_findings(state, event_log, route_set)
+    return ''
 
 
 def _log_findings(
@@ -276,8 +293,8 @@
     event_log: event_logs.EventLog,
     route_set: routes.RouteSet,
 ) -> None:
-    """Log the defects of the accounts of a configuration, if any."""
-    found = finding_lists.sort_findings(
+    """Log the defects of a configuration, if any."""
+    accounts = finding_lists.sort_findings(
         (
             *route_set.accounts.findings,
             *account_table.check_regions(
@@ -285,13 +302,17 @@
             ),
         )
     )
-    if found:
-        event_log.log_change(
-            events.Event.ACCOUNTS_DEFECTIVE,
-            version=route_set.version,
-            count=len(found),
-            findings=[str(f) for f in found[:MAX_LOGGED_FINDINGS]],
-        )
+    for event, found in (
+        (events.Event.CONFIGURATION_DEFECTIVE, route_set.findings),
+        (events.Event.ACCOUNTS_DEFECTIVE, accounts),
+    ):
+        if found:
+            event_log.log_change(
+                event,
+                version=route_set.version,
+                count=len(found),
+                findings=[str(f) for f in found[:MAX_LOGGED_FINDINGS]],
+            )
 
 
 def apply_evacuations(
--- a/packages/entry/bulrushcourse_entry/edge/store/tests/test_operator_reader.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/tests/test_operator_reader.py
@@ -1,6 +1,7 @@
-"""The configuration comes from other VMs where the store does not answer."""
+"""How a VM follows the configuration, and what it knows without one."""
 
 import asyncio
+import json
 import random
 import types
 
@@ -8,11 +9,16 @@
 import pytest
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.accounts import account
+from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.routes import freshness
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge import settings as edge_settings
+from bulrushcourse_entry.edge.reporting import event_log as event_logs
+from bulrushcourse_entry.edge.reporting import state_dump
 from bulrushcourse_entry.edge.store import operator_reader
+from bulrushcourse_entry.platform import operator_rows
 from bulrushcourse_entry.platform import rows
 
 
@@ -65,3 +71,83 @@
         state.freshness.confirm(100.0, freshness.Source.STORE)
     state.freshness.record_report(reported, 1)
     assert asyncio.run(run_for_a_moment(state)) == asked
+
+
+@attrs.define
+class Answering:
+    """A store with one configuration that counts the calls it gets.
+
+    Attributes:
+        value: Content of the configuration.
+        clock: Source of time.
+        waits_s: Longest time that each call for changes may wait.
+    """
+
+    value: bytes
+    clock: clocks.Clock
+    waits_s: list[float] = attrs.field(factory=list)
+
+    async def read(self, _):
+        row = rows.StoredRow(operator_rows.CONFIGURATION_KEY, self.value, 5)
+        return self.batch((row,))
+
+    async def changes(self, _, after, wait_s):
+        self.waits_s.append(wait_s)
+        await asyncio.sleep(3600.0 if wait_s else 0.01)
+        return self.batch(())
+
+    def batch(self, listed):
+        now = self.clock.monotonic()
+        return rows.RowBatch(5, listed, now, now)
+
+
+def read_configuration(value):
+    state = make_state()
+    state.settings = attrs.evolve(
+        state.settings,
+        bounds=attrs.evolve(state.settings.bounds, strict_revoke=True),
+    )
+    accounts = account_table.build_table([account.ClientAccount('a')])
+    state.routes.install(routes.RouteSet(2, accounts=accounts))
+    store = Answering(value, state.clock)
+    event_log = event_logs.EventLog(state.clock)
+    reachability = types.SimpleNamespace(record_call=lambda *_: None)
+    reader = operator_reader.OperatorReader(
+        store, state, event_log, reachability, Unreachable()
+    )
+
+    async def run():
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.2)
+        task.cancel()
+
+    asyncio.run(run())
+    return state, store
+
+
+def test_unreadable_configuration_denies_nothing_and_proves_no_key():
+    # Guards against 404 and 401 by a configuration that is known to be an
+    # earlier one, against keys that the unreadable one may have withdrawn,
+    # and against calls to the store without end for a proof.
+    state, store = read_configuration(b'{"version": 9, "listeners": 7}')
+    assert state.freshness.unreadable
+    assert (state.routes.version, state.may_deny) == (2, False)
+    assert not state.key_permission.may_serve(2, 5.0)
+    assert len(store.waits_s) == 1
+    evidence = state_dump.dump(state)['configuration_evidence']
+    assert 'listeners' in evidence['unreadable']
+
+
+def test_readable_configuration_denies_and_proves_again():
+    # Guards against a VM that stays in doubt after the operator's correction.
+    content = {
+        'version': 9,
+        'listeners': [{'host': 'h', 'rules': [{}]}],
+        'clusters': [],
+    }
+    state, _ = read_configuration(json.dumps(content).encode())
+    assert not state.freshness.unreadable
+    assert (state.routes.version, state.may_deny) == (9, True)
+    assert state.key_permission.may_serve(9, 5.0)
+    evidence = state_dump.dump(state)['configuration_evidence']
+    assert evidence['findings'][0].startswith('listeners[0].rules[0]: ')
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -100,6 +100,11 @@
         'warning',
         'configuration could not be confirmed in time and is used',
     )
+    CONFIGURATION_DEFECTIVE = (
+        5012,
+        'error',
+        'parts of the active configuration are malformed',
+    )
     PUBLISHED = (5003, 'info', 'operator published a configuration')
     PUBLISH_REFUSED = (5004, 'info', 'publish was refused')
     UPSTREAM_FAILED = (6001, 'warning', 'upstream request failed')
