Reserve room at an upstream when it is chosen

Cause: the rate of a cold upstream, the requests in flight, the connections and the probe of an ejected upstream were asked for at the choice and charged when the task of the attempt first ran, in a later pass of the event loop. All requests that were decided on in one pass saw the state before the first.

Change: admission returns a reservation, which charges all four where the decision falls. The attempt ends it; each way out before the attempt cancels it. The waiting room no longer needs to let a pass go by between two offers, but its pause stays.

The tests of test_waiting_admission that expected a choice expect the reservation of one; they check as much as before.

--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_warmup.py
@@ -35,7 +35,7 @@
     while clock.monotonic() < 3.0:
         for limiter in limiters:
             if limiter.may_send('u', PER_S):
-                limiter.record_sent('u')
+                limiter.record_chosen('u')
                 sent.append(clock.monotonic())
         clock.advance(step)
     assert 1 <= busiest_second(sent) <= PER_S * EXCESS + MARGIN
--- a/packages/domain/bulrushcourse_domain/upstreams/warmup.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/warmup.py
@@ -42,7 +42,7 @@
         vm: Name of this VM.
         excess: Tolerated factor on an upstream's rate.
         margin: Requests in one second that are tolerated in addition.
-        sent_at: Time of the last request, by upstream.
+        chosen_at: Time of the last choice, by upstream.
         members: Names of the VMs that are considered alive.
         senders: VMs that may send to each upstream, cached until the members
             change.
@@ -52,7 +52,7 @@
     vm: str
     excess: float = 1.0
     margin: float = 0.0
-    sent_at: dict[str, float] = attrs.field(factory=dict)
+    chosen_at: dict[str, float] = attrs.field(factory=dict)
     members: frozenset[str] = frozenset()
     senders: dict[str, frozenset[str]] = attrs.field(factory=dict)
 
@@ -77,16 +77,16 @@
         if self.vm not in self._senders(upstream):
             return False
         interval_s = min_interval_s(per_s, self.excess, self.margin)
-        last_sent = self.sent_at.get(upstream, float('-inf'))
-        return self.clock.monotonic() - last_sent >= interval_s
+        last = self.chosen_at.get(upstream, float('-inf'))
+        return self.clock.monotonic() - last >= interval_s
 
-    def record_sent(self, upstream: str) -> None:
-        """Count a request to a cold upstream.
+    def record_chosen(self, upstream: str) -> None:
+        """Count a request for which a cold upstream was chosen.
 
         Args:
             upstream: Name of the upstream.
         """
-        self.sent_at[upstream] = self.clock.monotonic()
+        self.chosen_at[upstream] = self.clock.monotonic()
 
     def _senders(self, upstream: str) -> frozenset[str]:
         if upstream not in self.senders:
--- a/packages/entry/bulrushcourse_entry/edge/callers/admission_control.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/admission_control.py
@@ -6,6 +6,7 @@
 
 from bulrushcourse_domain.placement import admission
 from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.placement import reservation
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.callers import caller_request
 from bulrushcourse_entry.edge.callers import outcomes
@@ -16,8 +17,8 @@
 
     async def choose_first(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
-        """Return the upstream of a request's first attempt, or its outcome.
+    ) -> reservation.Reservation | outcomes.Outcome:
+        """Reserve the first attempt of a request, or return its outcome.
 
         The request may wait meanwhile.
 
@@ -28,8 +29,8 @@
 
     def choose_again(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
-        """Return the upstream of a retry or hedge, or the outcome.
+    ) -> reservation.Reservation | outcomes.Outcome:
+        """Reserve a retry or hedge, or return the outcome.
 
         Args:
             request: The request.
@@ -60,8 +61,8 @@
 
     async def choose_first(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
-        """Return the upstream of a request's first attempt, or its outcome.
+    ) -> reservation.Reservation | outcomes.Outcome:
+        """Reserve the first attempt of a request, or return its outcome.
 
         Args:
             request: The request.
@@ -70,8 +71,8 @@
 
     def choose_again(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
-        """Return the upstream of a retry or hedge, or the outcome.
+    ) -> reservation.Reservation | outcomes.Outcome:
+        """Reserve a retry or hedge, or return the outcome.
 
         Args:
             request: The request.
@@ -91,8 +92,8 @@
             now - request.arrived,
             request.deadline - now,
         )
-        if verdict is admission.Verdict.SEND:
-            return choice
+        if choice is not None and verdict is admission.Verdict.SEND:
+            return self.state.reservations.reserve(choice)
         request.steps.append(outcomes.describe_refusal(choice, verdict.value))
         if request.may_have_run:
             return outcomes.Lost(verdict.value, False)
--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.placement import reservation
 from bulrushcourse_domain.upstreams import outlier_detection
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import process_state
@@ -42,24 +43,29 @@
     async def run(
         self,
         request: caller_request.CallerRequest,
-        choice: placement.Choice,
+        reserved: reservation.Reservation,
     ) -> Attempt:
         """Send a request to an upstream and return the result.
 
         Args:
             request: The request.
-            choice: The upstream with its estimates.
+            reserved: The room at the upstream, which is returned at the end.
         """
+        with reserved:
+            return await self._run(request, reserved)
+
+    async def _run(
+        self,
+        request: caller_request.CallerRequest,
+        reserved: reservation.Reservation,
+    ) -> Attempt:
         state = self.state
+        choice = reserved.choice
         upstream = choice.upstream
         started = state.clock.monotonic()
         remaining_s = request.deadline - started
         request.attempts += 1
         request.tried.add(upstream.name)
-        state.load.begin_request(upstream.name)
-        state.outliers.begin_request(upstream.name)
-        if choice.cold:
-            state.warmup_limiter.record_sent(upstream.name)
         if not request.is_counted:
             request.is_counted = True
             state.retry_budget(request.service).record_request(
@@ -80,11 +86,10 @@
         try:
             attempt = await self.client.send(record.trace, outbound)
         finally:
-            state.load.end_request(upstream.name)
+            reserved.end()
             elapsed_s = state.clock.monotonic() - started
             elapsed_s -= record.trace.proof_s
             self._record_duration(request, choice, attempt, elapsed_s)
-            state.room_changes.on_next(None)
             if attempt is None:
                 state.outliers.abandon_request(upstream.name)
         self._record_outcome(record, attempt)
--- a/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/request_executor.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.placement import reservation
 from bulrushcourse_domain.placement import service_times
 from bulrushcourse_domain.quarantine import probes
 from bulrushcourse_entry.edge import process_state
@@ -87,12 +88,13 @@
     ) -> outcomes.Outcome:
         # A request that waits for room has not been sent, so that it ends
         # with its caller in any case.
-        choice = await self._choose_first(request)
-        if not isinstance(choice, placement.Choice):
-            return choice
+        reserved = await self._choose_first(request)
+        if not isinstance(reserved, reservation.Reservation):
+            return reserved
         if request.route.idempotent:
-            return await self._execute_idempotent(request, choice)
-        task = asyncio.create_task(self._execute_once(request, choice))
+            return await self._execute_idempotent(request, reserved)
+        task = asyncio.create_task(self._execute_once(request, reserved))
+        _cancel_with(task, reserved)
         self.running.add(task)
         task.add_done_callback(self.running.discard)
         try:
@@ -106,12 +108,12 @@
     async def _execute_once(
         self,
         request: caller_request.CallerRequest,
-        choice: placement.Choice | outcomes.Outcome,
+        reserved: reservation.Reservation | outcomes.Outcome,
     ) -> outcomes.Outcome:
         while True:
-            if not isinstance(choice, placement.Choice):
-                return choice
-            attempt = await self.attempts.run(request, choice)
+            if not isinstance(reserved, reservation.Reservation):
+                return reserved
+            attempt = await self.attempts.run(request, reserved)
             if isinstance(attempt, result.Success):
                 return attempt.unwrap()
             failure = attempt.failure()
@@ -121,15 +123,15 @@
                 )
             if not self._may_retry(request, failure):
                 return self.admission.refuse(request, failure.value)
-            choice = self._choose_again(request)
+            reserved = self._choose_again(request)
 
     async def _execute_idempotent(
         self,
         request: caller_request.CallerRequest,
-        choice: placement.Choice,
+        reserved: reservation.Reservation,
     ) -> outcomes.Outcome:
-        pending = {self._start(request, choice)}
-        hedge_at = self._hedge_at(request, choice)
+        pending = {self._start(request, reserved)}
+        hedge_at = self._hedge_at(request, reserved.choice)
         fallback: outcomes.Outcome | None = None
         try:
             while pending:
@@ -154,7 +156,7 @@
                 ):
                     continue
                 again = self._choose_again(request)
-                if isinstance(again, placement.Choice):
+                if isinstance(again, reservation.Reservation):
                     pending.add(self._start(request, again))
                 elif fallback is None and not pending:
                     fallback = again
@@ -165,17 +167,23 @@
 
     async def _choose_first(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
+    ) -> reservation.Reservation | outcomes.Outcome:
         while True:
             # The body may have taken long.
             remaining_s = request.deadline - self.state.clock.monotonic()
             await self.configuration.wait_for_confirmation(remaining_s)
             self.configuration.rebind(request)
-            choice = await self.admission.choose_first(request)
-            if not isinstance(choice, placement.Choice):
-                return choice
-            if not self.configuration.rebind(request):
-                return self._recheck(request) or choice
+            reserved = await self.admission.choose_first(request)
+            if not isinstance(reserved, reservation.Reservation):
+                return reserved
+            if self.configuration.rebind(request):
+                reserved.cancel()
+                continue
+            outdated = self._recheck(request)
+            if outdated is None:
+                return reserved
+            reserved.cancel()
+            return outdated
 
     def _recheck(
         self, request: caller_request.CallerRequest
@@ -187,12 +195,15 @@
 
     def _choose_again(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
+    ) -> reservation.Reservation | outcomes.Outcome:
         self.configuration.rebind(request)
-        choice = self.admission.choose_again(request)
+        reserved = self.admission.choose_again(request)
         outdated = self._recheck(request)
-        if outdated is None or not isinstance(choice, placement.Choice):
-            return choice
+        if outdated is None or not isinstance(
+            reserved, reservation.Reservation
+        ):
+            return reserved
+        reserved.cancel()
         if request.may_have_run:
             return outcomes.Lost(outdated.reason, False)
         return outdated
@@ -200,9 +211,11 @@
     def _start(
         self,
         request: caller_request.CallerRequest,
-        choice: placement.Choice,
+        reserved: reservation.Reservation,
     ) -> asyncio.Task[attempts.Attempt]:
-        return asyncio.create_task(self.attempts.run(request, choice))
+        task = asyncio.create_task(self.attempts.run(request, reserved))
+        _cancel_with(task, reserved)
+        return task
 
     def _hedge_at(
         self,
@@ -256,3 +269,10 @@
         now = self.state.clock.monotonic()
         budget = self.state.retry_budget(request.service)
         return budget.try_spend(now, self.state.fleet.sharing_vm_count())
+
+
+def _cancel_with(
+    task: asyncio.Task[typing.Any], reserved: reservation.Reservation
+) -> None:
+    """Return the room of an attempt whose task may end before it begins."""
+    task.add_done_callback(lambda _: reserved.cancel())
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -19,6 +19,7 @@
 from bulrushcourse_domain.placement import demand
 from bulrushcourse_domain.placement import placement
 from bulrushcourse_domain.placement import region_mix
+from bulrushcourse_domain.placement import reservation
 from bulrushcourse_domain.placement import service_times
 from bulrushcourse_domain.quarantine import crashes
 from bulrushcourse_domain.quotas import holdings
@@ -82,6 +83,7 @@
         demand: Arriving work by region and service.
         crash_ledger: Requests that crash upstreams.
         placement: Choice of an upstream.
+        reservations: Room of the attempts at upstreams.
         retry_after: Source of Retry-After delays.
         token_ledger: Tokens of the accounts that this VM grants.
         holdings: Tokens of the accounts that this VM uses.
@@ -199,6 +201,16 @@
     configuration_updates: reactivex.Subject[None] = attrs.field(
         factory=reactivex.Subject
     )
+    reservations: reservation.Reservations = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Let reservations change the same load that decisions see."""
+        self.reservations = reservation.Reservations(
+            self.load,
+            self.outliers,
+            self.warmup_limiter,
+            lambda: self.room_changes.on_next(None),
+        )
 
     def observe_running(self) -> None:
         """Record that the process runs, before decisions and periodically.
--- a/packages/entry/bulrushcourse_entry/edge/waiting/tests/test_waiting_admission.py
+++ b/packages/entry/bulrushcourse_entry/edge/waiting/tests/test_waiting_admission.py
@@ -10,7 +10,7 @@
 from bulrushcourse_domain.accounts import account as accounts
 from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.fleet import planned_stop
-from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.placement import reservation
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_domain.waiting import waiting_room
@@ -130,7 +130,7 @@
         admission._offer_room()
         await settle()
         assert [task.done() for task in tasks] == [False, False, True]
-        assert isinstance(tasks[2].result(), placement.Choice)
+        assert isinstance(tasks[2].result(), reservation.Reservation)
         await offer(admission)
         assert all(task.done() for task in tasks)
         assert admission.state.waiting_room.count == 0
@@ -145,7 +145,7 @@
         (task,) = await start(admission, URGENT)
         set_load(admission, 1)
         admission.state.room_changes.on_next(None)
-        assert isinstance(await task, placement.Choice)
+        assert isinstance(await task, reservation.Reservation)
 
     run(scenario())
 
--- a/packages/entry/bulrushcourse_entry/edge/waiting/waiting_admission.py
+++ b/packages/entry/bulrushcourse_entry/edge/waiting/waiting_admission.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bulrushcourse_domain.placement import placement
+from bulrushcourse_domain.placement import reservation
 from bulrushcourse_domain.waiting import decision
 from bulrushcourse_domain.waiting import drain_rate
 from bulrushcourse_domain.waiting import waiting_room
@@ -18,9 +19,8 @@
 Action = decision.Action
 End = waiting_room.End
 
-# Time after an offer of room. The request that was sent must be counted before
-# the next one is decided on, and without room another offer this soon would
-# find none.
+# Time after an offer of room. Without room another offer this soon would find
+# none.
 OFFER_PAUSE_S = 0.005
 # Largest number of entries of a pool that are tried at one offer: the upstream
 # that has the object of the first one in memory may still be full.
@@ -38,15 +38,24 @@
     Attributes:
         request: The request.
         entry: Its entry in the waiting room.
-        result: Set to the choice or the refusal.
+        result: Set to the reserved attempt or the refusal.
         timer: Ends the wait.
     """
 
     request: caller_request.CallerRequest
     entry: waiting_room.Entry
-    result: asyncio.Future[placement.Choice | outcomes.Outcome]
+    result: asyncio.Future[reservation.Reservation | outcomes.Outcome]
     timer: asyncio.TimerHandle | None = None
 
+    def forgo(self) -> None:
+        """Return room that was reserved for a request whose caller left."""
+        if not self.result.done() or self.result.cancelled():
+            return
+        if self.result.exception() is None:
+            reserved = self.result.result()
+            if isinstance(reserved, reservation.Reservation):
+                reserved.cancel()
+
 
 @attrs.define(eq=False)
 class WaitingRoomAdmission:
@@ -86,8 +95,8 @@
 
     async def choose_first(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
-        """Return the upstream of a request's first attempt, or its outcome.
+    ) -> reservation.Reservation | outcomes.Outcome:
+        """Reserve the first attempt of a request, or return its outcome.
 
         Args:
             request: The request.
@@ -100,7 +109,7 @@
             self.state.pressure.record(
                 request.service,
                 request.priority,
-                isinstance(result, placement.Choice),
+                isinstance(result, reservation.Reservation),
             )
             self._report_room(request)
         return result
@@ -121,8 +130,8 @@
 
     def choose_again(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
-        """Return the upstream of a retry or hedge, or the outcome.
+    ) -> reservation.Reservation | outcomes.Outcome:
+        """Reserve a retry or hedge, or return the outcome.
 
         Args:
             request: The request.
@@ -154,13 +163,13 @@
 
     async def _choose_or_wait(
         self, request: caller_request.CallerRequest
-    ) -> placement.Choice | outcomes.Outcome:
+    ) -> reservation.Reservation | outcomes.Outcome:
         if not self.state.may_begin(request.deadline):
             request.steps.append(outcomes.STOPPING.reason)
             return outcomes.STOPPING
         action, choice, demand = self.decisions.decide(request)
-        if action is Action.SEND:
-            return typing.cast(placement.Choice, choice)
+        if action is Action.SEND and choice is not None:
+            return self.state.reservations.reserve(choice)
         if action is not Action.WAIT or choice is None:
             return self._refuse(request, choice, action.value)
         waiter = self._enter(request, choice, demand)
@@ -168,6 +177,9 @@
             return self._refuse(request, choice, End.NO_ROOM.value)
         try:
             return await waiter.result
+        except asyncio.CancelledError:
+            waiter.forgo()
+            raise
         finally:
             if not waiter.result.done() or waiter.result.cancelled():
                 self._record_end(
@@ -231,7 +243,7 @@
     def _finish(
         self,
         waiter: Waiter,
-        result: placement.Choice | outcomes.Outcome,
+        result: reservation.Reservation | outcomes.Outcome,
         end: End,
     ) -> None:
         waiter.result.set_result(result)
@@ -310,5 +322,6 @@
             return False
         self.decisions.shares.advance(waiter.entry.tag)
         self.drain_rates.record(waiter.entry.pool)
-        self._finish(waiter, choice, End.SENT)
+        reserved = self.state.reservations.reserve(choice)
+        self._finish(waiter, reserved, End.SENT)
         return True
