Fail responses that end before the upstream has the request

Cause: where the last write fails, aiohttp closes the connection itself and forgets the body in progress, so that the reset finds no body to fail and the parser ends it. And the orderly end of a connection ended the response though the upstream lacked a part of the request; its reset comes after that.

Change: the connection keeps the body of the final response and fails it when it is closed or aborted on this side, and at the end of the connection if the request is not written, or not confirmed by the upstream's system.

--- a/packages/entry/bulrushcourse_entry/upstreams/bounded_responses.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/bounded_responses.py
@@ -9,6 +9,8 @@
 import aiohttp.client_proto
 from aiohttp import http_exceptions
 
+from bulrushcourse_entry import sockets
+
 # The kernel closes a connection whose data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 3000
 # Maximum size of a status line with all header fields.
@@ -52,11 +54,11 @@
 class BoundedResponseHandler(aiohttp.client_proto.ResponseHandler):
     """Connection that bounds responses and detects truncated ones.
 
-    It distinguishes a reset from the end of a response, which matters for
-    responses whose body ends with the connection. A faulty upstream may send
-    bytes without end, as a head, a body or on an idle connection; such a
-    connection is closed. Of several responses to one request, only the first
-    final one is kept.
+    It distinguishes the end of a response from a reset and from a close before
+    the upstream had the whole request, which matters for responses whose body
+    ends with the connection. A faulty upstream may send bytes without end, as
+    a head, a body or on an idle connection; such a connection is closed. Of
+    several responses to one request, only the first final one is kept.
 
     Attributes:
         is_idle: Whether no request is waiting for a response.
@@ -66,6 +68,8 @@
         head_bytes: Bytes of the head as far as it was received.
         has_final: Whether the head of the final response was received.
         memory: Memory of the response, ``None`` if it is not counted.
+        request: The request, ``None`` before the first one.
+        body: Body of the final response, ``None`` before its head.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -76,6 +80,8 @@
         self.head_bytes = 0
         self.has_final = False
         self.memory: weakref.ref[ResponseMemory] | None = None
+        self.request: weakref.ref[aiohttp.ClientRequest] | None = None
+        self.body: aiohttp.StreamReader | None = None
 
     def set_response_params(self, **options: typing.Any) -> None:
         """Start to receive the response to a new request.
@@ -87,6 +93,7 @@
         self.head_bytes = 0
         self.has_final = False
         self.memory = None
+        self.body = None
         super().set_response_params(**options)
 
     def count_memory(self, memory: ResponseMemory) -> None:
@@ -134,13 +141,14 @@
             data: The head and the body.
             size: Not used.
         """
-        head, _ = data
+        head, body = data
         if self.has_final:
             # It belongs to no request.
             self.force_close()
             return
         self.has_final = head.code >= OK or head.code == SWITCHING_PROTOCOLS
         if self.has_final:
+            self.body = body
             self.head_bytes = sum(
                 len(name) + len(value) + FIELD_BYTES
                 for name, value in head.raw_headers
@@ -169,13 +177,9 @@
 
         aiohttp does not, if the end of a chunked body is malformed.
         """
-        payload = self._payload
-        if (
-            payload is not None
-            and not payload.is_eof()
-            and payload.exception() is None
-        ):
-            payload.set_exception(error)
+        body = self.body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(error)
 
     def set_exception(
         self, exc: BaseException, *cause: BaseException | None
@@ -217,9 +221,45 @@
         Args:
             exc: Why the connection was lost, ``None`` if it was closed.
         """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                aiohttp.ClientPayloadError('connection reset')
-            )
+        if exc is not None:
+            self._fail_body(aiohttp.ClientPayloadError('connection reset'))
         super().connection_lost(exc)
+
+    def eof_received(self) -> None:
+        """Fail a response that ends before the upstream has the request.
+
+        A reset follows such an end, too late for the response.
+        """
+        if self._is_sending():
+            self._fail_body(
+                aiohttp.ClientPayloadError('closed before the request ended')
+            )
+        super().eof_received()
+
+    def close(self) -> None:
+        """Close the connection; a response that has not ended fails.
+
+        aiohttp also closes it where a write failed since the upstream has
+        reset it, before it learns of the reset.
+        """
+        self._fail_body(aiohttp.ClientPayloadError('connection closed'))
+        super().close()
+
+    def abort(self) -> None:
+        """Reset the connection; a response that has not ended fails."""
+        self._fail_body(aiohttp.ClientPayloadError('connection aborted'))
+        super().abort()
+
+    def _is_sending(self) -> bool:
+        """Return whether the upstream may lack a part of the request."""
+        request = self.request and self.request()
+        writer = request._writer if request is not None else None
+        if writer is not None and not writer.done():
+            return True
+        transport = self.transport
+        if transport is None:
+            return False
+        if transport.get_write_buffer_size():
+            return True
+        source = transport.get_extra_info('socket')
+        return source is not None and sockets.has_undelivered_bytes(source)
--- a/packages/entry/bulrushcourse_entry/upstreams/sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/sessions.py
@@ -4,6 +4,7 @@
 import collections
 import functools
 import typing
+import weakref
 
 import aiohttp
 
@@ -89,6 +90,7 @@
         connection = await super().connect(req, traces, **options)
         protocol = connection.protocol
         was_idle, protocol.is_idle = protocol.is_idle, False
+        protocol.request = weakref.ref(req)
         if not all(user.may_send() for user in _users(traces)):
             connection.close()
             raise RequestWithdrawnError('the upstream is no longer allowed')
