Treat statuses that HTTP does not have as broken responses

Cause: the parser accepts any three digits, and nothing checked them.

Change: the connection that both programs use fails a response whose status is not in 100 to 599 (RFC 9110, section 15), as one that ended within its head: another upstream, or 502 without a signature where the request may run once.

--- a/packages/entry/bulrushcourse_entry/upstreams/bounded_responses.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/bounded_responses.py
@@ -27,12 +27,18 @@
 FIELD_BYTES = 100
 SWITCHING_PROTOCOLS = 101
 OK = 200
+# All other statuses are invalid (RFC 9110, section 15).
+VALID_STATUSES = range(100, 600)
 
 
 class ResponseTooLarge(aiohttp.ClientPayloadError):
     """An upstream sent more bytes than a response may have."""
 
 
+class InvalidStatus(aiohttp.ClientPayloadError):
+    """An upstream sent a status that HTTP does not have."""
+
+
 class ResponseMemory(typing.Protocol):
     """Memory that one response may take of what all of them share.
 
@@ -146,6 +152,9 @@
             # It belongs to no request.
             self.force_close()
             return
+        if head.code not in VALID_STATUSES:
+            self._fail(InvalidStatus(f'status {head.code:03}'))
+            return
         self.has_final = head.code >= OK or head.code == SWITCHING_PROTOCOLS
         if self.has_final:
             self.body = body
@@ -167,10 +176,11 @@
         needed = self.response_bytes + HEAD_COPIES * self.head_bytes
         return memory.try_grow(max(0, needed - memory.size))
 
-    def _fail(self, error: ResponseTooLarge) -> None:
+    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         self._fail_body(error)
         self.set_exception(error)
-        self.transport.abort()
+        if self.transport is not None:
+            self.transport.abort()
 
     def _fail_body(self, error: aiohttp.ClientPayloadError) -> None:
         """Fail a body that is being received, unless it has failed.
--- a/packages/entry/bulrushcourse_entry/upstreams/tests/test_sessions.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/tests/test_sessions.py
@@ -171,3 +171,12 @@
         await asyncio.sleep(0.01)
 
     asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+@pytest.mark.parametrize('status', ['000', '001', '099', '600', '700', '999'])
+def test_status_that_http_does_not_have_fails(status):
+    # Guards against an upstream in trouble whose status 000 is taken for an
+    # answer.
+    head = HEAD.replace(b'200 OK', status.encode() + b' Odd')
+    with pytest.raises(aiohttp.ClientError):
+        receive(head + LENGTH + b'body')
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_unproven_failures.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_unproven_failures.py
@@ -77,6 +77,21 @@
     run(scenario())
 
 
+@pytest.mark.parametrize('status', (99, 600, 700, 999))
+def test_signed_status_that_http_does_not_have_is_not_passed_on(status):
+    # Guards against callers that get a status that no client understands from
+    # an upstream in trouble.
+    async def scenario():
+        async with clusters.EdgeCluster() as cluster:
+            response = respond(status, True, SIGNED)
+            replies = await ask(cluster, '/order/1', response)
+            assert replies[0].status == 502
+            assert 'X-Server-Signature' not in replies[0].headers
+            assert cluster.run_count(replies[0].request_id) == 1
+
+    run(scenario())
+
+
 @pytest.mark.parametrize('status', (301, 400, 404, 409, 500, 503))
 @pytest.mark.parametrize('path', ('/browse/1', '/order/1'))
 def test_status_of_an_upstream_is_passed_on(status, path):
