Free bodies when their last user has gone

Cause: cycles of references kept each body until the collector of the oldest generation ran, though its bytes had been returned to the budget. Found by running a VM without the collector after requests of each kind and following the references of the bodies that were left: - the trace of an attempt, which its request keeps for the log, referred to the request by the function that asks whether it may still be sent; - the error of a broken response is kept by the response, and its traceback by the error; - a cancelled task keeps its error, whose traceback leads to an asyncio.timeout, which refers to the task. One body was kept without a cycle: aiohttp keeps the last response of a connection until the next one.

Change: an attempt that has ended forgets what it used; both errors lose their traceback where they are handled; a written response loses its body.

--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -89,6 +89,7 @@
             reserved.end()
             elapsed_s = state.clock.monotonic() - started
             elapsed_s -= record.trace.proof_s
+            record.trace.end()
             self._record_duration(request, choice, attempt, elapsed_s)
             if attempt is None:
                 state.outliers.abandon_request(upstream.name)
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -92,9 +92,12 @@
         self.open_requests += 1
         try:
             return await self._serve(request)
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             self.open_requests -= 1
             self._record_cut(request)
+            # The task keeps the error, whose traceback leads back to the task
+            # and keeps the body.
+            error.__traceback__ = None
             raise
         except Exception as error:
             # The request may have run, so that a refusal would be wrong.
@@ -288,6 +291,8 @@
             pass
         finally:
             served.answer.memory.release()
+            # aiohttp keeps the response until the next one on its connection.
+            served.response.body = None
 
     def _remaining_s(self, caller: platform_headers.CallerHeaders) -> float:
         if caller.remaining_s is None:
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
@@ -89,6 +89,16 @@
             return True
         return not self.is_confined
 
+    def end(self) -> None:
+        """Forget what the attempt used, which refers back to its request.
+
+        The request keeps this object for the log, and with it would stay in
+        memory after its end.
+        """
+        self.may_send = always
+        self.connection = None
+        self.memory = None
+
     def record_identified(self) -> None:
         """Record that the upstream certainly sent the response."""
         self.connection.owner = self.upstream.residence
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -170,7 +170,9 @@
         except TimeoutError:
             _close(response)
             return result.Failure(Failure.DEADLINE)
-        except (aiohttp.ClientError, OSError, ValueError):
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # The response keeps the error, whose traceback refers to it.
+            error.__traceback__ = None
             _close(response)
             if response is not None:
                 return result.Failure(Failure.TRUNCATED)
