Count a body as memory until nothing refers to it

Cause: the handler returned the bytes of a body when it ended, though it is not the last user of the body.

Change: the memory of a body belongs to its content and returns to the budget when the content is freed, whoever was its last user; the same for responses. What does not fit meanwhile is refused before its body is read, as before.

--- a/packages/domain/bulrushcourse_domain/resources/memory.py
+++ b/packages/domain/bulrushcourse_domain/resources/memory.py
@@ -117,6 +117,49 @@
         self.used_bytes[use] -= size
 
 
+@attrs.define(eq=False)
+class BodyMemory:
+    """The memory of one body, taken until nothing refers to the body.
+
+    The body refers to this object. Its bytes return to the budget when the
+    last user of the body has gone, whoever that is: the handler, an attempt
+    that goes on after its client has left, or a response that is being
+    written.
+
+    Attributes:
+        budget: Memory of the VM's traffic.
+        use: What the memory is taken for.
+        size: Bytes taken.
+
+    Examples:
+        >>> budget = MemoryBudget(1000)
+        >>> memory = BodyMemory(budget, Use.REQUESTS)
+        >>> memory.try_grow(20), budget.used_bytes[Use.REQUESTS]
+        (True, 20)
+        >>> del memory
+        >>> budget.used_bytes[Use.REQUESTS]
+        0
+    """
+
+    budget: MemoryBudget
+    use: Use
+    size: int = 0
+
+    def try_grow(self, added: int) -> bool:
+        """Take more memory and return whether the budget allowed it.
+
+        Args:
+            added: Bytes to add.
+        """
+        if not self.budget.try_take(self.use, added, self.size):
+            return False
+        self.size += added
+        return True
+
+    def __del__(self) -> None:
+        self.budget.release(self.use, self.size)
+
+
 def traffic_bytes(vm_bytes: int) -> int:
     """Return the memory that traffic may take on a VM.
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/bodies.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bodies.py
@@ -56,54 +56,23 @@
     pause_s: float
 
 
-@attrs.define(eq=False)
-class ResponseMemory:
-    """The memory of one buffered response.
-
-    It is returned to the budget when the response has been passed on, or else
-    when this object is discarded with a response that is not used.
-
-    Attributes:
-        budget: Memory of the VM's traffic.
-        size: Bytes taken.
-    """
-
-    budget: memories.MemoryBudget
-    size: int = 0
-
-    def try_grow(self, added: int) -> bool:
-        """Take more memory and return whether the budget allowed it.
-
-        Args:
-            added: Bytes to add.
-        """
-        if not self.budget.try_take(memories.Use.RESPONSES, added, self.size):
-            return False
-        self.size += added
-        return True
-
-    def release(self) -> None:
-        """Return the memory to the budget."""
-        self.budget.release(memories.Use.RESPONSES, self.size)
-        self.size = 0
-
-    def __del__(self) -> None:
-        self.release()
-
-
 @attrs.define(eq=False)
 class Body:
-    """The body of one request.
+    """Reads the body of one request.
 
     Attributes:
         budget: Memory of the VM's traffic.
-        content: The body as far as it has been read.
-        reserved_bytes: Bytes reserved in the budget.
+        content: The body as far as it has been read, with its memory.
     """
 
     budget: memories.MemoryBudget
-    content: body_content.Content = attrs.field(factory=body_content.Content)
-    reserved_bytes: int = 0
+    content: body_content.Content = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Count the body as memory from its first byte."""
+        self.content = body_content.Content(
+            memory=memories.BodyMemory(self.budget, memories.Use.REQUESTS)
+        )
 
     async def read(self, request: web.BaseRequest, limits: BodyLimits) -> str:
         """Read the body.
@@ -151,27 +120,15 @@
             size = self.content.size + len(chunk)
             if size > limits.size:
                 return TOO_LARGE
-            if not self._reserve(size - self.reserved_bytes):
+            if not self._reserve(size):
                 return NO_MEMORY
             self.content.append(chunk)
             ending.reschedule(min(ends_at, now() + limits.pause_s))
         return ''
 
     def _reserve(self, size: int) -> bool:
-        if size <= 0:
-            return True
-        if not self.budget.try_take(
-            memories.Use.REQUESTS, size, self.reserved_bytes
-        ):
-            return False
-        self.reserved_bytes += size
-        return True
-
-    def release(self) -> None:
-        """Discard the body and return its memory to the budget."""
-        self.budget.release(memories.Use.REQUESTS, self.reserved_bytes)
-        self.reserved_bytes = 0
-        self.content = body_content.Content()
+        memory = self.content.memory
+        return size <= memory.size or memory.try_grow(size - memory.size)
 
 
 async def _confirm(request: web.BaseRequest) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/callers/body_content.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/body_content.py
@@ -4,6 +4,8 @@
 from aiohttp import abc
 from aiohttp import payload
 
+from bulrushcourse_domain.resources import memory as memories
+
 # Parts are joined up to this size, so that a body of many small chunks takes
 # no more memory than its bytes.
 PART_BYTES = 64 << 10
@@ -45,10 +47,12 @@
     Attributes:
         parts: Parts in the order in which they were received.
         size: Total size in bytes.
+        memory: Memory that the parts take, ``None`` if it is not counted.
     """
 
     parts: list[bytes | bytearray] = attrs.field(factory=list)
     size: int = 0
+    memory: memories.BodyMemory | None = None
 
     def __len__(self) -> int:
         return self.size
@@ -77,8 +81,12 @@
             self.parts[-1] += chunk
 
     def payload(self) -> bytes | PartsPayload:
-        """Return what aiohttp sends as the body of a request or response."""
-        if len(self.parts) > 1:
+        """Return what aiohttp sends as the body of a request or response.
+
+        It refers to the content, so that its memory stays counted, unless it
+        is small.
+        """
+        if self.size > PART_BYTES or len(self.parts) > 1:
             return PartsPayload(self)
         return bytes(self.parts[0]) if self.parts else b''
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/handlers.py
@@ -141,8 +141,6 @@
             served: The response.
         """
         self.open_requests -= 1
-        if served.answer is not None:
-            served.answer.memory.release()
 
     def _match(self, request: web.BaseRequest) -> routes.Route | None:
         target = _target(request)
@@ -216,13 +214,9 @@
         parsed: caller_request.CallerRequest,
     ) -> responses.Served:
         """Read the body of an admitted request and execute it."""
-        body = bodies.Body(self.state.memory)
-        try:
-            outcome = await self.unsent.run(
-                parsed, self._read_and_execute(request, body, parsed)
-            )
-        finally:
-            body.release()
+        outcome = await self.unsent.run(
+            parsed, self._read_and_execute(request, parsed)
+        )
         if isinstance(outcome, str):
             self.gate.settle(parsed, None)
             return self._refuse_body(caller, parsed.route, outcome)
@@ -236,10 +230,10 @@
     async def _read_and_execute(
         self,
         request: web.BaseRequest,
-        body: bodies.Body,
         parsed: caller_request.CallerRequest,
     ) -> outcomes.Outcome | str:
         """Return a request's outcome, or why its body was refused."""
+        body = bodies.Body(self.state.memory)
         reason = await self._read_body(request, body, parsed.deadline)
         if reason:
             return reason
@@ -282,7 +276,7 @@
     async def _deliver(
         self, request: web.BaseRequest, served: responses.Served
     ) -> None:
-        """Write a response; its memory is in use until the end."""
+        """Write a response, whose memory is in use until the end."""
         try:
             await served.response.prepare(request)
             await served.response.write_eof()
@@ -290,7 +284,6 @@
             # The caller has closed the connection.
             pass
         finally:
-            served.answer.memory.release()
             # aiohttp keeps the response until the next one on its connection.
             served.response.body = None
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/tests/test_bodies.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/tests/test_bodies.py
@@ -66,8 +66,7 @@
         assert reason in ('', bodies.NO_MEMORY)
         assert used_bytes(budget) <= LIMIT_BYTES
     assert sum(reason == '' for _, reason in opened) == 2
-    for body, _ in opened:
-        body.release()
+    del body, opened
     assert used_bytes(budget) == 0
 
 
@@ -86,7 +85,7 @@
     budget = memories.MemoryBudget(memories.traffic_bytes(memory_mb * MIB))
     body, reason = read(budget, 640, limit=64 * MIB)
     assert reason == ''
-    body.release()
+    del body
     assert budget.try_take(memories.Use.REQUESTS, 64 * MIB)
 
 
@@ -95,7 +94,7 @@
     budget = budget_of(LIMIT_BYTES)
     body, reason = read(budget, 60, announced, limit=50)
     assert reason == bodies.TOO_LARGE
-    body.release()
+    del body
     assert used_bytes(budget) == 0
 
 
@@ -111,7 +110,7 @@
     limits = bodies.BodyLimits(100, 60.0, 0.01)
     reason = asyncio.run(body.read(Request(Stalled(), 50), limits))
     assert reason == bodies.TIMED_OUT
-    body.release()
+    del body
     assert used_bytes(budget) == 0
 
 
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
@@ -7,9 +7,9 @@
 import aiohttp
 import attrs
 
+from bulrushcourse_domain.resources import memory as memories
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import process_state
-from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.upstreams import connection_tracing
 from bulrushcourse_entry.edge.upstreams import urls
 from bulrushcourse_entry.platform import headers as platform_headers
@@ -123,7 +123,9 @@
         trace: connection_tracing.AttemptTrace,
     ) -> Finding:
         upstream = trace.upstream
-        trace.memory = bodies.ResponseMemory(self.state.memory)
+        trace.memory = memories.BodyMemory(
+            self.state.memory, memories.Use.RESPONSES
+        )
         path = self.state.routes.service(upstream.service).health_path
         try:
             async with (
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -13,7 +13,6 @@
 from bulrushcourse_domain.resources import memory as memories
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry.edge import process_state
-from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import body_content
 from bulrushcourse_entry.edge.upstreams import connection_tracing
 from bulrushcourse_entry.edge.upstreams import identity_checks
@@ -48,13 +47,11 @@
         status: HTTP status.
         headers: Response headers.
         body: The whole body.
-        memory: Memory that the body takes.
     """
 
     status: int
     headers: multidict.CIMultiDictProxy[str]
     body: body_content.Content
-    memory: bodies.ResponseMemory
 
 
 @attrs.frozen
@@ -138,7 +135,10 @@
     ) -> result.Result[Answer, Failure]:
         response = None
         upstream = trace.upstream
-        trace.memory = memory = bodies.ResponseMemory(self.memory)
+        content = body_content.Content(
+            memory=memories.BodyMemory(self.memory, memories.Use.RESPONSES)
+        )
+        trace.memory = content.memory
         state = self.state
         may_reuse = state.idle_connections.may_reuse(
             upstream.name, outbound.may_reuse
@@ -155,7 +155,7 @@
                     allow_redirects=False,
                     trace_request_ctx=trace,
                 )
-                body = await _read_body(response)
+                await _read_body(response, content)
         except sessions.ConnectionRejectedError:
             return UNPROVEN
         except sessions.RequestWithdrawnError:
@@ -183,7 +183,7 @@
         return self._classify_response(
             trace,
             outbound,
-            Answer(response.status, response.headers, body, memory),
+            Answer(response.status, response.headers, content),
             response,
         )
 
@@ -280,13 +280,11 @@
 
 
 async def _read_body(
-    response: aiohttp.ClientResponse,
-) -> body_content.Content:
-    """Return the whole body, whose memory is counted as it is received."""
-    content = body_content.Content()
+    response: aiohttp.ClientResponse, content: body_content.Content
+) -> None:
+    """Read the whole body, whose memory is counted as it is received."""
     async for chunk in response.content.iter_any():
         content.append(chunk)
-    return content
 
 
 def _was_refused(error: aiohttp.ClientError) -> bool:
