Refuse CONNECT and heads whose body nobody would read

Cause: the parser of the HTTP library expects no body behind CONNECT, and the connection, which ignores offered upgrades, took the bytes that followed for the next head.

Change: CONNECT is answered 501 and closes the connection; so does, with 400, any head that announces a body where the parser expects none.

--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -505,6 +505,12 @@
         if not isinstance(message, http.RawRequestMessage):
             self._refuse_head(message.exc, head)
             return False
+        reason = refused_heads.find_unframed(message, self.payload.is_eof())
+        if reason:
+            # Nothing tells where the next request begins.
+            self._messages.pop()
+            self._refuse(refused_heads.STATUSES[reason], reason, head)
+            return False
         self.responded = False
         self.body_left = 0
         if self.payload.is_eof():
--- a/packages/entry/bulrushcourse_entry/edge/callers/refused_heads.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/refused_heads.py
@@ -2,6 +2,7 @@
 
 import re
 
+from aiohttp import hdrs
 from aiohttp import http
 from aiohttp import http_exceptions
 from aiohttp import web
@@ -37,6 +38,25 @@
     return MALFORMED
 
 
+def find_unframed(message: http.RawRequestMessage, has_no_body: bool) -> str:
+    """Return why a head does not tell where its request ends, else empty.
+
+    For CONNECT the parser takes no body, whatever the head says: what follows
+    belongs to a tunnel (RFC 9110, section 9.3.6), which no upstream offers.
+
+    Args:
+        message: The head as the parser understands it.
+        has_no_body: Whether the parser expects no body.
+    """
+    if message.method == hdrs.METH_CONNECT:
+        return UNKNOWN_METHOD
+    length = message.headers.get(hdrs.CONTENT_LENGTH, '0')
+    announces_body = hdrs.TRANSFER_ENCODING in message.headers or (
+        length.strip('0') != ''
+    )
+    return MALFORMED if has_no_body and announces_body else ''
+
+
 def use_own_version(request: web.BaseRequest) -> None:
     """Answer a refused head in the version of this server.
 
