Refuse CONNECT in the first program as well

What follows a CONNECT was served as the next request by the listeners of callers and of operators (UNASKED): they are aiohttp's own, whose parser ends the request at its head.

Change: a middleware of both asks the rule of the edge program, which moves to request_framing, and closes the connection.

--- a/packages/entry/bulrushcourse_entry/callers/listener.py
+++ b/packages/entry/bulrushcourse_entry/callers/listener.py
@@ -13,6 +13,7 @@
 from bulrushcourse_domain.configuration import active_configuration
 from bulrushcourse_domain.slots import requests
 from bulrushcourse_entry import metrics as entry_metrics
+from bulrushcourse_entry import request_framing
 from bulrushcourse_entry.callers import attempts
 from bulrushcourse_entry.callers import forwarding
 from bulrushcourse_entry.callers import problems
@@ -56,10 +57,11 @@
     def application(self) -> web.Application:
         """Return the HTTP application."""
         application = web.Application(
+            middlewares=(request_framing.refuse_unframed,),
             handler_args={
                 'max_line_size': MAX_HEADER_BYTES,
                 'max_field_size': MAX_HEADER_BYTES,
-            }
+            },
         )
         application.router.add_get('/v1/entries', self.look_up)
         self.claims.add_routes(application)
--- a/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/bounded_connection.py
@@ -19,6 +19,7 @@
 from aiohttp import web_protocol
 
 from bulrushcourse_domain.resources import connections
+from bulrushcourse_entry import request_framing
 from bulrushcourse_entry import sockets
 from bulrushcourse_entry.edge.callers import bodies
 from bulrushcourse_entry.edge.callers import connection_guard
@@ -505,11 +506,13 @@
         if not isinstance(message, http.RawRequestMessage):
             self._refuse_head(message.exc, head)
             return False
-        reason = refused_heads.find_unframed(message, self.payload.is_eof())
+        reason = request_framing.find_unframed(
+            message.method, message.headers, self.payload.is_eof()
+        )
         if reason:
             # Nothing tells where the next request begins.
             self._messages.pop()
-            self._refuse(refused_heads.STATUSES[reason], reason, head)
+            self._refuse(request_framing.STATUSES[reason], reason, head)
             return False
         self.responded = False
         self.body_left = 0
@@ -662,7 +665,7 @@
         """Answer a head that the parser has refused, with its reason."""
         reason = refused_heads.classify(error, head)
         self._messages.pop()
-        self._refuse(refused_heads.STATUSES[reason], reason, head)
+        self._refuse(request_framing.STATUSES[reason], reason, head)
 
     def _refuse(self, status: int, reason: str, head: bytes = b'') -> None:
         self.guard.record(reason, self.entry.stage, head)
--- a/packages/entry/bulrushcourse_entry/operators/listener.py
+++ b/packages/entry/bulrushcourse_entry/operators/listener.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from bulrushcourse_entry import events
+from bulrushcourse_entry import request_framing
 
 READY_PATH = '/v1/ready'
 # The maximum frame size of peer streams, since a publication is sent in one
@@ -49,7 +50,8 @@
     def application(self) -> web.Application:
         """Return the HTTP application."""
         application = web.Application(
-            middlewares=[self.authorize], client_max_size=MAX_BODY_BYTES
+            middlewares=[request_framing.refuse_unframed, self.authorize],
+            client_max_size=MAX_BODY_BYTES,
         )
         application.router.add_get(READY_PATH, self.show_ready)
         application.router.add_get('/v1/state', self.show_state)
