--- a/packages/domain/bulrushcourse_domain/resources/memory.py
+++ b/packages/domain/bulrushcourse_domain/resources/memory.py
@@ -107,6 +107,19 @@
             return available
         return min(available, bodies * LARGE_SHARES[use] - used)
 
+    def uncounted_bytes(self, resident: int) -> int:
+        """Return what a process occupies beyond itself and the budget.
+
+        Args:
+            resident: Memory that the process occupies in bytes.
+
+        Examples:
+            >>> MemoryBudget(1000).uncounted_bytes(PROCESS_BYTES + 7)
+            7
+        """
+        counted = PROCESS_BYTES + sum(self.used_bytes.values())
+        return max(0, resident - counted)
+
     def release(self, use: Use, size: int) -> None:
         """Return memory to the budget.
 
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -89,6 +89,7 @@
     keys = proven_keys.ProvenKeys(state)
     _add_gauges(metrics, store, keys)
     _add_configuration_gauges(metrics, state)
+    metrics.add_memory(state.memory)
     metrics.add_gauge(
         'bulrushcourse_nameless_upstreams',
         'Upstreams whose last health response named no upstream',
--- a/packages/entry/bulrushcourse_entry/edge/process.py
+++ b/packages/entry/bulrushcourse_entry/edge/process.py
@@ -28,6 +28,7 @@
 from bulrushcourse_entry.edge.reporting import diagnostic_handlers
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
 from bulrushcourse_entry.edge.reporting import explaining
+from bulrushcourse_entry.edge.reporting import memory_monitor
 from bulrushcourse_entry.edge.store import configuration_monitor
 from bulrushcourse_entry.edge.store import operator_reader
 from bulrushcourse_entry.edge.store import registration
@@ -222,9 +223,11 @@
         """Update derived state periodically and mark the VM ready."""
         clock = self.clock
         monitor = configuration_monitor.ConfigurationMonitor(state, event_log)
+        memory = memory_monitor.MemoryMonitor(state, event_log)
         planned = clock.monotonic()
         while True:
             monitor.check()
+            memory.check()
             self._record_lag(state, event_log, clock.monotonic() - planned)
             if state.fleet.phase is fleet.Phase.STARTING and self._is_ready(
                 state
--- a/packages/entry/bulrushcourse_entry/edge/reporting/metrics.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/metrics.py
@@ -4,8 +4,10 @@
 
 import prometheus_client
 
+from bulrushcourse_domain.resources import memory as memories
 from bulrushcourse_domain.waiting import waiting_room
 from bulrushcourse_entry.edge.callers import outcomes
+from bulrushcourse_entry.edge.reporting import memory_monitor
 
 # Client accounts with a counter of their own, the first ones seen. All others
 # are counted together.
@@ -167,6 +169,23 @@
             self.accounts.add(account)
         self.quota_requests.labels(account, result).inc()
 
+    def add_memory(self, budget: memories.MemoryBudget) -> None:
+        """Add gauges of the memory in use, by use and of the process.
+
+        Args:
+            budget: Memory of the VM's traffic.
+        """
+        gauge = prometheus_client.Gauge(
+            'bulrushcourse_memory_bytes',
+            'Memory in use',
+            ('use',),
+            registry=self.registry,
+        )
+        for name in memory_monitor.dump(budget):
+            gauge.labels(name.removesuffix('_bytes')).set_function(
+                lambda name=name: float(memory_monitor.dump(budget)[name])
+            )
+
     def add_gauge(
         self, name: str, text: str, read: typing.Callable[[], float]
     ) -> None:
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -9,6 +9,7 @@
 
 from bulrushcourse_domain.costs import key_costs
 from bulrushcourse_entry.edge import process_state
+from bulrushcourse_entry.edge.reporting import memory_monitor
 from bulrushcourse_entry.edge.reporting import quota_dump
 
 # Requests that lost upstreams, and upstreams for each of them, in a dump.
@@ -50,13 +51,7 @@
             }
             for name, heartbeat in state.fleet.heartbeats.items()
         },
-        'memory': {
-            'total_bytes': state.memory.total_bytes,
-            **{
-                f'{use.value}_bytes': size
-                for use, size in state.memory.used_bytes.items()
-            },
-        },
+        'memory': memory_monitor.dump(state.memory),
         'lag_ms': round(state.lag.lag_s * 1000),
         'relays': state.links.topology.relays,
         'reports_to': {
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -44,6 +44,11 @@
         'warning',
         'request ended without an answer during a shutdown',
     )
+    MEMORY_UNCOUNTED = (
+        1011,
+        'warning',
+        'process takes more memory than its budget counts',
+    )
     STOP_FORCED = (1005, 'warning', 'shutdown aborted requests in flight')
     PEER_CONNECTED = (3001, 'info', 'peer stream established')
     PEER_LOST = (3002, 'warning', 'peer stream lost')
