--- a/packages/testkit/bulrushcourse_testkit/platform/soak_vms.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_vms.py
@@ -67,8 +67,16 @@
 
     def peak_memory_mb(self) -> float:
         """Return the largest memory of the process so far in MB."""
+        return self.memory_mb('VmHWM')
+
+    def memory_mb(self, field: str) -> float:
+        """Return a figure of the process's memory in MB.
+
+        Args:
+            field: Its name in ``/proc/PID/status``, such as ``VmRSS``.
+        """
         status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
-        line = next(x for x in status.splitlines() if x.startswith('VmHWM'))
+        line = next(x for x in status.splitlines() if x.startswith(field))
         return int(line.split()[1]) / 1024
 
     def send_signal(self, number: int) -> None:
