--- a/packages/testkit/bulrushcourse_testkit/platform/memory_trial.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/memory_trial.py
@@ -272,7 +272,7 @@
         attrs.field(factory=lambda: [4, 12, 40])
     )
     seconds: typing.Annotated[float, cappa.Arg(long=True)] = 60.0
-    plot: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    plot: typing.Annotated[str, cappa.Arg(long=True, default='')] = ''
 
     def __call__(self) -> None:
         """Print a row for each trial, and draw the plot."""
