--- a/packages/testkit/bulrushcourse_testkit/platform/memory_trial.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/memory_trial.py
@@ -70,6 +70,7 @@
         uploads: Uploads by outcome.
         orders: Orders by outcome.
         lost: Orders without an answer.
+        processor_s: Processor time of the process.
     """
 
     memory_mb: int
@@ -80,6 +81,7 @@
     uploads: dict[str, int]
     orders: dict[str, int]
     lost: int
+    processor_s: float
 
     def row(self) -> str:
         """Return the trial as a row of a Markdown table."""
@@ -99,6 +101,7 @@
             sum(self.uploads.values()),
             self.orders.get('200', 0),
             self.lost,
+            f'{self.processor_s:.1f}',
         )
         return '| ' + ' | '.join(map(str, cells)) + ' |'
 
@@ -106,7 +109,7 @@
 HEADING = (
     '| memory MB | upload MiB | clients | peak MB | counted at peak'
     ' | uncounted at peak | uploads served | refused | of all | orders served'
-    ' | orders lost |\n' + '|---' * 11 + '|'
+    ' | orders lost | processor s |\n' + '|---' * 12 + '|'
 )
 
 
@@ -205,6 +208,7 @@
         crowd.uploads,
         crowd.orders,
         crowd.lost,
+        soaked.processor_s(),
     )
 
 
--- a/packages/testkit/bulrushcourse_testkit/platform/soak_vms.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/soak_vms.py
@@ -79,6 +79,13 @@
         line = next(x for x in status.splitlines() if x.startswith(field))
         return int(line.split()[1]) / 1024
 
+    def processor_s(self) -> float:
+        """Return the processor time of the process in seconds."""
+        stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text()
+        # The name of the program, in brackets, may contain spaces.
+        fields = stat.rpartition(')')[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
     def send_signal(self, number: int) -> None:
         """Send a signal to the process if it is running.
 
