Split what operators change and waiting requests into modules

Code moves only; 158 tests of the edge program, of its operation and of the age of configurations pass.

--- a/packages/entry/bulrushcourse_entry/edge/fleet/configuration_queries.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/configuration_queries.py
@@ -10,7 +10,7 @@
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.fleet import framing
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
-from bulrushcourse_entry.edge.store import operator_reader
+from bulrushcourse_entry.edge.store import operator_changes
 from bulrushcourse_wire import configuration_queries
 from bulrushcourse_wire import packing
 
@@ -76,7 +76,7 @@
     def _apply(self, answer: configuration_queries.Answer) -> bool:
         state = self.state
         if answer.version > state.routes.version and answer.configuration:
-            operator_reader.apply_configuration(
+            operator_changes.apply_configuration(
                 state,
                 self.event_log,
                 packing.unpack_content(answer.configuration),
--- a/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
@@ -15,7 +15,7 @@
 from bulrushcourse_entry.edge.fleet import stream_cursor
 from bulrushcourse_entry.edge.fleet import work_summaries
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
-from bulrushcourse_entry.edge.store import operator_reader
+from bulrushcourse_entry.edge.store import operator_changes
 from bulrushcourse_wire import fleet_messages
 from bulrushcourse_wire import packing
 
@@ -277,7 +277,7 @@
             state.key_permission.record_proof(
                 report.key_proof, state.routes.version
             )
-        operator_reader.apply_evacuations(
+        operator_changes.apply_evacuations(
             state,
             self.event_log,
             report.operators_version,
@@ -329,6 +329,6 @@
     def _apply_configuration(self, packed: bytes) -> None:
         if packed:
             content = packing.unpack_content(packed)
-            operator_reader.apply_configuration(
+            operator_changes.apply_configuration(
                 self.state, self.event_log, content
             )
--- a/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/operator_reader.py
@@ -7,28 +7,22 @@
 
 import attrs
 
-from bulrushcourse_domain import findings as finding_lists
-from bulrushcourse_domain.accounts import account_table
 from bulrushcourse_domain.accounts import proof_reads
 from bulrushcourse_domain.membership import feed_poll
 from bulrushcourse_domain.routes import freshness
-from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
+from bulrushcourse_entry.edge.store import operator_changes
 from bulrushcourse_entry.edge.store import store_readers
 from bulrushcourse_entry.platform import operator_rows
 from bulrushcourse_entry.platform import rows
-from bulrushcourse_entry.platform import units
-from bulrushcourse_wire import packing
 
 # The first call of a VM that has just started is repeated sooner.
 INITIAL_RETRY_PAUSE_S = 0.1
 # Pause after failed calls while the configuration is to be confirmed. Requests
 # wait for it, and other VMs are asked between the calls.
 CONFIRMATION_PAUSE_S = 0.3
-# Findings that one event lists.
-MAX_LOGGED_FINDINGS = 10
 
 
 class OtherVms(typing.Protocol):
@@ -237,110 +231,17 @@
             domain = operator_rows.evacuated_domain(row.key)
             if row.key == operator_rows.CONFIGURATION_KEY and row.value:
                 self.state.freshness.record_stored(
-                    apply_configuration(self.state, self.event_log, row.value)
+                    operator_changes.apply_configuration(
+                        self.state, self.event_log, row.value
+                    )
                 )
             elif domain and row.value is None:
                 self.evacuations.pop(domain, None)
             elif domain:
                 self.evacuations[domain] = row.version
-        apply_evacuations(
+        operator_changes.apply_evacuations(
             self.state,
             self.event_log,
             batch.version,
             frozenset(self.evacuations),
         )
-
-
-def apply_configuration(
-    state: process_state.ProcessState,
-    event_log: event_logs.EventLog,
-    value: bytes,
-) -> str:
-    """Install a configuration if it is readable and newer than the active one.
-
-    Args:
-        state: The process state.
-        event_log: Log.
-        value: Content from the store or from another VM.
-
-    Returns:
-        Why it cannot be read, empty if it can.
-    """
-    try:
-        route_set = operator_rows.decode_configuration(value)
-    except units.MalformedValue as error:
-        event_log.log_change(
-            events.Event.CONFIGURATION_REFUSED, reason=str(error)
-        )
-        return str(error)
-    if state.routes.install(route_set):
-        state.configuration_since = state.clock.monotonic()
-        state.discard_removed_routes()
-        state.packed_configuration = packing.pack_content(value)
-        event_log.log_change(
-            events.Event.CONFIGURATION_IN_FORCE,
-            version=route_set.version,
-            routes=len(route_set.routes),
-            accounts=len(route_set.accounts.by_name),
-        )
-        state.configuration_updates.on_next(None)
-        _log_findings(state, event_log, route_set)
-    return ''
-
-
-def _log_findings(
-    state: process_state.ProcessState,
-    event_log: event_logs.EventLog,
-    route_set: routes.RouteSet,
-) -> None:
-    """Log the defects of a configuration, if any."""
-    accounts = finding_lists.sort_findings(
-        (
-            *route_set.accounts.findings,
-            *account_table.check_regions(
-                route_set.accounts, set(state.settings.regions.values())
-            ),
-        )
-    )
-    for event, found in (
-        (events.Event.CONFIGURATION_DEFECTIVE, route_set.findings),
-        (events.Event.ACCOUNTS_DEFECTIVE, accounts),
-    ):
-        if found:
-            event_log.log_change(
-                event,
-                version=route_set.version,
-                count=len(found),
-                findings=[str(f) for f in found[:MAX_LOGGED_FINDINGS]],
-            )
-
-
-def apply_evacuations(
-    state: process_state.ProcessState,
-    event_log: event_logs.EventLog,
-    version: int,
-    domains: frozenset[str],
-) -> None:
-    """Apply the set of evacuated failure domains unless it is outdated.
-
-    Args:
-        state: The process state.
-        event_log: Log.
-        version: Store version in which the set was read.
-        domains: The evacuated failure domains.
-    """
-    if version < state.operators_version:
-        return
-    state.operators_version = version
-    previous = state.upstreams.candidates.evacuated
-    if domains == previous:
-        return
-    services = state.routes.active.services if state.routes.active else {}
-    warmup = max((s.warmup_s for s in services.values()), default=0.0)
-    state.upstreams.evacuate(domains, warmup)
-    event_log.log_change(
-        events.Event.EVACUATION_CHANGED,
-        domains=sorted(domains),
-        before=sorted(previous),
-        version=version,
-    )
--- a/packages/entry/bulrushcourse_entry/edge/waiting/waiting_admission.py
+++ b/packages/entry/bulrushcourse_entry/edge/waiting/waiting_admission.py
@@ -15,6 +15,7 @@
 from bulrushcourse_entry.edge.callers import caller_request
 from bulrushcourse_entry.edge.callers import outcomes
 from bulrushcourse_entry.edge.waiting import room_decisions
+from bulrushcourse_entry.edge.waiting import waiter as room_waiters
 
 Action = decision.Action
 End = waiting_room.End
@@ -31,32 +32,6 @@
 SUFFICIENT_SHARE = 0.01
 
 
-@attrs.define(eq=False)
-class Waiter:
-    """A waiting request with the future that ends its wait.
-
-    Attributes:
-        request: The request.
-        entry: Its entry in the waiting room.
-        result: Set to the reserved attempt or the refusal.
-        timer: Ends the wait.
-    """
-
-    request: caller_request.CallerRequest
-    entry: waiting_room.Entry
-    result: asyncio.Future[reservation.Reservation | outcomes.Outcome]
-    timer: asyncio.TimerHandle | None = None
-
-    def forgo(self) -> None:
-        """Return room that was reserved for a request whose caller left."""
-        if not self.result.done() or self.result.cancelled():
-            return
-        if self.result.exception() is None:
-            reserved = self.result.result()
-            if isinstance(reserved, reservation.Reservation):
-                reserved.cancel()
-
-
 @attrs.define(eq=False)
 class WaitingRoomAdmission:
     """Lets requests wait for room where their ranks or accounts differ.
@@ -80,7 +55,9 @@
     immediate: admission_control.ImmediateAdmission = attrs.field(init=False)
     decisions: room_decisions.RoomDecisions = attrs.field(init=False)
     drain_rates: drain_rate.DrainRates = attrs.field(init=False)
-    waiters: dict[waiting_room.Entry, Waiter] = attrs.field(factory=dict)
+    waiters: dict[waiting_room.Entry, room_waiters.Waiter] = attrs.field(
+        factory=dict
+    )
     on_end: typing.Callable[[End], None] = lambda end: None
     on_room: typing.Callable[[str, bool], None] = lambda service, short: None
     short_services: set[str] = attrs.field(factory=set)
@@ -203,7 +180,7 @@
         request: caller_request.CallerRequest,
         choice: placement.Choice,
         demand: decision.Demand,
-    ) -> Waiter | None:
+    ) -> room_waiters.Waiter | None:
         """Add a request to the room unless it would wait in vain."""
         now = self.state.clock.monotonic()
         entry = self.decisions.make_entry(request, choice, demand)
@@ -231,9 +208,9 @@
         request: caller_request.CallerRequest,
         entry: waiting_room.Entry,
         now: float,
-    ) -> Waiter:
+    ) -> room_waiters.Waiter:
         loop = asyncio.get_running_loop()
-        waiter = Waiter(request, entry, loop.create_future())
+        waiter = room_waiters.Waiter(request, entry, loop.create_future())
         waiter.timer = loop.call_later(
             entry.leaves_at - now, self._end_wait, waiter
         )
@@ -242,7 +219,7 @@
 
     def _finish(
         self,
-        waiter: Waiter,
+        waiter: room_waiters.Waiter,
         result: reservation.Reservation | outcomes.Outcome,
         end: End,
     ) -> None:
@@ -254,14 +231,14 @@
         self.state.waiting_room.ends[end] += 1
         self.on_end(end)
 
-    def _leave(self, waiter: Waiter) -> None:
+    def _leave(self, waiter: room_waiters.Waiter) -> None:
         """Remove a request that was decided on or whose caller left."""
         self.state.waiting_room.remove(waiter.entry)
         self.waiters.pop(waiter.entry, None)
         if waiter.timer is not None:
             waiter.timer.cancel()
 
-    def _end_wait(self, waiter: Waiter) -> None:
+    def _end_wait(self, waiter: room_waiters.Waiter) -> None:
         """Send a request whose wait is over if there is room, or refuse it."""
         if self.state.planned_stop is not None:
             self._refuse_what_cannot_finish()
@@ -273,7 +250,7 @@
             self._leave(waiter)
             waiter.result.set_exception(error)
 
-    def _refuse_waiter(self, waiter: Waiter, end: End) -> None:
+    def _refuse_waiter(self, waiter: room_waiters.Waiter, end: End) -> None:
         if not waiter.result.done():
             waited_s = self.state.clock.monotonic() - waiter.entry.entered
             waiter.request.steps.append(
@@ -312,7 +289,7 @@
                 request.steps.append(outcomes.STOPPING.reason)
                 self._finish(waiter, outcomes.STOPPING, End.STOPPING)
 
-    def _try_to_send(self, waiter: Waiter) -> bool:
+    def _try_to_send(self, waiter: room_waiters.Waiter) -> bool:
         """Return whether a waiting request could be sent."""
         request = waiter.request
         if waiter.result.done():
