Expect 501 for a tunnel in the test of refusals

test_refused_request_reaches_no_upstream[tunnel] expected 404 for CONNECT, as for a path without a route. Since CONNECT is refused before a route is looked up, the status is 501 (RFC 9110, section 9.3.6 and 15.6.2). The test still demands one exact status and that nothing reaches an upstream; test_framing demands in addition that the connection closes.

--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_request_fidelity.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_request_fidelity.py
@@ -230,7 +230,7 @@
         + chunked(b'1;' + b'x' * 40_000),
         400,
     ),
-    'tunnel': (request('shop.example:80', method='CONNECT'), 404),
+    'tunnel': (request('shop.example:80', method='CONNECT'), 501),
     'no request': (b'x' * 50 + b'\r\n\r\n', 400),
 }
 
