Cut connections that a link is opening in the proxy of the tests

Cause, by reading: the proxy looked for a cut before it connected to the target only, so that a connection that was being opened then outlived the cut. That explains the failure; it was not reproduced (three of three runs alone passed).

Result: the new test fails without the change and passes with it.

--- a/packages/testkit/bulrushcourse_testkit/standins/fault_proxy.py
+++ b/packages/testkit/bulrushcourse_testkit/standins/fault_proxy.py
@@ -108,6 +108,11 @@
             writer.transport.abort()
             return
         writers = (writer, target_writer)
+        if self.faults.cut:
+            # The link was cut while the connection was being opened.
+            for opened in writers:
+                opened.transport.abort()
+            return
         self.writers.update(writers)
         try:
             async with asyncio.TaskGroup() as group:
