--- a/packages/entry/bulrushcourse_entry/edge/reporting/tests/test_memory_monitor.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/tests/test_memory_monitor.py
@@ -1,4 +1,4 @@
-"""Operators are told of memory that the budget does not count."""
+"""Memory that the budget does not count is reported to operators."""
 
 import random
 
--- a/packages/entry/bulrushcourse_entry/platform/operator_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/operator_rows.py
@@ -60,7 +60,7 @@
         value: Content of the configuration row.
 
     Raises:
-        MalformedValue: If it cannot be told which parts there are.
+        MalformedValue: If the document as a whole is unreadable.
     """
     try:
         document = units.parse_json(value)
--- a/packages/entry/bulrushcourse_entry/upstreams/tests/test_early_responses.py
+++ b/packages/entry/bulrushcourse_entry/upstreams/tests/test_early_responses.py
@@ -22,7 +22,7 @@
 
 
 class EarlyUpstream:
-    """Answers a request at its head and ends the connection when told to.
+    """Responds as soon as it has a head, and ends the connection on request.
 
     It runs in a thread, so that it acts while the client's loop stands still.
 
