--- a/review/12/run.py
+++ b/review/12/run.py
@@ -47,7 +47,7 @@
             await asyncio.sleep(WORK_S)
             sent = arrival['method'], arrival['target'], arrival['tenant']
             if sent == POISON:
-                reached.append(arrival['at'])
+                reached.append((arrival['at'], arrival['id']))
                 return None
             return upstream.sound(arrival)
 
@@ -97,16 +97,23 @@
         await asyncio.gather(*tasks)
     finally:
         await world.close()
-    third = sorted(reached)[2] if len(reached) > 2 else float('inf')
-    late = [at for at in reached if at > third + CONTACT_S]
+    # A client's own retries are new requests: only arrivals beyond the first of
+    # each request are retries.
+    late, seen = [], set()
+    third = sorted(reached)[2][0] if len(reached) > 2 else float('inf')
+    for at, request_id in sorted(reached):
+        if request_id in seen and at > third + CONTACT_S:
+            late.append(request_id)
+        seen.add(request_id)
     world.record.write(
         'result',
         crashes=len(reached),
-        later_than_contact_after_the_third=len(late),
+        requests=len(seen),
+        retries_later_than_contact_after_the_third=len(late),
         allowed=ALLOWED,
         answers=answers,
     )
-    print(f'{len(reached)} crashes, {len(late)} late, {answers}')
+    print(f'{len(reached)} crashes, {len(late)} late retries, {answers}')
     return len(late) > ALLOWED
 
 
