Tell requests that crash upstreams apart by caller and host

Cause: the fingerprint of a request was a hash of method, target and body. Complete responses to another account for the same path cleared the losses at all VMs.

A fingerprint now has a part for the content, with the host, and one for the client account. Those of earlier versions have one part, so that evidence of a VM that leaves the caller out has no effect here.

--- /dev/null
+++ b/packages/domain/bulrushcourse_domain/quarantine/fingerprints.py
@@ -0,0 +1,36 @@
+"""Names of requests by what they ask for and by who asks.
+
+A request that crashes upstreams is told from others by its content and by its
+caller: upstreams learn both, and may crash by either.
+"""
+
+# Fingerprints of earlier versions, which leave the caller out, lack it.
+_SEPARATOR = '.'
+
+
+def of_request(content: str, caller: str) -> str:
+    """Return the fingerprint of a caller's request.
+
+    Args:
+        content: Hash of the request's content.
+        caller: Hash of its caller.
+
+    Examples:
+        >>> of_request('c0ffee', '7a')
+        'c0ffee.7a'
+    """
+    return f'{content}{_SEPARATOR}{caller}'
+
+
+def content_of(fingerprint: str) -> str:
+    """Return the content of a fingerprint, empty if it names no caller.
+
+    Args:
+        fingerprint: A fingerprint, possibly of an earlier version.
+
+    Examples:
+        >>> content_of('c0ffee.7a'), content_of('c0ffee')
+        ('c0ffee', '')
+    """
+    content, separator, _ = fingerprint.partition(_SEPARATOR)
+    return content if separator else ''
--- a/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/caller_request.py
@@ -7,6 +7,7 @@
 import multidict
 
 from bulrushcourse_domain.accounts import account_table
+from bulrushcourse_domain.quarantine import fingerprints
 from bulrushcourse_domain.quotas import token_stock
 from bulrushcourse_domain.routes import route as routes
 from bulrushcourse_entry.edge.callers import attempt_records
@@ -85,9 +86,18 @@
 
     @functools.cached_property
     def fingerprint(self) -> str:
-        """Hash of method, target and body, the same for every attempt."""
+        """What identifies the request, the same for every attempt at it.
+
+        The caller is its client account, which is all that upstreams learn of
+        the caller. Without accounts, all callers are one.
+        """
         digest = hashlib.blake2b(digest_size=8)
         for part in self.body.parts:
             digest.update(part)
-        digest.update(f'\x00{self.method}\x00{self.target}'.encode())
-        return digest.hexdigest()
+        fields = (self.method, self.route.host, self.target)
+        digest.update(''.join(f'\x00{field}' for field in fields).encode())
+        account = self.identity.account
+        caller = hashlib.blake2b(
+            (account.name if account else '').encode(), digest_size=4
+        )
+        return fingerprints.of_request(digest.hexdigest(), caller.hexdigest())
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
@@ -54,6 +54,41 @@
     run(scenario)
 
 
+def test_answers_to_other_accounts_do_not_clear_a_crashing_request():
+    # Guards against a request that crashes upstreams for one account and is
+    # never quarantined, as others get answers for its path (review/12).
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2')) as cluster:
+            accounts = ('broken', 'sound')
+            cluster.configure(
+                1, accounts=tuple(documents.account(a, a) for a in accounts)
+            )
+            await add_upstreams(
+                cluster, 12, crashes_on=CRASHING, crashes_for='broken'
+            )
+            await cluster.start()
+            for number in range(6):
+                vm = number % 2
+                await cluster.send(CRASHING, vm, **{'Api-Key': 'broken'})
+                await asyncio.sleep(0.25)
+                reply = await cluster.send(
+                    CRASHING, vm, **{'Api-Key': 'sound'}
+                )
+                assert reply.status == 200
+                await asyncio.sleep(0.25)
+            reached = [
+                upstream
+                for upstream in cluster.upstreams.values()
+                if any(
+                    arrival.headers['x-tenant'] == 'broken'
+                    for arrival in upstream.arrivals
+                )
+            ]
+            assert len(reached) <= 3
+
+    run(scenario)
+
+
 def test_attempt_on_a_stale_connection_counts():
     # Guards against a request that reaches more upstreams than its route
     # allows, since resets of reused connections were no attempts.
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -57,6 +57,7 @@
         fault: Fault that it simulates.
         crashes_on: Path of a request that ends its process when it begins to
             run it; the process does not come back.
+        crashes_for: Client account whose requests do so, empty for all.
         idle_reset_s: Idle time in seconds after which it resets a connection
             when the next request arrives.
         arrivals: Requests that reached it.
@@ -91,6 +92,7 @@
     work_s: float = 0.01
     fault: Fault = Fault.NONE
     crashes_on: str = ''
+    crashes_for: str = ''
     idle_reset_s: float = math.inf
     arrivals: list[Arrival] = attrs.field(factory=list)
     heads: list[Arrival] = attrs.field(factory=list)
@@ -218,7 +220,7 @@
         if shed:
             self._refuse(writer, request_id)
             return True
-        if target == self.crashes_on:
+        if self._crashes(target, headers):
             self.end()
             return False
         if not await self._simulate_work(reader):
@@ -276,6 +278,12 @@
             with contextlib.suppress(OSError):
                 raw_http.reset_connection(writer)
 
+    def _crashes(self, target: str, headers: dict[str, str]) -> bool:
+        account = headers.get('x-tenant', '')
+        return target == self.crashes_on and (
+            not self.crashes_for or account == self.crashes_for
+        )
+
     def _sheds(self, writer: asyncio.StreamWriter) -> bool:
         if self.fault in (Fault.REFUSAL_COPY, Fault.NAMELESS_REFUSAL_COPY):
             return not self._last_response(writer)
