Quarantine a content that crashes upstreams for several callers

Telling callers apart lets a request that crashes upstreams whoever sends it crash three of them for each client account.

A content that lost upstreams for three callers, without a complete response to any, is now quarantined for all; a response to any caller ends that and clears no other caller's own losses. The losses that count and the quarantines by them become an aggregate of their own (CountedLosses); the ledger keeps the exchange of evidence, and the schedule of probes stands alone.

--- a/packages/domain/bulrushcourse_domain/quarantine/crashes.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/crashes.py
@@ -10,70 +10,72 @@
 import attrs
 
 from bulrushcourse_domain import clock as clocks
+from bulrushcourse_domain.quarantine import counted_losses
 from bulrushcourse_domain.quarantine import evidence as evidences
-from bulrushcourse_domain.quarantine import latest_times
+from bulrushcourse_domain.quarantine import fingerprints
 from bulrushcourse_domain.quarantine import loss_table
 from bulrushcourse_domain.quarantine import outbox as outboxes
+from bulrushcourse_domain.quarantine import probe_schedule
 from bulrushcourse_domain.quarantine import probes
 from bulrushcourse_domain.quarantine import survivals
 
 Evidence = evidences.Evidence
 Kind = evidences.Kind
-LatestTimes = latest_times.LatestTimes
-
-# A complete response also clears the losses that seem to be later by at most
-# this: the times of what two VMs saw differ by the interval of their reports.
-CLEARANCE_MARGIN_S = 1.0
-# A crashed upstream takes some seconds to be back; one that answers sooner
-# after a loss did not crash.
-MIN_DOWNTIME_S = 1.0
+CLEARANCE_MARGIN_S = counted_losses.CLEARANCE_MARGIN_S
+MIN_DOWNTIME_S = counted_losses.MIN_DOWNTIME_S
 
 
 @attrs.define
 class CrashLedger:
-    """Losses of upstreams while they ran a request, by its content.
+    """Losses of upstreams while they ran a request, by its fingerprint.
 
-    A loss counts until it is disproved: by a complete response to a request
-    of the same content, which a request that crashes every upstream never
-    gets, or by an answer of the same process of the upstream. Losses after
-    that count anew.
+    A loss counts until it is disproved: by a complete response to the same
+    request, which a request that crashes every upstream never gets, or by an
+    answer of the same process of the upstream. Losses after that count anew.
+    A content that lost upstreams for several callers, without a response to
+    any, is quarantined for all callers.
 
     Attributes:
         clock: Source of time.
         loss_limit: Losses that quarantine a request.
-        losses: Losses that count.
-        cleared_at: Time of the latest complete response by fingerprint.
-        survived_at: Latest time at which an incarnation is known to have been
-            alive after a loss.
+        counted: Losses that count.
         answers: Answers after losses that do not prove anything yet.
-        probed_at: Time of the latest probe by fingerprint.
-        probing: Fingerprints of the probes of this VM that are running.
+        schedule: Probes of quarantined requests.
         outbox: Evidence that the other VMs still have to learn.
-        quarantined: Fingerprints that were quarantined at the last
-            ``update``.
+        quarantined: Fingerprints and contents that were quarantined at the
+            last ``update``.
     """
 
     clock: clocks.Clock
     loss_limit: int = probes.LOSS_LIMIT
-    losses: loss_table.LossTable = attrs.field(factory=loss_table.LossTable)
-    cleared_at: LatestTimes = attrs.field(factory=LatestTimes)
-    survived_at: LatestTimes = attrs.field(factory=LatestTimes)
+    counted: counted_losses.CountedLosses = attrs.field(init=False)
+    schedule: probe_schedule.ProbeSchedule = attrs.field(init=False)
     answers: survivals.Survivals = attrs.field(factory=survivals.Survivals)
-    probed_at: LatestTimes = attrs.field(factory=LatestTimes)
-    probing: set[str] = attrs.field(factory=set)
     outbox: outboxes.Outbox = attrs.field(factory=outboxes.Outbox)
     quarantined: set[str] = attrs.field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        """Create the parts that share the clock."""
+        self.counted = counted_losses.CountedLosses(
+            self.clock, self.loss_limit
+        )
+        self.schedule = probe_schedule.ProbeSchedule(self.clock)
+
+    @property
+    def losses(self) -> loss_table.LossTable:
+        """The losses that count."""
+        return self.counted.table
+
     def record_loss(self, fingerprint: str, upstream: str) -> None:
         """Record that this VM lost an upstream while it ran a request.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: What identifies the request.
             upstream: Incarnation of the upstream.
         """
         loss = self._observe(Kind.LOSS, fingerprint, upstream)
         is_repeated = bool(self.losses.of_request(fingerprint))
-        if not self._add(loss):
+        if not self.counted.add(loss):
             return
         self.outbox.hold(loss)
         if is_repeated:
@@ -85,15 +87,22 @@
         """Record that a request got a complete response.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: What identifies the request.
             upstream: Incarnation of the upstream.
             began_at: When the request was sent, in monotonic seconds.
         """
-        losses = self.losses.discard(fingerprint)
-        self.cleared_at.record(fingerprint, self.clock.monotonic())
+        content = fingerprints.content_of(fingerprint)
+        # One caller's losses do not concern the others.
+        concerns_others = (
+            len(self.losses.by_content.get(content, ())) > 1
+            and self.counted.of_content(content) != []
+        )
+        losses = self.counted.clear(fingerprint, self.clock.monotonic())
         known = [self.outbox.withdraw(loss) for loss in losses]
         if any(known):
             self.outbox.add(self._observe(Kind.CLEARANCE, fingerprint))
+        elif concerns_others:
+            self.outbox.add(self._observe(Kind.CLEARANCE, content))
         self.record_alive(upstream, began_at)
 
     def record_alive(self, upstream: str, began_at: float) -> None:
@@ -162,7 +171,7 @@
         """Return whether a request is quarantined.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: What identifies the request.
 
         Examples:
             >>> ledger = CrashLedger(clocks.ManualClock())
@@ -171,22 +180,7 @@
             >>> ledger.is_quarantined('f')
             True
         """
-        return self.quarantine(fingerprint) is not None
-
-    def quarantine(self, fingerprint: str) -> probes.Quarantine | None:
-        """Return the quarantine of a request, ``None`` if there is none.
-
-        Args:
-            fingerprint: Hash of the request's content.
-        """
-        losses = self.losses.by_fingerprint.get(fingerprint)
-        if losses is None or len(losses) < self.loss_limit:
-            return None
-        times = [loss.at for loss in losses.values()]
-        if max(times) <= self.clock.monotonic() - evidences.MAX_AGE_S:
-            self.losses.discard(fingerprint)
-            return None
-        return probes.quarantine_of(times, self.loss_limit)
+        return self.counted.is_quarantined(fingerprint)
 
     def admit(
         self,
@@ -197,55 +191,50 @@
         """Return whether a request may run at this VM.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: What identifies the request.
             vm: This VM.
             members: Returns the VMs that are alive.
         """
-        quarantine = self.quarantine(fingerprint)
-        if quarantine is None:
-            return probes.Verdict.RUN
-        if fingerprint in self.probing:
-            return probes.Verdict.REFUSE
-        due = quarantine.due_after(self.probed_at.get(fingerprint))
-        overdue_s = self.clock.monotonic() - due
-        if probes.may_try(fingerprint, vm, members(), overdue_s):
-            return probes.Verdict.PROBE
-        return probes.Verdict.REFUSE
+        verdicts = (
+            self.schedule.admit(
+                name, self.counted.quarantine(name), vm, members
+            )
+            for name in fingerprints.names(fingerprint)
+        )
+        return max(verdicts, key=probes.STRICTNESS.index)
 
     def begin_probe(self, fingerprint: str) -> None:
         """Record that this VM probes a quarantined request.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: What identifies the request.
         """
-        probe = self._observe(Kind.PROBE, fingerprint)
-        self.probing.add(fingerprint)
-        self.merge(probe)
-        self.outbox.add(probe)
+        for name in fingerprints.names(fingerprint):
+            if self.counted.quarantine(name) is not None:
+                probe = self._observe(Kind.PROBE, name)
+                self.schedule.running.add(name)
+                self.merge(probe)
+                self.outbox.add(probe)
 
     def end_probe(self, fingerprint: str) -> None:
         """Record that a probe of this VM has ended.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: What identifies the request.
         """
-        self.probing.discard(fingerprint)
+        names = fingerprints.names(fingerprint)
+        self.schedule.running.difference_update(names)
 
     def update(self) -> list[tuple[str, bool]]:
-        """Return the fingerprints whose quarantine began or ended.
+        """Return the names whose quarantine began or ended.
 
         Returns:
             Each with whether it is quarantined now.
         """
-        suspects = [
-            fingerprint
-            for fingerprint, losses in self.losses.by_fingerprint.items()
-            if len(losses) >= self.loss_limit
-        ]
-        present = {f for f in suspects if self.is_quarantined(f)}
+        present = self.counted.quarantined_names()
         changed = present ^ self.quarantined
         self.quarantined = present
-        return [(f, f in present) for f in sorted(changed)]
+        return [(name, name in present) for name in sorted(changed)]
 
     def _observe(
         self, kind: Kind, fingerprint: str, upstream: str = ''
@@ -254,54 +243,39 @@
         now = self.clock.monotonic()
         return Evidence(kind, fingerprint, upstream, stamp, now, True)
 
-    def _add(self, loss: Evidence) -> bool:
-        """Add a loss and return whether it counts."""
-        cleared_at = self.cleared_at.get(loss.fingerprint)
-        if (
-            loss.at <= self.clock.monotonic() - evidences.MAX_AGE_S
-            or loss.at <= cleared_at + CLEARANCE_MARGIN_S
-            or loss.at < self.survived_at.get(loss.upstream)
-        ):
-            return False
-        self.losses.add(loss)
-        return True
-
     def _merge_clearance(self, evidence: Evidence) -> None:
-        self.cleared_at.record(evidence.fingerprint, evidence.at)
-        for loss in self.losses.of_request(evidence.fingerprint):
-            if loss.at <= evidence.at + CLEARANCE_MARGIN_S:
-                self._withdraw(loss)
+        cleared = self.counted.clear(evidence.fingerprint, evidence.at)
+        self._withdraw(cleared)
 
     def _merge_survival(self, evidence: Evidence) -> None:
-        self.survived_at.record(evidence.upstream, evidence.at)
-        for loss in self.losses.of_upstream(evidence.upstream):
-            if loss.at < evidence.at:
-                self._withdraw(loss)
+        self._withdraw(
+            self.counted.record_survival(evidence.upstream, evidence.at)
+        )
         self._forget_answer(evidence.upstream)
 
     def _merge_presence(self, evidence: Evidence) -> None:
-        for loss in self.losses.of_upstream(evidence.upstream):
-            if 0 < evidence.at - loss.at <= MIN_DOWNTIME_S:
-                self._withdraw(loss)
+        self._withdraw(
+            self.counted.record_presence(evidence.upstream, evidence.at)
+        )
         self._forget_answer(evidence.upstream)
 
     def _merge_probe(self, evidence: Evidence) -> None:
-        self.probed_at.record(evidence.fingerprint, evidence.at)
+        self.schedule.probed_at.record(evidence.fingerprint, evidence.at)
 
     def _forget_answer(self, upstream: str) -> None:
         """Forget an answer if it has nothing left to disprove."""
         if not self.losses.of_upstream(upstream):
             self.answers.forget(upstream)
 
-    def _withdraw(self, loss: Evidence) -> None:
-        self.losses.remove(loss)
-        self.outbox.withdraw(loss)
+    def _withdraw(self, losses: typing.Iterable[Evidence]) -> None:
+        for loss in losses:
+            self.outbox.withdraw(loss)
 
 
 _APPLY: typing.Mapping[
     Kind, typing.Callable[[CrashLedger, Evidence], typing.Any]
 ] = {
-    Kind.LOSS: CrashLedger._add,
+    Kind.LOSS: lambda ledger, evidence: ledger.counted.add(evidence),
     Kind.CLEARANCE: CrashLedger._merge_clearance,
     Kind.SURVIVAL: CrashLedger._merge_survival,
     Kind.PRESENCE: CrashLedger._merge_presence,
--- a/packages/domain/bulrushcourse_domain/quarantine/evidence.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/evidence.py
@@ -45,8 +45,8 @@
 
     Attributes:
         kind: What it states.
-        fingerprint: Hash of the request's content, empty for ``SURVIVAL``
-            and ``PRESENCE``.
+        fingerprint: What identifies the request, or its content for all
+            callers; empty for ``SURVIVAL`` and ``PRESENCE``.
         upstream: Incarnation of the upstream, empty for ``CLEARANCE`` and
             ``PROBE``.
         stamp: Wall-clock time of the observing VM in milliseconds. It only
--- a/packages/domain/bulrushcourse_domain/quarantine/fingerprints.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/fingerprints.py
@@ -34,3 +34,17 @@
     """
     content, separator, _ = fingerprint.partition(_SEPARATOR)
     return content if separator else ''
+
+
+def names(fingerprint: str) -> tuple[str, ...]:
+    """Return all names under which a request may be quarantined.
+
+    Args:
+        fingerprint: A fingerprint, possibly of an earlier version.
+
+    Examples:
+        >>> names('c0ffee.7a')
+        ('c0ffee.7a', 'c0ffee')
+    """
+    content = content_of(fingerprint)
+    return (fingerprint, content) if content else (fingerprint,)
--- a/packages/domain/bulrushcourse_domain/quarantine/loss_table.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/loss_table.py
@@ -1,10 +1,11 @@
-"""Losses of upstreams by request content and by upstream."""
+"""Losses of upstreams by request, by upstream and by content."""
 
 import collections
 
 import attrs
 
 from bulrushcourse_domain.quarantine import evidence as evidences
+from bulrushcourse_domain.quarantine import fingerprints
 
 Evidence = evidences.Evidence
 
@@ -19,18 +20,20 @@
         by_fingerprint: Losses by fingerprint and incarnation of the upstream;
             the request that lost an upstream last is the last.
         by_upstream: Fingerprints of these losses by incarnation.
+        by_content: The same fingerprints by the content of the request.
     """
 
     by_fingerprint: collections.OrderedDict[str, dict[str, Evidence]] = (
         attrs.field(factory=collections.OrderedDict)
     )
     by_upstream: dict[str, set[str]] = attrs.field(factory=dict)
+    by_content: dict[str, set[str]] = attrs.field(factory=dict)
 
     def of_request(self, fingerprint: str) -> list[Evidence]:
         """Return the losses of a request.
 
         Args:
-            fingerprint: Hash of its content.
+            fingerprint: What identifies it.
         """
         return list(self.by_fingerprint.get(fingerprint, {}).values())
 
@@ -45,11 +48,31 @@
             for fingerprint in self.by_upstream.get(upstream, ())
         ]
 
+    def of_content(self, content: str) -> list[Evidence]:
+        """Return the losses of all callers' requests with a content.
+
+        Args:
+            content: Hash of the content.
+        """
+        return [
+            loss
+            for fingerprint in self.by_content.get(content, ())
+            for loss in self.by_fingerprint[fingerprint].values()
+        ]
+
+    def of_name(self, name: str) -> list[Evidence]:
+        """Return the losses by which a name may be quarantined.
+
+        Args:
+            name: Fingerprint of a request, or a content.
+        """
+        return self.of_content(name) or self.of_request(name)
+
     def has(self, fingerprint: str, upstream: str) -> bool:
         """Return whether there is a loss of an upstream by a request.
 
         Args:
-            fingerprint: Hash of the request's content.
+            fingerprint: What identifies the request.
             upstream: Incarnation of the upstream.
         """
         return upstream in self.by_fingerprint.get(fingerprint, ())
@@ -65,6 +88,9 @@
         if earlier is None or earlier.at < loss.at:
             losses[loss.upstream] = loss
         self.by_upstream.setdefault(loss.upstream, set()).add(loss.fingerprint)
+        content = fingerprints.content_of(loss.fingerprint)
+        if content:
+            self.by_content.setdefault(content, set()).add(loss.fingerprint)
         self.by_fingerprint.move_to_end(loss.fingerprint)
         if len(self.by_fingerprint) > MAX_FINGERPRINTS:
             self.discard(next(iter(self.by_fingerprint)))
@@ -77,20 +103,28 @@
         """
         losses = self.by_fingerprint[loss.fingerprint]
         del losses[loss.upstream]
-        if not losses:
-            del self.by_fingerprint[loss.fingerprint]
-        fingerprints = self.by_upstream[loss.upstream]
-        fingerprints.discard(loss.fingerprint)
-        if not fingerprints:
-            del self.by_upstream[loss.upstream]
+        _discard(self.by_upstream, loss.upstream, loss.fingerprint)
+        if losses:
+            return
+        del self.by_fingerprint[loss.fingerprint]
+        content = fingerprints.content_of(loss.fingerprint)
+        if content:
+            _discard(self.by_content, content, loss.fingerprint)
 
     def discard(self, fingerprint: str) -> list[Evidence]:
         """Remove and return all losses of a request.
 
         Args:
-            fingerprint: Hash of its content.
+            fingerprint: What identifies it.
         """
         removed = self.of_request(fingerprint)
         for loss in removed:
             self.remove(loss)
         return removed
+
+
+def _discard(index: dict[str, set[str]], key: str, fingerprint: str) -> None:
+    """Remove a fingerprint from an index, and its key with the last one."""
+    index[key].discard(fingerprint)
+    if not index[key]:
+        del index[key]
--- a/packages/domain/bulrushcourse_domain/quarantine/probes.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/probes.py
@@ -40,6 +40,10 @@
     REFUSE = 'refuse'
 
 
+# The verdicts, the strictest one last.
+STRICTNESS = (Verdict.RUN, Verdict.PROBE, Verdict.REFUSE)
+
+
 @attrs.frozen
 class Quarantine:
     """A quarantine, as it follows from the times of the losses.
--- a/packages/entry/bulrushcourse_entry/edge/reporting/event_log.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/event_log.py
@@ -243,15 +243,14 @@
         Args:
             ledger: Evidence about crash-inducing requests.
         """
-        for fingerprint, begun in ledger.update():
+        for name, begun in ledger.update():
             self.log_change(
                 events.Event.REQUEST_QUARANTINED
                 if begun
                 else events.Event.REQUEST_RELEASED,
-                fingerprint=fingerprint,
+                fingerprint=name,
                 upstreams=[
-                    loss.upstream
-                    for loss in ledger.losses.of_request(fingerprint)
+                    loss.upstream for loss in ledger.losses.of_name(name)
                 ],
             )
 
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -8,6 +8,7 @@
 import attrs
 
 from bulrushcourse_domain.costs import key_costs
+from bulrushcourse_domain.quarantine import fingerprints
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.reporting import memory_monitor
 from bulrushcourse_entry.edge.reporting import quota_dump
@@ -164,9 +165,13 @@
     )
     dumped = {}
     for fingerprint in tuple(latest):
-        quarantine = ledger.quarantine(fingerprint)
+        quarantine = ledger.counted.quarantine(fingerprint)
+        content = fingerprints.content_of(fingerprint)
         dumped[fingerprint] = {
             'quarantined': quarantine is not None,
+            'content_quarantined': (
+                ledger.counted.quarantine(content) is not None
+            ),
             'failed_probes': quarantine.failed_probes if quarantine else 0,
             'probe_due_s': (
                 round(quarantine.due - now, 3)
--- a/packages/testkit/bulrushcourse_testkit/quarantine_model.py
+++ b/packages/testkit/bulrushcourse_testkit/quarantine_model.py
@@ -5,6 +5,7 @@
 decides, with a manual clock, in place of processes and sockets.
 """
 
+import enum
 import heapq
 import itertools
 import random
@@ -15,6 +16,7 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.quarantine import crashes
 from bulrushcourse_domain.quarantine import evidence as evidences
+from bulrushcourse_domain.quarantine import fingerprints
 from bulrushcourse_domain.quarantine import probes
 
 Verdict = probes.Verdict
@@ -34,7 +36,12 @@
 REPORT_S = 0.3
 CONTACT_S = 3.0
 CRASHING = 'crashing'
+SOUND_ACCOUNT = 'sound'
 CRASHING_EVERY_S = 5.0
+# Client accounts that send the crash-inducing request.
+ACCOUNTS = 72
+# Time between their requests, and those of one for which it is sound.
+ACCOUNTS_EVERY_S = 0.5
 DOMAIN_LOST_AT_S = 20.0
 DOMAIN_LOST_FOR_S = 15.0
 RESETS = (10.0, 50.0)
@@ -107,6 +114,16 @@
         losses[loss[1]] = self.clock.now
 
 
+def without_caller(fingerprint: str) -> str:
+    """Return what identified a request before callers were told apart."""
+    return fingerprints.content_of(fingerprint) or fingerprint
+
+
+def without_content(fingerprint: str) -> str:
+    """Return what identifies a request if callers have nothing in common."""
+    return fingerprint.replace('.', '~')
+
+
 @attrs.define
 class PresentLedger:
     """The ledger of the product, with parts switched off for comparison.
@@ -114,13 +131,16 @@
     Attributes:
         ledger: The ledger.
         without: Kinds of evidence that are not used.
+        identify: Returns what identifies a request.
     """
 
     ledger: crashes.CrashLedger
     without: frozenset[Kind] = frozenset()
+    identify: typing.Callable[[str], str] = str
 
     def admit(self, fingerprint: str, vm: str) -> Verdict:
         """Return whether a request may run."""
+        fingerprint = self.identify(fingerprint)
         verdict = self.ledger.admit(fingerprint, vm, lambda: VMS)
         if verdict is Verdict.PROBE:
             if Kind.PROBE in self.without:
@@ -133,6 +153,7 @@
     ) -> None:
         """Record the outcome of an attempt."""
         ledger = self.ledger
+        fingerprint = self.identify(fingerprint)
         if outcome != 'answer':
             ledger.record_loss(fingerprint, upstream)
             return
@@ -153,9 +174,13 @@
 Policy = typing.Callable[[clocks.ManualClock], typing.Any]
 
 
-def _present(limit: int, *without: Kind) -> Policy:
+def _present(
+    limit: int,
+    *without: Kind,
+    identify: typing.Callable[[str], str] = str,
+) -> Policy:
     return lambda clock: PresentLedger(
-        crashes.CrashLedger(clock, limit), frozenset(without)
+        crashes.CrashLedger(clock, limit), frozenset(without), identify
     )
 
 
@@ -167,10 +192,48 @@
     '3 losses, clearances and survivals': _present(3, Kind.PROBE),
     'the same and probes (chosen)': _present(3),
 }
+
+
+class Senders(enum.Enum):
+    """Who sends the crash-inducing request."""
+
+    ANONYMOUS = 'anonymous'
+    ONE_ACCOUNT = 'one account, sound for another'
+    ALL_ACCOUNTS = 'all accounts'
+
+
+@attrs.frozen
+class Scenario:
+    """What happens in a run.
+
+    Attributes:
+        loses_domain: Whether a failure domain is lost for some time.
+        resets: Whether a tenth of the attempts is reset for some time.
+        senders: Who sends the crash-inducing request.
+    """
+
+    loses_domain: bool = False
+    resets: bool = False
+    senders: Senders = Senders.ANONYMOUS
+
+
 SCENARIOS = {
-    'failure domain lost': (True, False),
-    'a tenth reset': (False, True),
-    'both': (True, True),
+    'failure domain lost': Scenario(True, False),
+    'a tenth reset': Scenario(False, True),
+    'both': Scenario(True, True),
+}
+# Choices of what counts as one request.
+IDENTITIES: typing.Mapping[str, Policy] = {
+    'content': _present(3, identify=without_caller),
+    'content and caller': _present(3, identify=without_content),
+    'the same, contents of three callers (chosen)': _present(3),
+}
+IDENTITY_SCENARIOS = {
+    f'{senders.value}{", a tenth reset" if resets else ""}': Scenario(
+        False, resets, senders
+    )
+    for senders in (Senders.ONE_ACCOUNT, Senders.ALL_ACCOUNTS)
+    for resets in (False, True)
 }
 
 
@@ -214,17 +277,25 @@
         return sum(at > start for at in self.crashed_at)
 
 
+def is_crashing(fingerprint: str) -> bool:
+    """Return whether a request crashes the upstreams that run it.
+
+    Args:
+        fingerprint: Its fingerprint.
+    """
+    content, _, caller = fingerprint.partition('.')
+    return content == CRASHING and caller != SOUND_ACCOUNT
+
+
 class Model:
     """A run of one policy in one scenario."""
 
-    def __init__(
-        self, policy: Policy, loses_domain: bool, resets: bool, seed: int
-    ) -> None:
+    def __init__(self, policy: Policy, scenario: Scenario, seed: int) -> None:
         self.rng = random.Random(seed)
         self.clock = clocks.ManualClock()
         self.ledgers = {vm: policy(self.clock) for vm in VMS}
         self.upstreams = [Upstream(n % DOMAINS) for n in range(UPSTREAMS)]
-        self.loses_domain, self.resets = loses_domain, resets
+        self.scenario = scenario
         self.result = Result()
         self.queue: list[typing.Any] = []
         self.numbers = itertools.count()
@@ -232,9 +303,9 @@
     def run(self) -> Result:
         """Play the scenario and return what happened."""
         self._at(0.0, self._arrive)
-        self._at(CRASHING_EVERY_S, self._arrive_crashing)
+        self._at(CRASHING_EVERY_S, _ARRIVALS[self.scenario.senders], self)
         self._at(REPORT_S, self._report)
-        if self.loses_domain:
+        if self.scenario.loses_domain:
             self._at(DOMAIN_LOST_AT_S, self._lose_domain)
         while self.queue and self.queue[0][0] < LENGTH_S:
             at, _, action, arguments = heapq.heappop(self.queue)
@@ -263,11 +334,24 @@
         at = self.clock.now + CRASHING_EVERY_S
         self._at(at, self._arrive_crashing)
 
+    def _arrive_of_one_account(self) -> None:
+        # Half of them are those of an account for which it is sound.
+        is_sound = self.rng.random() < 0.5
+        self.result.sound += is_sound
+        self._execute(f'{CRASHING}.{SOUND_ACCOUNT if is_sound else 0}')
+        at = self.clock.now + ACCOUNTS_EVERY_S
+        self._at(at, self._arrive_of_one_account)
+
+    def _arrive_of_all_accounts(self) -> None:
+        self._execute(f'{CRASHING}.{self.rng.randrange(ACCOUNTS)}')
+        at = self.clock.now + ACCOUNTS_EVERY_S
+        self._at(at, self._arrive_of_all_accounts)
+
     def _execute(self, fingerprint: str) -> None:
         vm = self.rng.choice(VMS)
         verdict = self.ledgers[vm].admit(fingerprint, vm)
         if verdict is Verdict.REFUSE:
-            self.result.refused += fingerprint != CRASHING
+            self.result.refused += not is_crashing(fingerprint)
             return
         attempts = 1 if verdict is Verdict.PROBE else ATTEMPTS
         self._send(vm, fingerprint, attempts, ())
@@ -285,9 +369,12 @@
         number = self.rng.choice(up)
         in_resets = RESETS[0] <= self.clock.now < RESETS[1]
         is_reset = (
-            self.resets and in_resets and self.rng.random() < RESET_SHARE
+            self.scenario.resets
+            and in_resets
+            and self.rng.random() < RESET_SHARE
         )
-        work_s = CRASH_S if is_reset or fingerprint == CRASHING else WORK_S
+        crashes_it = is_crashing(fingerprint)
+        work_s = CRASH_S if is_reset or crashes_it else WORK_S
         self._at(
             self.clock.now + work_s,
             self._end,
@@ -314,7 +401,7 @@
         ledger = self.ledgers[vm]
         is_alive = upstream.down_until <= self.clock.now
         is_same = upstream.born == born and is_alive
-        if fingerprint == CRASHING and is_same:
+        if is_crashing(fingerprint) and is_same:
             self.result.crashed_at.append(self.clock.now)
             self._crash(upstream, DOWN_S)
             is_same = False
@@ -369,22 +456,35 @@
         return f'{name}@{int(upstream.visible * 1000) + 1}'
 
 
-def main() -> None:
-    """Print the table, as sums over ten seeds."""
+_ARRIVALS: typing.Mapping[Senders, typing.Callable[[Model], None]] = {
+    Senders.ANONYMOUS: Model._arrive_crashing,
+    Senders.ONE_ACCOUNT: Model._arrive_of_one_account,
+    Senders.ALL_ACCOUNTS: Model._arrive_of_all_accounts,
+}
+
+
+def _print_table(
+    policies: typing.Mapping[str, Policy],
+    scenarios: typing.Mapping[str, Scenario],
+) -> None:
     print('| choice | scenario | crashes | late | sound refused | of |')
     print('| --- | --- | --- | --- | --- | --- |')
-    for name, policy in POLICIES.items():
-        for scenario, options in SCENARIOS.items():
-            results = [
-                Model(policy, *options, seed).run() for seed in range(10)
-            ]
+    for name, policy in policies.items():
+        for shown, scenario in scenarios.items():
+            results = [Model(policy, scenario, s).run() for s in range(10)]
             cells = (
                 sum(len(r.crashed_at) for r in results),
                 sum(r.late_crashes for r in results),
                 sum(r.refused for r in results),
                 sum(r.sound for r in results),
             )
-            print(f'| {name} | {scenario} |', *(f'{c} |' for c in cells))
+            print(f'| {name} | {shown} |', *(f'{c} |' for c in cells))
+
+
+def main() -> None:
+    """Print the tables, as sums over ten seeds."""
+    _print_table(POLICIES, SCENARIOS)
+    _print_table(IDENTITIES, IDENTITY_SCENARIOS)
 
 
 if __name__ == '__main__':
