Order the rows of an upstream by what it states about itself

Cause: each row of a later version of the store counted as a later word of its upstream. The store may perform a row seconds after it was written, or once more; `seq`, which tells this, was not decoded, and `born` was compared only while a return of the store settles.

LatestWords orders words by start and number, also after the row was removed. A start that seems to be earlier (a clock that was set back) and a row after a removal count once another row follows, as a process that lives writes on. VMs pass the numbers on in fields that earlier versions ignore, and tell by which words they hold rows back, so that a VM that started later does not go by the late row.

--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -57,7 +57,8 @@
         self.read_at = now
         self.has_diverged = False
         listed = {u.name: u for u in snapshot.upstreams}
-        changes.extend(self._drop_missing(listed, now))
+        changes.extend(self._drop_missing(listed, now, snapshot.unreadable))
+        self.words.forget_missing(listed)
         for upstream in listed.values():
             changes.extend(self.merge(upstream, now))
         self._update_exact_position()
@@ -81,14 +82,17 @@
         return self.store_era.settled_at
 
     def _drop_missing(
-        self, listed: typing.Container[str], now: float
+        self,
+        listed: typing.Container[str],
+        now: float,
+        unreadable: typing.Container[str],
     ) -> typing.Iterator[Change]:
         missing = [n for n in self.by_name if n not in listed]
         before = frozenset(self.expiry.kept_until)
         left = self.expiry.keep_missing(self.by_name, missing, now)
         for name in missing:
             if name in left:
-                yield self.remove(name)
+                yield self.remove(name, name not in unreadable)
             elif name not in before:
                 yield Change(self.by_name[name], 'kept')
         self.candidates.clear_caches()
@@ -100,7 +104,7 @@
             The changes that it made.
         """
         ended = self.expiry.ended(self.clock.monotonic())
-        changes = tuple(self.remove(name) for name in ended)
+        changes = tuple(self.remove(name, False) for name in ended)
         self._update_exact_position()
         return changes
 
@@ -128,16 +132,18 @@
         )
         if not is_history_known or not self.history.covers(base):
             base = positions.START
+        gone = self.history.removed_since(base)
         return upstreams.DirectoryDelta(
             base=base,
             position=self.position,
             changed=tuple(
                 self.by_name[name] for name in self.history.changed_since(base)
             ),
-            gone=self.history.removed_since(base),
+            gone=gone,
             age_s=max(0.0, now - self.read_at),
             kept=self.expiry.remaining(now),
             digest=self.listed_digest(),
+            perhaps_gone=tuple(filter(self.words.may_be_there, gone)),
         )
 
     def apply_delta(
@@ -222,8 +228,9 @@
         self, delta: upstreams.DirectoryDelta, now: float
     ) -> typing.Iterator[Change]:
         for name in delta.gone:
+            self.words.forget_doubt(name)
             if name in self.by_name:
-                yield self.remove(name)
+                yield self.remove(name, name not in delta.perhaps_gone)
             else:
                 self.returned.record_departure(name)
         if not delta.base:
@@ -239,6 +246,7 @@
         Its sender may not have met those that joined in the lost seconds.
         """
         named = {upstream.name for upstream in delta.changed}
+        self.words.forget_missing(named)
         for name in [n for n in self.by_name if n not in named]:
             if not self.expiry.awaits(name, now):
                 yield self.remove(name)
--- a/packages/domain/bulrushcourse_domain/upstreams/listed_upstreams.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/listed_upstreams.py
@@ -11,8 +11,10 @@
 from bulrushcourse_domain.upstreams import candidates as candidate_upstreams
 from bulrushcourse_domain.upstreams import change_history
 from bulrushcourse_domain.upstreams import cold_periods
+from bulrushcourse_domain.upstreams import latest_words
 from bulrushcourse_domain.upstreams import returned_rows
 from bulrushcourse_domain.upstreams import row_expiry
+from bulrushcourse_domain.upstreams import stated_words
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 # An upstream counts as cold for this much longer than its row says, since rows
@@ -37,6 +39,8 @@
         history: Positions at which upstreams were changed and removed.
         names: Names of the upstreams by their short identifiers.
         returned: Decides which rows of a copy are held back.
+        words: Decides which rows are held back since they are not the latest
+            word of their upstream.
         candidates: Upstreams that may get new requests.
     """
 
@@ -51,6 +55,7 @@
     )
     names: dict[int, str] = attrs.field(factory=dict)
     returned: returned_rows.ReturnedRows = attrs.field(init=False)
+    words: latest_words.LatestWords = attrs.field(init=False)
     cold: cold_periods.ColdPeriods = attrs.field(init=False)
     addresses: address_bindings.AddressBindings = attrs.field(init=False)
     candidates: candidate_upstreams.Candidates = attrs.field(init=False)
@@ -58,6 +63,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts that follow the upstreams of this directory."""
         self.returned = returned_rows.ReturnedRows(self.clock, self.store_era)
+        self.words = latest_words.LatestWords(self.clock)
         self.cold = cold_periods.ColdPeriods(self.clock)
         self.addresses = address_bindings.AddressBindings(self.clock)
         self.candidates = candidate_upstreams.Candidates(
@@ -82,11 +88,12 @@
             digest ^= self.by_name[name].digest
         return digest
 
-    def remove(self, name: str) -> upstreams.Change:
+    def remove(self, name: str, is_certain: bool = True) -> upstreams.Change:
         """Remove an upstream and return the change.
 
         Args:
             name: Name of the upstream.
+            is_certain: See ``latest_words.Departure``.
         """
         self.expiry.release(name)
         self.candidates.clear_caches()
@@ -96,6 +103,7 @@
         self.names.pop(upstreams.short_id(name), None)
         removed = self.by_name.pop(name)
         self.returned.record_departure(removed.incarnation)
+        self.words.record_departure(removed, is_certain)
         self.digest ^= removed.digest
         return upstreams.Change(removed, 'gone')
 
@@ -114,7 +122,10 @@
             The changes that it made.
         """
         previous = self.by_name.get(upstream.name)
-        if not self.returned.may_apply(upstream, previous, has_row):
+        if not (
+            self.words.may_apply(upstream, previous)
+            and self.returned.may_apply(upstream, previous, has_row)
+        ):
             if has_row:
                 self._hold_back(upstream, previous)
             return
@@ -122,8 +133,12 @@
             self.expiry.release(upstream.name)
         elif previous is None:
             self.expiry.awaited.add(upstream.name)
+        upstream = attrs.evolve(
+            upstream, first_seq=self._first_seq(upstream, previous)
+        )
         self.by_name[upstream.name] = upstream
         self.returned.record_presence(upstream)
+        self.words.record_presence(upstream)
         if previous == upstream:
             return
         self._record_change(upstream, previous, now)
@@ -134,6 +149,13 @@
         if upstream.draining and (previous is None or not previous.draining):
             yield upstreams.Change(upstream, 'draining')
 
+    def _first_seq(
+        self, row: upstreams.Upstream, previous: upstreams.Upstream | None
+    ) -> int:
+        if previous is not None and previous.born == row.born:
+            return previous.first_seq
+        return self.words.first_seq_of(row)
+
     def _record_change(
         self,
         upstream: upstreams.Upstream,
@@ -164,6 +186,44 @@
         if previous.born == row.born:
             self.expiry.release(row.name)
 
+    def held_words(self) -> tuple[stated_words.StatedWord, ...]:
+        """Return the words by which rows are held back, for other VMs."""
+        return stated_words.state(self.words, self.by_name)
+
+    def apply_words(
+        self, stated: typing.Iterable[stated_words.StatedWord]
+    ) -> tuple[upstreams.Change, ...]:
+        """Apply the words by which another VM holds rows back.
+
+        This VM may have started after they were written.
+
+        Args:
+            stated: The words.
+
+        Returns:
+            The changes that they made.
+        """
+        changes: list[upstreams.Change] = []
+        for entry in stated:
+            known = self.by_name.get(entry.name)
+            if known is not None and stated_words.overrules(entry, known):
+                changes.extend(self._overrule(known, entry))
+        return tuple(changes)
+
+    def _overrule(
+        self, known: upstreams.Upstream, stated: stated_words.StatedWord
+    ) -> typing.Iterator[upstreams.Change]:
+        if stated.standing is stated_words.Standing.GONE:
+            yield self.remove(known.name)
+        elif stated.standing is stated_words.Standing.DRAINING:
+            draining = attrs.evolve(
+                known,
+                draining=True,
+                born=stated.word.born,
+                seq=stated.word.seq,
+            )
+            yield from self.merge(draining, self.clock.monotonic())
+
     def evacuate(
         self, failure_domains: frozenset[str], warmup_s: float
     ) -> frozenset[str]:
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -42,6 +42,10 @@
         born: Start of this incarnation in Unix milliseconds, 0 if unknown.
         version: Version of the store that wrote the row. Heartbeats change
             nothing else, so it is ignored in comparisons.
+        seq: Number of this statement of the process about itself, 0 if
+            unknown. Ignored in comparisons as well.
+        first_seq: Number of the first one that was seen since the upstream
+            was listed, 0 if none is known.
     """
 
     name: str
@@ -54,6 +58,8 @@
     cold_for_s: float = 0.0
     born: int = 0
     version: int = attrs.field(default=0, eq=False)
+    seq: int = attrs.field(default=0, eq=False)
+    first_seq: int = attrs.field(default=0, eq=False)
 
     @property
     def digest(self) -> int:
@@ -82,11 +88,13 @@
         version: Version of the store.
         upstreams: The upstreams.
         era: Era of the store, 0 if it states none.
+        unreadable: Names of the rows that describe no upstream.
     """
 
     version: int
     upstreams: tuple[Upstream, ...]
     era: int = 0
+    unreadable: frozenset[str] = frozenset()
 
     @property
     def position(self) -> positions.Position:
@@ -124,6 +132,8 @@
             by name; see ``Change``.
         digest: Exclusive or of the digests of the upstreams that have a row at
             ``position``, ``None`` if the sender does not state it.
+        perhaps_gone: Names among those in ``gone`` whose row may have become
+            unreadable or expired in an outage, rather than being removed.
     """
 
     base: positions.Position
@@ -133,3 +143,4 @@
     age_s: float = 0.0
     kept: typing.Mapping[str, float] = attrs.field(factory=dict)
     digest: int | None = None
+    perhaps_gone: tuple[str, ...] = ()
--- a/packages/entry/bulrushcourse_entry/edge/fleet/directory_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/directory_forwarding.py
@@ -165,6 +165,8 @@
             report.directory_position,
             state.clock.monotonic() - report.directory_age_s,
         )
+        for change in state.upstreams.apply_words(report.held_words):
+            state.upstream_changes.on_next(change)
         if report.directory_delta is None:
             return
         read_at = state.upstreams.read_at
--- a/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
@@ -154,6 +154,7 @@
                 sorted(state.evacuations.in_force() - state.evacuations.stored)
             ),
             directory_delta=self.directory.delta(cursor),
+            held_words=state.upstreams.held_words(),
             vms=vms,
             vms_known=len(state.fleet.peers),
             configuration=self._configuration_to_send(cursor.receiver),
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -77,6 +77,14 @@
             }
             for key, mix in state.region_mixes.items()
         },
+        'rows_held_back': {
+            entry.name: {
+                'born': entry.word.born,
+                'seq': entry.word.seq,
+                'standing': entry.standing.name.lower(),
+            }
+            for entry in state.upstreams.held_words()
+        },
         'losses': _losses(state),
         'objects_divided': sorted(
             _mix_name(*key) for key in state.placement.divided
--- a/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bulrushcourse_domain.membership import readers
+from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_entry import events
 from bulrushcourse_entry.edge import process_state
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
@@ -77,6 +78,8 @@
         event_log: Log.
         reachability: Whether the store answers.
         logged_rows: Hash of the malformed rows of the last read, by key.
+        held_back: Names of the upstreams whose row was not applied when it was
+            read last.
     """
 
     store: rows.RowStore
@@ -84,6 +87,7 @@
     event_log: event_logs.EventLog
     reachability: StoreReachability
     logged_rows: dict[str, int] = attrs.field(factory=dict)
+    held_back: frozenset[str] = frozenset()
 
     async def run(self) -> None:
         """Keep the upstream directory up to date until cancelled."""
@@ -149,8 +153,24 @@
         )
         for change in self.state.upstreams.apply_snapshot(snapshot):
             self.state.upstream_changes.on_next(change)
+        self._log_held_back(snapshot)
         self.state.snapshot_versions.on_next(snapshot.position)
 
+    def _log_held_back(self, snapshot: upstreams.Snapshot) -> None:
+        stated = {e.name: e for e in self.state.upstreams.held_words()}
+        for row in snapshot.upstreams:
+            if row.name in stated and row.name not in self.held_back:
+                entry = stated[row.name]
+                self.event_log.log_change(
+                    events.Event.UPSTREAM_ROW_HELD_BACK,
+                    upstream=row.name,
+                    row=[row.born, row.seq],
+                    version=row.version,
+                    known=[entry.word.born, entry.word.seq],
+                    standing=entry.standing.name.lower(),
+                )
+        self.held_back = frozenset(stated)
+
     def _log_malformed(
         self, row: rows.StoredRow, error: units.MalformedValue
     ) -> None:
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -149,6 +149,11 @@
         'warning',
         'upstream did not prove that it still has its address',
     )
+    UPSTREAM_ROW_HELD_BACK = (
+        6011,
+        'warning',
+        'row is not the latest word of its upstream and is not applied',
+    )
     POOL_TAKEN = (6101, 'info', 'entry owns a pool')
     POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
     LEDGER_REFUSED = (7001, 'error', 'stored shares of a limit are invalid')
--- a/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
@@ -46,6 +46,7 @@
             ),
             born=units.integer(fields.get('born', 0), 'born'),
             version=row.version,
+            seq=units.integer(fields.get('seq', 0), 'seq'),
         )
     except units.MalformedValue:
         raise
@@ -67,10 +68,13 @@
         regions: Region of each failure domain.
         on_malformed: Called with each malformed row and the reason.
     """
-    decoded = []
+    decoded, unreadable = [], set()
     for row in batch.rows:
         try:
             decoded.append(decode(row, regions))
         except units.MalformedValue as error:
+            unreadable.add(row.key)
             on_malformed(row, error)
-    return upstreams.Snapshot(batch.version, tuple(decoded), batch.era)
+    return upstreams.Snapshot(
+        batch.version, tuple(decoded), batch.era, frozenset(unreadable)
+    )
--- a/packages/wire/bulrushcourse_wire/directory_deltas.py
+++ b/packages/wire/bulrushcourse_wire/directory_deltas.py
@@ -13,6 +13,8 @@
 MAX_DIGEST = (1 << 32) - 1
 # Longer times for which an upstream without a row is used are mistakes.
 MAX_KEPT_MS = 60_000
+# Numbers of rows travel in a field of their own, see ``upstream_words``.
+_IS_SENT = attrs.filters.exclude('seq', 'first_seq')
 
 
 def encode_delta(delta: upstreams.DirectoryDelta) -> list[typing.Any]:
@@ -21,7 +23,7 @@
     Args:
         delta: The delta.
     """
-    changed = [attrs.astuple(entry) for entry in delta.changed]
+    changed = [attrs.astuple(e, filter=_IS_SENT) for e in delta.changed]
     age_ms = int(delta.age_s * 1000)
     return [
         delta.base.version,
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -10,6 +10,7 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.fleet import links
 from bulrushcourse_domain.store import position as positions
+from bulrushcourse_domain.upstreams import stated_words
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_domain.waiting import pressure as pressures
 from bulrushcourse_wire import directory_deltas
@@ -18,6 +19,7 @@
 from bulrushcourse_wire import fields as checks
 from bulrushcourse_wire import packing
 from bulrushcourse_wire import pressure_counts
+from bulrushcourse_wire import upstream_words
 
 # Fractions are encoded as whole hundredths, which take a third of the bytes of
 # floating-point numbers.
@@ -134,6 +136,7 @@
         evacuations_held: Those without a row that the store may have lost.
         directory_delta: Changes of the upstream directory, ``None`` if there
             are none.
+        held_words: Words of upstreams by which the sender holds rows back.
         vms: VMs that are new to the sender, and all of them for a receiver
             that knows fewer.
         vms_known: Number of VMs known to the sender.
@@ -162,6 +165,7 @@
     evacuated: tuple[str, ...] = ()
     evacuations_held: tuple[str, ...] = ()
     directory_delta: upstreams.DirectoryDelta | None = None
+    held_words: tuple[stated_words.StatedWord, ...] = ()
     vms: tuple[fleet.Vm, ...] = ()
     vms_known: int = 0
     configuration: bytes = b''
@@ -203,6 +207,8 @@
             {s.source: s.pressure for s in report.scopes}
         ),
         **_encode_eras(report),
+        # VMs of versions without this field ignore it.
+        'hw': upstream_words.encode_stated(report.held_words),
     }
     content = {key: value for key, value in content.items() if value}
     if report.key_proof is not None:
@@ -212,11 +218,16 @@
         content['w'] = report.roster
     if report.directory_delta is not None:
         content['n'] = directory_deltas.encode_delta(report.directory_delta)
-        # VMs of versions without these two fields ignore them.
+        # VMs of versions without these four fields ignore them.
         content['g'] = report.directory_delta.digest
         kept = directory_deltas.encode_kept(report.directory_delta)
         if kept:
             content['q'] = kept
+        numbers = upstream_words.encode_numbers(report.directory_delta.changed)
+        if numbers:
+            content['nw'] = numbers
+        if report.directory_delta.perhaps_gone:
+            content['gu'] = report.directory_delta.perhaps_gone
     return msgpack.packb(content)
 
 
@@ -321,11 +332,8 @@
         ),
         evacuated=_texts(get('e', []), MAX_REGIONS),
         evacuations_held=_texts(get('eh', []), MAX_REGIONS),
-        directory_delta=directory_deltas.decode_delta(
-            fields['n'], get('q', {}), get('g'), get('ne', [])
-        )
-        if 'n' in fields
-        else None,
+        directory_delta=_decode_delta(fields) if 'n' in fields else None,
+        held_words=upstream_words.decode_stated(get('hw', [])),
         vms=tuple(
             _decode_vm(vm) for vm in checks.items(get('m', []), MAX_VMS)
         ),
@@ -337,6 +345,20 @@
     )
 
 
+def _decode_delta(
+    fields: dict[str, typing.Any],
+) -> upstreams.DirectoryDelta:
+    get = fields.get
+    delta = directory_deltas.decode_delta(
+        fields['n'], get('q', {}), get('g'), get('ne', [])
+    )
+    return attrs.evolve(
+        delta,
+        changed=upstream_words.add_numbers(delta.changed, get('nw')),
+        perhaps_gone=_texts(get('gu', []), directory_deltas.MAX_UPSTREAMS),
+    )
+
+
 def _decode_heartbeats(ages: typing.Any, phases: typing.Any) -> Heartbeats:
     if max(checks.content(phases, MAX_VMS), default=0) >= len(_PHASES):
         raise checks.MalformedField('phase out of range')
--- a/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
@@ -13,6 +13,8 @@
 from bulrushcourse_domain.fleet import links
 from bulrushcourse_domain.quarantine import evidence as evidences
 from bulrushcourse_domain.store import position as positions
+from bulrushcourse_domain.upstreams import latest_words
+from bulrushcourse_domain.upstreams import stated_words
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_wire import era_messages
 from bulrushcourse_wire import evidence_messages
@@ -121,10 +123,26 @@
                 positions.START, positions.Position(2, 4), (UPSTREAM,)
             ),
             upstreams.DirectoryDelta(
-                positions.Position(2, 3), positions.Position(2, 4), digest=7
+                positions.Position(2, 3),
+                positions.Position(2, 4),
+                gone=('u', 'v'),
+                digest=7,
+                perhaps_gone=('v',),
             ),
         ]
     ),
+    held_words=tuples_of(
+        strategies.builds(
+            stated_words.StatedWord,
+            NAMES,
+            strategies.builds(
+                latest_words.Word,
+                strategies.integers(0, 1 << 50),
+                strategies.integers(0, 1 << 40),
+            ),
+            strategies.sampled_from(stated_words.Standing),
+        )
+    ),
     vms=strategies.sampled_from([(), (VM,)]),
     vms_known=strategies.integers(0, 999),
     key_proof=strategies.none()
@@ -350,3 +368,33 @@
     fields = {'r': 'relay', 'p': 'ready', 'se': value}
     with pytest.raises(fleet_messages.MalformedReport):
         fleet_messages.decode(msgpack.packb(fields))
+
+
+def test_numbers_of_rows_travel_beside_the_rows():
+    # Guards against mixed versions: earlier ones refuse rows with more fields
+    # than they know, and send none of these.
+    row = attrs.evolve(UPSTREAM, seq=8, first_seq=3)
+    delta = upstreams.DirectoryDelta(
+        positions.START, positions.Position(0, 4), (row, UPSTREAM)
+    )
+    report = fleet_messages.Report(
+        None, links.Relation.RELAY, fleet.Phase.READY, directory_delta=delta
+    )
+    encoded = fleet_messages.encode(report)
+    decoded = fleet_messages.decode(encoded).directory_delta.changed
+    assert [(u.seq, u.first_seq) for u in decoded] == [(8, 3), (0, 0)]
+    fields = msgpack.unpackb(encoded)
+    assert {len(entry) for entry in fields['n'][2]} == {10}
+    del fields['nw']
+    earlier = fleet_messages.decode(msgpack.packb(fields)).directory_delta
+    assert [u.seq for u in earlier.changed] == [0, 0]
+
+
+@pytest.mark.parametrize('numbers', [[1], [1, 2, 3, 4, 5], ['1', 2, 3, 4], 7])
+def test_odd_numbers_of_rows_are_refused(numbers):
+    # Guards against numbers that are given to other rows than their own.
+    fields = {'r': 'relay', 'p': 'ready', 'nw': numbers}
+    row = list(attrs.astuple(UPSTREAM)[:10])
+    fields['n'] = [6, 7, [row, row], [], 100]
+    with pytest.raises(fleet_messages.MalformedReport):
+        fleet_messages.decode(msgpack.packb(fields))
