Count a crash behind the first bytes of a response

Cause: a response that had begun was taken for a proof that the upstream survived the request, so that no loss was recorded.

Such an attempt is now a possible loss. It counts once the end of the upstream's process is seen: a refused connection, another connection that breaks at the same moment, or a later start in its row. An answer within a second or a complete response to the request refutes it. After a second possible loss of a request, one connection checks the upstream (event 6012). Attempts that end at the deadline or with the client are possible losses too: a crash then is seen by no attempt, and the request is hedged each time it comes.

--- a/packages/domain/bulrushcourse_domain/attempts/broken.py
+++ b/packages/domain/bulrushcourse_domain/attempts/broken.py
@@ -23,6 +23,21 @@
     ANSWERED_IN_PART = 'answered-in-part'
 
 
+class Suspicion(enum.Enum):
+    """Whether the upstream may have crashed by the request.
+
+    Attributes:
+        NONE: It can't have.
+        POSSIBLE: It may have, or it is faulty and lives, or the network was
+            cut. This counts once the end of its process is seen.
+        PRESUMED: It counts as crashed until it is seen alive.
+    """
+
+    NONE = 'none'
+    POSSIBLE = 'possible'
+    PRESUMED = 'presumed'
+
+
 @attrs.frozen
 class BrokenAttempt:
     """Observations of an attempt whose connection broke.
@@ -49,24 +64,24 @@
     Attributes:
         may_have_run: Whether the request may have run. One that may run only
             once is then never sent again.
-        suspects_crash: Whether the upstream may have crashed by the request.
+        suspicion: Whether the upstream may have crashed by the request.
         suspects_connection: Whether the upstream may have dropped its other
             idle connections as well.
     """
 
     may_have_run: bool
-    suspects_crash: bool
+    suspicion: Suspicion
     suspects_connection: bool
 
 
 # An upstream that crashes as soon as it reads the request and one that dropped
-# the idle connection reset it alike, so both are suspected. A response that
-# has begun shows that the upstream survived the beginning of the request.
+# the idle connection reset it alike, so both are suspected. One that truncates
+# a response mostly lives, but a request may also crash it while it responds.
 CONSEQUENCES: typing.Mapping[Proof, Consequences] = {
-    Proof.NOTHING_SENT: Consequences(False, False, False),
-    Proof.PERHAPS_BEGUN: Consequences(True, True, True),
-    Proof.BEGUN: Consequences(True, True, False),
-    Proof.ANSWERED_IN_PART: Consequences(True, False, False),
+    Proof.NOTHING_SENT: Consequences(False, Suspicion.NONE, False),
+    Proof.PERHAPS_BEGUN: Consequences(True, Suspicion.PRESUMED, True),
+    Proof.BEGUN: Consequences(True, Suspicion.PRESUMED, False),
+    Proof.ANSWERED_IN_PART: Consequences(True, Suspicion.POSSIBLE, False),
 }
 
 
--- a/packages/entry/bulrushcourse_entry/edge/assembly.py
+++ b/packages/entry/bulrushcourse_entry/edge/assembly.py
@@ -30,6 +30,7 @@
 from bulrushcourse_entry.edge.reporting import event_log as event_logs
 from bulrushcourse_entry.edge.reporting import metrics as edge_metrics
 from bulrushcourse_entry.edge.store import store_monitor
+from bulrushcourse_entry.edge.upstreams import crash_checks
 from bulrushcourse_entry.edge.upstreams import destinations
 from bulrushcourse_entry.edge.upstreams import identity_checks
 from bulrushcourse_entry.edge.upstreams import upstream_client
@@ -163,6 +164,8 @@
     for session in (client.pooled, client.fresh):
         await stack.enter_async_context(session)
     stack.push_async_callback(client.identities.close)
+    checks = crash_checks.CrashChecks(state, event_log.log_crash_check)
+    stack.push_async_callback(checks.close)
     return client
 
 
--- a/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/attempts.py
@@ -6,6 +6,7 @@
 import attrs
 from returns import result
 
+from bulrushcourse_domain.attempts import broken
 from bulrushcourse_domain.placement import placement
 from bulrushcourse_domain.placement import reservation
 from bulrushcourse_domain.upstreams import outlier_detection
@@ -93,6 +94,8 @@
             self._record_duration(request, choice, attempt, elapsed_s)
             if attempt is None:
                 state.outliers.abandon_request(upstream.name)
+                if record.trace.wrote:
+                    self._record_possible_loss(request, upstream)
         self._record_outcome(record, attempt)
         self._record_evidence(request, choice, attempt, started)
         self._record_attempt(request, choice, attempt, elapsed_s)
@@ -142,10 +145,27 @@
         incarnation = choice.upstream.incarnation
         if isinstance(attempt, result.Success):
             ledger.record_answer(request.fingerprint, incarnation, started)
-        elif attempt.failure() is Failure.SHED:
+            return
+        if attempt.failure() is Failure.SHED:
             ledger.record_alive(incarnation, started)
-        elif attempt.failure() in outcomes.SUSPECTING_CRASH:
+            return
+        suspicion = outcomes.SUSPICIONS.get(
+            attempt.failure(), broken.Suspicion.NONE
+        )
+        if suspicion is broken.Suspicion.PRESUMED:
             ledger.record_loss(request.fingerprint, incarnation)
+        elif suspicion is broken.Suspicion.POSSIBLE:
+            self._record_possible_loss(request, choice.upstream)
+
+    def _record_possible_loss(
+        self,
+        request: caller_request.CallerRequest,
+        upstream: upstreams.Upstream,
+    ) -> None:
+        if self.state.crash_ledger.record_possible_loss(
+            request.fingerprint, upstream.incarnation
+        ):
+            self.state.possible_crashes.on_next(upstream)
 
     def _record_duration(
         self,
--- a/packages/entry/bulrushcourse_entry/edge/callers/outcomes.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/outcomes.py
@@ -26,12 +26,15 @@
 NOT_SENT = frozenset({Failure.NOT_SENT, Failure.UNPROVEN, Failure.OUTDATED})
 # Those for a reason of this VM, which count as no attempt.
 NOT_BEGUN = frozenset({Failure.UNPROVEN, Failure.OUTDATED})
-# Failures by which a crash of the upstream is suspected.
-SUSPECTING_CRASH = frozenset(
-    upstream_client.FAILURES[proof]
-    for proof, follows in broken.CONSEQUENCES.items()
-    if follows.suspects_crash
-)
+# Whether the upstream may have crashed, by the failure of the attempt. Without
+# a response until the deadline, it may have crashed when the request ended.
+SUSPICIONS: typing.Mapping[Failure, broken.Suspicion] = {
+    **{
+        upstream_client.FAILURES[proof]: follows.suspicion
+        for proof, follows in broken.CONSEQUENCES.items()
+    },
+    Failure.DEADLINE: broken.Suspicion.POSSIBLE,
+}
 # How outlier detection counts each failure.
 DETECTOR_OUTCOMES: typing.Mapping[Failure, outlier_detection.Outcome] = {
     Failure.NOT_SENT: outlier_detection.Outcome.UNREACHABLE,
--- a/packages/entry/bulrushcourse_entry/edge/process_state.py
+++ b/packages/entry/bulrushcourse_entry/edge/process_state.py
@@ -111,6 +111,8 @@
             the other VMs.
         lacks_only_own_proof: Whether this VM may not serve keys while others
             may.
+        possible_crashes: Stream of upstreams that may have crashed, where it
+            matters whether they have.
         upstream_changes: Stream of changes of the upstreams' rows.
         snapshot_versions: Stream of the positions that this VM has read from
             the store.
@@ -199,6 +201,9 @@
     room_changes: reactivex.Subject[None] = attrs.field(
         factory=reactivex.Subject
     )
+    possible_crashes: reactivex.Subject[upstreams.Upstream] = attrs.field(
+        factory=reactivex.Subject
+    )
     proofs_wanted: reactivex.Subject[upstreams.Upstream] = attrs.field(
         factory=reactivex.Subject
     )
@@ -375,6 +380,10 @@
             self.outliers.discard(change.upstream.name)
             self.recent_objects.discard(change.upstream.name)
             self.load.discard(change.upstream.name)
+        if change.kind == 'restarted':
+            self.crash_ledger.record_restart(
+                change.upstream.name, change.upstream.incarnation
+            )
 
 
 def build_state(
--- a/packages/entry/bulrushcourse_entry/edge/reporting/event_log.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/event_log.py
@@ -254,6 +254,17 @@
                 ],
             )
 
+    def log_crash_check(self, upstream: str, finding: str) -> None:
+        """Write whether an upstream crashed by a request, as far as seen.
+
+        Args:
+            upstream: Incarnation of the upstream.
+            finding: What the check found.
+        """
+        self.log_change(
+            events.Event.CRASH_CHECKED, upstream=upstream, finding=finding
+        )
+
     def log_room(self, service: str, is_short: bool) -> None:
         """Write that room at a service became short or sufficient.
 
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/identity_checks.py
@@ -107,7 +107,7 @@
             trace = connection_tracing.AttemptTrace(upstream, addresses)
             finding = await self._ask(self.fresh, trace)
         if finding is Finding.REFUSED:
-            addresses.record_refused(upstream)
+            record_refused(self.state, upstream)
         if finding is Finding.OTHER_UPSTREAM:
             trace.record_displaced()
         elif finding is Finding.NO_NAME:
@@ -159,6 +159,19 @@
         return Finding.PROVEN
 
 
+def record_refused(
+    state: process_state.ProcessState, upstream: upstreams.Upstream
+) -> None:
+    """Record that no process accepts connections at an upstream's address.
+
+    Args:
+        state: The process state.
+        upstream: The upstream.
+    """
+    state.upstreams.addresses.record_refused(upstream)
+    state.crash_ledger.record_end(upstream.incarnation)
+
+
 def record_condition(
     state: process_state.ProcessState,
     upstream: upstreams.Upstream,
--- a/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/upstream_client.py
@@ -165,7 +165,7 @@
             aiohttp.ConnectionTimeoutError,
         ) as error:
             if _was_refused(error):
-                state.upstreams.addresses.record_refused(upstream)
+                identity_checks.record_refused(state, upstream)
             return result.Failure(Failure.NOT_SENT)
         except TimeoutError:
             _close(response)
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -154,6 +154,11 @@
         'warning',
         'row is not the latest word of its upstream and is not applied',
     )
+    CRASH_CHECKED = (
+        6012,
+        'info',
+        'upstream that ended responses early was checked for a crash',
+    )
     POOL_TAKEN = (6101, 'info', 'entry owns a pool')
     POOL_LOST = (6102, 'warning', 'entry no longer owns a pool')
     LEDGER_REFUSED = (7001, 'error', 'stored shares of a limit are invalid')
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
@@ -2,15 +2,22 @@
 
 import asyncio
 
+import pytest
+
 from bulrushcourse_testkit.platform import cluster as clusters
 from bulrushcourse_testkit.platform import documents
 from bulrushcourse_testkit.platform import upstream as upstream_standin
+from bulrushcourse_testkit.platform import upstream_faults
 
 Fault = upstream_standin.Fault
 CRASHING = '/browse/crash'
 MAX_ATTEMPTS = documents.rule('/browse/')['action']['max_attempts']
 # Time within which all VMs know what one of them knows.
 CONTACT_S = 3.0
+# Bounds within which each of these requests may be retried.
+RETRIES = {'retry_budget_ratio': 1.0, 'retry_budget_extra': 100}
+# So many requests, at intervals of 0.4 s, take 2.7 times as long.
+LATE_REQUESTS = 20
 
 
 def run(scenario):
@@ -89,6 +96,98 @@
     run(scenario)
 
 
+async def late_retries(cluster, **fields):
+    """Repeat the crashing request; return the retries that came too late.
+
+    That is, later than the contact time after the third crash.
+    """
+    tasks = []
+    for number in range(LATE_REQUESTS):
+        vm = number % len(cluster.vms)
+        tasks.append(asyncio.create_task(cluster.send(CRASHING, vm, **fields)))
+        await asyncio.sleep(0.4)
+    await asyncio.gather(*tasks)
+    arrivals = sorted(
+        (arrival.received_at, arrival.request_id)
+        for upstream in cluster.upstreams.values()
+        for arrival in upstream.arrivals
+        if arrival.target == CRASHING
+    )
+    bound = arrivals[2][0] + CONTACT_S
+    first = dict(reversed([(name, at) for at, name in arrivals]))
+    return [name for at, name in arrivals if at > bound and at != first[name]]
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        upstream_faults.PARTS[Fault.CUT],
+        upstream_faults.PARTS[Fault.HEAD_CUT],
+        lambda response: b'HTTP/1.1 103 Early Hints\r\n\r\n',
+    ],
+    ids=['body', 'head', 'interim'],
+)
+@pytest.mark.parametrize('delay_s', [0.02, 0.7])
+def test_crash_behind_the_first_bytes_is_recognised(sent, delay_s):
+    # Guards against a request that crashes upstreams while they respond, and
+    # that is sent to a second one each time it comes (review/15).
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2'), RETRIES) as cluster:
+            cluster.configure()
+            await add_upstreams(
+                cluster,
+                40,
+                crashes_on=CRASHING,
+                crash_after=sent,
+                crash_delay_s=delay_s,
+            )
+            await cluster.start()
+            assert len(await late_retries(cluster)) <= 3
+
+    run(scenario)
+
+
+def test_crash_at_the_deadline_is_recognised():
+    # Guards against a request that crashes upstreams when its deadline has
+    # passed, so that no attempt sees it, and is hedged each time it comes.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2'), RETRIES) as cluster:
+            cluster.configure()
+            await add_upstreams(
+                cluster,
+                40,
+                crashes_on=CRASHING,
+                crash_after=lambda response: b'',
+                crash_delay_s=2.0,
+            )
+            await cluster.start()
+            late = await late_retries(cluster, deadline_ms=1900)
+            assert len(late) <= 3
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('fault', [Fault.CUT])
+def test_truncated_responses_of_upstreams_that_live_refuse_no_request(fault):
+    # Guards against a sound request that is refused, since faulty upstreams
+    # truncate its responses and get no other requests.
+    async def scenario():
+        async with clusters.EdgeCluster(('a1', 'a2')) as cluster:
+            cluster.configure()
+            await add_upstreams(cluster, 6)
+            await cluster.start()
+            faulty = list(cluster.upstreams.values())[:4]
+            statuses = []
+            for number in range(80):
+                for upstream in faulty:
+                    upstream.fault = (Fault.NONE, fault)[number % 2]
+                reply = await cluster.send('/browse/sound', vm=number % 2)
+                statuses.append(reply.status)
+            assert 503 not in statuses
+
+    run(scenario)
+
+
 def test_attempt_on_a_stale_connection_counts():
     # Guards against a request that reaches more upstreams than its route
     # allows, since resets of reused connections were no attempts.
--- a/packages/testkit/bulrushcourse_testkit/platform/upstream.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/upstream.py
@@ -58,6 +58,9 @@
         crashes_on: Path of a request that ends its process when it begins to
             run it; the process does not come back.
         crashes_for: Client account whose requests do so, empty for all.
+        crash_after: Returns what it sends of the response before it crashes,
+            ``None`` if it crashes when it begins to run the request.
+        crash_delay_s: Time between these bytes and the crash, in seconds.
         idle_reset_s: Idle time in seconds after which it resets a connection
             when the next request arrives.
         arrivals: Requests that reached it.
@@ -93,6 +96,8 @@
     fault: Fault = Fault.NONE
     crashes_on: str = ''
     crashes_for: str = ''
+    crash_after: typing.Callable[[bytes], bytes] | None = None
+    crash_delay_s: float = 0.02
     idle_reset_s: float = math.inf
     arrivals: list[Arrival] = attrs.field(factory=list)
     heads: list[Arrival] = attrs.field(factory=list)
@@ -221,7 +226,7 @@
             self._refuse(writer, request_id)
             return True
         if self._crashes(target, headers):
-            self.end()
+            await self._crash(writer, request_id)
             return False
         if not await self._simulate_work(reader):
             return False
@@ -284,6 +289,19 @@
             not self.crashes_for or account == self.crashes_for
         )
 
+    async def _crash(
+        self, writer: asyncio.StreamWriter, request_id: str
+    ) -> None:
+        if self.crash_after is not None:
+            content = f'{self.name}:{request_id}'.encode()
+            response = raw_http.format_response(
+                200, request_id, content, 'X-Server-Signature: signed'
+            )
+            writer.write(self.crash_after(response))
+            await writer.drain()
+            await asyncio.sleep(self.crash_delay_s)
+        self.end()
+
     def _sheds(self, writer: asyncio.StreamWriter) -> bool:
         if self.fault in (Fault.REFUSAL_COPY, Fault.NAMELESS_REFUSAL_COPY):
             return not self._last_response(writer)
