Count the bytes of a response that ends within its head

Sound requests were refused as quarantined while upstreams that live cut responses within their heads.

Cause: the bytes of the response were read only if the connection was true. aiohttp's connections are false while their queue of messages is empty, as it is until the head is complete, so that 0 bytes were counted and the attempt passed for one without any response: a presumed loss in place of a possible one.

test_truncated_responses_of_upstreams_that_live_refuse_no_request with HEAD_CUT failed before and passes; a trace showed 109 received bytes counted as 0.

--- a/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
+++ b/packages/entry/bulrushcourse_entry/edge/upstreams/connection_tracing.py
@@ -55,7 +55,10 @@
     @property
     def answer_bytes(self) -> int:
         """Bytes received of the response."""
-        return self.connection.response_bytes if self.connection else 0
+        # aiohttp's connections are false while their queue is empty.
+        if self.connection is None:
+            return 0
+        return self.connection.response_bytes
 
     def may_reuse(
         self, connection: bounded_responses.BoundedResponseHandler
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
@@ -167,7 +167,7 @@
     run(scenario)
 
 
-@pytest.mark.parametrize('fault', [Fault.CUT])
+@pytest.mark.parametrize('fault', [Fault.CUT, Fault.HEAD_CUT])
 def test_truncated_responses_of_upstreams_that_live_refuse_no_request(fault):
     # Guards against a sound request that is refused, since faulty upstreams
     # truncate its responses and get no other requests.
