Tell bodies of different length apart in the first program's quarantine

The first program decides on a request before it has read more than 64 KiB of its body, so that its fingerprint covers the beginning only: a sound request cleared one that crashes instances, or was kept back with it, if their bodies begin alike.

The declared length is a part of the fingerprint now. Bodies of equal length that differ only behind 64 KiB are still one request; decision 006 says so. The first program's interface knows no callers.

The example in the docstring of `fingerprint` fails before.

--- a/packages/entry/bulrushcourse_entry/callers/request_parsing.py
+++ b/packages/entry/bulrushcourse_entry/callers/request_parsing.py
@@ -54,7 +54,8 @@
         headers: Headers to forward.
         body: Body, or its beginning if ``body_stream`` is given.
         body_stream: Remaining chunks of the body.
-        fingerprint: Hash of service, method, path and beginning of the body.
+        fingerprint: Hash of service, method, path, beginning and length of
+            the body.
         key: Idempotency key, empty if there is none.
     """
 
@@ -133,13 +134,21 @@
             body_stream=None
             if complete
             else _stream_body(request, service, len(body)),
-            fingerprint=fingerprint(service.name, request.method, path, body),
+            fingerprint=fingerprint(
+                service.name,
+                request.method,
+                path,
+                body,
+                len(body) if complete else request.content_length,
+            ),
             key=request.headers.get(KEY_HEADER, ''),
         )
     )
 
 
-def fingerprint(service: str, method: str, path: str, body: bytes) -> str:
+def fingerprint(
+    service: str, method: str, path: str, body: bytes, length: int | None
+) -> str:
     """Return a hash that identifies repetitions of a request.
 
     Args:
@@ -147,15 +156,16 @@
         method: HTTP method.
         path: Path and query.
         body: Beginning of the body.
+        length: Length of the whole body, ``None`` if it is not known yet.
 
     Examples:
-        >>> fingerprint('a', 'GET', '/', b'') == fingerprint(
-        ...     'a', 'GET', '/', b''
-        ... )
-        True
+        >>> whole = fingerprint('a', 'PUT', '/', b'begin', 5)
+        >>> whole == fingerprint('a', 'PUT', '/', b'begin', 70_000)
+        False
     """
     digest = xxhash.xxh3_128()
-    for part in (service.encode(), method.encode(), path.encode(), body):
+    parts = (service, method, path, str(length))
+    for part in (*(text.encode() for text in parts), body):
         digest.update(len(part).to_bytes(8, 'big'))
         digest.update(part)
     return digest.hexdigest()
--- a/packages/entry/bulrushcourse_entry/claims/exchanges.py
+++ b/packages/entry/bulrushcourse_entry/claims/exchanges.py
@@ -148,7 +148,11 @@
             body=message.body,
             body_stream=None,
             fingerprint=request_parsing.fingerprint(
-                service.name, message.method, message.path, message.body
+                service.name,
+                message.method,
+                message.path,
+                message.body,
+                len(message.body),
             ),
             key=message.key,
         )
