Name the order of upstreams' rows by the usual terms

"Word", "doubt" and "standing" were names of our own. The order of rows is RowOrder, by stamps (born, seq); what is remembered of a removed upstream is a tombstone; reports carry newer states of upstreams whose rows a VM holds back.

No other change of behaviour.

--- a/packages/domain/bulrushcourse_domain/quarantine/observed_losses.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/observed_losses.py
@@ -58,7 +58,7 @@
         """
         loss = self._observe(Kind.LOSS, fingerprint, upstream)
         self._count(loss)
-        for other in self.unconfirmed.take_at_moment(upstream, loss.at):
+        for other in self.unconfirmed.take_simultaneous(upstream, loss.at):
             self._count(other)
 
     def _count(self, loss: Evidence) -> None:
--- a/packages/domain/bulrushcourse_domain/quarantine/unconfirmed_losses.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/unconfirmed_losses.py
@@ -63,7 +63,7 @@
             self.table.remove(loss)
         return [loss for loss in taken if loss.at > oldest]
 
-    def take_at_moment(self, upstream: str, at: float) -> list[Evidence]:
+    def take_simultaneous(self, upstream: str, at: float) -> list[Evidence]:
         """Remove and return the losses of an upstream at one moment.
 
         Args:
--- a/packages/domain/bulrushcourse_domain/upstreams/directory.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/directory.py
@@ -58,7 +58,7 @@
         self.has_diverged = False
         listed = {u.name: u for u in snapshot.upstreams}
         changes.extend(self._drop_missing(listed, now, snapshot.unreadable))
-        self.words.forget_missing(listed)
+        self.order.discard_missing(listed)
         for upstream in listed.values():
             changes.extend(self.merge(upstream, now))
         self._update_exact_position()
@@ -143,7 +143,7 @@
             age_s=max(0.0, now - self.read_at),
             kept=self.expiry.remaining(now),
             digest=self.listed_digest(),
-            perhaps_gone=tuple(filter(self.words.may_be_there, gone)),
+            possibly_present=tuple(filter(self.order.may_be_present, gone)),
         )
 
     def apply_delta(
@@ -228,9 +228,9 @@
         self, delta: upstreams.DirectoryDelta, now: float
     ) -> typing.Iterator[Change]:
         for name in delta.gone:
-            self.words.forget_doubt(name)
+            self.order.discard_pending(name)
             if name in self.by_name:
-                yield self.remove(name, name not in delta.perhaps_gone)
+                yield self.remove(name, name not in delta.possibly_present)
             else:
                 self.returned.record_departure(name)
         if not delta.base:
@@ -246,7 +246,7 @@
         Its sender may not have met those that joined in the lost seconds.
         """
         named = {upstream.name for upstream in delta.changed}
-        self.words.forget_missing(named)
+        self.order.discard_missing(named)
         for name in [n for n in self.by_name if n not in named]:
             if not self.expiry.awaits(name, now):
                 yield self.remove(name)
--- a/packages/domain/bulrushcourse_domain/upstreams/listed_upstreams.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/listed_upstreams.py
@@ -11,10 +11,10 @@
 from bulrushcourse_domain.upstreams import candidates as candidate_upstreams
 from bulrushcourse_domain.upstreams import change_history
 from bulrushcourse_domain.upstreams import cold_periods
-from bulrushcourse_domain.upstreams import latest_words
+from bulrushcourse_domain.upstreams import newer_states
 from bulrushcourse_domain.upstreams import returned_rows
 from bulrushcourse_domain.upstreams import row_expiry
-from bulrushcourse_domain.upstreams import stated_words
+from bulrushcourse_domain.upstreams import row_order
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 # An upstream counts as cold for this much longer than its row says, since rows
@@ -39,8 +39,7 @@
         history: Positions at which upstreams were changed and removed.
         names: Names of the upstreams by their short identifiers.
         returned: Decides which rows of a copy are held back.
-        words: Decides which rows are held back since they are not the latest
-            word of their upstream.
+        order: Decides which rows are newer than what is known.
         candidates: Upstreams that may get new requests.
     """
 
@@ -55,7 +54,7 @@
     )
     names: dict[int, str] = attrs.field(factory=dict)
     returned: returned_rows.ReturnedRows = attrs.field(init=False)
-    words: latest_words.LatestWords = attrs.field(init=False)
+    order: row_order.RowOrder = attrs.field(init=False)
     cold: cold_periods.ColdPeriods = attrs.field(init=False)
     addresses: address_bindings.AddressBindings = attrs.field(init=False)
     candidates: candidate_upstreams.Candidates = attrs.field(init=False)
@@ -63,7 +62,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts that follow the upstreams of this directory."""
         self.returned = returned_rows.ReturnedRows(self.clock, self.store_era)
-        self.words = latest_words.LatestWords(self.clock)
+        self.order = row_order.RowOrder(self.clock)
         self.cold = cold_periods.ColdPeriods(self.clock)
         self.addresses = address_bindings.AddressBindings(self.clock)
         self.candidates = candidate_upstreams.Candidates(
@@ -93,7 +92,7 @@
 
         Args:
             name: Name of the upstream.
-            is_certain: See ``latest_words.Departure``.
+            is_certain: See ``row_order.Tombstone``.
         """
         self.expiry.release(name)
         self.candidates.clear_caches()
@@ -103,7 +102,7 @@
         self.names.pop(upstreams.short_id(name), None)
         removed = self.by_name.pop(name)
         self.returned.record_departure(removed.incarnation)
-        self.words.record_departure(removed, is_certain)
+        self.order.record_removal(removed, is_certain)
         self.digest ^= removed.digest
         return upstreams.Change(removed, 'gone')
 
@@ -123,7 +122,7 @@
         """
         previous = self.by_name.get(upstream.name)
         if not (
-            self.words.may_apply(upstream, previous)
+            self.order.may_apply(upstream, previous)
             and self.returned.may_apply(upstream, previous, has_row)
         ):
             if has_row:
@@ -138,7 +137,7 @@
         )
         self.by_name[upstream.name] = upstream
         self.returned.record_presence(upstream)
-        self.words.record_presence(upstream)
+        self.order.record_applied(upstream)
         if previous == upstream:
             return
         self._record_change(upstream, previous, now)
@@ -154,7 +153,7 @@
     ) -> int:
         if previous is not None and previous.born == row.born:
             return previous.first_seq
-        return self.words.first_seq_of(row)
+        return self.order.first_seq_of(row)
 
     def _record_change(
         self,
@@ -186,41 +185,41 @@
         if previous.born == row.born:
             self.expiry.release(row.name)
 
-    def held_words(self) -> tuple[stated_words.StatedWord, ...]:
-        """Return the words by which rows are held back, for other VMs."""
-        return stated_words.state(self.words, self.by_name)
+    def states_of_held_back(self) -> tuple[newer_states.NewerState, ...]:
+        """Return the states because of which rows are held back."""
+        return newer_states.of_held_back(self.order, self.by_name)
 
-    def apply_words(
-        self, stated: typing.Iterable[stated_words.StatedWord]
+    def apply_states(
+        self, states: typing.Iterable[newer_states.NewerState]
     ) -> tuple[upstreams.Change, ...]:
-        """Apply the words by which another VM holds rows back.
+        """Apply the states because of which another VM holds rows back.
 
         This VM may have started after they were written.
 
         Args:
-            stated: The words.
+            states: The states.
 
         Returns:
             The changes that they made.
         """
         changes: list[upstreams.Change] = []
-        for entry in stated:
-            known = self.by_name.get(entry.name)
-            if known is not None and stated_words.overrules(entry, known):
-                changes.extend(self._overrule(known, entry))
+        for newer in states:
+            known = self.by_name.get(newer.name)
+            if known is not None and newer_states.overrules(newer, known):
+                changes.extend(self._overrule(known, newer))
         return tuple(changes)
 
     def _overrule(
-        self, known: upstreams.Upstream, stated: stated_words.StatedWord
+        self, known: upstreams.Upstream, newer: newer_states.NewerState
     ) -> typing.Iterator[upstreams.Change]:
-        if stated.standing is stated_words.Standing.GONE:
+        if newer.state is newer_states.State.GONE:
             yield self.remove(known.name)
-        elif stated.standing is stated_words.Standing.DRAINING:
+        elif newer.state is newer_states.State.DRAINING:
             draining = attrs.evolve(
                 known,
                 draining=True,
-                born=stated.word.born,
-                seq=stated.word.seq,
+                born=newer.stamp.born,
+                seq=newer.stamp.seq,
             )
             yield from self.merge(draining, self.clock.monotonic())
 
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_latest_words.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_row_order.py
@@ -1,4 +1,4 @@
-"""The latest word of an upstream counts, in whichever order words arrive."""
+"""The newest row of an upstream counts, in whichever order rows arrive."""
 
 import attrs
 import pytest
@@ -8,8 +8,8 @@
 from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.store import store_era as store_eras
 from bulrushcourse_domain.upstreams import directory as directories
-from bulrushcourse_domain.upstreams import latest_words
 from bulrushcourse_domain.upstreams import row_expiry
+from bulrushcourse_domain.upstreams import row_order
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 READ_S = 0.7
@@ -36,8 +36,8 @@
 
 
 def tell(sender, receiver):
-    """Pass on changes and words, as a report does."""
-    receiver.apply_words(sender.held_words())
+    """Pass on changes and states, as a report does."""
+    receiver.apply_states(sender.states_of_held_back())
     base = receiver.exact_position
     return receiver.apply_delta(sender.delta_since(base))
 
@@ -49,7 +49,7 @@
 @pytest.mark.parametrize(
     'late', [READY, attrs.evolve(READY, born=4, seq=90)], ids=['seq', 'born']
 )
-def test_earlier_word_does_not_revive_a_draining_upstream(late):
+def test_stale_row_does_not_revive_a_draining_upstream(late):
     # Guards against requests to an upstream whose leaving was acknowledged
     # (review/14).
     directory = new_directory()
@@ -61,7 +61,7 @@
 
 
 @pytest.mark.parametrize('seq', [6, 7, 8])
-def test_word_from_before_a_removal_does_not_bring_the_upstream_back(seq):
+def test_row_from_before_a_removal_does_not_bring_the_upstream_back(seq):
     # Guards against the last row of an upstream that is performed once more,
     # and that no VM may have read before.
     directory = new_directory()
@@ -107,7 +107,7 @@
     assert directory.by_name['u'].born == 3
 
 
-def test_two_late_words_of_an_earlier_process_do_not_count():
+def test_two_late_rows_of_an_earlier_process_do_not_count():
     # Guards against rows that were held up together and arrive in one moment.
     directory = new_directory()
     read(directory, attrs.evolve(READY, born=6, draining=True))
@@ -117,7 +117,7 @@
 
 
 @pytest.mark.parametrize('unknown', ['seq', 'born'])
-def test_words_without_an_order_count_as_they_were_written(unknown):
+def test_rows_without_a_stamp_count_as_they_were_written(unknown):
     # Guards against rows of other writers, or VMs of earlier versions, whose
     # changes would have no effect.
     directory = new_directory()
@@ -158,12 +158,12 @@
     assert is_used(directory) and is_used(other)
 
 
-@pytest.mark.parametrize('word', [DRAINING, None], ids=['draining', 'gone'])
-def test_vm_that_starts_learns_why_others_hold_a_row_back(word):
+@pytest.mark.parametrize('latest', [DRAINING, None], ids=['draining', 'gone'])
+def test_vm_that_starts_learns_why_others_hold_a_row_back(latest):
     # Guards against a VM that knows only the late row, and tells it others.
     informed, started = new_directory(), new_directory()
     read(informed, READY)
-    read(informed, *filter(None, [word]))
+    read(informed, *filter(None, [latest]))
     read(informed, READY)
     read(started, READY)
     read(started, READY)
@@ -184,7 +184,7 @@
     for seq in (11, 12, 13):
         read(present, attrs.evolve(READY, seq=seq))
     read(late, attrs.evolve(READY, seq=13))
-    present.apply_words(late.held_words())
+    present.apply_states(late.states_of_held_back())
     assert is_used(present)
 
 
@@ -194,29 +194,29 @@
     read(directory, READY)
     read(directory)
     read(directory, READY)
-    assert len(directory.held_words()) == 1
+    assert len(directory.states_of_held_back()) == 1
     read(directory)
-    assert directory.held_words() == ()
+    assert directory.states_of_held_back() == ()
 
 
-def test_remembered_departures_are_bounded():
-    words = latest_words.LatestWords(clocks.ManualClock())
-    for number in range(latest_words.MAX_REMEMBERED + 5):
-        words.record_departure(attrs.evolve(READY, name=f'u{number}'))
-    assert len(words.departed) == latest_words.MAX_REMEMBERED
+def test_tombstones_are_bounded():
+    order = row_order.RowOrder(clocks.ManualClock())
+    for number in range(row_order.MAX_TOMBSTONES + 5):
+        order.record_removal(attrs.evolve(READY, name=f'u{number}'))
+    assert len(order.tombstones) == row_order.MAX_TOMBSTONES
 
 
 @given(strategies.permutations(range(6)), strategies.integers(1, 6))
-def test_no_order_of_late_words_changes_the_latest_one(order, last):
+def test_no_order_of_late_rows_changes_the_newest_one(order, last):
     # Guards against orders of late writes that no other test plays.
-    words = [
+    rows = [
         attrs.evolve(READY, seq=n + 1, draining=n >= 4, slots=n + 1)
         for n in range(6)
     ]
     directory = new_directory()
-    read(directory, words[0])
+    read(directory, rows[0])
     applied = 0
     for number in order[:last]:
-        read(directory, words[number])
+        read(directory, rows[number])
         applied = max(applied, number)
-        assert directory.by_name['u'] == words[applied]
+        assert directory.by_name['u'] == rows[applied]
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -42,10 +42,10 @@
         born: Start of this incarnation in Unix milliseconds, 0 if unknown.
         version: Version of the store that wrote the row. Heartbeats change
             nothing else, so it is ignored in comparisons.
-        seq: Number of this statement of the process about itself, 0 if
-            unknown. Ignored in comparisons as well.
-        first_seq: Number of the first one that was seen since the upstream
-            was listed, 0 if none is known.
+        seq: Sequence number of the row within its process, 0 if unknown.
+            Ignored in comparisons as well.
+        first_seq: Lowest sequence number that was seen of the process since
+            the upstream was listed, 0 if none is known.
     """
 
     name: str
@@ -132,8 +132,9 @@
             by name; see ``Change``.
         digest: Exclusive or of the digests of the upstreams that have a row at
             ``position``, ``None`` if the sender does not state it.
-        perhaps_gone: Names among those in ``gone`` whose row may have become
-            unreadable or expired in an outage, rather than being removed.
+        possibly_present: Names among those in ``gone`` whose row may have
+            become unreadable or expired in an outage, rather than being
+            removed.
     """
 
     base: positions.Position
@@ -143,4 +144,4 @@
     age_s: float = 0.0
     kept: typing.Mapping[str, float] = attrs.field(factory=dict)
     digest: int | None = None
-    perhaps_gone: tuple[str, ...] = ()
+    possibly_present: tuple[str, ...] = ()
--- a/packages/entry/bulrushcourse_entry/edge/fleet/directory_forwarding.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/directory_forwarding.py
@@ -165,7 +165,7 @@
             report.directory_position,
             state.clock.monotonic() - report.directory_age_s,
         )
-        for change in state.upstreams.apply_words(report.held_words):
+        for change in state.upstreams.apply_states(report.upstream_states):
             state.upstream_changes.on_next(change)
         if report.directory_delta is None:
             return
--- a/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
+++ b/packages/entry/bulrushcourse_entry/edge/fleet/reports.py
@@ -154,7 +154,7 @@
                 sorted(state.evacuations.in_force() - state.evacuations.stored)
             ),
             directory_delta=self.directory.delta(cursor),
-            held_words=state.upstreams.held_words(),
+            upstream_states=state.upstreams.states_of_held_back(),
             vms=vms,
             vms_known=len(state.fleet.peers),
             configuration=self._configuration_to_send(cursor.receiver),
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -79,11 +79,11 @@
         },
         'rows_held_back': {
             entry.name: {
-                'born': entry.word.born,
-                'seq': entry.word.seq,
-                'standing': entry.standing.name.lower(),
+                'born': entry.stamp.born,
+                'seq': entry.stamp.seq,
+                'state': entry.state.name.lower(),
             }
-            for entry in state.upstreams.held_words()
+            for entry in state.upstreams.states_of_held_back()
         },
         'losses': _losses(state),
         'objects_divided': sorted(
--- a/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
@@ -157,19 +157,22 @@
         self.state.snapshot_versions.on_next(snapshot.position)
 
     def _log_held_back(self, snapshot: upstreams.Snapshot) -> None:
-        stated = {e.name: e for e in self.state.upstreams.held_words()}
+        held_back = {
+            entry.name: entry
+            for entry in self.state.upstreams.states_of_held_back()
+        }
         for row in snapshot.upstreams:
-            if row.name in stated and row.name not in self.held_back:
-                entry = stated[row.name]
+            if row.name in held_back and row.name not in self.held_back:
+                entry = held_back[row.name]
                 self.event_log.log_change(
                     events.Event.UPSTREAM_ROW_HELD_BACK,
                     upstream=row.name,
                     row=[row.born, row.seq],
                     version=row.version,
-                    known=[entry.word.born, entry.word.seq],
-                    standing=entry.standing.name.lower(),
+                    known=[entry.stamp.born, entry.stamp.seq],
+                    state=entry.state.name.lower(),
                 )
-        self.held_back = frozenset(stated)
+        self.held_back = frozenset(held_back)
 
     def _log_malformed(
         self, row: rows.StoredRow, error: units.MalformedValue
--- a/packages/entry/bulrushcourse_entry/events.py
+++ b/packages/entry/bulrushcourse_entry/events.py
@@ -152,7 +152,7 @@
     UPSTREAM_ROW_HELD_BACK = (
         6011,
         'warning',
-        'row is not the latest word of its upstream and is not applied',
+        'row is older than what is known of its upstream',
     )
     CRASH_CHECKED = (
         6012,
--- a/packages/wire/bulrushcourse_wire/directory_deltas.py
+++ b/packages/wire/bulrushcourse_wire/directory_deltas.py
@@ -13,7 +13,7 @@
 MAX_DIGEST = (1 << 32) - 1
 # Longer times for which an upstream without a row is used are mistakes.
 MAX_KEPT_MS = 60_000
-# Numbers of rows travel in a field of their own, see ``upstream_words``.
+# Sequence numbers travel in a field of their own, see ``row_stamps``.
 _IS_SENT = attrs.filters.exclude('seq', 'first_seq')
 
 
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -10,7 +10,7 @@
 from bulrushcourse_domain.fleet import fleet
 from bulrushcourse_domain.fleet import links
 from bulrushcourse_domain.store import position as positions
-from bulrushcourse_domain.upstreams import stated_words
+from bulrushcourse_domain.upstreams import newer_states
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_domain.waiting import pressure as pressures
 from bulrushcourse_wire import directory_deltas
@@ -19,7 +19,7 @@
 from bulrushcourse_wire import fields as checks
 from bulrushcourse_wire import packing
 from bulrushcourse_wire import pressure_counts
-from bulrushcourse_wire import upstream_words
+from bulrushcourse_wire import row_stamps
 
 # Fractions are encoded as whole hundredths, which take a third of the bytes of
 # floating-point numbers.
@@ -136,7 +136,7 @@
         evacuations_held: Those without a row that the store may have lost.
         directory_delta: Changes of the upstream directory, ``None`` if there
             are none.
-        held_words: Words of upstreams by which the sender holds rows back.
+        upstream_states: States because of which the sender holds rows back.
         vms: VMs that are new to the sender, and all of them for a receiver
             that knows fewer.
         vms_known: Number of VMs known to the sender.
@@ -165,7 +165,7 @@
     evacuated: tuple[str, ...] = ()
     evacuations_held: tuple[str, ...] = ()
     directory_delta: upstreams.DirectoryDelta | None = None
-    held_words: tuple[stated_words.StatedWord, ...] = ()
+    upstream_states: tuple[newer_states.NewerState, ...] = ()
     vms: tuple[fleet.Vm, ...] = ()
     vms_known: int = 0
     configuration: bytes = b''
@@ -208,7 +208,7 @@
         ),
         **_encode_eras(report),
         # VMs of versions without this field ignore it.
-        'hw': upstream_words.encode_stated(report.held_words),
+        'ns': row_stamps.encode_states(report.upstream_states),
     }
     content = {key: value for key, value in content.items() if value}
     if report.key_proof is not None:
@@ -223,11 +223,11 @@
         kept = directory_deltas.encode_kept(report.directory_delta)
         if kept:
             content['q'] = kept
-        numbers = upstream_words.encode_numbers(report.directory_delta.changed)
+        numbers = row_stamps.encode_numbers(report.directory_delta.changed)
         if numbers:
             content['nw'] = numbers
-        if report.directory_delta.perhaps_gone:
-            content['gu'] = report.directory_delta.perhaps_gone
+        if report.directory_delta.possibly_present:
+            content['gu'] = report.directory_delta.possibly_present
     return msgpack.packb(content)
 
 
@@ -333,7 +333,7 @@
         evacuated=_texts(get('e', []), MAX_REGIONS),
         evacuations_held=_texts(get('eh', []), MAX_REGIONS),
         directory_delta=_decode_delta(fields) if 'n' in fields else None,
-        held_words=upstream_words.decode_stated(get('hw', [])),
+        upstream_states=row_stamps.decode_states(get('ns', [])),
         vms=tuple(
             _decode_vm(vm) for vm in checks.items(get('m', []), MAX_VMS)
         ),
@@ -354,8 +354,8 @@
     )
     return attrs.evolve(
         delta,
-        changed=upstream_words.add_numbers(delta.changed, get('nw')),
-        perhaps_gone=_texts(get('gu', []), directory_deltas.MAX_UPSTREAMS),
+        changed=row_stamps.add_numbers(delta.changed, get('nw')),
+        possibly_present=_texts(get('gu', []), directory_deltas.MAX_UPSTREAMS),
     )
 
 
--- a/packages/wire/bulrushcourse_wire/upstream_words.py
+++ b/packages/wire/bulrushcourse_wire/row_stamps.py
@@ -1,4 +1,4 @@
-"""Encoding of what orders the statements of upstreams about themselves.
+"""Encoding of what orders the rows of upstreams.
 
 VMs of earlier versions ignore these fields and send none.
 """
@@ -7,22 +7,21 @@
 
 import attrs
 
-from bulrushcourse_domain.upstreams import latest_words
-from bulrushcourse_domain.upstreams import stated_words
+from bulrushcourse_domain.upstreams import newer_states
+from bulrushcourse_domain.upstreams import row_order
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_wire import fields as checks
 
-_STANDINGS = {standing.value: standing for standing in stated_words.Standing}
-MAX_STATED = stated_words.MAX_STATED
+_STATES = {state.value: state for state in newer_states.State}
 
 
 def encode_numbers(
     changed: typing.Iterable[upstreams.Upstream],
 ) -> list[int]:
-    """Return two numbers for each row in a delta, empty if all are 0.
+    """Return two sequence numbers for each row, empty if all are 0.
 
     Args:
-        changed: The rows.
+        changed: The rows of a delta.
     """
     numbers = [n for row in changed for n in (row.seq, row.first_seq)]
     return numbers if any(numbers) else []
@@ -31,7 +30,7 @@
 def add_numbers(
     changed: tuple[upstreams.Upstream, ...], value: typing.Any
 ) -> tuple[upstreams.Upstream, ...]:
-    """Return the rows of a delta with their numbers.
+    """Return the rows of a delta with their sequence numbers.
 
     Args:
         changed: The rows without them.
@@ -53,36 +52,35 @@
     )
 
 
-def encode_stated(
-    stated: typing.Iterable[stated_words.StatedWord],
+def encode_states(
+    states: typing.Iterable[newer_states.NewerState],
 ) -> list[tuple[str, int, int, str]]:
-    """Return the words by which a VM holds rows back.
+    """Return the fields of states because of which rows are held back.
 
     Args:
-        stated: The words.
+        states: The states.
     """
     return [
-        (entry.name, entry.word.born, entry.word.seq, entry.standing.value)
-        for entry in stated
+        (entry.name, entry.stamp.born, entry.stamp.seq, entry.state.value)
+        for entry in states
     ]
 
 
-def decode_stated(value: typing.Any) -> tuple[stated_words.StatedWord, ...]:
-    """Return the words in a field; see ``encode_stated``.
+def decode_states(value: typing.Any) -> tuple[newer_states.NewerState, ...]:
+    """Return the states in a field; see ``encode_states``.
 
     Args:
         value: The field.
 
     Raises:
         ValueError: If a field has another type or is out of range.
+        KeyError: If a state is unknown.
     """
     found = []
-    for entry in checks.items(value, MAX_STATED):
-        name, born, seq, standing = checks.items(entry, 4)
-        word = latest_words.Word(checks.integer(born), checks.integer(seq))
+    for entry in checks.items(value, newer_states.MAX_STATES):
+        name, born, seq, state = checks.items(entry, 4)
+        stamp = row_order.Stamp(checks.integer(born), checks.integer(seq))
         found.append(
-            stated_words.StatedWord(
-                checks.text(name), word, _STANDINGS[standing]
-            )
+            newer_states.NewerState(checks.text(name), stamp, _STATES[state])
         )
     return tuple(found)
--- a/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
@@ -13,8 +13,8 @@
 from bulrushcourse_domain.fleet import links
 from bulrushcourse_domain.quarantine import evidence as evidences
 from bulrushcourse_domain.store import position as positions
-from bulrushcourse_domain.upstreams import latest_words
-from bulrushcourse_domain.upstreams import stated_words
+from bulrushcourse_domain.upstreams import newer_states
+from bulrushcourse_domain.upstreams import row_order
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_wire import era_messages
 from bulrushcourse_wire import evidence_messages
@@ -127,20 +127,20 @@
                 positions.Position(2, 4),
                 gone=('u', 'v'),
                 digest=7,
-                perhaps_gone=('v',),
+                possibly_present=('v',),
             ),
         ]
     ),
-    held_words=tuples_of(
+    upstream_states=tuples_of(
         strategies.builds(
-            stated_words.StatedWord,
+            newer_states.NewerState,
             NAMES,
             strategies.builds(
-                latest_words.Word,
+                row_order.Stamp,
                 strategies.integers(0, 1 << 50),
                 strategies.integers(0, 1 << 40),
             ),
-            strategies.sampled_from(stated_words.Standing),
+            strategies.sampled_from(newer_states.State),
         )
     ),
     vms=strategies.sampled_from([(), (VM,)]),
