Check no upstream for attempts that an answer has ended

The attempt of a hedged request that loses is cancelled after the other one has been answered, and counted as a possible loss. Two of them at different upstreams let the VM connect to both to see whether they had crashed.

--- a/packages/domain/bulrushcourse_domain/quarantine/counted_losses.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/counted_losses.py
@@ -53,16 +53,24 @@
         Args:
             loss: The loss.
         """
-        cleared_at = self.cleared_at.get(loss.fingerprint)
         if (
             loss.at <= self._oldest()
-            or loss.at <= cleared_at + CLEARANCE_MARGIN_S
+            or self.is_cleared(loss)
             or loss.at < self.survived_at.get(loss.upstream)
         ):
             return False
         self.table.add(loss)
         return True
 
+    def is_cleared(self, loss: Evidence) -> bool:
+        """Return whether a complete response disproves a loss.
+
+        Args:
+            loss: The loss.
+        """
+        cleared_at = self.cleared_at.get(loss.fingerprint)
+        return loss.at <= cleared_at + CLEARANCE_MARGIN_S
+
     def clear(self, fingerprint: str, at: float) -> list[Evidence]:
         """Remove and return the losses that a complete response disproves.
 
--- a/packages/domain/bulrushcourse_domain/quarantine/observed_losses.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/observed_losses.py
@@ -81,6 +81,9 @@
             may have lost another one before.
         """
         loss = self._observe(Kind.LOSS, fingerprint, upstream)
+        if self.counted.is_cleared(loss):
+            # As the attempt of a hedged request that another one has ended.
+            return False
         moment = loss.at - unconfirmed_losses.SAME_MOMENT_S
         if any(e.at >= moment for e in self.losses.of_upstream(upstream)):
             self._count(loss)
--- a/packages/domain/bulrushcourse_domain/quarantine/tests/test_possible_losses.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_possible_losses.py
@@ -126,6 +126,14 @@
     assert not ledger.record_possible_loss('g', UPSTREAMS[0])
 
 
+def test_attempts_that_an_answer_has_ended_are_no_possible_losses(ledger):
+    # Guards against a check of the upstream for each hedged request.
+    for upstream in UPSTREAMS:
+        ledger.record_answer('f', 'u9@1', ledger.clock.monotonic())
+        assert not ledger.record_possible_loss('f', upstream)
+    assert not ledger.unconfirmed.table.by_fingerprint
+
+
 def test_possible_losses_are_forgotten(ledger):
     # Guards against memory that grows with each truncated response.
     for number in range(50):
