Split the quarantine model, and encode a delta in one place

All fields of a report that carry a delta of the directory are encoded and decoded in directory_deltas.

--- a/packages/testkit/bulrushcourse_testkit/quarantine_model.py
+++ b/packages/testkit/bulrushcourse_testkit/quarantine_model.py
@@ -6,23 +6,18 @@
 """
 
 import enum
-import heapq
-import itertools
-import random
 import typing
 
 import attrs
 
-from bulrushcourse_domain import clock as clocks
-from bulrushcourse_domain.quarantine import crashes
-from bulrushcourse_domain.quarantine import evidence as evidences
-from bulrushcourse_domain.quarantine import fingerprints
 from bulrushcourse_domain.quarantine import probes
+from bulrushcourse_testkit import event_model
+from bulrushcourse_testkit import quarantine_policies
 
 Verdict = probes.Verdict
-Kind = evidences.Kind
+Policy = quarantine_policies.Policy
 
-VMS = tuple(f'vm-{n}' for n in range(6))
+VMS = quarantine_policies.VMS
 UPSTREAMS = 18
 DOMAINS = 3
 OBJECTS = 63
@@ -50,150 +45,6 @@
 REUSED_SHARE = 0.8
 
 
-class Ledger(typing.Protocol):
-    """What the model asks of a ledger."""
-
-    def admit(self, fingerprint: str, vm: str) -> Verdict:
-        """Return whether a request may run."""
-        ...
-
-    def record(
-        self, fingerprint: str, upstream: str, began_at: float, outcome: str
-    ) -> None:
-        """Record the outcome of an attempt."""
-        ...
-
-
-@attrs.define
-class EarlierLedger:
-    """The rules before this decision.
-
-    Two losses quarantine a request for 60 s at each VM that had no response
-    to it; resets at once on reused connections count for nothing.
-
-    Attributes:
-        clock: Source of time.
-        lost_at: Time of the losses by fingerprint and incarnation.
-        proven: Fingerprints that got a response.
-        unsent: Losses that the other VMs do not know.
-    """
-
-    clock: clocks.ManualClock
-    lost_at: dict[str, dict[str, float]] = attrs.field(factory=dict)
-    proven: set[str] = attrs.field(factory=set)
-    unsent: list[tuple[str, str]] = attrs.field(factory=list)
-
-    def admit(self, fingerprint: str, vm: str) -> Verdict:
-        """Return whether a request may run."""
-        oldest = self.clock.now - 60.0
-        lost = self.lost_at.get(fingerprint, {}).values()
-        is_bad = sum(at > oldest for at in lost) >= 2
-        if is_bad and fingerprint not in self.proven:
-            return Verdict.REFUSE
-        return Verdict.RUN
-
-    def record(
-        self, fingerprint: str, upstream: str, began_at: float, outcome: str
-    ) -> None:
-        """Record the outcome of an attempt."""
-        if outcome == 'answer':
-            self.proven.add(fingerprint)
-            self.lost_at.pop(fingerprint, None)
-        elif outcome == 'lost':
-            self.merge((fingerprint, upstream))
-            self.unsent.append((fingerprint, upstream))
-
-    def take(self) -> list[tuple[str, str]]:
-        """Return and remove what the other VMs do not know."""
-        taken, self.unsent = self.unsent, []
-        return taken
-
-    def merge(self, loss: tuple[str, str]) -> None:
-        """Apply a loss."""
-        losses = self.lost_at.setdefault(loss[0], {})
-        losses[loss[1]] = self.clock.now
-
-
-def without_caller(fingerprint: str) -> str:
-    """Return what identified a request before callers were told apart."""
-    return fingerprints.content_of(fingerprint) or fingerprint
-
-
-def without_content(fingerprint: str) -> str:
-    """Return what identifies a request if callers have nothing in common."""
-    return fingerprint.replace('.', '~')
-
-
-@attrs.define
-class PresentLedger:
-    """The ledger of the product, with parts switched off for comparison.
-
-    Attributes:
-        ledger: The ledger.
-        without: Kinds of evidence that are not used.
-        identify: Returns what identifies a request.
-    """
-
-    ledger: crashes.CrashLedger
-    without: frozenset[Kind] = frozenset()
-    identify: typing.Callable[[str], str] = str
-
-    def admit(self, fingerprint: str, vm: str) -> Verdict:
-        """Return whether a request may run."""
-        fingerprint = self.identify(fingerprint)
-        verdict = self.ledger.admit(fingerprint, vm, lambda: VMS)
-        if verdict is Verdict.PROBE:
-            if Kind.PROBE in self.without:
-                return Verdict.REFUSE
-            self.ledger.begin_probe(fingerprint)
-        return verdict
-
-    def record(
-        self, fingerprint: str, upstream: str, began_at: float, outcome: str
-    ) -> None:
-        """Record the outcome of an attempt."""
-        ledger = self.ledger
-        fingerprint = self.identify(fingerprint)
-        if outcome != 'answer':
-            ledger.record_loss(fingerprint, upstream)
-            return
-        if Kind.SURVIVAL in self.without:
-            upstream = ''
-        ledger.record_answer(fingerprint, upstream, began_at)
-
-    def take(self) -> list[evidences.Evidence]:
-        """Return and remove what the other VMs do not know."""
-        taken = self.ledger.outbox.take(self.ledger.clock.monotonic())
-        return [e for e in taken if e.kind not in self.without]
-
-    def merge(self, evidence: evidences.Evidence) -> None:
-        """Apply the evidence of another VM."""
-        self.ledger.merge(evidence)
-
-
-Policy = typing.Callable[[clocks.ManualClock], typing.Any]
-
-
-def _present(
-    limit: int,
-    *without: Kind,
-    identify: typing.Callable[[str], str] = str,
-) -> Policy:
-    return lambda clock: PresentLedger(
-        crashes.CrashLedger(clock, limit), frozenset(without), identify
-    )
-
-
-POLICIES: typing.Mapping[str, Policy] = {
-    'before': EarlierLedger,
-    '2 losses, clearances, survivals and probes': _present(2),
-    '3 losses only': _present(3, Kind.CLEARANCE, Kind.SURVIVAL, Kind.PROBE),
-    '3 losses, clearances': _present(3, Kind.SURVIVAL, Kind.PROBE),
-    '3 losses, clearances and survivals': _present(3, Kind.PROBE),
-    'the same and probes (chosen)': _present(3),
-}
-
-
 class Senders(enum.Enum):
     """Who sends the crash-inducing request."""
 
@@ -222,12 +73,6 @@
     'a tenth reset': Scenario(False, True),
     'both': Scenario(True, True),
 }
-# Choices of what counts as one request.
-IDENTITIES: typing.Mapping[str, Policy] = {
-    'content': _present(3, identify=without_caller),
-    'content and caller': _present(3, identify=without_content),
-    'the same, contents of three callers (chosen)': _present(3),
-}
 IDENTITY_SCENARIOS = {
     f'{senders.value}{", a tenth reset" if resets else ""}': Scenario(
         False, resets, senders
@@ -271,10 +116,9 @@
     @property
     def late_crashes(self) -> int:
         """Crashes later than the contact time after the third."""
-        if len(self.crashed_at) < 3:
-            return 0
-        start = sorted(self.crashed_at)[2] + CONTACT_S
-        return sum(at > start for at in self.crashed_at)
+        return event_model.late_events(
+            self.crashed_at, self.crashed_at, CONTACT_S
+        )
 
 
 def is_crashing(fingerprint: str) -> bool:
@@ -287,37 +131,26 @@
     return content == CRASHING and caller != SOUND_ACCOUNT
 
 
-class Model:
+class Model(event_model.EventModel):
     """A run of one policy in one scenario."""
 
     def __init__(self, policy: Policy, scenario: Scenario, seed: int) -> None:
-        self.rng = random.Random(seed)
-        self.clock = clocks.ManualClock()
+        super().__init__(seed)
         self.ledgers = {vm: policy(self.clock) for vm in VMS}
         self.upstreams = [Upstream(n % DOMAINS) for n in range(UPSTREAMS)]
         self.scenario = scenario
         self.result = Result()
-        self.queue: list[typing.Any] = []
-        self.numbers = itertools.count()
 
     def run(self) -> Result:
         """Play the scenario and return what happened."""
-        self._at(0.0, self._arrive)
-        self._at(CRASHING_EVERY_S, _ARRIVALS[self.scenario.senders], self)
-        self._at(REPORT_S, self._report)
+        self.at(0.0, self._arrive)
+        self.at(CRASHING_EVERY_S, _ARRIVALS[self.scenario.senders], self)
+        self.at(REPORT_S, self._report)
         if self.scenario.loses_domain:
-            self._at(DOMAIN_LOST_AT_S, self._lose_domain)
-        while self.queue and self.queue[0][0] < LENGTH_S:
-            at, _, action, arguments = heapq.heappop(self.queue)
-            self.clock.now = at
-            action(*arguments)
+            self.at(DOMAIN_LOST_AT_S, self._lose_domain)
+        self.run_until(LENGTH_S)
         return self.result
 
-    def _at(
-        self, at: float, action: typing.Callable[..., None], *arguments: object
-    ) -> None:
-        heapq.heappush(self.queue, (at, next(self.numbers), action, arguments))
-
     def _arrive(self) -> None:
         # Half of the requests carry content of their own, as orders do.
         number = next(self.numbers)
@@ -327,12 +160,12 @@
         self.result.sound += 1
         self._execute(fingerprint)
         wait = self.rng.expovariate(REQUESTS_PER_S)
-        self._at(self.clock.now + wait, self._arrive)
+        self.at(self.clock.now + wait, self._arrive)
 
     def _arrive_crashing(self) -> None:
         self._execute(CRASHING)
         at = self.clock.now + CRASHING_EVERY_S
-        self._at(at, self._arrive_crashing)
+        self.at(at, self._arrive_crashing)
 
     def _arrive_of_one_account(self) -> None:
         # Half of them are those of an account for which it is sound.
@@ -340,12 +173,12 @@
         self.result.sound += is_sound
         self._execute(f'{CRASHING}.{SOUND_ACCOUNT if is_sound else 0}')
         at = self.clock.now + ACCOUNTS_EVERY_S
-        self._at(at, self._arrive_of_one_account)
+        self.at(at, self._arrive_of_one_account)
 
     def _arrive_of_all_accounts(self) -> None:
         self._execute(f'{CRASHING}.{self.rng.randrange(ACCOUNTS)}')
         at = self.clock.now + ACCOUNTS_EVERY_S
-        self._at(at, self._arrive_of_all_accounts)
+        self.at(at, self._arrive_of_all_accounts)
 
     def _execute(self, fingerprint: str) -> None:
         vm = self.rng.choice(VMS)
@@ -375,7 +208,7 @@
         )
         crashes_it = is_crashing(fingerprint)
         work_s = CRASH_S if is_reset or crashes_it else WORK_S
-        self._at(
+        self.at(
             self.clock.now + work_s,
             self._end,
             vm,
@@ -417,7 +250,7 @@
             began_at,
             'stale' if is_stale else 'lost',
         )
-        if isinstance(ledger, EarlierLedger) and is_stale:
+        if isinstance(ledger, quarantine_policies.EarlierLedger) and is_stale:
             # It was no attempt.
             attempts += 1
         is_refused = ledger.admit(fingerprint, vm) is Verdict.REFUSE
@@ -427,7 +260,7 @@
     def _crash(self, upstream: Upstream, down_s: float) -> None:
         upstream.down_until = self.clock.now + down_s
         upstream.born = upstream.down_until
-        self._at(upstream.born + DIRECTORY_S, self._show, upstream)
+        self.at(upstream.born + DIRECTORY_S, self._show, upstream)
 
     def _show(self, upstream: Upstream) -> None:
         upstream.visible = upstream.born
@@ -443,11 +276,11 @@
                 for other, receiver in self.ledgers.items():
                     if other != vm:
                         receiver.merge(evidence)
-            if isinstance(ledger, PresentLedger):
+            if isinstance(ledger, quarantine_policies.PresentLedger):
                 ledger.ledger.confirm_survivals(
                     self._incarnation, self.clock.now
                 )
-        self._at(self.clock.now + REPORT_S, self._report)
+        self.at(self.clock.now + REPORT_S, self._report)
 
     def _incarnation(self, name: str) -> str | None:
         if not name.isdigit():
@@ -483,8 +316,8 @@
 
 def main() -> None:
     """Print the tables, as sums over ten seeds."""
-    _print_table(POLICIES, SCENARIOS)
-    _print_table(IDENTITIES, IDENTITY_SCENARIOS)
+    _print_table(quarantine_policies.POLICIES, SCENARIOS)
+    _print_table(quarantine_policies.IDENTITIES, IDENTITY_SCENARIOS)
 
 
 if __name__ == '__main__':
--- a/packages/testkit/bulrushcourse_testkit/truncation_model.py
+++ b/packages/testkit/bulrushcourse_testkit/truncation_model.py
@@ -6,17 +6,14 @@
 """
 
 import enum
-import heapq
-import itertools
-import random
 import typing
 
 import attrs
 
-from bulrushcourse_domain import clock as clocks
 from bulrushcourse_domain.attempts import broken
 from bulrushcourse_domain.quarantine import crashes
 from bulrushcourse_domain.quarantine import probes
+from bulrushcourse_testkit import event_model
 
 VMS = ('vm-0', 'vm-1', 'vm-2')
 UPSTREAMS = 6
@@ -101,48 +98,36 @@
     @property
     def late_retries(self) -> int:
         """Retries later than the contact time after the third crash."""
-        if len(self.crashed_at) < 3:
-            return 0
-        start = sorted(self.crashed_at)[2] + CONTACT_S
-        return sum(at > start for at in self.retried_at)
+        return event_model.late_events(
+            self.crashed_at, self.retried_at, CONTACT_S
+        )
 
 
-class Model:
+class Model(event_model.EventModel):
     """A run with one suspicion of truncated responses."""
 
     def __init__(
         self, suspicion: broken.Suspicion, load: Load, seed: int
     ) -> None:
-        self.rng = random.Random(seed)
-        self.clock = clocks.ManualClock()
+        super().__init__(seed)
         self.suspicion = suspicion
         self.ledgers = {vm: crashes.CrashLedger(self.clock) for vm in VMS}
         self.upstreams = [Upstream() for _ in range(UPSTREAMS)]
         self.result = Result()
-        self.queue: list[typing.Any] = []
-        self.numbers = itertools.count()
         for content, every_s in zip(
             (CRASHING, SOUND, ''), _INTERVALS[load], strict=True
         ):
             if every_s:
-                self._at(every_s, self._arrive, content, every_s)
-        self._at(REPORT_S, self._report)
+                self.at(every_s, self._arrive, content, every_s)
+        self.at(REPORT_S, self._report)
 
     def run(self) -> Result:
         """Play the load and return what happened."""
-        while self.queue and self.queue[0][0] < LENGTH_S:
-            at, _, action, arguments = heapq.heappop(self.queue)
-            self.clock.now = at
-            action(*arguments)
+        self.run_until(LENGTH_S)
         return self.result
 
-    def _at(
-        self, at: float, action: typing.Callable[..., None], *arguments: object
-    ) -> None:
-        heapq.heappush(self.queue, (at, next(self.numbers), action, arguments))
-
     def _arrive(self, content: str, every_s: float) -> None:
-        self._at(self.clock.now + every_s, self._arrive, content, every_s)
+        self.at(self.clock.now + every_s, self._arrive, content, every_s)
         fingerprint = content or f'c{next(self.numbers)}.other'
         vm = self.rng.choice(VMS)
         is_sound = fingerprint != CRASHING
@@ -176,7 +161,7 @@
         else:
             return
         took_s = CRASH_S if fingerprint == CRASHING else WORK_S
-        self._at(
+        self.at(
             self.clock.now + took_s,
             self._end,
             vm,
@@ -224,7 +209,7 @@
     def _crash(self, upstream: Upstream) -> None:
         upstream.born += 1
         upstream.down_until = self.clock.now + DOWN_S
-        self._at(upstream.down_until + DIRECTORY_S, self._show, upstream)
+        self.at(upstream.down_until + DIRECTORY_S, self._show, upstream)
 
     def _show(self, upstream: Upstream) -> None:
         upstream.shown = upstream.born
@@ -241,7 +226,7 @@
         elif self.suspicion is broken.Suspicion.POSSIBLE and (
             ledger.record_possible_loss(fingerprint, incarnation)
         ):
-            self._at(
+            self.at(
                 self.clock.now + CHECK_S,
                 self._check,
                 ledger,
@@ -261,7 +246,7 @@
             ledger.record_alive(incarnation, self.clock.now)
 
     def _report(self) -> None:
-        self._at(self.clock.now + REPORT_S, self._report)
+        self.at(self.clock.now + REPORT_S, self._report)
         for vm, ledger in self.ledgers.items():
             for evidence in ledger.outbox.take(self.clock.now):
                 for other, receiver in self.ledgers.items():
--- a/packages/wire/bulrushcourse_wire/directory_deltas.py
+++ b/packages/wire/bulrushcourse_wire/directory_deltas.py
@@ -8,6 +8,7 @@
 from bulrushcourse_domain.upstreams import upstream as upstreams
 from bulrushcourse_wire import era_messages
 from bulrushcourse_wire import fields as checks
+from bulrushcourse_wire import row_stamps
 
 MAX_UPSTREAMS = 100_000
 MAX_DIGEST = (1 << 32) - 1
@@ -17,79 +18,75 @@
 _IS_SENT = attrs.filters.exclude('seq', 'first_seq')
 
 
-def encode_delta(delta: upstreams.DirectoryDelta) -> list[typing.Any]:
-    """Return the fields of a delta.
-
-    Args:
-        delta: The delta.
-    """
-    changed = [attrs.astuple(e, filter=_IS_SENT) for e in delta.changed]
-    age_ms = int(delta.age_s * 1000)
-    return [
-        delta.base.version,
-        delta.position.version,
-        changed,
-        list(delta.gone),
-        age_ms,
-    ]
+def encode(delta: upstreams.DirectoryDelta) -> dict[str, typing.Any]:
+    """Return the fields of a report that carry a delta.
 
-
-def encode_eras(delta: upstreams.DirectoryDelta) -> list[int]:
-    """Return the eras of a delta's base and position, empty if both are 0.
+    VMs of earlier versions know the first field, and ignore the others.
 
     Args:
         delta: The delta.
     """
+    changed = [attrs.astuple(e, filter=_IS_SENT) for e in delta.changed]
     eras = [delta.base.era, delta.position.era]
-    return eras if any(eras) else []
-
-
-def encode_kept(delta: upstreams.DirectoryDelta) -> dict[str, int]:
-    """Return for how many milliseconds upstreams without a row are used.
-
-    Args:
-        delta: The delta.
-    """
-    return {name: int(left_s * 1000) for name, left_s in delta.kept.items()}
-
-
-def decode_delta(
-    fields: typing.Any,
-    kept: typing.Any = None,
-    digest: typing.Any = None,
-    eras: typing.Any = None,
-) -> upstreams.DirectoryDelta:
-    """Return the delta in the fields of a message.
+    others = {
+        'q': {name: int(s * 1000) for name, s in delta.kept.items()},
+        'ne': eras if any(eras) else [],
+        'nw': row_stamps.encode_numbers(delta.changed),
+        'gu': delta.possibly_present,
+    }
+    return {
+        'n': [
+            delta.base.version,
+            delta.position.version,
+            changed,
+            list(delta.gone),
+            int(delta.age_s * 1000),
+        ],
+        'g': delta.digest,
+        **{name: value for name, value in others.items() if value},
+    }
+
+
+def decode(
+    fields: typing.Mapping[str, typing.Any],
+) -> upstreams.DirectoryDelta | None:
+    """Return the delta in the fields of a report, ``None`` without one.
 
     Args:
         fields: The fields.
-        kept: See ``encode_kept``.
-        digest: Digest of the upstreams, ``None`` if there is none.
-        eras: See ``encode_eras``.
 
     Raises:
         ValueError: If a field has another type or is out of range.
     """
-    base, version, changed, removed, age_ms = checks.items(fields, 5)
-    base_era, era = checks.items(eras or [0, 0], 2)
+    if 'n' not in fields:
+        return None
+    get = fields.get
+    base, version, changed, removed, age_ms = checks.items(fields['n'], 5)
+    base_era, era = checks.items(get('ne') or [0, 0], 2)
+    digest = get('g')
+    kept = checks.mapping(get('q') or {}, MAX_UPSTREAMS)
+    rows = tuple(
+        _decode_upstream(entry)
+        for entry in checks.items(changed, MAX_UPSTREAMS)
+    )
     return upstreams.DirectoryDelta(
         era_messages.decode_position(base_era, base),
         era_messages.decode_position(era, version),
-        tuple(
-            _decode_upstream(entry)
-            for entry in checks.items(changed, MAX_UPSTREAMS)
-        ),
-        tuple(
-            checks.text(name) for name in checks.items(removed, MAX_UPSTREAMS)
-        ),
+        row_stamps.add_numbers(rows, get('nw')),
+        _decode_names(removed),
         checks.integer(age_ms) / 1000,
         {
             checks.text(name): checks.integer(left_ms, MAX_KEPT_MS) / 1000
-            for name, left_ms in checks.mapping(
-                kept or {}, MAX_UPSTREAMS
-            ).items()
+            for name, left_ms in kept.items()
         },
         None if digest is None else checks.integer(digest, MAX_DIGEST),
+        _decode_names(get('gu') or []),
+    )
+
+
+def _decode_names(value: typing.Any) -> tuple[str, ...]:
+    return tuple(
+        checks.text(name) for name in checks.items(value, MAX_UPSTREAMS)
     )
 
 
--- a/packages/wire/bulrushcourse_wire/fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/fleet_messages.py
@@ -217,29 +217,17 @@
     if report.roster is not None:
         content['w'] = report.roster
     if report.directory_delta is not None:
-        content['n'] = directory_deltas.encode_delta(report.directory_delta)
-        # VMs of versions without these four fields ignore them.
-        content['g'] = report.directory_delta.digest
-        kept = directory_deltas.encode_kept(report.directory_delta)
-        if kept:
-            content['q'] = kept
-        numbers = row_stamps.encode_numbers(report.directory_delta.changed)
-        if numbers:
-            content['nw'] = numbers
-        if report.directory_delta.possibly_present:
-            content['gu'] = report.directory_delta.possibly_present
+        content.update(directory_deltas.encode(report.directory_delta))
     return msgpack.packb(content)
 
 
 def _encode_eras(report: Report) -> dict[str, typing.Any]:
     """Return fields that VMs of versions without them ignore."""
-    delta = report.directory_delta
     return {
         'se': era_messages.encode_era(report.store_era),
         'ue': report.directory_position.era,
         'oe': report.operators_position.era,
         'eh': report.evacuations_held,
-        'ne': directory_deltas.encode_eras(delta) if delta else [],
     }
 
 
@@ -332,7 +320,7 @@
         ),
         evacuated=_texts(get('e', []), MAX_REGIONS),
         evacuations_held=_texts(get('eh', []), MAX_REGIONS),
-        directory_delta=_decode_delta(fields) if 'n' in fields else None,
+        directory_delta=directory_deltas.decode(fields),
         upstream_states=row_stamps.decode_states(get('ns', [])),
         vms=tuple(
             _decode_vm(vm) for vm in checks.items(get('m', []), MAX_VMS)
@@ -345,20 +333,6 @@
     )
 
 
-def _decode_delta(
-    fields: dict[str, typing.Any],
-) -> upstreams.DirectoryDelta:
-    get = fields.get
-    delta = directory_deltas.decode_delta(
-        fields['n'], get('q', {}), get('g'), get('ne', [])
-    )
-    return attrs.evolve(
-        delta,
-        changed=row_stamps.add_numbers(delta.changed, get('nw')),
-        possibly_present=_texts(get('gu', []), directory_deltas.MAX_UPSTREAMS),
-    )
-
-
 def _decode_heartbeats(ages: typing.Any, phases: typing.Any) -> Heartbeats:
     if max(checks.content(phases, MAX_VMS), default=0) >= len(_PHASES):
         raise checks.MalformedField('phase out of range')
