Name the sequence of rows in full, and share set-ups of tests

`seq` is a field of the users' pages; outside platform/ it is `sequence`. Sentences that had to be read twice say what they mean, the two models of the quarantine share what a run counts, and tests that played the same steps share them.

--- a/packages/domain/bulrushcourse_domain/quarantine/fingerprints.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/fingerprints.py
@@ -1,7 +1,7 @@
-"""Names of requests by what they ask for and by who asks.
+"""Names of requests, made of their content and their caller.
 
-A request that crashes upstreams is told from others by its content and by its
-caller: upstreams learn both, and may crash by either.
+Upstreams learn both and may crash by either, so that requests of different
+callers are different ones although their content is the same.
 """
 
 # Fingerprints of earlier versions, which leave the caller out, lack it.
--- a/packages/domain/bulrushcourse_domain/quarantine/tests/test_callers.py
+++ b/packages/domain/bulrushcourse_domain/quarantine/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""Requests of different callers are told apart, and what they share is not."""
+"""Requests are quarantined by caller, and contents for all callers."""
 
 import attrs
 import pytest
--- a/packages/domain/bulrushcourse_domain/upstreams/listed_upstreams.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/listed_upstreams.py
@@ -133,7 +133,7 @@
         elif previous is None:
             self.expiry.awaited.add(upstream.name)
         upstream = attrs.evolve(
-            upstream, first_seq=self._first_seq(upstream, previous)
+            upstream, first_sequence=self._first_sequence(upstream, previous)
         )
         self.by_name[upstream.name] = upstream
         self.returned.record_presence(upstream)
@@ -148,12 +148,12 @@
         if upstream.draining and (previous is None or not previous.draining):
             yield upstreams.Change(upstream, 'draining')
 
-    def _first_seq(
+    def _first_sequence(
         self, row: upstreams.Upstream, previous: upstreams.Upstream | None
     ) -> int:
         if previous is not None and previous.born == row.born:
-            return previous.first_seq
-        return self.order.first_seq_of(row)
+            return previous.first_sequence
+        return self.order.first_sequence_of(row)
 
     def _record_change(
         self,
@@ -219,7 +219,7 @@
                 known,
                 draining=True,
                 born=newer.stamp.born,
-                seq=newer.stamp.seq,
+                sequence=newer.stamp.sequence,
             )
             yield from self.merge(draining, self.clock.monotonic())
 
--- a/packages/domain/bulrushcourse_domain/upstreams/newer_states.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/newer_states.py
@@ -73,10 +73,13 @@
 
     Examples:
         >>> row = upstreams.Upstream(
-        ...     'u', 's', '', 'd', 'r', born=9, seq=8, first_seq=8
+        ...     'u', 's', '', 'd', 'r', born=9, sequence=8, first_sequence=8
         ... )
         >>> gone = NewerState('u', row_order.Stamp(9, 7), State.GONE)
-        >>> overrules(gone, row), overrules(gone, attrs.evolve(row, seq=9))
+        >>> (
+        ...     overrules(gone, row),
+        ...     overrules(gone, attrs.evolve(row, sequence=9)),
+        ... )
         (True, False)
     """
     stamp = row_order.stamp_of(known)
@@ -86,5 +89,5 @@
         return newer.stamp.born > known.born
     if newer.state is not State.GONE:
         return newer.stamp > stamp
-    has_resumed = newer.stamp.seq < known.first_seq < known.seq
+    has_resumed = newer.stamp.sequence < known.first_sequence < known.sequence
     return not has_resumed
--- a/packages/domain/bulrushcourse_domain/upstreams/row_order.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/row_order.py
@@ -25,16 +25,16 @@
 
     Attributes:
         born: Start of its process in Unix milliseconds, 0 if unknown.
-        seq: Sequence number within the process, 0 if unknown.
+        sequence: Sequence number within the process, 0 if unknown.
     """
 
     born: int
-    seq: int
+    sequence: int
 
     @property
     def is_complete(self) -> bool:
         """Whether it can be compared with others."""
-        return bool(self.born and self.seq)
+        return bool(self.born and self.sequence)
 
 
 class Relation(enum.Enum):
@@ -87,7 +87,7 @@
     Args:
         row: The row.
     """
-    return Stamp(row.born, row.seq)
+    return Stamp(row.born, row.sequence)
 
 
 def compare(
@@ -140,8 +140,10 @@
 
     Examples:
         >>> order = RowOrder(clocks.ManualClock())
-        >>> ready = upstreams.Upstream('u', 's', '', 'd', 'r', born=9, seq=7)
-        >>> draining = attrs.evolve(ready, draining=True, seq=8)
+        >>> ready = upstreams.Upstream(
+        ...     'u', 's', '', 'd', 'r', born=9, sequence=7
+        ... )
+        >>> draining = attrs.evolve(ready, draining=True, sequence=8)
         >>> order.may_apply(draining, ready), order.may_apply(ready, draining)
         (True, False)
     """
@@ -183,15 +185,20 @@
 
         Another VM may have seen the first of them.
         """
-        removed_at = self.tombstones[row.name].stamp.seq
-        first_seq = self._pending_row(row).stamp.seq
-        return first_seq < row.seq or removed_at < row.first_seq < row.seq
+        removed_at = self.tombstones[row.name].stamp.sequence
+        first_sequence = self._pending_row(row).stamp.sequence
+        return (
+            first_sequence < row.sequence
+            or removed_at < row.first_sequence < row.sequence
+        )
 
     def _has_progressed(self, row: upstreams.Upstream) -> bool:
         """Return whether a process with an earlier start goes on writing."""
         first = self._pending_row(row)
         elapsed_s = self.clock.monotonic() - first.at
-        return first.stamp.seq < row.seq and elapsed_s >= MIN_PROGRESS_S
+        return (
+            first.stamp.sequence < row.sequence and elapsed_s >= MIN_PROGRESS_S
+        )
 
     def _pending_row(self, row: upstreams.Upstream) -> PendingRow:
         """Return the first pending row of the process of a row."""
@@ -236,7 +243,7 @@
         self.tombstones.pop(row.name, None)
         self.discard_pending(row.name)
 
-    def first_seq_of(self, row: upstreams.Upstream) -> int:
+    def first_sequence_of(self, row: upstreams.Upstream) -> int:
         """Return the lowest sequence number that was seen of a process.
 
         Args:
@@ -244,8 +251,8 @@
         """
         pending = self.pending.get(row.name)
         if pending is not None and pending.stamp.born == row.born:
-            return pending.stamp.seq
-        return row.first_seq or row.seq
+            return pending.stamp.sequence
+        return row.first_sequence or row.sequence
 
     def discard_missing(self, present: typing.Container[str]) -> None:
         """Forget the rows that were held back and have been removed.
--- a/packages/domain/bulrushcourse_domain/upstreams/tests/test_row_order.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/tests/test_row_order.py
@@ -13,8 +13,8 @@
 from bulrushcourse_domain.upstreams import upstream as upstreams
 
 READ_S = 0.7
-READY = upstreams.Upstream('u', 's', 'h:1', 'd', 'r', 4, born=5, seq=7)
-DRAINING = attrs.evolve(READY, draining=True, seq=8)
+READY = upstreams.Upstream('u', 's', 'h:1', 'd', 'r', 4, born=5, sequence=7)
+DRAINING = attrs.evolve(READY, draining=True, sequence=8)
 
 
 def new_directory():
@@ -47,7 +47,9 @@
 
 
 @pytest.mark.parametrize(
-    'late', [READY, attrs.evolve(READY, born=4, seq=90)], ids=['seq', 'born']
+    'late',
+    [READY, attrs.evolve(READY, born=4, sequence=90)],
+    ids=['sequence', 'born'],
 )
 def test_stale_row_does_not_revive_a_draining_upstream(late):
     # Guards against requests to an upstream whose leaving was acknowledged
@@ -60,14 +62,14 @@
     assert not is_used(directory)
 
 
-@pytest.mark.parametrize('seq', [6, 7, 8])
-def test_row_from_before_a_removal_does_not_bring_the_upstream_back(seq):
+@pytest.mark.parametrize('sequence', [6, 7, 8])
+def test_row_from_before_a_removal_does_not_bring_the_upstream_back(sequence):
     # Guards against the last row of an upstream that is performed once more,
     # and that no VM may have read before.
     directory = new_directory()
     read(directory, READY)
     read(directory)
-    late = attrs.evolve(READY, seq=seq)
+    late = attrs.evolve(READY, sequence=sequence)
     for _ in range(5):
         read(directory, late)
         assert not is_used(directory)
@@ -80,8 +82,8 @@
     tell(directory, other)
     read(directory)
     tell(directory, other)
-    for seq, expected in ((11, False), (11, False), (12, True)):
-        read(directory, attrs.evolve(READY, seq=seq))
+    for sequence, expected in ((11, False), (11, False), (12, True)):
+        read(directory, attrs.evolve(READY, sequence=sequence))
         tell(directory, other)
         assert [is_used(d) for d in (directory, other)] == [expected] * 2
 
@@ -91,7 +93,7 @@
     directory = new_directory()
     read(directory, READY)
     read(directory)
-    read(directory, attrs.evolve(READY, born=6, seq=1))
+    read(directory, attrs.evolve(READY, born=6, sequence=1))
     assert is_used(directory)
 
 
@@ -101,8 +103,8 @@
     directory = new_directory()
     read(directory, READY)
     read(directory, DRAINING)
-    for seq in (1, 1, 2, 2):
-        read(directory, attrs.evolve(READY, born=3, seq=seq))
+    for sequence in (1, 1, 2, 2):
+        read(directory, attrs.evolve(READY, born=3, sequence=sequence))
     assert is_used(directory)
     assert directory.by_name['u'].born == 3
 
@@ -111,12 +113,12 @@
     # Guards against rows that were held up together and arrive in one moment.
     directory = new_directory()
     read(directory, attrs.evolve(READY, born=6, draining=True))
-    for seq in (90, 91):
-        read(directory, attrs.evolve(READY, seq=seq), after_s=0.1)
+    for sequence in (90, 91):
+        read(directory, attrs.evolve(READY, sequence=sequence), after_s=0.1)
     assert not is_used(directory)
 
 
-@pytest.mark.parametrize('unknown', ['seq', 'born'])
+@pytest.mark.parametrize('unknown', ['sequence', 'born'])
 def test_rows_without_a_stamp_count_as_they_were_written(unknown):
     # Guards against rows of other writers, or VMs of earlier versions, whose
     # changes would have no effect.
@@ -135,7 +137,7 @@
     directory.clock.advance(row_expiry.EXPIRY_GRACE_S)
     directory.remove_expired()
     assert not is_used(directory)
-    read(directory, attrs.evolve(READY, seq=11))
+    read(directory, attrs.evolve(READY, sequence=11))
     assert is_used(directory)
 
 
@@ -153,7 +155,7 @@
     )
     tell(directory, other)
     assert not is_used(directory) and not is_used(other)
-    read(directory, attrs.evolve(READY, seq=8))
+    read(directory, attrs.evolve(READY, sequence=8))
     tell(directory, other)
     assert is_used(directory) and is_used(other)
 
@@ -176,14 +178,14 @@
 
 
 def test_late_knowledge_of_a_removal_does_not_stop_an_upstream_that_lives():
-    # Guards against a VM that was told of a removal and not of what followed.
+    # Guards against a VM that knows of a removal, not of the rows after it.
     late, present = new_directory(), new_directory()
     for directory in (late, present):
         read(directory, READY)
         read(directory)
-    for seq in (11, 12, 13):
-        read(present, attrs.evolve(READY, seq=seq))
-    read(late, attrs.evolve(READY, seq=13))
+    for sequence in (11, 12, 13):
+        read(present, attrs.evolve(READY, sequence=sequence))
+    read(late, attrs.evolve(READY, sequence=13))
     present.apply_states(late.states_of_held_back())
     assert is_used(present)
 
@@ -210,7 +212,7 @@
 def test_no_order_of_late_rows_changes_the_newest_one(order, last):
     # Guards against orders of late writes that no other test plays.
     rows = [
-        attrs.evolve(READY, seq=n + 1, draining=n >= 4, slots=n + 1)
+        attrs.evolve(READY, sequence=n + 1, draining=n >= 4, slots=n + 1)
         for n in range(6)
     ]
     directory = new_directory()
--- a/packages/domain/bulrushcourse_domain/upstreams/upstream.py
+++ b/packages/domain/bulrushcourse_domain/upstreams/upstream.py
@@ -42,9 +42,9 @@
         born: Start of this incarnation in Unix milliseconds, 0 if unknown.
         version: Version of the store that wrote the row. Heartbeats change
             nothing else, so it is ignored in comparisons.
-        seq: Sequence number of the row within its process, 0 if unknown.
+        sequence: Number of the row within its process, 0 if unknown.
             Ignored in comparisons as well.
-        first_seq: Lowest sequence number that was seen of the process since
+        first_sequence: Lowest such number that was seen of the process since
             the upstream was listed, 0 if none is known.
     """
 
@@ -58,8 +58,8 @@
     cold_for_s: float = 0.0
     born: int = 0
     version: int = attrs.field(default=0, eq=False)
-    seq: int = attrs.field(default=0, eq=False)
-    first_seq: int = attrs.field(default=0, eq=False)
+    sequence: int = attrs.field(default=0, eq=False)
+    first_sequence: int = attrs.field(default=0, eq=False)
 
     @property
     def digest(self) -> int:
--- a/packages/entry/bulrushcourse_entry/edge/callers/tests/test_caller_request.py
+++ b/packages/entry/bulrushcourse_entry/edge/callers/tests/test_caller_request.py
@@ -1,4 +1,4 @@
-"""Requests are told apart by what they ask for and by who asks."""
+"""A fingerprint identifies a request by its content and its caller."""
 
 import attrs
 import multidict
--- a/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
+++ b/packages/entry/bulrushcourse_entry/edge/reporting/state_dump.py
@@ -80,7 +80,7 @@
         'rows_held_back': {
             entry.name: {
                 'born': entry.stamp.born,
-                'seq': entry.stamp.seq,
+                'sequence': entry.stamp.sequence,
                 'state': entry.state.name.lower(),
             }
             for entry in state.upstreams.states_of_held_back()
--- a/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
+++ b/packages/entry/bulrushcourse_entry/edge/store/store_readers.py
@@ -167,9 +167,9 @@
                 self.event_log.log_change(
                     events.Event.UPSTREAM_ROW_HELD_BACK,
                     upstream=row.name,
-                    row=[row.born, row.seq],
+                    row=[row.born, row.sequence],
                     version=row.version,
-                    known=[entry.stamp.born, entry.stamp.seq],
+                    known=[entry.stamp.born, entry.stamp.sequence],
                     state=entry.state.name.lower(),
                 )
         self.held_back = frozenset(held_back)
--- a/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
+++ b/packages/entry/bulrushcourse_entry/platform/upstream_rows.py
@@ -46,7 +46,7 @@
             ),
             born=units.integer(fields.get('born', 0), 'born'),
             version=row.version,
-            seq=units.integer(fields.get('seq', 0), 'seq'),
+            sequence=units.integer(fields.get('seq', 0), 'seq'),
         )
     except units.MalformedValue:
         raise
--- a/packages/testkit/bulrushcourse_testkit/event_model.py
+++ b/packages/testkit/bulrushcourse_testkit/event_model.py
@@ -5,6 +5,8 @@
 import random
 import typing
 
+import attrs
+
 from bulrushcourse_domain import clock as clocks
 
 
@@ -48,6 +50,21 @@
             action(*arguments)
 
 
+@attrs.define
+class Result:
+    """What a run of a quarantine counts.
+
+    Attributes:
+        crashed_at: Time of each crash by the crash-inducing request.
+        sound: Sound requests.
+        refused: Sound requests that were refused as quarantined.
+    """
+
+    crashed_at: list[float] = attrs.field(factory=list)
+    sound: int = 0
+    refused: int = 0
+
+
 def late_events(
     crashed_at: typing.Iterable[float],
     counted_at: typing.Iterable[float],
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_crash_requests.py
@@ -96,11 +96,26 @@
     run(scenario)
 
 
-async def late_retries(cluster, **fields):
-    """Repeat the crashing request; return the retries that came too late.
+async def late_retries(sent, delay_s, **fields):
+    """Repeat a request that crashes upstreams; return its late retries.
 
-    That is, later than the contact time after the third crash.
+    Those come later than the contact time after the third crash. Upstreams
+    crash a time after they have sent a part of their response.
     """
+    async with clusters.EdgeCluster(('a1', 'a2'), RETRIES) as cluster:
+        cluster.configure()
+        await add_upstreams(
+            cluster,
+            40,
+            crashes_on=CRASHING,
+            crash_after=sent,
+            crash_delay_s=delay_s,
+        )
+        await cluster.start()
+        return await _repeat_crashing(cluster, fields)
+
+
+async def _repeat_crashing(cluster, fields):
     tasks = []
     for number in range(LATE_REQUESTS):
         vm = number % len(cluster.vms)
@@ -132,17 +147,7 @@
     # Guards against a request that crashes upstreams while they respond, and
     # that is sent to a second one each time it comes (review/15).
     async def scenario():
-        async with clusters.EdgeCluster(('a1', 'a2'), RETRIES) as cluster:
-            cluster.configure()
-            await add_upstreams(
-                cluster,
-                40,
-                crashes_on=CRASHING,
-                crash_after=sent,
-                crash_delay_s=delay_s,
-            )
-            await cluster.start()
-            assert len(await late_retries(cluster)) <= 3
+        assert len(await late_retries(sent, delay_s)) <= 3
 
     run(scenario)
 
@@ -151,18 +156,8 @@
     # Guards against a request that crashes upstreams when its deadline has
     # passed, so that no attempt sees it, and is hedged each time it comes.
     async def scenario():
-        async with clusters.EdgeCluster(('a1', 'a2'), RETRIES) as cluster:
-            cluster.configure()
-            await add_upstreams(
-                cluster,
-                40,
-                crashes_on=CRASHING,
-                crash_after=lambda response: b'',
-                crash_delay_s=2.0,
-            )
-            await cluster.start()
-            late = await late_retries(cluster, deadline_ms=1900)
-            assert len(late) <= 3
+        late = await late_retries(lambda response: b'', 2.0, deadline_ms=1900)
+        assert len(late) <= 3
 
     run(scenario)
 
--- a/packages/testkit/bulrushcourse_testkit/platform/tests/test_late_rows.py
+++ b/packages/testkit/bulrushcourse_testkit/platform/tests/test_late_rows.py
@@ -59,6 +59,18 @@
     cluster.store.put('servers', upstream.name, row)
 
 
+async def late_arrivals(cluster, leaving, row, heartbeats):
+    """Apply a row after the drain time; return the arrivals from then on.
+
+    The upstream has just announced that it leaves, or its row was removed.
+    """
+    bound = time.monotonic() + DRAIN_S
+    await send_until(cluster, bound)
+    write_late(cluster, leaving, row)
+    await send_until(cluster, bound + heartbeats * HEARTBEAT_S)
+    return arrivals_after(leaving, bound)
+
+
 @pytest.mark.parametrize('restarted', (False, True))
 def test_old_beat_does_not_revive_a_draining_upstream(restarted):
     # Guards against requests to a draining upstream, after a beat from before
@@ -72,11 +84,7 @@
                 restart(cluster, leaving)
                 await asyncio.sleep(1.0)
             beat(cluster, leaving, state='draining')
-            bound = time.monotonic() + DRAIN_S
-            await send_until(cluster, bound)
-            write_late(cluster, leaving, old)
-            await send_until(cluster, bound + HEARTBEAT_S)
-            assert not arrivals_after(leaving, bound)
+            assert not await late_arrivals(cluster, leaving, old, 1)
 
     run(scenario)
 
@@ -91,11 +99,8 @@
             # No VM may have read its last beat.
             beat(cluster, leaving)
             cluster.store.remove('servers', leaving.name)
-            bound = time.monotonic() + DRAIN_S
-            await send_until(cluster, bound)
-            write_late(cluster, leaving, leaving.row)
-            await send_until(cluster, bound + 2 * HEARTBEAT_S)
-            assert not arrivals_after(leaving, bound)
+            row = leaving.row
+            assert not await late_arrivals(cluster, leaving, row, 2)
 
     run(scenario)
 
--- a/packages/testkit/bulrushcourse_testkit/quarantine_model.py
+++ b/packages/testkit/bulrushcourse_testkit/quarantine_model.py
@@ -100,18 +100,8 @@
 
 
 @attrs.define
-class Result:
-    """What a run counts.
-
-    Attributes:
-        crashed_at: Time of each crash by the crash-inducing request.
-        sound: Sound requests.
-        refused: Sound requests that were refused as quarantined.
-    """
-
-    crashed_at: list[float] = attrs.field(factory=list)
-    sound: int = 0
-    refused: int = 0
+class Result(event_model.Result):
+    """What a run counts."""
 
     @property
     def late_crashes(self) -> int:
--- a/packages/testkit/bulrushcourse_testkit/quarantine_policies.py
+++ b/packages/testkit/bulrushcourse_testkit/quarantine_policies.py
@@ -81,12 +81,12 @@
 
 
 def without_caller(fingerprint: str) -> str:
-    """Return what identified a request before callers were told apart."""
+    """Return the content, which identified a request in earlier versions."""
     return fingerprints.content_of(fingerprint) or fingerprint
 
 
 def without_content(fingerprint: str) -> str:
-    """Return what identifies a request if callers have nothing in common."""
+    """Return a fingerprint that shows no common content of callers."""
     return fingerprint.replace('.', '~')
 
 
--- a/packages/testkit/bulrushcourse_testkit/truncation_model.py
+++ b/packages/testkit/bulrushcourse_testkit/truncation_model.py
@@ -78,21 +78,15 @@
 
 
 @attrs.define
-class Result:
+class Result(event_model.Result):
     """What a run counts.
 
     Attributes:
-        crashed_at: Time of each crash.
         retried_at: Time of each crash by a retry.
-        sound: Sound requests.
-        refused: Those that were refused as quarantined.
         checks: Connections that check an upstream.
     """
 
-    crashed_at: list[float] = attrs.field(factory=list)
     retried_at: list[float] = attrs.field(factory=list)
-    sound: int = 0
-    refused: int = 0
     checks: int = 0
 
     @property
--- a/packages/wire/bulrushcourse_wire/directory_deltas.py
+++ b/packages/wire/bulrushcourse_wire/directory_deltas.py
@@ -15,7 +15,7 @@
 # Longer times for which an upstream without a row is used are mistakes.
 MAX_KEPT_MS = 60_000
 # Sequence numbers travel in a field of their own, see ``row_stamps``.
-_IS_SENT = attrs.filters.exclude('seq', 'first_seq')
+_IS_SENT = attrs.filters.exclude('sequence', 'first_sequence')
 
 
 def encode(delta: upstreams.DirectoryDelta) -> dict[str, typing.Any]:
--- a/packages/wire/bulrushcourse_wire/row_stamps.py
+++ b/packages/wire/bulrushcourse_wire/row_stamps.py
@@ -23,7 +23,9 @@
     Args:
         changed: The rows of a delta.
     """
-    numbers = [n for row in changed for n in (row.seq, row.first_seq)]
+    numbers = [
+        n for row in changed for n in (row.sequence, row.first_sequence)
+    ]
     return numbers if any(numbers) else []
 
 
@@ -45,8 +47,8 @@
         checks.integer(n) for n in checks.items(value, 2 * len(changed))
     ]
     return tuple(
-        attrs.evolve(row, seq=seq, first_seq=first_seq)
-        for row, seq, first_seq in zip(
+        attrs.evolve(row, sequence=sequence, first_sequence=first_sequence)
+        for row, sequence, first_sequence in zip(
             changed, numbers[::2], numbers[1::2], strict=True
         )
     )
@@ -61,7 +63,7 @@
         states: The states.
     """
     return [
-        (entry.name, entry.stamp.born, entry.stamp.seq, entry.state.value)
+        (entry.name, entry.stamp.born, entry.stamp.sequence, entry.state.value)
         for entry in states
     ]
 
@@ -78,8 +80,8 @@
     """
     found = []
     for entry in checks.items(value, newer_states.MAX_STATES):
-        name, born, seq, state = checks.items(entry, 4)
-        stamp = row_order.Stamp(checks.integer(born), checks.integer(seq))
+        name, born, sequence, state = checks.items(entry, 4)
+        stamp = row_order.Stamp(checks.integer(born), checks.integer(sequence))
         found.append(
             newer_states.NewerState(checks.text(name), stamp, _STATES[state])
         )
--- a/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
+++ b/packages/wire/bulrushcourse_wire/tests/test_fleet_messages.py
@@ -373,7 +373,7 @@
 def test_numbers_of_rows_travel_beside_the_rows():
     # Guards against mixed versions: earlier ones refuse rows with more fields
     # than they know, and send none of these.
-    row = attrs.evolve(UPSTREAM, seq=8, first_seq=3)
+    row = attrs.evolve(UPSTREAM, sequence=8, first_sequence=3)
     delta = upstreams.DirectoryDelta(
         positions.START, positions.Position(0, 4), (row, UPSTREAM)
     )
@@ -382,12 +382,15 @@
     )
     encoded = fleet_messages.encode(report)
     decoded = fleet_messages.decode(encoded).directory_delta.changed
-    assert [(u.seq, u.first_seq) for u in decoded] == [(8, 3), (0, 0)]
+    assert [(u.sequence, u.first_sequence) for u in decoded] == [
+        (8, 3),
+        (0, 0),
+    ]
     fields = msgpack.unpackb(encoded)
     assert {len(entry) for entry in fields['n'][2]} == {10}
     del fields['nw']
     earlier = fleet_messages.decode(msgpack.packb(fields)).directory_delta
-    assert [u.seq for u in earlier.changed] == [0, 0]
+    assert [u.sequence for u in earlier.changed] == [0, 0]
 
 
 @pytest.mark.parametrize('numbers', [[1], [1, 2, 3, 4, 5], ['1', 2, 3, 4], 7])
